--- /dev/null
+++ b/Makefile
@@ -0,0 +1,79 @@
+# elmarch: plain make, no generator. The two commands of the README are
+# "make demo" and "make check".
+
+CC = gcc
+SAN =
+CFLAGS = -O2 -g
+WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+       -Wmissing-prototypes -Wpointer-arith -Wwrite-strings
+INC = -Ibase -Icoord -Iroute -Igate -isystem /usr/include/tirpc
+PREFIX = /usr/local
+B = build
+
+BASE = base/str.c base/err.c base/timer.c base/counter.c base/log.c \
+       base/settings.c
+COORD = coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
+ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
+        route/admit.c route/retry.c route/stream.c route/call.c route/trace.c
+
+GATE = gate/gate.c gate/clock.c gate/http_server.c gate/http_client.c gate/answer.c \
+       gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
+       gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
+       gate/platform.c gate/kv_http.c gate/rpc.c gate/peer.c gate/peer_xdr.c
+STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c
+
+LIBS = -lh2o -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
+       -lpthread -lm
+
+LIBA = $(B)/libgate.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
+
+FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
+              grep -v 'gate/peer_xdr.c\|gate/peer_proto.h')
+
+.PHONY: all deps demo check lint bench format clean install
+.DEFAULT_GOAL = all
+
+deps:
+	sh tools/deps.sh
+demo: deps
+	$(MAKE) -s all
+	sh standin/demo.sh $(BIN)
+format:
+	sh tools/licence.sh
+	clang-format -i $(FORMATTED)
+clean:
+	rm -rf build
+
+BIN = $(B)/bin
+PROGRAMS = $(BIN)/elmarchd $(BIN)/elmarchctl $(BIN)/standin $(BIN)/demo
+
+all: $(PROGRAMS)
+
+LINK = @mkdir -p $(BIN) && $(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS)
+
+$(BIN)/elmarchd: $(B)/elmarchd/main.o $(LIBA)
+	$(LINK)
+$(BIN)/elmarchctl: $(B)/elmarchctl/main.o $(LIBA)
+	$(LINK)
+$(BIN)/standin: $(STANDIN:%.c=$(B)/%.o) $(LIBA)
+	$(LINK)
+$(BIN)/demo: $(B)/standin/demo.o $(B)/standin/reference.o $(LIBA)
+	$(LINK) -lcurl
+
+# What rpcgen writes declares variables that it does not use.
+$(B)/gate/peer_xdr.o: WARN += -Wno-unused-variable
+
+$(B)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CFLAGS) $(SAN) $(WARN) $(INC) -MMD -c -o $@ $<
+
+$(B)/libbase.a: $(BASE:%.c=$(B)/%.o)
+	ar rcs $@ $^
+$(B)/libcoord.a: $(COORD:%.c=$(B)/%.o)
+	ar rcs $@ $^
+$(B)/libroute.a: $(ROUTE:%.c=$(B)/%.o)
+	ar rcs $@ $^
+$(B)/libgate.a: $(GATE:%.c=$(B)/%.o)
+	ar rcs $@ $^
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/base/base.h
@@ -0,0 +1,256 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Parts that every package uses: counted strings, status and verdict types,
+ * the timer service, counters, logs and settings.
+ */
+#ifndef ELMARCH_BASE_H
+#define ELMARCH_BASE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* Counted strings. */
+
+/** Bytes that the holder does not own; need not end in NUL. */
+typedef struct el_str
+{
+  const char *ptr; /**< first byte, NULL when len is 0 */
+  size_t len;      /**< bytes */
+} el_str_t;
+
+/** A growing byte buffer that its holder owns. */
+typedef struct el_buf
+{
+  char *ptr;  /**< first byte, kept NUL terminated when not NULL */
+  size_t len; /**< bytes in use */
+  size_t cap; /**< bytes allocated */
+} el_buf_t;
+
+/** The counted string of a literal. */
+#define EL_STR(lit) ((el_str_t){ (lit), sizeof (lit) - 1 })
+
+el_str_t el_str (const char *cstr);
+int el_str_eq (el_str_t a, el_str_t b);
+int el_str_starts (el_str_t s, el_str_t prefix);
+el_str_t el_str_after (el_str_t s, size_t n);
+el_str_t el_str_cut (el_str_t *rest, char sep);
+int el_str_to_u64 (el_str_t s, uint64_t *out);
+uint64_t el_str_hash (el_str_t s);
+el_str_t el_str_dup (el_str_t s);
+void el_str_free (el_str_t *s);
+
+void el_buf_add (el_buf_t *buf, el_str_t s);
+void el_buf_printf (el_buf_t *buf, const char *fmt, ...)
+    __attribute__ ((format (printf, 2, 3)));
+void el_buf_reset (el_buf_t *buf);
+void el_buf_free (el_buf_t *buf);
+el_str_t el_buf_str (const el_buf_t *buf);
+
+void *el_alloc (size_t size);
+void *el_grow (void *ptr, size_t count, size_t size);
+
+/* Status: whether a call of this code worked, and why not. */
+
+typedef enum el_status
+{
+  EL_OK = 0,
+  EL_INVALID,   /**< input breaks a rule that the message names */
+  EL_NOT_FOUND, /**< no such object */
+  EL_CONFLICT,  /**< another change came first */
+  EL_LIMIT,     /**< a bound would be passed */
+  EL_DENIED,    /**< the asker did not prove who it is */
+  EL_AWAY,      /**< the other side can't be reached */
+  EL_SYSTEM     /**< the operating system refused */
+} el_status_t;
+
+/** Longest message of an error, in bytes with the final NUL. */
+#define EL_ERR_MAX 256
+
+/** A status with its last message. */
+typedef struct el_err
+{
+  el_status_t status;
+  char msg[EL_ERR_MAX];
+} el_err_t;
+
+el_status_t el_err_set (el_err_t *err, el_status_t status, const char *fmt,
+                        ...) __attribute__ ((format (printf, 3, 4)));
+const char *el_status_name (el_status_t status);
+
+/* Verdict: whether a request may have run. */
+
+/** Zero is the cautious value, so that a forgotten verdict never claims that
+    a request did not run. */
+typedef enum el_verdict
+{
+  EL_MAY_HAVE_RUN = 0, /**< it can't be told */
+  EL_NOT_RUN,          /**< proved: nothing that starts it was accepted */
+  EL_RAN               /**< proved: an answer came back */
+} el_verdict_t;
+
+el_verdict_t el_verdict_join (el_verdict_t a, el_verdict_t b);
+const char *el_verdict_name (el_verdict_t verdict);
+int el_verdict_parse (el_str_t name, el_verdict_t *out);
+
+/* Timer service. */
+
+/** Microseconds on a clock that never goes back. */
+typedef uint64_t el_time_t;
+#define EL_TIME_NEVER UINT64_MAX
+#define EL_MSEC ((el_time_t)1000)
+#define EL_SEC ((el_time_t)1000000)
+
+typedef struct el_timer el_timer_t;
+typedef void (*el_timer_cb) (void *arg, el_time_t now);
+
+/** One subscription; its holder owns the memory. Zero it before first use. */
+struct el_timer
+{
+  el_time_t due;  /**< when it fires */
+  el_timer_cb cb; /**< what is called */
+  void *arg;      /**< handed to cb */
+  size_t slot;    /**< place in the heap plus one; 0 when not set */
+};
+
+/** A heap of subscriptions; owns no clock. */
+typedef struct el_timers
+{
+  el_timer_t **heap;
+  size_t len;
+  size_t cap;
+} el_timers_t;
+
+void el_timers_set (el_timers_t *timers, el_timer_t *timer, el_time_t due);
+void el_timers_cancel (el_timers_t *timers, el_timer_t *timer);
+el_time_t el_timers_next (const el_timers_t *timers);
+void el_timers_run (el_timers_t *timers, el_time_t now);
+void el_timers_free (el_timers_t *timers);
+
+/* Counters. */
+
+typedef enum el_metric_kind
+{
+  EL_COUNTER,
+  EL_GAUGE,
+  EL_HISTOGRAM
+} el_metric_kind_t;
+
+/** Buckets of a histogram: 4 to each doubling, over 64 bits. */
+#define EL_HIST_BUCKETS 256
+
+typedef struct el_hist
+{
+  uint64_t bucket[EL_HIST_BUCKETS];
+  uint64_t count;
+  uint64_t sum;
+} el_hist_t;
+
+/** A named metric; the value lives with the part that counts. */
+typedef struct el_metric
+{
+  const char *name;
+  const char *help;
+  el_metric_kind_t kind;
+  const void *value; /**< uint64_t, or el_hist_t for EL_HISTOGRAM */
+} el_metric_t;
+
+typedef struct el_metrics
+{
+  el_metric_t *list;
+  size_t len;
+} el_metrics_t;
+
+void el_metrics_add (el_metrics_t *metrics, const char *name, const char *help,
+                     el_metric_kind_t kind, const void *value);
+void el_metrics_print (const el_metrics_t *metrics, el_buf_t *out);
+void el_metrics_free (el_metrics_t *metrics);
+void el_hist_add (el_hist_t *hist, uint64_t value);
+uint64_t el_hist_quantile (const el_hist_t *hist, double q);
+
+/* Logs. */
+
+typedef enum el_log_level
+{
+  EL_LOG_ERROR,
+  EL_LOG_WARN,
+  EL_LOG_INFO,
+  EL_LOG_DEBUG
+} el_log_level_t;
+
+/** One field of a log line: a string, or a number when str.ptr is NULL. */
+typedef struct el_field
+{
+  const char *key;
+  el_str_t str;
+  uint64_t num;
+  int is_num;
+} el_field_t;
+
+#define EL_FS(key, s) ((el_field_t){ (key), (s), 0, 0 })
+#define EL_FC(key, c) ((el_field_t){ (key), el_str (c), 0, 0 })
+#define EL_FN(key, n) ((el_field_t){ (key), { NULL, 0 }, (uint64_t)(n), 1 })
+#define EL_LOG(level, event, ...)                                             \
+  el_log_event ((level), (event), (const el_field_t[]){ __VA_ARGS__ },        \
+                sizeof ((const el_field_t[]){ __VA_ARGS__ })                  \
+                    / sizeof (el_field_t))
+
+int el_log_open (const char *program, el_log_level_t level);
+void el_log_close (void);
+void el_log_event (el_log_level_t level, const char *event,
+                   const el_field_t *fields, size_t nfields);
+void el_log_format (el_buf_t *out, const char *event, const el_field_t *fields,
+                    size_t nfields);
+int el_log_level_parse (const char *name, el_log_level_t *out);
+
+/* Settings. */
+
+typedef enum el_set_kind
+{
+  EL_SET_STRING, /**< const char * */
+  EL_SET_U64,    /**< uint64_t within min and max */
+  EL_SET_FLAG    /**< int */
+} el_set_kind_t;
+
+/** One row of a program's table of settings. */
+typedef struct el_set
+{
+  const char *name; /**< flag without dashes; the variable is made from it */
+  el_set_kind_t kind;
+  size_t offset; /**< of the field in the program's struct */
+  const char *def;
+  uint64_t min;
+  uint64_t max;
+  int required;
+  const char *arg;
+  const char *help;
+} el_set_t;
+
+typedef struct el_set_options
+{
+  const char *program;
+  const char *env_prefix; /**< ELMARCHD makes ELMARCHD_LOG_LEVEL */
+  const char *usage;
+  const el_set_t *table;
+  size_t ntable;
+} el_set_options_t;
+
+/** Exit status for settings that break a rule. */
+#define EL_EXIT_USAGE 2
+
+typedef enum el_set_result
+{
+  EL_SET_RUN,     /**< go on */
+  EL_SET_DONE,    /**< help or version was printed: exit with 0 */
+  EL_SET_REFUSED, /**< err says which setting and the range: exit with 2 */
+} el_set_result_t;
+
+el_set_result_t el_set_parse (const el_set_options_t *options, int argc,
+                              const char **argv, void *out, const char ***rest,
+                              el_err_t *err);
+
+#define EL_VERSION "0.1.0"
+
+#endif
--- /dev/null
+++ b/base/settings.c
@@ -0,0 +1,204 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Settings from flags and environment variables, by one table: popt reads
+ * the flags, a variable of the same name stands in for one not given.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <popt.h>
+
+#include "base.h"
+
+#define ENV_NAME_MAX 128
+#define FLAG_VERSION_NAME "version"
+
+enum
+{
+  OPT_VERSION = 1,
+  OPT_HELP,
+  OPT_FIRST
+};
+
+static void
+env_name (char *out, size_t size, const char *prefix, const char *name)
+{
+  size_t i;
+
+  snprintf (out, size, "%s_%s", prefix, name);
+  for (i = 0; out[i]; i++)
+    if (out[i] == '-')
+      out[i] = '_';
+    else if (out[i] >= 'a' && out[i] <= 'z')
+      out[i] = (char)(out[i] - 'a' + 'A');
+}
+
+static el_status_t
+set_value (const el_set_t *set, const char *text, void *out, el_err_t *err)
+{
+  char *field = (char *)out + set->offset;
+  uint64_t number;
+
+  if (set->kind == EL_SET_STRING)
+    {
+      size_t len = strlen (text);
+
+      if (len < set->min || (set->max && len > set->max))
+        return el_err_set (err, EL_INVALID,
+                           "--%s: takes %" PRIu64 " to %" PRIu64
+                           " characters, not %zu",
+                           set->name, set->min, set->max, len);
+      *(const char **)(void *)field = text;
+      return EL_OK;
+    }
+  if (!el_str_to_u64 (el_str (text), &number) || number < set->min
+      || number > set->max)
+    return el_err_set (err, EL_INVALID,
+                       "--%s: takes a whole number from %" PRIu64
+                       " to %" PRIu64 ", not '%.64s'",
+                       set->name, set->min, set->max, text);
+  if (set->kind == EL_SET_FLAG)
+    *(int *)(void *)field = (int)number;
+  else
+    *(uint64_t *)(void *)field = number;
+  return EL_OK;
+}
+
+/* Defaults and variables first, so that a flag overrides them. */
+static el_status_t
+set_defaults (const el_set_options_t *options, void *out, el_err_t *err)
+{
+  char name[ENV_NAME_MAX];
+  const char *text;
+  size_t i;
+
+  for (i = 0; i < options->ntable; i++)
+    {
+      env_name (name, sizeof name, options->env_prefix,
+                options->table[i].name);
+      text = getenv (name);
+      if (!text)
+        text = options->table[i].def;
+      if (text && set_value (&options->table[i], text, out, err))
+        return err->status;
+    }
+  return EL_OK;
+}
+
+static el_status_t
+set_required (const el_set_options_t *options, const void *out, el_err_t *err)
+{
+  const el_set_t *set;
+  size_t i;
+
+  for (i = 0; i < options->ntable; i++)
+    {
+      set = &options->table[i];
+      if (!set->required || set->kind != EL_SET_STRING)
+        continue;
+      if (!*(const char *const *)(const void *)((const char *)out
+                                                + set->offset))
+        return el_err_set (err, EL_INVALID, "--%s: is required: %s", set->name,
+                           set->help);
+    }
+  return EL_OK;
+}
+
+static struct poptOption *
+popt_table (const el_set_options_t *options)
+{
+  struct poptOption *table = el_alloc ((options->ntable + 3) * sizeof *table);
+  size_t i;
+
+  table[0] = (struct poptOption){ "help", 'h',      POPT_ARG_NONE,
+                                  NULL,   OPT_HELP, "show this help",
+                                  NULL };
+  table[1] = (struct poptOption){
+    FLAG_VERSION_NAME,  'V', POPT_ARG_NONE, NULL, OPT_VERSION,
+    "show the version", NULL
+  };
+  for (i = 0; i < options->ntable; i++)
+    {
+      const el_set_t *set = &options->table[i];
+
+      table[i + 2]
+          = (struct poptOption){ set->name,
+                                 '\0',
+                                 set->kind == EL_SET_FLAG ? POPT_ARG_NONE
+                                                          : POPT_ARG_STRING,
+                                 NULL,
+                                 (int)i + OPT_FIRST,
+                                 set->help,
+                                 set->arg };
+    }
+  return table;
+}
+
+/** Read flags and variables into OUT, a struct that the table describes.
+    Strings stay valid for the life of the process. REST, when given, receives
+    the arguments that are no flags, NULL terminated. */
+el_set_result_t
+el_set_parse (const el_set_options_t *options, int argc, const char **argv,
+              void *out, const char ***rest, el_err_t *err)
+{
+  struct poptOption *table = popt_table (options);
+  poptContext context
+      = poptGetContext (options->program, argc, argv, table, 0);
+  el_set_result_t result = EL_SET_RUN;
+  const char **args;
+  size_t nrest = 0;
+  int opt;
+
+  poptSetOtherOptionHelp (context, options->usage);
+  if (set_defaults (options, out, err))
+    result = EL_SET_REFUSED;
+  while (result == EL_SET_RUN && (opt = poptGetNextOpt (context)) != -1)
+    {
+      if (opt < -1)
+        {
+          el_err_set (err, EL_INVALID, "%s: %s",
+                      poptBadOption (context, POPT_BADOPTION_NOALIAS),
+                      poptStrerror (opt));
+          result = EL_SET_REFUSED;
+        }
+      else if (opt == OPT_HELP)
+        {
+          poptPrintHelp (context, stdout, 0);
+          result = EL_SET_DONE;
+        }
+      else if (opt == OPT_VERSION)
+        {
+          printf ("%s %s\n", options->program, EL_VERSION);
+          result = EL_SET_DONE;
+        }
+      else
+        {
+          const el_set_t *set = &options->table[opt - OPT_FIRST];
+          const char *text
+              = set->kind == EL_SET_FLAG ? "1" : poptGetOptArg (context);
+
+          if (set_value (set, text, out, err))
+            result = EL_SET_REFUSED;
+        }
+    }
+  if (result == EL_SET_RUN && set_required (options, out, err))
+    result = EL_SET_REFUSED;
+  if (rest)
+    {
+      *rest = el_alloc (sizeof **rest * ((size_t)argc + 1));
+      args = poptGetArgs (context);
+      while (result == EL_SET_RUN && args && args[nrest])
+        {
+          (*rest)[nrest] = el_str_dup (el_str (args[nrest])).ptr;
+          nrest++;
+        }
+    }
+  poptFreeContext (context);
+  free (table);
+  return result;
+}
--- /dev/null
+++ b/base/str.c
@@ -0,0 +1,187 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Counted strings and growing buffers.
+ */
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base.h"
+
+#define BUF_FIRST_CAP 64
+#define U64_DIGITS_MAX 20
+#define DECIMAL 10
+
+/** Allocate zeroed memory; a process without memory can only end. */
+void *
+el_alloc (size_t size)
+{
+  void *ptr = calloc (1, size ? size : 1);
+
+  if (!ptr)
+    abort ();
+  return ptr;
+}
+
+/** Resize an array to COUNT items of SIZE bytes each. */
+void *
+el_grow (void *ptr, size_t count, size_t size)
+{
+  void *grown = reallocarray (ptr, count ? count : 1, size);
+
+  if (!grown)
+    abort ();
+  return grown;
+}
+
+/** The counted string of a C string; NULL gives the empty one. */
+el_str_t
+el_str (const char *cstr)
+{
+  return (el_str_t){ cstr, cstr ? strlen (cstr) : 0 };
+}
+
+int
+el_str_eq (el_str_t a, el_str_t b)
+{
+  return a.len == b.len && (a.len == 0 || memcmp (a.ptr, b.ptr, a.len) == 0);
+}
+
+int
+el_str_starts (el_str_t s, el_str_t prefix)
+{
+  return s.len >= prefix.len
+         && el_str_eq ((el_str_t){ s.ptr, prefix.len }, prefix);
+}
+
+/** What follows the first N bytes; N is at most the length. */
+el_str_t
+el_str_after (el_str_t s, size_t n)
+{
+  return (el_str_t){ s.ptr + n, s.len - n };
+}
+
+/** Cut the part before SEP off REST; without SEP it is all of REST. */
+el_str_t
+el_str_cut (el_str_t *rest, char sep)
+{
+  const char *at = rest->len ? memchr (rest->ptr, sep, rest->len) : NULL;
+  el_str_t part = *rest;
+
+  if (!at)
+    {
+      *rest = (el_str_t){ NULL, 0 };
+      return part;
+    }
+  part.len = (size_t)(at - rest->ptr);
+  *rest = el_str_after (*rest, part.len + 1);
+  return part;
+}
+
+/** Read a decimal number; gives 0 when S is anything else. */
+int
+el_str_to_u64 (el_str_t s, uint64_t *out)
+{
+  char text[U64_DIGITS_MAX + 1];
+  char *end;
+
+  if (s.len == 0 || s.len > U64_DIGITS_MAX || s.ptr[0] < '0' || s.ptr[0] > '9')
+    return 0;
+  memcpy (text, s.ptr, s.len);
+  text[s.len] = '\0';
+  errno = 0;
+  *out = strtoull (text, &end, DECIMAL);
+  return errno == 0 && *end == '\0';
+}
+
+uint64_t
+el_str_hash (el_str_t s)
+{
+  return XXH3_64bits (s.ptr, s.len);
+}
+
+/** A copy that the caller frees with el_str_free; NUL terminated. */
+el_str_t
+el_str_dup (el_str_t s)
+{
+  char *copy = el_alloc (s.len + 1);
+
+  if (s.len)
+    memcpy (copy, s.ptr, s.len);
+  return (el_str_t){ copy, s.len };
+}
+
+void
+el_str_free (el_str_t *s)
+{
+  free ((void *)(uintptr_t)s->ptr);
+  *s = (el_str_t){ NULL, 0 };
+}
+
+static void
+buf_reserve (el_buf_t *buf, size_t more)
+{
+  size_t cap = buf->cap ? buf->cap : BUF_FIRST_CAP;
+
+  while (cap < buf->len + more + 1)
+    cap *= 2;
+  if (cap == buf->cap)
+    return;
+  buf->ptr = el_grow (buf->ptr, cap, 1);
+  buf->cap = cap;
+}
+
+void
+el_buf_add (el_buf_t *buf, el_str_t s)
+{
+  buf_reserve (buf, s.len);
+  if (s.len)
+    memcpy (buf->ptr + buf->len, s.ptr, s.len);
+  buf->len += s.len;
+  buf->ptr[buf->len] = '\0';
+}
+
+void
+el_buf_printf (el_buf_t *buf, const char *fmt, ...)
+{
+  va_list ap;
+  int len;
+
+  va_start (ap, fmt);
+  len = vsnprintf (NULL, 0, fmt, ap);
+  va_end (ap);
+  if (len < 0)
+    return;
+  buf_reserve (buf, (size_t)len);
+  va_start (ap, fmt);
+  vsnprintf (buf->ptr + buf->len, (size_t)len + 1, fmt, ap);
+  va_end (ap);
+  buf->len += (size_t)len;
+}
+
+/** Empty the buffer and keep its memory. */
+void
+el_buf_reset (el_buf_t *buf)
+{
+  buf->len = 0;
+}
+
+void
+el_buf_free (el_buf_t *buf)
+{
+  free (buf->ptr);
+  *buf = (el_buf_t){ NULL, 0, 0 };
+}
+
+el_str_t
+el_buf_str (const el_buf_t *buf)
+{
+  return (el_str_t){ buf->ptr, buf->len };
+}
--- /dev/null
+++ b/coord/coord.h
@@ -0,0 +1,225 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The coordination library: session tokens, the request ledger, and
+ * configuration. It owns no socket, clock, thread or global: the holder
+ * passes the time and events in and carries out what is handed back.
+ */
+#ifndef ELMARCH_COORD_H
+#define ELMARCH_COORD_H
+
+#include <jansson.h>
+
+#include "base.h"
+
+/* Incarnations: one life of one process. */
+
+#define CO_INCARNATION_BYTES 16
+
+/** Random bytes, so that no store and no clock is needed to make one that was
+    never used before, also at the address of a host that was replaced. */
+typedef struct co_incarnation
+{
+  unsigned char byte[CO_INCARNATION_BYTES];
+} co_incarnation_t;
+
+/** Digits of an incarnation in hexadecimal, without the final NUL. */
+#define CO_INCARNATION_HEX (2 * CO_INCARNATION_BYTES)
+
+void co_incarnation_hex (const co_incarnation_t *inc,
+                         char out[CO_INCARNATION_HEX + 1]);
+int co_incarnation_eq (const co_incarnation_t *a, const co_incarnation_t *b);
+
+/* Session tokens: who may run a session's requests. */
+
+#define CO_TOKEN_MAX 512
+
+/** What a token says. The strings point into the token's text. */
+typedef struct co_token
+{
+  el_str_t http;     /**< callers' address of the home, ip:port */
+  el_str_t peer;     /**< other hosts' address of the home, ip:port */
+  el_str_t customer; /**< who opened the session */
+  uint64_t session;  /**< unique within the incarnation */
+  co_incarnation_t home;
+} co_token_t;
+
+void co_token_write (el_buf_t *out, const co_token_t *token, el_str_t key);
+el_status_t co_token_read (el_str_t text, el_str_t key, co_token_t *out,
+                           el_err_t *err);
+
+/** Bytes of a message authentication code (HMAC-SHA-256). */
+#define CO_MAC_BYTES 32
+void co_mac (el_str_t key, el_str_t data, unsigned char out[CO_MAC_BYTES]);
+int co_mac_eq (const unsigned char *a, const unsigned char *b);
+
+/* The request ledger: at most one run for each (session, sequence). */
+
+typedef struct co_ledger co_ledger_t;
+
+/** What to do with a request that arrived. */
+typedef enum co_led_result
+{
+  CO_LED_RUN,       /**< the first: run it */
+  CO_LED_JOIN,      /**< it runs: wait for its answer */
+  CO_LED_ANSWER,    /**< it has ended: its answer is kept */
+  CO_LED_FORGOTTEN, /**< can't be told: may have run, never run it */
+  CO_LED_MISMATCH,  /**< the sequence belongs to another request */
+  CO_LED_SEALED,    /**< nothing new runs here: not run */
+  CO_LED_FULL       /**< no room to remember it: not run */
+} co_led_result_t;
+
+typedef struct co_ledger_options
+{
+  size_t max_sessions; /**< sessions held at once */
+  size_t max_entries;  /**< requests remembered for each session */
+  el_time_t idle;      /**< an unused session is dropped after this */
+  void (*release) (void *arg, void *answer); /**< an answer is forgotten */
+  void *arg;
+} co_ledger_options_t;
+
+co_ledger_t *co_ledger_new (const co_ledger_options_t *options);
+void co_ledger_free (co_ledger_t *ledger);
+el_status_t co_ledger_open (co_ledger_t *ledger, el_time_t now,
+                            el_str_t customer, uint64_t *session,
+                            el_err_t *err);
+el_status_t co_ledger_close (co_ledger_t *ledger, uint64_t session);
+co_led_result_t co_ledger_begin (co_ledger_t *ledger, el_time_t now,
+                                 uint64_t session, uint64_t sequence,
+                                 uint64_t digest, void *fresh, void **answer);
+void co_ledger_end (co_ledger_t *ledger, el_time_t now, uint64_t session,
+                    uint64_t sequence, el_verdict_t verdict);
+void *co_ledger_find (co_ledger_t *ledger, uint64_t session,
+                      uint64_t sequence);
+void co_ledger_seal (co_ledger_t *ledger);
+void co_ledger_expire (co_ledger_t *ledger, el_time_t now);
+size_t co_ledger_sessions (const co_ledger_t *ledger);
+size_t co_ledger_entries (const co_ledger_t *ledger);
+const char *co_led_result_name (co_led_result_t result);
+
+/* Configuration: typed resources. */
+
+typedef enum co_kind
+{
+  CO_DEPLOYMENT,
+  CO_PIPELINE,
+  CO_CUSTOMER,
+  CO_ENDPOINT,
+  CO_SERVICE,
+  CO_KINDS
+} co_kind_t;
+
+/** Most stages of a pipeline, and endpoints of a service. */
+#define CO_STAGES_MAX 64
+#define CO_NAME_MAX 63
+#define CO_PRIORITIES 4
+
+typedef enum co_role
+{
+  CO_ENGINE, /**< holds layers of a model */
+  CO_WORKER  /**< a plain service */
+} co_role_t;
+
+typedef struct co_stage
+{
+  el_str_t endpoint;
+  uint64_t first; /**< first layer, from 0 */
+  uint64_t last;  /**< last layer, inclusive */
+} co_stage_t;
+
+typedef struct co_deployment
+{
+  el_str_t model;      /**< the name that callers ask for */
+  uint64_t generation; /**< of the weights; stages of one route share it */
+  uint64_t layers;
+  uint64_t max_tokens; /**< most tokens of one answer */
+} co_deployment_t;
+
+typedef struct co_pipeline
+{
+  el_str_t deployment;
+  uint64_t weight; /**< share of the deployment's flow */
+  co_stage_t *stages;
+  size_t nstages;
+} co_pipeline_t;
+
+typedef struct co_customer
+{
+  el_str_t key_hash;      /**< SHA-256 of the customer's key, hexadecimal */
+  uint64_t priority;      /**< 0, the lowest, to CO_PRIORITIES - 1 */
+  uint64_t weight;        /**< share between customers */
+  uint64_t max_in_flight; /**< requests at once over all hosts */
+} co_customer_t;
+
+typedef struct co_endpoint
+{
+  el_str_t address; /**< ip:port */
+  el_str_t hall;
+  uint64_t role;     /**< a co_role_t */
+  uint64_t capacity; /**< calls at once that it batches well */
+  uint64_t checks_orders;
+  uint64_t draining; /**< an operator asks for no new work */
+} co_endpoint_t;
+
+typedef struct co_service
+{
+  el_str_t *endpoints;
+  size_t nendpoints;
+  uint64_t repeatable; /**< calls other than GET and HEAD may be repeated */
+  uint64_t timeout_ms;
+} co_service_t;
+
+/** One resource as an operator declared it; frees as a whole. */
+typedef struct co_resource
+{
+  co_kind_t kind;
+  el_str_t name;
+  uint64_t revision; /**< the platform's, grows with each change */
+  json_t *json;      /**< the spec; the strings of the union point into it */
+  union
+  {
+    co_deployment_t deployment;
+    co_pipeline_t pipeline;
+    co_customer_t customer;
+    co_endpoint_t endpoint;
+    co_service_t service;
+  } spec;
+} co_resource_t;
+
+const char *co_kind_name (co_kind_t kind);
+int co_kind_parse (el_str_t name, co_kind_t *out);
+int co_name_valid (el_str_t name);
+co_resource_t *co_resource_parse (co_kind_t kind, el_str_t name, json_t *json,
+                                  uint64_t revision, el_err_t *err);
+void co_resource_free (co_resource_t *resource);
+
+/** The configuration in force on one host. */
+typedef struct co_config co_config_t;
+
+typedef struct co_config_options
+{
+  /** A resource came into force (next) in place of prev; either is NULL when
+      there was none, or is none any more. prev is freed after the call. */
+  void (*changed) (void *arg, const co_resource_t *prev,
+                   const co_resource_t *next);
+  void *arg;
+} co_config_options_t;
+
+co_config_t *co_config_new (const co_config_options_t *options);
+void co_config_free (co_config_t *config);
+el_status_t co_config_apply (co_config_t *config, co_resource_t *resource,
+                             el_err_t *err);
+el_status_t co_config_remove (co_config_t *config, co_kind_t kind,
+                              el_str_t name, uint64_t revision, el_err_t *err);
+const co_resource_t *co_config_get (const co_config_t *config, co_kind_t kind,
+                                    el_str_t name);
+uint64_t co_config_revision (const co_config_t *config);
+void co_config_advance (co_config_t *config, uint64_t revision);
+size_t co_config_count (const co_config_t *config);
+typedef void (*co_config_visit_cb) (void *arg, const co_resource_t *resource);
+void co_config_visit (const co_config_t *config, co_config_visit_cb visit,
+                      void *arg);
+
+#endif
--- /dev/null
+++ b/elmarchd/main.c
@@ -0,0 +1,258 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * elmarchd: settings, wiring, signals.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gate.h"
+
+#define KEY_MIN 16
+#define KEY_MAX 256
+
+/** The settings as they are read; see elmarchd(8). */
+typedef struct daemon_settings
+{
+  const char *listen;
+  const char *peer_listen;
+  const char *peers;
+  const char *hall;
+  const char *platform;
+  const char *cluster_key;
+  const char *operator_key;
+  const char *log_level;
+  uint64_t max_active;
+  uint64_t max_queue;
+  uint64_t max_body;
+  uint64_t max_sessions;
+  uint64_t max_entries;
+  uint64_t deadline_ms;
+  uint64_t call_limit_ms;
+  uint64_t session_idle_s;
+  uint64_t session_hold_s;
+  uint64_t leave_hold_s;
+  uint64_t trace_fd;
+  int trace;
+  int check;
+} daemon_settings_t;
+
+typedef struct daemon_process
+{
+  uv_loop_t loop;
+  gt_gate_t *gate;
+  uv_signal_t term;
+  uv_signal_t interrupt;
+  uv_signal_t dump;
+} daemon_process_t;
+
+#define AT(field) offsetof (daemon_settings_t, field)
+
+static const el_set_t table[] = {
+  { "listen", EL_SET_STRING, AT (listen), "127.0.0.1:8080", 9, 21, 0,
+    "IP:PORT", "where callers and operators connect" },
+  { "peer-listen", EL_SET_STRING, AT (peer_listen), "127.0.0.1:8081", 9, 21, 0,
+    "IP:PORT", "where the other hosts connect" },
+  { "peers", EL_SET_STRING, AT (peers), "", 0, 32768, 0, "IP:PORT,...",
+    "the other hosts' peer addresses" },
+  { "hall", EL_SET_STRING, AT (hall), NULL, 1, 63, 1, "NAME",
+    "the hall that this host stands in" },
+  { "platform", EL_SET_STRING, AT (platform), NULL, 9, 21, 1, "IP:PORT",
+    "the platform's key-value service" },
+  { "cluster-key", EL_SET_STRING, AT (cluster_key), NULL, KEY_MIN, KEY_MAX, 1,
+    "KEY", "shared by the hosts; best given as a variable" },
+  { "operator-key", EL_SET_STRING, AT (operator_key), NULL, KEY_MIN, KEY_MAX,
+    1, "KEY", "proves operators; best given as a variable" },
+  { "log-level", EL_SET_STRING, AT (log_level), "info", 4, 5, 0, "LEVEL",
+    "error, warn, info or debug" },
+  { "max-active", EL_SET_U64, AT (max_active), "512", 1, 100000, 0, "N",
+    "requests that run at once" },
+  { "max-queue", EL_SET_U64, AT (max_queue), "1024", 0, 100000, 0, "N",
+    "requests that wait at once" },
+  { "max-body", EL_SET_U64, AT (max_body), "1048576", 1024, 8388608, 0,
+    "BYTES", "longest body of a request" },
+  { "max-sessions", EL_SET_U64, AT (max_sessions), "8192", 1, 1000000, 0, "N",
+    "sessions at home here" },
+  { "max-entries", EL_SET_U64, AT (max_entries), "64", 1, 4096, 0, "N",
+    "requests remembered for a session" },
+  { "deadline-ms", EL_SET_U64, AT (deadline_ms), "60000", 1, 3600000, 0, "MS",
+    "time for a request that names none" },
+  { "call-limit-ms", EL_SET_U64, AT (call_limit_ms), "5000", 10, 600000, 0,
+    "MS", "longest wait for one stage" },
+  { "session-idle-s", EL_SET_U64, AT (session_idle_s), "3600", 1, 604800, 0,
+    "S", "an unused session is dropped after this" },
+  { "session-hold-s", EL_SET_U64, AT (session_hold_s), "30", 0, 3600, 0, "S",
+    "a session's stream goes on unread this long" },
+  { "leave-hold-s", EL_SET_U64, AT (leave_hold_s), "10", 1, 3600, 0, "S",
+    "an endpoint's word that it leaves counts this long" },
+  { "trace-fd", EL_SET_U64, AT (trace_fd), "2", 1, 1023, 0, "FD",
+    "open descriptor that --trace writes to" },
+  { "trace", EL_SET_FLAG, AT (trace), "0", 0, 1, 0, NULL,
+    "write a trace of events and actions" },
+  { "check", EL_SET_FLAG, AT (check), "0", 0, 1, 0, NULL,
+    "check the settings and exit" },
+};
+
+static el_status_t
+settings_options (const daemon_settings_t *set, gt_options_t *out,
+                  el_log_level_t *level, el_err_t *err)
+{
+  const struct
+  {
+    const char *name;
+    const char *address;
+  } addresses[] = {
+    { "listen", set->listen },
+    { "peer-listen", set->peer_listen },
+    { "platform", set->platform },
+  };
+  size_t i;
+
+  if (!el_log_level_parse (set->log_level, level))
+    return el_err_set (err, EL_INVALID,
+                       "--log-level: takes error, warn, info or debug, "
+                       "not '%s'",
+                       set->log_level);
+  for (i = 0; i < sizeof addresses / sizeof *addresses; i++)
+    if (!gt_address_valid (el_str (addresses[i].address)))
+      return el_err_set (err, EL_INVALID, "--%s: takes ip:port, not '%s'",
+                         addresses[i].name, addresses[i].address);
+  if (!co_name_valid (el_str (set->hall)))
+    return el_err_set (err, EL_INVALID,
+                       "--hall: takes a name of a-z, 0-9, '-' and '.', "
+                       "not '%s'",
+                       set->hall);
+  *out = (gt_options_t){
+    .listen = el_str (set->listen),
+    .peer_listen = el_str (set->peer_listen),
+    .peers = el_str (set->peers),
+    .hall = el_str (set->hall),
+    .platform = el_str (set->platform),
+    .cluster_key = el_str (set->cluster_key),
+    .operator_key = el_str (set->operator_key),
+    .max_active = set->max_active,
+    .max_queue = set->max_queue,
+    .max_body = set->max_body,
+    .max_sessions = set->max_sessions,
+    .max_entries = set->max_entries,
+    .deadline = set->deadline_ms * EL_MSEC,
+    .call_limit = set->call_limit_ms * EL_MSEC,
+    .session_idle = set->session_idle_s * EL_SEC,
+    .session_hold = set->session_hold_s * EL_SEC,
+    .leave_hold = set->leave_hold_s * EL_SEC,
+    .trace_fd = set->trace ? (int)set->trace_fd : -1,
+  };
+  return EL_OK;
+}
+
+static void
+on_drained (void *arg)
+{
+  daemon_process_t *process = arg;
+
+  uv_close ((uv_handle_t *)&process->term, NULL);
+  uv_close ((uv_handle_t *)&process->interrupt, NULL);
+  uv_close ((uv_handle_t *)&process->dump, NULL);
+  uv_stop (&process->loop);
+}
+
+static void
+on_term (uv_signal_t *signal, int number)
+{
+  daemon_process_t *process = signal->data;
+
+  (void)number;
+  gt_gate_drain (process->gate, on_drained, process);
+}
+
+static void
+on_dump (uv_signal_t *signal, int number)
+{
+  daemon_process_t *process = signal->data;
+  json_t *dump = gt_gate_dump (process->gate);
+  char *text = json_dumps (dump, JSON_COMPACT);
+
+  (void)number;
+  EL_LOG (EL_LOG_INFO, "dump", EL_FC ("state", text));
+  free (text);
+  json_decref (dump);
+}
+
+static void
+signals_open (daemon_process_t *process)
+{
+  uv_signal_init (&process->loop, &process->term);
+  uv_signal_init (&process->loop, &process->interrupt);
+  uv_signal_init (&process->loop, &process->dump);
+  process->term.data = process;
+  process->interrupt.data = process;
+  process->dump.data = process;
+  uv_signal_start (&process->term, on_term, SIGTERM);
+  uv_signal_start (&process->interrupt, on_term, SIGINT);
+  uv_signal_start (&process->dump, on_dump, SIGUSR1);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+static int
+daemon_run (gt_options_t *options)
+{
+  daemon_process_t process;
+  el_err_t err;
+
+  memset (&process, 0, sizeof process);
+  uv_loop_init (&process.loop);
+  options->loop = &process.loop;
+  options->seed = uv_hrtime ();
+  process.gate = gt_gate_new (options, &err);
+  if (!process.gate)
+    {
+      EL_LOG (EL_LOG_ERROR, "not_started", EL_FC ("reason", err.msg));
+      return EXIT_FAILURE;
+    }
+  signals_open (&process);
+  uv_run (&process.loop, UV_RUN_DEFAULT);
+  gt_gate_free (process.gate);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, const char **argv)
+{
+  const el_set_options_t options
+      = { .program = "elmarchd",
+          .env_prefix = "ELMARCHD",
+          .usage = "[OPTION...]\nEvery option can be given as a variable: "
+                   "--max-queue is ELMARCHD_MAX_QUEUE.",
+          .table = table,
+          .ntable = sizeof table / sizeof *table };
+  daemon_settings_t set;
+  gt_options_t gate;
+  el_log_level_t level = EL_LOG_INFO;
+  el_err_t err;
+  el_set_result_t result;
+  int rc;
+
+  memset (&set, 0, sizeof set);
+  result = el_set_parse (&options, argc, argv, &set, NULL, &err);
+  if (result == EL_SET_DONE)
+    return EXIT_SUCCESS;
+  if (result == EL_SET_REFUSED || settings_options (&set, &gate, &level, &err))
+    {
+      fprintf (stderr, "elmarchd: %s\n", err.msg);
+      return EL_EXIT_USAGE;
+    }
+  if (set.check)
+    {
+      printf ("elmarchd: settings are valid\n");
+      return EXIT_SUCCESS;
+    }
+  if (el_log_open ("elmarchd", level))
+    return EXIT_FAILURE;
+  rc = daemon_run (&gate);
+  el_log_close ();
+  return rc;
+}
--- /dev/null
+++ b/gate/caller.c
@@ -0,0 +1,343 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Answers to callers: whole, or as server-sent events. Everything tells its
+ * verdict, in a header and, for streams, in the last event.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "libgate.h"
+
+#define NUMBER_MAX 24
+#define MSEC_PER_SEC 1000
+
+typedef struct caller
+{
+  gt_reader_t reader;
+  h2o_generator_t generator;
+  h2o_req_t *req;
+  int stream;
+  int started;
+  int sending;
+  int finished;
+  size_t position; /* tokens handed out, those that the caller brought too */
+  el_buf_t chunk;
+} caller_t;
+
+/* What the caller is told for each reason. */
+static const struct
+{
+  int status; /* when nothing of the answer was sent */
+  const char *message;
+} reasons[RT_REASONS] = {
+  [RT_CANCELLED] = { 503, "the request was cancelled" },
+  [RT_NO_MODEL] = { 404, "no such model, service or customer" },
+  [RT_NO_ROUTE] = { 503, "no endpoints can serve this now" },
+  [RT_QUEUE_FULL] = { 503, "too many requests wait" },
+  [RT_CUSTOMER_FULL] = { 429, "too many of the customer's requests run" },
+  [RT_DEADLINE] = { 504, "the request's time is over" },
+  [RT_RETRY_BUDGET] = { 503, "failed, and too many retries went before" },
+  [RT_ENDPOINT] = { 502, "the endpoint failed" },
+  [RT_STOPPING] = { 503, "this host is stopping; use another" },
+};
+
+static void
+verdict_headers (h2o_req_t *req, el_verdict_t verdict, uint64_t retry_after_ms)
+{
+  char text[NUMBER_MAX];
+
+  gt_req_add_header (req, EL_STR ("x-elmarch-verdict"),
+                     el_str (el_verdict_name (verdict)));
+  if (!retry_after_ms)
+    return;
+  snprintf (text, sizeof text, "%" PRIu64,
+            (retry_after_ms + MSEC_PER_SEC - 1) / MSEC_PER_SEC);
+  gt_req_add_header (req, EL_STR ("retry-after"), el_str (text));
+  snprintf (text, sizeof text, "%" PRIu64, retry_after_ms);
+  gt_req_add_header (req, EL_STR ("x-elmarch-retry-after-ms"), el_str (text));
+}
+
+/** The body of a refusal. */
+json_t *
+gt_refusal_json (const gt_refusal_t *refusal)
+{
+  json_t *json = json_pack ("{s:{s:s,s:s,s:s},s:{s:s}}", "error", "message",
+                            refusal->message, "type", "elmarch_error", "code",
+                            refusal->code, "elmarch", "verdict",
+                            el_verdict_name (refusal->verdict));
+
+  if (refusal->retry_after_ms)
+    json_object_set_new (json_object_get (json, "elmarch"), "retry_after_ms",
+                         json_integer ((json_int_t)refusal->retry_after_ms));
+  return json;
+}
+
+/** Answer with a refusal. */
+void
+gt_caller_refuse (h2o_req_t *req, const gt_refusal_t *refusal)
+{
+  json_t *json = gt_refusal_json (refusal);
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  verdict_headers (req, refusal->verdict, refusal->retry_after_ms);
+  gt_req_reply (req, refusal->status, GT_JSON, el_str (text));
+  free (text);
+  json_decref (json);
+}
+
+/** The refusal that tells of an END without the whole answer. */
+void
+gt_refusal_of_end (const gt_end_t *end, gt_refusal_t *out)
+{
+  out->status = reasons[end->reason].status;
+  out->verdict = end->verdict;
+  out->code = rt_reason_name (end->reason);
+  out->message = reasons[end->reason].message;
+  out->retry_after_ms = end->retry_after_ms;
+}
+
+static int
+end_is_whole (const gt_end_t *end)
+{
+  return end->reason == RT_DONE || end->reason == RT_LENGTH;
+}
+
+static void
+call_answer (caller_t *caller)
+{
+  gt_answer_t *answer = caller->reader.answer;
+  h2o_req_t *req = caller->req;
+  size_t i;
+
+  verdict_headers (req, answer->end.verdict, 0);
+  for (i = 0; i < answer->nheaders; i++)
+    gt_req_add_header (req, answer->headers[i].name, answer->headers[i].value);
+  gt_req_reply (req, answer->status, (el_str_t){ NULL, 0 },
+                el_buf_str (&answer->body));
+}
+
+static void
+chat_answer (caller_t *caller)
+{
+  gt_answer_t *answer = caller->reader.answer;
+  size_t skip = caller->position - answer->base;
+  size_t offset = skip < answer->ntokens ? answer->tokens[skip].offset
+                                         : answer->text.len;
+  el_str_t text = el_str_after (el_buf_str (&answer->text), offset);
+  char id[NUMBER_MAX + 16];
+  json_t *json;
+  char *dump;
+
+  snprintf (id, sizeof id, "chatcmpl-%" PRIu64, answer->stream);
+  json = json_pack (
+      "{s:s,s:s,s:s%,s:[{s:i,s:{s:s,s:s%},s:s}],s:{s:I},s:{s:s}}", "id", id,
+      "object", "chat.completion", "model", answer->target.ptr,
+      answer->target.len, "choices", "index", 0, "message", "role",
+      "assistant", "content", text.len ? text.ptr : "", text.len,
+      "finish_reason", rt_reason_name (answer->end.reason), "usage",
+      "completion_tokens", (json_int_t)(answer->base + answer->ntokens),
+      "elmarch", "verdict", el_verdict_name (answer->end.verdict));
+  dump = json_dumps (json, JSON_COMPACT);
+  verdict_headers (caller->req, answer->end.verdict, 0);
+  gt_req_reply (caller->req, 200, GT_JSON, el_str (dump));
+  free (dump);
+  json_decref (json);
+}
+
+static void
+caller_whole (caller_t *caller)
+{
+  gt_answer_t *answer = caller->reader.answer;
+  gt_refusal_t refusal;
+
+  if (!answer->ended || caller->finished)
+    return;
+  caller->finished = 1;
+  if (!end_is_whole (&answer->end))
+    {
+      gt_refusal_of_end (&answer->end, &refusal);
+      gt_caller_refuse (caller->req, &refusal);
+    }
+  else if (answer->work == RT_CALL)
+    call_answer (caller);
+  else
+    chat_answer (caller);
+}
+
+static void
+event_write (el_buf_t *out, json_t *json)
+{
+  char *dump = json_dumps (json, JSON_COMPACT);
+
+  el_buf_add (out, EL_STR ("data: "));
+  el_buf_add (out, el_str (dump));
+  el_buf_add (out, EL_STR ("\n\n"));
+  free (dump);
+  json_decref (json);
+}
+
+static void
+event_token (caller_t *caller, size_t i)
+{
+  gt_answer_t *answer = caller->reader.answer;
+  const gt_token_t *token = &answer->tokens[i];
+  char id[NUMBER_MAX + 16];
+
+  snprintf (id, sizeof id, "chatcmpl-%" PRIu64, answer->stream);
+  event_write (&caller->chunk,
+               json_pack ("{s:s,s:s,s:s%,s:[{s:i,s:{s:s%},s:n}],s:{s:I,s:I}}",
+                          "id", id, "object", "chat.completion.chunk", "model",
+                          answer->target.ptr, answer->target.len, "choices",
+                          "index", 0, "delta", "content",
+                          token->len ? answer->text.ptr + token->offset : "",
+                          token->len, "finish_reason", "elmarch", "index",
+                          (json_int_t)(answer->base + i), "token",
+                          (json_int_t)token->id));
+}
+
+/* The last event: with [DONE] only when the answer is whole. */
+static void
+event_end (caller_t *caller)
+{
+  gt_answer_t *answer = caller->reader.answer;
+  gt_refusal_t refusal;
+  json_t *json;
+
+  if (!end_is_whole (&answer->end))
+    {
+      gt_refusal_of_end (&answer->end, &refusal);
+      json = gt_refusal_json (&refusal);
+      json_object_set_new (
+          json_object_get (json, "elmarch"), "tokens",
+          json_integer ((json_int_t)(answer->base + answer->ntokens)));
+      event_write (&caller->chunk, json);
+      return;
+    }
+  event_write (
+      &caller->chunk,
+      json_pack ("{s:s,s:s%,s:[{s:i,s:{},s:s}],s:{s:s,s:I}}", "object",
+                 "chat.completion.chunk", "model", answer->target.ptr,
+                 answer->target.len, "choices", "index", 0, "delta",
+                 "finish_reason", rt_reason_name (answer->end.reason),
+                 "elmarch", "verdict", el_verdict_name (answer->end.verdict),
+                 "tokens", (json_int_t)(answer->base + answer->ntokens)));
+  el_buf_add (&caller->chunk, EL_STR ("data: [DONE]\n\n"));
+}
+
+static void
+stream_open (caller_t *caller)
+{
+  h2o_req_t *req = caller->req;
+
+  caller->started = 1;
+  req->res.status = 200;
+  req->res.reason = "OK";
+  gt_req_add_header (req, EL_STR ("content-type"),
+                     EL_STR ("text/event-stream"));
+  gt_req_add_header (req, EL_STR ("cache-control"), EL_STR ("no-store"));
+  h2o_start_response (req, &caller->generator);
+}
+
+/* Send what is new. One chunk is under way at a time, so a slow caller holds
+   up nothing but itself: the tokens wait in the answer. */
+static void
+caller_stream (caller_t *caller)
+{
+  gt_answer_t *answer = caller->reader.answer;
+  h2o_iovec_t iov;
+  int ended = answer->ended;
+
+  if (caller->sending || caller->finished)
+    return;
+  if (!caller->started)
+    {
+      if (ended && !end_is_whole (&answer->end) && answer->ntokens == 0)
+        {
+          caller_whole (caller);
+          return;
+        }
+      if (!ended && answer->base + answer->ntokens <= caller->position)
+        return;
+      stream_open (caller);
+    }
+  el_buf_reset (&caller->chunk);
+  while (caller->position < answer->base + answer->ntokens)
+    event_token (caller, caller->position++ - answer->base);
+  if (ended)
+    event_end (caller);
+  if (caller->chunk.len == 0)
+    return;
+  caller->sending = 1;
+  caller->finished = ended;
+  iov = h2o_iovec_init (caller->chunk.ptr, caller->chunk.len);
+  h2o_send (caller->req, &iov, 1,
+            ended ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+static void
+caller_wake (gt_reader_t *reader)
+{
+  caller_t *caller = H2O_STRUCT_FROM_MEMBER (caller_t, reader, reader);
+
+  if (caller->stream)
+    caller_stream (caller);
+  else
+    caller_whole (caller);
+}
+
+static void
+caller_proceed (h2o_generator_t *generator, h2o_req_t *req)
+{
+  caller_t *caller = H2O_STRUCT_FROM_MEMBER (caller_t, generator, generator);
+
+  (void)req;
+  caller->sending = 0;
+  caller_stream (caller);
+}
+
+static void
+caller_stop (h2o_generator_t *generator, h2o_req_t *req)
+{
+  caller_t *caller = H2O_STRUCT_FROM_MEMBER (caller_t, generator, generator);
+
+  (void)req;
+  caller->finished = 1;
+}
+
+/* h2o frees the request: it was answered, or the caller has gone. */
+static void
+caller_dispose (void *arg)
+{
+  caller_t *caller = arg;
+
+  caller->finished = 1;
+  gt_answer_detach (&caller->reader);
+  el_buf_free (&caller->chunk);
+}
+
+/** Answer REQ from ANSWER, from token POSITION on; takes over the caller's
+    reference. */
+void
+gt_caller_serve (gt_gate_t *gate, h2o_req_t *req, gt_answer_t *answer,
+                 int stream, size_t position)
+{
+  caller_t *caller
+      = h2o_mem_alloc_shared (&req->pool, sizeof *caller, caller_dispose);
+
+  (void)gate;
+  memset (caller, 0, sizeof *caller);
+  caller->reader.wake = caller_wake;
+  caller->generator.proceed = caller_proceed;
+  caller->generator.stop = caller_stop;
+  caller->req = req;
+  caller->stream = stream;
+  caller->position = position > answer->base ? position : answer->base;
+  if (caller->position > answer->base + answer->ntokens && answer->ended)
+    caller->position = answer->base + answer->ntokens;
+  gt_answer_attach (answer, &caller->reader);
+  gt_answer_unref (answer);
+}
--- /dev/null
+++ b/gate/door_chat.c
@@ -0,0 +1,329 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * POST /v1/chat/completions: from JSON to a typed request, by a table of the
+ * fields that it takes.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "libgate.h"
+
+#define MESSAGES_MAX 1024
+#define RESUME_MAX 131072
+
+typedef enum chat_type
+{
+  CHAT_STRING,
+  CHAT_BOOL,
+  CHAT_COUNT,
+  CHAT_NUMBER,
+  CHAT_MESSAGES,
+  CHAT_TOKENS,
+  CHAT_ANY
+} chat_type_t;
+
+/* Fields marked as parameters are handed on to the engines as they are. */
+static const struct
+{
+  const char *name;
+  chat_type_t type;
+  int parameter;
+} fields[] = {
+  { "model", CHAT_STRING, 0 },
+  { "messages", CHAT_MESSAGES, 0 },
+  { "stream", CHAT_BOOL, 0 },
+  { "max_tokens", CHAT_COUNT, 0 },
+  { "max_completion_tokens", CHAT_COUNT, 0 },
+  { "resume_tokens", CHAT_TOKENS, 0 },
+  { "temperature", CHAT_NUMBER, 1 },
+  { "top_p", CHAT_NUMBER, 1 },
+  { "frequency_penalty", CHAT_NUMBER, 1 },
+  { "presence_penalty", CHAT_NUMBER, 1 },
+  { "seed", CHAT_NUMBER, 1 },
+  { "stop", CHAT_ANY, 1 },
+  { "user", CHAT_STRING, 1 },
+  { "response_format", CHAT_ANY, 1 },
+};
+
+static const char *const type_texts[] = {
+  [CHAT_STRING] = "a string",
+  [CHAT_BOOL] = "true or false",
+  [CHAT_COUNT] = "a whole number from 1",
+  [CHAT_NUMBER] = "a number",
+  [CHAT_MESSAGES] = "a list of 1 to 1024 objects with role and content",
+  [CHAT_TOKENS] = "a list of token numbers",
+  [CHAT_ANY] = "any value",
+};
+
+/* A request that waits for news of its session's home. */
+typedef struct chat_wait
+{
+  gt_gate_t *gate;
+  gt_hold_t *hold;
+  gt_ask_t ask;
+} chat_wait_t;
+
+static int
+messages_valid (const json_t *messages)
+{
+  size_t n = json_array_size (messages);
+  size_t i;
+
+  if (n == 0 || n > MESSAGES_MAX)
+    return 0;
+  for (i = 0; i < n; i++)
+    {
+      json_t *message = json_array_get (messages, i);
+
+      if (!json_is_string (json_object_get (message, "role"))
+          || !json_is_string (json_object_get (message, "content")))
+        return 0;
+    }
+  return 1;
+}
+
+static int
+tokens_valid (const json_t *tokens)
+{
+  size_t n = json_array_size (tokens);
+  size_t i;
+
+  if (!json_is_array (tokens) || n > RESUME_MAX)
+    return 0;
+  for (i = 0; i < n; i++)
+    if (!json_is_integer (json_array_get (tokens, i))
+        || json_integer_value (json_array_get (tokens, i)) < 0)
+      return 0;
+  return 1;
+}
+
+static int
+field_valid (chat_type_t type, const json_t *value)
+{
+  switch (type)
+    {
+    case CHAT_STRING:
+      return json_is_string (value);
+    case CHAT_BOOL:
+      return json_is_boolean (value);
+    case CHAT_COUNT:
+      return json_is_integer (value) && json_integer_value (value) >= 1;
+    case CHAT_NUMBER:
+      return json_is_number (value);
+    case CHAT_MESSAGES:
+      return messages_valid (value);
+    case CHAT_TOKENS:
+      return tokens_valid (value);
+    case CHAT_ANY:
+      return 1;
+    }
+  return 0;
+}
+
+/* Whether all fields are known and of their type; MESSAGE tells of the first
+   that is not. Parameters are collected in PARAMS. */
+static int
+chat_validate (json_t *json, json_t *params, char *message, size_t size)
+{
+  const char *name;
+  json_t *value;
+  size_t i;
+
+  json_object_foreach (json, name, value)
+  {
+    for (i = 0; i < sizeof fields / sizeof *fields; i++)
+      if (strcmp (fields[i].name, name) == 0)
+        break;
+    if (i == sizeof fields / sizeof *fields)
+      {
+        snprintf (message, size, "%.64s: unknown field", name);
+        return 0;
+      }
+    if (!field_valid (fields[i].type, value))
+      {
+        snprintf (message, size, "%s: takes %s", name,
+                  type_texts[fields[i].type]);
+        return 0;
+      }
+    if (fields[i].parameter)
+      json_object_set (params, name, value);
+  }
+  if (!json_object_get (json, "model") || !json_object_get (json, "messages"))
+    {
+      snprintf (message, size, "model and messages are required");
+      return 0;
+    }
+  return 1;
+}
+
+static el_str_t
+pool_str (h2o_req_t *req, el_str_t s)
+{
+  h2o_iovec_t copy = h2o_strdup (&req->pool, s.ptr, s.len);
+
+  return (el_str_t){ copy.base, copy.len };
+}
+
+static void
+chat_resume (h2o_req_t *req, const json_t *tokens, gt_ask_t *ask)
+{
+  size_t n = json_array_size (tokens);
+  uint64_t *list;
+  size_t i;
+
+  if (!n)
+    return;
+  list = h2o_mem_alloc_pool (&req->pool, n * sizeof *list);
+  for (i = 0; i < n; i++)
+    list[i] = (uint64_t)json_integer_value (json_array_get (tokens, i));
+  ask->resume = list;
+  ask->nresume = n;
+}
+
+/* What the ask keeps lives in the request's pool. */
+static void
+chat_fill (h2o_req_t *req, json_t *json, json_t *params, gt_ask_t *ask)
+{
+  json_t *count = json_object_get (json, "max_completion_tokens");
+  json_t *model = json_object_get (json, "model");
+  json_t *prompt
+      = json_pack ("{s:O,s:O}", "messages", json_object_get (json, "messages"),
+                   "params", params);
+  char *text = json_dumps (prompt, JSON_COMPACT | JSON_SORT_KEYS);
+
+  if (!count)
+    count = json_object_get (json, "max_tokens");
+  ask->work = RT_CHAT;
+  ask->target = pool_str (req, (el_str_t){ json_string_value (model),
+                                           json_string_length (model) });
+  ask->prompt = pool_str (req, el_str (text));
+  ask->max_tokens = (uint64_t)json_integer_value (count);
+  ask->stream = json_is_true (json_object_get (json, "stream"));
+  chat_resume (req, json_object_get (json, "resume_tokens"), ask);
+  ask->digest = el_str_hash (ask->prompt) ^ el_str_hash (ask->target)
+                ^ ask->max_tokens;
+  free (text);
+  json_decref (prompt);
+}
+
+static int
+chat_read (gt_gate_t *gate, h2o_req_t *req, gt_ask_t *ask)
+{
+  el_str_t body = gt_req_body (req);
+  char message[EL_ERR_MAX] = "";
+  json_error_t error;
+  json_t *params;
+  json_t *json;
+  int valid;
+
+  json = json_loadb (body.ptr ? body.ptr : "", body.len,
+                     JSON_REJECT_DUPLICATES, &error);
+  if (!json_is_object (json))
+    {
+      snprintf (message, sizeof message, "body: takes a JSON object: %.160s",
+                json ? "got another type" : error.text);
+      gt_door_error (gate, req, 400, "bad-json", message);
+      json_decref (json);
+      return 0;
+    }
+  params = json_object ();
+  valid = chat_validate (json, params, message, sizeof message);
+  if (valid)
+    chat_fill (req, json, params, ask);
+  else
+    gt_door_error (gate, req, 400, "bad-field", message);
+  json_decref (params);
+  json_decref (json);
+  return valid;
+}
+
+static void
+chat_run (gt_gate_t *gate, h2o_req_t *req, const gt_ask_t *ask)
+{
+  gt_refusal_t refusal;
+  gt_answer_t *answer = gt_flow_ask (gate, ask, &refusal);
+
+  if (answer)
+    gt_caller_serve (gate, req, answer, ask->stream, ask->nresume);
+  else
+    gt_caller_refuse (req, &refusal);
+}
+
+static void
+chat_redirect (h2o_req_t *req, const gt_ask_t *ask)
+{
+  el_buf_t location = { NULL, 0, 0 };
+
+  el_buf_printf (&location, "http://%.*s/v1/chat/completions",
+                 (int)ask->token.http.len, ask->token.http.ptr);
+  gt_req_add_header (req, EL_STR ("location"), el_buf_str (&location));
+  gt_req_add_header (req, EL_STR ("x-elmarch-verdict"), EL_STR ("not-run"));
+  gt_req_reply (req, 307, (el_str_t){ NULL, 0 }, EL_STR (""));
+  el_buf_free (&location);
+}
+
+/* The home was asked. A live one streams its own answer to the caller. When
+   it can't be had, a request that may be repeated is taken up here from the
+   tokens that the caller has; any other may have run there. */
+static void
+chat_home (void *arg, gt_home_t state)
+{
+  chat_wait_t *wait = arg;
+  gt_gate_t *gate = wait->gate;
+  h2o_req_t *req = gt_hold_release (wait->hold);
+  gt_refusal_t refusal
+      = { 409, EL_MAY_HAVE_RUN, "home-gone",
+          "the session's home does not answer; open a new session for new "
+          "requests",
+          0 };
+
+  if (req && state == GT_HOME_LIVE)
+    {
+      gate->counts.forwarded++;
+      chat_redirect (req, &wait->ask);
+    }
+  else if (req && wait->ask.repeatable)
+    {
+      gate->counts.home_gone++;
+      wait->ask.in_session = 0;
+      gt_req_add_header (req, EL_STR ("x-elmarch-session-lost"), EL_STR ("1"));
+      chat_run (gate, req, &wait->ask);
+    }
+  else if (req)
+    {
+      gate->counts.home_gone++;
+      gt_caller_refuse (req, &refusal);
+    }
+  free (wait);
+}
+
+/** Serve a chat. */
+void
+gt_door_chat (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  gt_ask_t ask = { 0 };
+
+  (void)rest;
+  if (!gt_door_customer (gate, req, &ask.customer)
+      || !gt_door_session (gate, req, &ask)
+      || !gt_door_deadline (gate, req, &ask.deadline)
+      || !chat_read (gate, req, &ask))
+    return;
+  ask.repeatable = !el_str_eq (gt_req_header (req, "x-elmarch-repeatable"),
+                               EL_STR ("no"));
+  if (ask.in_session
+      && !co_incarnation_eq (&ask.token.home, &gate->incarnation))
+    {
+      chat_wait_t *wait = el_alloc (sizeof *wait);
+
+      wait->gate = gate;
+      wait->hold = gt_hold_new (req);
+      wait->ask = ask;
+      gt_peers_ask_home (gate->peers, &ask.token, chat_home, wait);
+      return;
+    }
+  chat_run (gate, req, &ask);
+}
--- /dev/null
+++ b/gate/door_oper.c
@@ -0,0 +1,288 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The operators' resources, the state dump, and metrics.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "libgate.h"
+
+#define CHANGE_ID_DIGITS 16
+
+typedef struct oper_put
+{
+  gt_gate_t *gate;
+  gt_hold_t *hold;
+  co_kind_t kind;
+  char name[CO_NAME_MAX + 1];
+  char id[CO_NAME_MAX + 1];
+  json_t *spec;
+} oper_put_t;
+
+typedef void (*oper_fn) (gt_gate_t *gate, h2o_req_t *req, co_kind_t kind,
+                         el_str_t name);
+
+static void oper_get (gt_gate_t *, h2o_req_t *, co_kind_t, el_str_t);
+static void oper_put (gt_gate_t *, h2o_req_t *, co_kind_t, el_str_t);
+static void oper_delete (gt_gate_t *, h2o_req_t *, co_kind_t, el_str_t);
+
+static const struct
+{
+  const char *method;
+  oper_fn serve;
+} methods[] = {
+  { "GET", oper_get },
+  { "PUT", oper_put },
+  { "DELETE", oper_delete },
+};
+
+/* The answer to each outcome of a change. */
+static const gt_refusal_t put_refusals[] = {
+  [GT_PUT_CONFLICT] = { 409, EL_NOT_RUN, "conflict",
+                        "another change came first; get the resource and "
+                        "change that",
+                        0 },
+  [GT_PUT_NOT_RUN]
+  = { 503, EL_NOT_RUN, "platform-away",
+      "the platform can't be reached; nothing changed", 2000 },
+  [GT_PUT_UNKNOWN] = { 504, EL_MAY_HAVE_RUN, "unknown",
+                       "the platform did not say whether it took the change; "
+                       "send it again with the same changeId",
+                       2000 },
+};
+
+static json_t *
+resource_json (gt_gate_t *gate, const co_resource_t *res)
+{
+  size_t in_force = gt_peers_in_force (gate->peers, res->revision);
+
+  return json_pack (
+      "{s:s,s:s%,s:I,s:O,s:{s:I,s:I}}", "kind", co_kind_name (res->kind),
+      "name", res->name.ptr, res->name.len, "resourceVersion",
+      (json_int_t)res->revision, "spec", res->json, "status", "inForceOn",
+      (json_int_t)in_force, "hosts", (json_int_t)gt_peers_live (gate->peers));
+}
+
+typedef struct list_arg
+{
+  gt_gate_t *gate;
+  co_kind_t kind;
+  json_t *items;
+} list_arg_t;
+
+static void
+list_visit (void *arg, const co_resource_t *res)
+{
+  list_arg_t *list = arg;
+
+  if (res->kind == list->kind)
+    json_array_append_new (list->items, resource_json (list->gate, res));
+}
+
+static void
+oper_get (gt_gate_t *gate, h2o_req_t *req, co_kind_t kind, el_str_t name)
+{
+  const co_resource_t *res;
+  list_arg_t list = { gate, kind, NULL };
+
+  if (!name.len)
+    {
+      list.items = json_array ();
+      co_config_visit (gate->config, list_visit, &list);
+      gt_door_json (req, 200,
+                    json_pack ("{s:o,s:I}", "items", list.items, "revision",
+                               (json_int_t)co_config_revision (gate->config)));
+      return;
+    }
+  res = co_config_get (gate->config, kind, name);
+  if (res)
+    gt_door_json (req, 200, resource_json (gate, res));
+  else
+    gt_door_error (gate, req, 404, "not-found", "no such resource");
+}
+
+static void
+put_done (void *arg, gt_put_t outcome, uint64_t revision)
+{
+  oper_put_t *put = arg;
+  gt_gate_t *gate = put->gate;
+  h2o_req_t *req = gt_hold_release (put->hold);
+  const co_resource_t *res
+      = co_config_get (gate->config, put->kind, el_str (put->name));
+
+  EL_LOG (EL_LOG_INFO, "change", EL_FC ("kind", co_kind_name (put->kind)),
+          EL_FC ("name", put->name), EL_FC ("id", put->id),
+          EL_FN ("outcome", outcome), EL_FN ("revision", revision));
+  if (req && outcome != GT_PUT_ACCEPTED)
+    {
+      if (outcome == GT_PUT_CONFLICT && res)
+        {
+          json_t *json = resource_json (gate, res);
+          char *text = json_dumps (json, JSON_COMPACT);
+
+          gt_req_add_header (req, EL_STR ("x-elmarch-current"), el_str (text));
+          free (text);
+          json_decref (json);
+        }
+      gt_req_add_header (req, EL_STR ("x-elmarch-change-id"),
+                         el_str (put->id));
+      gt_caller_refuse (req, &put_refusals[outcome]);
+    }
+  else if (req)
+    {
+      json_t *json
+          = json_pack ("{s:s,s:s,s:I,s:s}", "kind", co_kind_name (put->kind),
+                       "name", put->name, "resourceVersion",
+                       (json_int_t)revision, "changeId", put->id);
+
+      if (put->spec)
+        json_object_set (json, "spec", put->spec);
+      gt_door_json (req, 200, json);
+    }
+  json_decref (put->spec);
+  free (put);
+}
+
+/* Send a change to the platform. SPEC, NULL for a removal, is taken over. */
+static void
+oper_change (gt_gate_t *gate, h2o_req_t *req, co_kind_t kind, el_str_t name,
+             json_t *spec, el_str_t id, uint64_t expected)
+{
+  oper_put_t *put = el_alloc (sizeof *put);
+  gt_change_t change = { .kind = kind, .spec = spec, .expected = expected };
+
+  put->gate = gate;
+  put->kind = kind;
+  put->spec = spec;
+  snprintf (put->name, sizeof put->name, "%.*s", (int)name.len, name.ptr);
+  if (id.len)
+    snprintf (put->id, sizeof put->id, "%.*s", (int)id.len, id.ptr);
+  else
+    snprintf (put->id, sizeof put->id, "%.*s-%" PRIu64, CHANGE_ID_DIGITS,
+              gate->incarnation_hex, gate->next_change++);
+  put->hold = gt_hold_new (req);
+  change.name = el_str (put->name);
+  change.id = el_str (put->id);
+  gt_platform_put (gate->platform, &change, put_done, put);
+}
+
+/* The revision that a change without one of its own replaces. */
+static uint64_t
+revision_in_force (const gt_gate_t *gate, co_kind_t kind, el_str_t name)
+{
+  const co_resource_t *res = co_config_get (gate->config, kind, name);
+
+  return res ? res->revision : 0;
+}
+
+static void
+oper_put (gt_gate_t *gate, h2o_req_t *req, co_kind_t kind, el_str_t name)
+{
+  el_str_t body = gt_req_body (req);
+  json_t *json = json_loadb (body.ptr ? body.ptr : "", body.len,
+                             JSON_REJECT_DUPLICATES, NULL);
+  const char *id = NULL;
+  size_t id_len = 0;
+  json_int_t expected = -1;
+  json_error_t error;
+  json_t *spec;
+  co_resource_t *res;
+  el_err_t err;
+
+  if (json_unpack_ex (json, &error, JSON_STRICT, "{s:o,s?I,s?s%}", "spec",
+                      &spec, "resourceVersion", &expected, "changeId", &id,
+                      &id_len))
+    {
+      gt_door_error (gate, req, 400, "bad-json", error.text);
+      json_decref (json);
+      return;
+    }
+  res = co_resource_parse (kind, name, spec, 0, &err);
+  if (!res || (id_len && !co_name_valid ((el_str_t){ id, id_len })))
+    {
+      gt_door_error (gate, req, 422, "bad-resource",
+                     res ? "changeId: takes a name" : err.msg);
+      co_resource_free (res);
+      json_decref (json);
+      return;
+    }
+  co_resource_free (res);
+  oper_change (gate, req, kind, name, json_incref (spec),
+               (el_str_t){ id, id_len },
+               expected >= 0 ? (uint64_t)expected
+                             : revision_in_force (gate, kind, name));
+  json_decref (json);
+}
+
+static void
+oper_delete (gt_gate_t *gate, h2o_req_t *req, co_kind_t kind, el_str_t name)
+{
+  uint64_t expected = revision_in_force (gate, kind, name);
+  el_str_t text;
+
+  if (gt_req_query (req, EL_STR ("resourceVersion"), &text)
+      && !el_str_to_u64 (text, &expected))
+    {
+      gt_door_error (gate, req, 400, "bad-query",
+                     "resourceVersion: takes a whole number");
+      return;
+    }
+  if (!expected)
+    {
+      gt_door_error (gate, req, 404, "not-found", "no such resource");
+      return;
+    }
+  oper_change (gate, req, kind, name, NULL, (el_str_t){ NULL, 0 }, expected);
+}
+
+/** Serve /admin/v1/KIND and /admin/v1/KIND/NAME. */
+void
+gt_door_resources (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  el_str_t kind_name = el_str_cut (&rest, '/');
+  co_kind_t kind;
+  size_t i;
+
+  if (!co_kind_parse (kind_name, &kind))
+    {
+      gt_door_error (gate, req, 404, "not-found", "no such kind");
+      return;
+    }
+  for (i = 0; i < sizeof methods / sizeof *methods; i++)
+    if (el_str_eq (gt_req_method (req), el_str (methods[i].method))
+        && (rest.len || i == 0))
+      {
+        methods[i].serve (gate, req, kind, rest);
+        return;
+      }
+  gt_door_error (gate, req, 405, "bad-method",
+                 "takes GET; PUT and DELETE with a name");
+}
+
+void
+gt_door_dump (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  (void)rest;
+  gt_door_json (req, 200, gt_gate_dump (gate));
+}
+
+void
+gt_door_metrics (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  el_buf_t text = { NULL, 0, 0 };
+
+  (void)rest;
+  gate->gauge_active = rt_router_active (gate->router);
+  gate->gauge_queued = rt_router_queued (gate->router);
+  gate->gauge_sessions = co_ledger_sessions (gate->ledger);
+  gate->gauge_entries = co_ledger_entries (gate->ledger);
+  gate->gauge_revision = co_config_revision (gate->config);
+  el_metrics_print (&gate->metrics, &text);
+  gt_req_reply (req, 200, EL_STR ("text/plain; version=0.0.4"),
+                el_buf_str (&text));
+  el_buf_free (&text);
+}
--- /dev/null
+++ b/gate/door_session.c
@@ -0,0 +1,108 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Sessions and entry hosts.
+ */
+#include "libgate.h"
+
+#define ENTRY_HOSTS_MOST 5
+#define ENTRY_KEEP_S 10
+#define RETRY_AFTER_MS 1000
+
+static void
+session_token (const gt_gate_t *gate, el_str_t customer, uint64_t session,
+               el_buf_t *out)
+{
+  co_token_t token = { .http = gate->options.listen,
+                       .peer = gate->options.peer_listen,
+                       .customer = customer,
+                       .session = session,
+                       .home = gate->incarnation };
+
+  co_token_write (out, &token, gate->options.cluster_key);
+}
+
+/** Open a session; this host is its home. */
+void
+gt_door_session_open (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  gt_refusal_t refusal
+      = { 503, EL_NOT_RUN, "no-session", NULL, RETRY_AFTER_MS };
+  el_buf_t token = { NULL, 0, 0 };
+  el_str_t customer;
+  uint64_t session;
+  el_err_t err;
+
+  (void)rest;
+  if (!gt_door_customer (gate, req, &customer))
+    return;
+  if (co_ledger_open (gate->ledger, gt_clock_now (&gate->clock), customer,
+                      &session, &err))
+    {
+      refusal.message = err.msg;
+      gt_caller_refuse (req, &refusal);
+      return;
+    }
+  session_token (gate, customer, session, &token);
+  gt_door_json (req, 201,
+                json_pack ("{s:s%,s:s%,s:I}", "session", token.ptr, token.len,
+                           "home", gate->options.listen.ptr,
+                           gate->options.listen.len, "idle_s",
+                           (json_int_t)(gate->options.session_idle / EL_SEC)));
+  el_buf_free (&token);
+}
+
+/** Close a session. At a host that is not its home there is nothing to
+    close. */
+void
+gt_door_session_close (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  el_str_t customer;
+  co_token_t token;
+  el_status_t status;
+  el_err_t err;
+
+  if (!gt_door_customer (gate, req, &customer))
+    return;
+  if (co_token_read (rest, gate->options.cluster_key, &token, &err)
+      || !el_str_eq (token.customer, customer))
+    {
+      gt_door_error (gate, req, 404, "not-found", "no such session");
+      return;
+    }
+  if (!co_incarnation_eq (&token.home, &gate->incarnation))
+    {
+      gt_door_error (gate, req, 409, "not-the-home",
+                     "close the session at its home");
+      return;
+    }
+  status = co_ledger_close (gate->ledger, token.session);
+  if (status == EL_CONFLICT)
+    gt_door_error (gate, req, 409, "session-busy",
+                   "a request of the session runs");
+  else if (status)
+    gt_door_error (gate, req, 404, "not-found", "no such session");
+  else
+    gt_req_reply (req, 204, (el_str_t){ NULL, 0 }, EL_STR (""));
+}
+
+/** The addresses that a caller should use now, and how long to keep them.
+    Callers are spread by a hash of their address. */
+void
+gt_door_entry_hosts (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  struct sockaddr_storage addr;
+  socklen_t len
+      = req->conn->callbacks->get_peername (req->conn, (void *)&addr);
+  json_t *hosts = json_array ();
+
+  (void)rest;
+  gt_peers_entries (
+      gate->peers, hosts, ENTRY_HOSTS_MOST,
+      el_str_hash ((el_str_t){ (const char *)&addr, (size_t)len }));
+  gt_door_json (
+      req, 200,
+      json_pack ("{s:o,s:i}", "hosts", hosts, "keep_s", ENTRY_KEEP_S));
+}
--- /dev/null
+++ b/gate/gate.c
@@ -0,0 +1,333 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * One host's gate: puts the parts together, and drains them.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+#include "libgate.h"
+
+#define EXPIRE_EVERY (5 * EL_SEC)
+#define DRAIN_LOOK_EVERY (50 * EL_MSEC)
+
+static void
+config_changed (void *arg, const co_resource_t *prev,
+                const co_resource_t *next)
+{
+  gt_gate_t *gate = arg;
+  const co_resource_t *res = next ? next : prev;
+
+  EL_LOG (EL_LOG_INFO, "config_in_force",
+          EL_FC ("kind", co_kind_name (res->kind)), EL_FS ("name", res->name),
+          EL_FN ("revision", res->revision),
+          EL_FC ("state", next ? "set" : "removed"));
+  if (gate->options.trace_fd >= 0)
+    gt_trace (gate, rt_trace_config (prev, next));
+  rt_router_config (gate->router, prev, next);
+}
+
+static void
+ledger_release (void *arg, void *answer)
+{
+  (void)arg;
+  gt_answer_unref (answer);
+}
+
+static el_time_t
+clock_next (void *arg)
+{
+  gt_gate_t *gate = arg;
+
+  return rt_router_next (gate->router);
+}
+
+static void
+clock_fire (void *arg, el_time_t now)
+{
+  gt_gate_t *gate = arg;
+  rt_event_t event = { .kind = RT_EV_TICK };
+
+  if (rt_router_next (gate->router) <= now)
+    gt_router_event (gate, &event);
+}
+
+/** Write a line of the trace; takes over the reference. A reader that does
+    not keep up loses lines rather than holding up the host. */
+void
+gt_trace (gt_gate_t *gate, json_t *line)
+{
+  char *text = json_dumps (line, JSON_COMPACT);
+  el_buf_t out = { NULL, 0, 0 };
+  ssize_t n;
+
+  el_buf_printf (&out, "%s\n", text);
+  do
+    n = write (gate->options.trace_fd, out.ptr, out.len);
+  while (n < 0 && errno == EINTR);
+  if (n < 0 && errno == EPIPE)
+    gate->options.trace_fd = -1;
+  el_buf_free (&out);
+  free (text);
+  json_decref (line);
+}
+
+/** Hand the router an event, then wake those whom its actions concern. */
+void
+gt_router_event (gt_gate_t *gate, const rt_event_t *event)
+{
+  el_time_t now = gt_clock_now (&gate->clock);
+
+  if (gate->options.trace_fd >= 0)
+    gt_trace (gate, rt_trace_event (now, event));
+  rt_router_event (gate->router, now, event);
+  gt_answer_flush (gate);
+  gt_clock_arm (&gate->clock);
+}
+
+uint64_t
+gt_random (gt_gate_t *gate)
+{
+  uint64_t value = 0;
+
+  (void)gate;
+  if (getrandom (&value, sizeof value, 0) != sizeof value)
+    abort ();
+  return value;
+}
+
+static void
+gate_expire (void *arg, el_time_t now)
+{
+  gt_gate_t *gate = arg;
+
+  co_ledger_expire (gate->ledger, now);
+  gt_clock_set (&gate->clock, &gate->expire, EXPIRE_EVERY);
+}
+
+#define RT_COUNT(field) &rt_router_counts (gate->router)->field
+
+static void
+gate_metrics (gt_gate_t *gate)
+{
+  const struct
+  {
+    const char *name;
+    const char *help;
+    el_metric_kind_t kind;
+    const void *value;
+  } list[] = {
+    { "elmarch_http_requests_total", "HTTP requests taken in", EL_COUNTER,
+      &gate->counts.http_requests },
+    { "elmarch_denied_total", "requests without a known key", EL_COUNTER,
+      &gate->counts.denied },
+    { "elmarch_bad_requests_total", "requests that break a rule", EL_COUNTER,
+      &gate->counts.bad_requests },
+    { "elmarch_joined_total", "duplicates that got the first one's answer",
+      EL_COUNTER, &gate->counts.joined },
+    { "elmarch_forgotten_total", "requests refused as may have run",
+      EL_COUNTER, &gate->counts.forgotten },
+    { "elmarch_forwarded_total", "requests handed to a session's home",
+      EL_COUNTER, &gate->counts.forwarded },
+    { "elmarch_home_gone_total", "requests whose home did not answer",
+      EL_COUNTER, &gate->counts.home_gone },
+    { "elmarch_rpc_refused_total", "peer messages refused", EL_COUNTER,
+      &gate->counts.rpc_refused },
+    { "elmarch_platform_calls_total", "calls to the platform", EL_COUNTER,
+      &gate->counts.platform_calls },
+    { "elmarch_platform_failures_total", "of those, failed", EL_COUNTER,
+      &gate->counts.platform_failures },
+    { "elmarch_config_applied_total", "changes put in force", EL_COUNTER,
+      &gate->counts.config_applied },
+    { "elmarch_config_stale_total", "changes older than what is in force",
+      EL_COUNTER, &gate->counts.config_stale },
+    { "elmarch_requests_total", "requests for endpoints", EL_COUNTER,
+      RT_COUNT (requests) },
+    { "elmarch_refused_total", "requests refused as not run", EL_COUNTER,
+      RT_COUNT (refused) },
+    { "elmarch_whole_total", "requests answered whole", EL_COUNTER,
+      RT_COUNT (whole) },
+    { "elmarch_broken_total", "requests ended without a whole answer",
+      EL_COUNTER, RT_COUNT (broken) },
+    { "elmarch_cancelled_total", "requests whose caller left", EL_COUNTER,
+      RT_COUNT (cancelled) },
+    { "elmarch_tokens_total", "tokens delivered", EL_COUNTER,
+      RT_COUNT (tokens) },
+    { "elmarch_calls_total", "calls to endpoints", EL_COUNTER,
+      RT_COUNT (calls) },
+    { "elmarch_rebuilds_total", "attempts after a stream's first", EL_COUNTER,
+      RT_COUNT (rebuilds) },
+    { "elmarch_retries_total", "attempts taken from a retry budget",
+      EL_COUNTER, RT_COUNT (retries) },
+    { "elmarch_late_total", "endpoint answers that came too late", EL_COUNTER,
+      RT_COUNT (late) },
+    { "elmarch_crossed_total", "endpoint answers to another call", EL_COUNTER,
+      RT_COUNT (crossed) },
+    { "elmarch_ejected_total", "times an endpoint was set aside", EL_COUNTER,
+      RT_COUNT (ejected) },
+    { "elmarch_leaving_total", "refusals by endpoints that leave", EL_COUNTER,
+      RT_COUNT (leaving) },
+    { "elmarch_active", "requests running", EL_GAUGE, &gate->gauge_active },
+    { "elmarch_queued", "requests waiting", EL_GAUGE, &gate->gauge_queued },
+    { "elmarch_sessions", "sessions at home here", EL_GAUGE,
+      &gate->gauge_sessions },
+    { "elmarch_ledger_entries", "requests remembered", EL_GAUGE,
+      &gate->gauge_entries },
+    { "elmarch_config_revision", "all changes up to it were seen", EL_GAUGE,
+      &gate->gauge_revision },
+    { "elmarch_first_token_microseconds", "from request to first token",
+      EL_HISTOGRAM, &gate->counts.first_token },
+  };
+  size_t i;
+
+  for (i = 0; i < sizeof list / sizeof *list; i++)
+    el_metrics_add (&gate->metrics, list[i].name, list[i].help, list[i].kind,
+                    list[i].value);
+}
+
+static void
+gate_parts (gt_gate_t *gate)
+{
+  const gt_options_t *o = &gate->options;
+  rt_options_t router = { .seed = o->seed,
+                          .max_active = o->max_active,
+                          .max_queue = o->max_queue,
+                          .call_limit = o->call_limit,
+                          .leave_hold = o->leave_hold,
+                          .act = gt_flow_act,
+                          .arg = gate };
+  co_ledger_options_t ledger = { .max_sessions = o->max_sessions,
+                                 .max_entries = o->max_entries,
+                                 .idle = o->session_idle,
+                                 .release = ledger_release,
+                                 .arg = gate };
+  co_config_options_t config = { .changed = config_changed, .arg = gate };
+
+  gate->router = rt_router_new (&router);
+  gate->ledger = co_ledger_new (&ledger);
+  gate->config = co_config_new (&config);
+  gate->client = gt_client_new (&gate->clock);
+  gate->clock.next = clock_next;
+  gate->clock.fire = clock_fire;
+  gate->clock.arg = gate;
+  gate_metrics (gate);
+}
+
+/** Start one host's gate on its loop; NULL, with the reason in ERR, when an
+    address can't be had. */
+gt_gate_t *
+gt_gate_new (const gt_options_t *options, el_err_t *err)
+{
+  gt_gate_t *gate = el_alloc (sizeof *gate);
+  gt_server_options_t server = { .loop = options->loop,
+                                 .address = options->listen,
+                                 .max_body = options->max_body,
+                                 .handle = gt_door_handle,
+                                 .arg = gate };
+
+  gate->options = *options;
+  gate->next_stream = 1;
+  gate->next_change = 1;
+  if (getrandom (gate->incarnation.byte, CO_INCARNATION_BYTES, 0)
+      != CO_INCARNATION_BYTES)
+    abort ();
+  co_incarnation_hex (&gate->incarnation, gate->incarnation_hex);
+  gt_clock_open (&gate->clock, options->loop);
+  gate_parts (gate);
+  gate->peers = gt_peers_new (gate, err);
+  gate->server = gate->peers ? gt_server_new (&server, err) : NULL;
+  if (!gate->server)
+    return NULL;
+  gate->platform = gt_platform_new (gate);
+  gate->expire.cb = gate_expire;
+  gate->expire.arg = gate;
+  gt_clock_set (&gate->clock, &gate->expire, EXPIRE_EVERY);
+  EL_LOG (EL_LOG_INFO, "started", EL_FS ("listen", options->listen),
+          EL_FS ("peer_listen", options->peer_listen),
+          EL_FS ("hall", options->hall),
+          EL_FC ("incarnation", gate->incarnation_hex));
+  return gate;
+}
+
+static void
+gate_stopped (gt_gate_t *gate)
+{
+  EL_LOG (EL_LOG_INFO, "drained",
+          EL_FN ("sessions", co_ledger_sessions (gate->ledger)));
+  gt_server_stop (gate->server);
+  gt_platform_stop (gate->platform);
+  gt_peers_stop (gate->peers);
+  gt_clock_cancel (&gate->clock, &gate->expire);
+  gate->drained (gate->drained_arg);
+}
+
+static void
+drain_look (void *arg, el_time_t now)
+{
+  gt_gate_t *gate = arg;
+
+  (void)now;
+  if (HASH_COUNT (gate->flows) == 0)
+    gate_stopped (gate);
+  else
+    gt_clock_set (&gate->clock, &gate->expire, DRAIN_LOOK_EVERY);
+}
+
+/** Take no new work, let what runs end in its own time, then call DONE. */
+void
+gt_gate_drain (gt_gate_t *gate, gt_drained_cb done, void *arg)
+{
+  rt_event_t event = { .kind = RT_EV_STOP };
+
+  if (gate->draining)
+    return;
+  gate->draining = 1;
+  gate->drained = done;
+  gate->drained_arg = arg;
+  EL_LOG (EL_LOG_INFO, "draining",
+          EL_FN ("running", HASH_COUNT (gate->flows)));
+  co_ledger_seal (gate->ledger);
+  gt_router_event (gate, &event);
+  gate->expire.cb = drain_look;
+  gt_clock_set (&gate->clock, &gate->expire, DRAIN_LOOK_EVERY);
+}
+
+/** Free the gate after its loop has ended. */
+void
+gt_gate_free (gt_gate_t *gate)
+{
+  gt_flow_t *flow;
+  gt_flow_t *next;
+
+  HASH_ITER (hh, gate->flows, flow, next)
+  gt_flow_free (flow);
+  co_ledger_free (gate->ledger);
+  gt_server_free (gate->server);
+  gt_platform_free (gate->platform);
+  gt_peers_free (gate->peers);
+  gt_client_free (gate->client);
+  co_config_free (gate->config);
+  rt_router_free (gate->router);
+  el_metrics_free (&gate->metrics);
+  free (gate);
+}
+
+/** The process's state for operators. */
+json_t *
+gt_gate_dump (gt_gate_t *gate)
+{
+  return json_pack (
+      "{s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:o,s:o}", "version", EL_VERSION,
+      "incarnation", gate->incarnation_hex, "draining", gate->draining,
+      "sessions", (json_int_t)co_ledger_sessions (gate->ledger),
+      "ledgerEntries", (json_int_t)co_ledger_entries (gate->ledger),
+      "configRevision", (json_int_t)co_config_revision (gate->config),
+      "resources", (json_int_t)co_config_count (gate->config), "peers",
+      gt_peers_dump (gate->peers), "router",
+      rt_router_dump (gate->router, gt_clock_now (&gate->clock)));
+}
--- /dev/null
+++ b/gate/gate.h
@@ -0,0 +1,52 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The gate: one host's HTTP towards callers and operators, its clients
+ * towards endpoints and the platform, and RPC between hosts, around one
+ * router and one ledger.
+ */
+#ifndef ELMARCH_GATE_H
+#define ELMARCH_GATE_H
+
+#include <uv.h>
+
+#include "base.h"
+#include "coord.h"
+
+typedef struct gt_gate gt_gate_t;
+
+typedef struct gt_options
+{
+  uv_loop_t *loop;
+  el_str_t listen;       /**< callers and operators, ip:port */
+  el_str_t peer_listen;  /**< other hosts, ip:port */
+  el_str_t peers;        /**< their peer addresses, with commas */
+  el_str_t hall;         /**< where this host stands */
+  el_str_t platform;     /**< the platform's address, ip:port */
+  el_str_t cluster_key;  /**< shared by the hosts */
+  el_str_t operator_key; /**< operators prove themselves with it */
+  uint64_t max_active;
+  uint64_t max_queue;
+  uint64_t max_body; /**< bytes of a caller's request */
+  uint64_t max_sessions;
+  uint64_t max_entries; /**< requests remembered for a session */
+  el_time_t deadline;   /**< of a request that names none */
+  el_time_t call_limit; /**< longest wait for one stage */
+  el_time_t session_idle;
+  el_time_t session_hold; /**< a stream goes on this long unread */
+  el_time_t leave_hold;
+  uint64_t seed;
+  int trace_fd; /**< where the trace goes; -1 is nowhere */
+} gt_options_t;
+
+typedef void (*gt_drained_cb) (void *arg);
+
+gt_gate_t *gt_gate_new (const gt_options_t *options, el_err_t *err);
+void gt_gate_drain (gt_gate_t *gate, gt_drained_cb done, void *arg);
+void gt_gate_free (gt_gate_t *gate);
+json_t *gt_gate_dump (gt_gate_t *gate);
+int gt_address_valid (el_str_t address);
+
+#endif
--- /dev/null
+++ b/gate/http_server.c
@@ -0,0 +1,266 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The HTTP server: one h2o context on the caller's loop, HTTP/1.1 and HTTP/2.
+ */
+#include <netinet/in.h>
+#include <stdlib.h>
+
+#include "http.h"
+
+#define BACKLOG 1024
+#define REQ_TIMEOUT_MS 10000
+#define HTTP2_IDLE_MS 60000
+
+struct gt_server
+{
+  gt_server_options_t options;
+  uv_tcp_t listener;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  int stopped;
+};
+
+typedef struct server_handler
+{
+  h2o_handler_t super;
+  gt_server_t *server;
+} server_handler_t;
+
+static const struct
+{
+  int status;
+  const char *reason;
+} status_texts[] = {
+  { 200, "OK" },
+  { 201, "Created" },
+  { 202, "Accepted" },
+  { 204, "No Content" },
+  { 307, "Temporary Redirect" },
+  { 400, "Bad Request" },
+  { 401, "Unauthorized" },
+  { 403, "Forbidden" },
+  { 404, "Not Found" },
+  { 405, "Method Not Allowed" },
+  { 409, "Conflict" },
+  { 413, "Content Too Large" },
+  { 422, "Unprocessable Content" },
+  { 429, "Too Many Requests" },
+  { 500, "Internal Server Error" },
+  { 502, "Bad Gateway" },
+  { 503, "Service Unavailable" },
+  { 504, "Gateway Timeout" },
+};
+
+static int
+server_on_req (h2o_handler_t *self, h2o_req_t *req)
+{
+  gt_server_t *server = ((server_handler_t *)self)->server;
+
+  server->options.handle (server->options.arg, req);
+  return 0;
+}
+
+static void
+server_on_connection (uv_stream_t *listener, int status)
+{
+  gt_server_t *server = listener->data;
+  uv_tcp_t *conn;
+
+  if (status != 0)
+    return;
+  conn = h2o_mem_alloc (sizeof *conn);
+  uv_tcp_init (listener->loop, conn);
+  if (uv_accept (listener, (uv_stream_t *)conn) != 0)
+    {
+      uv_close ((uv_handle_t *)conn, (uv_close_cb)free);
+      return;
+    }
+  uv_tcp_nodelay (conn, 1);
+  h2o_accept (&server->accept,
+              h2o_uv_socket_create ((uv_stream_t *)conn, (uv_close_cb)free));
+}
+
+static void
+server_config (gt_server_t *server)
+{
+  h2o_hostconf_t *host;
+  h2o_pathconf_t *path;
+  server_handler_t *handler;
+
+  h2o_config_init (&server->config);
+  server->config.server_name = h2o_iovec_init (H2O_STRLIT ("elmarch"));
+  server->config.max_request_entity_size = server->options.max_body;
+  server->config.http1.req_timeout = REQ_TIMEOUT_MS;
+  server->config.http2.idle_timeout = HTTP2_IDLE_MS;
+  host = h2o_config_register_host (
+      &server->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
+  path = h2o_config_register_path (host, "/", 0);
+  handler = (server_handler_t *)h2o_create_handler (path, sizeof *handler);
+  handler->super.on_req = server_on_req;
+  handler->server = server;
+  h2o_context_init (&server->context, server->options.loop, &server->config);
+  server->accept.ctx = &server->context;
+  server->accept.hosts = server->config.hosts;
+}
+
+/** Listen; NULL, with the reason in ERR, when the address can't be had. */
+gt_server_t *
+gt_server_new (const gt_server_options_t *options, el_err_t *err)
+{
+  gt_server_t *server;
+  struct sockaddr_in addr;
+  int rc;
+
+  if (!gt_address_parse (options->address, &addr))
+    {
+      el_err_set (err, EL_INVALID, "%.*s: takes ip:port",
+                  (int)options->address.len, options->address.ptr);
+      return NULL;
+    }
+  server = el_alloc (sizeof *server);
+  server->options = *options;
+  uv_tcp_init (options->loop, &server->listener);
+  server->listener.data = server;
+  rc = uv_tcp_bind (&server->listener, (struct sockaddr *)&addr, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&server->listener, BACKLOG,
+                    server_on_connection);
+  if (rc)
+    {
+      el_err_set (err, EL_SYSTEM, "%.*s: %s", (int)options->address.len,
+                  options->address.ptr, uv_strerror (rc));
+      uv_close ((uv_handle_t *)&server->listener, (uv_close_cb)free);
+      return NULL;
+    }
+  server_config (server);
+  return server;
+}
+
+/** The port listened on. */
+unsigned
+gt_server_port (const gt_server_t *server)
+{
+  struct sockaddr_in addr;
+  int len = sizeof addr;
+
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&addr, &len);
+  return ntohs (addr.sin_port);
+}
+
+/** Accept no further connection, and ask those open to end after what they
+    have begun. */
+void
+gt_server_stop (gt_server_t *server)
+{
+  if (server->stopped)
+    return;
+  server->stopped = 1;
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+  h2o_context_request_shutdown (&server->context);
+}
+
+/** Free the server after its loop has ended. */
+void
+gt_server_free (gt_server_t *server)
+{
+  h2o_context_dispose (&server->context);
+  h2o_config_dispose (&server->config);
+  free (server);
+}
+
+el_str_t
+gt_req_method (const h2o_req_t *req)
+{
+  return (el_str_t){ req->method.base, req->method.len };
+}
+
+/** The path as sent, without the query. */
+el_str_t
+gt_req_path (const h2o_req_t *req)
+{
+  size_t len = req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+
+  return (el_str_t){ req->path.base, len };
+}
+
+/** The value of a query's field; gives 0 when it is not there. */
+int
+gt_req_query (const h2o_req_t *req, el_str_t name, el_str_t *value)
+{
+  el_str_t rest = { NULL, 0 };
+  el_str_t pair;
+
+  if (req->query_at != SIZE_MAX)
+    rest = (el_str_t){ req->path.base + req->query_at + 1,
+                       req->path.len - req->query_at - 1 };
+  while (rest.len)
+    {
+      pair = el_str_cut (&rest, '&');
+      if (el_str_eq (el_str_cut (&pair, '='), name))
+        {
+          *value = pair;
+          return 1;
+        }
+    }
+  return 0;
+}
+
+/** The value of a header, NAME in lower case; empty when it is not there. */
+el_str_t
+gt_req_header (const h2o_req_t *req, const char *name)
+{
+  size_t len = strlen (name);
+  size_t i;
+
+  for (i = 0; i < req->headers.size; i++)
+    {
+      const h2o_header_t *header = &req->headers.entries[i];
+
+      if (h2o_lcstris (header->name->base, header->name->len, name, len))
+        return (el_str_t){ header->value.base, header->value.len };
+    }
+  return (el_str_t){ NULL, 0 };
+}
+
+el_str_t
+gt_req_body (const h2o_req_t *req)
+{
+  return (el_str_t){ req->entity.base, req->entity.len };
+}
+
+/** Add a header to the answer; the strings are copied. */
+void
+gt_req_add_header (h2o_req_t *req, el_str_t name, el_str_t value)
+{
+  h2o_iovec_t n = h2o_strdup (&req->pool, name.ptr, name.len);
+  h2o_iovec_t v = h2o_strdup (&req->pool, value.ptr, value.len);
+
+  h2o_add_header_by_str (&req->pool, &req->res.headers, n.base, n.len, 1, NULL,
+                         v.base, v.len);
+}
+
+static const char *
+status_reason (int status)
+{
+  size_t i;
+
+  for (i = 0; i < sizeof status_texts / sizeof *status_texts; i++)
+    if (status_texts[i].status == status)
+      return status_texts[i].reason;
+  return "Status";
+}
+
+/** Answer a request whole; the strings are copied. */
+void
+gt_req_reply (h2o_req_t *req, int status, el_str_t type, el_str_t body)
+{
+  req->res.status = status;
+  req->res.reason = status_reason (status);
+  if (type.len)
+    gt_req_add_header (req, EL_STR ("content-type"), type);
+  h2o_send_inline (req, body.ptr, body.len);
+}
--- /dev/null
+++ b/gate/rpc.c
@@ -0,0 +1,569 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * ONC RPC over TCP on libuv. A record that is too long, truncated, of another
+ * program or version, or not sealed with the key is refused and counted; the
+ * connection that brought it is closed.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <rpc/rpc.h>
+
+#include "map.h"
+#include "peer_proto.h"
+#include "rpc.h"
+
+#define RECORD_LAST 0x80000000U
+#define RECORD_MAX (PEER_BODY_MAX + 4096)
+#define MARK_BYTES 4
+#define READ_CHUNK 65536
+#define BACKLOG 256
+#define ADDRESS_MAX 64
+#define HEAD_ROOM 512
+
+/* libtirpc declares xdr_void without arguments. */
+static const xdrproc_t rpc_void = (xdrproc_t)(void (*) (void))xdr_void;
+
+typedef struct rpc_conn rpc_conn_t;
+
+typedef struct rpc_call
+{
+  uint32_t xid; /* key */
+  uint32_t proc;
+  rpc_conn_t *conn;
+  gt_rpc_done_fn done;
+  void *arg;
+  el_timer_t timer;
+  UT_hash_handle hh;
+} rpc_call_t;
+
+struct rpc_conn
+{
+  uv_tcp_t tcp;
+  gt_rpc_t *rpc;
+  unsigned refs;
+  int server;
+  int open;
+  int closing;
+  char address[ADDRESS_MAX]; /* key of a client's */
+  el_buf_t in;
+  el_buf_t waiting; /* written once the connection is made */
+  char chunk[READ_CHUNK];
+  rpc_conn_t *prev;
+  rpc_conn_t *next;
+  UT_hash_handle hh;
+};
+
+struct gt_rpc_req
+{
+  rpc_conn_t *conn;
+  uint32_t xid;
+  uint32_t proc;
+};
+
+struct gt_rpc
+{
+  gt_rpc_options_t options;
+  uv_tcp_t listener;
+  rpc_conn_t *clients; /* by address */
+  rpc_conn_t *conns;   /* all */
+  rpc_call_t *calls;
+  uint32_t next_xid;
+  int stopped;
+};
+
+typedef struct rpc_write
+{
+  uv_write_t req;
+  el_buf_t buf;
+} rpc_write_t;
+
+static void conn_read (uv_stream_t *stream, ssize_t nread,
+                       const uv_buf_t *buf);
+
+static void
+conn_unref (rpc_conn_t *conn)
+{
+  if (--conn->refs)
+    return;
+  el_buf_free (&conn->in);
+  el_buf_free (&conn->waiting);
+  free (conn);
+}
+
+static void
+conn_closed (uv_handle_t *handle)
+{
+  conn_unref (handle->data);
+}
+
+static void
+call_end (gt_rpc_t *rpc, rpc_call_t *call, int ok, int sent, el_str_t body)
+{
+  HASH_DEL (rpc->calls, call);
+  gt_clock_cancel (rpc->options.clock, &call->timer);
+  call->done (call->arg, ok, sent, body);
+  free (call);
+}
+
+/* Close a connection; the calls on it have no answer. */
+static void
+conn_close (rpc_conn_t *conn)
+{
+  gt_rpc_t *rpc = conn->rpc;
+  int sent = conn->open;
+  rpc_call_t *call;
+  rpc_call_t *next;
+
+  if (conn->closing)
+    return;
+  conn->closing = 1;
+  conn->open = 0;
+  DL_DELETE (rpc->conns, conn);
+  if (!conn->server)
+    HASH_DELETE (hh, rpc->clients, conn);
+  uv_close ((uv_handle_t *)&conn->tcp, conn_closed);
+  HASH_ITER (hh, rpc->calls, call, next)
+  if (call->conn == conn)
+    call_end (rpc, call, 0, sent, (el_str_t){ NULL, 0 });
+}
+
+static rpc_conn_t *
+conn_new (gt_rpc_t *rpc, int server)
+{
+  rpc_conn_t *conn = el_alloc (sizeof *conn);
+
+  conn->rpc = rpc;
+  conn->refs = 1;
+  conn->server = server;
+  uv_tcp_init (rpc->options.clock->loop, &conn->tcp);
+  conn->tcp.data = conn;
+  DL_APPEND (rpc->conns, conn);
+  return conn;
+}
+
+static void
+write_done (uv_write_t *req, int status)
+{
+  rpc_write_t *write = (rpc_write_t *)req;
+  rpc_conn_t *conn = req->handle->data;
+
+  el_buf_free (&write->buf);
+  free (write);
+  if (status)
+    conn_close (conn);
+}
+
+/* Write what BUF holds; takes its memory over. */
+static void
+conn_write (rpc_conn_t *conn, el_buf_t *buf)
+{
+  rpc_write_t *write = el_alloc (sizeof *write);
+  uv_buf_t uv;
+
+  write->buf = *buf;
+  *buf = (el_buf_t){ NULL, 0, 0 };
+  uv = uv_buf_init (write->buf.ptr, (unsigned)write->buf.len);
+  ++*conn->rpc->options.messages;
+  *conn->rpc->options.bytes += write->buf.len;
+  if (uv_write (&write->req, (uv_stream_t *)&conn->tcp, &uv, 1, write_done))
+    {
+      el_buf_free (&write->buf);
+      free (write);
+      conn_close (conn);
+    }
+}
+
+static void
+seal_mac (el_str_t key, char direction, uint32_t proc, uint32_t xid,
+          el_str_t body, unsigned char out[CO_MAC_BYTES])
+{
+  el_buf_t text = { NULL, 0, 0 };
+
+  el_buf_printf (&text, "%c%u.%u.", direction, proc, xid);
+  el_buf_add (&text, body);
+  co_mac (key, el_buf_str (&text), out);
+  el_buf_free (&text);
+}
+
+/* Append a record: MSG, then the sealed body. */
+static void
+record_write (gt_rpc_t *rpc, el_buf_t *out, struct rpc_msg *msg,
+              char direction, uint32_t proc, el_str_t body)
+{
+  size_t size = HEAD_ROOM + body.len;
+  char *bytes = el_alloc (size);
+  peer_sealed sealed;
+  uint32_t mark;
+  XDR xdr;
+  int ok;
+
+  seal_mac (rpc->options.key, direction, proc, msg->rm_xid, body,
+            (unsigned char *)sealed.mac);
+  sealed.body.body_val = (char *)(uintptr_t)body.ptr;
+  sealed.body.body_len = (u_int)body.len;
+  xdrmem_create (&xdr, bytes, (u_int)size, XDR_ENCODE);
+  ok = direction == 'c' ? xdr_callmsg (&xdr, msg) : xdr_replymsg (&xdr, msg);
+  if (ok && xdr_peer_sealed (&xdr, &sealed))
+    {
+      mark = htonl (RECORD_LAST | xdr_getpos (&xdr));
+      el_buf_add (out, (el_str_t){ (char *)&mark, MARK_BYTES });
+      el_buf_add (out, (el_str_t){ bytes, xdr_getpos (&xdr) });
+    }
+  xdr_destroy (&xdr);
+  free (bytes);
+}
+
+static void
+conn_refuse (rpc_conn_t *conn)
+{
+  ++*conn->rpc->options.refused;
+  conn_close (conn);
+}
+
+/* Read the sealed body behind a message; gives 0 when the code does not
+   fit. The body points into allocated memory that xdr_free releases. */
+static int
+sealed_read (gt_rpc_t *rpc, XDR *xdr, char direction, uint32_t proc,
+             uint32_t xid, peer_sealed *sealed)
+{
+  unsigned char want[CO_MAC_BYTES];
+  el_str_t body;
+
+  memset (sealed, 0, sizeof *sealed);
+  if (!xdr_peer_sealed (xdr, sealed))
+    return 0;
+  body = (el_str_t){ sealed->body.body_val, sealed->body.body_len };
+  seal_mac (rpc->options.key, direction, proc, xid, body, want);
+  return co_mac_eq (want, (unsigned char *)sealed->mac);
+}
+
+static void
+server_record (rpc_conn_t *conn, XDR *xdr)
+{
+  gt_rpc_t *rpc = conn->rpc;
+  char cred[MAX_AUTH_BYTES];
+  char verf[MAX_AUTH_BYTES];
+  struct rpc_msg msg;
+  peer_sealed sealed;
+  gt_rpc_req_t *req;
+  el_str_t body;
+
+  memset (&msg, 0, sizeof msg);
+  memset (&sealed, 0, sizeof sealed);
+  msg.rm_call.cb_cred.oa_base = cred;
+  msg.rm_call.cb_verf.oa_base = verf;
+  if (!xdr_callmsg (xdr, &msg) || msg.rm_call.cb_rpcvers != RPC_MSG_VERSION
+      || msg.rm_call.cb_prog != ELMARCH_PEER
+      || msg.rm_call.cb_vers != ELMARCH_PEER_V1
+      || !sealed_read (rpc, xdr, 'c', (uint32_t)msg.rm_call.cb_proc,
+                       msg.rm_xid, &sealed))
+    {
+      xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
+      conn_refuse (conn);
+      return;
+    }
+  req = el_alloc (sizeof *req);
+  req->conn = conn;
+  req->xid = msg.rm_xid;
+  req->proc = (uint32_t)msg.rm_call.cb_proc;
+  conn->refs++;
+  body = (el_str_t){ sealed.body.body_val, sealed.body.body_len };
+  rpc->options.serve (rpc->options.arg, req, req->proc, body);
+  xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
+}
+
+static void
+client_record (rpc_conn_t *conn, XDR *xdr)
+{
+  gt_rpc_t *rpc = conn->rpc;
+  char verf[MAX_AUTH_BYTES];
+  struct rpc_msg msg;
+  peer_sealed sealed;
+  rpc_call_t *call = NULL;
+  int ok;
+
+  memset (&msg, 0, sizeof msg);
+  memset (&sealed, 0, sizeof sealed);
+  msg.acpted_rply.ar_verf.oa_base = verf;
+  msg.acpted_rply.ar_results.proc = rpc_void;
+  ok = xdr_replymsg (xdr, &msg) && msg.rm_reply.rp_stat == MSG_ACCEPTED
+       && msg.acpted_rply.ar_stat == SUCCESS;
+  if (ok)
+    HASH_FIND (hh, rpc->calls, &msg.rm_xid, sizeof call->xid, call);
+  if (ok && !call)
+    return; /* an answer that nobody waits for any more */
+  if (!ok || call->conn != conn
+      || !sealed_read (rpc, xdr, 'r', call->proc, call->xid, &sealed))
+    {
+      xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
+      conn_refuse (conn);
+      return;
+    }
+  call_end (rpc, call, 1, 1,
+            (el_str_t){ sealed.body.body_val, sealed.body.body_len });
+  xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
+}
+
+static void
+conn_record (rpc_conn_t *conn, char *bytes, size_t len)
+{
+  XDR xdr;
+
+  xdrmem_create (&xdr, bytes, (u_int)len, XDR_DECODE);
+  if (conn->server)
+    server_record (conn, &xdr);
+  else
+    client_record (conn, &xdr);
+  xdr_destroy (&xdr);
+}
+
+/* Take whole records off the front of what was read. */
+static void
+conn_parse (rpc_conn_t *conn)
+{
+  size_t at = 0;
+  uint32_t mark;
+  size_t len;
+
+  while (!conn->closing && conn->in.len - at >= MARK_BYTES)
+    {
+      memcpy (&mark, conn->in.ptr + at, MARK_BYTES);
+      mark = ntohl (mark);
+      len = mark & ~RECORD_LAST;
+      if (!(mark & RECORD_LAST) || len > RECORD_MAX)
+        {
+          conn_refuse (conn);
+          return;
+        }
+      if (conn->in.len - at - MARK_BYTES < len)
+        break;
+      conn_record (conn, conn->in.ptr + at + MARK_BYTES, len);
+      at += MARK_BYTES + len;
+    }
+  if (conn->closing || at == 0)
+    return;
+  memmove (conn->in.ptr, conn->in.ptr + at, conn->in.len - at);
+  conn->in.len -= at;
+}
+
+static void
+conn_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  rpc_conn_t *conn = handle->data;
+
+  (void)size;
+  *buf = uv_buf_init (conn->chunk, sizeof conn->chunk);
+}
+
+static void
+conn_read (uv_stream_t *stream, ssize_t nread, const uv_buf_t *buf)
+{
+  rpc_conn_t *conn = stream->data;
+
+  if (nread < 0)
+    {
+      conn_close (conn);
+      return;
+    }
+  el_buf_add (&conn->in, (el_str_t){ buf->base, (size_t)nread });
+  conn->refs++;
+  conn_parse (conn);
+  conn_unref (conn);
+}
+
+static void
+server_accept (uv_stream_t *listener, int status)
+{
+  gt_rpc_t *rpc = listener->data;
+  rpc_conn_t *conn;
+
+  if (status)
+    return;
+  conn = conn_new (rpc, 1);
+  if (uv_accept (listener, (uv_stream_t *)&conn->tcp))
+    {
+      conn_close (conn);
+      return;
+    }
+  conn->open = 1;
+  uv_tcp_nodelay (&conn->tcp, 1);
+  uv_read_start ((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+}
+
+/** Listen for the other hosts; NULL, with the reason in ERR, when the address
+    can't be had. */
+gt_rpc_t *
+gt_rpc_new (const gt_rpc_options_t *options, el_err_t *err)
+{
+  gt_rpc_t *rpc;
+  struct sockaddr_in addr;
+  int rc;
+
+  if (!gt_address_parse (options->listen, &addr))
+    {
+      el_err_set (err, EL_INVALID, "%.*s: takes ip:port",
+                  (int)options->listen.len, options->listen.ptr);
+      return NULL;
+    }
+  rpc = el_alloc (sizeof *rpc);
+  rpc->options = *options;
+  rpc->next_xid = 1;
+  uv_tcp_init (options->clock->loop, &rpc->listener);
+  rpc->listener.data = rpc;
+  rc = uv_tcp_bind (&rpc->listener, (struct sockaddr *)&addr, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&rpc->listener, BACKLOG, server_accept);
+  if (rc == 0)
+    return rpc;
+  el_err_set (err, EL_SYSTEM, "%.*s: %s", (int)options->listen.len,
+              options->listen.ptr, uv_strerror (rc));
+  uv_close ((uv_handle_t *)&rpc->listener, (uv_close_cb)free);
+  return NULL;
+}
+
+static void
+client_connected (uv_connect_t *req, int status)
+{
+  rpc_conn_t *conn = req->data;
+
+  free (req);
+  if (!conn->closing && status == 0)
+    {
+      conn->open = 1;
+      uv_tcp_nodelay (&conn->tcp, 1);
+      uv_read_start ((uv_stream_t *)&conn->tcp, conn_alloc, conn_read);
+      conn_write (conn, &conn->waiting);
+    }
+  else
+    conn_close (conn);
+  conn_unref (conn);
+}
+
+static rpc_conn_t *
+client_conn (gt_rpc_t *rpc, el_str_t address)
+{
+  struct sockaddr_in addr;
+  uv_connect_t *req;
+  rpc_conn_t *conn;
+
+  HASH_FIND (hh, rpc->clients, address.ptr, (unsigned)address.len, conn);
+  if (conn)
+    return conn;
+  if (address.len >= ADDRESS_MAX || !gt_address_parse (address, &addr))
+    return NULL;
+  conn = conn_new (rpc, 0);
+  memcpy (conn->address, address.ptr, address.len);
+  HASH_ADD_KEYPTR (hh, rpc->clients, conn->address, (unsigned)address.len,
+                   conn);
+  req = el_alloc (sizeof *req);
+  req->data = conn;
+  conn->refs++;
+  if (uv_tcp_connect (req, &conn->tcp, (struct sockaddr *)&addr,
+                      client_connected))
+    {
+      free (req);
+      conn->refs--;
+      conn_close (conn);
+      return NULL;
+    }
+  return conn;
+}
+
+static void
+call_timeout (void *arg, el_time_t now)
+{
+  rpc_call_t *call = arg;
+
+  (void)now;
+  call_end (call->conn->rpc, call, 0, call->conn->open, (el_str_t){ NULL, 0 });
+}
+
+/** Call procedure PROC at ADDRESS; DONE is called once, at the latest after
+    TIMEOUT microseconds. */
+void
+gt_rpc_call (gt_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
+             el_time_t timeout, gt_rpc_done_fn done, void *arg)
+{
+  rpc_conn_t *conn = rpc->stopped ? NULL : client_conn (rpc, address);
+  struct rpc_msg msg;
+  el_buf_t record = { NULL, 0, 0 };
+  rpc_call_t *call;
+
+  if (!conn)
+    {
+      done (arg, 0, 0, (el_str_t){ NULL, 0 });
+      return;
+    }
+  call = el_alloc (sizeof *call);
+  call->xid = rpc->next_xid++;
+  call->proc = proc;
+  call->conn = conn;
+  call->done = done;
+  call->arg = arg;
+  call->timer.cb = call_timeout;
+  call->timer.arg = call;
+  HASH_ADD (hh, rpc->calls, xid, sizeof call->xid, call);
+  gt_clock_set (rpc->options.clock, &call->timer, timeout);
+  memset (&msg, 0, sizeof msg);
+  msg.rm_xid = call->xid;
+  msg.rm_direction = CALL;
+  msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+  msg.rm_call.cb_prog = ELMARCH_PEER;
+  msg.rm_call.cb_vers = ELMARCH_PEER_V1;
+  msg.rm_call.cb_proc = proc;
+  record_write (rpc, &record, &msg, 'c', proc, body);
+  if (conn->open)
+    conn_write (conn, &record);
+  else
+    {
+      el_buf_add (&conn->waiting, el_buf_str (&record));
+      el_buf_free (&record);
+    }
+}
+
+/** Answer a call that was served, and forget it. */
+void
+gt_rpc_reply (gt_rpc_req_t *req, el_str_t body)
+{
+  rpc_conn_t *conn = req->conn;
+  el_buf_t record = { NULL, 0, 0 };
+  struct rpc_msg msg;
+
+  memset (&msg, 0, sizeof msg);
+  msg.rm_xid = req->xid;
+  msg.rm_direction = REPLY;
+  msg.rm_reply.rp_stat = MSG_ACCEPTED;
+  msg.acpted_rply.ar_stat = SUCCESS;
+  msg.acpted_rply.ar_results.proc = rpc_void;
+  if (!conn->closing)
+    {
+      record_write (conn->rpc, &record, &msg, 'r', req->proc, body);
+      conn_write (conn, &record);
+    }
+  conn_unref (conn);
+  free (req);
+}
+
+/** Close all connections; calls that are out end without an answer. */
+void
+gt_rpc_stop (gt_rpc_t *rpc)
+{
+  if (rpc->stopped)
+    return;
+  rpc->stopped = 1;
+  uv_close ((uv_handle_t *)&rpc->listener, NULL);
+  while (rpc->conns)
+    conn_close (rpc->conns);
+}
+
+/** Free after the loop has ended. */
+void
+gt_rpc_free (gt_rpc_t *rpc)
+{
+  free (rpc);
+}
--- /dev/null
+++ b/route/admit.c
@@ -0,0 +1,147 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Admission: a bounded number of streams runs, a bounded number waits, and
+ * what runs next is fair between customers. Each customer's virtual time
+ * advances by what it is given over its weight times two to its priority, so
+ * a higher priority gets more and no priority starves.
+ */
+#include "librt.h"
+
+#define VIRTUAL_UNIT 1000000
+#define RETRY_AFTER_MIN_MS 50
+#define RETRY_AFTER_MAX_MS 5000
+#define MEAN_RUN_FIRST (200 * EL_MSEC)
+
+static uint64_t
+customer_share (const rt_router_t *router, const rt_customer_t *customer)
+{
+  size_t hosts = router->hosts ? router->hosts : 1;
+
+  return (customer->max_in_flight + hosts - 1) / hosts;
+}
+
+static void
+queue_add (rt_stream_t *stream)
+{
+  rt_customer_t *customer = stream->customer;
+
+  stream->queue_next = NULL;
+  if (customer->queue)
+    customer->queue_tail->queue_next = stream;
+  else
+    customer->queue = stream;
+  customer->queue_tail = stream;
+  stream->router->queued++;
+}
+
+/** Take a stream that waits out of its queue. */
+void
+rt_admit_remove (rt_stream_t *stream)
+{
+  rt_customer_t *customer = stream->customer;
+  rt_stream_t **at = &customer->queue;
+  rt_stream_t *prev = NULL;
+
+  while (*at && *at != stream)
+    {
+      prev = *at;
+      at = &prev->queue_next;
+    }
+  if (!*at)
+    return;
+  *at = stream->queue_next;
+  if (customer->queue_tail == stream)
+    customer->queue_tail = prev;
+  stream->router->queued--;
+}
+
+/* A customer that was idle starts at the present, not in the past. */
+static void
+customer_charge (rt_router_t *router, rt_customer_t *customer)
+{
+  if (customer->virtual_time < router->virtual_time)
+    customer->virtual_time = router->virtual_time;
+  router->virtual_time = customer->virtual_time;
+  customer->virtual_time
+      += VIRTUAL_UNIT / (customer->weight << customer->priority);
+}
+
+/** Run the stream, let it wait, or give the reason to refuse it; RT_DONE
+    means that it was taken. */
+rt_reason_t
+rt_admit (rt_stream_t *stream, el_time_t now)
+{
+  rt_router_t *router = stream->router;
+  rt_customer_t *customer = stream->customer;
+
+  if (router->stopping)
+    return RT_STOPPING;
+  if (stream->deadline <= now)
+    return RT_DEADLINE;
+  if (customer->in_flight >= customer_share (router, customer))
+    return RT_CUSTOMER_FULL;
+  if (router->active >= router->options.max_active
+      && router->queued >= router->options.max_queue)
+    return RT_QUEUE_FULL;
+  customer->in_flight++;
+  if (router->active < router->options.max_active)
+    {
+      customer_charge (router, customer);
+      rt_stream_run (stream, now);
+      return RT_DONE;
+    }
+  stream->state = RT_QUEUED;
+  queue_add (stream);
+  el_timers_set (&router->timers, &stream->timer, stream->deadline);
+  return RT_DONE;
+}
+
+/** Run streams that wait while there is room. A stream that ends as soon as
+    it is run asks for the next one; the loop that ran it goes on instead, so
+    that the stack stays flat. */
+void
+rt_admit_next (rt_router_t *router, el_time_t now)
+{
+  rt_customer_t *customer;
+  rt_customer_t *next;
+  rt_customer_t *best;
+  rt_stream_t *stream;
+
+  if (router->admitting)
+    return;
+  router->admitting = 1;
+  while (router->queued && router->active < router->options.max_active)
+    {
+      best = NULL;
+      HASH_ITER (hh, router->customers, customer, next)
+      if (customer->queue
+          && (!best || customer->virtual_time < best->virtual_time))
+        best = customer;
+      if (!best)
+        break;
+      stream = best->queue;
+      rt_admit_remove (stream);
+      customer_charge (router, best);
+      rt_stream_run (stream, now);
+    }
+  router->admitting = 0;
+}
+
+/** When a refused caller should come back, in milliseconds: the time that the
+    queue takes to pass, spread so that they do not return together. */
+uint64_t
+rt_admit_retry_after (rt_router_t *router)
+{
+  uint64_t mean = router->mean_run ? router->mean_run : MEAN_RUN_FIRST;
+  uint64_t wait = mean / EL_MSEC * (router->queued + 1)
+                  / (router->options.max_active + 1);
+
+  if (wait < RETRY_AFTER_MIN_MS)
+    wait = RETRY_AFTER_MIN_MS;
+  if (wait > RETRY_AFTER_MAX_MS)
+    wait = RETRY_AFTER_MAX_MS;
+  return wait + rt_random (router) % (wait + 1);
+}
--- /dev/null
+++ b/route/retry.c
@@ -0,0 +1,54 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Retry budgets and backoff.
+ */
+#include "librt.h"
+
+/* A request earns a tenth of a retry; at most this many tenths are saved. */
+#define BUDGET_EARN 1
+#define BUDGET_COST 10
+#define BUDGET_CAP 200
+
+#define BACKOFF_FIRST (10 * EL_MSEC)
+#define BACKOFF_MAX (500 * EL_MSEC)
+#define BACKOFF_DOUBLINGS 6
+
+/** A request was admitted. */
+void
+rt_budget_earn (rt_budget_t *budget)
+{
+  budget->tenths += BUDGET_EARN;
+  if (budget->tenths > BUDGET_CAP)
+    budget->tenths = BUDGET_CAP;
+}
+
+/** Take one retry; gives 0 when the budget is empty. */
+int
+rt_budget_spend (rt_budget_t *budget)
+{
+  if (budget->tenths < BUDGET_COST)
+    return 0;
+  budget->tenths -= BUDGET_COST;
+  return 1;
+}
+
+/** The wait before an attempt after FAILURES in a row: none after the first,
+    then doubling, with half of it at random so that streams which failed
+    together do not return together. */
+el_time_t
+rt_backoff (rt_router_t *router, unsigned failures)
+{
+  unsigned doublings = failures > 1 ? failures - 2 : 0;
+  el_time_t wait;
+
+  if (failures <= 1)
+    return 0;
+  wait = BACKOFF_FIRST << (doublings < BACKOFF_DOUBLINGS ? doublings
+                                                         : BACKOFF_DOUBLINGS);
+  if (wait > BACKOFF_MAX)
+    wait = BACKOFF_MAX;
+  return wait / 2 + rt_random (router) % (wait / 2 + 1);
+}
--- /dev/null
+++ b/route/router.c
@@ -0,0 +1,582 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The router: takes events, keeps the streams, and applies the rules that all
+ * kinds of work share: which answers count, what a failure leads to, and how
+ * a request ends.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "librt.h"
+
+#define MEAN_SHIFT 4
+
+typedef void (*event_fn) (rt_router_t *router, el_time_t now,
+                          const rt_event_t *event);
+
+static void on_request (rt_router_t *, el_time_t, const rt_event_t *);
+static void on_reply (rt_router_t *, el_time_t, const rt_event_t *);
+static void on_failed (rt_router_t *, el_time_t, const rt_event_t *);
+static void on_cancel (rt_router_t *, el_time_t, const rt_event_t *);
+static void on_tick (rt_router_t *, el_time_t, const rt_event_t *);
+static void on_leaving (rt_router_t *, el_time_t, const rt_event_t *);
+static void on_hosts (rt_router_t *, el_time_t, const rt_event_t *);
+static void on_stop (rt_router_t *, el_time_t, const rt_event_t *);
+static void stream_timer (void *arg, el_time_t now);
+
+static const event_fn handlers[RT_EVENTS] = {
+  [RT_EV_REQUEST] = on_request, [RT_EV_REPLY] = on_reply,
+  [RT_EV_FAILED] = on_failed,   [RT_EV_CANCEL] = on_cancel,
+  [RT_EV_TICK] = on_tick,       [RT_EV_LEAVING] = on_leaving,
+  [RT_EV_HOSTS] = on_hosts,     [RT_EV_STOP] = on_stop,
+};
+
+static const rt_work_ops_t *const works[RT_WORKS] = {
+  [RT_CHAT] = &rt_chat_ops,
+  [RT_CALL] = &rt_call_ops,
+};
+
+/* What a reason means for the one who asked. */
+static const struct
+{
+  const char *name;
+  int whole;     /* the answer is all there */
+  int come_back; /* another try later may work */
+} reasons[RT_REASONS] = {
+  [RT_DONE] = { "stop", 1, 0 },
+  [RT_LENGTH] = { "length", 1, 0 },
+  [RT_CANCELLED] = { "cancelled", 0, 0 },
+  [RT_NO_MODEL] = { "not-found", 0, 0 },
+  [RT_NO_ROUTE] = { "no-route", 0, 1 },
+  [RT_QUEUE_FULL] = { "queue-full", 0, 1 },
+  [RT_CUSTOMER_FULL] = { "customer-limit", 0, 1 },
+  [RT_DEADLINE] = { "deadline", 0, 1 },
+  [RT_RETRY_BUDGET] = { "retry-budget", 0, 1 },
+  [RT_ENDPOINT] = { "endpoint-failed", 0, 0 },
+  [RT_STOPPING] = { "stopping", 0, 1 },
+};
+
+static const char *const fail_names[RT_FAILS] = {
+  [RT_FAIL_CONNECT] = "connect", [RT_FAIL_BROKEN] = "broken",
+  [RT_FAIL_LEAVING] = "leaving", [RT_FAIL_BUSY] = "busy",
+  [RT_FAIL_REFUSED] = "refused", [RT_FAIL_TIMEOUT] = "timeout",
+  [RT_FAIL_CROSSED] = "crossed",
+};
+
+const char *
+rt_reason_name (rt_reason_t reason)
+{
+  return reasons[reason].name;
+}
+
+const char *
+rt_fail_name (rt_fail_t fail)
+{
+  return fail_names[fail];
+}
+
+rt_router_t *
+rt_router_new (const rt_options_t *options)
+{
+  rt_router_t *router = el_alloc (sizeof *router);
+
+  router->options = *options;
+  router->rng = options->seed;
+  router->hosts = 1;
+  return router;
+}
+
+static void
+stream_free (rt_stream_t *stream)
+{
+  el_timers_cancel (&stream->router->timers, &stream->timer);
+  HASH_DEL (stream->router->streams, stream);
+  rt_route_free (stream->route);
+  el_str_free (&stream->target);
+  el_str_free (&stream->prompt);
+  el_str_free (&stream->avoid);
+  free (stream->tokens);
+  free (stream);
+}
+
+void
+rt_router_free (rt_router_t *router)
+{
+  rt_stream_t *stream;
+  rt_stream_t *next;
+
+  HASH_ITER (hh, router->streams, stream, next)
+  stream_free (stream);
+  rt_table_free (router);
+  el_timers_free (&router->timers);
+  free (router);
+}
+
+/** The next number of the router's own sequence (splitmix64, by Sebastiano
+    Vigna, public domain), so that a replay draws the same. */
+uint64_t
+rt_random (rt_router_t *router)
+{
+  uint64_t z = (router->rng += 0x9e3779b97f4a7c15ULL);
+
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+  return z ^ (z >> 31);
+}
+
+void
+rt_act (rt_router_t *router, const rt_action_t *action)
+{
+  router->options.act (router->options.arg, action);
+}
+
+/** Take in one event; actions are handed out before it returns. */
+void
+rt_router_event (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  handlers[event->kind](router, now, event);
+}
+
+static rt_stream_t *
+stream_find (rt_router_t *router, uint64_t id)
+{
+  rt_stream_t *stream;
+
+  HASH_FIND (hh, router->streams, &id, sizeof id, stream);
+  return stream;
+}
+
+/* Have the stream looked at when its time or that of its call is over. */
+static void
+stream_arm (rt_stream_t *stream, el_time_t due)
+{
+  if (due > stream->deadline)
+    due = stream->deadline;
+  el_timers_set (&stream->router->timers, &stream->timer, due);
+}
+
+/** Send the stream's next call to HOP; ACTION holds what is its own. */
+void
+rt_stream_call (rt_stream_t *stream, el_time_t now, const rt_hop_t *hop,
+                rt_action_t *action)
+{
+  rt_router_t *router = stream->router;
+
+  stream->calling = 1;
+  stream->call_due = stream->work == RT_CALL
+                         ? stream->deadline
+                         : now + router->options.call_limit;
+  stream_arm (stream, stream->call_due);
+  rt_endpoint_flight (router, hop->endpoint, 1);
+  router->counts.calls++;
+  action->kind = RT_ACT_CALL;
+  action->stream = stream->id;
+  action->work = stream->work;
+  action->call = (rt_place_t){ .stream = stream->id,
+                               .attempt = stream->attempt,
+                               .step = stream->ntokens,
+                               .first = hop->first,
+                               .last = hop->last,
+                               .generation = stream->route->generation };
+  action->endpoint = hop->endpoint;
+  action->address = hop->address;
+  action->priority = stream->customer->priority;
+  action->due = stream->call_due < stream->deadline ? stream->call_due
+                                                    : stream->deadline;
+  rt_act (router, action);
+}
+
+/* The call that was out is over. */
+static void
+stream_call_over (rt_stream_t *stream, el_verdict_t verdict)
+{
+  stream->calling = 0;
+  stream->verdict = el_verdict_join (stream->verdict, verdict);
+  rt_endpoint_flight (stream->router,
+                      stream->route->hops[stream->hop].endpoint, -1);
+}
+
+/** End a request with its final answer, and run what waits. Without the whole
+    answer, parts of it that ran do not make the request one that ran. */
+void
+rt_stream_end (rt_stream_t *stream, el_time_t now, rt_reason_t reason)
+{
+  rt_router_t *router = stream->router;
+  rt_customer_t *customer = stream->customer;
+  rt_action_t action = { .kind = RT_ACT_END,
+                         .stream = stream->id,
+                         .work = stream->work,
+                         .reason = reason,
+                         .tokens = stream->ntokens };
+
+  if (stream->state == RT_QUEUED)
+    rt_admit_remove (stream);
+  else
+    router->active--;
+  if (stream->calling)
+    stream_call_over (stream, EL_MAY_HAVE_RUN);
+  works[stream->work]->leave (stream, now, !reasons[reason].whole);
+  if (reasons[reason].whole)
+    {
+      stream->verdict = EL_RAN;
+      router->counts.whole++;
+    }
+  else
+    {
+      if (stream->verdict == EL_RAN)
+        stream->verdict = EL_MAY_HAVE_RUN;
+      if (reason == RT_CANCELLED)
+        router->counts.cancelled++;
+      else if (stream->verdict == EL_NOT_RUN)
+        router->counts.refused++;
+      else
+        router->counts.broken++;
+    }
+  action.verdict = stream->verdict;
+  if (reasons[reason].come_back)
+    action.retry_after_ms = rt_admit_retry_after (router);
+  stream_free (stream);
+  rt_customer_put (router, customer);
+  rt_act (router, &action);
+  rt_admit_next (router, now);
+}
+
+/* Begin an attempt. A stream that has delivered tokens waits for a route to
+   come back; any other is told at once that there is none. */
+static void
+stream_start (rt_stream_t *stream, el_time_t now)
+{
+  rt_reason_t reason;
+
+  stream->state = RT_RUNNING;
+  reason = works[stream->work]->start (stream, now);
+  if (reason == RT_DONE)
+    return;
+  if (reason == RT_NO_ROUTE && stream->ntokens && stream->attempt)
+    {
+      stream->failures++;
+      stream->state = RT_BACKOFF;
+      stream_arm (stream,
+                  now + rt_backoff (stream->router, stream->failures + 1));
+      return;
+    }
+  rt_stream_end (stream, now, reason);
+}
+
+/** Begin the first attempt of an admitted stream. */
+void
+rt_stream_run (rt_stream_t *stream, el_time_t now)
+{
+  rt_router_t *router = stream->router;
+  rt_budget_t *budget = works[stream->work]->budget (stream);
+
+  router->active++;
+  if (budget)
+    rt_budget_earn (budget);
+  stream_start (stream, now);
+}
+
+/* Whether the stream may have another attempt after a failure with VERDICT,
+   or why not. A stream under way is not dropped for want of budget: its
+   attempts are spread by the backoff. */
+static rt_reason_t
+stream_may_retry (rt_stream_t *stream, el_verdict_t verdict, rt_fail_t fail)
+{
+  rt_budget_t *budget = works[stream->work]->budget (stream);
+
+  if (fail == RT_FAIL_REFUSED)
+    return RT_ENDPOINT;
+  if (verdict != EL_NOT_RUN && !stream->repeatable)
+    return RT_ENDPOINT;
+  if (stream->ntokens)
+    return RT_DONE;
+  if (!budget || !rt_budget_spend (budget))
+    return RT_RETRY_BUDGET;
+  stream->router->counts.retries++;
+  return RT_DONE;
+}
+
+/** The call that was out failed: begin another attempt, or end. */
+void
+rt_stream_failed (rt_stream_t *stream, el_time_t now, el_verdict_t verdict,
+                  rt_fail_t fail)
+{
+  rt_router_t *router = stream->router;
+  el_str_t endpoint = el_str_dup (stream->route->hops[stream->hop].endpoint);
+  rt_reason_t reason;
+  el_time_t wait;
+
+  if (stream->calling)
+    stream_call_over (stream, verdict);
+  rt_endpoint_failed (router, endpoint, now, fail);
+  el_str_free (&stream->avoid);
+  stream->avoid = endpoint;
+  reason = stream_may_retry (stream, verdict, fail);
+  if (reason != RT_DONE)
+    {
+      rt_stream_end (stream, now, reason);
+      return;
+    }
+  works[stream->work]->leave (stream, now, 1);
+  stream->failures++;
+  router->counts.rebuilds++;
+  wait = rt_backoff (router, stream->failures);
+  if (wait == 0)
+    {
+      stream_start (stream, now);
+      return;
+    }
+  stream->state = RT_BACKOFF;
+  stream_arm (stream, now + wait);
+}
+
+static void
+stream_timer (void *arg, el_time_t now)
+{
+  rt_stream_t *stream = arg;
+
+  if (now >= stream->deadline)
+    rt_stream_end (stream, now, RT_DEADLINE);
+  else if (stream->state == RT_BACKOFF)
+    stream_start (stream, now);
+  else if (stream->calling && now >= stream->call_due)
+    rt_stream_failed (stream, now, EL_MAY_HAVE_RUN, RT_FAIL_TIMEOUT);
+}
+
+static void
+request_refuse (rt_router_t *router, const rt_event_t *event,
+                rt_reason_t reason)
+{
+  rt_action_t action = { .kind = RT_ACT_END,
+                         .stream = event->stream,
+                         .work = event->work,
+                         .verdict = EL_NOT_RUN,
+                         .reason = reason };
+
+  router->counts.refused++;
+  if (reasons[reason].come_back)
+    action.retry_after_ms = rt_admit_retry_after (router);
+  rt_act (router, &action);
+}
+
+static rt_stream_t *
+stream_new (rt_router_t *router, const rt_event_t *event,
+            rt_customer_t *customer)
+{
+  rt_stream_t *stream = el_alloc (sizeof *stream);
+
+  stream->id = event->stream;
+  stream->work = event->work;
+  stream->router = router;
+  stream->customer = customer;
+  stream->target = el_str_dup (event->target);
+  stream->prompt = el_str_dup (event->prompt);
+  stream->max_tokens = event->max_tokens;
+  stream->deadline = event->deadline;
+  stream->repeatable = event->repeatable;
+  stream->verdict = EL_NOT_RUN;
+  stream->timer.cb = stream_timer;
+  stream->timer.arg = stream;
+  if (event->nresume)
+    {
+      stream->tokens = el_grow (NULL, event->nresume, sizeof (uint64_t));
+      memcpy (stream->tokens, event->resume,
+              event->nresume * sizeof (uint64_t));
+      stream->ntokens = stream->cap_tokens = event->nresume;
+    }
+  HASH_ADD (hh, router->streams, id, sizeof stream->id, stream);
+  return stream;
+}
+
+static void
+on_request (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  rt_customer_t *customer = rt_customer_find (router, event->customer);
+  rt_stream_t *stream;
+  rt_reason_t reason;
+
+  router->counts.requests++;
+  if (!customer || customer->removed)
+    {
+      request_refuse (router, event, RT_NO_MODEL);
+      return;
+    }
+  stream = stream_new (router, event, customer);
+  reason = rt_admit (stream, now);
+  if (reason == RT_DONE)
+    return;
+  stream_free (stream);
+  request_refuse (router, event, reason);
+}
+
+static int
+place_eq (const rt_place_t *a, const rt_place_t *b)
+{
+  return a->stream == b->stream && a->attempt == b->attempt
+         && a->step == b->step && a->first == b->first && a->last == b->last
+         && a->generation == b->generation;
+}
+
+/* The stream that waits for this very call, or NULL: then the news is late
+   and changes nothing. */
+static rt_stream_t *
+stream_waiting (rt_router_t *router, const rt_event_t *event)
+{
+  rt_stream_t *stream = stream_find (router, event->stream);
+  rt_place_t want;
+
+  if (stream && stream->calling)
+    {
+      want = (rt_place_t){ .stream = stream->id,
+                           .attempt = stream->attempt,
+                           .step = stream->ntokens,
+                           .first = stream->route->hops[stream->hop].first,
+                           .last = stream->route->hops[stream->hop].last,
+                           .generation = stream->route->generation };
+      if (place_eq (&event->call, &want))
+        return stream;
+    }
+  router->counts.late++;
+  return NULL;
+}
+
+static void
+on_reply (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  rt_stream_t *stream = stream_waiting (router, event);
+
+  if (!stream)
+    return;
+  if (!place_eq (&event->call, &event->echo))
+    {
+      router->counts.crossed++;
+      rt_stream_failed (stream, now, EL_MAY_HAVE_RUN, RT_FAIL_CROSSED);
+      return;
+    }
+  rt_endpoint_answered (router, stream->route->hops[stream->hop].endpoint);
+  stream_call_over (stream, EL_RAN);
+  works[stream->work]->reply (stream, now, event);
+}
+
+static void
+on_failed (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  rt_stream_t *stream = stream_waiting (router, event);
+
+  if (stream)
+    rt_stream_failed (stream, now, event->verdict, event->fail);
+}
+
+static void
+on_cancel (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  rt_stream_t *stream = stream_find (router, event->stream);
+
+  if (stream)
+    rt_stream_end (stream, now, RT_CANCELLED);
+}
+
+static void
+on_tick (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  (void)event;
+  el_timers_run (&router->timers, now);
+}
+
+static void
+on_leaving (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  rt_endpoint_t *ep = rt_endpoint_find (router, event->target);
+
+  (void)now;
+  if (ep)
+    ep->listed_leaving = event->leaving;
+}
+
+static void
+on_hosts (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  (void)now;
+  router->hosts = event->hosts;
+}
+
+static void
+on_stop (rt_router_t *router, el_time_t now, const rt_event_t *event)
+{
+  (void)now;
+  (void)event;
+  router->stopping = 1;
+}
+
+/** When the router wants its next RT_EV_TICK. */
+el_time_t
+rt_router_next (const rt_router_t *router)
+{
+  return el_timers_next (&router->timers);
+}
+
+const rt_counts_t *
+rt_router_counts (const rt_router_t *router)
+{
+  return &router->counts;
+}
+
+size_t
+rt_router_active (const rt_router_t *router)
+{
+  return router->active;
+}
+
+size_t
+rt_router_queued (const rt_router_t *router)
+{
+  return router->queued;
+}
+
+static const char *
+endpoint_state (const rt_endpoint_t *ep, el_time_t now)
+{
+  if (ep->draining)
+    return "draining";
+  if (ep->listed_leaving || now < ep->leaving_until)
+    return "leaving";
+  return now < ep->ejected_until ? "ejected" : "live";
+}
+
+/** The router's state for operators. */
+json_t *
+rt_router_dump (const rt_router_t *router, el_time_t now)
+{
+  json_t *endpoints = json_object ();
+  json_t *pipelines = json_object ();
+  json_t *customers = json_object ();
+  rt_endpoint_t *ep;
+  rt_endpoint_t *next_ep;
+  rt_pipeline_t *pipe;
+  rt_pipeline_t *next_pipe;
+  rt_customer_t *customer;
+  rt_customer_t *next_customer;
+
+  HASH_ITER (hh, router->endpoints, ep, next_ep)
+  json_object_set_new (endpoints, ep->key,
+                       json_pack ("{s:s,s:I,s:I}", "state",
+                                  endpoint_state (ep, now), "inFlight",
+                                  (json_int_t)ep->in_flight, "failures",
+                                  (json_int_t)ep->failures));
+  HASH_ITER (hh, router->pipelines, pipe, next_pipe)
+  json_object_set_new (pipelines, pipe->key,
+                       json_pack ("{s:I,s:I}", "streams",
+                                  (json_int_t)pipe->streams, "tokensToCome",
+                                  (json_int_t)pipe->load));
+  HASH_ITER (hh, router->customers, customer, next_customer)
+  json_object_set_new (
+      customers, customer->key,
+      json_pack ("{s:I}", "inFlight", (json_int_t)customer->in_flight));
+  return json_pack ("{s:I,s:I,s:o,s:o,s:o}", "active",
+                    (json_int_t)router->active, "queued",
+                    (json_int_t)router->queued, "endpoints", endpoints,
+                    "pipelines", pipelines, "customers", customers);
+}
--- /dev/null
+++ b/route/trace.c
@@ -0,0 +1,315 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Traces: events and actions as JSON objects, by one table of fields each.
+ * A field that is zero is left out.
+ */
+#include "librt.h"
+
+typedef enum field_type
+{
+  FIELD_NUMBER,
+  FIELD_INT,
+  FIELD_STR,
+  FIELD_PLACE,
+  FIELD_TOKENS, /* pointer; the count is the field after it */
+  FIELD_KIND    /* an enumeration; names gives its words */
+} field_type_t;
+
+typedef struct field
+{
+  const char *name;
+  field_type_t type;
+  size_t offset;
+  const char *const *names;
+  size_t nnames;
+} field_t;
+
+static const char *const event_names[RT_EVENTS] = {
+  [RT_EV_REQUEST] = "request", [RT_EV_REPLY] = "reply",
+  [RT_EV_FAILED] = "failed",   [RT_EV_CANCEL] = "cancel",
+  [RT_EV_TICK] = "tick",       [RT_EV_LEAVING] = "leaving",
+  [RT_EV_HOSTS] = "hosts",     [RT_EV_STOP] = "stop",
+};
+static const char *const action_names[RT_ACTIONS] = {
+  [RT_ACT_CALL] = "call",
+  [RT_ACT_ABANDON] = "abandon",
+  [RT_ACT_TOKEN] = "token",
+  [RT_ACT_END] = "end",
+};
+static const char *const work_names[RT_WORKS] = {
+  [RT_CHAT] = "chat",
+  [RT_CALL] = "call",
+};
+static const char *const verdict_words[] = {
+  [EL_MAY_HAVE_RUN] = "may-have-run",
+  [EL_NOT_RUN] = "not-run",
+  [EL_RAN] = "ran",
+};
+static const char *const fail_words[RT_FAILS] = {
+  [RT_FAIL_CONNECT] = "connect", [RT_FAIL_BROKEN] = "broken",
+  [RT_FAIL_LEAVING] = "leaving", [RT_FAIL_BUSY] = "busy",
+  [RT_FAIL_REFUSED] = "refused", [RT_FAIL_TIMEOUT] = "timeout",
+  [RT_FAIL_CROSSED] = "crossed",
+};
+
+#define WORDS(list) (list), sizeof (list) / sizeof *(list)
+#define EV(field) offsetof (rt_event_t, field)
+#define AC(field) offsetof (rt_action_t, field)
+
+static const field_t event_fields[] = {
+  { "event", FIELD_KIND, EV (kind), WORDS (event_names) },
+  { "stream", FIELD_NUMBER, EV (stream), NULL, 0 },
+  { "work", FIELD_KIND, EV (work), WORDS (work_names) },
+  { "customer", FIELD_STR, EV (customer), NULL, 0 },
+  { "target", FIELD_STR, EV (target), NULL, 0 },
+  { "prompt", FIELD_STR, EV (prompt), NULL, 0 },
+  { "resume", FIELD_TOKENS, EV (resume), NULL, 0 },
+  { "max_tokens", FIELD_NUMBER, EV (max_tokens), NULL, 0 },
+  { "deadline", FIELD_NUMBER, EV (deadline), NULL, 0 },
+  { "repeatable", FIELD_INT, EV (repeatable), NULL, 0 },
+  { "call", FIELD_PLACE, EV (call), NULL, 0 },
+  { "echo", FIELD_PLACE, EV (echo), NULL, 0 },
+  { "hidden", FIELD_STR, EV (hidden), NULL, 0 },
+  { "has_token", FIELD_INT, EV (has_token), NULL, 0 },
+  { "token", FIELD_NUMBER, EV (token), NULL, 0 },
+  { "text", FIELD_STR, EV (text), NULL, 0 },
+  { "finish", FIELD_INT, EV (finish), NULL, 0 },
+  { "verdict", FIELD_KIND, EV (verdict), WORDS (verdict_words) },
+  { "fail", FIELD_KIND, EV (fail), WORDS (fail_words) },
+  { "leaving", FIELD_INT, EV (leaving), NULL, 0 },
+  { "hosts", FIELD_NUMBER, EV (hosts), NULL, 0 },
+};
+
+static const field_t action_fields[] = {
+  { "action", FIELD_KIND, AC (kind), WORDS (action_names) },
+  { "stream", FIELD_NUMBER, AC (stream), NULL, 0 },
+  { "work", FIELD_KIND, AC (work), WORDS (work_names) },
+  { "endpoint", FIELD_STR, AC (endpoint), NULL, 0 },
+  { "call", FIELD_PLACE, AC (call), NULL, 0 },
+  { "prompt", FIELD_STR, AC (prompt), NULL, 0 },
+  { "hidden", FIELD_STR, AC (hidden), NULL, 0 },
+  { "feed", FIELD_TOKENS, AC (feed), NULL, 0 },
+  { "final", FIELD_INT, AC (final), NULL, 0 },
+  { "due", FIELD_NUMBER, AC (due), NULL, 0 },
+  { "token", FIELD_NUMBER, AC (token), NULL, 0 },
+  { "text", FIELD_STR, AC (text), NULL, 0 },
+  { "tokens", FIELD_NUMBER, AC (tokens), NULL, 0 },
+  { "verdict", FIELD_KIND, AC (verdict), WORDS (verdict_words) },
+  { "retry_after_ms", FIELD_NUMBER, AC (retry_after_ms), NULL, 0 },
+};
+
+#define NFIELDS(list) (sizeof (list) / sizeof *(list))
+#define PLACE_NUMBERS 6
+
+/* The count of a list of tokens stands behind its pointer. */
+typedef struct token_list
+{
+  const uint64_t *list;
+  size_t len;
+} token_list_t;
+
+static json_t *
+place_write (const rt_place_t *p)
+{
+  if (!p->stream)
+    return NULL;
+  return json_pack ("[I,I,I,I,I,I]", (json_int_t)p->stream,
+                    (json_int_t)p->attempt, (json_int_t)p->step,
+                    (json_int_t)p->first, (json_int_t)p->last,
+                    (json_int_t)p->generation);
+}
+
+static json_t *
+tokens_write (const token_list_t *tokens)
+{
+  json_t *list;
+  size_t i;
+
+  if (!tokens->len)
+    return NULL;
+  list = json_array ();
+  for (i = 0; i < tokens->len; i++)
+    json_array_append_new (list, json_integer ((json_int_t)tokens->list[i]));
+  return list;
+}
+
+static json_t *
+number_write (uint64_t number)
+{
+  return number ? json_integer ((json_int_t)number) : NULL;
+}
+
+static json_t *
+field_write (const field_t *field, const void *at)
+{
+  const el_str_t *str = at;
+
+  switch (field->type)
+    {
+    case FIELD_NUMBER:
+      return number_write (*(const uint64_t *)at);
+    case FIELD_INT:
+      return number_write ((uint64_t) * (const int *)at);
+    case FIELD_STR:
+      return str->len ? json_stringn (str->ptr, str->len) : NULL;
+    case FIELD_PLACE:
+      return place_write (at);
+    case FIELD_TOKENS:
+      return tokens_write (at);
+    case FIELD_KIND:
+      return json_string (field->names[*(const int *)at]);
+    }
+  return NULL;
+}
+
+static void
+fields_write (json_t *out, const field_t *fields, size_t n, const void *from)
+{
+  json_t *value;
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      value = field_write (&fields[i], (const char *)from + fields[i].offset);
+      if (value)
+        json_object_set_new (out, fields[i].name, value);
+    }
+}
+
+/** The event as one JSON object. */
+json_t *
+rt_trace_event (el_time_t now, const rt_event_t *event)
+{
+  json_t *out = json_pack ("{s:I}", "now", (json_int_t)now);
+
+  fields_write (out, event_fields, NFIELDS (event_fields), event);
+  return out;
+}
+
+/** The action as one JSON object. */
+json_t *
+rt_trace_action (const rt_action_t *action)
+{
+  json_t *out = json_object ();
+
+  fields_write (out, action_fields, NFIELDS (action_fields), action);
+  if (action->kind == RT_ACT_END)
+    json_object_set_new (out, "reason",
+                         json_string (rt_reason_name (action->reason)));
+  else
+    json_object_del (out, "verdict");
+  return out;
+}
+
+/** A change of configuration as one JSON object. */
+json_t *
+rt_trace_config (const co_resource_t *prev, const co_resource_t *next)
+{
+  const co_resource_t *res = next ? next : prev;
+
+  return json_pack ("{s:s,s:s,s:s%,s:I,s:O?}", "event", "config", "kind",
+                    co_kind_name (res->kind), "name", res->name.ptr,
+                    res->name.len, "revision", (json_int_t)res->revision,
+                    "spec", next ? next->json : NULL);
+}
+
+static int
+place_read (const json_t *value, rt_place_t *out)
+{
+  uint64_t numbers[PLACE_NUMBERS];
+  size_t i;
+
+  if (json_array_size (value) != PLACE_NUMBERS)
+    return 0;
+  for (i = 0; i < PLACE_NUMBERS; i++)
+    numbers[i] = (uint64_t)json_integer_value (json_array_get (value, i));
+  *out = (rt_place_t){ numbers[0], numbers[1], numbers[2],
+                       numbers[3], numbers[4], numbers[5] };
+  return 1;
+}
+
+static int
+tokens_read (const json_t *value, token_list_t *out)
+{
+  size_t n = json_array_size (value);
+  uint64_t *list = el_alloc (n * sizeof *list);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    list[i] = (uint64_t)json_integer_value (json_array_get (value, i));
+  *out = (token_list_t){ list, n };
+  return 1;
+}
+
+static int
+kind_read (const field_t *field, const json_t *value, int *out)
+{
+  el_str_t word = { json_string_value (value), json_string_length (value) };
+  size_t i;
+
+  for (i = 0; i < field->nnames; i++)
+    if (el_str_eq (word, el_str (field->names[i])))
+      {
+        *out = (int)i;
+        return 1;
+      }
+  return 0;
+}
+
+static int
+field_read (const field_t *field, const json_t *value, void *at)
+{
+  switch (field->type)
+    {
+    case FIELD_NUMBER:
+      *(uint64_t *)at = (uint64_t)json_integer_value (value);
+      return json_is_integer (value);
+    case FIELD_INT:
+      *(int *)at = (int)json_integer_value (value);
+      return json_is_integer (value);
+    case FIELD_STR:
+      *(el_str_t *)at = (el_str_t){ json_string_value (value),
+                                    json_string_length (value) };
+      return json_is_string (value);
+    case FIELD_PLACE:
+      return place_read (value, at);
+    case FIELD_TOKENS:
+      return tokens_read (value, at);
+    case FIELD_KIND:
+      return kind_read (field, value, at);
+    }
+  return 0;
+}
+
+/** Read an event back. Its strings point into LINE; rt_trace_release frees
+    the rest. */
+el_status_t
+rt_trace_read (json_t *line, el_time_t *now, rt_event_t *event, el_err_t *err)
+{
+  json_t *value;
+  size_t i;
+
+  *event = (rt_event_t){ 0 };
+  *now = (el_time_t)json_integer_value (json_object_get (line, "now"));
+  for (i = 0; i < NFIELDS (event_fields); i++)
+    {
+      value = json_object_get (line, event_fields[i].name);
+      if (value
+          && !field_read (&event_fields[i], value,
+                          (char *)event + event_fields[i].offset))
+        return el_err_set (err, EL_INVALID, "%s: wrong type or word",
+                           event_fields[i].name);
+    }
+  return EL_OK;
+}
+
+void
+rt_trace_release (rt_event_t *event)
+{
+  free ((void *)(uintptr_t)event->resume);
+  event->resume = NULL;
+  event->nresume = 0;
+}
--- /dev/null
+++ b/tools/deps.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# Install what building and testing need, where it is missing.
+set -eu
+want="gcc make libuv1-dev libh2o-dev libcurl4-openssl-dev libtirpc-dev
+libpopt-dev liblog4c-dev libjansson-dev libxxhash-dev libssl-dev uthash-dev
+check libsubunit-dev libglpk-dev clang-format clang-tidy cppcheck mandoc
+pkg-config"
+missing=
+for p in $want; do
+  dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q 'ok installed' ||
+    missing="$missing $p"
+done
+[ -n "$missing" ] || exit 0
+as=
+[ "$(id -u)" = 0 ] || as=sudo
+$as apt-get update -qq
+# shellcheck disable=SC2086
+DEBIAN_FRONTEND=noninteractive $as apt-get install -y -qq $missing >/dev/null
--- /dev/null
+++ b/tools/licence.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Put the licence line at the head of each source file that lacks it.
+set -eu
+for f in $(git ls-files -co --exclude-standard '*.c' '*.h' '*.x'); do
+  case $f in gate/peer_xdr.c | gate/peer_proto.h) continue ;; esac
+  head -4 "$f" | grep -q SPDX || {
+    {
+      printf '/*\n * Copyright (c) 2026 The elmarch authors\n'
+      printf ' * SPDX-License-Identifier: ISC\n */\n'
+      cat "$f"
+    } >"$f.tmp"
+    mv "$f.tmp" "$f"
+  }
+done
