--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,16 @@
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
 $(B)/tests/%.o: INC += -Istandin
 
+$(BIN)/bench_gate: $(B)/bench/bench_gate.o $(LIBA)
+	$(LINK)
+$(BIN)/bench_core: $(B)/bench/bench_core.o $(LIBA)
+	$(LINK)
+BENCHES = $(BIN)/bench_gate $(BIN)/bench_core
+bench: deps
+	$(MAKE) -s all $(BENCHES)
+	$(BIN)/bench_core
+	sh bench/bench_gate.sh $(BIN)
+
 # What rpcgen writes declares variables that it does not use.
 $(B)/gate/peer_xdr.o: WARN += -Wno-unused-variable
 
--- /dev/null
+++ b/bench/bench_core.c
@@ -0,0 +1,233 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The cost of decisions and of state at the sizes to design for: the library's
+ * own objects, no processes.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench.h"
+#include "coord.h"
+#include "route.h"
+
+#define LINE_STAGES 4
+#define LAYERS 32
+#define REQUESTS 20000
+#define CUSTOMERS 460
+#define STREAMS 5000
+#define ENTRIES 100000
+
+static rt_action_t last_call;
+static uint64_t calls;
+
+static void
+act_note (void *arg, const rt_action_t *action)
+{
+  (void)arg;
+  if (action->kind != RT_ACT_CALL)
+    return;
+  last_call = *action;
+  calls++;
+}
+
+static void
+config_to_router (void *arg, const co_resource_t *prev,
+                  const co_resource_t *next)
+{
+  rt_router_config (arg, prev, next);
+}
+
+static void
+apply (co_config_t *config, co_kind_t kind, const char *name, json_t *spec,
+       uint64_t revision)
+{
+  el_err_t err;
+  co_resource_t *res
+      = co_resource_parse (kind, el_str (name), spec, revision, &err);
+
+  if (!res || co_config_apply (config, res, &err))
+    {
+      fprintf (stderr, "bench: %s: %s\n", name, err.msg);
+      exit (EXIT_FAILURE);
+    }
+  json_decref (spec);
+}
+
+/* A fleet of WORKERS engines in lines of LINE_STAGES. */
+static void
+fleet (co_config_t *config, unsigned workers)
+{
+  uint64_t revision = 1;
+  char name[32];
+  char hash[65];
+  unsigned i;
+
+  apply (config, CO_DEPLOYMENT, "d",
+         json_pack ("{s:s,s:i}", "model", "m", "layers", LAYERS), revision++);
+  for (i = 0; i < workers; i++)
+    {
+      snprintf (name, sizeof name, "e%u", i);
+      apply (config, CO_ENDPOINT, name,
+             json_pack ("{s:s,s:s,s:s}", "address", "10.0.0.1:7000", "hall",
+                        "h", "role", "engine"),
+             revision++);
+    }
+  for (i = 0; i + LINE_STAGES <= workers; i += LINE_STAGES)
+    {
+      json_t *stages = json_array ();
+      int k;
+
+      for (k = 0; k < LINE_STAGES; k++)
+        {
+          snprintf (name, sizeof name, "e%u", i + (unsigned)k);
+          json_array_append_new (
+              stages, json_pack ("{s:s,s:i,s:i}", "endpoint", name, "first",
+                                 k * LAYERS / LINE_STAGES, "last",
+                                 (k + 1) * LAYERS / LINE_STAGES - 1));
+        }
+      snprintf (name, sizeof name, "p%u", i);
+      apply (config, CO_PIPELINE, name,
+             json_pack ("{s:s,s:o}", "deployment", "d", "stages", stages),
+             revision++);
+    }
+  for (i = 0; i < CUSTOMERS; i++)
+    {
+      snprintf (name, sizeof name, "c%u", i);
+      snprintf (hash, sizeof hash, "%064x", i);
+      apply (config, CO_CUSTOMER, name,
+             json_pack ("{s:s,s:i}", "keyHash", hash, "maxInFlight", 100000),
+             revision++);
+    }
+}
+
+static void
+request (rt_router_t *router, uint64_t stream, uint64_t max_tokens)
+{
+  rt_event_t event = { .kind = RT_EV_REQUEST,
+                       .stream = stream,
+                       .customer = EL_STR ("c7"),
+                       .target = EL_STR ("m"),
+                       .prompt = EL_STR ("{\"messages\":[]}"),
+                       .max_tokens = max_tokens,
+                       .deadline = UINT64_MAX / 2,
+                       .repeatable = 1 };
+
+  rt_router_event (router, 1000, &event);
+}
+
+static void
+reply (rt_router_t *router)
+{
+  rt_event_t event = { .kind = RT_EV_REPLY,
+                       .stream = last_call.stream,
+                       .call = last_call.call,
+                       .echo = last_call.call,
+                       .hidden = EL_STR ("0123456789abcdef"),
+                       .has_token = last_call.final,
+                       .token = 7,
+                       .text = EL_STR (" w7") };
+
+  rt_router_event (router, 1000, &event);
+}
+
+static void
+decisions (unsigned workers)
+{
+  rt_options_t options = { .seed = 1,
+                           .max_active = 100000,
+                           .max_queue = 1000,
+                           .call_limit = EL_SEC,
+                           .leave_hold = EL_SEC,
+                           .act = act_note };
+  rt_router_t *router = rt_router_new (&options);
+  co_config_options_t config_options
+      = { .changed = config_to_router, .arg = router };
+  co_config_t *config = co_config_new (&config_options);
+  size_t heap = bench_heap ();
+  uint64_t began = bench_ns ();
+  uint64_t load_ns;
+  size_t fleet_bytes;
+  uint64_t i;
+
+  fleet (config, workers);
+  load_ns = bench_ns () - began;
+  fleet_bytes = bench_heap () - heap;
+  began = bench_ns ();
+  calls = 0;
+  for (i = 1; i <= REQUESTS; i++)
+    {
+      request (router, i, 1);
+      while (rt_router_active (router))
+        reply (router);
+    }
+  printf ("bench=decisions workers=%u resources=%zu load_us_per_resource=%.2f "
+          "bytes_per_resource=%zu request_ns=%.0f per_call_ns=%.0f\n",
+          workers, co_config_count (config),
+          (double)load_ns / 1e3 / (double)co_config_count (config),
+          fleet_bytes / co_config_count (config),
+          (double)(bench_ns () - began) / REQUESTS,
+          (double)(bench_ns () - began) / (double)calls);
+  heap = bench_heap ();
+  for (i = 1; i <= STREAMS; i++)
+    request (router, REQUESTS + i, 256);
+  printf ("bench=streams workers=%u streams=%d bytes_per_stream=%zu\n",
+          workers, STREAMS, (bench_heap () - heap) / STREAMS);
+  rt_router_free (router);
+  co_config_free (config);
+}
+
+static void
+release_none (void *arg, void *answer)
+{
+  (void)arg;
+  (void)answer;
+}
+
+static void
+ledger (void)
+{
+  co_ledger_options_t options = { .max_sessions = ENTRIES,
+                                  .max_entries = 64,
+                                  .idle = EL_SEC,
+                                  .release = release_none };
+  co_ledger_t *book = co_ledger_new (&options);
+  size_t heap = bench_heap ();
+  uint64_t began = bench_ns ();
+  uint64_t session = 0;
+  void *answer;
+  uint64_t i;
+  size_t sessions_bytes;
+
+  for (i = 0; i < ENTRIES / 8; i++)
+    co_ledger_open (book, 1, EL_STR ("c"), &session, NULL);
+  sessions_bytes = bench_heap () - heap;
+  heap = bench_heap ();
+  began = bench_ns ();
+  for (i = 0; i < ENTRIES; i++)
+    {
+      co_ledger_begin (book, 1, i % (ENTRIES / 8) + 1, i / (ENTRIES / 8) + 1,
+                       i, &session, &answer);
+      co_ledger_end (book, 1, i % (ENTRIES / 8) + 1, i / (ENTRIES / 8) + 1,
+                     EL_RAN);
+    }
+  printf ("bench=ledger sessions=%d entries=%zu bytes_per_session=%zu "
+          "bytes_per_entry=%zu begin_and_end_ns=%.0f\n",
+          ENTRIES / 8, co_ledger_entries (book),
+          sessions_bytes / (ENTRIES / 8), (bench_heap () - heap) / ENTRIES,
+          (double)(bench_ns () - began) / ENTRIES);
+  co_ledger_free (book);
+}
+
+int
+main (void)
+{
+  decisions (40);
+  decisions (400);
+  decisions (1900);
+  ledger ();
+  return EXIT_SUCCESS;
+}
