Membership as a library: probing at constant cost, suspicion, refutation

Cause: a hello from each host to each other grows with the square of their number, and tells nothing of a host that only some can reach.

Ways weighed: the platform's leases (its calls would grow with the hosts, and it has outages), all-to-all hellos (570 x 570), probing in turn with news on the probes. A member is one incarnation: an address that answers with another proves the former one dead, without a clock.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 BASE = base/str.c base/err.c base/timer.c base/counter.c base/log.c \
        base/settings.c
-COORD = coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
+COORD = coord/mbr_members.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c
 
@@ -81,7 +81,7 @@
 	$(LINK) -lcurl
 
 UNIT = tests/unit_main.c tests/t_base.c tests/t_coord.c tests/t_route.c \
-       tests/t_replay.c
+       tests/t_replay.c tests/t_members.c tests/mbr_net.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
--- a/coord/cfg_apply.c
+++ b/coord/cfg_apply.c
@@ -164,3 +164,17 @@
   if (entry->resource)
     visit (arg, entry->resource);
 }
+
+/** Visit what changed after REVISION, so that another host can be told. */
+void
+co_config_since (const co_config_t *config, uint64_t revision,
+                 co_config_change_cb visit, void *arg)
+{
+  cfg_entry_t *entry;
+  cfg_entry_t *next;
+
+  HASH_ITER (hh, config->entries, entry, next)
+  if (entry->revision > revision)
+    visit (arg, (co_kind_t)(entry->key[0] - '0'), el_str (entry->key + 2),
+           entry->revision, entry->resource);
+}
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -99,6 +99,96 @@
 size_t co_ledger_entries (const co_ledger_t *ledger);
 const char *co_led_result_name (co_led_result_t result);
 
+/* Membership: which hosts are there, at a cost that does not grow with their
+   number. Probing with suspicion and refutation after SWIM (Das, Gupta,
+   Motivala, 2002); news rides on the probes. */
+
+typedef enum co_mbr_state
+{
+  CO_MBR_ALIVE,
+  CO_MBR_SUSPECT, /**< did not answer; may still refute */
+  CO_MBR_DEAD,    /**< did not refute, or another incarnation answers */
+  CO_MBR_LEFT     /**< said that it ends */
+} co_mbr_state_t;
+
+/** One incarnation of a host. */
+typedef struct co_member
+{
+  co_incarnation_t incarnation; /**< who it is */
+  el_str_t peer;                /**< other hosts' address, ip:port */
+  el_str_t http;                /**< callers' address, ip:port */
+  el_str_t hall;
+  uint64_t counter; /**< raised by the member itself, to refute */
+  co_mbr_state_t state;
+  int draining;
+  uint64_t revision; /**< all changes up to it were seen */
+} co_member_t;
+
+/** An endpoint gave a sign that it leaves. */
+typedef struct co_leaving
+{
+  uint64_t id; /**< random, one for each sign */
+  el_str_t endpoint;
+} co_leaving_t;
+
+/** Most news of each kind in one message, so that it fits a datagram. */
+#define CO_NEWS_MEMBERS 6
+#define CO_NEWS_LEAVING 4
+
+/** What one probe, or its answer, carries. */
+typedef struct co_gossip
+{
+  co_member_t self;
+  co_member_t members[CO_NEWS_MEMBERS];
+  size_t nmembers;
+  co_leaving_t leaving[CO_NEWS_LEAVING];
+  size_t nleaving;
+} co_gossip_t;
+
+typedef struct co_members co_members_t;
+
+typedef struct co_members_options
+{
+  co_member_t self;       /**< strings are copied */
+  el_str_t seeds;         /**< peer addresses with commas; never forgotten */
+  uint64_t seed;          /**< of the choices made at random */
+  el_time_t period;       /**< between two probes */
+  el_time_t timeout;      /**< of a direct probe; an indirect one takes as
+                               long again */
+  el_time_t forget;       /**< the dead are remembered this long */
+  el_time_t leaving_hold; /**< a sign that an endpoint leaves is passed on
+                               this long */
+  /** Probe the host at ADDRESS: send it co_members_speak, and hand what comes
+      of it to co_members_answer. With VIA, have the host there probe it. */
+  void (*probe) (void *arg, uint64_t id, el_str_t address, el_str_t via);
+  /** A member is new here, or changed. */
+  void (*changed) (void *arg, const co_member_t *member);
+  /** An endpoint leaves, as another host has seen. */
+  void (*leaving) (void *arg, el_str_t endpoint);
+  void *arg;
+} co_members_options_t;
+
+co_members_t *co_members_new (const co_members_options_t *options);
+void co_members_free (co_members_t *members);
+void co_members_tick (co_members_t *members, el_time_t now);
+el_time_t co_members_next (const co_members_t *members);
+void co_members_speak (co_members_t *members, const co_incarnation_t *to,
+                       co_gossip_t *out);
+void co_members_hear (co_members_t *members, el_time_t now,
+                      const co_gossip_t *gossip);
+void co_members_answer (co_members_t *members, el_time_t now, uint64_t id,
+                        int ok, const co_gossip_t *gossip);
+void co_members_drain (co_members_t *members, co_mbr_state_t state);
+void co_members_seen (co_members_t *members, uint64_t revision);
+void co_members_endpoint (co_members_t *members, el_time_t now,
+                          el_str_t endpoint);
+size_t co_members_live (const co_members_t *members);
+typedef void (*co_member_visit_cb) (void *arg, const co_member_t *member);
+void co_members_visit (const co_members_t *members, co_member_visit_cb visit,
+                       void *arg);
+int co_members_chosen (const co_members_t *members, size_t most);
+const char *co_mbr_state_name (co_mbr_state_t state);
+
 /* Configuration: typed resources. */
 
 typedef enum co_kind
@@ -218,6 +308,12 @@
 uint64_t co_config_revision (const co_config_t *config);
 void co_config_advance (co_config_t *config, uint64_t revision);
 size_t co_config_count (const co_config_t *config);
+/** Visit all changes after a revision, removals too: RESOURCE is NULL then. */
+typedef void (*co_config_change_cb) (void *arg, co_kind_t kind, el_str_t name,
+                                     uint64_t revision,
+                                     const co_resource_t *resource);
+void co_config_since (const co_config_t *config, uint64_t revision,
+                      co_config_change_cb visit, void *arg);
 typedef void (*co_config_visit_cb) (void *arg, const co_resource_t *resource);
 void co_config_visit (const co_config_t *config, co_config_visit_cb visit,
                       void *arg);
--- /dev/null
+++ b/coord/libcoord.h
@@ -0,0 +1,81 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Internals of the coordination library.
+ */
+#ifndef ELMARCH_LIBCOORD_H
+#define ELMARCH_LIBCOORD_H
+
+#include "coord.h"
+#include "map.h"
+
+typedef struct mbr_entry
+{
+  co_members_t *members;
+  co_member_t m; /* its incarnation is the key; strings are owned */
+  unsigned sent; /* times that its news was passed on */
+  el_timer_t timer;
+  UT_hash_handle hh;
+} mbr_entry_t;
+
+typedef struct mbr_leaving
+{
+  co_members_t *members;
+  co_leaving_t l; /* its id is the key */
+  unsigned sent;
+  el_timer_t timer;
+  UT_hash_handle hh;
+} mbr_leaving_t;
+
+typedef struct mbr_probe
+{
+  uint64_t id;
+  el_str_t address;
+  int expects; /* an incarnation is expected there */
+  co_incarnation_t incarnation;
+  int indirect; /* other hosts were asked */
+  el_time_t due;
+  struct mbr_probe *prev;
+  struct mbr_probe *next;
+} mbr_probe_t;
+
+struct co_members
+{
+  co_members_options_t options;
+  uint64_t rng;
+  co_member_t self;
+  mbr_entry_t *entries;
+  mbr_entry_t **order; /* the order of this host's probes */
+  size_t norder;
+  size_t cursor;
+  size_t live; /* others that are not known to be dead */
+  el_str_t seeds;
+  size_t seed_at;
+  mbr_probe_t *probes;
+  uint64_t next_probe;
+  mbr_leaving_t *leaving;
+  el_timers_t timers;
+  el_time_t next_period;
+  el_time_t last_tick;
+};
+
+/* splitmix64, by Sebastiano Vigna, public domain. */
+static inline uint64_t
+mbr_random (co_members_t *members)
+{
+  uint64_t z = (members->rng += 0x9e3779b97f4a7c15ULL);
+
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+  return z ^ (z >> 31);
+}
+
+static inline unsigned
+mbr_log2 (size_t n)
+{
+  return n < 2 ? 1 : 64U - (unsigned)__builtin_clzll ((uint64_t)n - 1);
+}
+
+#endif
--- /dev/null
+++ b/coord/mbr_members.c
@@ -0,0 +1,616 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Membership by probing. A member is one incarnation of a host: a host that
+ * was replaced at its address is another member, and the address answering
+ * with another incarnation proves the former one dead, without any clock.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "libcoord.h"
+
+#define INDIRECT_PROBES 3
+#define SUSPECT_PERIODS 4
+/* A tick that comes this many periods late tells that the host was paused:
+   what it waited for then says nothing of others. */
+#define PAUSED_PERIODS 3
+/* News is passed on this many times the logarithm of the number of members. */
+#define NEWS_FACTOR 3
+#define NEWS_MIN 4
+
+static const char *const state_names[] = {
+  [CO_MBR_ALIVE] = "alive",
+  [CO_MBR_SUSPECT] = "suspect",
+  [CO_MBR_DEAD] = "dead",
+  [CO_MBR_LEFT] = "left",
+};
+
+const char *
+co_mbr_state_name (co_mbr_state_t state)
+{
+  return state_names[state];
+}
+
+static int
+member_is_live (const mbr_entry_t *entry)
+{
+  return entry->m.state <= CO_MBR_SUSPECT;
+}
+
+static mbr_entry_t *
+entry_find (const co_members_t *members, const co_incarnation_t *inc)
+{
+  mbr_entry_t *entry;
+
+  HASH_FIND (hh, members->entries, inc->byte, CO_INCARNATION_BYTES, entry);
+  return entry;
+}
+
+static void
+member_copy (co_member_t *to, const co_member_t *from)
+{
+  *to = *from;
+  to->peer = el_str_dup (from->peer);
+  to->http = el_str_dup (from->http);
+  to->hall = el_str_dup (from->hall);
+}
+
+static void
+member_clear (co_member_t *member)
+{
+  el_str_free (&member->peer);
+  el_str_free (&member->http);
+  el_str_free (&member->hall);
+}
+
+/* Have an entry's news passed on from the start. */
+static void
+entry_news (co_members_t *members, mbr_entry_t *entry)
+{
+  entry->sent = 0;
+  members->options.changed (members->options.arg, &entry->m);
+}
+
+static void
+entry_order (co_members_t *members, mbr_entry_t *entry)
+{
+  size_t at = mbr_random (members) % (members->norder + 1);
+
+  members->order
+      = el_grow (members->order, members->norder + 1, sizeof (mbr_entry_t *));
+  members->order[members->norder] = members->order[at];
+  members->order[at] = entry;
+  members->norder++;
+}
+
+static void
+entry_unorder (co_members_t *members, const mbr_entry_t *entry)
+{
+  size_t i;
+
+  for (i = 0; i < members->norder; i++)
+    if (members->order[i] == entry)
+      {
+        memmove (&members->order[i], &members->order[i + 1],
+                 (members->norder - i - 1) * sizeof (mbr_entry_t *));
+        members->norder--;
+        return;
+      }
+}
+
+static void
+entry_drop (co_members_t *members, mbr_entry_t *entry)
+{
+  entry_unorder (members, entry);
+  el_timers_cancel (&members->timers, &entry->timer);
+  HASH_DEL (members->entries, entry);
+  member_clear (&entry->m);
+  free (entry);
+}
+
+static el_time_t
+suspect_time (const co_members_t *members)
+{
+  return members->options.period * SUSPECT_PERIODS
+         * mbr_log2 (members->live + 1) / 2;
+}
+
+static void
+entry_state (co_members_t *members, el_time_t now, mbr_entry_t *entry,
+             co_mbr_state_t state)
+{
+  el_time_t wait = members->options.forget;
+  int was_live = member_is_live (entry);
+
+  entry->m.state = state;
+  members->live += (size_t)member_is_live (entry) - (size_t)was_live;
+  if (state == CO_MBR_ALIVE)
+    el_timers_cancel (&members->timers, &entry->timer);
+  else
+    {
+      if (state == CO_MBR_SUSPECT)
+        wait = suspect_time (members);
+      el_timers_set (&members->timers, &entry->timer, now + wait);
+    }
+  entry_news (members, entry);
+}
+
+/* A suspect that did not refute is dead; the dead are forgotten. */
+static void
+entry_timer (void *arg, el_time_t now)
+{
+  mbr_entry_t *entry = arg;
+
+  if (entry->m.state == CO_MBR_SUSPECT)
+    entry_state (entry->members, now, entry, CO_MBR_DEAD);
+  else
+    entry_drop (entry->members, entry);
+}
+
+static void
+entry_add (co_members_t *members, el_time_t now, const co_member_t *member)
+{
+  mbr_entry_t *entry = el_alloc (sizeof *entry);
+
+  entry->members = members;
+  member_copy (&entry->m, member);
+  entry->timer.cb = entry_timer;
+  entry->timer.arg = entry;
+  HASH_ADD (hh, members->entries, m.incarnation, CO_INCARNATION_BYTES, entry);
+  entry_order (members, entry);
+  entry->m.state = CO_MBR_DEAD; /* not live yet */
+  entry_state (members, now, entry, member->state);
+}
+
+/* News of this host itself. What doubts it is refuted by a higher counter. */
+static void
+self_hear (co_members_t *members, const co_member_t *member)
+{
+  if (member->state == CO_MBR_ALIVE || member->counter < members->self.counter
+      || members->self.state == CO_MBR_LEFT)
+    return;
+  members->self.counter = member->counter + 1;
+}
+
+/* Take in what is said of a member: a higher counter, which only it raises,
+   goes first; at the same counter the worse state does. */
+static void
+member_hear (co_members_t *members, el_time_t now, const co_member_t *member)
+{
+  mbr_entry_t *entry;
+
+  if (co_incarnation_eq (&member->incarnation, &members->self.incarnation))
+    {
+      self_hear (members, member);
+      return;
+    }
+  entry = entry_find (members, &member->incarnation);
+  if (!entry)
+    {
+      if (member->state <= CO_MBR_SUSPECT)
+        entry_add (members, now, member);
+      return;
+    }
+  if (member->revision > entry->m.revision)
+    entry->m.revision = member->revision;
+  if (member->counter < entry->m.counter
+      || (member->counter == entry->m.counter
+          && member->state <= entry->m.state))
+    return;
+  entry->m.counter = member->counter;
+  entry->m.draining = member->draining;
+  entry_state (members, now, entry, member->state);
+}
+
+static void
+leaving_over (void *arg, el_time_t now)
+{
+  mbr_leaving_t *news = arg;
+
+  (void)now;
+  HASH_DEL (news->members->leaving, news);
+  el_str_free (&news->l.endpoint);
+  free (news);
+}
+
+static void
+leaving_add (co_members_t *members, el_time_t now, uint64_t id,
+             el_str_t endpoint)
+{
+  mbr_leaving_t *news = el_alloc (sizeof *news);
+
+  news->members = members;
+  news->l.id = id;
+  news->l.endpoint = el_str_dup (endpoint);
+  news->timer.cb = leaving_over;
+  news->timer.arg = news;
+  HASH_ADD (hh, members->leaving, l.id, sizeof news->l.id, news);
+  el_timers_set (&members->timers, &news->timer,
+                 now + members->options.leaving_hold);
+}
+
+static void
+leaving_hear (co_members_t *members, el_time_t now,
+              const co_leaving_t *leaving)
+{
+  mbr_leaving_t *news;
+
+  HASH_FIND (hh, members->leaving, &leaving->id, sizeof leaving->id, news);
+  if (news)
+    return;
+  leaving_add (members, now, leaving->id, leaving->endpoint);
+  members->options.leaving (members->options.arg, leaving->endpoint);
+}
+
+/** This host saw a sign that ENDPOINT leaves: pass it on. */
+void
+co_members_endpoint (co_members_t *members, el_time_t now, el_str_t endpoint)
+{
+  leaving_add (members, now, mbr_random (members), endpoint);
+}
+
+/** Take in a message of another host. */
+void
+co_members_hear (co_members_t *members, el_time_t now,
+                 const co_gossip_t *gossip)
+{
+  size_t i;
+
+  member_hear (members, now, &gossip->self);
+  for (i = 0; i < gossip->nmembers; i++)
+    member_hear (members, now, &gossip->members[i]);
+  for (i = 0; i < gossip->nleaving; i++)
+    leaving_hear (members, now, &gossip->leaving[i]);
+}
+
+/* Keep the least often sent news first. */
+static void
+news_insert (mbr_entry_t **list, size_t *n, mbr_entry_t *entry)
+{
+  size_t at = *n;
+
+  while (at > 0 && list[at - 1]->sent > entry->sent)
+    at--;
+  if (at == CO_NEWS_MEMBERS)
+    return;
+  if (*n < CO_NEWS_MEMBERS)
+    ++*n;
+  memmove (&list[at + 1], &list[at], (*n - at - 1) * sizeof *list);
+  list[at] = entry;
+}
+
+static void
+speak_members (co_members_t *members, const co_incarnation_t *to,
+               co_gossip_t *out, unsigned most)
+{
+  mbr_entry_t *list[CO_NEWS_MEMBERS];
+  mbr_entry_t *entry;
+  mbr_entry_t *next;
+  size_t n = 0;
+  size_t i;
+
+  /* A host that is doubted here is told, so that it can refute. */
+  entry = to ? entry_find (members, to) : NULL;
+  if (entry && entry->m.state != CO_MBR_ALIVE)
+    list[n++] = entry;
+  HASH_ITER (hh, members->entries, entry, next)
+  if (entry->sent < most && (n == 0 || entry != list[0]))
+    news_insert (list, &n, entry);
+  for (i = 0; i < n; i++)
+    {
+      list[i]->sent++;
+      out->members[out->nmembers++] = list[i]->m;
+    }
+}
+
+/** Fill OUT with what this host has to say, to the member TO when it is known.
+    Strings stay valid until the members change. */
+void
+co_members_speak (co_members_t *members, const co_incarnation_t *to,
+                  co_gossip_t *out)
+{
+  unsigned most = NEWS_MIN + NEWS_FACTOR * mbr_log2 (members->live + 1);
+  mbr_leaving_t *news;
+  mbr_leaving_t *next;
+
+  out->self = members->self;
+  out->nmembers = 0;
+  out->nleaving = 0;
+  speak_members (members, to, out, most);
+  HASH_ITER (hh, members->leaving, news, next)
+  if (news->sent < most && out->nleaving < CO_NEWS_LEAVING)
+    {
+      news->sent++;
+      out->leaving[out->nleaving++] = news->l;
+    }
+}
+
+/* The next member to probe: all in turn, in an order of this host's own. */
+static mbr_entry_t *
+probe_next (co_members_t *members)
+{
+  mbr_entry_t *entry;
+  size_t i;
+
+  for (i = 0; i < members->norder; i++)
+    {
+      entry = members->order[members->cursor++ % members->norder];
+      if (member_is_live (entry))
+        return entry;
+    }
+  return NULL;
+}
+
+static void
+probe_add (co_members_t *members, el_time_t now, const mbr_entry_t *entry,
+           el_str_t address)
+{
+  mbr_probe_t *probe = el_alloc (sizeof *probe);
+
+  probe->id = members->next_probe++;
+  probe->address = el_str_dup (address);
+  probe->due = now + members->options.timeout;
+  if (entry)
+    {
+      probe->expects = 1;
+      probe->incarnation = entry->m.incarnation;
+    }
+  DL_APPEND (members->probes, probe);
+  members->options.probe (members->options.arg, probe->id, probe->address,
+                          (el_str_t){ NULL, 0 });
+}
+
+static int
+address_is_live (const co_members_t *members, el_str_t address)
+{
+  size_t i;
+
+  for (i = 0; i < members->norder; i++)
+    if (member_is_live (members->order[i])
+        && el_str_eq (members->order[i]->m.peer, address))
+      return 1;
+  return el_str_eq (address, members->self.peer);
+}
+
+/* Seeds where no live member is known: to join, and to meet again after the
+   network was cut. One in a period. */
+static void
+probe_seed (co_members_t *members, el_time_t now)
+{
+  el_str_t rest = el_str_after (members->seeds, members->seed_at);
+  el_str_t address = el_str_cut (&rest, ',');
+
+  if (members->seeds.len == 0)
+    return;
+  members->seed_at = rest.len ? members->seeds.len - rest.len : 0;
+  if (address.len && !address_is_live (members, address))
+    probe_add (members, now, NULL, address);
+}
+
+static void
+probe_indirect (co_members_t *members, el_time_t now, mbr_probe_t *probe)
+{
+  mbr_entry_t *via;
+  unsigned sent = 0;
+  size_t i;
+
+  probe->indirect = 1;
+  probe->due = now + members->options.timeout;
+  for (i = 0; i < members->norder && sent < INDIRECT_PROBES; i++)
+    {
+      via = members->order[mbr_random (members) % members->norder];
+      if (!member_is_live (via) || el_str_eq (via->m.peer, probe->address))
+        continue;
+      members->options.probe (members->options.arg, probe->id, probe->address,
+                              via->m.peer);
+      sent++;
+    }
+}
+
+static void
+probe_drop (co_members_t *members, mbr_probe_t *probe)
+{
+  DL_DELETE (members->probes, probe);
+  el_str_free (&probe->address);
+  free (probe);
+}
+
+/* Neither it nor others reached the member. */
+static void
+probe_failed (co_members_t *members, el_time_t now, mbr_probe_t *probe)
+{
+  mbr_entry_t *entry
+      = probe->expects ? entry_find (members, &probe->incarnation) : NULL;
+
+  if (entry && entry->m.state == CO_MBR_ALIVE)
+    entry_state (members, now, entry, CO_MBR_SUSPECT);
+  probe_drop (members, probe);
+}
+
+static void
+probes_look (co_members_t *members, el_time_t now, int paused)
+{
+  mbr_probe_t *probe;
+  mbr_probe_t *next;
+
+  DL_FOREACH_SAFE (members->probes, probe, next)
+  {
+    if (paused)
+      probe_drop (members, probe);
+    else if (now < probe->due)
+      continue;
+    else if (probe->indirect || !probe->expects)
+      probe_failed (members, now, probe);
+    else
+      probe_indirect (members, now, probe);
+  }
+}
+
+/** An answer to probe ID, direct or by way of another host, or none (OK is
+    0). */
+void
+co_members_answer (co_members_t *members, el_time_t now, uint64_t id, int ok,
+                   const co_gossip_t *gossip)
+{
+  mbr_probe_t *probe;
+  mbr_entry_t *entry;
+
+  if (ok)
+    co_members_hear (members, now, gossip);
+  DL_FOREACH (members->probes, probe)
+  if (probe->id == id)
+    break;
+  if (!probe || !ok)
+    return;
+  entry = probe->expects ? entry_find (members, &probe->incarnation) : NULL;
+  if (entry
+      && !co_incarnation_eq (&gossip->self.incarnation, &probe->incarnation)
+      && el_str_eq (gossip->self.peer, probe->address)
+      && member_is_live (entry))
+    entry_state (members, now, entry, CO_MBR_DEAD);
+  probe_drop (members, probe);
+}
+
+/* After a pause the suspects get their whole time again: what they said
+   meanwhile is still on its way in. */
+static void
+suspects_wait (co_members_t *members, el_time_t now)
+{
+  mbr_entry_t *entry;
+  mbr_entry_t *next;
+
+  HASH_ITER (hh, members->entries, entry, next)
+  if (entry->m.state == CO_MBR_SUSPECT)
+    el_timers_set (&members->timers, &entry->timer,
+                   now + suspect_time (members));
+}
+
+/** Look after probes and suspicions; call it when co_members_next says so. */
+void
+co_members_tick (co_members_t *members, el_time_t now)
+{
+  el_time_t period = members->options.period;
+  int paused = members->last_tick
+               && now > members->last_tick + PAUSED_PERIODS * period;
+  mbr_entry_t *entry;
+
+  members->last_tick = now;
+  probes_look (members, now, paused);
+  if (paused)
+    suspects_wait (members, now);
+  el_timers_run (&members->timers, now);
+  if (now < members->next_period)
+    return;
+  members->next_period = now + period;
+  entry = probe_next (members);
+  if (entry)
+    probe_add (members, now, entry, entry->m.peer);
+  probe_seed (members, now);
+}
+
+/** When co_members_tick wants to be called. */
+el_time_t
+co_members_next (const co_members_t *members)
+{
+  el_time_t due = el_timers_next (&members->timers);
+  mbr_probe_t *probe;
+
+  if (members->next_period < due)
+    due = members->next_period;
+  DL_FOREACH (members->probes, probe)
+  if (probe->due < due)
+    due = probe->due;
+  return due;
+}
+
+/** This host takes no new work (CO_MBR_ALIVE), or ends (CO_MBR_LEFT). */
+void
+co_members_drain (co_members_t *members, co_mbr_state_t state)
+{
+  members->self.draining = 1;
+  members->self.state = state;
+  members->self.counter++;
+}
+
+/** This host has seen all changes of configuration up to REVISION. */
+void
+co_members_seen (co_members_t *members, uint64_t revision)
+{
+  members->self.revision = revision;
+}
+
+co_members_t *
+co_members_new (const co_members_options_t *options)
+{
+  co_members_t *members = el_alloc (sizeof *members);
+
+  members->options = *options;
+  members->rng = options->seed;
+  member_copy (&members->self, &options->self);
+  members->seeds = el_str_dup (options->seeds);
+  return members;
+}
+
+void
+co_members_free (co_members_t *members)
+{
+  mbr_entry_t *entry;
+  mbr_entry_t *next;
+  mbr_leaving_t *news;
+  mbr_leaving_t *next_news;
+
+  while (members->probes)
+    probe_drop (members, members->probes);
+  HASH_ITER (hh, members->entries, entry, next)
+  entry_drop (members, entry);
+  HASH_ITER (hh, members->leaving, news, next_news)
+  leaving_over (news, 0);
+  member_clear (&members->self);
+  el_str_free (&members->seeds);
+  free (members->order);
+  el_timers_free (&members->timers);
+  free (members);
+}
+
+/** Hosts that are not known to be dead, this one included. */
+size_t
+co_members_live (const co_members_t *members)
+{
+  return members->live + 1;
+}
+
+/** Visit this host first, then all that are remembered. */
+void
+co_members_visit (const co_members_t *members, co_member_visit_cb visit,
+                  void *arg)
+{
+  mbr_entry_t *entry;
+  mbr_entry_t *next;
+
+  visit (arg, &members->self);
+  HASH_ITER (hh, members->entries, entry, next)
+  visit (arg, &entry->m);
+}
+
+/** Whether this host is one of the MOST of its hall that are chosen for what
+    only a few should do. Every host works the same out from its view; while
+    views differ a few more or fewer may do it, which does no harm. */
+int
+co_members_chosen (const co_members_t *members, size_t most)
+{
+  size_t before = 0;
+  mbr_entry_t *entry;
+  mbr_entry_t *next;
+
+  HASH_ITER (hh, members->entries, entry, next)
+  if (entry->m.state == CO_MBR_ALIVE && !entry->m.draining
+      && el_str_eq (entry->m.hall, members->self.hall)
+      && memcmp (entry->m.incarnation.byte, members->self.incarnation.byte,
+                 CO_INCARNATION_BYTES)
+             < 0)
+    before++;
+  return before < most;
+}
--- /dev/null
+++ b/tests/mbr_net.c
@@ -0,0 +1,325 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Members on a network of events.
+ */
+#include "mbr_net.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LATENCY_MAX (20 * EL_MSEC)
+#define PERIOD (500 * EL_MSEC)
+#define TIMEOUT (200 * EL_MSEC)
+#define FORGET (600 * EL_SEC)
+#define HOLD (10 * EL_SEC)
+
+/* A message on its way. */
+typedef struct net_msg
+{
+  el_timer_t timer;
+  net_host_t *from;
+  net_host_t *to;
+  net_host_t *asker; /* who waits for the answer */
+  net_host_t *via;   /* who asked on the asker's behalf */
+  uint64_t id;
+  int answer;
+  int relay; /* asks TO to probe TARGET */
+  net_host_t *target;
+  co_gossip_t gossip;
+} net_msg_t;
+
+static void msg_arrive (void *arg, el_time_t now);
+
+static uint64_t
+net_random (net_t *net)
+{
+  net->rng = net->rng * 6364136223846793005ULL + 1442695040888963407ULL;
+  return net->rng >> 33;
+}
+
+static net_host_t *
+host_at (net_t *net, el_str_t address)
+{
+  size_t i;
+
+  for (i = net->n; i-- > 0;)
+    if (el_str_eq (el_str (net->hosts[i].address), address))
+      return &net->hosts[i];
+  return NULL;
+}
+
+/* Strings of the members must outlive those that spoke of them. */
+static void
+member_keep (net_t *net, co_member_t *m)
+{
+  size_t i;
+
+  for (i = 0; i < net->n; i++)
+    if (co_incarnation_eq (&net->hosts[i].incarnation, &m->incarnation))
+      {
+        m->peer = el_str (net->hosts[i].address);
+        m->http = m->peer;
+        m->hall = el_str (net->hosts[i].hall);
+      }
+}
+
+static void
+gossip_keep (net_t *net, co_gossip_t *gossip)
+{
+  size_t i;
+
+  member_keep (net, &gossip->self);
+  for (i = 0; i < gossip->nmembers; i++)
+    member_keep (net, &gossip->members[i]);
+  for (i = 0; i < gossip->nleaving; i++)
+    gossip->leaving[i].endpoint = EL_STR ("an-endpoint");
+}
+
+static void
+msg_send (const net_msg_t *like, const co_incarnation_t *to_inc)
+{
+  net_t *net = like->from->net;
+  net_msg_t *msg = malloc (sizeof *msg);
+
+  *msg = *like;
+  msg->from->sent++;
+  co_members_speak (msg->from->members, to_inc, &msg->gossip);
+  gossip_keep (net, &msg->gossip);
+  memset (&msg->timer, 0, sizeof msg->timer);
+  msg->timer.cb = msg_arrive;
+  msg->timer.arg = msg;
+  el_timers_set (&net->timers, &msg->timer,
+                 net->now + 1 + net_random (net) % LATENCY_MAX);
+}
+
+static int
+msg_lost (const net_msg_t *msg)
+{
+  net_t *net = msg->from->net;
+
+  return msg->to->down || msg->to->paused
+         || (net->link && !net->link (msg->from, msg->to));
+}
+
+static void
+msg_probe (const net_msg_t *msg)
+{
+  net_msg_t next = { .from = msg->to,
+                     .to = msg->relay ? msg->target : msg->from,
+                     .asker = msg->asker,
+                     .via = msg->relay ? msg->to : msg->via,
+                     .id = msg->id,
+                     .answer = !msg->relay };
+
+  co_members_hear (msg->to->members, msg->to->net->now, &msg->gossip);
+  msg_send (&next, &msg->gossip.self.incarnation);
+}
+
+static void
+msg_answer (const net_msg_t *msg)
+{
+  net_msg_t next = { .from = msg->to,
+                     .to = msg->asker,
+                     .asker = msg->asker,
+                     .id = msg->id,
+                     .answer = 1 };
+  net_t *net = msg->to->net;
+
+  if (msg->to == msg->asker)
+    co_members_answer (msg->to->members, net->now, msg->id, 1, &msg->gossip);
+  else
+    { /* hand the target's own answer on */
+      net_msg_t *copy = malloc (sizeof *copy);
+
+      next.gossip = msg->gossip;
+      *copy = next;
+      copy->timer.cb = msg_arrive;
+      copy->timer.arg = copy;
+      copy->from->sent++;
+      el_timers_set (&net->timers, &copy->timer, net->now + EL_MSEC);
+    }
+}
+
+static void
+msg_arrive (void *arg, el_time_t now)
+{
+  net_msg_t *msg = arg;
+
+  (void)now;
+  if (!msg_lost (msg))
+    {
+      if (msg->answer)
+        msg_answer (msg);
+      else
+        msg_probe (msg);
+    }
+  free (msg);
+}
+
+static void
+host_probe (void *arg, uint64_t id, el_str_t address, el_str_t via)
+{
+  net_host_t *host = arg;
+  net_msg_t msg = { .from = host, .asker = host, .id = id };
+
+  msg.target = host_at (host->net, address);
+  msg.relay = via.len > 0;
+  msg.to = msg.relay ? host_at (host->net, via) : msg.target;
+  if (msg.to && msg.target)
+    msg_send (&msg, NULL);
+}
+
+static void
+host_changed (void *arg, const co_member_t *member)
+{
+  (void)arg;
+  (void)member;
+}
+
+static void
+host_leaving (void *arg, el_str_t endpoint)
+{
+  net_host_t *host = arg;
+
+  (void)endpoint;
+  host->leaving++;
+}
+
+static void
+host_open (net_t *net, net_host_t *host, const char *address, const char *hall)
+{
+  co_members_options_t options = { .period = PERIOD,
+                                   .timeout = TIMEOUT,
+                                   .forget = FORGET,
+                                   .leaving_hold = HOLD,
+                                   .probe = host_probe,
+                                   .changed = host_changed,
+                                   .leaving = host_leaving,
+                                   .arg = host };
+  el_buf_t seeds = { NULL, 0, 0 };
+  size_t i;
+
+  host->net = net;
+  snprintf (host->address, sizeof host->address, "%s", address);
+  snprintf (host->hall, sizeof host->hall, "%s", hall);
+  for (i = 0; i < CO_INCARNATION_BYTES; i++)
+    host->incarnation.byte[i] = (unsigned char)net_random (net);
+  options.seed = net_random (net);
+  options.self.incarnation = host->incarnation;
+  options.self.peer = el_str (host->address);
+  options.self.http = options.self.peer;
+  options.self.hall = el_str (host->hall);
+  for (i = 0; i < net->seeds; i++)
+    el_buf_printf (&seeds, "10.0.%zu.%zu:1,", i / 250, i % 250);
+  options.seeds = el_buf_str (&seeds);
+  host->members = co_members_new (&options);
+  el_buf_free (&seeds);
+}
+
+net_t *
+net_new (uint64_t seed, size_t hosts, size_t halls)
+{
+  net_t *net = calloc (1, sizeof *net);
+  char address[32];
+  char hall[16];
+  size_t i;
+
+  net->rng = seed;
+  net->seeds = hosts < 9 ? hosts : 9;
+  net->now = EL_SEC;
+  for (i = 0; i < hosts; i++)
+    {
+      snprintf (address, sizeof address, "10.0.%zu.%zu:1", i / 250, i % 250);
+      snprintf (hall, sizeof hall, "hall-%zu", i % halls);
+      host_open (net, &net->hosts[net->n++], address, hall);
+    }
+  return net;
+}
+
+/** End a host and start a new one at its address. */
+net_host_t *
+net_replace (net_t *net, size_t host)
+{
+  net_host_t *fresh = &net->hosts[net->n++];
+
+  net->hosts[host].down = 1;
+  host_open (net, fresh, net->hosts[host].address, net->hosts[host].hall);
+  return fresh;
+}
+
+void
+net_free (net_t *net)
+{
+  size_t i;
+
+  while (net->timers.len)
+    {
+      el_timer_t *timer = net->timers.heap[0];
+
+      el_timers_cancel (&net->timers, timer);
+      free (timer->arg);
+    }
+  el_timers_free (&net->timers);
+  for (i = 0; i < net->n; i++)
+    co_members_free (net->hosts[i].members);
+  free (net);
+}
+
+/** Run to a time. */
+void
+net_run (net_t *net, el_time_t until)
+{
+  size_t i;
+
+  while (net->now < until)
+    {
+      el_timers_run (&net->timers, net->now);
+      for (i = 0; i < net->n; i++)
+        if (!net->hosts[i].down && !net->hosts[i].paused
+            && co_members_next (net->hosts[i].members) <= net->now)
+          co_members_tick (net->hosts[i].members, net->now);
+      net->now += 5 * EL_MSEC;
+    }
+}
+
+typedef struct sees
+{
+  co_mbr_state_t state;
+  size_t n;
+} sees_t;
+
+static void
+sees_visit (void *arg, const co_member_t *member)
+{
+  sees_t *sees = arg;
+
+  sees->n += member->state == sees->state;
+}
+
+/** How many members a host holds in a state, itself included. */
+size_t
+net_sees (net_t *net, size_t host, co_mbr_state_t state)
+{
+  sees_t sees = { state, 0 };
+
+  co_members_visit (net->hosts[host].members, sees_visit, &sees);
+  return sees.n;
+}
+
+/** Whether each host that runs sees LIVE members alive, and none suspect. */
+int
+net_agrees (net_t *net, size_t live)
+{
+  size_t i;
+
+  for (i = 0; i < net->n; i++)
+    if (!net->hosts[i].down && !net->hosts[i].paused
+        && (net_sees (net, i, CO_MBR_ALIVE) != live
+            || net_sees (net, i, CO_MBR_SUSPECT)))
+      return 0;
+  return 1;
+}
--- /dev/null
+++ b/tests/t_members.c
@@ -0,0 +1,207 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of membership, on the library, over many seeds.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "mbr_net.h"
+#include "test.h"
+
+#define SEEDS 12
+#define HOSTS 9
+#define SETTLE (20 * EL_SEC)
+#define CUT_HALL "hall-0"
+
+static net_t *
+net_settled (int seed)
+{
+  net_t *net = net_new ((uint64_t)seed + 1, HOSTS, 3);
+
+  net_run (net, net->now + SETTLE);
+  ck_assert_msg (net_agrees (net, HOSTS), "seed %d: not settled", seed);
+  return net;
+}
+
+START_TEST (test_members_find_each_other) { net_free (net_settled (_i)); }
+END_TEST
+
+START_TEST (test_members_dead_host_is_found_by_all)
+{
+  net_t *net = net_settled (_i);
+
+  net->hosts[4].down = 1;
+  net_run (net, net->now + SETTLE);
+  ck_assert_msg (net_agrees (net, HOSTS - 1), "seed %d", _i);
+  net_free (net);
+}
+END_TEST
+
+static int
+link_one_way (const net_host_t *a, const net_host_t *b)
+{
+  return !(a == &a->net->hosts[1] && b == &a->net->hosts[2]);
+}
+
+START_TEST (test_members_one_way_loss_kills_nobody)
+{
+  net_t *net = net_settled (_i);
+  el_time_t until = net->now + 3 * SETTLE;
+
+  net->link = link_one_way;
+  while (net->now < until)
+    {
+      size_t i;
+
+      net_run (net, net->now + EL_SEC);
+      for (i = 0; i < HOSTS; i++)
+        ck_assert_msg (net_sees (net, i, CO_MBR_DEAD) == 0, "seed %d", _i);
+    }
+  net_free (net);
+}
+END_TEST
+
+static int
+link_hall_cut (const net_host_t *a, const net_host_t *b)
+{
+  return (strcmp (a->hall, CUT_HALL) == 0)
+         == (strcmp (b->hall, CUT_HALL) == 0);
+}
+
+START_TEST (test_members_hall_cut_off_goes_on_and_meets_again)
+{
+  net_t *net = net_settled (_i);
+
+  net->link = link_hall_cut;
+  net_run (net, net->now + 2 * SETTLE);
+  ck_assert_uint_eq (net_sees (net, 0, CO_MBR_ALIVE), HOSTS / 3);
+  ck_assert_uint_eq (net_sees (net, 1, CO_MBR_ALIVE), HOSTS - HOSTS / 3);
+  net->link = NULL;
+  net_run (net, net->now + 2 * SETTLE);
+  ck_assert_msg (net_agrees (net, HOSTS), "seed %d", _i);
+  net_free (net);
+}
+END_TEST
+
+START_TEST (test_members_host_paused_for_a_minute_returns)
+{
+  net_t *net = net_settled (_i);
+  size_t i;
+
+  net->hosts[3].paused = 1;
+  net_run (net, net->now + 60 * EL_SEC);
+  ck_assert (net_agrees (net, HOSTS - 1));
+  net->hosts[3].paused = 0;
+  net_run (net, net->now + SETTLE);
+  ck_assert_msg (net_agrees (net, HOSTS), "seed %d", _i);
+  for (i = 0; i < HOSTS; i++) /* it took nobody else for dead */
+    ck_assert_uint_eq (net_sees (net, i, CO_MBR_DEAD), 0);
+  net_free (net);
+}
+END_TEST
+
+START_TEST (test_members_replaced_host_is_another_member)
+{
+  net_t *net = net_settled (_i);
+
+  net_replace (net, 5);
+  net_run (net, net->now + SETTLE);
+  ck_assert_msg (net_agrees (net, HOSTS), "seed %d", _i);
+  ck_assert_uint_eq (net_sees (net, 0, CO_MBR_DEAD), 1);
+  net_free (net);
+}
+END_TEST
+
+START_TEST (test_members_leaving_sign_reaches_all)
+{
+  net_t *net = net_settled (_i);
+  size_t i;
+
+  co_members_endpoint (net->hosts[2].members, net->now,
+                       EL_STR ("an-endpoint"));
+  net_run (net, net->now + 2 * EL_SEC);
+  for (i = 0; i < HOSTS; i++)
+    ck_assert_msg (net->hosts[i].leaving == (i != 2), "seed %d host %zu: %u",
+                   _i, i, net->hosts[i].leaving);
+  net_free (net);
+}
+END_TEST
+
+START_TEST (test_members_draining_and_left_are_told)
+{
+  net_t *net = net_settled (_i);
+
+  co_members_drain (net->hosts[6].members, CO_MBR_LEFT);
+  net_run (net, net->now + 3 * EL_SEC);
+  net->hosts[6].down = 1;
+  net_run (net, net->now + 2 * EL_SEC);
+  ck_assert_uint_eq (net_sees (net, 0, CO_MBR_LEFT), 1);
+  ck_assert (net_agrees (net, HOSTS - 1));
+  net_free (net);
+}
+END_TEST
+
+/* The messages of a host do not grow with their number. */
+START_TEST (test_members_cost_is_constant)
+{
+  static const size_t sizes[] = { 9, 81 };
+  uint64_t sent[2];
+  size_t k;
+
+  for (k = 0; k < 2; k++)
+    {
+      net_t *net = net_new (7, sizes[k], 3);
+      uint64_t before = 0;
+      size_t i;
+
+      net_run (net, net->now + 3 * SETTLE);
+      ck_assert (net_agrees (net, sizes[k]));
+      for (i = 0; i < sizes[k]; i++)
+        before += net->hosts[i].sent;
+      net_run (net, net->now + SETTLE);
+      sent[k] = 0;
+      for (i = 0; i < sizes[k]; i++)
+        sent[k] += net->hosts[i].sent;
+      sent[k] = (sent[k] - before) / sizes[k];
+      net_free (net);
+    }
+  ck_assert_uint_le (sent[1], sent[0] + sent[0] / 10);
+}
+END_TEST
+
+START_TEST (test_members_few_are_chosen_in_each_hall)
+{
+  net_t *net = net_settled (_i);
+  unsigned chosen = 0;
+  size_t i;
+
+  for (i = 0; i < HOSTS; i++)
+    chosen += (unsigned)co_members_chosen (net->hosts[i].members, 2);
+  ck_assert_uint_eq (chosen, 3 * 2);
+  net_free (net);
+}
+END_TEST
+
+Suite *
+members_suite (void)
+{
+  Suite *suite = suite_create ("members");
+  TCase *tcase = tcase_create ("members");
+
+  tcase_set_timeout (tcase, 60);
+  ADD_LOOP (tcase, test_members_find_each_other, SEEDS);
+  ADD_LOOP (tcase, test_members_dead_host_is_found_by_all, SEEDS);
+  ADD_LOOP (tcase, test_members_one_way_loss_kills_nobody, SEEDS);
+  ADD_LOOP (tcase, test_members_hall_cut_off_goes_on_and_meets_again, SEEDS);
+  ADD_LOOP (tcase, test_members_host_paused_for_a_minute_returns, SEEDS);
+  ADD_LOOP (tcase, test_members_replaced_host_is_another_member, SEEDS);
+  ADD_LOOP (tcase, test_members_leaving_sign_reaches_all, SEEDS);
+  ADD_LOOP (tcase, test_members_draining_and_left_are_told, SEEDS);
+  ADD (tcase, test_members_cost_is_constant);
+  ADD_LOOP (tcase, test_members_few_are_chosen_in_each_hall, SEEDS);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -19,6 +19,7 @@
 
 Suite *base_suite (void);
 Suite *coord_suite (void);
+Suite *members_suite (void);
 Suite *route_suite (void);
 Suite *replay_suite (void);
 
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -32,6 +32,7 @@
   int failed;
 
   srunner_add_suite (runner, coord_suite ());
+  srunner_add_suite (runner, members_suite ());
   srunner_add_suite (runner, route_suite ());
   srunner_add_suite (runner, replay_suite ());
   srunner_run_all (runner, CK_ENV);
