--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 GATE = gate/gate.c gate/clock.c gate/http_server.c gate/http_client.c gate/answer.c \
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
        gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
-       gate/platform.c gate/kv_http.c gate/rpc.c gate/peer.c gate/peer_xdr.c
+       gate/platform.c gate/kv_http.c gate/rpc.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
+       gate/peer_forward.c gate/peer_xdr.c gate/cfg_sync.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c
 
 LIBS = -lh2o -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
@@ -35,7 +36,7 @@
 
 LINTED = $(filter-out tests/% gate/peer_xdr.c,$(filter %.c,$(FORMATTED)))
 
-.PHONY: all deps demo check checked red lint bench format clean install
+.PHONY: all proto deps demo check checked red lint bench format clean install
 .DEFAULT_GOAL = all
 
 deps:
@@ -58,6 +59,11 @@
 	printf '%s\n' $(LINTED) | xargs -P 8 -n 2 sh tools/tidy.sh $(INC) -Istandin
 	sh tools/licence.sh --check
 	mandoc -Tlint -W warning man/*.[0-9]
+# Make the committed codecs anew from gate/peer.x; needs rpcsvc-proto.
+proto:
+	rm -f gate/peer_proto.h gate/peer_xdr.c
+	cd gate && rpcgen -h -o peer_proto.h peer.x && rpcgen -c -o peer_xdr.c peer.x
+	sed -i 's/"peer.h"/"peer_proto.h"/' gate/peer_xdr.c
 format:
 	sh tools/licence.sh
 	clang-format -i $(FORMATTED)
--- a/gate/flow.c
+++ b/gate/flow.c
@@ -230,6 +230,14 @@
   event->fail = gt_net_fail (result->net);
 }
 
+/* The endpoint's own word that it leaves is told to the other hosts. */
+static void
+leaving_tell (gt_gate_t *gate, const gt_flow_t *flow, const rt_event_t *event)
+{
+  if (event->kind == RT_EV_FAILED && event->fail == RT_FAIL_LEAVING)
+    gt_peers_endpoint_leaves (gate->peers, flow->endpoint);
+}
+
 static void
 chat_done (void *arg, const gt_result_t *result)
 {
@@ -243,6 +251,7 @@
     exchange_failed (result, &event);
   else
     gt_engine_http.read_reply (gate, result, &event, &keep);
+  leaving_tell (gate, flow, &event);
   gt_router_event (gate, &event);
   json_decref (keep);
 }
@@ -268,6 +277,7 @@
       event.kind = RT_EV_REPLY;
       gt_answer_result (flow->answer, result);
     }
+  leaving_tell (gate, flow, &event);
   gt_router_event (gate, &event);
 }
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -138,6 +138,10 @@
       EL_COUNTER, &gate->counts.home_gone },
     { "elmarch_rpc_refused_total", "peer messages refused", EL_COUNTER,
       &gate->counts.rpc_refused },
+    { "elmarch_peer_messages_total", "messages to other hosts", EL_COUNTER,
+      &gate->counts.peer_messages },
+    { "elmarch_peer_bytes_total", "bytes of them", EL_COUNTER,
+      &gate->counts.peer_bytes },
     { "elmarch_platform_calls_total", "calls to the platform", EL_COUNTER,
       &gate->counts.platform_calls },
     { "elmarch_platform_failures_total", "of those, failed", EL_COUNTER,
@@ -302,6 +306,7 @@
   EL_LOG (EL_LOG_INFO, "draining",
           EL_FN ("running", HASH_COUNT (gate->flows)));
   co_ledger_seal (gate->ledger);
+  gt_peers_drain (gate->peers);
   gt_router_event (gate, &event);
   gate->expire.cb = drain_look;
   gt_clock_set (&gate->clock, &gate->expire, 0);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -135,13 +135,15 @@
 typedef struct gt_counts
 {
   uint64_t http_requests;
-  uint64_t denied;         /* unknown customers and operators */
-  uint64_t bad_requests;   /* broken or over a limit */
-  uint64_t joined;         /* duplicates that got the first one's answer */
-  uint64_t forgotten;      /* refused because it may have run */
-  uint64_t forwarded;      /* to the session's home */
-  uint64_t home_gone;      /* not forwarded: the home does not answer */
-  uint64_t rpc_refused;    /* messages that are not from a host of ours */
+  uint64_t denied;       /* unknown customers and operators */
+  uint64_t bad_requests; /* broken or over a limit */
+  uint64_t joined;       /* duplicates that got the first one's answer */
+  uint64_t forgotten;    /* refused because it may have run */
+  uint64_t forwarded;    /* to the session's home */
+  uint64_t home_gone;    /* not forwarded: the home does not answer */
+  uint64_t rpc_refused;  /* messages that are not from a host of ours */
+  uint64_t peer_messages;
+  uint64_t peer_bytes;
   uint64_t platform_calls; /* all kinds, a watch as one */
   uint64_t platform_failures;
   uint64_t config_applied;
@@ -175,6 +177,8 @@
   uint64_t gauge_entries;
   uint64_t gauge_revision;
   el_timer_t expire;
+  int ready;        /* there is a configuration to serve with */
+  uint64_t history; /* all removals after this revision are known */
   uint64_t callers; /* answers that are not wholly sent */
   int draining;
   el_time_t drain_until;
@@ -276,12 +280,24 @@
 gt_platform_t *gt_platform_new (gt_gate_t *gate);
 void gt_platform_put (gt_platform_t *platform, const gt_change_t *change,
                       gt_put_cb done, void *arg);
-int gt_platform_synced (const gt_platform_t *platform);
 void gt_platform_stop (gt_platform_t *platform);
 
+/* cfg_sync.c */
+typedef struct gt_sync gt_sync_t;
+
+gt_sync_t *gt_sync_begin (gt_gate_t *gate);
+void gt_sync_item (gt_sync_t *sync, co_kind_t kind, el_str_t name,
+                   uint64_t revision, json_t *spec);
+void gt_sync_end (gt_sync_t *sync, uint64_t revision, int whole);
+int gt_sync_ready (const gt_gate_t *gate);
+
 /* peer.c */
 gt_peers_t *gt_peers_new (gt_gate_t *gate, el_err_t *err);
+void gt_peers_drain (gt_peers_t *peers);
 void gt_peers_stop (gt_peers_t *peers);
+void gt_peers_seen (gt_peers_t *peers, uint64_t revision);
+int gt_peers_chosen (const gt_peers_t *peers, size_t most);
+void gt_peers_endpoint_leaves (gt_peers_t *peers, el_str_t endpoint);
 json_t *gt_peers_dump (const gt_peers_t *peers);
 void gt_peers_entries (const gt_peers_t *peers, json_t *hosts, size_t most,
                        uint64_t spread);
--- /dev/null
+++ b/gate/libpeer.h
@@ -0,0 +1,64 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Internals of the parts that speak with other hosts.
+ */
+#ifndef ELMARCH_LIBPEER_H
+#define ELMARCH_LIBPEER_H
+
+#include <rpc/rpc.h>
+
+#include "libgate.h"
+#include "peer_proto.h"
+#include "rpc.h"
+
+/* When a sign that an endpoint leaves was last passed on. */
+typedef struct peer_sign
+{
+  char endpoint[CO_NAME_MAX + 1];
+  el_time_t at;
+  UT_hash_handle hh;
+} peer_sign_t;
+
+struct gt_peers
+{
+  gt_gate_t *gate;
+  gt_rpc_t *rpc;
+  co_members_t *members;
+  el_timer_t tick;
+  size_t live; /* as the router was last told */
+  int fetching;
+  peer_sign_t *signs;
+};
+
+typedef void (*peer_serve_fn) (gt_peers_t *peers, gt_rpc_req_t *req,
+                               el_str_t body);
+
+/* XDR of one value, to and from bytes. */
+void peer_xdr_write (xdrproc_t proc, void *value, el_buf_t *out);
+int peer_xdr_read (xdrproc_t proc, el_str_t body, void *value);
+
+#define PEER_BYTES_SET(at, field, s)                                          \
+  ((at).field##_val = (char *)(uintptr_t)(s).ptr,                             \
+   (at).field##_len = (u_int)(s).len)
+#define PEER_BYTES_GET(at, field)                                             \
+  ((el_str_t){ (at).field##_val, (at).field##_len })
+
+/* peer_gossip.c */
+void peer_gossip_write (gt_peers_t *peers, const co_incarnation_t *to,
+                        el_buf_t *out);
+void peer_probe (void *arg, uint64_t id, el_str_t address, el_str_t via);
+void peer_serve_gossip (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
+void peer_serve_relay (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
+void peer_ticked (gt_peers_t *peers);
+
+/* peer_fetch.c */
+void peer_fetch (gt_peers_t *peers, const co_member_t *from);
+void peer_serve_fetch (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
+
+/* peer_forward.c */
+void peer_serve_forward (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
+
+#endif
--- a/gate/peer.x
+++ b/gate/peer.x
@@ -4,7 +4,7 @@
  */
 /*
  * Messages between entry hosts. The committed peer.h and peer_xdr.c are made
- * from this file by rpcgen; see gate/README.
+ * from this file by "make proto".
  */
 const PEER_MAC = 32;
 const PEER_BODY_MAX = 9437184;
@@ -12,6 +12,10 @@
 const PEER_NAME_MAX = 512;
 const PEER_HEADERS_MAX = 100;
 const PEER_INCARNATION = 16;
+const PEER_ADDRESS_MAX = 64;
+const PEER_NEWS_MAX = 8;
+const PEER_SPEC_MAX = 1048576;
+const PEER_CHANGES_MAX = 65536;
 
 /* Every call and result travels sealed: an XDR body and its code. */
 struct peer_sealed {
@@ -19,20 +23,52 @@
   opaque body<PEER_BODY_MAX>;
 };
 
-struct peer_hello_args {
+struct peer_member {
   opaque incarnation[PEER_INCARNATION];
-  string http<PEER_NAME_MAX>;
-  string hall<PEER_NAME_MAX>;
+  opaque peer<PEER_ADDRESS_MAX>;
+  opaque http<PEER_ADDRESS_MAX>;
+  opaque hall<PEER_ADDRESS_MAX>;
+  unsigned hyper counter;
+  unsigned hyper revision;
+  int state;
   bool draining;
+};
+
+struct peer_leaving {
+  unsigned hyper id;
+  opaque endpoint<PEER_ADDRESS_MAX>;
+};
+
+/* A probe, and its answer; in datagrams. */
+struct peer_gossip {
+  peer_member self;
+  peer_member members<PEER_NEWS_MAX>;
+  peer_leaving leaving<PEER_NEWS_MAX>;
+};
+
+/* Asks to probe another host and to hand its answer on. */
+struct peer_relay {
+  opaque target<PEER_ADDRESS_MAX>;
+  peer_gossip gossip;
+};
+
+/* Asks for the changes of configuration after a revision. */
+struct peer_fetch_args {
+  unsigned hyper after;
+};
+
+struct peer_change {
   unsigned hyper revision;
+  opaque kind<PEER_ADDRESS_MAX>;
+  opaque name<PEER_ADDRESS_MAX>;
+  opaque spec<PEER_SPEC_MAX>;
 };
 
-struct peer_hello_res {
-  opaque incarnation[PEER_INCARNATION];
-  string http<PEER_NAME_MAX>;
-  string hall<PEER_NAME_MAX>;
-  bool draining;
+struct peer_fetch_res {
+  bool ready;
+  bool whole;
   unsigned hyper revision;
+  peer_change changes<PEER_CHANGES_MAX>;
 };
 
 struct peer_header {
@@ -63,7 +99,9 @@
 
 program ELMARCH_PEER {
   version ELMARCH_PEER_V1 {
-    peer_sealed PEER_HELLO (peer_sealed) = 1;
+    peer_sealed PEER_GOSSIP (peer_sealed) = 1;
     peer_sealed PEER_FORWARD (peer_sealed) = 2;
+    peer_sealed PEER_RELAY (peer_sealed) = 3;
+    peer_sealed PEER_FETCH (peer_sealed) = 4;
   } = 1;
 } = 0x20656c6d;
--- /dev/null
+++ b/gate/peer_fetch.c
@@ -0,0 +1,128 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Configuration from another host: the changes after what was seen here, or
+ * all of it when the other host does not know of every removal since then.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libpeer.h"
+
+#define FETCH_TIMEOUT (5 * EL_SEC)
+
+/* Changes on their way into a message. */
+typedef struct fetch_list
+{
+  peer_change *list;
+  size_t len;
+} fetch_list_t;
+
+static void
+change_add (void *arg, co_kind_t kind, el_str_t name, uint64_t revision,
+            const co_resource_t *res)
+{
+  fetch_list_t *changes = arg;
+  el_str_t kind_name = el_str (co_kind_name (kind));
+  el_str_t spec = { NULL, 0 };
+  peer_change *change;
+
+  if (changes->len == PEER_CHANGES_MAX)
+    return;
+  changes->list
+      = el_grow (changes->list, changes->len + 1, sizeof *changes->list);
+  change = &changes->list[changes->len++];
+  if (res)
+    spec = el_str (json_dumps (res->json, JSON_COMPACT));
+  change->revision = revision;
+  PEER_BYTES_SET (change->kind, kind, kind_name);
+  PEER_BYTES_SET (change->name, name, name);
+  PEER_BYTES_SET (change->spec, spec, spec);
+}
+
+/** Tell another host what it has not seen. */
+void
+peer_serve_fetch (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+{
+  gt_gate_t *gate = peers->gate;
+  fetch_list_t changes = { NULL, 0 };
+  el_buf_t out = { NULL, 0, 0 };
+  peer_fetch_args args = { 0 };
+  peer_fetch_res res;
+  size_t i;
+
+  memset (&res, 0, sizeof res);
+  if (peer_xdr_read ((xdrproc_t)xdr_peer_fetch_args, body, &args)
+      && gt_sync_ready (gate))
+    {
+      res.ready = 1;
+      res.whole = args.after < gate->history;
+      res.revision = co_config_revision (gate->config);
+      co_config_since (gate->config, res.whole ? 0 : args.after, change_add,
+                       &changes);
+    }
+  res.changes.changes_val = changes.list;
+  res.changes.changes_len = (u_int)changes.len;
+  peer_xdr_write ((xdrproc_t)xdr_peer_fetch_res, &res, &out);
+  gt_rpc_reply (req, el_buf_str (&out));
+  for (i = 0; i < changes.len; i++)
+    free (changes.list[i].spec.spec_val);
+  free (changes.list);
+  el_buf_free (&out);
+}
+
+static void
+fetch_apply (gt_peers_t *peers, const peer_fetch_res *res)
+{
+  gt_sync_t *sync = gt_sync_begin (peers->gate);
+  u_int i;
+
+  for (i = 0; i < res->changes.changes_len; i++)
+    {
+      const peer_change *change = &res->changes.changes_val[i];
+      json_t *spec = change->spec.spec_len ? json_loadb (
+                         change->spec.spec_val, change->spec.spec_len, 0, NULL)
+                                           : NULL;
+      co_kind_t kind;
+
+      if (co_kind_parse (PEER_BYTES_GET (change->kind, kind), &kind))
+        gt_sync_item (sync, kind, PEER_BYTES_GET (change->name, name),
+                      change->revision, spec);
+      json_decref (spec);
+    }
+  gt_sync_end (sync, res->revision, res->whole);
+}
+
+static void
+fetch_done (void *arg, int ok, int sent, el_str_t body)
+{
+  gt_peers_t *peers = arg;
+  peer_fetch_res res;
+
+  (void)sent;
+  peers->fetching = 0;
+  memset (&res, 0, sizeof res);
+  if (ok && peer_xdr_read ((xdrproc_t)xdr_peer_fetch_res, body, &res)
+      && res.ready)
+    fetch_apply (peers, &res);
+  xdr_free ((xdrproc_t)xdr_peer_fetch_res, (char *)&res);
+}
+
+/** Ask FROM for what it has seen and this host has not; one such call at a
+    time. */
+void
+peer_fetch (gt_peers_t *peers, const co_member_t *from)
+{
+  el_buf_t body = { NULL, 0, 0 };
+  peer_fetch_args args = { .after = co_config_revision (peers->gate->config) };
+
+  if (peers->fetching)
+    return;
+  peers->fetching = 1;
+  peer_xdr_write ((xdrproc_t)xdr_peer_fetch_args, &args, &body);
+  gt_rpc_call (peers->rpc, from->peer, PEER_FETCH, el_buf_str (&body),
+               FETCH_TIMEOUT, fetch_done, peers);
+  el_buf_free (&body);
+}
--- /dev/null
+++ b/gate/peer_gossip.c
@@ -0,0 +1,230 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Probes between hosts: the members' messages, in datagrams.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libpeer.h"
+
+#define PROBE_WAIT EL_SEC
+
+/* Waits for the answer to a probe. */
+typedef struct probe_wait
+{
+  gt_peers_t *peers;
+  uint64_t id;
+} probe_wait_t;
+
+/* Waits for an answer that another host asked for. */
+typedef struct relay_wait
+{
+  gt_peers_t *peers;
+  gt_rpc_req_t *req;
+} relay_wait_t;
+
+static void
+member_write (const co_member_t *from, peer_member *to)
+{
+  memcpy (to->incarnation, from->incarnation.byte, CO_INCARNATION_BYTES);
+  PEER_BYTES_SET (to->peer, peer, from->peer);
+  PEER_BYTES_SET (to->http, http, from->http);
+  PEER_BYTES_SET (to->hall, hall, from->hall);
+  to->counter = from->counter;
+  to->revision = from->revision;
+  to->state = from->state;
+  to->draining = from->draining;
+}
+
+static int
+member_read (const peer_member *from, co_member_t *to)
+{
+  memcpy (to->incarnation.byte, from->incarnation, CO_INCARNATION_BYTES);
+  to->peer = PEER_BYTES_GET (from->peer, peer);
+  to->http = PEER_BYTES_GET (from->http, http);
+  to->hall = PEER_BYTES_GET (from->hall, hall);
+  to->counter = from->counter;
+  to->revision = from->revision;
+  to->state = (co_mbr_state_t)from->state;
+  to->draining = from->draining;
+  return from->state >= CO_MBR_ALIVE && from->state <= CO_MBR_LEFT;
+}
+
+/** Append this host's message to the member TO. */
+void
+peer_gossip_write (gt_peers_t *peers, const co_incarnation_t *to,
+                   el_buf_t *out)
+{
+  peer_member members[CO_NEWS_MEMBERS];
+  peer_leaving leaving[CO_NEWS_LEAVING];
+  peer_gossip message;
+  co_gossip_t gossip;
+  size_t i;
+
+  co_members_speak (peers->members, to, &gossip);
+  member_write (&gossip.self, &message.self);
+  for (i = 0; i < gossip.nmembers; i++)
+    member_write (&gossip.members[i], &members[i]);
+  for (i = 0; i < gossip.nleaving; i++)
+    {
+      leaving[i].id = gossip.leaving[i].id;
+      PEER_BYTES_SET (leaving[i].endpoint, endpoint,
+                      gossip.leaving[i].endpoint);
+    }
+  message.members.members_val = members;
+  message.members.members_len = (u_int)gossip.nmembers;
+  message.leaving.leaving_val = leaving;
+  message.leaving.leaving_len = (u_int)gossip.nleaving;
+  peer_xdr_write ((xdrproc_t)xdr_peer_gossip, &message, out);
+}
+
+/* The strings of OUT point into FROM. */
+static int
+gossip_read (const peer_gossip *from, co_gossip_t *out)
+{
+  size_t i;
+  int ok = member_read (&from->self, &out->self);
+
+  ok = ok && from->members.members_len <= CO_NEWS_MEMBERS
+       && from->leaving.leaving_len <= CO_NEWS_LEAVING;
+  if (!ok)
+    return 0;
+  out->nmembers = from->members.members_len;
+  for (i = 0; i < out->nmembers; i++)
+    ok = ok && member_read (&from->members.members_val[i], &out->members[i]);
+  out->nleaving = from->leaving.leaving_len;
+  for (i = 0; i < out->nleaving; i++)
+    {
+      out->leaving[i].id = from->leaving.leaving_val[i].id;
+      out->leaving[i].endpoint
+          = PEER_BYTES_GET (from->leaving.leaving_val[i].endpoint, endpoint);
+    }
+  return ok;
+}
+
+/* A host that has seen more of the configuration is asked for it. */
+static void
+gossip_heard (gt_peers_t *peers, const co_gossip_t *gossip)
+{
+  if (gossip->self.revision > co_config_revision (peers->gate->config))
+    peer_fetch (peers, &gossip->self);
+  peer_ticked (peers);
+}
+
+static void
+probe_done (void *arg, int ok, int sent, el_str_t body)
+{
+  probe_wait_t *wait = arg;
+  gt_peers_t *peers = wait->peers;
+  peer_gossip message;
+  co_gossip_t gossip;
+
+  (void)sent;
+  memset (&message, 0, sizeof message);
+  ok = ok && peer_xdr_read ((xdrproc_t)xdr_peer_gossip, body, &message)
+       && gossip_read (&message, &gossip);
+  co_members_answer (peers->members, gt_clock_now (&peers->gate->clock),
+                     wait->id, ok, &gossip);
+  if (ok)
+    gossip_heard (peers, &gossip);
+  xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&message);
+  free (wait);
+}
+
+/** Probe a host, by way of another when VIA is given. */
+void
+peer_probe (void *arg, uint64_t id, el_str_t address, el_str_t via)
+{
+  gt_peers_t *peers = arg;
+  probe_wait_t *wait = el_alloc (sizeof *wait);
+  el_buf_t body = { NULL, 0, 0 };
+  el_buf_t relayed = { NULL, 0, 0 };
+  peer_relay relay;
+
+  wait->peers = peers;
+  wait->id = id;
+  peer_gossip_write (peers, NULL, &body);
+  if (via.len == 0)
+    gt_rpc_send (peers->rpc, address, PEER_GOSSIP, el_buf_str (&body),
+                 PROBE_WAIT, probe_done, wait);
+  else
+    {
+      memset (&relay, 0, sizeof relay);
+      PEER_BYTES_SET (relay.target, target, address);
+      if (peer_xdr_read ((xdrproc_t)xdr_peer_gossip, el_buf_str (&body),
+                         &relay.gossip))
+        peer_xdr_write ((xdrproc_t)xdr_peer_relay, &relay, &relayed);
+      xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&relay.gossip);
+      gt_rpc_send (peers->rpc, via, PEER_RELAY, el_buf_str (&relayed),
+                   PROBE_WAIT, probe_done, wait);
+      el_buf_free (&relayed);
+    }
+  el_buf_free (&body);
+}
+
+/** Answer a probe. */
+void
+peer_serve_gossip (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+{
+  el_buf_t out = { NULL, 0, 0 };
+  peer_gossip message;
+  co_gossip_t gossip;
+
+  memset (&message, 0, sizeof message);
+  if (peer_xdr_read ((xdrproc_t)xdr_peer_gossip, body, &message)
+      && gossip_read (&message, &gossip))
+    {
+      co_members_hear (peers->members, gt_clock_now (&peers->gate->clock),
+                       &gossip);
+      gossip_heard (peers, &gossip);
+      peer_gossip_write (peers, &gossip.self.incarnation, &out);
+    }
+  else
+    peers->gate->counts.rpc_refused++;
+  gt_rpc_reply (req, el_buf_str (&out));
+  xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&message);
+  el_buf_free (&out);
+}
+
+/* Hand the target's own answer on; without one the asker waits in vain, as it
+   would for the target. */
+static void
+relay_done (void *arg, int ok, int sent, el_str_t body)
+{
+  relay_wait_t *wait = arg;
+
+  (void)sent;
+  gt_rpc_reply (wait->req, ok ? body : (el_str_t){ NULL, 0 });
+  free (wait);
+}
+
+/** Probe another host on behalf of the one that asks. */
+void
+peer_serve_relay (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+{
+  relay_wait_t *wait;
+  el_buf_t out = { NULL, 0, 0 };
+  peer_relay relay;
+
+  memset (&relay, 0, sizeof relay);
+  if (!peer_xdr_read ((xdrproc_t)xdr_peer_relay, body, &relay))
+    {
+      peers->gate->counts.rpc_refused++;
+      gt_rpc_reply (req, (el_str_t){ NULL, 0 });
+    }
+  else
+    {
+      wait = el_alloc (sizeof *wait);
+      wait->peers = peers;
+      wait->req = req;
+      peer_xdr_write ((xdrproc_t)xdr_peer_gossip, &relay.gossip, &out);
+      gt_rpc_send (peers->rpc, PEER_BYTES_GET (relay.target, target),
+                   PEER_GOSSIP, el_buf_str (&out), PROBE_WAIT, relay_done,
+                   wait);
+    }
+  xdr_free ((xdrproc_t)xdr_peer_relay, (char *)&relay);
+  el_buf_free (&out);
+}
--- a/gate/peer_proto.h
+++ b/gate/peer_proto.h
@@ -19,6 +19,10 @@
 #define PEER_NAME_MAX 512
 #define PEER_HEADERS_MAX 100
 #define PEER_INCARNATION 16
+#define PEER_ADDRESS_MAX 64
+#define PEER_NEWS_MAX 8
+#define PEER_SPEC_MAX 1048576
+#define PEER_CHANGES_MAX 65536
 
 struct peer_sealed {
 	char mac[PEER_MAC];
@@ -29,23 +33,90 @@
 };
 typedef struct peer_sealed peer_sealed;
 
-struct peer_hello_args {
+struct peer_member {
 	char incarnation[PEER_INCARNATION];
-	char *http;
-	char *hall;
+	struct {
+		u_int peer_len;
+		char *peer_val;
+	} peer;
+	struct {
+		u_int http_len;
+		char *http_val;
+	} http;
+	struct {
+		u_int hall_len;
+		char *hall_val;
+	} hall;
+	u_quad_t counter;
+	u_quad_t revision;
+	int state;
 	bool_t draining;
+};
+typedef struct peer_member peer_member;
+
+struct peer_leaving {
+	u_quad_t id;
+	struct {
+		u_int endpoint_len;
+		char *endpoint_val;
+	} endpoint;
+};
+typedef struct peer_leaving peer_leaving;
+
+struct peer_gossip {
+	peer_member self;
+	struct {
+		u_int members_len;
+		peer_member *members_val;
+	} members;
+	struct {
+		u_int leaving_len;
+		peer_leaving *leaving_val;
+	} leaving;
+};
+typedef struct peer_gossip peer_gossip;
+
+struct peer_relay {
+	struct {
+		u_int target_len;
+		char *target_val;
+	} target;
+	peer_gossip gossip;
+};
+typedef struct peer_relay peer_relay;
+
+struct peer_fetch_args {
+	u_quad_t after;
+};
+typedef struct peer_fetch_args peer_fetch_args;
+
+struct peer_change {
 	u_quad_t revision;
+	struct {
+		u_int kind_len;
+		char *kind_val;
+	} kind;
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	struct {
+		u_int spec_len;
+		char *spec_val;
+	} spec;
 };
-typedef struct peer_hello_args peer_hello_args;
+typedef struct peer_change peer_change;
 
-struct peer_hello_res {
-	char incarnation[PEER_INCARNATION];
-	char *http;
-	char *hall;
-	bool_t draining;
+struct peer_fetch_res {
+	bool_t ready;
+	bool_t whole;
 	u_quad_t revision;
+	struct {
+		u_int changes_len;
+		peer_change *changes_val;
+	} changes;
 };
-typedef struct peer_hello_res peer_hello_res;
+typedef struct peer_fetch_res peer_fetch_res;
 
 struct peer_header {
 	struct {
@@ -110,21 +181,33 @@
 #define ELMARCH_PEER_V1 1
 
 #if defined(__STDC__) || defined(__cplusplus)
-#define PEER_HELLO 1
-extern  peer_sealed * peer_hello_1(peer_sealed *, CLIENT *);
-extern  peer_sealed * peer_hello_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_GOSSIP 1
+extern  peer_sealed * peer_gossip_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_gossip_1_svc(peer_sealed *, struct svc_req *);
 #define PEER_FORWARD 2
 extern  peer_sealed * peer_forward_1(peer_sealed *, CLIENT *);
 extern  peer_sealed * peer_forward_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_RELAY 3
+extern  peer_sealed * peer_relay_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_relay_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_FETCH 4
+extern  peer_sealed * peer_fetch_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_fetch_1_svc(peer_sealed *, struct svc_req *);
 extern int elmarch_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
-#define PEER_HELLO 1
-extern  peer_sealed * peer_hello_1();
-extern  peer_sealed * peer_hello_1_svc();
+#define PEER_GOSSIP 1
+extern  peer_sealed * peer_gossip_1();
+extern  peer_sealed * peer_gossip_1_svc();
 #define PEER_FORWARD 2
 extern  peer_sealed * peer_forward_1();
 extern  peer_sealed * peer_forward_1_svc();
+#define PEER_RELAY 3
+extern  peer_sealed * peer_relay_1();
+extern  peer_sealed * peer_relay_1_svc();
+#define PEER_FETCH 4
+extern  peer_sealed * peer_fetch_1();
+extern  peer_sealed * peer_fetch_1_svc();
 extern int elmarch_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -132,16 +215,26 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_peer_sealed (XDR *, peer_sealed*);
-extern  bool_t xdr_peer_hello_args (XDR *, peer_hello_args*);
-extern  bool_t xdr_peer_hello_res (XDR *, peer_hello_res*);
+extern  bool_t xdr_peer_member (XDR *, peer_member*);
+extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
+extern  bool_t xdr_peer_gossip (XDR *, peer_gossip*);
+extern  bool_t xdr_peer_relay (XDR *, peer_relay*);
+extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
+extern  bool_t xdr_peer_change (XDR *, peer_change*);
+extern  bool_t xdr_peer_fetch_res (XDR *, peer_fetch_res*);
 extern  bool_t xdr_peer_header (XDR *, peer_header*);
 extern  bool_t xdr_peer_forward_args (XDR *, peer_forward_args*);
 extern  bool_t xdr_peer_forward_res (XDR *, peer_forward_res*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_sealed ();
-extern bool_t xdr_peer_hello_args ();
-extern bool_t xdr_peer_hello_res ();
+extern bool_t xdr_peer_member ();
+extern bool_t xdr_peer_leaving ();
+extern bool_t xdr_peer_gossip ();
+extern bool_t xdr_peer_relay ();
+extern bool_t xdr_peer_fetch_args ();
+extern bool_t xdr_peer_change ();
+extern bool_t xdr_peer_fetch_res ();
 extern bool_t xdr_peer_header ();
 extern bool_t xdr_peer_forward_args ();
 extern bool_t xdr_peer_forward_res ();
--- a/gate/peer_xdr.c
+++ b/gate/peer_xdr.c
@@ -19,40 +19,110 @@
 }
 
 bool_t
-xdr_peer_hello_args (XDR *xdrs, peer_hello_args *objp)
+xdr_peer_member (XDR *xdrs, peer_member *objp)
 {
 	register int32_t *buf;
 
 	int i;
 	 if (!xdr_opaque (xdrs, objp->incarnation, PEER_INCARNATION))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->http, PEER_NAME_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->peer.peer_val, (u_int *) &objp->peer.peer_len, PEER_ADDRESS_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->hall, PEER_NAME_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->http.http_val, (u_int *) &objp->http.http_len, PEER_ADDRESS_MAX))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
+	 if (!xdr_bytes (xdrs, (char **)&objp->hall.hall_val, (u_int *) &objp->hall.hall_len, PEER_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->counter))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_peer_hello_res (XDR *xdrs, peer_hello_res *objp)
+xdr_peer_leaving (XDR *xdrs, peer_leaving *objp)
 {
 	register int32_t *buf;
 
-	int i;
-	 if (!xdr_opaque (xdrs, objp->incarnation, PEER_INCARNATION))
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->endpoint.endpoint_val, (u_int *) &objp->endpoint.endpoint_len, PEER_ADDRESS_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_gossip (XDR *xdrs, peer_gossip *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_member (xdrs, &objp->self))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->http, PEER_NAME_MAX))
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, PEER_NEWS_MAX,
+		sizeof (peer_member), (xdrproc_t) xdr_peer_member))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->hall, PEER_NAME_MAX))
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_NEWS_MAX,
+		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->draining))
+	return TRUE;
+}
+
+bool_t
+xdr_peer_relay (XDR *xdrs, peer_relay *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->target.target_val, (u_int *) &objp->target.target_len, PEER_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_peer_gossip (xdrs, &objp->gossip))
 		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_fetch_args (XDR *xdrs, peer_fetch_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_change (XDR *xdrs, peer_change *objp)
+{
+	register int32_t *buf;
+
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->kind.kind_val, (u_int *) &objp->kind.kind_len, PEER_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, PEER_ADDRESS_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->spec.spec_val, (u_int *) &objp->spec.spec_len, PEER_SPEC_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_fetch_res (XDR *xdrs, peer_fetch_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->ready))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, PEER_CHANGES_MAX,
+		sizeof (peer_change), (xdrproc_t) xdr_peer_change))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/gate/platform.c
+++ b/gate/platform.c
@@ -15,6 +15,9 @@
 #define WATCH_TIMEOUT (25 * EL_SEC)
 #define CALL_TIMEOUT (2 * EL_SEC)
 #define HOSTS_EVERY (500 * EL_MSEC)
+#define CHOSEN_LOOK_EVERY (500 * EL_MSEC)
+#define WATCHERS_IN_HALL 2
+#define PEERS_FIRST (2 * EL_SEC)
 #define BACKOFF_FIRST (100 * EL_MSEC)
 #define BACKOFF_MAX (10 * EL_SEC)
 #define PUT_TRIES 4
@@ -43,9 +46,9 @@
   el_timer_t watch_timer;
   el_timer_t hosts_timer;
   unsigned failures;
-  int synced;      /* a range was read, and the watch goes on from it */
-  int ready;       /* a range was read once */
-  json_t *leaving; /* names that the list holds as leaving */
+  int behind; /* the watch can't go on: read all */
+  int whole;  /* the call that is out reads all */
+  el_time_t began;
   put_op_t *puts;
 };
 
@@ -87,101 +90,20 @@
   return wait / 2 + gt_random (platform->gate) % (wait / 2 + 1);
 }
 
-static void
-item_apply (gt_platform_t *platform, const gt_kv_item_t *item)
-{
-  gt_gate_t *gate = platform->gate;
-  co_resource_t *res;
-  el_status_t status;
-  el_err_t err;
-
-  if (!item->spec)
-    status = co_config_remove (gate->config, item->kind, item->name,
-                               item->revision, &err);
-  else
-    {
-      res = co_resource_parse (item->kind, item->name, item->spec,
-                               item->revision, &err);
-      if (!res)
-        {
-          EL_LOG (EL_LOG_WARN, "config_refused",
-                  EL_FC ("kind", co_kind_name (item->kind)),
-                  EL_FS ("name", item->name), EL_FC ("reason", err.msg));
-          return;
-        }
-      status = co_config_apply (gate->config, res, &err);
-    }
-  if (status)
-    gate->counts.config_stale++;
-  else
-    gate->counts.config_applied++;
-}
-
-/* What a range no longer holds was removed while no watch was open. */
-typedef struct prune_arg
-{
-  json_t *seen;
-  json_t *gone;
-} prune_arg_t;
-
-static void
-prune_key (char *out, size_t size, co_kind_t kind, el_str_t name)
-{
-  snprintf (out, size, "%s/%.*s", co_kind_name (kind), (int)name.len,
-            name.ptr);
-}
-
-static void
-prune_visit (void *arg, const co_resource_t *res)
-{
-  prune_arg_t *prune = arg;
-  char key[CO_NAME_MAX * 2];
-
-  prune_key (key, sizeof key, res->kind, res->name);
-  if (!json_object_get (prune->seen, key))
-    json_object_set_new (prune->gone, key, json_true ());
-}
-
-static void
-range_prune (gt_platform_t *platform, json_t *seen, uint64_t revision)
-{
-  prune_arg_t prune = { seen, json_object () };
-  const char *key;
-  json_t *value;
-  el_str_t rest;
-  co_kind_t kind;
-
-  co_config_visit (platform->gate->config, prune_visit, &prune);
-  json_object_foreach (prune.gone, key, value)
-  {
-    rest = el_str (key);
-    if (co_kind_parse (el_str_cut (&rest, '/'), &kind))
-      co_config_remove (platform->gate->config, kind, rest, revision, NULL);
-  }
-  json_decref (prune.gone);
-}
-
 static void
 list_apply (gt_platform_t *platform, const gt_kv_list_t *list, int whole)
 {
-  json_t *seen = json_object ();
-  char key[CO_NAME_MAX * 2];
+  gt_sync_t *sync = gt_sync_begin (platform->gate);
   gt_kv_item_t item;
   json_t *json;
   size_t i;
 
   json_array_foreach (list->items, i, json)
   {
-    if (!gt_kv_http.read_item (json, &item))
-      continue;
-    prune_key (key, sizeof key, item.kind, item.name);
-    json_object_set_new (seen, key, json_true ());
-    item_apply (platform, &item);
+    if (gt_kv_http.read_item (json, &item))
+      gt_sync_item (sync, item.kind, item.name, item.revision, item.spec);
   }
-  if (whole)
-    range_prune (platform, seen, list->revision);
-  co_config_advance (platform->gate->config, list->revision);
-  json_decref (seen);
+  gt_sync_end (sync, list->revision, whole);
 }
 
 static void
@@ -190,32 +112,40 @@
   gt_platform_t *platform = arg;
   gt_kv_list_t list = { 0 };
   el_time_t wait = 0;
-  int whole = !platform->synced;
 
   platform->watch = NULL;
   if (result->net != GT_NET_OK)
     wait = platform_backoff (platform);
   else if (gt_kv_http.read_list (result, &list))
     {
-      list_apply (platform, &list, whole);
-      if (whole)
-        EL_LOG (EL_LOG_INFO, "config_synced",
-                EL_FN ("revision", list.revision),
-                EL_FN ("resources", co_config_count (platform->gate->config)));
-      platform->synced = 1;
-      platform->ready = 1;
+      list_apply (platform, &list, platform->whole);
+      platform->behind = 0;
       platform->failures = 0;
     }
   else
     {
       if (list.compacted)
-        platform->synced = 0;
+        platform->behind = 1;
       wait = platform_backoff (platform);
     }
   json_decref (list.json);
   gt_clock_set (&platform->gate->clock, &platform->watch_timer, wait);
 }
 
+/* A few hosts of each hall ask the platform; the others hear it from them, so
+   that its calls grow with the halls. A host without a configuration asks for
+   itself once others had time to tell it. */
+static int
+platform_asks (gt_platform_t *platform)
+{
+  gt_gate_t *gate = platform->gate;
+
+  if (gt_peers_chosen (gate->peers, WATCHERS_IN_HALL))
+    return 1;
+  return !gt_sync_ready (gate)
+         && gt_clock_now (&gate->clock) > platform->began + PEERS_FIRST;
+}
+
 static void
 watch_begin (void *arg, el_time_t now)
 {
@@ -223,53 +153,44 @@
   el_buf_t path = { NULL, 0, 0 };
 
   (void)now;
-  if (platform->synced)
+  if (!platform_asks (platform))
+    {
+      gt_clock_set (&platform->gate->clock, &platform->watch_timer,
+                    CHOSEN_LOOK_EVERY);
+      return;
+    }
+  platform->whole = platform->behind || !gt_sync_ready (platform->gate);
+  if (platform->whole)
+    gt_kv_http.range (&path);
+  else
     gt_kv_http.watch (&path, co_config_revision (platform->gate->config),
                       WATCH_WAIT_MS);
-  else
-    gt_kv_http.range (&path);
   platform->watch = platform_send (
       platform, "GET", &path, NULL,
-      platform->synced ? WATCH_TIMEOUT : CALL_TIMEOUT, watch_done, platform);
+      platform->whole ? CALL_TIMEOUT : WATCH_TIMEOUT, watch_done, platform);
   el_buf_free (&path);
 }
 
-static void
-leaving_tell (gt_platform_t *platform, const char *name, int leaving)
-{
-  rt_event_t event
-      = { .kind = RT_EV_LEAVING, .target = el_str (name), .leaving = leaving };
-
-  EL_LOG (EL_LOG_INFO, "endpoint_listed", EL_FC ("endpoint", name),
-          EL_FC ("state", leaving ? "leaving" : "live"));
-  gt_router_event (platform->gate, &event);
-}
-
+/* The list lags, and says the same again each time: while it names an endpoint
+   as leaving, the sign is given here and to the other hosts anew. */
 static void
 hosts_apply (gt_platform_t *platform, json_t *hosts)
 {
-  json_t *leaving = json_object ();
-  const char *name;
+  rt_event_t event = { .kind = RT_EV_LEAVING, .leaving = 1 };
+  const char *state;
   json_t *host;
-  json_t *value;
   size_t i;
 
   json_array_foreach (hosts, i, host)
   {
-    const char *state = json_string_value (json_object_get (host, "state"));
-
-    name = json_string_value (json_object_get (host, "endpoint"));
-    if (name && state && strcmp (state, "leaving") == 0)
-      json_object_set_new (leaving, name, json_true ());
+    state = json_string_value (json_object_get (host, "state"));
+    event.target
+        = el_str (json_string_value (json_object_get (host, "endpoint")));
+    if (!state || strcmp (state, "leaving") != 0 || !event.target.len)
+      continue;
+    gt_router_event (platform->gate, &event);
+    gt_peers_endpoint_leaves (platform->gate->peers, event.target);
   }
-  json_object_foreach (leaving, name,
-                       value) if (!json_object_get (platform->leaving, name))
-      leaving_tell (platform, name, 1);
-  json_object_foreach (platform->leaving, name,
-                       value) if (!json_object_get (leaving, name))
-      leaving_tell (platform, name, 0);
-  json_decref (platform->leaving);
-  platform->leaving = leaving;
 }
 
 static void
@@ -295,6 +216,12 @@
   el_buf_t path = { NULL, 0, 0 };
 
   (void)now;
+  if (!gt_peers_chosen (platform->gate->peers, WATCHERS_IN_HALL))
+    {
+      gt_clock_set (&platform->gate->clock, &platform->hosts_timer,
+                    HOSTS_EVERY);
+      return;
+    }
   gt_kv_http.hosts (&path);
   platform->hosts = platform_send (platform, "GET", &path, NULL, CALL_TIMEOUT,
                                    hosts_done, platform);
@@ -307,7 +234,7 @@
   gt_platform_t *platform = el_alloc (sizeof *platform);
 
   platform->gate = gate;
-  platform->leaving = json_object ();
+  platform->began = gt_clock_now (&gate->clock);
   platform->watch_timer.cb = watch_begin;
   platform->watch_timer.arg = platform;
   platform->hosts_timer.cb = hosts_begin;
@@ -330,16 +257,24 @@
   free (op);
 }
 
+/* Put a change of this host's own in force before the watch brings it. What
+   others changed before is not yet seen, so the revision stays. */
 static void
-put_end (put_op_t *op, gt_put_t outcome, uint64_t revision)
+put_apply (put_op_t *op, uint64_t revision)
 {
-  gt_kv_item_t item = { .kind = op->change.kind,
-                        .name = op->change.name,
-                        .revision = revision,
-                        .spec = op->change.spec };
+  gt_gate_t *gate = op->platform->gate;
+  gt_sync_t *sync = gt_sync_begin (gate);
+
+  gt_sync_item (sync, op->change.kind, op->change.name, revision,
+                op->change.spec);
+  gt_sync_end (sync, co_config_revision (gate->config), 0);
+}
 
+static void
+put_end (put_op_t *op, gt_put_t outcome, uint64_t revision)
+{
   if (outcome == GT_PUT_ACCEPTED && revision)
-    item_apply (op->platform, &item);
+    put_apply (op, revision);
   op->done (op->arg, outcome, revision);
   put_free (op);
 }
@@ -431,13 +366,6 @@
   put_send (op, 0);
 }
 
-/** Whether there is a configuration to serve with. */
-int
-gt_platform_synced (const gt_platform_t *platform)
-{
-  return platform->ready;
-}
-
 /** Send the platform nothing more. */
 void
 gt_platform_stop (gt_platform_t *platform)
--- a/gate/rpc.c
+++ b/gate/rpc.c
@@ -3,9 +3,9 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * ONC RPC over TCP on libuv. A record that is too long, truncated, of another
- * program or version, or not sealed with the key is refused and counted; the
- * connection that brought it is closed.
+ * ONC RPC over TCP and UDP on libuv. A record that is too long, truncated, of
+ * another program or version, or not sealed with the key is refused and
+ * counted; the connection that brought it is closed.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -34,7 +34,8 @@
 {
   uint32_t xid; /* key */
   uint32_t proc;
-  rpc_conn_t *conn;
+  rpc_conn_t *conn; /* NULL for a datagram */
+  gt_rpc_t *rpc;
   gt_rpc_done_fn done;
   void *arg;
   el_timer_t timer;
@@ -60,7 +61,9 @@
 
 struct gt_rpc_req
 {
-  rpc_conn_t *conn;
+  gt_rpc_t *rpc;
+  rpc_conn_t *conn;        /* NULL for a datagram */
+  struct sockaddr_in from; /* of a datagram */
   uint32_t xid;
   uint32_t proc;
 };
@@ -69,6 +72,8 @@
 {
   gt_rpc_options_t options;
   uv_tcp_t listener;
+  uv_udp_t datagrams;
+  char datagram[READ_CHUNK];
   rpc_conn_t *clients; /* by address */
   rpc_conn_t *conns;   /* all */
   rpc_call_t *calls;
@@ -76,6 +81,12 @@
   int stopped;
 };
 
+typedef struct rpc_datagram
+{
+  uv_udp_send_t req;
+  el_buf_t buf;
+} rpc_datagram_t;
+
 typedef struct rpc_write
 {
   uv_write_t req;
@@ -190,11 +201,12 @@
   el_buf_free (&text);
 }
 
-/* Append a record: MSG, then the sealed body. */
+/* Append MSG and the sealed body; a RECORD has its mark before it. */
 static void
-record_write (gt_rpc_t *rpc, el_buf_t *out, struct rpc_msg *msg,
-              char direction, uint32_t proc, el_str_t body)
+record_write (gt_rpc_t *rpc, el_buf_t *out, struct rpc_msg *msg, int record,
+              uint32_t proc, el_str_t body)
 {
+  char direction = msg->rm_direction == CALL ? 'c' : 'r';
   size_t size = HEAD_ROOM + body.len;
   char *bytes = el_alloc (size);
   peer_sealed sealed;
@@ -211,7 +223,8 @@
   if (ok && xdr_peer_sealed (&xdr, &sealed))
     {
       mark = htonl (RECORD_LAST | xdr_getpos (&xdr));
-      el_buf_add (out, (el_str_t){ (char *)&mark, MARK_BYTES });
+      if (record)
+        el_buf_add (out, (el_str_t){ (char *)&mark, MARK_BYTES });
       el_buf_add (out, (el_str_t){ bytes, xdr_getpos (&xdr) });
     }
   xdr_destroy (&xdr);
@@ -219,10 +232,40 @@
 }
 
 static void
-conn_refuse (rpc_conn_t *conn)
+datagram_done (uv_udp_send_t *req, int status)
 {
-  ++*conn->rpc->options.refused;
-  conn_close (conn);
+  rpc_datagram_t *datagram = (rpc_datagram_t *)req;
+
+  (void)status;
+  el_buf_free (&datagram->buf);
+  free (datagram);
+}
+
+/* Send what BUF holds; takes its memory over. A datagram that is lost on the
+   way is noticed by whoever waits for its answer. */
+static void
+datagram_write (gt_rpc_t *rpc, const struct sockaddr_in *to, el_buf_t *buf)
+{
+  rpc_datagram_t *datagram = el_alloc (sizeof *datagram);
+  uv_buf_t uv;
+
+  datagram->buf = *buf;
+  *buf = (el_buf_t){ NULL, 0, 0 };
+  uv = uv_buf_init (datagram->buf.ptr, (unsigned)datagram->buf.len);
+  ++*rpc->options.messages;
+  *rpc->options.bytes += datagram->buf.len;
+  if (uv_udp_send (&datagram->req, &rpc->datagrams, &uv, 1,
+                   (const struct sockaddr *)to, datagram_done))
+    datagram_done (&datagram->req, -1);
+}
+
+/* A message is no message from a host of ours. */
+static void
+refuse (gt_rpc_t *rpc, rpc_conn_t *conn)
+{
+  ++*rpc->options.refused;
+  if (conn)
+    conn_close (conn);
 }
 
 /* Read the sealed body behind a message; gives 0 when the code does not
@@ -243,9 +286,9 @@
 }
 
 static void
-server_record (rpc_conn_t *conn, XDR *xdr)
+server_record (gt_rpc_t *rpc, rpc_conn_t *conn, const struct sockaddr_in *from,
+               XDR *xdr)
 {
-  gt_rpc_t *rpc = conn->rpc;
   char cred[MAX_AUTH_BYTES];
   char verf[MAX_AUTH_BYTES];
   struct rpc_msg msg;
@@ -264,23 +307,26 @@
                        msg.rm_xid, &sealed))
     {
       xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
-      conn_refuse (conn);
+      refuse (rpc, conn);
       return;
     }
   req = el_alloc (sizeof *req);
+  req->rpc = rpc;
   req->conn = conn;
+  if (from)
+    req->from = *from;
   req->xid = msg.rm_xid;
   req->proc = (uint32_t)msg.rm_call.cb_proc;
-  conn->refs++;
+  if (conn)
+    conn->refs++;
   body = (el_str_t){ sealed.body.body_val, sealed.body.body_len };
   rpc->options.serve (rpc->options.arg, req, req->proc, body);
   xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
 }
 
 static void
-client_record (rpc_conn_t *conn, XDR *xdr)
+client_record (gt_rpc_t *rpc, rpc_conn_t *conn, XDR *xdr)
 {
-  gt_rpc_t *rpc = conn->rpc;
   char verf[MAX_AUTH_BYTES];
   struct rpc_msg msg;
   peer_sealed sealed;
@@ -301,7 +347,7 @@
       || !sealed_read (rpc, xdr, 'r', call->proc, call->xid, &sealed))
     {
       xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
-      conn_refuse (conn);
+      refuse (rpc, conn);
       return;
     }
   call_end (rpc, call, 1, 1,
@@ -316,9 +362,9 @@
 
   xdrmem_create (&xdr, bytes, (u_int)len, XDR_DECODE);
   if (conn->server)
-    server_record (conn, &xdr);
+    server_record (conn->rpc, conn, NULL, &xdr);
   else
-    client_record (conn, &xdr);
+    client_record (conn->rpc, conn, &xdr);
   xdr_destroy (&xdr);
 }
 
@@ -337,7 +383,7 @@
       len = mark & ~RECORD_LAST;
       if (!(mark & RECORD_LAST) || len > RECORD_MAX)
         {
-          conn_refuse (conn);
+          refuse (conn->rpc, conn);
           return;
         }
       if (conn->in.len - at - MARK_BYTES < len)
@@ -376,6 +422,41 @@
   conn_unref (conn);
 }
 
+static void
+datagram_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  gt_rpc_t *rpc = handle->data;
+
+  (void)size;
+  *buf = uv_buf_init (rpc->datagram, sizeof rpc->datagram);
+}
+
+/* The second word of a message tells a call from an answer. */
+static void
+datagram_read (uv_udp_t *handle, ssize_t nread, const uv_buf_t *buf,
+               const struct sockaddr *from, unsigned flags)
+{
+  gt_rpc_t *rpc = handle->data;
+  uint32_t words[2];
+  XDR xdr;
+
+  (void)flags;
+  if (nread <= 0 || !from)
+    return;
+  if ((size_t)nread < sizeof words)
+    {
+      refuse (rpc, NULL);
+      return;
+    }
+  memcpy (words, buf->base, sizeof words);
+  xdrmem_create (&xdr, buf->base, (u_int)nread, XDR_DECODE);
+  if (ntohl (words[1]) == CALL)
+    server_record (rpc, NULL, (const struct sockaddr_in *)from, &xdr);
+  else
+    client_record (rpc, NULL, &xdr);
+  xdr_destroy (&xdr);
+}
+
 static void
 server_accept (uv_stream_t *listener, int status)
 {
@@ -418,11 +499,18 @@
   rc = uv_tcp_bind (&rpc->listener, (struct sockaddr *)&addr, 0);
   if (rc == 0)
     rc = uv_listen ((uv_stream_t *)&rpc->listener, BACKLOG, server_accept);
+  uv_udp_init (options->clock->loop, &rpc->datagrams);
+  rpc->datagrams.data = rpc;
+  if (rc == 0)
+    rc = uv_udp_bind (&rpc->datagrams, (struct sockaddr *)&addr, 0);
+  if (rc == 0)
+    rc = uv_udp_recv_start (&rpc->datagrams, datagram_alloc, datagram_read);
   if (rc == 0)
     return rpc;
   el_err_set (err, EL_SYSTEM, "%.*s: %s", (int)options->listen.len,
               options->listen.ptr, uv_strerror (rc));
-  uv_close ((uv_handle_t *)&rpc->listener, (uv_close_cb)free);
+  uv_close ((uv_handle_t *)&rpc->listener, NULL);
+  uv_close ((uv_handle_t *)&rpc->datagrams, NULL);
   return NULL;
 }
 
@@ -480,31 +568,21 @@
   rpc_call_t *call = arg;
 
   (void)now;
-  call_end (call->conn->rpc, call, 0, call->conn->open, (el_str_t){ NULL, 0 });
+  call_end (call->rpc, call, 0, !call->conn || call->conn->open,
+            (el_str_t){ NULL, 0 });
 }
 
-/** Call procedure PROC at ADDRESS; DONE is called once, at the latest after
-    TIMEOUT microseconds. */
-void
-gt_rpc_call (gt_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
-             el_time_t timeout, gt_rpc_done_fn done, void *arg)
+/* Begin a call: remember who waits, and write the message. */
+static void
+call_begin (gt_rpc_t *rpc, const rpc_call_t *like, el_str_t body,
+            el_time_t timeout, el_buf_t *record)
 {
-  rpc_conn_t *conn = rpc->stopped ? NULL : client_conn (rpc, address);
+  rpc_call_t *call = el_alloc (sizeof *call);
   struct rpc_msg msg;
-  el_buf_t record = { NULL, 0, 0 };
-  rpc_call_t *call;
 
-  if (!conn)
-    {
-      done (arg, 0, 0, (el_str_t){ NULL, 0 });
-      return;
-    }
-  call = el_alloc (sizeof *call);
+  *call = *like;
+  call->rpc = rpc;
   call->xid = rpc->next_xid++;
-  call->proc = proc;
-  call->conn = conn;
-  call->done = done;
-  call->arg = arg;
   call->timer.cb = call_timeout;
   call->timer.arg = call;
   HASH_ADD (hh, rpc->calls, xid, sizeof call->xid, call);
@@ -515,8 +593,26 @@
   msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
   msg.rm_call.cb_prog = ELMARCH_PEER;
   msg.rm_call.cb_vers = ELMARCH_PEER_V1;
-  msg.rm_call.cb_proc = proc;
-  record_write (rpc, &record, &msg, 'c', proc, body);
+  msg.rm_call.cb_proc = call->proc;
+  record_write (rpc, record, &msg, call->conn != NULL, call->proc, body);
+}
+
+/** Call procedure PROC at ADDRESS; DONE is called once, at the latest after
+    TIMEOUT microseconds. */
+void
+gt_rpc_call (gt_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
+             el_time_t timeout, gt_rpc_done_fn done, void *arg)
+{
+  rpc_conn_t *conn = rpc->stopped ? NULL : client_conn (rpc, address);
+  rpc_call_t like = { .proc = proc, .conn = conn, .done = done, .arg = arg };
+  el_buf_t record = { NULL, 0, 0 };
+
+  if (!conn)
+    {
+      done (arg, 0, 0, (el_str_t){ NULL, 0 });
+      return;
+    }
+  call_begin (rpc, &like, body, timeout, &record);
   if (conn->open)
     conn_write (conn, &record);
   else
@@ -526,10 +622,29 @@
     }
 }
 
+/** As gt_rpc_call, in a datagram: for what is small and may be lost. */
+void
+gt_rpc_send (gt_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
+             el_time_t timeout, gt_rpc_done_fn done, void *arg)
+{
+  rpc_call_t like = { .proc = proc, .done = done, .arg = arg };
+  el_buf_t record = { NULL, 0, 0 };
+  struct sockaddr_in to;
+
+  if (rpc->stopped || !gt_address_parse (address, &to))
+    {
+      done (arg, 0, 0, (el_str_t){ NULL, 0 });
+      return;
+    }
+  call_begin (rpc, &like, body, timeout, &record);
+  datagram_write (rpc, &to, &record);
+}
+
 /** Answer a call that was served, and forget it. */
 void
 gt_rpc_reply (gt_rpc_req_t *req, el_str_t body)
 {
+  gt_rpc_t *rpc = req->rpc;
   rpc_conn_t *conn = req->conn;
   el_buf_t record = { NULL, 0, 0 };
   struct rpc_msg msg;
@@ -540,12 +655,16 @@
   msg.rm_reply.rp_stat = MSG_ACCEPTED;
   msg.acpted_rply.ar_stat = SUCCESS;
   msg.acpted_rply.ar_results.proc = rpc_void;
-  if (!conn->closing)
+  if (!rpc->stopped && !(conn && conn->closing))
     {
-      record_write (conn->rpc, &record, &msg, 'r', req->proc, body);
-      conn_write (conn, &record);
+      record_write (rpc, &record, &msg, conn != NULL, req->proc, body);
+      if (conn)
+        conn_write (conn, &record);
+      else
+        datagram_write (rpc, &req->from, &record);
     }
-  conn_unref (conn);
+  if (conn)
+    conn_unref (conn);
   free (req);
 }
 
@@ -557,6 +676,7 @@
     return;
   rpc->stopped = 1;
   uv_close ((uv_handle_t *)&rpc->listener, NULL);
+  uv_close ((uv_handle_t *)&rpc->datagrams, NULL);
   while (rpc->conns)
     conn_close (rpc->conns);
 }
--- a/gate/rpc.h
+++ b/gate/rpc.h
@@ -3,7 +3,8 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * ONC RPC version 2 over TCP (RFC 5531) on libuv, with libtirpc's codecs.
+ * ONC RPC version 2 over TCP and UDP (RFC 5531) on libuv, with libtirpc's
+ * codecs.
  * Calls and results travel as sealed bodies: opaque bytes with an
  * authentication code over direction, procedure, transaction and body.
  */
@@ -39,6 +40,9 @@
 void gt_rpc_call (gt_rpc_t *rpc, el_str_t address, uint32_t proc,
                   el_str_t body, el_time_t timeout, gt_rpc_done_fn done,
                   void *arg);
+void gt_rpc_send (gt_rpc_t *rpc, el_str_t address, uint32_t proc,
+                  el_str_t body, el_time_t timeout, gt_rpc_done_fn done,
+                  void *arg);
 void gt_rpc_reply (gt_rpc_req_t *req, el_str_t body);
 void gt_rpc_stop (gt_rpc_t *rpc);
 
--- a/route/health.c
+++ b/route/health.c
@@ -30,7 +30,7 @@
 rt_endpoint_usable (const rt_endpoint_t *ep, el_time_t now,
                     int ignore_ejection)
 {
-  if (ep->draining || ep->listed_leaving || now < ep->leaving_until)
+  if (ep->draining || now < ep->leaving_until)
     return 0;
   return ignore_ejection || now >= ep->ejected_until;
 }
--- a/route/librt.h
+++ b/route/librt.h
@@ -19,8 +19,7 @@
   co_role_t role;
   uint64_t capacity;
   int draining;            /* by the operator */
-  int listed_leaving;      /* by the platform's list */
-  el_time_t leaving_until; /* by its own refusal */
+  el_time_t leaving_until; /* by the last sign that it leaves */
   el_time_t ejected_until;
   unsigned failures; /* since the last answer */
   size_t in_flight;
--- a/route/route.h
+++ b/route/route.h
@@ -55,8 +55,8 @@
   RT_EV_FAILED,  /**< a call failed */
   RT_EV_CANCEL,  /**< the caller has gone */
   RT_EV_TICK,    /**< time passed */
-  RT_EV_LEAVING, /**< the platform's list names an endpoint as leaving, or
-                      no longer does */
+  RT_EV_LEAVING, /**< an endpoint gave a sign that it leaves, or that it
+                      does not */
   RT_EV_HOSTS,   /**< the number of live entry hosts changed */
   RT_EV_STOP,    /**< this host takes no new work */
   RT_EVENTS
--- a/route/router.c
+++ b/route/router.c
@@ -499,9 +499,8 @@
 {
   rt_endpoint_t *ep = rt_endpoint_find (router, event->target);
 
-  (void)now;
   if (ep)
-    ep->listed_leaving = event->leaving;
+    ep->leaving_until = event->leaving ? now + router->options.leave_hold : 0;
 }
 
 static void
@@ -549,7 +548,7 @@
 {
   if (ep->draining)
     return "draining";
-  if (ep->listed_leaving || now < ep->leaving_until)
+  if (now < ep->leaving_until)
     return "leaving";
   return now < ep->ejected_until ? "ejected" : "live";
 }
