Tests of agreement with real processes; four made to need their mechanism

Cause: configuration, leaving endpoints and platform outages had library tests only. Now: a change and a removal reach hosts that do not watch and one that slept, racing operators, lost answers of writes, the platform killed or hanging, a host started without it, leaving by list, by its own word and by an operator, messages from no host of ours.

Faults found: a host that took its configuration from one with its full history never counted as ready (503 for ever); fixed in cfg_sync.c.

--- a/Makefile
+++ b/Makefile
@@ -91,7 +91,7 @@
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
-PROC = tests/t_proc.c tests/cluster.c standin/reference.c
+PROC = tests/t_proc.c tests/t_agree.c tests/cluster.c standin/reference.c
 $(BIN)/proc: $(PROC:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
 $(B)/tests/%.o: INC += -Istandin
--- a/gate/cfg_sync.c
+++ b/gate/cfg_sync.c
@@ -111,8 +111,8 @@
   json_decref (prune.gone);
 }
 
-/** All changes up to REVISION were told. WHOLE: what was not told of is not
-    there. */
+/** All changes up to REVISION were told, by one that has a configuration.
+    WHOLE: what was not told of is not there. */
 void
 gt_sync_end (gt_sync_t *sync, uint64_t revision, int whole)
 {
@@ -125,10 +125,17 @@
         gate->history = revision;
       EL_LOG (EL_LOG_INFO, "config_whole", EL_FN ("revision", revision),
               EL_FN ("resources", co_config_count (gate->config)));
-      gate->ready = 1;
     }
   co_config_advance (gate->config, revision);
+  gate->ready = 1;
   gt_peers_seen (gate->peers, co_config_revision (gate->config));
+  gt_sync_drop (sync);
+}
+
+/** Nothing more is told, and nothing is known of what was not told of. */
+void
+gt_sync_drop (gt_sync_t *sync)
+{
   json_decref (sync->seen);
   free (sync);
 }
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -289,6 +289,7 @@
 void gt_sync_item (gt_sync_t *sync, co_kind_t kind, el_str_t name,
                    uint64_t revision, json_t *spec);
 void gt_sync_end (gt_sync_t *sync, uint64_t revision, int whole);
+void gt_sync_drop (gt_sync_t *sync);
 int gt_sync_ready (const gt_gate_t *gate);
 
 /* peer.c */
--- a/gate/platform.c
+++ b/gate/platform.c
@@ -267,7 +267,7 @@
 
   gt_sync_item (sync, op->change.kind, op->change.name, revision,
                 op->change.spec);
-  gt_sync_end (sync, co_config_revision (gate->config), 0);
+  gt_sync_drop (sync);
 }
 
 static void
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -529,7 +529,9 @@
   caller->hold = hold;
   pthread_mutex_init (&caller->lock, NULL);
   snprintf (caller->method, sizeof caller->method, "%s",
-            body ? "POST" : "GET");
+            !body                      ? "GET"
+            : strstr (path, "/admin/") ? "PUT"
+                                       : "POST");
   snprintf (caller->url, sizeof caller->url, "http://%s%s", address, path);
   caller->body = body ? strdup (body) : NULL;
   for (i = 0; headers && headers[i]; i++)
--- a/tests/mbr_net.c
+++ b/tests/mbr_net.c
@@ -225,7 +225,7 @@
 {
   net_t *net = calloc (1, sizeof *net);
   char address[32];
-  char hall[16];
+  char hall[32];
   size_t i;
 
   net->rng = seed;
--- a/tests/mbr_net.h
+++ b/tests/mbr_net.h
@@ -21,7 +21,7 @@
   net_t *net;
   co_members_t *members;
   char address[32];
-  char hall[16];
+  char hall[32];
   co_incarnation_t incarnation;
   int down;         /* ended */
   int paused;       /* neither runs nor answers */
--- /dev/null
+++ b/tests/t_agree.c
@@ -0,0 +1,473 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests with real processes of what hosts agree on: configuration, leaving
+ * endpoints, and what is left without the platform.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include "cluster.h"
+#include "test.h"
+
+#define PAY "/services/zahl-app/pay"
+#define CHAT "/v1/chat/completions"
+#define WATCHERS 2
+
+Suite *agree_suite (void);
+
+static cluster_t c;
+
+static void
+setup (void)
+{
+  memset (&c, 0, sizeof c);
+}
+
+static void
+teardown (void)
+{
+  cluster_close (&c);
+}
+
+static long
+put_weight (size_t host, unsigned weight, json_int_t version,
+            const char *change, reply_t *reply)
+{
+  char body[512];
+
+  snprintf (body, sizeof body,
+            "{\"spec\":{\"keyHash\":"
+            "\"00000000000000000000000000000000000000000000000000000000000000"
+            "00\",\"weight\":%u},\"resourceVersion\":%lld%s%s%s}",
+            weight, (long long)version, change ? ",\"changeId\":\"" : "",
+            change ? change : "", change ? "\"" : "");
+  return oper (&c, host, "PUT", "customers/other", body, reply);
+}
+
+/* The weight of the customer that the tests change, as a host has it. */
+static json_int_t
+weight_at (size_t host)
+{
+  json_int_t weight = 0;
+  json_t *json;
+  reply_t reply;
+
+  oper (&c, host, "GET", "customers/other", NULL, &reply);
+  json = json_loadb (reply.body.ptr ? reply.body.ptr : "", reply.body.len, 0,
+                     NULL);
+  weight = json_integer_value (
+      json_object_get (json_object_get (json, "spec"), "weight"));
+  json_decref (json);
+  reply_free (&reply);
+  return weight;
+}
+
+static void
+weight_wait (size_t host, json_int_t want)
+{
+  int i;
+
+  for (i = 0; i < WAIT_STEPS && weight_at (host) != want; i++)
+    pause_step ();
+  ck_assert_int_eq (weight_at (host), want);
+}
+
+static json_int_t
+version_of (const reply_t *reply)
+{
+  json_t *json = json_loadb (reply->body.ptr, reply->body.len, 0, NULL);
+  json_int_t version
+      = json_integer_value (json_object_get (json, "resourceVersion"));
+
+  json_decref (json);
+  return version;
+}
+
+/* Five hosts of one hall: a change reaches all, and two of them watch. */
+START_TEST (test_change_reaches_hosts_that_do_not_watch)
+{
+  unsigned watching = 0;
+  reply_t reply;
+  size_t i;
+
+  cluster_open (&c, 5);
+  ck_assert_int_eq (put_weight (3, 7, 0, NULL, &reply), 200);
+  reply_free (&reply);
+  for (i = 0; i < 5; i++)
+    weight_wait (i, 7);
+  ck_assert_int_eq (oper (&c, 4, "DELETE", "customers/other", NULL, &reply),
+                    200);
+  reply_free (&reply);
+  for (i = 0; i < 5; i++)
+    weight_wait (i, 0);
+  for (i = 0; i < 5; i++)
+    {
+      uint64_t calls = metric (&c.hosts[i], "elmarch_platform_calls_total");
+      int k;
+
+      for (k = 0; k < 200; k++)
+        pause_step (); /* two looks at the host list */
+      watching += metric (&c.hosts[i], "elmarch_platform_calls_total") > calls;
+    }
+  ck_assert_uint_eq (watching, WATCHERS);
+}
+END_TEST
+
+/* Operators race with one version in hand: one wins, the other is told what
+   is now in force, and nothing goes back. */
+START_TEST (test_racing_operators_get_a_conflict)
+{
+  caller_t racers[4];
+  unsigned won = 0;
+  reply_t reply;
+  json_int_t version;
+  size_t i;
+
+  cluster_open (&c, 2);
+  ck_assert_int_eq (put_weight (0, 1, 0, NULL, &reply), 200);
+  version = version_of (&reply);
+  reply_free (&reply);
+  weight_wait (1, 1);
+  for (i = 0; i < 4; i++)
+    {
+      char body[512];
+      static const char *const headers[]
+          = { "authorization: Bearer an-operator's-key", NULL };
+
+      snprintf (
+          body, sizeof body,
+          "{\"spec\":{\"keyHash\":"
+          "\"0000000000000000000000000000000000000000000000000000000000000000"
+          "\",\"weight\":%zu},\"resourceVersion\":%lld}",
+          10 + i, (long long)version);
+      caller_start (&racers[i], c.hosts[i % 2].address,
+                    "/admin/v1/customers/other", body, headers, 0);
+    }
+  for (i = 0; i < 4; i++)
+    {
+      caller_join (&racers[i]);
+      if (racers[i].reply.status == 200)
+        won++;
+      else
+        ck_assert_int_eq (racers[i].reply.status, 409);
+      reply_free (&racers[i].reply);
+    }
+  ck_assert_uint_eq (won, 1);
+  ck_assert_int_eq (put_weight (0, 2, version, NULL, &reply), 409);
+  ck_assert_ptr_nonnull (strstr (reply.head.ptr, "x-elmarch-current"));
+  reply_free (&reply);
+  ck_assert_int_ge (weight_at (0), 10);
+}
+END_TEST
+
+/* The platform takes the write and its answer is lost: the change's id tells
+   that it was taken. */
+START_TEST (test_lost_answer_of_a_write_is_settled_by_its_id)
+{
+  reply_t reply;
+
+  cluster_open (&c, 1);
+  fault (&c.platform, "{\"fault\":\"lose\",\"times\":1}");
+  ck_assert_int_eq (put_weight (0, 5, 0, "change-1", &reply), 200);
+  reply_free (&reply);
+  ck_assert_int_eq (weight_at (0), 5);
+  fault (&c.platform, "{\"fault\":\"lose\",\"times\":1}");
+  ck_assert_int_eq (oper (&c, 0, "DELETE", "customers/other", NULL, &reply),
+                    200);
+  reply_free (&reply);
+  weight_wait (0, 0);
+}
+END_TEST
+
+static void
+verdict_has (const reply_t *reply, long status, const char *want)
+{
+  char verdict[32];
+
+  reply_header (reply, "x-elmarch-verdict", verdict, sizeof verdict);
+  ck_assert_msg (reply->status == status && strcmp (verdict, want) == 0,
+                 "status %ld verdict %s", reply->status, verdict);
+}
+
+static void
+requests_go_on (size_t host)
+{
+  char *body = chat_body ("Hello", 0, 4, NULL, 0);
+  reply_t reply;
+
+  http ("POST", c.hosts[host].address, CHAT, body, NULL, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  http ("POST", c.hosts[host].address, PAY, "{\"id\":\"x\"}", NULL, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  free (body);
+}
+
+/* Without the platform requests go on; a change is refused as not run when
+   nothing could be sent, and as unknown when it may have been taken. */
+START_TEST (test_platform_away_leaves_requests_alone)
+{
+  reply_t reply;
+
+  cluster_open (&c, 2);
+  if (_i == 0)
+    proc_end (&c.platform, SIGKILL);
+  else
+    fault (&c.platform, "{\"fault\":\"hang\"}");
+  requests_go_on (0);
+  requests_go_on (1);
+  put_weight (0, 5, 0, NULL, &reply);
+  if (_i == 0)
+    verdict_has (&reply, 503, "not-run");
+  else
+    verdict_has (&reply, 504, "may-have-run");
+  reply_free (&reply);
+  requests_go_on (0);
+}
+END_TEST
+
+/* A host that starts while the platform is away takes the configuration from
+   the others; alone, it says that it has none and runs nothing. */
+START_TEST (test_host_starts_without_the_platform)
+{
+  reply_t reply;
+
+  cluster_open (&c, 2);
+  ck_assert_int_eq (put_weight (0, 9, 0, NULL, &reply), 200);
+  reply_free (&reply);
+  weight_wait (1, 9);
+  proc_end (&c.platform, SIGKILL);
+  proc_end (&c.hosts[1], SIGKILL);
+  host_start (&c, 1);
+  weight_wait (1, 9);
+  requests_go_on (1);
+  proc_end (&c.hosts[0], SIGKILL);
+  proc_end (&c.hosts[1], SIGKILL);
+  host_start (&c, 1);
+  http ("POST", c.hosts[1].address, PAY, "{\"id\":\"y\"}", NULL, &reply);
+  verdict_has (&reply, 503, "not-run");
+  ck_assert_ptr_nonnull (strstr (reply.body.ptr, "starting"));
+  reply_free (&reply);
+}
+END_TEST
+
+/* A host that does not ask the platform: its calls stand still over two looks
+   at the host list. */
+static size_t
+host_not_watching (void)
+{
+  uint64_t before[HOSTS_MOST];
+  size_t i;
+  int k;
+
+  for (i = 0; i < c.nhosts; i++)
+    before[i] = metric (&c.hosts[i], "elmarch_platform_calls_total");
+  for (k = 0; k < 250; k++)
+    pause_step ();
+  for (i = 0; i < c.nhosts; i++)
+    if (metric (&c.hosts[i], "elmarch_platform_calls_total") == before[i])
+      return i;
+  ck_abort_msg ("all hosts ask the platform");
+  return 0;
+}
+
+/* A removal that one host slept through does not stay in force there, also
+   when the only host that can tell it has learned of the rest later. */
+START_TEST (test_removal_reaches_a_host_that_slept)
+{
+  reply_t reply;
+  size_t slept;
+  size_t fresh;
+  size_t i;
+
+  cluster_open (&c, 4);
+  slept = host_not_watching ();
+  fresh = (slept + 1) % 4;
+  ck_assert_int_eq (put_weight (fresh, 9, 0, NULL, &reply), 200);
+  reply_free (&reply);
+  weight_wait (slept, 9);
+  proc_signal (&c.hosts[slept], SIGSTOP);
+  ck_assert_int_eq (
+      oper (&c, fresh, "DELETE", "customers/other", NULL, &reply), 200);
+  reply_free (&reply);
+  for (i = 0; i < 4; i++)
+    if (i != slept)
+      proc_end (&c.hosts[i], SIGKILL);
+  host_start (&c, fresh); /* reads all of it anew, without the removal */
+  metric_wait (&c.hosts[fresh], "elmarch_config_revision", 1);
+  proc_end (&c.platform, SIGKILL); /* only that host can tell it */
+  proc_signal (&c.hosts[slept], SIGCONT);
+  weight_wait (slept, 0);
+}
+END_TEST
+
+static void
+leaving_put (const char *endpoint, const char *state)
+{
+  char path[64];
+  char body[64];
+  reply_t reply;
+
+  snprintf (path, sizeof path, "/v1/hosts/%s", endpoint);
+  snprintf (body, sizeof body, "{\"state\":\"%s\"}", state);
+  http ("PUT", c.platform.address, path, body, NULL, &reply);
+  reply_free (&reply);
+}
+
+/* Whether a host's dump holds an endpoint in a state. */
+static int
+endpoint_is (size_t host, const char *endpoint, const char *state)
+{
+  json_t *json;
+  json_t *endpoints;
+  const char *is;
+  reply_t reply;
+  int same;
+
+  oper (&c, host, "GET", "dump", NULL, &reply);
+  json = json_loadb (reply.body.ptr, reply.body.len, 0, NULL);
+  endpoints = json_object_get (json_object_get (json, "router"), "endpoints");
+  is = json_string_value (
+      json_object_get (json_object_get (endpoints, endpoint), "state"));
+  same = is && strcmp (is, state) == 0;
+  json_decref (json);
+  reply_free (&reply);
+  return same;
+}
+
+static void
+endpoint_wait (size_t host, const char *endpoint, const char *state)
+{
+  int i;
+
+  for (i = 0; i < WAIT_STEPS && !endpoint_is (host, endpoint, state); i++)
+    pause_step ();
+  ck_assert (endpoint_is (host, endpoint, state));
+}
+
+/* The list names a worker as leaving, or the worker says so itself to one
+   host, or an operator drains it: no host sends it anything more. */
+START_TEST (test_leaving_endpoint_is_left_by_all_hosts)
+{
+  static const char *const states[] = { "leaving", "leaving", "draining" };
+  reply_t reply;
+  json_int_t before;
+  char body[512];
+  size_t i;
+  int k;
+
+  cluster_open (&c, 3);
+  if (_i == 0)
+    leaving_put ("zahl-1", "leaving");
+  else if (_i == 1)
+    {
+      fault (&c.workers[0], "{\"fault\":\"leaving\"}");
+      while (!endpoint_is (0, "zahl-1", "leaving"))
+        requests_go_on (0);
+      fault (&c.workers[0], "{\"fault\":\"none\"}");
+    }
+  else
+    {
+      snprintf (body, sizeof body,
+                "{\"spec\":{\"address\":\"%s\",\"hall\":\"h\",\"role\":"
+                "\"worker\",\"draining\":true}}",
+                c.workers[0].address);
+      ck_assert_int_eq (oper (&c, 0, "PUT", "endpoints/zahl-1", body, &reply),
+                        200);
+      reply_free (&reply);
+    }
+  for (i = 0; i < 3; i++)
+    endpoint_wait (i, "zahl-1", states[_i]);
+  before = runs (&c.workers[0], "x");
+  for (k = 0; k < 4; k++)
+    for (i = 0; i < 3; i++)
+      requests_go_on (i);
+  ck_assert_int_eq (runs (&c.workers[0], "x"), before);
+}
+END_TEST
+
+static void
+junk_send (const char *bytes, size_t len, int type)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, type, 0);
+  char ip[32];
+
+  snprintf (ip, sizeof ip, "%s", c.hosts[0].address);
+  *strchr (ip, ':') = '\0';
+  inet_pton (AF_INET, ip, &addr.sin_addr);
+  addr.sin_port = htons (7001);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  ck_assert_int_eq ((int)send (fd, bytes, len, MSG_NOSIGNAL), (int)len);
+  close (fd);
+}
+
+/* Messages that no host of ours sent: not sealed, oversized, truncated, of
+   another version, of a host with another key. Each is refused and counted,
+   and requests go on. */
+START_TEST (test_foreign_messages_harm_nothing)
+{
+  static const char call[]
+      = "\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x00\x02"
+        " elm\x00\x00\x00\x01\x00\x00\x00\x01"
+        "\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00"
+        "0123456789abcdef0123456789abcdef\x00\x00\x00\x00";
+  char record[sizeof call + 4];
+  char version[sizeof call];
+  json_t *json;
+
+  cluster_open (&c, 1);
+  junk_send (call, sizeof call - 1, SOCK_DGRAM);
+  junk_send (call, 20, SOCK_DGRAM);
+  memcpy (version, call, sizeof call);
+  version[19] = 9;
+  junk_send (version, sizeof call - 1, SOCK_DGRAM);
+  memcpy (record, "\x80\x00\x00\x4c", 4);
+  memcpy (record + 4, call, sizeof call);
+  junk_send (record, 4 + sizeof call - 1, SOCK_STREAM);
+  junk_send ("\xff\xff\xff\xff....", 8, SOCK_STREAM);
+  junk_send ("GET / HTTP/1.1\r\n\r\n", 18, SOCK_STREAM);
+  metric_wait (&c.hosts[0], "elmarch_rpc_refused_total", 6);
+  c.nhosts = 2; /* a host with another key never becomes a member */
+  snprintf (c.hosts[1].address, sizeof c.hosts[1].address, "%s",
+            c.hosts[0].address);
+  snprintf (strrchr (c.hosts[1].address, ':'), 6, ":8000");
+  c.extra[0] = "--cluster-key=the-key-of-another-cluster";
+  host_start (&c, 1);
+  metric_wait (&c.hosts[0], "elmarch_rpc_refused_total", 10);
+  json = http_json (c.hosts[0].address, "/v1/entry-hosts");
+  ck_assert_uint_eq (json_array_size (json_object_get (json, "hosts")), 1);
+  json_decref (json);
+  requests_go_on (0);
+}
+END_TEST
+
+Suite *
+agree_suite (void)
+{
+  Suite *suite = suite_create ("agreement");
+  TCase *tcase = tcase_create ("agreement");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  ADD (tcase, test_change_reaches_hosts_that_do_not_watch);
+  ADD (tcase, test_racing_operators_get_a_conflict);
+  ADD (tcase, test_lost_answer_of_a_write_is_settled_by_its_id);
+  ADD_LOOP (tcase, test_platform_away_leaves_requests_alone, 2);
+  ADD (tcase, test_host_starts_without_the_platform);
+  ADD (tcase, test_removal_reaches_a_host_that_slept);
+  ADD_LOOP (tcase, test_leaving_endpoint_is_left_by_all_hosts, 3);
+  ADD (tcase, test_foreign_messages_harm_nothing);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -58,7 +58,9 @@
 
       net_run (net, net->now + EL_SEC);
       for (i = 0; i < HOSTS; i++)
-        ck_assert_msg (net_sees (net, i, CO_MBR_DEAD) == 0, "seed %d", _i);
+        ck_assert_msg (net_sees (net, i, CO_MBR_DEAD) == 0
+                           && net_sees (net, i, CO_MBR_SUSPECT) == 0,
+                       "seed %d", _i);
     }
   net_free (net);
 }
@@ -130,9 +132,21 @@
 }
 END_TEST
 
+static void
+draining_visit (void *arg, const co_member_t *member)
+{
+  *(unsigned *)arg += (unsigned)member->draining;
+}
+
 START_TEST (test_members_draining_and_left_are_told)
 {
   net_t *net = net_settled (_i);
+  unsigned draining = 0;
+
+  co_members_drain (net->hosts[6].members, CO_MBR_ALIVE);
+  net_run (net, net->now + 3 * EL_SEC);
+  co_members_visit (net->hosts[1].members, draining_visit, &draining);
+  ck_assert_uint_eq (draining, 1);
 
   co_members_drain (net->hosts[6].members, CO_MBR_LEFT);
   net_run (net, net->now + 3 * EL_SEC);
--- a/tests/t_proc.c
+++ b/tests/t_proc.c
@@ -712,6 +712,7 @@
 END_TEST
 
 Suite *proc_suite (void);
+Suite *agree_suite (void);
 
 Suite *
 proc_suite (void)
@@ -750,6 +751,7 @@
   SRunner *runner = srunner_create (proc_suite ());
   int failed;
 
+  srunner_add_suite (runner, agree_suite ());
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
   srunner_free (runner);
