--- a/Makefile
+++ b/Makefile
@@ -100,10 +100,15 @@
 	$(LINK)
 $(BIN)/bench_core: $(B)/bench/bench_core.o $(LIBA)
 	$(LINK)
-BENCHES = $(BIN)/bench_gate $(BIN)/bench_core
+$(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(LIBA)
+	$(LINK)
+$(B)/bench/%.o: INC += -Itests
+BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members
 bench: deps
 	$(MAKE) -s all $(BENCHES)
 	$(BIN)/bench_core
+	$(BIN)/bench_members
+	sh bench/bench_control.sh $(BIN)
 	sh bench/bench_gate.sh $(BIN)
 
 # What rpcgen writes declares variables that it does not use.
--- /dev/null
+++ b/bench/bench_members.c
@@ -0,0 +1,166 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The cost of membership at 3 to 570 hosts: the library's own objects on a
+ * network of events, with the sizes that the messages have on the wire.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <rpc/rpc.h>
+
+#include "bench.h"
+#include "mbr_net.h"
+#include "peer_proto.h"
+
+#define SETTLE (60 * EL_SEC)
+#define SPAN (30 * EL_SEC)
+#define LIMIT (120 * EL_SEC)
+#define STEP (50 * EL_MSEC)
+/* The RPC header, the code, and the lengths around them; IP and UDP. */
+#define ENVELOPE_BYTES (40 + 32 + 4 + 28)
+#define WATCHERS 2
+
+static void
+member_size (const co_member_t *from, peer_member *to)
+{
+  memset (to, 0, sizeof *to);
+  to->peer.peer_val = (char *)(uintptr_t)from->peer.ptr;
+  to->peer.peer_len = (u_int)from->peer.len;
+  to->http.http_val = (char *)(uintptr_t)from->http.ptr;
+  to->http.http_len = (u_int)from->http.len;
+  to->hall.hall_val = (char *)(uintptr_t)from->hall.ptr;
+  to->hall.hall_len = (u_int)from->hall.len;
+}
+
+static size_t
+gossip_size (const co_gossip_t *gossip)
+{
+  peer_member members[CO_NEWS_MEMBERS];
+  peer_gossip message;
+  size_t i;
+
+  memset (&message, 0, sizeof message);
+  member_size (&gossip->self, &message.self);
+  for (i = 0; i < gossip->nmembers; i++)
+    member_size (&gossip->members[i], &members[i]);
+  message.members.members_val = members;
+  message.members.members_len = (u_int)gossip->nmembers;
+  return xdr_sizeof ((xdrproc_t)xdr_peer_gossip, &message) + ENVELOPE_BYTES;
+}
+
+static double
+cpu_seconds (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
+}
+
+static void
+totals (const net_t *net, uint64_t *sent, uint64_t *bytes)
+{
+  size_t i;
+
+  *sent = 0;
+  *bytes = 0;
+  for (i = 0; i < net->n; i++)
+    {
+      *sent += net->hosts[i].sent;
+      *bytes += net->hosts[i].bytes;
+    }
+}
+
+/* Milliseconds until the watchers' revision is everywhere. */
+static uint64_t
+change_spreads (net_t *net)
+{
+  el_time_t began = net->now;
+  size_t behind = 1;
+  size_t i;
+
+  for (i = 0; i < net->n; i++)
+    if (co_members_chosen (net->hosts[i].members, WATCHERS))
+      net_seen (&net->hosts[i], 7);
+  while (behind && net->now < began + LIMIT)
+    {
+      net_run (net, net->now + STEP);
+      behind = 0;
+      for (i = 0; i < net->n; i++)
+        behind += net->hosts[i].revision < 7;
+    }
+  return (net->now - began) / EL_MSEC;
+}
+
+/* Milliseconds until no host gives a dead one out as an entry address. */
+static uint64_t
+death_spreads (net_t *net, size_t hosts)
+{
+  el_time_t began = net->now;
+  size_t wrong = 1;
+  size_t i;
+
+  net->hosts[1].down = 1;
+  while (wrong && net->now < began + LIMIT)
+    {
+      net_run (net, net->now + STEP);
+      wrong = 0;
+      for (i = 0; i < hosts; i++)
+        wrong += !net->hosts[i].down
+                 && net_sees (net, i, CO_MBR_ALIVE) > hosts - 1;
+    }
+  return (net->now - began) / EL_MSEC;
+}
+
+static void
+measure (size_t hosts, size_t halls)
+{
+  net_t *net = net_new (1, hosts, halls);
+  size_t heap = bench_heap ();
+  uint64_t sent[2];
+  uint64_t bytes[2];
+  uint64_t news_sent;
+  uint64_t news_bytes;
+  uint64_t change_ms;
+  uint64_t death_ms;
+  double cpu;
+
+  net->size = gossip_size;
+  net_run (net, net->now + SETTLE);
+  totals (net, &sent[0], &bytes[0]);
+  cpu = cpu_seconds ();
+  net_run (net, net->now + SPAN);
+  cpu = cpu_seconds () - cpu;
+  totals (net, &sent[1], &bytes[1]);
+  heap = bench_heap () - heap;
+  change_ms = change_spreads (net);
+  death_ms = death_spreads (net, hosts);
+  totals (net, &news_sent, &news_bytes);
+  printf (
+      "bench=members objects=library hosts=%zu halls=%zu "
+      "messages_per_s_host=%.1f bytes_per_s_host=%.0f "
+      "cpu_us_per_s_host=%.0f bytes_of_memory_host=%zu change_ms=%llu "
+      "dead_out_ms=%llu\n",
+      hosts, halls, net_agrees (net, hosts - 1),
+      (double)(sent[1] - sent[0]) / (double)hosts / ((double)SPAN / EL_SEC),
+      (double)(bytes[1] - bytes[0]) / (double)hosts / ((double)SPAN / EL_SEC),
+      cpu * 1e6 / (double)hosts / ((double)SPAN / EL_SEC), heap / hosts,
+      (unsigned long long)change_ms, (unsigned long long)death_ms);
+  net_free (net);
+}
+
+int
+main (void)
+{
+  measure (3, 3);
+  measure (9, 3);
+  measure (27, 3);
+  measure (81, 9);
+  measure (270, 19);
+  measure (570, 19);
+  return EXIT_SUCCESS;
+}
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -28,6 +28,8 @@
 
 extern char **environ;
 
+int http2;
+
 static int net;
 
 /** One step of a wait for a condition. */
@@ -379,6 +381,9 @@
   curl_easy_setopt (curl, CURLOPT_URL, url);
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, method);
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, list);
+  if (http2)
+    curl_easy_setopt (curl, CURLOPT_HTTP_VERSION,
+                      (long)CURL_HTTP_VERSION_2_PRIOR_KNOWLEDGE);
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (curl, CURLOPT_FOLLOWLOCATION, 1L);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT, 60L);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -72,6 +72,9 @@
   reply_t reply;
 } caller_t;
 
+/** Set to have callers speak HTTP/2. */
+extern int http2;
+
 void pause_step (void);
 void cluster_open (cluster_t *cluster, size_t nhosts);
 void cluster_configure (cluster_t *cluster);
--- a/tests/mbr_net.c
+++ b/tests/mbr_net.c
@@ -32,6 +32,14 @@
   co_gossip_t gossip;
 } net_msg_t;
 
+/* A configuration on its way from one host to another. */
+typedef struct net_fetch
+{
+  el_timer_t timer;
+  net_host_t *host;
+  uint64_t revision;
+} net_fetch_t;
+
 static void msg_arrive (void *arg, el_time_t now);
 
 static uint64_t
@@ -89,6 +97,8 @@
   msg->from->sent++;
   co_members_speak (msg->from->members, to_inc, &msg->gossip);
   gossip_keep (net, &msg->gossip);
+  if (net->size)
+    msg->from->bytes += net->size (&msg->gossip);
   memset (&msg->timer, 0, sizeof msg->timer);
   msg->timer.cb = msg_arrive;
   msg->timer.arg = msg;
@@ -105,6 +115,42 @@
          || (net->link && !net->link (msg->from, msg->to));
 }
 
+static void
+fetch_arrive (void *arg, el_time_t now)
+{
+  net_fetch_t *fetch = arg;
+
+  (void)now;
+  if (fetch->revision > fetch->host->revision)
+    net_seen (fetch->host, fetch->revision);
+  free (fetch);
+}
+
+/* A host that hears of a newer configuration fetches it: two ways. */
+static void
+host_heard (net_host_t *host, const co_gossip_t *gossip)
+{
+  net_t *net = host->net;
+  net_fetch_t *fetch;
+
+  if (gossip->self.revision <= host->revision)
+    return;
+  fetch = calloc (1, sizeof *fetch);
+  fetch->host = host;
+  fetch->revision = gossip->self.revision;
+  fetch->timer.cb = fetch_arrive;
+  fetch->timer.arg = fetch;
+  el_timers_set (&net->timers, &fetch->timer, net->now + 2 * LATENCY_MAX);
+}
+
+/** A host has seen all changes up to REVISION. */
+void
+net_seen (net_host_t *host, uint64_t revision)
+{
+  host->revision = revision;
+  co_members_seen (host->members, revision);
+}
+
 static void
 msg_probe (const net_msg_t *msg)
 {
@@ -116,6 +162,7 @@
                      .answer = !msg->relay };
 
   co_members_hear (msg->to->members, msg->to->net->now, &msg->gossip);
+  host_heard (msg->to, &msg->gossip);
   msg_send (&next, &msg->gossip.self.incarnation);
 }
 
@@ -130,7 +177,10 @@
   net_t *net = msg->to->net;
 
   if (msg->to == msg->asker)
-    co_members_answer (msg->to->members, net->now, msg->id, 1, &msg->gossip);
+    {
+      co_members_answer (msg->to->members, net->now, msg->id, 1, &msg->gossip);
+      host_heard (msg->to, &msg->gossip);
+    }
   else
     { /* hand the target's own answer on */
       net_msg_t *copy = malloc (sizeof *copy);
--- a/tests/mbr_net.h
+++ b/tests/mbr_net.h
@@ -23,10 +23,12 @@
   char address[32];
   char hall[32];
   co_incarnation_t incarnation;
-  int down;         /* ended */
-  int paused;       /* neither runs nor answers */
-  uint64_t sent;    /* messages */
-  unsigned leaving; /* signs heard */
+  int down;          /* ended */
+  int paused;        /* neither runs nor answers */
+  uint64_t sent;     /* messages */
+  unsigned leaving;  /* signs heard */
+  uint64_t bytes;    /* of the messages sent */
+  uint64_t revision; /* of the configuration, fetched when heard of */
 } net_host_t;
 
 struct net
@@ -37,12 +39,15 @@
   el_time_t now;
   el_timers_t timers;
   uint64_t rng;
+  /** Bytes of a message; NULL counts none. */
+  size_t (*size) (const co_gossip_t *gossip);
   /** Whether a message from A reaches B; NULL is always. */
   int (*link) (const net_host_t *a, const net_host_t *b);
 };
 
 net_t *net_new (uint64_t seed, size_t hosts, size_t halls);
 void net_free (net_t *net);
+void net_seen (net_host_t *host, uint64_t revision);
 void net_run (net_t *net, el_time_t until);
 net_host_t *net_replace (net_t *net, size_t host);
 size_t net_sees (net_t *net, size_t host, co_mbr_state_t state);
--- a/tests/t_proc.c
+++ b/tests/t_proc.c
@@ -246,6 +246,26 @@
 }
 END_TEST
 
+/* The same over HTTP/2: a stream, a call, a whole answer. */
+START_TEST (test_callers_may_speak_http2)
+{
+  char *body = chat_body (QUESTION, 0, 1000, NULL, 0);
+  reply_t reply;
+
+  cluster_open (&c, 1);
+  http2 = 1;
+  chat_whole (0);
+  http ("POST", c.hosts[0].address, PAY, "{\"id\":\"t1\"}", NULL, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  http ("POST", c.hosts[0].address, CHAT, body, NULL, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  http2 = 0;
+  free (body);
+}
+END_TEST
+
 /* The connection is cut; the caller comes back with what it has, to the home
    or to another host, which points to the home. */
 START_TEST (test_session_stream_resumes_after_a_cut_connection)
@@ -731,6 +751,7 @@
   ADD (tcase, test_caller_that_vanishes_is_cancelled_down_to_the_engine);
   ADD_LOOP (tcase, test_session_stream_resumes_after_a_cut_connection, 2);
   ADD_LOOP (tcase, test_session_stream_resumes_after_its_host_died, 2);
+  ADD (tcase, test_callers_may_speak_http2);
   ADD (tcase, test_duplicates_run_once);
   ADD_LOOP (tcase, test_duplicate_after_the_home_is_gone_never_runs, 2);
   ADD (tcase, test_duplicate_while_the_home_is_frozen_never_runs_elsewhere);
