--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -192,6 +192,7 @@
 {
   co_ledger_options_t options = { .max_sessions = ENTRIES,
                                   .max_entries = 64,
+                                  .max_bytes = 1U << 30,
                                   .idle = EL_SEC,
                                   .release = release_none };
   co_ledger_t *book = co_ledger_new (&options);
@@ -212,7 +213,7 @@
       co_ledger_begin (book, 1, i % (ENTRIES / 8) + 1, i / (ENTRIES / 8) + 1,
                        i, &session, &answer);
       co_ledger_end (book, 1, i % (ENTRIES / 8) + 1, i / (ENTRIES / 8) + 1,
-                     EL_RAN);
+                     EL_RAN, 0);
     }
   printf ("bench=ledger sessions=%d entries=%zu bytes_per_session=%zu "
           "bytes_per_entry=%zu begin_and_end_ns=%.0f\n",
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -75,6 +75,7 @@
 {
   size_t max_sessions; /**< sessions held at once */
   size_t max_entries;  /**< requests remembered for each session */
+  size_t max_bytes;    /**< of the answers remembered, over all sessions */
   el_time_t idle;      /**< an unused session is dropped after this */
   void (*release) (void *arg, void *answer); /**< an answer is forgotten */
   void *arg;
@@ -90,13 +91,14 @@
                                  uint64_t session, uint64_t sequence,
                                  uint64_t digest, void *fresh, void **answer);
 void co_ledger_end (co_ledger_t *ledger, el_time_t now, uint64_t session,
-                    uint64_t sequence, el_verdict_t verdict);
+                    uint64_t sequence, el_verdict_t verdict, size_t bytes);
 void *co_ledger_find (co_ledger_t *ledger, uint64_t session,
                       uint64_t sequence);
 void co_ledger_seal (co_ledger_t *ledger);
 void co_ledger_expire (co_ledger_t *ledger, el_time_t now);
 size_t co_ledger_sessions (const co_ledger_t *ledger);
 size_t co_ledger_entries (const co_ledger_t *ledger);
+size_t co_ledger_bytes (const co_ledger_t *ledger);
 const char *co_led_result_name (co_led_result_t result);
 
 /* Membership: which hosts are there, at a cost that does not grow with their
--- a/coord/ledger.c
+++ b/coord/ledger.c
@@ -18,6 +18,7 @@
   uint64_t sequence; /* key */
   uint64_t digest;   /* of the request, to tell another under its number */
   int ended;
+  size_t bytes; /* of the answer, once ended */
   void *answer;
   UT_hash_handle hh;
 } led_entry_t;
@@ -39,6 +40,7 @@
   led_session_t *sessions; /* least recently used first */
   uint64_t next_session;
   size_t nentries;
+  size_t bytes;
   int sealed;
 };
 
@@ -70,6 +72,7 @@
 {
   HASH_DEL (session->entries, entry);
   ledger->nentries--;
+  ledger->bytes -= entry->bytes;
   if (!entry->ended)
     session->running--;
   ledger->options.release (ledger->options.arg, entry->answer);
@@ -224,11 +227,26 @@
   return CO_LED_RUN;
 }
 
+/* Forget answers, of the sessions that were not used for longest first, until
+   the rest keeps within its bound. */
+static void
+ledger_trim (co_ledger_t *ledger)
+{
+  led_session_t *session;
+  led_session_t *next;
+
+  HASH_ITER (hh, ledger->sessions, session, next)
+  while (ledger->bytes > ledger->options.max_bytes)
+    if (!entry_forget_oldest (ledger, session))
+      break;
+}
+
 /** The run of a request ended. One that is proved not to have run is taken
-    out, so that the caller may send it again; any other stays answered. */
+    out, so that the caller may send it again; any other stays answered, with
+    an answer of BYTES, as long as all answers keep within their bound. */
 void
 co_ledger_end (co_ledger_t *ledger, el_time_t now, uint64_t id,
-               uint64_t sequence, el_verdict_t verdict)
+               uint64_t sequence, el_verdict_t verdict, size_t bytes)
 {
   led_session_t *session = session_find (ledger, id);
   led_entry_t *entry = session ? entry_find (session, sequence) : NULL;
@@ -242,7 +260,11 @@
       return;
     }
   entry->ended = 1;
+  entry->bytes = bytes;
   session->running--;
+  ledger->bytes += bytes;
+  if (ledger->bytes > ledger->options.max_bytes)
+    ledger_trim (ledger);
 }
 
 /** The answer of a request that is remembered, or NULL. */
@@ -289,3 +311,10 @@
 {
   return ledger->nentries;
 }
+
+/** Bytes of the answers that are remembered. */
+size_t
+co_ledger_bytes (const co_ledger_t *ledger)
+{
+  return ledger->bytes;
+}
--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -31,6 +31,7 @@
   uint64_t max_body;
   uint64_t max_sessions;
   uint64_t max_entries;
+  uint64_t max_answers_mb;
   uint64_t deadline_ms;
   uint64_t call_limit_ms;
   uint64_t session_idle_s;
@@ -80,6 +81,8 @@
     "sessions at home here" },
   { "max-entries", EL_SET_U64, AT (max_entries), "64", 1, 4096, 0, "N",
     "requests remembered for a session" },
+  { "max-answers-mb", EL_SET_U64, AT (max_answers_mb), "24", 1, 65536, 0, "MB",
+    "memory for the answers of sessions' requests" },
   { "deadline-ms", EL_SET_U64, AT (deadline_ms), "60000", 1, 3600000, 0, "MS",
     "time for a request that names none" },
   { "call-limit-ms", EL_SET_U64, AT (call_limit_ms), "5000", 10, 600000, 0,
@@ -142,6 +145,7 @@
     .max_body = set->max_body,
     .max_sessions = set->max_sessions,
     .max_entries = set->max_entries,
+    .max_answers = set->max_answers_mb << 20,
     .deadline = set->deadline_ms * EL_MSEC,
     .call_limit = set->call_limit_ms * EL_MSEC,
     .session_idle = set->session_idle_s * EL_SEC,
--- a/gate/answer.c
+++ b/gate/answer.c
@@ -223,3 +223,17 @@
   answer->end = *end;
   answer_touch (answer);
 }
+
+/** The memory that an answer takes. */
+size_t
+gt_answer_bytes (const gt_answer_t *answer)
+{
+  size_t bytes = sizeof *answer + answer->text.cap + answer->body.cap
+                 + answer->cap_tokens * sizeof *answer->tokens;
+  size_t i;
+
+  for (i = 0; i < answer->nheaders; i++)
+    bytes += sizeof *answer->headers + answer->headers[i].name.len
+             + answer->headers[i].value.len;
+  return bytes;
+}
--- a/gate/door_oper.c
+++ b/gate/door_oper.c
@@ -280,6 +280,7 @@
   gate->gauge_queued = rt_router_queued (gate->router);
   gate->gauge_sessions = co_ledger_sessions (gate->ledger);
   gate->gauge_entries = co_ledger_entries (gate->ledger);
+  gate->gauge_bytes = co_ledger_bytes (gate->ledger);
   gate->gauge_revision = co_config_revision (gate->config);
   el_metrics_print (&gate->metrics, &text);
   gt_req_reply (req, 200, EL_STR ("text/plain; version=0.0.4"),
--- a/gate/flow.c
+++ b/gate/flow.c
@@ -337,6 +337,7 @@
   gt_answer_end (flow->answer, &end);
   if (flow->session)
     co_ledger_end (gate->ledger, gt_clock_now (&gate->clock), flow->session,
-                   flow->sequence, end.verdict);
+                   flow->sequence, end.verdict,
+                   gt_answer_bytes (flow->answer));
   gt_flow_free (flow);
 }
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -183,6 +183,8 @@
       &gate->gauge_sessions },
     { "elmarch_ledger_entries", "requests remembered", EL_GAUGE,
       &gate->gauge_entries },
+    { "elmarch_ledger_bytes", "of the answers remembered", EL_GAUGE,
+      &gate->gauge_bytes },
     { "elmarch_config_revision", "all changes up to it were seen", EL_GAUGE,
       &gate->gauge_revision },
     { "elmarch_first_token_microseconds", "from request to first token",
@@ -208,6 +210,7 @@
                           .arg = gate };
   co_ledger_options_t ledger = { .max_sessions = o->max_sessions,
                                  .max_entries = o->max_entries,
+                                 .max_bytes = o->max_answers,
                                  .idle = o->session_idle,
                                  .release = ledger_release,
                                  .arg = gate };
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -32,6 +32,7 @@
   uint64_t max_body; /**< bytes of a caller's request */
   uint64_t max_sessions;
   uint64_t max_entries; /**< requests remembered for a session */
+  uint64_t max_answers; /**< bytes of the answers remembered */
   el_time_t deadline;   /**< of a request that names none */
   el_time_t call_limit; /**< longest wait for one stage */
   el_time_t session_idle;
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -175,6 +175,7 @@
   uint64_t gauge_queued;
   uint64_t gauge_sessions;
   uint64_t gauge_entries;
+  uint64_t gauge_bytes;
   uint64_t gauge_revision;
   el_timer_t expire;
   int ready;        /* there is a configuration to serve with */
@@ -200,6 +201,7 @@
 void gt_answer_token (gt_answer_t *answer, uint64_t id, el_str_t text);
 void gt_answer_result (gt_answer_t *answer, const gt_result_t *result);
 void gt_answer_end (gt_answer_t *answer, const gt_end_t *end);
+size_t gt_answer_bytes (const gt_answer_t *answer);
 void gt_answer_flush (gt_gate_t *gate);
 int gt_header_passes (el_str_t name);
 
--- a/tests/t_coord.c
+++ b/tests/t_coord.c
@@ -83,6 +83,7 @@
 {
   co_ledger_options_t options = { .max_sessions = 4,
                                   .max_entries = entries,
+                                  .max_bytes = 1000,
                                   .idle = 100,
                                   .release = answer_release };
 
@@ -111,7 +112,7 @@
   ck_assert_int_eq (co_ledger_begin (ledger, 1, session, 1, 5, NULL, &answer),
                     CO_LED_JOIN);
   ck_assert_ptr_eq (answer, &first);
-  co_ledger_end (ledger, 2, session, 1, EL_RAN);
+  co_ledger_end (ledger, 2, session, 1, EL_RAN, 10);
   ck_assert_int_eq (begin (ledger, session, 1), CO_LED_ANSWER);
   ck_assert_int_eq (co_ledger_begin (ledger, 1, session, 1, 6, NULL, &answer),
                     CO_LED_MISMATCH);
@@ -126,10 +127,10 @@
 
   co_ledger_open (ledger, 1, EL_STR ("c"), &session, NULL);
   begin (ledger, session, 1);
-  co_ledger_end (ledger, 2, session, 1, EL_MAY_HAVE_RUN);
+  co_ledger_end (ledger, 2, session, 1, EL_MAY_HAVE_RUN, 10);
   ck_assert_int_eq (begin (ledger, session, 1), CO_LED_ANSWER);
   begin (ledger, session, 2);
-  co_ledger_end (ledger, 2, session, 2, EL_NOT_RUN);
+  co_ledger_end (ledger, 2, session, 2, EL_NOT_RUN, 10);
   ck_assert_int_eq (begin (ledger, session, 2), CO_LED_RUN);
   co_ledger_free (ledger);
 }
@@ -145,7 +146,7 @@
   for (i = 1; i <= 5; i++)
     {
       ck_assert_int_eq (begin (ledger, session, i), CO_LED_RUN);
-      co_ledger_end (ledger, 2, session, i, EL_RAN);
+      co_ledger_end (ledger, 2, session, i, EL_RAN, 10);
     }
   for (i = 1; i <= 3; i++)
     ck_assert_int_eq (begin (ledger, session, i), CO_LED_FORGOTTEN);
@@ -168,7 +169,7 @@
   co_ledger_expire (ledger, 500); /* a running request keeps its session */
   ck_assert_int_eq (begin (ledger, session, 1), CO_LED_JOIN);
   ck_assert_int_eq (co_ledger_close (ledger, session), EL_CONFLICT);
-  co_ledger_end (ledger, 2, session, 1, EL_RAN);
+  co_ledger_end (ledger, 2, session, 1, EL_RAN, 10);
   ck_assert_int_eq (co_ledger_close (ledger, session), EL_OK);
   ck_assert_int_eq (begin (ledger, session, 1), CO_LED_FORGOTTEN);
   co_ledger_free (ledger);
@@ -184,13 +185,38 @@
   begin (ledger, session, 1);
   begin (ledger, session, 2);
   ck_assert_int_eq (begin (ledger, session, 3), CO_LED_FULL);
-  co_ledger_end (ledger, 1, session, 1, EL_RAN);
+  co_ledger_end (ledger, 1, session, 1, EL_RAN, 10);
   ck_assert_int_eq (begin (ledger, session, 3), CO_LED_RUN);
   ck_assert_int_eq (begin (ledger, session, 2), CO_LED_JOIN);
   co_ledger_free (ledger);
 }
 END_TEST
 
+/* Answers take no more memory than they may; what is forgotten never runs
+   again, and what runs is never forgotten. */
+START_TEST (test_ledger_keeps_within_its_memory)
+{
+  co_ledger_t *ledger = ledger_new (50);
+  uint64_t session;
+  uint64_t other;
+  uint64_t i;
+
+  co_ledger_open (ledger, 1, EL_STR ("c"), &session, NULL);
+  co_ledger_open (ledger, 1, EL_STR ("c"), &other, NULL);
+  begin (ledger, session, 1);
+  for (i = 2; i <= 40; i++)
+    {
+      begin (ledger, i % 2 ? session : other, i);
+      co_ledger_end (ledger, 2, i % 2 ? session : other, i, EL_RAN, 100);
+      ck_assert_uint_le (co_ledger_bytes (ledger), 1000);
+    }
+  ck_assert_int_eq (begin (ledger, other, 2), CO_LED_FORGOTTEN);
+  ck_assert_int_eq (begin (ledger, other, 40), CO_LED_ANSWER);
+  ck_assert_int_eq (begin (ledger, session, 1), CO_LED_JOIN);
+  co_ledger_free (ledger);
+}
+END_TEST
+
 START_TEST (test_ledger_sealed_runs_nothing_new)
 {
   co_ledger_t *ledger = ledger_new (4);
@@ -229,7 +255,7 @@
         {
           el_verdict_t verdict = (el_verdict_t)(random () % 3);
 
-          co_ledger_end (ledger, 1, session, sequence, verdict);
+          co_ledger_end (ledger, 1, session, sequence, verdict, 10);
           running[sequence] = 0;
           may_have_run[sequence] |= verdict != EL_NOT_RUN;
         }
@@ -373,6 +399,7 @@
   ADD (tcase, test_ledger_forgotten_never_runs);
   ADD (tcase, test_ledger_unknown_session_may_have_run);
   ADD (tcase, test_ledger_full_refuses_as_not_run);
+  ADD (tcase, test_ledger_keeps_within_its_memory);
   ADD (tcase, test_ledger_sealed_runs_nothing_new);
   ADD_LOOP (tcase, test_ledger_any_order_runs_at_most_once, 50);
   ADD (tcase, test_config_never_reverts);
