coord as an installed library, with a page, a pkg-config file and an example

Change: make install; make check installs into a folder of the build, builds examples/members.c against that by pkg-config alone, runs it and compares its output with the one kept beside it.

Measured: the example finds a dead member and runs a request once; 72 lines.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 LINTED = $(filter-out tests/% gate/peer_xdr.c,$(filter %.c,$(FORMATTED)))
 
-.PHONY: all proto deps demo check checked red lint bench format clean install
+.PHONY: all proto embed deps demo check checked red lint bench format clean install
 .DEFAULT_GOAL = all
 
 deps:
@@ -49,6 +49,7 @@
 	$(MAKE) -s B=build/san SAN="$(SANITIZE)" checked
 checked: $(BIN)/elmarchd $(BIN)/elmarchctl $(BIN)/standin $(BIN)/unit $(BIN)/proc
 	sh tests/settings.sh $(BIN)
+	$(MAKE) -s B=$(B) SAN="$(SAN)" embed
 	CK_VERBOSITY=normal $(BIN)/unit
 	CK_VERBOSITY=normal $(BIN)/proc
 # Each mechanism taken out in a scratch copy must turn its test red.
@@ -111,6 +112,31 @@
 	sh bench/bench_control.sh $(BIN)
 	sh bench/bench_gate.sh $(BIN)
 
+# The coordination library as others embed it.
+COORD_LIB = $(B)/libelmarch-coord.a
+$(COORD_LIB): $(COORD:%.c=$(B)/%.o) $(B)/base/str.o $(B)/base/err.o $(B)/base/timer.o
+	ar rcs $@ $^
+DEST = $(DESTDIR)$(PREFIX)
+install: all $(COORD_LIB)
+	install -d $(DEST)/bin $(DEST)/lib/pkgconfig $(DEST)/include/elmarch \
+	  $(DEST)/share/man/man1 $(DEST)/share/man/man3 $(DEST)/share/man/man8
+	install $(BIN)/elmarchd $(BIN)/elmarchctl $(DEST)/bin
+	install -m 644 $(COORD_LIB) $(DEST)/lib
+	install -m 644 base/base.h coord/coord.h $(DEST)/include/elmarch
+	sed 's|@PREFIX@|$(PREFIX)|' coord/elmarch-coord.pc.in \
+	  >$(DEST)/lib/pkgconfig/elmarch-coord.pc
+	install -m 644 man/elmarchctl.1 $(DEST)/share/man/man1
+	install -m 644 man/elmarch-coord.3 $(DEST)/share/man/man3
+	install -m 644 man/elmarchd.8 $(DEST)/share/man/man8
+# Install into a folder of its own, and build the example against that.
+embed: all
+	rm -rf $(B)/stage
+	$(MAKE) -s B=$(B) SAN="$(SAN)" PREFIX=$(CURDIR)/$(B)/stage install
+	PKG_CONFIG_PATH=$(B)/stage/lib/pkgconfig sh -c '$(CC) $(SAN) -Wall -Wextra -Werror \
+	  -o $(BIN)/members examples/members.c $$(pkg-config --cflags --libs elmarch-coord)'
+	$(BIN)/members >$(B)/members.out
+	diff examples/members.out $(B)/members.out
+
 # What rpcgen writes declares variables that it does not use.
 $(B)/gate/peer_xdr.o: WARN += -Wno-unused-variable
 
--- /dev/null
+++ b/examples/members.c
@@ -0,0 +1,72 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Embeds the coordination library: two members find each other, one ends and
+ * is found dead, and a request runs once. The holder owns clock and network.
+ */
+#include <coord.h>
+#include <stdio.h>
+
+static co_members_t *hosts[2];
+static el_time_t now = EL_SEC;
+static int cut;
+
+/* Carry a probe over and its answer back. */
+static void
+probe (void *arg, uint64_t id, el_str_t address, el_str_t via)
+{
+  int from = *(int *)arg;
+  co_gossip_t gossip;
+
+  if (cut || via.len || address.ptr[0] != "ab"[!from])
+    return;
+  co_members_speak (hosts[from], NULL, &gossip);
+  co_members_hear (hosts[!from], now, &gossip);
+  co_members_speak (hosts[!from], &gossip.self.incarnation, &gossip);
+  co_members_answer (hosts[from], now, id, 1, &gossip);
+}
+
+static void
+changed (void *arg, const co_member_t *m)
+{
+  printf ("host %c: %.*s is %s\n", "ab"[*(int *)arg], (int)m -> peer.len,
+          m->peer.ptr, co_mbr_state_name (m->state));
+}
+
+int
+main (void)
+{
+  static int index[] = { 0, 1 };
+  co_ledger_options_t book = { .max_sessions = 1, .max_entries = 8 };
+  co_ledger_t *ledger = co_ledger_new (&book);
+  co_session_t session = { .id = 0 };
+  void *answer;
+  int i;
+
+  for (i = 0; i < 2; i++)
+    {
+      co_members_options_t o = { .period = EL_SEC,
+                                 .timeout = EL_SEC / 4,
+                                 .forget = 60 * EL_SEC,
+                                 .probe = probe,
+                                 .changed = changed,
+                                 .arg = &index[i],
+                                 .seeds = EL_STR ("a:1,b:1") };
+
+      o.self.incarnation.byte[0] = (unsigned char)(i + 1);
+      o.self.peer = i ? EL_STR ("b:1") : EL_STR ("a:1");
+      hosts[i] = co_members_new (&o);
+    }
+  for (; now<20 * EL_SEC; now += EL_SEC / 4, cut = now> 5 * EL_SEC)
+    co_members_tick (hosts[0], now);
+  co_ledger_open (ledger, now, EL_STR ("customer"), &session.id, NULL);
+  for (i = 0; i < 2; i++)
+    puts (co_led_result_name (
+        co_ledger_begin (ledger, now, &session, 1, 7, NULL, &answer)));
+  co_members_free (hosts[0]);
+  co_members_free (hosts[1]);
+  co_ledger_free (ledger);
+  return 0;
+}
