Choice of route: room first, then speed; measured against the bound

Fast lines were drawn by weight and weighed by weight again, so slow lines had idle slots while fast ones queued.

Change: four candidates drawn evenly; one with room (streams below the sum of its endpoints' capacity) goes before one without, the faster of two with room, the less loaded for its capacity of two without.

--- a/Makefile
+++ b/Makefile
@@ -101,13 +101,17 @@
 	$(LINK)
 $(BIN)/bench_core: $(B)/bench/bench_core.o $(LIBA)
 	$(LINK)
+$(BIN)/bench_route: $(B)/bench/bench_route.o $(LIBA)
+	$(LINK)
 $(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(LIBA)
 	$(LINK)
 $(B)/bench/%.o: INC += -Itests
-BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members
+BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
+          $(BIN)/bench_route
 bench: deps
 	$(MAKE) -s all $(BENCHES)
 	$(BIN)/bench_core
+	$(BIN)/bench_route
 	$(BIN)/bench_members
 	sh bench/bench_control.sh $(BIN)
 	sh bench/bench_gate.sh $(BIN)
--- a/route/pick.c
+++ b/route/pick.c
@@ -3,15 +3,17 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * The choice of route: two pipelines drawn by weight, the one with fewer
- * tokens to come for its weight wins. Drawing two rather than looking at all
- * keeps the cost flat and, with load news that is local to a host, keeps
- * hosts from running to the same pipeline.
+ * The choice of route: of a few pipelines drawn at random, the one that has
+ * room and is fastest. Drawing a few rather than looking at all keeps the
+ * cost flat and, with load news that is local to a host, keeps hosts from
+ * running to the same pipeline.
  */
 #include "librt.h"
 
 /* Draws before all pipelines are looked at in turn. */
-#define PICK_DRAWS 8
+#define PICK_DRAWS 16
+/* Usable pipelines that are compared. */
+#define PICK_CHOICES 4
 
 /* How far a choice may go, from best to last. */
 typedef enum pick_level
@@ -31,57 +33,75 @@
   return level == PICK_ANY || !el_str_eq (el_str (ep->key), avoid);
 }
 
+/* A pipeline that can be used, and how many streams it serves at once. */
+typedef struct candidate
+{
+  rt_pipeline_t *pipe; /* NULL is none */
+  uint64_t capacity;
+} candidate_t;
+
+/* Fill OUT; gives 0 when an endpoint does not fit. */
 static int
-pipeline_usable (const rt_router_t *router, el_time_t now,
-                 const rt_pipeline_t *pipe, el_str_t avoid, pick_level_t level)
+candidate_look (const rt_router_t *router, el_time_t now, rt_pipeline_t *pipe,
+                el_str_t avoid, pick_level_t level, candidate_t *out)
 {
+  const rt_endpoint_t *ep;
   size_t i;
 
+  *out = (candidate_t){ pipe, 0 };
   for (i = 0; i < pipe->nstages; i++)
-    if (!endpoint_fits (rt_endpoint_find (router, pipe->stages[i].endpoint),
-                        now, avoid, level))
-      return 0;
+    {
+      ep = rt_endpoint_find (router, pipe->stages[i].endpoint);
+      if (!endpoint_fits (ep, now, avoid, level))
+        return 0;
+      out->capacity += ep->capacity;
+    }
   return 1;
 }
 
-static rt_pipeline_t *
-pipeline_draw (rt_router_t *router, const rt_deployment_t *dep)
+/* Whether A should get the next stream rather than B. One with room goes
+   before one without; of two with room the faster one, by weight; of two
+   without the one that is less over its capacity. */
+static int
+candidate_better (const candidate_t *a, const candidate_t *b)
 {
-  uint64_t at = rt_random (router) % dep->cumulative[dep->npipes - 1];
-  size_t low = 0;
-  size_t high = dep->npipes - 1;
-  size_t mid;
+  uint64_t over_a;
+  uint64_t over_b;
+  int room_a;
+  int room_b;
 
-  while (low < high)
-    {
-      mid = (low + high) / 2;
-      if (dep->cumulative[mid] > at)
-        high = mid;
-      else
-        low = mid + 1;
-    }
-  return dep->pipes[low];
+  if (!b->pipe)
+    return 1;
+  room_a = a->pipe->streams < a->capacity;
+  room_b = b->pipe->streams < b->capacity;
+  if (room_a != room_b)
+    return room_a;
+  if (room_a && a->pipe->weight != b->pipe->weight)
+    return a->pipe->weight > b->pipe->weight;
+  over_a = (a->pipe->streams + 1) * b->capacity;
+  over_b = (b->pipe->streams + 1) * a->capacity;
+  return over_a < over_b;
 }
 
-/* Whether A has fewer tokens to come for its weight than B. */
-static int
-pipeline_lighter (const rt_pipeline_t *a, const rt_pipeline_t *b)
+static rt_pipeline_t *
+pipeline_draw (rt_router_t *router, const rt_deployment_t *dep)
 {
-  return (a->load + 1) * b->weight < (b->load + 1) * a->weight;
+  return dep->pipes[rt_random (router) % dep->npipes];
 }
 
 static rt_pipeline_t *
 pipeline_scan (const rt_router_t *router, el_time_t now,
                const rt_deployment_t *dep, el_str_t avoid, pick_level_t level)
 {
-  rt_pipeline_t *best = NULL;
+  candidate_t best = { NULL, 0 };
+  candidate_t one;
   size_t i;
 
   for (i = 0; i < dep->npipes; i++)
-    if (pipeline_usable (router, now, dep->pipes[i], avoid, level)
-        && (!best || pipeline_lighter (dep->pipes[i], best)))
-      best = dep->pipes[i];
-  return best;
+    if (candidate_look (router, now, dep->pipes[i], avoid, level, &one)
+        && candidate_better (&one, &best))
+      best = one;
+  return best.pipe;
 }
 
 /** Choose a pipeline; NULL when none can be used. Endpoints that are set
@@ -91,25 +111,25 @@
 rt_pick_pipeline (rt_router_t *router, el_time_t now,
                   const rt_deployment_t *dep, el_str_t avoid)
 {
-  rt_pipeline_t *best = NULL;
-  rt_pipeline_t *pipe;
+  candidate_t best = { NULL, 0 };
+  candidate_t one;
   int found = 0;
   int i;
 
   if (dep->npipes == 0)
     return NULL;
-  for (i = 0; i < PICK_DRAWS && found < 2; i++)
+  for (i = 0; i < PICK_DRAWS && found < PICK_CHOICES; i++)
     {
-      pipe = pipeline_draw (router, dep);
-      if (!pipeline_usable (router, now, pipe, avoid, PICK_HEALTHY))
+      if (!candidate_look (router, now, pipeline_draw (router, dep), avoid,
+                           PICK_HEALTHY, &one))
         continue;
       found++;
-      if (!best || pipeline_lighter (pipe, best))
-        best = pipe;
+      if (candidate_better (&one, &best))
+        best = one;
     }
-  for (i = PICK_HEALTHY; i < PICK_LEVELS && !best; i++)
-    best = pipeline_scan (router, now, dep, avoid, (pick_level_t)i);
-  return best;
+  for (i = PICK_HEALTHY; i < PICK_LEVELS && !best.pipe; i++)
+    best.pipe = pipeline_scan (router, now, dep, avoid, (pick_level_t)i);
+  return best.pipe;
 }
 
 /** Choose the worker of a service with the fewest calls in flight, ties at
