Large files split; lint clean over bench and tests' network

Change: mbr_probe.c out of mbr_members.c, rpc_wire.c out of rpc.c, the process tests into streams, once, stops and agreement with their expectations in one file. No check was changed.

--- a/Makefile
+++ b/Makefile
@@ -15,14 +15,14 @@
 
 BASE = base/str.c base/err.c base/timer.c base/counter.c base/log.c \
        base/settings.c
-COORD = coord/mbr_members.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
+COORD = coord/mbr_members.c coord/mbr_probe.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c
 
 GATE = gate/gate.c gate/clock.c gate/http_server.c gate/http_client.c gate/answer.c \
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
        gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
-       gate/platform.c gate/kv_http.c gate/rpc.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
+       gate/platform.c gate/kv_http.c gate/rpc.c gate/rpc_wire.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
        gate/peer_forward.c gate/peer_handover.c gate/peer_xdr.c gate/cfg_sync.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c
 
@@ -57,7 +57,7 @@
 	sh tests/red.sh
 lint: deps
 	clang-format --dry-run -Werror $(FORMATTED)
-	printf '%s\n' $(LINTED) | xargs -P 8 -n 2 sh tools/tidy.sh $(INC) -Istandin
+	printf '%s\n' $(LINTED) | xargs -P 8 -n 2 sh tools/tidy.sh $(INC) -Istandin -Itests
 	sh tools/licence.sh --check
 	mandoc -Tlint -W warning man/*.[0-9]
 # Make the committed codecs anew from gate/peer.x; needs rpcsvc-proto.
@@ -92,7 +92,8 @@
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
-PROC = tests/t_proc.c tests/t_agree.c tests/cluster.c standin/reference.c
+PROC = tests/proc_main.c tests/t_stream.c tests/t_once.c tests/t_stop.c tests/t_agree.c \
+       tests/cluster.c tests/expect.c standin/reference.c
 $(BIN)/proc: $(PROC:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
 $(B)/tests/%.o: INC += -Istandin
--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -197,7 +197,7 @@
                                   .release = release_none };
   co_ledger_t *book = co_ledger_new (&options);
   size_t heap = bench_heap ();
-  uint64_t began = bench_ns ();
+  uint64_t began;
   uint64_t session = 0;
   co_session_t key = { 0 };
   void *answer;
--- a/coord/libcoord.h
+++ b/coord/libcoord.h
@@ -78,4 +78,20 @@
   return n < 2 ? 1 : 64U - (unsigned)__builtin_clzll ((uint64_t)n - 1);
 }
 
+static inline int
+mbr_is_live (const mbr_entry_t *entry)
+{
+  return entry->m.state <= CO_MBR_SUSPECT;
+}
+
+/* mbr_members.c */
+mbr_entry_t *mbr_entry_find (const co_members_t *members,
+                             const co_incarnation_t *inc);
+void mbr_entry_state (co_members_t *members, el_time_t now, mbr_entry_t *entry,
+                      co_mbr_state_t state);
+el_time_t mbr_suspect_time (const co_members_t *members);
+
+/* mbr_probe.c */
+void mbr_probes_free (co_members_t *members);
+
 #endif
--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -12,11 +12,7 @@
 
 #include "libcoord.h"
 
-#define INDIRECT_PROBES 3
 #define SUSPECT_PERIODS 4
-/* A tick that comes this many periods late tells that the host was paused:
-   what it waited for then says nothing of others. */
-#define PAUSED_PERIODS 3
 /* News is passed on this many times the logarithm of the number of members. */
 #define NEWS_FACTOR 3
 #define NEWS_MIN 4
@@ -34,14 +30,8 @@
   return state_names[state];
 }
 
-static int
-member_is_live (const mbr_entry_t *entry)
-{
-  return entry->m.state <= CO_MBR_SUSPECT;
-}
-
-static mbr_entry_t *
-entry_find (const co_members_t *members, const co_incarnation_t *inc)
+mbr_entry_t *
+mbr_entry_find (const co_members_t *members, const co_incarnation_t *inc)
 {
   mbr_entry_t *entry;
 
@@ -111,28 +101,28 @@
   free (entry);
 }
 
-static el_time_t
-suspect_time (const co_members_t *members)
+el_time_t
+mbr_suspect_time (const co_members_t *members)
 {
   return members->options.period * SUSPECT_PERIODS
          * mbr_log2 (members->live + 1) / 2;
 }
 
-static void
-entry_state (co_members_t *members, el_time_t now, mbr_entry_t *entry,
-             co_mbr_state_t state)
+void
+mbr_entry_state (co_members_t *members, el_time_t now, mbr_entry_t *entry,
+                 co_mbr_state_t state)
 {
   el_time_t wait = members->options.forget;
-  int was_live = member_is_live (entry);
+  int was_live = mbr_is_live (entry);
 
   entry->m.state = state;
-  members->live += (size_t)member_is_live (entry) - (size_t)was_live;
+  members->live += (size_t)mbr_is_live (entry) - (size_t)was_live;
   if (state == CO_MBR_ALIVE)
     el_timers_cancel (&members->timers, &entry->timer);
   else
     {
       if (state == CO_MBR_SUSPECT)
-        wait = suspect_time (members);
+        wait = mbr_suspect_time (members);
       el_timers_set (&members->timers, &entry->timer, now + wait);
     }
   entry_news (members, entry);
@@ -145,7 +135,7 @@
   mbr_entry_t *entry = arg;
 
   if (entry->m.state == CO_MBR_SUSPECT)
-    entry_state (entry->members, now, entry, CO_MBR_DEAD);
+    mbr_entry_state (entry->members, now, entry, CO_MBR_DEAD);
   else
     entry_drop (entry->members, entry);
 }
@@ -162,7 +152,7 @@
   HASH_ADD (hh, members->entries, m.incarnation, CO_INCARNATION_BYTES, entry);
   entry_order (members, entry);
   entry->m.state = CO_MBR_DEAD; /* not live yet */
-  entry_state (members, now, entry, member->state);
+  mbr_entry_state (members, now, entry, member->state);
 }
 
 /* News of this host itself. What doubts it is refuted by a higher counter. */
@@ -187,7 +177,7 @@
       self_hear (members, member);
       return;
     }
-  entry = entry_find (members, &member->incarnation);
+  entry = mbr_entry_find (members, &member->incarnation);
   if (!entry)
     {
       if (member->state <= CO_MBR_SUSPECT)
@@ -203,7 +193,7 @@
   entry->m.counter = member->counter;
   entry->m.draining = member->draining;
   entry->m.successor = member->successor;
-  entry_state (members, now, entry, member->state);
+  mbr_entry_state (members, now, entry, member->state);
 }
 
 static void
@@ -294,7 +284,7 @@
   size_t i;
 
   /* A host that is doubted here is told, so that it can refute. */
-  entry = to ? entry_find (members, to) : NULL;
+  entry = to ? mbr_entry_find (members, to) : NULL;
   if (entry && entry->m.state != CO_MBR_ALIVE)
     list[n++] = entry;
   HASH_ITER (hh, members->entries, entry, next)
@@ -329,204 +319,6 @@
     }
 }
 
-/* The next member to probe: all in turn, in an order of this host's own. */
-static mbr_entry_t *
-probe_next (co_members_t *members)
-{
-  mbr_entry_t *entry;
-  size_t i;
-
-  for (i = 0; i < members->norder; i++)
-    {
-      entry = members->order[members->cursor++ % members->norder];
-      if (member_is_live (entry))
-        return entry;
-    }
-  return NULL;
-}
-
-static void
-probe_add (co_members_t *members, el_time_t now, const mbr_entry_t *entry,
-           el_str_t address)
-{
-  mbr_probe_t *probe = el_alloc (sizeof *probe);
-
-  probe->id = members->next_probe++;
-  probe->address = el_str_dup (address);
-  probe->due = now + members->options.timeout;
-  if (entry)
-    {
-      probe->expects = 1;
-      probe->incarnation = entry->m.incarnation;
-    }
-  DL_APPEND (members->probes, probe);
-  members->options.probe (members->options.arg, probe->id, probe->address,
-                          (el_str_t){ NULL, 0 });
-}
-
-static int
-address_is_live (const co_members_t *members, el_str_t address)
-{
-  size_t i;
-
-  for (i = 0; i < members->norder; i++)
-    if (member_is_live (members->order[i])
-        && el_str_eq (members->order[i]->m.peer, address))
-      return 1;
-  return el_str_eq (address, members->self.peer);
-}
-
-/* Seeds where no live member is known: to join, and to meet again after the
-   network was cut. One in a period. */
-static void
-probe_seed (co_members_t *members, el_time_t now)
-{
-  el_str_t rest = el_str_after (members->seeds, members->seed_at);
-  el_str_t address = el_str_cut (&rest, ',');
-
-  if (members->seeds.len == 0)
-    return;
-  members->seed_at = rest.len ? members->seeds.len - rest.len : 0;
-  if (address.len && !address_is_live (members, address))
-    probe_add (members, now, NULL, address);
-}
-
-static void
-probe_indirect (co_members_t *members, el_time_t now, mbr_probe_t *probe)
-{
-  mbr_entry_t *via;
-  unsigned sent = 0;
-  size_t i;
-
-  probe->indirect = 1;
-  probe->due = now + members->options.timeout;
-  for (i = 0; i < members->norder && sent < INDIRECT_PROBES; i++)
-    {
-      via = members->order[mbr_random (members) % members->norder];
-      if (!member_is_live (via) || el_str_eq (via->m.peer, probe->address))
-        continue;
-      members->options.probe (members->options.arg, probe->id, probe->address,
-                              via->m.peer);
-      sent++;
-    }
-}
-
-static void
-probe_drop (co_members_t *members, mbr_probe_t *probe)
-{
-  DL_DELETE (members->probes, probe);
-  el_str_free (&probe->address);
-  free (probe);
-}
-
-/* Neither it nor others reached the member. */
-static void
-probe_failed (co_members_t *members, el_time_t now, mbr_probe_t *probe)
-{
-  mbr_entry_t *entry
-      = probe->expects ? entry_find (members, &probe->incarnation) : NULL;
-
-  if (entry && entry->m.state == CO_MBR_ALIVE)
-    entry_state (members, now, entry, CO_MBR_SUSPECT);
-  probe_drop (members, probe);
-}
-
-static void
-probes_look (co_members_t *members, el_time_t now, int paused)
-{
-  mbr_probe_t *probe;
-  mbr_probe_t *next;
-
-  DL_FOREACH_SAFE (members->probes, probe, next)
-  {
-    if (paused)
-      probe_drop (members, probe);
-    else if (now < probe->due)
-      continue;
-    else if (probe->indirect || !probe->expects)
-      probe_failed (members, now, probe);
-    else
-      probe_indirect (members, now, probe);
-  }
-}
-
-/** An answer to probe ID, direct or by way of another host, or none (OK is
-    0). */
-void
-co_members_answer (co_members_t *members, el_time_t now, uint64_t id, int ok,
-                   const co_gossip_t *gossip)
-{
-  mbr_probe_t *probe;
-  mbr_entry_t *entry;
-
-  if (ok)
-    co_members_hear (members, now, gossip);
-  DL_FOREACH (members->probes, probe)
-  if (probe->id == id)
-    break;
-  if (!probe || !ok)
-    return;
-  entry = probe->expects ? entry_find (members, &probe->incarnation) : NULL;
-  if (entry
-      && !co_incarnation_eq (&gossip->self.incarnation, &probe->incarnation)
-      && el_str_eq (gossip->self.peer, probe->address)
-      && member_is_live (entry))
-    entry_state (members, now, entry, CO_MBR_DEAD);
-  probe_drop (members, probe);
-}
-
-/* After a pause the suspects get their whole time again: what they said
-   meanwhile is still on its way in. */
-static void
-suspects_wait (co_members_t *members, el_time_t now)
-{
-  mbr_entry_t *entry;
-  mbr_entry_t *next;
-
-  HASH_ITER (hh, members->entries, entry, next)
-  if (entry->m.state == CO_MBR_SUSPECT)
-    el_timers_set (&members->timers, &entry->timer,
-                   now + suspect_time (members));
-}
-
-/** Look after probes and suspicions; call it when co_members_next says so. */
-void
-co_members_tick (co_members_t *members, el_time_t now)
-{
-  el_time_t period = members->options.period;
-  int paused = members->last_tick
-               && now > members->last_tick + PAUSED_PERIODS * period;
-  mbr_entry_t *entry;
-
-  members->last_tick = now;
-  probes_look (members, now, paused);
-  if (paused)
-    suspects_wait (members, now);
-  el_timers_run (&members->timers, now);
-  if (now < members->next_period)
-    return;
-  members->next_period = now + period;
-  entry = probe_next (members);
-  if (entry)
-    probe_add (members, now, entry, entry->m.peer);
-  probe_seed (members, now);
-}
-
-/** When co_members_tick wants to be called. */
-el_time_t
-co_members_next (const co_members_t *members)
-{
-  el_time_t due = el_timers_next (&members->timers);
-  mbr_probe_t *probe;
-
-  if (members->next_period < due)
-    due = members->next_period;
-  DL_FOREACH (members->probes, probe)
-  if (probe->due < due)
-    due = probe->due;
-  return due;
-}
-
 /** This host takes no new work (CO_MBR_ALIVE), or ends (CO_MBR_LEFT). */
 void
 co_members_drain (co_members_t *members, co_mbr_state_t state)
@@ -553,7 +345,7 @@
 
   if (co_incarnation_eq (&members->self.incarnation, incarnation))
     return &members->self;
-  entry = entry_find (members, incarnation);
+  entry = mbr_entry_find (members, incarnation);
   return entry ? &entry->m : NULL;
 }
 
@@ -606,8 +398,7 @@
   mbr_leaving_t *news;
   mbr_leaving_t *next_news;
 
-  while (members->probes)
-    probe_drop (members, members->probes);
+  mbr_probes_free (members);
   HASH_ITER (hh, members->entries, entry, next)
   entry_drop (members, entry);
   HASH_ITER (hh, members->leaving, news, next_news)
--- a/gate/rpc.c
+++ b/gate/rpc.c
@@ -16,14 +16,12 @@
 #include "map.h"
 #include "peer_proto.h"
 #include "rpc.h"
+#include "rpc_wire.h"
 
-#define RECORD_LAST 0x80000000U
 #define RECORD_MAX (PEER_BODY_MAX + 4096)
-#define MARK_BYTES 4
 #define READ_CHUNK 65536
 #define BACKLOG 256
 #define ADDRESS_MAX 64
-#define HEAD_ROOM 512
 
 /* libtirpc declares xdr_void without arguments. */
 static const xdrproc_t rpc_void = (xdrproc_t)(void (*) (void))xdr_void;
@@ -189,48 +187,6 @@
     }
 }
 
-static void
-seal_mac (el_str_t key, char direction, uint32_t proc, uint32_t xid,
-          el_str_t body, unsigned char out[CO_MAC_BYTES])
-{
-  el_buf_t text = { NULL, 0, 0 };
-
-  el_buf_printf (&text, "%c%u.%u.", direction, proc, xid);
-  el_buf_add (&text, body);
-  co_mac (key, el_buf_str (&text), out);
-  el_buf_free (&text);
-}
-
-/* Append MSG and the sealed body; a RECORD has its mark before it. */
-static void
-record_write (gt_rpc_t *rpc, el_buf_t *out, struct rpc_msg *msg, int record,
-              uint32_t proc, el_str_t body)
-{
-  char direction = msg->rm_direction == CALL ? 'c' : 'r';
-  size_t size = HEAD_ROOM + body.len;
-  char *bytes = el_alloc (size);
-  peer_sealed sealed;
-  uint32_t mark;
-  XDR xdr;
-  int ok;
-
-  seal_mac (rpc->options.key, direction, proc, msg->rm_xid, body,
-            (unsigned char *)sealed.mac);
-  sealed.body.body_val = (char *)(uintptr_t)body.ptr;
-  sealed.body.body_len = (u_int)body.len;
-  xdrmem_create (&xdr, bytes, (u_int)size, XDR_ENCODE);
-  ok = direction == 'c' ? xdr_callmsg (&xdr, msg) : xdr_replymsg (&xdr, msg);
-  if (ok && xdr_peer_sealed (&xdr, &sealed))
-    {
-      mark = htonl (RECORD_LAST | xdr_getpos (&xdr));
-      if (record)
-        el_buf_add (out, (el_str_t){ (char *)&mark, MARK_BYTES });
-      el_buf_add (out, (el_str_t){ bytes, xdr_getpos (&xdr) });
-    }
-  xdr_destroy (&xdr);
-  free (bytes);
-}
-
 static void
 datagram_done (uv_udp_send_t *req, int status)
 {
@@ -268,23 +224,6 @@
     conn_close (conn);
 }
 
-/* Read the sealed body behind a message; gives 0 when the code does not
-   fit. The body points into allocated memory that xdr_free releases. */
-static int
-sealed_read (gt_rpc_t *rpc, XDR *xdr, char direction, uint32_t proc,
-             uint32_t xid, peer_sealed *sealed)
-{
-  unsigned char want[CO_MAC_BYTES];
-  el_str_t body;
-
-  memset (sealed, 0, sizeof *sealed);
-  if (!xdr_peer_sealed (xdr, sealed))
-    return 0;
-  body = (el_str_t){ sealed->body.body_val, sealed->body.body_len };
-  seal_mac (rpc->options.key, direction, proc, xid, body, want);
-  return co_mac_eq (want, (unsigned char *)sealed->mac);
-}
-
 static void
 server_record (gt_rpc_t *rpc, rpc_conn_t *conn, const struct sockaddr_in *from,
                XDR *xdr)
@@ -303,8 +242,8 @@
   if (!xdr_callmsg (xdr, &msg) || msg.rm_call.cb_rpcvers != RPC_MSG_VERSION
       || msg.rm_call.cb_prog != ELMARCH_PEER
       || msg.rm_call.cb_vers != ELMARCH_PEER_V1
-      || !sealed_read (rpc, xdr, 'c', (uint32_t)msg.rm_call.cb_proc,
-                       msg.rm_xid, &sealed))
+      || !rpc_wire_read (rpc->options.key, xdr, 'c',
+                         (uint32_t)msg.rm_call.cb_proc, msg.rm_xid, &sealed))
     {
       xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
       refuse (rpc, conn);
@@ -344,7 +283,8 @@
   if (ok && !call)
     return; /* an answer that nobody waits for any more */
   if (!ok || call->conn != conn
-      || !sealed_read (rpc, xdr, 'r', call->proc, call->xid, &sealed))
+      || !rpc_wire_read (rpc->options.key, xdr, 'r', call->proc, call->xid,
+                         &sealed))
     {
       xdr_free ((xdrproc_t)xdr_peer_sealed, (char *)&sealed);
       refuse (rpc, conn);
@@ -594,7 +534,8 @@
   msg.rm_call.cb_prog = ELMARCH_PEER;
   msg.rm_call.cb_vers = ELMARCH_PEER_V1;
   msg.rm_call.cb_proc = call->proc;
-  record_write (rpc, record, &msg, call->conn != NULL, call->proc, body);
+  rpc_wire_write (rpc->options.key, record, &msg, call->conn != NULL,
+                  call->proc, body);
 }
 
 /** Call procedure PROC at ADDRESS; DONE is called once, at the latest after
@@ -657,7 +598,8 @@
   msg.acpted_rply.ar_results.proc = rpc_void;
   if (!rpc->stopped && !(conn && conn->closing))
     {
-      record_write (rpc, &record, &msg, conn != NULL, req->proc, body);
+      rpc_wire_write (rpc->options.key, &record, &msg, conn != NULL, req->proc,
+                      body);
       if (conn)
         conn_write (conn, &record);
       else
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -72,6 +72,14 @@
   reply_t reply;
 } caller_t;
 
+#define CHAT "/v1/chat/completions"
+#define PAY "/services/zahl-app/pay"
+#define QUESTION "Which visit is next?"
+#define MAX_TOKENS 20
+
+/** The processes of the test that runs. */
+extern cluster_t c;
+
 /** Set to have callers speak HTTP/2. */
 extern int http2;
 
@@ -111,5 +119,13 @@
                       int *done);
 void session_open (const proc_t *host, char *header, size_t size);
 json_int_t runs (const proc_t *worker, const char *id);
+json_int_t runs_all (const char *id);
+void cluster_setup (void);
+void cluster_teardown (void);
+void stream_is_whole (const reply_t *reply, size_t skip);
+void verdict_is (const reply_t *reply, long status, const char *want);
+void pay (size_t host, const char *id, const char *const *headers,
+          reply_t *reply);
+void entries_wait (size_t host, size_t want);
 
 #endif
--- /dev/null
+++ b/tests/expect.c
@@ -0,0 +1,93 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * What the tests with processes expect of answers.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "cluster.h"
+#include "reference.h"
+
+cluster_t c;
+
+void
+cluster_setup (void)
+{
+  memset (&c, 0, sizeof c);
+}
+
+void
+cluster_teardown (void)
+{
+  cluster_close (&c);
+}
+
+/** The answer must be the model's own, token for token, with its end. */
+void
+stream_is_whole (const reply_t *reply, size_t skip)
+{
+  uint64_t want[MAX_TOKENS];
+  uint64_t got[MAX_TOKENS];
+  size_t n = reference_answer (QUESTION, LAYERS, MAX_TOKENS, want);
+  int done;
+  size_t m = stream_tokens (&reply->body, got, MAX_TOKENS, &done);
+
+  ck_assert_int_eq (reply->status, 200);
+  ck_assert_msg (done, "no end: %s", reply->body.ptr);
+  ck_assert_uint_eq (m, n - skip);
+  ck_assert (memcmp (want + skip, got, m * sizeof *got) == 0);
+}
+
+/** The answer must have a status and a verdict. */
+void
+verdict_is (const reply_t *reply, long status, const char *want)
+{
+  char verdict[32];
+
+  reply_header (reply, "x-elmarch-verdict", verdict, sizeof verdict);
+  ck_assert_msg (reply->status == status && strcmp (verdict, want) == 0,
+                 "status %ld verdict %s: %s", reply->status, verdict,
+                 reply->body.ptr ? reply->body.ptr : "");
+}
+
+/** How often the workers that live ran a payment. */
+json_int_t
+runs_all (const char *id)
+{
+  return (c.workers[0].pid ? runs (&c.workers[0], id) : 0)
+         + (c.workers[1].pid ? runs (&c.workers[1], id) : 0);
+}
+
+/** Send a payment. */
+void
+pay (size_t host, const char *id, const char *const *headers, reply_t *reply)
+{
+  char body[64];
+
+  snprintf (body, sizeof body, "{\"id\":\"%s\"}", id);
+  http ("POST", c.hosts[host].address, PAY, body, headers, reply);
+}
+
+/** Wait until a host gives that many entry addresses. */
+void
+entries_wait (size_t host, size_t want)
+{
+  size_t n = 0;
+  int i;
+
+  for (i = 0; i < WAIT_STEPS && n != want; i++)
+    {
+      json_t *json = http_json (c.hosts[host].address, "/v1/entry-hosts");
+
+      n = json_array_size (json_object_get (json, "hosts"));
+      json_decref (json);
+      if (n != want)
+        pause_step ();
+    }
+  ck_assert_uint_eq (n, want);
+}
--- a/tests/t_agree.c
+++ b/tests/t_agree.c
@@ -18,26 +18,8 @@
 #include "cluster.h"
 #include "test.h"
 
-#define PAY "/services/zahl-app/pay"
-#define CHAT "/v1/chat/completions"
 #define WATCHERS 2
 
-Suite *agree_suite (void);
-
-static cluster_t c;
-
-static void
-setup (void)
-{
-  memset (&c, 0, sizeof c);
-}
-
-static void
-teardown (void)
-{
-  cluster_close (&c);
-}
-
 static long
 put_weight (size_t host, unsigned weight, json_int_t version,
             const char *change, reply_t *reply)
@@ -188,16 +170,6 @@
 }
 END_TEST
 
-static void
-verdict_has (const reply_t *reply, long status, const char *want)
-{
-  char verdict[32];
-
-  reply_header (reply, "x-elmarch-verdict", verdict, sizeof verdict);
-  ck_assert_msg (reply->status == status && strcmp (verdict, want) == 0,
-                 "status %ld verdict %s", reply->status, verdict);
-}
-
 static void
 requests_go_on (size_t host)
 {
@@ -228,9 +200,9 @@
   requests_go_on (1);
   put_weight (0, 5, 0, NULL, &reply);
   if (_i == 0)
-    verdict_has (&reply, 503, "not-run");
+    verdict_is (&reply, 503, "not-run");
   else
-    verdict_has (&reply, 504, "may-have-run");
+    verdict_is (&reply, 504, "may-have-run");
   reply_free (&reply);
   requests_go_on (0);
 }
@@ -255,7 +227,7 @@
   proc_end (&c.hosts[1], SIGKILL);
   host_start (&c, 1);
   http ("POST", c.hosts[1].address, PAY, "{\"id\":\"y\"}", NULL, &reply);
-  verdict_has (&reply, 503, "not-run");
+  verdict_is (&reply, 503, "not-run");
   ck_assert_ptr_nonnull (strstr (reply.body.ptr, "starting"));
   reply_free (&reply);
 }
@@ -459,7 +431,7 @@
   TCase *tcase = tcase_create ("agreement");
 
   tcase_set_timeout (tcase, 60);
-  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_add_checked_fixture (tcase, cluster_setup, cluster_teardown);
   ADD (tcase, test_change_reaches_hosts_that_do_not_watch);
   ADD (tcase, test_racing_operators_get_a_conflict);
   ADD (tcase, test_lost_answer_of_a_write_is_settled_by_its_id);
--- /dev/null
+++ b/tests/t_once.c
@@ -0,0 +1,316 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Calls that may not be repeated, and refusals, before real processes that
+ * fail.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster.h"
+#include "test.h"
+
+/* Open a session that is not used, once the host has a configuration. */
+static void
+session_open_at (size_t host)
+{
+  reply_t reply;
+
+  if (!c.hosts[host].pid)
+    return;
+  do
+    {
+      http ("POST", c.hosts[host].address, "/v1/sessions", "", NULL, &reply);
+      reply_free (&reply);
+    }
+  while (reply.status == 503);
+  ck_assert_int_eq (reply.status, 201);
+}
+
+/* Duplicates: in a row and crossed with the first, at the home and at another
+   host. All get one answer; the worker ran it once. */
+START_TEST (test_duplicates_run_once)
+{
+  char session[640];
+  const char *headers[] = { session, "x-elmarch-sequence: 1", NULL };
+  caller_t callers[6];
+  reply_t reply;
+  size_t i;
+
+  cluster_open (&c, 3);
+  for (i = 0; i < 2; i++)
+    fault (&c.workers[i], "{\"fault\":\"slow\",\"delay_ms\":150}");
+  session_open (&c.hosts[0], session, sizeof session);
+  for (i = 0; i < 6; i++)
+    caller_start (&callers[i], c.hosts[i % 3].address, PAY, "{\"id\":\"t1\"}",
+                  headers, 0);
+  for (i = 0; i < 6; i++)
+    {
+      caller_join (&callers[i]);
+      verdict_is (&callers[i].reply, 200, "ran");
+      ck_assert_ptr_nonnull (strstr (callers[i].reply.body.ptr, "\"run\":1"));
+      reply_free (&callers[i].reply);
+    }
+  for (i = 0; i < 3; i++)
+    {
+      pay (i, "t1", headers, &reply);
+      verdict_is (&reply, 200, "ran");
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (runs_all ("t1"), 1);
+}
+END_TEST
+
+/* The home restarts, or stays dead, after the first arrival ran: a duplicate
+   at any host is told that it may have run, and does not run. */
+START_TEST (test_duplicate_after_the_home_is_gone_never_runs)
+{
+  char session[640];
+  const char *headers[] = { session, "x-elmarch-sequence: 1", NULL };
+  reply_t reply;
+  size_t i;
+
+  cluster_open (&c, 2);
+  session_open (&c.hosts[0], session, sizeof session);
+  pay (0, "t1", headers, &reply);
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
+  proc_end (&c.hosts[0], SIGKILL);
+  if (_i == 1)
+    host_start (&c, 0);
+  for (i = 0; i < 2; i++) /* sessions of the same number at the others */
+    session_open_at (i);
+  for (i = 0; i < 2; i++)
+    {
+      if (!c.hosts[i].pid)
+        continue;
+      pay (i, "t1", headers, &reply);
+      verdict_is (&reply, 409, "may-have-run");
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (runs_all ("t1"), 1);
+}
+END_TEST
+
+/* The home is frozen, not dead: the answer comes at once when its time is
+   over, it does not run elsewhere, and the home that thaws runs it once. */
+START_TEST (test_duplicate_while_the_home_is_frozen_never_runs_elsewhere)
+{
+  char session[640];
+  const char *headers[] = { session, "x-elmarch-sequence: 1",
+                            "x-elmarch-deadline-ms: 300", NULL };
+  reply_t reply;
+
+  cluster_open (&c, 2);
+  session_open (&c.hosts[0], session, sizeof session);
+  session_open_at (1);
+  proc_signal (&c.hosts[0], SIGSTOP);
+  pay (1, "t1", headers, &reply);
+  verdict_is (&reply, 409, "may-have-run");
+  reply_free (&reply);
+  ck_assert_int_eq (runs_all ("t1"), 0);
+  proc_signal (&c.hosts[0], SIGCONT);
+  headers[2] = NULL;
+  pay (1, "t1", headers, &reply);
+  reply_free (&reply);
+  pay (0, "t1", headers, &reply);
+  reply_free (&reply);
+  ck_assert_int_le (runs_all ("t1"), 1);
+}
+END_TEST
+
+static const struct
+{
+  const char *fault;
+  long status;
+  const char *verdict;
+  json_int_t runs; /* at the workers that live; -1 when the one that ran it
+                      died */
+} worker_faults[] = {
+  { "{\"fault\":\"die-before\",\"times\":1}", 502, "may-have-run", -1 },
+  { "{\"fault\":\"die-after\",\"times\":1}", 502, "may-have-run", -1 },
+  { "{\"fault\":\"lose\"}", 502, "may-have-run", 1 },
+  { "{\"fault\":\"hang\"}", 504, "may-have-run", 1 },
+  { "{\"fault\":\"leaving\"}", 503, "not-run", 0 },
+  { "{\"fault\":\"busy\"}", 503, "not-run", 0 },
+  { "{\"fault\":\"down\"}", 500, "ran", 0 },
+};
+
+/* The worker fails before, during or after the call, or loses its answer:
+   sent three times over, the payment runs at most once, and "not run" is said
+   only when it did not run. */
+START_TEST (test_worker_fault_runs_at_most_once)
+{
+  char session[640];
+  const char *headers[] = { session, "x-elmarch-sequence: 1",
+                            "x-elmarch-deadline-ms: 1500", NULL };
+  reply_t reply;
+  int i;
+
+  cluster_open (&c, 2);
+  session_open (&c.hosts[0], session, sizeof session);
+  fault (&c.workers[0], worker_faults[_i].fault);
+  fault (&c.workers[1], worker_faults[_i].fault);
+  for (i = 0; i < 3; i++)
+    {
+      pay ((size_t)i % 2, "t1", headers, &reply);
+      verdict_is (&reply, worker_faults[_i].status, worker_faults[_i].verdict);
+      reply_free (&reply);
+    }
+  if (worker_faults[_i].runs >= 0)
+    ck_assert_int_eq (runs_all ("t1"), worker_faults[_i].runs);
+  else
+    /* One of them died with the call; the other never got it. */
+    ck_assert_int_eq (metric (&c.hosts[0], "elmarch_calls_total"), 1);
+}
+END_TEST
+
+/* Nothing listens at the workers: refused as not run, and true. When one is
+   back, the same request, sent again, runs once. */
+START_TEST (test_not_run_is_true_and_may_be_sent_again)
+{
+  char session[640];
+  const char *headers[] = { session, "x-elmarch-sequence: 1", NULL };
+  reply_t reply;
+
+  cluster_open (&c, 1);
+  session_open (&c.hosts[0], session, sizeof session);
+  proc_end (&c.workers[0], SIGKILL);
+  proc_end (&c.workers[1], SIGKILL);
+  pay (0, "t1", headers, &reply);
+  verdict_is (&reply, 503, "not-run");
+  ck_assert_ptr_nonnull (strstr (reply.head.ptr, "retry-after:"));
+  reply_free (&reply);
+  worker_start (&c, 0);
+  ck_assert_int_eq (runs_all ("t1"), 0);
+  pay (0, "t1", headers, &reply);
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
+  ck_assert_int_eq (runs_all ("t1"), 1);
+}
+END_TEST
+
+static const struct
+{
+  const char *method;
+  const char *path;
+  const char *headers[2];
+  const char *body;
+  long status;
+  const char *code;
+} bad_requests[] = {
+  { "POST", CHAT, { "authorization: Bearer nobody" }, "{}", 401, "unknown" },
+  { "POST", CHAT, { "authorization: Basic x" }, "{}", 401, "unknown" },
+  { "POST",
+    PAY,
+    { "authorization: Bearer nobody" },
+    "{\"id\":\"x\"}",
+    401,
+    "unknown" },
+  { "POST", CHAT, { NULL }, "{", 400, "bad-json" },
+  { "POST", CHAT, { NULL }, "[]", 400, "bad-json" },
+  { "POST", CHAT, { NULL }, "", 400, "bad-json" },
+  { "POST", CHAT, { NULL }, "{\"model\":\"sprach\"}", 400, "messages" },
+  { "POST", CHAT, { NULL }, "{\"model\":7,\"messages\":[]}", 400, "model" },
+  { "POST",
+    CHAT,
+    { NULL },
+    "{\"model\":\"a\",\"model\":\"b\"}",
+    400,
+    "bad-json" },
+  { "POST",
+    CHAT,
+    { NULL },
+    "{\"model\":\"sprach\",\"messages\":[{\"role\":\"user\",\"content\":"
+    "\"x\"}],\"wrong\":1}",
+    400,
+    "wrong: unknown field" },
+  { "POST",
+    CHAT,
+    { NULL },
+    "{\"model\":\"sprach\",\"messages\":[{\"role\":\"user\",\"content\":"
+    "\"x\"}],\"max_tokens\":0}",
+    400,
+    "max_tokens" },
+  { "POST",
+    CHAT,
+    { NULL },
+    "{\"model\":\"none\",\"messages\":[{\"role\":\"user\",\"content\":"
+    "\"x\"}]}",
+    404,
+    "not-found" },
+  { "POST", CHAT, { "x-elmarch-deadline-ms: soon" }, "{}", 400, "deadline" },
+  { "POST",
+    CHAT,
+    { "x-elmarch-session: v1~forged" },
+    "{}",
+    400,
+    "bad-session" },
+  { "GET", CHAT, { NULL }, NULL, 405, "bad-method" },
+  { "GET", "/nothing", { NULL }, NULL, 404, "not-found" },
+  { "POST", "/services/none/pay", { NULL }, "{}", 404, "not-found" },
+  { "GET", "/admin/v1/customers", { NULL }, NULL, 401, "not-an-operator" },
+  { "PUT",
+    "/admin/v1/customers/x",
+    { "authorization: Bearer wrong" },
+    "{}",
+    401,
+    "not-an-operator" },
+};
+
+/* Each gets a clear answer, as not run, and nothing reaches an endpoint. */
+START_TEST (test_bad_requests_run_nothing)
+{
+  size_t i;
+  char *big = malloc (2 << 20);
+  reply_t reply;
+
+  cluster_open (&c, 1);
+  for (i = 0; i < sizeof bad_requests / sizeof *bad_requests; i++)
+    {
+      http (bad_requests[i].method, c.hosts[0].address, bad_requests[i].path,
+            bad_requests[i].body,
+            (const char *const[]){ bad_requests[i].headers[0], NULL }, &reply);
+      /* A request that names a session may have come before. */
+      verdict_is (
+          &reply, bad_requests[i].status,
+          strstr (bad_requests[i].headers[0] ? bad_requests[i].headers[0] : "",
+                  "session")
+              ? "may-have-run"
+              : "not-run");
+      ck_assert_msg (strstr (reply.body.ptr, bad_requests[i].code) != NULL,
+                     "%zu: %s", i, reply.body.ptr);
+      reply_free (&reply);
+    }
+  memset (big, 'x', 2 << 20);
+  big[(2 << 20) - 1] = '\0';
+  http ("POST", c.hosts[0].address, CHAT, big, NULL, &reply);
+  ck_assert_int_eq (reply.status, 413);
+  reply_free (&reply);
+  free (big);
+  ck_assert_uint_eq (metric (&c.hosts[0], "elmarch_calls_total"), 0);
+}
+END_TEST
+
+Suite *
+once_suite (void)
+{
+  Suite *suite = suite_create ("once");
+  TCase *tcase = tcase_create ("once");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, cluster_setup, cluster_teardown);
+  ADD (tcase, test_duplicates_run_once);
+  ADD_LOOP (tcase, test_duplicate_after_the_home_is_gone_never_runs, 2);
+  ADD (tcase, test_duplicate_while_the_home_is_frozen_never_runs_elsewhere);
+  ADD_LOOP (tcase, test_worker_fault_runs_at_most_once,
+            (int)(sizeof worker_faults / sizeof *worker_faults));
+  ADD (tcase, test_not_run_is_true_and_may_be_sent_again);
+  ADD (tcase, test_bad_requests_run_nothing);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- /dev/null
+++ b/tests/t_stop.c
@@ -0,0 +1,226 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Planned stops and entry addresses, with real processes.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster.h"
+#include "test.h"
+
+/* SIGTERM while a stream runs: it ends whole, and what is new is refused as
+   not run. */
+START_TEST (test_planned_stop_cuts_nothing)
+{
+  char *body = chat_body (QUESTION, 1, MAX_TOKENS, NULL, 0);
+  caller_t caller;
+  reply_t reply;
+
+  c.step_us = 4000;
+  cluster_open (&c, 1);
+  caller_start (&caller, c.hosts[0].address, CHAT, body, NULL, 0);
+  caller_wait_body (&caller, 100);
+  proc_signal (&c.hosts[0], SIGTERM);
+  do
+    {
+      http ("POST", c.hosts[0].address, CHAT, body, NULL, &reply);
+      if (reply.status == 503)
+        verdict_is (&reply, 503, "not-run");
+      reply_free (&reply);
+    }
+  while (reply.status == 200);
+  caller_join (&caller);
+  stream_is_whole (&caller.reply, 0);
+  reply_free (&caller.reply);
+  free (body);
+}
+END_TEST
+
+/* A planned stop hands sessions and ledger to a successor: what ran is
+   answered as before, what is new runs there, through any host. */
+START_TEST (test_planned_stop_hands_the_sessions_over)
+{
+  char session[640];
+  const char *first[] = { session, "x-elmarch-sequence: 1", NULL };
+  const char *second[] = { session, "x-elmarch-sequence: 2", NULL };
+  reply_t reply;
+  size_t i;
+
+  cluster_open (&c, 3);
+  entries_wait (0, 3);
+  session_open (&c.hosts[0], session, sizeof session);
+  pay (0, "t1", first, &reply);
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
+  ck_assert_int_eq (proc_end (&c.hosts[0], SIGTERM), 0);
+  for (i = 1; i < 3; i++)
+    {
+      do /* until the successor's news has come */
+        {
+          pay (i, "t1", first, &reply);
+          if (reply.status != 200)
+            verdict_is (&reply, 409, "may-have-run");
+          reply_free (&reply);
+        }
+      while (reply.status != 200);
+      pay (i, "t1", first, &reply);
+      verdict_is (&reply, 200, "ran");
+      ck_assert_ptr_nonnull (strstr (reply.body.ptr, "\"run\":1"));
+      reply_free (&reply);
+      pay (i, "t2", second, &reply);
+      verdict_is (&reply, 200, "ran");
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (runs_all ("t1"), 1);
+  ck_assert_int_eq (runs_all ("t2"), 1);
+}
+END_TEST
+
+/* A call runs on at the host that stops; a duplicate through the successor
+   joins it, and a new one meanwhile runs at the successor. */
+START_TEST (test_planned_stop_with_a_call_under_way_runs_it_once)
+{
+  char session[640];
+  const char *first[] = { session, "x-elmarch-sequence: 1", NULL };
+  const char *second[] = { session, "x-elmarch-sequence: 2", NULL };
+  caller_t caller;
+  reply_t reply;
+  size_t i;
+
+  cluster_open (&c, 2);
+  entries_wait (0, 2);
+  session_open (&c.hosts[0], session, sizeof session);
+  for (i = 0; i < 2; i++)
+    fault (&c.workers[i], "{\"fault\":\"slow\",\"delay_ms\":1500}");
+  caller_start (&caller, c.hosts[0].address, PAY, "{\"id\":\"t1\"}", first, 0);
+  metric_wait (&c.hosts[0], "elmarch_calls_total", 1);
+  for (i = 0; i < 2; i++)
+    fault (&c.workers[i], "{\"fault\":\"none\"}");
+  proc_signal (&c.hosts[0], SIGTERM);
+  metric_wait (&c.hosts[1], "elmarch_sessions", 1);
+  pay (1, "t2", second, &reply);
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
+  pay (0, "t2", second, &reply); /* the old home knows where it went */
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
+  pay (1, "t1", first, &reply);
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
+  caller_join (&caller);
+  verdict_is (&caller.reply, 200, "ran");
+  reply_free (&caller.reply);
+  ck_assert_int_eq (runs_all ("t1"), 1);
+  ck_assert_int_eq (runs_all ("t2"), 1);
+}
+END_TEST
+
+/* The successor does not answer: it may have taken the sessions. Sealed means
+   sealed: the old home runs nothing of them any more, whether the successor
+   comes back or is dead. */
+START_TEST (test_handover_in_doubt_runs_nothing_twice)
+{
+  char session[640];
+  const char *first[] = { session, "x-elmarch-sequence: 1",
+                          "x-elmarch-deadline-ms: 500", NULL };
+  unsigned doubts = 0;
+  reply_t reply;
+
+  cluster_open (&c, 2);
+  entries_wait (0, 2);
+  session_open (&c.hosts[0], session, sizeof session);
+  if (_i == 0)
+    proc_signal (&c.hosts[1], SIGSTOP);
+  else
+    proc_end (&c.hosts[1], SIGKILL);
+  proc_signal (&c.hosts[0], SIGTERM);
+  do
+    {
+      pay (0, "t1", first, &reply);
+      if (reply.status == 503)
+        verdict_is (&reply, 503, "not-run");
+      else if (reply.status)
+        {
+          verdict_is (&reply, 409, "may-have-run");
+          doubts++;
+        }
+      reply_free (&reply);
+    }
+  while (reply.status);
+  ck_assert (_i == 1 || doubts);
+  ck_assert_int_eq (runs_all ("t1"), 0);
+  if (_i == 0)
+    {
+      proc_signal (&c.hosts[1], SIGCONT);
+      first[2] = NULL;
+      pay (1, "t1", first, &reply);
+      reply_free (&reply);
+      pay (1, "t1", first, &reply);
+      reply_free (&reply);
+    }
+  ck_assert_int_le (runs_all ("t1"), 1);
+}
+END_TEST
+
+/* A stop waits until a slow caller has read its whole answer, which is more
+   than the connection holds on its way. */
+START_TEST (test_planned_stop_waits_for_a_slow_caller)
+{
+  static const size_t bytes = 7 << 20;
+  caller_t caller;
+  reply_t reply;
+
+  cluster_open (&c, 1);
+  caller_start (&caller, c.hosts[0].address,
+                "/services/zahl-app/big?bytes=7340032", NULL, NULL, 1);
+  caller_wait_body (&caller, 1);
+  proc_signal (&c.hosts[0], SIGTERM);
+  do
+    {
+      pay (0, "t1", NULL, &reply);
+      reply_free (&reply);
+    }
+  while (reply.status == 200);
+  caller_release (&caller);
+  caller_join (&caller);
+  ck_assert_int_eq (caller.reply.status, 200);
+  ck_assert_uint_eq (caller.reply.body.len, bytes);
+  reply_free (&caller.reply);
+}
+END_TEST
+
+/* A dead host leaves the entry addresses, a new one at its address joins
+   them. */
+START_TEST (test_entry_hosts_are_the_live_ones)
+{
+  cluster_open (&c, 3);
+  entries_wait (0, 3);
+  proc_end (&c.hosts[2], SIGKILL);
+  entries_wait (0, 2);
+  host_start (&c, 2);
+  entries_wait (0, 3);
+}
+END_TEST
+
+Suite *
+stop_suite (void)
+{
+  Suite *suite = suite_create ("stops");
+  TCase *tcase = tcase_create ("stops");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, cluster_setup, cluster_teardown);
+  ADD (tcase, test_planned_stop_cuts_nothing);
+  ADD (tcase, test_planned_stop_hands_the_sessions_over);
+  ADD (tcase, test_planned_stop_with_a_call_under_way_runs_it_once);
+  ADD_LOOP (tcase, test_handover_in_doubt_runs_nothing_twice, 2);
+  ADD (tcase, test_planned_stop_waits_for_a_slow_caller);
+  ADD (tcase, test_entry_hosts_are_the_live_ones);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -22,6 +22,10 @@
 Suite *members_suite (void);
 Suite *route_suite (void);
 Suite *replay_suite (void);
+Suite *stream_suite (void);
+Suite *once_suite (void);
+Suite *stop_suite (void);
+Suite *agree_suite (void);
 
 /* Add a test unless ELMARCH_TEST names another. */
 #define ADD(tcase, fn)                                                        \
