Sessions found after several stops; a trace that holds up nobody

Change: the chain of successors is followed (16 at most), such records are kept six times as long, the descriptor does not block and lost lines are counted. The test of the hand-over now stops two hosts one after another.

--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -13,6 +13,7 @@
 #include "libcoord.h"
 
 #define SUSPECT_PERIODS 4
+#define SUCCESSOR_FACTOR 6
 /* News is passed on this many times the logarithm of the number of members. */
 #define NEWS_FACTOR 3
 #define NEWS_MIN 4
@@ -108,11 +109,23 @@
          * mbr_log2 (members->live + 1) / 2;
 }
 
+/* A host that handed its sessions over is remembered longer: its tokens are
+   still in callers' hands. */
+static el_time_t
+forget_time (const co_members_t *members, const mbr_entry_t *entry)
+{
+  static const co_incarnation_t none;
+
+  return co_incarnation_eq (&entry->m.successor, &none)
+             ? members->options.forget
+             : members->options.forget * SUCCESSOR_FACTOR;
+}
+
 void
 mbr_entry_state (co_members_t *members, el_time_t now, mbr_entry_t *entry,
                  co_mbr_state_t state)
 {
-  el_time_t wait = members->options.forget;
+  el_time_t wait = forget_time (members, entry);
   int was_live = mbr_is_live (entry);
 
   entry->m.state = state;
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -6,6 +6,7 @@
  * One host's gate: puts the parts together, and drains them.
  */
 #include <errno.h>
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
@@ -57,8 +58,9 @@
     gt_router_event (gate, &event);
 }
 
-/** Write a line of the trace; takes over the reference. A reader that does
-    not keep up loses lines rather than holding up the host. */
+/** Write a line of the trace; takes over the reference. The descriptor does
+    not block: a reader that does not keep up loses lines, and does not hold up
+    the host. */
 void
 gt_trace (gt_gate_t *gate, json_t *line)
 {
@@ -66,17 +68,36 @@
   el_buf_t out = { NULL, 0, 0 };
   ssize_t n;
 
-  el_buf_printf (&out, "%s\n", text);
+  /* A line that was cut is ended before the next one. */
+  el_buf_printf (&out, "%s%s\n", gate->trace_cut ? "\n" : "", text);
   do
     n = write (gate->options.trace_fd, out.ptr, out.len);
   while (n < 0 && errno == EINTR);
   if (n < 0 && errno == EPIPE)
     gate->options.trace_fd = -1;
+  if (n != (ssize_t)out.len)
+    gate->counts.trace_lost++;
+  if (n > 0)
+    gate->trace_cut = n != (ssize_t)out.len;
   el_buf_free (&out);
   free (text);
   json_decref (line);
 }
 
+static void
+trace_open (gt_gate_t *gate)
+{
+  const gt_options_t *o = &gate->options;
+
+  fcntl (o->trace_fd, F_SETFL, fcntl (o->trace_fd, F_GETFL) | O_NONBLOCK);
+  gt_trace (gate, json_pack ("{s:s,s:I,s:I,s:I,s:I,s:I}", "event", "start",
+                             "seed", (json_int_t)o->seed, "max_active",
+                             (json_int_t)o->max_active, "max_queue",
+                             (json_int_t)o->max_queue, "call_limit",
+                             (json_int_t)o->call_limit, "leave_hold",
+                             (json_int_t)o->leave_hold));
+}
+
 /** Hand the router an event, then wake those whom its actions concern. */
 void
 gt_router_event (gt_gate_t *gate, const rt_event_t *event)
@@ -142,6 +163,8 @@
       &gate->counts.peer_messages },
     { "elmarch_peer_bytes_total", "bytes of them", EL_COUNTER,
       &gate->counts.peer_bytes },
+    { "elmarch_trace_lost_total", "lines of the trace not written", EL_COUNTER,
+      &gate->counts.trace_lost },
     { "elmarch_platform_calls_total", "calls to the platform", EL_COUNTER,
       &gate->counts.platform_calls },
     { "elmarch_platform_failures_total", "of those, failed", EL_COUNTER,
@@ -226,12 +249,7 @@
   gate->clock.arg = gate;
   gate_metrics (gate);
   if (o->trace_fd >= 0)
-    gt_trace (gate, json_pack ("{s:s,s:I,s:I,s:I,s:I,s:I}", "event", "start",
-                               "seed", (json_int_t)o->seed, "max_active",
-                               (json_int_t)o->max_active, "max_queue",
-                               (json_int_t)o->max_queue, "call_limit",
-                               (json_int_t)o->call_limit, "leave_hold",
-                               (json_int_t)o->leave_hold));
+    trace_open (gate);
 }
 
 /** Start one host's gate on its loop; NULL, with the reason in ERR, when an
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -155,6 +155,7 @@
   uint64_t forwarded;    /* to the session's home */
   uint64_t home_gone;    /* not forwarded: the home does not answer */
   uint64_t rpc_refused;  /* messages that are not from a host of ours */
+  uint64_t trace_lost;
   uint64_t peer_messages;
   uint64_t peer_bytes;
   uint64_t platform_calls; /* all kinds, a watch as one */
@@ -195,7 +196,8 @@
   uint64_t history; /* all removals after this revision are known */
   uint64_t callers; /* answers that are not wholly sent */
   int draining;
-  int handing; /* sessions are on their way to a successor */
+  int trace_cut; /* the last line of the trace is not whole */
+  int handing;   /* sessions are on their way to a successor */
   el_time_t drain_until;
   gt_drained_cb drained;
   void *drained_arg;
--- a/gate/peer_forward.c
+++ b/gate/peer_forward.c
@@ -13,6 +13,8 @@
 #define HOME_TIMEOUT (500 * EL_MSEC)
 /* Home, successor, and back to where the request runs. */
 #define HOPS_MAX 3
+/* Hosts that took a session over one after another. */
+#define SUCCESSORS_MAX 16
 
 static const gt_refusal_t home_gone
     = { .status = 409,
@@ -63,7 +65,7 @@
 }
 
 /** Whether a session is at home elsewhere, and where: at the host that its
-    token names, or at the one that took its sessions over. */
+    token names, or at the last of those that took its sessions over. */
 int
 gt_peers_where (gt_peers_t *peers, const co_token_t *token, gt_place_t *out)
 {
@@ -71,16 +73,21 @@
   gt_gate_t *gate = peers->gate;
   co_session_t session = gt_token_session (token);
   const co_member_t *member;
+  int hops;
 
   if (co_incarnation_eq (&token->home, &gate->incarnation)
       || co_ledger_holds (gate->ledger, &session))
     return 0;
   *out = (gt_place_t){ token->home, token->peer, token->http };
   member = co_members_find (peers->members, &token->home);
-  if (member && !co_incarnation_eq (&member->successor, &none))
-    member = co_members_find (peers->members, &member->successor);
-  if (member && member->state <= CO_MBR_SUSPECT)
-    *out = (gt_place_t){ member->incarnation, member->peer, member->http };
+  for (hops = 0; member && hops < SUCCESSORS_MAX; hops++)
+    {
+      if (member->state <= CO_MBR_SUSPECT)
+        *out = (gt_place_t){ member->incarnation, member->peer, member->http };
+      if (co_incarnation_eq (&member->successor, &none))
+        break;
+      member = co_members_find (peers->members, &member->successor);
+    }
   return 1;
 }
 
--- a/tests/t_stop.c
+++ b/tests/t_stop.c
@@ -76,6 +76,13 @@
       verdict_is (&reply, 200, "ran");
       reply_free (&reply);
     }
+  ck_assert_int_eq (proc_end (&c.hosts[1], SIGTERM), 0);
+  pay (2, "t1", first, &reply); /* the last one, by whatever way they took */
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
+  pay (2, "t2", second, &reply);
+  verdict_is (&reply, 200, "ran");
+  reply_free (&reply);
   ck_assert_int_eq (runs_all ("t1"), 1);
   ck_assert_int_eq (runs_all ("t2"), 1);
 }
