--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 SANITIZE = -fsanitize=address,undefined -fno-omit-frame-pointer \
            -Wno-format-truncation
 B = build
+BIN = $(B)/bin
 
 BASE = base/str.c base/err.c base/timer.c base/counter.c base/log.c \
        base/settings.c
@@ -71,7 +72,6 @@
 clean:
 	rm -rf build
 
-BIN = $(B)/bin
 PROGRAMS = $(BIN)/elmarchd $(BIN)/elmarchctl $(BIN)/standin $(BIN)/demo
 
 all: $(PROGRAMS)
