--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -163,7 +163,6 @@
   uint64_t config_applied;
   uint64_t config_stale; /* changes that came after a newer one */
   el_hist_t first_token; /* microseconds */
-  el_hist_t call_time;   /* microseconds of a stage call */
 } gt_counts_t;
 
 struct gt_gate
--- a/route/librt.h
+++ b/route/librt.h
@@ -54,7 +54,6 @@
   uint64_t layers;
   uint64_t max_tokens;
   rt_pipeline_t **pipes; /* those of this deployment */
-  uint64_t *cumulative;  /* sums of their weights */
   size_t npipes;
   rt_budget_t budget;
   UT_hash_handle hh;
--- a/route/table.c
+++ b/route/table.c
@@ -99,13 +99,12 @@
   return pipe;
 }
 
-/* Collect a deployment's pipelines and the sums of their weights anew. */
+/* Collect a deployment's pipelines anew. */
 static void
 deployment_collect (rt_router_t *router, rt_deployment_t *dep)
 {
   rt_pipeline_t *pipe;
   rt_pipeline_t *next;
-  uint64_t sum = 0;
 
   dep->npipes = 0;
   HASH_ITER (hh, router->pipelines, pipe, next)
@@ -114,11 +113,7 @@
       continue;
     dep->pipes
         = el_grow (dep->pipes, dep->npipes + 1, sizeof (rt_pipeline_t *));
-    dep->cumulative
-        = el_grow (dep->cumulative, dep->npipes + 1, sizeof *dep->cumulative);
-    sum += pipe->weight;
-    dep->pipes[dep->npipes] = pipe;
-    dep->cumulative[dep->npipes++] = sum;
+    dep->pipes[dep->npipes++] = pipe;
   }
 }
 
@@ -137,7 +132,6 @@
 {
   el_str_free (&dep->model);
   free (dep->pipes);
-  free (dep->cumulative);
   free (dep->key);
   free (dep);
 }
--- a/tools/deps.sh
+++ b/tools/deps.sh
@@ -3,7 +3,7 @@
 set -eu
 want="gcc make libuv1-dev libh2o-dev libcurl4-openssl-dev libtirpc-dev
 libpopt-dev liblog4c-dev libjansson-dev libxxhash-dev libssl-dev uthash-dev
-check libsubunit-dev libglpk-dev clang-format clang-tidy cppcheck mandoc
+check libsubunit-dev clang-format clang-tidy curl mandoc
 pkg-config"
 missing=
 for p in $want; do
