--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CFLAGS = -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wwrite-strings
-INC = -Ibase -Icoord -Iroute -Igate -isystem /usr/include/tirpc
+INC = -Ibase -Icoord -Iroute -Inet -Igate -Iplatform -isystem /usr/include/tirpc
 PREFIX = /usr/local
 # gcc warns of null formats that only its own instrumentation makes.
 SANITIZE = -fsanitize=address,undefined -fno-omit-frame-pointer \
@@ -18,19 +18,25 @@
        base/settings.c
 COORD = coord/mbr_members.c coord/mbr_probe.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
-        route/admit.c route/retry.c route/stream.c route/call.c route/trace.c
+        route/admit.c route/retry.c route/stream.c route/call.c route/trace.c \
+        route/rules.c route/fleet.c route/line.c route/layout.c route/course.c
 
-GATE = gate/gate.c gate/clock.c gate/http_server.c gate/http_client.c gate/answer.c \
+NET = net/clock.c net/http_server.c net/http_client.c net/rpc.c net/rpc_wire.c
+GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
        gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
-       gate/platform.c gate/kv_http.c gate/rpc.c gate/rpc_wire.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
-       gate/peer_forward.c gate/peer_handover.c gate/peer_xdr.c gate/cfg_sync.c
+       gate/platform.c gate/kv_http.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
+       gate/peer_forward.c gate/peer_handover.c gate/peer_xdr.c gate/cfg_sync.c \
+       gate/relay.c gate/relay_try.c gate/relay_answer.c gate/relay_events.c gate/relay_watch.c gate/relay_metrics.c \
+       gate/store_follow.c gate/store_duty.c gate/planner.c
+PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
+           platform/pf_engine.c platform/pf_entry.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c
 
-LIBS = -lh2o -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
+LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
 
-LIBA = $(B)/libgate.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
+LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
 
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
               grep -v 'gate/peer_xdr.c\|gate/peer_proto.h')
@@ -79,7 +85,7 @@
 
 LINK = @mkdir -p $(BIN) && $(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS)
 
-$(BIN)/elmarchd: $(B)/elmarchd/main.o $(LIBA)
+$(BIN)/elmarchd: $(B)/elmarchd/main.o $(B)/elmarchd/site.o $(LIBA)
 	$(LINK)
 $(BIN)/elmarchctl: $(B)/elmarchctl/main.o $(LIBA)
 	$(LINK)
@@ -156,6 +162,10 @@
 	ar rcs $@ $^
 $(B)/libroute.a: $(ROUTE:%.c=$(B)/%.o)
 	ar rcs $@ $^
+$(B)/libplatform.a: $(PLATFORM:%.c=$(B)/%.o)
+	ar rcs $@ $^
+$(B)/libnet.a: $(NET:%.c=$(B)/%.o)
+	ar rcs $@ $^
 $(B)/libgate.a: $(GATE:%.c=$(B)/%.o)
 	ar rcs $@ $^
 
--- a/bench/bench_gate.c
+++ b/bench/bench_gate.c
@@ -15,7 +15,7 @@
 #include <jansson.h>
 
 #include "bench.h"
-#include "http.h"
+#include "net.h"
 
 #define STAGES 3
 #define LAYERS 12
@@ -29,14 +29,14 @@
 typedef struct bench
 {
   uv_loop_t loop;
-  gt_clock_t clock;
-  gt_client_t *client;
+  net_clock_t clock;
+  net_client_t *client;
   const char *host;
   const char *service;
   const char *engines[STAGES];
   char bearer[256];
   long pid;
-  gt_header_t headers[1];
+  net_header_t headers[1];
   unsigned left;
   unsigned running;
   unsigned failed;
@@ -50,18 +50,18 @@
 {
   bench_t *bench;
   uint64_t began;
-  const gt_send_t *send;
+  const net_send_t *send;
 } shot_t;
 
-static void load_next (bench_t *bench, const gt_send_t *send);
+static void load_next (bench_t *bench, const net_send_t *send);
 
 static void
-one_done (void *arg, const gt_result_t *result)
+one_done (void *arg, const net_result_t *result)
 {
   bench_t *bench = arg;
 
   bench->ended = 1;
-  bench->status = result->net == GT_NET_OK ? result->status : 0;
+  bench->status = result->net == NET_OK ? result->status : 0;
   el_buf_reset (&bench->body);
   el_buf_add (&bench->body, result->body);
 }
@@ -71,17 +71,17 @@
 one (bench_t *bench, const char *address, const char *method, const char *path,
      el_str_t body)
 {
-  gt_send_t send = { .address = el_str (address),
-                     .method = el_str (method),
-                     .path = el_str (path),
-                     .headers = bench->headers,
-                     .nheaders = 1,
-                     .body = body,
-                     .done = one_done,
-                     .arg = bench };
+  net_send_t send = { .address = el_str (address),
+                      .method = el_str (method),
+                      .path = el_str (path),
+                      .headers = bench->headers,
+                      .nheaders = 1,
+                      .body = body,
+                      .done = one_done,
+                      .arg = bench };
 
   bench->ended = 0;
-  gt_client_send (bench->client, &send);
+  net_client_send (bench->client, &send);
   while (!bench->ended)
     uv_run (&bench->loop, UV_RUN_ONCE);
   return bench->status == 200;
@@ -243,13 +243,13 @@
 }
 
 static void
-load_done (void *arg, const gt_result_t *result)
+load_done (void *arg, const net_result_t *result)
 {
   shot_t *shot = arg;
   bench_t *bench = shot->bench;
 
   el_hist_add (bench->times, (bench_ns () - shot->began) / 1000);
-  if (result->net != GT_NET_OK || result->status != 200)
+  if (result->net != NET_OK || result->status != 200)
     bench->failed++;
   bench->running--;
   load_next (bench, shot->send);
@@ -257,9 +257,9 @@
 }
 
 static void
-load_next (bench_t *bench, const gt_send_t *send)
+load_next (bench_t *bench, const net_send_t *send)
 {
-  gt_send_t next = *send;
+  net_send_t next = *send;
   shot_t *shot;
 
   if (!bench->left)
@@ -272,19 +272,19 @@
   shot->send = send;
   next.done = load_done;
   next.arg = shot;
-  gt_client_send (bench->client, &next);
+  net_client_send (bench->client, &next);
 }
 
 static void
 load (bench_t *bench, const char *name, const char *method, const char *path,
       const char *body, unsigned rounds)
 {
-  gt_send_t send = { .address = el_str (bench->host),
-                     .method = el_str (method),
-                     .path = el_str (path),
-                     .headers = bench->headers,
-                     .nheaders = 1,
-                     .body = el_str (body) };
+  net_send_t send = { .address = el_str (bench->host),
+                      .method = el_str (method),
+                      .path = el_str (path),
+                      .headers = bench->headers,
+                      .nheaders = 1,
+                      .body = el_str (body) };
   uint64_t began = bench_ns ();
   long rss;
   double cpu = host_cpu (bench, &rss);
@@ -322,14 +322,14 @@
     return EL_EXIT_USAGE;
   memset (&bench, 0, sizeof bench);
   uv_loop_init (&bench.loop);
-  gt_clock_open (&bench.clock, &bench.loop);
-  bench.client = gt_client_new (&bench.clock);
+  net_clock_open (&bench.clock, &bench.loop);
+  bench.client = net_client_new (&bench.clock);
   bench.times = el_alloc (sizeof *bench.times);
   bench.host = argv[1];
   bench.pid = strtol (argv[2], NULL, 10);
   snprintf (bench.bearer, sizeof bench.bearer, "Bearer %s", argv[3]);
   bench.headers[0]
-      = (gt_header_t){ EL_STR ("authorization"), el_str (bench.bearer) };
+      = (net_header_t){ EL_STR ("authorization"), el_str (bench.bearer) };
   bench.service = argv[4];
   for (i = 0; i < STAGES; i++)
     bench.engines[i] = argv[5 + i];
--- a/elmarchctl/main.c
+++ b/elmarchctl/main.c
@@ -13,7 +13,7 @@
 
 #include <jansson.h>
 
-#include "http.h"
+#include "net.h"
 
 #define EXCHANGE_TIMEOUT (15 * EL_SEC)
 #define WATCH_EVERY_MS 500
@@ -32,8 +32,8 @@
 {
   ctl_settings_t set;
   uv_loop_t loop;
-  gt_clock_t clock;
-  gt_client_t *client;
+  net_clock_t clock;
+  net_client_t *client;
   const char **args;
   int ended;
   int status; /* of the last answer; 0 without one */
@@ -78,12 +78,12 @@
 };
 
 static void
-ctl_done (void *arg, const gt_result_t *result)
+ctl_done (void *arg, const net_result_t *result)
 {
   ctl_t *ctl = arg;
 
   ctl->ended = 1;
-  if (result->net != GT_NET_OK)
+  if (result->net != NET_OK)
     {
       fprintf (stderr, "elmarchctl: %s: no answer (%s)\n", ctl->set.host,
                el_verdict_name (result->verdict));
@@ -100,16 +100,16 @@
 ctl_exchange (ctl_t *ctl, const char *method, el_str_t path, el_str_t body)
 {
   el_buf_t bearer = { NULL, 0, 0 };
-  gt_header_t header = { EL_STR ("authorization"), { NULL, 0 } };
-  gt_send_t send = { .address = el_str (ctl->set.host),
-                     .method = el_str (method),
-                     .path = path,
-                     .headers = &header,
-                     .nheaders = 1,
-                     .body = body,
-                     .timeout = EXCHANGE_TIMEOUT,
-                     .done = ctl_done,
-                     .arg = ctl };
+  net_header_t header = { EL_STR ("authorization"), { NULL, 0 } };
+  net_send_t send = { .address = el_str (ctl->set.host),
+                      .method = el_str (method),
+                      .path = path,
+                      .headers = &header,
+                      .nheaders = 1,
+                      .body = body,
+                      .timeout = EXCHANGE_TIMEOUT,
+                      .done = ctl_done,
+                      .arg = ctl };
 
   el_buf_printf (&bearer, "Bearer %s", ctl->set.operator_key);
   header.value = el_buf_str (&bearer);
@@ -118,7 +118,7 @@
   ctl->status = 0;
   ctl->ended = 0;
   el_buf_reset (&ctl->text);
-  gt_client_send (ctl->client, &send);
+  net_client_send (ctl->client, &send);
   while (!ctl->ended)
     uv_run (&ctl->loop, UV_RUN_ONCE);
   el_buf_free (&bearer);
@@ -220,13 +220,13 @@
 static int
 apply_wait (ctl_t *ctl, const char *kind, const char *name, json_int_t version)
 {
-  el_time_t until = gt_clock_now (&ctl->clock) + ctl->set.wait_s * EL_SEC;
+  el_time_t until = net_clock_now (&ctl->clock) + ctl->set.wait_s * EL_SEC;
   el_buf_t path = { NULL, 0, 0 };
   json_t *status;
   int in_force = 0;
 
   el_buf_printf (&path, "/admin/v1/%s/%s", kind, name);
-  while (!in_force && gt_clock_now (&ctl->clock) < until)
+  while (!in_force && net_clock_now (&ctl->clock) < until)
     {
       if (status_ok (
               ctl_exchange (ctl, "GET", el_buf_str (&path), EL_STR (""))))
@@ -470,8 +470,8 @@
   else if (result == EL_SET_RUN)
     {
       uv_loop_init (&ctl.loop);
-      gt_clock_open (&ctl.clock, &ctl.loop);
-      ctl.client = gt_client_new (&ctl.clock);
+      net_clock_open (&ctl.clock, &ctl.loop);
+      ctl.client = net_client_new (&ctl.clock);
       rc = ctl_run (&ctl, ctl.args);
     }
   json_decref (ctl.json);
--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "gate.h"
+#include "site.h"
 
 #define KEY_MIN 16
 #define KEY_MAX 256
@@ -39,6 +39,19 @@
   uint64_t leave_hold_s;
   uint64_t drain_limit_s;
   uint64_t trace_fd;
+  const char *entry;
+  const char *ready;
+  const char *directory;
+  const char *store;
+  const char *name;
+  uint64_t entry_ttl_s;
+  const char *repeat_ratio;
+  uint64_t repeat_slack;
+  uint64_t repeat_window_s;
+  uint64_t keys_limit_ms;
+  uint64_t lease_ms;
+  uint64_t stop_least_ms;
+  uint64_t stop_most_ms;
   int trace;
   int check;
 } daemon_settings_t;
@@ -47,9 +60,12 @@
 {
   uv_loop_t loop;
   gt_gate_t *gate;
+  site_t *site;      /* NULL without relayed requests */
+  unsigned stopping; /* parts that are not yet stopped */
   uv_signal_t term;
   uv_signal_t interrupt;
   uv_signal_t dump;
+  uv_signal_t reload;
 } daemon_process_t;
 
 #define AT(field) offsetof (daemon_settings_t, field)
@@ -63,8 +79,34 @@
     "the other hosts' peer addresses" },
   { "hall", EL_SET_STRING, AT (hall), NULL, 1, 63, 1, "NAME",
     "the hall that this host stands in" },
-  { "platform", EL_SET_STRING, AT (platform), NULL, 9, 21, 1, "IP:PORT",
-    "the platform's key-value service" },
+  { "platform", EL_SET_STRING, AT (platform), "", 0, 21, 0, "IP:PORT",
+    "the platform's key-value service; needed without --entry" },
+  { "entry", EL_SET_STRING, AT (entry), "", 0, 21, 0, "IP:PORT",
+    "where callers of relayed requests connect; empty: none" },
+  { "ready", EL_SET_STRING, AT (ready), "127.0.0.1:8082", 9, 21, 0, "IP:PORT",
+    "tells whether this host takes relayed requests" },
+  { "directory", EL_SET_STRING, AT (directory), "", 0, 21, 0, "IP:PORT",
+    "tells callers the entry addresses" },
+  { "store", EL_SET_STRING, AT (store), "", 0, 21, 0, "IP:PORT",
+    "the store that holds rules and endpoints of relayed requests" },
+  { "name", EL_SET_STRING, AT (name), "elmarchd", 1, 200, 0, "NAME",
+    "of this host, as leases show it" },
+  { "entry-ttl-s", EL_SET_U64, AT (entry_ttl_s), "2", 1, 3600, 0, "S",
+    "callers keep the entry addresses this long" },
+  { "repeat-ratio", EL_SET_STRING, AT (repeat_ratio), "0.2", 1, 16, 0, "RATIO",
+    "repeats for each relayed request, over all hosts" },
+  { "repeat-slack", EL_SET_U64, AT (repeat_slack), "20", 0, 1000000, 0, "N",
+    "repeats besides in each window, over all hosts" },
+  { "repeat-window-s", EL_SET_U64, AT (repeat_window_s), "10", 1, 3600, 0, "S",
+    "the window that repeats are counted in" },
+  { "keys-limit-ms", EL_SET_U64, AT (keys_limit_ms), "5000", 0, 3600000, 0,
+    "MS", "keys are refused when the rules were last known so long ago" },
+  { "lease-ms", EL_SET_U64, AT (lease_ms), "3000", 1000, 600000, 0, "MS",
+    "time to live of the planner's lease" },
+  { "stop-least-ms", EL_SET_U64, AT (stop_least_ms), "2500", 0, 3600000, 0,
+    "MS", "a stop takes relayed requests this long" },
+  { "stop-most-ms", EL_SET_U64, AT (stop_most_ms), "7000", 0, 3600000, 0, "MS",
+    "a stop waits this long for relayed requests" },
   { "cluster-key", EL_SET_STRING, AT (cluster_key), NULL, KEY_MIN, KEY_MAX, 1,
     "KEY", "shared by the hosts; best given as a variable" },
   { "operator-key", EL_SET_STRING, AT (operator_key), NULL, KEY_MIN, KEY_MAX,
@@ -114,7 +156,11 @@
   } addresses[] = {
     { "listen", set->listen },
     { "peer-listen", set->peer_listen },
-    { "platform", set->platform },
+    { set->entry[0] ? "entry" : "platform",
+      set->entry[0] ? set->entry : set->platform },
+    { "ready", set->ready },
+    { set->entry[0] ? "store" : "ready",
+      set->entry[0] ? set->store : set->ready },
   };
   size_t i;
 
@@ -124,7 +170,7 @@
                        "not '%s'",
                        set->log_level);
   for (i = 0; i < sizeof addresses / sizeof *addresses; i++)
-    if (!gt_address_valid (el_str (addresses[i].address)))
+    if (!net_address_valid (el_str (addresses[i].address)))
       return el_err_set (err, EL_INVALID, "--%s: takes ip:port, not '%s'",
                          addresses[i].name, addresses[i].address);
   if (!co_name_valid (el_str (set->hall)))
@@ -137,6 +183,7 @@
     .peer_listen = el_str (set->peer_listen),
     .peers = el_str (set->peers),
     .hall = el_str (set->hall),
+    .entry = el_str (set->entry),
     .platform = el_str (set->platform),
     .cluster_key = el_str (set->cluster_key),
     .operator_key = el_str (set->operator_key),
@@ -157,6 +204,27 @@
   return EL_OK;
 }
 
+static void
+settings_site (const daemon_settings_t *set, site_options_t *out)
+{
+  *out = (site_options_t){
+    .entry = el_str (set->entry),
+    .ready = el_str (set->ready),
+    .directory = el_str (set->directory),
+    .store = el_str (set->store),
+    .name = el_str (set->name),
+    .hall = el_str (set->hall),
+    .entry_ttl_s = set->entry_ttl_s,
+    .repeat_ratio = strtod (set->repeat_ratio, NULL),
+    .repeat_slack = set->repeat_slack,
+    .repeat_window = set->repeat_window_s * EL_SEC,
+    .keys_limit = set->keys_limit_ms * EL_MSEC,
+    .lease_ms = set->lease_ms,
+    .stop_least = set->stop_least_ms * EL_MSEC,
+    .stop_most = set->stop_most_ms * EL_MSEC,
+  };
+}
+
 /* The signals stay taken: another SIGTERM must not break off the last steps.
  */
 static void
@@ -164,7 +232,8 @@
 {
   daemon_process_t *process = arg;
 
-  uv_stop (&process->loop);
+  if (--process->stopping == 0)
+    uv_stop (&process->loop);
 }
 
 static void
@@ -173,9 +242,24 @@
   daemon_process_t *process = signal->data;
 
   (void)number;
+  if (process->stopping)
+    return;
+  process->stopping = process->site ? 2 : 1;
+  if (process->site)
+    site_stop (process->site, on_drained, process);
   gt_gate_drain (process->gate, on_drained, process);
 }
 
+/* Settings are flags and variables, which a process can't read anew. */
+static void
+on_reload (uv_signal_t *signal, int number)
+{
+  (void)signal;
+  (void)number;
+  EL_LOG (EL_LOG_INFO, "reload",
+          EL_FC ("outcome", "settings count from the next start"));
+}
+
 static void
 on_dump (uv_signal_t *signal, int number)
 {
@@ -195,19 +279,21 @@
   uv_signal_init (&process->loop, &process->term);
   uv_signal_init (&process->loop, &process->interrupt);
   uv_signal_init (&process->loop, &process->dump);
+  uv_signal_init (&process->loop, &process->reload);
   process->term.data = process;
   process->interrupt.data = process;
   process->dump.data = process;
   uv_signal_start (&process->term, on_term, SIGTERM);
   uv_signal_start (&process->interrupt, on_term, SIGINT);
   uv_signal_start (&process->dump, on_dump, SIGUSR1);
+  uv_signal_start (&process->reload, on_reload, SIGHUP);
   signal (SIGPIPE, SIG_IGN);
 }
 
 /* The process's memory lasts as long as the process: connections that callers
    keep open point into it until the end. */
 static int
-daemon_run (gt_options_t *options)
+daemon_run (gt_options_t *options, site_options_t *site)
 {
   static daemon_process_t process;
   el_err_t err;
@@ -221,6 +307,14 @@
       EL_LOG (EL_LOG_ERROR, "not_started", EL_FC ("reason", err.msg));
       return EXIT_FAILURE;
     }
+  site->seed = options->seed;
+  if (site->entry.len)
+    process.site = site_new (process.gate, site, &err);
+  if (site->entry.len && !process.site)
+    {
+      EL_LOG (EL_LOG_ERROR, "not_started", EL_FC ("reason", err.msg));
+      return EXIT_FAILURE;
+    }
   signals_open (&process);
   uv_run (&process.loop, UV_RUN_DEFAULT);
   return EXIT_SUCCESS;
@@ -238,6 +332,7 @@
           .ntable = sizeof table / sizeof *table };
   daemon_settings_t set;
   gt_options_t gate;
+  site_options_t site;
   el_log_level_t level = EL_LOG_INFO;
   el_err_t err;
   el_set_result_t result;
@@ -253,7 +348,8 @@
     printf ("elmarchd: settings are valid\n");
   else if (result == EL_SET_RUN && el_log_open ("elmarchd", level) == 0)
     {
-      rc = daemon_run (&gate);
+      settings_site (&set, &site);
+      rc = daemon_run (&gate, &site);
       el_log_close ();
     }
   el_set_free (&options, &set);
--- /dev/null
+++ b/elmarchd/site.c
@@ -0,0 +1,299 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Relayed requests on the users' platform: wires the relays, the list of
+ * endpoints, the rules and the planner to the adapter's tables.
+ */
+#include "site.h"
+
+#include "platform.h"
+
+/* Longest body that is taken in before the rules name their own bound. */
+#define BODY_MAX ((size_t)4 << 20)
+/* Part of the keys' limit that a watch waits: the configuration is known as of
+   the sending of the last watch that was answered. */
+#define RULES_WAIT_PARTS 4
+#define RULES_WAIT_MS 1500
+/* Endpoints' changes come at once; this bounds only how long a dead
+   connection goes unnoticed. */
+#define ENDPOINTS_WAIT_MS 5000
+/* A host that has not heard of the store for this long is not ready: callers
+   are better served elsewhere. */
+#define STALE_NOT_READY (3 * EL_SEC)
+#define STOP_LOOK_EVERY (50 * EL_MSEC)
+/* Margin of a lease for clocks that run at different speeds. */
+#define LEASE_MARGIN (300 * EL_MSEC)
+
+struct site
+{
+  gt_gate_t *gate;
+  site_options_t options;
+  gt_store_t store;
+  rt_fleet_t *fleet;
+  gt_relays_t *relays;
+  gt_duty_t *duty;
+  gt_planner_t *planner;
+  gt_follow_t *rules;
+  gt_follow_t *endpoints;
+  int endpoints_known;
+  el_time_t rules_known;
+  int stopping;
+  el_time_t stop_began;
+  el_timer_t stop_look;
+  gt_drained_cb stopped;
+  void *stopped_arg;
+};
+
+static void
+rules_item (void *arg, const gt_store_item_t *item)
+{
+  site_t *site = arg;
+  const rt_rules_t *now = gt_relays_in_force (site->relays);
+  rt_rules_t *rules;
+  el_err_t err;
+
+  if (item->gone || !el_str_eq (item->key, PF_RULES_KEY))
+    return;
+  rules = pf_rules_read (item->value, &err);
+  if (!rules)
+    EL_LOG (EL_LOG_ERROR, "config_refused", EL_FC ("reason", err.msg),
+            EL_FN ("revision", item->revision));
+  else if (now && rules->version < now->version)
+    {
+      EL_LOG (EL_LOG_WARN, "config_older", EL_FN ("version", rules->version),
+              EL_FN ("in_force", now->version));
+      rt_rules_unref (rules);
+    }
+  else
+    gt_relays_rules (site->relays, rules);
+}
+
+static void
+rules_known (void *arg, el_time_t as_of)
+{
+  site_t *site = arg;
+
+  site->rules_known = as_of;
+  gt_relays_known (site->relays, as_of);
+}
+
+static void
+endpoint_log (const rt_facts_t *facts, const char *what, uint64_t revision)
+{
+  EL_LOG (EL_LOG_INFO, what, EL_FS ("endpoint", facts->id),
+          EL_FS ("service", facts->service), EL_FS ("address", facts->address),
+          EL_FS ("hall", facts->hall), EL_FS ("card", facts->card),
+          EL_FN ("leaving", facts->leaving), EL_FN ("first", facts->first),
+          EL_FN ("end", facts->end), EL_FN ("revision", revision));
+}
+
+static void
+endpoints_item (void *arg, const gt_store_item_t *item)
+{
+  site_t *site = arg;
+  rt_target_t *target;
+  rt_facts_t facts;
+  json_t *keep;
+  el_err_t err;
+
+  if (item->gone)
+    {
+      target = rt_fleet_find (site->fleet, pf_endpoint_id (item->key));
+      if (target)
+        endpoint_log (&target->facts, "endpoint_gone", item->revision);
+      rt_fleet_remove (site->fleet, pf_endpoint_id (item->key));
+      return;
+    }
+  if (pf_facts_read (item->key, item->value, &facts, &keep, &err))
+    {
+      endpoint_log (&facts, "endpoint", item->revision);
+      rt_fleet_set (site->fleet, &facts);
+    }
+  else
+    EL_LOG (EL_LOG_ERROR, "endpoint_refused", EL_FS ("key", item->key),
+            EL_FC ("reason", err.msg));
+  json_decref (keep);
+}
+
+static void
+endpoints_known (void *arg, el_time_t as_of)
+{
+  site_t *site = arg;
+
+  (void)as_of;
+  site->endpoints_known = 1;
+}
+
+static int
+site_ready (void *arg)
+{
+  site_t *site = arg;
+  el_time_t now = net_clock_now (gt_gate_clock (site->gate));
+
+  return !site->stopping && site->endpoints_known
+         && gt_relays_in_force (site->relays)
+         && site->rules_known + STALE_NOT_READY > now;
+}
+
+static void
+site_addresses (void *arg, el_str_t hall, json_t *list)
+{
+  site_t *site = arg;
+
+  gt_gate_entries (site->gate, hall, list);
+}
+
+static size_t
+site_hosts (void *arg)
+{
+  site_t *site = arg;
+
+  return gt_gate_hosts (site->gate);
+}
+
+static int
+site_preferred (void *arg)
+{
+  site_t *site = arg;
+
+  return !site->stopping && site->endpoints_known
+         && gt_gate_preferred (site->gate);
+}
+
+static void
+site_follow (site_t *site)
+{
+  gt_follow_options_t rules = { .store = &site->store,
+                                .prefix = PF_RULES_PREFIX,
+                                .wait_ms = RULES_WAIT_MS,
+                                .item = rules_item,
+                                .known = rules_known,
+                                .arg = site };
+  gt_follow_options_t endpoints = { .store = &site->store,
+                                    .prefix = PF_ENDPOINTS_PREFIX,
+                                    .wait_ms = ENDPOINTS_WAIT_MS,
+                                    .item = endpoints_item,
+                                    .known = endpoints_known,
+                                    .arg = site };
+  uint64_t most = site->options.keys_limit / EL_MSEC / RULES_WAIT_PARTS;
+
+  if (most && most < rules.wait_ms)
+    rules.wait_ms = most;
+  site->rules = gt_follow_new (&rules);
+  site->endpoints = gt_follow_new (&endpoints);
+}
+
+static void
+site_plan (site_t *site)
+{
+  gt_duty_options_t duty = { .store = &site->store,
+                             .key = PF_PLANNER_KEY,
+                             .holder = site->options.name,
+                             .ttl_ms = site->options.lease_ms,
+                             .margin = LEASE_MARGIN };
+  gt_planner_options_t planner = { .relays = site->relays,
+                                   .clock = gt_gate_clock (site->gate),
+                                   .client = gt_gate_client (site->gate),
+                                   .fleet = site->fleet,
+                                   .place = pf_place,
+                                   .preferred = site_preferred,
+                                   .arg = site };
+
+  site->duty = gt_duty_new (&duty);
+  planner.duty = site->duty;
+  site->planner = gt_planner_new (&planner);
+}
+
+static gt_relays_t *
+site_relays (site_t *site, el_err_t *err)
+{
+  const site_options_t *o = &site->options;
+  gt_relay_options_t relays = { .clock = gt_gate_clock (site->gate),
+                                .client = gt_gate_client (site->gate),
+                                .fleet = site->fleet,
+                                .dialect = &pf_relay,
+                                .listen = o->entry,
+                                .hall = o->hall,
+                                .max_body = BODY_MAX,
+                                .repeat_ratio = o->repeat_ratio,
+                                .repeat_slack = o->repeat_slack,
+                                .repeat_window = o->repeat_window,
+                                .keys_limit = o->keys_limit,
+                                .seed = o->seed,
+                                .hosts = site_hosts,
+                                .arg = site };
+
+  return gt_relays_new (&relays, err);
+}
+
+/** Serve relayed requests; NULL, with the reason in ERR, when an address can't
+    be had. */
+site_t *
+site_new (gt_gate_t *gate, const site_options_t *options, el_err_t *err)
+{
+  site_t *site = el_alloc (sizeof *site);
+  pf_entry_options_t entry = { .loop = gt_gate_clock (gate)->loop,
+                               .ready_listen = options->ready,
+                               .directory_listen = options->directory,
+                               .ttl_s = options->entry_ttl_s,
+                               .ready = site_ready,
+                               .addresses = site_addresses,
+                               .arg = site };
+
+  site->gate = gate;
+  site->options = *options;
+  site->store = (gt_store_t){ .clock = gt_gate_clock (gate),
+                              .client = gt_gate_client (gate),
+                              .dialect = &pf_store,
+                              .address = options->store,
+                              .random = options->seed | 1 };
+  site->fleet = rt_fleet_new (options->seed);
+  site->relays = site_relays (site, err);
+  if (!site->relays || !pf_entry_new (&entry, err))
+    return NULL;
+  gt_relays_metrics (site->relays, gt_gate_metrics (gate));
+  site_follow (site);
+  site_plan (site);
+  return site;
+}
+
+static void
+stop_look (void *arg, el_time_t now)
+{
+  site_t *site = arg;
+  el_time_t ran = now - site->stop_began;
+
+  if (ran < site->options.stop_most
+      && (ran < site->options.stop_least || gt_relays_running (site->relays)))
+    {
+      net_clock_set (gt_gate_clock (site->gate), &site->stop_look,
+                     STOP_LOOK_EVERY);
+      return;
+    }
+  EL_LOG (EL_LOG_INFO, "relays_stopped",
+          EL_FN ("running", gt_relays_running (site->relays)));
+  site->stopped (site->stopped_arg);
+}
+
+/** Be out of look-ups and readiness at once, answer what still comes, and call
+    DONE when nothing runs any more. */
+void
+site_stop (site_t *site, gt_drained_cb done, void *arg)
+{
+  if (site->stopping)
+    return;
+  site->stopping = 1;
+  site->stopped = done;
+  site->stopped_arg = arg;
+  site->stop_began = net_clock_now (gt_gate_clock (site->gate));
+  EL_LOG (EL_LOG_INFO, "relays_stopping",
+          EL_FN ("running", gt_relays_running (site->relays)));
+  gt_planner_stop (site->planner);
+  gt_relays_retire (site->relays);
+  site->stop_look.cb = stop_look;
+  site->stop_look.arg = site;
+  net_clock_set (gt_gate_clock (site->gate), &site->stop_look,
+                 STOP_LOOK_EVERY);
+}
--- a/gate/answer.c
+++ b/gate/answer.c
@@ -79,7 +79,7 @@
 
   if (--answer->refs)
     return;
-  gt_clock_cancel (&answer->gate->clock, &answer->hold);
+  net_clock_cancel (&answer->gate->clock, &answer->hold);
   for (i = 0; i < answer->nheaders; i++)
     {
       el_str_free (&answer->headers[i].name);
@@ -130,7 +130,7 @@
 {
   reader->answer = gt_answer_ref (answer);
   DL_APPEND (answer->readers, reader);
-  gt_clock_cancel (&answer->gate->clock, &answer->hold);
+  net_clock_cancel (&answer->gate->clock, &answer->hold);
   reader->wake (reader);
 }
 
@@ -167,8 +167,8 @@
   if (!answer->readers && !answer->ended && !answer->keep)
     {
       if (answer->in_session)
-        gt_clock_set (&answer->gate->clock, &answer->hold,
-                      answer->gate->options.session_hold);
+        net_clock_set (&answer->gate->clock, &answer->hold,
+                       answer->gate->options.session_hold);
       else
         answer_cancel (answer);
     }
@@ -198,7 +198,7 @@
 
 /** The endpoint's answer to a call. */
 void
-gt_answer_result (gt_answer_t *answer, const gt_result_t *result)
+gt_answer_result (gt_answer_t *answer, const net_result_t *result)
 {
   size_t i;
 
@@ -208,7 +208,7 @@
   for (i = 0; i < result->nheaders; i++)
     if (gt_header_passes (result->headers[i].name))
       {
-        gt_header_t *header = &answer->headers[answer->nheaders++];
+        net_header_t *header = &answer->headers[answer->nheaders++];
 
         header->name = el_str_dup (result->headers[i].name);
         header->value = el_str_dup (result->headers[i].value);
--- a/gate/caller.c
+++ b/gate/caller.c
@@ -51,15 +51,15 @@
 {
   char text[NUMBER_MAX];
 
-  gt_req_add_header (req, EL_STR ("x-elmarch-verdict"),
-                     el_str (el_verdict_name (verdict)));
+  net_req_add_header (req, EL_STR ("x-elmarch-verdict"),
+                      el_str (el_verdict_name (verdict)));
   if (!retry_after_ms)
     return;
   snprintf (text, sizeof text, "%" PRIu64,
             (retry_after_ms + MSEC_PER_SEC - 1) / MSEC_PER_SEC);
-  gt_req_add_header (req, EL_STR ("retry-after"), el_str (text));
+  net_req_add_header (req, EL_STR ("retry-after"), el_str (text));
   snprintf (text, sizeof text, "%" PRIu64, retry_after_ms);
-  gt_req_add_header (req, EL_STR ("x-elmarch-retry-after-ms"), el_str (text));
+  net_req_add_header (req, EL_STR ("x-elmarch-retry-after-ms"), el_str (text));
 }
 
 /** The body of a refusal. */
@@ -85,7 +85,7 @@
   char *text = json_dumps (json, JSON_COMPACT);
 
   verdict_headers (req, refusal->verdict, refusal->retry_after_ms);
-  gt_req_reply (req, refusal->status, GT_JSON, el_str (text));
+  net_req_reply (req, refusal->status, GT_JSON, el_str (text));
   free (text);
   json_decref (json);
 }
@@ -116,9 +116,10 @@
 
   verdict_headers (req, answer->end.verdict, 0);
   for (i = 0; i < answer->nheaders; i++)
-    gt_req_add_header (req, answer->headers[i].name, answer->headers[i].value);
-  gt_req_reply (req, answer->status, (el_str_t){ NULL, 0 },
-                el_buf_str (&answer->body));
+    net_req_add_header (req, answer->headers[i].name,
+                        answer->headers[i].value);
+  net_req_reply (req, answer->status, (el_str_t){ NULL, 0 },
+                 el_buf_str (&answer->body));
 }
 
 static void
@@ -144,7 +145,7 @@
       "elmarch", "verdict", el_verdict_name (answer->end.verdict));
   dump = json_dumps (json, JSON_COMPACT);
   verdict_headers (caller->req, answer->end.verdict, 0);
-  gt_req_reply (caller->req, 200, GT_JSON, el_str (dump));
+  net_req_reply (caller->req, 200, GT_JSON, el_str (dump));
   free (dump);
   json_decref (json);
 }
@@ -237,9 +238,9 @@
   caller->started = 1;
   req->res.status = 200;
   req->res.reason = "OK";
-  gt_req_add_header (req, EL_STR ("content-type"),
-                     EL_STR ("text/event-stream"));
-  gt_req_add_header (req, EL_STR ("cache-control"), EL_STR ("no-store"));
+  net_req_add_header (req, EL_STR ("content-type"),
+                      EL_STR ("text/event-stream"));
+  net_req_add_header (req, EL_STR ("cache-control"), EL_STR ("no-store"));
   h2o_start_response (req, &caller->generator);
 }
 
--- a/gate/door.c
+++ b/gate/door.c
@@ -57,7 +57,7 @@
     .status = status, .verdict = EL_NOT_RUN, .code = code, .message = message
   };
 
-  if (gt_req_header (req, "x-elmarch-session").len)
+  if (net_req_header (req, "x-elmarch-session").len)
     refusal.verdict = EL_MAY_HAVE_RUN;
   if (status == 503)
     refusal.retry_after_ms = STARTING_RETRY_MS;
@@ -74,7 +74,7 @@
 {
   char *text = json_dumps (json, JSON_COMPACT);
 
-  gt_req_reply (req, status, GT_JSON, el_str (text));
+  net_req_reply (req, status, GT_JSON, el_str (text));
   free (text);
   json_decref (json);
 }
@@ -82,7 +82,7 @@
 static el_str_t
 bearer (const h2o_req_t *req)
 {
-  el_str_t value = gt_req_header (req, "authorization");
+  el_str_t value = net_req_header (req, "authorization");
 
   if (!el_str_starts (value, BEARER))
     return (el_str_t){ NULL, 0 };
@@ -105,7 +105,7 @@
 static int
 token_customer (gt_gate_t *gate, h2o_req_t *req, gt_ask_t *ask)
 {
-  el_str_t text = gt_req_header (req, "x-elmarch-session");
+  el_str_t text = net_req_header (req, "x-elmarch-session");
   el_err_t err;
 
   if (co_token_read (text, gate->options.cluster_key, &ask->token, &err))
@@ -126,7 +126,7 @@
                      "the session's customer is no longer known");
       return 0;
     }
-  if (!el_str_to_u64 (gt_req_header (req, "x-elmarch-sequence"),
+  if (!el_str_to_u64 (net_req_header (req, "x-elmarch-sequence"),
                       &ask->sequence)
       || ask->sequence == 0)
     {
@@ -159,14 +159,14 @@
       rt_router_auth (gate->router, el_str (hash), &ask->customer);
     }
   if (!ask->customer.len
-      && (key.len || !gt_req_header (req, "x-elmarch-session").len))
+      && (key.len || !net_req_header (req, "x-elmarch-session").len))
     {
       gt_door_error (gate, req, 401, "unknown-customer",
                      "authorization: takes Bearer and a customer's key");
       return 0;
     }
-  if (gt_req_header (req, "x-elmarch-session").len
-      || gt_req_header (req, "x-elmarch-sequence").len)
+  if (net_req_header (req, "x-elmarch-session").len
+      || net_req_header (req, "x-elmarch-sequence").len)
     return token_customer (gate, req, ask);
   return 1;
 }
@@ -176,10 +176,10 @@
 int
 gt_door_deadline (gt_gate_t *gate, h2o_req_t *req, el_time_t *deadline)
 {
-  el_str_t text = gt_req_header (req, "x-elmarch-deadline-ms");
+  el_str_t text = net_req_header (req, "x-elmarch-deadline-ms");
   uint64_t ms;
 
-  *deadline = gt_clock_now (&gate->clock) + gate->options.deadline;
+  *deadline = net_clock_now (&gate->clock) + gate->options.deadline;
   if (!text.len)
     return 1;
   if (!el_str_to_u64 (text, &ms) || ms == 0 || ms > DEADLINE_MAX_MS)
@@ -188,7 +188,7 @@
                      "x-elmarch-deadline-ms: takes 1 to 3600000");
       return 0;
     }
-  *deadline = gt_clock_now (&gate->clock) + ms * EL_MSEC;
+  *deadline = net_clock_now (&gate->clock) + ms * EL_MSEC;
   return 1;
 }
 
@@ -207,8 +207,8 @@
 gt_door_handle (void *arg, h2o_req_t *req)
 {
   gt_gate_t *gate = arg;
-  el_str_t method = gt_req_method (req);
-  el_str_t path = gt_req_path (req);
+  el_str_t method = net_req_method (req);
+  el_str_t path = net_req_path (req);
   int found = 0;
   size_t i;
 
--- a/gate/door_call.c
+++ b/gate/door_call.c
@@ -36,7 +36,7 @@
 static int
 call_headers (h2o_req_t *req, gt_ask_t *ask)
 {
-  gt_header_t *list
+  net_header_t *list
       = h2o_mem_alloc_pool (&req->pool, (HEADERS_MAX + 1) * sizeof *list);
   size_t n = 0;
   size_t i;
@@ -53,7 +53,7 @@
       list[n].name = name;
       list[n++].value = (el_str_t){ header->value.base, header->value.len };
     }
-  list[n++] = (gt_header_t){ EL_STR ("x-elmarch-customer"), ask->customer };
+  list[n++] = (net_header_t){ EL_STR ("x-elmarch-customer"), ask->customer };
   ask->headers = list;
   ask->nheaders = n;
   return 1;
@@ -106,10 +106,10 @@
       return;
     }
   for (i = 0; i < forwarded->nheaders; i++)
-    gt_req_add_header (req, forwarded->headers[i].name,
-                       forwarded->headers[i].value);
-  gt_req_reply (req, forwarded->status, (el_str_t){ NULL, 0 },
-                forwarded->body);
+    net_req_add_header (req, forwarded->headers[i].name,
+                        forwarded->headers[i].value);
+  net_req_reply (req, forwarded->status, (el_str_t){ NULL, 0 },
+                 forwarded->body);
 }
 
 static void
@@ -141,10 +141,10 @@
       gt_door_error (gate, req, 404, "not-found", "no such service");
       return;
     }
-  ask.method = gt_req_method (req);
-  ask.body = gt_req_body (req);
+  ask.method = net_req_method (req);
+  ask.body = net_req_body (req);
   ask.repeatable = (service->repeatable || method_is_safe (ask.method))
-                   && !el_str_eq (gt_req_header (req, "x-elmarch-repeatable"),
+                   && !el_str_eq (net_req_header (req, "x-elmarch-repeatable"),
                                   EL_STR ("no"));
   if (!call_headers (req, &ask))
     {
--- a/gate/door_chat.c
+++ b/gate/door_chat.c
@@ -212,7 +212,7 @@
 static int
 chat_read (gt_gate_t *gate, h2o_req_t *req, gt_ask_t *ask)
 {
-  el_str_t body = gt_req_body (req);
+  el_str_t body = net_req_body (req);
   char message[EL_ERR_MAX] = "";
   json_error_t error;
   json_t *params;
@@ -247,10 +247,10 @@
 
   el_buf_printf (&location, "http://%.*s/v1/chat/completions", (int)http.len,
                  http.ptr);
-  gt_req_add_header (req, EL_STR ("location"), el_buf_str (&location));
-  gt_req_add_header (req, EL_STR ("x-elmarch-verdict"),
-                     EL_STR ("may-have-run"));
-  gt_req_reply (req, 307, (el_str_t){ NULL, 0 }, EL_STR (""));
+  net_req_add_header (req, EL_STR ("location"), el_buf_str (&location));
+  net_req_add_header (req, EL_STR ("x-elmarch-verdict"),
+                      EL_STR ("may-have-run"));
+  net_req_reply (req, 307, (el_str_t){ NULL, 0 }, EL_STR (""));
   el_buf_free (&location);
 }
 
@@ -294,7 +294,8 @@
     {
       gate->counts.home_gone++;
       wait->ask.in_session = 0;
-      gt_req_add_header (req, EL_STR ("x-elmarch-session-lost"), EL_STR ("1"));
+      net_req_add_header (req, EL_STR ("x-elmarch-session-lost"),
+                          EL_STR ("1"));
       chat_run (gate, req, &wait->ask);
     }
   else if (req)
@@ -316,7 +317,7 @@
       || !gt_door_deadline (gate, req, &ask.deadline)
       || !chat_read (gate, req, &ask))
     return;
-  ask.repeatable = !el_str_eq (gt_req_header (req, "x-elmarch-repeatable"),
+  ask.repeatable = !el_str_eq (net_req_header (req, "x-elmarch-repeatable"),
                                EL_STR ("no"));
   if (ask.in_session && gt_peers_where (gate->peers, &ask.token, &ask.where))
     {
--- a/gate/door_oper.c
+++ b/gate/door_oper.c
@@ -131,12 +131,13 @@
           json_t *json = resource_json (gate, res);
           char *text = json_dumps (json, JSON_COMPACT);
 
-          gt_req_add_header (req, EL_STR ("x-elmarch-current"), el_str (text));
+          net_req_add_header (req, EL_STR ("x-elmarch-current"),
+                              el_str (text));
           free (text);
           json_decref (json);
         }
-      gt_req_add_header (req, EL_STR ("x-elmarch-change-id"),
-                         el_str (put->id));
+      net_req_add_header (req, EL_STR ("x-elmarch-change-id"),
+                          el_str (put->id));
       gt_caller_refuse (req, &put_refusals[outcome]);
     }
   else if (req)
@@ -189,7 +190,7 @@
 static void
 oper_put (gt_gate_t *gate, h2o_req_t *req, co_kind_t kind, el_str_t name)
 {
-  el_str_t body = gt_req_body (req);
+  el_str_t body = net_req_body (req);
   json_t *json = json_loadb (body.ptr ? body.ptr : "", body.len,
                              JSON_REJECT_DUPLICATES, NULL);
   const char *id = NULL;
@@ -231,7 +232,7 @@
   uint64_t expected = revision_in_force (gate, kind, name);
   el_str_t text;
 
-  if (gt_req_query (req, EL_STR ("resourceVersion"), &text)
+  if (net_req_query (req, EL_STR ("resourceVersion"), &text)
       && !el_str_to_u64 (text, &expected))
     {
       gt_door_error (gate, req, 400, "bad-query",
@@ -260,7 +261,7 @@
       return;
     }
   for (i = 0; i < sizeof methods / sizeof *methods; i++)
-    if (el_str_eq (gt_req_method (req), el_str (methods[i].method))
+    if (el_str_eq (net_req_method (req), el_str (methods[i].method))
         && (rest.len || i == 0))
       {
         methods[i].serve (gate, req, kind, rest);
@@ -290,7 +291,7 @@
   gate->gauge_bytes = co_ledger_bytes (gate->ledger);
   gate->gauge_revision = co_config_revision (gate->config);
   el_metrics_print (&gate->metrics, &text);
-  gt_req_reply (req, 200, EL_STR ("text/plain; version=0.0.4"),
-                el_buf_str (&text));
+  net_req_reply (req, 200, EL_STR ("text/plain; version=0.0.4"),
+                 el_buf_str (&text));
   el_buf_free (&text);
 }
--- a/gate/door_session.c
+++ b/gate/door_session.c
@@ -40,7 +40,7 @@
   (void)rest;
   if (!gt_door_customer (gate, req, &ask))
     return;
-  if (co_ledger_open (gate->ledger, gt_clock_now (&gate->clock), ask.customer,
+  if (co_ledger_open (gate->ledger, net_clock_now (&gate->clock), ask.customer,
                       &session, &err))
     {
       refusal.message = err.msg;
@@ -90,7 +90,7 @@
   else if (status)
     gt_door_error (gate, req, 404, "not-found", "no such session");
   else
-    gt_req_reply (req, 204, (el_str_t){ NULL, 0 }, EL_STR (""));
+    net_req_reply (req, 204, (el_str_t){ NULL, 0 }, EL_STR (""));
 }
 
 /** The addresses that a caller should use now, and how long to keep them.
--- a/gate/engine.c
+++ b/gate/engine.c
@@ -19,7 +19,7 @@
                                el_buf_t *);
 static void engine_write_abandon (const gt_gate_t *, const rt_action_t *,
                                   el_buf_t *);
-static void engine_read_reply (const gt_gate_t *, const gt_result_t *,
+static void engine_read_reply (const gt_gate_t *, const net_result_t *,
                                rt_event_t *, json_t **);
 
 const gt_engine_dialect_t gt_engine_http = {
@@ -43,14 +43,14 @@
 };
 
 static const rt_fail_t net_fails[] = {
-  [GT_NET_CONNECT] = RT_FAIL_CONNECT,
-  [GT_NET_BROKEN] = RT_FAIL_BROKEN,
-  [GT_NET_TIMEOUT] = RT_FAIL_TIMEOUT,
-  [GT_NET_TOO_BIG] = RT_FAIL_BROKEN,
+  [NET_CONNECT] = RT_FAIL_CONNECT,
+  [NET_BROKEN] = RT_FAIL_BROKEN,
+  [NET_TIMEOUT] = RT_FAIL_TIMEOUT,
+  [NET_TOO_BIG] = RT_FAIL_BROKEN,
 };
 
 rt_fail_t
-gt_net_fail (gt_net_t net)
+gt_net_fail (net_outcome_t net)
 {
   return net_fails[net];
 }
@@ -58,9 +58,9 @@
 /** Whether the endpoint says, in a header of its own, that it refused the
     request before it began. */
 int
-gt_refused (const gt_result_t *result, rt_fail_t *fail)
+gt_refused (const net_result_t *result, rt_fail_t *fail)
 {
-  el_str_t word = gt_result_header (result, "x-refused");
+  el_str_t word = net_result_header (result, "x-refused");
   size_t i;
 
   for (i = 0; i < sizeof refusals / sizeof *refusals; i++)
@@ -162,7 +162,7 @@
 }
 
 static void
-engine_read_reply (const gt_gate_t *gate, const gt_result_t *result,
+engine_read_reply (const gt_gate_t *gate, const net_result_t *result,
                    rt_event_t *event, json_t **keep)
 {
   char session[SESSION_MAX];
--- a/gate/flow.c
+++ b/gate/flow.c
@@ -16,8 +16,8 @@
 static void flow_end (gt_gate_t *, gt_flow_t *, const rt_action_t *);
 static void chat_send (gt_gate_t *, gt_flow_t *, const rt_action_t *);
 static void call_send (gt_gate_t *, gt_flow_t *, const rt_action_t *);
-static void chat_done (void *arg, const gt_result_t *result);
-static void call_done (void *arg, const gt_result_t *result);
+static void chat_done (void *arg, const net_result_t *result);
+static void call_done (void *arg, const net_result_t *result);
 
 typedef void (*flow_act_fn) (gt_gate_t *gate, gt_flow_t *flow,
                              const rt_action_t *action);
@@ -113,7 +113,7 @@
 
   HASH_DEL (flow->gate->flows, flow);
   if (flow->exchange)
-    gt_client_cancel (flow->exchange);
+    net_client_cancel (flow->exchange);
   for (i = 0; i < flow->nheaders; i++)
     {
       el_str_free (&flow->headers[i].name);
@@ -150,7 +150,7 @@
   flow->session = gt_token_session (&ask->token);
   flow->sequence = ask->sequence;
   flow->repeatable = ask->repeatable;
-  flow->started = gt_clock_now (&gate->clock);
+  flow->started = net_clock_now (&gate->clock);
   if (ask->work == RT_CALL)
     flow_keep_call (flow, ask);
   HASH_ADD (hh, gate->flows, id, sizeof flow->id, flow);
@@ -170,9 +170,9 @@
   void *first = NULL;
 
   if (ask->in_session)
-    word
-        = co_ledger_begin (gate->ledger, gt_clock_now (&gate->clock), &session,
-                           ask->sequence, ask->digest, answer, &first);
+    word = co_ledger_begin (gate->ledger, net_clock_now (&gate->clock),
+                            &session, ask->sequence, ask->digest, answer,
+                            &first);
   if (word == CO_LED_RUN)
     {
       if (ask->in_session)
@@ -224,18 +224,18 @@
 chat_send (gt_gate_t *gate, gt_flow_t *flow, const rt_action_t *action)
 {
   el_buf_t body = { NULL, 0, 0 };
-  gt_header_t type = { EL_STR ("content-type"), GT_JSON };
-  gt_send_t send = { .address = action->address,
-                     .method = EL_STR ("POST"),
-                     .path = gt_engine_http.call_path,
-                     .headers = &type,
-                     .nheaders = 1,
-                     .done = chat_done,
-                     .arg = flow };
+  net_header_t type = { EL_STR ("content-type"), GT_JSON };
+  net_send_t send = { .address = action->address,
+                      .method = EL_STR ("POST"),
+                      .path = gt_engine_http.call_path,
+                      .headers = &type,
+                      .nheaders = 1,
+                      .done = chat_done,
+                      .arg = flow };
 
   gt_engine_http.write_call (gate, action, &body);
   send.body = el_buf_str (&body);
-  flow->exchange = gt_client_send (gate->client, &send);
+  flow->exchange = net_client_send (gate->client, &send);
   el_buf_free (&body);
 }
 
@@ -245,21 +245,21 @@
 static void
 call_send (gt_gate_t *gate, gt_flow_t *flow, const rt_action_t *action)
 {
-  gt_send_t send = { .address = action->address,
-                     .method = flow->method,
-                     .path = flow->path,
-                     .headers = flow->headers,
-                     .nheaders = flow->nheaders,
-                     .body = flow->body,
-                     .fresh = !flow->repeatable,
-                     .done = call_done,
-                     .arg = flow };
-
-  flow->exchange = gt_client_send (gate->client, &send);
+  net_send_t send = { .address = action->address,
+                      .method = flow->method,
+                      .path = flow->path,
+                      .headers = flow->headers,
+                      .nheaders = flow->nheaders,
+                      .body = flow->body,
+                      .fresh = !flow->repeatable,
+                      .done = call_done,
+                      .arg = flow };
+
+  flow->exchange = net_client_send (gate->client, &send);
 }
 
 static void
-exchange_failed (const gt_result_t *result, rt_event_t *event)
+exchange_failed (const net_result_t *result, rt_event_t *event)
 {
   event->kind = RT_EV_FAILED;
   event->verdict = result->verdict;
@@ -275,7 +275,7 @@
 }
 
 static void
-chat_done (void *arg, const gt_result_t *result)
+chat_done (void *arg, const net_result_t *result)
 {
   gt_flow_t *flow = arg;
   gt_gate_t *gate = flow->gate;
@@ -283,7 +283,7 @@
   json_t *keep = NULL;
 
   flow->exchange = NULL;
-  if (result->net != GT_NET_OK)
+  if (result->net != NET_OK)
     exchange_failed (result, &event);
   else
     gt_engine_http.read_reply (gate, result, &event, &keep);
@@ -293,7 +293,7 @@
 }
 
 static void
-call_done (void *arg, const gt_result_t *result)
+call_done (void *arg, const net_result_t *result)
 {
   gt_flow_t *flow = arg;
   gt_gate_t *gate = flow->gate;
@@ -301,7 +301,7 @@
       = { .stream = flow->id, .call = flow->call, .echo = flow->call };
 
   flow->exchange = NULL;
-  if (result->net != GT_NET_OK)
+  if (result->net != NET_OK)
     exchange_failed (result, &event);
   else if (gt_refused (result, &event.fail))
     {
@@ -318,7 +318,7 @@
 }
 
 static void
-abandon_done (void *arg, const gt_result_t *result)
+abandon_done (void *arg, const net_result_t *result)
 {
   (void)arg;
   (void)result;
@@ -329,25 +329,25 @@
 flow_abandon (gt_gate_t *gate, gt_flow_t *flow, const rt_action_t *action)
 {
   el_buf_t body = { NULL, 0, 0 };
-  gt_header_t type = { EL_STR ("content-type"), GT_JSON };
-  gt_send_t send = { .address = action->address,
-                     .method = EL_STR ("POST"),
-                     .path = gt_engine_http.abandon_path,
-                     .headers = &type,
-                     .nheaders = 1,
-                     .timeout = ABANDON_TIMEOUT,
-                     .done = abandon_done };
+  net_header_t type = { EL_STR ("content-type"), GT_JSON };
+  net_send_t send = { .address = action->address,
+                      .method = EL_STR ("POST"),
+                      .path = gt_engine_http.abandon_path,
+                      .headers = &type,
+                      .nheaders = 1,
+                      .timeout = ABANDON_TIMEOUT,
+                      .done = abandon_done };
 
   if (flow->exchange && flow->call.attempt == action->call.attempt)
     {
-      gt_client_cancel (flow->exchange);
+      net_client_cancel (flow->exchange);
       flow->exchange = NULL;
     }
   if (action->work != RT_CHAT)
     return;
   gt_engine_http.write_abandon (gate, action, &body);
   send.body = el_buf_str (&body);
-  gt_client_send (gate->client, &send);
+  net_client_send (gate->client, &send);
   el_buf_free (&body);
 }
 
@@ -356,7 +356,7 @@
 {
   if (flow->answer->ntokens == 0)
     el_hist_add (&gate->counts.first_token,
-                 gt_clock_now (&gate->clock) - flow->started);
+                 net_clock_now (&gate->clock) - flow->started);
   gt_answer_token (flow->answer, action->token, action->text);
 }
 
@@ -372,7 +372,7 @@
           EL_FN ("tokens", action->tokens));
   gt_answer_end (flow->answer, &end);
   if (flow->in_session)
-    co_ledger_end (gate->ledger, gt_clock_now (&gate->clock), &flow->session,
+    co_ledger_end (gate->ledger, net_clock_now (&gate->clock), &flow->session,
                    flow->sequence, end.verdict,
                    gt_answer_bytes (flow->answer));
   gt_flow_free (flow);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -102,13 +102,13 @@
 void
 gt_router_event (gt_gate_t *gate, const rt_event_t *event)
 {
-  el_time_t now = gt_clock_now (&gate->clock);
+  el_time_t now = net_clock_now (&gate->clock);
 
   if (gate->options.trace_fd >= 0)
     gt_trace (gate, rt_trace_event (now, event));
   rt_router_event (gate->router, now, event);
   gt_answer_flush (gate);
-  gt_clock_arm (&gate->clock);
+  net_clock_arm (&gate->clock);
 }
 
 uint64_t
@@ -128,7 +128,7 @@
   gt_gate_t *gate = arg;
 
   co_ledger_expire (gate->ledger, now);
-  gt_clock_set (&gate->clock, &gate->expire, EXPIRE_EVERY);
+  net_clock_set (&gate->clock, &gate->expire, EXPIRE_EVERY);
 }
 
 #define RT_COUNT(field) &rt_router_counts (gate->router)->field
@@ -243,7 +243,7 @@
   gate->router = rt_router_new (&router);
   gate->ledger = co_ledger_new (&ledger);
   gate->config = co_config_new (&config);
-  gate->client = gt_client_new (&gate->clock);
+  gate->client = net_client_new (&gate->clock);
   gate->clock.next = clock_next;
   gate->clock.fire = clock_fire;
   gate->clock.arg = gate;
@@ -258,11 +258,11 @@
 gt_gate_new (const gt_options_t *options, el_err_t *err)
 {
   gt_gate_t *gate = el_alloc (sizeof *gate);
-  gt_server_options_t server = { .loop = options->loop,
-                                 .address = options->listen,
-                                 .max_body = options->max_body,
-                                 .handle = gt_door_handle,
-                                 .arg = gate };
+  net_server_options_t server = { .loop = options->loop,
+                                  .address = options->listen,
+                                  .max_body = options->max_body,
+                                  .handle = gt_door_handle,
+                                  .arg = gate };
 
   gate->options = *options;
   gate->next_stream = 1;
@@ -271,16 +271,17 @@
       != CO_INCARNATION_BYTES)
     abort ();
   co_incarnation_hex (&gate->incarnation, gate->incarnation_hex);
-  gt_clock_open (&gate->clock, options->loop);
+  net_clock_open (&gate->clock, options->loop);
   gate_parts (gate);
   gate->peers = gt_peers_new (gate, err);
-  gate->server = gate->peers ? gt_server_new (&server, err) : NULL;
+  gate->server = gate->peers ? net_server_new (&server, err) : NULL;
   if (!gate->server)
     return NULL;
-  gate->platform = gt_platform_new (gate);
+  if (options->platform.len)
+    gate->platform = gt_platform_new (gate);
   gate->expire.cb = gate_expire;
   gate->expire.arg = gate;
-  gt_clock_set (&gate->clock, &gate->expire, EXPIRE_EVERY);
+  net_clock_set (&gate->clock, &gate->expire, EXPIRE_EVERY);
   EL_LOG (EL_LOG_INFO, "started", EL_FS ("listen", options->listen),
           EL_FS ("peer_listen", options->peer_listen),
           EL_FS ("hall", options->hall),
@@ -293,10 +294,11 @@
 {
   EL_LOG (EL_LOG_INFO, "drained",
           EL_FN ("sessions", co_ledger_sessions (gate->ledger)));
-  gt_server_stop (gate->server);
-  gt_platform_stop (gate->platform);
+  net_server_stop (gate->server);
+  if (gate->platform)
+    gt_platform_stop (gate->platform);
   gt_peers_stop (gate->peers);
-  gt_clock_cancel (&gate->clock, &gate->expire);
+  net_clock_cancel (&gate->clock, &gate->expire);
   gate->drained (gate->drained_arg);
 }
 
@@ -317,7 +319,7 @@
   if (now >= gate->drain_until)
     gate_stopped (gate);
   else if (!idle || gate->handing)
-    gt_clock_set (&gate->clock, &gate->expire, DRAIN_LOOK_EVERY);
+    net_clock_set (&gate->clock, &gate->expire, DRAIN_LOOK_EVERY);
   else
     gt_peers_farewell (gate->peers, drain_told, gate);
 }
@@ -340,7 +342,7 @@
   if (gate->draining)
     return;
   gate->draining = 1;
-  gate->drain_until = gt_clock_now (&gate->clock) + gate->options.drain_limit;
+  gate->drain_until = net_clock_now (&gate->clock) + gate->options.drain_limit;
   gate->drained = done;
   gate->drained_arg = arg;
   EL_LOG (EL_LOG_INFO, "draining",
@@ -351,7 +353,7 @@
   gate->handing = 1;
   gt_peers_hand_over (gate->peers, drain_handed, gate);
   gate->expire.cb = drain_look;
-  gt_clock_set (&gate->clock, &gate->expire, 0);
+  net_clock_set (&gate->clock, &gate->expire, 0);
 }
 
 /** The process's state for operators. */
@@ -366,5 +368,47 @@
       "configRevision", (json_int_t)co_config_revision (gate->config),
       "resources", (json_int_t)co_config_count (gate->config), "peers",
       gt_peers_dump (gate->peers), "router",
-      rt_router_dump (gate->router, gt_clock_now (&gate->clock)));
+      rt_router_dump (gate->router, net_clock_now (&gate->clock)));
+}
+
+net_clock_t *
+gt_gate_clock (gt_gate_t *gate)
+{
+  return &gate->clock;
+}
+
+net_client_t *
+gt_gate_client (gt_gate_t *gate)
+{
+  return gate->client;
+}
+
+/** The figures that the gate serves; others may add theirs. */
+el_metrics_t *
+gt_gate_metrics (gt_gate_t *gate)
+{
+  return &gate->metrics;
+}
+
+/** Live hosts, this one included. */
+size_t
+gt_gate_hosts (const gt_gate_t *gate)
+{
+  return gt_peers_live (gate->peers);
+}
+
+/** Whether this host comes first among the live ones that stay: all that see
+    the same members prefer the same one. */
+int
+gt_gate_preferred (const gt_gate_t *gate)
+{
+  return !gate->draining && gt_peers_preferred (gate->peers);
+}
+
+/** Append the entry addresses for callers of HALL: hosts of their own hall
+    while enough of them live, else all. */
+void
+gt_gate_entries (const gt_gate_t *gate, el_str_t hall, json_t *list)
+{
+  gt_peers_addresses (gate->peers, hall, list);
 }
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -14,6 +14,7 @@
 
 #include "base.h"
 #include "coord.h"
+#include "net.h"
 
 typedef struct gt_gate gt_gate_t;
 
@@ -24,7 +25,10 @@
   el_str_t peer_listen;  /**< other hosts, ip:port */
   el_str_t peers;        /**< their peer addresses, with commas */
   el_str_t hall;         /**< where this host stands */
-  el_str_t platform;     /**< the platform's address, ip:port */
+  el_str_t entry;        /**< where callers of relayed requests connect;
+                              empty: as listen */
+  el_str_t platform;     /**< the platform's address, ip:port; empty: this host
+                              is configured otherwise */
   el_str_t cluster_key;  /**< shared by the hosts */
   el_str_t operator_key; /**< operators prove themselves with it */
   uint64_t max_active;
@@ -48,6 +52,11 @@
 gt_gate_t *gt_gate_new (const gt_options_t *options, el_err_t *err);
 void gt_gate_drain (gt_gate_t *gate, gt_drained_cb done, void *arg);
 json_t *gt_gate_dump (gt_gate_t *gate);
-int gt_address_valid (el_str_t address);
+net_clock_t *gt_gate_clock (gt_gate_t *gate);
+net_client_t *gt_gate_client (gt_gate_t *gate);
+el_metrics_t *gt_gate_metrics (gt_gate_t *gate);
+size_t gt_gate_hosts (const gt_gate_t *gate);
+int gt_gate_preferred (const gt_gate_t *gate);
+void gt_gate_entries (const gt_gate_t *gate, el_str_t hall, json_t *list);
 
 #endif
--- /dev/null
+++ b/gate/gate_relay.h
@@ -0,0 +1,108 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Relayed requests: taken from callers as they are, passed on to endpoints by
+ * the rules in force, answered whole or event by event.
+ */
+#ifndef ELMARCH_GATE_RELAY_H
+#define ELMARCH_GATE_RELAY_H
+
+#include "net.h"
+#include "relay.h"
+
+typedef struct gt_relays gt_relays_t;
+typedef struct gt_relay gt_relay_t;
+
+/** The headers of a dialect, in lower case. */
+typedef struct gt_relay_names
+{
+  const char *id;        /**< names the request; echoed in its answer */
+  const char *time_left; /**< milliseconds */
+  const char *expect;    /**< the endpoint's id: any other one refuses */
+  const char *customer;
+  const char *not_run;  /**< on an answer: the request did not run */
+  const char *seal;     /**< on an answer: the endpoint vouches for it */
+  const char *resume;   /**< the last event that the caller has */
+  const char *line;     /**< the engines that a request passes */
+  const char *at_fault; /**< on a refusal: the address of the engine that
+                             refused */
+} gt_relay_names_t;
+
+/** What came of asking an engine where a stream stands still. */
+typedef void (*gt_stalled_cb) (void *arg, int answered, el_str_t address);
+/** What came of moving a stream to another line. */
+typedef void (*gt_reroute_cb) (void *arg, int done);
+
+/** What differs between dialects. */
+typedef struct gt_relay_dialect
+{
+  gt_relay_names_t names;
+  void (*write_line) (const rt_line_t *line, el_buf_t *out);
+  /** Ask the first engine of a line which engine the stream ID waits for;
+      the exchange can be cancelled. */
+  net_exchange_t *(*ask_stalled) (net_client_t *client,
+                                  const rt_target_t *first, el_str_t id,
+                                  gt_stalled_cb done, void *arg);
+  /** Have the first engine pass the stream ID on over another line. */
+  net_exchange_t *(*reroute) (net_client_t *client, el_str_t id,
+                              const rt_line_t *line, gt_reroute_cb done,
+                              void *arg);
+} gt_relay_dialect_t;
+
+typedef struct gt_relay_counts
+{
+  uint64_t requests;
+  uint64_t passed;   /**< whole answers of endpoints handed on */
+  uint64_t no_rules; /**< refused: no configuration yet, or too old */
+  uint64_t unknown;  /**< no rule: 404 */
+  uint64_t denied;   /**< no such key: 401 */
+  uint64_t refused;  /**< not run: 503 */
+  uint64_t failed;   /**< may have run: 502 */
+  uint64_t timeouts; /**< 504 */
+  uint64_t cut;      /**< streams that ended without their end */
+  uint64_t gone;     /**< callers that left */
+  uint64_t attempts;
+  uint64_t repeats;  /**< attempts after a request's first */
+  uint64_t resumed;  /**< streams that went on at another line */
+  uint64_t rerouted; /**< streams moved within their line */
+  uint64_t crossed;  /**< answers to another request */
+  uint64_t spent;    /**< repeats not made: the budget is spent */
+  uint64_t events;
+  el_hist_t first_event; /**< microseconds from the request */
+  el_hist_t answer;      /**< microseconds to the whole plain answer */
+  el_hist_t event_gap;   /**< microseconds between events */
+} gt_relay_counts_t;
+
+typedef struct gt_relay_options
+{
+  net_clock_t *clock;
+  net_client_t *client;
+  rt_fleet_t *fleet;
+  const gt_relay_dialect_t *dialect;
+  el_str_t listen; /**< where callers connect, ip:port */
+  el_str_t hall;
+  size_t max_body;
+  double repeat_ratio; /**< budget of repeats of all hosts */
+  uint64_t repeat_slack;
+  el_time_t repeat_window;
+  el_time_t keys_limit; /**< keys are refused when the configuration is not
+                             known to be in force as of this long ago; 0 is
+                             no limit */
+  uint64_t seed;
+  /** Live hosts, this one included. */
+  size_t (*hosts) (void *arg);
+  void *arg;
+} gt_relay_options_t;
+
+gt_relays_t *gt_relays_new (const gt_relay_options_t *options, el_err_t *err);
+void gt_relays_rules (gt_relays_t *relays, rt_rules_t *rules);
+void gt_relays_known (gt_relays_t *relays, el_time_t as_of);
+const rt_rules_t *gt_relays_in_force (const gt_relays_t *relays);
+void gt_relays_retire (gt_relays_t *relays);
+size_t gt_relays_running (const gt_relays_t *relays);
+const gt_relay_counts_t *gt_relays_counts (const gt_relays_t *relays);
+void gt_relays_metrics (gt_relays_t *relays, el_metrics_t *metrics);
+
+#endif
--- a/gate/kv_http.c
+++ b/gate/kv_http.c
@@ -17,9 +17,9 @@
 static void kv_put (const gt_change_t *change, el_buf_t *path, el_buf_t *body);
 static void kv_remove (const gt_change_t *change, el_buf_t *path);
 static void kv_hosts (el_buf_t *path);
-static int kv_read_list (const gt_result_t *result, gt_kv_list_t *out);
-static int kv_read_put (const gt_result_t *result, gt_kv_put_t *out);
-static int kv_read_hosts (const gt_result_t *result, json_t **out);
+static int kv_read_list (const net_result_t *result, gt_kv_list_t *out);
+static int kv_read_put (const net_result_t *result, gt_kv_put_t *out);
+static int kv_read_hosts (const net_result_t *result, json_t **out);
 static int kv_read_item (json_t *item, gt_kv_item_t *out);
 
 const gt_kv_dialect_t gt_kv_http = {
@@ -86,7 +86,7 @@
 }
 
 static json_t *
-body_json (const gt_result_t *result)
+body_json (const net_result_t *result)
 {
   return json_loadb (result->body.ptr ? result->body.ptr : "",
                      result->body.len, 0, NULL);
@@ -94,7 +94,7 @@
 
 /* A range holds all items, a watch those that changed. */
 static int
-kv_read_list (const gt_result_t *result, gt_kv_list_t *out)
+kv_read_list (const net_result_t *result, gt_kv_list_t *out)
 {
   json_t *revision;
 
@@ -126,7 +126,7 @@
 }
 
 static int
-kv_read_put (const gt_result_t *result, gt_kv_put_t *out)
+kv_read_put (const net_result_t *result, gt_kv_put_t *out)
 {
   json_t *json = body_json (result);
   json_t *revision = json_object_get (json, "revision");
@@ -145,7 +145,7 @@
 }
 
 static int
-kv_read_hosts (const gt_result_t *result, json_t **out)
+kv_read_hosts (const net_result_t *result, json_t **out)
 {
   json_t *json = body_json (result);
   json_t *hosts = json_object_get (json, "hosts");
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -9,7 +9,7 @@
 #define ELMARCH_LIBGATE_H
 
 #include "gate.h"
-#include "http.h"
+#include "net.h"
 #include "map.h"
 #include "route.h"
 
@@ -70,7 +70,7 @@
   el_buf_t text;
   /* call */
   int status;
-  gt_header_t *headers;
+  net_header_t *headers;
   size_t nheaders;
   el_buf_t body;
 };
@@ -106,7 +106,7 @@
   /* call */
   el_str_t method;
   el_str_t path;
-  const gt_header_t *headers;
+  const net_header_t *headers;
   size_t nheaders;
   el_str_t body;
 } gt_ask_t;
@@ -132,13 +132,13 @@
   int in_session;
   co_session_t session;
   uint64_t sequence;
-  gt_exchange_t *exchange;
+  net_exchange_t *exchange;
   rt_place_t call;
   int repeatable;
   el_str_t endpoint;
   el_str_t method;
   el_str_t path;
-  gt_header_t *headers;
+  net_header_t *headers;
   size_t nheaders;
   el_str_t body;
   el_time_t started;
@@ -168,9 +168,9 @@
 struct gt_gate
 {
   gt_options_t options;
-  gt_clock_t clock;
-  gt_server_t *server;
-  gt_client_t *client;
+  net_clock_t clock;
+  net_server_t *server;
+  net_client_t *client;
   rt_router_t *router;
   co_ledger_t *ledger;
   co_config_t *config;
@@ -214,7 +214,7 @@
 void gt_answer_attach (gt_answer_t *answer, gt_reader_t *reader);
 void gt_answer_detach (gt_reader_t *reader);
 void gt_answer_token (gt_answer_t *answer, uint64_t id, el_str_t text);
-void gt_answer_result (gt_answer_t *answer, const gt_result_t *result);
+void gt_answer_result (gt_answer_t *answer, const net_result_t *result);
 void gt_answer_end (gt_answer_t *answer, const gt_end_t *end);
 size_t gt_answer_bytes (const gt_answer_t *answer);
 void gt_answer_flush (gt_gate_t *gate);
@@ -236,13 +236,13 @@
   void (*write_abandon) (const gt_gate_t *gate, const rt_action_t *action,
                          el_buf_t *body);
   /* Fill EVENT from RESULT; *KEEP holds the strings until it is freed. */
-  void (*read_reply) (const gt_gate_t *gate, const gt_result_t *result,
+  void (*read_reply) (const gt_gate_t *gate, const net_result_t *result,
                       rt_event_t *event, json_t **keep);
 } gt_engine_dialect_t;
 
 extern const gt_engine_dialect_t gt_engine_http;
-rt_fail_t gt_net_fail (gt_net_t net);
-int gt_refused (const gt_result_t *result, rt_fail_t *fail);
+rt_fail_t gt_net_fail (net_outcome_t net);
+int gt_refused (const net_result_t *result, rt_fail_t *fail);
 
 /* caller.c */
 void gt_caller_serve (gt_gate_t *gate, h2o_req_t *req, gt_answer_t *answer,
@@ -321,6 +321,8 @@
 json_t *gt_peers_dump (const gt_peers_t *peers);
 void gt_peers_entries (const gt_peers_t *peers, json_t *hosts, size_t most,
                        uint64_t spread);
+int gt_peers_preferred (const gt_peers_t *peers);
+void gt_peers_addresses (const gt_peers_t *peers, el_str_t hall, json_t *list);
 size_t gt_peers_live (const gt_peers_t *peers);
 size_t gt_peers_in_force (const gt_peers_t *peers, uint64_t revision);
 
@@ -348,7 +350,7 @@
   int answered; /* 0: the home did not answer */
   el_verdict_t verdict;
   int status;
-  const gt_header_t *headers;
+  const net_header_t *headers;
   size_t nheaders;
   el_str_t body;
 } gt_forwarded_t;
--- a/gate/libkv.h
+++ b/gate/libkv.h
@@ -42,10 +42,10 @@
   void (*put) (const gt_change_t *change, el_buf_t *path, el_buf_t *body);
   void (*remove) (const gt_change_t *change, el_buf_t *path);
   void (*hosts) (el_buf_t *path);
-  int (*read_list) (const gt_result_t *result, gt_kv_list_t *out);
+  int (*read_list) (const net_result_t *result, gt_kv_list_t *out);
   int (*read_item) (json_t *item, gt_kv_item_t *out);
-  int (*read_put) (const gt_result_t *result, gt_kv_put_t *out);
-  int (*read_hosts) (const gt_result_t *result, json_t **out);
+  int (*read_put) (const net_result_t *result, gt_kv_put_t *out);
+  int (*read_hosts) (const net_result_t *result, json_t **out);
 } gt_kv_dialect_t;
 
 extern const gt_kv_dialect_t gt_kv_http;
--- a/gate/libpeer.h
+++ b/gate/libpeer.h
@@ -27,7 +27,7 @@
 struct gt_peers
 {
   gt_gate_t *gate;
-  gt_rpc_t *rpc;
+  net_rpc_t *rpc;
   co_members_t *members;
   el_timer_t tick;
   size_t live; /* as the router was last told */
@@ -38,7 +38,7 @@
   int handed; /* the successor may have taken something over */
 };
 
-typedef void (*peer_serve_fn) (gt_peers_t *peers, gt_rpc_req_t *req,
+typedef void (*peer_serve_fn) (gt_peers_t *peers, net_rpc_req_t *req,
                                el_str_t body);
 
 /* XDR of one value, to and from bytes. */
@@ -55,20 +55,21 @@
 void peer_gossip_write (gt_peers_t *peers, const co_incarnation_t *to,
                         el_buf_t *out);
 void peer_probe (void *arg, uint64_t id, el_str_t address, el_str_t via);
-void peer_serve_gossip (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
-void peer_serve_relay (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
+void peer_serve_gossip (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+void peer_serve_relay (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 void peer_ticked (gt_peers_t *peers);
 
 /* peer_fetch.c */
 void peer_fetch (gt_peers_t *peers, const co_member_t *from);
-void peer_serve_fetch (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
+void peer_serve_fetch (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_forward.c */
-void peer_serve_forward (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
-gt_header_t *peer_headers_read (const peer_header *list, u_int n);
-peer_header *peer_headers_write (const gt_header_t *headers, size_t n);
+void peer_serve_forward (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+net_header_t *peer_headers_read (const peer_header *list, u_int n);
+peer_header *peer_headers_write (const net_header_t *headers, size_t n);
 
 /* peer_handover.c */
-void peer_serve_handover (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body);
+void peer_serve_handover (gt_peers_t *peers, net_rpc_req_t *req,
+                          el_str_t body);
 
 #endif
--- /dev/null
+++ b/gate/librelay.h
@@ -0,0 +1,124 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Internals of relayed requests.
+ */
+#ifndef ELMARCH_LIBRELAY_H
+#define ELMARCH_LIBRELAY_H
+
+#include "gate_relay.h"
+
+/* The budget of one service's repeats. */
+typedef struct relay_spend
+{
+  char *service;
+  rt_spend_t spend;
+  UT_hash_handle hh;
+} relay_spend_t;
+
+struct gt_relays
+{
+  gt_relay_options_t options;
+  net_server_t *server;
+  rt_rules_t *rules;
+  el_time_t known; /* the rules were in force at this time */
+  relay_spend_t *spends;
+  gt_relay_t *running;
+  size_t nrunning;
+  gt_relay_counts_t counts;
+  uint64_t random;
+};
+
+/* Splits an event stream into whole events; a part stays behind. */
+typedef struct relay_events
+{
+  el_buf_t part;
+} relay_events_t;
+
+typedef void (*relay_event_cb) (void *arg, el_str_t event, int has_id,
+                                uint64_t id);
+
+/* One relayed request; freed with the caller's request. */
+struct gt_relay
+{
+  gt_relays_t *relays;
+  h2o_req_t *req;
+  h2o_generator_t generator;
+  rt_rules_t *rules;
+  const rt_rule_t *rule;
+  const rt_service_t *service;
+  el_str_t customer;
+  el_str_t id;
+  el_time_t received;
+  el_time_t deadline;
+  el_timer_t over;
+  int ended; /* the caller's answer is complete, or the caller has gone */
+
+  /* the attempt under way */
+  net_exchange_t *exchange;
+  rt_target_t *target; /* the endpoint, or the first engine of the line */
+  rt_line_t line;
+  el_time_t sent;
+  rt_course_t course;
+  rt_tried_t tried;
+  int refused; /* its answer says that it did not run */
+  int crossed; /* its answer is to another request */
+  int stream;  /* its answer is a stream that is passed on */
+
+  /* the answer as far as it went to the caller */
+  int begun;
+  int sending;
+  int finish; /* to be ended once what is under way is sent */
+  int break_off;
+  el_buf_t out;    /* next */
+  el_buf_t flight; /* being sent */
+  relay_events_t events;
+  uint64_t last_id; /* of the events passed on */
+  int has_id;
+  el_time_t last_event;
+  uint64_t nevents;
+
+  /* looking for an engine that stands still */
+  el_timer_t watch;
+  net_exchange_t *ask;
+  unsigned looks;
+  el_time_t looked; /* when the first of them began */
+  rt_line_t next_line;
+
+  gt_relay_t *prev;
+  gt_relay_t *next;
+};
+
+/* relay_events.c */
+void relay_events_add (relay_events_t *events, el_str_t bytes,
+                       relay_event_cb each, void *arg);
+void relay_events_reset (relay_events_t *events);
+
+/* relay_try.c */
+void relay_try (gt_relay_t *relay);
+void relay_drop (gt_relay_t *relay);
+
+/* relay_watch.c */
+void relay_watch_begin (gt_relay_t *relay);
+void relay_watch_event (gt_relay_t *relay, el_time_t gap);
+void relay_watch_end (gt_relay_t *relay);
+
+/* relay_answer.c */
+void relay_answer_refuse (gt_relay_t *relay, int status, const char *reason,
+                          el_time_t retry_after);
+void relay_answer_pass (gt_relay_t *relay, const net_result_t *result);
+void relay_answer_begin (gt_relay_t *relay, const net_result_t *head);
+void relay_answer_event (gt_relay_t *relay, el_str_t event);
+void relay_answer_end (gt_relay_t *relay);
+void relay_answer_break (gt_relay_t *relay, const char *reason);
+
+/* relay.c */
+void relay_log (gt_relay_t *relay, const char *event, int status,
+                const char *reason);
+void relay_finished (gt_relay_t *relay);
+int relay_spend_take (gt_relay_t *relay);
+uint64_t relay_random (gt_relays_t *relays);
+
+#endif
--- a/gate/peer.c
+++ b/gate/peer.c
@@ -55,7 +55,7 @@
 }
 
 static void
-peers_serve (void *arg, gt_rpc_req_t *req, uint32_t proc, el_str_t body)
+peers_serve (void *arg, net_rpc_req_t *req, uint32_t proc, el_str_t body)
 {
   gt_peers_t *peers = arg;
   size_t i;
@@ -67,7 +67,7 @@
         return;
       }
   peers->gate->counts.rpc_refused++;
-  gt_rpc_reply (req, (el_str_t){ NULL, 0 });
+  net_rpc_reply (req, (el_str_t){ NULL, 0 });
 }
 
 static void
@@ -101,12 +101,12 @@
 void
 peer_ticked (gt_peers_t *peers)
 {
-  el_time_t now = gt_clock_now (&peers->gate->clock);
+  el_time_t now = net_clock_now (&peers->gate->clock);
   el_time_t due = co_members_next (peers->members);
   rt_event_t event = { .kind = RT_EV_HOSTS };
 
-  gt_clock_set (&peers->gate->clock, &peers->tick,
-                due > now ? due - now : NO_DELAY);
+  net_clock_set (&peers->gate->clock, &peers->tick,
+                 due > now ? due - now : NO_DELAY);
   event.hosts = co_members_live (peers->members);
   if (event.hosts == peers->live)
     return;
@@ -127,14 +127,14 @@
 gt_peers_new (gt_gate_t *gate, el_err_t *err)
 {
   gt_peers_t *peers = el_alloc (sizeof *peers);
-  gt_rpc_options_t rpc = { .clock = &gate->clock,
-                           .listen = gate->options.peer_listen,
-                           .key = gate->options.cluster_key,
-                           .serve = peers_serve,
-                           .arg = peers,
-                           .refused = &gate->counts.rpc_refused,
-                           .messages = &gate->counts.peer_messages,
-                           .bytes = &gate->counts.peer_bytes };
+  net_rpc_options_t rpc = { .clock = &gate->clock,
+                            .listen = gate->options.peer_listen,
+                            .key = gate->options.cluster_key,
+                            .serve = peers_serve,
+                            .arg = peers,
+                            .refused = &gate->counts.rpc_refused,
+                            .messages = &gate->counts.peer_messages,
+                            .bytes = &gate->counts.peer_bytes };
   co_members_options_t members = { .seeds = gate->options.peers,
                                    .seed = gt_random (gate),
                                    .period = PROBE_EVERY,
@@ -147,7 +147,7 @@
                                    .arg = peers };
 
   peers->gate = gate;
-  peers->rpc = gt_rpc_new (&rpc, err);
+  peers->rpc = net_rpc_new (&rpc, err);
   if (!peers->rpc)
     {
       free (peers);
@@ -155,12 +155,13 @@
     }
   members.self.incarnation = gate->incarnation;
   members.self.peer = gate->options.peer_listen;
-  members.self.http = gate->options.listen;
+  members.self.http
+      = gate->options.entry.len ? gate->options.entry : gate->options.listen;
   members.self.hall = gate->options.hall;
   peers->members = co_members_new (&members);
   peers->tick.cb = peers_tick;
   peers->tick.arg = peers;
-  gt_clock_set (&gate->clock, &peers->tick, NO_DELAY);
+  net_clock_set (&gate->clock, &peers->tick, NO_DELAY);
   return peers;
 }
 
@@ -174,8 +175,8 @@
 void
 gt_peers_stop (gt_peers_t *peers)
 {
-  gt_clock_cancel (&peers->gate->clock, &peers->tick);
-  gt_rpc_stop (peers->rpc);
+  net_clock_cancel (&peers->gate->clock, &peers->tick);
+  net_rpc_stop (peers->rpc);
 }
 
 /** This host has seen all changes of configuration up to REVISION. */
@@ -197,7 +198,7 @@
 void
 gt_peers_endpoint_leaves (gt_peers_t *peers, el_str_t endpoint)
 {
-  el_time_t now = gt_clock_now (&peers->gate->clock);
+  el_time_t now = net_clock_now (&peers->gate->clock);
   peer_sign_t *sign;
 
   if (endpoint.len > CO_NAME_MAX)
@@ -276,6 +277,70 @@
   json_decref (all);
 }
 
+typedef struct prefer_arg
+{
+  const co_incarnation_t *self;
+  int first;
+} prefer_arg_t;
+
+static void
+prefer_visit (void *arg, const co_member_t *member)
+{
+  prefer_arg_t *prefer = arg;
+
+  if (member->state == CO_MBR_ALIVE && !member->draining
+      && memcmp (member->incarnation.byte, prefer->self->byte,
+                 CO_INCARNATION_BYTES)
+             < 0)
+    prefer->first = 0;
+}
+
+/** Whether no live host that stays has a lower incarnation. */
+int
+gt_peers_preferred (const gt_peers_t *peers)
+{
+  prefer_arg_t prefer = { &peers->gate->incarnation, 1 };
+
+  co_members_visit (peers->members, prefer_visit, &prefer);
+  return prefer.first;
+}
+
+/* Hosts of a caller's own hall are told alone when there are this many: one
+   alone would have callers wait for the next look-up if it dies. */
+#define OWN_HALL_ENOUGH 2
+
+typedef struct addresses_arg
+{
+  el_str_t hall; /* empty takes all */
+  json_t *list;
+} addresses_arg_t;
+
+static void
+addresses_visit (void *arg, const co_member_t *member)
+{
+  addresses_arg_t *addresses = arg;
+
+  if (member->state == CO_MBR_ALIVE && !member->draining
+      && (!addresses->hall.len || el_str_eq (member->hall, addresses->hall)))
+    json_array_append_new (addresses->list,
+                           json_stringn (member->http.ptr, member->http.len));
+}
+
+/** Append the addresses for callers of HALL to LIST. */
+void
+gt_peers_addresses (const gt_peers_t *peers, el_str_t hall, json_t *list)
+{
+  addresses_arg_t addresses = { hall, list };
+
+  if (hall.len)
+    co_members_visit (peers->members, addresses_visit, &addresses);
+  if (json_array_size (list) >= OWN_HALL_ENOUGH)
+    return;
+  json_array_clear (list);
+  addresses.hall.len = 0;
+  co_members_visit (peers->members, addresses_visit, &addresses);
+}
+
 static void
 dump_visit (void *arg, const co_member_t *member)
 {
--- a/gate/peer_fetch.c
+++ b/gate/peer_fetch.c
@@ -44,7 +44,7 @@
 
 /** Tell another host what it has not seen. */
 void
-peer_serve_fetch (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+peer_serve_fetch (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   gt_gate_t *gate = peers->gate;
   fetch_list_t changes = { NULL, 0 };
@@ -66,7 +66,7 @@
   res.changes.changes_val = changes.list;
   res.changes.changes_len = (u_int)changes.len;
   peer_xdr_write ((xdrproc_t)xdr_peer_fetch_res, &res, &out);
-  gt_rpc_reply (req, el_buf_str (&out));
+  net_rpc_reply (req, el_buf_str (&out));
   for (i = 0; i < changes.len; i++)
     free (changes.list[i].spec.spec_val);
   free (changes.list);
@@ -122,7 +122,7 @@
     return;
   peers->fetching = 1;
   peer_xdr_write ((xdrproc_t)xdr_peer_fetch_args, &args, &body);
-  gt_rpc_call (peers->rpc, from->peer, PEER_FETCH, el_buf_str (&body),
-               FETCH_TIMEOUT, fetch_done, peers);
+  net_rpc_call (peers->rpc, from->peer, PEER_FETCH, el_buf_str (&body),
+                FETCH_TIMEOUT, fetch_done, peers);
   el_buf_free (&body);
 }
--- a/gate/peer_forward.c
+++ b/gate/peer_forward.c
@@ -40,7 +40,7 @@
 typedef struct served
 {
   gt_reader_t reader;
-  gt_rpc_req_t *req;
+  net_rpc_req_t *req;
 } served_t;
 
 static void
@@ -103,16 +103,16 @@
   wait->done = done;
   wait->arg = arg;
   peer_gossip_write (peers, &where->incarnation, &body);
-  gt_rpc_call (peers->rpc, where->peer, PEER_GOSSIP, el_buf_str (&body),
-               HOME_TIMEOUT, home_done, wait);
+  net_rpc_call (peers->rpc, where->peer, PEER_GOSSIP, el_buf_str (&body),
+                HOME_TIMEOUT, home_done, wait);
   el_buf_free (&body);
 }
 
 /** Headers as they came; they point into LIST. */
-gt_header_t *
+net_header_t *
 peer_headers_read (const peer_header *list, u_int n)
 {
-  gt_header_t *headers = el_alloc ((n + 1) * sizeof *headers);
+  net_header_t *headers = el_alloc ((n + 1) * sizeof *headers);
   u_int i;
 
   for (i = 0; i < n; i++)
@@ -127,7 +127,7 @@
 
 /** Headers on their way; they point into HEADERS. */
 peer_header *
-peer_headers_write (const gt_header_t *headers, size_t n)
+peer_headers_write (const net_header_t *headers, size_t n)
 {
   peer_header *list = el_alloc ((n + 1) * sizeof *list);
   size_t i;
@@ -147,7 +147,7 @@
 {
   forward_wait_t *wait = arg;
   gt_forwarded_t forwarded = { 0 };
-  gt_header_t *headers = NULL;
+  net_header_t *headers = NULL;
   peer_forward_res res;
 
   (void)sent;
@@ -177,7 +177,7 @@
                   void *arg)
 {
   forward_wait_t *wait = el_alloc (sizeof *wait);
-  el_time_t now = gt_clock_now (&peers->gate->clock);
+  el_time_t now = net_clock_now (&peers->gate->clock);
   el_buf_t token = { NULL, 0, 0 };
   el_buf_t body = { NULL, 0, 0 };
   peer_forward_args args;
@@ -199,16 +199,16 @@
   args.headers.headers_val = peer_headers_write (ask->headers, ask->nheaders);
   args.headers.headers_len = (u_int)ask->nheaders;
   peer_xdr_write ((xdrproc_t)xdr_peer_forward_args, &args, &body);
-  gt_rpc_call (peers->rpc, ask->where.peer, PEER_FORWARD, el_buf_str (&body),
-               args.deadline_us + EL_SEC, forward_done, wait);
+  net_rpc_call (peers->rpc, ask->where.peer, PEER_FORWARD, el_buf_str (&body),
+                args.deadline_us + EL_SEC, forward_done, wait);
   free (args.headers.headers_val);
   el_buf_free (&token);
   el_buf_free (&body);
 }
 
 static void
-forward_reply (gt_rpc_req_t *req, el_verdict_t verdict, int status,
-               const gt_header_t *headers, size_t nheaders, el_str_t body)
+forward_reply (net_rpc_req_t *req, el_verdict_t verdict, int status,
+               const net_header_t *headers, size_t nheaders, el_str_t body)
 {
   el_buf_t out = { NULL, 0, 0 };
   peer_forward_res res;
@@ -220,15 +220,15 @@
   res.headers.headers_len = (u_int)nheaders;
   PEER_BYTES_SET (res.body, body, body);
   peer_xdr_write ((xdrproc_t)xdr_peer_forward_res, &res, &out);
-  gt_rpc_reply (req, el_buf_str (&out));
+  net_rpc_reply (req, el_buf_str (&out));
   free (res.headers.headers_val);
   el_buf_free (&out);
 }
 
 static void
-forward_refuse (gt_rpc_req_t *req, const gt_refusal_t *refusal)
+forward_refuse (net_rpc_req_t *req, const gt_refusal_t *refusal)
 {
-  gt_header_t headers[] = {
+  net_header_t headers[] = {
     { EL_STR ("content-type"), GT_JSON },
     { EL_STR ("x-elmarch-verdict"),
       el_str (el_verdict_name (refusal->verdict)) },
@@ -247,7 +247,7 @@
 {
   served_t *served = H2O_STRUCT_FROM_MEMBER (served_t, reader, reader);
   gt_answer_t *answer = reader->answer;
-  gt_header_t *headers;
+  net_header_t *headers;
   gt_refusal_t refusal;
 
   if (!answer->ended)
@@ -262,8 +262,8 @@
       headers = el_alloc ((answer->nheaders + 1) * sizeof *headers);
       memcpy (headers, answer->headers, answer->nheaders * sizeof *headers);
       headers[answer->nheaders]
-          = (gt_header_t){ EL_STR ("x-elmarch-verdict"),
-                           el_str (el_verdict_name (answer->end.verdict)) };
+          = (net_header_t){ EL_STR ("x-elmarch-verdict"),
+                            el_str (el_verdict_name (answer->end.verdict)) };
       forward_reply (served->req, answer->end.verdict, answer->status, headers,
                      answer->nheaders + 1, el_buf_str (&answer->body));
       free (headers);
@@ -276,7 +276,7 @@
 static void
 relayed_done (void *arg, const gt_forwarded_t *forwarded)
 {
-  gt_rpc_req_t *req = arg;
+  net_rpc_req_t *req = arg;
 
   if (forwarded->answered)
     forward_reply (req, forwarded->verdict, forwarded->status,
@@ -286,7 +286,7 @@
 }
 
 static void
-forward_run (gt_peers_t *peers, gt_rpc_req_t *req, const gt_ask_t *ask)
+forward_run (gt_peers_t *peers, net_rpc_req_t *req, const gt_ask_t *ask)
 {
   gt_refusal_t refusal;
   gt_answer_t *answer = gt_flow_ask (peers->gate, ask, &refusal);
@@ -314,11 +314,11 @@
 
 /** Run a call for a session whose home is here. */
 void
-peer_serve_forward (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+peer_serve_forward (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   gt_gate_t *gate = peers->gate;
   gt_ask_t ask = { .work = RT_CALL, .in_session = 1 };
-  gt_header_t *headers = NULL;
+  net_header_t *headers = NULL;
   peer_forward_args args;
   el_err_t err;
 
@@ -338,7 +338,7 @@
   ask.customer = ask.token.customer;
   ask.sequence = args.sequence;
   ask.digest = args.digest;
-  ask.deadline = gt_clock_now (&gate->clock) + args.deadline_us;
+  ask.deadline = net_clock_now (&gate->clock) + args.deadline_us;
   ask.repeatable = args.repeatable;
   ask.hops = args.hops;
   ask.target = (el_str_t){ args.target.target_val, args.target.target_len };
--- a/gate/peer_gossip.c
+++ b/gate/peer_gossip.c
@@ -23,7 +23,7 @@
 typedef struct relay_wait
 {
   gt_peers_t *peers;
-  gt_rpc_req_t *req;
+  net_rpc_req_t *req;
 } relay_wait_t;
 
 static void
@@ -128,7 +128,7 @@
   memset (&message, 0, sizeof message);
   ok = ok && peer_xdr_read ((xdrproc_t)xdr_peer_gossip, body, &message)
        && gossip_read (&message, &gossip);
-  co_members_answer (peers->members, gt_clock_now (&peers->gate->clock),
+  co_members_answer (peers->members, net_clock_now (&peers->gate->clock),
                      wait->id, ok, &gossip);
   if (ok)
     gossip_heard (peers, &gossip);
@@ -150,8 +150,8 @@
   wait->id = id;
   peer_gossip_write (peers, NULL, &body);
   if (via.len == 0)
-    gt_rpc_send (peers->rpc, address, PEER_GOSSIP, el_buf_str (&body),
-                 PROBE_WAIT, probe_done, wait);
+    net_rpc_send (peers->rpc, address, PEER_GOSSIP, el_buf_str (&body),
+                  PROBE_WAIT, probe_done, wait);
   else
     {
       memset (&relay, 0, sizeof relay);
@@ -160,8 +160,8 @@
                          &relay.gossip))
         peer_xdr_write ((xdrproc_t)xdr_peer_relay, &relay, &relayed);
       xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&relay.gossip);
-      gt_rpc_send (peers->rpc, via, PEER_RELAY, el_buf_str (&relayed),
-                   PROBE_WAIT, probe_done, wait);
+      net_rpc_send (peers->rpc, via, PEER_RELAY, el_buf_str (&relayed),
+                    PROBE_WAIT, probe_done, wait);
       el_buf_free (&relayed);
     }
   el_buf_free (&body);
@@ -169,7 +169,7 @@
 
 /** Answer a probe. */
 void
-peer_serve_gossip (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+peer_serve_gossip (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   el_buf_t out = { NULL, 0, 0 };
   peer_gossip message;
@@ -179,14 +179,14 @@
   if (peer_xdr_read ((xdrproc_t)xdr_peer_gossip, body, &message)
       && gossip_read (&message, &gossip))
     {
-      co_members_hear (peers->members, gt_clock_now (&peers->gate->clock),
+      co_members_hear (peers->members, net_clock_now (&peers->gate->clock),
                        &gossip);
       gossip_heard (peers, &gossip);
       peer_gossip_write (peers, &gossip.self.incarnation, &out);
     }
   else
     peers->gate->counts.rpc_refused++;
-  gt_rpc_reply (req, el_buf_str (&out));
+  net_rpc_reply (req, el_buf_str (&out));
   xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&message);
   el_buf_free (&out);
 }
@@ -199,13 +199,13 @@
   relay_wait_t *wait = arg;
 
   (void)sent;
-  gt_rpc_reply (wait->req, ok ? body : (el_str_t){ NULL, 0 });
+  net_rpc_reply (wait->req, ok ? body : (el_str_t){ NULL, 0 });
   free (wait);
 }
 
 /** Probe another host on behalf of the one that asks. */
 void
-peer_serve_relay (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+peer_serve_relay (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   relay_wait_t *wait;
   el_buf_t out = { NULL, 0, 0 };
@@ -215,7 +215,7 @@
   if (!peer_xdr_read ((xdrproc_t)xdr_peer_relay, body, &relay))
     {
       peers->gate->counts.rpc_refused++;
-      gt_rpc_reply (req, (el_str_t){ NULL, 0 });
+      net_rpc_reply (req, (el_str_t){ NULL, 0 });
     }
   else
     {
@@ -223,9 +223,9 @@
       wait->peers = peers;
       wait->req = req;
       peer_xdr_write ((xdrproc_t)xdr_peer_gossip, &relay.gossip, &out);
-      gt_rpc_send (peers->rpc, PEER_BYTES_GET (relay.target, target),
-                   PEER_GOSSIP, el_buf_str (&out), PROBE_WAIT, relay_done,
-                   wait);
+      net_rpc_send (peers->rpc, PEER_BYTES_GET (relay.target, target),
+                    PEER_GOSSIP, el_buf_str (&out), PROBE_WAIT, relay_done,
+                    wait);
     }
   xdr_free ((xdrproc_t)xdr_peer_relay, (char *)&relay);
   el_buf_free (&out);
--- a/gate/peer_handover.c
+++ b/gate/peer_handover.c
@@ -73,9 +73,9 @@
 answer_read (gt_gate_t *gate, const peer_answer *from)
 {
   gt_ask_t ask = { .work = from->chat ? RT_CHAT : RT_CALL, .in_session = 1 };
-  gt_result_t result = { .status = from->status };
+  net_result_t result = { .status = from->status };
   gt_end_t end = { (el_verdict_t)from->verdict, (rt_reason_t)from->reason, 0 };
-  gt_header_t *headers;
+  net_header_t *headers;
   gt_answer_t *answer;
   el_str_t text = PEER_BYTES_GET (from->text, text);
   u_int i;
@@ -272,7 +272,7 @@
           batch_mark (handover, batch, NULL);
           successor_pick (peers);
         }
-      gt_clock_set (&peers->gate->clock, &handover->retry, HANDOVER_WAIT);
+      net_clock_set (&peers->gate->clock, &handover->retry, HANDOVER_WAIT);
     }
   xdr_free ((xdrproc_t)xdr_peer_handover_res, (char *)&res);
 }
@@ -292,9 +292,9 @@
     }
   for (i = 0; i < batch->nkeys; i++)
     co_ledger_moved (handover->peers->gate->ledger, &batch->keys[i], 1);
-  gt_rpc_call (handover->peers->rpc, handover->peers->successor.peer,
-               PEER_HANDOVER, el_buf_str (&batch->body), HANDOVER_TIMEOUT,
-               batch_done, handover);
+  net_rpc_call (handover->peers->rpc, handover->peers->successor.peer,
+                PEER_HANDOVER, el_buf_str (&batch->body), HANDOVER_TIMEOUT,
+                batch_done, handover);
 }
 
 /** Hand the sessions to another host; again to the same one, to tell it what
@@ -315,7 +315,7 @@
   batch_close (handover);
   if (!peers->handed)
     successor_pick (peers);
-  gt_clock_set (&peers->gate->clock, &handover->retry, 0);
+  net_clock_set (&peers->gate->clock, &handover->retry, 0);
 }
 
 /* The last messages of a host that stops. */
@@ -347,9 +347,9 @@
   el_buf_t body = { NULL, 0, 0 };
 
   peer_gossip_write (peers, &peers->successor.incarnation, &body);
-  gt_rpc_call (peers->rpc, peers->successor.peer, PEER_GOSSIP,
-               el_buf_str (&body), HANDOVER_TIMEOUT, farewell_answered,
-               farewell);
+  net_rpc_call (peers->rpc, peers->successor.peer, PEER_GOSSIP,
+                el_buf_str (&body), HANDOVER_TIMEOUT, farewell_answered,
+                farewell);
   el_buf_free (&body);
 }
 
@@ -408,15 +408,15 @@
         .bytes = answer ? gt_answer_bytes (answer) : 0,
       };
     }
-  status
-      = co_ledger_import (gate->ledger, gt_clock_now (&gate->clock), &session);
+  status = co_ledger_import (gate->ledger, net_clock_now (&gate->clock),
+                             &session);
   free (session.entries);
   return status == EL_OK;
 }
 
 /** Take over the sessions of a host that stops. */
 void
-peer_serve_handover (gt_peers_t *peers, gt_rpc_req_t *req, el_str_t body)
+peer_serve_handover (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   el_buf_t out = { NULL, 0, 0 };
   peer_handover_args args;
@@ -440,7 +440,7 @@
   else
     peers->gate->counts.rpc_refused++;
   gt_answer_flush (peers->gate);
-  gt_rpc_reply (req, el_buf_str (&out));
+  net_rpc_reply (req, el_buf_str (&out));
   free (res.taken.taken_val);
   xdr_free ((xdrproc_t)xdr_peer_handover_args, (char *)&args);
   el_buf_free (&out);
--- /dev/null
+++ b/gate/planner.c
@@ -0,0 +1,189 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The planner looks after the engines at a steady pace: those that hold
+ * nothing are ordered to hold what their hall needs most. Each start of an
+ * engine gets one order, which the engine takes only as its first, so that an
+ * order which is carried out late or twice changes nothing.
+ */
+#include <string.h>
+
+#include "planner.h"
+
+#define LOOK_EVERY (200 * EL_MSEC)
+#define ORDERS_MAX 256
+/* An order whose outcome does not show in the engine's entry is given again
+   after this; entries are some seconds old at the most. */
+#define ORDER_AGAIN (4 * EL_SEC)
+/* Before the first plan: the entries of all engines should be there. */
+#define SETTLE (300 * EL_MSEC)
+
+typedef struct planner_order
+{
+  rt_order_t order;
+  gt_planner_t *planner;
+  el_time_t given;
+  int out;  /* the answer is awaited */
+  int over; /* to be freed once the answer came */
+  struct planner_order *prev;
+  struct planner_order *next;
+} planner_order_t;
+
+struct gt_planner
+{
+  gt_planner_options_t options;
+  el_timer_t look;
+  planner_order_t *orders;
+  size_t seen;       /* endpoints at the last look */
+  el_time_t changed; /* when that number changed */
+  int stopped;
+};
+
+static void
+order_free (planner_order_t *order)
+{
+  DL_DELETE (order->planner->orders, order);
+  rt_target_unref (order->order.target);
+  free (order);
+}
+
+static void
+order_done (void *arg, gt_order_state_t state, int status)
+{
+  static const char *const states[] = { [GT_ORDER_BEGUN] = "begun",
+                                        [GT_ORDER_REFUSED] = "refused",
+                                        [GT_ORDER_UNKNOWN] = "unknown" };
+  planner_order_t *order = arg;
+
+  order->out = 0;
+  EL_LOG (EL_LOG_INFO, "order_answered",
+          EL_FS ("engine", order->order.target->facts.id),
+          EL_FN ("first", order->order.first), EL_FN ("end", order->order.end),
+          EL_FC ("state", states[state]), EL_FN ("status", status));
+  if (order->over)
+    order_free (order);
+}
+
+/* Forget orders that show in the engine's entry, whose engine is gone, or
+   that nothing came of. */
+static void
+orders_prune (gt_planner_t *planner, el_time_t now)
+{
+  planner_order_t *order;
+  planner_order_t *next;
+
+  DL_FOREACH_SAFE (planner->orders, order, next)
+  {
+    const rt_target_t *target = order->order.target;
+
+    if (!target->gone && target->facts.end == target->facts.first
+        && now < order->given + ORDER_AGAIN)
+      continue;
+    order->over = 1;
+    if (!order->out)
+      order_free (order);
+  }
+}
+
+static size_t
+orders_pending (const gt_planner_t *planner, rt_order_t *out)
+{
+  const planner_order_t *order;
+  size_t n = 0;
+
+  DL_FOREACH (planner->orders, order)
+  if (!order->over && n < ORDERS_MAX)
+    out[n++] = order->order;
+  return n;
+}
+
+static void
+order_give (gt_planner_t *planner, const rt_order_t *order, el_time_t now)
+{
+  planner_order_t *given = el_alloc (sizeof *given);
+
+  given->order = *order;
+  given->planner = planner;
+  given->given = now;
+  given->out = 1;
+  rt_target_ref (order->target);
+  DL_APPEND (planner->orders, given);
+  EL_LOG (EL_LOG_INFO, "order_given",
+          EL_FS ("engine", order->target->facts.id),
+          EL_FS ("card", order->target->facts.card),
+          EL_FS ("hall", order->target->facts.hall),
+          EL_FN ("first", order->first), EL_FN ("end", order->end));
+  planner->options.place (planner->options.client, &given->order, order_done,
+                          given);
+}
+
+static void
+plan_service (gt_planner_t *planner, const rt_service_t *service,
+              el_time_t now)
+{
+  rt_order_t pending[ORDERS_MAX];
+  rt_order_t orders[ORDERS_MAX];
+  size_t npending = orders_pending (planner, pending);
+  size_t n;
+  size_t i;
+
+  n = rt_layout_next (planner->options.fleet, service, pending, npending,
+                      orders, ORDERS_MAX - npending);
+  for (i = 0; i < n; i++)
+    order_give (planner, &orders[i], now);
+}
+
+/* Whether the list of endpoints stood still for a moment. */
+static int
+planner_settled (gt_planner_t *planner, el_time_t now)
+{
+  size_t n = rt_fleet_count (planner->options.fleet);
+
+  if (n != planner->seen)
+    planner->changed = now;
+  planner->seen = n;
+  return n && now >= planner->changed + SETTLE;
+}
+
+static void
+planner_look (void *arg, el_time_t now)
+{
+  gt_planner_t *planner = arg;
+  const gt_planner_options_t *o = &planner->options;
+  const rt_rules_t *rules = gt_relays_in_force (o->relays);
+  size_t i;
+
+  if (planner->stopped)
+    return;
+  net_clock_set (o->clock, &planner->look, LOOK_EVERY);
+  gt_duty_want (o->duty, rules && o->preferred (o->arg));
+  if (!rules || !gt_duty_held (o->duty, now)
+      || !planner_settled (planner, now))
+    return;
+  orders_prune (planner, now);
+  for (i = 0; i < rules->nservices; i++)
+    if (rules->services[i].model.layers)
+      plan_service (planner, &rules->services[i], now);
+}
+
+gt_planner_t *
+gt_planner_new (const gt_planner_options_t *options)
+{
+  gt_planner_t *planner = el_alloc (sizeof *planner);
+
+  planner->options = *options;
+  planner->look.cb = planner_look;
+  planner->look.arg = planner;
+  net_clock_set (options->clock, &planner->look, 0);
+  return planner;
+}
+
+/** Give no further orders. */
+void
+gt_planner_stop (gt_planner_t *planner)
+{
+  planner->stopped = 1;
+  gt_duty_want (planner->options.duty, 0);
+}
--- a/gate/platform.c
+++ b/gate/platform.c
@@ -34,15 +34,15 @@
   void *arg;
   int tries;
   el_verdict_t verdict; /* of the tries so far */
-  gt_exchange_t *exchange;
+  net_exchange_t *exchange;
   el_timer_t retry;
 } put_op_t;
 
 struct gt_platform
 {
   gt_gate_t *gate;
-  gt_exchange_t *watch; /* the range or the watch that is out */
-  gt_exchange_t *hosts;
+  net_exchange_t *watch; /* the range or the watch that is out */
+  net_exchange_t *hosts;
   el_timer_t watch_timer;
   el_timer_t hosts_timer;
   unsigned failures;
@@ -56,23 +56,23 @@
 static void hosts_begin (void *arg, el_time_t now);
 static void put_send (void *arg, el_time_t now);
 
-static gt_exchange_t *
+static net_exchange_t *
 platform_send (gt_platform_t *platform, const char *method,
                const el_buf_t *path, const el_buf_t *body, el_time_t timeout,
-               gt_result_cb done, void *arg)
+               net_result_cb done, void *arg)
 {
   gt_gate_t *gate = platform->gate;
-  gt_send_t send = { .address = gate->options.platform,
-                     .method = el_str (method),
-                     .path = el_buf_str (path),
-                     .timeout = timeout,
-                     .done = done,
-                     .arg = arg };
+  net_send_t send = { .address = gate->options.platform,
+                      .method = el_str (method),
+                      .path = el_buf_str (path),
+                      .timeout = timeout,
+                      .done = done,
+                      .arg = arg };
 
   if (body)
     send.body = el_buf_str (body);
   gate->counts.platform_calls++;
-  return gt_client_send (gate->client, &send);
+  return net_client_send (gate->client, &send);
 }
 
 /* A wait that doubles with each failure, half of it at random, so that hosts
@@ -107,14 +107,14 @@
 }
 
 static void
-watch_done (void *arg, const gt_result_t *result)
+watch_done (void *arg, const net_result_t *result)
 {
   gt_platform_t *platform = arg;
   gt_kv_list_t list = { 0 };
   el_time_t wait = 0;
 
   platform->watch = NULL;
-  if (result->net != GT_NET_OK)
+  if (result->net != NET_OK)
     wait = platform_backoff (platform);
   else if (gt_kv_http.read_list (result, &list))
     {
@@ -129,7 +129,7 @@
       wait = platform_backoff (platform);
     }
   json_decref (list.json);
-  gt_clock_set (&platform->gate->clock, &platform->watch_timer, wait);
+  net_clock_set (&platform->gate->clock, &platform->watch_timer, wait);
 }
 
 /* A few hosts of each hall ask the platform; the others hear it from them, so
@@ -143,7 +143,7 @@
   if (gt_peers_chosen (gate->peers, WATCHERS_IN_HALL))
     return 1;
   return !gt_sync_ready (gate)
-         && gt_clock_now (&gate->clock) > platform->began + PEERS_FIRST;
+         && net_clock_now (&gate->clock) > platform->began + PEERS_FIRST;
 }
 
 static void
@@ -155,8 +155,8 @@
   (void)now;
   if (!platform_asks (platform))
     {
-      gt_clock_set (&platform->gate->clock, &platform->watch_timer,
-                    CHOSEN_LOOK_EVERY);
+      net_clock_set (&platform->gate->clock, &platform->watch_timer,
+                     CHOSEN_LOOK_EVERY);
       return;
     }
   platform->whole = platform->behind || !gt_sync_ready (platform->gate);
@@ -194,19 +194,19 @@
 }
 
 static void
-hosts_done (void *arg, const gt_result_t *result)
+hosts_done (void *arg, const net_result_t *result)
 {
   gt_platform_t *platform = arg;
   el_time_t wait = HOSTS_EVERY;
   json_t *hosts = NULL;
 
   platform->hosts = NULL;
-  if (result->net == GT_NET_OK && gt_kv_http.read_hosts (result, &hosts))
+  if (result->net == NET_OK && gt_kv_http.read_hosts (result, &hosts))
     hosts_apply (platform, hosts);
   else
     wait += platform_backoff (platform);
   json_decref (hosts);
-  gt_clock_set (&platform->gate->clock, &platform->hosts_timer, wait);
+  net_clock_set (&platform->gate->clock, &platform->hosts_timer, wait);
 }
 
 static void
@@ -218,8 +218,8 @@
   (void)now;
   if (!gt_peers_chosen (platform->gate->peers, WATCHERS_IN_HALL))
     {
-      gt_clock_set (&platform->gate->clock, &platform->hosts_timer,
-                    HOSTS_EVERY);
+      net_clock_set (&platform->gate->clock, &platform->hosts_timer,
+                     HOSTS_EVERY);
       return;
     }
   gt_kv_http.hosts (&path);
@@ -234,13 +234,13 @@
   gt_platform_t *platform = el_alloc (sizeof *platform);
 
   platform->gate = gate;
-  platform->began = gt_clock_now (&gate->clock);
+  platform->began = net_clock_now (&gate->clock);
   platform->watch_timer.cb = watch_begin;
   platform->watch_timer.arg = platform;
   platform->hosts_timer.cb = hosts_begin;
   platform->hosts_timer.arg = platform;
-  gt_clock_set (&gate->clock, &platform->watch_timer, 0);
-  gt_clock_set (&gate->clock, &platform->hosts_timer, 0);
+  net_clock_set (&gate->clock, &platform->watch_timer, 0);
+  net_clock_set (&gate->clock, &platform->hosts_timer, 0);
   return platform;
 }
 
@@ -248,9 +248,9 @@
 put_free (put_op_t *op)
 {
   DL_DELETE (op->platform->puts, op);
-  gt_clock_cancel (&op->platform->gate->clock, &op->retry);
+  net_clock_cancel (&op->platform->gate->clock, &op->retry);
   if (op->exchange)
-    gt_client_cancel (op->exchange);
+    net_client_cancel (op->exchange);
   el_str_free (&op->change.name);
   el_str_free (&op->change.id);
   json_decref (op->change.spec);
@@ -297,13 +297,13 @@
 }
 
 static void
-put_done (void *arg, const gt_result_t *result)
+put_done (void *arg, const net_result_t *result)
 {
   put_op_t *op = arg;
   gt_kv_put_t answer;
 
   op->exchange = NULL;
-  if (result->net == GT_NET_OK && gt_kv_http.read_put (result, &answer))
+  if (result->net == NET_OK && gt_kv_http.read_put (result, &answer))
     {
       if (answer.conflict)
         put_conflict (op, &answer);
@@ -311,9 +311,8 @@
         put_end (op, GT_PUT_ACCEPTED, answer.revision);
       return;
     }
-  op->verdict = el_verdict_join (op->verdict, result->net == GT_NET_CONNECT
-                                                  ? EL_NOT_RUN
-                                                  : EL_MAY_HAVE_RUN);
+  op->verdict = el_verdict_join (
+      op->verdict, result->net == NET_CONNECT ? EL_NOT_RUN : EL_MAY_HAVE_RUN);
   op->platform->gate->counts.platform_failures++;
   if (++op->tries >= PUT_TRIES)
     {
@@ -321,7 +320,8 @@
                0);
       return;
     }
-  gt_clock_set (&op->platform->gate->clock, &op->retry, PUT_WAIT << op->tries);
+  net_clock_set (&op->platform->gate->clock, &op->retry,
+                 PUT_WAIT << op->tries);
 }
 
 /* Trying again is safe: the platform takes the change only in place of the
@@ -370,14 +370,14 @@
 void
 gt_platform_stop (gt_platform_t *platform)
 {
-  gt_clock_t *clock = &platform->gate->clock;
+  net_clock_t *clock = &platform->gate->clock;
 
-  gt_clock_cancel (clock, &platform->watch_timer);
-  gt_clock_cancel (clock, &platform->hosts_timer);
+  net_clock_cancel (clock, &platform->watch_timer);
+  net_clock_cancel (clock, &platform->hosts_timer);
   if (platform->watch)
-    gt_client_cancel (platform->watch);
+    net_client_cancel (platform->watch);
   if (platform->hosts)
-    gt_client_cancel (platform->hosts);
+    net_client_cancel (platform->hosts);
   platform->watch = NULL;
   platform->hosts = NULL;
   while (platform->puts)
--- /dev/null
+++ b/gate/relay.c
@@ -0,0 +1,345 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Relayed requests: who asks for what, and their time limits.
+ */
+#include <string.h>
+
+#include "librelay.h"
+
+#define BEARER EL_STR ("Bearer ")
+/* When to come back to a host that has no configuration: it reads one as soon
+   as it reaches the platform. */
+#define STARTING_RETRY (300 * EL_MSEC)
+/* Time for a request that names no limit and whose rule has none. */
+#define TIMEOUT_UNSAID (60 * EL_SEC)
+
+static void relay_generator_stop (h2o_generator_t *generator, h2o_req_t *req);
+
+uint64_t
+relay_random (gt_relays_t *relays)
+{
+  relays->random ^= relays->random << 13;
+  relays->random ^= relays->random >> 7;
+  relays->random ^= relays->random << 17;
+  return relays->random;
+}
+
+/** Log one decision on a request. */
+void
+relay_log (gt_relay_t *relay, const char *event, int status,
+           const char *reason)
+{
+  el_time_t now = net_clock_now (relay->relays->options.clock);
+  const rt_target_t *target = relay->target;
+
+  EL_LOG (
+      EL_LOG_INFO, event, EL_FS ("request", relay->id),
+      EL_FS ("rule", relay->rule ? relay->rule->name : el_str ("-")),
+      EL_FS ("customer", relay->customer),
+      EL_FS ("endpoint", target ? target->facts.id : el_str ("-")),
+      EL_FN ("parts", relay->line.n), EL_FN ("attempts", relay->course.sent),
+      EL_FN ("may_have_run", relay->course.may_run), EL_FN ("status", status),
+      EL_FC ("reason", reason), EL_FN ("events", relay->nevents),
+      EL_FN ("config", relay->rules ? relay->rules->version : 0),
+      EL_FN ("config_age_us", now - relay->relays->known),
+      EL_FN ("us", now - relay->received));
+}
+
+/** The caller's answer is complete, or there is nobody to answer. */
+void
+relay_finished (gt_relay_t *relay)
+{
+  if (relay->ended)
+    return;
+  relay->ended = 1;
+  net_clock_cancel (relay->relays->options.clock, &relay->over);
+  relay_drop (relay);
+}
+
+static void
+relay_free (gt_relay_t *relay)
+{
+  gt_relays_t *relays = relay->relays;
+
+  relay_finished (relay);
+  DL_DELETE (relays->running, relay);
+  relays->nrunning--;
+  el_buf_free (&relay->out);
+  el_buf_free (&relay->flight);
+  relay_events_reset (&relay->events);
+  rt_rules_unref (relay->rules);
+  free (relay);
+}
+
+/* The caller left, or its request is about to be freed. */
+static void
+relay_gone (void *arg, int freed)
+{
+  gt_relay_t *relay = arg;
+
+  if (!relay->ended)
+    {
+      relay->relays->counts.gone++;
+      relay_log (relay, "caller_gone", 0, "connection closed");
+      relay_finished (relay);
+      if (!freed)
+        relay_answer_break (relay, NULL);
+    }
+  if (freed)
+    relay_free (relay);
+}
+
+static void
+relay_generator_stop (h2o_generator_t *generator, h2o_req_t *req)
+{
+  gt_relay_t *relay
+      = (gt_relay_t *)((char *)generator - offsetof (gt_relay_t, generator));
+
+  (void)req;
+  if (relay->ended)
+    return;
+  relay->relays->counts.gone++;
+  relay_log (relay, "caller_gone", 0, "answer not taken");
+  relay_finished (relay);
+}
+
+static void
+relay_over (void *arg, el_time_t now)
+{
+  gt_relay_t *relay = arg;
+
+  (void)now;
+  relay->relays->counts.timeouts++;
+  if (relay->begun)
+    relay_answer_break (relay, "time limit");
+  else
+    relay_answer_refuse (relay, 504, "time limit", 0);
+}
+
+static el_str_t
+host_name (const h2o_req_t *req)
+{
+  el_str_t rest = { req->authority.base, req->authority.len };
+
+  return el_str_cut (&rest, ':');
+}
+
+static el_str_t
+bearer (const h2o_req_t *req)
+{
+  el_str_t value = net_req_header (req, "authorization");
+
+  if (!el_str_starts (value, BEARER))
+    return (el_str_t){ NULL, 0 };
+  return el_str_after (value, BEARER.len);
+}
+
+/* Whether the rules were in force late enough for a request received now: a
+   key that was taken away before then is known to be gone. */
+static int
+rules_known (const gt_relays_t *relays, el_time_t received)
+{
+  return relays->rules
+         && (!relays->options.keys_limit
+             || relays->known + relays->options.keys_limit > received);
+}
+
+/* Find rule and customer; gives 0 after an answer that tells what is wrong. A
+   host that may have missed changes refuses to run rather than deny. */
+static int
+relay_admit (gt_relay_t *relay)
+{
+  gt_relays_t *relays = relay->relays;
+  const rt_key_t *key;
+  int known = rules_known (relays, relay->received);
+
+  if (relays->rules)
+    {
+      relay->rules = rt_rules_ref (relays->rules);
+      relay->rule = rt_rules_match (relay->rules, host_name (relay->req),
+                                    net_req_path (relay->req));
+    }
+  if (!relay->rules || (!relay->rule && !known))
+    {
+      relays->counts.no_rules++;
+      relay_answer_refuse (relay, 503, "no configuration", STARTING_RETRY);
+      return 0;
+    }
+  if (!relay->rule)
+    {
+      relays->counts.unknown++;
+      relay_answer_refuse (relay, 404, "no rule", 0);
+      return 0;
+    }
+  if (!relay->rules->keyed || relay->rule->open)
+    return 1;
+  if (!known)
+    {
+      relays->counts.no_rules++;
+      relay_answer_refuse (relay, 503, "keys not known", STARTING_RETRY);
+      return 0;
+    }
+  key = rt_rules_key (relay->rules, bearer (relay->req));
+  if (!key)
+    {
+      relays->counts.denied++;
+      relay_answer_refuse (relay, 401, "no such key", 0);
+      return 0;
+    }
+  relay->customer = key->customer;
+  return 1;
+}
+
+/* When the request's time is over: what the caller waits, what the operator
+   wants it held. */
+static void
+relay_limit (gt_relay_t *relay)
+{
+  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+  el_str_t text = net_req_header (relay->req, dialect->names.time_left);
+  el_time_t limit
+      = relay->rule->timeout ? relay->rule->timeout : TIMEOUT_UNSAID;
+  uint64_t ms;
+
+  if (el_str_to_u64 (text, &ms) && ms * EL_MSEC < limit)
+    limit = ms * EL_MSEC;
+  relay->deadline = relay->received + limit;
+  relay->over.cb = relay_over;
+  relay->over.arg = relay;
+  net_clock_set (relay->relays->options.clock, &relay->over, limit);
+}
+
+static rt_spend_t *
+relay_spend (gt_relays_t *relays, el_str_t service)
+{
+  relay_spend_t *spend;
+
+  HASH_FIND (hh, relays->spends, service.ptr, (unsigned)service.len, spend);
+  if (spend)
+    return &spend->spend;
+  spend = el_alloc (sizeof *spend);
+  spend->service = (char *)(uintptr_t)el_str_dup (service).ptr;
+  rt_spend_open (&spend->spend, relays->options.repeat_ratio,
+                 relays->options.repeat_slack, relays->options.repeat_window);
+  HASH_ADD_KEYPTR (hh, relays->spends, spend->service, (unsigned)service.len,
+                   spend);
+  return &spend->spend;
+}
+
+/** Take a repeat of RELAY's service from the budget; gives 0 when this host's
+    part is spent. */
+int
+relay_spend_take (gt_relay_t *relay)
+{
+  gt_relays_t *relays = relay->relays;
+  const gt_relay_options_t *o = &relays->options;
+
+  if (rt_spend_take (relay_spend (relays, relay->service->name),
+                     net_clock_now (o->clock), o->hosts (o->arg)))
+    return 1;
+  relays->counts.spent++;
+  return 0;
+}
+
+static void
+relay_handle (void *arg, h2o_req_t *req)
+{
+  gt_relays_t *relays = arg;
+  gt_relay_t *relay = el_alloc (sizeof *relay);
+  const gt_relay_dialect_t *dialect = relays->options.dialect;
+  el_str_t service;
+
+  relays->counts.requests++;
+  relays->nrunning++;
+  DL_APPEND (relays->running, relay);
+  relay->relays = relays;
+  relay->req = req;
+  relay->generator.stop = relay_generator_stop;
+  relay->received = net_clock_now (relays->options.clock);
+  net_req_watch (req, relay_gone, relay);
+  relay->id = net_req_header (req, dialect->names.id);
+  if (!relay_admit (relay))
+    return;
+  service = rt_rule_service (relay->rule, relay_random (relays));
+  relay->service = rt_rules_service (relay->rules, service);
+  if (!relay->service)
+    {
+      relay_answer_refuse (relay, 503, "no service", STARTING_RETRY);
+      return;
+    }
+  rt_spend_asked (relay_spend (relays, service), relay->received);
+  relay_limit (relay);
+  relay_try (relay);
+}
+
+/** Take callers' requests; NULL, with the reason in ERR, when the address
+    can't be had. */
+gt_relays_t *
+gt_relays_new (const gt_relay_options_t *options, el_err_t *err)
+{
+  gt_relays_t *relays = el_alloc (sizeof *relays);
+  net_server_options_t server = { .loop = options->clock->loop,
+                                  .address = options->listen,
+                                  .max_body = options->max_body,
+                                  .handle = relay_handle,
+                                  .arg = relays };
+
+  relays->options = *options;
+  relays->random = options->seed | 1;
+  relays->server = net_server_new (&server, err);
+  if (relays->server)
+    return relays;
+  free (relays);
+  return NULL;
+}
+
+/** RULES are in force from now on; takes over the reference. */
+void
+gt_relays_rules (gt_relays_t *relays, rt_rules_t *rules)
+{
+  EL_LOG (EL_LOG_INFO, "config_in_force", EL_FN ("version", rules->version),
+          EL_FN ("rules", rules->nrules), EL_FN ("services", rules->nservices),
+          EL_FN ("keys", rules->nkeys));
+  rt_rules_unref (relays->rules);
+  relays->rules = rules;
+  if (rules->idle_ms)
+    net_server_idle (relays->server, rules->idle_ms);
+}
+
+/** The rules were the newest at AS_OF, by the clock. */
+void
+gt_relays_known (gt_relays_t *relays, el_time_t as_of)
+{
+  if (as_of > relays->known)
+    relays->known = as_of;
+}
+
+/** The rules in force; NULL before the first. */
+const rt_rules_t *
+gt_relays_in_force (const gt_relays_t *relays)
+{
+  return relays->rules;
+}
+
+/** Go on, but have callers' connections end with their next answer. */
+void
+gt_relays_retire (gt_relays_t *relays)
+{
+  net_server_retire (relays->server);
+}
+
+/** Requests whose answer is not wholly sent. */
+size_t
+gt_relays_running (const gt_relays_t *relays)
+{
+  return relays->nrunning;
+}
+
+const gt_relay_counts_t *
+gt_relays_counts (const gt_relays_t *relays)
+{
+  return &relays->counts;
+}
--- /dev/null
+++ b/gate/relay_metrics.c
@@ -0,0 +1,71 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The figures of relayed requests.
+ */
+#include "librelay.h"
+
+#define COUNT(field) offsetof (gt_relay_counts_t, field)
+
+static const struct
+{
+  const char *name;
+  const char *help;
+  el_metric_kind_t kind;
+  size_t offset;
+} list[] = {
+  { "elmarch_relay_requests_total", "requests taken in", EL_COUNTER,
+    COUNT (requests) },
+  { "elmarch_relay_passed_total", "whole answers handed on", EL_COUNTER,
+    COUNT (passed) },
+  { "elmarch_relay_no_rules_total",
+    "refused for want of a configuration that is new enough", EL_COUNTER,
+    COUNT (no_rules) },
+  { "elmarch_relay_unknown_total", "requests under no rule", EL_COUNTER,
+    COUNT (unknown) },
+  { "elmarch_relay_denied_total", "requests without a known key", EL_COUNTER,
+    COUNT (denied) },
+  { "elmarch_relay_refused_total", "refused as not run", EL_COUNTER,
+    COUNT (refused) },
+  { "elmarch_relay_failed_total", "failed, may have run", EL_COUNTER,
+    COUNT (failed) },
+  { "elmarch_relay_timeouts_total", "ended at their time limit", EL_COUNTER,
+    COUNT (timeouts) },
+  { "elmarch_relay_cut_total", "streams broken off", EL_COUNTER, COUNT (cut) },
+  { "elmarch_relay_gone_total", "callers that left", EL_COUNTER,
+    COUNT (gone) },
+  { "elmarch_relay_attempts_total", "sends to endpoints", EL_COUNTER,
+    COUNT (attempts) },
+  { "elmarch_relay_repeats_total", "sends after a request's first", EL_COUNTER,
+    COUNT (repeats) },
+  { "elmarch_relay_resumed_total", "streams that went on at another line",
+    EL_COUNTER, COUNT (resumed) },
+  { "elmarch_relay_rerouted_total", "streams moved around an engine",
+    EL_COUNTER, COUNT (rerouted) },
+  { "elmarch_relay_crossed_total", "answers to another request", EL_COUNTER,
+    COUNT (crossed) },
+  { "elmarch_relay_spent_total", "repeats not made for want of budget",
+    EL_COUNTER, COUNT (spent) },
+  { "elmarch_relay_events_total", "events handed on", EL_COUNTER,
+    COUNT (events) },
+  { "elmarch_relay_first_event_microseconds", "from request to first event",
+    EL_HISTOGRAM, COUNT (first_event) },
+  { "elmarch_relay_answer_microseconds", "from request to plain answer",
+    EL_HISTOGRAM, COUNT (answer) },
+  { "elmarch_relay_event_gap_microseconds", "between a stream's events",
+    EL_HISTOGRAM, COUNT (event_gap) },
+};
+
+/** Have the figures served with METRICS. */
+void
+gt_relays_metrics (gt_relays_t *relays, el_metrics_t *metrics)
+{
+  const char *base = (const char *)&relays->counts;
+  size_t i;
+
+  for (i = 0; i < sizeof list / sizeof *list; i++)
+    el_metrics_add (metrics, list[i].name, list[i].help, list[i].kind,
+                    base + list[i].offset);
+}
--- /dev/null
+++ b/gate/relay_try.c
@@ -0,0 +1,421 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Attempts at a relayed request: where it is sent, what is made of what comes
+ * back.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "libgate.h"
+#include "librelay.h"
+
+/* Headers that this host adds to those of the caller. */
+#define HEADERS_OWN 5
+/* A connection that rested longer is not used for what must not run twice:
+   the endpoint may be about to close it. */
+#define UNSAFE_IDLE (2 * EL_SEC)
+/* When to come back after a refusal: an endpoint that is full or missing now
+   may not be in a moment. Half of it is random so that callers spread. */
+#define REFUSED_RETRY (100 * EL_MSEC)
+/* Answers of plain services that are collected before they are passed on. */
+#define PLAIN_MAX ((size_t)4 << 20)
+
+static void try_after (gt_relay_t *relay, const rt_attempt_t *attempt,
+                       const net_result_t *result);
+
+static int
+is_line (const gt_relay_t *relay)
+{
+  return relay->service->model.layers > 0;
+}
+
+/* Let go of the endpoint or line of the attempt under way. */
+static void
+try_release (gt_relay_t *relay)
+{
+  rt_line_release (&relay->line);
+  if (relay->target)
+    {
+      relay->target->running--;
+      rt_target_unref (relay->target);
+      relay->target = NULL;
+    }
+}
+
+/** End the attempt under way, also at the endpoint. */
+void
+relay_drop (gt_relay_t *relay)
+{
+  relay_watch_end (relay);
+  if (relay->exchange)
+    net_client_cancel (relay->exchange);
+  relay->exchange = NULL;
+  try_release (relay);
+}
+
+static el_time_t
+try_retry_after (gt_relay_t *relay)
+{
+  return REFUSED_RETRY / 2
+         + relay_random (relay->relays) % (REFUSED_RETRY / 2);
+}
+
+/* Choose where to send; gives 0 when there is nothing to send to. */
+static int
+try_choose (gt_relay_t *relay, el_time_t now)
+{
+  gt_relays_t *relays = relay->relays;
+  const gt_relay_options_t *o = &relays->options;
+
+  if (!is_line (relay))
+    relay->target = rt_fleet_pick (o->fleet, now, relay->service->name,
+                                   o->hall, &relay->tried);
+  else if (rt_line_pick (o->fleet, now, relay->service, o->hall, &relay->tried,
+                         &relay->line))
+    {
+      rt_line_hold (&relay->line);
+      relay->target = relay->line.part[0].target;
+    }
+  if (!relay->target)
+    return 0;
+  rt_target_ref (relay->target)->running++;
+  return 1;
+}
+
+/* Whether a caller's header is passed on: not those that this host sets. */
+static int
+header_kept (const gt_relay_t *relay, el_str_t name)
+{
+  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
+  const char *own[]
+      = { names->time_left, names->expect, names->customer, names->line };
+  size_t i;
+
+  for (i = 0; i < sizeof own / sizeof *own; i++)
+    if (h2o_lcstris (name.ptr, name.len, own[i], strlen (own[i])))
+      return 0;
+  if (relay->has_id
+      && h2o_lcstris (name.ptr, name.len, names->resume,
+                      strlen (names->resume)))
+    return 0;
+  return gt_header_passes (name);
+}
+
+typedef struct try_headers
+{
+  net_header_t *list;
+  size_t n;
+  char time_left[24];
+  char resume[24];
+  el_buf_t line;
+} try_headers_t;
+
+static void
+headers_add (try_headers_t *headers, const char *name, el_str_t value)
+{
+  if (value.len)
+    headers->list[headers->n++] = (net_header_t){ el_str (name), value };
+}
+
+static void
+headers_make (gt_relay_t *relay, el_time_t now, try_headers_t *headers)
+{
+  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+  const h2o_headers_t *from = &relay->req->headers;
+  size_t i;
+
+  headers->list
+      = el_alloc ((from->size + HEADERS_OWN) * sizeof *headers->list);
+  for (i = 0; i < from->size; i++)
+    {
+      const h2o_header_t *h = &from->entries[i];
+      el_str_t name = { h->name->base, h->name->len };
+
+      if (header_kept (relay, name))
+        headers->list[headers->n++]
+            = (net_header_t){ name, { h->value.base, h->value.len } };
+    }
+  snprintf (headers->time_left, sizeof headers->time_left, "%" PRIu64,
+            (relay->deadline - now) / EL_MSEC);
+  headers_add (headers, dialect->names.time_left, el_str (headers->time_left));
+  headers_add (headers, dialect->names.expect, relay->target->facts.id);
+  headers_add (headers, dialect->names.customer, relay->customer);
+  if (relay->has_id)
+    {
+      snprintf (headers->resume, sizeof headers->resume, "%" PRIu64,
+                relay->last_id);
+      headers_add (headers, dialect->names.resume, el_str (headers->resume));
+    }
+  if (relay->line.n)
+    {
+      dialect->write_line (&relay->line, &headers->line);
+      headers_add (headers, dialect->names.line, el_buf_str (&headers->line));
+    }
+}
+
+static void
+try_event (void *arg, el_str_t event, int has_id, uint64_t id)
+{
+  gt_relay_t *relay = arg;
+  gt_relays_t *relays = relay->relays;
+  el_time_t now;
+
+  if (relay->ended)
+    return;
+  if (has_id && relay->has_id && id <= relay->last_id)
+    return; /* the caller has it from the attempt before */
+  now = net_clock_now (relays->options.clock);
+  relay_watch_event (relay, now - relay->last_event);
+  if (relay->nevents++ == 0)
+    el_hist_add (&relays->counts.first_event, now - relay->received);
+  else
+    el_hist_add (&relays->counts.event_gap, now - relay->last_event);
+  relay->last_event = now;
+  relays->counts.events++;
+  if (has_id)
+    {
+      relay->last_id = id;
+      relay->has_id = 1;
+    }
+  relay_answer_event (relay, event);
+}
+
+static void
+try_head (void *arg, const net_result_t *head)
+{
+  gt_relay_t *relay = arg;
+  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
+
+  relay->refused
+      = net_result_header (head, names->not_run).len || head->status == 421;
+  relay->crossed = !el_str_eq (net_result_header (head, names->id), relay->id);
+  relay->stream = relay->rule->kind == RT_STREAM && !relay->refused
+                  && !relay->crossed && head->status >= 200
+                  && head->status < 300
+                  && net_result_header (head, names->seal).len;
+  if (relay->stream && !relay->begun)
+    relay_answer_begin (relay, head);
+}
+
+/* Pieces of a stream go on at once; others are collected. */
+static void
+try_piece (void *arg, el_str_t bytes)
+{
+  gt_relay_t *relay = arg;
+
+  if (relay->stream)
+    relay_events_add (&relay->events, bytes, try_event, relay);
+  else if (!relay->begun && relay->out.len + bytes.len <= PLAIN_MAX)
+    el_buf_add (&relay->out, bytes);
+}
+
+/* The engine that a refusal names, else the first of the line. */
+static rt_target_t *
+try_at_fault (gt_relay_t *relay, const net_result_t *result)
+{
+  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
+  el_str_t address = net_result_header (result, names->at_fault);
+  size_t i;
+
+  for (i = 0; address.len && i < relay->line.n; i++)
+    if (el_str_eq (relay->line.part[i].target->facts.address, address))
+      return relay->line.part[i].target;
+  return relay->target;
+}
+
+/* What the exchange proves. */
+static void
+try_judge (gt_relay_t *relay, const net_result_t *result,
+           rt_attempt_t *attempt)
+{
+  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
+  int success = result->status >= 200 && result->status < 300;
+  int promise = result->status == 429 || result->status == 503
+                || result->status == 408 || result->status == 421;
+
+  *attempt = (rt_attempt_t){ .verdict = result->verdict };
+  if (result->net != NET_OK)
+    return;
+  attempt->verdict = EL_MAY_HAVE_RUN;
+  if (relay->crossed)
+    {
+      relay->relays->counts.crossed++;
+      return;
+    }
+  if (relay->refused)
+    {
+      attempt->verdict = EL_NOT_RUN;
+      return;
+    }
+  /* A success that the endpoint does not vouch for, and a refusal that it
+     does not call one, are no answers. */
+  if (promise || (success && !net_result_header (result, names->seal).len)
+      || relay->events.part.len)
+    return;
+  attempt->verdict = EL_RAN;
+  attempt->answered = 1;
+  attempt->failed = result->status >= 500;
+}
+
+static void
+try_done (void *arg, const net_result_t *result)
+{
+  gt_relay_t *relay = arg;
+  el_time_t now = net_clock_now (relay->relays->options.clock);
+  rt_target_t *fault = try_at_fault (relay, result);
+  rt_attempt_t attempt;
+
+  relay->exchange = NULL;
+  relay_watch_end (relay);
+  try_judge (relay, result, &attempt);
+  if (attempt.answered && !attempt.failed)
+    rt_target_served (relay->target, now - relay->sent);
+  else
+    rt_target_failed (fault, now);
+  rt_tried_add (&relay->tried, fault);
+  if (relay->begun && !relay->stream)
+    attempt.answered = 0; /* its failure can't follow a stream's head */
+  if (relay->begun && attempt.answered)
+    {
+      relay_answer_end (relay);
+      try_release (relay);
+      return;
+    }
+  try_after (relay, &attempt, result);
+}
+
+static void
+try_log (gt_relay_t *relay, const rt_attempt_t *attempt,
+         const net_result_t *result, rt_next_t next)
+{
+  static const char *const nexts[] = { [RT_NEXT_PASS] = "pass",
+                                       [RT_NEXT_AGAIN] = "again",
+                                       [RT_NEXT_REFUSE] = "refuse",
+                                       [RT_NEXT_FAIL] = "fail" };
+  static const char *const nets[] = { [NET_OK] = "answered",
+                                      [NET_CONNECT] = "not connected",
+                                      [NET_BROKEN] = "broken",
+                                      [NET_TIMEOUT] = "timeout",
+                                      [NET_TOO_BIG] = "too big" };
+
+  EL_LOG (EL_LOG_INFO, "attempt_failed", EL_FS ("request", relay->id),
+          EL_FS ("endpoint", relay->target->facts.id),
+          EL_FC ("net", nets[result->net]), EL_FN ("status", result->status),
+          EL_FC ("verdict", el_verdict_name (attempt->verdict)),
+          EL_FN ("crossed", relay->crossed),
+          EL_FN ("attempt", relay->course.sent),
+          EL_FN ("events", relay->nevents), EL_FC ("next", nexts[next]));
+}
+
+/* Decide what follows an attempt that was not simply passed on. */
+static void
+try_after (gt_relay_t *relay, const rt_attempt_t *attempt,
+           const net_result_t *result)
+{
+  gt_relays_t *relays = relay->relays;
+  el_time_t now = net_clock_now (relays->options.clock);
+  el_time_t left = relay->deadline > now ? relay->deadline - now : 0;
+  net_result_t whole = *result;
+  rt_course_t before = relay->course;
+  rt_next_t next
+      = rt_course_next (&relay->course, relay->rule, attempt, 1, left);
+
+  if (next == RT_NEXT_AGAIN && !relay_spend_take (relay))
+    {
+      relay->course = before;
+      next = rt_course_next (&relay->course, relay->rule, attempt, 0, left);
+    }
+  if (next != RT_NEXT_PASS)
+    try_log (relay, attempt, result, next);
+  if (next == RT_NEXT_PASS)
+    {
+      whole.body = el_buf_str (&relay->out);
+      relay_answer_pass (relay, &whole);
+      return;
+    }
+  try_release (relay);
+  if (!relay->begun)
+    el_buf_reset (&relay->out);
+  relay_events_reset (&relay->events);
+  if (next == RT_NEXT_AGAIN)
+    {
+      relays->counts.repeats++;
+      relays->counts.resumed += relay->begun != 0;
+      relay_try (relay);
+    }
+  else if (relay->begun)
+    relay_answer_break (relay, "no endpoint goes on with it");
+  else if (next == RT_NEXT_REFUSE)
+    {
+      relays->counts.refused++;
+      relay_answer_refuse (relay, 503, "not run", try_retry_after (relay));
+    }
+  else
+    {
+      relays->counts.failed++;
+      relay_answer_refuse (relay, 502, "may have run", 0);
+    }
+}
+
+static void
+try_send (gt_relay_t *relay, el_time_t now)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+  const h2o_req_t *req = relay->req;
+  try_headers_t headers;
+  net_send_t send
+      = { .address = relay->target->facts.address,
+          .host = { req->authority.base, req->authority.len },
+          .method = net_req_method (req),
+          .path = { req->path.base, req->path.len },
+          .body = net_req_body (req),
+          .max_idle = relay->rule->kind == RT_UNSAFE ? UNSAFE_IDLE : 0,
+          .head = try_head,
+          .piece = try_piece,
+          .done = try_done,
+          .arg = relay };
+
+  memset (&headers, 0, sizeof headers);
+  headers_make (relay, now, &headers);
+  send.headers = headers.list;
+  send.nheaders = headers.n;
+  relay->refused = 0;
+  relay->crossed = 0;
+  relay->stream = 0;
+  relay->sent = now;
+  relay->relays->counts.attempts++;
+  relay->exchange = net_client_send (o->client, &send);
+  free (headers.list);
+  el_buf_free (&headers.line);
+  if (relay->line.n)
+    relay_watch_begin (relay);
+}
+
+/** Send the request to the endpoint or line that suits best now. */
+void
+relay_try (gt_relay_t *relay)
+{
+  el_time_t now = net_clock_now (relay->relays->options.clock);
+
+  if (try_choose (relay, now))
+    {
+      try_send (relay, now);
+      return;
+    }
+  if (relay->begun)
+    relay_answer_break (relay, "no endpoint to go on at");
+  else if (relay->course.may_run)
+    {
+      relay->relays->counts.failed++;
+      relay_answer_refuse (relay, 502, "may have run, no endpoint left", 0);
+    }
+  else
+    {
+      relay->relays->counts.refused++;
+      relay_answer_refuse (relay, 503, "no endpoint", try_retry_after (relay));
+    }
+}
--- /dev/null
+++ b/gate/relay_watch.c
@@ -0,0 +1,156 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Streams that stand still: found by the time since their last event, and
+ * moved around the engine that holds them up.
+ */
+#include <string.h>
+
+#include "librelay.h"
+
+/* A stream without an event for this long stands still: pauses are some tens
+   of milliseconds, and the prompt is read within the first. */
+#define STILL_AFTER (250 * EL_MSEC)
+#define STILL_FIRST (450 * EL_MSEC)
+/* Asked again after this; the engine's report is some hundred ms old. */
+#define LOOK_AGAIN (150 * EL_MSEC)
+#define LOOKS_MAX 12
+
+static void watch_look (void *arg, el_time_t now);
+
+/** The stream was sent: wait for its first event. */
+void
+relay_watch_begin (gt_relay_t *relay)
+{
+  relay->watch.cb = watch_look;
+  relay->watch.arg = relay;
+  relay->looks = 0;
+  relay->last_event = relay->sent;
+  if (relay->relays->options.dialect->ask_stalled)
+    net_clock_set (relay->relays->options.clock, &relay->watch,
+                   relay->nevents ? STILL_AFTER : STILL_FIRST);
+}
+
+/** An event came after GAP. */
+void
+relay_watch_event (gt_relay_t *relay, el_time_t gap)
+{
+  (void)gap;
+  relay->looks = 0;
+  if (relay->ask)
+    {
+      net_client_cancel (relay->ask);
+      relay->ask = NULL;
+    }
+}
+
+/** No longer look after the stream. */
+void
+relay_watch_end (gt_relay_t *relay)
+{
+  net_clock_cancel (relay->relays->options.clock, &relay->watch);
+  if (relay->ask)
+    net_client_cancel (relay->ask);
+  relay->ask = NULL;
+}
+
+static void
+watch_again (gt_relay_t *relay, el_time_t wait)
+{
+  net_clock_set (relay->relays->options.clock, &relay->watch, wait);
+}
+
+static rt_target_t *
+line_engine (const rt_line_t *line, el_str_t address)
+{
+  size_t i;
+
+  for (i = 0; i < line->n; i++)
+    if (el_str_eq (line->part[i].target->facts.address, address))
+      return line->part[i].target;
+  return NULL;
+}
+
+static void
+watch_moved (void *arg, int done)
+{
+  gt_relay_t *relay = arg;
+
+  relay->ask = NULL;
+  EL_LOG (EL_LOG_INFO, done ? "stream_moved" : "stream_not_moved",
+          EL_FS ("request", relay->id), EL_FN ("events", relay->nevents),
+          EL_FN ("parts", relay->next_line.n));
+  if (done)
+    {
+      relay->relays->counts.rerouted++;
+      rt_line_hold (&relay->next_line);
+      rt_line_release (&relay->line);
+      relay->line = relay->next_line;
+    }
+  watch_again (relay, LOOK_AGAIN);
+}
+
+/* Move the stream around the engine at ADDRESS. */
+static void
+watch_move (gt_relay_t *relay, rt_target_t *engine)
+{
+  gt_relays_t *relays = relay->relays;
+  const gt_relay_options_t *o = &relays->options;
+  el_time_t now = net_clock_now (o->clock);
+  rt_tried_t tried = relay->tried;
+
+  rt_tried_add (&tried, engine);
+  if (rt_line_around (o->fleet, now, relay->service, &relay->line, &tried,
+                      &relay->next_line))
+    relay->ask = o->dialect->reroute (o->client, relay->id, &relay->next_line,
+                                      watch_moved, relay);
+  else
+    {
+      EL_LOG (EL_LOG_INFO, "stream_stays", EL_FS ("request", relay->id),
+              EL_FC ("reason", "no line around the engine"));
+      watch_again (relay, LOOK_AGAIN);
+    }
+}
+
+static void
+watch_told (void *arg, int answered, el_str_t address)
+{
+  gt_relay_t *relay = arg;
+  const gt_relay_options_t *o = &relay->relays->options;
+  rt_target_t *engine = line_engine (&relay->line, address);
+
+  relay->ask = NULL;
+  EL_LOG (EL_LOG_INFO, "stream_stands_still", EL_FS ("request", relay->id),
+          EL_FN ("answered", answered), EL_FS ("engine", address),
+          EL_FN ("looks", relay->looks), EL_FN ("events", relay->nevents),
+          EL_FN ("still_us", net_clock_now (o->clock) - relay->last_event));
+  if (!engine)
+    {
+      watch_again (relay, LOOK_AGAIN);
+      return;
+    }
+  rt_target_stalled (engine, net_clock_now (o->clock));
+  watch_move (relay, engine);
+}
+
+/* Time passed; look whether the stream moves. */
+static void
+watch_look (void *arg, el_time_t now)
+{
+  gt_relay_t *relay = arg;
+  const gt_relay_options_t *o = &relay->relays->options;
+  el_time_t limit = relay->nevents ? STILL_AFTER : STILL_FIRST;
+  el_time_t still = now - relay->last_event;
+
+  if (still < limit)
+    {
+      watch_again (relay, limit - still);
+      return;
+    }
+  if (relay->looks++ >= LOOKS_MAX)
+    return;
+  relay->ask = o->dialect->ask_stalled (o->client, relay->target, relay->id,
+                                        watch_told, relay);
+}
--- /dev/null
+++ b/gate/store.h
@@ -0,0 +1,123 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * A key-value store with revisions, watches and leases: what is kept there is
+ * followed, and a duty that only one host may have is leased there. How the
+ * store is spoken to is a table of functions.
+ */
+#ifndef ELMARCH_STORE_H
+#define ELMARCH_STORE_H
+
+#include "net.h"
+
+/** A key as the store has it. */
+typedef struct gt_store_item
+{
+  el_str_t key;
+  el_str_t value;
+  uint64_t revision; /**< of its last change */
+  int gone;          /**< the change removed it */
+} gt_store_item_t;
+
+typedef enum gt_store_state
+{
+  GT_STORE_OK,
+  GT_STORE_BUSY,     /**< refused, nothing was done */
+  GT_STORE_LOST,     /**< the changes asked for are no longer kept */
+  GT_STORE_CONFLICT, /**< the condition does not hold */
+  GT_STORE_NO_LEASE, /**< the lease is over */
+  GT_STORE_BAD       /**< not an answer that can be used */
+} gt_store_state_t;
+
+/** A list as read from an answer; gt_store_list_free ends it. */
+typedef struct gt_store_list
+{
+  gt_store_item_t *items;
+  size_t n;
+  int more;          /**< further items follow the last one */
+  uint64_t revision; /**< of the store, as the answer was made */
+} gt_store_list_t;
+
+typedef struct gt_store_dialect
+{
+  void (*range) (el_buf_t *path, el_str_t prefix, el_str_t after);
+  void (*watch) (el_buf_t *path, el_str_t prefix, uint64_t revision,
+                 uint64_t wait_ms);
+  gt_store_state_t (*read_list) (const net_result_t *result,
+                                 gt_store_list_t *out);
+  void (*grant) (el_buf_t *path, el_buf_t *body, uint64_t ttl_ms);
+  gt_store_state_t (*read_grant) (const net_result_t *result, uint64_t *lease);
+  void (*renew) (el_buf_t *path, uint64_t lease);
+  gt_store_state_t (*read_renew) (const net_result_t *result);
+  /** Put KEY with a lease where it is not there yet. */
+  void (*claim) (el_buf_t *path, el_buf_t *body, el_str_t key, el_str_t value,
+                 uint64_t lease);
+  gt_store_state_t (*read_claim) (const net_result_t *result);
+} gt_store_dialect_t;
+
+void gt_store_list_free (gt_store_list_t *list);
+
+typedef struct gt_store_counts
+{
+  uint64_t calls;
+  uint64_t failures;
+  uint64_t reads; /**< whole ranges read */
+} gt_store_counts_t;
+
+/** One store; its parts share what is counted. */
+typedef struct gt_store
+{
+  net_clock_t *clock;
+  net_client_t *client;
+  const gt_store_dialect_t *dialect;
+  el_str_t address;
+  gt_store_counts_t counts;
+  uint64_t random;
+} gt_store_t;
+
+net_exchange_t *gt_store_call (gt_store_t *store, const char *method,
+                               const el_buf_t *path, const el_buf_t *body,
+                               el_time_t timeout, net_result_cb done,
+                               void *arg);
+el_time_t gt_store_backoff (gt_store_t *store, unsigned failures);
+
+/* Following the keys below a prefix. */
+
+typedef struct gt_follow gt_follow_t;
+
+typedef struct gt_follow_options
+{
+  gt_store_t *store;
+  el_str_t prefix;
+  uint64_t wait_ms; /**< longest wait of one watch */
+  /** A key is new or changed, or is gone. */
+  void (*item) (void *arg, const gt_store_item_t *item);
+  /** All changes made before AS_OF, by the clock, were told. */
+  void (*known) (void *arg, el_time_t as_of);
+  void *arg;
+} gt_follow_options_t;
+
+gt_follow_t *gt_follow_new (const gt_follow_options_t *options);
+void gt_follow_stop (gt_follow_t *follow);
+
+/* A duty that at most one host has. */
+
+typedef struct gt_duty gt_duty_t;
+
+typedef struct gt_duty_options
+{
+  gt_store_t *store;
+  el_str_t key;
+  el_str_t holder;  /**< written to the key */
+  uint64_t ttl_ms;  /**< of the lease */
+  el_time_t margin; /**< the duty ends here this long before the lease may
+                         have run out */
+} gt_duty_options_t;
+
+gt_duty_t *gt_duty_new (const gt_duty_options_t *options);
+void gt_duty_want (gt_duty_t *duty, int wanted);
+int gt_duty_held (const gt_duty_t *duty, el_time_t now);
+
+#endif
--- /dev/null
+++ b/gate/store_duty.c
@@ -0,0 +1,192 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * A duty that is leased in the store: whoever holds the key has it. The
+ * holder counts the lease from before it asked, on its own clock, and stops
+ * ahead of its end; so a holder that was paused knows when it wakes.
+ */
+#include <string.h>
+
+#include "store.h"
+
+#define CALL_LIMIT (1000 * EL_MSEC)
+/* Renewals within one time to live: two may be lost. */
+#define RENEWALS 3
+/* When another holds it: its lease ends within a few seconds if it died. */
+#define TAKEN_WAIT (700 * EL_MSEC)
+
+typedef enum duty_step
+{
+  DUTY_IDLE,  /* not wanted */
+  DUTY_GRANT, /* a lease is asked for */
+  DUTY_CLAIM, /* the key is asked for */
+  DUTY_HELD
+} duty_step_t;
+
+struct gt_duty
+{
+  gt_duty_options_t options;
+  duty_step_t step;
+  int wanted;
+  uint64_t lease;
+  el_time_t sent;
+  el_time_t valid; /* the lease lasts to here at least */
+  net_exchange_t *call;
+  el_timer_t again;
+  unsigned failures;
+};
+
+static void duty_next (void *arg, el_time_t now);
+
+/** Whether this host has the duty at NOW. */
+int
+gt_duty_held (const gt_duty_t *duty, el_time_t now)
+{
+  return duty->step == DUTY_HELD && now + duty->options.margin < duty->valid;
+}
+
+static void
+duty_later (gt_duty_t *duty, el_time_t wait)
+{
+  net_clock_set (duty->options.store->clock, &duty->again, wait);
+}
+
+static void
+duty_lost (gt_duty_t *duty, const char *why, el_time_t wait)
+{
+  if (duty->step == DUTY_HELD)
+    EL_LOG (EL_LOG_WARN, "duty_lost", EL_FS ("duty", duty->options.key),
+            EL_FC ("reason", why));
+  duty->step = DUTY_IDLE;
+  duty->lease = 0;
+  duty_later (duty, wait);
+}
+
+static el_time_t
+duty_ttl (const gt_duty_t *duty)
+{
+  return duty->options.ttl_ms * EL_MSEC;
+}
+
+static void
+grant_done (void *arg, const net_result_t *result)
+{
+  gt_duty_t *duty = arg;
+  gt_store_t *store = duty->options.store;
+
+  duty->call = NULL;
+  if (result->net != NET_OK
+      || store->dialect->read_grant (result, &duty->lease) != GT_STORE_OK)
+    {
+      duty_lost (duty, "no lease granted",
+                 gt_store_backoff (store, duty->failures++));
+      return;
+    }
+  duty->failures = 0;
+  duty->valid = duty->sent + duty_ttl (duty);
+  duty->step = DUTY_CLAIM;
+  duty_next (duty, 0);
+}
+
+static void
+claim_done (void *arg, const net_result_t *result)
+{
+  gt_duty_t *duty = arg;
+  gt_store_t *store = duty->options.store;
+  gt_store_state_t state = GT_STORE_BAD;
+
+  duty->call = NULL;
+  if (result->net == NET_OK)
+    state = store->dialect->read_claim (result);
+  if (state != GT_STORE_OK)
+    {
+      duty_lost (duty, "not claimed", TAKEN_WAIT);
+      return;
+    }
+  duty->step = DUTY_HELD;
+  EL_LOG (EL_LOG_INFO, "duty_held", EL_FS ("duty", duty->options.key),
+          EL_FN ("lease", duty->lease));
+  duty_later (duty, duty_ttl (duty) / RENEWALS);
+}
+
+static void
+renew_done (void *arg, const net_result_t *result)
+{
+  gt_duty_t *duty = arg;
+  gt_store_t *store = duty->options.store;
+  gt_store_state_t state = GT_STORE_BAD;
+  el_time_t now = net_clock_now (store->clock);
+
+  duty->call = NULL;
+  if (result->net == NET_OK)
+    state = store->dialect->read_renew (result);
+  if (state == GT_STORE_OK)
+    {
+      duty->failures = 0;
+      duty->valid = duty->sent + duty_ttl (duty);
+      duty_later (duty, duty_ttl (duty) / RENEWALS);
+    }
+  else if (state == GT_STORE_NO_LEASE || now >= duty->valid)
+    duty_lost (duty, "lease over", TAKEN_WAIT);
+  else
+    duty_later (duty, gt_store_backoff (store, duty->failures++));
+}
+
+static void
+duty_next (void *arg, el_time_t now)
+{
+  gt_duty_t *duty = arg;
+  gt_duty_options_t *o = &duty->options;
+  const gt_store_dialect_t *dialect = o->store->dialect;
+  el_buf_t path = { NULL, 0, 0 };
+  el_buf_t body = { NULL, 0, 0 };
+
+  (void)now;
+  if (duty->call || (!duty->wanted && duty->step == DUTY_IDLE))
+    return;
+  duty->sent = net_clock_now (o->store->clock);
+  switch (duty->step)
+    {
+    case DUTY_IDLE:
+    case DUTY_GRANT:
+      duty->step = DUTY_GRANT;
+      dialect->grant (&path, &body, o->ttl_ms);
+      duty->call = gt_store_call (o->store, "POST", &path, &body, CALL_LIMIT,
+                                  grant_done, duty);
+      break;
+    case DUTY_CLAIM:
+      dialect->claim (&path, &body, o->key, o->holder, duty->lease);
+      duty->call = gt_store_call (o->store, "POST", &path, &body, CALL_LIMIT,
+                                  claim_done, duty);
+      break;
+    case DUTY_HELD:
+      dialect->renew (&path, duty->lease);
+      duty->call = gt_store_call (o->store, "POST", &path, NULL, CALL_LIMIT,
+                                  renew_done, duty);
+      break;
+    }
+  el_buf_free (&path);
+  el_buf_free (&body);
+}
+
+gt_duty_t *
+gt_duty_new (const gt_duty_options_t *options)
+{
+  gt_duty_t *duty = el_alloc (sizeof *duty);
+
+  duty->options = *options;
+  duty->again.cb = duty_next;
+  duty->again.arg = duty;
+  return duty;
+}
+
+/** Whether this host should try to have the duty. */
+void
+gt_duty_want (gt_duty_t *duty, int wanted)
+{
+  if (wanted && !duty->wanted && !duty->call && !duty->again.slot)
+    duty_later (duty, 0);
+  duty->wanted = wanted;
+}
--- /dev/null
+++ b/gate/store_follow.c
@@ -0,0 +1,316 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Follows the keys below a prefix: reads all, then waits for changes; reads
+ * all again when the store no longer keeps the changes asked for.
+ */
+#include <string.h>
+
+#include "map.h"
+#include "store.h"
+
+/* A call that takes longer than this gets no answer any more: a store that is
+   slow takes some 300 ms. */
+#define CALL_LIMIT (1500 * EL_MSEC)
+#define BACKOFF_FIRST (60 * EL_MSEC)
+#define BACKOFF_MOST (800 * EL_MSEC)
+
+/* A key that is known, with the revision of its last change. */
+typedef struct follow_key
+{
+  char *key;
+  size_t len;
+  uint64_t revision;
+  int gone;
+  int seen; /* by the reading under way */
+  UT_hash_handle hh;
+} follow_key_t;
+
+struct gt_follow
+{
+  gt_follow_options_t options;
+  follow_key_t *keys;
+  net_exchange_t *call;
+  el_timer_t again;
+  el_time_t sent;       /* when the call left */
+  el_time_t read_since; /* when the first page was asked for */
+  uint64_t revision;    /* changes up to it were told */
+  uint64_t read_at;     /* revision of the first page */
+  el_buf_t page_after;  /* last key of the page before */
+  int whole;            /* all was read once */
+  unsigned failures;
+};
+
+static void follow_next (void *arg, el_time_t now);
+
+void
+gt_store_list_free (gt_store_list_t *list)
+{
+  size_t i;
+
+  for (i = 0; i < list->n; i++)
+    {
+      el_str_free (&list->items[i].key);
+      el_str_free (&list->items[i].value);
+    }
+  free (list->items);
+  *list = (gt_store_list_t){ 0 };
+}
+
+/** Send one call. */
+net_exchange_t *
+gt_store_call (gt_store_t *store, const char *method, const el_buf_t *path,
+               const el_buf_t *body, el_time_t timeout, net_result_cb done,
+               void *arg)
+{
+  static const net_header_t json
+      = { EL_STR ("content-type"), EL_STR ("application/json") };
+  net_send_t send = { .address = store->address,
+                      .method = el_str (method),
+                      .path = el_buf_str (path),
+                      .timeout = timeout,
+                      .done = done,
+                      .arg = arg };
+
+  if (body)
+    {
+      send.body = el_buf_str (body);
+      send.headers = &json;
+      send.nheaders = 1;
+    }
+  store->counts.calls++;
+  return net_client_send (store->client, &send);
+}
+
+/** How long to wait after FAILURES in a row; half of it is random, so that
+    hosts do not come back together. */
+el_time_t
+gt_store_backoff (gt_store_t *store, unsigned failures)
+{
+  el_time_t wait = BACKOFF_FIRST << (failures < 5 ? failures : 5);
+
+  if (wait > BACKOFF_MOST)
+    wait = BACKOFF_MOST;
+  store->counts.failures++;
+  store->random ^= store->random << 13;
+  store->random ^= store->random >> 7;
+  store->random ^= store->random << 17;
+  return wait / 2 + store->random % (wait / 2 + 1);
+}
+
+static follow_key_t *
+follow_key (gt_follow_t *follow, el_str_t name)
+{
+  follow_key_t *key;
+
+  HASH_FIND (hh, follow->keys, name.ptr, (unsigned)name.len, key);
+  if (key)
+    return key;
+  key = el_alloc (sizeof *key);
+  key->key = (char *)(uintptr_t)el_str_dup (name).ptr;
+  key->len = name.len;
+  HASH_ADD_KEYPTR (hh, follow->keys, key->key, (unsigned)name.len, key);
+  return key;
+}
+
+static void
+follow_item (gt_follow_t *follow, const gt_store_item_t *item)
+{
+  follow_key_t *key = follow_key (follow, item->key);
+
+  key->seen = 1;
+  if (item->revision <= key->revision)
+    return;
+  key->revision = item->revision;
+  key->gone = item->gone;
+  follow->options.item (follow->options.arg, item);
+}
+
+/* Keys that a whole reading did not show are gone. What changed after the
+   first page is told by the watch. */
+static void
+follow_prune (gt_follow_t *follow)
+{
+  follow_key_t *key;
+  follow_key_t *next;
+
+  HASH_ITER (hh, follow->keys, key, next)
+  {
+    gt_store_item_t item = { .key = { key->key, key->len },
+                             .revision = follow->read_at,
+                             .gone = 1 };
+
+    if (!key->seen && !key->gone && key->revision <= follow->read_at)
+      follow->options.item (follow->options.arg, &item);
+    if (!key->seen || key->gone)
+      {
+        HASH_DEL (follow->keys, key);
+        free (key->key);
+        free (key);
+        continue;
+      }
+    key->seen = 0;
+  }
+}
+
+static void
+follow_later (gt_follow_t *follow, el_time_t wait)
+{
+  net_clock_set (follow->options.store->clock, &follow->again, wait);
+}
+
+static void
+follow_failed (gt_follow_t *follow, const char *what, int status)
+{
+  gt_follow_options_t *o = &follow->options;
+  el_time_t wait = gt_store_backoff (o->store, follow->failures++);
+
+  if (follow->failures == 1)
+    EL_LOG (EL_LOG_WARN, "store_lost", EL_FS ("prefix", o->prefix),
+            EL_FC ("call", what), EL_FN ("status", status),
+            EL_FN ("revision", follow->revision));
+  follow_later (follow, wait);
+}
+
+static void
+follow_works (gt_follow_t *follow)
+{
+  if (follow->failures)
+    EL_LOG (EL_LOG_INFO, "store_back",
+            EL_FS ("prefix", follow->options.prefix),
+            EL_FN ("failures", follow->failures),
+            EL_FN ("revision", follow->revision));
+  follow->failures = 0;
+}
+
+static void
+follow_restart (gt_follow_t *follow)
+{
+  follow->whole = 0;
+  el_buf_reset (&follow->page_after);
+}
+
+static void
+range_done (void *arg, const net_result_t *result)
+{
+  gt_follow_t *follow = arg;
+  gt_store_list_t list = { 0 };
+  size_t i;
+
+  follow->call = NULL;
+  if (result->net != NET_OK
+      || follow->options.store->dialect->read_list (result, &list)
+             != GT_STORE_OK)
+    {
+      follow_restart (follow);
+      follow_failed (follow, "range", result->status);
+      return;
+    }
+  follow_works (follow);
+  if (follow->page_after.len == 0)
+    follow->read_at = list.revision;
+  for (i = 0; i < list.n; i++)
+    follow_item (follow, &list.items[i]);
+  el_buf_reset (&follow->page_after);
+  if (list.more && list.n)
+    el_buf_add (&follow->page_after, list.items[list.n - 1].key);
+  else
+    {
+      follow->options.store->counts.reads++;
+      follow->whole = 1;
+      follow_prune (follow);
+      follow->revision = follow->read_at;
+      follow->options.known (follow->options.arg, follow->read_since);
+    }
+  gt_store_list_free (&list);
+  follow_next (follow, 0);
+}
+
+static void
+watch_done (void *arg, const net_result_t *result)
+{
+  gt_follow_t *follow = arg;
+  gt_store_list_t list = { 0 };
+  gt_store_state_t state = GT_STORE_BAD;
+  size_t i;
+
+  follow->call = NULL;
+  if (result->net == NET_OK)
+    state = follow->options.store->dialect->read_list (result, &list);
+  if (state == GT_STORE_LOST)
+    {
+      EL_LOG (EL_LOG_INFO, "store_history_lost",
+              EL_FS ("prefix", follow->options.prefix),
+              EL_FN ("revision", follow->revision));
+      follow_restart (follow);
+      follow_next (follow, 0);
+      return;
+    }
+  if (state != GT_STORE_OK)
+    {
+      follow_failed (follow, "watch", result->status);
+      return;
+    }
+  follow_works (follow);
+  for (i = 0; i < list.n; i++)
+    follow_item (follow, &list.items[i]);
+  if (list.revision > follow->revision)
+    follow->revision = list.revision;
+  follow->options.known (follow->options.arg, follow->sent);
+  gt_store_list_free (&list);
+  follow_next (follow, 0);
+}
+
+/* Send what comes next: a page, or a watch. */
+static void
+follow_next (void *arg, el_time_t now)
+{
+  gt_follow_t *follow = arg;
+  gt_follow_options_t *o = &follow->options;
+  el_buf_t path = { NULL, 0, 0 };
+
+  (void)now;
+  follow->sent = net_clock_now (o->store->clock);
+  if (follow->whole)
+    {
+      o->store->dialect->watch (&path, o->prefix, follow->revision,
+                                o->wait_ms);
+      follow->call = gt_store_call (o->store, "GET", &path, NULL,
+                                    o->wait_ms * EL_MSEC + CALL_LIMIT,
+                                    watch_done, follow);
+    }
+  else
+    {
+      if (follow->page_after.len == 0)
+        follow->read_since = follow->sent;
+      o->store->dialect->range (&path, o->prefix,
+                                el_buf_str (&follow->page_after));
+      follow->call = gt_store_call (o->store, "GET", &path, NULL, CALL_LIMIT,
+                                    range_done, follow);
+    }
+  el_buf_free (&path);
+}
+
+gt_follow_t *
+gt_follow_new (const gt_follow_options_t *options)
+{
+  gt_follow_t *follow = el_alloc (sizeof *follow);
+
+  follow->options = *options;
+  follow->again.cb = follow_next;
+  follow->again.arg = follow;
+  follow_next (follow, 0);
+  return follow;
+}
+
+/** Ask for nothing more. */
+void
+gt_follow_stop (gt_follow_t *follow)
+{
+  net_clock_cancel (follow->options.store->clock, &follow->again);
+  if (follow->call)
+    net_client_cancel (follow->call);
+  follow->call = NULL;
+}
--- a/gate/clock.c
+++ b/net/clock.c
@@ -8,7 +8,7 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-#include "libgate.h"
+#include "net.h"
 
 #define NSEC_PER_USEC 1000
 #define USEC_PER_MSEC 1000
@@ -17,17 +17,17 @@
 static void
 clock_fire (uv_timer_t *driver)
 {
-  gt_clock_t *clock = driver->data;
-  el_time_t now = gt_clock_now (clock);
+  net_clock_t *clock = driver->data;
+  el_time_t now = net_clock_now (clock);
 
   el_timers_run (&clock->timers, now);
   if (clock->fire)
     clock->fire (clock->arg, now);
-  gt_clock_arm (clock);
+  net_clock_arm (clock);
 }
 
 void
-gt_clock_open (gt_clock_t *clock, uv_loop_t *loop)
+net_clock_open (net_clock_t *clock, uv_loop_t *loop)
 {
   memset (clock, 0, sizeof *clock);
   clock->loop = loop;
@@ -37,7 +37,7 @@
 
 /** Now, in microseconds on a clock that never goes back. */
 el_time_t
-gt_clock_now (const gt_clock_t *clock)
+net_clock_now (const net_clock_t *clock)
 {
   (void)clock;
   return uv_hrtime () / NSEC_PER_USEC;
@@ -45,11 +45,11 @@
 
 /** Set libuv's timer to what is due next. */
 void
-gt_clock_arm (gt_clock_t *clock)
+net_clock_arm (net_clock_t *clock)
 {
   el_time_t due = el_timers_next (&clock->timers);
   el_time_t other = clock->next ? clock->next (clock->arg) : EL_TIME_NEVER;
-  el_time_t now = gt_clock_now (clock);
+  el_time_t now = net_clock_now (clock);
   uint64_t wait;
 
   if (other < due)
@@ -67,21 +67,21 @@
 
 /** Have TIMER fire after WAIT microseconds. */
 void
-gt_clock_set (gt_clock_t *clock, el_timer_t *timer, el_time_t wait)
+net_clock_set (net_clock_t *clock, el_timer_t *timer, el_time_t wait)
 {
-  el_timers_set (&clock->timers, timer, gt_clock_now (clock) + wait);
-  gt_clock_arm (clock);
+  el_timers_set (&clock->timers, timer, net_clock_now (clock) + wait);
+  net_clock_arm (clock);
 }
 
 void
-gt_clock_cancel (gt_clock_t *clock, el_timer_t *timer)
+net_clock_cancel (net_clock_t *clock, el_timer_t *timer)
 {
   el_timers_cancel (&clock->timers, timer);
 }
 
 /** Read ip:port; gives 0 when TEXT is anything else. */
 int
-gt_address_parse (el_str_t text, struct sockaddr_in *out)
+net_address_parse (el_str_t text, struct sockaddr_in *out)
 {
   el_str_t rest = text;
   el_str_t host = el_str_cut (&rest, ':');
@@ -101,9 +101,9 @@
 
 /** Whether ADDRESS is ip:port. */
 int
-gt_address_valid (el_str_t address)
+net_address_valid (el_str_t address)
 {
   struct sockaddr_in addr;
 
-  return gt_address_parse (address, &addr);
+  return net_address_parse (address, &addr);
 }
--- a/gate/http_server.c
+++ b/net/http_server.c
@@ -8,15 +8,16 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 
-#include "http.h"
+#include "net.h"
 
 #define BACKLOG 1024
 #define REQ_TIMEOUT_MS 10000
+#define HTTP_2 0x200
 #define HTTP2_IDLE_MS 60000
 
-struct gt_server
+struct net_server
 {
-  gt_server_options_t options;
+  net_server_options_t options;
   uv_tcp_t listener;
   h2o_globalconf_t config;
   h2o_context_t context;
@@ -24,10 +25,19 @@
   int stopped;
 };
 
+/* Watches for the caller to leave while its request is under way; lives in
+   the request's pool, and the socket points to it. */
+typedef struct server_watch
+{
+  h2o_socket_t *sock;
+  net_gone_cb gone;
+  void *arg;
+} server_watch_t;
+
 typedef struct server_handler
 {
   h2o_handler_t super;
-  gt_server_t *server;
+  net_server_t *server;
 } server_handler_t;
 
 static const struct
@@ -58,7 +68,7 @@
 static int
 server_on_req (h2o_handler_t *self, h2o_req_t *req)
 {
-  gt_server_t *server = ((server_handler_t *)self)->server;
+  net_server_t *server = ((server_handler_t *)self)->server;
 
   server->options.handle (server->options.arg, req);
   return 0;
@@ -67,7 +77,7 @@
 static void
 server_on_connection (uv_stream_t *listener, int status)
 {
-  gt_server_t *server = listener->data;
+  net_server_t *server = listener->data;
   uv_tcp_t *conn;
 
   if (status != 0)
@@ -85,7 +95,7 @@
 }
 
 static void
-server_config (gt_server_t *server)
+server_config (net_server_t *server)
 {
   h2o_hostconf_t *host;
   h2o_pathconf_t *path;
@@ -94,7 +104,8 @@
   h2o_config_init (&server->config);
   server->config.server_name = h2o_iovec_init (H2O_STRLIT ("elmarch"));
   server->config.max_request_entity_size = server->options.max_body;
-  server->config.http1.req_timeout = REQ_TIMEOUT_MS;
+  server->config.http1.req_timeout
+      = server->options.idle_ms ? server->options.idle_ms : REQ_TIMEOUT_MS;
   server->config.http2.idle_timeout = HTTP2_IDLE_MS;
   host = h2o_config_register_host (
       &server->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
@@ -108,14 +119,14 @@
 }
 
 /** Listen; NULL, with the reason in ERR, when the address can't be had. */
-gt_server_t *
-gt_server_new (const gt_server_options_t *options, el_err_t *err)
+net_server_t *
+net_server_new (const net_server_options_t *options, el_err_t *err)
 {
-  gt_server_t *server;
+  net_server_t *server;
   struct sockaddr_in addr;
   int rc;
 
-  if (!gt_address_parse (options->address, &addr))
+  if (!net_address_parse (options->address, &addr))
     {
       el_err_set (err, EL_INVALID, "%.*s: takes ip:port",
                   (int)options->address.len, options->address.ptr);
@@ -142,7 +153,7 @@
 
 /** The port listened on. */
 unsigned
-gt_server_port (const gt_server_t *server)
+net_server_port (const net_server_t *server)
 {
   struct sockaddr_in addr;
   int len = sizeof addr;
@@ -154,7 +165,7 @@
 /** Accept no further connection, and ask those open to end after what they
     have begun. */
 void
-gt_server_stop (gt_server_t *server)
+net_server_stop (net_server_t *server)
 {
   if (server->stopped)
     return;
@@ -163,15 +174,102 @@
   h2o_context_request_shutdown (&server->context);
 }
 
+/** Go on, but have each answer say that its connection ends. */
+void
+net_server_retire (net_server_t *server)
+{
+  h2o_context_request_shutdown (&server->context);
+}
+
+/** Callers' connections may rest this long from now on. */
+void
+net_server_idle (net_server_t *server, uint64_t ms)
+{
+  server->context.http1.req_timeout.timeout = ms;
+}
+
+/* Watching for callers that leave. h2o does not read a connection whose
+   request is under way, so the read is begun here; what comes stays in the
+   connection's buffer, where h2o finds it when the answer is sent. */
+
+static h2o_iovec_t
+pool_copy (h2o_mem_pool_t *pool, h2o_iovec_t v)
+{
+  return v.len ? h2o_strdup (pool, v.base, v.len) : v;
+}
+
+/* Reading on may move the buffer that the request's strings point into. */
+static void
+req_own (h2o_req_t *req)
+{
+  size_t i;
+
+  req->input.method = pool_copy (&req->pool, req->input.method);
+  req->input.authority = pool_copy (&req->pool, req->input.authority);
+  req->input.path = pool_copy (&req->pool, req->input.path);
+  req->method = req->input.method;
+  req->authority = req->input.authority;
+  req->path = req->input.path;
+  req->entity = pool_copy (&req->pool, req->entity);
+  for (i = 0; i < req->headers.size; i++)
+    {
+      h2o_header_t *header = &req->headers.entries[i];
+
+      if (!h2o_iovec_is_token (header->name))
+        *header->name = pool_copy (&req->pool, *header->name);
+      header->value = pool_copy (&req->pool, header->value);
+    }
+}
+
+static void
+watch_dispose (void *arg)
+{
+  server_watch_t *watch = arg;
+
+  if (watch->sock)
+    watch->sock->on_close.data = NULL;
+  watch->gone (watch->arg, 1);
+}
+
+static void
+watch_read (h2o_socket_t *sock, const char *err)
+{
+  server_watch_t *watch = sock->on_close.data;
+
+  if (!err)
+    return;
+  h2o_socket_read_stop (sock);
+  if (watch)
+    watch->gone (watch->arg, 0);
+}
+
+/** Call GONE when REQ's caller leaves before the answer is sent, and in any
+    case once when REQ is about to be freed (FREED is 1 then). The request's
+    strings do not move any more. */
+void
+net_req_watch (h2o_req_t *req, net_gone_cb gone, void *arg)
+{
+  server_watch_t *watch
+      = h2o_mem_alloc_shared (&req->pool, sizeof *watch, watch_dispose);
+
+  *watch = (server_watch_t){ NULL, gone, arg };
+  req_own (req);
+  if (req->version >= HTTP_2)
+    return;
+  watch->sock = req->conn->callbacks->get_socket (req->conn);
+  watch->sock->on_close.data = watch;
+  h2o_socket_read_start (watch->sock, watch_read);
+}
+
 el_str_t
-gt_req_method (const h2o_req_t *req)
+net_req_method (const h2o_req_t *req)
 {
   return (el_str_t){ req->method.base, req->method.len };
 }
 
 /** The path as sent, without the query. */
 el_str_t
-gt_req_path (const h2o_req_t *req)
+net_req_path (const h2o_req_t *req)
 {
   size_t len = req->query_at == SIZE_MAX ? req->path.len : req->query_at;
 
@@ -180,7 +278,7 @@
 
 /** The value of a query's field; gives 0 when it is not there. */
 int
-gt_req_query (const h2o_req_t *req, el_str_t name, el_str_t *value)
+net_req_query (const h2o_req_t *req, el_str_t name, el_str_t *value)
 {
   el_str_t rest = { NULL, 0 };
   el_str_t pair;
@@ -202,7 +300,7 @@
 
 /** The value of a header, NAME in lower case; empty when it is not there. */
 el_str_t
-gt_req_header (const h2o_req_t *req, const char *name)
+net_req_header (const h2o_req_t *req, const char *name)
 {
   size_t len = strlen (name);
   size_t i;
@@ -218,14 +316,14 @@
 }
 
 el_str_t
-gt_req_body (const h2o_req_t *req)
+net_req_body (const h2o_req_t *req)
 {
   return (el_str_t){ req->entity.base, req->entity.len };
 }
 
 /** Add a header to the answer; the strings are copied. */
 void
-gt_req_add_header (h2o_req_t *req, el_str_t name, el_str_t value)
+net_req_add_header (h2o_req_t *req, el_str_t name, el_str_t value)
 {
   h2o_iovec_t n = h2o_strdup (&req->pool, name.ptr, name.len);
   h2o_iovec_t v = h2o_strdup (&req->pool, value.ptr, value.len);
@@ -234,8 +332,9 @@
                          v.base, v.len);
 }
 
-static const char *
-status_reason (int status)
+/** The reason phrase of a status. */
+const char *
+net_status_reason (int status)
 {
   size_t i;
 
@@ -247,11 +346,11 @@
 
 /** Answer a request whole; the strings are copied. */
 void
-gt_req_reply (h2o_req_t *req, int status, el_str_t type, el_str_t body)
+net_req_reply (h2o_req_t *req, int status, el_str_t type, el_str_t body)
 {
   req->res.status = status;
-  req->res.reason = status_reason (status);
+  req->res.reason = net_status_reason (status);
   if (type.len)
-    gt_req_add_header (req, EL_STR ("content-type"), type);
+    net_req_add_header (req, EL_STR ("content-type"), type);
   h2o_send_inline (req, body.ptr, body.len);
 }
--- /dev/null
+++ b/net/net.h
@@ -0,0 +1,145 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * HTTP by h2o on libuv: a server, a client, and the clock that both and the
+ * rest of a process subscribe to.
+ */
+#ifndef ELMARCH_NET_H
+#define ELMARCH_NET_H
+
+#include <h2o.h>
+
+#include "base.h"
+
+/** The process's clock: libuv's loop driving a timer service. */
+typedef struct net_clock
+{
+  uv_loop_t *loop;
+  el_timers_t timers;
+  uv_timer_t driver;
+  /** Asked for a due time besides those of the timers; may be NULL. */
+  el_time_t (*next) (void *arg);
+  void (*fire) (void *arg, el_time_t now);
+  void *arg;
+} net_clock_t;
+
+void net_clock_open (net_clock_t *clock, uv_loop_t *loop);
+el_time_t net_clock_now (const net_clock_t *clock);
+void net_clock_arm (net_clock_t *clock);
+void net_clock_set (net_clock_t *clock, el_timer_t *timer, el_time_t wait);
+void net_clock_cancel (net_clock_t *clock, el_timer_t *timer);
+
+int net_address_parse (el_str_t text, struct sockaddr_in *out);
+int net_address_valid (el_str_t address);
+
+/* Server. */
+
+typedef struct net_server net_server_t;
+
+typedef struct net_server_options
+{
+  uv_loop_t *loop;
+  el_str_t address; /**< ip:port; port 0 takes a free one */
+  size_t max_body;  /**< bytes; a longer one is answered with 413 */
+  uint64_t idle_ms; /**< connections may rest this long; 0: 10 s */
+  void (*handle) (void *arg, h2o_req_t *req);
+  void *arg;
+} net_server_options_t;
+
+net_server_t *net_server_new (const net_server_options_t *options,
+                              el_err_t *err);
+unsigned net_server_port (const net_server_t *server);
+void net_server_stop (net_server_t *server);
+void net_server_retire (net_server_t *server);
+void net_server_idle (net_server_t *server, uint64_t ms);
+
+typedef void (*net_gone_cb) (void *arg, int freed);
+void net_req_watch (h2o_req_t *req, net_gone_cb gone, void *arg);
+const char *net_status_reason (int status);
+
+el_str_t net_req_method (const h2o_req_t *req);
+el_str_t net_req_path (const h2o_req_t *req);
+int net_req_query (const h2o_req_t *req, el_str_t name, el_str_t *value);
+el_str_t net_req_header (const h2o_req_t *req, const char *name);
+el_str_t net_req_body (const h2o_req_t *req);
+void net_req_add_header (h2o_req_t *req, el_str_t name, el_str_t value);
+void net_req_reply (h2o_req_t *req, int status, el_str_t type, el_str_t body);
+
+/* Client. */
+
+typedef struct net_client net_client_t;
+typedef struct net_exchange net_exchange_t;
+
+/** How an exchange ended. */
+typedef enum net_outcome
+{
+  NET_OK,      /**< a whole answer came */
+  NET_CONNECT, /**< no connection: nothing has left */
+  NET_BROKEN,  /**< something may have left, no whole answer came */
+  NET_TIMEOUT, /**< as NET_BROKEN, after the time given */
+  NET_TOO_BIG  /**< the answer passes the bound */
+} net_outcome_t;
+
+typedef struct net_header
+{
+  el_str_t name;
+  el_str_t value;
+} net_header_t;
+
+/** The outcome; strings are valid during the callback only. */
+typedef struct net_result
+{
+  net_outcome_t net;
+  el_verdict_t verdict; /**< of the exchange alone */
+  int status;
+  const net_header_t *headers;
+  size_t nheaders;
+  el_str_t body;
+} net_result_t;
+
+typedef void (*net_result_cb) (void *arg, const net_result_t *result);
+typedef void (*net_head_cb) (void *arg, const net_result_t *head);
+typedef void (*net_piece_cb) (void *arg, el_str_t bytes);
+
+typedef struct net_send
+{
+  el_str_t address; /**< ip:port */
+  el_str_t host;    /**< the Host header; empty takes the address */
+  el_str_t method;
+  el_str_t path;
+  const net_header_t *headers;
+  size_t nheaders;
+  el_str_t body;
+  int fresh;          /**< use a connection of its own */
+  el_time_t max_idle; /**< take no connection that rested longer; 0 takes
+                           any */
+  el_time_t timeout;  /**< microseconds; 0 is none */
+  size_t max_answer;  /**< bytes of body; 0 takes the client's own bound */
+  net_head_cb head;   /**< called with status and headers; may be NULL */
+  net_piece_cb piece; /**< called with each piece of the body, which is then
+                           not collected; may be NULL */
+  net_result_cb done; /**< called once, unless cancelled, never before
+                          net_client_send has returned */
+  void (*drop) (void *arg); /**< called instead of done when the exchange is
+                                 cancelled; may be NULL */
+  void *arg;
+} net_send_t;
+
+/** What a client counts. */
+typedef struct net_client_counts
+{
+  uint64_t requests;
+  uint64_t opened;  /**< connections */
+  uint64_t surplus; /**< connections ended by bytes that belong to no request
+                     */
+} net_client_counts_t;
+
+net_client_t *net_client_new (net_clock_t *clock);
+net_exchange_t *net_client_send (net_client_t *client, const net_send_t *send);
+const net_client_counts_t *net_client_counts (const net_client_t *client);
+void net_client_cancel (net_exchange_t *exchange);
+el_str_t net_result_header (const net_result_t *result, const char *name);
+
+#endif
--- a/gate/rpc.c
+++ b/net/rpc.c
@@ -33,8 +33,8 @@
   uint32_t xid; /* key */
   uint32_t proc;
   rpc_conn_t *conn; /* NULL for a datagram */
-  gt_rpc_t *rpc;
-  gt_rpc_done_fn done;
+  net_rpc_t *rpc;
+  net_rpc_done_fn done;
   void *arg;
   el_timer_t timer;
   UT_hash_handle hh;
@@ -43,7 +43,7 @@
 struct rpc_conn
 {
   uv_tcp_t tcp;
-  gt_rpc_t *rpc;
+  net_rpc_t *rpc;
   unsigned refs;
   int server;
   int open;
@@ -57,18 +57,18 @@
   UT_hash_handle hh;
 };
 
-struct gt_rpc_req
+struct net_rpc_req
 {
-  gt_rpc_t *rpc;
+  net_rpc_t *rpc;
   rpc_conn_t *conn;        /* NULL for a datagram */
   struct sockaddr_in from; /* of a datagram */
   uint32_t xid;
   uint32_t proc;
 };
 
-struct gt_rpc
+struct net_rpc
 {
-  gt_rpc_options_t options;
+  net_rpc_options_t options;
   uv_tcp_t listener;
   uv_udp_t datagrams;
   char datagram[READ_CHUNK];
@@ -111,10 +111,10 @@
 }
 
 static void
-call_end (gt_rpc_t *rpc, rpc_call_t *call, int ok, int sent, el_str_t body)
+call_end (net_rpc_t *rpc, rpc_call_t *call, int ok, int sent, el_str_t body)
 {
   HASH_DEL (rpc->calls, call);
-  gt_clock_cancel (rpc->options.clock, &call->timer);
+  net_clock_cancel (rpc->options.clock, &call->timer);
   call->done (call->arg, ok, sent, body);
   free (call);
 }
@@ -123,7 +123,7 @@
 static void
 conn_close (rpc_conn_t *conn)
 {
-  gt_rpc_t *rpc = conn->rpc;
+  net_rpc_t *rpc = conn->rpc;
   int sent = conn->open;
   rpc_call_t *call;
   rpc_call_t *next;
@@ -142,7 +142,7 @@
 }
 
 static rpc_conn_t *
-conn_new (gt_rpc_t *rpc, int server)
+conn_new (net_rpc_t *rpc, int server)
 {
   rpc_conn_t *conn = el_alloc (sizeof *conn);
 
@@ -200,7 +200,7 @@
 /* Send what BUF holds; takes its memory over. A datagram that is lost on the
    way is noticed by whoever waits for its answer. */
 static void
-datagram_write (gt_rpc_t *rpc, const struct sockaddr_in *to, el_buf_t *buf)
+datagram_write (net_rpc_t *rpc, const struct sockaddr_in *to, el_buf_t *buf)
 {
   rpc_datagram_t *datagram = el_alloc (sizeof *datagram);
   uv_buf_t uv;
@@ -217,7 +217,7 @@
 
 /* A message is no message from a host of ours. */
 static void
-refuse (gt_rpc_t *rpc, rpc_conn_t *conn)
+refuse (net_rpc_t *rpc, rpc_conn_t *conn)
 {
   ++*rpc->options.refused;
   if (conn)
@@ -225,14 +225,14 @@
 }
 
 static void
-server_record (gt_rpc_t *rpc, rpc_conn_t *conn, const struct sockaddr_in *from,
-               XDR *xdr)
+server_record (net_rpc_t *rpc, rpc_conn_t *conn,
+               const struct sockaddr_in *from, XDR *xdr)
 {
   char cred[MAX_AUTH_BYTES];
   char verf[MAX_AUTH_BYTES];
   struct rpc_msg msg;
   peer_sealed sealed;
-  gt_rpc_req_t *req;
+  net_rpc_req_t *req;
   el_str_t body;
 
   memset (&msg, 0, sizeof msg);
@@ -264,7 +264,7 @@
 }
 
 static void
-client_record (gt_rpc_t *rpc, rpc_conn_t *conn, XDR *xdr)
+client_record (net_rpc_t *rpc, rpc_conn_t *conn, XDR *xdr)
 {
   char verf[MAX_AUTH_BYTES];
   struct rpc_msg msg;
@@ -365,7 +365,7 @@
 static void
 datagram_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
 {
-  gt_rpc_t *rpc = handle->data;
+  net_rpc_t *rpc = handle->data;
 
   (void)size;
   *buf = uv_buf_init (rpc->datagram, sizeof rpc->datagram);
@@ -376,7 +376,7 @@
 datagram_read (uv_udp_t *handle, ssize_t nread, const uv_buf_t *buf,
                const struct sockaddr *from, unsigned flags)
 {
-  gt_rpc_t *rpc = handle->data;
+  net_rpc_t *rpc = handle->data;
   uint32_t words[2];
   XDR xdr;
 
@@ -400,7 +400,7 @@
 static void
 server_accept (uv_stream_t *listener, int status)
 {
-  gt_rpc_t *rpc = listener->data;
+  net_rpc_t *rpc = listener->data;
   rpc_conn_t *conn;
 
   if (status)
@@ -418,14 +418,14 @@
 
 /** Listen for the other hosts; NULL, with the reason in ERR, when the address
     can't be had. */
-gt_rpc_t *
-gt_rpc_new (const gt_rpc_options_t *options, el_err_t *err)
+net_rpc_t *
+net_rpc_new (const net_rpc_options_t *options, el_err_t *err)
 {
-  gt_rpc_t *rpc;
+  net_rpc_t *rpc;
   struct sockaddr_in addr;
   int rc;
 
-  if (!gt_address_parse (options->listen, &addr))
+  if (!net_address_parse (options->listen, &addr))
     {
       el_err_set (err, EL_INVALID, "%.*s: takes ip:port",
                   (int)options->listen.len, options->listen.ptr);
@@ -473,7 +473,7 @@
 }
 
 static rpc_conn_t *
-client_conn (gt_rpc_t *rpc, el_str_t address)
+client_conn (net_rpc_t *rpc, el_str_t address)
 {
   struct sockaddr_in addr;
   uv_connect_t *req;
@@ -482,7 +482,7 @@
   HASH_FIND (hh, rpc->clients, address.ptr, (unsigned)address.len, conn);
   if (conn)
     return conn;
-  if (address.len >= ADDRESS_MAX || !gt_address_parse (address, &addr))
+  if (address.len >= ADDRESS_MAX || !net_address_parse (address, &addr))
     return NULL;
   conn = conn_new (rpc, 0);
   memcpy (conn->address, address.ptr, address.len);
@@ -514,7 +514,7 @@
 
 /* Begin a call: remember who waits, and write the message. */
 static void
-call_begin (gt_rpc_t *rpc, const rpc_call_t *like, el_str_t body,
+call_begin (net_rpc_t *rpc, const rpc_call_t *like, el_str_t body,
             el_time_t timeout, el_buf_t *record)
 {
   rpc_call_t *call = el_alloc (sizeof *call);
@@ -526,7 +526,7 @@
   call->timer.cb = call_timeout;
   call->timer.arg = call;
   HASH_ADD (hh, rpc->calls, xid, sizeof call->xid, call);
-  gt_clock_set (rpc->options.clock, &call->timer, timeout);
+  net_clock_set (rpc->options.clock, &call->timer, timeout);
   memset (&msg, 0, sizeof msg);
   msg.rm_xid = call->xid;
   msg.rm_direction = CALL;
@@ -541,8 +541,8 @@
 /** Call procedure PROC at ADDRESS; DONE is called once, at the latest after
     TIMEOUT microseconds. */
 void
-gt_rpc_call (gt_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
-             el_time_t timeout, gt_rpc_done_fn done, void *arg)
+net_rpc_call (net_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
+              el_time_t timeout, net_rpc_done_fn done, void *arg)
 {
   rpc_conn_t *conn = rpc->stopped ? NULL : client_conn (rpc, address);
   rpc_call_t like = { .proc = proc, .conn = conn, .done = done, .arg = arg };
@@ -563,16 +563,16 @@
     }
 }
 
-/** As gt_rpc_call, in a datagram: for what is small and may be lost. */
+/** As net_rpc_call, in a datagram: for what is small and may be lost. */
 void
-gt_rpc_send (gt_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
-             el_time_t timeout, gt_rpc_done_fn done, void *arg)
+net_rpc_send (net_rpc_t *rpc, el_str_t address, uint32_t proc, el_str_t body,
+              el_time_t timeout, net_rpc_done_fn done, void *arg)
 {
   rpc_call_t like = { .proc = proc, .done = done, .arg = arg };
   el_buf_t record = { NULL, 0, 0 };
   struct sockaddr_in to;
 
-  if (rpc->stopped || !gt_address_parse (address, &to))
+  if (rpc->stopped || !net_address_parse (address, &to))
     {
       done (arg, 0, 0, (el_str_t){ NULL, 0 });
       return;
@@ -583,9 +583,9 @@
 
 /** Answer a call that was served, and forget it. */
 void
-gt_rpc_reply (gt_rpc_req_t *req, el_str_t body)
+net_rpc_reply (net_rpc_req_t *req, el_str_t body)
 {
-  gt_rpc_t *rpc = req->rpc;
+  net_rpc_t *rpc = req->rpc;
   rpc_conn_t *conn = req->conn;
   el_buf_t record = { NULL, 0, 0 };
   struct rpc_msg msg;
@@ -612,7 +612,7 @@
 
 /** Close all connections; calls that are out end without an answer. */
 void
-gt_rpc_stop (gt_rpc_t *rpc)
+net_rpc_stop (net_rpc_t *rpc)
 {
   if (rpc->stopped)
     return;
--- /dev/null
+++ b/route/fleet.c
@@ -0,0 +1,268 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The endpoints of relayed requests, as far as one host knows them, and the
+ * choice among those of a plain service.
+ */
+#include <string.h>
+
+#include "relay.h"
+
+/* An endpoint that fails is set aside, longer with each failure in a row. */
+#define AVOID_FIRST (200 * EL_MSEC)
+#define AVOID_DOUBLINGS 4
+/* Failures in a row before an endpoint is set aside: one alone is chance. */
+#define AVOID_AFTER 2
+/* An engine that holds streams up is left for this long: it is dead or cut
+   off, and its entry ends after some seconds. */
+#define STALLED_AVOID (3 * EL_SEC)
+/* Weight of the newest answer in the moving mean of times. */
+#define MEAN_WEIGHT 0.2
+/* An endpoint of another hall counts as this much busier. */
+#define FAR_COST 0.25
+
+struct rt_fleet
+{
+  rt_target_t *by_id;
+  uint64_t random;
+};
+
+rt_fleet_t *
+rt_fleet_new (uint64_t seed)
+{
+  rt_fleet_t *fleet = el_alloc (sizeof *fleet);
+
+  fleet->random = seed | 1;
+  return fleet;
+}
+
+void
+rt_fleet_free (rt_fleet_t *fleet)
+{
+  rt_target_t *target;
+  rt_target_t *next;
+
+  HASH_ITER (hh, fleet->by_id, target, next)
+  {
+    HASH_DEL (fleet->by_id, target);
+    rt_target_unref (target);
+  }
+  free (fleet);
+}
+
+static uint64_t
+fleet_random (rt_fleet_t *fleet)
+{
+  /* xorshift64: the choice only has to differ between hosts. */
+  fleet->random ^= fleet->random << 13;
+  fleet->random ^= fleet->random >> 7;
+  fleet->random ^= fleet->random << 17;
+  return fleet->random;
+}
+
+rt_target_t *
+rt_target_ref (rt_target_t *target)
+{
+  target->refs++;
+  return target;
+}
+
+static void
+facts_free (rt_facts_t *facts)
+{
+  el_str_free (&facts->id);
+  el_str_free (&facts->service);
+  el_str_free (&facts->address);
+  el_str_free (&facts->hall);
+  el_str_free (&facts->card);
+}
+
+static void
+facts_copy (rt_facts_t *to, const rt_facts_t *from)
+{
+  *to = *from;
+  to->id = el_str_dup (from->id);
+  to->service = el_str_dup (from->service);
+  to->address = el_str_dup (from->address);
+  to->hall = el_str_dup (from->hall);
+  to->card = el_str_dup (from->card);
+}
+
+void
+rt_target_unref (rt_target_t *target)
+{
+  if (!target || --target->refs)
+    return;
+  facts_free (&target->facts);
+  free (target);
+}
+
+/** Take in what is told of an endpoint, new or known. One that said it leaves
+    does not come back under the same id. */
+rt_target_t *
+rt_fleet_set (rt_fleet_t *fleet, const rt_facts_t *facts)
+{
+  rt_target_t *target = rt_fleet_find (fleet, facts->id);
+
+  if (!target)
+    {
+      target = el_alloc (sizeof *target);
+      target->refs = 1;
+      facts_copy (&target->facts, facts);
+      HASH_ADD_KEYPTR (hh, fleet->by_id, target->facts.id.ptr,
+                       (unsigned)target->facts.id.len, target);
+      return target;
+    }
+  target->facts.slots = facts->slots;
+  target->facts.leaving |= facts->leaving;
+  target->facts.first = facts->first;
+  target->facts.end = facts->end;
+  return target;
+}
+
+/** The endpoint is no longer listed: it gets nothing new. */
+void
+rt_fleet_remove (rt_fleet_t *fleet, el_str_t id)
+{
+  rt_target_t *target = rt_fleet_find (fleet, id);
+
+  if (!target)
+    return;
+  target->gone = 1;
+  HASH_DEL (fleet->by_id, target);
+  rt_target_unref (target);
+}
+
+rt_target_t *
+rt_fleet_find (const rt_fleet_t *fleet, el_str_t id)
+{
+  rt_target_t *target = NULL;
+
+  if (id.len)
+    HASH_FIND (hh, fleet->by_id, id.ptr, (unsigned)id.len, target);
+  return target;
+}
+
+/** The first endpoint; the others follow by hh.next. */
+rt_target_t *
+rt_fleet_first (const rt_fleet_t *fleet)
+{
+  return fleet->by_id;
+}
+
+size_t
+rt_fleet_count (const rt_fleet_t *fleet)
+{
+  return HASH_COUNT (fleet->by_id);
+}
+
+/** Whether new work may go there now. */
+int
+rt_target_usable (const rt_target_t *target, el_time_t now)
+{
+  return !target->gone && !target->facts.leaving && now >= target->avoid_until;
+}
+
+/** An exchange with it failed. */
+void
+rt_target_failed (rt_target_t *target, el_time_t now)
+{
+  unsigned over;
+
+  target->failures++;
+  if (target->failures < AVOID_AFTER)
+    return;
+  over = target->failures - AVOID_AFTER;
+  if (over > AVOID_DOUBLINGS)
+    over = AVOID_DOUBLINGS;
+  target->avoid_until = now + (AVOID_FIRST << over);
+}
+
+/** Streams stand still because of it. */
+void
+rt_target_stalled (rt_target_t *target, el_time_t now)
+{
+  target->avoid_until = now + STALLED_AVOID;
+}
+
+/** It answered after TOOK. */
+void
+rt_target_served (rt_target_t *target, el_time_t took)
+{
+  double ms = (double)took / (double)EL_MSEC;
+
+  target->failures = 0;
+  target->avoid_until = 0;
+  if (target->usual_ms > 0)
+    target->usual_ms += MEAN_WEIGHT * (ms - target->usual_ms);
+  else
+    target->usual_ms = ms;
+}
+
+/** Leave TARGET out of further choices. */
+void
+rt_tried_add (rt_tried_t *tried, const rt_target_t *target)
+{
+  if (tried->n < RT_TRIED_MAX)
+    tried->list[tried->n++] = target;
+}
+
+int
+rt_tried_has (const rt_tried_t *tried, const rt_target_t *target)
+{
+  size_t i;
+
+  for (i = 0; i < tried->n; i++)
+    if (tried->list[i] == target)
+      return 1;
+  return 0;
+}
+
+/* How much a request would wait there: what runs against the slots, by how
+   slow it is, with a little chance so that hosts do not agree. */
+static double
+pick_cost (rt_fleet_t *fleet, const rt_target_t *target, el_str_t hall)
+{
+  double slots = target->facts.slots ? (double)target->facts.slots : 1;
+  double chance = (double)(fleet_random (fleet) % 1000) / 1000;
+  double load = (double)(target->running + 1) / slots;
+  double slow = target->usual_ms > 0 ? target->usual_ms : 1;
+  double cost = load * slow * (1 + chance / 4);
+
+  if (!el_str_eq (target->facts.hall, hall))
+    cost *= 1 + FAR_COST;
+  return cost;
+}
+
+/** An endpoint of SERVICE for a request from HALL; NULL when none may be
+    used. When all are set aside, one of them is tried all the same. */
+rt_target_t *
+rt_fleet_pick (rt_fleet_t *fleet, el_time_t now, el_str_t service,
+               el_str_t hall, const rt_tried_t *tried)
+{
+  rt_target_t *best = NULL;
+  rt_target_t *target;
+  rt_target_t *next;
+  double least = 0;
+  int aside = 1;
+
+  HASH_ITER (hh, fleet->by_id, target, next)
+  {
+    int set_aside = now < target->avoid_until;
+    double cost;
+
+    if (target->gone || target->facts.leaving || set_aside > aside
+        || !el_str_eq (target->facts.service, service)
+        || rt_tried_has (tried, target))
+      continue;
+    cost = pick_cost (fleet, target, hall);
+    if (best && set_aside == aside && cost >= least)
+      continue;
+    best = target;
+    least = cost;
+    aside = set_aside;
+  }
+  return best;
+}
--- /dev/null
+++ b/route/layout.c
@@ -0,0 +1,197 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Where layers are placed: each empty engine takes the range that its hall
+ * needs most. Engines that hold layers stay as they are.
+ */
+#include <string.h>
+
+#include "relay.h"
+
+#define LAYERS_MAX 256
+/* Usual requests that an engine's memory beside the layers should hold. */
+#define REQUESTS_BESIDE 54
+
+/** The card of that name; NULL when the model does not list it. */
+const rt_card_t *
+rt_model_card (const rt_model_t *model, el_str_t name)
+{
+  size_t i;
+
+  for (i = 0; i < model->ncards; i++)
+    if (el_str_eq (model->cards[i].name, name))
+      return &model->cards[i];
+  return NULL;
+}
+
+/* The most layers of an engine that leave room for requests; at least one
+   when one fits at all. */
+static unsigned
+card_layers (const rt_model_t *model, const rt_card_t *card)
+{
+  double room = REQUESTS_BESIDE * model->usual_tokens * model->token_kv_mb
+                / (double)model->layers;
+  unsigned n = 0;
+
+  while (n < model->layers
+         && (n + 1) * (model->layer_mb + room) <= card->memory_mb)
+    n++;
+  if (n == 0 && model->layer_mb < card->memory_mb)
+    n = 1;
+  return n;
+}
+
+typedef struct layout
+{
+  const rt_service_t *service;
+  rt_fleet_t *fleet;
+  const rt_order_t *pending;
+  size_t npending;
+  rt_order_t *out;
+  size_t n;
+} layout_t;
+
+static const rt_order_t *
+order_for (const rt_order_t *orders, size_t n, const rt_target_t *target)
+{
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    if (orders[i].target == target)
+      return &orders[i];
+  return NULL;
+}
+
+static void
+cover_add (unsigned *cover, unsigned first, unsigned end)
+{
+  for (; first < end; first++)
+    cover[first]++;
+}
+
+/* How many engines of a hall, or of all when HALL is empty, hold or will hold
+   each layer. */
+static void
+layout_cover (const layout_t *layout, el_str_t hall, unsigned *cover)
+{
+  rt_target_t *target;
+  const rt_order_t *order;
+
+  memset (cover, 0, LAYERS_MAX * sizeof *cover);
+  for (target = rt_fleet_first (layout->fleet); target;
+       target = target->hh.next)
+    {
+      const rt_facts_t *facts = &target->facts;
+
+      if (!el_str_eq (facts->service, layout->service->name) || facts->leaving
+          || (hall.len && !el_str_eq (facts->hall, hall)))
+        continue;
+      order = order_for (layout->pending, layout->npending, target);
+      if (!order)
+        order = order_for (layout->out, layout->n, target);
+      if (order)
+        cover_add (cover, order->first, order->end);
+      else if (facts->end <= layout->service->model.layers)
+        cover_add (cover, facts->first, facts->end);
+    }
+}
+
+static int
+layout_empty (const layout_t *layout, const rt_target_t *target)
+{
+  return el_str_eq (target->facts.service, layout->service->name)
+         && !target->facts.leaving && !target->gone
+         && target->facts.end == target->facts.first
+         && !order_for (layout->pending, layout->npending, target)
+         && !order_for (layout->out, layout->n, target);
+}
+
+/* The empty engine that holds the most: large ranges are laid first, small
+   ones fill in. */
+static rt_target_t *
+layout_largest (const layout_t *layout, unsigned *layers)
+{
+  const rt_model_t *model = &layout->service->model;
+  rt_target_t *best = NULL;
+  rt_target_t *target;
+
+  *layers = 0;
+  for (target = rt_fleet_first (layout->fleet); target;
+       target = target->hh.next)
+    {
+      const rt_card_t *card = rt_model_card (model, target->facts.card);
+      unsigned n = card ? card_layers (model, card) : 0;
+
+      if (n > *layers && layout_empty (layout, target))
+        {
+          best = target;
+          *layers = n;
+        }
+    }
+  return best;
+}
+
+/* Layers that the engines of a hall can hold together. */
+static unsigned
+hall_layers (const layout_t *layout, el_str_t hall)
+{
+  const rt_model_t *model = &layout->service->model;
+  rt_target_t *target;
+  unsigned n = 0;
+
+  for (target = rt_fleet_first (layout->fleet); target;
+       target = target->hh.next)
+    {
+      const rt_card_t *card = rt_model_card (model, target->facts.card);
+
+      if (card && !target->facts.leaving
+          && el_str_eq (target->facts.service, layout->service->name)
+          && el_str_eq (target->facts.hall, hall))
+        n += card_layers (model, card);
+    }
+  return n;
+}
+
+/* Where a range of N layers begins: at the first of the layers that the
+   fewest hold. */
+static unsigned
+layout_begin (const unsigned *cover, unsigned layers, unsigned n)
+{
+  unsigned best = 0;
+  unsigned i;
+
+  for (i = 1; i < layers; i++)
+    if (cover[i] < cover[best])
+      best = i;
+  return best + n > layers ? layers - n : best;
+}
+
+/** Fill OUT with orders for engines that hold nothing yet; PENDING are orders
+    given whose outcome is not seen. Gives their number. */
+size_t
+rt_layout_next (rt_fleet_t *fleet, const rt_service_t *service,
+                const rt_order_t *pending, size_t npending, rt_order_t *out,
+                size_t most)
+{
+  layout_t layout = { service, fleet, pending, npending, out, 0 };
+  unsigned cover[LAYERS_MAX];
+  rt_target_t *target;
+  el_str_t hall;
+  unsigned n;
+  unsigned begin;
+
+  if (service->model.layers == 0 || service->model.layers > LAYERS_MAX)
+    return 0;
+  while (layout.n < most && (target = layout_largest (&layout, &n)))
+    {
+      hall = target->facts.hall;
+      if (hall_layers (&layout, hall) < service->model.layers)
+        hall = (el_str_t){ NULL, 0 };
+      layout_cover (&layout, hall, cover);
+      begin = layout_begin (cover, service->model.layers, n);
+      out[layout.n++] = (rt_order_t){ target, begin, begin + n };
+    }
+  return layout.n;
+}
