A reset told from the end of an answer without length

Ruled out: the chunk reader, the bound on plain answers; raw bytes logged in a trial show the data, then EOF 0.1 ms later.

Change: at such an end the socket is asked once more; only a true end counts.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -461,6 +461,19 @@
     exchange_fail (conn->exchange, NET_BROKEN);
 }
 
+/* libuv reports an end where data and a reset arrive together: it does not
+   read the error then. An answer without length that was reset is not whole.
+ */
+static int
+conn_ended_well (client_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  return uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void
 on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
@@ -486,7 +499,7 @@
     }
   if (n > 0)
     conn_parse (conn, buf->base, (size_t)n);
-  else if (n == UV_EOF && conn->exchange->begun)
+  else if (n == UV_EOF && conn->exchange->begun && conn_ended_well (conn))
     {
       /* The end of the connection may be the end of the answer. */
       conn->keep = 0;
