Silent engines found by asking them; keys that vanish unseen are gone

Readings are numbered now. - "No endpoint" for streams: engines set aside left no line. A line is searched once more among them; a refusal for want of room is no failure. - Streams through a dead engine waited for its report (some 400 ms).

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -22,6 +22,8 @@
 /* A host that has not heard of the store for this long is not ready: callers
    are better served elsewhere. */
 #define STALE_NOT_READY (3 * EL_SEC)
+/* Endpoints change together: at the start, when many are replaced. */
+#define ENDPOINTS_GATHER (150 * EL_MSEC)
 #define STOP_LOOK_EVERY (50 * EL_MSEC)
 /* Margin of a lease for clocks that run at different speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
@@ -153,6 +155,14 @@
   return gt_gate_hosts (site->gate);
 }
 
+static size_t
+site_hall_hosts (void *arg)
+{
+  site_t *site = arg;
+
+  return gt_gate_hall_hosts (site->gate);
+}
+
 static int
 site_preferred (void *arg)
 {
@@ -174,6 +184,7 @@
   gt_follow_options_t endpoints = { .store = &site->store,
                                     .prefix = PF_ENDPOINTS_PREFIX,
                                     .wait_ms = ENDPOINTS_WAIT_MS,
+                                    .gather = ENDPOINTS_GATHER,
                                     .item = endpoints_item,
                                     .known = endpoints_known,
                                     .arg = site };
@@ -223,6 +234,7 @@
                                 .keys_limit = o->keys_limit,
                                 .seed = o->seed,
                                 .hosts = site_hosts,
+                                .hall_hosts = site_hall_hosts,
                                 .arg = site };
 
   return gt_relays_new (&relays, err);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -397,6 +397,13 @@
   return gt_peers_live (gate->peers);
 }
 
+/** Those of this host's hall. */
+size_t
+gt_gate_hall_hosts (const gt_gate_t *gate)
+{
+  return gt_peers_hall_live (gate->peers);
+}
+
 /** Whether this host comes first among the live ones that stay: all that see
     the same members prefer the same one. */
 int
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -25,6 +25,8 @@
   const char *not_run;  /**< on an answer: the request did not run */
   const char *seal;     /**< on an answer: the endpoint vouches for it */
   const char *resume;   /**< the last event that the caller has */
+  const char *tokens;   /**< of the prompt, and most of the answer */
+  const char *guess;    /**< the caller's guess of the answer's tokens */
   const char *line;     /**< the engines that a request passes */
   const char *at_fault; /**< on a refusal: the address of the engine that
                              refused */
@@ -32,6 +34,8 @@
 
 /** What came of asking an engine where a stream stands still. */
 typedef void (*gt_stalled_cb) (void *arg, int answered, el_str_t address);
+/** Whether an engine answered. */
+typedef void (*gt_check_cb) (void *arg, int answered);
 /** What came of moving a stream to another line. */
 typedef void (*gt_reroute_cb) (void *arg, int done);
 
@@ -45,6 +49,9 @@
   net_exchange_t *(*ask_stalled) (net_client_t *client,
                                   const rt_target_t *first, el_str_t id,
                                   gt_stalled_cb done, void *arg);
+  /** Ask an engine for a sign of life; DONE is called within LIMIT. */
+  net_exchange_t *(*check) (net_client_t *client, const rt_target_t *engine,
+                            el_time_t limit, gt_check_cb done, void *arg);
   /** Have the first engine pass the stream ID on over another line. */
   net_exchange_t *(*reroute) (net_client_t *client, el_str_t id,
                               const rt_line_t *line, gt_reroute_cb done,
@@ -67,6 +74,8 @@
   uint64_t repeats;  /**< attempts after a request's first */
   uint64_t resumed;  /**< streams that went on at another line */
   uint64_t rerouted; /**< streams moved within their line */
+  uint64_t checks;   /**< engines asked for a sign of life */
+  uint64_t silent;   /**< of these, those that gave none */
   uint64_t crossed;  /**< answers to another request */
   uint64_t spent;    /**< repeats not made: the budget is spent */
   uint64_t events;
@@ -93,6 +102,8 @@
   uint64_t seed;
   /** Live hosts, this one included. */
   size_t (*hosts) (void *arg);
+  /** Those of this host's hall. */
+  size_t (*hall_hosts) (void *arg);
   void *arg;
 } gt_relay_options_t;
 
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -321,6 +321,7 @@
 json_t *gt_peers_dump (const gt_peers_t *peers);
 void gt_peers_entries (const gt_peers_t *peers, json_t *hosts, size_t most,
                        uint64_t spread);
+size_t gt_peers_hall_live (const gt_peers_t *peers);
 int gt_peers_preferred (const gt_peers_t *peers);
 void gt_peers_addresses (const gt_peers_t *peers, el_str_t hall, json_t *list);
 size_t gt_peers_live (const gt_peers_t *peers);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -26,6 +26,7 @@
   el_time_t known; /* the rules were in force at this time */
   relay_spend_t *spends;
   gt_relay_t *running;
+  struct relay_check *checks;
   size_t nrunning;
   gt_relay_counts_t counts;
   uint64_t random;
@@ -63,9 +64,10 @@
   el_time_t sent;
   rt_course_t course;
   rt_tried_t tried;
-  int refused; /* its answer says that it did not run */
-  int crossed; /* its answer is to another request */
-  int stream;  /* its answer is a stream that is passed on */
+  int refused;   /* its answer says that it did not run */
+  int crossed;   /* its answer is to another request */
+  int stream;    /* its answer is a stream that is passed on */
+  double tokens; /* that the stream will have, as far as can be guessed */
 
   /* the answer as far as it went to the caller */
   int begun;
@@ -84,7 +86,7 @@
   el_timer_t watch;
   net_exchange_t *ask;
   unsigned looks;
-  el_time_t looked; /* when the first of them began */
+  unsigned moves; /* tried since the last event */
   rt_line_t next_line;
 
   gt_relay_t *prev;
@@ -99,11 +101,16 @@
 /* relay_try.c */
 void relay_try (gt_relay_t *relay);
 void relay_drop (gt_relay_t *relay);
+void relay_abandon (gt_relay_t *relay);
 
 /* relay_watch.c */
 void relay_watch_begin (gt_relay_t *relay);
 void relay_watch_event (gt_relay_t *relay, el_time_t gap);
 void relay_watch_end (gt_relay_t *relay);
+void relay_watch_silent (gt_relay_t *relay, rt_target_t *engine);
+
+/* relay_check.c */
+void relay_check (gt_relays_t *relays, rt_target_t *engine);
 
 /* relay_answer.c */
 void relay_answer_refuse (gt_relay_t *relay, int status, const char *reason,
--- a/gate/peer.c
+++ b/gate/peer.c
@@ -305,6 +305,31 @@
   return prefer.first;
 }
 
+typedef struct hall_arg
+{
+  el_str_t hall;
+  size_t n;
+} hall_arg_t;
+
+static void
+hall_visit (void *arg, const co_member_t *member)
+{
+  hall_arg_t *hall = arg;
+
+  hall->n
+      += member->state == CO_MBR_ALIVE && el_str_eq (member->hall, hall->hall);
+}
+
+/** Live hosts of this host's hall, this one included. */
+size_t
+gt_peers_hall_live (const gt_peers_t *peers)
+{
+  hall_arg_t hall = { peers->gate->options.hall, 0 };
+
+  co_members_visit (peers->members, hall_visit, &hall);
+  return hall.n;
+}
+
 /* Hosts of a caller's own hall are told alone when there are this many: one
    alone would have callers wait for the next look-up if it dies. */
 #define OWN_HALL_ENOUGH 2
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -212,6 +212,26 @@
   net_clock_set (relay->relays->options.clock, &relay->over, limit);
 }
 
+/* The tokens that a stream will have: its prompt, and what the caller guesses
+   or half of the most that it allows. */
+static double
+relay_tokens (const gt_relay_t *relay)
+{
+  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
+  el_str_t rest = net_req_header (relay->req, names->tokens);
+  uint64_t prompt = 0;
+  uint64_t answer = 0;
+  uint64_t guess;
+
+  if (!el_str_to_u64 (el_str_cut (&rest, ','), &prompt))
+    return relay->service->model.usual_tokens;
+  if (el_str_to_u64 (net_req_header (relay->req, names->guess), &guess))
+    answer = guess;
+  else if (el_str_to_u64 (rest, &answer))
+    answer /= 2;
+  return (double)(prompt + answer);
+}
+
 static rt_spend_t *
 relay_spend (gt_relays_t *relays, el_str_t service)
 {
@@ -270,6 +290,7 @@
       relay_answer_refuse (relay, 503, "no service", STARTING_RETRY);
       return;
     }
+  relay->tokens = relay_tokens (relay);
   rt_spend_asked (relay_spend (relays, service), relay->received);
   relay_limit (relay);
   relay_try (relay);
--- a/gate/relay_answer.c
+++ b/gate/relay_answer.c
@@ -80,7 +80,11 @@
   if (relay->sending)
     return;
   if (relay->break_off)
-    state = H2O_SEND_STATE_ERROR;
+    {
+      /* h2o ends a broken answer with a chunk that can't be read. */
+      net_req_cut (relay->req);
+      state = H2O_SEND_STATE_ERROR;
+    }
   else if (relay->finish)
     state = H2O_SEND_STATE_FINAL;
   else if (relay->out.len == 0)
@@ -129,10 +133,10 @@
 void
 relay_answer_break (gt_relay_t *relay, const char *reason)
 {
-  relay->req->http1_is_persistent = 0;
   if (!relay->begun)
     {
       relay_finished (relay);
+      relay->req->http1_is_persistent = 0;
       net_req_reply (relay->req, 502, EL_STR ("text/plain"),
                      EL_STR ("broken off"));
       return;
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -71,11 +71,12 @@
   gt_relays_t *relays = relay->relays;
   const gt_relay_options_t *o = &relays->options;
 
+  rt_fleet_share (o->fleet, o->hall_hosts (o->arg));
   if (!is_line (relay))
     relay->target = rt_fleet_pick (o->fleet, now, relay->service->name,
                                    o->hall, &relay->tried);
-  else if (rt_line_pick (o->fleet, now, relay->service, o->hall, &relay->tried,
-                         &relay->line))
+  else if (rt_line_pick (o->fleet, now, relay->service, o->hall, relay->tokens,
+                         &relay->tried, &relay->line))
     {
       rt_line_hold (&relay->line);
       relay->target = relay->line.part[0].target;
@@ -274,8 +275,14 @@
   try_judge (relay, result, &attempt);
   if (attempt.answered && !attempt.failed)
     rt_target_served (relay->target, now - relay->sent);
+  else if (attempt.verdict == EL_NOT_RUN && result->status == 421)
+    rt_target_changed (fault, now);
+  else if (attempt.verdict == EL_NOT_RUN && result->net == NET_OK)
+    rt_target_busy (fault, now);
   else
     rt_target_failed (fault, now);
+  if (relay->line.n && !attempt.answered)
+    relay_check (relay->relays, fault);
   rt_tried_add (&relay->tried, fault);
   if (relay->begun && !relay->stream)
     attempt.answered = 0; /* its failure can't follow a stream's head */
@@ -292,6 +299,9 @@
 try_log (gt_relay_t *relay, const rt_attempt_t *attempt,
          const net_result_t *result, rt_next_t next)
 {
+  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+  el_buf_t line = { NULL, 0, 0 };
+
   static const char *const nexts[] = { [RT_NEXT_PASS] = "pass",
                                        [RT_NEXT_AGAIN] = "again",
                                        [RT_NEXT_REFUSE] = "refuse",
@@ -302,13 +312,17 @@
                                       [NET_TIMEOUT] = "timeout",
                                       [NET_TOO_BIG] = "too big" };
 
+  dialect->write_line (&relay->line, &line);
   EL_LOG (EL_LOG_INFO, "attempt_failed", EL_FS ("request", relay->id),
           EL_FS ("endpoint", relay->target->facts.id),
           EL_FC ("net", nets[result->net]), EL_FN ("status", result->status),
           EL_FC ("verdict", el_verdict_name (attempt->verdict)),
           EL_FN ("crossed", relay->crossed),
           EL_FN ("attempt", relay->course.sent),
-          EL_FN ("events", relay->nevents), EL_FC ("next", nexts[next]));
+          EL_FN ("events", relay->nevents), EL_FC ("next", nexts[next]),
+          EL_FS ("fault", net_result_header (result, dialect->names.at_fault)),
+          EL_FS ("line", el_buf_str (&line)));
+  el_buf_free (&line);
 }
 
 /* Decide what follows an attempt that was not simply passed on. */
@@ -361,6 +375,20 @@
     }
 }
 
+/** End the attempt under way as one that may have run, and go on. */
+void
+relay_abandon (gt_relay_t *relay)
+{
+  const rt_attempt_t attempt = { .verdict = EL_MAY_HAVE_RUN };
+  const net_result_t result = { .net = NET_BROKEN };
+
+  relay_watch_end (relay);
+  net_client_cancel (relay->exchange);
+  relay->exchange = NULL;
+  rt_tried_add (&relay->tried, relay->target);
+  try_after (relay, &attempt, &result);
+}
+
 static void
 try_send (gt_relay_t *relay, el_time_t now)
 {
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -4,19 +4,26 @@
  */
 /** @file
  * Streams that stand still: found by the time since their last event, and
- * moved around the engine that holds them up.
+ * moved around the engine that holds them up. First the engines of the line
+ * are asked for a sign of life; when all live, the first one is asked where
+ * the stream waits.
  */
 #include <string.h>
 
 #include "librelay.h"
 
-/* A stream without an event for this long stands still: pauses are some tens
-   of milliseconds, and the prompt is read within the first. */
-#define STILL_AFTER (250 * EL_MSEC)
-#define STILL_FIRST (450 * EL_MSEC)
-/* Asked again after this; the engine's report is some hundred ms old. */
-#define LOOK_AGAIN (150 * EL_MSEC)
-#define LOOKS_MAX 12
+/* A stream without an event for this long stands still: events come every
+   25 ms or so, and pauses of 200 ms already count as late. */
+#define STILL_AFTER (90 * EL_MSEC)
+/* Before the first event a prompt is read, some 50 to 150 ms. */
+#define STILL_FIRST (220 * EL_MSEC)
+#define LOOK_AGAIN (100 * EL_MSEC)
+/* Looks before the engine is asked where the stream waits: its report is some
+   hundred milliseconds old. */
+#define LOOKS_ASK 4
+#define LOOKS_MAX 30
+/* Moves that fail before the stream is begun anew at another line. */
+#define MOVES_MAX 2
 
 static void watch_look (void *arg, el_time_t now);
 
@@ -27,10 +34,10 @@
   relay->watch.cb = watch_look;
   relay->watch.arg = relay;
   relay->looks = 0;
+  relay->moves = 0;
   relay->last_event = relay->sent;
-  if (relay->relays->options.dialect->ask_stalled)
-    net_clock_set (relay->relays->options.clock, &relay->watch,
-                   relay->nevents ? STILL_AFTER : STILL_FIRST);
+  if (relay->relays->options.dialect->check)
+    net_clock_set (relay->relays->options.clock, &relay->watch, STILL_FIRST);
 }
 
 /** An event came after GAP. */
@@ -39,11 +46,7 @@
 {
   (void)gap;
   relay->looks = 0;
-  if (relay->ask)
-    {
-      net_client_cancel (relay->ask);
-      relay->ask = NULL;
-    }
+  relay->moves = 0;
 }
 
 /** No longer look after the stream. */
@@ -77,6 +80,7 @@
 watch_moved (void *arg, int done)
 {
   gt_relay_t *relay = arg;
+  rt_line_t old = relay->line;
 
   relay->ask = NULL;
   EL_LOG (EL_LOG_INFO, done ? "stream_moved" : "stream_not_moved",
@@ -85,21 +89,26 @@
   if (done)
     {
       relay->relays->counts.rerouted++;
-      rt_line_hold (&relay->next_line);
-      rt_line_release (&relay->line);
       relay->line = relay->next_line;
+      rt_line_hold (&relay->line);
+      rt_line_release (&old);
+    }
+  else if (++relay->moves >= MOVES_MAX)
+    {
+      relay_abandon (relay);
+      return;
     }
   watch_again (relay, LOOK_AGAIN);
 }
 
-/* Move the stream around the engine at ADDRESS. */
+/* Move the stream around ENGINE. */
 static void
 watch_move (gt_relay_t *relay, rt_target_t *engine)
 {
   gt_relays_t *relays = relay->relays;
   const gt_relay_options_t *o = &relays->options;
   el_time_t now = net_clock_now (o->clock);
-  rt_tried_t tried = relay->tried;
+  rt_tried_t tried = { .n = 0 };
 
   rt_tried_add (&tried, engine);
   if (rt_line_around (o->fleet, now, relay->service, &relay->line, &tried,
@@ -108,31 +117,45 @@
                                       watch_moved, relay);
   else
     {
-      EL_LOG (EL_LOG_INFO, "stream_stays", EL_FS ("request", relay->id),
+      EL_LOG (EL_LOG_INFO, "stream_begun_anew", EL_FS ("request", relay->id),
+              EL_FS ("engine", engine->facts.id),
+              EL_FN ("events", relay->nevents),
               EL_FC ("reason", "no line around the engine"));
-      watch_again (relay, LOOK_AGAIN);
+      relay_abandon (relay);
     }
 }
 
+/** ENGINE, on the stream's line, gives no sign of life. */
+void
+relay_watch_silent (gt_relay_t *relay, rt_target_t *engine)
+{
+  EL_LOG (EL_LOG_INFO, "stream_through_silent_engine",
+          EL_FS ("request", relay->id), EL_FS ("engine", engine->facts.id),
+          EL_FN ("events", relay->nevents),
+          EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
+                                 - relay->last_event));
+  if (relay->ask)
+    net_client_cancel (relay->ask);
+  relay->ask = NULL;
+  watch_move (relay, engine);
+}
+
 static void
 watch_told (void *arg, int answered, el_str_t address)
 {
   gt_relay_t *relay = arg;
-  const gt_relay_options_t *o = &relay->relays->options;
   rt_target_t *engine = line_engine (&relay->line, address);
 
   relay->ask = NULL;
   EL_LOG (EL_LOG_INFO, "stream_stands_still", EL_FS ("request", relay->id),
           EL_FN ("answered", answered), EL_FS ("engine", address),
           EL_FN ("looks", relay->looks), EL_FN ("events", relay->nevents),
-          EL_FN ("still_us", net_clock_now (o->clock) - relay->last_event));
-  if (!engine)
-    {
-      watch_again (relay, LOOK_AGAIN);
-      return;
-    }
-  rt_target_stalled (engine, net_clock_now (o->clock));
-  watch_move (relay, engine);
+          EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
+                                 - relay->last_event));
+  if (engine)
+    watch_move (relay, engine);
+  else
+    watch_again (relay, LOOK_AGAIN);
 }
 
 /* Time passed; look whether the stream moves. */
@@ -143,14 +166,22 @@
   const gt_relay_options_t *o = &relay->relays->options;
   el_time_t limit = relay->nevents ? STILL_AFTER : STILL_FIRST;
   el_time_t still = now - relay->last_event;
+  size_t i;
 
   if (still < limit)
     {
       watch_again (relay, limit - still);
       return;
     }
-  if (relay->looks++ >= LOOKS_MAX)
+  if (relay->ask || relay->looks++ >= LOOKS_MAX)
     return;
-  relay->ask = o->dialect->ask_stalled (o->client, relay->target, relay->id,
-                                        watch_told, relay);
+  if (relay->looks % LOOKS_ASK == 0)
+    {
+      relay->ask = o->dialect->ask_stalled (o->client, relay->target,
+                                            relay->id, watch_told, relay);
+      return;
+    }
+  for (i = 0; i < relay->line.n; i++)
+    relay_check (relay->relays, relay->line.part[i].target);
+  watch_again (relay, LOOK_AGAIN);
 }
--- a/gate/store.h
+++ b/gate/store.h
@@ -92,6 +92,8 @@
   gt_store_t *store;
   el_str_t prefix;
   uint64_t wait_ms; /**< longest wait of one watch */
+  el_time_t gather; /**< pause after changes, so that those that come together
+                         take one call */
   /** A key is new or changed, or is gone. */
   void (*item) (void *arg, const gt_store_item_t *item);
   /** All changes made before AS_OF, by the clock, were told. */
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -24,7 +24,7 @@
   size_t len;
   uint64_t revision;
   int gone;
-  int seen; /* by the reading under way */
+  uint64_t reading; /* number of the reading that showed it last */
   UT_hash_handle hh;
 } follow_key_t;
 
@@ -39,7 +39,8 @@
   uint64_t revision;    /* changes up to it were told */
   uint64_t read_at;     /* revision of the first page */
   el_buf_t page_after;  /* last key of the page before */
-  int whole;            /* all was read once */
+  uint64_t reading;     /* number of the last or present reading of all */
+  int whole;            /* that reading is done */
   unsigned failures;
 };
 
@@ -120,7 +121,7 @@
 {
   follow_key_t *key = follow_key (follow, item->key);
 
-  key->seen = 1;
+  key->reading = follow->reading;
   if (item->revision <= key->revision)
     return;
   key->revision = item->revision;
@@ -142,16 +143,13 @@
                              .revision = follow->read_at,
                              .gone = 1 };
 
-    if (!key->seen && !key->gone && key->revision <= follow->read_at)
+    if (key->reading == follow->reading && !key->gone)
+      continue;
+    if (!key->gone)
       follow->options.item (follow->options.arg, &item);
-    if (!key->seen || key->gone)
-      {
-        HASH_DEL (follow->keys, key);
-        free (key->key);
-        free (key);
-        continue;
-      }
-    key->seen = 0;
+    HASH_DEL (follow->keys, key);
+    free (key->key);
+    free (key);
   }
 }
 
@@ -259,8 +257,11 @@
   if (list.revision > follow->revision)
     follow->revision = list.revision;
   follow->options.known (follow->options.arg, follow->sent);
+  if (list.n && follow->options.gather)
+    follow_later (follow, follow->options.gather);
+  else
+    follow_next (follow, 0);
   gt_store_list_free (&list);
-  follow_next (follow, 0);
 }
 
 /* Send what comes next: a page, or a watch. */
@@ -284,7 +285,10 @@
   else
     {
       if (follow->page_after.len == 0)
-        follow->read_since = follow->sent;
+        {
+          follow->read_since = follow->sent;
+          follow->reading++;
+        }
       o->store->dialect->range (&path, o->prefix,
                                 el_buf_str (&follow->page_after));
       follow->call = gt_store_call (o->store, "GET", &path, NULL, CALL_LIMIT,
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -332,6 +332,21 @@
                          v.base, v.len);
 }
 
+/** Cut the caller's connection: what was not yet sent of an answer does not
+    follow, and no end of it either. The answer has to be ended all the same,
+    so that the request is freed. */
+void
+net_req_cut (h2o_req_t *req)
+{
+  h2o_socket_t *sock;
+
+  req->http1_is_persistent = 0;
+  if (req->version >= HTTP_2)
+    return;
+  sock = req->conn->callbacks->get_socket (req->conn);
+  shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
+}
+
 /** The reason phrase of a status. */
 const char *
 net_status_reason (int status)
--- a/net/net.h
+++ b/net/net.h
@@ -57,6 +57,7 @@
 
 typedef void (*net_gone_cb) (void *arg, int freed);
 void net_req_watch (h2o_req_t *req, net_gone_cb gone, void *arg);
+void net_req_cut (h2o_req_t *req);
 const char *net_status_reason (int status);
 
 el_str_t net_req_method (const h2o_req_t *req);
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -15,9 +15,10 @@
 #define AVOID_DOUBLINGS 4
 /* Failures in a row before an endpoint is set aside: one alone is chance. */
 #define AVOID_AFTER 2
-/* An engine that holds streams up is left for this long: it is dead or cut
-   off, and its entry ends after some seconds. */
-#define STALLED_AVOID (3 * EL_SEC)
+/* An engine without room is left for this long: streams end all the time. */
+#define BUSY_AVOID (100 * EL_MSEC)
+/* News of an endpoint takes about a second. */
+#define CHANGED_AVOID (1000 * EL_MSEC)
 /* Weight of the newest answer in the moving mean of times. */
 #define MEAN_WEIGHT 0.2
 /* An endpoint of another hall counts as this much busier. */
@@ -27,6 +28,7 @@
 {
   rt_target_t *by_id;
   uint64_t random;
+  size_t hosts; /* that send to the same engines */
 };
 
 rt_fleet_t *
@@ -152,6 +154,20 @@
   return fleet->by_id;
 }
 
+/** HOSTS of this hall, this one included, send to the same engines in about
+    equal parts. */
+void
+rt_fleet_share (rt_fleet_t *fleet, size_t hosts)
+{
+  fleet->hosts = hosts;
+}
+
+double
+rt_fleet_hosts (const rt_fleet_t *fleet)
+{
+  return fleet->hosts ? (double)fleet->hosts : 1;
+}
+
 size_t
 rt_fleet_count (const rt_fleet_t *fleet)
 {
@@ -162,7 +178,8 @@
 int
 rt_target_usable (const rt_target_t *target, el_time_t now)
 {
-  return !target->gone && !target->facts.leaving && now >= target->avoid_until;
+  return !target->gone && !target->facts.leaving && !target->suspect
+         && now >= target->avoid_until;
 }
 
 /** An exchange with it failed. */
@@ -180,11 +197,20 @@
   target->avoid_until = now + (AVOID_FIRST << over);
 }
 
-/** Streams stand still because of it. */
+/** It does not hold what it was said to hold, or is another one by now: what
+    is told of it will soon change. */
+void
+rt_target_changed (rt_target_t *target, el_time_t now)
+{
+  target->avoid_until = now + CHANGED_AVOID;
+}
+
+/** It refused for want of room. */
 void
-rt_target_stalled (rt_target_t *target, el_time_t now)
+rt_target_busy (rt_target_t *target, el_time_t now)
 {
-  target->avoid_until = now + STALLED_AVOID;
+  if (target->avoid_until < now + BUSY_AVOID)
+    target->avoid_until = now + BUSY_AVOID;
 }
 
 /** It answered after TOOK. */
@@ -250,7 +276,7 @@
 
   HASH_ITER (hh, fleet->by_id, target, next)
   {
-    int set_aside = now < target->avoid_until;
+    int set_aside = target->suspect || now < target->avoid_until;
     double cost;
 
     if (target->gone || target->facts.leaving || set_aside > aside
--- a/route/layout.c
+++ b/route/layout.c
@@ -86,7 +86,7 @@
       const rt_facts_t *facts = &target->facts;
 
       if (!el_str_eq (facts->service, layout->service->name) || facts->leaving
-          || (hall.len && !el_str_eq (facts->hall, hall)))
+          || target->suspect || (hall.len && !el_str_eq (facts->hall, hall)))
         continue;
       order = order_for (layout->pending, layout->npending, target);
       if (!order)
--- a/route/line.c
+++ b/route/line.c
@@ -23,8 +23,12 @@
 #define CROSS_MS 30.0
 /* A caller's host in another hall than the first engine: text only. */
 #define FAR_START_MS 30.0
-/* Lines through an engine that double what a token is reckoned to take. */
-#define LINES_DOUBLE 48.0
+/* An engine whose memory is full of streams costs half as much again; past
+   FILL_KNEE it soon costs more than another hall, since the newest streams
+   are put back when it runs out. */
+#define FILL_COST 0.5
+#define FILL_KNEE 0.75
+#define FILL_STEEP 40.0
 /* Share of chance in the cost, so that hosts do not all choose the same. */
 #define CHANCE 0.15
 /* What a part costs that already holds the stream's tokens. */
@@ -47,7 +51,10 @@
 
 typedef struct line_search
 {
-  const rt_line_t *old; /* its parts are cheaper */
+  const rt_line_t *old;     /* its parts are cheaper */
+  const rt_target_t *first; /* runs the first part, and no other */
+  int any;                  /* those that are set aside, too */
+  double tokens;            /* of the stream */
   unsigned layers;
   el_str_t halls[HALLS_MAX];
   unsigned nhalls;
@@ -57,7 +64,19 @@
   line_node_t node[LAYERS_MAX + 1][HALLS_MAX];
 } line_search_t;
 
-/** Whether the parts run every layer once and in order. */
+/* Whether the engine of part I runs a part before it. */
+static int
+part_before (const rt_line_t *line, size_t i)
+{
+  size_t k;
+
+  for (k = 0; k < i; k++)
+    if (line->part[k].target == line->part[i].target)
+      return 1;
+  return 0;
+}
+
+/** Whether the parts run every layer once and in order, no engine twice. */
 int
 rt_line_valid (const rt_line_t *line, unsigned layers)
 {
@@ -68,8 +87,8 @@
     {
       const rt_facts_t *facts = &line->part[i].target->facts;
 
-      if (line->part[i].from != at || line->part[i].to <= at
-          || line->part[i].from < facts->first
+      if (part_before (line, i) || line->part[i].from != at
+          || line->part[i].to <= at || line->part[i].from < facts->first
           || line->part[i].to > facts->end)
         return 0;
       at = line->part[i].to;
@@ -99,22 +118,46 @@
   return 1 + CHANCE * (double)(mixed % 1000) / 1000;
 }
 
+/* How full the engine's memory beside its layers would be with the stream, if
+   the other hosts send to it what this one does. */
+static double
+search_fill (const line_search_t *search, const rt_fleet_t *fleet,
+             const rt_model_t *model, const rt_card_t *card,
+             const rt_target_t *target)
+{
+  double layers = target->facts.end - target->facts.first;
+  double room = (card->memory_mb - layers * model->layer_mb)
+                / model->token_kv_mb * (double)model->layers;
+  double held
+      = target->held * rt_fleet_hosts (fleet) + search->tokens * layers;
+
+  return room > 0 ? held / room : 1;
+}
+
+static double
+fill_factor (double fill)
+{
+  double over = fill > FILL_KNEE ? fill - FILL_KNEE : 0;
+
+  return 1 + FILL_COST * fill + FILL_STEEP * over;
+}
+
 static void
-search_add (line_search_t *search, const rt_model_t *model,
-            rt_target_t *target, uint64_t draw)
+search_add (line_search_t *search, const rt_fleet_t *fleet,
+            const rt_model_t *model, rt_target_t *target, uint64_t draw)
 {
   const rt_card_t *card = rt_model_card (model, target->facts.card);
   line_candidate_t *c;
 
-  if (search->ncandidates == CANDIDATES_MAX)
+  if (!card || search->ncandidates == CANDIDATES_MAX)
     return;
   c = &search->candidates[search->ncandidates++];
   c->target = target;
   c->hall = search_hall (search, target->facts.hall);
-  c->layer_ms = model->step_ms * (card ? card->step_pace : 1)
-                / (double)model->layers
-                * (1 + (double)target->lines / LINES_DOUBLE)
-                * search_chance (target, draw);
+  c->layer_ms
+      = model->step_ms * card->step_pace / (double)model->layers
+        * fill_factor (search_fill (search, fleet, model, card, target))
+        * search_chance (target, draw);
   search->cut[target->facts.first] = 1;
   search->cut[target->facts.end] = 1;
 }
@@ -132,11 +175,13 @@
   for (target = rt_fleet_first (fleet); target; target = target->hh.next)
     if (el_str_eq (target->facts.service, service->name)
         && target->facts.end > target->facts.first
-        && target->facts.end <= model->layers && rt_target_usable (target, now)
+        && target->facts.end <= model->layers
+        && (search->any ? !target->gone && !target->facts.leaving
+                        : rt_target_usable (target, now))
         && !rt_tried_has (tried, target))
-      search_add (search, model, target, now);
+      search_add (search, fleet, model, target, now);
   for (at = 0; at <= search->layers; at++)
-    for (h = 0; h < HALLS_MAX; h++)
+    for (h = 0; h < search->nhalls; h++)
       search->node[at][h].cost = DBL_MAX;
 }
 
@@ -180,6 +225,16 @@
     }
 }
 
+/* Whether TARGET runs the layers just before AT: an engine is passed once. */
+static int
+search_ended_by (const line_search_t *search, unsigned at, unsigned hall,
+                 const rt_target_t *target)
+{
+  const line_candidate_t *by = search->node[at][hall].by;
+
+  return target == search->first || (by && by->target == target);
+}
+
 static void
 search_run (line_search_t *search, unsigned begin)
 {
@@ -196,7 +251,8 @@
           {
             const line_candidate_t *c = &search->candidates[i];
 
-            if (c->target->facts.first <= at && at < c->target->facts.end)
+            if (c->target->facts.first <= at && at < c->target->facts.end
+                && !search_ended_by (search, at, h, c->target))
               search_extend (search, c, at, h);
           }
       }
@@ -235,22 +291,43 @@
   return 1;
 }
 
-/** A line for a new stream whose caller is in HALL; gives 0 when the engines
-    that may be used do not hold all layers. */
-int
-rt_line_pick (rt_fleet_t *fleet, el_time_t now, const rt_service_t *service,
-              el_str_t hall, const rt_tried_t *tried, rt_line_t *out)
+/* Search a line for a new stream. */
+static int
+line_search (line_search_t *search, rt_fleet_t *fleet, el_time_t now,
+             const rt_service_t *service, el_str_t hall,
+             const rt_tried_t *tried, rt_line_t *out)
 {
-  line_search_t *search = el_alloc (sizeof *search);
-  int found;
+  unsigned start = search_hall (search, hall);
 
-  memset (out, 0, sizeof *out);
   search_open (search, fleet, now, service, tried);
-  search->node[0][search_hall (search, hall)].cost = 0;
+  search->node[0][start].cost = 0;
   search_run (search, 0);
-  found = search_read (search, 0, out)
-          && rt_line_valid (out, service->model.layers);
-  free (search);
+  return search_read (search, 0, out)
+         && rt_line_valid (out, service->model.layers);
+}
+
+/** A line for a new stream of TOKENS whose caller is in HALL; gives 0 when the
+    engines do not hold all layers. Engines that are set aside are taken when
+    there is no line without them. */
+int
+rt_line_pick (rt_fleet_t *fleet, el_time_t now, const rt_service_t *service,
+              el_str_t hall, double tokens, const rt_tried_t *tried,
+              rt_line_t *out)
+{
+  line_search_t *search;
+  int found = 0;
+  int any;
+
+  for (any = 0; any < 2 && !found; any++)
+    {
+      search = el_alloc (sizeof *search);
+      memset (out, 0, sizeof *out);
+      out->tokens = tokens;
+      search->tokens = tokens;
+      search->any = any;
+      found = line_search (search, fleet, now, service, hall, tried, out);
+      free (search);
+    }
   return found;
 }
 
@@ -262,6 +339,7 @@
 {
   const struct rt_part *first = &old->part[0];
   line_search_t *search;
+  unsigned start;
   int found;
   size_t i;
 
@@ -269,14 +347,17 @@
   if (old->n < 2 || rt_tried_has (tried, first->target))
     return 0;
   search = el_alloc (sizeof *search);
-  search_open (search, fleet, now, service, tried);
   search->old = old;
+  search->first = first->target;
+  search->tokens = old->tokens;
+  out->tokens = old->tokens;
+  start = search_hall (search, first->target->facts.hall);
+  search_open (search, fleet, now, service, tried);
   for (i = 0; i < old->n; i++)
     search->cut[old->part[i].to] = 1;
   out->part[0] = *first;
   out->n = 1;
-  search->node[first->to][search_hall (search, first->target->facts.hall)].cost
-      = 0;
+  search->node[first->to][start].cost = 0;
   search_run (search, first->to);
   found = search_read (search, first->to, out)
           && rt_line_valid (out, service->model.layers);
@@ -284,6 +365,24 @@
   return found;
 }
 
+/** Whether the line passes TARGET. */
+int
+rt_line_has (const rt_line_t *line, const rt_target_t *target)
+{
+  size_t i;
+
+  for (i = 0; i < line->n; i++)
+    if (line->part[i].target == target)
+      return 1;
+  return 0;
+}
+
+static double
+part_held (const rt_line_t *line, size_t i)
+{
+  return line->tokens * (line->part[i].to - line->part[i].from);
+}
+
 /** The line is in use: its engines stay in memory and count as loaded. */
 void
 rt_line_hold (rt_line_t *line)
@@ -291,7 +390,10 @@
   size_t i;
 
   for (i = 0; i < line->n; i++)
-    rt_target_ref (line->part[i].target)->lines++;
+    {
+      rt_target_ref (line->part[i].target)->lines++;
+      line->part[i].target->held += part_held (line, i);
+    }
 }
 
 /** The line is no longer in use. */
@@ -303,6 +405,7 @@
   for (i = 0; i < line->n; i++)
     {
       line->part[i].target->lines--;
+      line->part[i].target->held -= part_held (line, i);
       rt_target_unref (line->part[i].target);
     }
   line->n = 0;
--- a/route/relay.h
+++ b/route/relay.h
@@ -147,6 +147,8 @@
   unsigned running;      /**< exchanges of this host with it */
   unsigned lines;        /**< streams of this host through it */
   unsigned failures;     /**< in a row */
+  double held;           /**< tokens times layers of this host's streams */
+  int suspect;           /**< it did not answer when it was asked */
   el_time_t avoid_until; /**< set aside after failures */
   double usual_ms;       /**< moving mean of its answers' times */
   UT_hash_handle hh;
@@ -160,12 +162,15 @@
 void rt_fleet_remove (rt_fleet_t *fleet, el_str_t id);
 rt_target_t *rt_fleet_find (const rt_fleet_t *fleet, el_str_t id);
 rt_target_t *rt_fleet_first (const rt_fleet_t *fleet);
+double rt_fleet_hosts (const rt_fleet_t *fleet);
 size_t rt_fleet_count (const rt_fleet_t *fleet);
+void rt_fleet_share (rt_fleet_t *fleet, size_t hosts);
 rt_target_t *rt_target_ref (rt_target_t *target);
 void rt_target_unref (rt_target_t *target);
 int rt_target_usable (const rt_target_t *target, el_time_t now);
 void rt_target_failed (rt_target_t *target, el_time_t now);
-void rt_target_stalled (rt_target_t *target, el_time_t now);
+void rt_target_changed (rt_target_t *target, el_time_t now);
+void rt_target_busy (rt_target_t *target, el_time_t now);
 void rt_target_served (rt_target_t *target, el_time_t took);
 
 /** Most endpoints that one request leaves out. */
@@ -198,16 +203,18 @@
     unsigned to;   /**< first layer after those */
   } part[RT_LINE_MAX];
   size_t n;
+  double tokens;  /**< that the stream has room for */
   double cost_ms; /**< what a token was reckoned to take */
 } rt_line_t;
 
 int rt_line_valid (const rt_line_t *line, unsigned layers);
 int rt_line_pick (rt_fleet_t *fleet, el_time_t now,
-                  const rt_service_t *service, el_str_t hall,
+                  const rt_service_t *service, el_str_t hall, double tokens,
                   const rt_tried_t *tried, rt_line_t *out);
 int rt_line_around (rt_fleet_t *fleet, el_time_t now,
                     const rt_service_t *service, const rt_line_t *old,
                     const rt_tried_t *tried, rt_line_t *out);
+int rt_line_has (const rt_line_t *line, const rt_target_t *target);
 void rt_line_hold (rt_line_t *line);
 void rt_line_release (rt_line_t *line);
 
