Spare copies from the last layers down; hall holes left by whole lines

Spare engines copied the large engines' range, 2 engines in place of 3 or 4.

Change: spares copy the last layers first, which the small engines hold; a stream whose hall has no way around is begun anew on another hall's own line while its attempts allow it.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -102,6 +102,7 @@
 void relay_try (gt_relay_t *relay);
 void relay_drop (gt_relay_t *relay);
 void relay_abandon (gt_relay_t *relay);
+int relay_may_resume (const gt_relay_t *relay);
 
 /* relay_watch.c */
 void relay_watch_begin (gt_relay_t *relay);
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -101,7 +101,9 @@
   watch_again (relay, LOOK_AGAIN);
 }
 
-/* Move the stream around ENGINE. */
+/* Move the stream around ENGINE. A line that leaves the hall has all tokens so
+   far cross the pipe that all share; reading them at another hall's own line
+   is sooner. */
 static void
 watch_move (gt_relay_t *relay, rt_target_t *engine)
 {
@@ -109,10 +111,14 @@
   const gt_relay_options_t *o = &relays->options;
   el_time_t now = net_clock_now (o->clock);
   rt_tried_t tried = { .n = 0 };
+  int found;
 
   rt_tried_add (&tried, engine);
-  if (rt_line_around (o->fleet, now, relay->service, &relay->line, &tried,
-                      &relay->next_line))
+  found = rt_line_around (o->fleet, now, relay->service, &relay->line, &tried,
+                          &relay->next_line);
+  if (found && rt_line_crosses (&relay->next_line) && relay_may_resume (relay))
+    found = 0;
+  if (found)
     relay->ask = o->dialect->reroute (o->client, relay->id, &relay->next_line,
                                       watch_moved, relay);
   else
@@ -120,7 +126,7 @@
       EL_LOG (EL_LOG_INFO, "stream_begun_anew", EL_FS ("request", relay->id),
               EL_FS ("engine", engine->facts.id),
               EL_FN ("events", relay->nevents),
-              EL_FC ("reason", "no line around the engine"));
+              EL_FC ("reason", "no line around the engine in its hall"));
       relay_abandon (relay);
     }
 }
@@ -183,5 +189,6 @@
     }
   for (i = 0; i < relay->line.n; i++)
     relay_check (relay->relays, relay->line.part[i].target);
-  watch_again (relay, LOOK_AGAIN);
+  watch_again (relay, LOOK_AGAIN << (relay->looks < LOOKS_ASK ? relay->looks
+                                                              : LOOKS_ASK));
 }
--- a/route/layout.c
+++ b/route/layout.c
@@ -154,18 +154,27 @@
   return n;
 }
 
-/* Where a range of N layers begins: at the first of the layers that the
-   fewest hold. */
+/* Where a range of N layers begins: at the first of the layers that nobody
+   holds. When all are held it is a spare copy, and ends at the last of those
+   that the fewest hold: large engines hold the first layers, so that copies
+   from the end stand in for the most engines. */
 static unsigned
 layout_begin (const unsigned *cover, unsigned layers, unsigned n)
 {
-  unsigned best = 0;
+  unsigned least = 0;
+  unsigned last = 0;
   unsigned i;
 
-  for (i = 1; i < layers; i++)
-    if (cover[i] < cover[best])
-      best = i;
-  return best + n > layers ? layers - n : best;
+  for (i = 0; i < layers; i++)
+    {
+      if (cover[i] < cover[least])
+        least = i;
+      if (cover[i] <= cover[last])
+        last = i;
+    }
+  if (cover[least])
+    return last + 1 > n ? last + 1 - n : 0;
+  return least + n > layers ? layers - n : least;
 }
 
 /** Fill OUT with orders for engines that hold nothing yet; PENDING are orders
--- a/route/line.c
+++ b/route/line.c
@@ -377,6 +377,19 @@
   return 0;
 }
 
+/** Whether the line leaves the hall of its first engine. */
+int
+rt_line_crosses (const rt_line_t *line)
+{
+  size_t i;
+
+  for (i = 1; i < line->n; i++)
+    if (!el_str_eq (line->part[i].target->facts.hall,
+                    line->part[0].target->facts.hall))
+      return 1;
+  return 0;
+}
+
 static double
 part_held (const rt_line_t *line, size_t i)
 {
