Spare copies move into holes; a stopping host refuses after 3 s

Change: a hole that three looks in a row see is filled by the least used spare engine of the hall, under the number of orders that its report tells. After 3 s a stop closes the listener and refuses with 503, so what runs has 4 s to end. What counts as standing still follows what is usual on the host.

--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -103,7 +103,7 @@
     "MS", "keys are refused when the rules were last known so long ago" },
   { "lease-ms", EL_SET_U64, AT (lease_ms), "3000", 1000, 600000, 0, "MS",
     "time to live of the planner's lease" },
-  { "stop-least-ms", EL_SET_U64, AT (stop_least_ms), "2500", 0, 3600000, 0,
+  { "stop-least-ms", EL_SET_U64, AT (stop_least_ms), "3000", 0, 3600000, 0,
     "MS", "a stop takes relayed requests this long" },
   { "stop-most-ms", EL_SET_U64, AT (stop_most_ms), "7000", 0, 3600000, 0, "MS",
     "a stop waits this long for relayed requests" },
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -277,6 +277,8 @@
   site_t *site = arg;
   el_time_t ran = now - site->stop_began;
 
+  if (ran >= site->options.stop_least)
+    gt_relays_close (site->relays);
   if (ran < site->options.stop_most
       && (ran < site->options.stop_least || gt_relays_running (site->relays)))
     {
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -30,6 +30,9 @@
   size_t nrunning;
   gt_relay_counts_t counts;
   uint64_t random;
+  el_time_t usual_first; /* mean time to a stream's first event */
+  el_time_t usual_gap;   /* mean time between events */
+  int closed;            /* takes no new requests */
 };
 
 /* Splits an event stream into whole events; a part stays behind. */
--- a/gate/planner.c
+++ b/gate/planner.c
@@ -17,6 +17,9 @@
 /* An order whose outcome does not show in the engine's entry is given again
    after this; entries are some seconds old at the most. */
 #define ORDER_AGAIN (4 * EL_SEC)
+/* Looks in a row that must find a hole before spare copies are moved: an
+   engine that is only slow to answer is back by then. */
+#define HOLE_LOOKS 3
 /* Before the first plan: the entries of all engines should be there. */
 #define SETTLE (300 * EL_MSEC)
 
@@ -36,6 +39,7 @@
   gt_planner_options_t options;
   el_timer_t look;
   planner_order_t *orders;
+  unsigned holes;    /* looks in a row that found a hall without a layer */
   size_t seen;       /* endpoints at the last look */
   el_time_t changed; /* when that number changed */
   int stopped;
@@ -78,8 +82,9 @@
   {
     const rt_target_t *target = order->order.target;
 
-    if (!target->gone && target->facts.end == target->facts.first
-        && now < order->given + ORDER_AGAIN)
+    if (!target->gone && now < order->given + ORDER_AGAIN
+        && (target->facts.first != order->order.first
+            || target->facts.end != order->order.end))
       continue;
     order->over = 1;
     if (!order->out)
@@ -133,6 +138,15 @@
                       orders, ORDERS_MAX - npending);
   for (i = 0; i < n; i++)
     order_give (planner, &orders[i], now);
+  if (n)
+    return;
+  n = rt_layout_repair (planner->options.fleet, service, pending, npending,
+                        orders, ORDERS_MAX - npending);
+  planner->holes = n ? planner->holes + 1 : 0;
+  if (planner->holes < HOLE_LOOKS)
+    return;
+  for (i = 0; i < n; i++)
+    order_give (planner, &orders[i], now);
 }
 
 /* Whether the list of endpoints stood still for a moment. */
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -13,6 +13,8 @@
 /* When to come back to a host that has no configuration: it reads one as soon
    as it reaches the platform. */
 #define STARTING_RETRY (300 * EL_MSEC)
+/* A host that stops refuses: others serve now. */
+#define STOPPING_RETRY (20 * EL_MSEC)
 /* Time for a request that names no limit and whose rule has none. */
 #define TIMEOUT_UNSAID (60 * EL_SEC)
 
@@ -281,6 +283,12 @@
   relay->received = net_clock_now (relays->options.clock);
   net_req_watch (req, relay_gone, relay);
   relay->id = net_req_header (req, dialect->names.id);
+  if (relays->closed)
+    {
+      relays->counts.refused++;
+      relay_answer_refuse (relay, 503, "stopping", STOPPING_RETRY);
+      return;
+    }
   if (!relay_admit (relay))
     return;
   service = rt_rule_service (relay->rule, relay_random (relays));
@@ -352,6 +360,17 @@
   net_server_retire (relays->server);
 }
 
+/** Take no further connections, and refuse what still comes on those that
+    are open: what began goes on. */
+void
+gt_relays_close (gt_relays_t *relays)
+{
+  if (relays->closed)
+    return;
+  relays->closed = 1;
+  net_server_stop (relays->server);
+}
+
 /** Requests whose answer is not wholly sent. */
 size_t
 gt_relays_running (const gt_relays_t *relays)
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -17,6 +17,9 @@
 #define STILL_AFTER (90 * EL_MSEC)
 /* Before the first event a prompt is read, some 50 to 150 ms. */
 #define STILL_FIRST (220 * EL_MSEC)
+/* Where all streams are slow, one stands still after this many times what is
+   usual on this host. */
+#define STILL_TIMES 4
 #define LOOK_AGAIN (100 * EL_MSEC)
 /* Looks before the engine is asked where the stream waits: its report is some
    hundred milliseconds old. */
@@ -27,6 +30,25 @@
 
 static void watch_look (void *arg, el_time_t now);
 
+static el_time_t
+watch_limit (const gt_relay_t *relay)
+{
+  const gt_relays_t *relays = relay->relays;
+  el_time_t usual
+      = STILL_TIMES
+        * (relay->nevents ? relays->usual_gap : relays->usual_first);
+  el_time_t least = relay->nevents ? STILL_AFTER : STILL_FIRST;
+
+  return usual > least ? usual : least;
+}
+
+/* A moving mean over the last 32 values or so. */
+static void
+usual_add (el_time_t *usual, el_time_t value)
+{
+  *usual = *usual - *usual / 32 + value / 32;
+}
+
 /** The stream was sent: wait for its first event. */
 void
 relay_watch_begin (gt_relay_t *relay)
@@ -44,7 +66,9 @@
 void
 relay_watch_event (gt_relay_t *relay, el_time_t gap)
 {
-  (void)gap;
+  usual_add (relay->nevents ? &relay->relays->usual_gap
+                            : &relay->relays->usual_first,
+             gap);
   relay->looks = 0;
   relay->moves = 0;
 }
@@ -170,7 +194,7 @@
 {
   gt_relay_t *relay = arg;
   const gt_relay_options_t *o = &relay->relays->options;
-  el_time_t limit = relay->nevents ? STILL_AFTER : STILL_FIRST;
+  el_time_t limit = watch_limit (relay);
   el_time_t still = now - relay->last_event;
   size_t i;
 
--- a/route/layout.c
+++ b/route/layout.c
@@ -204,3 +204,137 @@
     }
   return layout.n;
 }
+
+/* Whether TARGET could give up what it holds: others of its hall hold all of
+   it, too. */
+static int
+layout_spare (const layout_t *layout, const rt_target_t *target,
+              const unsigned *cover)
+{
+  unsigned i;
+
+  if (!el_str_eq (target->facts.service, layout->service->name) || target->gone
+      || target->suspect || target->facts.leaving
+      || target->facts.first == target->facts.end
+      || order_for (layout->pending, layout->npending, target)
+      || order_for (layout->out, layout->n, target))
+    return 0;
+  for (i = target->facts.first; i < target->facts.end; i++)
+    if (cover[i] < 2)
+      return 0;
+  return 1;
+}
+
+static unsigned
+cover_hole (const unsigned *cover, unsigned layers, unsigned from)
+{
+  while (from < layers && cover[from])
+    from++;
+  return from;
+}
+
+/* The spare engine of a hall whose move fills most of the hole at FROM; the
+   least used one of those that are alike. */
+static rt_target_t *
+layout_mover (const layout_t *layout, el_str_t hall, const unsigned *cover,
+              unsigned from, unsigned *layers)
+{
+  const rt_model_t *model = &layout->service->model;
+  rt_target_t *best = NULL;
+  rt_target_t *target;
+  unsigned hole = 0;
+  unsigned n;
+
+  while (from + hole < model->layers && !cover[from + hole])
+    hole++;
+  *layers = 0;
+  for (target = rt_fleet_first (layout->fleet); target;
+       target = target->hh.next)
+    {
+      const rt_card_t *card = rt_model_card (model, target->facts.card);
+
+      if (!card || !el_str_eq (target->facts.hall, hall)
+          || !layout_spare (layout, target, cover))
+        continue;
+      n = card_layers (model, card);
+      if (n > hole)
+        n = hole;
+      if (n < *layers
+          || (best && n == *layers && target->lines >= best->lines))
+        continue;
+      best = target;
+      *layers = n;
+    }
+  if (best)
+    *layers = card_layers (model, rt_model_card (model, best->facts.card));
+  return best;
+}
+
+static int
+hall_pending (const layout_t *layout, el_str_t hall)
+{
+  size_t i;
+
+  for (i = 0; i < layout->npending; i++)
+    if (el_str_eq (layout->pending[i].target->facts.hall, hall))
+      return 1;
+  return 0;
+}
+
+/* Whether TARGET is the first of its hall in the list. */
+static int
+hall_first (const layout_t *layout, const rt_target_t *target)
+{
+  const rt_target_t *other;
+
+  for (other = rt_fleet_first (layout->fleet); other != target;
+       other = other->hh.next)
+    if (el_str_eq (other->facts.hall, target->facts.hall))
+      return 0;
+  return 1;
+}
+
+static void
+hall_repair (layout_t *layout, el_str_t hall, size_t most)
+{
+  unsigned layers = layout->service->model.layers;
+  unsigned cover[LAYERS_MAX];
+  rt_target_t *target;
+  unsigned from;
+  unsigned n;
+
+  if (hall_pending (layout, hall) || hall_layers (layout, hall) < layers)
+    return;
+  while (layout->n < most)
+    {
+      layout_cover (layout, hall, cover);
+      from = cover_hole (cover, layers, 0);
+      if (from == layers)
+        return;
+      target = layout_mover (layout, hall, cover, from, &n);
+      if (!target)
+        return;
+      if (from + n > layers)
+        from = layers - n;
+      layout->out[layout->n++] = (rt_order_t){ target, from, from + n };
+    }
+}
+
+/** Fill OUT with orders that move spare copies where a hall lacks layers and
+    no empty engine is left. Gives their number. */
+size_t
+rt_layout_repair (rt_fleet_t *fleet, const rt_service_t *service,
+                  const rt_order_t *pending, size_t npending, rt_order_t *out,
+                  size_t most)
+{
+  layout_t layout = { service, fleet, pending, npending, out, 0 };
+  rt_target_t *target;
+
+  if (service->model.layers == 0 || service->model.layers > LAYERS_MAX)
+    return 0;
+  for (target = rt_fleet_first (fleet); target; target = target->hh.next)
+    if (el_str_eq (target->facts.service, service->name)
+        && hall_first (&layout, target))
+      hall_repair (&layout, target->facts.hall, most);
+  return layout.n;
+}
--- a/route/relay.h
+++ b/route/relay.h
@@ -234,6 +234,10 @@
                        const rt_order_t *pending, size_t npending,
                        rt_order_t *out, size_t most);
 
+size_t rt_layout_repair (rt_fleet_t *fleet, const rt_service_t *service,
+                         const rt_order_t *pending, size_t npending,
+                         rt_order_t *out, size_t most);
+
 /* What follows an attempt. */
 
 /** What came of one attempt. */
