Tests of relayed requests and of the network parts; what they found mended

Tests: rules, endpoints, lines (200 layouts), placing and repair, what follows an attempt, the budget over hosts and windows; client and server against raw sockets, following a store through lost history, events cut at any byte.

--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -311,10 +311,20 @@
 
 /** Ask for nothing more. */
 void
-gt_follow_stop (gt_follow_t *follow)
+gt_follow_free (gt_follow_t *follow)
 {
+  follow_key_t *key;
+  follow_key_t *next;
+
   net_clock_cancel (follow->options.store->clock, &follow->again);
   if (follow->call)
     net_client_cancel (follow->call);
-  follow->call = NULL;
+  HASH_ITER (hh, follow->keys, key, next)
+  {
+    HASH_DEL (follow->keys, key);
+    free (key->key);
+    free (key);
+  }
+  el_buf_free (&follow->page_after);
+  free (follow);
 }
--- a/route/line.c
+++ b/route/line.c
@@ -16,7 +16,7 @@
 #define HALLS_MAX 32
 #define CANDIDATES_MAX 512
 /* Milliseconds that a token takes from one engine to the next in a hall. */
-#define HOP_MS 0.2
+#define HOP_MS 0.5
 /* A token's activations cross between halls over a narrow pipe that all
    share; a whole prompt does, too. Counted so that a line stays in a hall
    while that hall has all layers. */
@@ -291,6 +291,40 @@
   return 1;
 }
 
+/* An engine that the search leaves and comes back to runs what lies between,
+   too: it holds one range, and is named once. */
+static void
+line_collapse (rt_line_t *line)
+{
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < line->n; i++)
+    for (k = line->n - 1; k > i; k--)
+      if (line->part[k].target == line->part[i].target)
+        {
+          line->part[i].to = line->part[k].to;
+          memmove (&line->part[i + 1], &line->part[k + 1],
+                   (line->n - k - 1) * sizeof *line->part);
+          line->n -= k - i;
+          break;
+        }
+}
+
+/* Whether the search found a line; OUT is empty without one. */
+static int
+line_found (const line_search_t *search, unsigned begin, rt_line_t *out)
+{
+  if (search_read (search, begin, out))
+    {
+      line_collapse (out);
+      if (rt_line_valid (out, search->layers))
+        return 1;
+    }
+  out->n = 0;
+  return 0;
+}
+
 /* Search a line for a new stream. */
 static int
 line_search (line_search_t *search, rt_fleet_t *fleet, el_time_t now,
@@ -302,8 +336,7 @@
   search_open (search, fleet, now, service, tried);
   search->node[0][start].cost = 0;
   search_run (search, 0);
-  return search_read (search, 0, out)
-         && rt_line_valid (out, service->model.layers);
+  return line_found (search, 0, out);
 }
 
 /** A line for a new stream of TOKENS whose caller is in HALL; gives 0 when the
@@ -359,8 +392,7 @@
   out->n = 1;
   search->node[first->to][start].cost = 0;
   search_run (search, first->to);
-  found = search_read (search, first->to, out)
-          && rt_line_valid (out, service->model.layers);
+  found = line_found (search, first->to, out);
   free (search);
   return found;
 }
--- a/route/rules.c
+++ b/route/rules.c
@@ -21,15 +21,17 @@
   return rules;
 }
 
+/* Host and prefix, with a byte between them that neither holds. */
 static char *
 index_key (el_str_t host, el_str_t prefix, size_t *len)
 {
-  char *key = el_alloc (host.len + prefix.len + 1);
+  char *key = el_alloc (host.len + 1 + prefix.len);
 
   if (host.len)
     memcpy (key, host.ptr, host.len);
-  memcpy (key + host.len, prefix.ptr, prefix.len);
-  *len = host.len + prefix.len;
+  key[host.len] = '\n';
+  memcpy (key + host.len + 1, prefix.ptr, prefix.len);
+  *len = host.len + 1 + prefix.len;
   return key;
 }
 
@@ -109,7 +111,8 @@
   key = index_key (host, path, &len);
   for (; at && !rule; at--)
     if (path.ptr[at - 1] == '/')
-      HASH_FIND (hh, rules->by_prefix, key, (unsigned)(host.len + at), rule);
+      HASH_FIND (hh, rules->by_prefix, key, (unsigned)(host.len + 1 + at),
+                 rule);
   free (key);
   return rule;
 }
--- /dev/null
+++ b/tests/t_net.c
@@ -0,0 +1,550 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of the HTTP client and server, and of following a store, against a
+ * scripted endpoint that speaks raw bytes.
+ */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "librelay.h"
+#include "platform.h"
+#include "store.h"
+#include "test.h"
+
+#define TURNS_MAX 20000
+
+/* What the endpoint does after an answer. */
+typedef enum then
+{
+  KEEP,
+  END,
+  RESET
+} then_t;
+
+typedef struct answer
+{
+  const char *bytes;
+  then_t then;
+} answer_t;
+
+/* One answer a request, over one connection after the other. */
+static struct
+{
+  int listener;
+  char address[32];
+  const answer_t *answers;
+  size_t n;
+  size_t connections;
+  el_buf_t requests;
+  pthread_t thread;
+} script;
+
+static uv_loop_t loop;
+static net_clock_t test_clock;
+static net_client_t *client;
+
+static int
+script_read (int fd)
+{
+  char buf[4096];
+  size_t len = 0;
+  ssize_t n;
+
+  while (len < sizeof buf - 1 && (n = read (fd, buf + len, 1)) == 1)
+    {
+      len++;
+      buf[len] = '\0';
+      if (len > 3 && strcmp (buf + len - 4, "\r\n\r\n") == 0)
+        {
+          el_buf_add (&script.requests, (el_str_t){ buf, len });
+          return 1;
+        }
+    }
+  return 0;
+}
+
+static void *
+script_run (void *arg)
+{
+  const struct linger reset = { 1, 0 };
+  int fd = -1;
+  size_t i;
+
+  (void)arg;
+  for (i = 0; i < script.n; i++)
+    {
+      const answer_t *answer = &script.answers[i];
+
+      while (fd < 0 || !script_read (fd))
+        {
+          if (fd >= 0)
+            close (fd);
+          fd = accept (script.listener, NULL, NULL);
+          if (fd < 0)
+            return NULL;
+          script.connections++;
+        }
+      if (answer->then == RESET)
+        setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      if (write (fd, answer->bytes, strlen (answer->bytes)) < 0)
+        return NULL;
+      if (answer->then == KEEP)
+        continue;
+      close (fd);
+      fd = -1;
+    }
+  if (fd >= 0)
+    close (fd);
+  return NULL;
+}
+
+static void
+script_open (const answer_t *answers, size_t n)
+{
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof addr;
+
+  script.answers = answers;
+  script.n = n;
+  script.connections = 0;
+  el_buf_reset (&script.requests);
+  script.listener = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (
+      bind (script.listener, (struct sockaddr *)&addr, sizeof addr), 0);
+  ck_assert_int_eq (listen (script.listener, 16), 0);
+  getsockname (script.listener, (struct sockaddr *)&addr, &len);
+  snprintf (script.address, sizeof script.address, "127.0.0.1:%u",
+            ntohs (addr.sin_port));
+  ck_assert_int_eq (pthread_create (&script.thread, NULL, script_run, NULL),
+                    0);
+}
+
+#define SCRIPT(...)                                                           \
+  do                                                                          \
+    {                                                                         \
+      static const answer_t answers[] = { __VA_ARGS__ };                      \
+      script_open (answers, sizeof answers / sizeof *answers);                \
+    }                                                                         \
+  while (0)
+
+static void
+net_setup (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  uv_loop_init (&loop);
+  net_clock_open (&test_clock, &loop);
+  client = net_client_new (&test_clock);
+}
+
+/* What came of an exchange. */
+typedef struct seen
+{
+  int done;
+  net_outcome_t net;
+  el_verdict_t verdict;
+  int status;
+  el_buf_t body;
+} seen_t;
+
+static void
+seen_done (void *arg, const net_result_t *result)
+{
+  seen_t *seen = arg;
+
+  seen->done = 1;
+  seen->net = result->net;
+  seen->verdict = result->verdict;
+  seen->status = result->status;
+  el_buf_add (&seen->body, result->body);
+}
+
+static void
+ask (seen_t *seen)
+{
+  const net_send_t send = { .address = el_str (script.address),
+                            .method = EL_STR ("GET"),
+                            .path = EL_STR ("/x"),
+                            .timeout = 20 * EL_SEC,
+                            .done = seen_done,
+                            .arg = seen };
+
+  memset (seen, 0, sizeof *seen);
+  net_client_send (client, &send);
+  while (!seen->done)
+    uv_run (&loop, UV_RUN_ONCE);
+  el_buf_free (&seen->body);
+}
+
+/* Let what is under way on the loop happen, until *FLAG or for a while. */
+static void
+turn (const int *flag)
+{
+  int i;
+
+  for (i = 0; i < TURNS_MAX && !*flag; i++)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      usleep (100);
+    }
+}
+
+START_TEST (test_client_tells_a_reset_from_an_end)
+{
+  seen_t seen;
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart", END },
+          { "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart", RESET });
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_OK);
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_BROKEN);
+  ck_assert_int_eq (seen.verdict, EL_MAY_HAVE_RUN);
+}
+END_TEST
+
+START_TEST (test_client_answer_cut_short_is_broken)
+{
+  seen_t seen;
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart", END },
+          { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            "4\r\npart\r\n",
+            END },
+          { "garbage that is no answer\r\n\r\n", END },
+          { "HTTP/1.1 200 OK\r\ncontent-le", END });
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_BROKEN);
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_BROKEN);
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_BROKEN);
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_BROKEN);
+}
+END_TEST
+
+START_TEST (test_client_keeps_a_connection)
+{
+  seen_t seen;
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\nkeep-alive: timeout=9\r\ncontent-length: "
+            "1\r\n\r\na",
+            KEEP },
+          { "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb", KEEP });
+  ask (&seen);
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_OK);
+  pthread_join (script.thread, NULL);
+  ck_assert_uint_eq (script.connections, 1);
+}
+END_TEST
+
+START_TEST (test_client_surplus_bytes_end_the_connection)
+{
+  seen_t seen;
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\nkeep-alive: timeout=9\r\ncontent-length: "
+            "1\r\n\r\na"
+            "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nz",
+            KEEP },
+          { "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb", KEEP });
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_OK);
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_OK);
+  pthread_join (script.thread, NULL);
+  ck_assert_uint_eq (script.connections, 2);
+  ck_assert_uint_eq (net_client_counts (client)->surplus, 1);
+}
+END_TEST
+
+START_TEST (test_client_no_connection_is_not_run)
+{
+  seen_t seen;
+
+  SCRIPT ({ "", END });
+  close (script.listener);
+  shutdown (script.listener, SHUT_RDWR);
+  snprintf (script.address, sizeof script.address, "127.0.0.1:1");
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_CONNECT);
+  ck_assert_int_eq (seen.verdict, EL_NOT_RUN);
+}
+END_TEST
+
+/* The server: callers that leave, and those that send ahead. */
+
+typedef struct server_seen
+{
+  int gone;
+  int freed;
+  int asked;
+  h2o_req_t *req;
+} server_seen_t;
+
+static void
+server_gone (void *arg, int freed)
+{
+  server_seen_t *seen = arg;
+
+  if (freed)
+    seen->freed = 1;
+  else
+    seen->gone = 1;
+}
+
+static void
+server_handle (void *arg, h2o_req_t *req)
+{
+  server_seen_t *seen = arg;
+
+  seen->asked++;
+  seen->req = req;
+  net_req_watch (req, server_gone, seen);
+}
+
+static int
+server_connect (server_seen_t *seen)
+{
+  const net_server_options_t options = { .loop = &loop,
+                                         .address = EL_STR ("127.0.0.1:0"),
+                                         .max_body = 65536,
+                                         .handle = server_handle,
+                                         .arg = seen };
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  net_server_t *server;
+  el_err_t err;
+  int fd;
+
+  memset (seen, 0, sizeof *seen);
+  server = net_server_new (&options, &err);
+  ck_assert_ptr_nonnull (server);
+  addr.sin_port = htons ((uint16_t)net_server_port (server));
+  fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  return fd;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+}
+
+START_TEST (test_server_notices_a_caller_that_leaves)
+{
+  server_seen_t seen;
+  int fd = server_connect (&seen);
+
+  send_text (fd, "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nab");
+  turn (&seen.asked);
+  ck_assert_int_eq (seen.asked, 1);
+  close (fd);
+  turn (&seen.gone);
+  ck_assert_int_eq (seen.gone, 1);
+  net_req_reply (seen.req, 503, EL_STR (""), EL_STR (""));
+  turn (&seen.freed);
+  ck_assert_int_eq (seen.freed, 1);
+}
+END_TEST
+
+/* Much is sent ahead while the first request waits: its strings stay, and the
+   next one is served after it. */
+START_TEST (test_server_serves_what_was_sent_ahead)
+{
+  server_seen_t seen;
+  int fd = server_connect (&seen);
+  static char big[20000];
+  char buf[512];
+
+  memset (big, 'x', sizeof big - 1);
+  send_text (fd, "GET /first HTTP/1.1\r\nhost: a\r\nx-mark: one\r\n\r\n");
+  turn (&seen.asked);
+  send_text (fd, "POST /second HTTP/1.1\r\nhost: a\r\n"
+                 "content-length: 19999\r\n\r\n");
+  send_text (fd, big);
+  turn (&seen.gone);
+  ck_assert_int_eq (seen.gone, 0);
+  ck_assert (el_str_eq (net_req_path (seen.req), EL_STR ("/first")));
+  ck_assert (el_str_eq (net_req_header (seen.req, "x-mark"), EL_STR ("one")));
+  seen.asked = 0;
+  net_req_reply (seen.req, 200, EL_STR (""), EL_STR ("1"));
+  turn (&seen.asked);
+  ck_assert (el_str_eq (net_req_path (seen.req), EL_STR ("/second")));
+  ck_assert_uint_eq (net_req_body (seen.req).len, 19999);
+  net_req_reply (seen.req, 200, EL_STR (""), EL_STR ("2"));
+  seen.freed = 0;
+  turn (&seen.freed);
+  ck_assert_int_gt (read (fd, buf, sizeof buf), 0);
+  close (fd);
+}
+END_TEST
+
+/* Following a store. */
+
+typedef struct followed
+{
+  el_buf_t text;
+  int known;
+  int enough;
+} followed_t;
+
+static void
+followed_item (void *arg, const gt_store_item_t *item)
+{
+  followed_t *seen = arg;
+
+  el_buf_printf (&seen->text, "%s%.*s ", item->gone ? "-" : "+",
+                 (int)item->key.len, item->key.ptr);
+}
+
+static void
+followed_known (void *arg, el_time_t as_of)
+{
+  followed_t *seen = arg;
+
+  (void)as_of;
+  if (++seen->known == seen->enough)
+    seen->enough = 0;
+}
+
+#define JSON() "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
+
+/* A key that a watch showed and that vanished while history was lost is gone
+   after the next whole reading. */
+START_TEST (test_follow_key_that_vanished_unseen_is_gone)
+{
+  followed_t seen = { .enough = 3 };
+  gt_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  gt_follow_options_t options = { .store = &store,
+                                  .prefix = EL_STR ("p/"),
+                                  .wait_ms = 100,
+                                  .item = followed_item,
+                                  .known = followed_known,
+                                  .arg = &seen };
+  gt_follow_t *follow;
+
+  SCRIPT ({ JSON () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
+                    "\"Revision\":1},{\"Key\":\"p/b\",\"Value\":\"\","
+                    "\"Revision\":2}],\"more\":false,\"at\":2}",
+            END },
+          { JSON () "{\"events\":[{\"Key\":\"p/a\",\"Value\":\"\","
+                    "\"Revision\":3}],\"at\":3}",
+            END },
+          { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", END },
+          { JSON () "{\"Items\":[{\"Key\":\"p/b\",\"Value\":\"\","
+                    "\"Revision\":2}],\"more\":false,\"at\":9}",
+            END });
+  store.address = el_str (script.address);
+  follow = gt_follow_new (&options);
+  while (seen.enough)
+    uv_run (&loop, UV_RUN_ONCE);
+  gt_follow_free (follow);
+  ck_assert_str_eq (seen.text.ptr, "+p/a +p/b +p/a -p/a ");
+  el_buf_free (&seen.text);
+}
+END_TEST
+
+/* Pages are no snapshot: the next one begins after the last key, and an event
+   that is older than what is known changes nothing. */
+START_TEST (test_follow_reads_pages_and_ignores_older_events)
+{
+  followed_t seen = { .enough = 2 };
+  gt_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  gt_follow_options_t options = { .store = &store,
+                                  .prefix = EL_STR ("p/"),
+                                  .wait_ms = 100,
+                                  .item = followed_item,
+                                  .known = followed_known,
+                                  .arg = &seen };
+  gt_follow_t *follow;
+
+  SCRIPT ({ JSON () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
+                    "\"Revision\":1}],\"more\":true,\"at\":5}",
+            END },
+          { JSON () "{\"Items\":[{\"Key\":\"p/b\",\"Value\":\"\","
+                    "\"Revision\":8}],\"more\":false,\"at\":8}",
+            END },
+          { JSON () "{\"events\":[{\"Key\":\"p/b\",\"Revision\":7,"
+                    "\"gone\":true},{\"Key\":\"p/b\",\"Value\":\"\","
+                    "\"Revision\":8}],\"at\":8}",
+            END });
+  store.address = el_str (script.address);
+  follow = gt_follow_new (&options);
+  while (seen.enough)
+    uv_run (&loop, UV_RUN_ONCE);
+  gt_follow_free (follow);
+  ck_assert_str_eq (seen.text.ptr, "+p/a +p/b ");
+  ck_assert_ptr_nonnull (strstr (script.requests.ptr, "SinceRev=p/a"));
+  ck_assert_ptr_nonnull (strstr (script.requests.ptr, "SinceRev=5&"));
+  el_buf_free (&seen.text);
+}
+END_TEST
+
+/* Event streams. */
+
+static void
+event_note (void *arg, el_str_t event, int has_id, uint64_t id)
+{
+  el_buf_printf (arg, "[%zu:%d:%lu]", event.len, has_id, (unsigned long)id);
+}
+
+/* Cut at every place, the same events come out. */
+START_TEST (test_events_any_cut_gives_the_same_events)
+{
+  const el_str_t text = EL_STR ("id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\n"
+                                "data: c\n\nid: 9\nda");
+  relay_events_t events = { { NULL, 0, 0 } };
+  el_buf_t out = { NULL, 0, 0 };
+  size_t cut;
+
+  for (cut = 0; cut <= text.len; cut++)
+    {
+      el_buf_reset (&out);
+      relay_events_add (&events, (el_str_t){ text.ptr, cut }, event_note,
+                        &out);
+      relay_events_add (&events, el_str_after (text, cut), event_note, &out);
+      ck_assert_str_eq (out.ptr, "[15:1:7][17:1:8][9:0:0]");
+      ck_assert_uint_eq (events.part.len, 8);
+      relay_events_reset (&events);
+    }
+  el_buf_free (&out);
+}
+END_TEST
+
+Suite *
+net_suite (void)
+{
+  Suite *suite = suite_create ("net");
+  TCase *tcase = tcase_create ("net");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, net_setup, NULL);
+  ADD (tcase, test_client_tells_a_reset_from_an_end);
+  ADD (tcase, test_client_answer_cut_short_is_broken);
+  ADD (tcase, test_client_keeps_a_connection);
+  ADD (tcase, test_client_surplus_bytes_end_the_connection);
+  ADD (tcase, test_client_no_connection_is_not_run);
+  ADD (tcase, test_server_notices_a_caller_that_leaves);
+  ADD (tcase, test_server_serves_what_was_sent_ahead);
+  ADD (tcase, test_follow_key_that_vanished_unseen_is_gone);
+  ADD (tcase, test_follow_reads_pages_and_ignores_older_events);
+  ADD (tcase, test_events_any_cut_gives_the_same_events);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- /dev/null
+++ b/tests/t_relay.c
@@ -0,0 +1,608 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of the decisions on relayed requests: rules, endpoints, lines of
+ * engines, placing of layers, what follows an attempt.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay.h"
+#include "test.h"
+
+#define LAYERS 80
+#define SERVICE EL_STR ("pool")
+#define NOW (100 * EL_SEC)
+#define SEEDS 200
+
+static rt_card_t cards[] = {
+  { { "large", 5 }, 36000, 3.1, 3.2 },
+  { { "middle", 6 }, 21600, 16, 8.2 },
+  { { "small", 5 }, 14400, 15, 15 },
+};
+
+static rt_service_t service;
+static rt_fleet_t *fleet;
+
+static void
+relay_setup (void)
+{
+  service = (rt_service_t){ .name = SERVICE,
+                            .model = { .layers = LAYERS,
+                                       .layer_mb = 1750,
+                                       .step_ms = 0.85,
+                                       .token_kv_mb = 0.459,
+                                       .usual_tokens = 926,
+                                       .cards = cards,
+                                       .ncards = 3 } };
+  fleet = rt_fleet_new (7);
+}
+
+static void
+relay_teardown (void)
+{
+  rt_fleet_free (fleet);
+}
+
+/* An engine; one that holds layers when END is over FIRST. */
+static rt_target_t *
+engine (const char *id, const char *hall, const char *card, unsigned first,
+        unsigned end)
+{
+  rt_facts_t facts = { .id = el_str (id),
+                       .service = SERVICE,
+                       .address = el_str (id),
+                       .hall = el_str (hall),
+                       .card = el_str (card),
+                       .slots = 192,
+                       .first = first,
+                       .end = end };
+
+  return rt_fleet_set (fleet, &facts);
+}
+
+static rt_target_t *
+worker (const char *id)
+{
+  rt_facts_t facts = { .id = el_str (id),
+                       .service = SERVICE,
+                       .address = el_str (id),
+                       .hall = EL_STR ("h"),
+                       .slots = 6 };
+
+  return rt_fleet_set (fleet, &facts);
+}
+
+static int
+line_pick (const char *hall, const rt_tried_t *tried, rt_line_t *out)
+{
+  static const rt_tried_t none;
+
+  return rt_line_pick (fleet, NOW, &service, el_str (hall), 900,
+                       tried ? tried : &none, out);
+}
+
+static void
+orders_apply (const rt_order_t *orders, size_t n)
+{
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      orders[i].target->facts.first = orders[i].first;
+      orders[i].target->facts.end = orders[i].end;
+    }
+}
+
+static unsigned
+hall_holes (const char *hall)
+{
+  unsigned cover[LAYERS] = { 0 };
+  unsigned holes = 0;
+  rt_target_t *target;
+  unsigned i;
+
+  for (target = rt_fleet_first (fleet); target; target = target->hh.next)
+    for (i = target->facts.first;
+         i < target->facts.end && !target->facts.leaving; i++)
+      cover[i] += el_str_eq (target->facts.hall, el_str (hall));
+  for (i = 0; i < LAYERS; i++)
+    holes += !cover[i];
+  return holes;
+}
+
+static void
+hall_of (const char *hall, int large, int middle, int small)
+{
+  const int counts[] = { large, middle, small };
+  char id[32];
+  int k;
+  int i;
+
+  for (k = 0; k < 3; k++)
+    for (i = 0; i < counts[k]; i++)
+      {
+        snprintf (id, sizeof id, "%s-%s-%d", hall, cards[k].name.ptr, i);
+        engine (id, hall, cards[k].name.ptr, 0, 0);
+      }
+}
+
+/* Rules. */
+
+static rt_rules_t *
+rules_three (void)
+{
+  rt_rules_t *rules = rt_rules_new (json_object ());
+
+  rules->rules = el_alloc (3 * sizeof *rules->rules);
+  rules->nrules = 3;
+  rules->rules[0]
+      = (rt_rule_t){ .host = EL_STR ("a"), .prefix = EL_STR ("/") };
+  rules->rules[1]
+      = (rt_rule_t){ .host = EL_STR ("a"), .prefix = EL_STR ("/x/") };
+  rules->rules[2]
+      = (rt_rule_t){ .host = EL_STR ("a"), .prefix = EL_STR ("/x/y/") };
+  rt_rules_index (rules);
+  return rules;
+}
+
+START_TEST (test_rules_longest_prefix_of_the_host_wins)
+{
+  rt_rules_t *rules = rules_three ();
+  const struct
+  {
+    const char *host;
+    const char *path;
+    int rule; /* -1: none */
+  } cases[] = {
+    { "a", "/", 0 },     { "a", "/x", 0 },    { "a", "/x/", 1 },
+    { "a", "/x/yy", 1 }, { "a", "/x/y/", 2 }, { "a", "/x/y/z/q", 2 },
+    { "b", "/x/", -1 },  { "a", "", -1 },     { "a/x", "/", -1 },
+  };
+  size_t i;
+
+  for (i = 0; i < sizeof cases / sizeof *cases; i++)
+    {
+      const rt_rule_t *rule = rt_rules_match (rules, el_str (cases[i].host),
+                                              el_str (cases[i].path));
+
+      ck_assert_msg (
+          rule == (cases[i].rule < 0 ? NULL : &rules->rules[cases[i].rule]),
+          "%s %s", cases[i].host, cases[i].path);
+    }
+  rt_rules_unref (rules);
+}
+END_TEST
+
+START_TEST (test_rules_split_follows_the_weights)
+{
+  rt_share_t shares[] = { { EL_STR ("a"), 90 }, { EL_STR ("b"), 10 } };
+  const rt_rule_t rule = { .shares = shares, .nshares = 2 };
+  unsigned second = 0;
+  uint64_t draw;
+
+  for (draw = 0; draw < 1000; draw++)
+    second += el_str_eq (rt_rule_service (&rule, draw), EL_STR ("b"));
+  ck_assert_uint_eq (second, 100);
+}
+END_TEST
+
+/* Endpoints. */
+
+START_TEST (test_pick_leaves_out_the_leaving_and_the_tried)
+{
+  rt_target_t *a = worker ("a");
+  rt_target_t *b = worker ("b");
+  rt_tried_t tried = { .n = 0 };
+
+  b->facts.leaving = 1;
+  ck_assert_ptr_eq (rt_fleet_pick (fleet, NOW, SERVICE, EL_STR ("h"), &tried),
+                    a);
+  rt_tried_add (&tried, a);
+  ck_assert_ptr_null (
+      rt_fleet_pick (fleet, NOW, SERVICE, EL_STR ("h"), &tried));
+}
+END_TEST
+
+START_TEST (test_pick_avoids_the_failing_but_never_all)
+{
+  rt_target_t *a = worker ("a");
+  rt_target_t *b = worker ("b");
+  const rt_tried_t none = { .n = 0 };
+
+  rt_target_failed (a, NOW);
+  rt_target_failed (a, NOW);
+  ck_assert_ptr_eq (rt_fleet_pick (fleet, NOW, SERVICE, EL_STR ("h"), &none),
+                    b);
+  rt_target_failed (b, NOW);
+  rt_target_failed (b, NOW);
+  ck_assert_ptr_nonnull (
+      rt_fleet_pick (fleet, NOW, SERVICE, EL_STR ("h"), &none));
+  rt_target_served (a, EL_MSEC);
+  ck_assert_ptr_eq (rt_fleet_pick (fleet, NOW, SERVICE, EL_STR ("h"), &none),
+                    a);
+}
+END_TEST
+
+START_TEST (test_endpoint_that_leaves_does_not_come_back)
+{
+  rt_target_t *a = worker ("a");
+
+  a->facts.leaving = 1;
+  worker ("a");
+  ck_assert_int_eq (rt_target_usable (a, NOW), 0);
+}
+END_TEST
+
+/* Lines. */
+
+START_TEST (test_line_covers_each_layer_once)
+{
+  rt_line_t line;
+
+  engine ("a", "h", "large", 0, 16);
+  engine ("b", "h", "middle", 10, 40);
+  engine ("c", "h", "middle", 30, 80);
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_int_eq (rt_line_valid (&line, LAYERS), 1);
+  engine ("b", "h", "middle", 17, 40);
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 0);
+  ck_assert_uint_eq (line.n, 0);
+}
+END_TEST
+
+START_TEST (test_line_stays_in_the_callers_hall)
+{
+  rt_order_t orders[64];
+  rt_line_t line;
+  size_t n;
+  size_t i;
+
+  hall_of ("far", 6, 0, 0);
+  hall_of ("near", 0, 4, 9);
+  n = rt_layout_next (fleet, &service, NULL, 0, orders, 64);
+  orders_apply (orders, n);
+  ck_assert_int_eq (line_pick ("near", NULL, &line), 1);
+  for (i = 0; i < line.n; i++)
+    ck_assert (el_str_eq (line.part[i].target->facts.hall, EL_STR ("near")));
+  rt_fleet_remove (fleet, EL_STR ("near-middle-0"));
+  ck_assert_int_eq (line_pick ("near", NULL, &line), 1);
+  for (i = 0; i < line.n; i++)
+    ck_assert (el_str_eq (line.part[i].target->facts.hall, EL_STR ("far")));
+}
+END_TEST
+
+START_TEST (test_line_takes_engines_set_aside_rather_than_none)
+{
+  rt_target_t *a = engine ("a", "h", "large", 0, 80);
+  rt_line_t line;
+
+  rt_target_busy (a, NOW);
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  a->facts.leaving = 1;
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 0);
+}
+END_TEST
+
+/* Engines that hold overlapping ranges, at random: what is picked is a cover,
+   names no engine twice, and is missed only when a layer is held by none. */
+START_TEST (test_line_any_layout_is_covered_or_refused)
+{
+  unsigned cover[LAYERS] = { 0 };
+  char id[16];
+  rt_line_t line;
+  unsigned holes = 0;
+  unsigned i;
+  unsigned k;
+
+  srand ((unsigned)_i);
+  for (i = 0; i < 24; i++)
+    {
+      unsigned first = (unsigned)rand () % LAYERS;
+      unsigned end = first + 1 + (unsigned)rand () % 20;
+      rt_target_t *target;
+
+      if (end > LAYERS)
+        end = LAYERS;
+      snprintf (id, sizeof id, "e%u", i);
+      target
+          = engine (id, i % 3 ? "h" : "g", cards[i % 3].name.ptr, first, end);
+      target->held = (double)(rand () % 3000000);
+      for (k = first; k < end; k++)
+        cover[k]++;
+    }
+  for (k = 0; k < LAYERS; k++)
+    holes += !cover[k];
+  if (line_pick ("h", NULL, &line))
+    {
+      ck_assert_uint_eq (holes, 0);
+      ck_assert_int_eq (rt_line_valid (&line, LAYERS), 1);
+      for (i = 0; i < line.n; i++)
+        for (k = 0; k < i; k++)
+          ck_assert_ptr_ne (line.part[i].target, line.part[k].target);
+    }
+  else
+    {
+      ck_assert_uint_gt (holes, 0);
+      ck_assert_uint_eq (line.n, 0);
+    }
+}
+END_TEST
+
+START_TEST (test_line_around_keeps_what_it_can)
+{
+  rt_target_t *a = engine ("a", "h", "large", 0, 40);
+  rt_target_t *b = engine ("b", "h", "small", 40, 60);
+  rt_target_t *c = engine ("c", "h", "small", 60, 80);
+  rt_tried_t tried = { .n = 0 };
+  rt_line_t line;
+  rt_line_t around;
+
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_uint_eq (line.n, 3);
+  rt_tried_add (&tried, b);
+  ck_assert_int_eq (
+      rt_line_around (fleet, NOW, &service, &line, &tried, &around), 0);
+  engine ("spare", "h", "small", 40, 60);
+  ck_assert_int_eq (
+      rt_line_around (fleet, NOW, &service, &line, &tried, &around), 1);
+  ck_assert_ptr_eq (around.part[0].target, a);
+  ck_assert_ptr_eq (around.part[2].target, c);
+  rt_tried_add (&tried, a);
+  ck_assert_int_eq (
+      rt_line_around (fleet, NOW, &service, &line, &tried, &around), 0);
+}
+END_TEST
+
+START_TEST (test_line_full_engine_is_left_to_its_copy)
+{
+  rt_target_t *a = engine ("a", "h", "small", 0, 6);
+  rt_target_t *b = engine ("b", "h", "small", 0, 6);
+  rt_line_t line;
+
+  engine ("c", "h", "large", 6, 80);
+  a->held = 1e9;
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_ptr_eq (line.part[0].target, b);
+}
+END_TEST
+
+START_TEST (test_line_in_use_counts_as_held)
+{
+  rt_target_t *a = engine ("a", "h", "large", 0, 80);
+  rt_line_t line;
+
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  rt_line_hold (&line);
+  ck_assert_uint_eq (a->lines, 1);
+  ck_assert (a->held > 0);
+  rt_fleet_remove (fleet, EL_STR ("a"));
+  rt_line_release (&line);
+}
+END_TEST
+
+/* Placing. */
+
+/* The halls of both users' sites. */
+START_TEST (test_layout_covers_every_hall_within_memory)
+{
+  rt_order_t orders[64];
+  size_t n;
+  size_t i;
+
+  hall_of ("a", 3, 3, 5);
+  hall_of ("b", 1, 5, 8);
+  hall_of ("c", 1, 7, 5);
+  n = rt_layout_next (fleet, &service, NULL, 0, orders, 64);
+  ck_assert_uint_eq (n, 38);
+  for (i = 0; i < n; i++)
+    {
+      const rt_card_t *card
+          = rt_model_card (&service.model, orders[i].target->facts.card);
+
+      ck_assert_uint_lt (orders[i].first, orders[i].end);
+      ck_assert_uint_le (orders[i].end, LAYERS);
+      ck_assert (1750.0 * (orders[i].end - orders[i].first)
+                 <= card->memory_mb);
+    }
+  orders_apply (orders, n);
+  ck_assert_uint_eq (hall_holes ("a"), 0);
+  ck_assert_uint_eq (hall_holes ("b"), 0);
+  ck_assert_uint_eq (hall_holes ("c"), 0);
+  ck_assert_uint_eq (rt_layout_next (fleet, &service, NULL, 0, orders, 64), 0);
+  ck_assert_uint_eq (rt_layout_repair (fleet, &service, NULL, 0, orders, 64),
+                     0);
+}
+END_TEST
+
+START_TEST (test_layout_counts_orders_under_way)
+{
+  rt_target_t *a = engine ("a", "h", "large", 0, 0);
+  const rt_order_t pending = { a, 0, 16 };
+  rt_order_t order;
+
+  engine ("b", "h", "large", 0, 0);
+  ck_assert_uint_eq (rt_layout_next (fleet, &service, &pending, 1, &order, 1),
+                     1);
+  ck_assert_ptr_ne (order.target, a);
+  ck_assert_uint_eq (order.first, 16);
+}
+END_TEST
+
+/* A hall that loses an engine for good moves spare copies into the hole. */
+START_TEST (test_layout_moves_spare_copies_into_a_hole)
+{
+  static const char *const lost[] = { "b-large-0", "b-middle-2", "b-small-0" };
+  rt_order_t orders[64];
+  size_t n;
+  int round;
+
+  hall_of ("b", 1, 5, 8);
+  n = rt_layout_next (fleet, &service, NULL, 0, orders, 64);
+  orders_apply (orders, n);
+  rt_fleet_remove (fleet, el_str (lost[_i]));
+  for (round = 0; round < 4 && hall_holes ("b"); round++)
+    {
+      n = rt_layout_repair (fleet, &service, NULL, 0, orders, 64);
+      ck_assert_uint_gt (n, 0);
+      orders_apply (orders, n);
+    }
+  ck_assert_uint_eq (hall_holes ("b"), 0);
+}
+END_TEST
+
+START_TEST (test_layout_moves_nothing_while_a_hall_has_orders)
+{
+  rt_order_t orders[64];
+  rt_order_t pending;
+  size_t n;
+
+  hall_of ("b", 1, 5, 8);
+  n = rt_layout_next (fleet, &service, NULL, 0, orders, 64);
+  orders_apply (orders, n);
+  rt_fleet_remove (fleet, EL_STR ("b-middle-2"));
+  pending = (rt_order_t){ engine ("new", "b", "middle", 0, 0), 0, 9 };
+  ck_assert_uint_eq (
+      rt_layout_repair (fleet, &service, &pending, 1, orders, 64), 0);
+}
+END_TEST
+
+/* After an attempt. */
+
+START_TEST (test_course_unsafe_runs_once)
+{
+  const rt_rule_t rule = { .kind = RT_UNSAFE, .attempts = 3 };
+  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
+  const rt_attempt_t refused = { .verdict = EL_NOT_RUN };
+  rt_course_t course = { 0, 0 };
+
+  ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 1, EL_SEC),
+                    RT_NEXT_AGAIN);
+  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
+                    RT_NEXT_FAIL);
+}
+END_TEST
+
+START_TEST (test_course_refusal_is_said_only_when_nothing_ran)
+{
+  const rt_rule_t rule = { .kind = RT_SAFE, .attempts = 2 };
+  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
+  const rt_attempt_t refused = { .verdict = EL_NOT_RUN };
+  rt_course_t course = { 0, 0 };
+
+  ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 0, EL_SEC),
+                    RT_NEXT_REFUSE);
+  course = (rt_course_t){ 0, 0 };
+  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
+                    RT_NEXT_AGAIN);
+  ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 0, EL_SEC),
+                    RT_NEXT_FAIL);
+}
+END_TEST
+
+START_TEST (test_course_keeps_to_the_rules_attempts)
+{
+  const rt_rule_t rule = { .kind = RT_SAFE, .attempts = 2 };
+  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
+  const rt_attempt_t failed
+      = { .verdict = EL_RAN, .answered = 1, .failed = 1 };
+  rt_course_t course = { 0, 0 };
+
+  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
+                    RT_NEXT_AGAIN);
+  ck_assert_int_eq (rt_course_next (&course, &rule, &failed, 1, EL_SEC),
+                    RT_NEXT_PASS);
+}
+END_TEST
+
+START_TEST (test_course_stream_goes_on_only_when_resumable)
+{
+  rt_rule_t rule = { .kind = RT_STREAM, .attempts = 2, .resumable = 1 };
+  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
+  rt_course_t course = { 0, 0 };
+
+  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
+                    RT_NEXT_AGAIN);
+  rule.resumable = 0;
+  course = (rt_course_t){ 0, 0 };
+  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
+                    RT_NEXT_FAIL);
+}
+END_TEST
+
+/* Over all hosts and any window, no more than ratio and slack. */
+START_TEST (test_spend_holds_over_hosts_and_windows)
+{
+  enum
+  {
+    HOSTS = 9,
+    SECONDS = 60
+  };
+  rt_spend_t spends[HOSTS];
+  unsigned taken[SECONDS] = { 0 };
+  unsigned asked[SECONDS] = { 0 };
+  int s;
+  int h;
+  int i;
+
+  for (h = 0; h < HOSTS; h++)
+    rt_spend_open (&spends[h], 0.2, 100, 10 * EL_SEC);
+  for (s = 0; s < SECONDS; s++)
+    for (h = 0; h < HOSTS; h++)
+      for (i = 0; i < 10; i++)
+        {
+          rt_spend_asked (&spends[h], (el_time_t)s * EL_SEC);
+          asked[s]++;
+          taken[s] += (unsigned)rt_spend_take (&spends[h],
+                                               (el_time_t)s * EL_SEC, HOSTS);
+        }
+  for (s = 10; s < SECONDS; s++)
+    {
+      unsigned all = 0;
+      unsigned requests = 0;
+
+      for (i = 0; i < 10; i++)
+        {
+          all += taken[s - i];
+          requests += asked[s - i];
+        }
+      ck_assert_uint_le (all, requests / 5 + 100);
+      ck_assert_uint_gt (all, 0);
+    }
+}
+END_TEST
+
+Suite *
+relay_suite (void)
+{
+  Suite *suite = suite_create ("relay");
+  TCase *tcase = tcase_create ("relay");
+
+  tcase_add_checked_fixture (tcase, relay_setup, relay_teardown);
+  ADD (tcase, test_rules_longest_prefix_of_the_host_wins);
+  ADD (tcase, test_rules_split_follows_the_weights);
+  ADD (tcase, test_pick_leaves_out_the_leaving_and_the_tried);
+  ADD (tcase, test_pick_avoids_the_failing_but_never_all);
+  ADD (tcase, test_endpoint_that_leaves_does_not_come_back);
+  ADD (tcase, test_line_covers_each_layer_once);
+  ADD (tcase, test_line_stays_in_the_callers_hall);
+  ADD (tcase, test_line_takes_engines_set_aside_rather_than_none);
+  ADD_LOOP (tcase, test_line_any_layout_is_covered_or_refused, SEEDS);
+  ADD (tcase, test_line_around_keeps_what_it_can);
+  ADD (tcase, test_line_full_engine_is_left_to_its_copy);
+  ADD (tcase, test_line_in_use_counts_as_held);
+  ADD (tcase, test_layout_covers_every_hall_within_memory);
+  ADD (tcase, test_layout_counts_orders_under_way);
+  ADD_LOOP (tcase, test_layout_moves_spare_copies_into_a_hole, 3);
+  ADD (tcase, test_layout_moves_nothing_while_a_hall_has_orders);
+  ADD (tcase, test_course_unsafe_runs_once);
+  ADD (tcase, test_course_refusal_is_said_only_when_nothing_ran);
+  ADD (tcase, test_course_keeps_to_the_rules_attempts);
+  ADD (tcase, test_course_stream_goes_on_only_when_resumable);
+  ADD (tcase, test_spend_holds_over_hosts_and_windows);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -22,6 +22,8 @@
 Suite *members_suite (void);
 Suite *route_suite (void);
 Suite *replay_suite (void);
+Suite *relay_suite (void);
+Suite *net_suite (void);
 Suite *stream_suite (void);
 Suite *once_suite (void);
 Suite *stop_suite (void);
