--- a/coord/coord.h
+++ b/coord/coord.h
@@ -220,6 +220,7 @@
                       const co_gossip_t *gossip);
 void co_members_answer (co_members_t *members, el_time_t now, uint64_t id,
                         int ok, const co_gossip_t *gossip);
+void co_members_withdraw (co_members_t *members, int withdrawn);
 void co_members_drain (co_members_t *members, co_mbr_state_t state);
 void co_members_hand_over (co_members_t *members,
                            const co_incarnation_t *successor);
--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -341,6 +341,16 @@
   members->self.counter++;
 }
 
+/** This host should be sent no callers for now, or may be again. */
+void
+co_members_withdraw (co_members_t *members, int withdrawn)
+{
+  if (members->self.draining == withdrawn)
+    return;
+  members->self.draining = withdrawn;
+  members->self.counter++;
+}
+
 /** SUCCESSOR has taken this host's sessions over. */
 void
 co_members_hand_over (co_members_t *members, const co_incarnation_t *successor)
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -19,9 +19,10 @@
 /* Endpoints' changes come at once; this bounds only how long a dead
    connection goes unnoticed. */
 #define ENDPOINTS_WAIT_MS 5000
-/* A host that has not heard of the store for this long is not ready: callers
-   are better served elsewhere. */
-#define STALE_NOT_READY (3 * EL_SEC)
+/* A host that has not heard of the store for this long is left out of the
+   entry addresses. */
+#define STALE_AFTER (3 * EL_SEC)
+#define LOOK_EVERY (200 * EL_MSEC)
 /* Endpoints change together: at the start, when many are replaced. */
 #define ENDPOINTS_GATHER (150 * EL_MSEC)
 #define STOP_LOOK_EVERY (50 * EL_MSEC)
@@ -40,6 +41,8 @@
   gt_follow_t *rules;
   gt_follow_t *endpoints;
   int endpoints_known;
+  int withdrawn;
+  el_timer_t look;
   el_time_t rules_known;
   int stopping;
   el_time_t stop_began;
@@ -132,11 +135,26 @@
 site_ready (void *arg)
 {
   site_t *site = arg;
-  el_time_t now = net_clock_now (gt_gate_clock (site->gate));
 
   return !site->stopping && site->endpoints_known
-         && gt_relays_in_force (site->relays)
-         && site->rules_known + STALE_NOT_READY > now;
+         && gt_relays_in_force (site->relays);
+}
+
+/* A host that does not reach the store refuses keyed requests soon: callers
+   are sent to those that do. When none does, all are told as before. */
+static void
+site_look (void *arg, el_time_t now)
+{
+  site_t *site = arg;
+  int stale = !gt_relays_in_force (site->relays) || !site->endpoints_known
+              || now > site->rules_known + STALE_AFTER;
+
+  if (stale != site->withdrawn)
+    EL_LOG (EL_LOG_INFO, stale ? "withdrawn" : "offered",
+            EL_FN ("config_age_us", now - site->rules_known));
+  site->withdrawn = stale;
+  gt_gate_withdraw (site->gate, stale);
+  net_clock_set (gt_gate_clock (site->gate), &site->look, LOOK_EVERY);
 }
 
 static void
@@ -268,6 +286,9 @@
   gt_relays_metrics (site->relays, gt_gate_metrics (gate));
   site_follow (site);
   site_plan (site);
+  site->look.cb = site_look;
+  site->look.arg = site;
+  net_clock_set (gt_gate_clock (gate), &site->look, 0);
   return site;
 }
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -390,6 +390,14 @@
   return &gate->metrics;
 }
 
+/** Have the other hosts send no callers here for now, or again. */
+void
+gt_gate_withdraw (gt_gate_t *gate, int withdrawn)
+{
+  if (!gate->draining)
+    gt_peers_withdraw (gate->peers, withdrawn);
+}
+
 /** Live hosts, this one included. */
 size_t
 gt_gate_hosts (const gt_gate_t *gate)
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -55,6 +55,7 @@
 net_clock_t *gt_gate_clock (gt_gate_t *gate);
 net_client_t *gt_gate_client (gt_gate_t *gate);
 el_metrics_t *gt_gate_metrics (gt_gate_t *gate);
+void gt_gate_withdraw (gt_gate_t *gate, int withdrawn);
 size_t gt_gate_hosts (const gt_gate_t *gate);
 size_t gt_gate_hall_hosts (const gt_gate_t *gate);
 int gt_gate_preferred (const gt_gate_t *gate);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -314,6 +314,7 @@
 /* peer.c */
 gt_peers_t *gt_peers_new (gt_gate_t *gate, el_err_t *err);
 void gt_peers_drain (gt_peers_t *peers);
+void gt_peers_withdraw (gt_peers_t *peers, int withdrawn);
 void gt_peers_stop (gt_peers_t *peers);
 void gt_peers_seen (gt_peers_t *peers, uint64_t revision);
 int gt_peers_chosen (const gt_peers_t *peers, size_t most);
--- a/gate/peer.c
+++ b/gate/peer.c
@@ -172,6 +172,13 @@
   co_members_drain (peers->members, CO_MBR_ALIVE);
 }
 
+/** Callers should not be sent here for now, or may be again. */
+void
+gt_peers_withdraw (gt_peers_t *peers, int withdrawn)
+{
+  co_members_withdraw (peers->members, withdrawn);
+}
+
 void
 gt_peers_stop (gt_peers_t *peers)
 {
@@ -337,6 +344,7 @@
 typedef struct addresses_arg
 {
   el_str_t hall; /* empty takes all */
+  int any;       /* those that are withdrawn, too */
   json_t *list;
 } addresses_arg_t;
 
@@ -345,7 +353,7 @@
 {
   addresses_arg_t *addresses = arg;
 
-  if (member->state == CO_MBR_ALIVE && !member->draining
+  if (member->state == CO_MBR_ALIVE && (addresses->any || !member->draining)
       && (!addresses->hall.len || el_str_eq (member->hall, addresses->hall)))
     json_array_append_new (addresses->list,
                            json_stringn (member->http.ptr, member->http.len));
@@ -355,7 +363,7 @@
 void
 gt_peers_addresses (const gt_peers_t *peers, el_str_t hall, json_t *list)
 {
-  addresses_arg_t addresses = { hall, list };
+  addresses_arg_t addresses = { hall, 0, list };
 
   if (hall.len)
     co_members_visit (peers->members, addresses_visit, &addresses);
@@ -364,6 +372,11 @@
   json_array_clear (list);
   addresses.hall.len = 0;
   co_members_visit (peers->members, addresses_visit, &addresses);
+  if (json_array_size (list))
+    return;
+  /* None reaches the store: all are as good. */
+  addresses.any = 1;
+  co_members_visit (peers->members, addresses_visit, &addresses);
 }
 
 static void
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -21,8 +21,8 @@
    usual on this host. */
 #define STILL_TIMES 4
 #define LOOK_AGAIN (100 * EL_MSEC)
-/* Looks before the engine is asked where the stream waits: its report is some
-   hundred milliseconds old. */
+/* The second look of so many asks the first engine where the stream waits;
+   the others ask the engines of the line for a sign of life. */
 #define LOOKS_ASK 4
 #define LOOKS_MAX 30
 /* Moves that fail before the stream is begun anew at another line. */
@@ -183,7 +183,11 @@
           EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
                                  - relay->last_event));
   if (engine)
-    watch_move (relay, engine);
+    {
+      /* It may live and be out of its neighbours' reach. */
+      rt_target_changed (engine, net_clock_now (relay->relays->options.clock));
+      watch_move (relay, engine);
+    }
   else
     watch_again (relay, LOOK_AGAIN);
 }
@@ -205,7 +209,7 @@
     }
   if (relay->ask || relay->looks++ >= LOOKS_MAX)
     return;
-  if (relay->looks % LOOKS_ASK == 0)
+  if (relay->looks % LOOKS_ASK == 2)
     {
       relay->ask = o->dialect->ask_stalled (o->client, relay->target,
                                             relay->id, watch_told, relay);
--- a/route/line.c
+++ b/route/line.c
@@ -21,8 +21,6 @@
    share; a whole prompt does, too. Counted so that a line stays in a hall
    while that hall has all layers. */
 #define CROSS_MS 30.0
-/* A caller's host in another hall than the first engine: text only. */
-#define FAR_START_MS 30.0
 /* An engine whose memory is full of streams costs half as much again; past
    FILL_KNEE it soon costs more than another hall, since the newest streams
    are put back when it runs out. */
@@ -210,7 +208,7 @@
   unsigned to;
 
   if (c->hall != hall)
-    before += at ? CROSS_MS : FAR_START_MS;
+    before += CROSS_MS;
   for (to = at + 1; to <= facts->end; to++)
     {
       line_node_t *node = &search->node[to][c->hall];
