A store that returns is noticed within half a second

Cause: with the store silent for 6 s, keyed requests stayed refused for 2.5 s after its return: the watch sent just before it came back was waited for, 3 s, before the next call.

Change: while the store is missed, calls ask for an answer at once and are given up after 0.8 s.

--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -15,7 +15,11 @@
    slow takes some 300 ms. */
 #define CALL_LIMIT (1500 * EL_MSEC)
 #define BACKOFF_FIRST (60 * EL_MSEC)
-#define BACKOFF_MOST (800 * EL_MSEC)
+#define BACKOFF_MOST (500 * EL_MSEC)
+/* While the store is missed, calls ask for an answer at once: one that was
+   sent just before it comes back must not hold the next one up. */
+#define MISSED_WAIT_MS 1
+#define MISSED_LIMIT (800 * EL_MSEC)
 
 /* A key that is known, with the revision of its last change. */
 typedef struct follow_key
@@ -271,16 +275,17 @@
   gt_follow_t *follow = arg;
   gt_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
+  uint64_t wait = follow->failures ? MISSED_WAIT_MS : o->wait_ms;
+  el_time_t limit = follow->failures ? MISSED_LIMIT : CALL_LIMIT;
 
   (void)now;
   follow->sent = net_clock_now (o->store->clock);
   if (follow->whole)
     {
-      o->store->dialect->watch (&path, o->prefix, follow->revision,
-                                o->wait_ms);
-      follow->call = gt_store_call (o->store, "GET", &path, NULL,
-                                    o->wait_ms * EL_MSEC + CALL_LIMIT,
-                                    watch_done, follow);
+      o->store->dialect->watch (&path, o->prefix, follow->revision, wait);
+      follow->call
+          = gt_store_call (o->store, "GET", &path, NULL,
+                           wait * EL_MSEC + limit, watch_done, follow);
     }
   else
     {
@@ -291,7 +296,7 @@
         }
       o->store->dialect->range (&path, o->prefix,
                                 el_buf_str (&follow->page_after));
-      follow->call = gt_store_call (o->store, "GET", &path, NULL, CALL_LIMIT,
+      follow->call = gt_store_call (o->store, "GET", &path, NULL, limit,
                                     range_done, follow);
     }
   el_buf_free (&path);
