Rules watched every second, endpoints' changes gathered for 300 ms

Change: a watch waits a fifth of the limit on keys, so a lost store leaves three fifths of it to serve in; endpoints are asked anew after a gap in the news of rules; their changes are gathered for 300 ms.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -12,10 +12,15 @@
 
 /* Longest body that is taken in before the rules name their own bound. */
 #define BODY_MAX ((size_t)4 << 20)
-/* Part of the keys' limit that a watch waits: the configuration is known as of
-   the sending of the last watch that was answered. */
-#define RULES_WAIT_PARTS 4
-#define RULES_WAIT_MS 1500
+/* Longest wait of a watch for rules; with a limit on keys a fifth of it: the
+   rules are known as of the sending of the last watch that was answered, and
+   the next answer may take as long again. So a store that is lost leaves at
+   least three fifths of the limit to serve in. */
+#define RULES_WAIT_PARTS 5
+#define RULES_WAIT_MS 1000
+/* After a gap in the news of rules the store was missed: a watch for endpoints
+   that was out meanwhile may never be answered. */
+#define RULES_GAP (1500 * EL_MSEC)
 /* Endpoints' changes come at once; this bounds only how long a dead
    connection goes unnoticed. */
 #define ENDPOINTS_WAIT_MS 5000
@@ -24,7 +29,7 @@
 #define STALE_AFTER (3 * EL_SEC)
 #define LOOK_EVERY (200 * EL_MSEC)
 /* Endpoints change together: at the start, when many are replaced. */
-#define ENDPOINTS_GATHER (150 * EL_MSEC)
+#define ENDPOINTS_GATHER (300 * EL_MSEC)
 #define STOP_LOOK_EVERY (50 * EL_MSEC)
 /* Margin of a lease for clocks that run at different speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
@@ -80,6 +85,8 @@
 {
   site_t *site = arg;
 
+  if (as_of > site->rules_known + RULES_GAP && site->endpoints)
+    gt_follow_renew (site->endpoints);
   site->rules_known = as_of;
   gt_relays_known (site->relays, as_of);
 }
