Stand-ins of the platform's store and endpoints; relayed requests tested

standin/ gains a store (ranges, watches, leases, writes under a condition, lost history, silence) and an endpoint that enters itself in it (layers, lines, streams that stand still, moves). 18 checks with real processes: rules, keys, what endpoints are told, streams that lose their first engine (killed, frozen), one further down, one out of reach; payments once, refusals true, time limits, callers that leave, keys taken away, versions, leaving endpoints, the planner's death, a planned stop.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
        gate/store_follow.c gate/store_duty.c gate/planner.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c
-STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c
+STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
+          standin/store.c standin/member.c
 
 LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
@@ -99,7 +100,7 @@
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
-PROC = tests/proc_main.c tests/t_stream.c tests/t_once.c tests/t_stop.c tests/t_agree.c \
+PROC = tests/proc_main.c tests/t_stream.c tests/t_once.c tests/t_stop.c tests/t_agree.c tests/t_site.c tests/site.c \
        tests/cluster.c tests/expect.c standin/reference.c
 $(BIN)/proc: $(PROC:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -46,6 +46,8 @@
   gt_follow_t *rules;
   gt_follow_t *endpoints;
   int endpoints_known;
+  uint64_t gauge_endpoints;
+  uint64_t gauge_placed;
   int withdrawn;
   el_timer_t look;
   el_time_t rules_known;
@@ -149,6 +151,17 @@
 
 /* A host that does not reach the store refuses keyed requests soon: callers
    are sent to those that do. When none does, all are told as before. */
+static void
+site_count (site_t *site)
+{
+  const rt_target_t *target;
+
+  site->gauge_endpoints = rt_fleet_count (site->fleet);
+  site->gauge_placed = 0;
+  for (target = rt_fleet_first (site->fleet); target; target = target->hh.next)
+    site->gauge_placed += target->facts.end > target->facts.first;
+}
+
 static void
 site_look (void *arg, el_time_t now)
 {
@@ -161,6 +174,7 @@
             EL_FN ("config_age_us", now - site->rules_known));
   site->withdrawn = stale;
   gt_gate_withdraw (site->gate, stale);
+  site_count (site);
   net_clock_set (gt_gate_clock (site->gate), &site->look, LOOK_EVERY);
 }
 
@@ -265,6 +279,21 @@
   return gt_relays_new (&relays, err);
 }
 
+static void
+site_metrics (site_t *site)
+{
+  el_metrics_t *metrics = gt_gate_metrics (site->gate);
+
+  el_metrics_add (metrics, "elmarch_endpoints", "endpoints listed", EL_GAUGE,
+                  &site->gauge_endpoints);
+  el_metrics_add (metrics, "elmarch_engines_placed",
+                  "engines that hold layers", EL_GAUGE, &site->gauge_placed);
+  el_metrics_add (metrics, "elmarch_store_calls_total", "calls to the store",
+                  EL_COUNTER, &site->store.counts.calls);
+  el_metrics_add (metrics, "elmarch_store_failures_total", "of those, failed",
+                  EL_COUNTER, &site->store.counts.failures);
+}
+
 /** Serve relayed requests; NULL, with the reason in ERR, when an address can't
     be had. */
 site_t *
@@ -291,6 +320,7 @@
   if (!site->relays || !pf_entry_new (&entry, err))
     return NULL;
   gt_relays_metrics (site->relays, gt_gate_metrics (gate));
+  site_metrics (site);
   site_follow (site);
   site_plan (site);
   site->look.cb = site_look;
--- a/standin/main.c
+++ b/standin/main.c
@@ -16,7 +16,7 @@
 #define MAX_BODY (16U << 20)
 
 static const sn_role_t *const roles[]
-    = { &sn_platform, &sn_engine, &sn_service };
+    = { &sn_platform, &sn_engine, &sn_service, &sn_store, &sn_member };
 
 static const char *const fault_names[SN_FAULTS] = {
   [SN_NONE] = "none",           [SN_LEAVING] = "leaving",
@@ -30,7 +30,7 @@
 
 static const el_set_t table[] = {
   { "role", EL_SET_STRING, AT (role), NULL, 1, 16, 1, "ROLE",
-    "platform, engine or service" },
+    "platform, engine, service, store or member" },
   { "listen", EL_SET_STRING, AT (listen), NULL, 9, 21, 1, "IP:PORT",
     "where to listen" },
   { "step-us", EL_SET_U64, AT (step_us), "0", 0, 10000000, 0, "US",
@@ -41,6 +41,15 @@
     "last layer held" },
   { "generation", EL_SET_U64, AT (generation), "1", 1, 1000000, 0, "N",
     "generation of the weights" },
+  { "store", EL_SET_STRING, AT (store), "", 0, 21, 0, "IP:PORT",
+    "the store that a member enters itself in" },
+  { "name", EL_SET_STRING, AT (name), "m", 1, 32, 0, "NAME",
+    "begins a member's id" },
+  { "service", EL_SET_STRING, AT (service), "s", 1, 32, 0, "NAME",
+    "of a member" },
+  { "hall", EL_SET_STRING, AT (hall), "h", 1, 32, 0, "NAME", "of a member" },
+  { "card", EL_SET_STRING, AT (card), "", 0, 32, 0, "NAME",
+    "accelerator of a member that is an engine" },
 };
 
 typedef struct later
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -37,6 +37,11 @@
   uint64_t layers_first;
   uint64_t layers_last;
   uint64_t generation;
+  const char *store;
+  const char *name;
+  const char *service;
+  const char *hall;
+  const char *card;
 } sn_settings_t;
 
 typedef struct sn_process
@@ -63,6 +68,8 @@
 extern const sn_role_t sn_platform;
 extern const sn_role_t sn_engine;
 extern const sn_role_t sn_service;
+extern const sn_role_t sn_store;
+extern const sn_role_t sn_member;
 
 sn_fault_t sn_fault_take (sn_process_t *process);
 void sn_lose (h2o_req_t *req);
--- /dev/null
+++ b/standin/store.c
@@ -0,0 +1,395 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The users' platform's store, as far as the tests need it: ranges, watches,
+ * leases, writes under a condition. PUT /test/KEY sets a key as an operator
+ * or an endpoint would, DELETE /test/KEY removes it; POST /test/forget drops
+ * the history, POST /test/mute {"on": BOOL} leaves calls unanswered.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <openssl/evp.h>
+
+#include "libgate.h"
+#include "standin.h"
+
+#define TEST_PREFIX EL_STR ("/test/")
+#define LEASES_MAX 256
+
+typedef struct store_item
+{
+  char *key;
+  char *value; /* base64; NULL once gone */
+  uint64_t revision;
+  uint64_t lease;
+  UT_hash_handle hh;
+} store_item_t;
+
+typedef struct store_watch
+{
+  struct store *store;
+  gt_hold_t *hold;
+  char *prefix;
+  uint64_t since;
+  el_timer_t over;
+  struct store_watch *prev;
+  struct store_watch *next;
+} store_watch_t;
+
+typedef struct store_lease
+{
+  uint64_t id; /* 0 once over */
+  el_time_t ttl;
+  el_timer_t over;
+  struct store *store;
+} store_lease_t;
+
+typedef struct store
+{
+  sn_process_t *process;
+  store_item_t *items;
+  store_watch_t *watches;
+  store_lease_t leases[LEASES_MAX];
+  uint64_t next_lease;
+  uint64_t revision;
+  uint64_t forgotten; /* changes up to it are no longer kept */
+  int mute;
+} store_t;
+
+static void
+store_open (sn_process_t *process)
+{
+  store_t *store = el_alloc (sizeof *store);
+
+  store->process = process;
+  store->revision = 1;
+  process->state = store;
+}
+
+static json_t *
+item_json (const store_item_t *item)
+{
+  if (!item->value)
+    return json_pack ("{s:s,s:I,s:b}", "Key", item->key, "Revision",
+                      (json_int_t)item->revision, "gone", 1);
+  return json_pack ("{s:s,s:s,s:I,s:I}", "Key", item->key, "Value",
+                    item->value, "Revision", (json_int_t)item->revision,
+                    "lease", (json_int_t)item->lease);
+}
+
+static json_t *
+items_json (store_t *store, const char *prefix, uint64_t since, int gone)
+{
+  json_t *list = json_array ();
+  store_item_t *item;
+  store_item_t *next;
+
+  HASH_ITER (hh, store->items, item, next)
+  if (strncmp (item->key, prefix, strlen (prefix)) == 0
+      && item->revision > since && (item->value || gone))
+    json_array_append_new (list, item_json (item));
+  return list;
+}
+
+static void
+watch_end (store_watch_t *watch)
+{
+  store_t *store = watch->store;
+  h2o_req_t *req = gt_hold_release (watch->hold);
+
+  net_clock_cancel (&store->process->clock, &watch->over);
+  DL_DELETE (store->watches, watch);
+  if (req)
+    sn_json (req, 200,
+             json_pack ("{s:o,s:I}", "events",
+                        items_json (store, watch->prefix, watch->since, 1),
+                        "at", (json_int_t)store->revision));
+  free (watch->prefix);
+  free (watch);
+}
+
+static void
+watch_over (void *arg, el_time_t now)
+{
+  (void)now;
+  watch_end (arg);
+}
+
+static store_item_t *
+item_get (store_t *store, const char *key)
+{
+  store_item_t *item;
+
+  HASH_FIND_STR (store->items, key, item);
+  if (item)
+    return item;
+  item = el_alloc (sizeof *item);
+  item->key = strdup (key);
+  HASH_ADD_KEYPTR (hh, store->items, item->key, strlen (key), item);
+  return item;
+}
+
+/* Set a key, or remove it without VALUE, and wake those who wait for it. */
+static void
+item_set (store_t *store, const char *key, const char *value, uint64_t lease)
+{
+  store_item_t *item = item_get (store, key);
+  store_watch_t *watch;
+  store_watch_t *next;
+
+  free (item->value);
+  item->value = value ? strdup (value) : NULL;
+  item->revision = ++store->revision;
+  item->lease = lease;
+  DL_FOREACH_SAFE (store->watches, watch, next)
+  if (strncmp (key, watch->prefix, strlen (watch->prefix)) == 0)
+    watch_end (watch);
+}
+
+static void
+lease_over (void *arg, el_time_t now)
+{
+  store_lease_t *lease = arg;
+  store_t *store = lease->store;
+  store_item_t *item;
+  store_item_t *next;
+  uint64_t id = lease->id;
+
+  (void)now;
+  lease->id = 0;
+  HASH_ITER (hh, store->items, item, next)
+  if (item->value && item->lease == id)
+    item_set (store, item->key, NULL, 0);
+}
+
+static store_lease_t *
+lease_find (store_t *store, uint64_t id)
+{
+  store_lease_t *lease = &store->leases[id % LEASES_MAX];
+
+  return id && lease->id == id ? lease : NULL;
+}
+
+static char *
+query_text (const h2o_req_t *req, const char *name)
+{
+  el_str_t value = { NULL, 0 };
+
+  net_req_query (req, el_str (name), &value);
+  return strndup (value.ptr ? value.ptr : "", value.len);
+}
+
+static void
+serve_range (store_t *store, h2o_req_t *req)
+{
+  char *prefix = query_text (req, "PathPrefix");
+
+  sn_json (req, 200,
+           json_pack ("{s:o,s:b,s:I}", "Items",
+                      items_json (store, prefix, 0, 0), "more", 0, "at",
+                      (json_int_t)store->revision));
+  free (prefix);
+}
+
+static void
+serve_watch (store_t *store, h2o_req_t *req)
+{
+  char *since = query_text (req, "SinceRev");
+  char *wait = query_text (req, "WaitMs");
+  store_watch_t *watch = el_alloc (sizeof *watch);
+  json_t *list;
+
+  watch->store = store;
+  watch->prefix = query_text (req, "PathPrefix");
+  watch->since = strtoull (since, NULL, 10);
+  watch->hold = gt_hold_new (req);
+  watch->over.cb = watch_over;
+  watch->over.arg = watch;
+  DL_APPEND (store->watches, watch);
+  net_clock_set (&store->process->clock, &watch->over,
+                 strtoull (wait, NULL, 10) * EL_MSEC);
+  free (since);
+  free (wait);
+  if (watch->since < store->forgotten)
+    {
+      req = gt_hold_release (watch->hold);
+      net_clock_cancel (&store->process->clock, &watch->over);
+      DL_DELETE (store->watches, watch);
+      free (watch->prefix);
+      free (watch);
+      net_req_reply (req, 410, EL_STR (""), EL_STR (""));
+      return;
+    }
+  list = items_json (store, watch->prefix, watch->since, 1);
+  if (json_array_size (list))
+    watch_end (watch);
+  json_decref (list);
+}
+
+static void
+serve_lease (store_t *store, h2o_req_t *req)
+{
+  json_t *json = sn_body (req);
+  uint64_t id = ++store->next_lease;
+  store_lease_t *lease = &store->leases[id % LEASES_MAX];
+
+  *lease = (store_lease_t){ .id = id,
+                            .ttl = (el_time_t)json_integer_value (
+                                       json_object_get (json, "ttl_ms"))
+                                   * EL_MSEC,
+                            .store = store };
+  lease->over.cb = lease_over;
+  lease->over.arg = lease;
+  net_clock_set (&store->process->clock, &lease->over, lease->ttl);
+  sn_json (req, 200,
+           json_pack ("{s:I,s:I}", "lease", (json_int_t)id, "ttl_ms",
+                      (json_int_t)(lease->ttl / EL_MSEC)));
+  json_decref (json);
+}
+
+static void
+serve_keep (store_t *store, h2o_req_t *req)
+{
+  el_str_t path = net_req_path (req);
+  uint64_t id = 0;
+  store_lease_t *lease;
+
+  el_str_to_u64 (el_str_after (path, sizeof "/elmarch/kv-keep/" - 1), &id);
+  lease = lease_find (store, id);
+  if (lease)
+    net_clock_set (&store->process->clock, &lease->over, lease->ttl);
+  net_req_reply (req, lease ? 200 : 404, EL_STR (""), EL_STR ("{}"));
+}
+
+/* Whether the rows of a condition hold. */
+static int
+txn_holds (store_t *store, json_t *rows)
+{
+  store_item_t *item;
+  json_t *row;
+  size_t i;
+
+  json_array_foreach (rows, i, row)
+  {
+    const char *key = json_string_value (json_object_get (row, "Key"));
+    json_int_t want = json_integer_value (json_object_get (row, "Revision"));
+
+    HASH_FIND_STR (store->items, key, item);
+    if ((item && item->value ? (json_int_t)item->revision : 0) != want)
+      return 0;
+  }
+  return 1;
+}
+
+static void
+serve_txn (store_t *store, h2o_req_t *req)
+{
+  json_t *json = sn_body (req);
+  json_t *row;
+  size_t i;
+
+  if (!txn_holds (store, json_object_get (json, "ExpectedRev")))
+    {
+      net_req_reply (req, 412, EL_STR (""), EL_STR ("{}"));
+      json_decref (json);
+      return;
+    }
+  json_array_foreach (json_object_get (json, "put"), i, row)
+  {
+    item_set (store, json_string_value (json_object_get (row, "Key")),
+              json_string_value (json_object_get (row, "Value")),
+              (uint64_t)json_integer_value (json_object_get (row, "lease")));
+  }
+  sn_json (req, 200,
+           json_pack ("{s:I}", "Revision", (json_int_t)store->revision));
+  json_decref (json);
+}
+
+static void
+serve_put (store_t *store, h2o_req_t *req, const char *key)
+{
+  el_str_t body = net_req_body (req);
+  unsigned char *text = el_alloc (body.len / 3 * 4 + 5);
+
+  EVP_EncodeBlock (text, (const unsigned char *)(body.ptr ? body.ptr : ""),
+                   (int)body.len);
+  item_set (store, key, (const char *)text, 0);
+  free (text);
+  net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
+}
+
+static void
+serve_test (store_t *store, h2o_req_t *req)
+{
+  el_str_t rest = el_str_after (net_req_path (req), TEST_PREFIX.len);
+  el_str_t method = net_req_method (req);
+  char *key = strndup (rest.ptr, rest.len);
+  json_t *json;
+
+  if (el_str_eq (method, EL_STR ("PUT")))
+    serve_put (store, req, key);
+  else if (el_str_eq (method, EL_STR ("DELETE")))
+    {
+      item_set (store, key, NULL, 0);
+      net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
+    }
+  else if (strcmp (key, "forget") == 0)
+    {
+      store->forgotten = ++store->revision;
+      net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
+    }
+  else if (strcmp (key, "mute") == 0)
+    {
+      json = sn_body (req);
+      store->mute = json_is_true (json_object_get (json, "on"));
+      json_decref (json);
+      net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
+    }
+  else
+    net_req_reply (req, 404, EL_STR (""), EL_STR (""));
+  free (key);
+}
+
+static const struct
+{
+  el_str_t path;
+  void (*serve) (store_t *store, h2o_req_t *req);
+} calls[] = {
+  { EL_STR ("/elmarch/kv-range"), serve_range },
+  { EL_STR ("/elmarch/kv-watch"), serve_watch },
+  { EL_STR ("/elmarch/kv-lease"), serve_lease },
+  { EL_STR ("/elmarch/kv-keep/"), serve_keep },
+  { EL_STR ("/elmarch/kv-txn"), serve_txn },
+};
+
+static void
+store_serve (sn_process_t *process, h2o_req_t *req)
+{
+  store_t *store = process->state;
+  el_str_t path = net_req_path (req);
+  size_t i;
+
+  if (el_str_starts (path, TEST_PREFIX))
+    {
+      serve_test (store, req);
+      return;
+    }
+  if (store->mute)
+    {
+      gt_hold_new (req); /* never answered */
+      return;
+    }
+  for (i = 0; i < sizeof calls / sizeof *calls; i++)
+    if (el_str_starts (path, calls[i].path))
+      {
+        calls[i].serve (store, req);
+        return;
+      }
+  net_req_reply (req, 404, EL_STR (""), EL_STR (""));
+}
+
+const sn_role_t sn_store = { "store", store_open, store_serve };
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -41,14 +41,18 @@
   nanosleep (&step, NULL);
 }
 
-static void
+/** Give a process an address of this test's own network. */
+void
 address_set (proc_t *proc, unsigned last)
 {
+  if (!net)
+    net = getpid ();
   snprintf (proc->address, sizeof proc->address, "127.%d.%d.%u:7000",
             100 + (net >> 8) % 100, net & 0xff, last);
 }
 
-static void
+/** Start a program of the build with its arguments. */
+void
 proc_spawn (proc_t *proc, const char **args)
 {
   const char *bin = getenv ("ELMARCH_TEST_BIN");
@@ -60,8 +64,8 @@
                     0);
 }
 
-/* Wait until the process answers. */
-static void
+/** Wait until the process answers. */
+void
 proc_ready (const proc_t *proc, const char *path)
 {
   reply_t reply;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -84,6 +84,9 @@
 extern int http2;
 
 void pause_step (void);
+void address_set (proc_t *proc, unsigned last);
+void proc_spawn (proc_t *proc, const char **args);
+void proc_ready (const proc_t *proc, const char *path);
 void cluster_open (cluster_t *cluster, size_t nhosts);
 void cluster_configure (cluster_t *cluster);
 void cluster_close (cluster_t *cluster);
--- /dev/null
+++ b/tests/site.c
@@ -0,0 +1,310 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Real processes for the tests of relayed requests.
+ */
+#include "site.h"
+
+#include <check.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOST_NAME "host: rel.example"
+#define STEP_US "5000"
+
+site_t site;
+
+void
+site_setup (void)
+{
+  memset (&site, 0, sizeof site);
+  site.step_us = STEP_US;
+}
+
+static void
+store_start (void)
+{
+  const char *args[]
+      = { "standin", "--role", "store", "--listen", site.store.address, NULL };
+
+  proc_spawn (&site.store, args);
+  proc_ready (&site.store, "/elmarch/kv-range?PathPrefix=none");
+}
+
+static void
+member_start (proc_t *proc, const char *name, const char *service,
+              const char *card)
+{
+  const char *args[]
+      = { "standin",   "--role",           "member", "--listen", proc->address,
+          "--store",   site.store.address, "--name", name,       "--service",
+          service,     "--hall",           "h",      "--card",   card,
+          "--step-us", site.step_us,       NULL };
+
+  proc_spawn (proc, args);
+  proc_ready (proc, "/runs");
+}
+
+void
+site_engine_start (size_t i)
+{
+  static const char *const names[SITE_ENGINES] = { "e0", "e1", "e2", "e3" };
+
+  member_start (&site.engines[i], names[i], "llm", "half");
+}
+
+/* The same host under another port. */
+static void
+port_set (const proc_t *host, proc_t *out, char digit)
+{
+  snprintf (out->address, sizeof out->address, "%s", host->address);
+  out->address[strlen (out->address) - 1] = digit;
+}
+
+void
+site_host_start (size_t i)
+{
+  proc_t peer;
+  char peers[SITE_HOSTS * 32] = "";
+  const char *args[] = { "elmarchd",
+                         "--listen",
+                         site.hosts[i].address,
+                         "--peer-listen",
+                         peer.address,
+                         "--peers",
+                         peers,
+                         "--hall",
+                         "h",
+                         "--entry",
+                         site.entries[i].address,
+                         "--ready",
+                         site.readies[i].address,
+                         "--directory",
+                         site.directories[i].address,
+                         "--store",
+                         site.store.address,
+                         "--cluster-key",
+                         "the-test-site's-key",
+                         "--operator-key",
+                         "an-operator's-key",
+                         "--keys-limit-ms",
+                         "2000",
+                         "--stop-least-ms",
+                         "100",
+                         "--log-level",
+                         "warn",
+                         NULL };
+  size_t k;
+
+  for (k = 0; k < site.nhosts; k++)
+    {
+      port_set (&site.hosts[k], &peer, '1');
+      strcat (strcat (peers, peer.address), ",");
+    }
+  port_set (&site.hosts[i], &peer, '1');
+  proc_spawn (&site.hosts[i], args);
+  proc_ready (&site.hosts[i], "/metrics");
+}
+
+/** The operators' configuration, with the customer's KEYS as a JSON list. */
+void
+site_config (int version, const char *keys)
+{
+  static const char *const form
+      = "{\"Version\":%d,\"Routes\":["
+        "{\"Name\":\"chat\",\"Host\":\"rel.example\",\"PathPrefix\":\"/chat/"
+        "\","
+        "\"RouteType\":\"streaming\",\"TimeoutMs\":30000,\"MaxAttempts\":2,"
+        "\"Service\":\"llm\",\"Resumable\":true},"
+        "{\"Name\":\"pay\",\"Host\":\"rel.example\",\"PathPrefix\":\"/pay/\","
+        "\"RouteType\":\"unsafe\",\"TimeoutMs\":5000,\"MaxAttempts\":1,"
+        "\"Service\":\"app\"},"
+        "{\"Name\":\"look\",\"Host\":\"rel.example\",\"PathPrefix\":\"/look/"
+        "\","
+        "\"RouteType\":\"safe\",\"TimeoutMs\":1000,\"MaxAttempts\":2,"
+        "\"Service\":\"app\"}],"
+        "\"Services\":[{\"Name\":\"app\"},{\"Name\":\"llm\",\"Engine\":{"
+        "\"layers\":8,\"layer_mb\":1000,\"step_ms\":1,\"KvTokenBytes\":8000,"
+        "\"usual\":{\"prompt\":10,\"answer\":10},"
+        "\"kinds\":[{\"Name\":\"half\",\"mb\":4500,\"pace\":1}]}}],"
+        "\"Limits\":{\"MaxBodyBytes\":65536,\"IdleTimeoutMs\":15000},"
+        "\"Tenants\":[{\"Name\":\"parking\",\"ApiKeys\":%s}]}";
+  char body[4096];
+  reply_t reply;
+
+  snprintf (body, sizeof body, form, version, keys);
+  http ("PUT", site.store.address, "/test/op/config", body, NULL, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+}
+
+/** Wait until a host takes relayed requests. */
+void
+site_ready_wait (size_t host)
+{
+  reply_t reply;
+  long status = 0;
+  int i;
+
+  for (i = 0; i < WAIT_STEPS && status != 200; i++)
+    {
+      http ("GET", site.readies[host].address, "/elmarch/ready", NULL, NULL,
+            &reply);
+      status = reply.status;
+      reply_free (&reply);
+      pause_step ();
+    }
+  ck_assert_int_eq (status, 200);
+}
+
+/** A number that a member tells of itself. */
+int64_t
+member_number (const proc_t *member, const char *name)
+{
+  json_t *json = http_json (member->address, "/runs");
+  int64_t value = json_integer_value (json_object_get (json, name));
+
+  json_decref (json);
+  return value;
+}
+
+void
+member_id (const proc_t *member, char *out, size_t size)
+{
+  json_t *json = http_json (member->address, "/runs");
+
+  snprintf (out, size, "%s", json_string_value (json_object_get (json, "id")));
+  json_decref (json);
+}
+
+/** Wait until all engines that run hold layers. */
+void
+site_placed_wait (void)
+{
+  size_t placed = 0;
+  size_t live;
+  size_t i;
+  int step;
+
+  for (step = 0; step < WAIT_STEPS; step++)
+    {
+      placed = 0;
+      live = 0;
+      for (i = 0; i < SITE_ENGINES; i++)
+        if (site.engines[i].pid)
+          {
+            live++;
+            placed += member_number (&site.engines[i], "end") > 0;
+          }
+      if (placed == live)
+        return;
+      pause_step ();
+    }
+  ck_abort_msg ("%zu engines hold layers", placed);
+}
+
+void
+site_mute (int on)
+{
+  reply_t reply;
+
+  http ("POST", site.store.address, "/test/mute",
+        on ? "{\"on\":true}" : "{\"on\":false}", NULL, &reply);
+  reply_free (&reply);
+}
+
+/** Start everything and wait until all hosts take requests and the layers are
+    placed. */
+void
+site_open (size_t nhosts)
+{
+  static const char *const workers[SITE_WORKERS] = { "w0", "w1" };
+  size_t i;
+
+  site.nhosts = nhosts;
+  address_set (&site.store, 1);
+  for (i = 0; i < SITE_ENGINES; i++)
+    address_set (&site.engines[i], 10 + (unsigned)i);
+  for (i = 0; i < SITE_WORKERS; i++)
+    address_set (&site.workers[i], 20 + (unsigned)i);
+  for (i = 0; i < nhosts; i++)
+    {
+      address_set (&site.hosts[i], 30 + (unsigned)i);
+      port_set (&site.hosts[i], &site.entries[i], '2');
+      port_set (&site.hosts[i], &site.readies[i], '3');
+      port_set (&site.hosts[i], &site.directories[i], '4');
+    }
+  store_start ();
+  site_config (1, "[\"" CUSTOMER_KEY "\"]");
+  for (i = 0; i < SITE_ENGINES; i++)
+    site_engine_start (i);
+  for (i = 0; i < SITE_WORKERS; i++)
+    member_start (&site.workers[i], workers[i], "app", "");
+  for (i = 0; i < nhosts; i++)
+    site_host_start (i);
+  for (i = 0; i < nhosts; i++)
+    site_ready_wait (i);
+  site_placed_wait ();
+  for (i = 0; i < nhosts; i++)
+    metric_wait (&site.hosts[i], "elmarch_engines_placed", SITE_ENGINES);
+}
+
+/** End everything. Hosts are drained, and must end without a leak. */
+void
+site_teardown (void)
+{
+  size_t i;
+
+  for (i = 0; i < site.nhosts; i++)
+    ck_assert_msg (proc_end (&site.hosts[i], SIGTERM) == 0,
+                   "host %zu did not end cleanly", i);
+  for (i = 0; i < SITE_ENGINES; i++)
+    proc_end (&site.engines[i], SIGKILL);
+  for (i = 0; i < SITE_WORKERS; i++)
+    proc_end (&site.workers[i], SIGKILL);
+  proc_end (&site.store, SIGKILL);
+}
+
+/** One request through a host. */
+void
+ask (size_t host, const char *method, const char *path, const char *id,
+     reply_t *reply)
+{
+  char name[96];
+  const char *headers[] = { HOST_NAME, name, NULL };
+
+  snprintf (name, sizeof name, "x-elmarch-request-id: %s", id);
+  http (method, site.entries[host].address, path,
+        strcmp (method, "POST") == 0 ? "body" : NULL, headers, reply);
+}
+
+/** Begin a stream through a host. */
+void
+stream_start (caller_t *caller, size_t host, const char *id)
+{
+  char name[96];
+  const char *headers[] = { HOST_NAME, name, NULL };
+
+  snprintf (name, sizeof name, "x-elmarch-request-id: %s", id);
+  caller_start (caller, site.entries[host].address, "/chat/x", "body", headers,
+                0);
+}
+
+/** Every event once and in order. */
+void
+stream_whole (const reply_t *reply)
+{
+  el_buf_t want = { NULL, 0, 0 };
+  int i;
+
+  for (i = 1; i <= SITE_EVENTS; i++)
+    el_buf_printf (&want, "id: %d\ndata: p%d\n\n", i, i);
+  ck_assert_int_eq (reply->status, 200);
+  ck_assert_str_eq (reply->body.ptr, want.ptr);
+  el_buf_free (&want);
+}
--- /dev/null
+++ b/tests/site.h
@@ -0,0 +1,51 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Real processes for the tests of relayed requests: a store, engines and
+ * workers that enter themselves in it, hosts.
+ */
+#ifndef ELMARCH_SITE_TEST_H
+#define ELMARCH_SITE_TEST_H
+
+#include "cluster.h"
+
+#define SITE_ENGINES 4
+#define SITE_WORKERS 2
+#define SITE_HOSTS 3
+/** Events of one stream of the stand-in. */
+#define SITE_EVENTS 40
+
+typedef struct site
+{
+  proc_t store;
+  proc_t engines[SITE_ENGINES];
+  proc_t workers[SITE_WORKERS];
+  proc_t hosts[SITE_HOSTS]; /* where operators and metrics are */
+  proc_t entries[SITE_HOSTS];
+  proc_t readies[SITE_HOSTS];
+  proc_t directories[SITE_HOSTS];
+  size_t nhosts;
+  const char *step_us; /* between two events */
+} site_t;
+
+extern site_t site;
+
+void site_setup (void);
+void site_open (size_t nhosts);
+void site_teardown (void);
+void site_engine_start (size_t i);
+void site_host_start (size_t i);
+void site_config (int version, const char *keys);
+void site_ready_wait (size_t host);
+void site_placed_wait (void);
+void site_mute (int on);
+int64_t member_number (const proc_t *member, const char *name);
+void member_id (const proc_t *member, char *out, size_t size);
+void ask (size_t host, const char *method, const char *path, const char *id,
+          reply_t *reply);
+void stream_start (caller_t *caller, size_t host, const char *id);
+void stream_whole (const reply_t *reply);
+
+#endif
--- /dev/null
+++ b/tests/t_site.c
@@ -0,0 +1,469 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Relayed requests, with real processes.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "site.h"
+#include "test.h"
+
+/* The engine that runs a stream, that is the first of its line. */
+static size_t
+engine_first (void)
+{
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (site.engines[i].pid && member_number (&site.engines[i], "runs"))
+      return i;
+  ck_abort_msg ("no engine runs");
+  return 0;
+}
+
+static int64_t
+workers_sum (const char *name)
+{
+  return member_number (&site.workers[0], name)
+         + member_number (&site.workers[1], name);
+}
+
+static void
+workers_fault (const char *json)
+{
+  fault (&site.workers[0], json);
+  fault (&site.workers[1], json);
+}
+
+START_TEST (test_relay_follows_rules_and_keys)
+{
+  const char *stranger[]
+      = { "authorization: Bearer nobody's", "host: rel.example", NULL };
+  char header[128];
+  reply_t reply;
+
+  site_open (1);
+  ask (0, "GET", "/look/x?y=1", "r1", &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_header (&reply, "x-elmarch-response-seal", header, sizeof header);
+  ck_assert_str_eq (header, "seal.of.a.stand-in");
+  reply_free (&reply);
+  ask (0, "GET", "/none/", "r2", &reply);
+  ck_assert_int_eq (reply.status, 404);
+  reply_free (&reply);
+  http ("GET", site.entries[0].address, "/look/", NULL, stranger, &reply);
+  ck_assert_int_eq (reply.status, 401);
+  reply_free (&reply);
+  ck_assert_int_eq (workers_sum ("runs"), 1);
+}
+END_TEST
+
+/* What an endpoint gets: the customer's name and not its key, its own id, the
+   time that is left. */
+START_TEST (test_relay_tells_endpoints_what_they_need)
+{
+  char id[96];
+  json_t *seen;
+  reply_t reply;
+  size_t i;
+
+  site_open (1);
+  ask (0, "POST", "/pay/x", "r1", &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  i = member_number (&site.workers[0], "runs") ? 0 : 1;
+  member_id (&site.workers[i], id, sizeof id);
+  seen = http_json (site.workers[i].address, "/seen");
+  ck_assert_str_eq (
+      json_string_value (json_object_get (seen, "x-elmarch-tenant")),
+      "parking");
+  ck_assert_str_eq (
+      json_string_value (json_object_get (seen, "x-elmarch-expect-instance")),
+      id);
+  ck_assert_int_le (strtol (json_string_value (json_object_get (
+                                seen, "x-elmarch-deadline-ms")),
+                            NULL, 10),
+                    5000);
+  ck_assert_ptr_null (json_object_get (seen, "authorization"));
+  json_decref (seen);
+}
+END_TEST
+
+START_TEST (test_relay_passes_a_stream_on)
+{
+  caller_t caller;
+
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
+/* The first engine dies or is frozen in the middle: the same answer goes on at
+   another line. */
+START_TEST (test_stream_goes_on_when_its_first_engine_is_lost)
+{
+  caller_t caller;
+
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  if (_i == 0)
+    proc_end (&site.engines[engine_first ()], SIGKILL);
+  else
+    proc_signal (&site.engines[engine_first ()], SIGSTOP);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
+/* An engine further down dies: the stream stays where it is and is moved
+   around it. */
+START_TEST (test_stream_is_moved_around_a_lost_engine)
+{
+  char at[64];
+  caller_t caller;
+  reply_t reply;
+  int64_t begin;
+  size_t first;
+  size_t i;
+
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  first = engine_first ();
+  begin = member_number (&site.engines[first], "end");
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (member_number (&site.engines[i], "first") == begin)
+      {
+        /* Either of the two copies may be on the line: both stand still in
+           turn, and one is lost. */
+        snprintf (at, sizeof at, "{\"at\":\"%s\"}", site.engines[i].address);
+        http ("POST", site.engines[first].address, "/stall", at, NULL, &reply);
+        reply_free (&reply);
+        proc_end (&site.engines[i], SIGKILL);
+        break;
+      }
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+  ck_assert_int_eq (member_number (&site.engines[first], "runs"), 1);
+}
+END_TEST
+
+/* The engine lives but is out of its neighbour's reach: only the first one
+   knows. */
+START_TEST (test_stream_is_moved_around_an_engine_out_of_reach)
+{
+  char at[64];
+  caller_t caller;
+  reply_t reply;
+  int64_t begin;
+  size_t first;
+  size_t i;
+
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  first = engine_first ();
+  begin = member_number (&site.engines[first], "end");
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (member_number (&site.engines[i], "first") == begin)
+      {
+        snprintf (at, sizeof at, "{\"at\":\"%s\"}", site.engines[i].address);
+        http ("POST", site.engines[first].address, "/stall", at, NULL, &reply);
+        reply_free (&reply);
+      }
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
+/* A payment whose answer is lost is not sent again, and not called refused. */
+START_TEST (test_relay_unsafe_runs_once_when_its_answer_is_lost)
+{
+  reply_t reply;
+
+  site_open (1);
+  workers_fault ("{\"fault\":\"lose\"}");
+  ask (0, "POST", "/pay/x", "r1", &reply);
+  ck_assert_int_eq (reply.status, 502);
+  reply_free (&reply);
+  ck_assert_int_eq (workers_sum ("runs"), 1);
+}
+END_TEST
+
+START_TEST (test_relay_safe_is_tried_elsewhere)
+{
+  reply_t reply;
+
+  site_open (1);
+  fault (&site.workers[0], "{\"fault\":\"down\"}");
+  fault (&site.workers[1], "{\"fault\":\"none\"}");
+  ask (0, "GET", "/look/x", "r1", &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  workers_fault ("{\"fault\":\"lose\"}");
+  ask (0, "GET", "/look/x", "r2", &reply);
+  ck_assert_int_eq (reply.status, 502);
+  reply_free (&reply);
+}
+END_TEST
+
+/* All refuse: the caller is told at once that nothing ran, and when to come
+   back. */
+START_TEST (test_relay_refusal_is_true_and_says_when)
+{
+  char header[64];
+  reply_t reply;
+
+  site_open (1);
+  workers_fault ("{\"fault\":\"busy\"}");
+  ask (0, "POST", "/pay/x", "r1", &reply);
+  ck_assert_int_eq (reply.status, 503);
+  reply_header (&reply, "retry-after", header, sizeof header);
+  ck_assert (strtod (header, NULL) > 0);
+  reply_free (&reply);
+  ck_assert_int_eq (workers_sum ("runs"), 0);
+}
+END_TEST
+
+START_TEST (test_relay_answer_to_another_request_is_not_passed_on)
+{
+  reply_t reply;
+
+  site_open (1);
+  workers_fault ("{\"fault\":\"cross\"}");
+  ask (0, "POST", "/pay/x", "r1", &reply);
+  ck_assert_int_eq (reply.status, 502);
+  reply_free (&reply);
+}
+END_TEST
+
+/* A hanging worker: the answer comes at the rule's time limit. */
+START_TEST (test_relay_ends_at_the_time_limit)
+{
+  reply_t reply;
+
+  site_open (1);
+  workers_fault ("{\"fault\":\"hang\"}");
+  ask (0, "GET", "/look/x", "r1", &reply);
+  ck_assert_int_eq (reply.status, 504);
+  reply_free (&reply);
+}
+END_TEST
+
+/* The caller leaves while its request waits, or its stream runs: the work is
+   ended at the endpoint. */
+START_TEST (test_relay_caller_that_leaves_ends_the_work)
+{
+  caller_t caller;
+  size_t first;
+  int i;
+
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  first = engine_first ();
+  caller_vanish (&caller);
+  caller_join (&caller);
+  reply_free (&caller.reply);
+  for (i = 0; i < WAIT_STEPS; i++)
+    {
+      if (member_number (&site.engines[first], "gone"))
+        return;
+      pause_step ();
+    }
+  ck_abort_msg ("the engine still works");
+}
+END_TEST
+
+/* A key that was taken away is refused by all hosts, and a host that can't
+   know refuses too. */
+START_TEST (test_relay_key_taken_away_is_refused)
+{
+  reply_t reply;
+  long status = 0;
+  int i;
+
+  site_open (2);
+  site_config (2, "[\"another-key\"]");
+  for (i = 0; i < WAIT_STEPS && status != 401; i++)
+    {
+      ask (1, "GET", "/look/x", "r1", &reply);
+      status = reply.status;
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (status, 401);
+  site_config (3, "[\"" CUSTOMER_KEY "\"]");
+  for (i = 0; i < WAIT_STEPS && status != 200; i++)
+    {
+      ask (1, "GET", "/look/x", "r2", &reply);
+      status = reply.status;
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (status, 200);
+  site_mute (1);
+  for (i = 0; i < WAIT_STEPS && status == 200; i++)
+    {
+      ask (1, "GET", "/look/x", "r3", &reply);
+      status = reply.status;
+      reply_free (&reply);
+      pause_step ();
+    }
+  ck_assert_int_eq (status, 503);
+  site_mute (0);
+  for (i = 0; i < WAIT_STEPS && status != 200; i++)
+    {
+      ask (1, "GET", "/look/x", "r4", &reply);
+      status = reply.status;
+      reply_free (&reply);
+      pause_step ();
+    }
+  ck_assert_int_eq (status, 200);
+}
+END_TEST
+
+/* A configuration with a lower version changes nothing. */
+START_TEST (test_relay_configuration_never_goes_back)
+{
+  reply_t reply;
+  long status = 0;
+  int i;
+
+  site_open (1);
+  site_config (5, "[\"another-key\"]");
+  for (i = 0; i < WAIT_STEPS && status != 401; i++)
+    {
+      ask (0, "GET", "/look/x", "r1", &reply);
+      status = reply.status;
+      reply_free (&reply);
+    }
+  site_config (4, "[\"" CUSTOMER_KEY "\"]");
+  for (i = 0; i < 100; i++)
+    {
+      ask (0, "GET", "/look/x", "r2", &reply);
+      ck_assert_int_eq (reply.status, 401);
+      reply_free (&reply);
+    }
+}
+END_TEST
+
+/* An endpoint that leaves gets nothing new, from no host. */
+START_TEST (test_relay_leaving_endpoint_gets_nothing_new)
+{
+  reply_t reply;
+  int64_t runs;
+  int64_t before = -1;
+  size_t host;
+  int quiet = 0;
+  int i;
+
+  site_open (2);
+  http ("POST", site.workers[0].address, "/leave", "{}", NULL, &reply);
+  reply_free (&reply);
+  for (i = 0; i < WAIT_STEPS && quiet < 200; i++)
+    {
+      host = (size_t)i % 2;
+      ask (host, "GET", "/look/x", "r1", &reply);
+      ck_assert_int_eq (reply.status, 200);
+      reply_free (&reply);
+      runs = member_number (&site.workers[0], "runs");
+      quiet = runs == before ? quiet + 1 : 0;
+      before = runs;
+    }
+  ck_assert_int_ge (quiet, 200);
+}
+END_TEST
+
+/* The planner's host dies: another one places layers on a new engine. */
+START_TEST (test_planner_is_taken_over)
+{
+  size_t i;
+
+  site_open (3);
+  for (i = 0; i < 2; i++)
+    proc_end (&site.hosts[i], SIGKILL);
+  proc_end (&site.engines[0], SIGKILL);
+  site_engine_start (0);
+  site_placed_wait ();
+}
+END_TEST
+
+/* A planned stop: out of readiness and entry addresses at once, the stream
+   that runs ends whole. */
+START_TEST (test_relay_planned_stop_cuts_nothing)
+{
+  caller_t caller;
+  reply_t reply;
+  long status = 200;
+  int i;
+
+  site_open (2);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  proc_signal (&site.hosts[0], SIGTERM);
+  for (i = 0; i < WAIT_STEPS && status == 200; i++)
+    {
+      http ("GET", site.readies[0].address, "/elmarch/ready", NULL, NULL,
+            &reply);
+      status = reply.status;
+      reply_free (&reply);
+    }
+  ck_assert_int_ne (status, 200);
+  for (i = 0; i < WAIT_STEPS; i++)
+    {
+      http ("GET", site.directories[1].address,
+            "/elmarch/resolve?Name=rel.example&Zone=h", NULL, NULL, &reply);
+      status = reply.status;
+      ck_assert_int_eq (status, 200);
+      if (!strstr (reply.body.ptr, site.entries[0].address))
+        break;
+      reply_free (&reply);
+      pause_step ();
+    }
+  ck_assert_ptr_nonnull (strstr (reply.body.ptr, site.entries[1].address));
+  reply_free (&reply);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
+Suite *
+site_suite (void)
+{
+  Suite *suite = suite_create ("site");
+  TCase *tcase = tcase_create ("site");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, site_setup, site_teardown);
+  ADD (tcase, test_relay_follows_rules_and_keys);
+  ADD (tcase, test_relay_tells_endpoints_what_they_need);
+  ADD (tcase, test_relay_passes_a_stream_on);
+  ADD_LOOP (tcase, test_stream_goes_on_when_its_first_engine_is_lost, 2);
+  ADD (tcase, test_stream_is_moved_around_a_lost_engine);
+  ADD (tcase, test_stream_is_moved_around_an_engine_out_of_reach);
+  ADD (tcase, test_relay_unsafe_runs_once_when_its_answer_is_lost);
+  ADD (tcase, test_relay_safe_is_tried_elsewhere);
+  ADD (tcase, test_relay_refusal_is_true_and_says_when);
+  ADD (tcase, test_relay_answer_to_another_request_is_not_passed_on);
+  ADD (tcase, test_relay_ends_at_the_time_limit);
+  ADD (tcase, test_relay_caller_that_leaves_ends_the_work);
+  ADD (tcase, test_relay_key_taken_away_is_refused);
+  ADD (tcase, test_relay_configuration_never_goes_back);
+  ADD (tcase, test_relay_leaving_endpoint_gets_nothing_new);
+  ADD (tcase, test_planner_is_taken_over);
+  ADD (tcase, test_relay_planned_stop_cuts_nothing);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
