Logs on standard output, bounded and never blocking; a demo of the relay path

Lines go to standard output without blocking: what a slow reader does not take, and what passes 5000 lines a second, is dropped and counted (elmarch_log_dropped_total); a cut line is ended before the next one.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 demo: deps
 	$(MAKE) -s all
 	sh standin/demo.sh $(BIN)
+	sh standin/demo_relay.sh $(BIN)
 # The tests run with the address and undefined-behaviour sanitizers.
 check: deps
 	$(MAKE) -s B=build/san SAN="$(SANITIZE)" checked
--- a/base/base.h
+++ b/base/base.h
@@ -199,6 +199,7 @@
 
 int el_log_open (const char *program, el_log_level_t level);
 void el_log_close (void);
+const uint64_t *el_log_dropped (void);
 void el_log_event (el_log_level_t level, const char *event,
                    const el_field_t *fields, size_t nfields);
 void el_log_format (el_buf_t *out, const char *event, const el_field_t *fields,
--- a/base/log.c
+++ b/base/log.c
@@ -6,9 +6,11 @@
  * Logs through log4c: one line of key=value pairs for each event. Values are
  * quoted so that what a caller sends can't forge a line or a field.
  */
+#include <fcntl.h>
 #include <inttypes.h>
 #include <string.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
@@ -28,9 +30,19 @@
   [EL_LOG_DEBUG] = { "debug", LOG4C_PRIORITY_DEBUG },
 };
 
+/* Lines that a second may hold; more are dropped and counted, so that a storm
+   of events neither fills the disk nor takes the processor. */
+#define LINES_PER_S 5000
+
 static const char *log_layout (const log4c_layout_t *layout,
                                const log4c_logging_event_t *event);
 
+static int log_open (log4c_appender_t *appender);
+static int log_append (log4c_appender_t *appender,
+                       const log4c_logging_event_t *event);
+
+static const log4c_appender_type_t appender_type
+    = { .name = "elmarch_stdout", .open = log_open, .append = log_append };
 static const log4c_layout_type_t layout_type
     = { .name = "elmarch_kv", .format = log_layout };
 
@@ -39,6 +51,15 @@
 static log4c_category_t *category;
 static const char *program_name;
 
+/* What was written to standard output, which the process has one of. */
+static struct
+{
+  long second; /* the one that lines are counted in */
+  unsigned lines;
+  int cut; /* the last line is not whole */
+  uint64_t dropped;
+} output;
+
 static const char *
 log_layout (const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
@@ -75,7 +96,58 @@
   return 0;
 }
 
-/** Log to standard error from LEVEL up; gives 0 on success. */
+static int
+log_open (log4c_appender_t *appender)
+{
+  (void)appender;
+  fcntl (STDOUT_FILENO, F_SETFL, fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  return 0;
+}
+
+/* Whether this second has room for a line. */
+static int
+log_room (long second)
+{
+  if (second != output.second)
+    {
+      output.second = second;
+      output.lines = 0;
+    }
+  return output.lines++ < LINES_PER_S;
+}
+
+/* Standard output may be a pipe whose reader is slow: what it does not take at
+   once is dropped, and a line that was cut is ended before the next one. */
+static int
+log_append (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  size_t len = strlen (event->evt_rendered_msg);
+  ssize_t n;
+
+  (void)appender;
+  if (!log_room ((long)event->evt_timestamp.tv_sec))
+    {
+      output.dropped++;
+      return 0;
+    }
+  if (output.cut && write (STDOUT_FILENO, "\n", 1) == 1)
+    output.cut = 0;
+  n = write (STDOUT_FILENO, event->evt_rendered_msg, len);
+  if (n != (ssize_t)len)
+    output.dropped++;
+  if (n > 0)
+    output.cut = n != (ssize_t)len;
+  return 0;
+}
+
+/** Lines that were not written, or not wholly. */
+const uint64_t *
+el_log_dropped (void)
+{
+  return &output.dropped;
+}
+
+/** Log to standard output from LEVEL up; gives 0 on success. */
 int
 el_log_open (const char *program, el_log_level_t level)
 {
@@ -88,7 +160,9 @@
   log4c_layout_type_set (&layout_type);
   layout = log4c_layout_get ("elmarch_kv");
   log4c_layout_set_type (layout, &layout_type);
-  appender = log4c_appender_get ("stderr");
+  log4c_appender_type_set (&appender_type);
+  appender = log4c_appender_get ("elmarch_stdout");
+  log4c_appender_set_type (appender, &appender_type);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get (LOG_CATEGORY);
   log4c_category_set_appender (category, appender);
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -288,6 +288,9 @@
                   &site->gauge_endpoints);
   el_metrics_add (metrics, "elmarch_engines_placed",
                   "engines that hold layers", EL_GAUGE, &site->gauge_placed);
+  el_metrics_add (metrics, "elmarch_log_dropped_total",
+                  "log lines that were not written", EL_COUNTER,
+                  el_log_dropped ());
   el_metrics_add (metrics, "elmarch_store_calls_total", "calls to the store",
                   EL_COUNTER, &site->store.counts.calls);
   el_metrics_add (metrics, "elmarch_store_failures_total", "of those, failed",
