The planner gives its duty up when it stops; repeats split by the window's hosts

It went on renewing its lease until it ended, 7 s later, so a restarted engine stayed empty for 12 s and its hall without layers 25 to 34. The part is 0.85, split by the most hosts of the window, and a stream with no repeat left is moved over the pipe.

--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -101,7 +101,7 @@
     "the window that repeats are counted in" },
   { "keys-limit-ms", EL_SET_U64, AT (keys_limit_ms), "5000", 0, 3600000, 0,
     "MS", "keys are refused when the rules were last known so long ago" },
-  { "lease-ms", EL_SET_U64, AT (lease_ms), "3000", 1000, 600000, 0, "MS",
+  { "lease-ms", EL_SET_U64, AT (lease_ms), "2000", 1000, 600000, 0, "MS",
     "time to live of the planner's lease" },
   { "stop-least-ms", EL_SET_U64, AT (stop_least_ms), "2500", 0, 3600000, 0,
     "MS", "a stop takes relayed requests this long" },
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -48,6 +48,7 @@
   int endpoints_known;
   uint64_t gauge_endpoints;
   uint64_t gauge_placed;
+  uint64_t gauge_planner;
   int withdrawn;
   el_timer_t look;
   el_time_t rules_known;
@@ -175,6 +176,7 @@
   site->withdrawn = stale;
   gt_gate_withdraw (site->gate, stale);
   site_count (site);
+  site->gauge_planner = (uint64_t)gt_duty_held (site->duty, now);
   net_clock_set (gt_gate_clock (site->gate), &site->look, LOOK_EVERY);
 }
 
@@ -288,6 +290,9 @@
                   &site->gauge_endpoints);
   el_metrics_add (metrics, "elmarch_engines_placed",
                   "engines that hold layers", EL_GAUGE, &site->gauge_placed);
+  el_metrics_add (metrics, "elmarch_planner",
+                  "1 on the host that places layers", EL_GAUGE,
+                  &site->gauge_planner);
   el_metrics_add (metrics, "elmarch_log_dropped_total",
                   "log lines that were not written", EL_COUNTER,
                   el_log_dropped ());
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -105,7 +105,7 @@
 void relay_try (gt_relay_t *relay);
 void relay_drop (gt_relay_t *relay);
 void relay_abandon (gt_relay_t *relay);
-int relay_may_resume (const gt_relay_t *relay);
+int relay_may_resume (gt_relay_t *relay);
 
 /* relay_watch.c */
 void relay_watch_begin (gt_relay_t *relay);
@@ -130,6 +130,7 @@
                 const char *reason);
 void relay_finished (gt_relay_t *relay);
 int relay_spend_take (gt_relay_t *relay);
+int relay_spend_left (gt_relay_t *relay);
 uint64_t relay_random (gt_relays_t *relays);
 
 #endif
--- a/gate/planner.c
+++ b/gate/planner.c
@@ -172,7 +172,10 @@
   if (planner->stopped)
     return;
   net_clock_set (o->clock, &planner->look, LOOK_EVERY);
-  gt_duty_want (o->duty, rules && o->preferred (o->arg));
+  /* Who has the duty keeps it: it need not pass on as hosts come. */
+  gt_duty_want (o->duty,
+                rules
+                    && (gt_duty_held (o->duty, now) || o->preferred (o->arg)));
   if (!rules || !gt_duty_held (o->duty, now)
       || !planner_settled (planner, now))
     return;
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -266,6 +266,16 @@
   return 0;
 }
 
+/** Whether the budget has a repeat left for RELAY's service. */
+int
+relay_spend_left (gt_relay_t *relay)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+
+  return rt_spend_left (relay_spend (relay->relays, relay->service->name),
+                        net_clock_now (o->clock), o->hosts (o->arg));
+}
+
 static void
 relay_handle (void *arg, h2o_req_t *req)
 {
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -378,10 +378,11 @@
 /** Whether the stream may go on at another line after the attempt under way.
  */
 int
-relay_may_resume (const gt_relay_t *relay)
+relay_may_resume (gt_relay_t *relay)
 {
   return relay->rule->resumable
-         && relay->course.may_run + 1 < relay->rule->attempts;
+         && relay->course.may_run + 1 < relay->rule->attempts
+         && relay_spend_left (relay);
 }
 
 /** End the attempt under way as one that may have run, and go on. */
--- a/gate/store.h
+++ b/gate/store.h
@@ -51,6 +51,7 @@
   gt_store_state_t (*read_grant) (const net_result_t *result, uint64_t *lease);
   void (*renew) (el_buf_t *path, uint64_t lease);
   gt_store_state_t (*read_renew) (const net_result_t *result);
+  void (*end) (el_buf_t *path, uint64_t lease);
   /** Put KEY with a lease where it is not there yet. */
   void (*claim) (el_buf_t *path, el_buf_t *body, el_str_t key, el_str_t value,
                  uint64_t lease);
--- a/gate/store_duty.c
+++ b/gate/store_duty.c
@@ -134,6 +134,33 @@
     duty_later (duty, gt_store_backoff (store, duty->failures++));
 }
 
+static void
+release_done (void *arg, const net_result_t *result)
+{
+  gt_duty_t *duty = arg;
+
+  duty->call = NULL;
+  EL_LOG (EL_LOG_INFO, "duty_released", EL_FS ("duty", duty->options.key),
+          EL_FN ("status", result->status));
+  if (duty->wanted)
+    duty_later (duty, 0);
+}
+
+/* End the lease, so that another host need not wait for its end. */
+static void
+duty_release (gt_duty_t *duty)
+{
+  gt_store_t *store = duty->options.store;
+  el_buf_t path = { NULL, 0, 0 };
+
+  store->dialect->end (&path, duty->lease);
+  duty->step = DUTY_IDLE;
+  duty->lease = 0;
+  duty->call = gt_store_call (store, "DELETE", &path, NULL, CALL_LIMIT,
+                              release_done, duty);
+  el_buf_free (&path);
+}
+
 static void
 duty_next (void *arg, el_time_t now)
 {
@@ -146,6 +173,11 @@
   (void)now;
   if (duty->call || (!duty->wanted && duty->step == DUTY_IDLE))
     return;
+  if (!duty->wanted && duty->lease)
+    {
+      duty_release (duty);
+      return;
+    }
   duty->sent = net_clock_now (o->store->clock);
   switch (duty->step)
     {
@@ -186,7 +218,9 @@
 void
 gt_duty_want (gt_duty_t *duty, int wanted)
 {
-  if (wanted && !duty->wanted && !duty->call && !duty->again.slot)
-    duty_later (duty, 0);
+  int changed = !wanted != !duty->wanted;
+
   duty->wanted = wanted;
+  if (changed && !duty->call)
+    duty_later (duty, 0);
 }
--- a/route/course.c
+++ b/route/course.c
@@ -14,8 +14,8 @@
 /* A repeat with less time than this left would be late work for nobody. */
 #define REPEAT_LEAST (30 * EL_MSEC)
 /* Part of the common budget that hosts use: their windows do not begin
-   together, and what a host that died has spent still counts. */
-#define BUDGET_PART 0.6
+   together. */
+#define BUDGET_PART 0.85
 
 static int
 may_repeat (const rt_rule_t *rule)
@@ -71,6 +71,7 @@
       spend->at++;
       spend->asked[spend->at % RT_WINDOW_SLOTS] = 0;
       spend->spent[spend->at % RT_WINDOW_SLOTS] = 0;
+      spend->hosts[spend->at % RT_WINDOW_SLOTS] = 0;
     }
 }
 
@@ -82,24 +83,37 @@
   spend->asked[spend->at % RT_WINDOW_SLOTS]++;
 }
 
-/** Take one repeat from this host's part; gives 0 when it is spent. */
+/** Whether this host's part of the budget has a repeat left. The part grows
+   when hosts die only after a window: what they spent still counts. */
 int
-rt_spend_take (rt_spend_t *spend, el_time_t now, size_t hosts)
+rt_spend_left (rt_spend_t *spend, el_time_t now, size_t hosts)
 {
   uint64_t asked = 0;
   uint64_t spent = 0;
+  size_t most_hosts = 1;
   double most;
   size_t i;
 
   spend_move (spend, now);
+  if (spend->hosts[spend->at % RT_WINDOW_SLOTS] < hosts)
+    spend->hosts[spend->at % RT_WINDOW_SLOTS] = hosts;
   for (i = 0; i < RT_WINDOW_SLOTS; i++)
     {
       asked += spend->asked[i];
       spent += spend->spent[i];
+      if (spend->hosts[i] > most_hosts)
+        most_hosts = spend->hosts[i];
     }
   most = spend->ratio * (double)asked
-         + (double)spend->slack / (double)(hosts ? hosts : 1);
-  if ((double)(spent + 1) > BUDGET_PART * most)
+         + (double)spend->slack / (double)most_hosts;
+  return (double)(spent + 1) <= BUDGET_PART * most;
+}
+
+/** Take one repeat from this host's part; gives 0 when it is spent. */
+int
+rt_spend_take (rt_spend_t *spend, el_time_t now, size_t hosts)
+{
+  if (!rt_spend_left (spend, now, hosts))
     return 0;
   spend->spent[spend->at % RT_WINDOW_SLOTS]++;
   return 1;
--- a/route/relay.h
+++ b/route/relay.h
@@ -279,11 +279,13 @@
   uint64_t at;    /**< number of the newest slot */
   uint64_t asked[RT_WINDOW_SLOTS];
   uint64_t spent[RT_WINDOW_SLOTS];
+  size_t hosts[RT_WINDOW_SLOTS]; /**< the most that lived in it */
 } rt_spend_t;
 
 void rt_spend_open (rt_spend_t *spend, double ratio, uint64_t slack,
                     el_time_t window);
 void rt_spend_asked (rt_spend_t *spend, el_time_t now);
+int rt_spend_left (rt_spend_t *spend, el_time_t now, size_t hosts);
 int rt_spend_take (rt_spend_t *spend, el_time_t now, size_t hosts);
 
 #endif
--- a/standin/store.c
+++ b/standin/store.c
@@ -251,6 +251,24 @@
   json_decref (json);
 }
 
+static void
+serve_lease_end (store_t *store, h2o_req_t *req)
+{
+  el_str_t path = net_req_path (req);
+  uint64_t id = 0;
+  store_lease_t *lease;
+
+  el_str_to_u64 (el_str_after (path, sizeof "/elmarch/kv-lease-end/" - 1),
+                 &id);
+  lease = lease_find (store, id);
+  if (lease)
+    {
+      net_clock_cancel (&store->process->clock, &lease->over);
+      lease_over (lease, 0);
+    }
+  net_req_reply (req, lease ? 200 : 404, EL_STR (""), EL_STR ("{}"));
+}
+
 static void
 serve_keep (store_t *store, h2o_req_t *req)
 {
@@ -361,6 +379,7 @@
 } calls[] = {
   { EL_STR ("/elmarch/kv-range"), serve_range },
   { EL_STR ("/elmarch/kv-watch"), serve_watch },
+  { EL_STR ("/elmarch/kv-lease-end/"), serve_lease_end },
   { EL_STR ("/elmarch/kv-lease"), serve_lease },
   { EL_STR ("/elmarch/kv-keep/"), serve_keep },
   { EL_STR ("/elmarch/kv-txn"), serve_txn },
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -399,6 +399,35 @@
 }
 END_TEST
 
+/* The planner's host is stopped as planned while its stream runs on: it gives
+   the duty up at once. */
+START_TEST (test_planner_that_stops_gives_its_duty_up)
+{
+  caller_t callers[2];
+  size_t i;
+
+  site.step_us = "100000";
+  site_open (2);
+  for (i = 0; i < 2; i++)
+    {
+      stream_start (&callers[i], i, i ? "s1" : "s0");
+      caller_wait_body (&callers[i], 1);
+    }
+  i = metric (&site.hosts[0], "elmarch_planner") ? 0 : 1;
+  proc_signal (&site.hosts[i], SIGTERM);
+  metric_wait (&site.hosts[1 - i], "elmarch_planner", 1);
+  pthread_mutex_lock (&callers[i].lock);
+  ck_assert_int_eq (callers[i].done, 0); /* the host that stops lives */
+  pthread_mutex_unlock (&callers[i].lock);
+  for (i = 0; i < 2; i++)
+    {
+      caller_join (&callers[i]);
+      stream_whole (&callers[i].reply);
+      reply_free (&callers[i].reply);
+    }
+}
+END_TEST
+
 /* A planned stop: out of readiness and entry addresses at once, the stream
    that runs ends whole. */
 START_TEST (test_relay_planned_stop_cuts_nothing)
@@ -463,6 +492,7 @@
   ADD (tcase, test_relay_configuration_never_goes_back);
   ADD (tcase, test_relay_leaving_endpoint_gets_nothing_new);
   ADD (tcase, test_planner_is_taken_over);
+  ADD (tcase, test_planner_that_stops_gives_its_duty_up);
   ADD (tcase, test_relay_planned_stop_cuts_nothing);
   suite_add_tcase (suite, tcase);
   return suite;
