--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -319,7 +319,9 @@
           EL_FC ("verdict", el_verdict_name (attempt->verdict)),
           EL_FN ("crossed", relay->crossed),
           EL_FN ("attempt", relay->course.sent),
-          EL_FN ("events", relay->nevents), EL_FC ("next", nexts[next]),
+          EL_FN ("events", relay->nevents),
+          EL_FN ("budget_left", relay_spend_left (relay)),
+          EL_FC ("next", nexts[next]),
           EL_FS ("fault", net_result_header (result, dialect->names.at_fault)),
           EL_FS ("line", el_buf_str (&line)));
   el_buf_free (&line);
