--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -84,10 +84,13 @@
   int has_id;
   el_time_t last_event;
   uint64_t nevents;
+  el_time_t first_event; /* from the request to the first event */
+  el_time_t longest_gap; /* between two events */
 
   /* looking for an engine that stands still */
   el_timer_t watch;
   net_exchange_t *ask;
+  el_time_t still_since; /* the last event, or the sending */
   unsigned looks;
   unsigned moves; /* tried since the last event */
   rt_line_t next_line;
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -45,6 +45,8 @@
       EL_FN ("parts", relay->line.n), EL_FN ("attempts", relay->course.sent),
       EL_FN ("may_have_run", relay->course.may_run), EL_FN ("status", status),
       EL_FC ("reason", reason), EL_FN ("events", relay->nevents),
+      EL_FN ("first_us", relay->first_event),
+      EL_FN ("longest_gap_us", relay->longest_gap),
       EL_FN ("config", relay->rules ? relay->rules->version : 0),
       EL_FN ("config_age_us", now - relay->relays->known),
       EL_FN ("us", now - relay->received));
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -158,6 +158,24 @@
     }
 }
 
+/* Note how long the caller waited for this event. */
+static void
+event_time (gt_relay_t *relay, el_time_t now)
+{
+  gt_relay_counts_t *counts = &relay->relays->counts;
+  el_time_t gap = now - relay->last_event;
+
+  if (relay->nevents++ == 0)
+    {
+      relay->first_event = now - relay->received;
+      el_hist_add (&counts->first_event, relay->first_event);
+      return;
+    }
+  if (gap > relay->longest_gap)
+    relay->longest_gap = gap;
+  el_hist_add (&counts->event_gap, gap);
+}
+
 static void
 try_event (void *arg, el_str_t event, int has_id, uint64_t id)
 {
@@ -170,11 +188,8 @@
   if (has_id && relay->has_id && id <= relay->last_id)
     return; /* the caller has it from the attempt before */
   now = net_clock_now (relays->options.clock);
-  relay_watch_event (relay, now - relay->last_event);
-  if (relay->nevents++ == 0)
-    el_hist_add (&relays->counts.first_event, now - relay->received);
-  else
-    el_hist_add (&relays->counts.event_gap, now - relay->last_event);
+  relay_watch_event (relay, now - relay->still_since);
+  event_time (relay, now);
   relay->last_event = now;
   relays->counts.events++;
   if (has_id)
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -57,7 +57,7 @@
   relay->watch.arg = relay;
   relay->looks = 0;
   relay->moves = 0;
-  relay->last_event = relay->sent;
+  relay->still_since = relay->sent;
   if (relay->relays->options.dialect->check)
     net_clock_set (relay->relays->options.clock, &relay->watch, STILL_FIRST);
 }
@@ -69,6 +69,7 @@
   usual_add (relay->nevents ? &relay->relays->usual_gap
                             : &relay->relays->usual_first,
              gap);
+  relay->still_since = net_clock_now (relay->relays->options.clock);
   relay->looks = 0;
   relay->moves = 0;
 }
@@ -163,7 +164,7 @@
           EL_FS ("request", relay->id), EL_FS ("engine", engine->facts.id),
           EL_FN ("events", relay->nevents),
           EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
-                                 - relay->last_event));
+                                 - relay->still_since));
   if (relay->ask)
     net_client_cancel (relay->ask);
   relay->ask = NULL;
@@ -181,7 +182,7 @@
           EL_FN ("answered", answered), EL_FS ("engine", address),
           EL_FN ("looks", relay->looks), EL_FN ("events", relay->nevents),
           EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
-                                 - relay->last_event));
+                                 - relay->still_since));
   if (engine)
     {
       /* It may live and be out of its neighbours' reach. */
@@ -199,7 +200,7 @@
   gt_relay_t *relay = arg;
   const gt_relay_options_t *o = &relay->relays->options;
   el_time_t limit = watch_limit (relay);
-  el_time_t still = now - relay->last_event;
+  el_time_t still = now - relay->still_since;
   size_t i;
 
   if (still < limit)
