One watch over all keys of the store

Change: one follower with an empty prefix; its items go to rules or endpoints by their key. The renewal of one watch by the other's news is not needed any more.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -12,24 +12,18 @@
 
 /* Longest body that is taken in before the rules name their own bound. */
 #define BODY_MAX ((size_t)4 << 20)
-/* Longest wait of a watch for rules; with a limit on keys a fifth of it: the
+/* Longest wait of a watch; with a limit on keys a fifth of it: the
    rules are known as of the sending of the last watch that was answered, and
    the next answer may take as long again. So a store that is lost leaves at
    least three fifths of the limit to serve in. */
-#define RULES_WAIT_PARTS 5
-#define RULES_WAIT_MS 1000
-/* After a gap in the news of rules the store was missed: a watch for endpoints
-   that was out meanwhile may never be answered. */
-#define RULES_GAP (1500 * EL_MSEC)
-/* Endpoints' changes come at once; this bounds only how long a dead
-   connection goes unnoticed. */
-#define ENDPOINTS_WAIT_MS 5000
+#define STORE_WAIT_PARTS 5
+#define STORE_WAIT_MS 1000
 /* A host that has not heard of the store for this long is left out of the
    entry addresses. */
 #define STALE_AFTER (3 * EL_SEC)
 #define LOOK_EVERY (200 * EL_MSEC)
-/* Endpoints change together: at the start, when many are replaced. */
-#define ENDPOINTS_GATHER (300 * EL_MSEC)
+/* Keys change together: at the start, when many endpoints are replaced. */
+#define STORE_GATHER (300 * EL_MSEC)
 #define STOP_LOOK_EVERY (50 * EL_MSEC)
 /* Margin of a lease for clocks that run at different speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
@@ -43,8 +37,7 @@
   gt_relays_t *relays;
   gt_duty_t *duty;
   gt_planner_t *planner;
-  gt_follow_t *rules;
-  gt_follow_t *endpoints;
+  gt_follow_t *follow;
   int endpoints_known;
   uint64_t gauge_endpoints;
   uint64_t gauge_placed;
@@ -83,17 +76,6 @@
     gt_relays_rules (site->relays, rules);
 }
 
-static void
-rules_known (void *arg, el_time_t as_of)
-{
-  site_t *site = arg;
-
-  if (as_of > site->rules_known + RULES_GAP && site->endpoints)
-    gt_follow_renew (site->endpoints);
-  site->rules_known = as_of;
-  gt_relays_known (site->relays, as_of);
-}
-
 static void
 endpoint_log (const rt_facts_t *facts, const char *what, uint64_t revision)
 {
@@ -132,15 +114,6 @@
   json_decref (keep);
 }
 
-static void
-endpoints_known (void *arg, el_time_t as_of)
-{
-  site_t *site = arg;
-
-  (void)as_of;
-  site->endpoints_known = 1;
-}
-
 static int
 site_ready (void *arg)
 {
@@ -213,28 +186,41 @@
          && gt_gate_preferred (site->gate);
 }
 
+static void
+site_item (void *arg, const gt_store_item_t *item)
+{
+  if (el_str_starts (item->key, PF_RULES_PREFIX))
+    rules_item (arg, item);
+  else if (el_str_starts (item->key, PF_ENDPOINTS_PREFIX))
+    endpoints_item (arg, item);
+}
+
+static void
+site_known (void *arg, el_time_t as_of)
+{
+  site_t *site = arg;
+
+  site->endpoints_known = 1;
+  site->rules_known = as_of;
+  gt_relays_known (site->relays, as_of);
+}
+
+/* One watch for all keys: each call to the store has its price. */
 static void
 site_follow (site_t *site)
 {
-  gt_follow_options_t rules = { .store = &site->store,
-                                .prefix = PF_RULES_PREFIX,
-                                .wait_ms = RULES_WAIT_MS,
-                                .item = rules_item,
-                                .known = rules_known,
-                                .arg = site };
-  gt_follow_options_t endpoints = { .store = &site->store,
-                                    .prefix = PF_ENDPOINTS_PREFIX,
-                                    .wait_ms = ENDPOINTS_WAIT_MS,
-                                    .gather = ENDPOINTS_GATHER,
-                                    .item = endpoints_item,
-                                    .known = endpoints_known,
-                                    .arg = site };
-  uint64_t most = site->options.keys_limit / EL_MSEC / RULES_WAIT_PARTS;
-
-  if (most && most < rules.wait_ms)
-    rules.wait_ms = most;
-  site->rules = gt_follow_new (&rules);
-  site->endpoints = gt_follow_new (&endpoints);
+  gt_follow_options_t all = { .store = &site->store,
+                              .prefix = PF_ALL_PREFIX,
+                              .wait_ms = STORE_WAIT_MS,
+                              .gather = STORE_GATHER,
+                              .item = site_item,
+                              .known = site_known,
+                              .arg = site };
+  uint64_t most = site->options.keys_limit / EL_MSEC / STORE_WAIT_PARTS;
+
+  if (most && most < all.wait_ms)
+    all.wait_ms = most;
+  site->follow = gt_follow_new (&all);
 }
 
 static void
--- a/gate/store.h
+++ b/gate/store.h
@@ -103,7 +103,6 @@
 } gt_follow_options_t;
 
 gt_follow_t *gt_follow_new (const gt_follow_options_t *options);
-void gt_follow_renew (gt_follow_t *follow);
 void gt_follow_free (gt_follow_t *follow);
 
 /* A duty that at most one host has. */
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -314,17 +314,6 @@
   return follow;
 }
 
-/** Ask anew: what is out may never be answered. */
-void
-gt_follow_renew (gt_follow_t *follow)
-{
-  net_clock_cancel (follow->options.store->clock, &follow->again);
-  if (follow->call)
-    net_client_cancel (follow->call);
-  follow->call = NULL;
-  follow_next (follow, 0);
-}
-
 /** Ask for nothing more. */
 void
 gt_follow_free (gt_follow_t *follow)
