Hosts of a hall share the news of the store; held-up processes; restarts

- Four hosts of a hall follow the store, the others ask one of them (ONC RPC, a question waits until the one asked has heard of the store).
A host takes the news as of the moment it asked plus what the other says; without fresh news it asks the store for 5 s.
The site tests run with one such host a hall.
A timer that fires late lets the process read first.
A process takes none in its first window.

--- a/coord/coord.h
+++ b/coord/coord.h
@@ -234,6 +234,7 @@
 typedef void (*co_member_visit_cb) (void *arg, const co_member_t *member);
 void co_members_visit (const co_members_t *members, co_member_visit_cb visit,
                        void *arg);
+const co_member_t *co_members_source (co_members_t *members, size_t most);
 int co_members_chosen (const co_members_t *members, size_t most);
 const char *co_mbr_state_name (co_mbr_state_t state);
 
--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -472,3 +472,42 @@
     before++;
   return before < most;
 }
+
+/* Whether ENTRY is one of the MOST of this hall that are chosen. */
+static int
+entry_chosen (const co_members_t *members, const mbr_entry_t *entry,
+              size_t most)
+{
+  size_t before = 0;
+  mbr_entry_t *other;
+  mbr_entry_t *next;
+
+  HASH_ITER (hh, members->entries, other, next)
+  if (other->m.state == CO_MBR_ALIVE && !other->m.draining
+      && el_str_eq (other->m.hall, members->self.hall)
+      && memcmp (other->m.incarnation.byte, entry->m.incarnation.byte,
+                 CO_INCARNATION_BYTES)
+             < 0)
+    before++;
+  return before < most;
+}
+
+/** One of the other hosts of this hall that are chosen, at random; NULL
+    without any. */
+const co_member_t *
+co_members_source (co_members_t *members, size_t most)
+{
+  size_t start = members->norder ? mbr_random (members) % members->norder : 0;
+  size_t i;
+
+  for (i = 0; i < members->norder; i++)
+    {
+      const mbr_entry_t *entry = members->order[(start + i) % members->norder];
+
+      if (entry->m.state == CO_MBR_ALIVE && !entry->m.draining
+          && el_str_eq (entry->m.hall, members->self.hall)
+          && entry_chosen (members, entry, most))
+        return &entry->m;
+    }
+  return NULL;
+}
--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -43,6 +43,7 @@
   const char *ready;
   const char *directory;
   const char *store;
+  uint64_t store_followers;
   const char *name;
   uint64_t entry_ttl_s;
   const char *repeat_ratio;
@@ -89,6 +90,8 @@
     "tells callers the entry addresses" },
   { "store", EL_SET_STRING, AT (store), "", 0, 21, 0, "IP:PORT",
     "the store that holds rules and endpoints of relayed requests" },
+  { "store-followers", EL_SET_U64, AT (store_followers), "4", 1, 1000, 0, "N",
+    "hosts of a hall that ask the store; the others ask them" },
   { "name", EL_SET_STRING, AT (name), "elmarchd", 1, 200, 0, "NAME",
     "of this host, as leases show it" },
   { "entry-ttl-s", EL_SET_U64, AT (entry_ttl_s), "2", 1, 3600, 0, "S",
@@ -187,6 +190,7 @@
     .platform = el_str (set->platform),
     .cluster_key = el_str (set->cluster_key),
     .operator_key = el_str (set->operator_key),
+    .store_followers = set->store_followers,
     .max_active = set->max_active,
     .max_queue = set->max_queue,
     .max_body = set->max_body,
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -203,6 +203,15 @@
   site->endpoints_known = 1;
   site->rules_known = as_of;
   gt_relays_known (site->relays, as_of);
+  gt_gate_heard (site->gate);
+}
+
+static int
+site_ask (void *arg, uint64_t after, gt_news_cb done, void *done_arg)
+{
+  site_t *site = arg;
+
+  return gt_gate_ask_news (site->gate, after, done, done_arg);
 }
 
 /* One watch for all keys: each call to the store has its price. */
@@ -214,6 +223,7 @@
                               .wait_ms = STORE_WAIT_MS,
                               .gather = STORE_GATHER,
                               .item = site_item,
+                              .ask = site_ask,
                               .known = site_known,
                               .arg = site };
   uint64_t most = site->options.keys_limit / EL_MSEC / STORE_WAIT_PARTS;
@@ -221,6 +231,7 @@
   if (most && most < all.wait_ms)
     all.wait_ms = most;
   site->follow = gt_follow_new (&all);
+  gt_gate_follow (site->gate, site->follow);
 }
 
 static void
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -427,3 +427,25 @@
 {
   gt_peers_addresses (gate->peers, hall, list);
 }
+
+/** What FOLLOW sees is told to the other hosts that ask. */
+void
+gt_gate_follow (gt_gate_t *gate, gt_follow_t *follow)
+{
+  gt_peers_follow (gate->peers, follow);
+}
+
+/** The follower has heard of the store. */
+void
+gt_gate_heard (gt_gate_t *gate)
+{
+  gt_peers_heard (gate->peers);
+}
+
+/** Ask another host what it has seen of the store; gives 0 when this host
+    should ask the store. */
+int
+gt_gate_ask_news (gt_gate_t *gate, uint64_t after, gt_news_cb done, void *arg)
+{
+  return !gate->draining && gt_peers_ask_news (gate->peers, after, done, arg);
+}
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -15,6 +15,7 @@
 #include "base.h"
 #include "coord.h"
 #include "net.h"
+#include "store.h"
 
 typedef struct gt_gate gt_gate_t;
 
@@ -31,6 +32,7 @@
                               is configured otherwise */
   el_str_t cluster_key;  /**< shared by the hosts */
   el_str_t operator_key; /**< operators prove themselves with it */
+  uint64_t store_followers; /**< hosts of a hall that ask the store */
   uint64_t max_active;
   uint64_t max_queue;
   uint64_t max_body; /**< bytes of a caller's request */
@@ -55,6 +57,10 @@
 net_clock_t *gt_gate_clock (gt_gate_t *gate);
 net_client_t *gt_gate_client (gt_gate_t *gate);
 el_metrics_t *gt_gate_metrics (gt_gate_t *gate);
+void gt_gate_follow (gt_gate_t *gate, gt_follow_t *follow);
+void gt_gate_heard (gt_gate_t *gate);
+int gt_gate_ask_news (gt_gate_t *gate, uint64_t after, gt_news_cb done,
+                      void *arg);
 void gt_gate_withdraw (gt_gate_t *gate, int withdrawn);
 size_t gt_gate_hosts (const gt_gate_t *gate);
 size_t gt_gate_hall_hosts (const gt_gate_t *gate);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -12,6 +12,7 @@
 #include "net.h"
 #include "map.h"
 #include "route.h"
+#include "store.h"
 
 #define GT_JSON EL_STR ("application/json")
 #define GT_REASON_MAX 32
@@ -314,6 +315,10 @@
 /* peer.c */
 gt_peers_t *gt_peers_new (gt_gate_t *gate, el_err_t *err);
 void gt_peers_drain (gt_peers_t *peers);
+void gt_peers_follow (gt_peers_t *peers, gt_follow_t *follow);
+void gt_peers_heard (gt_peers_t *peers);
+int gt_peers_ask_news (gt_peers_t *peers, uint64_t after, gt_news_cb done,
+                       void *arg);
 void gt_peers_withdraw (gt_peers_t *peers, int withdrawn);
 void gt_peers_stop (gt_peers_t *peers);
 void gt_peers_seen (gt_peers_t *peers, uint64_t revision);
--- a/gate/libpeer.h
+++ b/gate/libpeer.h
@@ -32,6 +32,8 @@
   el_timer_t tick;
   size_t live; /* as the router was last told */
   int fetching;
+  gt_follow_t *follow; /* news for other hosts; NULL without */
+  struct peer_asker *askers;
   peer_sign_t *signs;
   peer_handover_t *handover;
   gt_place_t successor;
@@ -68,6 +70,9 @@
 net_header_t *peer_headers_read (const peer_header *list, u_int n);
 peer_header *peer_headers_write (const net_header_t *headers, size_t n);
 
+/* peer_news.c */
+void peer_serve_news (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+
 /* peer_handover.c */
 void peer_serve_handover (gt_peers_t *peers, net_rpc_req_t *req,
                           el_str_t body);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -23,6 +23,7 @@
   gt_relay_options_t options;
   net_server_t *server;
   rt_rules_t *rules;
+  el_time_t born;  /* when this process began */
   el_time_t known; /* the rules were in force at this time */
   relay_spend_t *spends;
   gt_relay_t *running;
--- a/gate/peer.c
+++ b/gate/peer.c
@@ -22,7 +22,7 @@
 } procs[] = {
   { PEER_GOSSIP, peer_serve_gossip },     { PEER_FORWARD, peer_serve_forward },
   { PEER_RELAY, peer_serve_relay },       { PEER_FETCH, peer_serve_fetch },
-  { PEER_HANDOVER, peer_serve_handover },
+  { PEER_HANDOVER, peer_serve_handover }, { PEER_NEWS, peer_serve_news },
 };
 
 void
--- a/gate/peer.x
+++ b/gate/peer.x
@@ -145,6 +145,29 @@
   bool taken<PEER_SESSIONS_MAX>;
 };
 
+/* Asks a host that follows the store for what it has seen after a revision;
+   answered when it has heard of the store again. */
+struct peer_news_args {
+  unsigned hyper after;
+};
+
+struct peer_item {
+  unsigned hyper revision;
+  bool gone;
+  opaque key<PEER_NAME_MAX>;
+  opaque value<PEER_SPEC_MAX>;
+};
+
+/* KNOWN_AFTER: microseconds from the question's arrival to the moment as of
+   which all is told; negative when that lies before. */
+struct peer_news_res {
+  bool ready;
+  bool whole;
+  unsigned hyper revision;
+  hyper known_after;
+  peer_item items<PEER_CHANGES_MAX>;
+};
+
 program ELMARCH_PEER {
   version ELMARCH_PEER_V1 {
     peer_sealed PEER_GOSSIP (peer_sealed) = 1;
@@ -152,5 +175,6 @@
     peer_sealed PEER_RELAY (peer_sealed) = 3;
     peer_sealed PEER_FETCH (peer_sealed) = 4;
     peer_sealed PEER_HANDOVER (peer_sealed) = 5;
+    peer_sealed PEER_NEWS (peer_sealed) = 6;
   } = 1;
 } = 0x20656c6d;
--- a/gate/peer_proto.h
+++ b/gate/peer_proto.h
@@ -256,6 +256,37 @@
 };
 typedef struct peer_handover_res peer_handover_res;
 
+struct peer_news_args {
+	u_quad_t after;
+};
+typedef struct peer_news_args peer_news_args;
+
+struct peer_item {
+	u_quad_t revision;
+	bool_t gone;
+	struct {
+		u_int key_len;
+		char *key_val;
+	} key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct peer_item peer_item;
+
+struct peer_news_res {
+	bool_t ready;
+	bool_t whole;
+	u_quad_t revision;
+	quad_t known_after;
+	struct {
+		u_int items_len;
+		peer_item *items_val;
+	} items;
+};
+typedef struct peer_news_res peer_news_res;
+
 #define ELMARCH_PEER 0x20656c6d
 #define ELMARCH_PEER_V1 1
 
@@ -275,6 +306,9 @@
 #define PEER_HANDOVER 5
 extern  peer_sealed * peer_handover_1(peer_sealed *, CLIENT *);
 extern  peer_sealed * peer_handover_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_NEWS 6
+extern  peer_sealed * peer_news_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_news_1_svc(peer_sealed *, struct svc_req *);
 extern int elmarch_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -293,6 +327,9 @@
 #define PEER_HANDOVER 5
 extern  peer_sealed * peer_handover_1();
 extern  peer_sealed * peer_handover_1_svc();
+#define PEER_NEWS 6
+extern  peer_sealed * peer_news_1();
+extern  peer_sealed * peer_news_1_svc();
 extern int elmarch_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -316,6 +353,9 @@
 extern  bool_t xdr_peer_session (XDR *, peer_session*);
 extern  bool_t xdr_peer_handover_args (XDR *, peer_handover_args*);
 extern  bool_t xdr_peer_handover_res (XDR *, peer_handover_res*);
+extern  bool_t xdr_peer_news_args (XDR *, peer_news_args*);
+extern  bool_t xdr_peer_item (XDR *, peer_item*);
+extern  bool_t xdr_peer_news_res (XDR *, peer_news_res*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_sealed ();
@@ -335,6 +375,9 @@
 extern bool_t xdr_peer_session ();
 extern bool_t xdr_peer_handover_args ();
 extern bool_t xdr_peer_handover_res ();
+extern bool_t xdr_peer_news_args ();
+extern bool_t xdr_peer_item ();
+extern bool_t xdr_peer_news_res ();
 
 #endif /* K&R C */
 
--- a/gate/peer_xdr.c
+++ b/gate/peer_xdr.c
@@ -360,3 +360,48 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_news_args (XDR *xdrs, peer_news_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_item (XDR *xdrs, peer_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->key.key_val, (u_int *) &objp->key.key_len, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_SPEC_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_news_res (XDR *xdrs, peer_news_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->ready))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->known_after))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_CHANGES_MAX,
+		sizeof (peer_item), (xdrproc_t) xdr_peer_item))
+		 return FALSE;
+	return TRUE;
+}
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -247,7 +247,8 @@
   spend = el_alloc (sizeof *spend);
   spend->service = (char *)(uintptr_t)el_str_dup (service).ptr;
   rt_spend_open (&spend->spend, relays->options.repeat_ratio,
-                 relays->options.repeat_slack, relays->options.repeat_window);
+                 relays->options.repeat_slack, relays->options.repeat_window,
+                 relays->born);
   HASH_ADD_KEYPTR (hh, relays->spends, spend->service, (unsigned)service.len,
                    spend);
   return &spend->spend;
@@ -330,6 +331,7 @@
 
   relays->options = *options;
   relays->random = options->seed | 1;
+  relays->born = net_clock_now (options->clock);
   relays->server = net_server_new (&server, err);
   if (relays->server)
     return relays;
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -20,6 +20,8 @@
 /* Where all streams are slow, one stands still after this many times what is
    usual on this host. */
 #define STILL_TIMES 4
+/* A timer that fires later than this was held up with the process. */
+#define HELD_UP (10 * EL_MSEC)
 #define LOOK_AGAIN (100 * EL_MSEC)
 /* The second look of so many asks the first engine where the stream waits;
    the others ask the engines of the line for a sign of life. */
@@ -208,6 +210,12 @@
       watch_again (relay, limit - still);
       return;
     }
+  if (now > relay->watch.due + HELD_UP)
+    {
+      /* This process was held up: events may wait to be read. */
+      watch_again (relay, HELD_UP);
+      return;
+    }
   if (relay->ask || relay->looks++ >= LOOKS_MAX)
     return;
   if (relay->looks % LOOKS_ASK == 2)
--- a/gate/store.h
+++ b/gate/store.h
@@ -88,6 +88,19 @@
 
 typedef struct gt_follow gt_follow_t;
 
+/** What a follower was told: changes, or all there is when WHOLE. */
+typedef struct gt_news
+{
+  gt_store_item_t *items;
+  size_t n;
+  int whole;
+  uint64_t revision; /**< changes up to it were told */
+  el_time_t as_of;   /**< by this host's clock */
+} gt_news_t;
+
+/** NEWS is NULL when nobody answered, or one that knows nothing itself. */
+typedef void (*gt_news_cb) (void *arg, const gt_news_t *news);
+
 typedef struct gt_follow_options
 {
   gt_store_t *store;
@@ -97,12 +110,16 @@
                          take one call */
   /** A key is new or changed, or is gone. */
   void (*item) (void *arg, const gt_store_item_t *item);
+  /** Have another host tell what it has seen after a revision. Gives 0 when
+      this host should ask the store itself; may be NULL. */
+  int (*ask) (void *arg, uint64_t after, gt_news_cb done, void *done_arg);
   /** All changes made before AS_OF, by the clock, were told. */
   void (*known) (void *arg, el_time_t as_of);
   void *arg;
 } gt_follow_options_t;
 
 gt_follow_t *gt_follow_new (const gt_follow_options_t *options);
+void gt_follow_tell (gt_follow_t *follow, uint64_t after, gt_news_t *out);
 void gt_follow_free (gt_follow_t *follow);
 
 /* A duty that at most one host has. */
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -21,12 +21,18 @@
 #define MISSED_WAIT_MS 1
 #define MISSED_LIMIT (800 * EL_MSEC)
 
+/* News older than this are of a host that misses the store. */
+#define NEWS_OLD (3 * EL_SEC)
+/* The store is asked for this long after another host had no news. */
+#define ALONE (5 * EL_SEC)
+
 /* A key that is known, with the revision of its last change. */
 typedef struct follow_key
 {
   char *key;
   size_t len;
   uint64_t revision;
+  el_str_t value;
   int gone;
   uint64_t reading; /* number of the reading that showed it last */
   UT_hash_handle hh;
@@ -38,16 +44,19 @@
   follow_key_t *keys;
   net_exchange_t *call;
   el_timer_t again;
-  el_time_t sent;       /* when the call left */
-  el_time_t read_since; /* when the first page was asked for */
-  uint64_t revision;    /* changes up to it were told */
-  uint64_t read_at;     /* revision of the first page */
-  el_buf_t page_after;  /* last key of the page before */
-  uint64_t reading;     /* number of the last or present reading of all */
-  int whole;            /* that reading is done */
+  el_time_t sent;        /* when the call left */
+  el_time_t read_since;  /* when the first page was asked for */
+  uint64_t revision;     /* changes up to it were told */
+  uint64_t read_at;      /* revision of the first page */
+  el_buf_t page_after;   /* last key of the page before */
+  uint64_t reading;      /* number of the last or present reading of all */
+  int whole;             /* that reading is done */
+  el_time_t known;       /* all changes before it were told */
+  el_time_t alone_until; /* other hosts are not asked before */
   unsigned failures;
 };
 
+static void follow_known (gt_follow_t *follow, el_time_t as_of);
 static void follow_next (void *arg, el_time_t now);
 
 void
@@ -120,6 +129,15 @@
   return key;
 }
 
+static void
+key_free (gt_follow_t *follow, follow_key_t *key)
+{
+  HASH_DEL (follow->keys, key);
+  el_str_free (&key->value);
+  free (key->key);
+  free (key);
+}
+
 static void
 follow_item (gt_follow_t *follow, const gt_store_item_t *item)
 {
@@ -130,6 +148,9 @@
     return;
   key->revision = item->revision;
   key->gone = item->gone;
+  el_str_free (&key->value);
+  if (follow->options.ask)
+    key->value = el_str_dup (item->value);
   follow->options.item (follow->options.arg, item);
 }
 
@@ -151,9 +172,7 @@
       continue;
     if (!key->gone)
       follow->options.item (follow->options.arg, &item);
-    HASH_DEL (follow->keys, key);
-    free (key->key);
-    free (key);
+    key_free (follow, key);
   }
 }
 
@@ -224,7 +243,7 @@
       follow->whole = 1;
       follow_prune (follow);
       follow->revision = follow->read_at;
-      follow->options.known (follow->options.arg, follow->read_since);
+      follow_known (follow, follow->read_since);
     }
   gt_store_list_free (&list);
   follow_next (follow, 0);
@@ -260,7 +279,7 @@
     follow_item (follow, &list.items[i]);
   if (list.revision > follow->revision)
     follow->revision = list.revision;
-  follow->options.known (follow->options.arg, follow->sent);
+  follow_known (follow, follow->sent);
   if (list.n && follow->options.gather)
     follow_later (follow, follow->options.gather);
   else
@@ -268,6 +287,56 @@
   gt_store_list_free (&list);
 }
 
+static void
+follow_known (gt_follow_t *follow, el_time_t as_of)
+{
+  if (as_of > follow->known)
+    follow->known = as_of;
+  follow->options.known (follow->options.arg, as_of);
+}
+
+/* Another host has told. When it could not, or what it knows is old, the store
+   is asked for a while. */
+static void
+news_told (void *arg, const gt_news_t *news)
+{
+  gt_follow_t *follow = arg;
+  el_time_t now = net_clock_now (follow->options.store->clock);
+  size_t i;
+
+  if (!news || news->as_of + NEWS_OLD < now)
+    {
+      follow->alone_until = now + ALONE;
+      follow_next (follow, 0);
+      return;
+    }
+  if (news->whole)
+    {
+      follow->reading++;
+      follow->read_at = news->revision;
+    }
+  for (i = 0; i < news->n; i++)
+    follow_item (follow, &news->items[i]);
+  if (news->whole)
+    follow_prune (follow);
+  if (news->revision > follow->revision)
+    follow->revision = news->revision;
+  follow_known (follow, news->as_of);
+  follow_next (follow, 0);
+}
+
+/* Whether another host was asked in place of the store. */
+static int
+follow_ask (gt_follow_t *follow)
+{
+  gt_follow_options_t *o = &follow->options;
+  el_time_t now = net_clock_now (o->store->clock);
+
+  return o->ask && follow->whole && !follow->failures
+         && now >= follow->alone_until
+         && o->ask (o->arg, follow->revision, news_told, follow);
+}
+
 /* Send what comes next: a page, or a watch. */
 static void
 follow_next (void *arg, el_time_t now)
@@ -279,6 +348,8 @@
   el_time_t limit = follow->failures ? MISSED_LIMIT : CALL_LIMIT;
 
   (void)now;
+  if (follow_ask (follow))
+    return;
   follow->sent = net_clock_now (o->store->clock);
   if (follow->whole)
     {
@@ -314,6 +385,30 @@
   return follow;
 }
 
+/** Tell what was seen after a revision, or all when not every removal since
+    then is known. The items belong to the follower; the list is freed by the
+    caller. */
+void
+gt_follow_tell (gt_follow_t *follow, uint64_t after, gt_news_t *out)
+{
+  follow_key_t *key;
+  follow_key_t *next;
+
+  *out = (gt_news_t){ .whole = after < follow->read_at,
+                      .revision = follow->revision,
+                      .as_of = follow->known };
+  out->items = el_alloc ((HASH_COUNT (follow->keys) + 1) * sizeof *out->items);
+  HASH_ITER (hh, follow->keys, key, next)
+  {
+    if (out->whole ? key->gone : key->revision <= after)
+      continue;
+    out->items[out->n++] = (gt_store_item_t){ .key = { key->key, key->len },
+                                              .value = key->value,
+                                              .revision = key->revision,
+                                              .gone = key->gone };
+  }
+}
+
 /** Ask for nothing more. */
 void
 gt_follow_free (gt_follow_t *follow)
@@ -324,12 +419,7 @@
   net_clock_cancel (follow->options.store->clock, &follow->again);
   if (follow->call)
     net_client_cancel (follow->call);
-  HASH_ITER (hh, follow->keys, key, next)
-  {
-    HASH_DEL (follow->keys, key);
-    free (key->key);
-    free (key);
-  }
+  HASH_ITER (hh, follow->keys, key, next) { key_free (follow, key); }
   el_buf_free (&follow->page_after);
   free (follow);
 }
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -24,6 +24,8 @@
 #define CONNECT_LIMIT (1 * EL_SEC)
 /* How long the kernel waits for the peer to take what was sent. */
 #define UNTAKEN_LIMIT_MS 2000
+/* A timer that fires later than this was held up with the process. */
+#define LATE (5 * EL_MSEC)
 /* Kept for this long when the endpoint does not say how long it keeps; one
    that names no whole second may close at any moment. */
 #define IDLE_UNSAID (500 * EL_MSEC)
@@ -84,6 +86,7 @@
   int sent;
   int begun; /* the head of the answer was handed on */
   int whole;
+  int late; /* its time was over while the process was held up */
   int status;
   el_buf_t request;
   net_header_t *headers;
@@ -221,11 +224,20 @@
   exchange_end (ex, net);
 }
 
+/* A process that was held up runs its timers before it reads what came
+   meanwhile: the answer may be there. */
 static void
 exchange_timeout (void *arg, el_time_t now)
 {
-  (void)now;
-  exchange_fail (arg, NET_TIMEOUT);
+  net_exchange_t *ex = arg;
+
+  if (now > ex->timer.due + LATE && !ex->late)
+    {
+      ex->late = 1;
+      net_clock_set (ex->client->clock, &ex->timer, LATE);
+      return;
+    }
+  exchange_fail (ex, NET_TIMEOUT);
 }
 
 static void
--- a/route/course.c
+++ b/route/course.c
@@ -48,14 +48,16 @@
 }
 
 /** A budget of RATIO repeats a request and SLACK besides in any WINDOW, for
-    all hosts together. */
+    all hosts together. A process that began at BORN takes nothing of the slack
+    in its first window. */
 void
 rt_spend_open (rt_spend_t *spend, double ratio, uint64_t slack,
-               el_time_t window)
+               el_time_t window, el_time_t born)
 {
   memset (spend, 0, sizeof *spend);
   spend->ratio = ratio;
   spend->slack = slack;
+  spend->born = born;
   spend->slot = window / (RT_WINDOW_SLOTS - 1);
 }
 
@@ -104,8 +106,9 @@
       if (spend->hosts[i] > most_hosts)
         most_hosts = spend->hosts[i];
     }
-  most = spend->ratio * (double)asked
-         + (double)spend->slack / (double)most_hosts;
+  most = spend->ratio * (double)asked;
+  if (now >= spend->born + spend->slot * (RT_WINDOW_SLOTS - 1))
+    most += (double)spend->slack / (double)most_hosts;
   return (double)(spent + 1) <= BUDGET_PART * most;
 }
 
--- a/route/relay.h
+++ b/route/relay.h
@@ -275,6 +275,8 @@
 {
   double ratio;   /**< repeats for each request */
   uint64_t slack; /**< repeats of all hosts besides */
+  el_time_t born; /**< when the process began: one before it may have spent
+                       its part of the slack */
   el_time_t slot; /**< length of a slot of the window */
   uint64_t at;    /**< number of the newest slot */
   uint64_t asked[RT_WINDOW_SLOTS];
@@ -283,7 +285,7 @@
 } rt_spend_t;
 
 void rt_spend_open (rt_spend_t *spend, double ratio, uint64_t slack,
-                    el_time_t window);
+                    el_time_t window, el_time_t born);
 void rt_spend_asked (rt_spend_t *spend, el_time_t now);
 int rt_spend_left (rt_spend_t *spend, el_time_t now, size_t hosts);
 int rt_spend_take (rt_spend_t *spend, el_time_t now, size_t hosts);
--- a/tests/site.c
+++ b/tests/site.c
@@ -92,6 +92,8 @@
                          "the-test-site's-key",
                          "--operator-key",
                          "an-operator's-key",
+                         "--store-followers",
+                         "1",
                          "--keys-limit-ms",
                          "2000",
                          "--stop-least-ms",
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -549,7 +549,7 @@
   int i;
 
   for (h = 0; h < HOSTS; h++)
-    rt_spend_open (&spends[h], 0.2, 100, 10 * EL_SEC);
+    rt_spend_open (&spends[h], 0.2, 100, 10 * EL_SEC, 0);
   for (s = 0; s < SECONDS; s++)
     for (h = 0; h < HOSTS; h++)
       for (i = 0; i < 10; i++)
@@ -575,6 +575,24 @@
 }
 END_TEST
 
+/* A host that is killed and started again has no second part of the slack. */
+START_TEST (test_spend_restart_brings_no_slack)
+{
+  const el_time_t born = 20 * EL_SEC;
+  unsigned taken = 0;
+  rt_spend_t spend;
+
+  rt_spend_open (&spend, 0, 100, 10 * EL_SEC, born);
+  while (rt_spend_take (&spend, born + EL_SEC, 1))
+    taken++;
+  ck_assert_uint_eq (taken, 0);
+  while (rt_spend_take (&spend, born + 10 * EL_SEC, 1))
+    taken++;
+  ck_assert_uint_gt (taken, 0);
+  ck_assert_uint_le (taken, 100);
+}
+END_TEST
+
 Suite *
 relay_suite (void)
 {
@@ -603,6 +621,7 @@
   ADD (tcase, test_course_keeps_to_the_rules_attempts);
   ADD (tcase, test_course_stream_goes_on_only_when_resumable);
   ADD (tcase, test_spend_holds_over_hosts_and_windows);
+  ADD (tcase, test_spend_restart_brings_no_slack);
   suite_add_tcase (suite, tcase);
   return suite;
 }
