Room for 75 requests beside the layers: one more layer on the middle cards

With room for 90 requests the halls have 25 to 29 spare layers; with 75 they have 28 to 36 (10 layers on l4).

--- a/route/layout.c
+++ b/route/layout.c
@@ -12,7 +12,7 @@
 
 #define LAYERS_MAX 256
 /* Usual requests that an engine's memory beside the layers should hold. */
-#define REQUESTS_BESIDE 90
+#define REQUESTS_BESIDE 75
 
 /** The card of that name; NULL when the model does not list it. */
 const rt_card_t *
