Test of a client that was held up

The finding on the grown site (LOST, a host that parsed a configuration for longer than an engine's time limit) had no test of its own.

--- a/tests/t_net.c
+++ b/tests/t_net.c
@@ -268,6 +268,36 @@
 }
 END_TEST
 
+/* The process is held up past the time limit while the answer waits to be
+   read: that is no silence of the endpoint. */
+START_TEST (test_client_held_up_reads_what_came_first)
+{
+  seen_t seen = { .done = 0 };
+  net_send_t send = { .method = EL_STR ("GET"),
+                      .path = EL_STR ("/x"),
+                      .timeout = 20 * EL_MSEC,
+                      .done = seen_done,
+                      .arg = &seen };
+  int i;
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\nkeep-alive: timeout=9\r\ncontent-length: "
+            "1\r\n\r\na",
+            KEEP },
+          { "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb", KEEP });
+  ask (&seen);
+  memset (&seen, 0, sizeof seen);
+  send.address = el_str (script.address);
+  net_client_send (client, &send);
+  pthread_join (script.thread, NULL); /* the answer was written */
+  for (i = 0; i < 40; i++)
+    usleep (1000);
+  while (!seen.done)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_int_eq (seen.net, NET_OK);
+  el_buf_free (&seen.body);
+}
+END_TEST
+
 START_TEST (test_client_no_connection_is_not_run)
 {
   seen_t seen;
@@ -539,6 +569,7 @@
   ADD (tcase, test_client_answer_cut_short_is_broken);
   ADD (tcase, test_client_keeps_a_connection);
   ADD (tcase, test_client_surplus_bytes_end_the_connection);
+  ADD (tcase, test_client_held_up_reads_what_came_first);
   ADD (tcase, test_client_no_connection_is_not_run);
   ADD (tcase, test_server_notices_a_caller_that_leaves);
   ADD (tcase, test_server_serves_what_was_sent_ahead);
