Engines that run slowly are chosen less, and left by streams with a copy near

Change: a check also reads how much slower than its kind the engine runs; lines count it, streams move to a copy in their hall, and the engine is asked again each second until it is well.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -34,8 +34,8 @@
 
 /** What came of asking an engine where a stream stands still. */
 typedef void (*gt_stalled_cb) (void *arg, int answered, el_str_t address);
-/** Whether an engine answered. */
-typedef void (*gt_check_cb) (void *arg, int answered);
+/** Whether an engine answered, and how much slower than its kind it runs. */
+typedef void (*gt_check_cb) (void *arg, int answered, double pace);
 /** What came of moving a stream to another line. */
 typedef void (*gt_reroute_cb) (void *arg, int done);
 
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -14,6 +14,10 @@
 /* Not asked again sooner than this, however many streams wait for it. */
 #define CHECK_GAP (80 * EL_MSEC)
 #define CHECK_AGAIN (400 * EL_MSEC)
+/* So many times slower than its kind an engine is worth leaving: moving reads
+   all tokens anew. */
+#define PACE_SLOW 2.5
+#define SLOW_AGAIN (1000 * EL_MSEC)
 
 typedef struct relay_check
 {
@@ -36,6 +40,18 @@
   free (check);
 }
 
+/* Have the streams through a slow engine use a copy of it in their hall. */
+static void
+check_move (gt_relays_t *relays, rt_target_t *engine)
+{
+  gt_relay_t *relay;
+  gt_relay_t *next;
+
+  DL_FOREACH_SAFE (relays->running, relay, next)
+  if (!relay->ended && relay->exchange && rt_line_has (&relay->line, engine))
+    relay_watch_slow (relay, engine);
+}
+
 /* Have all streams through a silent engine go around it. */
 static void
 check_leave (gt_relays_t *relays, rt_target_t *engine)
@@ -48,8 +64,31 @@
     relay_watch_silent (relay, engine);
 }
 
+/* An engine that runs slowly is left by the streams that have a copy of it in
+   their hall, chosen less by new ones, and asked again until it is well. */
 static void
-check_told (void *arg, int answered)
+check_pace (relay_check_t *check, double pace)
+{
+  rt_target_t *engine = check->engine;
+  gt_relays_t *relays = check->relays;
+  int was_slow = engine->pace >= PACE_SLOW;
+  int slow = pace >= PACE_SLOW;
+
+  engine->pace = pace;
+  if (slow)
+    net_clock_set (relays->options.clock, &check->again, SLOW_AGAIN);
+  if (slow == was_slow)
+    return;
+  EL_LOG (EL_LOG_INFO, slow ? "engine_slow" : "engine_well",
+          EL_FS ("engine", engine->facts.id),
+          EL_FN ("pace_percent", (uint64_t)(pace * 100)),
+          EL_FN ("lines", engine->lines));
+  if (slow)
+    check_move (relays, engine);
+}
+
+static void
+check_told (void *arg, int answered, double pace)
 {
   relay_check_t *check = arg;
   gt_relays_t *relays = check->relays;
@@ -58,6 +97,8 @@
 
   check->ask = NULL;
   engine->suspect = !answered;
+  if (answered)
+    check_pace (check, pace);
   if (answered && !was)
     return;
   if (answered == was)
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -173,6 +173,24 @@
   watch_move (relay, engine);
 }
 
+/** ENGINE, on the stream's line, runs slowly: use a copy of it in the same
+    hall when there is one. */
+void
+relay_watch_slow (gt_relay_t *relay, rt_target_t *engine)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+  rt_tried_t tried = { .n = 0 };
+
+  rt_tried_add (&tried, engine);
+  if (relay->ask
+      || !rt_line_around (o->fleet, net_clock_now (o->clock), relay->service,
+                          &relay->line, &tried, &relay->next_line)
+      || rt_line_crosses (&relay->next_line))
+    return;
+  relay->ask = o->dialect->reroute (o->client, relay->id, &relay->next_line,
+                                    watch_moved, relay);
+}
+
 static void
 watch_told (void *arg, int answered, el_str_t address)
 {
--- a/route/line.c
+++ b/route/line.c
@@ -154,6 +154,7 @@
   c->hall = search_hall (search, target->facts.hall);
   c->layer_ms
       = model->step_ms * card->step_pace / (double)model->layers
+        * (target->pace > 1 ? target->pace : 1)
         * fill_factor (search_fill (search, fleet, model, card, target))
         * search_chance (target, draw);
   search->cut[target->facts.first] = 1;
--- a/route/relay.h
+++ b/route/relay.h
@@ -148,6 +148,8 @@
   unsigned lines;        /**< streams of this host through it */
   unsigned failures;     /**< in a row */
   double held;           /**< tokens times layers of this host's streams */
+  double pace;           /**< how much slower than its kind it runs; 0 is not
+                              known, as 1 */
   int suspect;           /**< it did not answer when it was asked */
   el_time_t avoid_until; /**< set aside after failures */
   double usual_ms;       /**< moving mean of its answers' times */
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -370,6 +370,23 @@
 }
 END_TEST
 
+START_TEST (test_line_slow_engine_is_left_to_its_copy)
+{
+  rt_target_t *a = engine ("a", "h", "small", 0, 6);
+  rt_target_t *b = engine ("b", "h", "small", 0, 6);
+  rt_line_t line;
+
+  engine ("c", "h", "large", 6, 80);
+  a->pace = 4;
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_ptr_eq (line.part[0].target, b);
+  a->pace = 0;
+  b->pace = 4;
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_ptr_eq (line.part[0].target, a);
+}
+END_TEST
+
 START_TEST (test_line_in_use_counts_as_held)
 {
   rt_target_t *a = engine ("a", "h", "large", 0, 80);
@@ -611,6 +628,7 @@
   ADD_LOOP (tcase, test_line_any_layout_is_covered_or_refused, SEEDS);
   ADD (tcase, test_line_around_keeps_what_it_can);
   ADD (tcase, test_line_full_engine_is_left_to_its_copy);
+  ADD (tcase, test_line_slow_engine_is_left_to_its_copy);
   ADD (tcase, test_line_in_use_counts_as_held);
   ADD (tcase, test_layout_covers_every_hall_within_memory);
   ADD (tcase, test_layout_counts_orders_under_way);
