Seeded tests: spoiled input, placing under schedules of events, attempts

Placing goes through engines that come, go, leave, fall silent, and orders that are lost or carried out late: orders fit the memory, the planner comes to rest, no hole beside spare copies.

--- /dev/null
+++ b/tests/t_seeded.c
@@ -0,0 +1,442 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Seeded tests: what comes from outside is changed at random, and the
+ * decisions on placing and on attempts are played through schedules of events
+ * with what must always hold. ELMARCH_SEEDS sets their number; the seed of a
+ * failure is printed and plays it again by ELMARCH_SEED.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "librelay.h"
+#include "platform.h"
+#include "test.h"
+
+#define SEEDS_CI 2000
+#define LAYERS 80
+#define STEPS 60
+#define ENGINES_MAX 24
+#define ORDERS_MAX 64
+
+static uint64_t random_state;
+
+static unsigned
+draw (unsigned n)
+{
+  random_state ^= random_state << 13;
+  random_state ^= random_state >> 7;
+  random_state ^= random_state << 17;
+  return (unsigned)(random_state % n);
+}
+
+static uint64_t
+env_number (const char *name, uint64_t def)
+{
+  const char *text = getenv (name);
+
+  return text ? strtoull (text, NULL, 10) : def;
+}
+
+/* Run PLAY with each seed, or with the one that is asked for. */
+static void
+seeds_run (void (*play) (uint64_t seed))
+{
+  uint64_t one = env_number ("ELMARCH_SEED", 0);
+  uint64_t n = env_number ("ELMARCH_SEEDS", SEEDS_CI);
+  uint64_t seed;
+
+  for (seed = one ? one : 1; seed <= (one ? one : n); seed++)
+    {
+      random_state = seed * 0x9e3779b97f4a7c15ULL;
+      play (seed);
+    }
+}
+
+/* What comes from outside. */
+
+static const char rules_text[]
+    = "{\"Version\":7,\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\","
+      "\"PathPrefix\":\"/a/\",\"RouteType\":\"streaming\",\"TimeoutMs\":20000,"
+      "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":90}],\"MaxAttempts\":2,"
+      "\"Resumable\":true}],\"Services\":[{\"Name\":\"s\",\"Engine\":{"
+      "\"layers\":80,\"layer_mb\":1750.0,\"usual\":{\"prompt\":772,"
+      "\"answer\":154},\"kinds\":[{\"Name\":\"k\",\"mb\":36000.0,"
+      "\"pace\":3.1}]}}],\"Limits\":{\"IdleTimeoutMs\":15000},"
+      "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k1\",\"k2\"]}]}";
+static const char entry_text[]
+    = "{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"h\","
+      "\"Slots\":6,\"State\":\"ready\",\"RouteType\":\"k\","
+      "\"layers\":{\"Source\":0,\"TargetVersion\":16}}";
+static const char list_text[]
+    = "{\"Items\":[{\"Key\":\"a\",\"Value\":\"bm9kZS0x\",\"Revision\":4,"
+      "\"made\":1,\"lease\":0},{\"Key\":\"b\",\"Revision\":5,\"gone\":true}],"
+      "\"more\":false,\"at\":9}";
+static const char events_text[]
+    = "id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: c\n\n";
+
+/* A copy of TEXT with some bytes changed, dropped or repeated. */
+static el_buf_t
+text_spoil (const char *text)
+{
+  el_buf_t out = { NULL, 0, 0 };
+  size_t len = strlen (text);
+  unsigned changes = draw (6);
+  size_t i;
+  char c;
+
+  for (i = 0; i < len; i++)
+    {
+      c = text[i];
+      if (changes && draw ((unsigned)len) < 4)
+        {
+          changes--;
+          if (draw (3) == 0)
+            continue;
+          c = draw (2) ? (char)draw (256) : "{}[]\",:0-9e\n"[draw (12)];
+          if (draw (4) == 0)
+            el_buf_add (&out, (el_str_t){ text, draw ((unsigned)len) });
+        }
+      el_buf_add (&out, (el_str_t){ &c, 1 });
+    }
+  if (draw (8) == 0)
+    out.len = draw ((unsigned)out.len + 1);
+  return out;
+}
+
+static void
+event_none (void *arg, el_str_t event, int has_id, uint64_t id)
+{
+  size_t *bytes = arg;
+
+  (void)has_id;
+  (void)id;
+  *bytes += event.len;
+}
+
+static void
+spoil_play (uint64_t seed)
+{
+  el_buf_t text = text_spoil (rules_text);
+  relay_events_t events = { { NULL, 0, 0 } };
+  net_result_t result = { .net = NET_OK, .status = 200 };
+  gt_store_list_t list = { 0 };
+  rt_facts_t facts;
+  json_t *keep;
+  el_err_t err;
+  size_t bytes = 0;
+  size_t cut;
+
+  (void)seed;
+  rt_rules_unref (pf_rules_read (el_buf_str (&text), &err));
+  el_buf_free (&text);
+  text = text_spoil (entry_text);
+  if (pf_facts_read (EL_STR ("servers/x"), el_buf_str (&text), &facts, &keep,
+                     &err))
+    ck_assert_uint_le (facts.first, facts.end);
+  json_decref (keep);
+  el_buf_free (&text);
+  text = text_spoil (list_text);
+  result.body = el_buf_str (&text);
+  pf_store.read_list (&result, &list);
+  gt_store_list_free (&list);
+  el_buf_free (&text);
+  text = text_spoil (events_text);
+  cut = draw ((unsigned)text.len + 1);
+  relay_events_add (&events, (el_str_t){ text.ptr, cut }, event_none, &bytes);
+  relay_events_add (&events, el_str_after (el_buf_str (&text), cut),
+                    event_none, &bytes);
+  ck_assert_uint_le (bytes + events.part.len, text.len);
+  relay_events_reset (&events);
+  el_buf_free (&text);
+}
+
+START_TEST (test_spoiled_input_harms_nothing) { seeds_run (spoil_play); }
+END_TEST
+
+/* Placing of layers, through losses, drains, silent engines, and orders that
+   are lost or carried out late. */
+
+typedef struct late_order
+{
+  char id[16];
+  rt_order_t order;
+  unsigned taken; /* the engine's count that it was given under */
+  int due;        /* steps until it is carried out; -1: not under way */
+} late_order_t;
+
+typedef struct place_engine
+{
+  char id[16];
+  unsigned taken; /* orders */
+  int live;
+} place_engine_t;
+
+static rt_card_t cards[] = {
+  { { "large", 5 }, 36000, 3.1, 3.2 },
+  { { "middle", 6 }, 21600, 16, 8.2 },
+  { { "small", 5 }, 14400, 15, 15 },
+};
+
+static struct
+{
+  rt_fleet_t *fleet;
+  rt_service_t service;
+  place_engine_t engines[ENGINES_MAX];
+  size_t n;
+  late_order_t orders[ORDERS_MAX];
+} place;
+
+static rt_target_t *
+place_target (const place_engine_t *engine)
+{
+  return rt_fleet_find (place.fleet, el_str (engine->id));
+}
+
+static void
+place_add (void)
+{
+  place_engine_t *engine;
+  rt_facts_t facts = { .service = EL_STR ("pool"),
+                       .address = EL_STR ("a"),
+                       .hall = EL_STR ("h"),
+                       .slots = 1 };
+
+  if (place.n == ENGINES_MAX)
+    return;
+  engine = &place.engines[place.n];
+  *engine = (place_engine_t){ .live = 1 };
+  snprintf (engine->id, sizeof engine->id, "e%zu", place.n++);
+  facts.id = el_str (engine->id);
+  facts.card = cards[draw (3)].name;
+  rt_fleet_set (place.fleet, &facts);
+}
+
+static place_engine_t *
+place_find (el_str_t id)
+{
+  size_t i;
+
+  for (i = 0; i < place.n; i++)
+    if (el_str_eq (el_str (place.engines[i].id), id))
+      return &place.engines[i];
+  return NULL;
+}
+
+/* The engine takes an order only under the count it was given for. */
+static void
+place_take (late_order_t *late)
+{
+  place_engine_t *engine = place_find (el_str (late->id));
+  rt_target_t *target = engine->live ? place_target (engine) : NULL;
+
+  late->due = -1;
+  if (!target || engine->taken != late->taken)
+    return;
+  engine->taken++;
+  target->facts.first = late->order.first;
+  target->facts.end = late->order.end;
+}
+
+static void
+place_send (const rt_order_t *order)
+{
+  place_engine_t *engine = place_find (order->target->facts.id);
+  const rt_card_t *card
+      = rt_model_card (&place.service.model, order->target->facts.card);
+  size_t i;
+
+  ck_assert_uint_lt (order->first, order->end);
+  ck_assert_uint_le (order->end, LAYERS);
+  ck_assert ((order->end - order->first) * 1750.0 <= card->memory_mb);
+  for (i = 0; i < ORDERS_MAX && place.orders[i].due >= 0; i++)
+    ;
+  if (i == ORDERS_MAX || draw (8) == 0)
+    return; /* lost */
+  place.orders[i] = (late_order_t){ .order = *order,
+                                    .taken = engine->taken,
+                                    .due = (int)draw (draw (4) ? 2 : 12) };
+  snprintf (place.orders[i].id, sizeof place.orders[i].id, "%s", engine->id);
+}
+
+/* One look of the planner: empty engines first, then holes. */
+static size_t
+place_look (void)
+{
+  rt_order_t orders[ORDERS_MAX];
+  size_t n = rt_layout_next (place.fleet, &place.service, NULL, 0, orders,
+                             ORDERS_MAX);
+  size_t i;
+
+  if (!n)
+    n = rt_layout_repair (place.fleet, &place.service, NULL, 0, orders,
+                          ORDERS_MAX);
+  for (i = 0; i < n; i++)
+    place_send (&orders[i]);
+  return n;
+}
+
+static void
+place_event (void)
+{
+  place_engine_t *engine = &place.engines[draw ((unsigned)place.n)];
+  rt_target_t *target = engine->live ? place_target (engine) : NULL;
+  size_t i;
+
+  switch (draw (6))
+    {
+    case 0:
+      place_add ();
+      break;
+    case 1:
+      if (target)
+        rt_fleet_remove (place.fleet, el_str (engine->id));
+      engine->live = 0;
+      break;
+    case 2:
+      if (target)
+        target->facts.leaving = 1;
+      break;
+    case 3:
+      if (target)
+        target->suspect = !target->suspect;
+      break;
+    default:
+      place_look ();
+    }
+  for (i = 0; i < ORDERS_MAX; i++)
+    if (place.orders[i].due >= 0 && place.orders[i].due-- == 0)
+      place_take (&place.orders[i]);
+}
+
+static unsigned
+place_holes (unsigned *can_hold)
+{
+  unsigned cover[LAYERS] = { 0 };
+  const rt_target_t *target;
+  unsigned holes = 0;
+  unsigned k;
+
+  *can_hold = 0;
+  for (target = rt_fleet_first (place.fleet); target; target = target->hh.next)
+    {
+      if (target->facts.leaving)
+        continue;
+      *can_hold += target->facts.end - target->facts.first;
+      for (k = target->facts.first; k < target->facts.end; k++)
+        cover[k]++;
+    }
+  for (k = 0; k < LAYERS; k++)
+    holes += !cover[k];
+  return holes;
+}
+
+/* After any schedule the planner comes to rest, and then a hall with a spare
+   copy has no hole. */
+static void
+place_play (uint64_t seed)
+{
+  rt_target_t *target;
+  unsigned held;
+  int step;
+  int looks = 0;
+  size_t i;
+
+  memset (&place, 0, sizeof place);
+  place.fleet = rt_fleet_new (seed);
+  place.service = (rt_service_t){ .name = EL_STR ("pool"),
+                                  .model = { .layers = LAYERS,
+                                             .layer_mb = 1750,
+                                             .step_ms = 0.85,
+                                             .token_kv_mb = 0.459,
+                                             .usual_tokens = 926,
+                                             .cards = cards,
+                                             .ncards = 3 } };
+  for (i = 0; i < ORDERS_MAX; i++)
+    place.orders[i].due = -1;
+  for (i = 0; i < 11; i++)
+    place_add ();
+  for (step = 0; step < STEPS; step++)
+    place_event ();
+  for (target = rt_fleet_first (place.fleet); target; target = target->hh.next)
+    target->suspect = 0;
+  for (step = 0; step < 400 && looks < 20; step++)
+    {
+      looks = place_look () ? 0 : looks + 1;
+      for (i = 0; i < ORDERS_MAX; i++)
+        if (place.orders[i].due >= 0 && place.orders[i].due-- == 0)
+          place_take (&place.orders[i]);
+    }
+  ck_assert_msg (looks == 20, "seed %lu: no rest", (unsigned long)seed);
+  if (place_holes (&held))
+    ck_assert_msg (held < 2 * LAYERS, "seed %lu: a hole beside %u held layers",
+                   (unsigned long)seed, held);
+  rt_fleet_free (place.fleet);
+}
+
+START_TEST (test_placing_comes_to_rest_without_holes)
+{
+  seeds_run (place_play);
+}
+END_TEST
+
+/* Attempts in any order of outcomes. */
+static void
+course_play (uint64_t seed)
+{
+  const rt_rule_t rule = { .kind = (rt_kind_t)draw (3),
+                           .attempts = 1 + draw (3),
+                           .resumable = (int)draw (2) };
+  rt_course_t course = { 0, 0 };
+  rt_attempt_t attempt;
+  unsigned may_run = 0;
+  unsigned sent = 0;
+  rt_next_t next = RT_NEXT_AGAIN;
+  int repeatable
+      = rule.kind == RT_SAFE || (rule.kind == RT_STREAM && rule.resumable);
+
+  while (next == RT_NEXT_AGAIN)
+    {
+      attempt = (rt_attempt_t){ .verdict = (el_verdict_t)draw (3) };
+      if (attempt.verdict == EL_RAN)
+        {
+          attempt.answered = 1;
+          attempt.failed = (int)draw (2);
+        }
+      sent++;
+      may_run += attempt.verdict != EL_NOT_RUN;
+      next = rt_course_next (&course, &rule, &attempt, (int)draw (4),
+                             draw (100) * EL_MSEC);
+      ck_assert_msg (sent <= 8, "seed %lu: no end", (unsigned long)seed);
+      ck_assert_msg (may_run <= (repeatable ? rule.attempts : 1),
+                     "seed %lu: ran %u times", (unsigned long)seed, may_run);
+      if (next == RT_NEXT_REFUSE)
+        ck_assert_msg (may_run == 0, "seed %lu: refused after a run",
+                       (unsigned long)seed);
+      if (next == RT_NEXT_PASS)
+        ck_assert_int_eq (attempt.answered, 1);
+    }
+}
+
+START_TEST (test_attempts_in_any_order_keep_the_promises)
+{
+  seeds_run (course_play);
+}
+END_TEST
+
+Suite *
+seeded_suite (void)
+{
+  Suite *suite = suite_create ("seeded");
+  TCase *tcase = tcase_create ("seeded");
+
+  tcase_set_timeout (tcase, (double)env_number ("ELMARCH_SEEDS_S", 60));
+  ADD (tcase, test_spoiled_input_harms_nothing);
+  ADD (tcase, test_placing_comes_to_rest_without_holes);
+  ADD (tcase, test_attempts_in_any_order_keep_the_promises);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
