Split the HTTP client into its requests and its connections

net/http_client.c keeps the client, the exchanges and what callers use; net/http_conn.c has the connections: made, written, read, kept. net/libnet.h says what the two share.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/line.c route/layout.c route/course.c
 
-NET = net/clock.c net/http_server.c net/http_client.c net/rpc.c net/rpc_wire.c
+NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
        gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
--- /dev/null
+++ b/net/http_conn.c
@@ -0,0 +1,413 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The HTTP/1.1 client's connections: made, written to, read by http_parser,
+ * and kept for as long as the endpoint says, less a margin.
+ */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+
+#include "libnet.h"
+
+/* Time for a connection to come up: an address that is gone says nothing. */
+#define CONNECT_LIMIT (1 * EL_SEC)
+/* How long the kernel waits for the peer to take what was sent. */
+#define UNTAKEN_LIMIT_MS 2000
+/* Kept for this long when the endpoint does not say how long it keeps; one
+   that names no whole second may close at any moment. */
+#define IDLE_UNSAID (500 * EL_MSEC)
+#define IDLE_MOST (20 * EL_SEC)
+/* A connection is left this long before the endpoint closes it. */
+#define IDLE_MARGIN (400 * EL_MSEC)
+
+typedef struct conn_write
+{
+  uv_write_t req;
+  net_conn_t *conn;
+  el_buf_t bytes;
+} conn_write_t;
+
+static int on_message_begin (http_parser *parser);
+static int on_header_field (http_parser *parser, const char *at, size_t len);
+static int on_header_value (http_parser *parser, const char *at, size_t len);
+static int on_headers_complete (http_parser *parser);
+static int on_body (http_parser *parser, const char *at, size_t len);
+static int on_message_complete (http_parser *parser);
+
+static const http_parser_settings parser_settings = {
+  .on_message_begin = on_message_begin,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+static void
+conn_closed (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+/** Close a connection; it leaves its pool and its exchange. */
+void
+net_conn_close (net_conn_t *conn)
+{
+  if (conn->closing)
+    return;
+  conn->closing = 1;
+  if (conn->resting)
+    DL_DELETE (conn->pool->idle, conn);
+  net_clock_cancel (conn->client->clock, &conn->idle);
+  conn->exchange = NULL;
+  uv_close ((uv_handle_t *)&conn->tcp, conn_closed);
+}
+
+static void
+conn_idle_over (void *arg, el_time_t now)
+{
+  (void)now;
+  net_conn_close (arg);
+}
+
+/* Writing. */
+
+static void
+conn_written (uv_write_t *req, int status)
+{
+  conn_write_t *write = (conn_write_t *)req;
+  net_conn_t *conn = write->conn;
+
+  conn->writing--;
+  el_buf_free (&write->bytes);
+  free (write);
+  if (status && !conn->closing && conn->exchange)
+    net_exchange_fail (conn->exchange, NET_BROKEN);
+}
+
+static void
+conn_write (net_conn_t *conn, net_exchange_t *ex)
+{
+  uv_buf_t buf = uv_buf_init (ex->request.ptr, (unsigned)ex->request.len);
+  conn_write_t *write;
+  int n;
+
+  ex->sent = 1;
+  n = uv_try_write ((uv_stream_t *)&conn->tcp, &buf, 1);
+  if (n == (int)ex->request.len)
+    return;
+  write = el_alloc (sizeof *write);
+  write->conn = conn;
+  el_buf_add (&write->bytes,
+              el_str_after (el_buf_str (&ex->request), n > 0 ? (size_t)n : 0));
+  buf = uv_buf_init (write->bytes.ptr, (unsigned)write->bytes.len);
+  conn->writing++;
+  uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written);
+}
+
+/* Reading. */
+
+static int
+on_message_begin (http_parser *parser)
+{
+  net_conn_t *conn = parser->data;
+
+  if (!conn->exchange)
+    return -1;
+  net_exchange_clear_headers (conn->exchange);
+  conn->exchange->in_value = 0;
+  el_buf_reset (&conn->exchange->name);
+  el_buf_reset (&conn->exchange->value);
+  return 0;
+}
+
+static void
+header_take (net_exchange_t *ex)
+{
+  net_header_t *header;
+
+  if (!ex->in_value)
+    return;
+  ex->headers = el_grow (ex->headers, ex->nheaders + 1, sizeof *ex->headers);
+  header = &ex->headers[ex->nheaders++];
+  header->name = el_str_dup (el_buf_str (&ex->name));
+  header->value = el_str_dup (el_buf_str (&ex->value));
+  el_buf_reset (&ex->name);
+  el_buf_reset (&ex->value);
+  ex->in_value = 0;
+}
+
+static int
+on_header_field (http_parser *parser, const char *at, size_t len)
+{
+  net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
+
+  header_take (ex);
+  el_buf_add (&ex->name, (el_str_t){ at, len });
+  return 0;
+}
+
+static int
+on_header_value (http_parser *parser, const char *at, size_t len)
+{
+  net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
+
+  ex->in_value = 1;
+  el_buf_add (&ex->value, (el_str_t){ at, len });
+  return 0;
+}
+
+/* How long the endpoint keeps a connection, from "timeout=SECONDS". */
+static el_time_t
+keep_read (el_str_t value)
+{
+  el_str_t part;
+  uint64_t seconds;
+  el_time_t keep;
+
+  while (value.len)
+    {
+      part = el_str_cut (&value, ',');
+      while (part.len && *part.ptr == ' ')
+        part = el_str_after (part, 1);
+      if (!el_str_starts (part, EL_STR ("timeout=")))
+        continue;
+      if (!el_str_to_u64 (el_str_after (part, 8), &seconds))
+        break;
+      keep = seconds * EL_SEC;
+      if (keep > IDLE_MOST)
+        keep = IDLE_MOST;
+      return keep > IDLE_MARGIN ? keep - IDLE_MARGIN : 0;
+    }
+  return IDLE_UNSAID;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  net_conn_t *conn = parser->data;
+  net_exchange_t *ex = conn->exchange;
+  net_result_t result;
+
+  header_take (ex);
+  ex->status = (int)parser->status_code;
+  if (ex->status < 200)
+    return 0;
+  result = (net_result_t){ .status = ex->status,
+                           .headers = ex->headers,
+                           .nheaders = ex->nheaders };
+  conn->keep = keep_read (net_result_header (&result, "keep-alive"));
+  ex->begun = 1;
+  if (ex->head)
+    ex->head (ex->arg, &result);
+  if (conn->exchange != ex)
+    return -1;
+  return ex->is_head ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t len)
+{
+  net_conn_t *conn = parser->data;
+  net_exchange_t *ex = conn->exchange;
+
+  if (ex->piece)
+    {
+      ex->piece (ex->arg, (el_str_t){ at, len });
+      return conn->exchange == ex ? 0 : -1;
+    }
+  if (ex->body.len + len > ex->max_answer)
+    {
+      net_exchange_fail (ex, NET_TOO_BIG);
+      return -1;
+    }
+  el_buf_add (&ex->body, (el_str_t){ at, len });
+  return 0;
+}
+
+static int
+on_message_complete (http_parser *parser)
+{
+  net_conn_t *conn = parser->data;
+
+  if (conn->exchange->begun)
+    {
+      conn->exchange->whole = 1;
+      http_parser_pause (parser, 1);
+    }
+  return 0;
+}
+
+static void
+conn_rest (net_conn_t *conn)
+{
+  if (conn->keep == 0)
+    {
+      net_conn_close (conn);
+      return;
+    }
+  conn->idle_since = net_clock_now (conn->client->clock);
+  conn->idle.cb = conn_idle_over;
+  conn->resting = 1;
+  DL_PREPEND (conn->pool->idle, conn);
+  net_clock_set (conn->client->clock, &conn->idle, conn->keep);
+}
+
+/* The whole answer is there. Bytes behind it, or a request that is not
+   wholly sent, make the connection useless for another. */
+static void
+conn_answered (net_conn_t *conn, int surplus)
+{
+  net_exchange_t *ex = conn->exchange;
+  int keep = http_should_keep_alive (&conn->parser);
+
+  ex->conn = NULL;
+  conn->exchange = NULL;
+  if (surplus)
+    conn->client->counts.surplus++;
+  if (surplus || !keep || conn->writing)
+    net_conn_close (conn);
+  else
+    conn_rest (conn);
+  net_exchange_end (ex, NET_OK);
+}
+
+static void
+conn_parse (net_conn_t *conn, const char *bytes, size_t len)
+{
+  size_t used;
+
+  used = http_parser_execute (&conn->parser, &parser_settings, bytes, len);
+  if (conn->closing || !conn->exchange)
+    return;
+  if (conn->exchange->whole)
+    conn_answered (conn, used < len);
+  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
+    net_exchange_fail (conn->exchange, NET_BROKEN);
+}
+
+/* libuv reports an end where data and a reset arrive together: it does not
+   read the error then. An answer without length that was reset is not whole.
+ */
+static int
+conn_ended_well (net_conn_t *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  return uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
+         && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  net_conn_t *conn = handle->data;
+
+  (void)suggested;
+  *buf = uv_buf_init (conn->client->read, NET_READ_BYTES);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  net_conn_t *conn = stream->data;
+
+  if (n == 0 || conn->closing)
+    return;
+  if (!conn->exchange)
+    {
+      if (n > 0)
+        conn->client->counts.surplus++;
+      net_conn_close (conn);
+      return;
+    }
+  if (n > 0)
+    conn_parse (conn, buf->base, (size_t)n);
+  else if (n == UV_EOF && conn->exchange->begun && conn_ended_well (conn))
+    {
+      /* The end of the connection may be the end of the answer. */
+      conn->keep = 0;
+      conn_parse (conn, NULL, 0);
+      if (!conn->closing && conn->exchange)
+        net_exchange_fail (conn->exchange, NET_BROKEN);
+    }
+  else
+    net_exchange_fail (conn->exchange, NET_BROKEN);
+}
+
+/* Connecting. */
+
+/** Send an exchange's request on a connection that is up. */
+void
+net_conn_begin (net_conn_t *conn, net_exchange_t *ex)
+{
+  conn->exchange = ex;
+  ex->conn = conn;
+  http_parser_init (&conn->parser, HTTP_RESPONSE);
+  conn->parser.data = conn;
+  conn_write (conn, ex);
+}
+
+static void
+conn_connect_over (void *arg, el_time_t now)
+{
+  net_conn_t *conn = arg;
+
+  (void)now;
+  if (conn->exchange)
+    net_exchange_fail (conn->exchange, NET_CONNECT);
+}
+
+static void
+on_connect (uv_connect_t *req, int status)
+{
+  net_conn_t *conn = req->data;
+  unsigned limit = UNTAKEN_LIMIT_MS;
+  uv_os_fd_t fd;
+
+  if (conn->closing)
+    return;
+  net_clock_cancel (conn->client->clock, &conn->idle);
+  if (status)
+    {
+      net_exchange_fail (conn->exchange, NET_CONNECT);
+      return;
+    }
+  uv_tcp_nodelay (&conn->tcp, 1);
+  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+  uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+  net_conn_begin (conn, conn->exchange);
+}
+
+/** Make a connection for an exchange, which begins when it is up. */
+void
+net_conn_open (net_pool_t *pool, net_exchange_t *ex)
+{
+  net_client_t *client = ex->client;
+  net_conn_t *conn = el_alloc (sizeof *conn);
+  int rc;
+
+  conn->client = client;
+  conn->pool = pool;
+  conn->exchange = ex;
+  ex->conn = conn;
+  client->counts.opened++;
+  uv_tcp_init (client->clock->loop, &conn->tcp);
+  conn->tcp.data = conn;
+  conn->connect.data = conn;
+  conn->idle.arg = conn;
+  conn->idle.cb = conn_connect_over;
+  rc = uv_tcp_connect (&conn->connect, &conn->tcp,
+                       (struct sockaddr *)&pool->addr, on_connect);
+  if (rc == 0)
+    {
+      net_clock_set (client->clock, &conn->idle, CONNECT_LIMIT);
+      return;
+    }
+  net_exchange_refuse (ex);
+}
--- /dev/null
+++ b/net/libnet.h
@@ -0,0 +1,99 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * What the client's requests and its connections share. A request is an
+ * exchange: net/http_client.c begins and ends it, net/http_conn.c carries it.
+ */
+#ifndef ELMARCH_LIBNET_H
+#define ELMARCH_LIBNET_H
+
+#include <netinet/in.h>
+
+#include <http_parser.h>
+
+#include "map.h"
+#include "net.h"
+
+/** "255.255.255.255:65535" and its end, with room. */
+#define NET_ADDRESS_MAX 32
+#define NET_READ_BYTES 65536
+
+typedef struct net_conn net_conn_t;
+
+/** The connections to one address. */
+typedef struct net_pool
+{
+  char address[NET_ADDRESS_MAX];
+  struct sockaddr_in addr;
+  net_conn_t *idle; /**< the one used last comes first */
+  UT_hash_handle hh;
+} net_pool_t;
+
+/** One connection; its exchange is NULL while it is idle or closing. */
+struct net_conn
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  net_client_t *client;
+  net_pool_t *pool;
+  net_exchange_t *exchange;
+  http_parser parser;
+  el_timer_t idle;
+  el_time_t idle_since;
+  el_time_t keep; /**< idle time that the endpoint grants */
+  unsigned writing;
+  int resting; /**< in the pool's list */
+  int closing;
+  net_conn_t *prev;
+  net_conn_t *next;
+};
+
+struct net_client
+{
+  net_clock_t *clock;
+  net_pool_t *pools;
+  net_exchange_t *open;
+  net_client_counts_t counts;
+  char read[NET_READ_BYTES];
+};
+
+struct net_exchange
+{
+  net_client_t *client;
+  net_conn_t *conn;
+  net_result_cb done;
+  net_head_cb head;
+  net_piece_cb piece;
+  void (*drop) (void *arg);
+  void *arg;
+  size_t max_answer;
+  int is_head;
+  int sent;
+  int begun; /**< the head of the answer was handed on */
+  int whole;
+  int late; /**< its time was over while the process was held up */
+  int status;
+  el_buf_t request;
+  net_header_t *headers;
+  size_t nheaders;
+  int in_value; /**< the last part of the head was a header's value */
+  el_buf_t name;
+  el_buf_t value;
+  el_buf_t body;
+  el_timer_t timer;
+  net_exchange_t *prev;
+  net_exchange_t *next;
+};
+
+void net_exchange_end (net_exchange_t *ex, net_outcome_t net);
+void net_exchange_fail (net_exchange_t *ex, net_outcome_t net);
+void net_exchange_refuse (net_exchange_t *ex);
+void net_exchange_clear_headers (net_exchange_t *ex);
+
+void net_conn_open (net_pool_t *pool, net_exchange_t *ex);
+void net_conn_begin (net_conn_t *conn, net_exchange_t *ex);
+void net_conn_close (net_conn_t *conn);
+
+#endif
