One el_random for the choices that differ between hosts

The same three lines of xorshift stood in the fleet, the relay and the store's backoff, and only one of them said what they were.

--- a/base/base.h
+++ b/base/base.h
@@ -3,8 +3,8 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Parts that every package uses: counted strings, status and verdict types,
- * the timer service, counters, logs and settings.
+ * Parts that every package uses: counted strings, random numbers, status and
+ * verdict types, the timer service, counters, logs and settings.
  */
 #ifndef ELMARCH_BASE_H
 #define ELMARCH_BASE_H
@@ -52,6 +52,10 @@
 void *el_alloc (size_t size);
 void *el_grow (void *ptr, size_t count, size_t size);
 
+/* Random numbers. */
+
+uint64_t el_random (uint64_t *state);
+
 /* Status: whether a call of this code worked, and why not. */
 
 typedef enum el_status
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -30,7 +30,7 @@
   struct relay_check *checks;
   size_t nrunning;
   gt_relay_counts_t counts;
-  uint64_t random;
+  uint64_t random;       /* of el_random */
   el_time_t usual_first; /* mean time to a stream's first event */
   el_time_t usual_gap;   /* mean time between events */
   int closed;            /* takes no new requests */
@@ -136,6 +136,5 @@
 void relay_finished (gt_relay_t *relay);
 int relay_spend_take (gt_relay_t *relay);
 int relay_spend_left (gt_relay_t *relay);
-uint64_t relay_random (gt_relays_t *relays);
 
 #endif
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -20,15 +20,6 @@
 
 static void relay_generator_stop (h2o_generator_t *generator, h2o_req_t *req);
 
-uint64_t
-relay_random (gt_relays_t *relays)
-{
-  relays->random ^= relays->random << 13;
-  relays->random ^= relays->random >> 7;
-  relays->random ^= relays->random << 17;
-  return relays->random;
-}
-
 /** Log one decision on a request. */
 void
 relay_log (gt_relay_t *relay, const char *event, int status,
@@ -304,7 +295,7 @@
     }
   if (!relay_admit (relay))
     return;
-  service = rt_rule_service (relay->rule, relay_random (relays));
+  service = rt_rule_service (relay->rule, el_random (&relays->random));
   relay->service = rt_rules_service (relay->rules, service);
   if (!relay->service)
     {
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -61,7 +61,7 @@
 try_retry_after (gt_relay_t *relay)
 {
   return REFUSED_RETRY / 2
-         + relay_random (relay->relays) % (REFUSED_RETRY / 2);
+         + el_random (&relay->relays->random) % (REFUSED_RETRY / 2);
 }
 
 /* Choose where to send; gives 0 when there is nothing to send to. */
--- a/gate/store.h
+++ b/gate/store.h
@@ -75,7 +75,7 @@
   const gt_store_dialect_t *dialect;
   el_str_t address;
   gt_store_counts_t counts;
-  uint64_t random;
+  uint64_t random; /**< of el_random; not 0 */
 } gt_store_t;
 
 net_exchange_t *gt_store_call (gt_store_t *store, const char *method,
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -108,10 +108,7 @@
   if (wait > BACKOFF_MOST)
     wait = BACKOFF_MOST;
   store->counts.failures++;
-  store->random ^= store->random << 13;
-  store->random ^= store->random >> 7;
-  store->random ^= store->random << 17;
-  return wait / 2 + store->random % (wait / 2 + 1);
+  return wait / 2 + el_random (&store->random) % (wait / 2 + 1);
 }
 
 static follow_key_t *
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -54,16 +54,6 @@
   free (fleet);
 }
 
-static uint64_t
-fleet_random (rt_fleet_t *fleet)
-{
-  /* xorshift64: the choice only has to differ between hosts. */
-  fleet->random ^= fleet->random << 13;
-  fleet->random ^= fleet->random >> 7;
-  fleet->random ^= fleet->random << 17;
-  return fleet->random;
-}
-
 rt_target_t *
 rt_target_ref (rt_target_t *target)
 {
@@ -252,7 +242,7 @@
 pick_cost (rt_fleet_t *fleet, const rt_target_t *target, el_str_t hall)
 {
   double slots = target->facts.slots ? (double)target->facts.slots : 1;
-  double chance = (double)(fleet_random (fleet) % 1000) / 1000;
+  double chance = (double)(el_random (&fleet->random) % 1000) / 1000;
   double load = (double)(target->running + 1) / slots;
   double slow = target->usual_ms > 0 ? target->usual_ms : 1;
   double cost = load * slow * (1 + chance / 4);
