Headers of an attempt in a file of their own

gate/relay_head.c makes and frees them; the caller's own are copied by a function of their own, and the room for a number's digits has a name.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -10,6 +10,9 @@
 
 #include "gate_relay.h"
 
+/* The digits of a number of 64 bits and the end, with room. */
+#define RELAY_NUMBER_MAX 24
+
 /* The budget of one service's repeats. */
 typedef struct relay_spend
 {
@@ -105,6 +108,21 @@
                        relay_event_cb each, void *arg);
 void relay_events_reset (relay_events_t *events);
 
+/* relay_head.c */
+
+/* The headers of one attempt, with the memory of those that are made. */
+typedef struct relay_head
+{
+  net_header_t *list;
+  size_t n;
+  char time_left[RELAY_NUMBER_MAX];
+  char resume[RELAY_NUMBER_MAX];
+  el_buf_t line;
+} relay_head_t;
+
+void relay_head_make (gt_relay_t *relay, el_time_t now, relay_head_t *head);
+void relay_head_free (relay_head_t *head);
+
 /* relay_try.c */
 void relay_try (gt_relay_t *relay);
 void relay_drop (gt_relay_t *relay);
--- /dev/null
+++ b/gate/relay_head.c
@@ -0,0 +1,97 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The headers of an attempt: those of the caller that are passed on, and what
+ * this host tells the endpoint.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libgate.h"
+#include "librelay.h"
+
+/* Headers that this host adds to those of the caller. */
+#define HEADERS_OWN 5
+
+/* Whether a caller's header is passed on: not those that this host sets. */
+static int
+header_kept (const gt_relay_t *relay, el_str_t name)
+{
+  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
+  const char *own[]
+      = { names->time_left, names->expect, names->customer, names->line };
+  size_t i;
+
+  for (i = 0; i < sizeof own / sizeof *own; i++)
+    if (h2o_lcstris (name.ptr, name.len, own[i], strlen (own[i])))
+      return 0;
+  if (relay->has_id
+      && h2o_lcstris (name.ptr, name.len, names->resume,
+                      strlen (names->resume)))
+    return 0;
+  return gt_header_passes (name);
+}
+
+static void
+head_add (relay_head_t *head, const char *name, el_str_t value)
+{
+  if (value.len)
+    head->list[head->n++] = (net_header_t){ el_str (name), value };
+}
+
+static void
+head_add_kept (gt_relay_t *relay, relay_head_t *head)
+{
+  const h2o_headers_t *from = &relay->req->headers;
+  size_t i;
+
+  for (i = 0; i < from->size; i++)
+    {
+      const h2o_header_t *h = &from->entries[i];
+      el_str_t name = { h->name->base, h->name->len };
+
+      if (header_kept (relay, name))
+        head->list[head->n++]
+            = (net_header_t){ name, { h->value.base, h->value.len } };
+    }
+}
+
+/** Make the headers of an attempt that is sent at NOW to the target chosen;
+    they point into the request, the target and HEAD itself. */
+void
+relay_head_make (gt_relay_t *relay, el_time_t now, relay_head_t *head)
+{
+  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+  size_t most = relay->req->headers.size + HEADERS_OWN;
+
+  memset (head, 0, sizeof *head);
+  head->list = el_alloc (most * sizeof *head->list);
+  head_add_kept (relay, head);
+  snprintf (head->time_left, sizeof head->time_left, "%" PRIu64,
+            (relay->deadline - now) / EL_MSEC);
+  head_add (head, dialect->names.time_left, el_str (head->time_left));
+  head_add (head, dialect->names.expect, relay->target->facts.id);
+  head_add (head, dialect->names.customer, relay->customer);
+  if (relay->has_id)
+    {
+      snprintf (head->resume, sizeof head->resume, "%" PRIu64, relay->last_id);
+      head_add (head, dialect->names.resume, el_str (head->resume));
+    }
+  if (relay->line.n)
+    {
+      dialect->write_line (&relay->line, &head->line);
+      head_add (head, dialect->names.line, el_buf_str (&head->line));
+    }
+}
+
+/** Give back what the headers took. */
+void
+relay_head_free (relay_head_t *head)
+{
+  free (head->list);
+  el_buf_free (&head->line);
+}
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -6,15 +6,8 @@
  * Attempts at a relayed request: where it is sent, what is made of what comes
  * back.
  */
-#include <inttypes.h>
-#include <stdio.h>
-#include <string.h>
-
-#include "libgate.h"
 #include "librelay.h"
 
-/* Headers that this host adds to those of the caller. */
-#define HEADERS_OWN 5
 /* A connection that rested longer is not used for what must not run twice:
    the endpoint may be about to close it. */
 #define UNSAFE_IDLE (2 * EL_SEC)
@@ -87,77 +80,6 @@
   return 1;
 }
 
-/* Whether a caller's header is passed on: not those that this host sets. */
-static int
-header_kept (const gt_relay_t *relay, el_str_t name)
-{
-  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
-  const char *own[]
-      = { names->time_left, names->expect, names->customer, names->line };
-  size_t i;
-
-  for (i = 0; i < sizeof own / sizeof *own; i++)
-    if (h2o_lcstris (name.ptr, name.len, own[i], strlen (own[i])))
-      return 0;
-  if (relay->has_id
-      && h2o_lcstris (name.ptr, name.len, names->resume,
-                      strlen (names->resume)))
-    return 0;
-  return gt_header_passes (name);
-}
-
-typedef struct try_headers
-{
-  net_header_t *list;
-  size_t n;
-  char time_left[24];
-  char resume[24];
-  el_buf_t line;
-} try_headers_t;
-
-static void
-headers_add (try_headers_t *headers, const char *name, el_str_t value)
-{
-  if (value.len)
-    headers->list[headers->n++] = (net_header_t){ el_str (name), value };
-}
-
-static void
-headers_make (gt_relay_t *relay, el_time_t now, try_headers_t *headers)
-{
-  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
-  const h2o_headers_t *from = &relay->req->headers;
-  size_t i;
-
-  headers->list
-      = el_alloc ((from->size + HEADERS_OWN) * sizeof *headers->list);
-  for (i = 0; i < from->size; i++)
-    {
-      const h2o_header_t *h = &from->entries[i];
-      el_str_t name = { h->name->base, h->name->len };
-
-      if (header_kept (relay, name))
-        headers->list[headers->n++]
-            = (net_header_t){ name, { h->value.base, h->value.len } };
-    }
-  snprintf (headers->time_left, sizeof headers->time_left, "%" PRIu64,
-            (relay->deadline - now) / EL_MSEC);
-  headers_add (headers, dialect->names.time_left, el_str (headers->time_left));
-  headers_add (headers, dialect->names.expect, relay->target->facts.id);
-  headers_add (headers, dialect->names.customer, relay->customer);
-  if (relay->has_id)
-    {
-      snprintf (headers->resume, sizeof headers->resume, "%" PRIu64,
-                relay->last_id);
-      headers_add (headers, dialect->names.resume, el_str (headers->resume));
-    }
-  if (relay->line.n)
-    {
-      dialect->write_line (&relay->line, &headers->line);
-      headers_add (headers, dialect->names.line, el_buf_str (&headers->line));
-    }
-}
-
 /* Note how long the caller waited for this event. */
 static void
 event_time (gt_relay_t *relay, el_time_t now)
@@ -421,7 +343,7 @@
 {
   const gt_relay_options_t *o = &relay->relays->options;
   const h2o_req_t *req = relay->req;
-  try_headers_t headers;
+  relay_head_t head;
   net_send_t send
       = { .address = relay->target->facts.address,
           .host = { req->authority.base, req->authority.len },
@@ -434,18 +356,16 @@
           .done = try_done,
           .arg = relay };
 
-  memset (&headers, 0, sizeof headers);
-  headers_make (relay, now, &headers);
-  send.headers = headers.list;
-  send.nheaders = headers.n;
+  relay_head_make (relay, now, &head);
+  send.headers = head.list;
+  send.nheaders = head.n;
   relay->refused = 0;
   relay->crossed = 0;
   relay->stream = 0;
   relay->sent = now;
   relay->relays->counts.attempts++;
   relay->exchange = net_client_send (o->client, &send);
-  free (headers.list);
-  el_buf_free (&headers.line);
+  relay_head_free (&head);
   if (relay->line.n)
     relay_watch_begin (relay);
 }
