Shorter functions in what follows an attempt

try_after took 43 lines to ask for the next step, pay for it and carry it out, and two more places refused or failed a request with the same three lines.

try_next asks and pays, try_pass and try_again carry out, try_refuse and try_fail end; try_note remembers how the endpoint did. The names for the log are tables at the head of the file.

--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -20,6 +20,16 @@
 static void try_after (gt_relay_t *relay, const rt_attempt_t *attempt,
                        const net_result_t *result);
 
+static const char *const nexts[] = { [RT_NEXT_PASS] = "pass",
+                                     [RT_NEXT_AGAIN] = "again",
+                                     [RT_NEXT_REFUSE] = "refuse",
+                                     [RT_NEXT_FAIL] = "fail" };
+static const char *const nets[] = { [NET_OK] = "answered",
+                                    [NET_CONNECT] = "not connected",
+                                    [NET_BROKEN] = "broken",
+                                    [NET_TIMEOUT] = "timeout",
+                                    [NET_TOO_BIG] = "too big" };
+
 static int
 is_line (const gt_relay_t *relay)
 {
@@ -57,6 +67,22 @@
          + el_random (&relay->relays->random) % (REFUSED_RETRY / 2);
 }
 
+/* The request did not run: the caller may send it again. */
+static void
+try_refuse (gt_relay_t *relay, const char *reason)
+{
+  relay->relays->counts.refused++;
+  relay_answer_refuse (relay, 503, reason, try_retry_after (relay));
+}
+
+/* The request may have run, and there is no answer. */
+static void
+try_fail (gt_relay_t *relay, const char *reason)
+{
+  relay->relays->counts.failed++;
+  relay_answer_refuse (relay, 502, reason, 0);
+}
+
 /* Choose where to send; gives 0 when there is nothing to send to. */
 static int
 try_choose (gt_relay_t *relay, el_time_t now)
@@ -199,28 +225,37 @@
   attempt->failed = result->status >= 500;
 }
 
+/* Remember how the endpoint did, for the choices to come. */
 static void
-try_done (void *arg, const net_result_t *result)
+try_note (gt_relay_t *relay, const net_result_t *result,
+          const rt_attempt_t *attempt)
 {
-  gt_relay_t *relay = arg;
   el_time_t now = net_clock_now (relay->relays->options.clock);
   rt_target_t *fault = try_at_fault (relay, result);
-  rt_attempt_t attempt;
 
-  relay->exchange = NULL;
-  relay_watch_end (relay);
-  try_judge (relay, result, &attempt);
-  if (attempt.answered && !attempt.failed)
+  if (attempt->answered && !attempt->failed)
     rt_target_served (relay->target, now - relay->sent);
-  else if (attempt.verdict == EL_NOT_RUN && result->status == 421)
+  else if (attempt->verdict == EL_NOT_RUN && result->status == 421)
     rt_target_changed (fault, now);
-  else if (attempt.verdict == EL_NOT_RUN && result->net == NET_OK)
+  else if (attempt->verdict == EL_NOT_RUN && result->net == NET_OK)
     rt_target_busy (fault, now);
   else
     rt_target_failed (fault, now);
-  if (relay->line.n && !attempt.answered)
+  if (relay->line.n && !attempt->answered)
     relay_check (relay->relays, fault);
   rt_tried_add (&relay->tried, fault);
+}
+
+static void
+try_done (void *arg, const net_result_t *result)
+{
+  gt_relay_t *relay = arg;
+  rt_attempt_t attempt;
+
+  relay->exchange = NULL;
+  relay_watch_end (relay);
+  try_judge (relay, result, &attempt);
+  try_note (relay, result, &attempt);
   if (relay->begun && !relay->stream)
     attempt.answered = 0; /* its failure can't follow a stream's head */
   if (relay->begun && attempt.answered)
@@ -239,16 +274,6 @@
   const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
   el_buf_t line = { NULL, 0, 0 };
 
-  static const char *const nexts[] = { [RT_NEXT_PASS] = "pass",
-                                       [RT_NEXT_AGAIN] = "again",
-                                       [RT_NEXT_REFUSE] = "refuse",
-                                       [RT_NEXT_FAIL] = "fail" };
-  static const char *const nets[] = { [NET_OK] = "answered",
-                                      [NET_CONNECT] = "not connected",
-                                      [NET_BROKEN] = "broken",
-                                      [NET_TIMEOUT] = "timeout",
-                                      [NET_TOO_BIG] = "too big" };
-
   dialect->write_line (&relay->line, &line);
   EL_LOG (EL_LOG_INFO, "attempt_failed", EL_FS ("request", relay->id),
           EL_FS ("endpoint", relay->target->facts.id),
@@ -264,54 +289,67 @@
   el_buf_free (&line);
 }
 
-/* Decide what follows an attempt that was not simply passed on. */
-static void
-try_after (gt_relay_t *relay, const rt_attempt_t *attempt,
-           const net_result_t *result)
+/* What follows an attempt; a repeat is paid for from the budget. */
+static rt_next_t
+try_next (gt_relay_t *relay, const rt_attempt_t *attempt)
 {
-  gt_relays_t *relays = relay->relays;
-  el_time_t now = net_clock_now (relays->options.clock);
+  el_time_t now = net_clock_now (relay->relays->options.clock);
   el_time_t left = relay->deadline > now ? relay->deadline - now : 0;
-  net_result_t whole = *result;
   rt_course_t before = relay->course;
   rt_next_t next
       = rt_course_next (&relay->course, relay->rule, attempt, 1, left);
 
-  if (next == RT_NEXT_AGAIN && !relay_spend_take (relay))
-    {
-      relay->course = before;
-      next = rt_course_next (&relay->course, relay->rule, attempt, 0, left);
-    }
-  if (next != RT_NEXT_PASS)
-    try_log (relay, attempt, result, next);
+  if (next != RT_NEXT_AGAIN || relay_spend_take (relay))
+    return next;
+  relay->course = before;
+  return rt_course_next (&relay->course, relay->rule, attempt, 0, left);
+}
+
+/* The endpoint's answer goes to the caller, with what was collected of it. */
+static void
+try_pass (gt_relay_t *relay, const net_result_t *result)
+{
+  net_result_t whole = *result;
+
+  whole.body = el_buf_str (&relay->out);
+  relay_answer_pass (relay, &whole);
+}
+
+static void
+try_again (gt_relay_t *relay)
+{
+  gt_relay_counts_t *counts = &relay->relays->counts;
+
+  counts->repeats++;
+  counts->resumed += relay->begun != 0;
+  relay_try (relay);
+}
+
+/* Decide what follows an attempt that was not simply passed on. */
+static void
+try_after (gt_relay_t *relay, const rt_attempt_t *attempt,
+           const net_result_t *result)
+{
+  rt_next_t next = try_next (relay, attempt);
+
   if (next == RT_NEXT_PASS)
     {
-      whole.body = el_buf_str (&relay->out);
-      relay_answer_pass (relay, &whole);
+      try_pass (relay, result);
       return;
     }
+  try_log (relay, attempt, result, next);
   try_release (relay);
   if (!relay->begun)
     el_buf_reset (&relay->out);
   relay_events_reset (&relay->events);
   if (next == RT_NEXT_AGAIN)
-    {
-      relays->counts.repeats++;
-      relays->counts.resumed += relay->begun != 0;
-      relay_try (relay);
-    }
+    try_again (relay);
   else if (relay->begun)
     relay_answer_break (relay, "no endpoint goes on with it");
   else if (next == RT_NEXT_REFUSE)
-    {
-      relays->counts.refused++;
-      relay_answer_refuse (relay, 503, "not run", try_retry_after (relay));
-    }
+    try_refuse (relay, "not run");
   else
-    {
-      relays->counts.failed++;
-      relay_answer_refuse (relay, 502, "may have run", 0);
-    }
+    try_fail (relay, "may have run");
 }
 
 /** Whether the stream may go on at another line after the attempt under way.
@@ -384,13 +422,7 @@
   if (relay->begun)
     relay_answer_break (relay, "no endpoint to go on at");
   else if (relay->course.may_run)
-    {
-      relay->relays->counts.failed++;
-      relay_answer_refuse (relay, 502, "may have run, no endpoint left", 0);
-    }
+    try_fail (relay, "may have run, no endpoint left");
   else
-    {
-      relay->relays->counts.refused++;
-      relay_answer_refuse (relay, 503, "no endpoint", try_retry_after (relay));
-    }
+    try_refuse (relay, "no endpoint");
 }
