The steps of a duty as a table

duty_next was a switch over the steps with the same call three times, each with its own writer and answer.

A table names both for each step; duty_call makes the call. What is sent is as before: renewals have no body, grants and claims always have one.

--- a/gate/store_duty.c
+++ b/gate/store_duty.c
@@ -39,6 +39,26 @@
 };
 
 static void duty_next (void *arg, el_time_t now);
+static void grant_write (const gt_duty_t *duty, el_buf_t *path,
+                         el_buf_t *body);
+static void grant_done (void *arg, const net_result_t *result);
+static void claim_write (const gt_duty_t *duty, el_buf_t *path,
+                         el_buf_t *body);
+static void claim_done (void *arg, const net_result_t *result);
+static void renew_write (const gt_duty_t *duty, el_buf_t *path,
+                         el_buf_t *body);
+static void renew_done (void *arg, const net_result_t *result);
+
+/* The call of the store that each step waits for. */
+static const struct
+{
+  void (*write) (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body);
+  net_result_cb done;
+} calls[] = {
+  [DUTY_GRANT] = { grant_write, grant_done },
+  [DUTY_CLAIM] = { claim_write, claim_done },
+  [DUTY_HELD] = { renew_write, renew_done },
+};
 
 /** Whether this host has the duty at NOW. */
 int
@@ -70,6 +90,14 @@
   return duty->options.ttl_ms * EL_MSEC;
 }
 
+static void
+grant_write (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body)
+{
+  const gt_duty_options_t *o = &duty->options;
+
+  o->store->dialect->grant (path, body, o->ttl_ms);
+}
+
 static void
 grant_done (void *arg, const net_result_t *result)
 {
@@ -90,6 +118,14 @@
   duty_next (duty, 0);
 }
 
+static void
+claim_write (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body)
+{
+  const gt_duty_options_t *o = &duty->options;
+
+  o->store->dialect->claim (path, body, o->key, o->holder, duty->lease);
+}
+
 static void
 claim_done (void *arg, const net_result_t *result)
 {
@@ -111,6 +147,13 @@
   duty_later (duty, duty_ttl (duty) / RENEWALS);
 }
 
+static void
+renew_write (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body)
+{
+  (void)body;
+  duty->options.store->dialect->renew (path, duty->lease);
+}
+
 static void
 renew_done (void *arg, const net_result_t *result)
 {
@@ -161,15 +204,28 @@
   el_buf_free (&path);
 }
 
+/* Make the call of the step that the duty is at. A call without a body, as
+   that of a renewal, is sent without one. */
 static void
-duty_next (void *arg, el_time_t now)
+duty_call (gt_duty_t *duty)
 {
-  gt_duty_t *duty = arg;
-  gt_duty_options_t *o = &duty->options;
-  const gt_store_dialect_t *dialect = o->store->dialect;
+  gt_store_t *store = duty->options.store;
   el_buf_t path = { NULL, 0, 0 };
   el_buf_t body = { NULL, 0, 0 };
 
+  duty->sent = net_clock_now (store->clock);
+  calls[duty->step].write (duty, &path, &body);
+  duty->call = gt_store_call (store, "POST", &path, body.len ? &body : NULL,
+                              CALL_LIMIT, calls[duty->step].done, duty);
+  el_buf_free (&path);
+  el_buf_free (&body);
+}
+
+static void
+duty_next (void *arg, el_time_t now)
+{
+  gt_duty_t *duty = arg;
+
   (void)now;
   if (duty->call || (!duty->wanted && duty->step == DUTY_IDLE))
     return;
@@ -178,31 +234,12 @@
       duty_release (duty);
       return;
     }
-  duty->sent = net_clock_now (o->store->clock);
-  switch (duty->step)
-    {
-    case DUTY_IDLE:
-    case DUTY_GRANT:
-      duty->step = DUTY_GRANT;
-      dialect->grant (&path, &body, o->ttl_ms);
-      duty->call = gt_store_call (o->store, "POST", &path, &body, CALL_LIMIT,
-                                  grant_done, duty);
-      break;
-    case DUTY_CLAIM:
-      dialect->claim (&path, &body, o->key, o->holder, duty->lease);
-      duty->call = gt_store_call (o->store, "POST", &path, &body, CALL_LIMIT,
-                                  claim_done, duty);
-      break;
-    case DUTY_HELD:
-      dialect->renew (&path, duty->lease);
-      duty->call = gt_store_call (o->store, "POST", &path, NULL, CALL_LIMIT,
-                                  renew_done, duty);
-      break;
-    }
-  el_buf_free (&path);
-  el_buf_free (&body);
+  if (duty->step == DUTY_IDLE)
+    duty->step = DUTY_GRANT;
+  duty_call (duty);
 }
 
+/** A duty that is not wanted yet. */
 gt_duty_t *
 gt_duty_new (const gt_duty_options_t *options)
 {
