Take out what nothing uses

A newcomer looks for the readers of read_pace, read_per_s, pipe_tokens_s, link_ms and cost_ms, and finds none; gt_relays_counts has no caller, and three functions were shared that one file uses.

Gone are those fields, that function, a constant and includes that serve nothing; the three functions are static. A comment in elmarchd/site.c stands over the function that it tells of. The fixture of tests/t_relay.c loses the values of read_pace; no assertion is touched.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -123,8 +123,7 @@
          && gt_relays_in_force (site->relays);
 }
 
-/* A host that does not reach the store refuses keyed requests soon: callers
-   are sent to those that do. When none does, all are told as before. */
+/* Bring the gauges up to date. */
 static void
 site_count (site_t *site)
 {
@@ -136,6 +135,8 @@
     site->gauge_placed += target->facts.end > target->facts.first;
 }
 
+/* A host that does not reach the store refuses keyed requests soon: callers
+   are sent to those that do. When none does, all are told as before. */
 static void
 site_look (void *arg, el_time_t now)
 {
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -114,7 +114,6 @@
 void gt_relays_retire (gt_relays_t *relays);
 void gt_relays_close (gt_relays_t *relays);
 size_t gt_relays_running (const gt_relays_t *relays);
-const gt_relay_counts_t *gt_relays_counts (const gt_relays_t *relays);
 void gt_relays_metrics (gt_relays_t *relays, el_metrics_t *metrics);
 
 #endif
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -15,7 +15,6 @@
 #include "store.h"
 
 #define GT_JSON EL_STR ("application/json")
-#define GT_REASON_MAX 32
 
 typedef struct gt_answer gt_answer_t;
 typedef struct gt_reader gt_reader_t;
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -382,9 +382,3 @@
 {
   return relays->nrunning;
 }
-
-const gt_relay_counts_t *
-gt_relays_counts (const gt_relays_t *relays)
-{
-  return &relays->counts;
-}
--- a/gate/relay_answer.c
+++ b/gate/relay_answer.c
@@ -6,9 +6,7 @@
  * What callers of relayed requests are answered. What is not whole never
  * looks whole: it ends without its last chunk.
  */
-#include <inttypes.h>
 #include <stdio.h>
-#include <string.h>
 
 #include "libgate.h"
 #include "librelay.h"
--- a/gate/relay_events.c
+++ b/gate/relay_events.c
@@ -5,8 +5,6 @@
 /** @file
  * Event streams: split into whole events with their ids.
  */
-#include <string.h>
-
 #include "librelay.h"
 
 /* A part of an event that grows past this is no event. */
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -59,8 +59,8 @@
 static void follow_known (gt_follow_t *follow, el_time_t as_of);
 static void follow_next (void *arg, el_time_t now);
 
-void
-gt_store_list_free (gt_store_list_t *list)
+static void
+list_free (gt_store_list_t *list)
 {
   size_t i;
 
@@ -242,7 +242,7 @@
       follow->revision = follow->read_at;
       follow_known (follow, follow->read_since);
     }
-  gt_store_list_free (&list);
+  list_free (&list);
   follow_next (follow, 0);
 }
 
@@ -281,7 +281,7 @@
     follow_later (follow, follow->options.gather);
   else
     follow_next (follow, 0);
-  gt_store_list_free (&list);
+  list_free (&list);
 }
 
 static void
--- a/route/line.c
+++ b/route/line.c
@@ -272,7 +272,6 @@
       best = h;
   if (search->node[at][best].cost == DBL_MAX)
     return 0;
-  out->cost_ms = search->node[at][best].cost;
   while (at > begin)
     {
       const line_node_t *node = &search->node[at][best];
--- a/route/relay.h
+++ b/route/relay.h
@@ -58,21 +58,16 @@
   el_str_t name;
   double memory_mb;
   double step_pace; /**< factor on the time of a token step */
-  double read_pace; /**< factor on the time of reading a prompt */
 } rt_card_t;
 
 /** How the engines of a service run its model. */
 typedef struct rt_model
 {
-  unsigned layers;      /**< 0: no engine holds a part of a model */
-  double layer_mb;      /**< weights of one layer */
-  double step_ms;       /**< a token through all layers, pace 1 */
-  double read_per_s;    /**< prompt tokens read through all layers, pace 1 */
-  double token_kv_mb;   /**< memory of one token in all layers */
-  double link_ms;       /**< delay of a token from one hall to another */
-  double pipe_tokens_s; /**< tokens a second that a pipe between halls
-                             carries */
-  double usual_tokens;  /**< prompt and answer of a usual request */
+  unsigned layers;     /**< 0: no engine holds a part of a model */
+  double layer_mb;     /**< weights of one layer */
+  double step_ms;      /**< a token through all layers, pace 1 */
+  double token_kv_mb;  /**< memory of one token in all layers */
+  double usual_tokens; /**< prompt and answer of a usual request */
   rt_card_t *cards;
   size_t ncards;
 } rt_model_t;
@@ -205,8 +200,7 @@
     unsigned to;   /**< first layer after those */
   } part[RT_LINE_MAX];
   size_t n;
-  double tokens;  /**< that the stream has room for */
-  double cost_ms; /**< what a token was reckoned to take */
+  double tokens; /**< that the stream has room for */
 } rt_line_t;
 
 int rt_line_valid (const rt_line_t *line, unsigned layers);
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -6,7 +6,6 @@
  * The platform: a key-value service with compare-and-swap, leases and
  * watches, and the list of endpoints that are live or leaving.
  */
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/standin/service.c
+++ b/standin/service.c
@@ -7,7 +7,6 @@
  * once more for the id each time that it is called; GET /runs?id=ID tells how
  * often; GET /big?bytes=N gives a long answer.
  */
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/standin/store.c
+++ b/standin/store.c
@@ -8,7 +8,6 @@
  * or an endpoint would, DELETE /test/KEY removes it; POST /test/forget drops
  * the history, POST /test/mute {"on": BOOL} leaves calls unanswered.
  */
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/site.c
+++ b/tests/site.c
@@ -66,7 +66,7 @@
   out->address[strlen (out->address) - 1] = digit;
 }
 
-void
+static void
 site_host_start (size_t i)
 {
   proc_t peer;
@@ -145,8 +145,8 @@
   reply_free (&reply);
 }
 
-/** Wait until a host takes relayed requests. */
-void
+/* Wait until a host takes relayed requests. */
+static void
 site_ready_wait (size_t host)
 {
   reply_t reply;
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -19,9 +19,9 @@
 #define SEEDS 200
 
 static rt_card_t cards[] = {
-  { { "large", 5 }, 36000, 3.1, 3.2 },
-  { { "middle", 6 }, 21600, 16, 8.2 },
-  { { "small", 5 }, 14400, 15, 15 },
+  { { "large", 5 }, 36000, 3.1 },
+  { { "middle", 6 }, 21600, 16 },
+  { { "small", 5 }, 14400, 15 },
 };
 
 static rt_service_t service;
