Calls to the store in gate/store.c; shorter steps of settings and follower

gate/store.h declares three parts, and the calls that the duty and the follower share stood in the follower's file. settings_options checked and copied in 54 lines; follow_next held both kinds of call.

gate/store.c has the calls and the waits; follow_watch and follow_page make one call each; settings_check and settings_gate do one thing each, and the options are filled in only when the host runs. Bare numbers of the watch over streams and of the backoff have names.

--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -148,9 +148,10 @@
     "check the settings and exit" },
 };
 
+/* What the table of settings can't say of a valid value. */
 static el_status_t
-settings_options (const daemon_settings_t *set, gt_options_t *out,
-                  el_log_level_t *level, el_err_t *err)
+settings_check (const daemon_settings_t *set, el_log_level_t *level,
+                el_err_t *err)
 {
   const struct
   {
@@ -181,6 +182,12 @@
                        "--hall: takes a name of a-z, 0-9, '-' and '.', "
                        "not '%s'",
                        set->hall);
+  return EL_OK;
+}
+
+static void
+settings_gate (const daemon_settings_t *set, gt_options_t *out)
+{
   *out = (gt_options_t){
     .listen = el_str (set->listen),
     .peer_listen = el_str (set->peer_listen),
@@ -205,7 +212,6 @@
     .drain_limit = set->drain_limit_s * EL_SEC,
     .trace_fd = set->trace ? (int)set->trace_fd : -1,
   };
-  return EL_OK;
 }
 
 static void
@@ -344,7 +350,7 @@
 
   memset (&set, 0, sizeof set);
   result = el_set_parse (&options, argc, argv, &set, NULL, &err);
-  if (result == EL_SET_RUN && settings_options (&set, &gate, &level, &err))
+  if (result == EL_SET_RUN && settings_check (&set, &level, &err))
     result = EL_SET_REFUSED;
   if (result == EL_SET_REFUSED)
     fprintf (stderr, "elmarchd: %s\n", err.msg);
@@ -352,6 +358,7 @@
     printf ("elmarchd: settings are valid\n");
   else if (result == EL_SET_RUN && el_log_open ("elmarchd", level) == 0)
     {
+      settings_gate (&set, &gate);
       settings_site (&set, &site);
       rc = daemon_run (&gate, &site);
       el_log_close ();
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -20,12 +20,15 @@
 /* Where all streams are slow, one stands still after this many times what is
    usual on this host. */
 #define STILL_TIMES 4
+#define USUAL_OVER 32
 /* A timer that fires later than this was held up with the process. */
 #define HELD_UP (10 * EL_MSEC)
 #define LOOK_AGAIN (100 * EL_MSEC)
-/* The second look of so many asks the first engine where the stream waits;
-   the others ask the engines of the line for a sign of life. */
+/* One look of so many asks the first engine where the stream waits; the
+   others ask the engines of the line for a sign of life. */
 #define LOOKS_ASK 4
+/* Which one of them. */
+#define LOOKS_ASK_AT 2
 #define LOOKS_MAX 30
 /* Moves that fail before the stream is begun anew at another line. */
 #define MOVES_MAX 2
@@ -44,11 +47,11 @@
   return usual > least ? usual : least;
 }
 
-/* A moving mean over the last 32 values or so. */
+/* A moving mean over the last USUAL_OVER values or so. */
 static void
 usual_add (el_time_t *usual, el_time_t value)
 {
-  *usual = *usual - *usual / 32 + value / 32;
+  *usual = *usual - *usual / USUAL_OVER + value / USUAL_OVER;
 }
 
 /** The stream was sent: wait for its first event. */
@@ -236,7 +239,7 @@
     }
   if (relay->ask || relay->looks++ >= LOOKS_MAX)
     return;
-  if (relay->looks % LOOKS_ASK == 2)
+  if (relay->looks % LOOKS_ASK == LOOKS_ASK_AT)
     {
       relay->ask = o->dialect->ask_stalled (o->client, relay->target,
                                             relay->id, watch_told, relay);
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -14,8 +14,6 @@
 /* A call that takes longer than this gets no answer any more: a store that is
    slow takes some 300 ms. */
 #define CALL_LIMIT (1500 * EL_MSEC)
-#define BACKOFF_FIRST (60 * EL_MSEC)
-#define BACKOFF_MOST (500 * EL_MSEC)
 /* While the store is missed, calls ask for an answer at once: one that was
    sent just before it comes back must not hold the next one up. */
 #define MISSED_WAIT_MS 1
@@ -73,44 +71,6 @@
   *list = (gt_store_list_t){ 0 };
 }
 
-/** Send one call. */
-net_exchange_t *
-gt_store_call (gt_store_t *store, const char *method, const el_buf_t *path,
-               const el_buf_t *body, el_time_t timeout, net_result_cb done,
-               void *arg)
-{
-  static const net_header_t json
-      = { EL_STR ("content-type"), EL_STR ("application/json") };
-  net_send_t send = { .address = store->address,
-                      .method = el_str (method),
-                      .path = el_buf_str (path),
-                      .timeout = timeout,
-                      .done = done,
-                      .arg = arg };
-
-  if (body)
-    {
-      send.body = el_buf_str (body);
-      send.headers = &json;
-      send.nheaders = 1;
-    }
-  store->counts.calls++;
-  return net_client_send (store->client, &send);
-}
-
-/** How long to wait after FAILURES in a row; half of it is random, so that
-    hosts do not come back together. */
-el_time_t
-gt_store_backoff (gt_store_t *store, unsigned failures)
-{
-  el_time_t wait = BACKOFF_FIRST << (failures < 5 ? failures : 5);
-
-  if (wait > BACKOFF_MOST)
-    wait = BACKOFF_MOST;
-  store->counts.failures++;
-  return wait / 2 + el_random (&store->random) % (wait / 2 + 1);
-}
-
 static follow_key_t *
 follow_key (gt_follow_t *follow, el_str_t name)
 {
@@ -334,42 +294,58 @@
          && o->ask (o->arg, follow->revision, news_told, follow);
 }
 
-/* Send what comes next: a page, or a watch. */
+/* Wait for changes; a store that was missed is asked for an answer at once. */
 static void
-follow_next (void *arg, el_time_t now)
+follow_watch (gt_follow_t *follow)
 {
-  gt_follow_t *follow = arg;
   gt_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
   uint64_t wait = follow->failures ? MISSED_WAIT_MS : o->wait_ms;
   el_time_t limit = follow->failures ? MISSED_LIMIT : CALL_LIMIT;
 
+  o->store->dialect->watch (&path, o->prefix, follow->revision, wait);
+  follow->call = gt_store_call (o->store, "GET", &path, NULL,
+                                wait * EL_MSEC + limit, watch_done, follow);
+  el_buf_free (&path);
+}
+
+/* Read the next page of all that there is, or the first one. */
+static void
+follow_page (gt_follow_t *follow)
+{
+  gt_follow_options_t *o = &follow->options;
+  el_buf_t path = { NULL, 0, 0 };
+
+  if (follow->page_after.len == 0)
+    {
+      follow->read_since = follow->sent;
+      follow->reading++;
+    }
+  o->store->dialect->range (&path, o->prefix,
+                            el_buf_str (&follow->page_after));
+  follow->call = gt_store_call (o->store, "GET", &path, NULL,
+                                follow->failures ? MISSED_LIMIT : CALL_LIMIT,
+                                range_done, follow);
+  el_buf_free (&path);
+}
+
+/* Ask for what comes next. */
+static void
+follow_next (void *arg, el_time_t now)
+{
+  gt_follow_t *follow = arg;
+
   (void)now;
   if (follow_ask (follow))
     return;
-  follow->sent = net_clock_now (o->store->clock);
+  follow->sent = net_clock_now (follow->options.store->clock);
   if (follow->whole)
-    {
-      o->store->dialect->watch (&path, o->prefix, follow->revision, wait);
-      follow->call
-          = gt_store_call (o->store, "GET", &path, NULL,
-                           wait * EL_MSEC + limit, watch_done, follow);
-    }
+    follow_watch (follow);
   else
-    {
-      if (follow->page_after.len == 0)
-        {
-          follow->read_since = follow->sent;
-          follow->reading++;
-        }
-      o->store->dialect->range (&path, o->prefix,
-                                el_buf_str (&follow->page_after));
-      follow->call = gt_store_call (o->store, "GET", &path, NULL, limit,
-                                    range_done, follow);
-    }
-  el_buf_free (&path);
+    follow_page (follow);
 }
 
+/** A follower; it begins to read at once. */
 gt_follow_t *
 gt_follow_new (const gt_follow_options_t *options)
 {
