Headers that say what the planner and the layout do; shared functions described

The headers of gate/planner.c and route/layout.c still said that engines which hold layers stay as they are and get one order each: spare copies are moved since.

Both headers tell of the moves; the functions are described; cover_hole lost a parameter that was always 0.

--- a/gate/planner.c
+++ b/gate/planner.c
@@ -4,9 +4,10 @@
  */
 /** @file
  * The planner looks after the engines at a steady pace: those that hold
- * nothing are ordered to hold what their hall needs most. Each start of an
- * engine gets one order, which the engine takes only as its first, so that an
- * order which is carried out late or twice changes nothing.
+ * nothing are ordered to hold what their hall needs most, and spare copies are
+ * moved when a hall goes on lacking layers. An engine takes an order only as
+ * the one that it was meant to be, the first or the next after those that it
+ * reported, so that one which is carried out late or twice changes nothing.
  */
 #include <string.h>
 
@@ -185,6 +186,7 @@
       plan_service (planner, &rules->services[i], now);
 }
 
+/** A planner; it looks after the engines while this host has the duty. */
 gt_planner_t *
 gt_planner_new (const gt_planner_options_t *options)
 {
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -261,6 +261,7 @@
   h2o_socket_read_start (watch->sock, watch_read);
 }
 
+/** The method as sent. */
 el_str_t
 net_req_method (const h2o_req_t *req)
 {
@@ -315,6 +316,7 @@
   return (el_str_t){ NULL, 0 };
 }
 
+/** The whole body; empty without one. */
 el_str_t
 net_req_body (const h2o_req_t *req)
 {
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -31,6 +31,7 @@
   size_t hosts; /* that send to the same engines */
 };
 
+/** A fleet without endpoints; hosts should differ in SEED. */
 rt_fleet_t *
 rt_fleet_new (uint64_t seed)
 {
@@ -40,6 +41,7 @@
   return fleet;
 }
 
+/** Forget all endpoints; those in use stay until they are let go of. */
 void
 rt_fleet_free (rt_fleet_t *fleet)
 {
@@ -54,6 +56,7 @@
   free (fleet);
 }
 
+/** Keep TARGET in memory until rt_target_unref. */
 rt_target_t *
 rt_target_ref (rt_target_t *target)
 {
@@ -82,6 +85,7 @@
   to->card = el_str_dup (from->card);
 }
 
+/** Let go of TARGET; the last one frees it. */
 void
 rt_target_unref (rt_target_t *target)
 {
@@ -127,6 +131,7 @@
   rt_target_unref (target);
 }
 
+/** The endpoint named ID; NULL without one. */
 rt_target_t *
 rt_fleet_find (const rt_fleet_t *fleet, el_str_t id)
 {
@@ -152,12 +157,14 @@
   fleet->hosts = hosts;
 }
 
+/** How many hosts send to the same engines; at least 1. */
 double
 rt_fleet_hosts (const rt_fleet_t *fleet)
 {
   return fleet->hosts ? (double)fleet->hosts : 1;
 }
 
+/** How many endpoints are listed. */
 size_t
 rt_fleet_count (const rt_fleet_t *fleet)
 {
@@ -225,6 +232,7 @@
     tried->list[tried->n++] = target;
 }
 
+/** Whether TARGET is among those that a request is not sent to again. */
 int
 rt_tried_has (const rt_tried_t *tried, const rt_target_t *target)
 {
--- a/route/layout.c
+++ b/route/layout.c
@@ -4,7 +4,8 @@
  */
 /** @file
  * Where layers are placed: each empty engine takes the range that its hall
- * needs most. Engines that hold layers stay as they are.
+ * needs most. Engines that hold layers stay as they are, but for spare copies,
+ * which are moved where a hall lacks layers and no engine is empty.
  */
 #include <string.h>
 
@@ -225,9 +226,12 @@
   return 1;
 }
 
+/* The first layer that nobody holds; LAYERS when all are held. */
 static unsigned
-cover_hole (const unsigned *cover, unsigned layers, unsigned from)
+cover_hole (const unsigned *cover, unsigned layers)
 {
+  unsigned from = 0;
+
   while (from < layers && cover[from])
     from++;
   return from;
@@ -308,7 +312,7 @@
   while (layout->n < most)
     {
       layout_cover (layout, hall, cover);
-      from = cover_hole (cover, layers, 0);
+      from = cover_hole (cover, layers);
       if (from == layers)
         return;
       target = layout_mover (layout, hall, cover, from, &n);
--- a/route/rules.c
+++ b/route/rules.c
@@ -65,6 +65,7 @@
     }
 }
 
+/** Keep RULES in memory until rt_rules_unref. */
 rt_rules_t *
 rt_rules_ref (rt_rules_t *rules)
 {
@@ -72,6 +73,7 @@
   return rules;
 }
 
+/** Let go of RULES, which may be NULL; the last one frees them. */
 void
 rt_rules_unref (rt_rules_t *rules)
 {
@@ -128,6 +130,7 @@
   return key;
 }
 
+/** The service named NAME; NULL without one. */
 const rt_service_t *
 rt_rules_service (const rt_rules_t *rules, el_str_t name)
 {
