--- a/Makefile
+++ b/Makefile
@@ -14,23 +14,25 @@
 B = build
 BIN = $(B)/bin
 
-BASE = base/str.c base/err.c base/timer.c base/counter.c base/log.c \
+BASE = base/str.c base/err.c base/timer.c base/random.c base/counter.c base/log.c \
        base/settings.c
 COORD = coord/mbr_members.c coord/mbr_probe.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/line.c route/layout.c route/course.c
 
-NET = net/clock.c net/http_server.c net/http_client.c net/rpc.c net/rpc_wire.c
+NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
        gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
        gate/platform.c gate/kv_http.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
        gate/peer_forward.c gate/peer_handover.c gate/peer_xdr.c gate/peer_news.c gate/cfg_sync.c \
-       gate/relay.c gate/relay_try.c gate/relay_answer.c gate/relay_events.c gate/relay_watch.c gate/relay_check.c gate/relay_metrics.c \
-       gate/store_follow.c gate/store_duty.c gate/planner.c
+       gate/relay.c gate/relay_try.c gate/relay_head.c gate/relay_answer.c \
+       gate/relay_events.c gate/relay_watch.c gate/relay_check.c \
+       gate/relay_metrics.c \
+       gate/store.c gate/store_follow.c gate/store_duty.c gate/planner.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
-           platform/pf_engine.c platform/pf_entry.c
+           platform/pf_engine.c platform/pf_entry.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
           standin/store.c standin/member.c
 
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -10,6 +10,9 @@
 
 #include "gate_relay.h"
 
+/* The digits of a number of 64 bits and the end, with room. */
+#define RELAY_NUMBER_MAX 24
+
 /* The budget of one service's repeats. */
 typedef struct relay_spend
 {
@@ -30,7 +33,7 @@
   struct relay_check *checks;
   size_t nrunning;
   gt_relay_counts_t counts;
-  uint64_t random;
+  uint64_t random;       /* of el_random */
   el_time_t usual_first; /* mean time to a stream's first event */
   el_time_t usual_gap;   /* mean time between events */
   int closed;            /* takes no new requests */
@@ -105,6 +108,21 @@
                        relay_event_cb each, void *arg);
 void relay_events_reset (relay_events_t *events);
 
+/* relay_head.c */
+
+/* The headers of one attempt, with the memory of those that are made. */
+typedef struct relay_head
+{
+  net_header_t *list;
+  size_t n;
+  char time_left[RELAY_NUMBER_MAX];
+  char resume[RELAY_NUMBER_MAX];
+  el_buf_t line;
+} relay_head_t;
+
+void relay_head_make (gt_relay_t *relay, el_time_t now, relay_head_t *head);
+void relay_head_free (relay_head_t *head);
+
 /* relay_try.c */
 void relay_try (gt_relay_t *relay);
 void relay_drop (gt_relay_t *relay);
@@ -136,6 +154,5 @@
 void relay_finished (gt_relay_t *relay);
 int relay_spend_take (gt_relay_t *relay);
 int relay_spend_left (gt_relay_t *relay);
-uint64_t relay_random (gt_relays_t *relays);
 
 #endif
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -31,6 +31,7 @@
   size_t hosts; /* that send to the same engines */
 };
 
+/** A fleet without endpoints; hosts should differ in SEED. */
 rt_fleet_t *
 rt_fleet_new (uint64_t seed)
 {
@@ -40,6 +41,7 @@
   return fleet;
 }
 
+/** Forget all endpoints; those in use stay until they are let go of. */
 void
 rt_fleet_free (rt_fleet_t *fleet)
 {
@@ -54,16 +56,7 @@
   free (fleet);
 }
 
-static uint64_t
-fleet_random (rt_fleet_t *fleet)
-{
-  /* xorshift64: the choice only has to differ between hosts. */
-  fleet->random ^= fleet->random << 13;
-  fleet->random ^= fleet->random >> 7;
-  fleet->random ^= fleet->random << 17;
-  return fleet->random;
-}
-
+/** Keep TARGET in memory until rt_target_unref. */
 rt_target_t *
 rt_target_ref (rt_target_t *target)
 {
@@ -92,6 +85,7 @@
   to->card = el_str_dup (from->card);
 }
 
+/** Let go of TARGET; the last one frees it. */
 void
 rt_target_unref (rt_target_t *target)
 {
@@ -137,6 +131,7 @@
   rt_target_unref (target);
 }
 
+/** The endpoint named ID; NULL without one. */
 rt_target_t *
 rt_fleet_find (const rt_fleet_t *fleet, el_str_t id)
 {
@@ -162,12 +157,14 @@
   fleet->hosts = hosts;
 }
 
+/** How many hosts send to the same engines; at least 1. */
 double
 rt_fleet_hosts (const rt_fleet_t *fleet)
 {
   return fleet->hosts ? (double)fleet->hosts : 1;
 }
 
+/** How many endpoints are listed. */
 size_t
 rt_fleet_count (const rt_fleet_t *fleet)
 {
@@ -235,6 +232,7 @@
     tried->list[tried->n++] = target;
 }
 
+/** Whether TARGET is among those that a request is not sent to again. */
 int
 rt_tried_has (const rt_tried_t *tried, const rt_target_t *target)
 {
@@ -252,7 +250,7 @@
 pick_cost (rt_fleet_t *fleet, const rt_target_t *target, el_str_t hall)
 {
   double slots = target->facts.slots ? (double)target->facts.slots : 1;
-  double chance = (double)(fleet_random (fleet) % 1000) / 1000;
+  double chance = (double)(el_random (&fleet->random) % 1000) / 1000;
   double load = (double)(target->running + 1) / slots;
   double slow = target->usual_ms > 0 ? target->usual_ms : 1;
   double cost = load * slow * (1 + chance / 4);
