--- a/gate/store.c
+++ b/gate/store.c
@@ -6,6 +6,8 @@
  * Calls to the platform's store, and the waits after those that fail; the
  * follower and the duty share both.
  */
+#include <stdlib.h>
+
 #include "store.h"
 
 #define BACKOFF_FIRST (60 * EL_MSEC)
@@ -51,3 +53,18 @@
   store->counts.failures++;
   return wait / 2 + el_random (&store->random) % (wait / 2 + 1);
 }
+
+/** Free what a list holds. */
+void
+gt_store_list_free (gt_store_list_t *list)
+{
+  size_t i;
+
+  for (i = 0; i < list->n; i++)
+    {
+      el_str_free (&list->items[i].key);
+      el_str_free (&list->items[i].value);
+    }
+  free (list->items);
+  *list = (gt_store_list_t){ 0 };
+}
--- a/gate/store.h
+++ b/gate/store.h
@@ -31,7 +31,7 @@
   GT_STORE_BAD       /**< not an answer that can be used */
 } gt_store_state_t;
 
-/** A list as read from an answer; its strings are its own. */
+/** A list as read from an answer; gt_store_list_free ends it. */
 typedef struct gt_store_list
 {
   gt_store_item_t *items;
@@ -58,6 +58,8 @@
   gt_store_state_t (*read_claim) (const net_result_t *result);
 } gt_store_dialect_t;
 
+void gt_store_list_free (gt_store_list_t *list);
+
 typedef struct gt_store_counts
 {
   uint64_t calls;
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -57,20 +57,6 @@
 static void follow_known (gt_follow_t *follow, el_time_t as_of);
 static void follow_next (void *arg, el_time_t now);
 
-static void
-list_free (gt_store_list_t *list)
-{
-  size_t i;
-
-  for (i = 0; i < list->n; i++)
-    {
-      el_str_free (&list->items[i].key);
-      el_str_free (&list->items[i].value);
-    }
-  free (list->items);
-  *list = (gt_store_list_t){ 0 };
-}
-
 static follow_key_t *
 follow_key (gt_follow_t *follow, el_str_t name)
 {
@@ -202,7 +188,7 @@
       follow->revision = follow->read_at;
       follow_known (follow, follow->read_since);
     }
-  list_free (&list);
+  gt_store_list_free (&list);
   follow_next (follow, 0);
 }
 
@@ -241,7 +227,7 @@
     follow_later (follow, follow->options.gather);
   else
     follow_next (follow, 0);
-  list_free (&list);
+  gt_store_list_free (&list);
 }
 
 static void
--- a/tests/site.c
+++ b/tests/site.c
@@ -94,6 +94,8 @@
                          "an-operator's-key",
                          "--store-followers",
                          "1",
+                         "--repeat-ratio",
+                         "10",
                          "--keys-limit-ms",
                          "2000",
                          "--stop-least-ms",
