--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,9 @@
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
        gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
        gate/platform.c gate/kv_http.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
-       gate/peer_forward.c gate/peer_handover.c gate/peer_xdr.c gate/peer_news.c gate/cfg_sync.c \
+       gate/peer_forward.c gate/peer_handover.c gate/peer_xdr.c gate/peer_news.c gate/peer_sync.c gate/cfg_sync.c \
        gate/relay.c gate/relay_try.c gate/relay_head.c gate/relay_answer.c \
-       gate/relay_events.c gate/relay_watch.c gate/relay_check.c \
+       gate/relay_events.c gate/relay_watch.c gate/relay_check.c gate/relay_poll.c \
        gate/relay_metrics.c \
        gate/store.c gate/store_follow.c gate/store_duty.c gate/planner.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -159,7 +159,9 @@
   el_str_t peer;                /**< other hosts' address, ip:port */
   el_str_t http;                /**< callers' address, ip:port */
   el_str_t hall;
-  uint64_t counter; /**< raised by the member itself, to refute */
+  uint64_t capacity; /**< how much it can carry: of several hosts that could do
+                          what one does for all, the largest does */
+  uint64_t counter;  /**< raised by the member itself, to refute */
   co_mbr_state_t state;
   int draining;
   uint64_t revision;          /**< all changes up to it were seen */
@@ -203,6 +205,9 @@
   /** Probe the host at ADDRESS: send it co_members_speak, and hand what comes
       of it to co_members_answer. With VIA, have the host there probe it. */
   void (*probe) (void *arg, uint64_t id, el_str_t address, el_str_t via);
+  /** Ask the host at ADDRESS for all members that it knows, and hand them to
+      co_members_take; may be NULL. */
+  void (*sync) (void *arg, el_str_t address);
   /** A member is new here, or changed. */
   void (*changed) (void *arg, const co_member_t *member);
   /** An endpoint leaves, as another host has seen. */
@@ -220,6 +225,8 @@
                       const co_gossip_t *gossip);
 void co_members_answer (co_members_t *members, el_time_t now, uint64_t id,
                         int ok, const co_gossip_t *gossip);
+void co_members_take (co_members_t *members, el_time_t now,
+                      const co_member_t *member);
 void co_members_withdraw (co_members_t *members, int withdrawn);
 void co_members_drain (co_members_t *members, co_mbr_state_t state);
 void co_members_hand_over (co_members_t *members,
@@ -234,7 +241,11 @@
 typedef void (*co_member_visit_cb) (void *arg, const co_member_t *member);
 void co_members_visit (const co_members_t *members, co_member_visit_cb visit,
                        void *arg);
-const co_member_t *co_members_source (co_members_t *members, size_t most);
+/** Whether a member is not to be taken. */
+typedef int (*co_member_skip_cb) (void *arg, const co_member_t *member);
+const co_member_t *co_members_first (const co_members_t *members,
+                                     co_member_skip_cb skip, void *arg);
+int co_member_before (const co_member_t *a, const co_member_t *b);
 int co_members_chosen (const co_members_t *members, size_t most);
 const char *co_mbr_state_name (co_mbr_state_t state);
 
--- a/coord/libcoord.h
+++ b/coord/libcoord.h
@@ -59,6 +59,8 @@
   el_timers_t timers;
   el_time_t next_period;
   el_time_t last_tick;
+  el_time_t young_until; /* probes more often before */
+  unsigned young;        /* such probes so far */
 };
 
 /* splitmix64, by Sebastiano Vigna, public domain. */
--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -270,6 +270,14 @@
     leaving_hear (members, now, &gossip->leaving[i]);
 }
 
+/** Take in what another host knows of one member. */
+void
+co_members_take (co_members_t *members, el_time_t now,
+                 const co_member_t *member)
+{
+  member_hear (members, now, member);
+}
+
 /* Keep the least often sent news first. */
 static void
 news_insert (mbr_entry_t **list, size_t *n, mbr_entry_t *entry)
@@ -453,6 +461,18 @@
   visit (arg, &entry->m);
 }
 
+/** Whether A comes before B where one host does what all need: the larger one,
+    then the one with the lower incarnation. */
+int
+co_member_before (const co_member_t *a, const co_member_t *b)
+{
+  if (a->capacity != b->capacity)
+    return a->capacity > b->capacity;
+  return memcmp (a->incarnation.byte, b->incarnation.byte,
+                 CO_INCARNATION_BYTES)
+         < 0;
+}
+
 /** Whether this host is one of the MOST of its hall that are chosen for what
     only a few should do. Every host works the same out from its view; while
     views differ a few more or fewer may do it, which does no harm. */
@@ -466,48 +486,30 @@
   HASH_ITER (hh, members->entries, entry, next)
   if (entry->m.state == CO_MBR_ALIVE && !entry->m.draining
       && el_str_eq (entry->m.hall, members->self.hall)
-      && memcmp (entry->m.incarnation.byte, members->self.incarnation.byte,
-                 CO_INCARNATION_BYTES)
-             < 0)
-    before++;
-  return before < most;
-}
-
-/* Whether ENTRY is one of the MOST of this hall that are chosen. */
-static int
-entry_chosen (const co_members_t *members, const mbr_entry_t *entry,
-              size_t most)
-{
-  size_t before = 0;
-  mbr_entry_t *other;
-  mbr_entry_t *next;
-
-  HASH_ITER (hh, members->entries, other, next)
-  if (other->m.state == CO_MBR_ALIVE && !other->m.draining
-      && el_str_eq (other->m.hall, members->self.hall)
-      && memcmp (other->m.incarnation.byte, entry->m.incarnation.byte,
-                 CO_INCARNATION_BYTES)
-             < 0)
+      && co_member_before (&entry->m, &members->self))
     before++;
   return before < most;
 }
 
-/** One of the other hosts of this hall that are chosen, at random; NULL
-    without any. */
+/** The member of this hall, this host included, that comes first of those that
+    are alive, not draining and not skipped; NULL without any. Hosts that see
+    the same members find the same one. */
 const co_member_t *
-co_members_source (co_members_t *members, size_t most)
+co_members_first (const co_members_t *members, co_member_skip_cb skip,
+                  void *arg)
 {
-  size_t start = members->norder ? mbr_random (members) % members->norder : 0;
-  size_t i;
-
-  for (i = 0; i < members->norder; i++)
-    {
-      const mbr_entry_t *entry = members->order[(start + i) % members->norder];
+  const co_member_t *first = NULL;
+  mbr_entry_t *entry;
+  mbr_entry_t *next;
 
-      if (entry->m.state == CO_MBR_ALIVE && !entry->m.draining
-          && el_str_eq (entry->m.hall, members->self.hall)
-          && entry_chosen (members, entry, most))
-        return &entry->m;
-    }
-  return NULL;
+  if (members->self.state == CO_MBR_ALIVE && !members->self.draining
+      && !skip (arg, &members->self))
+    first = &members->self;
+  HASH_ITER (hh, members->entries, entry, next)
+  if (entry->m.state == CO_MBR_ALIVE && !entry->m.draining
+      && el_str_eq (entry->m.hall, members->self.hall)
+      && (!first || co_member_before (&entry->m, first))
+      && !skip (arg, &entry->m))
+    first = &entry->m;
+  return first;
 }
--- a/coord/mbr_probe.c
+++ b/coord/mbr_probe.c
@@ -14,6 +14,13 @@
 /* A tick that comes this many periods late tells that the host was paused:
    what it waited for then says nothing of others. */
 #define PAUSED_PERIODS 3
+/* A host that has just started probes this many times as often for so many
+   periods: where all start at once, all know each other within a second. */
+#define YOUNG_PERIODS 4
+#define YOUNG_TIMES 5
+/* Every so many of these probes it asks for all members that another one
+   knows. */
+#define YOUNG_SYNC 3
 
 /* The next member to probe: all in turn, in an order of this host's own. */
 static mbr_entry_t *
@@ -62,8 +69,8 @@
   return el_str_eq (address, members->self.peer);
 }
 
-/* Seeds where no live member is known: to join, and to meet again after the
-   network was cut. One in a period. */
+/* The next seed, where no live member is known there: to join, and to meet
+   again after the network was cut. */
 static void
 probe_seed (co_members_t *members, el_time_t now)
 {
@@ -175,11 +182,29 @@
                    now + mbr_suspect_time (members));
 }
 
+/* All seeds, once: the first of them may be down. */
+static void
+probe_all_seeds (co_members_t *members, el_time_t now)
+{
+  do
+    probe_seed (members, now);
+  while (members->seed_at);
+}
+
+/* What a host does besides probing while it is young. */
+static void
+young_tick (co_members_t *members, const mbr_entry_t *other)
+{
+  if (other && members->options.sync && members->young++ % YOUNG_SYNC == 0)
+    members->options.sync (members->options.arg, other->m.peer);
+}
+
 /** Look after probes and suspicions; call it when co_members_next says so. */
 void
 co_members_tick (co_members_t *members, el_time_t now)
 {
   el_time_t period = members->options.period;
+  int first = members->last_tick == 0;
   int paused = members->last_tick
                && now > members->last_tick + PAUSED_PERIODS * period;
   mbr_entry_t *entry;
@@ -191,11 +216,21 @@
   el_timers_run (&members->timers, now);
   if (now < members->next_period)
     return;
-  members->next_period = now + period;
+  if (first)
+    members->young_until = now + YOUNG_PERIODS * period;
   entry = probe_next (members);
+  if (now < members->young_until)
+    {
+      period /= YOUNG_TIMES;
+      young_tick (members, entry);
+    }
+  members->next_period = now + period;
   if (entry)
     probe_add (members, now, entry, entry->m.peer);
-  probe_seed (members, now);
+  if (first)
+    probe_all_seeds (members, now);
+  else
+    probe_seed (members, now);
 }
 
 /** When co_members_tick wants to be called. */
--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -14,6 +14,8 @@
 
 #define KEY_MIN 16
 #define KEY_MAX 256
+/* Hosts' capacities are compared to this part of one. */
+#define CAPACITY_UNIT 1000
 
 /** The settings as they are read; see elmarchd(8). */
 typedef struct daemon_settings
@@ -44,6 +46,7 @@
   const char *directory;
   const char *store;
   uint64_t store_followers;
+  const char *capacity;
   const char *name;
   uint64_t entry_ttl_s;
   const char *repeat_ratio;
@@ -90,8 +93,11 @@
     "tells callers the entry addresses" },
   { "store", EL_SET_STRING, AT (store), "", 0, 21, 0, "IP:PORT",
     "the store that holds rules and endpoints of relayed requests" },
-  { "store-followers", EL_SET_U64, AT (store_followers), "4", 1, 1000, 0, "N",
+  { "store-followers", EL_SET_U64, AT (store_followers), "1", 1, 1000, 0, "N",
     "hosts of a hall that ask the store; the others ask them" },
+  { "capacity", EL_SET_STRING, AT (capacity), "0", 1, 16, 0, "NUMBER",
+    "how much this host can carry beside others; the largest of a hall does "
+    "what one host does for all" },
   { "name", EL_SET_STRING, AT (name), "elmarchd", 1, 200, 0, "NAME",
     "of this host, as leases show it" },
   { "entry-ttl-s", EL_SET_U64, AT (entry_ttl_s), "2", 1, 3600, 0, "S",
@@ -198,6 +204,7 @@
     .cluster_key = el_str (set->cluster_key),
     .operator_key = el_str (set->operator_key),
     .store_followers = set->store_followers,
+    .capacity = (uint64_t)(strtod (set->capacity, NULL) * CAPACITY_UNIT),
     .max_active = set->max_active,
     .max_queue = set->max_queue,
     .max_body = set->max_body,
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -17,7 +17,7 @@
    the next answer may take as long again. So a store that is lost leaves at
    least three fifths of the limit to serve in. */
 #define STORE_WAIT_PARTS 5
-#define STORE_WAIT_MS 1000
+#define STORE_WAIT_MS 700
 /* A host that has not heard of the store for this long is left out of the
    entry addresses. */
 #define STALE_AFTER (3 * EL_SEC)
@@ -215,6 +215,14 @@
   return gt_gate_ask_news (site->gate, after, done, done_arg);
 }
 
+static void
+site_blame (void *arg)
+{
+  site_t *site = arg;
+
+  gt_gate_blame_news (site->gate);
+}
+
 /* One watch for all keys: each call to the store has its price. */
 static void
 site_follow (site_t *site)
@@ -225,6 +233,7 @@
                               .gather = STORE_GATHER,
                               .item = site_item,
                               .ask = site_ask,
+                              .blame = site_blame,
                               .known = site_known,
                               .arg = site };
   uint64_t most = site->options.keys_limit / EL_MSEC / STORE_WAIT_PARTS;
@@ -256,6 +265,38 @@
   site->planner = gt_planner_new (&planner);
 }
 
+static int
+site_polls (void *arg)
+{
+  site_t *site = arg;
+
+  return !site->stopping && gt_gate_leads (site->gate);
+}
+
+static void
+site_polled (void *arg)
+{
+  site_t *site = arg;
+
+  gt_gate_heard (site->gate);
+}
+
+static size_t
+site_tell (void *arg, gt_engine_news_t **out)
+{
+  site_t *site = arg;
+
+  return gt_relays_tell (site->relays, out);
+}
+
+static void
+site_hear (void *arg, const gt_engine_news_t *news, size_t n)
+{
+  site_t *site = arg;
+
+  gt_relays_hear (site->relays, news, n);
+}
+
 static gt_relays_t *
 site_relays (site_t *site, el_err_t *err)
 {
@@ -274,6 +315,8 @@
                                 .seed = o->seed,
                                 .hosts = site_hosts,
                                 .hall_hosts = site_hall_hosts,
+                                .polls = site_polls,
+                                .polled = site_polled,
                                 .arg = site };
 
   return gt_relays_new (&relays, err);
@@ -313,6 +356,8 @@
                                .ready = site_ready,
                                .addresses = site_addresses,
                                .arg = site };
+  gt_engine_talk_t talk
+      = { .tell = site_tell, .hear = site_hear, .arg = site };
 
   site->gate = gate;
   site->options = *options;
@@ -325,6 +370,7 @@
   site->relays = site_relays (site, err);
   if (!site->relays || !pf_entry_new (&entry, err))
     return NULL;
+  gt_gate_engines (gate, &talk);
   gt_relays_metrics (site->relays, gt_gate_metrics (gate));
   site_metrics (site);
   site_follow (site);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -442,6 +442,29 @@
   gt_peers_heard (gate->peers);
 }
 
+/** The host that was asked last could not tell, though the store answers: ask
+    others for a while. */
+void
+gt_gate_blame_news (gt_gate_t *gate)
+{
+  gt_peers_blame_news (gate->peers);
+}
+
+/** Have TALK exchange with other hosts how engines do. */
+void
+gt_gate_engines (gt_gate_t *gate, const gt_engine_talk_t *talk)
+{
+  gt_peers_engines (gate->peers, talk);
+}
+
+/** Whether this host comes first in its hall: it does what one host does for
+    all of them. */
+int
+gt_gate_leads (const gt_gate_t *gate)
+{
+  return !gate->draining && gt_peers_leads (gate->peers);
+}
+
 /** Ask another host what it has seen of the store; gives 0 when this host
     should ask the store. */
 int
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -15,6 +15,7 @@
 #include "base.h"
 #include "coord.h"
 #include "net.h"
+#include "gate_relay.h"
 #include "store.h"
 
 typedef struct gt_gate gt_gate_t;
@@ -32,7 +33,9 @@
                               is configured otherwise */
   el_str_t cluster_key;  /**< shared by the hosts */
   el_str_t operator_key; /**< operators prove themselves with it */
-  uint64_t store_followers; /**< hosts of a hall that ask the store */
+  uint64_t capacity;     /**< see co_member_t */
+  uint64_t store_followers; /**< hosts of a hall that follow the store
+                                 themselves */
   uint64_t max_active;
   uint64_t max_queue;
   uint64_t max_body; /**< bytes of a caller's request */
@@ -51,6 +54,15 @@
 
 typedef void (*gt_drained_cb) (void *arg);
 
+/** Who tells other hosts how engines do, and hears of it. */
+typedef struct gt_engine_talk
+{
+  /** Gives a list, which the caller frees; its strings stay its own. */
+  size_t (*tell) (void *arg, gt_engine_news_t **out);
+  void (*hear) (void *arg, const gt_engine_news_t *news, size_t n);
+  void *arg;
+} gt_engine_talk_t;
+
 gt_gate_t *gt_gate_new (const gt_options_t *options, el_err_t *err);
 void gt_gate_drain (gt_gate_t *gate, gt_drained_cb done, void *arg);
 json_t *gt_gate_dump (gt_gate_t *gate);
@@ -59,6 +71,9 @@
 el_metrics_t *gt_gate_metrics (gt_gate_t *gate);
 void gt_gate_follow (gt_gate_t *gate, gt_follow_t *follow);
 void gt_gate_heard (gt_gate_t *gate);
+void gt_gate_blame_news (gt_gate_t *gate);
+void gt_gate_engines (gt_gate_t *gate, const gt_engine_talk_t *talk);
+int gt_gate_leads (const gt_gate_t *gate);
 int gt_gate_ask_news (gt_gate_t *gate, uint64_t after, gt_news_cb done,
                       void *arg);
 void gt_gate_withdraw (gt_gate_t *gate, int withdrawn);
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -34,10 +34,12 @@
 
 /** What came of asking an engine where a stream stands still. */
 typedef void (*gt_stalled_cb) (void *arg, int answered, el_str_t address);
-/** Whether an engine answered, and how much slower than its kind it runs. */
-typedef void (*gt_check_cb) (void *arg, int answered, double pace);
-/** What came of moving a stream to another line. */
-typedef void (*gt_reroute_cb) (void *arg, int done);
+/** Whether an engine answered, and how it does; LOAD is NULL when it did not
+    tell. */
+typedef void (*gt_check_cb) (void *arg, int answered, const rt_load_t *load);
+/** What came of moving a stream to another line: whether it was done, else
+    the address of the engine that can't have its part, if it was named. */
+typedef void (*gt_reroute_cb) (void *arg, int done, el_str_t at_fault);
 
 /** What differs between dialects. */
 typedef struct gt_relay_dialect
@@ -49,9 +51,9 @@
   net_exchange_t *(*ask_stalled) (net_client_t *client,
                                   const rt_target_t *first, el_str_t id,
                                   gt_stalled_cb done, void *arg);
-  /** Ask an engine for a sign of life; DONE is called within LIMIT. */
+  /** Ask an engine for a sign of life; the exchange can be cancelled. */
   net_exchange_t *(*check) (net_client_t *client, const rt_target_t *engine,
-                            el_time_t limit, gt_check_cb done, void *arg);
+                            gt_check_cb done, void *arg);
   /** Have the first engine pass the stream ID on over another line. */
   net_exchange_t *(*reroute) (net_client_t *client, el_str_t id,
                               const rt_line_t *line, gt_reroute_cb done,
@@ -74,9 +76,11 @@
   uint64_t repeats;  /**< attempts after a request's first */
   uint64_t resumed;  /**< streams that went on at another line */
   uint64_t rerouted; /**< streams moved within their line */
+  uint64_t held;     /**< streams that stand still and may not be sent again */
   uint64_t checks;   /**< engines asked for a sign of life */
   uint64_t silent;   /**< of these, those that gave none */
   uint64_t crossed;  /**< answers to another request */
+  uint64_t waited;   /**< streams that waited for room at the engines */
   uint64_t spent;    /**< repeats not made: the budget is spent */
   uint64_t events;
   el_hist_t first_event; /**< microseconds from the request */
@@ -104,13 +108,29 @@
   size_t (*hosts) (void *arg);
   /** Those of this host's hall. */
   size_t (*hall_hosts) (void *arg);
+  /** Whether this host asks the engines of its hall how they do. */
+  int (*polls) (void *arg);
+  /** They were asked: the other hosts may be told. */
+  void (*polled) (void *arg);
   void *arg;
 } gt_relay_options_t;
 
+/** How an engine does, as one host tells another. */
+typedef struct gt_engine_news
+{
+  el_str_t id;
+  rt_load_t load;
+  el_time_t age; /**< of the load */
+  int silent;    /**< it gives no sign of life */
+} gt_engine_news_t;
+
 gt_relays_t *gt_relays_new (const gt_relay_options_t *options, el_err_t *err);
 void gt_relays_rules (gt_relays_t *relays, rt_rules_t *rules);
 void gt_relays_known (gt_relays_t *relays, el_time_t as_of);
 const rt_rules_t *gt_relays_in_force (const gt_relays_t *relays);
+size_t gt_relays_tell (gt_relays_t *relays, gt_engine_news_t **out);
+void gt_relays_hear (gt_relays_t *relays, const gt_engine_news_t *news,
+                     size_t n);
 void gt_relays_retire (gt_relays_t *relays);
 void gt_relays_close (gt_relays_t *relays);
 size_t gt_relays_running (const gt_relays_t *relays);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -316,6 +316,9 @@
 void gt_peers_drain (gt_peers_t *peers);
 void gt_peers_follow (gt_peers_t *peers, gt_follow_t *follow);
 void gt_peers_heard (gt_peers_t *peers);
+void gt_peers_blame_news (gt_peers_t *peers);
+void gt_peers_engines (gt_peers_t *peers, const gt_engine_talk_t *talk);
+int gt_peers_leads (const gt_peers_t *peers);
 int gt_peers_ask_news (gt_peers_t *peers, uint64_t after, gt_news_cb done,
                        void *arg);
 void gt_peers_withdraw (gt_peers_t *peers, int withdrawn);
--- a/gate/libpeer.h
+++ b/gate/libpeer.h
@@ -24,6 +24,16 @@
 
 typedef struct peer_handover peer_handover_t;
 
+/* A host whose news failed while the store answered. */
+typedef struct peer_blame
+{
+  co_incarnation_t incarnation;
+  el_time_t until;
+} peer_blame_t;
+
+/* Most hosts that are blamed at once; further ones take the oldest's place. */
+#define PEER_BLAMES 8
+
 struct gt_peers
 {
   gt_gate_t *gate;
@@ -34,6 +44,11 @@
   int fetching;
   gt_follow_t *follow; /* news for other hosts; NULL without */
   struct peer_asker *askers;
+  el_time_t asked_at;     /* when another host asked for news last */
+  co_incarnation_t asked; /* whom this host asked last */
+  peer_blame_t blames[PEER_BLAMES];
+  unsigned next_blame;
+  gt_engine_talk_t engines; /* who tells and hears how engines do */
   peer_sign_t *signs;
   peer_handover_t *handover;
   gt_place_t successor;
@@ -60,6 +75,12 @@
 void peer_serve_gossip (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 void peer_serve_relay (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 void peer_ticked (gt_peers_t *peers);
+void peer_member_write (const co_member_t *from, peer_member *to);
+int peer_member_read (const peer_member *from, co_member_t *to);
+
+/* peer_sync.c */
+void peer_sync (void *arg, el_str_t address);
+void peer_serve_members (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_fetch.c */
 void peer_fetch (gt_peers_t *peers, const co_member_t *from);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -31,6 +31,9 @@
   relay_spend_t *spends;
   gt_relay_t *running;
   struct relay_check *checks;
+  el_timer_t poll;
+  unsigned poll_part;
+  el_time_t answered_asked; /* when the newest check that was answered left */
   size_t nrunning;
   gt_relay_counts_t counts;
   uint64_t random;       /* of el_random */
@@ -62,7 +65,9 @@
   el_time_t received;
   el_time_t deadline;
   el_timer_t over;
-  int ended; /* the caller's answer is complete, or the caller has gone */
+  int waited;  /* for room at the engines */
+  int waiting; /* for the host's first configuration */
+  int ended;   /* the caller's answer is complete, or the caller has gone */
 
   /* the attempt under way */
   net_exchange_t *exchange;
@@ -74,6 +79,7 @@
   int refused;   /* its answer says that it did not run */
   int crossed;   /* its answer is to another request */
   int stream;    /* its answer is a stream that is passed on */
+  double prompt; /* tokens */
   double tokens; /* that the stream will have, as far as can be guessed */
 
   /* the answer as far as it went to the caller */
@@ -96,7 +102,8 @@
   net_exchange_t *ask;
   el_time_t still_since; /* the last event, or the sending */
   unsigned looks;
-  unsigned moves; /* tried since the last event */
+  unsigned moves;   /* tried since the last event */
+  rt_tried_t avoid; /* engines that moves since then go around */
   rt_line_t next_line;
 
   gt_relay_t *prev;
@@ -138,6 +145,14 @@
 
 /* relay_check.c */
 void relay_check (gt_relays_t *relays, rt_target_t *engine);
+void relay_check_poll (gt_relays_t *relays, rt_target_t *engine,
+                       el_time_t since);
+void relay_check_load (gt_relays_t *relays, rt_target_t *engine,
+                       const rt_load_t *load, el_time_t at);
+
+/* relay_poll.c */
+void relay_poll_begin (gt_relays_t *relays);
+void relay_poll_end (gt_relays_t *relays);
 
 /* relay_answer.c */
 void relay_answer_refuse (gt_relay_t *relay, int status, const char *reason,
--- a/gate/peer.c
+++ b/gate/peer.c
@@ -23,6 +23,7 @@
   { PEER_GOSSIP, peer_serve_gossip },     { PEER_FORWARD, peer_serve_forward },
   { PEER_RELAY, peer_serve_relay },       { PEER_FETCH, peer_serve_fetch },
   { PEER_HANDOVER, peer_serve_handover }, { PEER_NEWS, peer_serve_news },
+  { PEER_MEMBERS, peer_serve_members },
 };
 
 void
@@ -142,6 +143,7 @@
                                    .forget = FORGET_AFTER,
                                    .leaving_hold = gate->options.leave_hold,
                                    .probe = peer_probe,
+                                   .sync = peer_sync,
                                    .changed = member_changed,
                                    .leaving = member_leaving,
                                    .arg = peers };
@@ -158,6 +160,7 @@
   members.self.http
       = gate->options.entry.len ? gate->options.entry : gate->options.listen;
   members.self.hall = gate->options.hall;
+  members.self.capacity = gate->options.capacity;
   peers->members = co_members_new (&members);
   peers->tick.cb = peers_tick;
   peers->tick.arg = peers;
@@ -286,7 +289,7 @@
 
 typedef struct prefer_arg
 {
-  const co_incarnation_t *self;
+  const co_member_t *self;
   int first;
 } prefer_arg_t;
 
@@ -296,17 +299,16 @@
   prefer_arg_t *prefer = arg;
 
   if (member->state == CO_MBR_ALIVE && !member->draining
-      && memcmp (member->incarnation.byte, prefer->self->byte,
-                 CO_INCARNATION_BYTES)
-             < 0)
+      && co_member_before (member, prefer->self))
     prefer->first = 0;
 }
 
-/** Whether no live host that stays has a lower incarnation. */
+/** Whether no live host that stays comes before this one. */
 int
 gt_peers_preferred (const gt_peers_t *peers)
 {
-  prefer_arg_t prefer = { &peers->gate->incarnation, 1 };
+  prefer_arg_t prefer
+      = { co_members_find (peers->members, &peers->gate->incarnation), 1 };
 
   co_members_visit (peers->members, prefer_visit, &prefer);
   return prefer.first;
--- a/gate/peer.x
+++ b/gate/peer.x
@@ -19,6 +19,8 @@
 const PEER_TOKENS_MAX = 262144;
 const PEER_ENTRIES_MAX = 4096;
 const PEER_SESSIONS_MAX = 4096;
+const PEER_MEMBERS_MAX = 4096;
+const PEER_ENGINES_MAX = 4096;
 
 /* Every call and result travels sealed: an XDR body and its code. */
 struct peer_sealed {
@@ -31,6 +33,7 @@
   opaque peer<PEER_ADDRESS_MAX>;
   opaque http<PEER_ADDRESS_MAX>;
   opaque hall<PEER_ADDRESS_MAX>;
+  unsigned hyper capacity;
   unsigned hyper counter;
   unsigned hyper revision;
   opaque successor[PEER_INCARNATION];
@@ -56,6 +59,11 @@
   peer_gossip gossip;
 };
 
+/* A host that has just started asks for all members that another one knows. */
+struct peer_members {
+  peer_member members<PEER_MEMBERS_MAX>;
+};
+
 /* Asks for the changes of configuration after a revision. */
 struct peer_fetch_args {
   unsigned hyper after;
@@ -158,6 +166,15 @@
   opaque value<PEER_SPEC_MAX>;
 };
 
+/* How an engine does, as the host that tells it was told AGE_MS ago. */
+struct peer_engine {
+  opaque id<PEER_NAME_MAX>;
+  unsigned int fill_permille;
+  unsigned int pace_percent;
+  unsigned int age_ms;
+  bool silent;
+};
+
 /* KNOWN_AFTER: microseconds from the question's arrival to the moment as of
    which all is told; negative when that lies before. */
 struct peer_news_res {
@@ -166,6 +183,7 @@
   unsigned hyper revision;
   hyper known_after;
   peer_item items<PEER_CHANGES_MAX>;
+  peer_engine engines<PEER_ENGINES_MAX>;
 };
 
 program ELMARCH_PEER {
@@ -176,5 +194,6 @@
     peer_sealed PEER_FETCH (peer_sealed) = 4;
     peer_sealed PEER_HANDOVER (peer_sealed) = 5;
     peer_sealed PEER_NEWS (peer_sealed) = 6;
+    peer_sealed PEER_MEMBERS (peer_sealed) = 7;
   } = 1;
 } = 0x20656c6d;
--- a/gate/peer_gossip.c
+++ b/gate/peer_gossip.c
@@ -26,28 +26,32 @@
   net_rpc_req_t *req;
 } relay_wait_t;
 
-static void
-member_write (const co_member_t *from, peer_member *to)
+/** Put a member into a message; its strings are not copied. */
+void
+peer_member_write (const co_member_t *from, peer_member *to)
 {
   memcpy (to->incarnation, from->incarnation.byte, CO_INCARNATION_BYTES);
   PEER_BYTES_SET (to->peer, peer, from->peer);
   PEER_BYTES_SET (to->http, http, from->http);
   PEER_BYTES_SET (to->hall, hall, from->hall);
   memcpy (to->successor, from->successor.byte, CO_INCARNATION_BYTES);
+  to->capacity = from->capacity;
   to->counter = from->counter;
   to->revision = from->revision;
   to->state = from->state;
   to->draining = from->draining;
 }
 
-static int
-member_read (const peer_member *from, co_member_t *to)
+/** Read a member whose strings point into FROM; gives 0 when it is none. */
+int
+peer_member_read (const peer_member *from, co_member_t *to)
 {
   memcpy (to->incarnation.byte, from->incarnation, CO_INCARNATION_BYTES);
   to->peer = PEER_BYTES_GET (from->peer, peer);
   to->http = PEER_BYTES_GET (from->http, http);
   to->hall = PEER_BYTES_GET (from->hall, hall);
   memcpy (to->successor.byte, from->successor, CO_INCARNATION_BYTES);
+  to->capacity = from->capacity;
   to->counter = from->counter;
   to->revision = from->revision;
   to->state = (co_mbr_state_t)from->state;
@@ -67,9 +71,9 @@
   size_t i;
 
   co_members_speak (peers->members, to, &gossip);
-  member_write (&gossip.self, &message.self);
+  peer_member_write (&gossip.self, &message.self);
   for (i = 0; i < gossip.nmembers; i++)
-    member_write (&gossip.members[i], &members[i]);
+    peer_member_write (&gossip.members[i], &members[i]);
   for (i = 0; i < gossip.nleaving; i++)
     {
       leaving[i].id = gossip.leaving[i].id;
@@ -88,7 +92,7 @@
 gossip_read (const peer_gossip *from, co_gossip_t *out)
 {
   size_t i;
-  int ok = member_read (&from->self, &out->self);
+  int ok = peer_member_read (&from->self, &out->self);
 
   ok = ok && from->members.members_len <= CO_NEWS_MEMBERS
        && from->leaving.leaving_len <= CO_NEWS_LEAVING;
@@ -96,7 +100,8 @@
     return 0;
   out->nmembers = from->members.members_len;
   for (i = 0; i < out->nmembers; i++)
-    ok = ok && member_read (&from->members.members_val[i], &out->members[i]);
+    ok = ok
+         && peer_member_read (&from->members.members_val[i], &out->members[i]);
   out->nleaving = from->leaving.leaving_len;
   for (i = 0; i < out->nleaving; i++)
     {
--- a/gate/peer_news.c
+++ b/gate/peer_news.c
@@ -12,8 +12,16 @@
 
 #include "libpeer.h"
 
-/* A host that follows the store hears of it about every second. */
-#define NEWS_TIMEOUT (2500 * EL_MSEC)
+/* A host that follows the store hears of it, or of its hall's engines, several
+   times in this. */
+#define NEWS_TIMEOUT (1300 * EL_MSEC)
+/* A host that was asked follows the store itself for this long: those who ask
+   know why they do not ask another one. */
+#define ASKED_HOLD (4 * EL_SEC)
+/* A host is not asked for this long after its news failed. */
+#define BLAME_HOLD (5 * EL_SEC)
+#define PERMILLE 1000
+#define PERCENT 100
 
 /* A question that waits. */
 typedef struct peer_asker
@@ -40,9 +48,67 @@
   peers->follow = follow;
 }
 
+/* Put what is known of engines into an answer; gives the list to free. */
+static gt_engine_news_t *
+engines_write (const gt_peers_t *peers, peer_news_res *res)
+{
+  gt_engine_news_t *list = NULL;
+  size_t n = 0;
+  size_t i;
+
+  if (peers->engines.tell)
+    n = peers->engines.tell (peers->engines.arg, &list);
+  res->engines.engines_val = el_alloc ((n + 1) * sizeof (peer_engine));
+  res->engines.engines_len = (u_int)n;
+  for (i = 0; i < n; i++)
+    {
+      peer_engine *engine = &res->engines.engines_val[i];
+
+      PEER_BYTES_SET (engine->id, id, list[i].id);
+      engine->fill_permille = (u_int)(list[i].load.fill * PERMILLE);
+      engine->pace_percent = (u_int)(list[i].load.pace * PERCENT);
+      engine->age_ms = (u_int)(list[i].age / EL_MSEC);
+      engine->silent = list[i].silent;
+    }
+  return list;
+}
+
+static void
+engines_read (const gt_peers_t *peers, const peer_news_res *res)
+{
+  gt_engine_news_t *list;
+  u_int i;
+
+  if (!peers->engines.hear || res->engines.engines_len == 0)
+    return;
+  list = el_alloc (res->engines.engines_len * sizeof *list);
+  for (i = 0; i < res->engines.engines_len; i++)
+    {
+      const peer_engine *engine = &res->engines.engines_val[i];
+
+      list[i] = (gt_engine_news_t){
+        .id = PEER_BYTES_GET (engine->id, id),
+        .load = { .fill = (double)engine->fill_permille / PERMILLE,
+                  .pace = (double)engine->pace_percent / PERCENT },
+        .age = engine->age_ms * EL_MSEC,
+        .silent = engine->silent,
+      };
+    }
+  peers->engines.hear (peers->engines.arg, list, res->engines.engines_len);
+  free (list);
+}
+
+/** Who tells other hosts how engines do, and hears of it. */
+void
+gt_peers_engines (gt_peers_t *peers, const gt_engine_talk_t *talk)
+{
+  peers->engines = *talk;
+}
+
 static void
 news_answer (gt_peers_t *peers, const peer_asker_t *asker)
 {
+  gt_engine_news_t *engines;
   el_buf_t out = { NULL, 0, 0 };
   peer_news_res res;
   gt_news_t news;
@@ -65,8 +131,11 @@
       PEER_BYTES_SET (item->key, key, news.items[i].key);
       PEER_BYTES_SET (item->value, value, news.items[i].value);
     }
+  engines = engines_write (peers, &res);
   peer_xdr_write ((xdrproc_t)xdr_peer_news_res, &res, &out);
   net_rpc_reply (asker->req, el_buf_str (&out));
+  free (res.engines.engines_val);
+  free (engines);
   free (res.items.items_val);
   free (news.items);
   el_buf_free (&out);
@@ -89,6 +158,7 @@
   asker->req = req;
   asker->after = args.after;
   asker->came = net_clock_now (&peers->gate->clock);
+  peers->asked_at = asker->came;
   LL_PREPEND (peers->askers, asker);
 }
 
@@ -126,6 +196,7 @@
                                .revision = item->revision,
                                .gone = item->gone };
     }
+  engines_read (question->peers, res);
   question->done (question->arg, &news);
   free (news.items);
 }
@@ -147,6 +218,68 @@
   free (question);
 }
 
+/* Whether the news of a host failed lately. */
+static int
+news_blamed (void *arg, const co_member_t *member)
+{
+  const gt_peers_t *peers = arg;
+  el_time_t now = net_clock_now (&peers->gate->clock);
+  size_t i;
+
+  for (i = 0; i < PEER_BLAMES; i++)
+    if (now < peers->blames[i].until
+        && co_incarnation_eq (&peers->blames[i].incarnation,
+                              &member->incarnation))
+      return 1;
+  return 0;
+}
+
+static int
+news_skip_none (void *arg, const co_member_t *member)
+{
+  (void)arg;
+  (void)member;
+  return 0;
+}
+
+/** The host that was asked last could not tell, though the store answers. */
+void
+gt_peers_blame_news (gt_peers_t *peers)
+{
+  peer_blame_t *blame = &peers->blames[peers->next_blame++ % PEER_BLAMES];
+
+  blame->incarnation = peers->asked;
+  blame->until = net_clock_now (&peers->gate->clock) + BLAME_HOLD;
+}
+
+/** Whether this host comes first in its hall. */
+int
+gt_peers_leads (const gt_peers_t *peers)
+{
+  const co_member_t *first
+      = co_members_first (peers->members, news_skip_none, NULL);
+
+  return first
+         && co_incarnation_eq (&first->incarnation, &peers->gate->incarnation);
+}
+
+/* The host of this hall to ask; NULL when this one should ask the store. */
+static const co_member_t *
+news_source (gt_peers_t *peers)
+{
+  const co_member_t *from;
+  el_time_t now = net_clock_now (&peers->gate->clock);
+
+  if (co_members_chosen (peers->members, peers->gate->options.store_followers)
+      || (peers->asked_at && now < peers->asked_at + ASKED_HOLD))
+    return NULL;
+  from = co_members_first (peers->members, news_blamed, peers);
+  if (!from
+      || co_incarnation_eq (&from->incarnation, &peers->gate->incarnation))
+    return NULL;
+  return from;
+}
+
 /** Ask a host of this hall that follows the store; gives 0 when this host is
     one of those, or knows none. */
 int
@@ -156,14 +289,11 @@
   peer_news_args args = { .after = after };
   el_buf_t body = { NULL, 0, 0 };
   peer_question_t *question;
-  const co_member_t *from;
-  size_t most = peers->gate->options.store_followers;
+  const co_member_t *from = news_source (peers);
 
-  if (co_members_chosen (peers->members, most))
-    return 0;
-  from = co_members_source (peers->members, most);
   if (!from)
     return 0;
+  peers->asked = from->incarnation;
   question = el_alloc (sizeof *question);
   question->peers = peers;
   question->sent = net_clock_now (&peers->gate->clock);
--- a/gate/peer_proto.h
+++ b/gate/peer_proto.h
@@ -26,6 +26,8 @@
 #define PEER_TOKENS_MAX 262144
 #define PEER_ENTRIES_MAX 4096
 #define PEER_SESSIONS_MAX 4096
+#define PEER_MEMBERS_MAX 4096
+#define PEER_ENGINES_MAX 4096
 
 struct peer_sealed {
 	char mac[PEER_MAC];
@@ -50,6 +52,7 @@
 		u_int hall_len;
 		char *hall_val;
 	} hall;
+	u_quad_t capacity;
 	u_quad_t counter;
 	u_quad_t revision;
 	char successor[PEER_INCARNATION];
@@ -89,6 +92,14 @@
 };
 typedef struct peer_relay peer_relay;
 
+struct peer_members {
+	struct {
+		u_int members_len;
+		peer_member *members_val;
+	} members;
+};
+typedef struct peer_members peer_members;
+
 struct peer_fetch_args {
 	u_quad_t after;
 };
@@ -275,6 +286,18 @@
 };
 typedef struct peer_item peer_item;
 
+struct peer_engine {
+	struct {
+		u_int id_len;
+		char *id_val;
+	} id;
+	u_int fill_permille;
+	u_int pace_percent;
+	u_int age_ms;
+	bool_t silent;
+};
+typedef struct peer_engine peer_engine;
+
 struct peer_news_res {
 	bool_t ready;
 	bool_t whole;
@@ -284,6 +307,10 @@
 		u_int items_len;
 		peer_item *items_val;
 	} items;
+	struct {
+		u_int engines_len;
+		peer_engine *engines_val;
+	} engines;
 };
 typedef struct peer_news_res peer_news_res;
 
@@ -309,6 +336,9 @@
 #define PEER_NEWS 6
 extern  peer_sealed * peer_news_1(peer_sealed *, CLIENT *);
 extern  peer_sealed * peer_news_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_MEMBERS 7
+extern  peer_sealed * peer_members_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_members_1_svc(peer_sealed *, struct svc_req *);
 extern int elmarch_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -330,6 +360,9 @@
 #define PEER_NEWS 6
 extern  peer_sealed * peer_news_1();
 extern  peer_sealed * peer_news_1_svc();
+#define PEER_MEMBERS 7
+extern  peer_sealed * peer_members_1();
+extern  peer_sealed * peer_members_1_svc();
 extern int elmarch_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -341,6 +374,7 @@
 extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
 extern  bool_t xdr_peer_gossip (XDR *, peer_gossip*);
 extern  bool_t xdr_peer_relay (XDR *, peer_relay*);
+extern  bool_t xdr_peer_members (XDR *, peer_members*);
 extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
 extern  bool_t xdr_peer_change (XDR *, peer_change*);
 extern  bool_t xdr_peer_fetch_res (XDR *, peer_fetch_res*);
@@ -355,6 +389,7 @@
 extern  bool_t xdr_peer_handover_res (XDR *, peer_handover_res*);
 extern  bool_t xdr_peer_news_args (XDR *, peer_news_args*);
 extern  bool_t xdr_peer_item (XDR *, peer_item*);
+extern  bool_t xdr_peer_engine (XDR *, peer_engine*);
 extern  bool_t xdr_peer_news_res (XDR *, peer_news_res*);
 
 #else /* K&R C */
@@ -363,6 +398,7 @@
 extern bool_t xdr_peer_leaving ();
 extern bool_t xdr_peer_gossip ();
 extern bool_t xdr_peer_relay ();
+extern bool_t xdr_peer_members ();
 extern bool_t xdr_peer_fetch_args ();
 extern bool_t xdr_peer_change ();
 extern bool_t xdr_peer_fetch_res ();
@@ -377,6 +413,7 @@
 extern bool_t xdr_peer_handover_res ();
 extern bool_t xdr_peer_news_args ();
 extern bool_t xdr_peer_item ();
+extern bool_t xdr_peer_engine ();
 extern bool_t xdr_peer_news_res ();
 
 #endif /* K&R C */
--- a/gate/peer_xdr.c
+++ b/gate/peer_xdr.c
@@ -32,6 +32,8 @@
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->hall.hall_val, (u_int *) &objp->hall.hall_len, PEER_ADDRESS_MAX))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->capacity))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->counter))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
@@ -85,6 +87,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_members (XDR *xdrs, peer_members *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, PEER_MEMBERS_MAX,
+		sizeof (peer_member), (xdrproc_t) xdr_peer_member))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_fetch_args (XDR *xdrs, peer_fetch_args *objp)
 {
@@ -387,6 +400,67 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_engine (XDR *xdrs, peer_engine *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, PEER_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->fill_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pace_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->silent))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->fill_permille);
+			IXDR_PUT_U_LONG(buf, objp->pace_percent);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_BOOL(buf, objp->silent);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, PEER_NAME_MAX))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->fill_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pace_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->silent))
+				 return FALSE;
+		} else {
+			objp->fill_permille = IXDR_GET_U_LONG(buf);
+			objp->pace_percent = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->silent = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->fill_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pace_percent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->silent))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_news_res (XDR *xdrs, peer_news_res *objp)
 {
@@ -403,5 +477,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_CHANGES_MAX,
 		sizeof (peer_item), (xdrproc_t) xdr_peer_item))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->engines.engines_val, (u_int *) &objp->engines.engines_len, PEER_ENGINES_MAX,
+		sizeof (peer_engine), (xdrproc_t) xdr_peer_engine))
+		 return FALSE;
 	return TRUE;
 }
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -13,6 +13,11 @@
 /* When to come back to a host that has no configuration: it reads one as soon
    as it reaches the platform. */
 #define STARTING_RETRY (300 * EL_MSEC)
+/* A request that comes before the first configuration waits for it: a starting
+   host has it within some 200 ms. When the store does not answer, callers are
+   held up no longer than this, nor for more than a third of their time. */
+#define START_WAIT (1000 * EL_MSEC)
+#define START_WAIT_PART 3
 /* A host that stops refuses: others serve now. */
 #define STOPPING_RETRY (20 * EL_MSEC)
 /* Time for a request that names no limit and whose rule has none. */
@@ -188,29 +193,40 @@
   return 1;
 }
 
+/* The time that the caller waits, if it is less than LIMIT. */
+static el_time_t
+caller_limit (const gt_relay_t *relay, el_time_t limit)
+{
+  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+  el_str_t text = net_req_header (relay->req, dialect->names.time_left);
+  uint64_t ms;
+
+  if (el_str_to_u64 (text, &ms) && ms < limit / EL_MSEC)
+    return ms * EL_MSEC;
+  return limit;
+}
+
 /* When the request's time is over: what the caller waits, what the operator
    wants it held. */
 static void
 relay_limit (gt_relay_t *relay)
 {
-  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
-  el_str_t text = net_req_header (relay->req, dialect->names.time_left);
-  el_time_t limit
-      = relay->rule->timeout ? relay->rule->timeout : TIMEOUT_UNSAID;
-  uint64_t ms;
+  net_clock_t *clock = relay->relays->options.clock;
+  el_time_t now = net_clock_now (clock);
+  el_time_t limit = caller_limit (
+      relay, relay->rule->timeout ? relay->rule->timeout : TIMEOUT_UNSAID);
 
-  if (el_str_to_u64 (text, &ms) && ms * EL_MSEC < limit)
-    limit = ms * EL_MSEC;
   relay->deadline = relay->received + limit;
   relay->over.cb = relay_over;
   relay->over.arg = relay;
-  net_clock_set (relay->relays->options.clock, &relay->over, limit);
+  net_clock_set (clock, &relay->over,
+                 relay->deadline > now ? relay->deadline - now : 0);
 }
 
 /* The tokens that a stream will have: its prompt, and what the caller guesses
    or half of the most that it allows. */
-static double
-relay_tokens (const gt_relay_t *relay)
+static void
+relay_tokens (gt_relay_t *relay)
 {
   const gt_relay_names_t *names = &relay->relays->options.dialect->names;
   el_str_t rest = net_req_header (relay->req, names->tokens);
@@ -218,13 +234,16 @@
   uint64_t answer = 0;
   uint64_t guess;
 
+  relay->prompt = relay->service->model.usual_tokens;
+  relay->tokens = relay->prompt;
   if (!el_str_to_u64 (el_str_cut (&rest, ','), &prompt))
-    return relay->service->model.usual_tokens;
+    return;
   if (el_str_to_u64 (net_req_header (relay->req, names->guess), &guess))
     answer = guess;
   else if (el_str_to_u64 (rest, &answer))
     answer /= 2;
-  return (double)(prompt + answer);
+  relay->prompt = (double)prompt;
+  relay->tokens = (double)(prompt + answer);
 }
 
 static rt_spend_t *
@@ -270,13 +289,82 @@
                         net_clock_now (o->clock), o->hosts (o->arg));
 }
 
+/* Serve a request by the rules in force. */
+static void
+relay_begin (gt_relay_t *relay)
+{
+  gt_relays_t *relays = relay->relays;
+  el_str_t service;
+
+  if (!relay_admit (relay))
+    return;
+  service = rt_rule_service (relay->rule, el_random (&relays->random));
+  relay->service = rt_rules_service (relay->rules, service);
+  if (!relay->service)
+    {
+      relay_answer_refuse (relay, 503, "no service", STARTING_RETRY);
+      return;
+    }
+  relay_tokens (relay);
+  rt_spend_asked (relay_spend (relays, service), relay->received);
+  relay_limit (relay);
+  relay_try (relay);
+}
+
+/* Whether rules and endpoints were read. */
+static int
+relays_know (const gt_relays_t *relays)
+{
+  return relays->rules && relays->known;
+}
+
+static void
+wait_over (void *arg, el_time_t now)
+{
+  gt_relay_t *relay = arg;
+
+  (void)now;
+  relay->waiting = 0;
+  relay->relays->counts.no_rules++;
+  relay_answer_refuse (relay, 503, "no configuration", STARTING_RETRY);
+}
+
+/* Hold a request until the host knows what to do with it. */
+static void
+relay_wait (gt_relay_t *relay)
+{
+  relay->waiting = 1;
+  relay->over.cb = wait_over;
+  relay->over.arg = relay;
+  net_clock_set (relay->relays->options.clock, &relay->over,
+                 caller_limit (relay, START_WAIT * START_WAIT_PART)
+                     / START_WAIT_PART);
+}
+
+/* Serve the requests that waited, once all is known. */
+static void
+relays_serve_waiting (gt_relays_t *relays)
+{
+  gt_relay_t *relay;
+  gt_relay_t *next;
+
+  if (!relays_know (relays))
+    return;
+  DL_FOREACH_SAFE (relays->running, relay, next)
+  if (relay->waiting && !relay->ended)
+    {
+      relay->waiting = 0;
+      net_clock_cancel (relays->options.clock, &relay->over);
+      relay_begin (relay);
+    }
+}
+
 static void
 relay_handle (void *arg, h2o_req_t *req)
 {
   gt_relays_t *relays = arg;
   gt_relay_t *relay = el_alloc (sizeof *relay);
   const gt_relay_dialect_t *dialect = relays->options.dialect;
-  el_str_t service;
 
   relays->counts.requests++;
   relays->nrunning++;
@@ -293,19 +381,10 @@
       relay_answer_refuse (relay, 503, "stopping", STOPPING_RETRY);
       return;
     }
-  if (!relay_admit (relay))
-    return;
-  service = rt_rule_service (relay->rule, el_random (&relays->random));
-  relay->service = rt_rules_service (relay->rules, service);
-  if (!relay->service)
-    {
-      relay_answer_refuse (relay, 503, "no service", STARTING_RETRY);
-      return;
-    }
-  relay->tokens = relay_tokens (relay);
-  rt_spend_asked (relay_spend (relays, service), relay->received);
-  relay_limit (relay);
-  relay_try (relay);
+  if (relays_know (relays))
+    relay_begin (relay);
+  else
+    relay_wait (relay);
 }
 
 /** Take callers' requests; NULL, with the reason in ERR, when the address
@@ -325,7 +404,10 @@
   relays->born = net_clock_now (options->clock);
   relays->server = net_server_new (&server, err);
   if (relays->server)
-    return relays;
+    {
+      relay_poll_begin (relays);
+      return relays;
+    }
   free (relays);
   return NULL;
 }
@@ -341,14 +423,17 @@
   relays->rules = rules;
   if (rules->idle_ms)
     net_server_idle (relays->server, rules->idle_ms);
+  relays_serve_waiting (relays);
 }
 
 /** The rules were the newest at AS_OF, by the clock. */
 void
 gt_relays_known (gt_relays_t *relays, el_time_t as_of)
 {
-  if (as_of > relays->known)
-    relays->known = as_of;
+  if (as_of <= relays->known)
+    return;
+  relays->known = as_of;
+  relays_serve_waiting (relays);
 }
 
 /** The rules in force; NULL before the first. */
@@ -373,6 +458,7 @@
   if (relays->closed)
     return;
   relays->closed = 1;
+  relay_poll_end (relays);
   net_server_stop (relays->server);
 }
 
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -9,10 +9,22 @@
  */
 #include "librelay.h"
 
-/* An engine answers within a few milliseconds also when it is busy. */
-#define CHECK_LIMIT (50 * EL_MSEC)
-/* Not asked again sooner than this, however many streams wait for it. */
-#define CHECK_GAP (80 * EL_MSEC)
+/* An engine answers within a few milliseconds also when it is busy. One that
+   has not by CHECK_LIMIT is silent if another one answered meanwhile: else it
+   may be this host that is cut off or held up, which is given CHECK_MOST. */
+#define CHECK_LIMIT (30 * EL_MSEC)
+#define CHECK_MOST (100 * EL_MSEC)
+/* A timer that fires later than this was held up with the process: answers
+   may wait to be read. */
+#define HELD_UP (2 * EL_MSEC)
+/* Not asked again sooner than this, however many streams stand still; each
+   time twice as long, so that streams which are only slow do not have their
+   engines asked all the time. */
+#define GAP_LEAST (50 * EL_MSEC)
+#define GAP_MOST (800 * EL_MSEC)
+/* When no stream stood still for this long, it is asked as at first. */
+#define GAP_FORGET (3 * EL_SEC)
+/* A silent one is asked again after this. */
 #define CHECK_AGAIN (400 * EL_MSEC)
 /* So many times slower than its kind an engine is worth leaving: moving reads
    all tokens anew. */
@@ -25,7 +37,10 @@
   rt_target_t *engine;
   net_exchange_t *ask;
   el_time_t asked;
+  el_time_t still; /* when it was asked last because a stream stood still */
+  el_time_t gap;   /* from then to the next time at least */
   el_timer_t again;
+  el_timer_t judge; /* when an answer is missed */
   UT_hash_handle hh;
 } relay_check_t;
 
@@ -34,7 +49,10 @@
 static void
 check_free (relay_check_t *check)
 {
+  if (check->ask)
+    net_client_cancel (check->ask);
   net_clock_cancel (check->relays->options.clock, &check->again);
+  net_clock_cancel (check->relays->options.clock, &check->judge);
   HASH_DEL (check->relays->checks, check);
   rt_target_unref (check->engine);
   free (check);
@@ -64,31 +82,40 @@
     relay_watch_silent (relay, engine);
 }
 
-/* An engine that runs slowly is left by the streams that have a copy of it in
-   their hall, chosen less by new ones, and asked again until it is well. */
-static void
-check_pace (relay_check_t *check, double pace)
+/** ENGINE reported LOAD at AT. One that runs slowly is left by the streams
+   that have a copy of it in their hall, chosen less by new ones, and asked
+   again until it is well. */
+void
+relay_check_load (gt_relays_t *relays, rt_target_t *engine,
+                  const rt_load_t *load, el_time_t at)
 {
-  rt_target_t *engine = check->engine;
-  gt_relays_t *relays = check->relays;
   int was_slow = engine->pace >= PACE_SLOW;
-  int slow = pace >= PACE_SLOW;
+  int slow = load->pace >= PACE_SLOW;
 
-  engine->pace = pace;
-  if (slow)
-    net_clock_set (relays->options.clock, &check->again, SLOW_AGAIN);
-  if (slow == was_slow)
+  if (!rt_target_told (engine, load, at) || slow == was_slow)
     return;
   EL_LOG (EL_LOG_INFO, slow ? "engine_slow" : "engine_well",
           EL_FS ("engine", engine->facts.id),
-          EL_FN ("pace_percent", (uint64_t)(pace * 100)),
+          EL_FN ("pace_percent", (uint64_t)(load->pace * 100)),
           EL_FN ("lines", engine->lines));
   if (slow)
     check_move (relays, engine);
 }
 
+/* A slow engine is asked again until it is well. */
+static void
+check_load (relay_check_t *check, const rt_load_t *load)
+{
+  const gt_relays_t *relays = check->relays;
+  el_time_t now = net_clock_now (relays->options.clock);
+
+  relay_check_load (check->relays, check->engine, load, now);
+  if (load->pace >= PACE_SLOW && !relays->options.polls (relays->options.arg))
+    net_clock_set (relays->options.clock, &check->again, SLOW_AGAIN);
+}
+
 static void
-check_told (void *arg, int answered, double pace)
+check_told (void *arg, int answered, const rt_load_t *load)
 {
   relay_check_t *check = arg;
   gt_relays_t *relays = check->relays;
@@ -96,9 +123,13 @@
   int was = engine->suspect;
 
   check->ask = NULL;
+  net_clock_cancel (relays->options.clock, &check->judge);
+  engine->asked = 0;
   engine->suspect = !answered;
-  if (answered)
-    check_pace (check, pace);
+  if (answered && check->asked > relays->answered_asked)
+    relays->answered_asked = check->asked;
+  if (load)
+    check_load (check, load);
   if (answered && !was)
     return;
   if (answered == was)
@@ -118,42 +149,98 @@
   rt_target_unref (engine);
 }
 
+/* Time for an answer is over: was it the engine, or this host? */
+static void
+check_judge (void *arg, el_time_t now)
+{
+  relay_check_t *check = arg;
+  const gt_relays_t *relays = check->relays;
+  int held_up = now > check->judge.due + HELD_UP;
+  int heard = relays->answered_asked >= check->asked;
+
+  if (now < check->asked + CHECK_MOST
+      && (held_up || !heard || check->engine->alive > check->asked))
+    {
+      net_clock_set (relays->options.clock, &check->judge, HELD_UP);
+      return;
+    }
+  net_client_cancel (check->ask);
+  check_told (check, check->engine->alive > check->asked, NULL);
+}
+
 static void
 check_ask (void *arg, el_time_t now)
 {
   relay_check_t *check = arg;
   const gt_relay_options_t *o = &check->relays->options;
 
+  if (check->ask)
+    return;
+  net_clock_cancel (o->clock, &check->again);
   if (check->engine->gone)
     {
       check_free (check);
       return;
     }
   check->asked = now;
+  check->engine->asked = now;
   check->relays->counts.checks++;
-  check->ask = o->dialect->check (o->client, check->engine, CHECK_LIMIT,
-                                  check_told, check);
+  check->ask = o->dialect->check (o->client, check->engine, check_told, check);
+  net_clock_set (o->clock, &check->judge, CHECK_LIMIT);
+}
+
+static relay_check_t *
+check_get (gt_relays_t *relays, rt_target_t *engine)
+{
+  relay_check_t *check;
+
+  HASH_FIND_PTR (relays->checks, &engine, check);
+  if (check)
+    return check;
+  check = el_alloc (sizeof *check);
+  check->relays = relays;
+  check->engine = rt_target_ref (engine);
+  check->gap = GAP_LEAST;
+  check->again.cb = check_ask;
+  check->again.arg = check;
+  check->judge.cb = check_judge;
+  check->judge.arg = check;
+  HASH_ADD_PTR (relays->checks, engine, check);
+  return check;
 }
 
-/** Ask whether ENGINE lives. */
+/** Ask whether ENGINE lives, unless it was asked just now. */
 void
 relay_check (gt_relays_t *relays, rt_target_t *engine)
 {
   el_time_t now = net_clock_now (relays->options.clock);
-  relay_check_t *check;
+  relay_check_t *check = check_get (relays, engine);
+  el_time_t due;
 
-  HASH_FIND_PTR (relays->checks, &engine, check);
-  if (!check)
+  if (check->ask || engine->suspect)
+    return;
+  if (now > check->still + GAP_FORGET)
+    check->gap = GAP_LEAST;
+  due = check->still + check->gap;
+  if (due < check->asked + GAP_LEAST)
+    due = check->asked + GAP_LEAST;
+  if (now < due)
     {
-      check = el_alloc (sizeof *check);
-      check->relays = relays;
-      check->engine = rt_target_ref (engine);
-      check->again.cb = check_ask;
-      check->again.arg = check;
-      HASH_ADD_PTR (relays->checks, engine, check);
+      net_clock_set (relays->options.clock, &check->again, due - now);
+      return;
     }
-  if (check->ask || check->again.slot
-      || (check->asked && now < check->asked + CHECK_GAP))
-    return;
+  check->still = now;
+  if (check->gap < GAP_MOST)
+    check->gap *= 2;
   check_ask (check, now);
 }
+
+/** Ask ENGINE, unless it was asked after SINCE. */
+void
+relay_check_poll (gt_relays_t *relays, rt_target_t *engine, el_time_t since)
+{
+  relay_check_t *check = check_get (relays, engine);
+
+  if (!check->ask && check->asked <= since)
+    check_ask (check, net_clock_now (relays->options.clock));
+}
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -13,17 +13,22 @@
 #include "librelay.h"
 
 /* A stream without an event for this long stands still: events come every
-   25 ms or so, and pauses of 200 ms already count as late. */
-#define STILL_AFTER (90 * EL_MSEC)
-/* Before the first event a prompt is read, some 50 to 150 ms. */
-#define STILL_FIRST (220 * EL_MSEC)
+   25 to 40 ms, the longest pause of 95 in 100 streams of a calm day is 75 ms,
+   and pauses of 200 ms already count as late. */
+#define STILL_AFTER (75 * EL_MSEC)
+/* Before the first event a prompt is read: 90 ms or less for 99 in 100 on a
+   calm day. */
+#define STILL_FIRST (150 * EL_MSEC)
 /* Where all streams are slow, one stands still after this many times what is
    usual on this host. */
-#define STILL_TIMES 4
+#define STILL_TIMES 2
+#define STILL_FIRST_TIMES 3
 #define USUAL_OVER 32
 /* A timer that fires later than this was held up with the process. */
 #define HELD_UP (10 * EL_MSEC)
 #define LOOK_AGAIN (100 * EL_MSEC)
+/* The same for a stream that can't be helped now. */
+#define WAIT_AGAIN (400 * EL_MSEC)
 /* One look of so many asks the first engine where the stream waits; the
    others ask the engines of the line for a sign of life. */
 #define LOOKS_ASK 4
@@ -31,17 +36,19 @@
 #define LOOKS_ASK_AT 2
 #define LOOKS_MAX 30
 /* Moves that fail before the stream is begun anew at another line. */
-#define MOVES_MAX 2
+#define MOVES_MAX 3
 
 static void watch_look (void *arg, el_time_t now);
+static void watch_forget (gt_relay_t *relay);
+static void watch_move (gt_relay_t *relay);
+static void watch_moved (void *arg, int done, el_str_t at_fault);
 
 static el_time_t
 watch_limit (const gt_relay_t *relay)
 {
   const gt_relays_t *relays = relay->relays;
-  el_time_t usual
-      = STILL_TIMES
-        * (relay->nevents ? relays->usual_gap : relays->usual_first);
+  el_time_t usual = relay->nevents ? STILL_TIMES * relays->usual_gap
+                                   : STILL_FIRST_TIMES * relays->usual_first;
   el_time_t least = relay->nevents ? STILL_AFTER : STILL_FIRST;
 
   return usual > least ? usual : least;
@@ -54,15 +61,33 @@
   *usual = *usual - *usual / USUAL_OVER + value / USUAL_OVER;
 }
 
+/* The stream goes: what was tried while it stood still is over. */
+static void
+watch_forget (gt_relay_t *relay)
+{
+  relay->looks = 0;
+  relay->moves = 0;
+  relay->avoid.n = 0;
+}
+
+/* Let go of what was asked, and of the line that was to be moved to. */
+static void
+watch_drop_ask (gt_relay_t *relay)
+{
+  if (relay->ask)
+    net_client_cancel (relay->ask);
+  relay->ask = NULL;
+  rt_line_release (&relay->next_line);
+}
+
 /** The stream was sent: wait for its first event. */
 void
 relay_watch_begin (gt_relay_t *relay)
 {
   relay->watch.cb = watch_look;
   relay->watch.arg = relay;
-  relay->looks = 0;
-  relay->moves = 0;
   relay->still_since = relay->sent;
+  watch_forget (relay);
   if (relay->relays->options.dialect->check)
     net_clock_set (relay->relays->options.clock, &relay->watch, STILL_FIRST);
 }
@@ -75,8 +100,7 @@
                             : &relay->relays->usual_first,
              gap);
   relay->still_since = net_clock_now (relay->relays->options.clock);
-  relay->looks = 0;
-  relay->moves = 0;
+  watch_forget (relay);
 }
 
 /** No longer look after the stream. */
@@ -84,9 +108,7 @@
 relay_watch_end (gt_relay_t *relay)
 {
   net_clock_cancel (relay->relays->options.clock, &relay->watch);
-  if (relay->ask)
-    net_client_cancel (relay->ask);
-  relay->ask = NULL;
+  watch_drop_ask (relay);
 }
 
 static void
@@ -106,59 +128,113 @@
   return NULL;
 }
 
+/* Have the first engine pass the stream on over the line that was found. */
+static void
+watch_reroute (gt_relay_t *relay)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+
+  rt_line_hold (&relay->next_line, &relay->line, relay->tokens);
+  relay->ask = o->dialect->reroute (o->client, relay->id, &relay->next_line,
+                                    watch_moved, relay);
+}
+
+/* Send the stream again. One that may not be sent again stays where it is: its
+   engine may come back, and silence is no reason to end what a caller waits
+   for. */
+static void
+watch_begin_anew (gt_relay_t *relay, const char *why)
+{
+  int may = relay_may_resume (relay);
+
+  EL_LOG (EL_LOG_INFO, may ? "stream_begun_anew" : "stream_waits",
+          EL_FS ("request", relay->id), EL_FN ("avoided", relay->avoid.n),
+          EL_FN ("events", relay->nevents), EL_FC ("reason", why));
+  if (may)
+    {
+      relay_abandon (relay);
+      return;
+    }
+  relay->relays->counts.held++;
+  watch_forget (relay);
+  watch_again (relay, WAIT_AGAIN);
+}
+
+/* A move was refused: go around the engine that can't have its part, too. A
+   stream that is only slow stays where it is. */
+static void
+watch_not_moved (gt_relay_t *relay, el_str_t at_fault)
+{
+  rt_target_t *engine = line_engine (&relay->next_line, at_fault);
+
+  /* Where none is named, one of the new ones has no room. */
+  if (!engine)
+    engine = rt_line_fullest (&relay->next_line, &relay->line);
+  if (relay->avoid.n == 0)
+    {
+      rt_line_release (&relay->next_line);
+      watch_again (relay, LOOK_AGAIN);
+      return;
+    }
+  if (engine)
+    {
+      rt_tried_add (&relay->avoid, engine);
+      rt_target_busy (engine, net_clock_now (relay->relays->options.clock));
+      if (at_fault.len)
+        relay_check (relay->relays, engine);
+    }
+  rt_line_release (&relay->next_line);
+  if (++relay->moves >= MOVES_MAX)
+    watch_begin_anew (relay, "moves were refused");
+  else
+    watch_move (relay);
+}
+
 static void
-watch_moved (void *arg, int done)
+watch_moved (void *arg, int done, el_str_t at_fault)
 {
   gt_relay_t *relay = arg;
-  rt_line_t old = relay->line;
 
   relay->ask = NULL;
   EL_LOG (EL_LOG_INFO, done ? "stream_moved" : "stream_not_moved",
           EL_FS ("request", relay->id), EL_FN ("events", relay->nevents),
-          EL_FN ("parts", relay->next_line.n));
-  if (done)
-    {
-      relay->relays->counts.rerouted++;
-      relay->line = relay->next_line;
-      rt_line_hold (&relay->line);
-      rt_line_release (&old);
-    }
-  else if (++relay->moves >= MOVES_MAX)
+          EL_FN ("parts", relay->next_line.n), EL_FN ("moves", relay->moves),
+          EL_FS ("fault", at_fault));
+  if (!done)
     {
-      relay_abandon (relay);
+      watch_not_moved (relay, at_fault);
       return;
     }
+  relay->relays->counts.rerouted++;
+  rt_line_release (&relay->line);
+  relay->line = relay->next_line;
+  relay->next_line.n = 0;
   watch_again (relay, LOOK_AGAIN);
 }
 
-/* Move the stream around ENGINE. A line that leaves the hall has all tokens so
-   far cross the pipe that all share; reading them at another hall's own line
-   is sooner. */
+/* Move the stream around the engines to avoid. A line that leaves the hall has
+   all tokens so far cross the pipe that all share; reading them at another
+   hall's own line is sooner. */
 static void
-watch_move (gt_relay_t *relay, rt_target_t *engine)
+watch_move (gt_relay_t *relay)
 {
-  gt_relays_t *relays = relay->relays;
-  const gt_relay_options_t *o = &relays->options;
-  el_time_t now = net_clock_now (o->clock);
-  rt_tried_t tried = { .n = 0 };
-  int found;
+  const gt_relay_options_t *o = &relay->relays->options;
+  const char *why = "its first engine is lost";
 
-  rt_tried_add (&tried, engine);
-  found = rt_line_around (o->fleet, now, relay->service, &relay->line, &tried,
-                          &relay->next_line);
-  if (found && rt_line_crosses (&relay->next_line) && relay_may_resume (relay))
-    found = 0;
-  if (found)
-    relay->ask = o->dialect->reroute (o->client, relay->id, &relay->next_line,
-                                      watch_moved, relay);
-  else
+  if (!rt_tried_has (&relay->avoid, relay->target))
     {
-      EL_LOG (EL_LOG_INFO, "stream_begun_anew", EL_FS ("request", relay->id),
-              EL_FS ("engine", engine->facts.id),
-              EL_FN ("events", relay->nevents),
-              EL_FC ("reason", "no line around the engine in its hall"));
-      relay_abandon (relay);
+      why = "no line around the engine in its hall";
+      if (rt_line_around (o->fleet, net_clock_now (o->clock), relay->service,
+                          &relay->line, &relay->avoid, &relay->next_line)
+          && !(rt_line_crosses (&relay->next_line)
+               && relay_may_resume (relay)))
+        {
+          watch_reroute (relay);
+          return;
+        }
     }
+  relay->next_line.n = 0;
+  watch_begin_anew (relay, why);
 }
 
 /** ENGINE, on the stream's line, gives no sign of life. */
@@ -170,10 +246,9 @@
           EL_FN ("events", relay->nevents),
           EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
                                  - relay->still_since));
-  if (relay->ask)
-    net_client_cancel (relay->ask);
-  relay->ask = NULL;
-  watch_move (relay, engine);
+  watch_drop_ask (relay);
+  rt_tried_add (&relay->avoid, engine);
+  watch_move (relay);
 }
 
 /** ENGINE, on the stream's line, runs slowly: use a copy of it in the same
@@ -185,13 +260,14 @@
   rt_tried_t tried = { .n = 0 };
 
   rt_tried_add (&tried, engine);
-  if (relay->ask
-      || !rt_line_around (o->fleet, net_clock_now (o->clock), relay->service,
-                          &relay->line, &tried, &relay->next_line)
-      || rt_line_crosses (&relay->next_line))
+  if (relay->ask)
     return;
-  relay->ask = o->dialect->reroute (o->client, relay->id, &relay->next_line,
-                                    watch_moved, relay);
+  if (rt_line_around (o->fleet, net_clock_now (o->clock), relay->service,
+                      &relay->line, &tried, &relay->next_line)
+      && !rt_line_crosses (&relay->next_line))
+    watch_reroute (relay);
+  else
+    relay->next_line.n = 0;
 }
 
 static void
@@ -210,7 +286,8 @@
     {
       /* It may live and be out of its neighbours' reach. */
       rt_target_changed (engine, net_clock_now (relay->relays->options.clock));
-      watch_move (relay, engine);
+      rt_tried_add (&relay->avoid, engine);
+      watch_move (relay);
     }
   else
     watch_again (relay, LOOK_AGAIN);
--- a/gate/store.h
+++ b/gate/store.h
@@ -113,6 +113,8 @@
   /** Have another host tell what it has seen after a revision. Gives 0 when
       this host should ask the store itself; may be NULL. */
   int (*ask) (void *arg, uint64_t after, gt_news_cb done, void *done_arg);
+  /** The host that was asked could not tell, but the store itself can. */
+  void (*blame) (void *arg);
   /** All changes made before AS_OF, by the clock, were told. */
   void (*known) (void *arg, el_time_t as_of);
   void *arg;
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -19,10 +19,9 @@
 #define MISSED_WAIT_MS 1
 #define MISSED_LIMIT (800 * EL_MSEC)
 
-/* News older than this are of a host that misses the store. */
-#define NEWS_OLD (3 * EL_SEC)
-/* The store is asked for this long after another host had no news. */
-#define ALONE (5 * EL_SEC)
+/* News older than this are of a host that misses the store: it waits 0.7 s at
+   most in each call. */
+#define NEWS_OLD (2 * EL_SEC)
 
 /* A key that is known, with the revision of its last change. */
 typedef struct follow_key
@@ -42,15 +41,15 @@
   follow_key_t *keys;
   net_exchange_t *call;
   el_timer_t again;
-  el_time_t sent;        /* when the call left */
-  el_time_t read_since;  /* when the first page was asked for */
-  uint64_t revision;     /* changes up to it were told */
-  uint64_t read_at;      /* revision of the first page */
-  el_buf_t page_after;   /* last key of the page before */
-  uint64_t reading;      /* number of the last or present reading of all */
-  int whole;             /* that reading is done */
-  el_time_t known;       /* all changes before it were told */
-  el_time_t alone_until; /* other hosts are not asked before */
+  el_time_t sent;       /* when the call left */
+  el_time_t read_since; /* when the first page was asked for */
+  uint64_t revision;    /* changes up to it were told */
+  uint64_t read_at;     /* revision of the first page */
+  el_buf_t page_after;  /* last key of the page before */
+  uint64_t reading;     /* number of the last or present reading of all */
+  int whole;            /* that reading is done */
+  el_time_t known;      /* all changes before it were told */
+  int doubt; /* another host could not tell: the store is asked once */
   unsigned failures;
 };
 
@@ -131,6 +130,8 @@
   gt_follow_options_t *o = &follow->options;
   el_time_t wait = gt_store_backoff (o->store, follow->failures++);
 
+  follow->doubt = 0; /* the store can't tell either */
+
   if (follow->failures == 1)
     EL_LOG (EL_LOG_WARN, "store_lost", EL_FS ("prefix", o->prefix),
             EL_FC ("call", what), EL_FN ("status", status),
@@ -147,6 +148,9 @@
             EL_FN ("failures", follow->failures),
             EL_FN ("revision", follow->revision));
   follow->failures = 0;
+  if (follow->doubt)
+    follow->options.blame (follow->options.arg);
+  follow->doubt = 0;
 }
 
 static void
@@ -239,7 +243,7 @@
 }
 
 /* Another host has told. When it could not, or what it knows is old, the store
-   is asked for a while. */
+   is asked: if it answers, the other host is at fault. */
 static void
 news_told (void *arg, const gt_news_t *news)
 {
@@ -249,10 +253,11 @@
 
   if (!news || news->as_of + NEWS_OLD < now)
     {
-      follow->alone_until = now + ALONE;
+      follow->doubt = 1;
       follow_next (follow, 0);
       return;
     }
+  follow_works (follow);
   if (news->whole)
     {
       follow->reading++;
@@ -273,10 +278,8 @@
 follow_ask (gt_follow_t *follow)
 {
   gt_follow_options_t *o = &follow->options;
-  el_time_t now = net_clock_now (o->store->clock);
 
-  return o->ask && follow->whole && !follow->failures
-         && now >= follow->alone_until
+  return o->ask && follow->whole && !follow->doubt
          && o->ask (o->arg, follow->revision, news_told, follow);
 }
 
@@ -286,8 +289,9 @@
 {
   gt_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
-  uint64_t wait = follow->failures ? MISSED_WAIT_MS : o->wait_ms;
-  el_time_t limit = follow->failures ? MISSED_LIMIT : CALL_LIMIT;
+  int missed = follow->failures || follow->doubt;
+  uint64_t wait = missed ? MISSED_WAIT_MS : o->wait_ms;
+  el_time_t limit = missed ? MISSED_LIMIT : CALL_LIMIT;
 
   o->store->dialect->watch (&path, o->prefix, follow->revision, wait);
   follow->call = gt_store_call (o->store, "GET", &path, NULL,
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -210,6 +210,19 @@
     target->avoid_until = now + BUSY_AVOID;
 }
 
+/** It reported at AT how it does; gives 0 when something newer is known. */
+int
+rt_target_told (rt_target_t *target, const rt_load_t *load, el_time_t at)
+{
+  if (at <= target->told)
+    return 0;
+  target->told = at;
+  target->fill = load->fill;
+  target->pace = load->pace;
+  target->held_then = target->held;
+  return 1;
+}
+
 /** It answered after TOOK. */
 void
 rt_target_served (rt_target_t *target, el_time_t took)
--- a/route/line.c
+++ b/route/line.c
@@ -27,10 +27,19 @@
 #define FILL_COST 0.5
 #define FILL_KNEE 0.75
 #define FILL_STEEP 40.0
+/* What an engine reported of its memory counts for this long. */
+#define TOLD_HOLD (4 * EL_SEC)
 /* Share of chance in the cost, so that hosts do not all choose the same. */
 #define CHANCE 0.15
 /* What a part costs that already holds the stream's tokens. */
 #define KEPT_COST 0.3
+/* A millisecond that others wait to be read in a part weighs this much of one
+   of a token's time: a first event that is late is late once and for all, but
+   a stream is read in one of its line's ten parts or so at a time. */
+#define WAIT_WEIGHT 0.02
+/* An engine that was asked for a sign of life answers sooner than this; one
+   that did not is passed by where there is another. */
+#define ASKED_DOUBT (10 * EL_MSEC)
 
 typedef struct line_node
 {
@@ -44,15 +53,26 @@
 {
   rt_target_t *target;
   unsigned hall;
-  double layer_ms;
+  double layer_ms; /* of a token step */
+  double fill;     /* of its memory, with the stream */
+  double wait_ms;  /* until what waits there is read */
 } line_candidate_t;
 
+/* Which engines a search may take. */
+typedef enum line_trust
+{
+  TRUST_SURE,   /* nothing speaks against them */
+  TRUST_USABLE, /* those whose sign of life is awaited, too */
+  TRUST_ANY     /* those that are set aside, too */
+} line_trust_t;
+
 typedef struct line_search
 {
   const rt_line_t *old;     /* its parts are cheaper */
   const rt_target_t *first; /* runs the first part, and no other */
-  int any;                  /* those that are set aside, too */
-  double tokens;            /* of the stream */
+  line_trust_t trust;
+  el_time_t now;
+  double tokens; /* of the stream */
   unsigned layers;
   el_str_t halls[HALLS_MAX];
   unsigned nhalls;
@@ -116,8 +136,9 @@
   return 1 + CHANCE * (double)(mixed % 1000) / 1000;
 }
 
-/* How full the engine's memory beside its layers would be with the stream, if
-   the other hosts send to it what this one does. */
+/* How full the engine's memory beside its layers would be with the stream. It
+   is taken from the engine's own report, if that is fresh, and from what this
+   host sent since then, as the other hosts are taken to do the same. */
 static double
 search_fill (const line_search_t *search, const rt_fleet_t *fleet,
              const rt_model_t *model, const rt_card_t *card,
@@ -126,10 +147,16 @@
   double layers = target->facts.end - target->facts.first;
   double room = (card->memory_mb - layers * model->layer_mb)
                 / model->token_kv_mb * (double)model->layers;
-  double held
-      = target->held * rt_fleet_hosts (fleet) + search->tokens * layers;
+  int told = target->told && search->now < target->told + TOLD_HOLD;
+  double since = told ? target->held - target->held_then : target->held;
+  double fill;
 
-  return room > 0 ? held / room : 1;
+  if (room <= 0)
+    return 1;
+  fill = since * rt_fleet_hosts (fleet) / room;
+  if (told)
+    fill += target->fill;
+  return (fill > 0 ? fill : 0) + search->tokens * layers / room;
 }
 
 static double
@@ -145,22 +172,35 @@
             const rt_model_t *model, rt_target_t *target, uint64_t draw)
 {
   const rt_card_t *card = rt_model_card (model, target->facts.card);
+  double pace = target->pace > 1 ? target->pace : 1;
   line_candidate_t *c;
 
   if (!card || search->ncandidates == CANDIDATES_MAX)
     return;
   c = &search->candidates[search->ncandidates++];
   c->target = target;
+  c->fill = search_fill (search, fleet, model, card, target);
   c->hall = search_hall (search, target->facts.hall);
-  c->layer_ms
-      = model->step_ms * card->step_pace / (double)model->layers
-        * (target->pace > 1 ? target->pace : 1)
-        * fill_factor (search_fill (search, fleet, model, card, target))
-        * search_chance (target, draw);
+  c->layer_ms = model->step_ms * card->step_pace / (double)model->layers * pace
+                * fill_factor (c->fill) * search_chance (target, draw);
+  c->wait_ms = target->unread * rt_fleet_hosts (fleet) * model->read_ms
+               * card->read_pace / (double)model->layers * pace;
   search->cut[target->facts.first] = 1;
   search->cut[target->facts.end] = 1;
 }
 
+static int
+search_takes (const line_search_t *search, const rt_target_t *target,
+              el_time_t now)
+{
+  if (search->trust == TRUST_ANY)
+    return !target->gone && !target->facts.leaving;
+  if (!rt_target_usable (target, now))
+    return 0;
+  return search->trust == TRUST_USABLE || !target->asked
+         || now < target->asked + ASKED_DOUBT;
+}
+
 static void
 search_open (line_search_t *search, rt_fleet_t *fleet, el_time_t now,
              const rt_service_t *service, const rt_tried_t *tried)
@@ -171,33 +211,43 @@
   unsigned h;
 
   search->layers = model->layers;
+  search->now = now;
   for (target = rt_fleet_first (fleet); target; target = target->hh.next)
     if (el_str_eq (target->facts.service, service->name)
         && target->facts.end > target->facts.first
         && target->facts.end <= model->layers
-        && (search->any ? !target->gone && !target->facts.leaving
-                        : rt_target_usable (target, now))
-        && !rt_tried_has (tried, target))
+        && search_takes (search, target, now) && !rt_tried_has (tried, target))
       search_add (search, fleet, model, target, now);
   for (at = 0; at <= search->layers; at++)
     for (h = 0; h < search->nhalls; h++)
       search->node[at][h].cost = DBL_MAX;
 }
 
-/* What the stream's tokens cost that the part already holds. */
+/* Whether LINE has that part; NULL has none. */
+static const struct rt_part *
+line_part (const rt_line_t *line, const rt_target_t *target, unsigned from,
+           unsigned to)
+{
+  size_t i;
+
+  for (i = 0; line && i < line->n; i++)
+    if (line->part[i].target == target && line->part[i].from == from
+        && line->part[i].to == to)
+      return &line->part[i];
+  return NULL;
+}
+
+/* What the layers from FROM to TO cost at C. A part that already holds the
+   stream's tokens does not read them. */
 static double
-search_kept (const line_search_t *search, const line_candidate_t *c,
+search_part (const line_search_t *search, const line_candidate_t *c,
              unsigned from, unsigned to)
 {
-  size_t i;
+  double step = (to - from) * c->layer_ms;
 
-  if (!search->old)
-    return 1;
-  for (i = 0; i < search->old->n; i++)
-    if (search->old->part[i].target == c->target
-        && search->old->part[i].from == from && search->old->part[i].to == to)
-      return KEPT_COST;
-  return 1;
+  if (line_part (search->old, c->target, from, to))
+    return step * KEPT_COST;
+  return step + WAIT_WEIGHT * c->wait_ms;
 }
 
 static void
@@ -213,8 +263,7 @@
   for (to = at + 1; to <= facts->end; to++)
     {
       line_node_t *node = &search->node[to][c->hall];
-      double cost
-          = before + (to - at) * c->layer_ms * search_kept (search, c, at, to);
+      double cost = before + search_part (search, c, at, to);
 
       if (!search->cut[to] || cost >= node->cost)
         continue;
@@ -278,7 +327,11 @@
 
       if (n == RT_LINE_MAX)
         return 0;
-      back[n++] = (struct rt_part){ node->by->target, node->from, at };
+      if (node->by->fill > out->fill)
+        out->fill = node->by->fill;
+      back[n++] = (struct rt_part){ .target = node->by->target,
+                                    .from = node->from,
+                                    .to = at };
       at = node->from;
       best = node->from_hall;
     }
@@ -346,42 +399,37 @@
               rt_line_t *out)
 {
   line_search_t *search;
+  line_trust_t trust;
   int found = 0;
-  int any;
 
-  for (any = 0; any < 2 && !found; any++)
+  for (trust = TRUST_SURE; trust <= TRUST_ANY && !found; trust++)
     {
       search = el_alloc (sizeof *search);
       memset (out, 0, sizeof *out);
       out->tokens = tokens;
       search->tokens = tokens;
-      search->any = any;
+      search->trust = trust;
       found = line_search (search, fleet, now, service, hall, tried, out);
       free (search);
     }
   return found;
 }
 
-/** A line that begins as OLD does and goes around the engines in TRIED; parts
-    of OLD that can stay are kept. Gives 0 when there is none. */
-int
-rt_line_around (rt_fleet_t *fleet, el_time_t now, const rt_service_t *service,
-                const rt_line_t *old, const rt_tried_t *tried, rt_line_t *out)
+/* Search a line that begins as SEARCH's old one does. */
+static int
+line_search_around (line_search_t *search, rt_fleet_t *fleet, el_time_t now,
+                    const rt_service_t *service, const rt_tried_t *tried,
+                    rt_line_t *out)
 {
+  const rt_line_t *old = search->old;
   const struct rt_part *first = &old->part[0];
-  line_search_t *search;
   unsigned start;
-  int found;
   size_t i;
 
   memset (out, 0, sizeof *out);
-  if (old->n < 2 || rt_tried_has (tried, first->target))
-    return 0;
-  search = el_alloc (sizeof *search);
-  search->old = old;
+  out->tokens = old->tokens;
   search->first = first->target;
   search->tokens = old->tokens;
-  out->tokens = old->tokens;
   start = search_hall (search, first->target->facts.hall);
   search_open (search, fleet, now, service, tried);
   for (i = 0; i < old->n; i++)
@@ -390,8 +438,30 @@
   out->n = 1;
   search->node[first->to][start].cost = 0;
   search_run (search, first->to);
-  found = line_found (search, first->to, out);
-  free (search);
+  return line_found (search, first->to, out);
+}
+
+/** A line that begins as OLD does and goes around the engines in TRIED; parts
+    of OLD that can stay are kept. Gives 0 when there is none. */
+int
+rt_line_around (rt_fleet_t *fleet, el_time_t now, const rt_service_t *service,
+                const rt_line_t *old, const rt_tried_t *tried, rt_line_t *out)
+{
+  line_search_t *search;
+  line_trust_t trust;
+  int found = 0;
+
+  out->n = 0;
+  if (old->n < 2 || rt_tried_has (tried, old->part[0].target))
+    return 0;
+  for (trust = TRUST_SURE; trust <= TRUST_USABLE && !found; trust++)
+    {
+      search = el_alloc (sizeof *search);
+      search->old = old;
+      search->trust = trust;
+      found = line_search_around (search, fleet, now, service, tried, out);
+      free (search);
+    }
   return found;
 }
 
@@ -421,22 +491,77 @@
 }
 
 static double
-part_held (const rt_line_t *line, size_t i)
+part_layers (const struct rt_part *part)
+{
+  return part->to - part->from;
+}
+
+/** The line is in use: its engines stay in memory and count as loaded. UNREAD
+    tokens are to be read by each part, but for those that OLD has, too: they
+    go on with what they have. OLD may be NULL. */
+void
+rt_line_hold (rt_line_t *line, const rt_line_t *old, double unread)
+{
+  size_t i;
+
+  line->reading = 1;
+  for (i = 0; i < line->n; i++)
+    {
+      struct rt_part *part = &line->part[i];
+      const struct rt_part *kept
+          = line_part (old, part->target, part->from, part->to);
+
+      part->unread = kept ? kept->unread : unread;
+      rt_target_ref (part->target)->lines++;
+      part->target->held += line->tokens * part_layers (part);
+      part->target->unread += part->unread * part_layers (part);
+    }
+}
+
+/* All parts have read what there was. */
+static void
+line_read (rt_line_t *line)
 {
-  return line->tokens * (line->part[i].to - line->part[i].from);
+  size_t i;
+
+  for (i = 0; line->reading && i < line->n; i++)
+    {
+      struct rt_part *part = &line->part[i];
+
+      part->target->unread -= part->unread * part_layers (part);
+      part->unread = 0;
+    }
+  line->reading = 0;
 }
 
-/** The line is in use: its engines stay in memory and count as loaded. */
+/** An event came at NOW: all parts live and have read what there was. */
 void
-rt_line_hold (rt_line_t *line)
+rt_line_event (rt_line_t *line, el_time_t now)
 {
   size_t i;
 
+  line_read (line);
+  for (i = 0; i < line->n; i++)
+    line->part[i].target->alive = now;
+}
+
+/** The engine of LINE that this host gave most to hold, of those that are not
+    in OLD; NULL without any. */
+rt_target_t *
+rt_line_fullest (const rt_line_t *line, const rt_line_t *old)
+{
+  rt_target_t *fullest = NULL;
+  size_t i;
+
   for (i = 0; i < line->n; i++)
     {
-      rt_target_ref (line->part[i].target)->lines++;
-      line->part[i].target->held += part_held (line, i);
+      rt_target_t *target = line->part[i].target;
+
+      if (!rt_line_has (old, target)
+          && (!fullest || target->held > fullest->held))
+        fullest = target;
     }
+  return fullest;
 }
 
 /** The line is no longer in use. */
@@ -445,11 +570,14 @@
 {
   size_t i;
 
+  line_read (line);
   for (i = 0; i < line->n; i++)
     {
-      line->part[i].target->lines--;
-      line->part[i].target->held -= part_held (line, i);
-      rt_target_unref (line->part[i].target);
+      struct rt_part *part = &line->part[i];
+
+      part->target->lines--;
+      part->target->held -= line->tokens * part_layers (part);
+      rt_target_unref (part->target);
     }
   line->n = 0;
 }
--- a/route/relay.h
+++ b/route/relay.h
@@ -58,6 +58,7 @@
   el_str_t name;
   double memory_mb;
   double step_pace; /**< factor on the time of a token step */
+  double read_pace; /**< factor on the time of reading a prompt */
 } rt_card_t;
 
 /** How the engines of a service run its model. */
@@ -66,6 +67,7 @@
   unsigned layers;     /**< 0: no engine holds a part of a model */
   double layer_mb;     /**< weights of one layer */
   double step_ms;      /**< a token through all layers, pace 1 */
+  double read_ms;      /**< reading a prompt's token in all layers, pace 1 */
   double token_kv_mb;  /**< memory of one token in all layers */
   double usual_tokens; /**< prompt and answer of a usual request */
   rt_card_t *cards;
@@ -133,6 +135,13 @@
   unsigned end;   /**< first layer after those held */
 } rt_facts_t;
 
+/** How an engine does, as it reports itself. */
+typedef struct rt_load
+{
+  double fill; /**< share of its memory beside the layers in use */
+  double pace; /**< how much slower than its kind it runs */
+} rt_load_t;
+
 /** An endpoint as one host knows it. */
 typedef struct rt_target
 {
@@ -143,9 +152,17 @@
   unsigned lines;        /**< streams of this host through it */
   unsigned failures;     /**< in a row */
   double held;           /**< tokens times layers of this host's streams */
+  double unread;         /**< of these, those still to be read */
+  el_time_t alive;       /**< when a stream through it had its last event */
   double pace;           /**< how much slower than its kind it runs; 0 is not
                               known, as 1 */
+  double fill;           /**< share of its memory beside the layers in use, as
+                              it was told at TOLD */
+  double held_then;      /**< what this host's streams held then */
+  el_time_t told;        /**< 0 is never */
   int suspect;           /**< it did not answer when it was asked */
+  el_time_t asked;       /**< for a sign of life that has not come yet; 0:
+                              none is awaited */
   el_time_t avoid_until; /**< set aside after failures */
   double usual_ms;       /**< moving mean of its answers' times */
   UT_hash_handle hh;
@@ -168,6 +185,7 @@
 void rt_target_failed (rt_target_t *target, el_time_t now);
 void rt_target_changed (rt_target_t *target, el_time_t now);
 void rt_target_busy (rt_target_t *target, el_time_t now);
+int rt_target_told (rt_target_t *target, const rt_load_t *load, el_time_t at);
 void rt_target_served (rt_target_t *target, el_time_t took);
 
 /** Most endpoints that one request leaves out. */
@@ -198,9 +216,13 @@
     rt_target_t *target;
     unsigned from; /**< first layer that it runs */
     unsigned to;   /**< first layer after those */
+    double unread; /**< tokens that it has yet to read */
   } part[RT_LINE_MAX];
   size_t n;
   double tokens; /**< that the stream has room for */
+  int reading;   /**< some part has tokens to read */
+  double fill;   /**< how full the fullest engine's memory would be with it, as
+                      far as is known */
 } rt_line_t;
 
 int rt_line_valid (const rt_line_t *line, unsigned layers);
@@ -212,7 +234,9 @@
                     const rt_tried_t *tried, rt_line_t *out);
 int rt_line_has (const rt_line_t *line, const rt_target_t *target);
 int rt_line_crosses (const rt_line_t *line);
-void rt_line_hold (rt_line_t *line);
+void rt_line_hold (rt_line_t *line, const rt_line_t *old, double unread);
+void rt_line_event (rt_line_t *line, el_time_t now);
+rt_target_t *rt_line_fullest (const rt_line_t *line, const rt_line_t *old);
 void rt_line_release (rt_line_t *line);
 
 /* Placing of layers. */
--- a/tests/mbr_net.c
+++ b/tests/mbr_net.c
@@ -223,6 +223,36 @@
     msg_send (&msg, NULL);
 }
 
+static void
+host_sync (void *arg, el_str_t address)
+{
+  net_host_t *host = arg;
+
+  host->sync = host_at (host->net, address);
+}
+
+static void
+sync_visit (void *arg, const co_member_t *member)
+{
+  net_host_t *host = arg;
+
+  if (member->state <= CO_MBR_SUSPECT)
+    co_members_take (host->members, host->net->now, member);
+}
+
+/* The host that was asked for all members answers, if it can. */
+static void
+host_synced (net_host_t *host)
+{
+  net_host_t *other = host->sync;
+  const net_t *net = host->net;
+
+  host->sync = NULL;
+  if (other && !other->down && !other->paused
+      && (!net->link || (net->link (host, other) && net->link (other, host))))
+    co_members_visit (other->members, sync_visit, host);
+}
+
 static void
 host_changed (void *arg, const co_member_t *member)
 {
@@ -247,6 +277,7 @@
                                    .forget = FORGET,
                                    .leaving_hold = HOLD,
                                    .probe = host_probe,
+                                   .sync = host_sync,
                                    .changed = host_changed,
                                    .leaving = host_leaving,
                                    .arg = host };
@@ -263,6 +294,7 @@
   options.self.peer = el_str (host->address);
   options.self.http = options.self.peer;
   options.self.hall = el_str (host->hall);
+  options.self.capacity = (size_t)(host - net->hosts) / 3 * 4;
   for (i = 0; i < net->seeds; i++)
     el_buf_printf (&seeds, "10.0.%zu.%zu:1,", i / 250, i % 250);
   options.seeds = el_buf_str (&seeds);
@@ -329,9 +361,12 @@
     {
       el_timers_run (&net->timers, net->now);
       for (i = 0; i < net->n; i++)
-        if (!net->hosts[i].down && !net->hosts[i].paused
-            && co_members_next (net->hosts[i].members) <= net->now)
-          co_members_tick (net->hosts[i].members, net->now);
+        if (!net->hosts[i].down && !net->hosts[i].paused)
+          {
+            host_synced (&net->hosts[i]);
+            if (co_members_next (net->hosts[i].members) <= net->now)
+              co_members_tick (net->hosts[i].members, net->now);
+          }
       net->now += 5 * EL_MSEC;
     }
 }
--- a/tests/mbr_net.h
+++ b/tests/mbr_net.h
@@ -16,7 +16,9 @@
 
 typedef struct net net_t;
 
-typedef struct net_host
+typedef struct net_host net_host_t;
+
+struct net_host
 {
   net_t *net;
   co_members_t *members;
@@ -29,7 +31,8 @@
   unsigned leaving;  /* signs heard */
   uint64_t bytes;    /* of the messages sent */
   uint64_t revision; /* of the configuration, fetched when heard of */
-} net_host_t;
+  net_host_t *sync;  /* asked for all members; answers at the next step */
+};
 
 struct net
 {
--- a/tests/site.c
+++ b/tests/site.c
@@ -66,7 +66,8 @@
   out->address[strlen (out->address) - 1] = digit;
 }
 
-static void
+/** Start a host; it may not have its configuration yet. */
+void
 site_host_start (size_t i)
 {
   proc_t peer;
--- a/tests/site.h
+++ b/tests/site.h
@@ -36,6 +36,7 @@
 void site_open (size_t nhosts);
 void site_teardown (void);
 void site_engine_start (size_t i);
+void site_host_start (size_t i);
 void site_config (int version, const char *keys);
 void site_placed_wait (void);
 void site_mute (int on);
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -29,6 +29,17 @@
 START_TEST (test_members_find_each_other) { net_free (net_settled (_i)); }
 END_TEST
 
+/* All hosts of a site start at once: each soon knows how many there are. */
+START_TEST (test_members_that_start_together_know_each_other_soon)
+{
+  net_t *net = net_new ((uint64_t)_i + 1, 64, 3);
+
+  net_run (net, net->now + 1500 * EL_MSEC);
+  ck_assert_msg (net_agrees (net, 64), "seed %d", _i);
+  net_free (net);
+}
+END_TEST
+
 START_TEST (test_members_dead_host_is_found_by_all)
 {
   net_t *net = net_settled (_i);
@@ -186,6 +197,38 @@
 }
 END_TEST
 
+static int
+skip_member (void *arg, const co_member_t *member)
+{
+  return arg && co_incarnation_eq (arg, &member->incarnation);
+}
+
+/* All hosts of a hall find the same first one, the largest; without it the
+   next one; and none that ends. */
+START_TEST (test_members_first_of_a_hall_is_the_largest)
+{
+  net_t *net = net_settled (_i);
+  const co_member_t *first;
+  const co_member_t *next;
+  size_t i;
+
+  for (i = 3; i < HOSTS; i += 3)
+    {
+      first = co_members_first (net->hosts[i].members, skip_member, NULL);
+      ck_assert (co_incarnation_eq (
+          &first->incarnation,
+          &co_members_first (net->hosts[0].members, skip_member, NULL)
+               ->incarnation));
+      next = co_members_first (net->hosts[i].members, skip_member,
+                               (void *)(uintptr_t)&first->incarnation);
+      ck_assert (!co_incarnation_eq (&first->incarnation, &next->incarnation));
+      ck_assert (co_member_before (first, next));
+    }
+  ck_assert_uint_eq (first->capacity, 8); /* the last host of the hall */
+  net_free (net);
+}
+END_TEST
+
 START_TEST (test_members_few_are_chosen_in_each_hall)
 {
   net_t *net = net_settled (_i);
@@ -207,6 +250,8 @@
 
   tcase_set_timeout (tcase, 60);
   ADD_LOOP (tcase, test_members_find_each_other, SEEDS);
+  ADD_LOOP (tcase, test_members_that_start_together_know_each_other_soon,
+            SEEDS);
   ADD_LOOP (tcase, test_members_dead_host_is_found_by_all, SEEDS);
   ADD_LOOP (tcase, test_members_one_way_loss_kills_nobody, SEEDS);
   ADD_LOOP (tcase, test_members_hall_cut_off_goes_on_and_meets_again, SEEDS);
@@ -215,6 +260,7 @@
   ADD_LOOP (tcase, test_members_leaving_sign_reaches_all, SEEDS);
   ADD_LOOP (tcase, test_members_draining_and_left_are_told, SEEDS);
   ADD (tcase, test_members_cost_is_constant);
+  ADD_LOOP (tcase, test_members_first_of_a_hall_is_the_largest, SEEDS);
   ADD_LOOP (tcase, test_members_few_are_chosen_in_each_hall, SEEDS);
   suite_add_tcase (suite, tcase);
   return suite;
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -19,9 +19,9 @@
 #define SEEDS 200
 
 static rt_card_t cards[] = {
-  { { "large", 5 }, 36000, 3.1 },
-  { { "middle", 6 }, 21600, 16 },
-  { { "small", 5 }, 14400, 15 },
+  { { "large", 5 }, 36000, 3.1, 3.2 },
+  { { "middle", 6 }, 21600, 16, 8.2 },
+  { { "small", 5 }, 14400, 15, 15 },
 };
 
 static rt_service_t service;
@@ -34,6 +34,7 @@
                             .model = { .layers = LAYERS,
                                        .layer_mb = 1750,
                                        .step_ms = 0.85,
+                                       .read_ms = 1.0 / 252,
                                        .token_kv_mb = 0.459,
                                        .usual_tokens = 926,
                                        .cards = cards,
@@ -391,13 +392,130 @@
 }
 END_TEST
 
+/* An engine whose sign of life is awaited is passed by while there is another;
+   so is it by a stream that is moved. */
+START_TEST (test_line_doubtful_engine_is_passed_by)
+{
+  rt_target_t *a = engine ("a", "h", "small", 6, 12);
+  rt_target_t *b = engine ("b", "h", "small", 6, 12);
+  rt_target_t *c = engine ("c", "h", "small", 12, 18);
+  rt_tried_t tried = { .n = 0 };
+  rt_line_t old;
+  rt_line_t line;
+
+  engine ("f", "h", "small", 0, 6);
+  engine ("d", "h", "small", 12, 18);
+  engine ("e", "h", "large", 18, 80);
+  a->asked = NOW - 20 * EL_MSEC;
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_ptr_eq (line.part[1].target, b);
+  a->asked = NOW; /* it has hardly had time to answer */
+  b->asked = NOW - 20 * EL_MSEC;
+  ck_assert_int_eq (line_pick ("h", NULL, &old), 1);
+  ck_assert_ptr_eq (old.part[1].target, a);
+  c->asked = NOW - 20 * EL_MSEC;
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_ptr_ne (line.part[2].target, c);
+  rt_tried_add (&tried, a); /* only b is left, doubtful or not */
+  ck_assert_int_eq (rt_line_around (fleet, NOW, &service, &old, &tried, &line),
+                    1);
+  ck_assert_ptr_eq (line.part[1].target, b);
+}
+END_TEST
+
+/* What an engine reports of its memory goes before what this host alone knows;
+   what was sent since then counts for all hosts. */
+START_TEST (test_line_reported_fill_decides)
+{
+  rt_load_t full = { .fill = 0.95, .pace = 1 };
+  rt_load_t old = { .fill = 0.1, .pace = 1 };
+  rt_target_t *a = engine ("a", "h", "small", 0, 6);
+  rt_target_t *b = engine ("b", "h", "small", 0, 6);
+  rt_line_t line;
+  rt_line_t other;
+  rt_line_t full_one;
+
+  engine ("c", "h", "large", 6, 80);
+  ck_assert_int_eq (rt_target_told (a, &full, NOW), 1);
+  ck_assert_int_eq (rt_target_told (a, &old, NOW - EL_SEC), 0);
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_ptr_eq (line.part[0].target, b);
+  ck_assert (line.fill <= 1);
+  ck_assert_int_eq (rt_target_told (b, &full, NOW), 1);
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  rt_fleet_share (fleet, 20);
+  rt_line_hold (&line, NULL, 0); /* 20 hosts may do the same */
+  ck_assert_int_eq (line_pick ("h", NULL, &other), 1);
+  ck_assert_ptr_ne (other.part[0].target, line.part[0].target);
+  rt_line_hold (&other, NULL, 0);
+  ck_assert_int_eq (line_pick ("h", NULL, &full_one), 1);
+  ck_assert (full_one.fill > 1);
+  rt_line_release (&line);
+  rt_line_release (&other);
+}
+END_TEST
+
+/* Prompts that wait to be read send the next streams to a copy; the first
+   event ends that, and so does the end of the stream. */
+START_TEST (test_line_waiting_prompts_send_streams_to_a_copy)
+{
+  rt_target_t *a = engine ("a", "h", "small", 0, 6);
+  rt_target_t *b = engine ("b", "h", "small", 0, 6);
+  rt_line_t first;
+  rt_line_t line;
+
+  engine ("c", "h", "large", 6, 80);
+  rt_fleet_share (fleet, 20);
+  ck_assert_int_eq (line_pick ("h", NULL, &first), 1);
+  first.tokens = 0; /* memory does not decide here */
+  rt_line_hold (&first, NULL, 2000);
+  ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
+  ck_assert_ptr_eq (line.part[0].target, first.part[0].target == a ? b : a);
+  rt_line_event (&first, NOW);
+  ck_assert_uint_eq (first.part[0].target->alive, NOW);
+  ck_assert (first.part[0].target->unread == 0);
+  rt_line_hold (&line, NULL, 2000);
+  rt_line_release (&line);
+  ck_assert (a->unread == 0 && b->unread == 0);
+  rt_line_release (&first);
+}
+END_TEST
+
+/* A stream that is moved goes on with what the parts that stay have read. */
+START_TEST (test_line_moved_reads_only_in_new_parts)
+{
+  rt_target_t *b;
+  rt_tried_t tried = { .n = 0 };
+  rt_line_t old;
+  rt_line_t line;
+
+  engine ("f", "h", "large", 0, 10);
+  b = engine ("b", "h", "small", 10, 16);
+  engine ("c", "h", "large", 16, 80);
+  ck_assert_int_eq (line_pick ("h", NULL, &old), 1);
+  rt_line_hold (&old, NULL, 500);
+  rt_line_event (&old, NOW);
+  engine ("d", "h", "small", 10, 16);
+  rt_tried_add (&tried, b);
+  ck_assert_int_eq (rt_line_around (fleet, NOW, &service, &old, &tried, &line),
+                    1);
+  ck_assert_ptr_eq (rt_line_fullest (&line, &old), line.part[1].target);
+  rt_line_hold (&line, &old, 700);
+  ck_assert (line.part[0].unread == 0);
+  ck_assert (line.part[1].unread == 700);
+  ck_assert (line.part[2].unread == 0);
+  rt_line_release (&old);
+  rt_line_release (&line);
+}
+END_TEST
+
 START_TEST (test_line_in_use_counts_as_held)
 {
   rt_target_t *a = engine ("a", "h", "large", 0, 80);
   rt_line_t line;
 
   ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
-  rt_line_hold (&line);
+  rt_line_hold (&line, NULL, 0);
   ck_assert_uint_eq (a->lines, 1);
   ck_assert (a->held > 0);
   rt_fleet_remove (fleet, EL_STR ("a"));
@@ -633,6 +751,10 @@
   ADD (tcase, test_line_around_keeps_what_it_can);
   ADD (tcase, test_line_full_engine_is_left_to_its_copy);
   ADD (tcase, test_line_slow_engine_is_left_to_its_copy);
+  ADD (tcase, test_line_doubtful_engine_is_passed_by);
+  ADD (tcase, test_line_reported_fill_decides);
+  ADD (tcase, test_line_waiting_prompts_send_streams_to_a_copy);
+  ADD (tcase, test_line_moved_reads_only_in_new_parts);
   ADD (tcase, test_line_in_use_counts_as_held);
   ADD (tcase, test_layout_covers_every_hall_within_memory);
   ADD (tcase, test_layout_counts_orders_under_way);
--- a/tests/t_seeded.c
+++ b/tests/t_seeded.c
@@ -176,9 +176,9 @@
 } place_engine_t;
 
 static rt_card_t cards[] = {
-  { { "large", 5 }, 36000, 3.1 },
-  { { "middle", 6 }, 21600, 16 },
-  { { "small", 5 }, 14400, 15 },
+  { { "large", 5 }, 36000, 3.1, 3.2 },
+  { { "middle", 6 }, 21600, 16, 8.2 },
+  { { "small", 5 }, 14400, 15, 15 },
 };
 
 static struct
@@ -351,6 +351,7 @@
                                   .model = { .layers = LAYERS,
                                              .layer_mb = 1750,
                                              .step_ms = 0.85,
+                                             .read_ms = 1.0 / 252,
                                              .token_kv_mb = 0.459,
                                              .usual_tokens = 926,
                                              .cards = cards,
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -125,6 +125,35 @@
 }
 END_TEST
 
+/* Both engines that can be first are frozen in turn, and the rule allows two
+   attempts: the second one is not broken off, as its engine may wake. */
+START_TEST (test_stream_waits_where_it_may_not_be_sent_again)
+{
+  caller_t caller;
+  size_t first;
+  size_t second = SITE_ENGINES;
+  size_t i;
+  int step;
+
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  first = engine_first ();
+  proc_signal (&site.engines[first], SIGSTOP);
+  for (step = 0; step < WAIT_STEPS && second == SITE_ENGINES; step++)
+    for (i = 0; i < SITE_ENGINES; i++)
+      if (i != first && member_number (&site.engines[i], "runs"))
+        second = i;
+  ck_assert_uint_ne (second, SITE_ENGINES);
+  proc_signal (&site.engines[second], SIGSTOP);
+  metric_wait (&site.hosts[0], "elmarch_relay_held_total", 1);
+  proc_signal (&site.engines[second], SIGCONT);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
 /* An engine further down dies: the stream stays where it is and is moved
    around it. */
 START_TEST (test_stream_is_moved_around_a_lost_engine)
@@ -338,6 +367,30 @@
 }
 END_TEST
 
+/* A request that comes before the host knows its configuration is served once
+   it does; when the store does not answer, it is refused as not run. */
+START_TEST (test_relay_waits_for_the_first_configuration)
+{
+  caller_t caller;
+  reply_t reply;
+
+  site_open (1);
+  proc_end (&site.hosts[0], SIGKILL);
+  site_mute (1);
+  site_host_start (0);
+  ask (0, "GET", "/look/x", "r1", &reply);
+  ck_assert_int_eq (reply.status, 503);
+  reply_free (&reply);
+  stream_start (&caller, 0, "s1");
+  metric_wait (&site.hosts[0], "elmarch_relay_requests_total", 2);
+  site_mute (0);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+  ck_assert_int_eq (workers_sum ("runs"), 0);
+}
+END_TEST
+
 /* A configuration with a lower version changes nothing. */
 START_TEST (test_relay_configuration_never_goes_back)
 {
@@ -485,6 +538,7 @@
   ADD (tcase, test_relay_tells_endpoints_what_they_need);
   ADD (tcase, test_relay_passes_a_stream_on);
   ADD_LOOP (tcase, test_stream_goes_on_when_its_first_engine_is_lost, 2);
+  ADD (tcase, test_stream_waits_where_it_may_not_be_sent_again);
   ADD (tcase, test_stream_is_moved_around_a_lost_engine);
   ADD (tcase, test_stream_is_moved_around_an_engine_out_of_reach);
   ADD (tcase, test_relay_unsafe_runs_once_when_its_answer_is_lost);
@@ -494,6 +548,7 @@
   ADD (tcase, test_relay_ends_at_the_time_limit);
   ADD (tcase, test_relay_caller_that_leaves_ends_the_work);
   ADD (tcase, test_relay_key_taken_away_is_refused);
+  ADD (tcase, test_relay_waits_for_the_first_configuration);
   ADD (tcase, test_relay_configuration_never_goes_back);
   ADD (tcase, test_relay_leaving_endpoint_gets_nothing_new);
   ADD (tcase, test_planner_is_taken_over);
