Prompts read by urgency; reading counted at the pace it has between others' steps

An engine reads 512 tokens between two steps of those that write, a fourth of the pace counted so far.

Change: waiting is counted at that pace, a line leaves its hall at 100 instead of 30, prompts carry an urgency: streams that go on first, new ones next, those that a caller resumes (late in any case) last.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -27,6 +27,7 @@
   const char *resume;   /**< the last event that the caller has */
   const char *tokens;   /**< of the prompt, and most of the answer */
   const char *guess;    /**< the caller's guess of the answer's tokens */
+  const char *urgency;  /**< of reading its prompt, among others */
   const char *line;     /**< the engines that a request passes */
   const char *at_fault; /**< on a refusal: the address of the engine that
                              refused */
@@ -41,10 +42,20 @@
     the address of the engine that can't have its part, if it was named. */
 typedef void (*gt_reroute_cb) (void *arg, int done, el_str_t at_fault);
 
+/** How soon a stream's prompt should be read, among those that wait. */
+typedef enum gt_urgency
+{
+  GT_URGENT_GOING, /**< its caller has events and waits for the next */
+  GT_URGENT_NEW,   /**< its first event can still be in time */
+  GT_URGENT_LATE,  /**< the caller resumes it: it is late in any case */
+  GT_URGENCIES
+} gt_urgency_t;
+
 /** What differs between dialects. */
 typedef struct gt_relay_dialect
 {
   gt_relay_names_t names;
+  const char *urgencies[GT_URGENCIES]; /**< as the header's value */
   void (*write_line) (const rt_line_t *line, el_buf_t *out);
   /** Ask the first engine of a line which engine the stream ID waits for;
       the exchange can be cancelled. */
--- a/route/line.c
+++ b/route/line.c
@@ -20,7 +20,7 @@
 /* A token's activations cross between halls over a narrow pipe that all
    share; a whole prompt does, too. Counted so that a line stays in a hall
    while that hall has all layers. */
-#define CROSS_MS 30.0
+#define CROSS_MS 100.0
 /* An engine whose memory is full of streams costs half as much again; past
    FILL_KNEE it soon costs more than another hall, since the newest streams
    are put back when it runs out. */
@@ -36,7 +36,10 @@
 /* A millisecond that others wait to be read in a part weighs this much of one
    of a token's time: a first event that is late is late once and for all, but
    a stream is read in one of its line's ten parts or so at a time. */
-#define WAIT_WEIGHT 0.02
+#define WAIT_WEIGHT 0.01
+/* A token step takes this many times as long with the usual number of streams
+   as with one. */
+#define STEP_LOADED 1.5
 /* An engine that was asked for a sign of life answers sooner than this; one
    that did not is passed by where there is another. */
 #define ASKED_DOUBT (10 * EL_MSEC)
@@ -167,6 +170,16 @@
   return 1 + FILL_COST * fill + FILL_STEEP * over;
 }
 
+/* Reading one token in one layer, while others write between the reads. */
+static double
+search_read_ms (const rt_model_t *model, const rt_card_t *card)
+{
+  double steps = model->read_steps * model->step_ms * card->step_pace;
+
+  return (model->read_ms * card->read_pace + STEP_LOADED * steps)
+         / (double)model->layers;
+}
+
 static void
 search_add (line_search_t *search, const rt_fleet_t *fleet,
             const rt_model_t *model, rt_target_t *target, uint64_t draw)
@@ -183,8 +196,8 @@
   c->hall = search_hall (search, target->facts.hall);
   c->layer_ms = model->step_ms * card->step_pace / (double)model->layers * pace
                 * fill_factor (c->fill) * search_chance (target, draw);
-  c->wait_ms = target->unread * rt_fleet_hosts (fleet) * model->read_ms
-               * card->read_pace / (double)model->layers * pace;
+  c->wait_ms = target->unread * rt_fleet_hosts (fleet)
+               * search_read_ms (model, card) * pace;
   search->cut[target->facts.first] = 1;
   search->cut[target->facts.end] = 1;
 }
--- a/route/relay.h
+++ b/route/relay.h
@@ -68,6 +68,8 @@
   double layer_mb;     /**< weights of one layer */
   double step_ms;      /**< a token through all layers, pace 1 */
   double read_ms;      /**< reading a prompt's token in all layers, pace 1 */
+  double read_steps;   /**< token steps of others that an engine takes between
+                            two reads, for each token read */
   double token_kv_mb;  /**< memory of one token in all layers */
   double usual_tokens; /**< prompt and answer of a usual request */
   rt_card_t *cards;
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -35,6 +35,7 @@
                                        .layer_mb = 1750,
                                        .step_ms = 0.85,
                                        .read_ms = 1.0 / 252,
+                                       .read_steps = 2.0 / 512,
                                        .token_kv_mb = 0.459,
                                        .usual_tokens = 926,
                                        .cards = cards,
