A soak of relayed requests: real processes, faults by seed, promises checked

Change: soak/ starts 16 processes (4 hosts in 2 halls, 8 engines, 3 services, a store), puts a loopback proxy before the store for each host and before each endpoint, and has faults of 16 kinds strike by a schedule that the seed makes: SIGTERM, SIGKILL, SIGSTOP, all hosts at once, endpoints that leave, lose or cross answers, a store that is frozen or forgets, links that are delayed, reset, held one way or both, keys taken away, half of them while a host hears nothing. Callers keep connections and resume streams; endpoints note each run in a file. Checked: at most once, true refusals, own and whole answers, order of streams, layers, customers, keys, versions that never go back, leaving, planned stops, ends by themselves, recovery.

make check plays two seeds, make soak fifty. Clocks are not among the faults: no decision reads the time of day. Messages between hosts are not proxied.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 
 LINTED = $(filter-out tests/% gate/peer_xdr.c,$(filter %.c,$(FORMATTED)))
 
-.PHONY: all proto embed deps demo check checked red lint bench format clean install
+.PHONY: all proto embed deps demo check checked red lint bench soak format clean install
 .DEFAULT_GOAL = all
 
 deps:
@@ -58,11 +58,12 @@
 # The tests run with the address and undefined-behaviour sanitizers.
 check: deps
 	$(MAKE) -s B=build/san SAN="$(SANITIZE)" checked
-checked: $(BIN)/elmarchd $(BIN)/elmarchctl $(BIN)/standin $(BIN)/unit $(BIN)/proc
+checked: $(BIN)/elmarchd $(BIN)/elmarchctl $(BIN)/standin $(BIN)/unit $(BIN)/proc $(BIN)/soak
 	sh tests/settings.sh $(BIN)
 	$(MAKE) -s B=$(B) SAN="$(SAN)" embed
 	CK_VERBOSITY=normal $(BIN)/unit
 	CK_VERBOSITY=normal $(BIN)/proc
+	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 1 --seeds 2 --seconds 6
 # Each mechanism taken out in a scratch copy must turn its test red.
 red: deps
 	sh tests/red.sh
@@ -118,6 +119,17 @@
 $(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(LIBA)
 	$(LINK)
 $(B)/bench/%.o: INC += -Itests
+# The soak: real processes, faults by seed, promises checked from outside.
+SOAK = soak/main.c soak/plan.c soak/proxy.c soak/world.c soak/caller.c \
+       soak/check.c
+$(BIN)/soak: $(SOAK:%.c=$(B)/%.o) $(LIBA)
+	$(LINK) -lcurl -lpthread
+SOAK_SEEDS = --seed 1 --seeds 50
+soak: deps
+	$(MAKE) -s all $(BIN)/soak
+	$(BIN)/soak --bin $(BIN) --dir $(B)/soak $(SOAK_SEEDS)
+	sh soak/seeds.sh $(BIN) $(B)/soak
+
 BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
           $(BIN)/bench_route
 bench: deps
--- /dev/null
+++ b/soak/check.c
@@ -0,0 +1,383 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * The promises, held against what callers saw and what endpoints noted.
+ */
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "map.h"
+#include "soak.h"
+
+/* A key that was taken away is refused after the hosts' limit; their clocks
+   and this one's differ by less than the margin. */
+#define KEYS_LIMIT (2 * EL_SEC)
+#define KEYS_MARGIN (300 * EL_MSEC)
+/* A member that says that it leaves gets nothing new after this. */
+#define LEAVING_LIMIT (2 * EL_SEC)
+/* A fault still counts for this long after its end. */
+#define CALM_AFTER (2 * EL_SEC)
+#define LINE_MAX_BYTES 1024
+
+/* All that ran under one id. */
+typedef struct check_run
+{
+  char id[SK_ID_MAX];
+  unsigned n;
+  el_time_t last;
+  char customer[32];
+  int asked; /* a caller sent it */
+  UT_hash_handle hh;
+} check_run_t;
+
+/* One run, as its member noted it. */
+typedef struct check_note
+{
+  char member[64];
+  char id[SK_ID_MAX];
+  el_time_t at;
+} check_note_t;
+
+typedef struct check_notes
+{
+  check_note_t *list;
+  size_t len;
+} check_notes_t;
+
+static size_t broken;
+
+/** A promise does not hold for the request ID. */
+void
+sk_broken (const char *promise, const char *id, const char *fmt, ...)
+{
+  char text[256];
+  va_list args;
+
+  va_start (args, fmt);
+  vsnprintf (text, sizeof text, fmt, args);
+  va_end (args);
+  printf ("broken=%s request=%s %s\n", promise, id, text);
+  broken++;
+}
+
+/* Each layer once and in order: "ADDRESS=FROM-TO,...". */
+static void
+line_check (const char *id, const char *line)
+{
+  unsigned at = 0;
+  unsigned from;
+  unsigned to;
+  const char *part = line;
+
+  while (part && (part = strchr (part, '=')))
+    {
+      if (sscanf (part, "=%u-%u", &from, &to) != 2 || from != at || to <= from)
+        {
+          sk_broken ("layers", id, "line %s", line);
+          return;
+        }
+      at = to;
+      part = strchr (part, ',');
+    }
+  if (at != SK_LAYERS)
+    sk_broken ("layers", id, "line %s", line);
+}
+
+static check_run_t *
+run_get (check_run_t **runs, const char *id)
+{
+  check_run_t *run;
+
+  HASH_FIND_STR (*runs, id, run);
+  if (run)
+    return run;
+  run = el_alloc (sizeof *run);
+  snprintf (run->id, sizeof run->id, "%s", id);
+  HASH_ADD_STR (*runs, id, run);
+  return run;
+}
+
+/* Read what the members noted. */
+static check_run_t *
+runs_read (const sk_world_t *world, check_notes_t *notes)
+{
+  check_run_t *runs = NULL;
+  check_run_t *run;
+  char path[300];
+  char text[LINE_MAX_BYTES];
+  char id[SK_ID_MAX];
+  char member[64];
+  char customer[32];
+  char line[LINE_MAX_BYTES];
+  uint64_t at;
+  check_note_t *note;
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/runs", world->dir);
+  file = fopen (path, "r");
+  while (file && fgets (text, sizeof text, file))
+    {
+      if (sscanf (text, "%" SCNu64 " %31s %63s %31s %1023s", &at, id, member,
+                  customer, line)
+          != 5)
+        continue;
+      notes->list = el_grow (notes->list, notes->len + 1, sizeof *notes->list);
+      note = &notes->list[notes->len++];
+      note->at = at;
+      memcpy (note->id, id, sizeof note->id);
+      memcpy (note->member, member, sizeof note->member);
+      run = run_get (&runs, id);
+      run->n++;
+      run->last = at;
+      snprintf (run->customer, sizeof run->customer, "%s", customer);
+      if (strcmp (line, "-") != 0)
+        line_check (id, line);
+    }
+  if (file)
+    fclose (file);
+  return runs;
+}
+
+static int
+is_refusal (long status)
+{
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+/* Keys: one that was taken away runs nothing after the limit, one that is in
+   force is not denied after it. */
+static void
+key_check (const sk_request_t *request, const check_run_t *run)
+{
+  int settled
+      = !request->changed_at
+        || request->sent > request->changed_at + KEYS_LIMIT + KEYS_MARGIN;
+
+  if (request->old && request->changed_at && settled && run)
+    sk_broken ("keys", request->id, "ran %" PRIu64 " us after its key went",
+               request->sent - request->changed_at);
+  if (!request->old && request->status == 401
+      && (request->generation == 0 || (request->changed_at && settled)))
+    sk_broken ("denied", request->id, "a key that is in force");
+}
+
+static void
+request_check (const sk_request_t *request, check_run_t *run)
+{
+  const char *id = request->id;
+  char customer[32];
+
+  key_check (request, run);
+
+  if (run)
+    {
+      run->asked = 1;
+      snprintf (customer, sizeof customer, "customer-%u", request->key);
+      if (strcmp (run->customer, customer) != 0)
+        sk_broken ("customer", id, "ran for %s", run->customer);
+    }
+  if (request->kind == SK_UNSAFE && run && run->n > 1)
+    sk_broken ("at most once", id, "ran %u times", run->n);
+  if (is_refusal (request->status) && run)
+    sk_broken ("not run is true", id, "status %ld, ran %u times",
+               request->status, run->n);
+  if (request->status == 200 && request->whole
+      && (!request->seal || !request->own))
+    sk_broken ("own answer", id, "seal %d, own %d", request->seal,
+               request->own);
+  if (request->disorder)
+    sk_broken ("stream order", id, "from %u to %u", request->resumed,
+               request->events);
+  if (request->kind == SK_STREAM && request->status == 200 && request->whole
+      && request->events != SK_EVENTS)
+    sk_broken ("whole stream", id, "ended after %u", request->events);
+  if (request->status == 404 || request->status == 403)
+    sk_broken ("denied", id, "status %ld", request->status);
+}
+
+/* How often each outcome was seen. */
+static void
+seen_print (const sk_seen_t *seen)
+{
+  unsigned served = 0;
+  unsigned refused = 0;
+  unsigned other = 0;
+  size_t i;
+
+  for (i = 0; i < seen->len; i++)
+    {
+      const sk_request_t *request = &seen->list[i];
+
+      if (request->status == 200 && request->whole)
+        served++;
+      else if (is_refusal (request->status))
+        refused++;
+      else
+        other++;
+    }
+  printf ("requests=%zu served=%u refused=%u other=%u ", seen->len, served,
+          refused, other);
+}
+
+/* Whether a fault keeps hosts from hearing of the store. */
+static int
+is_news_fault (const sk_fault_t *fault)
+{
+  switch (fault->kind)
+    {
+    case SK_HOST_TERM:
+    case SK_HOST_KILL:
+    case SK_HOST_PAUSE:
+    case SK_HOSTS_KILL:
+    case SK_STORE_PAUSE:
+    case SK_STORE_FORGET:
+      return 1;
+    case SK_LINK_DELAY:
+    case SK_LINK_RESET:
+    case SK_LINK_CUT:
+    case SK_LINK_SILENT:
+      return fault->which < SK_HOSTS;
+    default:
+      return 0;
+    }
+}
+
+static int
+is_fault (const sk_fault_t *fault)
+{
+  (void)fault;
+  return 1;
+}
+
+/* Whether no other fault of that sort struck around a time. */
+static int
+calm_around (const sk_fault_t *faults, size_t n, const sk_fault_t *except,
+             el_time_t from, el_time_t to,
+             int (*counts) (const sk_fault_t *fault))
+{
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    if (&faults[i] != except && counts (&faults[i]) && faults[i].at < to
+        && faults[i].at + faults[i].lasts + CALM_AFTER > from)
+      return 0;
+  return 1;
+}
+
+/* A host that has refused a key that was taken away does not take it again as
+   long as its process lives. */
+static void
+keys_never_back (const sk_seen_t *seen)
+{
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < seen->len; i++)
+    for (k = 0;
+         seen->list[i].old && seen->list[i].status == 401 && k < seen->len;
+         k++)
+      {
+        const sk_request_t *before = &seen->list[i];
+        const sk_request_t *after = &seen->list[k];
+
+        if (after->old && after->status == 200 && after->key == before->key
+            && after->generation == before->generation
+            && after->host == before->host && after->boot == before->boot
+            && after->sent > before->done)
+          sk_broken ("configuration", after->id, "taken after %s was denied",
+                     before->id);
+      }
+}
+
+/* A member that has said that it leaves gets nothing new, if nothing else was
+   wrong meanwhile. */
+static void
+leaving_check (const check_notes_t *notes, const sk_fault_t *faults,
+               size_t nfaults, el_time_t begun)
+{
+  size_t f;
+  size_t i;
+
+  for (f = 0; f < nfaults; f++)
+    {
+      const sk_fault_t *leave = &faults[f];
+
+      if (leave->kind != SK_MEMBER_LEAVE
+          || !calm_around (faults, nfaults, leave, leave->at,
+                           leave->at + leave->lasts, is_news_fault))
+        continue;
+      for (i = 0; i < notes->len; i++)
+        if (strcmp (notes->list[i].member, leave->member) == 0
+            && notes->list[i].at > begun + leave->at + LEAVING_LIMIT)
+          sk_broken ("leaving", notes->list[i].id, "ran at %s, which leaves",
+                     leave->member);
+    }
+}
+
+/* Requests around a planned stop, and nothing else, end with an answer. */
+static void
+stops_check (const sk_seen_t *seen, const sk_fault_t *faults, size_t nfaults,
+             el_time_t begun)
+{
+  size_t f;
+  size_t i;
+
+  for (f = 0; f < nfaults; f++)
+    {
+      const sk_fault_t *stop = &faults[f];
+
+      if (stop->kind != SK_HOST_TERM
+          || !calm_around (faults, nfaults, stop, stop->at,
+                           stop->at + 4 * EL_SEC, is_fault))
+        continue;
+      for (i = 0; i < seen->len; i++)
+        {
+          const sk_request_t *r = &seen->list[i];
+
+          if (r->host == stop->which && r->sent < begun + stop->at
+              && r->done > begun + stop->at && !r->whole && r->status)
+            sk_broken ("planned stop", r->id, "cut after %u events",
+                       r->events);
+        }
+    }
+}
+
+/** Check all promises; gives how many times one is broken. */
+size_t
+sk_check (const sk_world_t *world, const sk_seen_t *seen,
+          const sk_fault_t *faults, size_t nfaults, el_time_t begun)
+{
+  check_notes_t notes = { NULL, 0 };
+  check_run_t *runs = runs_read (world, &notes);
+  check_run_t *run;
+  check_run_t *next;
+  size_t n;
+  size_t i;
+
+  for (i = 0; i < seen->len; i++)
+    {
+      HASH_FIND_STR (runs, seen->list[i].id, run);
+      request_check (&seen->list[i], run);
+    }
+  keys_never_back (seen);
+  stops_check (seen, faults, nfaults, begun);
+  leaving_check (&notes, faults, nfaults, begun);
+  free (notes.list);
+  seen_print (seen);
+  printf ("ran=%u ", HASH_COUNT (runs));
+  HASH_ITER (hh, runs, run, next)
+  {
+    if (!run->asked)
+      sk_broken ("asked", run->id, "nobody sent it");
+    HASH_DEL (runs, run);
+    free (run);
+  }
+  n = broken;
+  broken = 0;
+  return n;
+}
--- a/standin/main.c
+++ b/standin/main.c
@@ -50,6 +50,10 @@
   { "hall", EL_SET_STRING, AT (hall), "h", 1, 32, 0, "NAME", "of a member" },
   { "card", EL_SET_STRING, AT (card), "", 0, 32, 0, "NAME",
     "accelerator of a member that is an engine" },
+  { "announce", EL_SET_STRING, AT (announce), "", 0, 21, 0, "IP:PORT",
+    "the address that a member enters, in place of its own" },
+  { "record", EL_SET_STRING, AT (record), "", 0, 255, 0, "FILE",
+    "where a member notes each request that it runs" },
 };
 
 typedef struct later
--- a/standin/member.c
+++ b/standin/member.c
@@ -8,11 +8,15 @@
  * plain service. Faults are those of the stand-ins; POST /stall {"at":
  * ADDRESS} has its streams stand still for that engine until they are moved
  * around it. GET /runs tells what ran, GET /seen the last request's headers.
+ * With --record each run is noted, before it begins, as a line of a file that
+ * outlives the process: "MICROSECONDS ID MEMBER CUSTOMER LINE RESUMED".
  */
+#include <fcntl.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "libgate.h"
 #include "standin.h"
@@ -49,6 +53,7 @@
   uint64_t gone; /* callers that left while a request ran */
   json_t *seen;
   int leaving;
+  int record; /* descriptor; -1 is none */
   char id[64];
 } member_t;
 
@@ -67,8 +72,9 @@
 member_enter (member_t *member)
 {
   const sn_settings_t *set = &member->process->set;
+  const char *address = set->announce[0] ? set->announce : set->listen;
   json_t *json = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:I}", "Service",
-                            set->service, "Address", set->listen, "Zone",
+                            set->service, "Address", address, "Zone",
                             set->hall, "Version", "v1", "Slots", 64, "State",
                             member->leaving ? "draining" : "ready", "SeqNo",
                             (json_int_t)member->orders);
@@ -103,10 +109,42 @@
   member->client = net_client_new (&process->clock);
   snprintf (member->id, sizeof member->id, "%s-%" PRIx64, process->set.name,
             uv_hrtime ());
+  member->record = -1;
+  if (process->set.record[0])
+    member->record = open (process->set.record,
+                           O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
   process->state = member;
   member_enter (member);
 }
 
+static el_str_t
+or_dash (el_str_t text)
+{
+  return text.len ? text : EL_STR ("-");
+}
+
+/* Note a run; the line is written whole, so that several members may share
+   the file. */
+static void
+member_record (const member_t *member, const h2o_req_t *req)
+{
+  el_str_t id = or_dash (net_req_header (req, "x-elmarch-request-id"));
+  el_str_t customer = or_dash (net_req_header (req, "x-elmarch-tenant"));
+  el_str_t line = or_dash (net_req_header (req, "path"));
+  el_str_t resumed = or_dash (net_req_header (req, "last-event-id"));
+  el_buf_t out = { NULL, 0, 0 };
+
+  if (member->record < 0)
+    return;
+  el_buf_printf (&out, "%" PRIu64 " %.*s %s %.*s %.*s %.*s\n",
+                 uv_hrtime () / 1000, (int)id.len, id.ptr, member->id,
+                 (int)customer.len, customer.ptr, (int)line.len, line.ptr,
+                 (int)resumed.len, resumed.ptr);
+  if (write (member->record, out.ptr, out.len) != (ssize_t)out.len)
+    fprintf (stderr, "standin: a run was not noted\n");
+  el_buf_free (&out);
+}
+
 static void
 reply_marked (h2o_req_t *req, int status, const char *header,
               const char *value, const char *body)
@@ -215,6 +253,20 @@
             last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
+/* Whether the engine holds the first part of the line, "IP:PORT=FROM-TO". */
+static int
+line_fits (const member_t *member, el_str_t line)
+{
+  el_str_t part = el_str_cut (&line, ',');
+  uint64_t from = 0;
+  uint64_t to = 0;
+
+  el_str_cut (&part, '=');
+  el_str_to_u64 (el_str_cut (&part, '-'), &from);
+  el_str_to_u64 (part, &to);
+  return from == 0 && member->first == 0 && to <= member->end;
+}
+
 static void
 serve_stream (member_t *member, h2o_req_t *req, el_str_t line)
 {
@@ -233,6 +285,7 @@
   stream->generator.proceed = stream_proceed;
   DL_APPEND2 (member->streams, stream, prev, next_stream);
   member->runs++;
+  member_record (member, req);
   net_req_watch (req, stream_gone, stream);
   req->res.status = 200;
   req->res.reason = "OK";
@@ -383,6 +436,7 @@
       return;
     }
   member->runs++;
+  member_record (member, req);
   if (fault == SN_DOWN)
     {
       reply_marked (req, 500, "x-elmarch-response-seal", SEAL, "");
@@ -428,7 +482,9 @@
       return;
     }
   headers_note (member, req);
-  if (line.len)
+  if (line.len && !line_fits (member, line))
+    member_refuse (req, 421);
+  else if (line.len)
     serve_stream (member, req, line);
   else
     serve_plain (member, req);
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -42,6 +42,8 @@
   const char *service;
   const char *hall;
   const char *card;
+  const char *announce;
+  const char *record;
 } sn_settings_t;
 
 typedef struct sn_process
