Streams that callers resume are read as new ones are; fewer questions to slow engines

Change: urgency for streams that go on only; 50 for leaving a hall; an engine asked often is not asked again while the hall's poller has heard of it.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -46,8 +46,7 @@
 typedef enum gt_urgency
 {
   GT_URGENT_GOING, /**< its caller has events and waits for the next */
-  GT_URGENT_NEW,   /**< its first event can still be in time */
-  GT_URGENT_LATE,  /**< the caller resumes it: it is late in any case */
+  GT_URGENT_NEW,   /**< it begins, or its caller resumes it */
   GT_URGENCIES
 } gt_urgency_t;
 
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -22,6 +22,10 @@
    engines asked all the time. */
 #define GAP_LEAST (50 * EL_MSEC)
 #define GAP_MOST (800 * EL_MSEC)
+/* An engine that was asked this often already need not be asked again while the
+   hall's poller has heard of it so lately. */
+#define GAP_TOLD (200 * EL_MSEC)
+#define TOLD_LATELY (800 * EL_MSEC)
 /* When no stream stood still for this long, it is asked as at first. */
 #define GAP_FORGET (3 * EL_SEC)
 /* A silent one is asked again after this. */
@@ -221,6 +225,8 @@
     return;
   if (now > check->still + GAP_FORGET)
     check->gap = GAP_LEAST;
+  if (check->gap >= GAP_TOLD && now < engine->told + TOLD_LATELY)
+    return;
   due = check->still + check->gap;
   if (due < check->asked + GAP_LEAST)
     due = check->asked + GAP_LEAST;
--- a/gate/relay_head.c
+++ b/gate/relay_head.c
@@ -60,17 +60,6 @@
     }
 }
 
-static gt_urgency_t
-head_urgency (const gt_relay_t *relay)
-{
-  const gt_relay_names_t *names = &relay->relays->options.dialect->names;
-
-  if (relay->nevents)
-    return GT_URGENT_GOING;
-  return net_req_header (relay->req, names->resume).len ? GT_URGENT_LATE
-                                                        : GT_URGENT_NEW;
-}
-
 /** Make the headers of an attempt that is sent at NOW to the target chosen;
     they point into the request, the target and HEAD itself. */
 void
@@ -95,7 +84,8 @@
   if (relay->line.n)
     {
       head_add (head, dialect->names.urgency,
-                el_str (dialect->urgencies[head_urgency (relay)]));
+                el_str (dialect->urgencies[relay->nevents ? GT_URGENT_GOING
+                                                          : GT_URGENT_NEW]));
       dialect->write_line (&relay->line, &head->line);
       head_add (head, dialect->names.line, el_buf_str (&head->line));
     }
--- a/route/line.c
+++ b/route/line.c
@@ -20,7 +20,7 @@
 /* A token's activations cross between halls over a narrow pipe that all
    share; a whole prompt does, too. Counted so that a line stays in a hall
    while that hall has all layers. */
-#define CROSS_MS 100.0
+#define CROSS_MS 50.0
 /* An engine whose memory is full of streams costs half as much again; past
    FILL_KNEE it soon costs more than another hall, since the newest streams
    are put back when it runs out. */
