--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -154,6 +154,15 @@
     "check the settings and exit" },
 };
 
+/* Whether TEXT is a number from 0 on and nothing else. */
+static int
+number_valid (const char *text)
+{
+  char *end;
+
+  return *text && strtod (text, &end) >= 0 && *end == '\0';
+}
+
 /* What the table of settings can't say of a valid value. */
 static el_status_t
 settings_check (const daemon_settings_t *set, el_log_level_t *level,
@@ -172,6 +181,14 @@
     { set->entry[0] ? "store" : "ready",
       set->entry[0] ? set->store : set->ready },
   };
+  const struct
+  {
+    const char *name;
+    const char *number;
+  } numbers[] = {
+    { "repeat-ratio", set->repeat_ratio },
+    { "capacity", set->capacity },
+  };
   size_t i;
 
   if (!el_log_level_parse (set->log_level, level))
@@ -183,6 +200,10 @@
     if (!net_address_valid (el_str (addresses[i].address)))
       return el_err_set (err, EL_INVALID, "--%s: takes ip:port, not '%s'",
                          addresses[i].name, addresses[i].address);
+  for (i = 0; i < sizeof numbers / sizeof *numbers; i++)
+    if (!number_valid (numbers[i].number))
+      return el_err_set (err, EL_INVALID, "--%s: takes a number, not '%s'",
+                         numbers[i].name, numbers[i].number);
   if (!co_name_valid (el_str (set->hall)))
     return el_err_set (err, EL_INVALID,
                        "--hall: takes a name of a-z, 0-9, '-' and '.', "
