--- /dev/null
+++ b/tests/t_check.c
@@ -0,0 +1,213 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of how engines are asked for a sign of life, against servers that
+ * answer or don't.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "libgate.h"
+#include "librelay.h"
+#include "platform.h"
+#include "test.h"
+
+#define ENGINES 2
+#define TURN_US 500
+#define REPORT                                                                \
+  "{\"SeqNo\":0,\"pace\":2.5,\"KvUsed\":50,\"KvTotal\":200,\"stalled\":[]}"
+
+typedef struct asked
+{
+  net_server_t *server;
+  rt_target_t *engine;
+  unsigned requests;
+  int mute;
+} asked_t;
+
+static uv_loop_t loop;
+static net_clock_t test_clock;
+static gt_relays_t relays;
+static asked_t engines[ENGINES];
+
+static void
+engine_handle (void *arg, h2o_req_t *req)
+{
+  asked_t *asked = arg;
+
+  asked->requests++;
+  if (asked->mute)
+    gt_hold_new (req);
+  else
+    net_req_reply (req, 200, EL_STR ("application/json"), EL_STR (REPORT));
+}
+
+static int
+polls_never (void *arg)
+{
+  (void)arg;
+  return 0;
+}
+
+static void
+engine_open (asked_t *asked, const char *id)
+{
+  net_server_options_t server = { .loop = &loop,
+                                  .address = EL_STR ("127.0.0.1:0"),
+                                  .max_body = 1024,
+                                  .handle = engine_handle,
+                                  .arg = asked };
+  rt_facts_t facts = { .id = el_str (id),
+                       .service = EL_STR ("pool"),
+                       .hall = EL_STR ("h"),
+                       .first = 0,
+                       .end = 8 };
+  char address[32];
+  el_err_t err;
+
+  asked->server = net_server_new (&server, &err);
+  ck_assert_ptr_nonnull (asked->server);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            net_server_port (asked->server));
+  facts.address = el_str (address);
+  asked->engine = rt_fleet_set (relays.options.fleet, &facts);
+}
+
+static void
+check_setup (void)
+{
+  uv_loop_init (&loop);
+  net_clock_open (&test_clock, &loop);
+  relays.options.clock = &test_clock;
+  relays.options.client = net_client_new (&test_clock);
+  relays.options.fleet = rt_fleet_new (7);
+  relays.options.dialect = &pf_relay;
+  relays.options.hall = EL_STR ("h");
+  relays.options.polls = polls_never;
+  engine_open (&engines[0], "a");
+  engine_open (&engines[1], "b");
+}
+
+static void
+turns (el_time_t wait)
+{
+  el_time_t until = net_clock_now (&test_clock) + wait;
+
+  while (net_clock_now (&test_clock) < until)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      usleep (TURN_US);
+    }
+}
+
+/* Let both be asked once, so that connections are up. */
+static void
+engines_met (void)
+{
+  size_t i;
+
+  for (i = 0; i < ENGINES; i++)
+    relay_check (&relays, engines[i].engine);
+  while (engines[0].engine->asked || engines[1].engine->asked)
+    turns (EL_MSEC);
+  turns (120 * EL_MSEC); /* they may be asked again */
+}
+
+START_TEST (test_check_report_is_taken_in)
+{
+  engines_met ();
+  ck_assert_int_eq (engines[0].engine->suspect, 0);
+  ck_assert (engines[0].engine->pace == 2.5);
+  ck_assert (engines[0].engine->fill == 0.25);
+}
+END_TEST
+
+/* Silent beside one that answers: the engine is at fault. */
+START_TEST (test_check_silent_beside_one_that_answers)
+{
+  engines_met ();
+  engines[0].mute = 1;
+  relay_check (&relays, engines[0].engine);
+  relay_check (&relays, engines[1].engine);
+  while (engines[0].engine->asked)
+    turns (EL_MSEC);
+  ck_assert_int_eq (engines[0].engine->suspect, 1);
+  ck_assert_int_eq (engines[1].engine->suspect, 0);
+  ck_assert_uint_eq (relays.counts.silent, 1);
+  engines[0].mute = 0;
+  while (engines[0].engine->suspect)
+    turns (EL_MSEC);
+}
+END_TEST
+
+/* Nobody answers: it may be this host, which waits longer before it judges. */
+START_TEST (test_check_alone_is_judged_later)
+{
+  el_time_t asked;
+
+  engines_met ();
+  engines[0].mute = 1;
+  relay_check (&relays, engines[0].engine);
+  asked = engines[0].engine->asked;
+  while (engines[0].engine->asked)
+    turns (EL_MSEC);
+  ck_assert_int_eq (engines[0].engine->suspect, 1);
+  ck_assert_uint_ge (net_clock_now (&test_clock), asked + 100 * EL_MSEC);
+}
+END_TEST
+
+/* A stream's event speaks for the engines that it passes. */
+START_TEST (test_check_engine_whose_streams_go_on_is_alive)
+{
+  engines_met ();
+  engines[0].mute = 1;
+  relay_check (&relays, engines[0].engine);
+  relay_check (&relays, engines[1].engine);
+  turns (5 * EL_MSEC);
+  engines[0].engine->alive = net_clock_now (&test_clock);
+  while (engines[0].engine->asked)
+    turns (EL_MSEC);
+  ck_assert_int_eq (engines[0].engine->suspect, 0);
+  ck_assert_uint_eq (relays.counts.silent, 0);
+}
+END_TEST
+
+/* A question that is due while another is out is not asked, and an engine that
+   is listed no more is forgotten without harm. */
+START_TEST (test_check_is_asked_once_at_a_time)
+{
+  relay_check (&relays, engines[0].engine);
+  while (engines[0].engine->asked)
+    turns (EL_MSEC);
+  relay_check (&relays, engines[0].engine); /* in 100 ms: asked just now */
+  turns (60 * EL_MSEC);
+  engines[0].mute = 1;
+  engines[0].requests = 0;
+  relay_check_poll (&relays, engines[0].engine, net_clock_now (&test_clock));
+  turns (70 * EL_MSEC);
+  ck_assert_uint_eq (engines[0].requests, 1);
+  rt_fleet_remove (relays.options.fleet, EL_STR ("a"));
+  turns (600 * EL_MSEC);
+  ck_assert_uint_eq (engines[0].requests, 1);
+}
+END_TEST
+
+Suite *
+check_suite (void)
+{
+  Suite *suite = suite_create ("check");
+  TCase *tcase = tcase_create ("check");
+
+  tcase_set_timeout (tcase, 30);
+  tcase_add_checked_fixture (tcase, check_setup, NULL);
+  ADD (tcase, test_check_report_is_taken_in);
+  ADD (tcase, test_check_silent_beside_one_that_answers);
+  ADD (tcase, test_check_alone_is_judged_later);
+  ADD (tcase, test_check_engine_whose_streams_go_on_is_alive);
+  ADD (tcase, test_check_is_asked_once_at_a_time);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -25,6 +25,7 @@
 Suite *relay_suite (void);
 Suite *net_suite (void);
 Suite *seeded_suite (void);
+Suite *check_suite (void);
 Suite *site_suite (void);
 Suite *stream_suite (void);
 Suite *once_suite (void);
