The configuration's bound of a body is applied; a test kills the engine it means to

Cause (found in review before): MaxBodyBytes was read and not applied, 4 MB was; a test of moved streams killed one of two copies by chance.

Change: 413 over the bound. The test kills the engine that stands on the stream's line and asserts that no other engine was sent the stream.

--- a/gate/relay.c
+++ b/gate/relay.c
@@ -174,6 +174,12 @@
       relay_answer_refuse (relay, 404, "no rule", 0);
       return 0;
     }
+  if (relay->rules->max_body
+      && net_req_body (relay->req).len > relay->rules->max_body)
+    {
+      relay_answer_refuse (relay, 413, "body too long", 0);
+      return 0;
+    }
   if (!relay->rules->keyed || relay->rule->open)
     return 1;
   if (!known)
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -160,8 +160,9 @@
 {
   char at[64];
   caller_t caller;
+  json_t *seen;
   reply_t reply;
-  int64_t begin;
+  const char *line;
   size_t first;
   size_t i;
 
@@ -169,22 +170,25 @@
   stream_start (&caller, 0, "s1");
   caller_wait_body (&caller, 60);
   first = engine_first ();
-  begin = member_number (&site.engines[first], "end");
+  seen = http_json (site.engines[first].address, "/seen");
+  line = json_string_value (json_object_get (seen, "path"));
   for (i = 0; i < SITE_ENGINES; i++)
-    if (member_number (&site.engines[i], "first") == begin)
+    if (i != first && strstr (line, site.engines[i].address))
       {
-        /* Either of the two copies may be on the line: both stand still in
-           turn, and one is lost. */
         snprintf (at, sizeof at, "{\"at\":\"%s\"}", site.engines[i].address);
         http ("POST", site.engines[first].address, "/stall", at, NULL, &reply);
         reply_free (&reply);
         proc_end (&site.engines[i], SIGKILL);
         break;
       }
+  ck_assert_uint_lt (i, SITE_ENGINES);
+  json_decref (seen);
   caller_join (&caller);
   stream_whole (&caller.reply);
   reply_free (&caller.reply);
-  ck_assert_int_eq (member_number (&site.engines[first], "runs"), 1);
+  for (i = 0; i < SITE_ENGINES; i++) /* it was sent to no other one */
+    if (site.engines[i].pid)
+      ck_assert_int_eq (member_number (&site.engines[i], "runs"), i == first);
 }
 END_TEST
 
@@ -367,6 +371,28 @@
 }
 END_TEST
 
+/* The operators' bound of a body. */
+START_TEST (test_relay_body_over_the_bound_is_refused)
+{
+  const char *headers[]
+      = { "host: rel.example", "x-elmarch-request-id: r1", NULL };
+  char *body = el_alloc (65536 + 2);
+  reply_t reply;
+
+  site_open (1);
+  memset (body, 'b', 65536);
+  http ("POST", site.entries[0].address, "/pay/x", body, headers, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  body[65536] = 'b';
+  http ("POST", site.entries[0].address, "/pay/x", body, headers, &reply);
+  ck_assert_int_eq (reply.status, 413);
+  reply_free (&reply);
+  ck_assert_int_eq (workers_sum ("runs"), 1);
+  free (body);
+}
+END_TEST
+
 /* A request that comes before the host knows its configuration is served once
    it does; when the store does not answer, it is refused as not run. */
 START_TEST (test_relay_waits_for_the_first_configuration)
@@ -548,6 +574,7 @@
   ADD (tcase, test_relay_ends_at_the_time_limit);
   ADD (tcase, test_relay_caller_that_leaves_ends_the_work);
   ADD (tcase, test_relay_key_taken_away_is_refused);
+  ADD (tcase, test_relay_body_over_the_bound_is_refused);
   ADD (tcase, test_relay_waits_for_the_first_configuration);
   ADD (tcase, test_relay_configuration_never_goes_back);
   ADD (tcase, test_relay_leaving_endpoint_gets_nothing_new);
