--- /dev/null
+++ b/tests/seeds.c
@@ -0,0 +1,81 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Seeds and spoiled text for the seeded tests. ELMARCH_SEEDS sets how many are
+ * played, ELMARCH_SEED plays one again.
+ */
+#include "seeds.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SEEDS_CI 2000
+
+static uint64_t random_state;
+
+/** A number below N. */
+unsigned
+seeds_draw (unsigned n)
+{
+  random_state ^= random_state << 13;
+  random_state ^= random_state >> 7;
+  random_state ^= random_state << 17;
+  return (unsigned)(random_state % n);
+}
+
+/** The variable's number, or DEF. */
+uint64_t
+seeds_env (const char *name, uint64_t def)
+{
+  const char *text = getenv (name);
+
+  return text ? strtoull (text, NULL, 10) : def;
+}
+
+/** Run PLAY with each seed, or with the one that is asked for. */
+void
+seeds_run (void (*play) (uint64_t seed))
+{
+  uint64_t one = seeds_env ("ELMARCH_SEED", 0);
+  uint64_t n = seeds_env ("ELMARCH_SEEDS", SEEDS_CI);
+  uint64_t seed;
+
+  for (seed = one ? one : 1; seed <= (one ? one : n); seed++)
+    {
+      random_state = seed * 0x9e3779b97f4a7c15ULL;
+      play (seed);
+    }
+}
+
+/** A copy of TEXT with some bytes changed, dropped or repeated; the caller
+    frees it. */
+el_buf_t
+seeds_spoil (const char *text)
+{
+  el_buf_t out = { NULL, 0, 0 };
+  size_t len = strlen (text);
+  unsigned changes = seeds_draw (6);
+  size_t i;
+  char c;
+
+  for (i = 0; i < len; i++)
+    {
+      c = text[i];
+      if (changes && seeds_draw ((unsigned)len) < 4)
+        {
+          changes--;
+          if (seeds_draw (3) == 0)
+            continue;
+          c = seeds_draw (2) ? (char)seeds_draw (256)
+                             : "{}[]\",:0-9e\n"[seeds_draw (12)];
+          if (seeds_draw (4) == 0)
+            el_buf_add (&out, (el_str_t){ text, seeds_draw ((unsigned)len) });
+        }
+      el_buf_add (&out, (el_str_t){ &c, 1 });
+    }
+  if (seeds_draw (8) == 0)
+    out.len = seeds_draw ((unsigned)out.len + 1);
+  return out;
+}
--- /dev/null
+++ b/tests/seeds.h
@@ -0,0 +1,18 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Seeds and spoiled text for the seeded tests.
+ */
+#ifndef ELMARCH_TEST_SEEDS_H
+#define ELMARCH_TEST_SEEDS_H
+
+#include "base.h"
+
+unsigned seeds_draw (unsigned n);
+uint64_t seeds_env (const char *name, uint64_t def);
+void seeds_run (void (*play) (uint64_t seed));
+el_buf_t seeds_spoil (const char *text);
+
+#endif
--- a/tests/t_seeded.c
+++ b/tests/t_seeded.c
@@ -14,48 +14,14 @@
 
 #include "librelay.h"
 #include "platform.h"
+#include "seeds.h"
 #include "test.h"
 
-#define SEEDS_CI 2000
 #define LAYERS 80
 #define STEPS 60
 #define ENGINES_MAX 24
 #define ORDERS_MAX 64
 
-static uint64_t random_state;
-
-static unsigned
-draw (unsigned n)
-{
-  random_state ^= random_state << 13;
-  random_state ^= random_state >> 7;
-  random_state ^= random_state << 17;
-  return (unsigned)(random_state % n);
-}
-
-static uint64_t
-env_number (const char *name, uint64_t def)
-{
-  const char *text = getenv (name);
-
-  return text ? strtoull (text, NULL, 10) : def;
-}
-
-/* Run PLAY with each seed, or with the one that is asked for. */
-static void
-seeds_run (void (*play) (uint64_t seed))
-{
-  uint64_t one = env_number ("ELMARCH_SEED", 0);
-  uint64_t n = env_number ("ELMARCH_SEEDS", SEEDS_CI);
-  uint64_t seed;
-
-  for (seed = one ? one : 1; seed <= (one ? one : n); seed++)
-    {
-      random_state = seed * 0x9e3779b97f4a7c15ULL;
-      play (seed);
-    }
-}
-
 /* What comes from outside. */
 
 static const char rules_text[]
@@ -78,35 +44,6 @@
 static const char events_text[]
     = "id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: c\n\n";
 
-/* A copy of TEXT with some bytes changed, dropped or repeated. */
-static el_buf_t
-text_spoil (const char *text)
-{
-  el_buf_t out = { NULL, 0, 0 };
-  size_t len = strlen (text);
-  unsigned changes = draw (6);
-  size_t i;
-  char c;
-
-  for (i = 0; i < len; i++)
-    {
-      c = text[i];
-      if (changes && draw ((unsigned)len) < 4)
-        {
-          changes--;
-          if (draw (3) == 0)
-            continue;
-          c = draw (2) ? (char)draw (256) : "{}[]\",:0-9e\n"[draw (12)];
-          if (draw (4) == 0)
-            el_buf_add (&out, (el_str_t){ text, draw ((unsigned)len) });
-        }
-      el_buf_add (&out, (el_str_t){ &c, 1 });
-    }
-  if (draw (8) == 0)
-    out.len = draw ((unsigned)out.len + 1);
-  return out;
-}
-
 static void
 event_none (void *arg, el_str_t event, int has_id, uint64_t id)
 {
@@ -120,7 +57,7 @@
 static void
 spoil_play (uint64_t seed)
 {
-  el_buf_t text = text_spoil (rules_text);
+  el_buf_t text = seeds_spoil (rules_text);
   relay_events_t events = { { NULL, 0, 0 } };
   net_result_t result = { .net = NET_OK, .status = 200 };
   gt_store_list_t list = { 0 };
@@ -133,19 +70,19 @@
   (void)seed;
   rt_rules_unref (pf_rules_read (el_buf_str (&text), &err));
   el_buf_free (&text);
-  text = text_spoil (entry_text);
+  text = seeds_spoil (entry_text);
   if (pf_facts_read (EL_STR ("servers/x"), el_buf_str (&text), &facts, &keep,
                      &err))
     ck_assert_uint_le (facts.first, facts.end);
   json_decref (keep);
   el_buf_free (&text);
-  text = text_spoil (list_text);
+  text = seeds_spoil (list_text);
   result.body = el_buf_str (&text);
   pf_store.read_list (&result, &list);
   gt_store_list_free (&list);
   el_buf_free (&text);
-  text = text_spoil (events_text);
-  cut = draw ((unsigned)text.len + 1);
+  text = seeds_spoil (events_text);
+  cut = seeds_draw ((unsigned)text.len + 1);
   relay_events_add (&events, (el_str_t){ text.ptr, cut }, event_none, &bytes);
   relay_events_add (&events, el_str_after (el_buf_str (&text), cut),
                     event_none, &bytes);
@@ -211,7 +148,7 @@
   *engine = (place_engine_t){ .live = 1 };
   snprintf (engine->id, sizeof engine->id, "e%zu", place.n++);
   facts.id = el_str (engine->id);
-  facts.card = cards[draw (3)].name;
+  facts.card = cards[seeds_draw (3)].name;
   rt_fleet_set (place.fleet, &facts);
 }
 
@@ -254,11 +191,12 @@
   ck_assert ((order->end - order->first) * 1750.0 <= card->memory_mb);
   for (i = 0; i < ORDERS_MAX && place.orders[i].due >= 0; i++)
     ;
-  if (i == ORDERS_MAX || draw (8) == 0)
+  if (i == ORDERS_MAX || seeds_draw (8) == 0)
     return; /* lost */
-  place.orders[i] = (late_order_t){ .order = *order,
-                                    .taken = engine->taken,
-                                    .due = (int)draw (draw (4) ? 2 : 12) };
+  place.orders[i]
+      = (late_order_t){ .order = *order,
+                        .taken = engine->taken,
+                        .due = (int)seeds_draw (seeds_draw (4) ? 2 : 12) };
   snprintf (place.orders[i].id, sizeof place.orders[i].id, "%s", engine->id);
 }
 
@@ -282,11 +220,11 @@
 static void
 place_event (void)
 {
-  place_engine_t *engine = &place.engines[draw ((unsigned)place.n)];
+  place_engine_t *engine = &place.engines[seeds_draw ((unsigned)place.n)];
   rt_target_t *target = engine->live ? place_target (engine) : NULL;
   size_t i;
 
-  switch (draw (6))
+  switch (seeds_draw (6))
     {
     case 0:
       place_add ();
@@ -389,9 +327,9 @@
 static void
 course_play (uint64_t seed)
 {
-  const rt_rule_t rule = { .kind = (rt_kind_t)draw (3),
-                           .attempts = 1 + draw (3),
-                           .resumable = (int)draw (2) };
+  const rt_rule_t rule = { .kind = (rt_kind_t)seeds_draw (3),
+                           .attempts = 1 + seeds_draw (3),
+                           .resumable = (int)seeds_draw (2) };
   rt_course_t course = { 0, 0 };
   rt_attempt_t attempt;
   unsigned may_run = 0;
@@ -402,16 +340,16 @@
 
   while (next == RT_NEXT_AGAIN)
     {
-      attempt = (rt_attempt_t){ .verdict = (el_verdict_t)draw (3) };
+      attempt = (rt_attempt_t){ .verdict = (el_verdict_t)seeds_draw (3) };
       if (attempt.verdict == EL_RAN)
         {
           attempt.answered = 1;
-          attempt.failed = (int)draw (2);
+          attempt.failed = (int)seeds_draw (2);
         }
       sent++;
       may_run += attempt.verdict != EL_NOT_RUN;
-      next = rt_course_next (&course, &rule, &attempt, (int)draw (4),
-                             draw (100) * EL_MSEC);
+      next = rt_course_next (&course, &rule, &attempt, (int)seeds_draw (4),
+                             seeds_draw (100) * EL_MSEC);
       ck_assert_msg (sent <= 8, "seed %lu: no end", (unsigned long)seed);
       ck_assert_msg (may_run <= (repeatable ? rule.attempts : 1),
                      "seed %lu: ran %u times", (unsigned long)seed, may_run);
@@ -435,7 +373,7 @@
   Suite *suite = suite_create ("seeded");
   TCase *tcase = tcase_create ("seeded");
 
-  tcase_set_timeout (tcase, (double)env_number ("ELMARCH_SEEDS_S", 60));
+  tcase_set_timeout (tcase, (double)seeds_env ("ELMARCH_SEEDS_S", 60));
   ADD (tcase, test_spoiled_input_harms_nothing);
   ADD (tcase, test_placing_comes_to_rest_without_holes);
   ADD (tcase, test_attempts_in_any_order_keep_the_promises);
--- a/tests/test.h
+++ b/tests/test.h
@@ -26,6 +26,7 @@
 Suite *net_suite (void);
 Suite *seeded_suite (void);
 Suite *check_suite (void);
+Suite *spoiled_suite (void);
 Suite *site_suite (void);
 Suite *stream_suite (void);
 Suite *once_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -39,6 +39,7 @@
   srunner_add_suite (runner, net_suite ());
   srunner_add_suite (runner, seeded_suite ());
   srunner_add_suite (runner, check_suite ());
+  srunner_add_suite (runner, spoiled_suite ());
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
   srunner_free (runner);
