Spoiled answers: half of the connections end with their request read

A connection that is closed with unread bytes is reset, so that hardly any answer without length ended well; the test is red without the guard behind it now.

--- a/tests/t_spoiled.c
+++ b/tests/t_spoiled.c
@@ -106,6 +106,7 @@
 {
   const struct linger reset = { 1, 0 };
   char request[4096];
+  ssize_t got;
   int fd = -1;
   int turns;
 
@@ -115,9 +116,13 @@
       fd = accept (listener, NULL, NULL);
     }
   ck_assert_int_ge (fd, 0);
-  uv_run (&loop, UV_RUN_NOWAIT);
-  if (seeds_draw (2))
-    ck_assert_int_ge (recv (fd, request, sizeof request, MSG_DONTWAIT), -1);
+  /* A connection that is closed before its request was read is reset. */
+  got = seeds_draw (2) ? -1 : 0;
+  for (turns = 0; turns < TURNS_MAX && got < 0; turns++)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      got = recv (fd, request, sizeof request, MSG_DONTWAIT);
+    }
   if (bytes->len)
     ck_assert_int_ge (send (fd, bytes->ptr, bytes->len, MSG_NOSIGNAL), -1);
   if (seeds_draw (4) == 0)
