soak/world.c split: processes, faults, operator, exchanges

The two switches over the kinds of faults are one table of begin and end. What strikes is as before.

--- a/Makefile
+++ b/Makefile
@@ -120,8 +120,8 @@
 	$(LINK)
 $(B)/bench/%.o: INC += -Itests
 # The soak: real processes, faults by seed, promises checked from outside.
-SOAK = soak/main.c soak/plan.c soak/proxy.c soak/world.c soak/caller.c \
-       soak/check.c
+SOAK = soak/main.c soak/plan.c soak/proxy.c soak/world.c soak/proc.c \
+       soak/fault.c soak/operator.c soak/http.c soak/caller.c soak/check.c
 $(BIN)/soak: $(SOAK:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcurl -lpthread
 SOAK_SEEDS = --seed 1 --seeds 50
--- a/soak/main.c
+++ b/soak/main.c
@@ -64,19 +64,15 @@
 
       if (!fault->begun && at >= fault->at)
         {
-          fault->begun = 1;
           if (print)
             printf ("at_ms=%" PRIu64 " fault=%s which=%u how=%u ms=%" PRIu64
                     "\n",
                     fault->at / EL_MSEC, sk_kind_name (fault->kind),
                     fault->which, fault->how, fault->lasts / EL_MSEC);
-          sk_world_fault (world, fault);
+          sk_fault_begin (world, fault);
         }
       if (fault->begun && !fault->over && at >= fault->at + fault->lasts)
-        {
-          fault->over = 1;
-          sk_world_fault_end (world, fault);
-        }
+        sk_fault_end (world, fault);
     }
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -160,21 +160,39 @@
                                  before; 0 is never, or not known */
 } sk_world_t;
 
+void sk_proc_start (const sk_world_t *world, sk_proc_t *proc, const char *log,
+                    const char **args);
+void sk_proc_signal (sk_proc_t *proc, int number);
+void sk_proc_kill (sk_proc_t *proc);
+void sk_proc_pause (sk_proc_t *proc, int on);
+void sk_proc_reap (sk_proc_t *proc, const char *what, unsigned i);
+
 void sk_world_open (sk_world_t *world, const char *bin, const char *dir);
-void sk_world_fault (sk_world_t *world, sk_fault_t *fault);
-void sk_world_fault_end (sk_world_t *world, sk_fault_t *fault);
 void sk_world_tick (sk_world_t *world, el_time_t now);
 void sk_world_calm (sk_world_t *world);
 void sk_world_close (sk_world_t *world);
 void sk_host_address (const sk_world_t *world, unsigned host, char digit,
                       char *out);
+
+void sk_fault_begin (sk_world_t *world, sk_fault_t *fault);
+void sk_fault_end (sk_world_t *world, sk_fault_t *fault);
+
+/* The operator. */
+
+int sk_config_write (sk_world_t *world);
+void sk_key_take (sk_world_t *world, unsigned key);
 void sk_key_text (unsigned key, unsigned generation, char *out, size_t size);
+
+/* The clock, and single exchanges. */
+
 el_time_t sk_now (void);
+void sk_wait_step (void);
 
 /** One HTTP exchange; gives the status, 0 without an answer. BODY may be NULL;
     OUT, which the caller frees, may be NULL. */
 long sk_http (const char *method, const char *address, const char *path,
               const char *body, el_buf_t *out);
+int sk_http_wait (const char *address, const char *path, el_buf_t *out);
 
 /* Callers: threads of their own. */
 
