route/line.c split: the search, and lines in use

596 lines held the search for a line and the accounting of lines in use. The latter is route/line_use.c now; the part that both ask for is rt_line_part. The search no longer hands a time around that it holds itself.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 COORD = coord/mbr_members.c coord/mbr_probe.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c \
-        route/rules.c route/fleet.c route/line.c route/layout.c route/course.c
+        route/rules.c route/fleet.c route/line.c route/line_use.c \
+        route/layout.c route/course.c
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 GATE = gate/gate.c gate/answer.c \
--- a/route/line.c
+++ b/route/line.c
@@ -203,15 +203,14 @@
 }
 
 static int
-search_takes (const line_search_t *search, const rt_target_t *target,
-              el_time_t now)
+search_takes (const line_search_t *search, const rt_target_t *target)
 {
   if (search->trust == TRUST_ANY)
     return !target->gone && !target->facts.leaving;
-  if (!rt_target_usable (target, now))
+  if (!rt_target_usable (target, search->now))
     return 0;
   return search->trust == TRUST_USABLE || !target->asked
-         || now < target->asked + ASKED_DOUBT;
+         || search->now < target->asked + ASKED_DOUBT;
 }
 
 static void
@@ -228,28 +227,14 @@
   for (target = rt_fleet_first (fleet); target; target = target->hh.next)
     if (el_str_eq (target->facts.service, service->name)
         && target->facts.end > target->facts.first
-        && target->facts.end <= model->layers
-        && search_takes (search, target, now) && !rt_tried_has (tried, target))
+        && target->facts.end <= model->layers && search_takes (search, target)
+        && !rt_tried_has (tried, target))
       search_add (search, fleet, model, target, now);
   for (at = 0; at <= search->layers; at++)
     for (h = 0; h < search->nhalls; h++)
       search->node[at][h].cost = DBL_MAX;
 }
 
-/* Whether LINE has that part; NULL has none. */
-static const struct rt_part *
-line_part (const rt_line_t *line, const rt_target_t *target, unsigned from,
-           unsigned to)
-{
-  size_t i;
-
-  for (i = 0; line && i < line->n; i++)
-    if (line->part[i].target == target && line->part[i].from == from
-        && line->part[i].to == to)
-      return &line->part[i];
-  return NULL;
-}
-
 /* What the layers from FROM to TO cost at C. A part that already holds the
    stream's tokens does not read them. */
 static double
@@ -258,7 +243,7 @@
 {
   double step = (to - from) * c->layer_ms;
 
-  if (line_part (search->old, c->target, from, to))
+  if (rt_line_part (search->old, c->target, from, to))
     return step * KEPT_COST;
   return step + WAIT_WEIGHT * c->wait_ms;
 }
@@ -477,120 +462,3 @@
     }
   return found;
 }
-
-/** Whether the line passes TARGET. */
-int
-rt_line_has (const rt_line_t *line, const rt_target_t *target)
-{
-  size_t i;
-
-  for (i = 0; i < line->n; i++)
-    if (line->part[i].target == target)
-      return 1;
-  return 0;
-}
-
-/** Whether the line leaves the hall of its first engine. */
-int
-rt_line_crosses (const rt_line_t *line)
-{
-  size_t i;
-
-  for (i = 1; i < line->n; i++)
-    if (!el_str_eq (line->part[i].target->facts.hall,
-                    line->part[0].target->facts.hall))
-      return 1;
-  return 0;
-}
-
-static double
-part_layers (const struct rt_part *part)
-{
-  return part->to - part->from;
-}
-
-/** The line is in use: its engines stay in memory and count as loaded. UNREAD
-    tokens are to be read by each part, but for those that OLD has, too: they
-    go on with what they have. OLD may be NULL. */
-void
-rt_line_hold (rt_line_t *line, const rt_line_t *old, double unread)
-{
-  size_t i;
-
-  line->reading = 1;
-  for (i = 0; i < line->n; i++)
-    {
-      struct rt_part *part = &line->part[i];
-      const struct rt_part *kept
-          = line_part (old, part->target, part->from, part->to);
-
-      part->unread = kept ? kept->unread : unread;
-      rt_target_ref (part->target)->lines++;
-      part->target->held += line->tokens * part_layers (part);
-      part->target->unread += part->unread * part_layers (part);
-    }
-}
-
-/* All parts have read what there was. */
-static void
-line_read (rt_line_t *line)
-{
-  size_t i;
-
-  for (i = 0; line->reading && i < line->n; i++)
-    {
-      struct rt_part *part = &line->part[i];
-
-      part->target->unread -= part->unread * part_layers (part);
-      part->unread = 0;
-    }
-  line->reading = 0;
-}
-
-/** An event came at NOW: all parts live and have read what there was. */
-void
-rt_line_event (rt_line_t *line, el_time_t now)
-{
-  size_t i;
-
-  line_read (line);
-  for (i = 0; i < line->n; i++)
-    line->part[i].target->alive = now;
-}
-
-/** The engine of LINE that this host gave most to hold, of those that are not
-    in OLD; NULL without any. */
-rt_target_t *
-rt_line_fullest (const rt_line_t *line, const rt_line_t *old)
-{
-  rt_target_t *fullest = NULL;
-  size_t i;
-
-  for (i = 0; i < line->n; i++)
-    {
-      rt_target_t *target = line->part[i].target;
-
-      if (!rt_line_has (old, target)
-          && (!fullest || target->held > fullest->held))
-        fullest = target;
-    }
-  return fullest;
-}
-
-/** The line is no longer in use. */
-void
-rt_line_release (rt_line_t *line)
-{
-  size_t i;
-
-  line_read (line);
-  for (i = 0; i < line->n; i++)
-    {
-      struct rt_part *part = &line->part[i];
-
-      part->target->lines--;
-      part->target->held -= line->tokens * part_layers (part);
-      rt_target_unref (part->target);
-    }
-  line->n = 0;
-}
