Relayed requests: shorter steps, one look-up of a line's engine

relay_admit found the rule, the bound and the customer in 48 lines; each is a step now. The engine of a line by its address was looked up in relay_try.c and relay_watch.c alike: rt_line_engine. The streams through a slow and a silent engine were walked by two functions of one shape. Asking the engines of a line is a step of its own, and two declarations that nothing needed are gone.

--- a/gate/relay.c
+++ b/gate/relay.c
@@ -23,8 +23,6 @@
 /* Time for a request that names no limit and whose rule has none. */
 #define TIMEOUT_UNSAID (60 * EL_SEC)
 
-static void relay_generator_stop (h2o_generator_t *generator, h2o_req_t *req);
-
 /** Log one decision on a request. */
 void
 relay_log (gt_relay_t *relay, const char *event, int status,
@@ -147,14 +145,12 @@
              || relays->known + relays->options.keys_limit > received);
 }
 
-/* Find rule and customer; gives 0 after an answer that tells what is wrong. A
-   host that may have missed changes refuses to run rather than deny. */
+/* Find the rule; gives 0 after an answer that tells what is wrong. A host that
+   may have missed changes refuses to run rather than deny. */
 static int
-relay_admit (gt_relay_t *relay)
+relay_rule (gt_relay_t *relay, int known)
 {
   gt_relays_t *relays = relay->relays;
-  const rt_key_t *key;
-  int known = rules_known (relays, relay->received);
 
   if (relays->rules)
     {
@@ -162,24 +158,27 @@
       relay->rule = rt_rules_match (relay->rules, host_name (relay->req),
                                     net_req_path (relay->req));
     }
-  if (!relay->rules || (!relay->rule && !known))
-    {
-      relays->counts.no_rules++;
-      relay_answer_refuse (relay, 503, "no configuration", STARTING_RETRY);
-      return 0;
-    }
-  if (!relay->rule)
+  if (relay->rule)
+    return 1;
+  if (relay->rules && known)
     {
       relays->counts.unknown++;
       relay_answer_refuse (relay, 404, "no rule", 0);
       return 0;
     }
-  if (relay->rules->max_body
-      && net_req_body (relay->req).len > relay->rules->max_body)
-    {
-      relay_answer_refuse (relay, 413, "body too long", 0);
-      return 0;
-    }
+  relays->counts.no_rules++;
+  relay_answer_refuse (relay, 503, "no configuration", STARTING_RETRY);
+  return 0;
+}
+
+/* Find the customer by the key that the request bears; gives 0 after an answer
+   that tells what is wrong. */
+static int
+relay_customer (gt_relay_t *relay, int known)
+{
+  gt_relays_t *relays = relay->relays;
+  const rt_key_t *key;
+
   if (!relay->rules->keyed || relay->rule->open)
     return 1;
   if (!known)
@@ -199,6 +198,23 @@
   return 1;
 }
 
+/* Whether the request may be served; if not, it was answered. */
+static int
+relay_admit (gt_relay_t *relay)
+{
+  int known = rules_known (relay->relays, relay->received);
+
+  if (!relay_rule (relay, known))
+    return 0;
+  if (relay->rules->max_body
+      && net_req_body (relay->req).len > relay->rules->max_body)
+    {
+      relay_answer_refuse (relay, 413, "body too long", 0);
+      return 0;
+    }
+  return relay_customer (relay, known);
+}
+
 /* The time that the caller waits, if it is less than LIMIT. */
 static el_time_t
 caller_limit (const gt_relay_t *relay, el_time_t limit)
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -22,8 +22,8 @@
    engines asked all the time. */
 #define GAP_LEAST (50 * EL_MSEC)
 #define GAP_MOST (800 * EL_MSEC)
-/* An engine that was asked this often already need not be asked again while the
-   hall's poller has heard of it so lately. */
+/* An engine that was asked this often already need not be asked again while
+   the hall's poller has heard of it so lately. */
 #define GAP_TOLD (200 * EL_MSEC)
 #define TOLD_LATELY (800 * EL_MSEC)
 /* When no stream stood still for this long, it is asked as at first. */
@@ -62,28 +62,17 @@
   free (check);
 }
 
-/* Have the streams through a slow engine use a copy of it in their hall. */
+/* Have EACH look after the streams that pass ENGINE. */
 static void
-check_move (gt_relays_t *relays, rt_target_t *engine)
+check_streams (gt_relays_t *relays, rt_target_t *engine,
+               void (*each) (gt_relay_t *relay, rt_target_t *engine))
 {
   gt_relay_t *relay;
   gt_relay_t *next;
 
   DL_FOREACH_SAFE (relays->running, relay, next)
   if (!relay->ended && relay->exchange && rt_line_has (&relay->line, engine))
-    relay_watch_slow (relay, engine);
-}
-
-/* Have all streams through a silent engine go around it. */
-static void
-check_leave (gt_relays_t *relays, rt_target_t *engine)
-{
-  gt_relay_t *relay;
-  gt_relay_t *next;
-
-  DL_FOREACH_SAFE (relays->running, relay, next)
-  if (!relay->ended && relay->exchange && rt_line_has (&relay->line, engine))
-    relay_watch_silent (relay, engine);
+    each (relay, engine);
 }
 
 /** ENGINE reported LOAD at AT. One that runs slowly is left by the streams
@@ -103,7 +92,7 @@
           EL_FN ("pace_percent", (uint64_t)(load->pace * 100)),
           EL_FN ("lines", engine->lines));
   if (slow)
-    check_move (relays, engine);
+    check_streams (relays, engine, relay_watch_slow);
 }
 
 /* A slow engine is asked again until it is well. */
@@ -145,7 +134,7 @@
     return;
   relays->counts.silent++;
   rt_target_ref (engine);
-  check_leave (relays, engine);
+  check_streams (relays, engine, relay_watch_silent);
   if (engine->gone)
     check_free (check);
   else
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -192,12 +192,10 @@
 {
   const gt_relay_names_t *names = &relay->relays->options.dialect->names;
   el_str_t address = net_result_header (result, names->at_fault);
-  size_t i;
+  rt_target_t *named
+      = address.len ? rt_line_engine (&relay->line, address) : NULL;
 
-  for (i = 0; address.len && i < relay->line.n; i++)
-    if (el_str_eq (relay->line.part[i].target->facts.address, address))
-      return relay->line.part[i].target;
-  return relay->target;
+  return named ? named : relay->target;
 }
 
 /* What the exchange proves. */
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -39,7 +39,6 @@
 #define MOVES_MAX 3
 
 static void watch_look (void *arg, el_time_t now);
-static void watch_forget (gt_relay_t *relay);
 static void watch_move (gt_relay_t *relay);
 static void watch_moved (void *arg, int done, el_str_t at_fault);
 
@@ -117,17 +116,6 @@
   net_clock_set (relay->relays->options.clock, &relay->watch, wait);
 }
 
-static rt_target_t *
-line_engine (const rt_line_t *line, el_str_t address)
-{
-  size_t i;
-
-  for (i = 0; i < line->n; i++)
-    if (el_str_eq (line->part[i].target->facts.address, address))
-      return line->part[i].target;
-  return NULL;
-}
-
 /* Have the first engine pass the stream on over the line that was found. */
 static void
 watch_reroute (gt_relay_t *relay)
@@ -165,7 +153,7 @@
 static void
 watch_not_moved (gt_relay_t *relay, el_str_t at_fault)
 {
-  rt_target_t *engine = line_engine (&relay->next_line, at_fault);
+  rt_target_t *engine = rt_line_engine (&relay->next_line, at_fault);
 
   /* Where none is named, one of the new ones has no room. */
   if (!engine)
@@ -274,7 +262,7 @@
 watch_told (void *arg, int answered, el_str_t address)
 {
   gt_relay_t *relay = arg;
-  rt_target_t *engine = line_engine (&relay->line, address);
+  rt_target_t *engine = rt_line_engine (&relay->line, address);
 
   relay->ask = NULL;
   EL_LOG (EL_LOG_INFO, "stream_stands_still", EL_FS ("request", relay->id),
@@ -293,6 +281,19 @@
     watch_again (relay, LOOK_AGAIN);
 }
 
+/* Ask the engines of the line for a sign of life; look again, each time later.
+ */
+static void
+watch_check (gt_relay_t *relay)
+{
+  unsigned later = relay->looks < LOOKS_ASK ? relay->looks : LOOKS_ASK;
+  size_t i;
+
+  for (i = 0; i < relay->line.n; i++)
+    relay_check (relay->relays, relay->line.part[i].target);
+  watch_again (relay, LOOK_AGAIN << later);
+}
+
 /* Time passed; look whether the stream moves. */
 static void
 watch_look (void *arg, el_time_t now)
@@ -301,7 +302,6 @@
   const gt_relay_options_t *o = &relay->relays->options;
   el_time_t limit = watch_limit (relay);
   el_time_t still = now - relay->still_since;
-  size_t i;
 
   if (still < limit)
     {
@@ -317,13 +317,8 @@
   if (relay->ask || relay->looks++ >= LOOKS_MAX)
     return;
   if (relay->looks % LOOKS_ASK == LOOKS_ASK_AT)
-    {
-      relay->ask = o->dialect->ask_stalled (o->client, relay->target,
-                                            relay->id, watch_told, relay);
-      return;
-    }
-  for (i = 0; i < relay->line.n; i++)
-    relay_check (relay->relays, relay->line.part[i].target);
-  watch_again (relay, LOOK_AGAIN << (relay->looks < LOOKS_ASK ? relay->looks
-                                                              : LOOKS_ASK));
+    relay->ask = o->dialect->ask_stalled (o->client, relay->target, relay->id,
+                                          watch_told, relay);
+  else
+    watch_check (relay);
 }
--- a/route/line_use.c
+++ b/route/line_use.c
@@ -19,6 +19,18 @@
   return 0;
 }
 
+/** The engine of LINE at ADDRESS; NULL without it. */
+rt_target_t *
+rt_line_engine (const rt_line_t *line, el_str_t address)
+{
+  size_t i;
+
+  for (i = 0; i < line->n; i++)
+    if (el_str_eq (line->part[i].target->facts.address, address))
+      return line->part[i].target;
+  return NULL;
+}
+
 /** The part of LINE by which TARGET runs the layers from FROM to TO; NULL
     without it. LINE may be NULL. */
 const struct rt_part *
--- a/route/relay.h
+++ b/route/relay.h
@@ -235,6 +235,7 @@
                     const rt_service_t *service, const rt_line_t *old,
                     const rt_tried_t *tried, rt_line_t *out);
 int rt_line_has (const rt_line_t *line, const rt_target_t *target);
+rt_target_t *rt_line_engine (const rt_line_t *line, el_str_t address);
 const struct rt_part *rt_line_part (const rt_line_t *line,
                                     const rt_target_t *target, unsigned from,
                                     unsigned to);
