Members that serve a hall, and the items of news, each in one place

Alive, not draining, of this hall: the condition stood three times. Putting the items into an answer about the store is a step of its own, as putting in the engines is.

--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -473,6 +473,14 @@
          < 0;
 }
 
+/* Whether MEMBER may do what one host of this hall does for all of them. */
+static int
+member_serves (const co_members_t *members, const co_member_t *member)
+{
+  return member->state == CO_MBR_ALIVE && !member->draining
+         && el_str_eq (member->hall, members->self.hall);
+}
+
 /** Whether this host is one of the MOST of its hall that are chosen for what
     only a few should do. Every host works the same out from its view; while
     views differ a few more or fewer may do it, which does no harm. */
@@ -484,8 +492,7 @@
   mbr_entry_t *next;
 
   HASH_ITER (hh, members->entries, entry, next)
-  if (entry->m.state == CO_MBR_ALIVE && !entry->m.draining
-      && el_str_eq (entry->m.hall, members->self.hall)
+  if (member_serves (members, &entry->m)
       && co_member_before (&entry->m, &members->self))
     before++;
   return before < most;
@@ -502,12 +509,10 @@
   mbr_entry_t *entry;
   mbr_entry_t *next;
 
-  if (members->self.state == CO_MBR_ALIVE && !members->self.draining
-      && !skip (arg, &members->self))
+  if (member_serves (members, &members->self) && !skip (arg, &members->self))
     first = &members->self;
   HASH_ITER (hh, members->entries, entry, next)
-  if (entry->m.state == CO_MBR_ALIVE && !entry->m.draining
-      && el_str_eq (entry->m.hall, members->self.hall)
+  if (member_serves (members, &entry->m)
       && (!first || co_member_before (&entry->m, first))
       && !skip (arg, &entry->m))
     first = &entry->m;
--- a/gate/peer_news.c
+++ b/gate/peer_news.c
@@ -105,6 +105,26 @@
   peers->engines = *talk;
 }
 
+static void
+items_write (const gt_news_t *news, peer_news_res *res)
+{
+  size_t i;
+
+  res->items.items_val = el_alloc ((news->n + 1) * sizeof (peer_item));
+  res->items.items_len = (u_int)news->n;
+  for (i = 0; i < news->n; i++)
+    {
+      peer_item *item = &res->items.items_val[i];
+
+      item->revision = news->items[i].revision;
+      item->gone = news->items[i].gone;
+      PEER_BYTES_SET (item->key, key, news->items[i].key);
+      PEER_BYTES_SET (item->value, value, news->items[i].value);
+    }
+}
+
+/* Tell a host that waits what this one has seen of the store, and its engines.
+ */
 static void
 news_answer (gt_peers_t *peers, const peer_asker_t *asker)
 {
@@ -112,7 +132,6 @@
   el_buf_t out = { NULL, 0, 0 };
   peer_news_res res;
   gt_news_t news;
-  size_t i;
 
   memset (&res, 0, sizeof res);
   gt_follow_tell (peers->follow, asker->after, &news);
@@ -120,17 +139,7 @@
   res.whole = news.whole;
   res.revision = news.revision;
   res.known_after = (int64_t)news.as_of - (int64_t)asker->came;
-  res.items.items_val = el_alloc ((news.n + 1) * sizeof (peer_item));
-  res.items.items_len = (u_int)news.n;
-  for (i = 0; i < news.n; i++)
-    {
-      peer_item *item = &res.items.items_val[i];
-
-      item->revision = news.items[i].revision;
-      item->gone = news.items[i].gone;
-      PEER_BYTES_SET (item->key, key, news.items[i].key);
-      PEER_BYTES_SET (item->value, value, news.items[i].value);
-    }
+  items_write (&news, &res);
   engines = engines_write (peers, &res);
   peer_xdr_write ((xdrproc_t)xdr_peer_news_res, &res, &out);
   net_rpc_reply (asker->req, el_buf_str (&out));
