Soak: ports and the limit of keys by name, checks in short steps

Ports were bare digits and the hosts' limit of keys stood in two files. request_check is split into what ran and what the caller got; reading a note and "took it again" are functions of their own. Taken out, since nothing used them: the parsed answer of a look-up, the time of an id's last run.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -13,7 +13,6 @@
 #include <time.h>
 
 #include <curl/curl.h>
-#include <jansson.h>
 
 #include "soak.h"
 
@@ -163,7 +162,7 @@
   char url[128];
   int post = request->kind != SK_SAFE;
 
-  sk_host_address (world, request->host, '2', address);
+  sk_host_address (world, request->host, SK_PORT_ENTRY, address);
   snprintf (url, sizeof url, "http://%s%s", address, paths[request->kind]);
   curl_easy_reset (curl);
   curl_easy_setopt (curl, CURLOPT_URL, url);
@@ -220,25 +219,22 @@
   unsigned asked = (unsigned)(el_random (&caller->random) % SK_HOSTS);
   char address[SK_ADDRESS_MAX];
   el_buf_t body = { NULL, 0, 0 };
-  json_t *json;
   unsigned i;
 
   caller->looked_up = sk_now ();
-  sk_host_address (world, asked, '4', address);
+  sk_host_address (world, asked, SK_PORT_DIRECTORY, address);
   if (sk_http ("GET", address,
                "/elmarch/resolve?Name=rel.example&Region=r&Zone=hall-a", NULL,
                &body)
       == 200)
     {
-      json = json_loadb (body.ptr, body.len, 0, NULL);
       caller->nhosts = 0;
       for (i = 0; i < SK_HOSTS; i++)
         {
-          sk_host_address (world, i, '2', address);
+          sk_host_address (world, i, SK_PORT_ENTRY, address);
           if (strstr (body.ptr, address))
             caller->hosts[caller->nhosts++] = i;
         }
-      json_decref (json);
     }
   el_buf_free (&body);
 }
--- a/soak/check.c
+++ b/soak/check.c
@@ -16,7 +16,6 @@
 
 /* A key that was taken away is refused after the hosts' limit; their clocks
    and this one's differ by less than the margin. */
-#define KEYS_LIMIT (2 * EL_SEC)
 #define KEYS_MARGIN (300 * EL_MSEC)
 /* A member that says that it leaves gets nothing new after this. */
 #define LEAVING_LIMIT (2 * EL_SEC)
@@ -29,7 +28,6 @@
 {
   char id[SK_ID_MAX];
   unsigned n;
-  el_time_t last;
   char customer[32];
   int asked; /* a caller sent it */
   UT_hash_handle hh;
@@ -102,42 +100,41 @@
   return run;
 }
 
+/* Take in one line that a member noted; one that is cut short is left out. */
+static void
+note_read (const char *text, check_notes_t *notes, check_run_t **runs)
+{
+  check_note_t note;
+  check_run_t *run;
+  char customer[32];
+  char line[LINE_MAX_BYTES];
+
+  if (sscanf (text, "%" SCNu64 " %31s %63s %31s %1023s", &note.at, note.id,
+              note.member, customer, line)
+      != 5)
+    return;
+  notes->list = el_grow (notes->list, notes->len + 1, sizeof *notes->list);
+  notes->list[notes->len++] = note;
+  run = run_get (runs, note.id);
+  run->n++;
+  snprintf (run->customer, sizeof run->customer, "%s", customer);
+  if (strcmp (line, "-") != 0)
+    line_check (note.id, line);
+}
+
 /* Read what the members noted. */
 static check_run_t *
 runs_read (const sk_world_t *world, check_notes_t *notes)
 {
   check_run_t *runs = NULL;
-  check_run_t *run;
   char path[300];
   char text[LINE_MAX_BYTES];
-  char id[SK_ID_MAX];
-  char member[64];
-  char customer[32];
-  char line[LINE_MAX_BYTES];
-  uint64_t at;
-  check_note_t *note;
   FILE *file;
 
   snprintf (path, sizeof path, "%s/runs", world->dir);
   file = fopen (path, "r");
   while (file && fgets (text, sizeof text, file))
-    {
-      if (sscanf (text, "%" SCNu64 " %31s %63s %31s %1023s", &at, id, member,
-                  customer, line)
-          != 5)
-        continue;
-      notes->list = el_grow (notes->list, notes->len + 1, sizeof *notes->list);
-      note = &notes->list[notes->len++];
-      note->at = at;
-      memcpy (note->id, id, sizeof note->id);
-      memcpy (note->member, member, sizeof note->member);
-      run = run_get (&runs, id);
-      run->n++;
-      run->last = at;
-      snprintf (run->customer, sizeof run->customer, "%s", customer);
-      if (strcmp (line, "-") != 0)
-        line_check (id, line);
-    }
+    note_read (text, notes, &runs);
   if (file)
     fclose (file);
   return runs;
@@ -156,7 +153,7 @@
 {
   int settled
       = !request->changed_at
-        || request->sent > request->changed_at + KEYS_LIMIT + KEYS_MARGIN;
+        || request->sent > request->changed_at + SK_KEYS_LIMIT + KEYS_MARGIN;
 
   if (request->old && request->changed_at && settled && run)
     sk_broken ("keys", request->id, "ran %" PRIu64 " us after its key went",
@@ -166,40 +163,52 @@
     sk_broken ("denied", request->id, "a key that is in force");
 }
 
+/* What ran: for the right customer, as often as it may. */
 static void
-request_check (const sk_request_t *request, check_run_t *run)
+run_check (const sk_request_t *request, check_run_t *run)
 {
   const char *id = request->id;
   char customer[32];
 
-  key_check (request, run);
-
-  if (run)
-    {
-      run->asked = 1;
-      snprintf (customer, sizeof customer, "customer-%u", request->key);
-      if (strcmp (run->customer, customer) != 0)
-        sk_broken ("customer", id, "ran for %s", run->customer);
-    }
-  if (request->kind == SK_UNSAFE && run && run->n > 1)
+  run->asked = 1;
+  snprintf (customer, sizeof customer, "customer-%u", request->key);
+  if (strcmp (run->customer, customer) != 0)
+    sk_broken ("customer", id, "ran for %s", run->customer);
+  if (request->kind == SK_UNSAFE && run->n > 1)
     sk_broken ("at most once", id, "ran %u times", run->n);
-  if (is_refusal (request->status) && run)
+  if (is_refusal (request->status))
     sk_broken ("not run is true", id, "status %ld, ran %u times",
                request->status, run->n);
-  if (request->status == 200 && request->whole
-      && (!request->seal || !request->own))
+}
+
+/* What the caller got: an endpoint's answer to this request, and all of it. */
+static void
+answer_check (const sk_request_t *request)
+{
+  const char *id = request->id;
+  int served = request->status == 200 && request->whole;
+
+  if (served && (!request->seal || !request->own))
     sk_broken ("own answer", id, "seal %d, own %d", request->seal,
                request->own);
   if (request->disorder)
     sk_broken ("stream order", id, "from %u to %u", request->resumed,
                request->events);
-  if (request->kind == SK_STREAM && request->status == 200 && request->whole
-      && request->events != SK_EVENTS)
+  if (served && request->kind == SK_STREAM && request->events != SK_EVENTS)
     sk_broken ("whole stream", id, "ended after %u", request->events);
   if (request->status == 404 || request->status == 403)
     sk_broken ("denied", id, "status %ld", request->status);
 }
 
+static void
+request_check (const sk_request_t *request, check_run_t *run)
+{
+  key_check (request, run);
+  if (run)
+    run_check (request, run);
+  answer_check (request);
+}
+
 /* How often each outcome was seen. */
 static void
 seen_print (const sk_seen_t *seen)
@@ -269,6 +278,16 @@
   return 1;
 }
 
+/* Whether the host that denied the key of BEFORE took it in AFTER. */
+static int
+took_again (const sk_request_t *before, const sk_request_t *after)
+{
+  return after->old && after->status == 200 && after->key == before->key
+         && after->generation == before->generation
+         && after->host == before->host && after->boot == before->boot
+         && after->sent > before->done;
+}
+
 /* A host that has refused a key that was taken away does not take it again as
    long as its process lives. */
 static void
@@ -278,20 +297,11 @@
   size_t k;
 
   for (i = 0; i < seen->len; i++)
-    for (k = 0;
-         seen->list[i].old && seen->list[i].status == 401 && k < seen->len;
-         k++)
-      {
-        const sk_request_t *before = &seen->list[i];
-        const sk_request_t *after = &seen->list[k];
-
-        if (after->old && after->status == 200 && after->key == before->key
-            && after->generation == before->generation
-            && after->host == before->host && after->boot == before->boot
-            && after->sent > before->done)
-          sk_broken ("configuration", after->id, "taken after %s was denied",
-                     before->id);
-      }
+    if (seen->list[i].old && seen->list[i].status == 401)
+      for (k = 0; k < seen->len; k++)
+        if (took_again (&seen->list[i], &seen->list[k]))
+          sk_broken ("configuration", seen->list[k].id,
+                     "taken after %s was denied", seen->list[i].id);
 }
 
 /* A member that has said that it leaves gets nothing new, if nothing else was
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -25,7 +25,10 @@
 #define SK_LINKS (SK_HOSTS + SK_MEMBERS)
 #define SK_KEYS 4
 #define SK_LAYERS 8
+/** Events of a whole stream of a stand-in. */
 #define SK_EVENTS 40
+/** A host that has not heard of the store for this long takes no keys. */
+#define SK_KEYS_LIMIT (2 * EL_SEC)
 #define SK_ADDRESS_MAX 32
 #define SK_ID_MAX 32
 
@@ -145,6 +148,17 @@
   el_time_t gone; /**< when its entry goes; 0 is not */
 } sk_proc_t;
 
+/** What a host listens for. */
+typedef enum sk_port
+{
+  SK_PORT_LISTEN,    /**< callers and operators */
+  SK_PORT_PEERS,     /**< other hosts */
+  SK_PORT_ENTRY,     /**< relayed requests */
+  SK_PORT_READY,     /**< whether it is ready */
+  SK_PORT_DIRECTORY, /**< where callers may go */
+  SK_PORTS
+} sk_port_t;
+
 typedef struct sk_world
 {
   char dir[256]; /**< logs and the members' record */
@@ -171,7 +185,7 @@
 void sk_world_tick (sk_world_t *world, el_time_t now);
 void sk_world_calm (sk_world_t *world);
 void sk_world_close (sk_world_t *world);
-void sk_host_address (const sk_world_t *world, unsigned host, char digit,
+void sk_host_address (const sk_world_t *world, unsigned host, sk_port_t port,
                       char *out);
 
 void sk_fault_begin (sk_world_t *world, sk_fault_t *fault);
--- a/soak/world.c
+++ b/soak/world.c
@@ -5,6 +5,7 @@
 /** @file
  * All processes of a run: their addresses, how they begin and how they end.
  */
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -14,9 +15,10 @@
 
 #include "soak.h"
 
+/* Hosts that each host is told of at its start. */
+#define SEEDS 3
 /* A host that was told to end has this long. */
 #define GRACE (12 * EL_SEC)
-#define KEYS_LIMIT_MS "2000"
 
 static void
 address_make (const sk_world_t *world, unsigned last, char *out)
@@ -41,12 +43,13 @@
                 out);
 }
 
-/** An address of a host: its port's last digit tells which. */
+/** An address of a host: the last digit of its port tells what for. */
 void
-sk_host_address (const sk_world_t *world, unsigned host, char digit, char *out)
+sk_host_address (const sk_world_t *world, unsigned host, sk_port_t port,
+                 char *out)
 {
   snprintf (out, SK_ADDRESS_MAX, "%s", world->hosts[host].address);
-  out[strlen (out) - 1] = digit;
+  out[strlen (out) - 1] = (char)('0' + port);
 }
 
 static const char *
@@ -113,20 +116,21 @@
 host_start (sk_world_t *world, unsigned i)
 {
   char name[16];
-  char at[5][SK_ADDRESS_MAX];
+  char keys_limit[24];
+  char at[SK_PORTS][SK_ADDRESS_MAX];
   char store[SK_ADDRESS_MAX];
   char seeds[SK_HOSTS * SK_ADDRESS_MAX] = "";
   const char *args[] = { "elmarchd",
                          "--listen",
-                         at[0],
+                         at[SK_PORT_LISTEN],
                          "--peer-listen",
-                         at[1],
+                         at[SK_PORT_PEERS],
                          "--entry",
-                         at[2],
+                         at[SK_PORT_ENTRY],
                          "--ready",
-                         at[3],
+                         at[SK_PORT_READY],
                          "--directory",
-                         at[4],
+                         at[SK_PORT_DIRECTORY],
                          "--peers",
                          seeds,
                          "--hall",
@@ -144,20 +148,22 @@
                          "--repeat-slack",
                          "1000",
                          "--keys-limit-ms",
-                         KEYS_LIMIT_MS,
+                         keys_limit,
                          NULL };
   unsigned k;
 
-  for (k = 0; k < 5; k++)
-    sk_host_address (world, i, (char)('0' + k), at[k]);
-  for (k = 0; k < SK_HOSTS && k < 3; k++)
+  for (k = 0; k < SK_PORTS; k++)
+    sk_host_address (world, i, (sk_port_t)k, at[k]);
+  for (k = 0; k < SK_HOSTS && k < SEEDS; k++)
     {
       char seed[SK_ADDRESS_MAX];
 
-      sk_host_address (world, k, '1', seed);
+      sk_host_address (world, k, SK_PORT_PEERS, seed);
       strcat (strcat (seeds, seed), ",");
     }
   snprintf (name, sizeof name, "h%u", i);
+  snprintf (keys_limit, sizeof keys_limit, "%" PRIu64,
+            SK_KEYS_LIMIT / EL_MSEC);
   link_address (world, i, store);
   sk_proc_start (world, &world->hosts[i], name, args);
 }
@@ -211,7 +217,7 @@
     host_start (world, i);
   for (i = 0; i < SK_HOSTS; i++)
     {
-      sk_host_address (world, i, '3', ready);
+      sk_host_address (world, i, SK_PORT_READY, ready);
       if (!sk_http_wait (ready, "/elmarch/ready", NULL))
         sk_broken ("start", "-", "host %u is not ready", i);
     }
