tests/t_relay.c split: what needs no endpoints is tests/t_course.c

Rules, what follows an attempt and the budget of repeats use no fleet and have a file and a suite of their own now. The tests are moved as they are.

--- a/Makefile
+++ b/Makefile
@@ -101,7 +101,8 @@
 	$(LINK) -lcurl
 
 UNIT = tests/unit_main.c tests/t_base.c tests/t_coord.c tests/t_route.c \
-       tests/t_replay.c tests/t_relay.c tests/t_net.c tests/t_seeded.c tests/t_check.c tests/t_members.c tests/mbr_net.c
+       tests/t_replay.c tests/t_relay.c tests/t_course.c tests/t_net.c \
+       tests/t_seeded.c tests/t_check.c tests/t_members.c tests/mbr_net.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -3,8 +3,8 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Tests of the decisions on relayed requests: rules, endpoints, lines of
- * engines, placing of layers, what follows an attempt.
+ * Tests of where relayed requests go: endpoints, lines of engines, placing of
+ * layers.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -132,66 +132,6 @@
       }
 }
 
-/* Rules. */
-
-static rt_rules_t *
-rules_three (void)
-{
-  rt_rules_t *rules = rt_rules_new (json_object ());
-
-  rules->rules = el_alloc (3 * sizeof *rules->rules);
-  rules->nrules = 3;
-  rules->rules[0]
-      = (rt_rule_t){ .host = EL_STR ("a"), .prefix = EL_STR ("/") };
-  rules->rules[1]
-      = (rt_rule_t){ .host = EL_STR ("a"), .prefix = EL_STR ("/x/") };
-  rules->rules[2]
-      = (rt_rule_t){ .host = EL_STR ("a"), .prefix = EL_STR ("/x/y/") };
-  rt_rules_index (rules);
-  return rules;
-}
-
-START_TEST (test_rules_longest_prefix_of_the_host_wins)
-{
-  rt_rules_t *rules = rules_three ();
-  const struct
-  {
-    const char *host;
-    const char *path;
-    int rule; /* -1: none */
-  } cases[] = {
-    { "a", "/", 0 },     { "a", "/x", 0 },    { "a", "/x/", 1 },
-    { "a", "/x/yy", 1 }, { "a", "/x/y/", 2 }, { "a", "/x/y/z/q", 2 },
-    { "b", "/x/", -1 },  { "a", "", -1 },     { "a/x", "/", -1 },
-  };
-  size_t i;
-
-  for (i = 0; i < sizeof cases / sizeof *cases; i++)
-    {
-      const rt_rule_t *rule = rt_rules_match (rules, el_str (cases[i].host),
-                                              el_str (cases[i].path));
-
-      ck_assert_msg (
-          rule == (cases[i].rule < 0 ? NULL : &rules->rules[cases[i].rule]),
-          "%s %s", cases[i].host, cases[i].path);
-    }
-  rt_rules_unref (rules);
-}
-END_TEST
-
-START_TEST (test_rules_split_follows_the_weights)
-{
-  rt_share_t shares[] = { { EL_STR ("a"), 90 }, { EL_STR ("b"), 10 } };
-  const rt_rule_t rule = { .shares = shares, .nshares = 2 };
-  unsigned second = 0;
-  uint64_t draw;
-
-  for (draw = 0; draw < 1000; draw++)
-    second += el_str_eq (rt_rule_service (&rule, draw), EL_STR ("b"));
-  ck_assert_uint_eq (second, 100);
-}
-END_TEST
-
 /* Endpoints. */
 
 START_TEST (test_pick_leaves_out_the_leaving_and_the_tried)
@@ -610,129 +550,6 @@
 }
 END_TEST
 
-/* After an attempt. */
-
-START_TEST (test_course_unsafe_runs_once)
-{
-  const rt_rule_t rule = { .kind = RT_UNSAFE, .attempts = 3 };
-  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
-  const rt_attempt_t refused = { .verdict = EL_NOT_RUN };
-  rt_course_t course = { 0, 0 };
-
-  ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 1, EL_SEC),
-                    RT_NEXT_AGAIN);
-  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
-                    RT_NEXT_FAIL);
-}
-END_TEST
-
-START_TEST (test_course_refusal_is_said_only_when_nothing_ran)
-{
-  const rt_rule_t rule = { .kind = RT_SAFE, .attempts = 2 };
-  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
-  const rt_attempt_t refused = { .verdict = EL_NOT_RUN };
-  rt_course_t course = { 0, 0 };
-
-  ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 0, EL_SEC),
-                    RT_NEXT_REFUSE);
-  course = (rt_course_t){ 0, 0 };
-  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
-                    RT_NEXT_AGAIN);
-  ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 0, EL_SEC),
-                    RT_NEXT_FAIL);
-}
-END_TEST
-
-START_TEST (test_course_keeps_to_the_rules_attempts)
-{
-  const rt_rule_t rule = { .kind = RT_SAFE, .attempts = 2 };
-  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
-  const rt_attempt_t failed
-      = { .verdict = EL_RAN, .answered = 1, .failed = 1 };
-  rt_course_t course = { 0, 0 };
-
-  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
-                    RT_NEXT_AGAIN);
-  ck_assert_int_eq (rt_course_next (&course, &rule, &failed, 1, EL_SEC),
-                    RT_NEXT_PASS);
-}
-END_TEST
-
-START_TEST (test_course_stream_goes_on_only_when_resumable)
-{
-  rt_rule_t rule = { .kind = RT_STREAM, .attempts = 2, .resumable = 1 };
-  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
-  rt_course_t course = { 0, 0 };
-
-  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
-                    RT_NEXT_AGAIN);
-  rule.resumable = 0;
-  course = (rt_course_t){ 0, 0 };
-  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
-                    RT_NEXT_FAIL);
-}
-END_TEST
-
-/* Over all hosts and any window, no more than ratio and slack. */
-START_TEST (test_spend_holds_over_hosts_and_windows)
-{
-  enum
-  {
-    HOSTS = 9,
-    SECONDS = 60
-  };
-  rt_spend_t spends[HOSTS];
-  unsigned taken[SECONDS] = { 0 };
-  unsigned asked[SECONDS] = { 0 };
-  int s;
-  int h;
-  int i;
-
-  for (h = 0; h < HOSTS; h++)
-    rt_spend_open (&spends[h], 0.2, 100, 10 * EL_SEC, 0);
-  for (s = 0; s < SECONDS; s++)
-    for (h = 0; h < HOSTS; h++)
-      for (i = 0; i < 10; i++)
-        {
-          rt_spend_asked (&spends[h], (el_time_t)s * EL_SEC);
-          asked[s]++;
-          taken[s] += (unsigned)rt_spend_take (&spends[h],
-                                               (el_time_t)s * EL_SEC, HOSTS);
-        }
-  for (s = 10; s < SECONDS; s++)
-    {
-      unsigned all = 0;
-      unsigned requests = 0;
-
-      for (i = 0; i < 10; i++)
-        {
-          all += taken[s - i];
-          requests += asked[s - i];
-        }
-      ck_assert_uint_le (all, requests / 5 + 100);
-      ck_assert_uint_gt (all, 0);
-    }
-}
-END_TEST
-
-/* A host that is killed and started again has no second part of the slack. */
-START_TEST (test_spend_restart_brings_no_slack)
-{
-  const el_time_t born = 20 * EL_SEC;
-  unsigned taken = 0;
-  rt_spend_t spend;
-
-  rt_spend_open (&spend, 0, 100, 10 * EL_SEC, born);
-  while (rt_spend_take (&spend, born + EL_SEC, 1))
-    taken++;
-  ck_assert_uint_eq (taken, 0);
-  while (rt_spend_take (&spend, born + 10 * EL_SEC, 1))
-    taken++;
-  ck_assert_uint_gt (taken, 0);
-  ck_assert_uint_le (taken, 100);
-}
-END_TEST
-
 Suite *
 relay_suite (void)
 {
@@ -740,8 +557,6 @@
   TCase *tcase = tcase_create ("relay");
 
   tcase_add_checked_fixture (tcase, relay_setup, relay_teardown);
-  ADD (tcase, test_rules_longest_prefix_of_the_host_wins);
-  ADD (tcase, test_rules_split_follows_the_weights);
   ADD (tcase, test_pick_leaves_out_the_leaving_and_the_tried);
   ADD (tcase, test_pick_avoids_the_failing_but_never_all);
   ADD (tcase, test_endpoint_that_leaves_does_not_come_back);
@@ -761,12 +576,6 @@
   ADD (tcase, test_layout_counts_orders_under_way);
   ADD_LOOP (tcase, test_layout_moves_spare_copies_into_a_hole, 3);
   ADD (tcase, test_layout_moves_nothing_while_a_hall_has_orders);
-  ADD (tcase, test_course_unsafe_runs_once);
-  ADD (tcase, test_course_refusal_is_said_only_when_nothing_ran);
-  ADD (tcase, test_course_keeps_to_the_rules_attempts);
-  ADD (tcase, test_course_stream_goes_on_only_when_resumable);
-  ADD (tcase, test_spend_holds_over_hosts_and_windows);
-  ADD (tcase, test_spend_restart_brings_no_slack);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/test.h
+++ b/tests/test.h
@@ -23,6 +23,7 @@
 Suite *route_suite (void);
 Suite *replay_suite (void);
 Suite *relay_suite (void);
+Suite *course_suite (void);
 Suite *net_suite (void);
 Suite *seeded_suite (void);
 Suite *check_suite (void);
