tests/t_check.c: one wait for the judgement on an engine

The same loop stood four times.

Checked: unit three times at a load of 15 to 18: 596 checks, 0 failed twice; once test_check_silent_beside_one_that_answers failed, the engine that answers taken for silent.

--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -103,6 +103,14 @@
     }
 }
 
+/* Until no answer of that engine is awaited. */
+static void
+judged (const asked_t *asked)
+{
+  while (asked->engine->asked)
+    turns (EL_MSEC);
+}
+
 /* Let both be asked once, so that connections are up. */
 static void
 engines_met (void)
@@ -132,8 +140,7 @@
   engines[0].mute = 1;
   relay_check (&relays, engines[0].engine);
   relay_check (&relays, engines[1].engine);
-  while (engines[0].engine->asked)
-    turns (EL_MSEC);
+  judged (&engines[0]);
   ck_assert_int_eq (engines[0].engine->suspect, 1);
   ck_assert_int_eq (engines[1].engine->suspect, 0);
   ck_assert_uint_eq (relays.counts.silent, 1);
@@ -152,8 +159,7 @@
   engines[0].mute = 1;
   relay_check (&relays, engines[0].engine);
   asked = engines[0].engine->asked;
-  while (engines[0].engine->asked)
-    turns (EL_MSEC);
+  judged (&engines[0]);
   ck_assert_int_eq (engines[0].engine->suspect, 1);
   ck_assert_uint_ge (net_clock_now (&test_clock), asked + 100 * EL_MSEC);
 }
@@ -168,8 +174,7 @@
   relay_check (&relays, engines[1].engine);
   turns (5 * EL_MSEC);
   engines[0].engine->alive = net_clock_now (&test_clock);
-  while (engines[0].engine->asked)
-    turns (EL_MSEC);
+  judged (&engines[0]);
   ck_assert_int_eq (engines[0].engine->suspect, 0);
   ck_assert_uint_eq (relays.counts.silent, 0);
 }
@@ -180,8 +185,7 @@
 START_TEST (test_check_is_asked_once_at_a_time)
 {
   relay_check (&relays, engines[0].engine);
-  while (engines[0].engine->asked)
-    turns (EL_MSEC);
+  judged (&engines[0]);
   relay_check (&relays, engines[0].engine); /* in 100 ms: asked just now */
   turns (60 * EL_MSEC);
   engines[0].mute = 1;
