--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -151,8 +151,9 @@
   int held_up = now > check->judge.due + HELD_UP;
   int heard = relays->answered_asked >= check->asked;
 
-  if (now < check->asked + CHECK_MOST
-      && (held_up || !heard || check->engine->alive > check->asked))
+  if (held_up
+      || (now < check->asked + CHECK_MOST
+          && (!heard || check->engine->alive > check->asked)))
     {
       net_clock_set (relays->options.clock, &check->judge, HELD_UP);
       return;
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -108,8 +108,7 @@
 {
   sk_proc_t *member = &world->members[fault->which];
 
-  if (!member->paused)
-    member_kill_for (member, 0);
+  member_kill_for (member, 0); /* also one that is paused */
 }
 
 /* Tell a worker how to answer from now on. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -45,7 +45,7 @@
     "the first seed" },
   { "seeds", EL_SET_U64, AT (seeds), "1", 1, 100000, 0, "N", "how many" },
   { "seconds", EL_SET_U64, AT (seconds), "12", 1, 86400, 0, "S",
-    "faults of one seed" },
+    "faults of one seed, 64 at the most" },
   { "callers", EL_SET_U64, AT (callers), "12", 1, 256, 0, "N", "threads" },
   { "plan", EL_SET_FLAG, AT (plan), "0", 0, 1, 0, NULL,
     "print the faults as they strike" },
@@ -107,6 +107,20 @@
     sk_broken ("recovery", "-", "host %u does not serve kind %u", host, kind);
 }
 
+/* A folder for the logs of one seed; what members noted in an earlier run of
+   it must not count again. */
+static void
+dir_make (const soak_settings_t *set, uint64_t seed, char *out, size_t size)
+{
+  char record[300];
+
+  snprintf (out, size, "%s/%" PRIu64, set->dir, seed);
+  mkdir (set->dir, 0700);
+  mkdir (out, 0700);
+  snprintf (record, sizeof record, "%s/runs", out);
+  unlink (record);
+}
+
 static size_t
 seed_run (const soak_settings_t *set, uint64_t seed)
 {
@@ -120,9 +134,7 @@
   char dir[256];
   size_t n;
 
-  snprintf (dir, sizeof dir, "%s/%" PRIu64, set->dir, seed);
-  mkdir (set->dir, 0700);
-  mkdir (dir, 0700);
+  dir_make (set, seed, dir, sizeof dir);
   sk_world_open (&world, set->bin, dir);
   recovery_check (&world, &seen); /* the layers are placed */
   callers = sk_callers_start (&world, &seen, (unsigned)set->callers, seed);
--- a/tests/red.sh
+++ b/tests/red.sh
@@ -33,13 +33,16 @@
   if ELMARCH_TEST_BIN=build/bin ELMARCH_TEST=$name CK_DEFAULT_TIMEOUT=20 \
     timeout 200 "build/bin/$bin" >run.log 2>&1; then
     echo "GREEN $name: passes without its mechanism"
-  else
+  elif [ -n "$name" ] && grep -q 'Checks: [1-9]' run.log; then
     echo "red $name"
+  else
+    echo "NOT RUN $name: see the list and the program"
   fi
   cd / && rm -rf "${dir:?}/$n"
 }
 
 total=$(grep -vc '^#' tests/red.list)
+[ "$total" -gt 0 ] || exit 1
 n=1
 while [ $n -le "$total" ]; do
   i=0
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -519,6 +519,7 @@
   caller_t caller;
   reply_t reply;
   long status = 200;
+  int listed = 1;
   int i;
 
   site_open (2);
@@ -533,19 +534,17 @@
       reply_free (&reply);
     }
   ck_assert_int_ne (status, 200);
-  for (i = 0; i < WAIT_STEPS; i++)
+  for (i = 0; i < WAIT_STEPS && listed; i++)
     {
       http ("GET", site.directories[1].address,
             "/elmarch/resolve?Name=rel.example&Zone=h", NULL, NULL, &reply);
-      status = reply.status;
-      ck_assert_int_eq (status, 200);
-      if (!strstr (reply.body.ptr, site.entries[0].address))
-        break;
+      ck_assert_int_eq (reply.status, 200);
+      ck_assert_ptr_nonnull (strstr (reply.body.ptr, site.entries[1].address));
+      listed = strstr (reply.body.ptr, site.entries[0].address) != NULL;
       reply_free (&reply);
       pause_step ();
     }
-  ck_assert_ptr_nonnull (strstr (reply.body.ptr, site.entries[1].address));
-  reply_free (&reply);
+  ck_assert_int_eq (listed, 0);
   caller_join (&caller);
   stream_whole (&caller.reply);
   reply_free (&caller.reply);
