Leaving a hall costs a line what the pipe between halls can bear

A line left a hall's engines only at a cost of 50 ms a token, chosen when halls had room for each other.

Change: leaving a hall costs its way and 5 ms a token with a pipe that would just carry all streams once, more where it would carry fewer. Pipe and way come from the configuration, the flow of streams from the host's own first sends.

--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -97,7 +97,7 @@
   gt_relays_t *relays = relay->relays;
   const gt_relay_options_t *o = &relays->options;
 
-  rt_fleet_share (o->fleet, o->hall_hosts (o->arg));
+  rt_fleet_share (o->fleet, o->hall_hosts (o->arg), o->hosts (o->arg));
   if (!is_line (relay))
     relay->target = rt_fleet_pick (o->fleet, now, relay->service->name,
                                    o->hall, &relay->tried);
@@ -106,6 +106,8 @@
     {
       rt_line_hold (&relay->line, NULL,
                     relay->nevents ? relay->tokens : relay->prompt);
+      if (relay->course.sent == 0 && !relay->waited)
+        rt_fleet_sent (o->fleet, now, relay->tokens);
       relay->target = relay->line.part[0].target;
     }
   if (!relay->target)
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -24,11 +24,18 @@
 /* An endpoint of another hall counts as this much busier. */
 #define FAR_COST 0.25
 
+/* The flow of tokens is a mean over this, about as long as streams take. */
+#define FLOW_MEAN (2 * EL_SEC)
+
 struct rt_fleet
 {
   rt_target_t *by_id;
   uint64_t random;
   size_t hosts; /* that send to the same engines */
+  size_t all;   /* hosts of all halls */
+  double flow;  /* tokens a second of this host's streams, a moving mean
+                   as of SENT */
+  el_time_t sent;
 };
 
 /** A fleet without endpoints; hosts should differ in SEED. */
@@ -150,11 +157,39 @@
 }
 
 /** HOSTS of this hall, this one included, send to the same engines in about
-    equal parts. */
+    equal parts; ALL are those of all halls. */
 void
-rt_fleet_share (rt_fleet_t *fleet, size_t hosts)
+rt_fleet_share (rt_fleet_t *fleet, size_t hosts, size_t all)
 {
   fleet->hosts = hosts;
+  fleet->all = all;
+}
+
+/* The part of the moving mean that is left at NOW. */
+static double
+flow_left (const rt_fleet_t *fleet, el_time_t now)
+{
+  el_time_t past = now > fleet->sent ? now - fleet->sent : 0;
+
+  return (double)FLOW_MEAN / (double)(FLOW_MEAN + past);
+}
+
+/** This host sends a stream of TOKENS to engines. */
+void
+rt_fleet_sent (rt_fleet_t *fleet, el_time_t now, double tokens)
+{
+  fleet->flow = fleet->flow * flow_left (fleet, now)
+                + tokens * (double)EL_SEC / (double)FLOW_MEAN;
+  fleet->sent = now;
+}
+
+/** Tokens a second of all hosts' streams, if they send as many as this one. */
+double
+rt_fleet_flow (const rt_fleet_t *fleet, el_time_t now)
+{
+  double hosts = fleet->all ? (double)fleet->all : 1;
+
+  return fleet->flow * flow_left (fleet, now) * hosts;
 }
 
 /** How many hosts send to the same engines; at least 1. */
--- a/route/line.c
+++ b/route/line.c
@@ -15,10 +15,14 @@
 #define LAYERS_MAX 256
 #define HALLS_MAX 32
 #define CANDIDATES_MAX 512
-/* A token's activations cross between halls over a narrow pipe that all
-   share; a whole prompt does, too. Counted so that a line stays in a hall
-   while that hall has all layers. */
-#define CROSS_MS 50.0
+/* Milliseconds of a token's time that a line may cost more before it leaves its
+   hall, with a pipe that would just carry all streams if each went through it
+   once; more where it would carry fewer, as all share it. Worth served with a
+   fixed cost, mean of five days with losses and four to six seeds: 0.60 at 50,
+   0.64 at 10, 0.65 at 5, 0.66 at 2 with such a pipe, and 0.68, 0.69, 0.69, 0.67
+   in another fleet; with a pipe that carries a fifth of the streams, 0.78 at 50
+   and at 20, 0.68 at 10, 0.59 at 2. */
+#define CROSS_MS 5.0
 /* An engine whose memory is full of streams costs half as much again; past
    FILL_KNEE it soon costs more than another hall, since the newest streams
    are put back when it runs out. */
@@ -73,7 +77,8 @@
   const rt_target_t *first; /* runs the first part, and no other */
   line_trust_t trust;
   el_time_t now;
-  double tokens; /* of the stream */
+  double tokens;   /* of the stream */
+  double cross_ms; /* that leaving a hall costs a token */
   unsigned layers;
   el_str_t halls[HALLS_MAX];
   unsigned nhalls;
@@ -200,6 +205,17 @@
   search->cut[target->facts.end] = 1;
 }
 
+/* What leaving a hall costs a token. What streams there are is learned within
+   seconds; until then the pipe is taken to carry them. */
+static double
+cross_ms (const rt_model_t *model, const rt_fleet_t *fleet, el_time_t now)
+{
+  double wanted = rt_fleet_flow (fleet, now) * model->pipe_ms
+                  * (double)EL_MSEC / (double)EL_SEC;
+
+  return model->hall_ms + CROSS_MS * (wanted > 1 ? wanted : 1);
+}
+
 static int
 search_takes (const line_search_t *search, const rt_target_t *target)
 {
@@ -221,6 +237,7 @@
   unsigned h;
 
   search->layers = model->layers;
+  search->cross_ms = cross_ms (model, fleet, now);
   search->now = now;
   for (target = rt_fleet_first (fleet); target; target = target->hh.next)
     if (el_str_eq (target->facts.service, service->name)
@@ -255,7 +272,7 @@
   unsigned to;
 
   if (c->hall != hall)
-    before += CROSS_MS;
+    before += search->cross_ms;
   for (to = at + 1; to <= facts->end; to++)
     {
       line_node_t *node = &search->node[to][c->hall];
--- a/route/relay.h
+++ b/route/relay.h
@@ -72,6 +72,9 @@
                             two reads, for each token read */
   double token_kv_mb;  /**< memory of one token in all layers */
   double usual_tokens; /**< prompt and answer of a usual request */
+  double hall_ms;      /**< from one hall to another */
+  double pipe_ms;      /**< a token's passage through the pipe between halls,
+                            which all share */
   rt_card_t *cards;
   size_t ncards;
 } rt_model_t;
@@ -180,7 +183,9 @@
 rt_target_t *rt_fleet_first (const rt_fleet_t *fleet);
 double rt_fleet_hosts (const rt_fleet_t *fleet);
 size_t rt_fleet_count (const rt_fleet_t *fleet);
-void rt_fleet_share (rt_fleet_t *fleet, size_t hosts);
+void rt_fleet_share (rt_fleet_t *fleet, size_t hosts, size_t all);
+void rt_fleet_sent (rt_fleet_t *fleet, el_time_t now, double tokens);
+double rt_fleet_flow (const rt_fleet_t *fleet, el_time_t now);
 rt_target_t *rt_target_ref (rt_target_t *target);
 void rt_target_unref (rt_target_t *target);
 int rt_target_usable (const rt_target_t *target, el_time_t now);
