New streams no longer wait for room at the host

A new stream was held for up to 300 ms while the engines of its line were full.

Change: taken out, with its counter. Callers are sent on or refused at once.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -90,7 +90,6 @@
   uint64_t checks;   /**< engines asked for a sign of life */
   uint64_t silent;   /**< of these, those that gave none */
   uint64_t crossed;  /**< answers to another request */
-  uint64_t waited;   /**< streams that waited for room at the engines */
   uint64_t spent;    /**< repeats not made: the budget is spent */
   uint64_t events;
   el_hist_t first_event; /**< microseconds from the request */
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -65,7 +65,6 @@
   el_time_t received;
   el_time_t deadline;
   el_timer_t over;
-  int waited;  /* for room at the engines */
   int waiting; /* for the host's first configuration */
   int ended;   /* the caller's answer is complete, or the caller has gone */
 
--- a/gate/relay_metrics.c
+++ b/gate/relay_metrics.c
@@ -53,8 +53,6 @@
     COUNT (silent) },
   { "elmarch_relay_crossed_total", "answers to another request", EL_COUNTER,
     COUNT (crossed) },
-  { "elmarch_relay_waited_total", "streams that waited for room", EL_COUNTER,
-    COUNT (waited) },
   { "elmarch_relay_spent_total", "repeats not made for want of budget",
     EL_COUNTER, COUNT (spent) },
   { "elmarch_relay_events_total", "events handed on", EL_COUNTER,
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -14,12 +14,6 @@
 /* When to come back after a refusal: an endpoint that is full or missing now
    may not be in a moment. Half of it is random so that callers spread. */
 #define REFUSED_RETRY (100 * EL_MSEC)
-/* A new stream waits for this long at most while the engines' memory is full:
-   streams end all the time, and one that is sent too soon is put back or
-   refused. Some three fifths of the usual time to a first event. */
-#define ROOM_WAIT (300 * EL_MSEC)
-#define ROOM_LOOK (20 * EL_MSEC)
-#define ROOM_FULL 1.0
 /* Answers of plain services that are collected before they are passed on. */
 #define PLAIN_MAX ((size_t)4 << 20)
 
@@ -47,7 +41,6 @@
 try_release (gt_relay_t *relay)
 {
   rt_line_release (&relay->line);
-  relay->line.fill = 0;
   if (relay->target)
     {
       relay->target->running--;
@@ -106,7 +99,7 @@
     {
       rt_line_hold (&relay->line, NULL,
                     relay->nevents ? relay->tokens : relay->prompt);
-      if (relay->course.sent == 0 && !relay->waited)
+      if (relay->course.sent == 0)
         rt_fleet_sent (o->fleet, now, relay->tokens);
       relay->target = relay->line.part[0].target;
     }
@@ -417,30 +410,6 @@
     relay_watch_begin (relay);
 }
 
-static void
-try_look (void *arg, el_time_t now)
-{
-  (void)now;
-  relay_try (arg);
-}
-
-/* Whether a new stream waits for room on the line that was chosen. */
-static int
-try_wait (gt_relay_t *relay, el_time_t now)
-{
-  if (relay->line.fill < ROOM_FULL || relay->begun
-      || now >= relay->received + ROOM_WAIT)
-    return 0;
-  if (!relay->waited)
-    relay->relays->counts.waited++;
-  relay->waited = 1;
-  try_release (relay);
-  relay->watch.cb = try_look;
-  relay->watch.arg = relay;
-  net_clock_set (relay->relays->options.clock, &relay->watch, ROOM_LOOK);
-  return 1;
-}
-
 /** Send the request to the endpoint or line that suits best now. */
 void
 relay_try (gt_relay_t *relay)
@@ -449,8 +418,7 @@
 
   if (try_choose (relay, now))
     {
-      if (!try_wait (relay, now))
-        try_send (relay, now);
+      try_send (relay, now);
       return;
     }
   if (relay->begun)
