--- a/route/line.c
+++ b/route/line.c
@@ -19,10 +19,10 @@
    its hall, with a pipe that would just carry all streams if each went through
    it once; more where it would carry fewer, as all share it. Worth served with
    a fixed cost, mean of five days with losses and four to six seeds: 0.60 at
-   50, 0.64 at 10, 0.65 at 5, 0.66 at 2 with such a pipe, and 0.68, 0.69, 0.69,
-   0.67 in another fleet; with a pipe that carries a fifth of the streams, 0.78
-   at 50 and at 20, 0.68 at 10, 0.59 at 2. */
-#define CROSS_MS 5.0
+   50, 0.64 at 10, 0.65 at 5, 0.66 at 2 in a fleet whose streams want 1.4 times
+   the pipe, and 0.68, 0.69, 0.69, 0.67 in one where they want 1.3 times; where
+   they want 6 times, 0.78 at 50 and at 20, 0.68 at 10, 0.59 at 2. */
+#define CROSS_MS 4.0
 /* An engine whose memory is full of streams costs half as much again; past
    FILL_KNEE it soon costs more than another hall, since the newest streams
    are put back when it runs out. */
