--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CFLAGS = -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wwrite-strings
-INC = -Ibase -Icoord -Iroute -Inet -Igate -Iplatform -isystem /usr/include/tirpc
+INC = -Ibase -Icoord -Iroute -Inet -Ipeer -Igate -Iplatform -isystem /usr/include/tirpc
 PREFIX = /usr/local
 # gcc warns of null formats that only its own instrumentation makes.
 SANITIZE = -fsanitize=address,undefined -fno-omit-frame-pointer \
@@ -23,11 +23,13 @@
         route/layout.c route/course.c
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
+PEER = peer/peer.c peer/peer_gossip.c peer/peer_sync.c peer/peer_config.c \
+       peer/peer_fetch.c peer/peer_news.c peer/peer_forward.c \
+       peer/peer_handover.c peer/peer_xdr.c
 GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
        gate/door_chat.c gate/door_call.c gate/door_session.c gate/door_oper.c \
-       gate/platform.c gate/kv_http.c gate/peer.c gate/peer_gossip.c gate/peer_fetch.c \
-       gate/peer_forward.c gate/peer_handover.c gate/peer_xdr.c gate/peer_news.c gate/peer_sync.c gate/cfg_sync.c \
+       gate/platform.c gate/kv_http.c gate/session_peer.c \
        gate/relay.c gate/relay_try.c gate/relay_head.c gate/relay_answer.c \
        gate/relay_events.c gate/relay_watch.c gate/relay_check.c gate/relay_poll.c \
        gate/relay_metrics.c \
@@ -40,12 +42,12 @@
 LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
 
-LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
+LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libpeer.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
 
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
-              grep -v 'gate/peer_xdr.c\|gate/peer_proto.h')
+              grep -v 'peer/peer_xdr.c\|peer/peer_proto.h')
 
-LINTED = $(filter-out tests/% gate/peer_xdr.c,$(filter %.c,$(FORMATTED)))
+LINTED = $(filter-out tests/% peer/peer_xdr.c,$(filter %.c,$(FORMATTED)))
 
 .PHONY: all proto embed deps demo check checked red lint bench soak format clean install
 .DEFAULT_GOAL = all
@@ -74,11 +76,11 @@
 	sh tools/licence.sh --check
 	$(MAKE) -s all $(BENCHES)
 	mandoc -Tlint -W warning man/*.[0-9]
-# Make the committed codecs anew from gate/peer.x; needs rpcsvc-proto.
+# Make the committed codecs anew from peer/peer.x; needs rpcsvc-proto.
 proto:
-	rm -f gate/peer_proto.h gate/peer_xdr.c
-	cd gate && rpcgen -h -o peer_proto.h peer.x && rpcgen -c -o peer_xdr.c peer.x
-	sed -i 's/"peer.h"/"peer_proto.h"/' gate/peer_xdr.c
+	rm -f peer/peer_proto.h peer/peer_xdr.c
+	cd peer && rpcgen -h -o peer_proto.h peer.x && rpcgen -c -o peer_xdr.c peer.x
+	sed -i 's/"peer.h"/"peer_proto.h"/' peer/peer_xdr.c
 format:
 	sh tools/licence.sh
 	clang-format -i $(FORMATTED)
@@ -169,7 +171,7 @@
 	diff examples/members.out $(B)/members.out
 
 # What rpcgen writes declares variables that it does not use.
-$(B)/gate/peer_xdr.o: WARN += -Wno-unused-variable
+$(B)/peer/peer_xdr.o: WARN += -Wno-unused-variable
 
 $(B)/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -185,6 +187,8 @@
 	ar rcs $@ $^
 $(B)/libnet.a: $(NET:%.c=$(B)/%.o)
 	ar rcs $@ $^
+$(B)/libpeer.a: $(PEER:%.c=$(B)/%.o)
+	ar rcs $@ $^
 $(B)/libgate.a: $(GATE:%.c=$(B)/%.o)
 	ar rcs $@ $^
 
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -116,6 +116,7 @@
 
 co_ledger_t *co_ledger_new (const co_ledger_options_t *options);
 void co_ledger_free (co_ledger_t *ledger);
+co_session_t co_token_session (const co_token_t *token);
 el_status_t co_ledger_open (co_ledger_t *ledger, el_time_t now,
                             el_str_t customer, uint64_t *session,
                             el_err_t *err);
--- a/coord/token.c
+++ b/coord/token.c
@@ -139,3 +139,10 @@
   out->customer = el_str_cut (&rest, TOKEN_SEP);
   return EL_OK;
 }
+
+/** The session that a token is for. */
+co_session_t
+co_token_session (const co_token_t *token)
+{
+  return (co_session_t){ token->home, token->session };
+}
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -53,7 +53,7 @@
 };
 
 static void
-rules_item (void *arg, const gt_store_item_t *item)
+rules_item (void *arg, const pr_item_t *item)
 {
   site_t *site = arg;
   const rt_rules_t *now = gt_relays_in_force (site->relays);
@@ -87,7 +87,7 @@
 }
 
 static void
-endpoints_item (void *arg, const gt_store_item_t *item)
+endpoints_item (void *arg, const pr_item_t *item)
 {
   site_t *site = arg;
   rt_target_t *target;
@@ -189,7 +189,7 @@
 }
 
 static void
-site_item (void *arg, const gt_store_item_t *item)
+site_item (void *arg, const pr_item_t *item)
 {
   if (el_str_starts (item->key, PF_RULES_PREFIX))
     rules_item (arg, item);
@@ -209,7 +209,7 @@
 }
 
 static int
-site_ask (void *arg, uint64_t after, gt_news_cb done, void *done_arg)
+site_ask (void *arg, uint64_t after, pr_news_cb done, void *done_arg)
 {
   site_t *site = arg;
 
@@ -283,7 +283,7 @@
 }
 
 static size_t
-site_tell (void *arg, gt_engine_news_t **out)
+site_tell (void *arg, pr_engine_t **out)
 {
   site_t *site = arg;
 
@@ -291,7 +291,7 @@
 }
 
 static void
-site_hear (void *arg, const gt_engine_news_t *news, size_t n)
+site_hear (void *arg, const pr_engine_t *news, size_t n)
 {
   site_t *site = arg;
 
--- a/gate/door.c
+++ b/gate/door.c
@@ -147,7 +147,7 @@
   char hash[2 * SHA256_BYTES + 1];
   el_str_t key = bearer (req);
 
-  if (!gt_sync_ready (gate))
+  if (!pr_config_ready (gate->sync))
     {
       gt_door_error (gate, req, 503, "starting",
                      "this host has no configuration yet; use another");
--- a/gate/door_call.c
+++ b/gate/door_call.c
@@ -81,7 +81,7 @@
 }
 
 static void
-call_forwarded (void *arg, const gt_forwarded_t *forwarded)
+call_forwarded (void *arg, const pr_called_t *forwarded)
 {
   call_wait_t *wait = arg;
   gt_gate_t *gate = wait->gate;
@@ -120,7 +120,7 @@
   gate->counts.forwarded++;
   wait->gate = gate;
   wait->hold = gt_hold_new (req);
-  gt_peers_forward (gate->peers, ask, call_forwarded, wait);
+  gt_session_forward (gate, ask, call_forwarded, wait);
 }
 
 /** Serve a call. */
@@ -153,7 +153,7 @@
       return;
     }
   ask.digest = call_digest (&ask);
-  if (ask.in_session && gt_peers_where (gate->peers, &ask.token, &ask.where))
+  if (ask.in_session && pr_peers_where (gate->peers, &ask.token, &ask.where))
     {
       call_forward (gate, req, &ask);
       return;
--- a/gate/door_chat.c
+++ b/gate/door_chat.c
@@ -272,7 +272,7 @@
    it can't be had, a request that may be repeated is taken up here from the
    tokens that the caller has; any other may have run there. */
 static void
-chat_home (void *arg, gt_home_t state)
+chat_home (void *arg, pr_home_t state)
 {
   chat_wait_t *wait = arg;
   gt_gate_t *gate = wait->gate;
@@ -285,7 +285,7 @@
           = "the session's home does not answer; open a new session for new "
             "requests" };
 
-  if (req && state == GT_HOME_LIVE)
+  if (req && state == PR_HOME_LIVE)
     {
       gate->counts.forwarded++;
       chat_redirect (req, wait->ask.where.http);
@@ -319,7 +319,7 @@
     return;
   ask.repeatable = !el_str_eq (net_req_header (req, "x-elmarch-repeatable"),
                                EL_STR ("no"));
-  if (ask.in_session && gt_peers_where (gate->peers, &ask.token, &ask.where))
+  if (ask.in_session && pr_peers_where (gate->peers, &ask.token, &ask.where))
     {
       chat_wait_t *wait = el_alloc (sizeof *wait);
 
@@ -327,7 +327,7 @@
       wait->hold = gt_hold_new (req);
       ask.where.http = pool_str (req, ask.where.http);
       wait->ask = ask;
-      gt_peers_ask_home (gate->peers, &ask.where, chat_home, wait);
+      pr_peers_ask_home (gate->peers, &ask.where, chat_home, wait);
       return;
     }
   chat_run (gate, req, &ask);
--- a/gate/door_session.c
+++ b/gate/door_session.c
@@ -75,7 +75,7 @@
       gt_door_error (gate, req, 404, "not-found", "no such session");
       return;
     }
-  session = gt_token_session (&token);
+  session = co_token_session (&token);
   if (!co_incarnation_eq (&token.home, &gate->incarnation)
       && !co_ledger_holds (gate->ledger, &session))
     {
@@ -104,7 +104,7 @@
   json_t *hosts = json_array ();
 
   (void)rest;
-  gt_peers_entries (
+  pr_peers_entries (
       gate->peers, hosts, ENTRY_HOSTS_MOST,
       el_str_hash ((el_str_t){ (const char *)&addr, (size_t)len }));
   gt_door_json (
--- a/gate/flow.c
+++ b/gate/flow.c
@@ -73,13 +73,6 @@
                                     "former host" },
 };
 
-/** The session that a token names. */
-co_session_t
-gt_token_session (const co_token_t *token)
-{
-  return (co_session_t){ token->home, token->session };
-}
-
 static gt_flow_t *
 flow_find (gt_gate_t *gate, uint64_t id)
 {
@@ -147,7 +140,7 @@
   flow->gate = gate;
   flow->answer = gt_answer_ref (answer);
   flow->in_session = ask->in_session;
-  flow->session = gt_token_session (&ask->token);
+  flow->session = co_token_session (&ask->token);
   flow->sequence = ask->sequence;
   flow->repeatable = ask->repeatable;
   flow->started = net_clock_now (&gate->clock);
@@ -166,7 +159,7 @@
 {
   gt_answer_t *answer = gt_answer_new (gate, ask);
   co_led_result_t word = CO_LED_RUN;
-  co_session_t session = gt_token_session (&ask->token);
+  co_session_t session = co_token_session (&ask->token);
   void *first = NULL;
 
   if (ask->in_session)
@@ -190,10 +183,10 @@
     gate->counts.forgotten++;
   *refusal = ledger_refusals[word];
   if (word == CO_LED_MOVED)
-    refusal->where = *gt_peers_successor (gate->peers);
+    refusal->where = *pr_peers_successor (gate->peers);
   if (word == CO_LED_ELSEWHERE)
     refusal->where
-        = (gt_place_t){ ask->token.home, ask->token.peer, ask->token.http };
+        = (pr_place_t){ ask->token.home, ask->token.peer, ask->token.http };
   refusal->go = refusal->where.peer.len > 0;
   return NULL;
 }
@@ -271,7 +264,7 @@
 leaving_tell (gt_gate_t *gate, const gt_flow_t *flow, const rt_event_t *event)
 {
   if (event->kind == RT_EV_FAILED && event->fail == RT_FAIL_LEAVING)
-    gt_peers_endpoint_leaves (gate->peers, flow->endpoint);
+    pr_peers_endpoint_leaves (gate->peers, flow->endpoint);
 }
 
 static void
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -158,11 +158,11 @@
     { "elmarch_home_gone_total", "requests whose home did not answer",
       EL_COUNTER, &gate->counts.home_gone },
     { "elmarch_rpc_refused_total", "peer messages refused", EL_COUNTER,
-      &gate->counts.rpc_refused },
+      &pr_peers_counts (gate->peers)->refused },
     { "elmarch_peer_messages_total", "messages to other hosts", EL_COUNTER,
-      &gate->counts.peer_messages },
+      &pr_peers_counts (gate->peers)->messages },
     { "elmarch_peer_bytes_total", "bytes of them", EL_COUNTER,
-      &gate->counts.peer_bytes },
+      &pr_peers_counts (gate->peers)->bytes },
     { "elmarch_trace_lost_total", "lines of the trace not written", EL_COUNTER,
       &gate->counts.trace_lost },
     { "elmarch_platform_calls_total", "calls to the platform", EL_COUNTER,
@@ -170,9 +170,9 @@
     { "elmarch_platform_failures_total", "of those, failed", EL_COUNTER,
       &gate->counts.platform_failures },
     { "elmarch_config_applied_total", "changes put in force", EL_COUNTER,
-      &gate->counts.config_applied },
+      &pr_config_counts (gate->sync)->applied },
     { "elmarch_config_stale_total", "changes older than what is in force",
-      EL_COUNTER, &gate->counts.config_stale },
+      EL_COUNTER, &pr_config_counts (gate->sync)->stale },
     { "elmarch_requests_total", "requests for endpoints", EL_COUNTER,
       RT_COUNT (requests) },
     { "elmarch_refused_total", "requests refused as not run", EL_COUNTER,
@@ -243,15 +243,37 @@
   gate->router = rt_router_new (&router);
   gate->ledger = co_ledger_new (&ledger);
   gate->config = co_config_new (&config);
+  gate->sync = pr_config_new (gate->config);
   gate->client = net_client_new (&gate->clock);
   gate->clock.next = clock_next;
   gate->clock.fire = clock_fire;
   gate->clock.arg = gate;
-  gate_metrics (gate);
   if (o->trace_fd >= 0)
     trace_open (gate);
 }
 
+static pr_peers_t *
+gate_peers (gt_gate_t *gate, el_err_t *err)
+{
+  const gt_options_t *o = &gate->options;
+  pr_options_t peers = { .clock = &gate->clock,
+                         .listen = o->peer_listen,
+                         .seeds = o->peers,
+                         .http = o->entry.len ? o->entry : o->listen,
+                         .hall = o->hall,
+                         .key = o->cluster_key,
+                         .incarnation = gate->incarnation,
+                         .capacity = o->capacity,
+                         .store_followers = o->store_followers,
+                         .leave_hold = o->leave_hold,
+                         .seed = gt_random (gate),
+                         .config = gate->sync,
+                         .ledger = gate->ledger };
+
+  gt_session_peer_ops (&peers, gate);
+  return pr_peers_new (&peers, err);
+}
+
 /** Start one host's gate on its loop; NULL, with the reason in ERR, when an
     address can't be had. */
 gt_gate_t *
@@ -273,10 +295,11 @@
   co_incarnation_hex (&gate->incarnation, gate->incarnation_hex);
   net_clock_open (&gate->clock, options->loop);
   gate_parts (gate);
-  gate->peers = gt_peers_new (gate, err);
+  gate->peers = gate_peers (gate, err);
   gate->server = gate->peers ? net_server_new (&server, err) : NULL;
   if (!gate->server)
     return NULL;
+  gate_metrics (gate);
   if (options->platform.len)
     gate->platform = gt_platform_new (gate);
   gate->expire.cb = gate_expire;
@@ -297,7 +320,7 @@
   net_server_stop (gate->server);
   if (gate->platform)
     gt_platform_stop (gate->platform);
-  gt_peers_stop (gate->peers);
+  pr_peers_stop (gate->peers);
   net_clock_cancel (&gate->clock, &gate->expire);
   gate->drained (gate->drained_arg);
 }
@@ -321,7 +344,7 @@
   else if (!idle || gate->handing)
     net_clock_set (&gate->clock, &gate->expire, DRAIN_LOOK_EVERY);
   else
-    gt_peers_farewell (gate->peers, drain_told, gate);
+    pr_peers_farewell (gate->peers, drain_told, gate);
 }
 
 static void
@@ -348,10 +371,10 @@
   EL_LOG (EL_LOG_INFO, "draining",
           EL_FN ("running", HASH_COUNT (gate->flows)));
   co_ledger_seal (gate->ledger);
-  gt_peers_drain (gate->peers);
+  pr_peers_drain (gate->peers);
   gt_router_event (gate, &event);
   gate->handing = 1;
-  gt_peers_hand_over (gate->peers, drain_handed, gate);
+  pr_peers_hand_over (gate->peers, drain_handed, gate);
   gate->expire.cb = drain_look;
   net_clock_set (&gate->clock, &gate->expire, 0);
 }
@@ -367,7 +390,7 @@
       "ledgerEntries", (json_int_t)co_ledger_entries (gate->ledger),
       "configRevision", (json_int_t)co_config_revision (gate->config),
       "resources", (json_int_t)co_config_count (gate->config), "peers",
-      gt_peers_dump (gate->peers), "router",
+      pr_peers_dump (gate->peers), "router",
       rt_router_dump (gate->router, net_clock_now (&gate->clock)));
 }
 
@@ -395,21 +418,21 @@
 gt_gate_withdraw (gt_gate_t *gate, int withdrawn)
 {
   if (!gate->draining)
-    gt_peers_withdraw (gate->peers, withdrawn);
+    pr_peers_withdraw (gate->peers, withdrawn);
 }
 
 /** Live hosts, this one included. */
 size_t
 gt_gate_hosts (const gt_gate_t *gate)
 {
-  return gt_peers_live (gate->peers);
+  return pr_peers_live (gate->peers);
 }
 
 /** Those of this host's hall. */
 size_t
 gt_gate_hall_hosts (const gt_gate_t *gate)
 {
-  return gt_peers_hall_live (gate->peers);
+  return pr_peers_hall_live (gate->peers);
 }
 
 /** Whether this host comes first among the live ones that stay: all that see
@@ -417,7 +440,7 @@
 int
 gt_gate_preferred (const gt_gate_t *gate)
 {
-  return !gate->draining && gt_peers_preferred (gate->peers);
+  return !gate->draining && pr_peers_preferred (gate->peers);
 }
 
 /** Append the entry addresses for callers of HALL: hosts of their own hall
@@ -425,21 +448,21 @@
 void
 gt_gate_entries (const gt_gate_t *gate, el_str_t hall, json_t *list)
 {
-  gt_peers_addresses (gate->peers, hall, list);
+  pr_peers_addresses (gate->peers, hall, list);
 }
 
 /** What FOLLOW sees is told to the other hosts that ask. */
 void
 gt_gate_follow (gt_gate_t *gate, gt_follow_t *follow)
 {
-  gt_peers_follow (gate->peers, follow);
+  gate->follow = follow;
 }
 
 /** The follower has heard of the store. */
 void
 gt_gate_heard (gt_gate_t *gate)
 {
-  gt_peers_heard (gate->peers);
+  pr_peers_heard (gate->peers);
 }
 
 /** The host that was asked last could not tell, though the store answers: ask
@@ -447,14 +470,14 @@
 void
 gt_gate_blame_news (gt_gate_t *gate)
 {
-  gt_peers_blame_news (gate->peers);
+  pr_peers_blame_news (gate->peers);
 }
 
 /** Have TALK exchange with other hosts how engines do. */
 void
 gt_gate_engines (gt_gate_t *gate, const gt_engine_talk_t *talk)
 {
-  gt_peers_engines (gate->peers, talk);
+  gate->engines = *talk;
 }
 
 /** Whether this host comes first in its hall: it does what one host does for
@@ -462,13 +485,13 @@
 int
 gt_gate_leads (const gt_gate_t *gate)
 {
-  return !gate->draining && gt_peers_leads (gate->peers);
+  return !gate->draining && pr_peers_leads (gate->peers);
 }
 
 /** Ask another host what it has seen of the store; gives 0 when this host
     should ask the store. */
 int
-gt_gate_ask_news (gt_gate_t *gate, uint64_t after, gt_news_cb done, void *arg)
+gt_gate_ask_news (gt_gate_t *gate, uint64_t after, pr_news_cb done, void *arg)
 {
-  return !gate->draining && gt_peers_ask_news (gate->peers, after, done, arg);
+  return !gate->draining && pr_peers_ask_news (gate->peers, after, done, arg);
 }
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -58,8 +58,8 @@
 typedef struct gt_engine_talk
 {
   /** Gives a list, which the caller frees; its strings stay its own. */
-  size_t (*tell) (void *arg, gt_engine_news_t **out);
-  void (*hear) (void *arg, const gt_engine_news_t *news, size_t n);
+  size_t (*tell) (void *arg, pr_engine_t **out);
+  void (*hear) (void *arg, const pr_engine_t *news, size_t n);
   void *arg;
 } gt_engine_talk_t;
 
@@ -74,7 +74,7 @@
 void gt_gate_blame_news (gt_gate_t *gate);
 void gt_gate_engines (gt_gate_t *gate, const gt_engine_talk_t *talk);
 int gt_gate_leads (const gt_gate_t *gate);
-int gt_gate_ask_news (gt_gate_t *gate, uint64_t after, gt_news_cb done,
+int gt_gate_ask_news (gt_gate_t *gate, uint64_t after, pr_news_cb done,
                       void *arg);
 void gt_gate_withdraw (gt_gate_t *gate, int withdrawn);
 size_t gt_gate_hosts (const gt_gate_t *gate);
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -10,6 +10,7 @@
 #define ELMARCH_GATE_RELAY_H
 
 #include "net.h"
+#include "peer.h"
 #include "relay.h"
 
 typedef struct gt_relays gt_relays_t;
@@ -124,22 +125,12 @@
   void *arg;
 } gt_relay_options_t;
 
-/** How an engine does, as one host tells another. */
-typedef struct gt_engine_news
-{
-  el_str_t id;
-  rt_load_t load;
-  el_time_t age; /**< of the load */
-  int silent;    /**< it gives no sign of life */
-} gt_engine_news_t;
-
 gt_relays_t *gt_relays_new (const gt_relay_options_t *options, el_err_t *err);
 void gt_relays_rules (gt_relays_t *relays, rt_rules_t *rules);
 void gt_relays_known (gt_relays_t *relays, el_time_t as_of);
 const rt_rules_t *gt_relays_in_force (const gt_relays_t *relays);
-size_t gt_relays_tell (gt_relays_t *relays, gt_engine_news_t **out);
-void gt_relays_hear (gt_relays_t *relays, const gt_engine_news_t *news,
-                     size_t n);
+size_t gt_relays_tell (gt_relays_t *relays, pr_engine_t **out);
+void gt_relays_hear (gt_relays_t *relays, const pr_engine_t *news, size_t n);
 void gt_relays_engine_changed (gt_relays_t *relays, rt_target_t *engine);
 void gt_relays_retire (gt_relays_t *relays);
 void gt_relays_close (gt_relays_t *relays);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -9,9 +9,11 @@
 #define ELMARCH_LIBGATE_H
 
 #include "gate.h"
-#include "net.h"
 #include "map.h"
+#include "net.h"
+#include "peer.h"
 #include "route.h"
+#include "rpc.h"
 #include "store.h"
 
 #define GT_JSON EL_STR ("application/json")
@@ -19,7 +21,6 @@
 typedef struct gt_answer gt_answer_t;
 typedef struct gt_reader gt_reader_t;
 typedef struct gt_flow gt_flow_t;
-typedef struct gt_peers gt_peers_t;
 typedef struct gt_platform gt_platform_t;
 
 /* One who waits for an answer; its wake is called when there is news. */
@@ -75,14 +76,6 @@
   el_buf_t body;
 };
 
-/* Where a session is at home. */
-typedef struct gt_place
-{
-  co_incarnation_t incarnation;
-  el_str_t peer;
-  el_str_t http;
-} gt_place_t;
-
 /* What a caller asks, checked and typed. */
 typedef struct gt_ask
 {
@@ -93,7 +86,7 @@
   el_time_t deadline; /* on the clock */
   int in_session;
   co_token_t token;
-  gt_place_t where; /* when that is not here */
+  pr_place_t where; /* when that is not here */
   unsigned hops;    /* hosts that forwarded it so far */
   uint64_t sequence;
   uint64_t digest;
@@ -120,7 +113,7 @@
   const char *message;
   uint64_t retry_after_ms;
   int go;           /* no refusal: another host has it */
-  gt_place_t where; /* which one */
+  pr_place_t where; /* which one */
 } gt_refusal_t;
 
 /* A request that runs. */
@@ -154,14 +147,9 @@
   uint64_t forgotten;    /* refused because it may have run */
   uint64_t forwarded;    /* to the session's home */
   uint64_t home_gone;    /* not forwarded: the home does not answer */
-  uint64_t rpc_refused;  /* messages that are not from a host of ours */
   uint64_t trace_lost;
-  uint64_t peer_messages;
-  uint64_t peer_bytes;
   uint64_t platform_calls; /* all kinds, a watch as one */
   uint64_t platform_failures;
-  uint64_t config_applied;
-  uint64_t config_stale; /* changes that came after a newer one */
   el_hist_t first_token; /* microseconds */
 } gt_counts_t;
 
@@ -174,13 +162,16 @@
   rt_router_t *router;
   co_ledger_t *ledger;
   co_config_t *config;
+  pr_config_t *sync;
   co_incarnation_t incarnation;
   char incarnation_hex[CO_INCARNATION_HEX + 1];
   gt_flow_t *flows;
   uint64_t next_stream;
   uint64_t next_change;
   gt_answer_t *dirty;
-  gt_peers_t *peers;
+  pr_peers_t *peers;
+  gt_follow_t *follow; /* news for other hosts; NULL without */
+  gt_engine_talk_t engines;
   gt_platform_t *platform;
   gt_counts_t counts;
   el_metrics_t metrics;
@@ -191,8 +182,6 @@
   uint64_t gauge_bytes;
   uint64_t gauge_revision;
   el_timer_t expire;
-  int ready;        /* there is a configuration to serve with */
-  uint64_t history; /* all removals after this revision are known */
   uint64_t callers; /* answers that are not wholly sent */
   int draining;
   int trace_cut; /* the last line of the trace is not whole */
@@ -251,8 +240,6 @@
 void gt_refusal_of_end (const gt_end_t *end, gt_refusal_t *out);
 json_t *gt_refusal_json (const gt_refusal_t *refusal);
 
-co_session_t gt_token_session (const co_token_t *token);
-
 /* hold.c: a request whose answer waits for news that the caller may not
    live to see. */
 typedef struct gt_hold gt_hold_t;
@@ -301,71 +288,9 @@
                       gt_put_cb done, void *arg);
 void gt_platform_stop (gt_platform_t *platform);
 
-/* cfg_sync.c */
-typedef struct gt_sync gt_sync_t;
-
-gt_sync_t *gt_sync_begin (gt_gate_t *gate);
-void gt_sync_item (gt_sync_t *sync, co_kind_t kind, el_str_t name,
-                   uint64_t revision, json_t *spec);
-void gt_sync_end (gt_sync_t *sync, uint64_t revision, int whole);
-void gt_sync_drop (gt_sync_t *sync);
-int gt_sync_ready (const gt_gate_t *gate);
-
-/* peer.c */
-gt_peers_t *gt_peers_new (gt_gate_t *gate, el_err_t *err);
-void gt_peers_drain (gt_peers_t *peers);
-void gt_peers_follow (gt_peers_t *peers, gt_follow_t *follow);
-void gt_peers_heard (gt_peers_t *peers);
-void gt_peers_blame_news (gt_peers_t *peers);
-void gt_peers_engines (gt_peers_t *peers, const gt_engine_talk_t *talk);
-int gt_peers_leads (const gt_peers_t *peers);
-int gt_peers_ask_news (gt_peers_t *peers, uint64_t after, gt_news_cb done,
-                       void *arg);
-void gt_peers_withdraw (gt_peers_t *peers, int withdrawn);
-void gt_peers_stop (gt_peers_t *peers);
-void gt_peers_seen (gt_peers_t *peers, uint64_t revision);
-int gt_peers_chosen (const gt_peers_t *peers, size_t most);
-void gt_peers_endpoint_leaves (gt_peers_t *peers, el_str_t endpoint);
-json_t *gt_peers_dump (const gt_peers_t *peers);
-void gt_peers_entries (const gt_peers_t *peers, json_t *hosts, size_t most,
-                       uint64_t spread);
-size_t gt_peers_hall_live (const gt_peers_t *peers);
-int gt_peers_preferred (const gt_peers_t *peers);
-void gt_peers_addresses (const gt_peers_t *peers, el_str_t hall, json_t *list);
-size_t gt_peers_live (const gt_peers_t *peers);
-size_t gt_peers_in_force (const gt_peers_t *peers, uint64_t revision);
-
-typedef enum gt_home
-{
-  GT_HOME_LIVE,   /* the home's incarnation answers */
-  GT_HOME_GONE,   /* another incarnation is at its address */
-  GT_HOME_UNKNOWN /* it can't be reached now */
-} gt_home_t;
-
-typedef void (*gt_home_cb) (void *arg, gt_home_t state);
-int gt_peers_where (gt_peers_t *peers, const co_token_t *token,
-                    gt_place_t *out);
-void gt_peers_ask_home (gt_peers_t *peers, const gt_place_t *where,
-                        gt_home_cb done, void *arg);
-
-/* The sessions' new home after a planned stop; peer is empty without one. */
-void gt_peers_hand_over (gt_peers_t *peers, gt_drained_cb done, void *arg);
-void gt_peers_farewell (gt_peers_t *peers, gt_drained_cb done, void *arg);
-const gt_place_t *gt_peers_successor (const gt_peers_t *peers);
-
-/* The outcome of a forwarded request; net tells whether there is one. */
-typedef struct gt_forwarded
-{
-  int answered; /* 0: the home did not answer */
-  el_verdict_t verdict;
-  int status;
-  const net_header_t *headers;
-  size_t nheaders;
-  el_str_t body;
-} gt_forwarded_t;
-
-typedef void (*gt_forward_cb) (void *arg, const gt_forwarded_t *forwarded);
-void gt_peers_forward (gt_peers_t *peers, const gt_ask_t *ask,
-                       gt_forward_cb done, void *arg);
+/* session_peer.c */
+void gt_session_peer_ops (pr_options_t *options, gt_gate_t *gate);
+void gt_session_forward (gt_gate_t *gate, const gt_ask_t *ask,
+                         pr_called_cb done, void *arg);
 
 #endif
--- a/gate/platform.c
+++ b/gate/platform.c
@@ -93,7 +93,7 @@
 static void
 list_apply (gt_platform_t *platform, const gt_kv_list_t *list, int whole)
 {
-  gt_sync_t *sync = gt_sync_begin (platform->gate);
+  pr_sync_t *sync = pr_sync_begin (platform->gate->sync);
   gt_kv_item_t item;
   json_t *json;
   size_t i;
@@ -101,9 +101,9 @@
   json_array_foreach (list->items, i, json)
   {
     if (gt_kv_http.read_item (json, &item))
-      gt_sync_item (sync, item.kind, item.name, item.revision, item.spec);
+      pr_sync_item (sync, item.kind, item.name, item.revision, item.spec);
   }
-  gt_sync_end (sync, list->revision, whole);
+  pr_sync_end (sync, list->revision, whole);
 }
 
 static void
@@ -140,9 +140,9 @@
 {
   gt_gate_t *gate = platform->gate;
 
-  if (gt_peers_chosen (gate->peers, WATCHERS_IN_HALL))
+  if (pr_peers_chosen (gate->peers, WATCHERS_IN_HALL))
     return 1;
-  return !gt_sync_ready (gate)
+  return !pr_config_ready (gate->sync)
          && net_clock_now (&gate->clock) > platform->began + PEERS_FIRST;
 }
 
@@ -159,7 +159,8 @@
                      CHOSEN_LOOK_EVERY);
       return;
     }
-  platform->whole = platform->behind || !gt_sync_ready (platform->gate);
+  platform->whole
+      = platform->behind || !pr_config_ready (platform->gate->sync);
   if (platform->whole)
     gt_kv_http.range (&path);
   else
@@ -189,7 +190,7 @@
     if (!state || strcmp (state, "leaving") != 0 || !event.target.len)
       continue;
     gt_router_event (platform->gate, &event);
-    gt_peers_endpoint_leaves (platform->gate->peers, event.target);
+    pr_peers_endpoint_leaves (platform->gate->peers, event.target);
   }
 }
 
@@ -216,7 +217,7 @@
   el_buf_t path = { NULL, 0, 0 };
 
   (void)now;
-  if (!gt_peers_chosen (platform->gate->peers, WATCHERS_IN_HALL))
+  if (!pr_peers_chosen (platform->gate->peers, WATCHERS_IN_HALL))
     {
       net_clock_set (&platform->gate->clock, &platform->hosts_timer,
                      HOSTS_EVERY);
@@ -263,11 +264,11 @@
 put_apply (put_op_t *op, uint64_t revision)
 {
   gt_gate_t *gate = op->platform->gate;
-  gt_sync_t *sync = gt_sync_begin (gate);
+  pr_sync_t *sync = pr_sync_begin (gate->sync);
 
-  gt_sync_item (sync, op->change.kind, op->change.name, revision,
+  pr_sync_item (sync, op->change.kind, op->change.name, revision,
                 op->change.spec);
-  gt_sync_drop (sync);
+  pr_sync_drop (sync);
 }
 
 static void
--- a/gate/relay_poll.c
+++ b/gate/relay_poll.c
@@ -86,7 +86,7 @@
 
 /** What this host knows of its hall's engines; the caller frees the list. */
 size_t
-gt_relays_tell (gt_relays_t *relays, gt_engine_news_t **out)
+gt_relays_tell (gt_relays_t *relays, pr_engine_t **out)
 {
   const gt_relay_options_t *o = &relays->options;
   el_time_t now = net_clock_now (o->clock);
@@ -97,17 +97,18 @@
   for (engine = rt_fleet_first (o->fleet); engine; engine = engine->hh.next)
     if (poll_takes (relays, engine) && engine->told
         && now < engine->told + TELL_MOST)
-      (*out)[n++] = (gt_engine_news_t){ .id = engine->facts.id,
-                                        .load = { engine->fill, engine->pace },
-                                        .age = now - engine->told,
-                                        .silent = engine->suspect };
+      (*out)[n++] = (pr_engine_t){ .id = engine->facts.id,
+                                   .fill = engine->fill,
+                                   .pace = engine->pace,
+                                   .age = now - engine->told,
+                                   .silent = engine->suspect };
   return n;
 }
 
 /** Another host tells of engines. One that gives it no sign of life is asked
     by this host, too: it may only be out of the other one's reach. */
 void
-gt_relays_hear (gt_relays_t *relays, const gt_engine_news_t *news, size_t n)
+gt_relays_hear (gt_relays_t *relays, const pr_engine_t *news, size_t n)
 {
   const gt_relay_options_t *o = &relays->options;
   el_time_t now = net_clock_now (o->clock);
@@ -115,6 +116,7 @@
 
   for (i = 0; i < n; i++)
     {
+      const rt_load_t load = { news[i].fill, news[i].pace };
       rt_target_t *engine = rt_fleet_find (o->fleet, news[i].id);
 
       if (!engine)
@@ -122,6 +124,6 @@
       if (news[i].silent)
         relay_check (relays, engine);
       else
-        relay_check_load (relays, engine, &news[i].load, now - news[i].age);
+        relay_check_load (relays, engine, &load, now - news[i].age);
     }
 }
--- a/gate/store.h
+++ b/gate/store.h
@@ -11,15 +11,7 @@
 #define ELMARCH_STORE_H
 
 #include "net.h"
-
-/** A key as the store has it. */
-typedef struct gt_store_item
-{
-  el_str_t key;
-  el_str_t value;
-  uint64_t revision; /**< of its last change */
-  int gone;          /**< the change removed it */
-} gt_store_item_t;
+#include "peer.h"
 
 typedef enum gt_store_state
 {
@@ -34,7 +26,7 @@
 /** A list as read from an answer; gt_store_list_free ends it. */
 typedef struct gt_store_list
 {
-  gt_store_item_t *items;
+  pr_item_t *items;
   size_t n;
   int more;          /**< further items follow the last one */
   uint64_t revision; /**< of the store, as the answer was made */
@@ -88,19 +80,6 @@
 
 typedef struct gt_follow gt_follow_t;
 
-/** What a follower was told: changes, or all there is when WHOLE. */
-typedef struct gt_news
-{
-  gt_store_item_t *items;
-  size_t n;
-  int whole;
-  uint64_t revision; /**< changes up to it were told */
-  el_time_t as_of;   /**< by this host's clock */
-} gt_news_t;
-
-/** NEWS is NULL when nobody answered, or one that knows nothing itself. */
-typedef void (*gt_news_cb) (void *arg, const gt_news_t *news);
-
 typedef struct gt_follow_options
 {
   gt_store_t *store;
@@ -109,10 +88,10 @@
   el_time_t gather; /**< pause after changes, so that those that come together
                          take one call */
   /** A key is new or changed, or is gone. */
-  void (*item) (void *arg, const gt_store_item_t *item);
+  void (*item) (void *arg, const pr_item_t *item);
   /** Have another host tell what it has seen after a revision. Gives 0 when
       this host should ask the store itself; may be NULL. */
-  int (*ask) (void *arg, uint64_t after, gt_news_cb done, void *done_arg);
+  int (*ask) (void *arg, uint64_t after, pr_news_cb done, void *done_arg);
   /** The host that was asked could not tell, but the store itself can. */
   void (*blame) (void *arg);
   /** All changes made before AS_OF, by the clock, were told. */
@@ -121,7 +100,7 @@
 } gt_follow_options_t;
 
 gt_follow_t *gt_follow_new (const gt_follow_options_t *options);
-void gt_follow_tell (gt_follow_t *follow, uint64_t after, gt_news_t *out);
+void gt_follow_tell (gt_follow_t *follow, uint64_t after, pr_news_t *out);
 void gt_follow_free (gt_follow_t *follow);
 
 /* A duty that at most one host has. */
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -84,7 +84,7 @@
 }
 
 static void
-follow_item (gt_follow_t *follow, const gt_store_item_t *item)
+follow_item (gt_follow_t *follow, const pr_item_t *item)
 {
   follow_key_t *key = follow_key (follow, item->key);
 
@@ -109,9 +109,9 @@
 
   HASH_ITER (hh, follow->keys, key, next)
   {
-    gt_store_item_t item = { .key = { key->key, key->len },
-                             .revision = follow->read_at,
-                             .gone = 1 };
+    pr_item_t item = { .key = { key->key, key->len },
+                       .revision = follow->read_at,
+                       .gone = 1 };
 
     if (key->reading == follow->reading && !key->gone)
       continue;
@@ -248,7 +248,7 @@
 /* Another host has told. When it could not, or what it knows is old, the store
    is asked: if it answers, the other host is at fault. */
 static void
-news_told (void *arg, const gt_news_t *news)
+news_told (void *arg, const pr_news_t *news)
 {
   gt_follow_t *follow = arg;
   el_time_t now = net_clock_now (follow->options.store->clock);
@@ -355,12 +355,12 @@
     then is known. The items belong to the follower; the list is freed by the
     caller. */
 void
-gt_follow_tell (gt_follow_t *follow, uint64_t after, gt_news_t *out)
+gt_follow_tell (gt_follow_t *follow, uint64_t after, pr_news_t *out)
 {
   follow_key_t *key;
   follow_key_t *next;
 
-  *out = (gt_news_t){ .whole = after < follow->read_at,
+  *out = (pr_news_t){ .whole = after < follow->read_at,
                       .revision = follow->revision,
                       .as_of = follow->known };
   out->items = el_alloc ((HASH_COUNT (follow->keys) + 1) * sizeof *out->items);
@@ -368,10 +368,10 @@
   {
     if (out->whole ? key->gone : key->revision <= after)
       continue;
-    out->items[out->n++] = (gt_store_item_t){ .key = { key->key, key->len },
-                                              .value = key->value,
-                                              .revision = key->revision,
-                                              .gone = key->gone };
+    out->items[out->n++] = (pr_item_t){ .key = { key->key, key->len },
+                                        .value = key->value,
+                                        .revision = key->revision,
+                                        .gone = key->gone };
   }
 }
 
--- a/gate/libpeer.h
+++ b/peer/libpeer.h
@@ -8,11 +8,8 @@
 #ifndef ELMARCH_LIBPEER_H
 #define ELMARCH_LIBPEER_H
 
-#include <rpc/rpc.h>
-
-#include "libgate.h"
-#include "peer_proto.h"
-#include "rpc.h"
+#include "map.h"
+#include "peer.h"
 
 /* When a sign that an endpoint leaves was last passed on. */
 typedef struct peer_sign
@@ -34,68 +31,71 @@
 /* Most hosts that are blamed at once; further ones take the oldest's place. */
 #define PEER_BLAMES 8
 
-struct gt_peers
+struct pr_peers
 {
-  gt_gate_t *gate;
+  pr_options_t options;
   net_rpc_t *rpc;
   co_members_t *members;
+  pr_counts_t counts;
   el_timer_t tick;
-  size_t live; /* as the router was last told */
+  size_t live; /* as the holder was last told */
   int fetching;
-  gt_follow_t *follow; /* news for other hosts; NULL without */
   struct peer_asker *askers;
   el_time_t asked_at;     /* when another host asked for news last */
   co_incarnation_t asked; /* whom this host asked last */
   peer_blame_t blames[PEER_BLAMES];
   unsigned next_blame;
-  gt_engine_talk_t engines; /* who tells and hears how engines do */
   peer_sign_t *signs;
   peer_handover_t *handover;
-  gt_place_t successor;
+  pr_place_t successor;
   int handed; /* the successor may have taken something over */
 };
 
-typedef void (*peer_serve_fn) (gt_peers_t *peers, net_rpc_req_t *req,
+struct pr_config
+{
+  co_config_t *config;
+  int ready;         /* there is a configuration to serve with */
+  uint64_t history;  /* all removals after this revision are known */
+  pr_peers_t *peers; /* told what was seen */
+  pr_config_counts_t counts;
+};
+
+typedef void (*peer_serve_fn) (pr_peers_t *peers, net_rpc_req_t *req,
                                el_str_t body);
 
 /* XDR of one value, to and from bytes. */
 void peer_xdr_write (xdrproc_t proc, void *value, el_buf_t *out);
 int peer_xdr_read (xdrproc_t proc, el_str_t body, void *value);
 
-#define PEER_BYTES_SET(at, field, s)                                          \
-  ((at).field##_val = (char *)(uintptr_t)(s).ptr,                             \
-   (at).field##_len = (u_int)(s).len)
-#define PEER_BYTES_GET(at, field)                                             \
-  ((el_str_t){ (at).field##_val, (at).field##_len })
-
 /* peer_gossip.c */
-void peer_gossip_write (gt_peers_t *peers, const co_incarnation_t *to,
+void peer_gossip_write (pr_peers_t *peers, const co_incarnation_t *to,
                         el_buf_t *out);
 void peer_probe (void *arg, uint64_t id, el_str_t address, el_str_t via);
-void peer_serve_gossip (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
-void peer_serve_relay (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
-void peer_ticked (gt_peers_t *peers);
+void peer_serve_gossip (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+void peer_serve_relay (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+void peer_ticked (pr_peers_t *peers);
 void peer_member_write (const co_member_t *from, peer_member *to);
 int peer_member_read (const peer_member *from, co_member_t *to);
 
 /* peer_sync.c */
 void peer_sync (void *arg, el_str_t address);
-void peer_serve_members (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+void peer_serve_members (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+
+/* peer.c */
+void peer_seen (pr_peers_t *peers, uint64_t revision);
 
 /* peer_fetch.c */
-void peer_fetch (gt_peers_t *peers, const co_member_t *from);
-void peer_serve_fetch (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+void peer_fetch (pr_peers_t *peers, const co_member_t *from);
+void peer_serve_fetch (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_forward.c */
-void peer_serve_forward (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
-net_header_t *peer_headers_read (const peer_header *list, u_int n);
-peer_header *peer_headers_write (const net_header_t *headers, size_t n);
+void peer_serve_forward (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_news.c */
-void peer_serve_news (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+void peer_serve_news (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_handover.c */
-void peer_serve_handover (gt_peers_t *peers, net_rpc_req_t *req,
+void peer_serve_handover (pr_peers_t *peers, net_rpc_req_t *req,
                           el_str_t body);
 
 #endif
--- a/gate/peer.c
+++ b/peer/peer.c
@@ -58,7 +58,7 @@
 static void
 peers_serve (void *arg, net_rpc_req_t *req, uint32_t proc, el_str_t body)
 {
-  gt_peers_t *peers = arg;
+  pr_peers_t *peers = arg;
   size_t i;
 
   for (i = 0; i < sizeof procs / sizeof *procs; i++)
@@ -67,14 +67,14 @@
         procs[i].serve (peers, req, body);
         return;
       }
-  peers->gate->counts.rpc_refused++;
+  peers->counts.refused++;
   net_rpc_reply (req, (el_str_t){ NULL, 0 });
 }
 
 static void
 member_changed (void *arg, const co_member_t *member)
 {
-  gt_peers_t *peers = arg;
+  pr_peers_t *peers = arg;
   char inc[CO_INCARNATION_HEX + 1];
 
   co_incarnation_hex (&member->incarnation, inc);
@@ -89,116 +89,129 @@
 static void
 member_leaving (void *arg, el_str_t endpoint)
 {
-  gt_peers_t *peers = arg;
-  rt_event_t event
-      = { .kind = RT_EV_LEAVING, .target = endpoint, .leaving = 1 };
+  pr_peers_t *peers = arg;
 
   EL_LOG (EL_LOG_INFO, "endpoint_leaves", EL_FS ("endpoint", endpoint),
           EL_FC ("sign", "another host"));
-  gt_router_event (peers->gate, &event);
+  peers->options.ops->leaving (peers->options.arg, endpoint);
 }
 
-/** Tell the router how many hosts are live, and have the clock ask again. */
+/** Tell the holder how many hosts are live, and have the clock ask again. */
 void
-peer_ticked (gt_peers_t *peers)
+peer_ticked (pr_peers_t *peers)
 {
-  el_time_t now = net_clock_now (&peers->gate->clock);
+  el_time_t now = net_clock_now (peers->options.clock);
   el_time_t due = co_members_next (peers->members);
-  rt_event_t event = { .kind = RT_EV_HOSTS };
+  size_t live = co_members_live (peers->members);
 
-  net_clock_set (&peers->gate->clock, &peers->tick,
+  net_clock_set (peers->options.clock, &peers->tick,
                  due > now ? due - now : NO_DELAY);
-  event.hosts = co_members_live (peers->members);
-  if (event.hosts == peers->live)
+  if (live == peers->live)
     return;
-  peers->live = event.hosts;
-  gt_router_event (peers->gate, &event);
+  peers->live = live;
+  peers->options.ops->hosts (peers->options.arg, live);
 }
 
 static void
 peers_tick (void *arg, el_time_t now)
 {
-  gt_peers_t *peers = arg;
+  pr_peers_t *peers = arg;
 
   co_members_tick (peers->members, now);
   peer_ticked (peers);
 }
 
-gt_peers_t *
-gt_peers_new (gt_gate_t *gate, el_err_t *err)
+/* The member that this host is. */
+static void
+member_self (const pr_options_t *o, co_member_t *out)
+{
+  out->incarnation = o->incarnation;
+  out->peer = o->listen;
+  out->http = o->http;
+  out->hall = o->hall;
+  out->capacity = o->capacity;
+}
+
+/** Listen for other hosts and find them; NULL, with the reason in ERR, when
+    the address can't be had. */
+pr_peers_t *
+pr_peers_new (const pr_options_t *options, el_err_t *err)
 {
-  gt_peers_t *peers = el_alloc (sizeof *peers);
-  net_rpc_options_t rpc = { .clock = &gate->clock,
-                            .listen = gate->options.peer_listen,
-                            .key = gate->options.cluster_key,
+  pr_peers_t *peers = el_alloc (sizeof *peers);
+  net_rpc_options_t rpc = { .clock = options->clock,
+                            .listen = options->listen,
+                            .key = options->key,
                             .serve = peers_serve,
                             .arg = peers,
-                            .refused = &gate->counts.rpc_refused,
-                            .messages = &gate->counts.peer_messages,
-                            .bytes = &gate->counts.peer_bytes };
-  co_members_options_t members = { .seeds = gate->options.peers,
-                                   .seed = gt_random (gate),
+                            .refused = &peers->counts.refused,
+                            .messages = &peers->counts.messages,
+                            .bytes = &peers->counts.bytes };
+  co_members_options_t members = { .seeds = options->seeds,
+                                   .seed = options->seed,
                                    .period = PROBE_EVERY,
                                    .timeout = PROBE_TIMEOUT,
                                    .forget = FORGET_AFTER,
-                                   .leaving_hold = gate->options.leave_hold,
+                                   .leaving_hold = options->leave_hold,
                                    .probe = peer_probe,
                                    .sync = peer_sync,
                                    .changed = member_changed,
                                    .leaving = member_leaving,
                                    .arg = peers };
 
-  peers->gate = gate;
+  peers->options = *options;
   peers->rpc = net_rpc_new (&rpc, err);
   if (!peers->rpc)
     {
       free (peers);
       return NULL;
     }
-  members.self.incarnation = gate->incarnation;
-  members.self.peer = gate->options.peer_listen;
-  members.self.http
-      = gate->options.entry.len ? gate->options.entry : gate->options.listen;
-  members.self.hall = gate->options.hall;
-  members.self.capacity = gate->options.capacity;
+  member_self (options, &members.self);
   peers->members = co_members_new (&members);
+  options->config->peers = peers;
   peers->tick.cb = peers_tick;
   peers->tick.arg = peers;
-  net_clock_set (&gate->clock, &peers->tick, NO_DELAY);
+  net_clock_set (options->clock, &peers->tick, NO_DELAY);
   return peers;
 }
 
+/** What was exchanged so far. */
+const pr_counts_t *
+pr_peers_counts (const pr_peers_t *peers)
+{
+  return &peers->counts;
+}
+
 /** This host takes no new work. */
 void
-gt_peers_drain (gt_peers_t *peers)
+pr_peers_drain (pr_peers_t *peers)
 {
   co_members_drain (peers->members, CO_MBR_ALIVE);
 }
 
 /** Callers should not be sent here for now, or may be again. */
 void
-gt_peers_withdraw (gt_peers_t *peers, int withdrawn)
+pr_peers_withdraw (pr_peers_t *peers, int withdrawn)
 {
   co_members_withdraw (peers->members, withdrawn);
 }
 
 void
-gt_peers_stop (gt_peers_t *peers)
+pr_peers_stop (pr_peers_t *peers)
 {
-  net_clock_cancel (&peers->gate->clock, &peers->tick);
+  net_clock_cancel (peers->options.clock, &peers->tick);
   net_rpc_stop (peers->rpc);
 }
 
 /** This host has seen all changes of configuration up to REVISION. */
 void
-gt_peers_seen (gt_peers_t *peers, uint64_t revision)
+peer_seen (pr_peers_t *peers, uint64_t revision)
 {
   co_members_seen (peers->members, revision);
 }
 
 /** Whether this host is one of the few of its hall that ask the platform. */
 int
-gt_peers_chosen (const gt_peers_t *peers, size_t most)
+pr_peers_chosen (const pr_peers_t *peers, size_t most)
 {
   return co_members_chosen (peers->members, most);
 }
@@ -206,15 +219,15 @@
 /** A sign that an endpoint leaves was seen here: tell the other hosts, not
     more often than half the time for which it counts. */
 void
-gt_peers_endpoint_leaves (gt_peers_t *peers, el_str_t endpoint)
+pr_peers_endpoint_leaves (pr_peers_t *peers, el_str_t endpoint)
 {
-  el_time_t now = net_clock_now (&peers->gate->clock);
+  el_time_t now = net_clock_now (peers->options.clock);
   peer_sign_t *sign;
 
   if (endpoint.len > CO_NAME_MAX)
     return;
   HASH_FIND (hh, peers->signs, endpoint.ptr, (unsigned)endpoint.len, sign);
-  if (sign && now < sign->at + peers->gate->options.leave_hold / 2)
+  if (sign && now < sign->at + peers->options.leave_hold / 2)
     return;
   if (!sign)
     {
@@ -229,7 +242,7 @@
 
 /** Live hosts, this one included. */
 size_t
-gt_peers_live (const gt_peers_t *peers)
+pr_peers_live (const pr_peers_t *peers)
 {
   return co_members_live (peers->members);
 }
@@ -252,7 +265,7 @@
 /** Live hosts that have seen all changes up to REVISION, as far as this host
     knows. */
 size_t
-gt_peers_in_force (const gt_peers_t *peers, uint64_t revision)
+pr_peers_in_force (const pr_peers_t *peers, uint64_t revision)
 {
   force_arg_t force = { revision, 0 };
 
@@ -273,7 +286,7 @@
 /** Append at most MOST hosts that are alive and not draining to HOSTS, in an
     order that SPREAD picks. */
 void
-gt_peers_entries (const gt_peers_t *peers, json_t *hosts, size_t most,
+pr_peers_entries (const pr_peers_t *peers, json_t *hosts, size_t most,
                   uint64_t spread)
 {
   json_t *all = json_array ();
@@ -305,10 +318,10 @@
 
 /** Whether no live host that stays comes before this one. */
 int
-gt_peers_preferred (const gt_peers_t *peers)
+pr_peers_preferred (const pr_peers_t *peers)
 {
   prefer_arg_t prefer
-      = { co_members_find (peers->members, &peers->gate->incarnation), 1 };
+      = { co_members_find (peers->members, &peers->options.incarnation), 1 };
 
   co_members_visit (peers->members, prefer_visit, &prefer);
   return prefer.first;
@@ -331,9 +344,9 @@
 
 /** Live hosts of this host's hall, this one included. */
 size_t
-gt_peers_hall_live (const gt_peers_t *peers)
+pr_peers_hall_live (const pr_peers_t *peers)
 {
-  hall_arg_t hall = { peers->gate->options.hall, 0 };
+  hall_arg_t hall = { peers->options.hall, 0 };
 
   co_members_visit (peers->members, hall_visit, &hall);
   return hall.n;
@@ -363,7 +376,7 @@
 
 /** Append the addresses for callers of HALL to LIST. */
 void
-gt_peers_addresses (const gt_peers_t *peers, el_str_t hall, json_t *list)
+pr_peers_addresses (const pr_peers_t *peers, el_str_t hall, json_t *list)
 {
   addresses_arg_t addresses = { hall, 0, list };
 
@@ -397,7 +410,7 @@
 }
 
 json_t *
-gt_peers_dump (const gt_peers_t *peers)
+pr_peers_dump (const pr_peers_t *peers)
 {
   json_t *out = json_object ();
 
--- a/gate/cfg_sync.c
+++ b/peer/peer_config.c
@@ -8,13 +8,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "libgate.h"
+#include "libpeer.h"
 
 #define KEY_MAX (2 * CO_NAME_MAX)
 
-struct gt_sync
+struct pr_sync
 {
-  gt_gate_t *gate;
+  pr_config_t *config;
   json_t *seen; /* keys that were told of */
 };
 
@@ -25,12 +25,37 @@
   json_t *gone;
 } prune_arg_t;
 
-gt_sync_t *
-gt_sync_begin (gt_gate_t *gate)
+/** A configuration in force that other hosts may be told of. */
+pr_config_t *
+pr_config_new (co_config_t *config)
 {
-  gt_sync_t *sync = el_alloc (sizeof *sync);
+  pr_config_t *out = el_alloc (sizeof *out);
 
-  sync->gate = gate;
+  out->config = config;
+  return out;
+}
+
+/** Whether there is a configuration to serve with. */
+int
+pr_config_ready (const pr_config_t *config)
+{
+  return config->ready;
+}
+
+/** What came of the changes told so far. */
+const pr_config_counts_t *
+pr_config_counts (const pr_config_t *config)
+{
+  return &config->counts;
+}
+
+/** Changes are about to be told. */
+pr_sync_t *
+pr_sync_begin (pr_config_t *config)
+{
+  pr_sync_t *sync = el_alloc (sizeof *sync);
+
+  sync->config = config;
   sync->seen = json_object ();
   return sync;
 }
@@ -44,10 +69,10 @@
 
 /** Put one change in force unless a newer one is: SPEC, or a removal. */
 void
-gt_sync_item (gt_sync_t *sync, co_kind_t kind, el_str_t name,
+pr_sync_item (pr_sync_t *sync, co_kind_t kind, el_str_t name,
               uint64_t revision, json_t *spec)
 {
-  gt_gate_t *gate = sync->gate;
+  pr_config_t *config = sync->config;
   char key[KEY_MAX];
   co_resource_t *res;
   el_status_t status;
@@ -56,7 +81,7 @@
   sync_key (key, kind, name);
   json_object_set_new (sync->seen, key, json_true ());
   if (!spec)
-    status = co_config_remove (gate->config, kind, name, revision, &err);
+    status = co_config_remove (config->config, kind, name, revision, &err);
   else
     {
       res = co_resource_parse (kind, name, spec, revision, &err);
@@ -67,12 +92,12 @@
                   EL_FC ("reason", err.msg));
           return;
         }
-      status = co_config_apply (gate->config, res, &err);
+      status = co_config_apply (config->config, res, &err);
     }
   if (status)
-    gate->counts.config_stale++;
+    config->counts.stale++;
   else
-    gate->counts.config_applied++;
+    config->counts.applied++;
 }
 
 static void
@@ -89,7 +114,7 @@
 /* What a whole configuration does not hold was removed. A resource with a
    later revision came after it and stays. */
 static void
-sync_prune (gt_sync_t *sync, uint64_t revision)
+sync_prune (pr_sync_t *sync, uint64_t revision)
 {
   prune_arg_t prune = { sync->seen, json_object () };
   const co_resource_t *res;
@@ -98,15 +123,15 @@
   el_str_t rest;
   co_kind_t kind;
 
-  co_config_visit (sync->gate->config, prune_visit, &prune);
+  co_config_visit (sync->config->config, prune_visit, &prune);
   json_object_foreach (prune.gone, key, value)
   {
     rest = el_str (key);
     if (!co_kind_parse (el_str_cut (&rest, '/'), &kind))
       continue;
-    res = co_config_get (sync->gate->config, kind, rest);
+    res = co_config_get (sync->config->config, kind, rest);
     if (res && res->revision < revision)
-      co_config_remove (sync->gate->config, kind, rest, revision, NULL);
+      co_config_remove (sync->config->config, kind, rest, revision, NULL);
   }
   json_decref (prune.gone);
 }
@@ -114,35 +139,29 @@
 /** All changes up to REVISION were told, by one that has a configuration.
     WHOLE: what was not told of is not there. */
 void
-gt_sync_end (gt_sync_t *sync, uint64_t revision, int whole)
+pr_sync_end (pr_sync_t *sync, uint64_t revision, int whole)
 {
-  gt_gate_t *gate = sync->gate;
+  pr_config_t *config = sync->config;
 
   if (whole)
     {
       sync_prune (sync, revision);
-      if (!gate->ready || revision > co_config_revision (gate->config))
-        gate->history = revision;
+      if (!config->ready || revision > co_config_revision (config->config))
+        config->history = revision;
       EL_LOG (EL_LOG_INFO, "config_whole", EL_FN ("revision", revision),
-              EL_FN ("resources", co_config_count (gate->config)));
+              EL_FN ("resources", co_config_count (config->config)));
     }
-  co_config_advance (gate->config, revision);
-  gate->ready = 1;
-  gt_peers_seen (gate->peers, co_config_revision (gate->config));
-  gt_sync_drop (sync);
+  co_config_advance (config->config, revision);
+  config->ready = 1;
+  if (config->peers)
+    peer_seen (config->peers, co_config_revision (config->config));
+  pr_sync_drop (sync);
 }
 
 /** Nothing more is told, and nothing is known of what was not told of. */
 void
-gt_sync_drop (gt_sync_t *sync)
+pr_sync_drop (pr_sync_t *sync)
 {
   json_decref (sync->seen);
   free (sync);
 }
-
-/** Whether there is a configuration to serve with. */
-int
-gt_sync_ready (const gt_gate_t *gate)
-{
-  return gate->ready;
-}
--- a/gate/peer_fetch.c
+++ b/peer/peer_fetch.c
@@ -44,9 +44,9 @@
 
 /** Tell another host what it has not seen. */
 void
-peer_serve_fetch (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
+peer_serve_fetch (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
-  gt_gate_t *gate = peers->gate;
+  const pr_config_t *config = peers->options.config;
   fetch_list_t changes = { NULL, 0 };
   el_buf_t out = { NULL, 0, 0 };
   peer_fetch_args args = { 0 };
@@ -55,12 +55,12 @@
 
   memset (&res, 0, sizeof res);
   if (peer_xdr_read ((xdrproc_t)xdr_peer_fetch_args, body, &args)
-      && gt_sync_ready (gate))
+      && config->ready)
     {
       res.ready = 1;
-      res.whole = args.after < gate->history;
-      res.revision = co_config_revision (gate->config);
-      co_config_since (gate->config, res.whole ? 0 : args.after, change_add,
+      res.whole = args.after < config->history;
+      res.revision = co_config_revision (config->config);
+      co_config_since (config->config, res.whole ? 0 : args.after, change_add,
                        &changes);
     }
   res.changes.changes_val = changes.list;
@@ -74,9 +74,9 @@
 }
 
 static void
-fetch_apply (gt_peers_t *peers, const peer_fetch_res *res)
+fetch_apply (pr_peers_t *peers, const peer_fetch_res *res)
 {
-  gt_sync_t *sync = gt_sync_begin (peers->gate);
+  pr_sync_t *sync = pr_sync_begin (peers->options.config);
   u_int i;
 
   for (i = 0; i < res->changes.changes_len; i++)
@@ -88,17 +88,17 @@
       co_kind_t kind;
 
       if (co_kind_parse (PEER_BYTES_GET (change->kind, kind), &kind))
-        gt_sync_item (sync, kind, PEER_BYTES_GET (change->name, name),
+        pr_sync_item (sync, kind, PEER_BYTES_GET (change->name, name),
                       change->revision, spec);
       json_decref (spec);
     }
-  gt_sync_end (sync, res->revision, res->whole);
+  pr_sync_end (sync, res->revision, res->whole);
 }
 
 static void
 fetch_done (void *arg, int ok, int sent, el_str_t body)
 {
-  gt_peers_t *peers = arg;
+  pr_peers_t *peers = arg;
   peer_fetch_res res;
 
   (void)sent;
@@ -113,10 +113,11 @@
 /** Ask FROM for what it has seen and this host has not; one such call at a
     time. */
 void
-peer_fetch (gt_peers_t *peers, const co_member_t *from)
+peer_fetch (pr_peers_t *peers, const co_member_t *from)
 {
   el_buf_t body = { NULL, 0, 0 };
-  peer_fetch_args args = { .after = co_config_revision (peers->gate->config) };
+  peer_fetch_args args
+      = { .after = co_config_revision (peers->options.config->config) };
 
   if (peers->fetching)
     return;
--- /dev/null
+++ b/peer/peer_forward.c
@@ -0,0 +1,249 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Requests for sessions whose home is another host.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libpeer.h"
+
+#define HOME_TIMEOUT (500 * EL_MSEC)
+/* Hosts that took a session over one after another. */
+#define SUCCESSORS_MAX 16
+
+/* Waits for the home's answer. */
+typedef struct home_wait
+{
+  co_incarnation_t home;
+  pr_home_cb done;
+  void *arg;
+} home_wait_t;
+
+typedef struct forward_wait
+{
+  pr_called_cb done;
+  void *arg;
+} forward_wait_t;
+
+static void
+home_done (void *arg, int ok, int sent, el_str_t body)
+{
+  home_wait_t *wait = arg;
+  pr_home_t state = PR_HOME_UNKNOWN;
+  co_incarnation_t there;
+  peer_gossip res;
+
+  (void)sent;
+  memset (&res, 0, sizeof res);
+  if (ok && peer_xdr_read ((xdrproc_t)xdr_peer_gossip, body, &res))
+    {
+      memcpy (there.byte, res.self.incarnation, CO_INCARNATION_BYTES);
+      state = co_incarnation_eq (&there, &wait->home) ? PR_HOME_LIVE
+                                                      : PR_HOME_GONE;
+    }
+  xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&res);
+  wait->done (wait->arg, state);
+  free (wait);
+}
+
+/** Whether a session is at home elsewhere, and where: at the host that its
+    token names, or at the last of those that took its sessions over. */
+int
+pr_peers_where (pr_peers_t *peers, const co_token_t *token, pr_place_t *out)
+{
+  static const co_incarnation_t none;
+  co_session_t session = co_token_session (token);
+  const co_member_t *member;
+  int hops;
+
+  if (co_incarnation_eq (&token->home, &peers->options.incarnation)
+      || co_ledger_holds (peers->options.ledger, &session))
+    return 0;
+  *out = (pr_place_t){ token->home, token->peer, token->http };
+  member = co_members_find (peers->members, &token->home);
+  for (hops = 0; member && hops < SUCCESSORS_MAX; hops++)
+    {
+      if (member->state <= CO_MBR_SUSPECT)
+        *out = (pr_place_t){ member->incarnation, member->peer, member->http };
+      if (co_incarnation_eq (&member->successor, &none))
+        break;
+      member = co_members_find (peers->members, &member->successor);
+    }
+  return 1;
+}
+
+/** Ask whether the incarnation that is expected at a place is still there. */
+void
+pr_peers_ask_home (pr_peers_t *peers, const pr_place_t *where, pr_home_cb done,
+                   void *arg)
+{
+  home_wait_t *wait = el_alloc (sizeof *wait);
+  el_buf_t body = { NULL, 0, 0 };
+
+  wait->home = where->incarnation;
+  wait->done = done;
+  wait->arg = arg;
+  peer_gossip_write (peers, &where->incarnation, &body);
+  net_rpc_call (peers->rpc, where->peer, PEER_GOSSIP, el_buf_str (&body),
+                HOME_TIMEOUT, home_done, wait);
+  el_buf_free (&body);
+}
+
+/** Headers as they came; they point into LIST. */
+net_header_t *
+pr_headers_read (const peer_header *list, u_int n)
+{
+  net_header_t *headers = el_alloc ((n + 1) * sizeof *headers);
+  u_int i;
+
+  for (i = 0; i < n; i++)
+    {
+      headers[i].name
+          = (el_str_t){ list[i].name.name_val, list[i].name.name_len };
+      headers[i].value
+          = (el_str_t){ list[i].value.value_val, list[i].value.value_len };
+    }
+  return headers;
+}
+
+/** Headers on their way; they point into HEADERS. */
+peer_header *
+pr_headers_write (const net_header_t *headers, size_t n)
+{
+  peer_header *list = el_alloc ((n + 1) * sizeof *list);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      list[i].name.name_val = (char *)(uintptr_t)headers[i].name.ptr;
+      list[i].name.name_len = (u_int)headers[i].name.len;
+      list[i].value.value_val = (char *)(uintptr_t)headers[i].value.ptr;
+      list[i].value.value_len = (u_int)headers[i].value.len;
+    }
+  return list;
+}
+
+static void
+forward_done (void *arg, int ok, int sent, el_str_t body)
+{
+  forward_wait_t *wait = arg;
+  pr_called_t called = { 0 };
+  net_header_t *headers = NULL;
+  peer_forward_res res;
+
+  (void)sent;
+  memset (&res, 0, sizeof res);
+  if (ok && peer_xdr_read ((xdrproc_t)xdr_peer_forward_res, body, &res))
+    {
+      headers
+          = pr_headers_read (res.headers.headers_val, res.headers.headers_len);
+      called.answered = 1;
+      called.verdict = (el_verdict_t)res.verdict;
+      called.status = res.status;
+      called.headers = headers;
+      called.nheaders = res.headers.headers_len;
+      called.body = (el_str_t){ res.body.body_val, res.body.body_len };
+    }
+  wait->done (wait->arg, &called);
+  free (headers);
+  xdr_free ((xdrproc_t)xdr_peer_forward_res, (char *)&res);
+  free (wait);
+}
+
+/** Hand a call to its session's home and bring the answer back. Nothing is
+    known of a call that the home does not answer: an earlier arrival of it
+    may have run there. */
+void
+pr_peers_forward (pr_peers_t *peers, const pr_call_t *call, pr_called_cb done,
+                  void *arg)
+{
+  forward_wait_t *wait = el_alloc (sizeof *wait);
+  el_time_t now = net_clock_now (peers->options.clock);
+  el_buf_t token = { NULL, 0, 0 };
+  el_buf_t body = { NULL, 0, 0 };
+  peer_forward_args args;
+
+  memset (&args, 0, sizeof args);
+  wait->done = done;
+  wait->arg = arg;
+  co_token_write (&token, &call->token, peers->options.key);
+  PEER_BYTES_SET (args.token, token, token);
+  args.sequence = call->sequence;
+  args.digest = call->digest;
+  args.deadline_us = call->deadline > now ? call->deadline - now : 0;
+  args.repeatable = call->repeatable;
+  args.hops = call->hops + 1;
+  PEER_BYTES_SET (args.target, target, call->target);
+  PEER_BYTES_SET (args.method, method, call->method);
+  PEER_BYTES_SET (args.path, path, call->path);
+  PEER_BYTES_SET (args.body, body, call->body);
+  args.headers.headers_val = pr_headers_write (call->headers, call->nheaders);
+  args.headers.headers_len = (u_int)call->nheaders;
+  peer_xdr_write ((xdrproc_t)xdr_peer_forward_args, &args, &body);
+  net_rpc_call (peers->rpc, call->where.peer, PEER_FORWARD, el_buf_str (&body),
+                args.deadline_us + EL_SEC, forward_done, wait);
+  free (args.headers.headers_val);
+  el_buf_free (&token);
+  el_buf_free (&body);
+}
+
+/** Answer another host's call. */
+void
+pr_call_answer (net_rpc_req_t *req, const pr_called_t *called)
+{
+  el_buf_t out = { NULL, 0, 0 };
+  peer_forward_res res;
+
+  memset (&res, 0, sizeof res);
+  res.verdict = called->verdict;
+  res.status = called->status;
+  res.headers.headers_val
+      = pr_headers_write (called->headers, called->nheaders);
+  res.headers.headers_len = (u_int)called->nheaders;
+  PEER_BYTES_SET (res.body, body, called->body);
+  peer_xdr_write ((xdrproc_t)xdr_peer_forward_res, &res, &out);
+  net_rpc_reply (req, el_buf_str (&out));
+  free (res.headers.headers_val);
+  el_buf_free (&out);
+}
+
+/** Run a call for a session whose home is here. */
+void
+peer_serve_forward (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
+{
+  const pr_options_t *o = &peers->options;
+  net_header_t *headers = NULL;
+  peer_forward_args args;
+  pr_call_t call = { 0 };
+  el_err_t err;
+
+  memset (&args, 0, sizeof args);
+  if (!peer_xdr_read ((xdrproc_t)xdr_peer_forward_args, body, &args)
+      || co_token_read (PEER_BYTES_GET (args.token, token), o->key,
+                        &call.token, &err)
+      || pr_peers_where (peers, &call.token, &call.where))
+    {
+      o->ops->call (o->arg, req, NULL);
+      xdr_free ((xdrproc_t)xdr_peer_forward_args, (char *)&args);
+      return;
+    }
+  headers
+      = pr_headers_read (args.headers.headers_val, args.headers.headers_len);
+  call.sequence = args.sequence;
+  call.digest = args.digest;
+  call.deadline = net_clock_now (o->clock) + args.deadline_us;
+  call.repeatable = args.repeatable;
+  call.hops = args.hops;
+  call.target = PEER_BYTES_GET (args.target, target);
+  call.method = PEER_BYTES_GET (args.method, method);
+  call.path = PEER_BYTES_GET (args.path, path);
+  call.body = PEER_BYTES_GET (args.body, body);
+  call.headers = headers;
+  call.nheaders = args.headers.headers_len;
+  o->ops->call (o->arg, req, &call);
+  free (headers);
+  xdr_free ((xdrproc_t)xdr_peer_forward_args, (char *)&args);
+}
--- a/gate/peer_gossip.c
+++ b/peer/peer_gossip.c
@@ -15,14 +15,14 @@
 /* Waits for the answer to a probe. */
 typedef struct probe_wait
 {
-  gt_peers_t *peers;
+  pr_peers_t *peers;
   uint64_t id;
 } probe_wait_t;
 
 /* Waits for an answer that another host asked for. */
 typedef struct relay_wait
 {
-  gt_peers_t *peers;
+  pr_peers_t *peers;
   net_rpc_req_t *req;
 } relay_wait_t;
 
@@ -61,7 +61,7 @@
 
 /** Append this host's message to the member TO. */
 void
-peer_gossip_write (gt_peers_t *peers, const co_incarnation_t *to,
+peer_gossip_write (pr_peers_t *peers, const co_incarnation_t *to,
                    el_buf_t *out)
 {
   peer_member members[CO_NEWS_MEMBERS];
@@ -114,9 +114,10 @@
 
 /* A host that has seen more of the configuration is asked for it. */
 static void
-gossip_heard (gt_peers_t *peers, const co_gossip_t *gossip)
+gossip_heard (pr_peers_t *peers, const co_gossip_t *gossip)
 {
-  if (gossip->self.revision > co_config_revision (peers->gate->config))
+  if (gossip->self.revision
+      > co_config_revision (peers->options.config->config))
     peer_fetch (peers, &gossip->self);
   peer_ticked (peers);
 }
@@ -125,7 +126,7 @@
 probe_done (void *arg, int ok, int sent, el_str_t body)
 {
   probe_wait_t *wait = arg;
-  gt_peers_t *peers = wait->peers;
+  pr_peers_t *peers = wait->peers;
   peer_gossip message;
   co_gossip_t gossip;
 
@@ -133,7 +134,7 @@
   memset (&message, 0, sizeof message);
   ok = ok && peer_xdr_read ((xdrproc_t)xdr_peer_gossip, body, &message)
        && gossip_read (&message, &gossip);
-  co_members_answer (peers->members, net_clock_now (&peers->gate->clock),
+  co_members_answer (peers->members, net_clock_now (peers->options.clock),
                      wait->id, ok, &gossip);
   if (ok)
     gossip_heard (peers, &gossip);
@@ -145,7 +146,7 @@
 void
 peer_probe (void *arg, uint64_t id, el_str_t address, el_str_t via)
 {
-  gt_peers_t *peers = arg;
+  pr_peers_t *peers = arg;
   probe_wait_t *wait = el_alloc (sizeof *wait);
   el_buf_t body = { NULL, 0, 0 };
   el_buf_t relayed = { NULL, 0, 0 };
@@ -174,7 +175,7 @@
 
 /** Answer a probe. */
 void
-peer_serve_gossip (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
+peer_serve_gossip (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   el_buf_t out = { NULL, 0, 0 };
   peer_gossip message;
@@ -184,13 +185,13 @@
   if (peer_xdr_read ((xdrproc_t)xdr_peer_gossip, body, &message)
       && gossip_read (&message, &gossip))
     {
-      co_members_hear (peers->members, net_clock_now (&peers->gate->clock),
+      co_members_hear (peers->members, net_clock_now (peers->options.clock),
                        &gossip);
       gossip_heard (peers, &gossip);
       peer_gossip_write (peers, &gossip.self.incarnation, &out);
     }
   else
-    peers->gate->counts.rpc_refused++;
+    peers->counts.refused++;
   net_rpc_reply (req, el_buf_str (&out));
   xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&message);
   el_buf_free (&out);
@@ -210,7 +211,7 @@
 
 /** Probe another host on behalf of the one that asks. */
 void
-peer_serve_relay (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
+peer_serve_relay (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   relay_wait_t *wait;
   el_buf_t out = { NULL, 0, 0 };
@@ -219,7 +220,7 @@
   memset (&relay, 0, sizeof relay);
   if (!peer_xdr_read ((xdrproc_t)xdr_peer_relay, body, &relay))
     {
-      peers->gate->counts.rpc_refused++;
+      peers->counts.refused++;
       net_rpc_reply (req, (el_str_t){ NULL, 0 });
     }
   else
--- a/gate/peer_handover.c
+++ b/peer/peer_handover.c
@@ -29,7 +29,7 @@
 
 struct peer_handover
 {
-  gt_peers_t *peers;
+  pr_peers_t *peers;
   batch_t *batches; /* still to be sent */
   batch_t **tail;
   /* The batch that is filled. */
@@ -39,70 +39,12 @@
   size_t bytes;
   int tries;
   el_timer_t retry;
-  gt_drained_cb done;
+  pr_done_cb done;
   void *arg;
 };
 
 static void batch_send (void *arg, el_time_t now);
 
-static void
-answer_write (const gt_answer_t *from, peer_answer *to)
-{
-  size_t i;
-
-  memset (to, 0, sizeof *to);
-  to->chat = from->work == RT_CHAT;
-  to->verdict = from->end.verdict;
-  to->reason = from->end.reason;
-  to->stream = from->stream;
-  to->base = from->base;
-  to->status = from->status;
-  PEER_BYTES_SET (to->target, target, from->target);
-  PEER_BYTES_SET (to->text, text, from->text);
-  PEER_BYTES_SET (to->body, body, from->body);
-  to->tokens.tokens_val = el_alloc ((from->ntokens + 1) * sizeof (peer_token));
-  to->tokens.tokens_len = (u_int)from->ntokens;
-  for (i = 0; i < from->ntokens; i++)
-    to->tokens.tokens_val[i]
-        = (peer_token){ from->tokens[i].id, from->tokens[i].len };
-  to->headers.headers_val = peer_headers_write (from->headers, from->nheaders);
-  to->headers.headers_len = (u_int)from->nheaders;
-}
-
-static gt_answer_t *
-answer_read (gt_gate_t *gate, const peer_answer *from)
-{
-  gt_ask_t ask = { .work = from->chat ? RT_CHAT : RT_CALL, .in_session = 1 };
-  net_result_t result = { .status = from->status };
-  gt_end_t end = { (el_verdict_t)from->verdict, (rt_reason_t)from->reason, 0 };
-  net_header_t *headers;
-  gt_answer_t *answer;
-  el_str_t text = PEER_BYTES_GET (from->text, text);
-  u_int i;
-
-  ask.target = PEER_BYTES_GET (from->target, target);
-  ask.nresume = from->base;
-  answer = gt_answer_new (gate, &ask);
-  answer->stream = from->stream;
-  for (i = 0; i < from->tokens.tokens_len; i++)
-    {
-      const peer_token *token = &from->tokens.tokens_val[i];
-      size_t len = token->len < text.len ? token->len : text.len;
-
-      gt_answer_token (answer, token->id, (el_str_t){ text.ptr, len });
-      text = el_str_after (text, len);
-    }
-  headers = peer_headers_read (from->headers.headers_val,
-                               from->headers.headers_len);
-  result.headers = headers;
-  result.nheaders = from->headers.headers_len;
-  result.body = PEER_BYTES_GET (from->body, body);
-  gt_answer_result (answer, &result);
-  gt_answer_end (answer, &end);
-  free (headers);
-  return answer;
-}
-
 static void
 session_clear (peer_session *session)
 {
@@ -152,6 +94,7 @@
 session_add (void *arg, const co_led_session_t *from)
 {
   peer_handover_t *handover = arg;
+  const pr_options_t *o = &handover->peers->options;
   peer_session *to;
   size_t i;
 
@@ -177,7 +120,7 @@
       if (!from->entries[i].ended)
         continue;
       entry->answer = el_alloc (sizeof *entry->answer);
-      answer_write (from->entries[i].answer, entry->answer);
+      o->ops->answer_write (o->arg, from->entries[i].answer, entry->answer);
       handover->bytes += from->entries[i].bytes;
     }
   if (handover->bytes > BATCH_BYTES
@@ -197,7 +140,7 @@
 static void
 handover_end (peer_handover_t *handover, int whole)
 {
-  gt_peers_t *peers = handover->peers;
+  pr_peers_t *peers = handover->peers;
   batch_t *batch;
 
   while ((batch = handover->batches))
@@ -215,7 +158,7 @@
 }
 
 static int
-successor_pick (gt_peers_t *peers)
+successor_pick (pr_peers_t *peers)
 {
   const co_member_t *member = co_members_pick (peers->members);
 
@@ -238,7 +181,7 @@
   size_t i;
 
   for (i = 0; i < batch->nkeys; i++)
-    co_ledger_moved (handover->peers->gate->ledger, &batch->keys[i],
+    co_ledger_moved (handover->peers->options.ledger, &batch->keys[i],
                      res && i < res->taken.taken_len
                          && res->taken.taken_val[i]);
 }
@@ -247,7 +190,7 @@
 batch_done (void *arg, int ok, int sent, el_str_t body)
 {
   peer_handover_t *handover = arg;
-  gt_peers_t *peers = handover->peers;
+  pr_peers_t *peers = handover->peers;
   batch_t *batch = handover->batches;
   peer_handover_res res;
 
@@ -272,7 +215,7 @@
           batch_mark (handover, batch, NULL);
           successor_pick (peers);
         }
-      net_clock_set (&peers->gate->clock, &handover->retry, HANDOVER_WAIT);
+      net_clock_set (peers->options.clock, &handover->retry, HANDOVER_WAIT);
     }
   xdr_free ((xdrproc_t)xdr_peer_handover_res, (char *)&res);
 }
@@ -291,7 +234,7 @@
       return;
     }
   for (i = 0; i < batch->nkeys; i++)
-    co_ledger_moved (handover->peers->gate->ledger, &batch->keys[i], 1);
+    co_ledger_moved (handover->peers->options.ledger, &batch->keys[i], 1);
   net_rpc_call (handover->peers->rpc, handover->peers->successor.peer,
                 PEER_HANDOVER, el_buf_str (&batch->body), HANDOVER_TIMEOUT,
                 batch_done, handover);
@@ -300,7 +243,7 @@
 /** Hand the sessions to another host; again to the same one, to tell it what
     ended since. DONE is called once. The ledger is sealed. */
 void
-gt_peers_hand_over (gt_peers_t *peers, gt_drained_cb done, void *arg)
+pr_peers_hand_over (pr_peers_t *peers, pr_done_cb done, void *arg)
 {
   peer_handover_t *handover = el_alloc (sizeof *handover);
 
@@ -311,18 +254,18 @@
   handover->retry.cb = batch_send;
   handover->retry.arg = handover;
   peers->handover = handover;
-  co_ledger_export (peers->gate->ledger, session_add, handover);
+  co_ledger_export (peers->options.ledger, session_add, handover);
   batch_close (handover);
   if (!peers->handed)
     successor_pick (peers);
-  net_clock_set (&peers->gate->clock, &handover->retry, 0);
+  net_clock_set (peers->options.clock, &handover->retry, 0);
 }
 
 /* The last messages of a host that stops. */
 typedef struct farewell
 {
-  gt_peers_t *peers;
-  gt_drained_cb done;
+  pr_peers_t *peers;
+  pr_done_cb done;
   void *arg;
 } farewell_t;
 
@@ -343,7 +286,7 @@
 farewell_tell (void *arg)
 {
   farewell_t *farewell = arg;
-  gt_peers_t *peers = farewell->peers;
+  pr_peers_t *peers = farewell->peers;
   el_buf_t body = { NULL, 0, 0 };
 
   peer_gossip_write (peers, &peers->successor.incarnation, &body);
@@ -356,7 +299,7 @@
 /** Nothing runs here any more: tell the successor what ended since the
     sessions were handed over, then call DONE. */
 void
-gt_peers_farewell (gt_peers_t *peers, gt_drained_cb done, void *arg)
+pr_peers_farewell (pr_peers_t *peers, pr_done_cb done, void *arg)
 {
   farewell_t *farewell;
 
@@ -369,20 +312,20 @@
   farewell->peers = peers;
   farewell->done = done;
   farewell->arg = arg;
-  gt_peers_hand_over (peers, farewell_tell, farewell);
+  pr_peers_hand_over (peers, farewell_tell, farewell);
 }
 
 /** The host that this host's sessions were handed to. */
-const gt_place_t *
-gt_peers_successor (const gt_peers_t *peers)
+const pr_place_t *
+pr_peers_successor (const pr_peers_t *peers)
 {
   return &peers->successor;
 }
 
 static int
-session_take (gt_peers_t *peers, const peer_session *from)
+session_take (pr_peers_t *peers, const peer_session *from)
 {
-  gt_gate_t *gate = peers->gate;
+  const pr_options_t *o = &peers->options;
   co_led_session_t session;
   el_status_t status;
   u_int i;
@@ -397,26 +340,28 @@
   for (i = 0; i < from->entries.entries_len; i++)
     {
       const peer_entry *entry = &from->entries.entries_val[i];
-      gt_answer_t *answer
-          = entry->answer ? answer_read (gate, entry->answer) : NULL;
+      size_t bytes = 0;
+      void *answer = NULL;
+
+      if (entry->answer)
+        answer = o->ops->answer_read (o->arg, entry->answer, &bytes);
 
       session.entries[i] = (co_led_entry_t){
         .sequence = entry->sequence,
         .digest = entry->digest,
         .ended = answer != NULL,
         .answer = answer,
-        .bytes = answer ? gt_answer_bytes (answer) : 0,
+        .bytes = bytes,
       };
     }
-  status = co_ledger_import (gate->ledger, net_clock_now (&gate->clock),
-                             &session);
+  status = co_ledger_import (o->ledger, net_clock_now (o->clock), &session);
   free (session.entries);
   return status == EL_OK;
 }
 
 /** Take over the sessions of a host that stops. */
 void
-peer_serve_handover (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
+peer_serve_handover (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   el_buf_t out = { NULL, 0, 0 };
   peer_handover_args args;
@@ -438,8 +383,8 @@
       peer_xdr_write ((xdrproc_t)xdr_peer_handover_res, &res, &out);
     }
   else
-    peers->gate->counts.rpc_refused++;
-  gt_answer_flush (peers->gate);
+    peers->counts.refused++;
+  peers->options.ops->taken_over (peers->options.arg);
   net_rpc_reply (req, el_buf_str (&out));
   free (res.taken.taken_val);
   xdr_free ((xdrproc_t)xdr_peer_handover_args, (char *)&args);
--- a/gate/peer_news.c
+++ b/peer/peer_news.c
@@ -35,29 +35,20 @@
 /* A question of this host's own. */
 typedef struct peer_question
 {
-  gt_peers_t *peers;
+  pr_peers_t *peers;
   el_time_t sent;
-  gt_news_cb done;
+  pr_news_cb done;
   void *arg;
 } peer_question_t;
 
-/** Where news for other hosts come from. */
-void
-gt_peers_follow (gt_peers_t *peers, gt_follow_t *follow)
-{
-  peers->follow = follow;
-}
-
 /* Put what is known of engines into an answer; gives the list to free. */
-static gt_engine_news_t *
-engines_write (const gt_peers_t *peers, peer_news_res *res)
+static pr_engine_t *
+engines_write (const pr_peers_t *peers, peer_news_res *res)
 {
-  gt_engine_news_t *list = NULL;
-  size_t n = 0;
+  pr_engine_t *list = NULL;
+  size_t n = peers->options.ops->engines (peers->options.arg, &list);
   size_t i;
 
-  if (peers->engines.tell)
-    n = peers->engines.tell (peers->engines.arg, &list);
   res->engines.engines_val = el_alloc ((n + 1) * sizeof (peer_engine));
   res->engines.engines_len = (u_int)n;
   for (i = 0; i < n; i++)
@@ -65,8 +56,8 @@
       peer_engine *engine = &res->engines.engines_val[i];
 
       PEER_BYTES_SET (engine->id, id, list[i].id);
-      engine->fill_permille = (u_int)(list[i].load.fill * PERMILLE);
-      engine->pace_percent = (u_int)(list[i].load.pace * PERCENT);
+      engine->fill_permille = (u_int)(list[i].fill * PERMILLE);
+      engine->pace_percent = (u_int)(list[i].pace * PERCENT);
       engine->age_ms = (u_int)(list[i].age / EL_MSEC);
       engine->silent = list[i].silent;
     }
@@ -74,39 +65,33 @@
 }
 
 static void
-engines_read (const gt_peers_t *peers, const peer_news_res *res)
+engines_read (const pr_peers_t *peers, const peer_news_res *res)
 {
-  gt_engine_news_t *list;
+  pr_engine_t *list;
   u_int i;
 
-  if (!peers->engines.hear || res->engines.engines_len == 0)
+  if (res->engines.engines_len == 0)
     return;
   list = el_alloc (res->engines.engines_len * sizeof *list);
   for (i = 0; i < res->engines.engines_len; i++)
     {
       const peer_engine *engine = &res->engines.engines_val[i];
 
-      list[i] = (gt_engine_news_t){
+      list[i] = (pr_engine_t){
         .id = PEER_BYTES_GET (engine->id, id),
-        .load = { .fill = (double)engine->fill_permille / PERMILLE,
-                  .pace = (double)engine->pace_percent / PERCENT },
+        .fill = (double)engine->fill_permille / PERMILLE,
+        .pace = (double)engine->pace_percent / PERCENT,
         .age = engine->age_ms * EL_MSEC,
         .silent = engine->silent,
       };
     }
-  peers->engines.hear (peers->engines.arg, list, res->engines.engines_len);
+  peers->options.ops->engines_heard (peers->options.arg, list,
+                                     res->engines.engines_len);
   free (list);
 }
 
-/** Who tells other hosts how engines do, and hears of it. */
-void
-gt_peers_engines (gt_peers_t *peers, const gt_engine_talk_t *talk)
-{
-  peers->engines = *talk;
-}
-
 static void
-items_write (const gt_news_t *news, peer_news_res *res)
+items_write (const pr_news_t *news, peer_news_res *res)
 {
   size_t i;
 
@@ -126,16 +111,17 @@
 /* Tell a host that waits what this one has seen of the store, and its engines.
  */
 static void
-news_answer (gt_peers_t *peers, const peer_asker_t *asker)
+news_answer (pr_peers_t *peers, const peer_asker_t *asker)
 {
-  gt_engine_news_t *engines;
+  pr_engine_t *engines;
   el_buf_t out = { NULL, 0, 0 };
   peer_news_res res;
-  gt_news_t news;
+  pr_news_t news = { 0 };
 
   memset (&res, 0, sizeof res);
-  gt_follow_tell (peers->follow, asker->after, &news);
-  res.ready = news.as_of != 0;
+  res.ready
+      = peers->options.ops->news (peers->options.arg, asker->after, &news)
+        && news.as_of != 0;
   res.whole = news.whole;
   res.revision = news.revision;
   res.known_after = (int64_t)news.as_of - (int64_t)asker->came;
@@ -152,13 +138,12 @@
 
 /** Another host asks for news. */
 void
-peer_serve_news (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
+peer_serve_news (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   peer_news_args args = { 0 };
   peer_asker_t *asker;
 
-  if (!peers->follow
-      || !peer_xdr_read ((xdrproc_t)xdr_peer_news_args, body, &args))
+  if (!peer_xdr_read ((xdrproc_t)xdr_peer_news_args, body, &args))
     {
       net_rpc_reply (req, (el_str_t){ NULL, 0 });
       return;
@@ -166,14 +151,14 @@
   asker = el_alloc (sizeof *asker);
   asker->req = req;
   asker->after = args.after;
-  asker->came = net_clock_now (&peers->gate->clock);
+  asker->came = net_clock_now (peers->options.clock);
   peers->asked_at = asker->came;
   LL_PREPEND (peers->askers, asker);
 }
 
 /** This host has heard of the store: answer those who wait. */
 void
-gt_peers_heard (gt_peers_t *peers)
+pr_peers_heard (pr_peers_t *peers)
 {
   peer_asker_t *asker;
 
@@ -188,7 +173,7 @@
 static void
 news_read (const peer_question_t *question, const peer_news_res *res)
 {
-  gt_news_t news
+  pr_news_t news
       = { .whole = res->whole,
           .revision = res->revision,
           .as_of = (el_time_t)((int64_t)question->sent + res->known_after) };
@@ -200,10 +185,10 @@
       const peer_item *item = &res->items.items_val[i];
 
       news.items[news.n++]
-          = (gt_store_item_t){ .key = PEER_BYTES_GET (item->key, key),
-                               .value = PEER_BYTES_GET (item->value, value),
-                               .revision = item->revision,
-                               .gone = item->gone };
+          = (pr_item_t){ .key = PEER_BYTES_GET (item->key, key),
+                         .value = PEER_BYTES_GET (item->value, value),
+                         .revision = item->revision,
+                         .gone = item->gone };
     }
   engines_read (question->peers, res);
   question->done (question->arg, &news);
@@ -231,8 +216,8 @@
 static int
 news_blamed (void *arg, const co_member_t *member)
 {
-  const gt_peers_t *peers = arg;
-  el_time_t now = net_clock_now (&peers->gate->clock);
+  const pr_peers_t *peers = arg;
+  el_time_t now = net_clock_now (peers->options.clock);
   size_t i;
 
   for (i = 0; i < PEER_BLAMES; i++)
@@ -253,38 +238,39 @@
 
 /** The host that was asked last could not tell, though the store answers. */
 void
-gt_peers_blame_news (gt_peers_t *peers)
+pr_peers_blame_news (pr_peers_t *peers)
 {
   peer_blame_t *blame = &peers->blames[peers->next_blame++ % PEER_BLAMES];
 
   blame->incarnation = peers->asked;
-  blame->until = net_clock_now (&peers->gate->clock) + BLAME_HOLD;
+  blame->until = net_clock_now (peers->options.clock) + BLAME_HOLD;
 }
 
 /** Whether this host comes first in its hall. */
 int
-gt_peers_leads (const gt_peers_t *peers)
+pr_peers_leads (const pr_peers_t *peers)
 {
   const co_member_t *first
       = co_members_first (peers->members, news_skip_none, NULL);
 
   return first
-         && co_incarnation_eq (&first->incarnation, &peers->gate->incarnation);
+         && co_incarnation_eq (&first->incarnation,
+                               &peers->options.incarnation);
 }
 
 /* The host of this hall to ask; NULL when this one should ask the store. */
 static const co_member_t *
-news_source (gt_peers_t *peers)
+news_source (pr_peers_t *peers)
 {
   const co_member_t *from;
-  el_time_t now = net_clock_now (&peers->gate->clock);
+  el_time_t now = net_clock_now (peers->options.clock);
 
-  if (co_members_chosen (peers->members, peers->gate->options.store_followers)
+  if (co_members_chosen (peers->members, peers->options.store_followers)
       || (peers->asked_at && now < peers->asked_at + ASKED_HOLD))
     return NULL;
   from = co_members_first (peers->members, news_blamed, peers);
   if (!from
-      || co_incarnation_eq (&from->incarnation, &peers->gate->incarnation))
+      || co_incarnation_eq (&from->incarnation, &peers->options.incarnation))
     return NULL;
   return from;
 }
@@ -292,7 +278,7 @@
 /** Ask a host of this hall that follows the store; gives 0 when this host is
     one of those, or knows none. */
 int
-gt_peers_ask_news (gt_peers_t *peers, uint64_t after, gt_news_cb done,
+pr_peers_ask_news (pr_peers_t *peers, uint64_t after, pr_news_cb done,
                    void *arg)
 {
   peer_news_args args = { .after = after };
@@ -305,7 +291,7 @@
   peers->asked = from->incarnation;
   question = el_alloc (sizeof *question);
   question->peers = peers;
-  question->sent = net_clock_now (&peers->gate->clock);
+  question->sent = net_clock_now (peers->options.clock);
   question->done = done;
   question->arg = arg;
   peer_xdr_write ((xdrproc_t)xdr_peer_news_args, &args, &body);
--- a/gate/peer_sync.c
+++ b/peer/peer_sync.c
@@ -33,7 +33,7 @@
 
 /** Tell another host all members that this one knows. */
 void
-peer_serve_members (gt_peers_t *peers, net_rpc_req_t *req, el_str_t body)
+peer_serve_members (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
   sync_list_t members = { NULL, 0 };
   el_buf_t out = { NULL, 0, 0 };
@@ -52,8 +52,8 @@
 static void
 sync_done (void *arg, int ok, int sent, el_str_t body)
 {
-  gt_peers_t *peers = arg;
-  el_time_t now = net_clock_now (&peers->gate->clock);
+  pr_peers_t *peers = arg;
+  el_time_t now = net_clock_now (peers->options.clock);
   co_member_t member;
   peer_members res;
   u_int i;
@@ -72,7 +72,7 @@
 void
 peer_sync (void *arg, el_str_t address)
 {
-  gt_peers_t *peers = arg;
+  pr_peers_t *peers = arg;
 
   net_rpc_call (peers->rpc, address, PEER_MEMBERS, (el_str_t){ NULL, 0 },
                 SYNC_TIMEOUT, sync_done, peers);
--- a/tests/t_net.c
+++ b/tests/t_net.c
@@ -470,7 +470,7 @@
 } followed_t;
 
 static void
-followed_item (void *arg, const gt_store_item_t *item)
+followed_item (void *arg, const pr_item_t *item)
 {
   followed_t *seen = arg;
 
@@ -566,9 +566,9 @@
 END_TEST
 
 static int
-ask_old (void *arg, uint64_t after, gt_news_cb done, void *done_arg)
+ask_old (void *arg, uint64_t after, pr_news_cb done, void *done_arg)
 {
-  const gt_news_t news
+  const pr_news_t news
       = { .revision = after,
           .as_of = net_clock_now (&test_clock) - 1700 * EL_MSEC };
 
--- a/tools/licence.sh
+++ b/tools/licence.sh
@@ -3,7 +3,7 @@
 # --check only say which does.
 set -eu
 for f in $(git ls-files -co --exclude-standard '*.c' '*.h' '*.x'); do
-  case $f in gate/peer_xdr.c | gate/peer_proto.h) continue ;; esac
+  case $f in peer/peer_xdr.c | peer/peer_proto.h) continue ;; esac
   head -4 "$f" | grep -q SPDX && continue
   if [ "${1:-}" = --check ]; then
     echo "$f: no licence line"
