Settings that come from the platform's bounds take fractions

Change: a kind of setting for numbers with a fraction (EL_SET_NUMBER), for all settings that deploy/system.toml fills from bounds or machines; it also replaces the texts that were checked by hand for capacity and ratio.

--- a/base/base.h
+++ b/base/base.h
@@ -216,6 +216,7 @@
 {
   EL_SET_STRING, /**< const char * */
   EL_SET_U64,    /**< uint64_t within min and max */
+  EL_SET_NUMBER, /**< double within min and max, with a fraction or without */
   EL_SET_FLAG    /**< int */
 } el_set_kind_t;
 
--- a/base/settings.c
+++ b/base/settings.c
@@ -38,25 +38,49 @@
       out[i] = (char)(out[i] - 'a' + 'A');
 }
 
+static el_status_t
+set_string (const el_set_t *set, const char *text, const char **field,
+            el_err_t *err)
+{
+  size_t len = strlen (text);
+
+  if (len < set->min || (set->max && len > set->max))
+    return el_err_set (err, EL_INVALID,
+                       "--%s: takes %" PRIu64 " to %" PRIu64
+                       " characters, not %zu",
+                       set->name, set->min, set->max, len);
+  el_str_free (&(el_str_t){ *field, 0 });
+  *field = el_str_dup (el_str (text)).ptr;
+  return EL_OK;
+}
+
+static el_status_t
+set_number (const el_set_t *set, const char *text, double *field,
+            el_err_t *err)
+{
+  char *end;
+  double number = strtod (text, &end);
+
+  if (*text == '\0' || *end || !(number >= (double)set->min)
+      || !(number <= (double)set->max))
+    return el_err_set (err, EL_INVALID,
+                       "--%s: takes a number from %" PRIu64 " to %" PRIu64
+                       ", not '%.64s'",
+                       set->name, set->min, set->max, text);
+  *field = number;
+  return EL_OK;
+}
+
 static el_status_t
 set_value (const el_set_t *set, const char *text, void *out, el_err_t *err)
 {
-  char *field = (char *)out + set->offset;
+  void *field = (char *)out + set->offset;
   uint64_t number;
 
   if (set->kind == EL_SET_STRING)
-    {
-      size_t len = strlen (text);
-
-      if (len < set->min || (set->max && len > set->max))
-        return el_err_set (err, EL_INVALID,
-                           "--%s: takes %" PRIu64 " to %" PRIu64
-                           " characters, not %zu",
-                           set->name, set->min, set->max, len);
-      el_str_free (&(el_str_t){ *(const char **)(void *)field, 0 });
-      *(const char **)(void *)field = el_str_dup (el_str (text)).ptr;
-      return EL_OK;
-    }
+    return set_string (set, text, field, err);
+  if (set->kind == EL_SET_NUMBER)
+    return set_number (set, text, field, err);
   if (!el_str_to_u64 (el_str (text), &number) || number < set->min
       || number > set->max)
     return el_err_set (err, EL_INVALID,
@@ -64,9 +88,9 @@
                        " to %" PRIu64 ", not '%.64s'",
                        set->name, set->min, set->max, text);
   if (set->kind == EL_SET_FLAG)
-    *(int *)(void *)field = (int)number;
+    *(int *)field = (int)number;
   else
-    *(uint64_t *)(void *)field = number;
+    *(uint64_t *)field = number;
   return EL_OK;
 }
 
--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -46,14 +46,14 @@
   const char *directory;
   const char *store;
   uint64_t store_followers;
-  const char *capacity;
+  double capacity;
   const char *name;
   uint64_t entry_ttl_s;
-  const char *repeat_ratio;
-  uint64_t repeat_slack;
-  uint64_t repeat_window_s;
-  uint64_t keys_limit_ms;
-  uint64_t change_limit_ms;
+  double repeat_ratio;
+  double repeat_slack;
+  double repeat_window_s;
+  double keys_limit_ms;
+  double change_limit_ms;
   uint64_t lease_ms;
   uint64_t stop_least_ms;
   uint64_t stop_most_ms;
@@ -96,23 +96,23 @@
     "the store that holds rules and endpoints of relayed requests" },
   { "store-followers", EL_SET_U64, AT (store_followers), "1", 1, 1000, 0, "N",
     "hosts of a hall that ask the store; the others ask them" },
-  { "capacity", EL_SET_STRING, AT (capacity), "0", 1, 16, 0, "NUMBER",
+  { "capacity", EL_SET_NUMBER, AT (capacity), "0", 0, 1000000000, 0, "NUMBER",
     "how much this host can carry beside others; the largest of a hall does "
     "what one host does for all" },
   { "name", EL_SET_STRING, AT (name), "elmarchd", 1, 200, 0, "NAME",
     "of this host, as leases show it" },
   { "entry-ttl-s", EL_SET_U64, AT (entry_ttl_s), "2", 1, 3600, 0, "S",
     "callers keep the entry addresses this long" },
-  { "repeat-ratio", EL_SET_STRING, AT (repeat_ratio), "0.2", 1, 16, 0, "RATIO",
-    "repeats for each relayed request, over all hosts" },
-  { "repeat-slack", EL_SET_U64, AT (repeat_slack), "20", 0, 1000000, 0, "N",
+  { "repeat-ratio", EL_SET_NUMBER, AT (repeat_ratio), "0.2", 0, 1000, 0,
+    "RATIO", "repeats for each relayed request, over all hosts" },
+  { "repeat-slack", EL_SET_NUMBER, AT (repeat_slack), "20", 0, 1000000, 0, "N",
     "repeats besides in each window, over all hosts" },
-  { "repeat-window-s", EL_SET_U64, AT (repeat_window_s), "10", 1, 3600, 0, "S",
-    "the window that repeats are counted in" },
-  { "keys-limit-ms", EL_SET_U64, AT (keys_limit_ms), "5000", 0, 3600000, 0,
+  { "repeat-window-s", EL_SET_NUMBER, AT (repeat_window_s), "10", 1, 3600, 0,
+    "S", "the window that repeats are counted in" },
+  { "keys-limit-ms", EL_SET_NUMBER, AT (keys_limit_ms), "5000", 0, 3600000, 0,
     "MS", "keys are refused when the rules were last known so long ago" },
-  { "change-limit-ms", EL_SET_U64, AT (change_limit_ms), "2000", 100, 3600000,
-    0, "MS", "a change of the rules must be in force after this" },
+  { "change-limit-ms", EL_SET_NUMBER, AT (change_limit_ms), "2000", 100,
+    3600000, 0, "MS", "a change of the rules must be in force after this" },
   { "lease-ms", EL_SET_U64, AT (lease_ms), "2000", 1000, 600000, 0, "MS",
     "time to live of the planner's lease" },
   { "stop-least-ms", EL_SET_U64, AT (stop_least_ms), "2500", 0, 3600000, 0,
@@ -157,15 +157,6 @@
     "check the settings and exit" },
 };
 
-/* Whether TEXT is a number from 0 on and nothing else. */
-static int
-number_valid (const char *text)
-{
-  char *end;
-
-  return *text && strtod (text, &end) >= 0 && *end == '\0';
-}
-
 /* What the table of settings can't say of a valid value. */
 static el_status_t
 settings_check (const daemon_settings_t *set, el_log_level_t *level,
@@ -184,14 +175,6 @@
     { set->entry[0] ? "store" : "ready",
       set->entry[0] ? set->store : set->ready },
   };
-  const struct
-  {
-    const char *name;
-    const char *number;
-  } numbers[] = {
-    { "repeat-ratio", set->repeat_ratio },
-    { "capacity", set->capacity },
-  };
   size_t i;
 
   if (!el_log_level_parse (set->log_level, level))
@@ -203,10 +186,6 @@
     if (!net_address_valid (el_str (addresses[i].address)))
       return el_err_set (err, EL_INVALID, "--%s: takes ip:port, not '%s'",
                          addresses[i].name, addresses[i].address);
-  for (i = 0; i < sizeof numbers / sizeof *numbers; i++)
-    if (!number_valid (numbers[i].number))
-      return el_err_set (err, EL_INVALID, "--%s: takes a number, not '%s'",
-                         numbers[i].name, numbers[i].number);
   if (!co_name_valid (el_str (set->hall)))
     return el_err_set (err, EL_INVALID,
                        "--hall: takes a name of a-z, 0-9, '-' and '.', "
@@ -228,7 +207,7 @@
     .cluster_key = el_str (set->cluster_key),
     .operator_key = el_str (set->operator_key),
     .store_followers = set->store_followers,
-    .capacity = (uint64_t)(strtod (set->capacity, NULL) * CAPACITY_UNIT),
+    .capacity = (uint64_t)(set->capacity * CAPACITY_UNIT),
     .max_active = set->max_active,
     .max_queue = set->max_queue,
     .max_body = set->max_body,
@@ -256,11 +235,11 @@
     .name = el_str (set->name),
     .hall = el_str (set->hall),
     .entry_ttl_s = set->entry_ttl_s,
-    .repeat_ratio = strtod (set->repeat_ratio, NULL),
+    .repeat_ratio = set->repeat_ratio,
     .repeat_slack = set->repeat_slack,
-    .repeat_window = set->repeat_window_s * EL_SEC,
-    .keys_limit = set->keys_limit_ms * EL_MSEC,
-    .change_limit = set->change_limit_ms * EL_MSEC,
+    .repeat_window = (el_time_t)(set->repeat_window_s * EL_SEC),
+    .keys_limit = (el_time_t)(set->keys_limit_ms * EL_MSEC),
+    .change_limit = (el_time_t)(set->change_limit_ms * EL_MSEC),
     .lease_ms = set->lease_ms,
     .stop_least = set->stop_least_ms * EL_MSEC,
     .stop_most = set->stop_most_ms * EL_MSEC,
--- a/elmarchd/site.h
+++ b/elmarchd/site.h
@@ -20,7 +20,7 @@
   el_str_t hall;
   uint64_t entry_ttl_s;
   double repeat_ratio;
-  uint64_t repeat_slack;
+  double repeat_slack;
   el_time_t repeat_window;
   el_time_t keys_limit;
   el_time_t change_limit; /**< a change of the rules must be in force after
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -108,7 +108,7 @@
   el_str_t hall;
   size_t max_body;
   double repeat_ratio; /**< budget of repeats of all hosts */
-  uint64_t repeat_slack;
+  double repeat_slack;
   el_time_t repeat_window;
   el_time_t keys_limit; /**< keys are refused when the configuration is not
                              known to be in force as of this long ago; 0 is
--- a/route/course.c
+++ b/route/course.c
@@ -51,8 +51,8 @@
     all hosts together. A process that began at BORN takes nothing of the slack
     in its first window. */
 void
-rt_spend_open (rt_spend_t *spend, double ratio, uint64_t slack,
-               el_time_t window, el_time_t born)
+rt_spend_open (rt_spend_t *spend, double ratio, double slack, el_time_t window,
+               el_time_t born)
 {
   memset (spend, 0, sizeof *spend);
   spend->ratio = ratio;
@@ -108,7 +108,7 @@
     }
   most = spend->ratio * (double)asked;
   if (now >= spend->born + spend->slot * (RT_WINDOW_SLOTS - 1))
-    most += (double)spend->slack / (double)most_hosts;
+    most += spend->slack / (double)most_hosts;
   return (double)(spent + 1) <= BUDGET_PART * most;
 }
 
--- a/route/relay.h
+++ b/route/relay.h
@@ -308,7 +308,7 @@
 typedef struct rt_spend
 {
   double ratio;   /**< repeats for each request */
-  uint64_t slack; /**< repeats of all hosts besides */
+  double slack;   /**< repeats of all hosts besides */
   el_time_t born; /**< when the process began: one before it may have spent
                        its part of the slack */
   el_time_t slot; /**< length of a slot of the window */
@@ -318,7 +318,7 @@
   size_t hosts[RT_WINDOW_SLOTS]; /**< the most that lived in it */
 } rt_spend_t;
 
-void rt_spend_open (rt_spend_t *spend, double ratio, uint64_t slack,
+void rt_spend_open (rt_spend_t *spend, double ratio, double slack,
                     el_time_t window, el_time_t born);
 void rt_spend_asked (rt_spend_t *spend, el_time_t now);
 int rt_spend_left (rt_spend_t *spend, el_time_t now, size_t hosts);
