Engines are given room for three quarters of their slots' worth of streams

Cause: memory of the engines stood empty. A hall that lost its large engines had one first engine left and lines of 16 engines.

--- a/route/layout.c
+++ b/route/layout.c
@@ -17,6 +17,14 @@
    room for streams or spare copies of layers: a hall whose engines hold it
    once is stopped by each loss, one with more copies puts streams back. */
 #define COPIES 1.25
+/* The most room that an engine is given, as a share of its slots' worth of
+   usual requests: streams go to the quick engines first, and memory that none
+   of them uses is better one more layer, fewer engines in a line and more
+   copies. Load pattern: a hall without its large engines. Worth served, 20
+   days with losses: 0.674 at 1, 0.721 at 0.8, 0.729 at 0.75, 0.728 at 0.7;
+   20 others 0.700 at 0.5, where 0.75 has 0.727. Fleets whose memory is scarce
+   have less room anyway. */
+#define ROOM_SLOTS 0.75
 /* The room is looked for in such steps, down to one usual request. */
 #define ROOM_STEP 0.95
 
@@ -149,7 +157,7 @@
   return n;
 }
 
-/* The most tokens that one engine may have in flight, by its slots. */
+/* The most tokens that one engine is given room for, by its slots. */
 static double
 hall_most (const layout_t *layout, el_str_t hall)
 {
@@ -161,7 +169,7 @@
     if (layout_card (layout, target) && el_str_eq (target->facts.hall, hall)
         && target->facts.slots > slots)
       slots = target->facts.slots;
-  return (double)slots * layout->service->model.usual_tokens;
+  return ROOM_SLOTS * (double)slots * layout->service->model.usual_tokens;
 }
 
 /* As much room as leaves COPIES of the model in the hall. Worth served to the
