Logs: an attempt that failed names its request across arrivals

What was missing to tell the incident's hypotheses apart: whether two arrivals are one request, and how long it had run where it failed. attempt_failed has digest, sent_us and ran_us. No decision is changed.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/line.c route/line_use.c route/estimate.c \
-        route/layout.c route/course.c
+        route/layout.c route/course.c route/digest.c
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_sync.c peer/peer_config.c \
@@ -103,7 +103,7 @@
 	$(LINK) -lcurl
 
 UNIT = tests/unit_main.c tests/t_base.c tests/t_coord.c tests/t_route.c \
-       tests/t_replay.c tests/t_relay.c tests/t_course.c tests/t_load.c tests/t_net.c tests/t_store.c tests/script.c \
+       tests/t_replay.c tests/t_relay.c tests/t_course.c tests/t_suspect.c tests/t_load.c tests/t_net.c tests/t_store.c tests/script.c \
        tests/t_seeded.c tests/t_check.c tests/t_spoiled.c tests/seeds.c \
        tests/t_members.c tests/mbr_net.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -234,6 +234,7 @@
     .store = el_str (set->store),
     .name = el_str (set->name),
     .hall = el_str (set->hall),
+    .key = el_str (set->cluster_key),
     .entry_ttl_s = set->entry_ttl_s,
     .repeat_ratio = set->repeat_ratio,
     .repeat_slack = set->repeat_slack,
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -368,6 +368,7 @@
                                 .dialect = &pf_relay,
                                 .listen = o->entry,
                                 .hall = o->hall,
+                                .key = o->key,
                                 .max_body = BODY_MAX,
                                 .repeat_ratio = o->repeat_ratio,
                                 .repeat_slack = o->repeat_slack,
--- a/elmarchd/site.h
+++ b/elmarchd/site.h
@@ -18,6 +18,7 @@
   el_str_t store;     /**< the platform's store, ip:port */
   el_str_t name;      /**< of this host */
   el_str_t hall;
+  el_str_t key; /**< shared by the hosts */
   uint64_t entry_ttl_s;
   double repeat_ratio;
   double repeat_slack;
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -106,6 +106,7 @@
   const gt_relay_dialect_t *dialect;
   el_str_t listen; /**< where callers connect, ip:port */
   el_str_t hall;
+  el_str_t key; /**< shared by the hosts */
   size_t max_body;
   double repeat_ratio; /**< budget of repeats of all hosts */
   double repeat_slack;
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -73,6 +73,8 @@
   rt_target_t *target; /* the endpoint, or the first engine of the line */
   rt_line_t line;
   el_time_t sent;
+  el_time_t began;    /* the answer's head came: it runs there; 0 before */
+  rt_digest_t digest; /* 0: not worked out yet */
   rt_course_t course;
   rt_tried_t tried;
   int refused;   /* its answer says that it did not run */
@@ -169,5 +171,6 @@
 void relay_finished (gt_relay_t *relay);
 int relay_spend_take (gt_relay_t *relay);
 int relay_spend_left (gt_relay_t *relay);
+rt_digest_t relay_digest (gt_relay_t *relay);
 
 #endif
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -311,6 +311,23 @@
                         net_clock_now (o->clock), o->hosts (o->arg));
 }
 
+/** What RELAY is known by when it comes again; worked out when it is asked for
+    first. */
+rt_digest_t
+relay_digest (gt_relay_t *relay)
+{
+  const h2o_req_t *req = relay->req;
+  rt_asked_t asked = { .customer = relay->customer,
+                       .method = net_req_method (req),
+                       .host = host_name (req),
+                       .path = { req->path.base, req->path.len },
+                       .body = net_req_body (req) };
+
+  if (!relay->digest)
+    relay->digest = rt_digest (relay->relays->options.key, &asked);
+  return relay->digest;
+}
+
 /* Serve a request by the rules in force. */
 static void
 relay_begin (gt_relay_t *relay)
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -158,6 +158,7 @@
   gt_relay_t *relay = arg;
   const gt_relay_names_t *names = &relay->relays->options.dialect->names;
 
+  relay->began = net_clock_now (relay->relays->options.clock);
   relay->refused
       = net_result_header (head, names->not_run).len || head->status == 421;
   relay->crossed = !el_str_eq (net_result_header (head, names->id), relay->id);
@@ -274,20 +275,25 @@
          const net_result_t *result, rt_next_t next)
 {
   const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+  el_time_t now = net_clock_now (relay->relays->options.clock);
+  char digest[RT_DIGEST_HEX + 1];
   el_buf_t line = { NULL, 0, 0 };
 
+  rt_digest_hex (relay_digest (relay), digest);
   dialect->write_line (&relay->line, &line);
-  EL_LOG (EL_LOG_INFO, "attempt_failed", EL_FS ("request", relay->id),
-          EL_FS ("endpoint", relay->target->facts.id),
-          EL_FC ("net", nets[result->net]), EL_FN ("status", result->status),
-          EL_FC ("verdict", el_verdict_name (attempt->verdict)),
-          EL_FN ("crossed", relay->crossed),
-          EL_FN ("attempt", relay->course.sent),
-          EL_FN ("events", relay->nevents),
-          EL_FN ("budget_left", relay_spend_left (relay)),
-          EL_FC ("next", nexts[next]),
-          EL_FS ("fault", net_result_header (result, dialect->names.at_fault)),
-          EL_FS ("line", el_buf_str (&line)));
+  EL_LOG (
+      EL_LOG_INFO, "attempt_failed", EL_FS ("request", relay->id),
+      EL_FC ("digest", digest), EL_FS ("endpoint", relay->target->facts.id),
+      EL_FC ("net", nets[result->net]), EL_FN ("status", result->status),
+      EL_FC ("verdict", el_verdict_name (attempt->verdict)),
+      EL_FN ("crossed", relay->crossed), EL_FN ("attempt", relay->course.sent),
+      EL_FN ("sent_us", now - relay->sent),
+      EL_FN ("ran_us", relay->began ? now - relay->began : 0),
+      EL_FN ("events", relay->nevents),
+      EL_FN ("budget_left", relay_spend_left (relay)),
+      EL_FC ("next", nexts[next]),
+      EL_FS ("fault", net_result_header (result, dialect->names.at_fault)),
+      EL_FS ("line", el_buf_str (&line)));
   el_buf_free (&line);
 }
 
@@ -403,6 +409,7 @@
   relay->crossed = 0;
   relay->stream = 0;
   relay->sent = now;
+  relay->began = 0;
   relay->relays->counts.attempts++;
   relay->exchange = net_client_send (o->client, &send);
   relay_head_free (&head);
--- /dev/null
+++ b/route/digest.c
@@ -0,0 +1,57 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * What a request is known by when it comes again: its id is another each
+ * time, but it asks for the same. SHA-256 begun with a key that only the hosts
+ * know, so that no caller can aim at the digest of another one's request.
+ */
+#include <string.h>
+
+#include <openssl/evp.h>
+
+#include "relay.h"
+
+/* Each part with its length, so that no two lists of parts are alike. */
+static void
+digest_add (EVP_MD_CTX *ctx, el_str_t part)
+{
+  uint64_t len = part.len;
+
+  EVP_DigestUpdate (ctx, &len, sizeof len);
+  EVP_DigestUpdate (ctx, part.ptr, part.len);
+}
+
+/** The digest of what is ASKED under the hosts' KEY; never 0. */
+rt_digest_t
+rt_digest (el_str_t key, const rt_asked_t *asked)
+{
+  unsigned char hash[EVP_MAX_MD_SIZE];
+  EVP_MD_CTX *ctx = EVP_MD_CTX_new ();
+  rt_digest_t digest;
+
+  EVP_DigestInit_ex (ctx, EVP_sha256 (), NULL);
+  digest_add (ctx, key);
+  digest_add (ctx, asked->customer);
+  digest_add (ctx, asked->method);
+  digest_add (ctx, asked->host);
+  digest_add (ctx, asked->path);
+  digest_add (ctx, asked->body);
+  EVP_DigestFinal_ex (ctx, hash, NULL);
+  EVP_MD_CTX_free (ctx);
+  memcpy (&digest, hash, sizeof digest);
+  return digest ? digest : 1;
+}
+
+/** DIGEST as logs and operators write it. */
+void
+rt_digest_hex (rt_digest_t digest, char out[RT_DIGEST_HEX + 1])
+{
+  static const char digits[] = "0123456789abcdef";
+  size_t i;
+
+  for (i = RT_DIGEST_HEX; i-- > 0; digest >>= 4)
+    out[i] = digits[digest & 0xf];
+  out[RT_DIGEST_HEX] = '\0';
+}
--- a/route/relay.h
+++ b/route/relay.h
@@ -289,6 +289,26 @@
                          const rt_order_t *pending, size_t npending,
                          rt_order_t *out, size_t most);
 
+/* Requests that come again. */
+
+/** What a request asks for, and who asks. */
+typedef struct rt_asked
+{
+  el_str_t customer; /**< empty under an open rule */
+  el_str_t method;
+  el_str_t host;
+  el_str_t path; /**< with its query */
+  el_str_t body;
+} rt_asked_t;
+
+/** Names a request by what it asks for; 0 is none. */
+typedef uint64_t rt_digest_t;
+
+#define RT_DIGEST_HEX 16
+
+rt_digest_t rt_digest (el_str_t key, const rt_asked_t *asked);
+void rt_digest_hex (rt_digest_t digest, char out[RT_DIGEST_HEX + 1]);
+
 /* What follows an attempt. */
 
 /** What came of one attempt. */
--- a/tests/test.h
+++ b/tests/test.h
@@ -24,6 +24,7 @@
 Suite *replay_suite (void);
 Suite *relay_suite (void);
 Suite *course_suite (void);
+Suite *suspect_suite (void);
 Suite *load_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
