Which request is to blame for the ends of endpoints: a judgement in route/

The incident's cause is that nothing knows a request when it comes again. This is the part that will: pure, bounded, the same whatever order its facts come in. It is not wired to requests yet; the known red test stays red.

Two ways to judge, in one table, on the same seeds (bench_blame, 90 s courses, 40 seeds, 7 hosts, 6 first engines, 62 streams a second): by count of three ends and by odds (each end weighed by what else explains it).

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/line.c route/line_use.c route/estimate.c \
-        route/layout.c route/course.c route/digest.c
+        route/layout.c route/course.c route/digest.c route/blame.c route/blame_rule.c
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_sync.c peer/peer_config.c \
@@ -105,7 +105,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_course.c tests/t_suspect.c tests/t_load.c tests/t_net.c tests/t_store.c tests/script.c \
        tests/t_seeded.c tests/t_check.c tests/t_spoiled.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c
+       tests/t_members.c tests/mbr_net.c tests/blame_sim.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
@@ -123,6 +123,8 @@
 	$(LINK)
 $(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(LIBA)
 	$(LINK)
+$(BIN)/bench_blame: $(B)/bench/bench_blame.o $(B)/tests/blame_sim.o $(LIBA)
+	$(LINK)
 $(B)/bench/%.o: INC += -Itests
 # The soak: real processes, faults by seed, promises checked from outside.
 SOAK = soak/main.c soak/plan.c soak/proxy.c soak/world.c soak/proc.c \
@@ -136,12 +138,13 @@
 	sh soak/seeds.sh $(BIN) $(B)/soak
 
 BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
-          $(BIN)/bench_route
+          $(BIN)/bench_route $(BIN)/bench_blame
 bench: deps
 	$(MAKE) -s all $(BENCHES)
 	$(BIN)/bench_core
 	$(BIN)/bench_route
 	$(BIN)/bench_members
+	$(BIN)/bench_blame
 	sh bench/bench_control.sh $(BIN)
 	sh bench/bench_gate.sh $(BIN)
 
--- /dev/null
+++ b/bench/bench_blame.c
@@ -0,0 +1,134 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Ways to judge and to place requests under which engines ended, on the same
+ * seeds: with requests that end engines and without, where engines end for
+ * other reasons, too.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench.h"
+#include "blame_sim.h"
+
+#define SEEDS 40
+#define SECONDS 90
+
+static const struct
+{
+  const char *name;
+  sim_options_t o;
+} cases[] = {
+  { "small",
+    { .hosts = 7, .engines = 6, .rate = 62, .deadly = 1, .again_s = 1 } },
+  { "small-three",
+    { .hosts = 7, .engines = 6, .rate = 62, .deadly = 3, .again_s = 1 } },
+  { "small-faults",
+    { .hosts = 7,
+      .engines = 6,
+      .rate = 62,
+      .deadly = 1,
+      .again_s = 1,
+      .end_rate = 0.01,
+      .rack = 2 } },
+  { "small-innocent",
+    { .hosts = 7, .engines = 6, .rate = 62, .end_rate = 0.02, .rack = 3 } },
+  { "large",
+    { .hosts = 60, .engines = 24, .rate = 240, .deadly = 1, .again_s = 0.5 } },
+  { "large-faults",
+    { .hosts = 60,
+      .engines = 24,
+      .rate = 240,
+      .deadly = 2,
+      .again_s = 0.5,
+      .end_rate = 0.01,
+      .rack = 6 } },
+  { "large-innocent",
+    { .hosts = 60,
+      .engines = 24,
+      .rate = 240,
+      .end_rate = 0.02,
+      .rack = 12 } },
+};
+
+static const struct
+{
+  const char *name;
+  const rt_blame_rule_t *rule;
+  int apart;
+  int patient;
+} ways[] = {
+  { "none", NULL, 0, 0 },
+  { "count", &rt_blame_count, 0, 0 },
+  { "count+apart", &rt_blame_count, 1, 0 },
+  { "odds", &rt_blame_odds, 0, 0 },
+  { "odds+apart", &rt_blame_odds, 1, 0 },
+  { "odds+turn", &rt_blame_odds, 2, 0 },
+  { "odds+apart+patient", &rt_blame_odds, 1, 1 },
+  { "odds+turn+patient", &rt_blame_odds, 2, 1 },
+};
+
+static void
+sum_add (sim_result_t *sum, const sim_result_t *one)
+{
+  sum->sends += one->sends;
+  sum->ended += one->ended;
+  sum->late = one->late > sum->late ? one->late : sum->late;
+  sum->others += one->others;
+  sum->streams += one->streams;
+  sum->refused += one->refused;
+  sum->failed += one->failed;
+  sum->broken += one->broken;
+  sum->blocked += one->blocked;
+}
+
+static void
+measure (size_t c, size_t w, unsigned seeds)
+{
+  sim_options_t options = cases[c].o;
+  sim_result_t sum = { 0 };
+  sim_result_t one;
+  double most = 0;
+  uint64_t begin = bench_ns ();
+  unsigned seed;
+
+  options.rule = ways[w].rule;
+  options.apart = ways[w].apart;
+  options.patient = ways[w].patient;
+  options.seconds = SECONDS;
+  options.loss = 0.02;
+  for (seed = 1; seed <= seeds; seed++)
+    {
+      options.seed = seed;
+      one = sim_run (&options);
+      sum_add (&sum, &one);
+      if ((double)one.ended > most)
+        most = (double)one.ended;
+    }
+  printf ("case=%s way=%s deadly_sends=%.1f engines_ended=%.2f most=%.0f "
+          "late_sends_most=%zu other_ends=%.1f broken=%.0f failed=%.1f "
+          "of=%.0f innocents_blocked=%.3f blocked=%.2f ms=%.0f\n",
+          cases[c].name, ways[w].name, (double)sum.sends / seeds,
+          (double)sum.ended / seeds, most, sum.late,
+          (double)sum.others / seeds, (double)sum.broken / seeds,
+          (double)sum.failed / seeds, (double)sum.streams / seeds,
+          (double)sum.refused / seeds, (double)sum.blocked / seeds,
+          (double)(bench_ns () - begin) / 1e6);
+  fflush (stdout);
+}
+
+int
+main (int argc, char **argv)
+{
+  unsigned seeds = argc > 1 ? (unsigned)strtoul (argv[1], NULL, 10) : SEEDS;
+  size_t c;
+  size_t w;
+
+  for (c = 0; c < sizeof cases / sizeof *cases; c++)
+    for (w = 0; w < sizeof ways / sizeof *ways; w++)
+      if (argc < 3 || strcmp (argv[2], cases[c].name) == 0)
+        measure (c, w, seeds);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/route/blame.c
@@ -0,0 +1,552 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * What is known of requests that ran where endpoints ended: bounded, fading,
+ * the same whatever order it was learned in. The ways to judge are in
+ * blame_rule.c.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libblame.h"
+
+/* Facts fade after this: an endpoint that ends by itself once in an hour, with
+   one request of a hundred running there at each time, says nothing of it ten
+   minutes later. A request that is to blame and waits for that long ends two
+   endpoints in ten minutes and is not blocked; it ended ten in a minute. */
+#define FADE (600 * EL_SEC)
+/* It is blocked for so long, and twice as long each time that it ends another
+   endpoint when it is let in again: one endpoint a hold is what waiting out
+   costs it. */
+#define HOLD_FIRST (600 * EL_SEC)
+#define HOLD_DOUBLINGS 3
+/* Ends remembered; a hall of a hundred engines may end at once. */
+#define ENDS_MOST 512
+/* Requests remembered under one end: an engine's slots, and its queue. */
+#define RUNS_MOST 320
+/* Blocked without further doubt: so many endpoints in a row ended within
+   YOUNG of its beginning there. Where many endpoints end for other reasons,
+   the odds alone would let it end six. */
+#define ROW_MOST 4
+#define YOUNG (1 * EL_SEC)
+/* Odds from which it is blocked, 10 to 1. */
+#define BLOCK_ODDS 10.0
+
+/** Names a start of an endpoint. */
+uint64_t
+rt_start_key (const rt_start_t *start)
+{
+  return XXH3_64bits_withSeed (start->id, strlen (start->id), start->born);
+}
+
+/** How long a request is blocked for the HOLDS-th time. */
+el_time_t
+rt_blame_hold (unsigned holds)
+{
+  unsigned doublings = holds > 1 ? holds - 1 : 0;
+
+  if (doublings > HOLD_DOUBLINGS)
+    doublings = HOLD_DOUBLINGS;
+  return HOLD_FIRST << doublings;
+}
+
+/** Nothing known. */
+rt_blame_t *
+rt_blame_new (const rt_blame_options_t *options)
+{
+  rt_blame_t *blame = el_alloc (sizeof *blame);
+
+  blame->options = *options;
+  return blame;
+}
+
+static blame_request_t *
+request_find (const rt_blame_t *blame, rt_digest_t digest)
+{
+  blame_request_t *request;
+
+  HASH_FIND (hh, blame->requests, &digest, sizeof digest, request);
+  return request;
+}
+
+static void
+run_drop (blame_run_t *run)
+{
+  DL_DELETE2 (run->end->runs, run, end_prev, end_next);
+  DL_DELETE2 (run->request->runs, run, prev, next);
+  run->end->nruns--;
+  free (run);
+}
+
+static void
+request_drop (rt_blame_t *blame, blame_request_t *request)
+{
+  blame_customer_t *customer = request->customer;
+
+  while (request->runs)
+    run_drop (request->runs);
+  HASH_DEL (blame->requests, request);
+  free (request);
+  if (--customer->n)
+    return;
+  HASH_DEL (blame->customers, customer);
+  free (customer);
+}
+
+static void
+end_drop (rt_blame_t *blame, blame_end_t *end)
+{
+  while (end->runs)
+    run_drop (end->runs);
+  DL_DELETE (blame->order, end);
+  HASH_DEL (blame->ends, end);
+  free (end);
+}
+
+/** Forget all. */
+void
+rt_blame_free (rt_blame_t *blame)
+{
+  blame_request_t *request;
+  blame_request_t *next;
+
+  while (blame->order)
+    end_drop (blame, blame->order);
+  HASH_ITER (hh, blame->requests, request, next)
+  request_drop (blame, request);
+  free (blame);
+}
+
+/* Room for one more: of the customer's own requests when it has its part of
+   the room, else of those of the customer that has most. So nobody pushes out
+   what is known of others. What speaks least against a request, then what is
+   oldest, goes first. */
+static void
+room_make (rt_blame_t *blame, blame_customer_t *owner)
+{
+  blame_request_t *victim = NULL;
+  blame_request_t *request;
+  blame_request_t *next;
+  blame_customer_t *customer;
+  blame_customer_t *other;
+
+  if (owner->n <= blame->options.customer_most)
+    {
+      if (HASH_COUNT (blame->requests) < blame->options.most)
+        return;
+      HASH_ITER (hh, blame->customers, customer, other)
+      if (customer->n > owner->n)
+        owner = customer;
+    }
+  HASH_ITER (hh, blame->requests, request, next)
+  if (request->customer == owner
+      && (!victim || request->holds < victim->holds
+          || (request->holds == victim->holds
+              && request->last < victim->last)))
+    victim = request;
+  if (victim)
+    request_drop (blame, victim);
+}
+
+static blame_customer_t *
+customer_get (rt_blame_t *blame, uint64_t key)
+{
+  blame_customer_t *customer;
+
+  HASH_FIND (hh, blame->customers, &key, sizeof key, customer);
+  if (customer)
+    return customer;
+  customer = el_alloc (sizeof *customer);
+  customer->key = key;
+  HASH_ADD (hh, blame->customers, key, sizeof customer->key, customer);
+  return customer;
+}
+
+static blame_request_t *
+request_get (rt_blame_t *blame, rt_digest_t digest, uint64_t key)
+{
+  blame_request_t *request = request_find (blame, digest);
+  blame_customer_t *customer;
+
+  if (request)
+    return request;
+  customer = customer_get (blame, key);
+  customer->n++; /* stays while room is made */
+  room_make (blame, customer);
+  request = el_alloc (sizeof *request);
+  request->digest = digest;
+  request->customer = customer;
+  HASH_ADD (hh, blame->requests, digest, sizeof request->digest, request);
+  return request;
+}
+
+/* Ends stand in the order of their times. */
+static void
+end_order (rt_blame_t *blame, blame_end_t *end)
+{
+  blame_end_t *after = blame->order ? blame->order->prev : NULL;
+
+  while (after && after->at > end->at)
+    after = after == blame->order ? NULL : after->prev;
+  if (after)
+    DL_APPEND_ELEM (blame->order, after, end);
+  else
+    DL_PREPEND (blame->order, end);
+}
+
+static blame_end_t *
+end_get (rt_blame_t *blame, const rt_ended_t *ended)
+{
+  uint64_t key = rt_start_key (&ended->start);
+  blame_end_t *end;
+
+  HASH_FIND (hh, blame->ends, &key, sizeof key, end);
+  if (end)
+    return end;
+  if (HASH_COUNT (blame->ends) >= ENDS_MOST)
+    end_drop (blame, blame->order);
+  end = el_alloc (sizeof *end);
+  end->key = key;
+  end->start = ended->start;
+  end->at = ended->at;
+  HASH_ADD (hh, blame->ends, key, sizeof end->key, end);
+  end_order (blame, end);
+  return end;
+}
+
+/* Note who saw the end; gives 0 when that is known. Two hosts, or the store,
+   make it sure: one host alone may have lost its way there. */
+static int
+end_seen (blame_end_t *end, uint64_t host)
+{
+  size_t i;
+
+  if (host == 0)
+    {
+      int news = !end->listed;
+
+      end->listed = 1;
+      return news;
+    }
+  for (i = 0; i < end->nhosts; i++)
+    if (end->hosts[i] == host)
+      return 0;
+  if (end->nhosts == BLAME_HOSTS)
+    return 0;
+  end->hosts[end->nhosts++] = host;
+  return 1;
+}
+
+static blame_run_t *
+run_find (const blame_end_t *end, rt_digest_t digest)
+{
+  blame_run_t *run;
+
+  DL_FOREACH2 (end->runs, run, end_next)
+  if (run->request->digest == digest)
+    return run;
+  return NULL;
+}
+
+/* Gives 0 where the request has run to its end since. */
+static int
+run_add (rt_blame_t *blame, blame_end_t *end, const rt_ended_t *ended)
+{
+  blame_request_t *request
+      = request_get (blame, ended->digest, ended->customer);
+  blame_run_t *run;
+
+  if (end->at <= request->cleared)
+    return 0;
+  run = el_alloc (sizeof *run);
+  run->end = end;
+  run->request = request;
+  run->ran = ended->ran;
+  run->first = ended->first;
+  if (request->last < end->at)
+    request->last = end->at;
+  DL_APPEND2 (end->runs, run, end_prev, end_next);
+  DL_APPEND (request->runs, run);
+  end->nruns++;
+  return 1;
+}
+
+/* It ran there more than once at the same time: what began last counts. Gives
+   0 where that is known. */
+static int
+run_again (blame_run_t *run, const rt_ended_t *ended)
+{
+  if (ended->ran >= run->ran)
+    return 0;
+  run->ran = ended->ran;
+  run->first |= ended->first;
+  return 1;
+}
+
+/** Take in what was seen, here or by another host; gives 0 when it was known
+    or is too old. */
+int
+rt_blame_ended (rt_blame_t *blame, el_time_t now, const rt_ended_t *ended)
+{
+  blame_end_t *end;
+  blame_run_t *run;
+  int news;
+
+  if (ended->at + FADE < now)
+    return 0;
+  end = end_get (blame, ended);
+  news = end_seen (end, ended->host);
+  if (!ended->digest)
+    return news;
+  run = run_find (end, ended->digest);
+  if (run)
+    return run_again (run, ended) || news;
+  return (end->nruns < RUNS_MOST && run_add (blame, end, ended)) || news;
+}
+
+/* What was seen up to AT says nothing of the request. */
+static void
+request_acquit (blame_request_t *request, el_time_t at)
+{
+  blame_run_t *run;
+  blame_run_t *next;
+
+  request->cleared = at;
+  request->odds = 0;
+  DL_FOREACH_SAFE (request->runs, run, next)
+  if (run->end->at <= at)
+    run_drop (run);
+}
+
+/** The request ran to its end at AT and its endpoint lives: what was seen
+    before says nothing. Gives 0 when nothing had been. */
+int
+rt_blame_survived (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
+{
+  blame_request_t *request = request_find (blame, digest);
+
+  if (!request || at <= request->cleared)
+    return 0;
+  request_acquit (request, at);
+  if (request->until && at + rt_blame_hold (request->holds) > request->until)
+    request->until = 0;
+  return 1;
+}
+
+/** The request was blocked at AT for the HOLDS-th time, as another host or the
+    store tells; gives 0 when that is known. */
+int
+rt_blame_block (rt_blame_t *blame, rt_digest_t digest, uint64_t customer,
+                el_time_t at, unsigned holds)
+{
+  blame_request_t *request = request_get (blame, digest, customer);
+
+  if (holds <= request->holds || at <= request->cleared)
+    return 0;
+  request->holds = holds;
+  request->until = at + rt_blame_hold (holds);
+  if (request->last < at)
+    request->last = at;
+  return 1;
+}
+
+/** An operator lets the request in again; gives 0 when it is not known. */
+int
+rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
+{
+  blame_request_t *request = request_find (blame, digest);
+
+  if (!request || at <= request->cleared)
+    return 0;
+  request_acquit (request, at);
+  request->until = 0;
+  request->holds = 0;
+  return 1;
+}
+
+/* A request that was blocked is remembered as long again, one that ran to its
+   end until older facts of it have faded. */
+static int
+request_forgotten (const blame_request_t *request, el_time_t now)
+{
+  return (!request->until
+          || request->until + rt_blame_hold (request->holds) < now)
+         && request->cleared + FADE < now;
+}
+
+/* Facts fade. */
+static void
+blame_fade (rt_blame_t *blame, el_time_t now)
+{
+  blame_request_t *request;
+  blame_request_t *next;
+
+  while (blame->order && blame->order->at + FADE < now)
+    end_drop (blame, blame->order);
+  HASH_ITER (hh, blame->requests, request, next)
+  if (!request->runs && request_forgotten (request, now))
+    request_drop (blame, request);
+}
+
+/* Endpoints in a row that ended soon after it began there. */
+static unsigned
+request_row (const blame_request_t *request)
+{
+  const blame_run_t *run;
+  unsigned n = 0;
+
+  DL_FOREACH (request->runs, run)
+  n += run->ran < YOUNG;
+  return n;
+}
+
+/* The newest end that it ran under. */
+static el_time_t
+request_last_end (const blame_request_t *request)
+{
+  const blame_run_t *run;
+  el_time_t last = 0;
+
+  DL_FOREACH (request->runs, run)
+  if (run->end->at > last)
+    last = run->end->at;
+  return last;
+}
+
+/* Whether none of those that ran under its newest end is more likely to be to
+   blame. */
+static int
+request_foremost (const blame_request_t *request, el_time_t last)
+{
+  const blame_run_t *run;
+  const blame_run_t *other;
+
+  DL_FOREACH (request->runs, run)
+  if (run->end->at == last)
+    DL_FOREACH2 (run->end->runs, other, end_next)
+  if (other->request->odds > request->odds)
+    return 0;
+  return 1;
+}
+
+/* Whether it is to be blocked from now on: it is to blame, or was before and
+   ended another endpoint when it was let in again. */
+static int
+request_blocks (const blame_request_t *request, el_time_t now)
+{
+  el_time_t last = request_last_end (request);
+
+  if (!last || now < request->until)
+    return 0;
+  if (request->until)
+    return last > request->until;
+  return request->odds >= BLOCK_ODDS
+         || (request_row (request) >= ROW_MOST
+             && request_foremost (request, last));
+}
+
+/** Judge all requests anew, where ENDPOINTS are listed; BLOCKED is told of
+    each that is blocked from now on. */
+void
+rt_blame_judge (rt_blame_t *blame, el_time_t now, size_t endpoints,
+                rt_blame_visit_cb blocked, void *arg)
+{
+  blame_request_t *request;
+  blame_request_t *next;
+  rt_judgement_t judgement;
+
+  blame_fade (blame, now);
+  blame->options.rule->judge (blame, endpoints);
+  HASH_ITER (hh, blame->requests, request, next)
+  if (request_blocks (request, now))
+    {
+      request->holds++;
+      request->until
+          = request_last_end (request) + rt_blame_hold (request->holds);
+      judgement = rt_blame_of (blame, now, request->digest);
+      blocked (arg, request->digest, &judgement);
+    }
+}
+
+static unsigned
+request_ends (const blame_request_t *request)
+{
+  const blame_run_t *run;
+  unsigned n = 0;
+
+  DL_COUNT (request->runs, run, n);
+  return n;
+}
+
+static rt_judgement_t
+request_judgement (const blame_request_t *request, el_time_t now)
+{
+  rt_judgement_t out = { .ends = request_ends (request),
+                         .odds = request->odds,
+                         .until = request->until,
+                         .holds = request->holds };
+
+  if (now < request->until)
+    out.state = RT_BLAME_BLOCKED;
+  else if (out.ends || request->until)
+    out.state = RT_BLAME_SUSPECT;
+  return out;
+}
+
+/** What is thought of a request now. */
+rt_judgement_t
+rt_blame_of (const rt_blame_t *blame, el_time_t now, rt_digest_t digest)
+{
+  const blame_request_t *request = request_find (blame, digest);
+
+  return request ? request_judgement (request, now) : (rt_judgement_t){ 0 };
+}
+
+/** Whether no request is known to have run where an endpoint ended. */
+int
+rt_blame_empty (const rt_blame_t *blame)
+{
+  return !blame->requests;
+}
+
+/** Visit all requests that are remembered. */
+void
+rt_blame_visit (const rt_blame_t *blame, el_time_t now,
+                rt_blame_visit_cb visit, void *arg)
+{
+  blame_request_t *request;
+  blame_request_t *next;
+  rt_judgement_t judgement;
+
+  HASH_ITER (hh, blame->requests, request, next)
+  {
+    judgement = request_judgement (request, now);
+    if (judgement.state)
+      visit (arg, request->digest, &judgement);
+  }
+}
+
+/** Visit the ends that a request ran under. */
+void
+rt_blame_ends (const rt_blame_t *blame, rt_digest_t digest,
+               rt_blame_end_cb visit, void *arg)
+{
+  const blame_request_t *request = request_find (blame, digest);
+  const blame_run_t *run;
+
+  DL_FOREACH (request ? request->runs : NULL, run)
+  {
+    const rt_ended_t ended
+        = { .start = run->end->start,
+            .digest = digest,
+            .customer = request->customer->key,
+            .host = run->end->listed ? 0 : run->end->hosts[0],
+            .at = run->end->at,
+            .ran = run->ran,
+            .first = run->first };
+
+    visit (arg, &ended);
+  }
+}
--- a/tests/t_suspect.c
+++ b/tests/t_suspect.c
@@ -3,9 +3,12 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Tests of requests that come again.
+ * Tests of requests that come again, and of which one is to blame for the ends
+ * of endpoints.
  */
-#include "relay.h"
+#include <stdio.h>
+
+#include "blame_sim.h"
 #include "test.h"
 
 #define KEY EL_STR ("a key that the hosts share")
@@ -41,13 +44,306 @@
 }
 END_TEST
 
+#define NOW (1000 * EL_SEC)
+#define ENDPOINTS 40
+#define DEADLY 7
+#define SEEDS 20
+
+static rt_blame_t *blame;
+static unsigned blocked;
+
+static void
+suspect_setup (void)
+{
+  const rt_blame_options_t options
+      = { .most = 1000, .customer_most = 200, .rule = &rt_blame_odds };
+
+  blame = rt_blame_new (&options);
+  blocked = 0;
+}
+
+static void
+suspect_teardown (void)
+{
+  rt_blame_free (blame);
+}
+
+static void
+blocked_count (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
+{
+  (void)arg;
+  (void)digest;
+  ck_assert_int_eq (judgement->state, RT_BLAME_BLOCKED);
+  blocked++;
+}
+
+static void
+blocked_any (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
+{
+  unsigned *n = arg;
+
+  (void)digest;
+  *n += judgement->state != RT_BLAME_NONE;
+}
+
+static void
+judge (el_time_t now)
+{
+  rt_blame_judge (blame, now, ENDPOINTS, blocked_count, NULL);
+}
+
+/* An end of the start ENGINE that two hosts saw. */
+static void
+ended (unsigned engine, el_time_t at, rt_digest_t digest, el_time_t ran)
+{
+  rt_ended_t e = { .start = { .id = "e", .born = engine },
+                   .digest = digest,
+                   .customer = 1,
+                   .at = at,
+                   .ran = ran,
+                   .first = 1 };
+
+  for (e.host = 1; e.host <= 2; e.host++)
+    rt_blame_ended (blame, NOW, &e);
+}
+
+static rt_blame_state_t
+state_of (rt_digest_t digest)
+{
+  return rt_blame_of (blame, NOW, digest).state;
+}
+
+/* Fifty ran under the first end, each with the one to blame; under the next
+   ones it ran beside others. It alone is blocked, by the third. */
+START_TEST (test_blame_one_of_fifty_is_found)
+{
+  unsigned end;
+  unsigned i;
+
+  for (end = 0; end < 3; end++)
+    {
+      ck_assert_uint_eq (blocked, 0);
+      ended (end, NOW + end * EL_SEC, DEADLY, 80 * EL_MSEC);
+      for (i = 0; i < 50; i++)
+        ended (end, NOW + end * EL_SEC, 1000 + 100 * end + i,
+               (50 + 50 * i) * EL_MSEC);
+      judge (NOW + end * EL_SEC);
+    }
+  ck_assert_uint_eq (blocked, 1);
+  ck_assert_int_eq (state_of (DEADLY), RT_BLAME_BLOCKED);
+  for (i = 0; i < 50; i++)
+    ck_assert (rt_blame_of (blame, NOW, 1000 + i).odds < 1e-4);
+}
+END_TEST
+
+/* A rack goes dark: twelve engines within a second, and what ran on one of
+   them is sent on to the next. Nobody is to blame. */
+START_TEST (test_blame_a_rack_accuses_nobody)
+{
+  unsigned end;
+  unsigned i;
+
+  for (end = 0; end < 12; end++)
+    for (i = 0; i < 20; i++)
+      {
+        ended (end, NOW + end * 80 * EL_MSEC, 1000 + 20 * end + i,
+               300 * EL_MSEC);
+        if (end >= 2)
+          ended (end, NOW + end * 80 * EL_MSEC, 1000 + 20 * (end - 2) + i,
+                 100 * EL_MSEC);
+      }
+  judge (NOW + EL_SEC);
+  ck_assert_uint_eq (blocked, 0);
+}
+END_TEST
+
+/* Facts come in any order, some twice; the odds are the same. */
+START_TEST (test_blame_order_of_news_plays_no_part)
+{
+  rt_ended_t facts[60];
+  double odds[2];
+  uint64_t random = (uint64_t)_i * 77 + 1;
+  size_t n = 0;
+  size_t i;
+  size_t k;
+  int round;
+
+  for (i = 0; i < 4; i++)
+    for (k = 0; k < 15; k++)
+      facts[n++] = (rt_ended_t){ .start = { .id = "e", .born = i },
+                                 .digest = k ? 100 + i * k : DEADLY,
+                                 .host = 1 + k % 3,
+                                 .at = NOW + i * EL_SEC,
+                                 .ran = (k + 1) * 60 * EL_MSEC,
+                                 .first = 1 };
+  for (round = 0; round < 2; round++)
+    {
+      for (i = 0; round && i < n; i++)
+        {
+          rt_ended_t held = facts[i];
+
+          k = el_random (&random) % n;
+          facts[i] = facts[k];
+          facts[k] = held;
+        }
+      suspect_teardown ();
+      suspect_setup ();
+      for (i = 0; i < n; i++)
+        {
+          rt_blame_ended (blame, NOW + 5 * EL_SEC, &facts[i]);
+          if (round)
+            rt_blame_ended (blame, NOW + 5 * EL_SEC, &facts[i / 2]);
+        }
+      judge (NOW + 5 * EL_SEC);
+      odds[round] = rt_blame_of (blame, NOW, DEADLY).odds;
+    }
+  ck_assert_double_eq_tol (odds[0] / odds[1], 1, 1e-6);
+}
+END_TEST
+
+/* It ran to its end elsewhere: older ends say nothing of it any more, also
+   those that are told later; a new one does. */
+START_TEST (test_blame_who_ran_to_the_end_is_cleared)
+{
+  ended (1, NOW, DEADLY, EL_MSEC);
+  ended (2, NOW + EL_SEC, DEADLY, EL_MSEC);
+  ck_assert_int_eq (rt_blame_survived (blame, DEADLY, NOW + 5 * EL_SEC), 1);
+  ended (3, NOW + 2 * EL_SEC, DEADLY, EL_MSEC);
+  ck_assert_int_eq (state_of (DEADLY), RT_BLAME_NONE);
+  ended (4, NOW + 6 * EL_SEC, DEADLY, EL_MSEC);
+  judge (NOW + 6 * EL_SEC);
+  ck_assert_uint_eq (rt_blame_of (blame, NOW, DEADLY).ends, 1);
+  ck_assert_uint_eq (blocked, 0);
+  ck_assert_int_eq (rt_blame_survived (blame, 99, NOW), 0);
+}
+END_TEST
+
+/* What only one host saw may be that host's own trouble: it takes more. */
+START_TEST (test_blame_one_witness_counts_half)
+{
+  rt_ended_t e
+      = { .digest = DEADLY, .host = 1, .ran = 80 * EL_MSEC, .first = 1 };
+  unsigned i;
+
+  for (i = 0; i < 3; i++)
+    {
+      e.start.born = i;
+      e.at = NOW + i * EL_SEC;
+      rt_blame_ended (blame, NOW, &e);
+    }
+  judge (NOW + 3 * EL_SEC);
+  ck_assert_uint_eq (blocked, 0);
+  e.host = 0; /* the store says so, too */
+  for (i = 0; i < 3; i++)
+    {
+      e.start.born = i;
+      rt_blame_ended (blame, NOW, &e);
+    }
+  judge (NOW + 3 * EL_SEC);
+  ck_assert_uint_eq (blocked, 1);
+}
+END_TEST
+
+/* Let in again after ten minutes, it ends one engine and is blocked for
+   twenty. */
+START_TEST (test_blame_waiting_it_out_costs_an_engine_each_time)
+{
+  el_time_t now = NOW;
+  el_time_t first;
+  unsigned i;
+
+  for (i = 0; i < 4; i++)
+    ended (i, NOW + i * EL_SEC, DEADLY, 80 * EL_MSEC);
+  judge (NOW + 4 * EL_SEC);
+  first = rt_blame_of (blame, NOW, DEADLY).until;
+  ck_assert_uint_eq (first, NOW + 3 * EL_SEC + rt_blame_hold (1));
+  now = first + EL_SEC;
+  judge (now);
+  ck_assert_int_eq (rt_blame_of (blame, now, DEADLY).state, RT_BLAME_SUSPECT);
+  ended (9, now, DEADLY, 80 * EL_MSEC);
+  judge (now);
+  ck_assert_int_eq (rt_blame_of (blame, now, DEADLY).state, RT_BLAME_BLOCKED);
+  ck_assert_uint_eq (rt_blame_of (blame, now, DEADLY).until,
+                     now + rt_blame_hold (2));
+  ck_assert_uint_eq (rt_blame_hold (2), 2 * rt_blame_hold (1));
+  ck_assert_int_eq (rt_blame_clear (blame, DEADLY, now + 1), 1);
+  ck_assert_int_eq (rt_blame_of (blame, now, DEADLY).state, RT_BLAME_NONE);
+}
+END_TEST
+
+/* A caller with endless different requests that end engines: they fill no more
+   than the caller's part of the room, and what is known of another's stays. */
+START_TEST (test_blame_one_caller_pushes_nobody_out)
+{
+  rt_ended_t e = { .customer = 2, .host = 1, .ran = EL_MSEC, .first = 1 };
+  unsigned i;
+
+  for (i = 0; i < 4; i++)
+    ended (i, NOW + i * EL_SEC, DEADLY, 80 * EL_MSEC);
+  judge (NOW + 4 * EL_SEC);
+  ck_assert_int_eq (state_of (DEADLY), RT_BLAME_BLOCKED);
+  for (i = 0; i < 100000; i++)
+    {
+      e.start.born = 100 + i / 100;
+      e.digest = 1000 + i;
+      e.at = NOW + 5 * EL_SEC;
+      rt_blame_ended (blame, NOW, &e);
+      if (i % 10 == 0)
+        rt_blame_block (blame, 2000000 + i, 2, NOW + 5 * EL_SEC, 1);
+    }
+  ck_assert_int_eq (state_of (DEADLY), RT_BLAME_BLOCKED);
+  blocked = 0;
+  rt_blame_visit (blame, NOW + 6 * EL_SEC, blocked_any, &blocked);
+  ck_assert_uint_le (blocked, 201);
+}
+END_TEST
+
+/* Courses of events by seed: hosts that hear late of what others saw. No
+   innocent is refused where none is to blame; one that is to blame is sent no
+   more than three times later than three seconds after the third end, and is
+   blocked in the end. */
+START_TEST (test_blame_any_course_keeps_to_the_bound)
+{
+  sim_options_t options = { .seed = (uint64_t)_i + 1,
+                            .rule = &rt_blame_odds,
+                            .apart = 2,
+                            .hosts = 7,
+                            .engines = 6,
+                            .rate = 62,
+                            .deadly = 1,
+                            .again_s = 0.5,
+                            .loss = 0.1,
+                            .seconds = 30 };
+  sim_result_t result = sim_run (&options);
+
+  ck_assert_uint_le (result.late, 3);
+  ck_assert_uint_eq (result.blocked, 1);
+  ck_assert_uint_le (result.ended, 6);
+  options.deadly = 0;
+  options.end_rate = 0.02;
+  options.rack = 3;
+  result = sim_run (&options);
+  ck_assert_uint_eq (result.refused, 0);
+}
+END_TEST
+
 Suite *
 suspect_suite (void)
 {
   Suite *suite = suite_create ("suspect");
   TCase *tcase = tcase_create ("suspect");
 
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, suspect_setup, suspect_teardown);
   ADD (tcase, test_digest_names_what_is_asked_and_by_whom);
+  ADD (tcase, test_blame_one_of_fifty_is_found);
+  ADD (tcase, test_blame_a_rack_accuses_nobody);
+  ADD_LOOP (tcase, test_blame_order_of_news_plays_no_part, SEEDS);
+  ADD (tcase, test_blame_who_ran_to_the_end_is_cleared);
+  ADD (tcase, test_blame_one_witness_counts_half);
+  ADD (tcase, test_blame_waiting_it_out_costs_an_engine_each_time);
+  ADD (tcase, test_blame_one_caller_pushes_nobody_out);
+  ADD_LOOP (tcase, test_blame_any_course_keeps_to_the_bound, SEEDS);
   suite_add_tcase (suite, tcase);
   return suite;
 }
