Rumors: small facts that all hosts know within milliseconds

Evidence about a request has to be ahead of its next arrival at another host; news that ride on probes take 0.1 s at 9 hosts and 1.6 s at 81. A rumor is passed on at once to eight hosts by chance, in datagrams of its own, by each host that it is new to; probes carry a digest of what a host knows, and who differs asks for all, as a host does that has just started or comes back from a cut.

Weighed: one message to each host from the one that knows (569 at the size to design for, 11 ms of its processor at a time), news on probes (slow), this. Nothing tells any yet.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 BASE = base/str.c base/err.c base/timer.c base/random.c base/counter.c base/log.c \
        base/settings.c
-COORD = coord/mbr_members.c coord/mbr_news.c coord/mbr_probe.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
+COORD = coord/mbr_members.c coord/mbr_news.c coord/mbr_probe.c coord/rumor.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/router.c route/table.c route/path.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/stream.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/line.c route/line_use.c route/estimate.c \
@@ -24,7 +24,7 @@
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_sync.c peer/peer_config.c \
-       peer/peer_fetch.c peer/peer_news.c peer/peer_forward.c \
+       peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_forward.c \
        peer/peer_handover.c peer/peer_xdr.c
 GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/hold.c gate/flow.c gate/engine.c gate/door.c \
@@ -105,7 +105,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_course.c tests/t_suspect.c tests/t_load.c tests/t_net.c tests/t_store.c tests/script.c \
        tests/t_seeded.c tests/t_check.c tests/t_spoiled.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c tests/blame_sim.c
+       tests/t_members.c tests/mbr_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
@@ -121,7 +121,7 @@
 	$(LINK)
 $(BIN)/bench_route: $(B)/bench/bench_route.o $(LIBA)
 	$(LINK)
-$(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(LIBA)
+$(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(B)/tests/rumor_net.o $(LIBA)
 	$(LINK)
 $(BIN)/bench_blame: $(B)/bench/bench_blame.o $(B)/tests/blame_sim.o $(LIBA)
 	$(LINK)
--- a/bench/bench_members.c
+++ b/bench/bench_members.c
@@ -14,8 +14,12 @@
 
 #include "bench.h"
 #include "mbr_net.h"
+#include "rumor_net.h"
 #include "peer_proto.h"
 
+#define RUMOR_SEEDS 20
+/* Bytes of the net's rumors. */
+#define RUMOR_BODY 26
 #define SETTLE (60 * EL_SEC)
 #define SPAN (30 * EL_SEC)
 #define LIMIT (120 * EL_SEC)
@@ -157,9 +161,46 @@
   net_free (net);
 }
 
+/* How soon all hosts know a rumor, over seeds. */
+static void
+measure_rumor (size_t hosts, double loss)
+{
+  el_time_t half = 0;
+  el_time_t most = 0;
+  uint64_t bytes = 0;
+  uint64_t seed;
+  size_t i;
+
+  for (seed = 1; seed <= RUMOR_SEEDS; seed++)
+    {
+      rumor_net_t *net = rumor_net_new (seed, hosts, loss);
+      el_time_t began = net->now;
+      el_time_t last;
+
+      rumor_net_tell (net, 0, 1);
+      rumor_net_run (net, began + 5 * EL_SEC);
+      half += rumor_net_quantile (net, 0.5) - began;
+      last = rumor_net_quantile (net, 1) - began;
+      most = last > most ? last : most;
+      for (i = 0; i < hosts; i++)
+        bytes += net->hosts[i].bytes;
+      rumor_net_free (net);
+    }
+  printf ("bench=rumor objects=library hosts=%zu loss=%.2f p50_ms=%.1f "
+          "most_ms=%.1f bodies_sent_host=%.1f\n",
+          hosts, loss, (double)half / RUMOR_SEEDS / (double)EL_MSEC,
+          (double)most / (double)EL_MSEC,
+          (double)bytes / (double)hosts / RUMOR_SEEDS / RUMOR_BODY);
+}
+
 int
 main (void)
 {
+  measure_rumor (9, 0);
+  measure_rumor (9, 0.02);
+  measure_rumor (300, 0);
+  measure_rumor (300, 0.02);
+  measure_rumor (570, 0.02);
   measure (3, 3);
   measure (9, 3);
   measure (27, 3);
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -259,6 +259,8 @@
 const co_member_t *co_members_find (const co_members_t *members,
                                     const co_incarnation_t *incarnation);
 const co_member_t *co_members_pick (co_members_t *members);
+size_t co_members_some (co_members_t *members, const co_member_t **out,
+                        size_t most);
 void co_members_seen (co_members_t *members, uint64_t revision);
 void co_members_endpoint (co_members_t *members, el_time_t now,
                           el_str_t endpoint);
@@ -276,6 +278,51 @@
 const char *co_mbr_state_name (co_mbr_state_t state);
 const char *co_mbr_offer_name (co_mbr_offer_t offer);
 
+/* Rumors: small facts that all hosts should know soon. */
+
+/** Longest body of a rumor; most rumors of a message, and bytes of their bodies:
+    it fits a datagram. */
+#define CO_RUMOR_BODY_MAX 1000
+#define CO_RUMORS_BATCH 16
+#define CO_RUMORS_BYTES 1000
+
+/** A fact; what its body says is its holder's. */
+typedef struct co_rumor
+{
+  uint64_t id;     /**< names it over all hosts */
+  el_time_t at;    /**< when it was first told, by this host's clock */
+  el_time_t until; /**< it is passed on and remembered until then */
+  el_str_t body;
+} co_rumor_t;
+
+typedef struct co_rumors co_rumors_t;
+
+typedef struct co_rumors_options
+{
+  size_t most;      /**< rumors remembered */
+  el_time_t gather; /**< those that come within it are passed on together */
+  /** Pass rumors on to a few other hosts. */
+  void (*send) (void *arg, const co_rumor_t *list, size_t n);
+  /** Another host told of one that was not known here. */
+  void (*heard) (void *arg, const co_rumor_t *rumor);
+  void *arg;
+} co_rumors_options_t;
+
+co_rumors_t *co_rumors_new (const co_rumors_options_t *options);
+void co_rumors_free (co_rumors_t *rumors);
+void co_rumors_tell (co_rumors_t *rumors, el_time_t now,
+                     const co_rumor_t *rumor);
+int co_rumors_hear (co_rumors_t *rumors, el_time_t now,
+                    const co_rumor_t *rumor);
+void co_rumors_tick (co_rumors_t *rumors, el_time_t now);
+el_time_t co_rumors_next (const co_rumors_t *rumors);
+uint64_t co_rumors_digest (const co_rumors_t *rumors);
+int co_rumors_behind (co_rumors_t *rumors, el_time_t now, uint64_t digest);
+void co_rumors_asked (co_rumors_t *rumors, size_t news);
+typedef void (*co_rumor_visit_cb) (void *arg, const co_rumor_t *rumor);
+void co_rumors_visit (const co_rumors_t *rumors, co_rumor_visit_cb visit,
+                      void *arg);
+
 /* Configuration: typed resources. */
 
 typedef enum co_kind
--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -324,6 +324,28 @@
   return best ? &best->m : NULL;
 }
 
+/** At most MOST other hosts that are not known to be dead, by chance; gives
+   how many there are in OUT. */
+size_t
+co_members_some (co_members_t *members, const co_member_t **out, size_t most)
+{
+  size_t seen = 0;
+  size_t at;
+  size_t i;
+
+  /* Each has the same chance, in one pass (reservoir sampling). */
+  for (i = 0; i < members->norder; i++)
+    {
+      if (!mbr_is_live (members->order[i]))
+        continue;
+      at = seen < most ? seen : mbr_random (members) % (seen + 1);
+      if (at < most)
+        out[at] = &members->order[i]->m;
+      seen++;
+    }
+  return seen < most ? seen : most;
+}
+
 /** This host has seen all changes of configuration up to REVISION. */
 void
 co_members_seen (co_members_t *members, uint64_t revision)
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -418,8 +418,7 @@
                                .ready = site_ready,
                                .addresses = site_addresses,
                                .arg = site };
-  gt_engine_talk_t talk
-      = { .tell = site_tell, .hear = site_hear, .arg = site };
+  gt_relay_talk_t talk = { .tell = site_tell, .hear = site_hear, .arg = site };
 
   site->gate = gate;
   site->options = *options;
@@ -432,7 +431,7 @@
   site->relays = site_relays (site, err);
   if (!site->relays || !pf_entry_new (&entry, err))
     return NULL;
-  gt_gate_engines (gate, &talk);
+  gt_gate_talk (gate, &talk);
   gt_relays_metrics (site->relays, gt_gate_metrics (gate));
   site_metrics (site);
   site_follow (site);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -473,11 +473,35 @@
   pr_peers_blame_news (gate->peers);
 }
 
-/** Have TALK exchange with other hosts how engines do. */
+/** Have TALK exchange with other hosts how engines and requests do. */
 void
-gt_gate_engines (gt_gate_t *gate, const gt_engine_talk_t *talk)
+gt_gate_talk (gt_gate_t *gate, const gt_relay_talk_t *talk)
 {
-  gate->engines = *talk;
+  gate->talk = *talk;
+}
+
+/** Have all hosts know BODY, named by ID, soon, and remember it for HOLD. */
+void
+gt_gate_tell (gt_gate_t *gate, uint64_t id, el_time_t hold, el_str_t body)
+{
+  pr_peers_tell (gate->peers, id, hold, body);
+}
+
+/** Whether another host has told this one the rumors that it knows. */
+int
+gt_gate_rumors_known (const gt_gate_t *gate)
+{
+  return pr_peers_rumors_known (gate->peers);
+}
+
+/** A number that names this incarnation of the host; not 0. */
+uint64_t
+gt_gate_witness (const gt_gate_t *gate)
+{
+  uint64_t witness;
+
+  memcpy (&witness, gate->incarnation.byte, sizeof witness);
+  return witness | 1;
 }
 
 /** Whether this host comes first in its hall: it does what one host does for
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -54,14 +54,17 @@
 
 typedef void (*gt_drained_cb) (void *arg);
 
-/** Who tells other hosts how engines do, and hears of it. */
-typedef struct gt_engine_talk
+/** Who tells other hosts what it knows of relayed requests and engines, and
+    hears of it. */
+typedef struct gt_relay_talk
 {
   /** Gives a list, which the caller frees; its strings stay its own. */
   size_t (*tell) (void *arg, pr_engine_t **out);
   void (*hear) (void *arg, const pr_engine_t *news, size_t n);
+  /** Another host told a rumor that was not known here. */
+  void (*rumor) (void *arg, const co_rumor_t *rumor);
   void *arg;
-} gt_engine_talk_t;
+} gt_relay_talk_t;
 
 gt_gate_t *gt_gate_new (const gt_options_t *options, el_err_t *err);
 void gt_gate_drain (gt_gate_t *gate, gt_drained_cb done, void *arg);
@@ -72,7 +75,11 @@
 void gt_gate_follow (gt_gate_t *gate, gt_follow_t *follow);
 void gt_gate_heard (gt_gate_t *gate);
 void gt_gate_blame_news (gt_gate_t *gate);
-void gt_gate_engines (gt_gate_t *gate, const gt_engine_talk_t *talk);
+void gt_gate_talk (gt_gate_t *gate, const gt_relay_talk_t *talk);
+void gt_gate_tell (gt_gate_t *gate, uint64_t id, el_time_t hold,
+                   el_str_t body);
+int gt_gate_rumors_known (const gt_gate_t *gate);
+uint64_t gt_gate_witness (const gt_gate_t *gate);
 int gt_gate_leads (const gt_gate_t *gate);
 int gt_gate_ask_news (gt_gate_t *gate, uint64_t after, unsigned old,
                       pr_news_cb done, void *arg);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -171,7 +171,7 @@
   gt_answer_t *dirty;
   pr_peers_t *peers;
   gt_follow_t *follow; /* news for other hosts; NULL without */
-  gt_engine_talk_t engines;
+  gt_relay_talk_t talk;
   gt_platform_t *platform;
   gt_counts_t counts;
   el_metrics_t metrics;
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -28,6 +28,7 @@
 static size_t ops_engines (void *arg, pr_engine_t **out);
 static void ops_engines_heard (void *arg, const pr_engine_t *engines,
                                size_t n);
+static void ops_rumor (void *arg, const co_rumor_t *rumor);
 static void ops_call (void *arg, net_rpc_req_t *req, const pr_call_t *call);
 static void ops_answer_write (void *arg, const void *answer, peer_answer *to);
 static void *ops_answer_read (void *arg, const peer_answer *from,
@@ -41,6 +42,7 @@
   .known = ops_known,
   .engines = ops_engines,
   .engines_heard = ops_engines_heard,
+  .rumor = ops_rumor,
   .call = ops_call,
   .answer_write = ops_answer_write,
   .answer_read = ops_answer_read,
@@ -102,9 +104,9 @@
 {
   gt_gate_t *gate = arg;
 
-  if (!gate->engines.tell)
+  if (!gate->talk.tell)
     return 0;
-  return gate->engines.tell (gate->engines.arg, out);
+  return gate->talk.tell (gate->talk.arg, out);
 }
 
 static void
@@ -112,8 +114,17 @@
 {
   gt_gate_t *gate = arg;
 
-  if (gate->engines.hear)
-    gate->engines.hear (gate->engines.arg, engines, n);
+  if (gate->talk.hear)
+    gate->talk.hear (gate->talk.arg, engines, n);
+}
+
+static void
+ops_rumor (void *arg, const co_rumor_t *rumor)
+{
+  gt_gate_t *gate = arg;
+
+  if (gate->talk.rumor)
+    gate->talk.rumor (gate->talk.arg, rumor);
 }
 
 static void
--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -36,6 +36,9 @@
   pr_options_t options;
   net_rpc_t *rpc;
   co_members_t *members;
+  co_rumors_t *rumors;
+  el_timer_t rumors_tick;
+  int rumors_known; /* another host has told those that it knows */
   pr_counts_t counts;
   el_timer_t tick;
   uint64_t random; /* of el_random */
@@ -96,6 +99,13 @@
 /* peer_news.c */
 void peer_serve_news (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
+/* peer_rumor.c */
+void peer_rumors_open (pr_peers_t *peers);
+void peer_rumors_armed (pr_peers_t *peers);
+void peer_rumors_compare (pr_peers_t *peers, el_str_t address,
+                          uint64_t digest);
+void peer_serve_rumors (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+
 /* peer_handover.c */
 void peer_serve_handover (pr_peers_t *peers, net_rpc_req_t *req,
                           el_str_t body);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -23,7 +23,7 @@
   { PEER_GOSSIP, peer_serve_gossip },     { PEER_FORWARD, peer_serve_forward },
   { PEER_RELAY, peer_serve_relay },       { PEER_FETCH, peer_serve_fetch },
   { PEER_HANDOVER, peer_serve_handover }, { PEER_NEWS, peer_serve_news },
-  { PEER_MEMBERS, peer_serve_members },
+  { PEER_MEMBERS, peer_serve_members },   { PEER_RUMORS, peer_serve_rumors },
 };
 
 void
@@ -170,6 +170,7 @@
     }
   member_self (options, &members.self);
   peers->members = co_members_new (&members);
+  peer_rumors_open (peers);
   options->config->peers = peers;
   peers->tick.cb = peers_tick;
   peers->tick.arg = peers;
@@ -202,6 +203,7 @@
 pr_peers_stop (pr_peers_t *peers)
 {
   net_clock_cancel (peers->options.clock, &peers->tick);
+  net_clock_cancel (peers->options.clock, &peers->rumors_tick);
   net_rpc_stop (peers->rpc);
 }
 
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -151,6 +151,8 @@
   size_t (*engines) (void *arg, pr_engine_t **out);
   /** Another host told of engines. */
   void (*engines_heard) (void *arg, const pr_engine_t *engines, size_t n);
+  /** Another host told a rumor that was not known here. */
+  void (*rumor) (void *arg, const co_rumor_t *rumor);
   /** Run a call for another host and answer REQ by pr_call_answer; CALL is
       NULL when its session is not at home here. */
   void (*call) (void *arg, net_rpc_req_t *req, const pr_call_t *call);
@@ -214,6 +216,11 @@
 int pr_peers_ask_news (pr_peers_t *peers, uint64_t after, unsigned old,
                        pr_news_cb done, void *arg);
 
+/* Rumors. */
+void pr_peers_tell (pr_peers_t *peers, uint64_t id, el_time_t hold,
+                    el_str_t body);
+int pr_peers_rumors_known (const pr_peers_t *peers);
+
 /* Sessions. */
 int pr_peers_where (pr_peers_t *peers, const co_token_t *token,
                     pr_place_t *out);
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -21,6 +21,8 @@
 const PEER_SESSIONS_MAX = 4096;
 const PEER_MEMBERS_MAX = 4096;
 const PEER_ENGINES_MAX = 4096;
+const PEER_RUMOR_MAX = 1000;
+const PEER_RUMORS_MAX = 4096;
 
 /* Every call and result travels sealed: an XDR body and its code. */
 struct peer_sealed {
@@ -61,6 +63,21 @@
   peer_member members<PEER_NEWS_MAX>;
   peer_member_change changes<PEER_NEWS_MAX>;
   peer_leaving leaving<PEER_NEWS_MAX>;
+  unsigned hyper rumors; /* names the set that the sender knows */
+};
+
+/* A fact that all hosts should know soon, told first AGE_US ago. */
+struct peer_rumor {
+  unsigned hyper id;
+  unsigned hyper age_us;
+  unsigned hyper left_us;
+  opaque body<PEER_RUMOR_MAX>;
+};
+
+/* Passes rumors on, or asks for all that the other host knows. */
+struct peer_rumors {
+  bool ask;
+  peer_rumor rumors<PEER_RUMORS_MAX>;
 };
 
 /* Asks to probe another host and to hand its answer on. */
@@ -210,5 +227,6 @@
     peer_sealed PEER_HANDOVER (peer_sealed) = 5;
     peer_sealed PEER_NEWS (peer_sealed) = 6;
     peer_sealed PEER_MEMBERS (peer_sealed) = 7;
+    peer_sealed PEER_RUMORS (peer_sealed) = 8;
   } = 1;
 } = 0x20656c6d;
--- a/peer/peer_gossip.c
+++ b/peer/peer_gossip.c
@@ -109,6 +109,7 @@
   message.members.members_val = members;
   message.members.members_len = (u_int)gossip.nmembers;
   message.digest = gossip.digest;
+  message.rumors = co_rumors_digest (peers->rumors);
   message.changes.changes_val = changes;
   message.changes.changes_len = (u_int)gossip.nchanges;
   message.leaving.leaving_val = leaving;
@@ -147,10 +148,12 @@
   return ok;
 }
 
-/* A host that has seen more of the configuration is asked for it. */
+/* A host that has seen more of the configuration is asked for it, one that
+   knows other rumors for those. */
 static void
-gossip_heard (pr_peers_t *peers, const co_gossip_t *gossip)
+gossip_heard (pr_peers_t *peers, const co_gossip_t *gossip, uint64_t rumors)
 {
+  peer_rumors_compare (peers, gossip->self.peer, rumors);
   if (gossip->self.revision
       > co_config_revision (peers->options.config->config))
     peer_fetch (peers, &gossip->self);
@@ -172,7 +175,7 @@
   co_members_answer (peers->members, net_clock_now (peers->options.clock),
                      wait->id, ok, &gossip);
   if (ok)
-    gossip_heard (peers, &gossip);
+    gossip_heard (peers, &gossip, message.rumors);
   xdr_free ((xdrproc_t)xdr_peer_gossip, (char *)&message);
   free (wait);
 }
@@ -222,7 +225,7 @@
     {
       co_members_hear (peers->members, net_clock_now (peers->options.clock),
                        &gossip);
-      gossip_heard (peers, &gossip);
+      gossip_heard (peers, &gossip, message.rumors);
       peer_gossip_write (peers, &gossip.self.incarnation, &out);
     }
   else
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -28,6 +28,8 @@
 #define PEER_SESSIONS_MAX 4096
 #define PEER_MEMBERS_MAX 4096
 #define PEER_ENGINES_MAX 4096
+#define PEER_RUMOR_MAX 1000
+#define PEER_RUMORS_MAX 4096
 
 struct peer_sealed {
 	char mac[PEER_MAC];
@@ -93,9 +95,30 @@
 		u_int leaving_len;
 		peer_leaving *leaving_val;
 	} leaving;
+	u_quad_t rumors;
 };
 typedef struct peer_gossip peer_gossip;
 
+struct peer_rumor {
+	u_quad_t id;
+	u_quad_t age_us;
+	u_quad_t left_us;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct peer_rumor peer_rumor;
+
+struct peer_rumors {
+	bool_t ask;
+	struct {
+		u_int rumors_len;
+		peer_rumor *rumors_val;
+	} rumors;
+};
+typedef struct peer_rumors peer_rumors;
+
 struct peer_relay {
 	struct {
 		u_int target_len;
@@ -358,6 +381,9 @@
 #define PEER_MEMBERS 7
 extern  peer_sealed * peer_members_1(peer_sealed *, CLIENT *);
 extern  peer_sealed * peer_members_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_RUMORS 8
+extern  peer_sealed * peer_rumors_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_rumors_1_svc(peer_sealed *, struct svc_req *);
 extern int elmarch_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -382,6 +408,9 @@
 #define PEER_MEMBERS 7
 extern  peer_sealed * peer_members_1();
 extern  peer_sealed * peer_members_1_svc();
+#define PEER_RUMORS 8
+extern  peer_sealed * peer_rumors_1();
+extern  peer_sealed * peer_rumors_1_svc();
 extern int elmarch_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -393,6 +422,8 @@
 extern  bool_t xdr_peer_member_change (XDR *, peer_member_change*);
 extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
 extern  bool_t xdr_peer_gossip (XDR *, peer_gossip*);
+extern  bool_t xdr_peer_rumor (XDR *, peer_rumor*);
+extern  bool_t xdr_peer_rumors (XDR *, peer_rumors*);
 extern  bool_t xdr_peer_relay (XDR *, peer_relay*);
 extern  bool_t xdr_peer_members (XDR *, peer_members*);
 extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
@@ -418,6 +449,8 @@
 extern bool_t xdr_peer_member_change ();
 extern bool_t xdr_peer_leaving ();
 extern bool_t xdr_peer_gossip ();
+extern bool_t xdr_peer_rumor ();
+extern bool_t xdr_peer_rumors ();
 extern bool_t xdr_peer_relay ();
 extern bool_t xdr_peer_members ();
 extern bool_t xdr_peer_fetch_args ();
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -94,6 +94,37 @@
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_NEWS_MAX,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rumors))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_rumor (XDR *xdrs, peer_rumor *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->left_us))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, PEER_RUMOR_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_rumors (XDR *xdrs, peer_rumors *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rumors.rumors_val, (u_int *) &objp->rumors.rumors_len, PEER_RUMORS_MAX,
+		sizeof (peer_rumor), (xdrproc_t) xdr_peer_rumor))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/test.h
+++ b/tests/test.h
@@ -25,6 +25,7 @@
 Suite *relay_suite (void);
 Suite *course_suite (void);
 Suite *suspect_suite (void);
+Suite *rumor_suite (void);
 Suite *load_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -38,6 +38,7 @@
   srunner_add_suite (runner, relay_suite ());
   srunner_add_suite (runner, course_suite ());
   srunner_add_suite (runner, suspect_suite ());
+  srunner_add_suite (runner, rumor_suite ());
   srunner_add_suite (runner, load_suite ());
   srunner_add_suite (runner, net_suite ());
   srunner_add_suite (runner, store_suite ());
