--- a/coord/coord.h
+++ b/coord/coord.h
@@ -280,8 +280,8 @@
 
 /* Rumors: small facts that all hosts should know soon. */
 
-/** Longest body of a rumor; most rumors of a message, and bytes of their bodies:
-    it fits a datagram. */
+/** Longest body of a rumor; most rumors of a message, and bytes of their
+   bodies: it fits a datagram. */
 #define CO_RUMOR_BODY_MAX 1000
 #define CO_RUMORS_BATCH 16
 #define CO_RUMORS_BYTES 1000
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -28,6 +28,9 @@
    is left out of the entry addresses. */
 #define STALE_SLACK (1500 * EL_MSEC)
 #define LOOK_EVERY (200 * EL_MSEC)
+/* A host that no other one has answered for so long is alone: they know each
+   other within 0.2 s of a start. */
+#define ALONE_AFTER (600 * EL_MSEC)
 /* Keys change together: at the start, when many endpoints are replaced. */
 #define STORE_GATHER (300 * EL_MSEC)
 #define STOP_LOOK_EVERY (50 * EL_MSEC)
@@ -52,6 +55,7 @@
   int withdrawn;
   el_timer_t look;
   el_time_t rules_known;
+  el_time_t began;
   int stopping;
   el_time_t stop_began;
   el_timer_t stop_look;
@@ -116,7 +120,10 @@
     {
       target = rt_fleet_find (site->fleet, pf_endpoint_id (item->key));
       if (target)
-        endpoint_log (site, &target->facts, "endpoint_gone", item->revision);
+        {
+          endpoint_log (site, &target->facts, "endpoint_gone", item->revision);
+          gt_relays_engine_gone (site->relays, target);
+        }
       rt_fleet_remove (site->fleet, pf_endpoint_id (item->key));
       return;
     }
@@ -165,6 +172,15 @@
     site->gauge_placed += target->facts.end > target->facts.first;
 }
 
+/* A host serves once another one has told it which requests end endpoints, or
+   it seems to be alone. */
+static void
+site_hear_all (site_t *site, el_time_t now)
+{
+  if (gt_gate_rumors_known (site->gate) || now > site->began + ALONE_AFTER)
+    gt_relays_heard (site->relays);
+}
+
 /* A host that does not reach the store refuses keyed requests soon: callers
    are sent to those that do. When none does, all are told as before. */
 static void
@@ -178,6 +194,7 @@
     EL_LOG (EL_LOG_INFO, stale ? "withdrawn" : "offered",
             EL_FN ("config_age_us", now - site->rules_known));
   site->withdrawn = stale;
+  site_hear_all (site, now);
   gt_gate_withdraw (site->gate, stale);
   site_count (site);
   site->gauge_planner = (uint64_t)gt_duty_held (site->duty, now);
@@ -254,6 +271,7 @@
 
   site->endpoints_known = 1;
   site->rules_known = as_of;
+  site_hear_all (site, net_clock_now (gt_gate_clock (site->gate)));
   gt_relays_known (site->relays, as_of);
   gt_gate_heard (site->gate);
 }
@@ -358,6 +376,22 @@
   gt_relays_hear (site->relays, news, n);
 }
 
+static void
+site_rumor (void *arg, const co_rumor_t *rumor)
+{
+  site_t *site = arg;
+
+  gt_relays_rumor (site->relays, rumor);
+}
+
+static void
+site_tell_all (void *arg, uint64_t id, el_time_t hold, el_str_t body)
+{
+  site_t *site = arg;
+
+  gt_gate_tell (site->gate, id, hold, body);
+}
+
 static gt_relays_t *
 site_relays (site_t *site, el_err_t *err)
 {
@@ -379,6 +413,8 @@
                                 .hall_hosts = site_hall_hosts,
                                 .polls = site_polls,
                                 .polled = site_polled,
+                                .witness = gt_gate_witness (site->gate),
+                                .tell = site_tell_all,
                                 .arg = site };
 
   return gt_relays_new (&relays, err);
@@ -418,10 +454,13 @@
                                .ready = site_ready,
                                .addresses = site_addresses,
                                .arg = site };
-  gt_relay_talk_t talk = { .tell = site_tell, .hear = site_hear, .arg = site };
+  gt_relay_talk_t talk = {
+    .tell = site_tell, .hear = site_hear, .rumor = site_rumor, .arg = site
+  };
 
   site->gate = gate;
   site->options = *options;
+  site->began = net_clock_now (gt_gate_clock (gate));
   site->store = (gt_store_t){ .clock = gt_gate_clock (gate),
                               .client = gt_gate_client (gate),
                               .dialect = &pf_store,
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -12,6 +12,7 @@
 #include "net.h"
 #include "peer.h"
 #include "relay.h"
+#include "blame.h"
 
 typedef struct gt_relays gt_relays_t;
 typedef struct gt_relay gt_relay_t;
@@ -36,9 +37,16 @@
 
 /** What came of asking an engine where a stream stands still. */
 typedef void (*gt_stalled_cb) (void *arg, int answered, el_str_t address);
-/** Whether an engine answered, and how it does; LOAD is NULL when it did not
-    tell. */
-typedef void (*gt_check_cb) (void *arg, int answered, const rt_load_t *load);
+/** What an endpoint gave when it was asked for a sign of life. */
+typedef enum gt_life
+{
+  GT_LIFE_NONE,    /**< nothing: it or this host may be cut off */
+  GT_LIFE_REFUSED, /**< nobody listens there */
+  GT_LIFE_SIGN     /**< it answered */
+} gt_life_t;
+
+/** What an engine gave, and how it does; LOAD is NULL when it did not tell. */
+typedef void (*gt_check_cb) (void *arg, gt_life_t life, const rt_load_t *load);
 /** What came of moving a stream to another line: whether it was done, else
     the address of the engine that can't have its part, if it was named. */
 typedef void (*gt_reroute_cb) (void *arg, int done, el_str_t at_fault);
@@ -92,6 +100,12 @@
   uint64_t silent;   /**< of these, those that gave none */
   uint64_t crossed;  /**< answers to another request */
   uint64_t spent;    /**< repeats not made: the budget is spent */
+  uint64_t ends;     /**< endpoints that ended where requests ran */
+  uint64_t suspects; /**< runs that were noted under them */
+  uint64_t blocked;  /**< requests found to be to blame */
+  uint64_t barred;   /**< arrivals of these that were refused */
+  uint64_t apart;    /**< sends of suspects apart from others */
+  uint64_t turns;    /**< of these, waits for a turn */
   uint64_t events;
   el_hist_t first_event; /**< microseconds from the request */
   el_hist_t answer;      /**< microseconds to the whole plain answer */
@@ -123,6 +137,12 @@
   int (*polls) (void *arg);
   /** They were asked: the other hosts may be told. */
   void (*polled) (void *arg);
+  uint64_t witness; /**< names this incarnation of the host */
+  /** Have all hosts know BODY, named by ID, for HOLD. */
+  void (*tell) (void *arg, uint64_t id, el_time_t hold, el_str_t body);
+  /** A request was found to be to blame for ends of endpoints, the HOLDS-th
+      time: that is to last. */
+  void (*blocked) (void *arg, rt_digest_t digest, unsigned holds);
   void *arg;
 } gt_relay_options_t;
 
@@ -133,6 +153,12 @@
 size_t gt_relays_tell (gt_relays_t *relays, pr_engine_t **out);
 void gt_relays_hear (gt_relays_t *relays, const pr_engine_t *news, size_t n);
 void gt_relays_engine_changed (gt_relays_t *relays, rt_target_t *engine);
+void gt_relays_engine_gone (gt_relays_t *relays, rt_target_t *target);
+void gt_relays_rumor (gt_relays_t *relays, const co_rumor_t *rumor);
+void gt_relays_block (gt_relays_t *relays, rt_digest_t digest, unsigned holds);
+int gt_relays_unblock (gt_relays_t *relays, rt_digest_t digest);
+json_t *gt_relays_suspects (gt_relays_t *relays);
+void gt_relays_heard (gt_relays_t *relays);
 void gt_relays_retire (gt_relays_t *relays);
 void gt_relays_close (gt_relays_t *relays);
 size_t gt_relays_running (const gt_relays_t *relays);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -31,6 +31,8 @@
   relay_spend_t *spends;
   gt_relay_t *running;
   struct relay_check *checks;
+  struct relay_blame *blame;
+  el_time_t heard; /* other hosts told what they know; 0: not yet */
   el_timer_t poll;
   unsigned poll_part;
   el_time_t answered_asked; /* when the newest check that was answered left */
@@ -77,6 +79,8 @@
   rt_digest_t digest; /* 0: not worked out yet */
   rt_course_t course;
   rt_tried_t tried;
+  el_timer_t turn; /* a suspect waits for its turn */
+  unsigned turns;
   int refused;   /* its answer says that it did not run */
   int crossed;   /* its answer is to another request */
   int stream;    /* its answer is a stream that is passed on */
@@ -133,6 +137,7 @@
 
 /* relay_try.c */
 void relay_try (gt_relay_t *relay);
+void relay_give_up (gt_relay_t *relay, const char *reason);
 void relay_drop (gt_relay_t *relay);
 void relay_abandon (gt_relay_t *relay);
 int relay_may_resume (gt_relay_t *relay);
@@ -152,6 +157,51 @@
 void relay_check_load (gt_relays_t *relays, rt_target_t *engine,
                        const rt_load_t *load, el_time_t at);
 
+/* relay_blame.c */
+void relay_blame_open (gt_relays_t *relays);
+void relay_blame_close (gt_relays_t *relays);
+void relay_blame_broken (gt_relay_t *relay, rt_target_t *target);
+void relay_blame_refused (gt_relays_t *relays, rt_target_t *target);
+void relay_blame_alive (gt_relays_t *relays, const rt_target_t *target,
+                        el_time_t asked);
+void relay_blame_sign (gt_relays_t *relays, const rt_target_t *target);
+void relay_blame_survived (gt_relay_t *relay);
+rt_judgement_t relay_blame_of (gt_relay_t *relay);
+
+/* relay_suspect.c */
+int relay_suspect_admit (gt_relay_t *relay);
+int relay_suspect_waits (gt_relay_t *relay, el_time_t now);
+rt_target_t *relay_suspect_target (gt_relay_t *relay, el_time_t now);
+void relay_suspect_stop (gt_relays_t *relays, rt_digest_t digest);
+
+/* relay_fact.c */
+
+/* What a rumor says of requests. */
+typedef enum relay_fact_kind
+{
+  RELAY_FACT_ENDED,    /* requests ran where an endpoint ended */
+  RELAY_FACT_SURVIVED, /* a request ran to its end */
+  RELAY_FACT_BLOCKED,  /* a request is to blame */
+  RELAY_FACT_CLEARED,  /* an operator lets a request in again */
+  RELAY_FACTS
+} relay_fact_kind_t;
+
+/* Runs under one end in one rumor: it fits a body. */
+#define RELAY_FACT_RUNS 12
+
+typedef struct relay_fact
+{
+  relay_fact_kind_t kind;
+  rt_ended_t runs[RELAY_FACT_RUNS]; /* of the same end */
+  size_t nruns;
+  rt_digest_t digest; /* of the others */
+  uint64_t customer;
+  unsigned holds;
+} relay_fact_t;
+
+void relay_fact_write (const relay_fact_t *fact, el_buf_t *out);
+int relay_fact_read (el_str_t body, el_time_t at, relay_fact_t *out);
+
 /* relay_poll.c */
 void relay_poll_begin (gt_relays_t *relays);
 void relay_poll_end (gt_relays_t *relays);
--- a/gate/platform.c
+++ b/gate/platform.c
@@ -313,7 +313,9 @@
       return;
     }
   op->verdict = el_verdict_join (
-      op->verdict, result->net == NET_CONNECT ? EL_NOT_RUN : EL_MAY_HAVE_RUN);
+      op->verdict, result->net == NET_CONNECT || result->net == NET_REFUSED
+                       ? EL_NOT_RUN
+                       : EL_MAY_HAVE_RUN);
   op->platform->gate->counts.platform_failures++;
   if (++op->tries >= PUT_TRIES)
     {
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -346,15 +346,19 @@
     }
   relay_tokens (relay);
   rt_spend_asked (relay_spend (relays, service), relay->received);
+  if (!relay_suspect_admit (relay))
+    return;
   relay_limit (relay);
   relay_try (relay);
 }
 
-/* Whether rules and endpoints were read. */
+/* Whether rules and endpoints were read, and other hosts have told which
+   requests end endpoints: this host's own ignorance is no ground to send one.
+ */
 static int
 relays_know (const gt_relays_t *relays)
 {
-  return relays->rules && relays->known;
+  return relays->rules && relays->known && relays->heard;
 }
 
 static void
@@ -444,6 +448,7 @@
   relays->server = net_server_new (&server, err);
   if (relays->server)
     {
+      relay_blame_open (relays);
       relay_poll_begin (relays);
       return relays;
     }
@@ -475,6 +480,16 @@
   relays_serve_waiting (relays);
 }
 
+/** Other hosts have told what they know of requests, or there are none. */
+void
+gt_relays_heard (gt_relays_t *relays)
+{
+  if (relays->heard)
+    return;
+  relays->heard = net_clock_now (relays->options.clock);
+  relays_serve_waiting (relays);
+}
+
 /** The rules in force; NULL before the first. */
 const rt_rules_t *
 gt_relays_in_force (const gt_relays_t *relays)
--- /dev/null
+++ b/gate/relay_blame.c
@@ -0,0 +1,541 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * What this host sees of requests and of endpoints that end, and what other
+ * hosts tell of it.
+ *
+ * | seen                                       | said of the endpoint        |
+ * |--------------------------------------------|-----------------------------|
+ * | it answers what it was asked after a break | it lives; at once           |
+ * | its connections are refused after a break, | it ended, by one witness; at
+ * | | and another endpoint gave a sign since     | once | | the same, and no
+ * other gave a sign         | nothing: this host may be   | | | cut off | | it
+ * is silent                               | nothing until it is gone    | |
+ * its entry is gone, or has another start,   | it ended, surely; after     |
+ * | and it was not leaving                     | three heartbeats or so      |
+ * | it refused, was slow, or was leaving       | nothing                     |
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "librelay.h"
+
+/* A break is remembered until the entry of an endpoint that ended has gone:
+   three heartbeats, and the news of it. */
+#define NOTE_HOLD (8 * EL_SEC)
+#define NOTES_MOST 1024
+/* An answer that comes so long after a break may be that of the next start at
+   the same address. */
+#define ALIVE_WITHIN (1 * EL_SEC)
+/* An endpoint is not asked again that was asked within this. */
+#define ASK_GAP (10 * EL_MSEC)
+/* So many of the other hosts look for themselves when one saw an endpoint end.
+ */
+#define WITNESSES 3
+/* Facts are judged together that come within this. */
+#define JUDGE_GAP (20 * EL_MSEC)
+/* Requests that are remembered, and of these those of one customer: 240 bytes
+   each. */
+#define REQUESTS_MOST 4096
+#define REQUESTS_CUSTOMER 1024
+/* Facts are told as long as they count. */
+#define FACT_HOLD (600 * EL_SEC)
+/* One host tells of one request once in this that it ran to its end. */
+#define SURVIVED_GAP (1 * EL_SEC)
+
+/* A run that broke off at an endpoint which may have ended. */
+typedef struct blame_note
+{
+  rt_target_t *target;
+  rt_ended_t ended;
+  int refused; /* nobody listens there any more */
+  struct blame_note *prev;
+  struct blame_note *next;
+} blame_note_t;
+
+typedef struct relay_blame
+{
+  rt_blame_t *rt;
+  blame_note_t *notes;
+  size_t nnotes;
+  size_t nrefused; /* notes whose endpoint refuses connections */
+  el_timer_t judge;
+  el_time_t judged;
+} relay_blame_t;
+
+static uint64_t
+customer_key (const gt_relay_t *relay)
+{
+  return XXH3_64bits (relay->customer.ptr, relay->customer.len);
+}
+
+static void
+note_drop (relay_blame_t *blame, blame_note_t *note)
+{
+  DL_DELETE (blame->notes, note);
+  blame->nnotes--;
+  blame->nrefused -= note->refused != 0;
+  rt_target_unref (note->target);
+  free (note);
+}
+
+static void
+notes_fade (relay_blame_t *blame, el_time_t now)
+{
+  while (blame->notes
+         && (blame->notes->ended.at + NOTE_HOLD < now
+             || blame->nnotes > NOTES_MOST))
+    note_drop (blame, blame->notes);
+}
+
+static void
+note_add (relay_blame_t *blame, rt_target_t *target, const rt_ended_t *ended)
+{
+  blame_note_t *note = el_alloc (sizeof *note);
+
+  note->target = rt_target_ref (target);
+  note->ended = *ended;
+  DL_APPEND (blame->notes, note);
+  blame->nnotes++;
+  notes_fade (blame, ended->at);
+}
+
+/** RELAY's run at TARGET broke off, or stands still as TARGET is silent: if
+    TARGET has ended, RELAY is one of those that ran there. */
+void
+relay_blame_broken (gt_relay_t *relay, rt_target_t *target)
+{
+  gt_relays_t *relays = relay->relays;
+  el_time_t now = net_clock_now (relays->options.clock);
+  const rt_ended_t ended
+      = { .start = rt_target_start (target),
+          .digest = relay_digest (relay),
+          .customer = customer_key (relay),
+          .host = relays->options.witness,
+          .at = now,
+          .ran = now - (relay->began ? relay->began : relay->sent),
+          .first = target == relay->target };
+
+  if (!target->facts.leaving)
+    note_add (relays->blame, target, &ended);
+}
+
+static void
+judge_soon (gt_relays_t *relays)
+{
+  relay_blame_t *blame = relays->blame;
+  el_time_t now = net_clock_now (relays->options.clock);
+  el_time_t due = blame->judged + JUDGE_GAP;
+
+  if (!blame->judge.slot)
+    net_clock_set (relays->options.clock, &blame->judge,
+                   due > now ? due - now : 0);
+}
+
+static void
+fact_tell (gt_relays_t *relays, const relay_fact_t *fact, uint64_t id,
+           el_time_t hold)
+{
+  el_buf_t body = { NULL, 0, 0 };
+
+  if (!relays->options.tell)
+    return;
+  relay_fact_write (fact, &body);
+  relays->options.tell (relays->options.arg, id, hold, el_buf_str (&body));
+  el_buf_free (&body);
+}
+
+static void
+ended_log (const rt_target_t *target, const char *sign, size_t runs)
+{
+  EL_LOG (EL_LOG_WARN, "endpoint_ended", EL_FS ("endpoint", target->facts.id),
+          EL_FS ("address", target->facts.address), EL_FC ("sign", sign),
+          EL_FN ("runs", runs));
+}
+
+/* TARGET has ended: tell which requests of this host ran there. */
+static void
+notes_settle (gt_relays_t *relays, const rt_target_t *target, const char *sign)
+{
+  relay_blame_t *blame = relays->blame;
+  relay_fact_t fact = { .kind = RELAY_FACT_ENDED };
+  el_time_t now = net_clock_now (relays->options.clock);
+  blame_note_t *note;
+  blame_note_t *next;
+  size_t runs = 0;
+
+  DL_FOREACH_SAFE (blame->notes, note, next)
+  if (note->target == target)
+    {
+      runs += note->ended.digest != 0;
+      rt_blame_ended (blame->rt, now, &note->ended);
+      fact.runs[fact.nruns++] = note->ended;
+      note_drop (blame, note);
+      if (fact.nruns < RELAY_FACT_RUNS)
+        continue;
+      fact_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+      fact.nruns = 0;
+    }
+  if (fact.nruns)
+    fact_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+  judge_soon (relays);
+  if (runs == 0)
+    return;
+  relays->counts.ends++;
+  relays->counts.suspects += runs;
+  ended_log (target, sign, runs);
+}
+
+/* Another endpoint to ask, which tells whether this host is cut off. */
+static rt_target_t *
+other_engine (const gt_relays_t *relays, const rt_target_t *target)
+{
+  el_time_t now = net_clock_now (relays->options.clock);
+  rt_target_t *other;
+
+  for (other = rt_fleet_first (relays->options.fleet); other;
+       other = other->hh.next)
+    if (other != target && other->facts.end > other->facts.first
+        && rt_target_usable (other, now))
+      return other;
+  return NULL;
+}
+
+/* Another host saw TARGET end, and this one is asked to look, too. */
+static void
+note_witness (gt_relays_t *relays, rt_target_t *target)
+{
+  const rt_ended_t ended = { .start = rt_target_start (target),
+                             .host = relays->options.witness,
+                             .at = net_clock_now (relays->options.clock) };
+
+  if (rt_blame_unsure (relays->blame->rt, &ended.start, ended.host))
+    note_add (relays->blame, target, &ended);
+}
+
+/** TARGET refuses connections: it has ended, unless this host is cut off,
+   which another endpoint tells. */
+void
+relay_blame_refused (gt_relays_t *relays, rt_target_t *target)
+{
+  relay_blame_t *blame = relays->blame;
+  rt_target_t *other;
+  blame_note_t *note;
+
+  note_witness (relays, target);
+  DL_FOREACH (blame->notes, note)
+  if (note->target == target && !note->refused)
+    {
+      note->refused = 1;
+      blame->nrefused++;
+    }
+  other = blame->nrefused ? other_engine (relays, target) : NULL;
+  if (other && relays->options.dialect->check)
+    relay_check_poll (relays, other,
+                      net_clock_now (relays->options.clock) - ASK_GAP);
+}
+
+/** TARGET gave a sign of life: this host is not cut off, and endpoints that
+    refuse connections have ended. */
+void
+relay_blame_sign (gt_relays_t *relays, const rt_target_t *target)
+{
+  const blame_note_t *note;
+  rt_target_t *other;
+
+  while (relays->blame->nrefused)
+    {
+      DL_FOREACH (relays->blame->notes, note)
+      if (note->refused && note->target != target)
+        break;
+      if (!note)
+        return;
+      other = rt_target_ref (note->target);
+      notes_settle (relays, other, "connections refused");
+      rt_target_unref (other);
+    }
+}
+
+/** TARGET answered what it was ASKED: what broke off before was not its end.
+ */
+void
+relay_blame_alive (gt_relays_t *relays, const rt_target_t *target,
+                   el_time_t asked)
+{
+  relay_blame_t *blame = relays->blame;
+  el_time_t now = net_clock_now (relays->options.clock);
+  blame_note_t *note;
+  blame_note_t *next;
+
+  relay_blame_sign (relays, target);
+  DL_FOREACH_SAFE (blame->notes, note, next)
+  if (note->target == target && note->ended.at <= asked
+      && now < note->ended.at + ALIVE_WITHIN)
+    note_drop (blame, note);
+}
+
+/** TARGET is listed no more, or as another start, and was not leaving: it has
+    ended, which all hosts learn in the same way. */
+void
+gt_relays_engine_gone (gt_relays_t *relays, rt_target_t *target)
+{
+  el_time_t now = net_clock_now (relays->options.clock);
+  const rt_ended_t end = { .start = rt_target_start (target), .at = now };
+
+  if (target->facts.leaving)
+    return;
+  rt_target_ref (target);
+  notes_settle (relays, target, "gone");
+  rt_target_unref (target);
+  if (!rt_blame_ended (relays->blame->rt, now, &end))
+    return;
+  if (!rt_blame_empty (relays->blame->rt))
+    judge_soon (relays);
+}
+
+static void
+end_log (void *arg, const rt_ended_t *ended)
+{
+  const gt_relays_t *relays = arg;
+  el_time_t now = net_clock_now (relays->options.clock);
+
+  EL_LOG (EL_LOG_WARN, "blocked_for_end", EL_FC ("endpoint", ended->start.id),
+          EL_FN ("age_us", now > ended->at ? now - ended->at : 0),
+          EL_FN ("ran_us", ended->ran), EL_FN ("first", ended->first),
+          EL_FN ("listed", ended->host == 0));
+}
+
+static void
+block_log (gt_relays_t *relays, rt_digest_t digest,
+           const rt_judgement_t *judgement, const char *by)
+{
+  el_time_t now = net_clock_now (relays->options.clock);
+  char hex[RT_DIGEST_HEX + 1];
+
+  rt_digest_hex (digest, hex);
+  EL_LOG (EL_LOG_WARN, "request_blocked", EL_FC ("digest", hex),
+          EL_FC ("by", by), EL_FN ("ends", judgement->ends),
+          EL_FN ("odds", (uint64_t)judgement->odds),
+          EL_FN ("holds", judgement->holds),
+          EL_FN ("left_us", judgement->until - now));
+  rt_blame_ends (relays->blame->rt, digest, end_log, relays);
+}
+
+/* DIGEST is to blame: all hosts should know, also those that did not hear of
+   every end, and those that start later. */
+static void
+blame_blocked (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
+{
+  gt_relays_t *relays = arg;
+  const relay_fact_t fact = { .kind = RELAY_FACT_BLOCKED,
+                              .digest = digest,
+                              .holds = judgement->holds };
+
+  relays->counts.blocked++;
+  block_log (relays, digest, judgement, "ends");
+  fact_tell (relays, &fact, digest + judgement->holds,
+             rt_blame_hold (judgement->holds));
+  if (relays->options.blocked)
+    relays->options.blocked (relays->options.arg, digest, judgement->holds);
+  relay_suspect_stop (relays, digest);
+}
+
+static void
+blame_judge (void *arg, el_time_t now)
+{
+  gt_relays_t *relays = arg;
+
+  relays->blame->judged = now;
+  rt_blame_judge (relays->blame->rt, now,
+                  rt_fleet_count (relays->options.fleet), blame_blocked,
+                  relays);
+}
+
+/** RELAY ran to its end. */
+void
+relay_blame_survived (gt_relay_t *relay)
+{
+  gt_relays_t *relays = relay->relays;
+  el_time_t now = net_clock_now (relays->options.clock);
+  relay_fact_t fact = { .kind = RELAY_FACT_SURVIVED };
+
+  if (rt_blame_empty (relays->blame->rt))
+    return;
+  fact.digest = relay_digest (relay);
+  if (rt_blame_survived (relays->blame->rt, fact.digest, now))
+    fact_tell (relays, &fact,
+               fact.digest ^ relays->options.witness ^ now / SURVIVED_GAP,
+               FACT_HOLD);
+}
+
+/** What is thought of RELAY now. */
+rt_judgement_t
+relay_blame_of (gt_relay_t *relay)
+{
+  const gt_relays_t *relays = relay->relays;
+
+  if (rt_blame_empty (relays->blame->rt))
+    return (rt_judgement_t){ 0 };
+  return rt_blame_of (relays->blame->rt, net_clock_now (relays->options.clock),
+                      relay_digest (relay));
+}
+
+/* Another host, or the store, tells that a request is blocked since AT. */
+static void
+block_hear (gt_relays_t *relays, rt_digest_t digest, uint64_t customer,
+            el_time_t at, unsigned holds, const char *by)
+{
+  el_time_t now = net_clock_now (relays->options.clock);
+  rt_judgement_t judgement;
+
+  if (!rt_blame_block (relays->blame->rt, digest, customer, at, holds))
+    return;
+  judgement = rt_blame_of (relays->blame->rt, now, digest);
+  if (judgement.state != RT_BLAME_BLOCKED)
+    return;
+  block_log (relays, digest, &judgement, by);
+  relay_suspect_stop (relays, digest);
+}
+
+/** The store says that DIGEST is blocked the HOLDS-th time: for how long, its
+    entry does not tell, so that it counts from now on. */
+void
+gt_relays_block (gt_relays_t *relays, rt_digest_t digest, unsigned holds)
+{
+  block_hear (relays, digest, 0, net_clock_now (relays->options.clock), holds,
+              "store");
+}
+
+static void
+clear_log (rt_digest_t digest, const char *by)
+{
+  char hex[RT_DIGEST_HEX + 1];
+
+  rt_digest_hex (digest, hex);
+  EL_LOG (EL_LOG_INFO, "request_cleared", EL_FC ("digest", hex),
+          EL_FC ("by", by));
+}
+
+/** An operator lets DIGEST in again, at all hosts; gives 0 when nothing is
+    known of it. */
+int
+gt_relays_unblock (gt_relays_t *relays, rt_digest_t digest)
+{
+  el_time_t now = net_clock_now (relays->options.clock);
+  const relay_fact_t fact = { .kind = RELAY_FACT_CLEARED, .digest = digest };
+
+  if (!rt_blame_clear (relays->blame->rt, digest, now))
+    return 0;
+  clear_log (digest, "operator");
+  fact_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+  return 1;
+}
+
+/* One host alone saw an endpoint end: a few others look, too. */
+static void
+ended_doubt (gt_relays_t *relays, const rt_start_t *start)
+{
+  const gt_relay_options_t *o = &relays->options;
+  rt_target_t *target = rt_fleet_find (o->fleet, el_str (start->id));
+
+  if (target && target->facts.born == start->born && o->dialect->check
+      && target->facts.end > target->facts.first
+      && rt_blame_unsure (relays->blame->rt, start, o->witness)
+      && el_random (&relays->random) % o->hosts (o->arg) < WITNESSES)
+    relay_check_poll (relays, target, net_clock_now (o->clock) - ASK_GAP);
+}
+
+/** Another host told RUMOR. */
+void
+gt_relays_rumor (gt_relays_t *relays, const co_rumor_t *rumor)
+{
+  rt_blame_t *rt = relays->blame->rt;
+  relay_fact_t fact;
+  size_t i;
+
+  if (!relay_fact_read (rumor->body, rumor->at, &fact))
+    {
+      EL_LOG (EL_LOG_ERROR, "rumor_refused", EL_FS ("body", rumor->body));
+      return;
+    }
+  switch (fact.kind)
+    {
+    case RELAY_FACT_ENDED:
+      for (i = 0; i < fact.nruns; i++)
+        if (rt_blame_ended (rt, net_clock_now (relays->options.clock),
+                            &fact.runs[i]))
+          judge_soon (relays);
+      ended_doubt (relays, &fact.runs[0].start);
+      break;
+    case RELAY_FACT_SURVIVED:
+      rt_blame_survived (rt, fact.digest, rumor->at);
+      break;
+    case RELAY_FACT_BLOCKED:
+      block_hear (relays, fact.digest, fact.customer, rumor->at, fact.holds,
+                  "another host");
+      break;
+    case RELAY_FACT_CLEARED:
+    default:
+      if (rt_blame_clear (rt, fact.digest, rumor->at))
+        clear_log (fact.digest, "another host");
+      break;
+    }
+}
+
+static void
+suspect_dump (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
+{
+  static const char *const states[] = { [RT_BLAME_NONE] = "none",
+                                        [RT_BLAME_SUSPECT] = "suspect",
+                                        [RT_BLAME_BLOCKED] = "blocked" };
+  char hex[RT_DIGEST_HEX + 1];
+
+  rt_digest_hex (digest, hex);
+  json_array_append_new (
+      arg, json_pack ("{s:s,s:s,s:i,s:f,s:i,s:I}", "digest", hex, "state",
+                      states[judgement->state], "ends", (int)judgement->ends,
+                      "odds", judgement->odds, "holds", (int)judgement->holds,
+                      "untilUs", (json_int_t)judgement->until));
+}
+
+/** The requests that are suspect or blocked. */
+json_t *
+gt_relays_suspects (gt_relays_t *relays)
+{
+  json_t *list = json_array ();
+
+  rt_blame_visit (relays->blame->rt, net_clock_now (relays->options.clock),
+                  suspect_dump, list);
+  return list;
+}
+
+/** Nothing is known yet. */
+void
+relay_blame_open (gt_relays_t *relays)
+{
+  const rt_blame_options_t options = { .most = REQUESTS_MOST,
+                                       .customer_most = REQUESTS_CUSTOMER,
+                                       .rule = &rt_blame_odds };
+  relay_blame_t *blame = el_alloc (sizeof *blame);
+
+  blame->rt = rt_blame_new (&options);
+  blame->judge.cb = blame_judge;
+  blame->judge.arg = relays;
+  relays->blame = blame;
+}
+
+/** Forget all. */
+void
+relay_blame_close (gt_relays_t *relays)
+{
+  relay_blame_t *blame = relays->blame;
+
+  net_clock_cancel (relays->options.clock, &blame->judge);
+  while (blame->notes)
+    note_drop (blame, blame->notes);
+  rt_blame_free (blame->rt);
+  free (blame);
+  relays->blame = NULL;
+}
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -117,11 +117,12 @@
 }
 
 static void
-check_told (void *arg, int answered, const rt_load_t *load)
+check_told (void *arg, gt_life_t life, const rt_load_t *load)
 {
   relay_check_t *check = arg;
   gt_relays_t *relays = check->relays;
   rt_target_t *engine = check->engine;
+  int answered = life == GT_LIFE_SIGN;
   int was = engine->suspect;
 
   check->ask = NULL;
@@ -132,6 +133,8 @@
     relays->answered_asked = check->asked;
   if (load)
     check_load (check, load);
+  if (answered)
+    relay_blame_alive (relays, engine, check->asked);
   if (answered && !was)
     return;
   if (answered == was)
@@ -144,6 +147,8 @@
   relays->counts.silent++;
   rt_target_ref (engine);
   check_streams (relays, engine, relay_watch_silent);
+  if (life == GT_LIFE_REFUSED)
+    relay_blame_refused (relays, engine);
   if (engine->gone)
     check_free (check);
   else
@@ -168,7 +173,9 @@
       return;
     }
   net_client_cancel (check->ask);
-  check_told (check, check->engine->alive > check->asked, NULL);
+  check_told (
+      check, check->engine->alive > check->asked ? GT_LIFE_SIGN : GT_LIFE_NONE,
+      NULL);
 }
 
 static void
--- /dev/null
+++ b/gate/relay_fact.c
@@ -0,0 +1,149 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Facts about requests, as hosts tell them to each other: JSON, whose numbers
+ * of 64 bits are text in hexadecimal.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "librelay.h"
+
+#define HEX_MAX 17
+
+static const char *const kinds[RELAY_FACTS] = {
+  [RELAY_FACT_ENDED] = "ended",
+  [RELAY_FACT_SURVIVED] = "survived",
+  [RELAY_FACT_BLOCKED] = "blocked",
+  [RELAY_FACT_CLEARED] = "cleared",
+};
+
+static json_t *
+number_write (uint64_t number)
+{
+  char text[HEX_MAX];
+
+  snprintf (text, sizeof text, "%" PRIx64, number);
+  return json_string (text);
+}
+
+/* Gives 0 when it is none. */
+static int
+number_read (json_t *json, uint64_t *out)
+{
+  const char *text = json_string_value (json);
+  char *end;
+
+  if (!text || !*text || strlen (text) >= HEX_MAX)
+    return 0;
+  *out = strtoull (text, &end, 16);
+  return *end == '\0';
+}
+
+static void
+runs_write (const relay_fact_t *fact, json_t *json)
+{
+  json_t *list = json_array ();
+  size_t i;
+
+  json_object_set_new (json, "endpoint", json_string (fact->runs[0].start.id));
+  json_object_set_new (json, "born", number_write (fact->runs[0].start.born));
+  json_object_set_new (json, "host", number_write (fact->runs[0].host));
+  for (i = 0; i < fact->nruns; i++)
+    json_array_append_new (
+        list, json_pack ("[o,o,I,b]", number_write (fact->runs[i].digest),
+                         number_write (fact->runs[i].customer),
+                         (json_int_t)(fact->runs[i].ran / EL_MSEC),
+                         fact->runs[i].first));
+  json_object_set_new (json, "runs", list);
+}
+
+/** Put FACT into a rumor's body. */
+void
+relay_fact_write (const relay_fact_t *fact, el_buf_t *out)
+{
+  json_t *json = json_pack ("{s:s}", "fact", kinds[fact->kind]);
+  char *text;
+
+  if (fact->kind == RELAY_FACT_ENDED)
+    runs_write (fact, json);
+  else
+    {
+      json_object_set_new (json, "digest", number_write (fact->digest));
+      json_object_set_new (json, "customer", number_write (fact->customer));
+      json_object_set_new (json, "holds",
+                           json_integer ((json_int_t)fact->holds));
+    }
+  text = json_dumps (json, JSON_COMPACT);
+  el_buf_add (out, el_str (text));
+  free (text);
+  json_decref (json);
+}
+
+static int
+run_read (json_t *row, rt_ended_t *out)
+{
+  json_t *digest = json_array_get (row, 0);
+  json_t *customer = json_array_get (row, 1);
+  json_t *ran = json_array_get (row, 2);
+
+  out->ran = (el_time_t)json_integer_value (ran) * EL_MSEC;
+  out->first = json_is_true (json_array_get (row, 3));
+  return number_read (digest, &out->digest)
+         && number_read (customer, &out->customer) && json_is_integer (ran)
+         && json_integer_value (ran) >= 0;
+}
+
+static int
+runs_read (json_t *json, el_time_t at, relay_fact_t *out)
+{
+  json_t *list = json_object_get (json, "runs");
+  const char *id = json_string_value (json_object_get (json, "endpoint"));
+  rt_ended_t end = { .at = at };
+  json_t *row;
+  size_t i;
+
+  if (!id || !*id || strlen (id) >= sizeof end.start.id
+      || !number_read (json_object_get (json, "born"), &end.start.born)
+      || !number_read (json_object_get (json, "host"), &end.host) || !end.host
+      || json_array_size (list) > RELAY_FACT_RUNS)
+    return 0;
+  snprintf (end.start.id, sizeof end.start.id, "%s", id);
+  json_array_foreach (list, i, row)
+  {
+    out->runs[i] = end;
+    if (!run_read (row, &out->runs[i]))
+      return 0;
+    out->nruns++;
+  }
+  return out->nruns > 0;
+}
+
+/** Read a rumor's body, which was first told AT; gives 0 when it is none. */
+int
+relay_fact_read (el_str_t body, el_time_t at, relay_fact_t *out)
+{
+  json_t *json = json_loadb (body.ptr, body.len, 0, NULL);
+  const char *kind = json_string_value (json_object_get (json, "fact"));
+  json_int_t holds = json_integer_value (json_object_get (json, "holds"));
+  int ok;
+
+  memset (out, 0, sizeof *out);
+  while (kind && out->kind < RELAY_FACTS
+         && strcmp (kind, kinds[out->kind]) != 0)
+    out->kind++;
+  if (!kind || out->kind == RELAY_FACTS)
+    ok = 0;
+  else if (out->kind == RELAY_FACT_ENDED)
+    ok = runs_read (json, at, out);
+  else
+    ok = number_read (json_object_get (json, "digest"), &out->digest)
+         && number_read (json_object_get (json, "customer"), &out->customer)
+         && holds >= 0;
+  out->holds = holds > 0 ? (unsigned)holds : 0;
+  json_decref (json);
+  return ok;
+}
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -14,6 +14,12 @@
 /* When to come back after a refusal: an endpoint that is full or missing now
    may not be in a moment. Half of it is random so that callers spread. */
 #define REFUSED_RETRY (100 * EL_MSEC)
+/* What broke off is sent again after this: 2 ms until an engine that ended has
+   refused a connection, and one that lives has answered. */
+#define BROKEN_WAIT (5 * EL_MSEC)
+/* An engine where something broke off is asked for a sign of life, unless it
+   was within this. */
+#define ASK_GAP (10 * EL_MSEC)
 /* Answers of plain services that are collected before they are passed on. */
 #define PLAIN_MAX ((size_t)4 << 20)
 
@@ -24,11 +30,10 @@
                                      [RT_NEXT_AGAIN] = "again",
                                      [RT_NEXT_REFUSE] = "refuse",
                                      [RT_NEXT_FAIL] = "fail" };
-static const char *const nets[] = { [NET_OK] = "answered",
-                                    [NET_CONNECT] = "not connected",
-                                    [NET_BROKEN] = "broken",
-                                    [NET_TIMEOUT] = "timeout",
-                                    [NET_TOO_BIG] = "too big" };
+static const char *const nets[]
+    = { [NET_OK] = "answered",     [NET_CONNECT] = "not connected",
+        [NET_REFUSED] = "refused", [NET_BROKEN] = "broken",
+        [NET_TIMEOUT] = "timeout", [NET_TOO_BIG] = "too big" };
 
 static int
 is_line (const gt_relay_t *relay)
@@ -57,6 +62,7 @@
   if (relay->exchange)
     net_client_cancel (relay->exchange);
   relay->exchange = NULL;
+  net_clock_cancel (relay->relays->options.clock, &relay->turn);
   try_release (relay);
 }
 
@@ -83,19 +89,37 @@
   relay_answer_refuse (relay, 502, reason, 0);
 }
 
+/* Find a line that begins with FIRST, or with any engine if there is none. */
+static int
+try_line (gt_relay_t *relay, rt_target_t *first, el_time_t now)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+  rt_line_want_t want = { .service = relay->service,
+                          .hall = o->hall,
+                          .tokens = relay->tokens,
+                          .tried = &relay->tried,
+                          .first = first };
+
+  if (rt_line_pick (o->fleet, now, &want, &relay->line))
+    return 1;
+  want.first = NULL;
+  return first && rt_line_pick (o->fleet, now, &want, &relay->line);
+}
+
 /* Choose where to send; gives 0 when there is nothing to send to. */
 static int
 try_choose (gt_relay_t *relay, el_time_t now)
 {
   gt_relays_t *relays = relay->relays;
   const gt_relay_options_t *o = &relays->options;
+  rt_target_t *apart = relay_suspect_target (relay, now);
 
   rt_fleet_share (o->fleet, o->hall_hosts (o->arg), o->hosts (o->arg));
   if (!is_line (relay))
-    relay->target = rt_fleet_pick (o->fleet, now, relay->service->name,
-                                   o->hall, &relay->tried);
-  else if (rt_line_pick (o->fleet, now, relay->service, o->hall, relay->tokens,
-                         &relay->tried, &relay->line))
+    relay->target = apart ? apart
+                          : rt_fleet_pick (o->fleet, now, relay->service->name,
+                                           o->hall, &relay->tried);
+  else if (try_line (relay, apart, now))
     {
       rt_line_hold (&relay->line, NULL,
                     relay->nevents ? relay->tokens : relay->prompt);
@@ -139,6 +163,7 @@
   if (has_id && relay->has_id && id <= relay->last_id)
     return; /* the caller has it from the attempt before */
   now = net_clock_now (relays->options.clock);
+  relay_blame_sign (relays, relay->target);
   rt_line_event (&relay->line, now);
   relay_watch_event (relay, now - relay->still_since);
   event_time (relay, now);
@@ -249,6 +274,28 @@
   rt_tried_add (&relay->tried, fault);
 }
 
+/* What the exchange says of the endpoint's life, and of the request's part in
+   its end. */
+static void
+try_blame (gt_relay_t *relay, const net_result_t *result,
+           const rt_attempt_t *attempt)
+{
+  gt_relays_t *relays = relay->relays;
+
+  if (result->net == NET_REFUSED)
+    relay_blame_refused (relays, relay->target);
+  else if (result->net == NET_OK)
+    relay_blame_sign (relays, relay->target);
+  if (attempt->answered)
+    relay_blame_survived (relay);
+  if (result->net != NET_BROKEN || attempt->verdict == EL_NOT_RUN)
+    return;
+  relay_blame_broken (relay, relay->target);
+  if (relay->line.n)
+    relay_check_poll (relays, relay->target,
+                      net_clock_now (relays->options.clock) - ASK_GAP);
+}
+
 static void
 try_done (void *arg, const net_result_t *result)
 {
@@ -258,6 +305,7 @@
   relay->exchange = NULL;
   relay_watch_end (relay);
   try_judge (relay, result, &attempt);
+  try_blame (relay, result, &attempt);
   try_note (relay, result, &attempt);
   if (relay->begun && !relay->stream)
     attempt.answered = 0; /* its failure can't follow a stream's head */
@@ -324,13 +372,27 @@
 }
 
 static void
-try_again (gt_relay_t *relay)
+again_due (void *arg, el_time_t now)
+{
+  (void)now;
+  relay_try (arg);
+}
+
+/* Send once more. After a break it is known in a moment whether the endpoint
+   has ended, and whether the request is to blame for it. */
+static void
+try_again (gt_relay_t *relay, int broken)
 {
   gt_relay_counts_t *counts = &relay->relays->counts;
 
   counts->repeats++;
   counts->resumed += relay->begun != 0;
-  relay_try (relay);
+  relay->turn.cb = again_due;
+  relay->turn.arg = relay;
+  if (broken)
+    net_clock_set (relay->relays->options.clock, &relay->turn, BROKEN_WAIT);
+  else
+    relay_try (relay);
 }
 
 /* Decide what follows an attempt that was not simply passed on. */
@@ -351,7 +413,7 @@
     el_buf_reset (&relay->out);
   relay_events_reset (&relay->events);
   if (next == RT_NEXT_AGAIN)
-    try_again (relay);
+    try_again (relay, result->net == NET_BROKEN);
   else if (relay->begun)
     relay_answer_break (relay, "no endpoint goes on with it");
   else if (next == RT_NEXT_REFUSE)
@@ -417,12 +479,34 @@
     relay_watch_begin (relay);
 }
 
+/** RELAY is not to be sent any more, nor to run on. */
+void
+relay_give_up (gt_relay_t *relay, const char *reason)
+{
+  int sent = relay->exchange != NULL;
+
+  relay_drop (relay);
+  if (relay->begun)
+    relay_answer_break (relay, reason);
+  else if (relay->course.may_run || sent)
+    try_fail (relay, reason);
+  else
+    try_refuse (relay, reason);
+}
+
 /** Send the request to the endpoint or line that suits best now. */
 void
 relay_try (gt_relay_t *relay)
 {
   el_time_t now = net_clock_now (relay->relays->options.clock);
 
+  if (relay_blame_of (relay).state == RT_BLAME_BLOCKED)
+    {
+      relay_give_up (relay, "ends endpoints");
+      return;
+    }
+  if (relay_suspect_waits (relay, now))
+    return;
   if (try_choose (relay, now))
     {
       try_send (relay, now);
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -235,6 +235,7 @@
           EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
                                  - relay->still_since));
   watch_drop_ask (relay);
+  relay_blame_broken (relay, engine);
   rt_tried_add (&relay->avoid, engine);
   watch_move (relay);
 }
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -374,7 +374,10 @@
   net_clock_cancel (conn->client->clock, &conn->idle);
   if (status)
     {
-      net_exchange_fail (conn->exchange, NET_CONNECT);
+      net_exchange_fail (conn->exchange,
+                         status == UV_ECONNREFUSED || status == UV_ECONNRESET
+                             ? NET_REFUSED
+                             : NET_CONNECT);
       return;
     }
   uv_tcp_nodelay (&conn->tcp, 1);
--- a/net/net.h
+++ b/net/net.h
@@ -78,6 +78,7 @@
 {
   NET_OK,      /**< a whole answer came */
   NET_CONNECT, /**< no connection: nothing has left */
+  NET_REFUSED, /**< the same, as nobody listens there */
   NET_BROKEN,  /**< something may have left, no whole answer came */
   NET_TIMEOUT, /**< as NET_BROKEN, after the time given */
   NET_TOO_BIG  /**< the answer passes the bound */
--- a/route/blame.c
+++ b/route/blame.c
@@ -41,6 +41,19 @@
   return XXH3_64bits_withSeed (start->id, strlen (start->id), start->born);
 }
 
+/** The start that TARGET is. */
+rt_start_t
+rt_target_start (const rt_target_t *target)
+{
+  rt_start_t start = { .born = target->facts.born };
+  size_t len = target->facts.id.len;
+
+  if (len >= RT_START_MAX)
+    len = RT_START_MAX - 1;
+  memcpy (start.id, target->facts.id.ptr, len);
+  return start;
+}
+
 /** How long a request is blocked for the HOLDS-th time. */
 el_time_t
 rt_blame_hold (unsigned holds)
@@ -306,6 +319,19 @@
   return (end->nruns < RUNS_MOST && run_add (blame, end, ended)) || news;
 }
 
+/** Whether only one host, which is not HOST, saw that START has ended. */
+int
+rt_blame_unsure (const rt_blame_t *blame, const rt_start_t *start,
+                 uint64_t host)
+{
+  uint64_t key = rt_start_key (start);
+  const blame_end_t *end;
+
+  HASH_FIND (hh, blame->ends, &key, sizeof key, end);
+  return end && !blame_end_sure (end)
+         && (!end->nhosts || end->hosts[0] != host);
+}
+
 /* What was seen up to AT says nothing of the request. */
 static void
 request_acquit (blame_request_t *request, el_time_t at)
@@ -326,13 +352,15 @@
 rt_blame_survived (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
 {
   blame_request_t *request = request_find (blame, digest);
+  int news;
 
   if (!request || at <= request->cleared)
     return 0;
+  news = request->runs || request->until;
   request_acquit (request, at);
   if (request->until && at + rt_blame_hold (request->holds) > request->until)
     request->until = 0;
-  return 1;
+  return news;
 }
 
 /** The request was blocked at AT for the HOLDS-th time, as another host or the
@@ -480,13 +508,27 @@
   return n;
 }
 
+/* Whether only one host saw the newest end that it ran under. */
+static int
+request_unsure (const blame_request_t *request)
+{
+  el_time_t last = request_last_end (request);
+  const blame_run_t *run;
+
+  DL_FOREACH (request->runs, run)
+  if (run->end->at == last)
+    return !blame_end_sure (run->end);
+  return 0;
+}
+
 static rt_judgement_t
 request_judgement (const blame_request_t *request, el_time_t now)
 {
   rt_judgement_t out = { .ends = request_ends (request),
                          .odds = request->odds,
                          .until = request->until,
-                         .holds = request->holds };
+                         .holds = request->holds,
+                         .unsure = request_unsure (request) };
 
   if (now < request->until)
     out.state = RT_BLAME_BLOCKED;
--- a/route/blame.h
+++ b/route/blame.h
@@ -58,6 +58,7 @@
   double odds;     /**< that it is to blame for them */
   el_time_t until; /**< it is blocked until then */
   unsigned holds;  /**< times that it was blocked */
+  int unsure;      /**< only one host saw the newest of these ends */
 } rt_judgement_t;
 
 typedef struct rt_blame_options
@@ -85,6 +86,8 @@
 rt_blame_t *rt_blame_new (const rt_blame_options_t *options);
 void rt_blame_free (rt_blame_t *blame);
 int rt_blame_ended (rt_blame_t *blame, el_time_t now, const rt_ended_t *ended);
+int rt_blame_unsure (const rt_blame_t *blame, const rt_start_t *start,
+                     uint64_t host);
 int rt_blame_survived (rt_blame_t *blame, rt_digest_t digest, el_time_t at);
 int rt_blame_block (rt_blame_t *blame, rt_digest_t digest, uint64_t customer,
                     el_time_t at, unsigned holds);
@@ -104,5 +107,6 @@
 void rt_blame_ends (const rt_blame_t *blame, rt_digest_t digest,
                     rt_blame_end_cb visit, void *arg);
 uint64_t rt_start_key (const rt_start_t *start);
+rt_start_t rt_target_start (const rt_target_t *target);
 
 #endif
--- a/route/blame_rule.c
+++ b/route/blame_rule.c
@@ -164,11 +164,11 @@
 run_log_ratio (const blame_run_t *run, size_t endpoints)
 {
   const blame_end_t *end = run->end;
-  int sure = end->listed || end->nhosts == BLAME_HOSTS;
   double others = end->shares > run->share ? end->shares - run->share : 0;
   double otherwise = run_rate (run, endpoints) + others;
 
-  return (sure ? 1 : UNSURE) * log (run_hazard (run) / otherwise);
+  return (blame_end_sure (end) ? 1 : UNSURE)
+         * log (run_hazard (run) / otherwise);
 }
 
 static double
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -324,7 +324,8 @@
 
   HASH_ITER (hh, fleet->by_id, target, next)
   {
-    int set_aside = target->suspect || now < target->avoid_until;
+    int set_aside = target->suspect || now < target->avoid_until
+                    || now < target->proof_until;
     double cost;
 
     if (target->gone || target->facts.leaving || set_aside > aside
@@ -340,3 +341,35 @@
   }
   return best;
 }
+
+/** Where a suspect is sent: an endpoint of SERVICE, for engines one with the
+    first layers, that DRAW chooses, the same at all hosts, so that suspects
+    part from each other; not one that another suspect may just be ending. NULL
+    when there is none. */
+rt_target_t *
+rt_fleet_apart (const rt_fleet_t *fleet, el_time_t now, el_str_t service,
+                uint64_t draw, const rt_tried_t *tried)
+{
+  rt_target_t *best = NULL;
+  rt_target_t *target;
+  uint64_t highest = 0;
+  uint64_t rank;
+
+  for (target = fleet->by_id; target; target = target->hh.next)
+    {
+      int engine = target->facts.card.len > 0;
+
+      if (!rt_target_usable (target, now) || now < target->proof_until
+          || !el_str_eq (target->facts.service, service)
+          || (engine && (target->facts.first > 0 || target->facts.end == 0))
+          || rt_tried_has (tried, target))
+        continue;
+      rank = XXH3_64bits_withSeed (target->facts.id.ptr, target->facts.id.len,
+                                   draw);
+      if (best && rank <= highest)
+        continue;
+      best = target;
+      highest = rank;
+    }
+  return best;
+}
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -83,4 +83,12 @@
   blame_end_t *order;
 };
 
+/* Whether it is known that the endpoint ended: one host alone may have lost
+   its way there. */
+static inline int
+blame_end_sure (const blame_end_t *end)
+{
+  return end->listed || end->nhosts == BLAME_HOSTS;
+}
+
 #endif
--- a/route/line.c
+++ b/route/line.c
@@ -55,7 +55,8 @@
 typedef enum line_trust
 {
   TRUST_SURE,   /* nothing speaks against them */
-  TRUST_USABLE, /* those whose sign of life is awaited, too */
+  TRUST_USABLE, /* those whose sign of life is awaited, and those that a
+                   suspect may end, too */
   TRUST_ANY     /* those that are set aside, too */
 } line_trust_t;
 
@@ -63,6 +64,7 @@
 {
   const rt_line_t *old;     /* its parts are cheaper */
   const rt_target_t *first; /* runs the first part, and no other */
+  const rt_target_t *begin; /* a new line begins with it; NULL: with any */
   line_trust_t trust;
   el_time_t now;
   double tokens;   /* of the stream */
@@ -169,6 +171,8 @@
     return !target->gone && !target->facts.leaving;
   if (!rt_target_usable (target, search->now))
     return 0;
+  if (search->now < target->proof_until && target != search->begin)
+    return search->trust == TRUST_USABLE;
   return search->trust == TRUST_USABLE || !target->asked
          || search->now < target->asked + ASKED_DOUBT;
 }
@@ -261,6 +265,7 @@
             const line_candidate_t *c = &search->candidates[i];
 
             if (c->target->facts.first <= at && at < c->target->facts.end
+                && (at || !search->begin || c->target == search->begin)
                 && !search_ended_by (search, at, h, c->target))
               search_extend (search, c, at, h);
           }
@@ -340,23 +345,20 @@
 /* Search a line for a new stream. */
 static int
 line_search (line_search_t *search, rt_fleet_t *fleet, el_time_t now,
-             const rt_service_t *service, el_str_t hall,
-             const rt_tried_t *tried, rt_line_t *out)
+             const rt_line_want_t *want, rt_line_t *out)
 {
-  unsigned start = search_hall (search, hall);
+  unsigned start = search_hall (search, want->hall);
 
-  search_open (search, fleet, now, service, tried);
+  search_open (search, fleet, now, want->service, want->tried);
   search->node[0][start].cost = 0;
   search_run (search, 0);
   return line_found (search, 0, out);
 }
 
-/** A line for a new stream of TOKENS whose caller is in HALL; gives 0 when the
-    engines do not hold all layers. Engines that are set aside are taken when
-    there is no line without them. */
+/** A line for a new stream; gives 0 when the engines do not hold all layers.
+    Engines that are set aside are taken when there is no line without them. */
 int
-rt_line_pick (rt_fleet_t *fleet, el_time_t now, const rt_service_t *service,
-              el_str_t hall, double tokens, const rt_tried_t *tried,
+rt_line_pick (rt_fleet_t *fleet, el_time_t now, const rt_line_want_t *want,
               rt_line_t *out)
 {
   line_search_t *search;
@@ -367,10 +369,11 @@
     {
       search = el_alloc (sizeof *search);
       memset (out, 0, sizeof *out);
-      out->tokens = tokens;
-      search->tokens = tokens;
+      out->tokens = want->tokens;
+      search->tokens = want->tokens;
+      search->begin = want->first;
       search->trust = trust;
-      found = line_search (search, fleet, now, service, hall, tried, out);
+      found = line_search (search, fleet, now, want, out);
       free (search);
     }
   return found;
--- a/route/relay.h
+++ b/route/relay.h
@@ -129,7 +129,9 @@
 /** What is told of an endpoint. */
 typedef struct rt_facts
 {
-  el_str_t id; /**< names one start of it; never used again */
+  el_str_t id;
+  uint64_t born; /**< of this start, which tells it from others under the id;
+                      0: not told */
   el_str_t service;
   el_str_t address;
   el_str_t hall;
@@ -172,6 +174,7 @@
   el_time_t asked;       /**< for a sign of life that has not come yet; 0:
                               none is awaited */
   el_time_t avoid_until; /**< set aside after failures */
+  el_time_t proof_until; /**< a suspect may end it until then */
   double usual_ms;       /**< moving mean of its answers' times */
   UT_hash_handle hh;
 } rt_target_t;
@@ -210,6 +213,9 @@
 
 void rt_tried_add (rt_tried_t *tried, const rt_target_t *target);
 int rt_tried_has (const rt_tried_t *tried, const rt_target_t *target);
+rt_target_t *rt_fleet_apart (const rt_fleet_t *fleet, el_time_t now,
+                             el_str_t service, uint64_t draw,
+                             const rt_tried_t *tried);
 rt_target_t *rt_fleet_pick (rt_fleet_t *fleet, el_time_t now, el_str_t service,
                             el_str_t hall, const rt_tried_t *tried);
 
@@ -252,10 +258,19 @@
                       far as is known */
 } rt_line_t;
 
+/** What a line is wanted for. */
+typedef struct rt_line_want
+{
+  const rt_service_t *service;
+  el_str_t hall;            /**< of the caller */
+  double tokens;            /**< that the stream will have */
+  const rt_tried_t *tried;  /**< engines that it must not pass */
+  const rt_target_t *first; /**< runs the first part; NULL: any */
+} rt_line_want_t;
+
 int rt_line_valid (const rt_line_t *line, unsigned layers);
-int rt_line_pick (rt_fleet_t *fleet, el_time_t now,
-                  const rt_service_t *service, el_str_t hall, double tokens,
-                  const rt_tried_t *tried, rt_line_t *out);
+int rt_line_pick (rt_fleet_t *fleet, el_time_t now, const rt_line_want_t *want,
+                  rt_line_t *out);
 int rt_line_around (rt_fleet_t *fleet, el_time_t now,
                     const rt_service_t *service, const rt_line_t *old,
                     const rt_tried_t *tried, rt_line_t *out);
--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -87,6 +87,7 @@
   relays.options.dialect = &pf_relay;
   relays.options.hall = EL_STR ("h");
   relays.options.polls = polls_never;
+  relay_blame_open (&relays);
   engine_open (&engines[0], "a");
   engine_open (&engines[1], "b");
 }
--- a/tests/t_load.c
+++ b/tests/t_load.c
@@ -186,13 +186,14 @@
 stream_begin (size_t host)
 {
   static const rt_tried_t none;
+  const rt_line_want_t want = {
+    .service = &service, .hall = EL_STR ("h"), .tokens = TOKENS, .tried = &none
+  };
   load_stream_t *stream = streams;
 
   while (stream->in_use)
     ck_assert (++stream < streams + STREAMS_MAX);
-  ck_assert_int_eq (rt_line_pick (hosts[host], now, &service, EL_STR ("h"),
-                                  TOKENS, &none, &stream->line),
-                    1);
+  ck_assert_int_eq (rt_line_pick (hosts[host], now, &want, &stream->line), 1);
   rt_line_hold (&stream->line, NULL, 0);
   stream->line.part[0].target->running++;
   stream->end = now + line_hold (&stream->line);
--- a/tests/t_net.c
+++ b/tests/t_net.c
@@ -207,7 +207,7 @@
   shutdown (script.listener, SHUT_RDWR);
   snprintf (script.address, sizeof script.address, "127.0.0.1:1");
   ask (&seen);
-  ck_assert_int_eq (seen.net, NET_CONNECT);
+  ck_assert_int_eq (seen.net, NET_REFUSED);
   ck_assert_int_eq (seen.verdict, EL_NOT_RUN);
 }
 END_TEST
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -84,9 +84,12 @@
 line_pick (const char *hall, const rt_tried_t *tried, rt_line_t *out)
 {
   static const rt_tried_t none;
+  const rt_line_want_t want = { .service = &service,
+                                .hall = el_str (hall),
+                                .tokens = 900,
+                                .tried = tried ? tried : &none };
 
-  return rt_line_pick (fleet, NOW, &service, el_str (hall), 900,
-                       tried ? tried : &none, out);
+  return rt_line_pick (fleet, NOW, &want, out);
 }
 
 static void
