Blocked requests outlast all hosts; operators see them and let them in

What is known of a request lives in the hosts' memory, and is told to a host that starts before it serves. Where all hosts are lost at once nothing would be left of it, and the request would end three more engines: the first host of each hall has the store keep it under a lease of at most ten minutes (two calls a hall; a hall that finds the key leaves it).

elmarchctl blocked and unblock, GET and DELETE /admin/v1/blocked, the dump.

Which suspects are sent apart: all, or after a first end only the foremost (odds within 0.3 of the highest under that end).

--- a/bench/bench_blame.c
+++ b/bench/bench_blame.c
@@ -66,6 +66,7 @@
   { "odds", &rt_blame_odds, 0, 0 },
   { "odds+apart", &rt_blame_odds, 1, 0 },
   { "odds+turn", &rt_blame_odds, 2, 0 },
+  { "odds+turn+foremost", &rt_blame_odds, 3, 0 },
   { "odds+apart+patient", &rt_blame_odds, 1, 1 },
   { "odds+turn+patient", &rt_blame_odds, 2, 1 },
 };
--- a/elmarchctl/main.c
+++ b/elmarchctl/main.c
@@ -50,6 +50,8 @@
 static int ctl_drain (ctl_t *, const char **);
 static int ctl_dump (ctl_t *, const char **);
 static int ctl_hosts (ctl_t *, const char **);
+static int ctl_blocked (ctl_t *, const char **);
+static int ctl_unblock (ctl_t *, const char **);
 
 static const struct
 {
@@ -58,10 +60,11 @@
   int max_args;
   ctl_fn run;
 } commands[] = {
-  { "apply", 1, 1, ctl_apply },   { "get", 1, 2, ctl_get },
-  { "delete", 2, 2, ctl_delete }, { "watch", 1, 1, ctl_watch },
-  { "drain", 1, 1, ctl_drain },   { "dump", 0, 0, ctl_dump },
-  { "hosts", 0, 0, ctl_hosts },
+  { "apply", 1, 1, ctl_apply },     { "get", 1, 2, ctl_get },
+  { "delete", 2, 2, ctl_delete },   { "watch", 1, 1, ctl_watch },
+  { "drain", 1, 1, ctl_drain },     { "dump", 0, 0, ctl_dump },
+  { "hosts", 0, 0, ctl_hosts },     { "blocked", 0, 0, ctl_blocked },
+  { "unblock", 1, 1, ctl_unblock },
 };
 
 #define AT(field) offsetof (ctl_settings_t, field)
@@ -412,6 +415,28 @@
   return ctl_text (ctl, EL_STR ("/v1/entry-hosts"));
 }
 
+static int
+ctl_blocked (ctl_t *ctl, const char **args)
+{
+  (void)args;
+  return ctl_text (ctl, EL_STR ("/admin/v1/blocked"));
+}
+
+static int
+ctl_unblock (ctl_t *ctl, const char **args)
+{
+  el_buf_t path = { NULL, 0, 0 };
+  int status;
+
+  el_buf_printf (&path, "/admin/v1/blocked/%s", args[0]);
+  status = ctl_exchange (ctl, "DELETE", el_buf_str (&path), EL_STR (""));
+  el_buf_free (&path);
+  if (!status_ok (status))
+    return ctl_fail (ctl);
+  printf ("%s let in again\n", args[0]);
+  return EXIT_SUCCESS;
+}
+
 static int
 count_args (const char **args)
 {
@@ -434,7 +459,8 @@
       return commands[i].run (ctl, args + 1);
   fprintf (stderr,
            "elmarchctl: takes apply FILE, get KIND [NAME], delete KIND NAME, "
-           "watch KIND, drain ENDPOINT, dump or hosts\n");
+           "watch KIND, drain ENDPOINT, dump, hosts, blocked or "
+           "unblock DIGEST\n");
   return EL_EXIT_USAGE;
 }
 
@@ -446,7 +472,7 @@
           .env_prefix = "ELMARCHCTL",
           .usage = "[OPTION...] COMMAND [ARGUMENT...]\nCommands: apply FILE, "
                    "get KIND [NAME], delete KIND NAME, watch KIND, drain "
-                   "ENDPOINT, dump, hosts.",
+                   "ENDPOINT, dump, hosts, blocked, unblock DIGEST.",
           .table = table,
           .ntable = sizeof table / sizeof *table };
   static ctl_t ctl;
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -33,6 +33,8 @@
 #define ALONE_AFTER (600 * EL_MSEC)
 /* Keys change together: at the start, when many endpoints are replaced. */
 #define STORE_GATHER (300 * EL_MSEC)
+/* Halls do not write the same at the same moment. */
+#define KEEP_SPREAD (500 * EL_MSEC)
 #define STOP_LOOK_EVERY (50 * EL_MSEC)
 /* Margin of a lease for clocks that run at different speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
@@ -242,6 +244,19 @@
   site->planned = !item->gone;
 }
 
+/* A request that is blocked, as some host kept it for hosts that start when
+   none is left to tell them. */
+static void
+blocked_item (void *arg, const pr_item_t *item)
+{
+  site_t *site = arg;
+  rt_digest_t digest;
+  unsigned holds;
+
+  if (!item->gone && pf_blocked_read (item->key, &digest, &holds))
+    gt_relays_block (site->relays, digest, holds);
+}
+
 static void
 site_item (void *arg, const pr_item_t *item)
 {
@@ -251,6 +266,8 @@
     endpoints_item (arg, item);
   else if (el_str_eq (item->key, PF_PLANNER_KEY))
     planner_item (arg, item);
+  else if (el_str_starts (item->key, PF_BLOCKED_PREFIX))
+    blocked_item (arg, item);
 }
 
 /* Two calls to the store every 0.7 s while another host plans were 140 of
@@ -384,6 +401,22 @@
   gt_relays_rumor (site->relays, rumor);
 }
 
+static json_t *
+site_suspects (void *arg)
+{
+  site_t *site = arg;
+
+  return gt_relays_suspects (site->relays);
+}
+
+static int
+site_unblock (void *arg, rt_digest_t digest)
+{
+  site_t *site = arg;
+
+  return gt_relays_unblock (site->relays, digest);
+}
+
 static void
 site_tell_all (void *arg, uint64_t id, el_time_t hold, el_str_t body)
 {
@@ -392,6 +425,24 @@
   gt_gate_tell (site->gate, id, hold, body);
 }
 
+/* The first host of each hall has the store keep it that a request is blocked,
+   for when all hosts are lost at once; two calls. */
+static void
+site_blocked (void *arg, rt_digest_t digest, unsigned holds)
+{
+  site_t *site = arg;
+  el_time_t hold = rt_blame_hold (holds) / EL_MSEC;
+  el_buf_t key = { NULL, 0, 0 };
+
+  if (!gt_gate_leads (site->gate))
+    return;
+  pf_blocked_key (digest, holds, &key);
+  gt_store_keep (&site->store, el_buf_str (&key), site->options.name,
+                 hold < PF_LEASE_MOST_MS ? hold : PF_LEASE_MOST_MS,
+                 el_random (&site->store.random) % KEEP_SPREAD);
+  el_buf_free (&key);
+}
+
 static gt_relays_t *
 site_relays (site_t *site, el_err_t *err)
 {
@@ -415,6 +466,7 @@
                                 .polled = site_polled,
                                 .witness = gt_gate_witness (site->gate),
                                 .tell = site_tell_all,
+                                .blocked = site_blocked,
                                 .arg = site };
 
   return gt_relays_new (&relays, err);
@@ -454,9 +506,12 @@
                                .ready = site_ready,
                                .addresses = site_addresses,
                                .arg = site };
-  gt_relay_talk_t talk = {
-    .tell = site_tell, .hear = site_hear, .rumor = site_rumor, .arg = site
-  };
+  gt_relay_talk_t talk = { .tell = site_tell,
+                           .hear = site_hear,
+                           .rumor = site_rumor,
+                           .suspects = site_suspects,
+                           .unblock = site_unblock,
+                           .arg = site };
 
   site->gate = gate;
   site->options = *options;
--- a/gate/door.c
+++ b/gate/door.c
@@ -43,6 +43,9 @@
   { NULL, EL_STR ("/services/"), 0, WHO_ANY, gt_door_call },
   { "GET", EL_STR ("/admin/v1/dump"), 1, WHO_OPERATOR, gt_door_dump },
   { "GET", EL_STR ("/metrics"), 1, WHO_ANY, gt_door_metrics },
+  { "GET", EL_STR ("/admin/v1/blocked"), 1, WHO_OPERATOR, gt_door_blocked },
+  { "DELETE", EL_STR ("/admin/v1/blocked/"), 0, WHO_OPERATOR,
+    gt_door_unblock },
   { NULL, EL_STR ("/admin/v1/"), 0, WHO_OPERATOR, gt_door_resources },
 };
 
--- a/gate/door_oper.c
+++ b/gate/door_oper.c
@@ -278,6 +278,32 @@
   gt_door_json (req, 200, gt_gate_dump (gate));
 }
 
+/** The requests that ran where endpoints ended: those that are suspect, and
+    those that are blocked. */
+void
+gt_door_blocked (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  (void)rest;
+  gt_door_json (req, 200,
+                gate->talk.suspects ? gate->talk.suspects (gate->talk.arg)
+                                    : json_array ());
+}
+
+/** Let a request in again that is blocked. */
+void
+gt_door_unblock (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  rt_digest_t digest;
+
+  if (!rt_digest_read (rest, &digest))
+    gt_door_error (gate, req, 400, "bad-digest",
+                   "takes 16 hexadecimal digits");
+  else if (!gate->talk.unblock || !gate->talk.unblock (gate->talk.arg, digest))
+    gt_door_error (gate, req, 404, "not-found", "no such request");
+  else
+    gt_door_json (req, 200, json_object ());
+}
+
 void
 gt_door_metrics (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
 {
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -383,15 +383,18 @@
 json_t *
 gt_gate_dump (gt_gate_t *gate)
 {
+  const gt_relay_talk_t *talk = &gate->talk;
+
   return json_pack (
-      "{s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:o,s:o}", "version", EL_VERSION,
+      "{s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:o,s:o,s:o}", "version", EL_VERSION,
       "incarnation", gate->incarnation_hex, "draining", gate->draining,
       "sessions", (json_int_t)co_ledger_sessions (gate->ledger),
       "ledgerEntries", (json_int_t)co_ledger_entries (gate->ledger),
       "configRevision", (json_int_t)co_config_revision (gate->config),
       "resources", (json_int_t)co_config_count (gate->config), "peers",
       pr_peers_dump (gate->peers), "router",
-      rt_router_dump (gate->router, net_clock_now (&gate->clock)));
+      rt_router_dump (gate->router, net_clock_now (&gate->clock)), "blocked",
+      talk->suspects ? talk->suspects (talk->arg) : json_array ());
 }
 
 net_clock_t *
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -54,8 +54,8 @@
 
 typedef void (*gt_drained_cb) (void *arg);
 
-/** Who tells other hosts what it knows of relayed requests and engines, and
-    hears of it. */
+/** Who tells other hosts and operators what it knows of relayed requests and
+    engines, and hears of them. */
 typedef struct gt_relay_talk
 {
   /** Gives a list, which the caller frees; its strings stay its own. */
@@ -63,6 +63,10 @@
   void (*hear) (void *arg, const pr_engine_t *news, size_t n);
   /** Another host told a rumor that was not known here. */
   void (*rumor) (void *arg, const co_rumor_t *rumor);
+  /** The requests that are suspect or blocked. */
+  json_t *(*suspects) (void *arg);
+  /** Let a request in again; gives 0 when nothing is known of it. */
+  int (*unblock) (void *arg, rt_digest_t digest);
   void *arg;
 } gt_relay_talk_t;
 
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -261,6 +261,8 @@
 void gt_door_entry_hosts (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_door_resources (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_door_dump (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
+void gt_door_blocked (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
+void gt_door_unblock (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_door_metrics (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 
 /* platform.c */
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -323,6 +323,14 @@
   rt_blame_ends (relays->blame->rt, digest, end_log, relays);
 }
 
+/* That DIGEST is blocked should outlast all hosts. */
+static void
+block_keep (const gt_relays_t *relays, rt_digest_t digest, unsigned holds)
+{
+  if (relays->options.blocked)
+    relays->options.blocked (relays->options.arg, digest, holds);
+}
+
 /* DIGEST is to blame: all hosts should know, also those that did not hear of
    every end, and those that start later. */
 static void
@@ -337,8 +345,7 @@
   block_log (relays, digest, judgement, "ends");
   fact_tell (relays, &fact, digest + judgement->holds,
              rt_blame_hold (judgement->holds));
-  if (relays->options.blocked)
-    relays->options.blocked (relays->options.arg, digest, judgement->holds);
+  block_keep (relays, digest, judgement->holds);
   relay_suspect_stop (relays, digest);
 }
 
@@ -382,8 +389,9 @@
                       relay_digest (relay));
 }
 
-/* Another host, or the store, tells that a request is blocked since AT. */
-static void
+/* Another host, or the store, tells that a request is blocked since AT; gives
+   0 when that is known or over. */
+static int
 block_hear (gt_relays_t *relays, rt_digest_t digest, uint64_t customer,
             el_time_t at, unsigned holds, const char *by)
 {
@@ -391,12 +399,13 @@
   rt_judgement_t judgement;
 
   if (!rt_blame_block (relays->blame->rt, digest, customer, at, holds))
-    return;
+    return 0;
   judgement = rt_blame_of (relays->blame->rt, now, digest);
   if (judgement.state != RT_BLAME_BLOCKED)
-    return;
+    return 0;
   block_log (relays, digest, &judgement, by);
   relay_suspect_stop (relays, digest);
+  return 1;
 }
 
 /** The store says that DIGEST is blocked the HOLDS-th time: for how long, its
@@ -473,8 +482,9 @@
       rt_blame_survived (rt, fact.digest, rumor->at);
       break;
     case RELAY_FACT_BLOCKED:
-      block_hear (relays, fact.digest, fact.customer, rumor->at, fact.holds,
-                  "another host");
+      if (block_hear (relays, fact.digest, fact.customer, rumor->at,
+                      fact.holds, "another host"))
+        block_keep (relays, fact.digest, fact.holds);
       break;
     case RELAY_FACT_CLEARED:
     default:
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -95,7 +95,8 @@
   rt_judgement_t judgement = relay_blame_of (relay);
   rt_target_t *target;
 
-  if (judgement.state != RT_BLAME_SUSPECT)
+  if (judgement.state != RT_BLAME_SUSPECT
+      || (judgement.ends < TURN_ENDS && !judgement.foremost))
     return NULL;
   target = suspect_choose (relay, &judgement, now);
   if (!target)
--- a/gate/store.h
+++ b/gate/store.h
@@ -108,6 +108,11 @@
 el_time_t gt_follow_known (const gt_follow_t *follow);
 void gt_follow_free (gt_follow_t *follow);
 
+/* A key that lasts for a while. */
+
+void gt_store_keep (gt_store_t *store, el_str_t key, el_str_t value,
+                    uint64_t ttl_ms, el_time_t wait);
+
 /* A duty that at most one host has. */
 
 typedef struct gt_duty gt_duty_t;
--- a/route/blame.c
+++ b/route/blame.c
@@ -31,6 +31,9 @@
    the odds alone would let it end six. */
 #define ROW_MOST 4
 #define YOUNG (1 * EL_SEC)
+/* Part of the odds of the likeliest under an end from which on a request is
+   among the foremost there. */
+#define FOREMOST_PART 0.3
 /* Odds from which it is blocked, 10 to 1. */
 #define BLOCK_ODDS 10.0
 
@@ -521,6 +524,23 @@
   return 0;
 }
 
+/* Whether few of those that ran under its newest end are more likely to be to
+   blame, by far. */
+static int
+request_near_foremost (const blame_request_t *request)
+{
+  el_time_t last = request_last_end (request);
+  const blame_run_t *run;
+  const blame_run_t *other;
+
+  DL_FOREACH (request->runs, run)
+  if (run->end->at == last)
+    DL_FOREACH2 (run->end->runs, other, end_next)
+  if (other->request->odds * FOREMOST_PART > request->odds)
+    return 0;
+  return 1;
+}
+
 static rt_judgement_t
 request_judgement (const blame_request_t *request, el_time_t now)
 {
@@ -528,7 +548,8 @@
                          .odds = request->odds,
                          .until = request->until,
                          .holds = request->holds,
-                         .unsure = request_unsure (request) };
+                         .unsure = request_unsure (request),
+                         .foremost = request_near_foremost (request) };
 
   if (now < request->until)
     out.state = RT_BLAME_BLOCKED;
--- a/route/blame.h
+++ b/route/blame.h
@@ -59,6 +59,7 @@
   el_time_t until; /**< it is blocked until then */
   unsigned holds;  /**< times that it was blocked */
   int unsure;      /**< only one host saw the newest of these ends */
+  int foremost;    /**< few that ran there are as likely to be to blame */
 } rt_judgement_t;
 
 typedef struct rt_blame_options
--- a/route/digest.c
+++ b/route/digest.c
@@ -55,3 +55,24 @@
     out[i] = digits[digest & 0xf];
   out[RT_DIGEST_HEX] = '\0';
 }
+
+/** Read what rt_digest_hex writes; gives 0 when it is none. */
+int
+rt_digest_read (el_str_t text, rt_digest_t *out)
+{
+  size_t i;
+  char c;
+
+  *out = 0;
+  for (i = 0; i < text.len && i < RT_DIGEST_HEX; i++)
+    {
+      c = text.ptr[i];
+      if (c >= '0' && c <= '9')
+        *out = *out << 4 | (rt_digest_t)(c - '0');
+      else if (c >= 'a' && c <= 'f')
+        *out = *out << 4 | (rt_digest_t)(c - 'a' + 10);
+      else
+        return 0;
+    }
+  return text.len == RT_DIGEST_HEX && *out;
+}
--- a/route/relay.h
+++ b/route/relay.h
@@ -323,6 +323,7 @@
 
 rt_digest_t rt_digest (el_str_t key, const rt_asked_t *asked);
 void rt_digest_hex (rt_digest_t digest, char out[RT_DIGEST_HEX + 1]);
+int rt_digest_read (el_str_t text, rt_digest_t *out);
 
 /* What follows an attempt. */
 
--- a/tests/site.h
+++ b/tests/site.h
@@ -29,6 +29,7 @@
   size_t nhosts;
   const char *step_us; /* between two events */
   char engine_ids[SITE_ENGINES][96];
+  char worker_ids[SITE_WORKERS][96];
 } site_t;
 
 extern site_t site;
@@ -38,6 +39,8 @@
 void site_teardown (void);
 void site_engine_start (size_t i);
 size_t site_engines_back (void);
+size_t site_workers_back (void);
+json_t *site_oper (size_t host, const char *method, const char *path);
 void site_host_start (size_t i);
 void site_config (int version, const char *keys);
 void site_placed_wait (void);
--- a/tests/t_ends.c
+++ b/tests/t_ends.c
@@ -18,8 +18,10 @@
  *   event=attempt_failed endpoint=i-8163cdb62c net=broken status=200
  *     attempt=2 events=0 next=fail
  */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "site.h"
 #include "test.h"
@@ -65,6 +67,165 @@
 }
 END_TEST
 
+/* Send it until it is refused as being to blame; gives the engines that ended
+   on the way. */
+static size_t
+deadly_block (void)
+{
+  char id[16];
+  reply_t reply;
+  size_t ended = 0;
+  size_t i;
+
+  for (i = 0; i < ARRIVALS; i++)
+    {
+      snprintf (id, sizeof id, "d%zu", i);
+      ask_body (i % site.nhosts, "/chat/x", DEADLY, id, &reply);
+      ended += site_engines_back ();
+      reply_free (&reply);
+      if (metric (&site.hosts[i % site.nhosts], "elmarch_relay_barred_total"))
+        return ended;
+    }
+  ck_abort_msg ("it is not blocked");
+  return 0;
+}
+
+/* It is refused by HOST, and ends nothing. */
+static void
+deadly_barred (size_t host, const char *id)
+{
+  reply_t reply;
+
+  ask_body (host, "/chat/x", DEADLY, id, &reply);
+  ck_assert_int_eq (reply.status, 503);
+  ck_assert_ptr_nonnull (strstr (reply.body.ptr, "ends endpoints"));
+  reply_free (&reply);
+  ck_assert_uint_eq (site_engines_back (), 0);
+}
+
+/* A host that starts has been told before it serves; so has each of them when
+   all were lost at once, as the store has kept it. */
+START_TEST (test_blocked_request_is_known_to_hosts_that_start)
+{
+  size_t i;
+
+  site_open (2);
+  deadly_block ();
+  proc_end (&site.hosts[1], SIGKILL);
+  site_host_start (1);
+  deadly_barred (1, "e1");
+  for (i = 0; i < 2; i++)
+    proc_end (&site.hosts[i], SIGKILL);
+  for (i = 0; i < 2; i++)
+    site_host_start (i);
+  for (i = 0; i < 2; i++)
+    deadly_barred (i, i ? "f1" : "f0");
+}
+END_TEST
+
+/* Others of the same customer and rule run on engines that it ends: each of
+   their streams comes whole, and none is taken for it. */
+START_TEST (test_streams_beside_a_deadly_request_come_whole)
+{
+  caller_t callers[6];
+  char id[16];
+  reply_t reply;
+  size_t i;
+  size_t k;
+
+  site.step_us = "20000";
+  site_open (2);
+  for (k = 0; k < 4; k++)
+    {
+      for (i = 0; i < 6; i++)
+        {
+          snprintf (id, sizeof id, "s%zu-%zu", k, i);
+          stream_start (&callers[i], i % 2, id);
+        }
+      for (i = 0; i < 6; i++)
+        caller_wait_body (&callers[i], 30);
+      snprintf (id, sizeof id, "d%zu", k);
+      ask_body (k % 2, "/chat/x", DEADLY, id, &reply);
+      reply_free (&reply);
+      for (i = 0; i < 6; i++)
+        {
+          caller_join (&callers[i]);
+          if (callers[i].reply.status == 200)
+            stream_whole (&callers[i].reply);
+          reply_free (&callers[i].reply);
+        }
+      site_engines_back ();
+    }
+  for (i = 0; i < 2; i++)
+    {
+      ck_assert_uint_le (
+          metric (&site.hosts[i], "elmarch_relay_blocked_total"), 1);
+      stream_start (&callers[0], i, "t");
+      caller_join (&callers[0]);
+      stream_whole (&callers[0].reply);
+      reply_free (&callers[0].reply);
+    }
+}
+END_TEST
+
+/* The operator sees it, and lets it in again at all hosts. */
+START_TEST (test_blocked_request_is_let_in_by_an_operator)
+{
+  char path[64];
+  reply_t reply;
+  json_t *list;
+  const char *digest;
+  size_t before;
+  int i;
+
+  site_open (2);
+  deadly_block ();
+  list = site_oper (0, "GET", "/admin/v1/blocked");
+  ck_assert_uint_eq (json_array_size (list), 1);
+  digest = json_string_value (
+      json_object_get (json_array_get (list, 0), "digest"));
+  ck_assert_str_eq (
+      json_string_value (json_object_get (json_array_get (list, 0), "state")),
+      "blocked");
+  snprintf (path, sizeof path, "/admin/v1/blocked/%s", digest);
+  json_decref (site_oper (1, "DELETE", path));
+  json_decref (list);
+  before = 0;
+  for (i = 0; i < WAIT_STEPS && !before; i++)
+    { /* the other host hears of it in a moment */
+      ask_body (0, "/chat/x", DEADLY, "g", &reply);
+      before = reply.status != 503;
+      reply_free (&reply);
+    }
+  ck_assert_uint_eq (before, 1);
+  ck_assert_uint_ge (site_engines_back (), 1);
+}
+END_TEST
+
+/* Plain workers, and a request that runs once only: three of them end. */
+START_TEST (test_request_that_ends_workers_is_not_sent_for_ever)
+{
+  char id[16];
+  reply_t reply;
+  size_t ended = 0;
+  size_t i;
+
+  site_open (2);
+  for (i = 0; i < ARRIVALS; i++)
+    {
+      snprintf (id, sizeof id, "w%zu", i);
+      ask_body (i % 2, "/pay/x", DEADLY, id, &reply);
+      ck_assert_int_ne (reply.status, 200);
+      ended += site_workers_back ();
+      ck_assert_uint_le (ended, ENDS_MOST + 1);
+      reply_free (&reply);
+    }
+  ask (0, "POST", "/pay/x", "p", &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+}
+END_TEST
+
 Suite *
 ends_suite (void)
 {
@@ -74,6 +235,10 @@
   tcase_set_timeout (tcase, 120);
   tcase_add_checked_fixture (tcase, site_setup, site_teardown);
   ADD (tcase, test_request_that_ends_engines_is_not_sent_for_ever);
+  ADD (tcase, test_request_that_ends_workers_is_not_sent_for_ever);
+  ADD (tcase, test_blocked_request_is_known_to_hosts_that_start);
+  ADD (tcase, test_streams_beside_a_deadly_request_come_whole);
+  ADD (tcase, test_blocked_request_is_let_in_by_an_operator);
   suite_add_tcase (suite, tcase);
   return suite;
 }
