Starts of an endpoint under one id are told apart; foreign entries name none

A start may have the id of the one before. Until now its entry updated what was known of the former start: one that had said it leaves was left for ever, and load, failures and streams of the former start counted on. A start is named by id and the time that it tells (born): another one is another endpoint, the former is gone, with its orders, streams and evidence; a report of a newer start has the streams through the former one moved at once, before the entry tells.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -109,6 +109,22 @@
           EL_FN ("revision", revision));
 }
 
+/* No endpoint is listed under the entry's key any more. */
+static void
+endpoint_gone (site_t *site, const pr_item_t *item, const char *what)
+{
+  rt_target_t *target
+      = rt_fleet_find (site->fleet, pf_endpoint_id (item->key));
+
+  if (!target)
+    return;
+  endpoint_log (site, &target->facts, what, item->revision);
+  gt_relays_engine_gone (site->relays, target);
+  rt_fleet_remove (site->fleet, pf_endpoint_id (item->key));
+}
+
+/* An entry that can't be read names no endpoint, also where an earlier one
+   under its key did; the others hold. */
 static void
 endpoints_item (void *arg, const pr_item_t *item)
 {
@@ -120,24 +136,24 @@
 
   if (item->gone)
     {
-      target = rt_fleet_find (site->fleet, pf_endpoint_id (item->key));
-      if (target)
-        {
-          endpoint_log (site, &target->facts, "endpoint_gone", item->revision);
-          gt_relays_engine_gone (site->relays, target);
-        }
-      rt_fleet_remove (site->fleet, pf_endpoint_id (item->key));
+      endpoint_gone (site, item, "endpoint_gone");
       return;
     }
   if (pf_facts_read (item->key, item->value, &facts, &keep, &err))
     {
+      target = rt_fleet_find (site->fleet, facts.id);
+      if (target && !rt_target_same_start (target, &facts))
+        endpoint_gone (site, item, "endpoint_restarted");
       endpoint_log (site, &facts, "endpoint", item->revision);
       target = rt_fleet_set (site->fleet, &facts);
       gt_relays_engine_changed (site->relays, target);
     }
   else
-    EL_LOG (EL_LOG_ERROR, "endpoint_refused", EL_FS ("key", item->key),
-            EL_FC ("reason", err.msg));
+    {
+      EL_LOG (EL_LOG_ERROR, "endpoint_refused", EL_FS ("key", item->key),
+              EL_FC ("reason", err.msg), EL_FN ("revision", item->revision));
+      endpoint_gone (site, item, "endpoint_gone");
+    }
   json_decref (keep);
 }
 
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -75,6 +75,22 @@
     each (relay, engine);
 }
 
+/* ENGINE has started again: what is known of it is of the former start, whose
+   layers are gone, and so are the streams that passed it. Its entry tells the
+   rest, a second later or so. */
+static void
+check_restarted (gt_relays_t *relays, rt_target_t *engine,
+                 const rt_load_t *load)
+{
+  EL_LOG (EL_LOG_INFO, "engine_restarted", EL_FS ("engine", engine->facts.id),
+          EL_FN ("born", load->born), EL_FN ("former", engine->facts.born),
+          EL_FN ("lines", engine->lines));
+  engine->facts.first = 0;
+  engine->facts.end = 0;
+  rt_target_changed (engine, net_clock_now (relays->options.clock));
+  check_streams (relays, engine, relay_watch_silent);
+}
+
 /** ENGINE reported LOAD at AT. One that runs slowly is left by the streams
    that have a copy of it in their hall, chosen less by new ones, and asked
    again until it is well. */
@@ -85,6 +101,14 @@
   int was_slow = engine->pace >= PACE_SLOW;
   int slow = load->pace >= PACE_SLOW;
 
+  if (load->born && engine->facts.born && load->born != engine->facts.born)
+    {
+      /* An older one is news that was under way. */
+      if (load->born > engine->facts.born
+          && engine->facts.end > engine->facts.first)
+        check_restarted (relays, engine, load);
+      return;
+    }
   if (!rt_target_told (engine, load, at) || slow == was_slow)
     return;
   EL_LOG (EL_LOG_INFO, slow ? "engine_slow" : "engine_well",
--- a/gate/relay_poll.c
+++ b/gate/relay_poll.c
@@ -103,6 +103,7 @@
     if (poll_takes (relays, engine) && engine->told
         && now < engine->told + TELL_MOST)
       (*out)[n++] = (pr_engine_t){ .id = engine->facts.id,
+                                   .born = engine->facts.born,
                                    .fill = engine->fill,
                                    .pace = engine->pace,
                                    .taken = engine->taken,
@@ -122,7 +123,8 @@
 
   for (i = 0; i < n; i++)
     {
-      const rt_load_t load = { .fill = news[i].fill,
+      const rt_load_t load = { .born = news[i].born,
+                               .fill = news[i].fill,
                                .pace = news[i].pace,
                                .taken = news[i].taken };
       rt_target_t *engine = rt_fleet_find (o->fleet, news[i].id);
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -78,6 +78,7 @@
 typedef struct pr_engine
 {
   el_str_t id;
+  uint64_t born; /**< of the start that told; 0: not known */
   double fill;   /**< share of its memory beside the layers in use */
   double pace;   /**< how much slower than its kind it runs */
   double taken;  /**< requests there, against its slots */
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -200,6 +200,7 @@
 /* How an engine does, as the host that tells it was told AGE_MS ago. */
 struct peer_engine {
   opaque id<PEER_NAME_MAX>;
+  unsigned hyper born;
   unsigned int fill_permille;
   unsigned int pace_percent;
   unsigned int taken_permille;
--- a/peer/peer_news.c
+++ b/peer/peer_news.c
@@ -58,6 +58,7 @@
       peer_engine *engine = &res->engines.engines_val[i];
 
       PEER_BYTES_SET (engine->id, id, list[i].id);
+      engine->born = list[i].born;
       engine->fill_permille = (u_int)(list[i].fill * PERMILLE);
       engine->pace_percent = (u_int)(list[i].pace * PERCENT);
       engine->taken_permille = (u_int)(list[i].taken * PERMILLE);
@@ -82,6 +83,7 @@
 
       list[i] = (pr_engine_t){
         .id = PEER_BYTES_GET (engine->id, id),
+        .born = engine->born,
         .fill = (double)engine->fill_permille / PERMILLE,
         .pace = (double)engine->pace_percent / PERCENT,
         .taken = (double)engine->taken_permille / PERMILLE,
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -332,6 +332,7 @@
 		u_int id_len;
 		char *id_val;
 	} id;
+	u_quad_t born;
 	u_int fill_permille;
 	u_int pace_percent;
 	u_int taken_permille;
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -467,6 +467,8 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, PEER_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->fill_permille))
@@ -490,6 +492,8 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, PEER_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->fill_permille))
@@ -514,6 +518,8 @@
 
 	 if (!xdr_bytes (xdrs, (char **)&objp->id.id_val, (u_int *) &objp->id.id_len, PEER_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->fill_permille))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->pace_percent))
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -102,13 +102,27 @@
   free (target);
 }
 
+/** Whether FACTS are of the start that TARGET is. */
+int
+rt_target_same_start (const rt_target_t *target, const rt_facts_t *facts)
+{
+  return !target->facts.born || !facts->born
+         || target->facts.born == facts->born;
+}
+
 /** Take in what is told of an endpoint, new or known. One that said it leaves
-    does not come back under the same id. */
+    does not come back; another start under its id is another endpoint, which
+    holds and knows nothing of before. */
 rt_target_t *
 rt_fleet_set (rt_fleet_t *fleet, const rt_facts_t *facts)
 {
   rt_target_t *target = rt_fleet_find (fleet, facts->id);
 
+  if (target && !rt_target_same_start (target, facts))
+    {
+      rt_fleet_remove (fleet, facts->id);
+      target = NULL;
+    }
   if (!target)
     {
       target = el_alloc (sizeof *target);
@@ -118,6 +132,8 @@
                        (unsigned)target->facts.id.len, target);
       return target;
     }
+  if (facts->born)
+    target->facts.born = facts->born;
   target->facts.slots = facts->slots;
   target->facts.leaving |= facts->leaving;
   target->facts.first = facts->first;
--- a/route/relay.h
+++ b/route/relay.h
@@ -148,6 +148,7 @@
   double fill;  /**< share of its memory beside the layers in use */
   double pace;  /**< how much slower than its kind it runs */
   double taken; /**< requests that run or wait there, against its slots */
+  uint64_t born; /**< of the start that reported; 0: not told */
 } rt_load_t;
 
 /** An endpoint as one host knows it. */
@@ -184,6 +185,7 @@
 rt_fleet_t *rt_fleet_new (uint64_t seed);
 void rt_fleet_free (rt_fleet_t *fleet);
 rt_target_t *rt_fleet_set (rt_fleet_t *fleet, const rt_facts_t *facts);
+int rt_target_same_start (const rt_target_t *target, const rt_facts_t *facts);
 void rt_fleet_remove (rt_fleet_t *fleet, el_str_t id);
 rt_target_t *rt_fleet_find (const rt_fleet_t *fleet, el_str_t id);
 rt_target_t *rt_fleet_first (const rt_fleet_t *fleet);
--- a/standin/main.c
+++ b/standin/main.c
@@ -52,6 +52,8 @@
     "accelerator of a member that is an engine" },
   { "announce", EL_SET_STRING, AT (announce), "", 0, 21, 0, "IP:PORT",
     "the address that a member enters, in place of its own" },
+  { "same-id", EL_SET_FLAG, AT (same_id), "0", 0, 1, 0, NULL,
+    "a member has its name for an id, at each start" },
   { "record", EL_SET_STRING, AT (record), "", 0, 255, 0, "FILE",
     "where a member notes each request that it runs" },
 };
--- a/standin/member.c
+++ b/standin/member.c
@@ -18,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include "libgate.h"
@@ -60,6 +61,7 @@
   int leaving;
   int record; /* descriptor; -1 is none */
   char id[64];
+  uint64_t born;    /* Unix milliseconds of the start */
   el_timer_t dying; /* a deadly request runs */
 } member_t;
 
@@ -79,11 +81,11 @@
 {
   const sn_settings_t *set = &member->process->set;
   const char *address = set->announce[0] ? set->announce : set->listen;
-  json_t *json = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:I}", "Service",
-                            set->service, "Address", address, "Zone",
-                            set->hall, "Version", "v1", "Slots", 64, "State",
-                            member->leaving ? "draining" : "ready", "SeqNo",
-                            (json_int_t)member->orders);
+  json_t *json = json_pack (
+      "{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:I}", "Service", set->service, "Address",
+      address, "Zone", set->hall, "Version", "v1", "Slots", 64, "State",
+      member->leaving ? "draining" : "ready", "SeqNo",
+      (json_int_t)member->orders, "born", (json_int_t)member->born);
   char path[128];
   char *text;
   net_send_t send = { .address = el_str (set->store),
@@ -111,10 +113,17 @@
 {
   member_t *member = el_alloc (sizeof *member);
 
+  struct timeval now;
+
+  gettimeofday (&now, NULL);
+  member->born = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_usec / 1000;
   member->process = process;
   member->client = net_client_new (&process->clock);
-  snprintf (member->id, sizeof member->id, "%s-%" PRIx64, process->set.name,
-            uv_hrtime ());
+  if (process->set.same_id)
+    snprintf (member->id, sizeof member->id, "%s", process->set.name);
+  else
+    snprintf (member->id, sizeof member->id, "%s-%" PRIx64, process->set.name,
+              uv_hrtime ());
   member->record = -1;
   if (process->set.record[0])
     member->record = open (process->set.record,
@@ -396,8 +405,8 @@
       json_array_append_new (stalled, json_pack ("{s:s,s:s}", "Id", stream->id,
                                                  "Address", member->stalled));
   sn_json (req, 200,
-           json_pack ("{s:I,s:o}", "SeqNo", (json_int_t)member->orders,
-                      "stalled", stalled));
+           json_pack ("{s:I,s:I,s:o}", "SeqNo", (json_int_t)member->orders,
+                      "born", (json_int_t)member->born, "stalled", stalled));
 }
 
 static void
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -44,6 +44,7 @@
   const char *card;
   const char *announce;
   const char *record;
+  int same_id;
 } sn_settings_t;
 
 typedef struct sn_process
--- a/tests/site.c
+++ b/tests/site.c
@@ -41,11 +41,25 @@
 member_start (proc_t *proc, const char *name, const char *service,
               const char *card)
 {
-  const char *args[]
-      = { "standin",   "--role",           "member", "--listen", proc->address,
-          "--store",   site.store.address, "--name", name,       "--service",
-          service,     "--hall",           "h",      "--card",   card,
-          "--step-us", site.step_us,       NULL };
+  const char *args[] = { "standin",
+                         "--role",
+                         "member",
+                         "--listen",
+                         proc->address,
+                         "--store",
+                         site.store.address,
+                         "--name",
+                         name,
+                         "--service",
+                         service,
+                         "--hall",
+                         "h",
+                         "--card",
+                         card,
+                         "--step-us",
+                         site.step_us,
+                         site.same_ids ? "--same-id" : NULL,
+                         NULL };
 
   proc_spawn (proc, args);
   proc_ready (proc, "/runs");
--- a/tests/site.h
+++ b/tests/site.h
@@ -28,6 +28,7 @@
   proc_t directories[SITE_HOSTS];
   size_t nhosts;
   const char *step_us; /* between two events */
+  int same_ids;        /* engines and workers start again under their ids */
   char engine_ids[SITE_ENGINES][96];
   char worker_ids[SITE_WORKERS][96];
 } site_t;
--- /dev/null
+++ b/tests/t_again.c
@@ -0,0 +1,131 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Endpoints that start again under their ids, entries by other writers, and
+ * all power lost at once, with real processes.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "site.h"
+#include "test.h"
+
+static void
+entry_put (const char *id, const char *text)
+{
+  char path[128];
+  reply_t reply;
+
+  snprintf (path, sizeof path, "/test/servers/%s", id);
+  http ("PUT", site.store.address, path, text, NULL, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+}
+
+static void
+stream_passes (size_t host, const char *id)
+{
+  caller_t caller;
+
+  stream_start (&caller, host, id);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+}
+
+/* Each engine says that it leaves, ends, and starts again under its id: it is
+   another one, gets layers, and takes streams. */
+START_TEST (test_engines_that_start_again_are_used_again)
+{
+  reply_t reply;
+  size_t i;
+
+  site.same_ids = 1;
+  site_open (1);
+  for (i = 0; i < SITE_ENGINES; i++)
+    {
+      http ("POST", site.engines[i].address, "/leave", "{}", NULL, &reply);
+      reply_free (&reply);
+      proc_end (&site.engines[i], SIGKILL);
+      site_engine_start (i);
+    }
+  site_placed_wait ();
+  metric_is (&site.hosts[0], "elmarch_engines_placed", SITE_ENGINES);
+  stream_passes (0, "s1");
+}
+END_TEST
+
+/* A stream's first engine starts again under its id in the middle of it, with
+   no layers: the stream goes on at another one. */
+START_TEST (test_stream_outlives_an_engine_that_starts_again)
+{
+  caller_t caller;
+  size_t i;
+
+  site.same_ids = 1;
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (member_number (&site.engines[i], "runs"))
+      break;
+  ck_assert_uint_lt (i, SITE_ENGINES);
+  proc_end (&site.engines[i], SIGKILL);
+  site_engine_start (i);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+  site_placed_wait ();
+}
+END_TEST
+
+/* Entries that name no endpoint stand in the store, also in place of one that
+   did: the others serve. */
+START_TEST (test_entries_by_another_writer_name_no_endpoint)
+{
+  char id[16];
+  unsigned i;
+  static const char *const entries[]
+      = { "not json",
+          "[]",
+          "{}",
+          "{\"Service\":7}",
+          "{\"Service\":\"llm\",\"Address\":\"10.0.0.1\",\"Zone\":\"h\","
+          "\"State\":\"ready\",\"Slots\":4}",
+          "{\"Service\":\"app\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"h\","
+          "\"State\":\"asleep\",\"Slots\":4}",
+          "{\"Service\":\"app\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"h\","
+          "\"State\":\"ready\",\"Slots\":\"4\"}" };
+
+  site_open (1);
+  for (i = 0; i < 20; i++)
+    {
+      snprintf (id, sizeof id, "x%u", i);
+      entry_put (id, entries[i % (sizeof entries / sizeof *entries)]);
+    }
+  entry_put (site.engine_ids[0], "{\"State\":\"ready\"}");
+  metric_is (&site.hosts[0], "elmarch_endpoints",
+             SITE_ENGINES + SITE_WORKERS - 1);
+  stream_passes (0, "s1");
+  metric_is (&site.hosts[0], "elmarch_endpoints",
+             SITE_ENGINES + SITE_WORKERS - 1);
+}
+END_TEST
+
+Suite *
+again_suite (void)
+{
+  Suite *suite = suite_create ("again");
+  TCase *tcase = tcase_create ("again");
+
+  tcase_set_timeout (tcase, 90);
+  tcase_add_checked_fixture (tcase, site_setup, site_teardown);
+  ADD (tcase, test_engines_that_start_again_are_used_again);
+  ADD (tcase, test_stream_outlives_an_engine_that_starts_again);
+  ADD (tcase, test_entries_by_another_writer_name_no_endpoint);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/t_seeded.c
+++ b/tests/t_seeded.c
@@ -35,7 +35,7 @@
       "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k1\",\"k2\"]}]}";
 static const char entry_text[]
     = "{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"h\","
-      "\"Slots\":6,\"State\":\"ready\",\"RouteType\":\"k\","
+      "\"Slots\":6,\"State\":\"ready\",\"born\":1,\"RouteType\":\"k\","
       "\"layers\":{\"Source\":0,\"TargetVersion\":16}}";
 static const char list_text[]
     = "{\"Items\":[{\"Key\":\"a\",\"Value\":\"bm9kZS0x\",\"Revision\":4,"
--- /dev/null
+++ b/tests/t_starts.c
@@ -0,0 +1,241 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of endpoints that start again under their ids, and of entries that
+ * other writers leave in the store.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "platform.h"
+#include "seeds.h"
+#include "test.h"
+
+#define NOW (100 * EL_SEC)
+#define KEY EL_STR ("servers/e1")
+
+/* An entry as an engine writes it. */
+static const char entry_text[]
+    = "{\"Service\":\"pool\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"h\","
+      "\"Version\":\"v1\",\"Slots\":192,\"State\":\"ready\","
+      "\"ColdRemainingMs\":0,\"SeqNo\":3,\"born\":1769916658364,"
+      "\"RouteType\":\"large\","
+      "\"layers\":{\"Source\":0,\"TargetVersion\":16,\"Version\":1}}";
+
+/* What may stand in place of a field's value. */
+static const char *const others[] = { "null",
+                                      "true",
+                                      "-1",
+                                      "1.5",
+                                      "1e300",
+                                      "99999999999999999999",
+                                      "\"\"",
+                                      "\"none\"",
+                                      "[]",
+                                      "{}",
+                                      "[[1]]",
+                                      "{\"a\":{}}",
+                                      "0",
+                                      "4294967296",
+                                      "\"10.0.0.1\"",
+                                      "\"10.0.0.1:99999\"" };
+
+static int
+entry_read (const char *text, rt_facts_t *facts, json_t **keep)
+{
+  el_err_t err;
+
+  return pf_facts_read (KEY, el_str (text), facts, keep, &err);
+}
+
+/* A copy of the entry with a field that holds something else, or lacks it. */
+static char *
+entry_with (const char *name, const char *value)
+{
+  json_t *json = json_loads (entry_text, 0, NULL);
+  char *text;
+
+  if (value)
+    json_object_set_new (json, name,
+                         json_loads (value, JSON_DECODE_ANY, NULL));
+  else
+    json_object_del (json, name);
+  text = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  return text;
+}
+
+/* One field of another type, unknown, or missing: it names no endpoint. */
+START_TEST (test_foreign_entry_names_no_endpoint)
+{
+  static const struct
+  {
+    const char *field;
+    const char *value; /* NULL: it is missing */
+  } faults[] = {
+    { "Service", NULL },
+    { "Service", "7" },
+    { "Service", "\"\"" },
+    { "Address", NULL },
+    { "Address", "\"x\"" },
+    { "Address", "[]" },
+    { "Zone", NULL },
+    { "Zone", "{}" },
+    { "State", NULL },
+    { "State", "\"up\"" },
+    { "State", "true" },
+    { "Slots", NULL },
+    { "Slots", "\"6\"" },
+    { "Slots", "-6" },
+    { "Slots", "0" },
+    { "SeqNo", "-1" },
+    { "SeqNo", "\"3\"" },
+    { "born", "1.5" },
+    { "born", "\"now\"" },
+    { "RouteType", "4" },
+    { "Version", "1" },
+    { "layers", "5" },
+    { "layers", "{\"Source\":5,\"TargetVersion\":2}" },
+  };
+  rt_facts_t facts;
+  json_t *keep;
+  char *text;
+  size_t i;
+
+  ck_assert_int_eq (entry_read (entry_text, &facts, &keep), 1);
+  ck_assert_uint_eq (facts.born, 1769916658364);
+  ck_assert_uint_eq (facts.end, 16);
+  json_decref (keep);
+  for (i = 0; i < sizeof faults / sizeof *faults; i++)
+    {
+      text = entry_with (faults[i].field, faults[i].value);
+      ck_assert_msg (entry_read (text, &facts, &keep) == 0, "%s", text);
+      json_decref (keep);
+      free (text);
+    }
+  ck_assert_int_eq (entry_read ("[1,2]", &facts, &keep), 0);
+  json_decref (keep);
+  ck_assert_int_eq (entry_read ("\xff\xfe not text", &facts, &keep), 0);
+  json_decref (keep);
+}
+END_TEST
+
+/* Entries with fields exchanged, dropped, or bytes spoiled, into a fleet that
+   lines are searched and layers are placed over: what is taken is whole, and
+   the sound engine stays what it was. */
+static void
+foreign_play (uint64_t seed)
+{
+  static const char *const fields[]
+      = { "Service", "Address", "Zone",      "Version", "Slots", "State",
+          "SeqNo",   "born",    "RouteType", "layers",  "Stage" };
+  static rt_card_t cards[] = { { { "large", 5 }, 36000, 3.1, 3.2 } };
+  const rt_service_t service = { .name = EL_STR ("pool"),
+                                 .model = { .layers = 16,
+                                            .layer_mb = 1750,
+                                            .step_ms = 1,
+                                            .token_kv_mb = 0.4,
+                                            .usual_tokens = 900,
+                                            .cards = cards,
+                                            .ncards = 1 } };
+  static const rt_tried_t none;
+  const rt_line_want_t want = {
+    .service = &service, .hall = EL_STR ("h"), .tokens = 900, .tried = &none
+  };
+  rt_fleet_t *fleet = rt_fleet_new (seed);
+  rt_order_t orders[8];
+  rt_facts_t facts;
+  rt_line_t line;
+  json_t *keep;
+  el_buf_t spoiled;
+  el_err_t err;
+  char *text;
+  unsigned i;
+
+  ck_assert_int_eq (entry_read (entry_text, &facts, &keep), 1);
+  facts.id = EL_STR ("sound");
+  rt_fleet_set (fleet, &facts);
+  json_decref (keep);
+  for (i = 0; i < 3; i++)
+    {
+      text = entry_with (
+          fields[seeds_draw (sizeof fields / sizeof *fields)],
+          seeds_draw (8) ? others[seeds_draw (sizeof others / sizeof *others)]
+                         : NULL);
+      spoiled = seeds_draw (2) ? seeds_spoil (text) : (el_buf_t){ NULL, 0, 0 };
+      if (pf_facts_read (seeds_draw (2) ? KEY : EL_STR ("servers/e2"),
+                         spoiled.ptr ? el_buf_str (&spoiled) : el_str (text),
+                         &facts, &keep, &err))
+        {
+          ck_assert (facts.service.len && facts.hall.len && facts.slots);
+          ck_assert (net_address_valid (facts.address));
+          ck_assert_uint_le (facts.first, facts.end);
+          rt_fleet_set (fleet, &facts);
+        }
+      json_decref (keep);
+      el_buf_free (&spoiled);
+      free (text);
+    }
+  ck_assert_int_eq (rt_line_pick (fleet, NOW, &want, &line), 1);
+  rt_layout_next (fleet, &service, NULL, 0, orders, 8);
+  rt_layout_repair (fleet, &service, NULL, 0, orders, 8);
+  ck_assert_uint_eq (rt_fleet_find (fleet, EL_STR ("sound"))->facts.end, 16);
+  rt_fleet_free (fleet);
+}
+
+START_TEST (test_foreign_entries_harm_nothing) { seeds_run (foreign_play); }
+END_TEST
+
+/* Another start under the id: not leaving, nothing held, nothing known of it;
+   the former one is gone, with what still refers to it. */
+START_TEST (test_endpoint_that_starts_again_is_another)
+{
+  rt_fleet_t *fleet = rt_fleet_new (1);
+  rt_facts_t facts = { .id = EL_STR ("e1"),
+                       .service = EL_STR ("pool"),
+                       .address = EL_STR ("10.0.0.1:80"),
+                       .hall = EL_STR ("h"),
+                       .slots = 4,
+                       .born = 1000,
+                       .first = 0,
+                       .end = 16,
+                       .leaving = 1 };
+  rt_target_t *former = rt_target_ref (rt_fleet_set (fleet, &facts));
+  rt_target_t *target;
+  rt_load_t load = { .fill = 0.9, .pace = 4, .taken = 1 };
+
+  rt_target_failed (former, NOW);
+  rt_target_failed (former, NOW);
+  rt_target_told (former, &load, NOW);
+  former->held = 5000;
+  facts.born = 2000;
+  facts.leaving = 0;
+  facts.first = facts.end = 0;
+  target = rt_fleet_set (fleet, &facts);
+  ck_assert_ptr_ne (former, target);
+  ck_assert_int_eq (former->gone, 1);
+  ck_assert_int_eq (rt_target_usable (former, NOW), 0);
+  ck_assert_int_eq (rt_target_usable (target, NOW), 1);
+  ck_assert (target->held < 1 && target->pace < 1 && target->told == 0);
+  ck_assert_uint_eq (rt_fleet_count (fleet), 1);
+  ck_assert_ptr_eq (rt_fleet_find (fleet, EL_STR ("e1")), target);
+  rt_target_unref (former);
+  rt_fleet_free (fleet);
+}
+END_TEST
+
+Suite *
+starts_suite (void)
+{
+  Suite *suite = suite_create ("starts");
+  TCase *tcase = tcase_create ("starts");
+
+  tcase_set_timeout (tcase, (double)seeds_env ("ELMARCH_SEEDS_S", 60));
+  ADD (tcase, test_foreign_entry_names_no_endpoint);
+  ADD (tcase, test_foreign_entries_harm_nothing);
+  ADD (tcase, test_endpoint_that_starts_again_is_another);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -26,6 +26,8 @@
 Suite *course_suite (void);
 Suite *suspect_suite (void);
 Suite *rumor_suite (void);
+Suite *starts_suite (void);
+Suite *again_suite (void);
 Suite *load_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
