--- a/tests/t_starts.c
+++ b/tests/t_starts.c
@@ -115,6 +115,11 @@
       json_decref (keep);
       free (text);
     }
+  text = entry_with ("layers", "null"); /* it holds none */
+  ck_assert_int_eq (entry_read (text, &facts, &keep), 1);
+  ck_assert_uint_eq (facts.end, 0);
+  json_decref (keep);
+  free (text);
   ck_assert_int_eq (entry_read ("[1,2]", &facts, &keep), 0);
   json_decref (keep);
   ck_assert_int_eq (entry_read ("\xff\xfe not text", &facts, &keep), 0);
