Time counts while a host is suspended: the clock since boot

A suspended host's steady clock stands still: a lease of 2 s, keys of 5 s, the age of news and evidence would be believed for as long again after it wakes; a request under a key taken away meanwhile would run. All times come from net_clock_now, which reads the clock since boot now; net/clock.c says for what it is right. libuv's timer counts on the steady clock and is set anew with each timer of the service, at least once a second.

--- a/net/clock.c
+++ b/net/clock.c
@@ -4,15 +4,28 @@
  */
 /** @file
  * The process's clock, and addresses as settings write them.
+ *
+ * One clock is right wherever a time is compared: the one since boot, which
+ * goes on while the host is suspended and never goes back. What is bounded by
+ * a time is bounded for others too, who don't sleep meanwhile: leases of
+ * duties, the age of the rules and of keys, deadlines of callers, news of
+ * endpoints and of hosts, evidence about requests and how long they are
+ * blocked. The steady clock of libuv stands still in a suspension: a lease of
+ * 2 s that was held for 1 s before one of 5 s would be believed for 1 s more.
+ * The time of day jumps, and only stands in logs. Where endpoints tell a time
+ * of theirs (born) it is compared with another one of the same endpoint alone.
  */
 #include <arpa/inet.h>
 #include <string.h>
+#include <time.h>
 
 #include "net.h"
 
 #define NSEC_PER_USEC 1000
 #define USEC_PER_MSEC 1000
-#define DRIVER_MAX_MS 60000
+/* libuv's timer counts on the steady clock, and is set anew whenever a timer
+   of the service is; one that rests longer than this is looked at again. */
+#define DRIVER_MAX_MS 1000
 
 static void
 clock_fire (uv_timer_t *driver)
@@ -35,12 +48,16 @@
   clock->driver.data = clock;
 }
 
-/** Now, in microseconds on a clock that never goes back. */
+/** Now, in microseconds since the host was booted, suspensions included. */
 el_time_t
 net_clock_now (const net_clock_t *clock)
 {
+  struct timespec now;
+
   (void)clock;
-  return uv_hrtime () / NSEC_PER_USEC;
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (el_time_t)now.tv_sec * EL_SEC
+         + (el_time_t)now.tv_nsec / NSEC_PER_USEC;
 }
 
 /** Set libuv's timer to what is due next. */
--- /dev/null
+++ b/tests/t_clock.c
@@ -0,0 +1,117 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of a host that was suspended for seconds: what it was given for a
+ * while is over when it wakes.
+ */
+#include <string.h>
+
+#include "librelay.h"
+#include "platform.h"
+#include "script.h"
+#include "store.h"
+#include "suspend.h"
+#include "test.h"
+
+#define SUSPENDED (5 * EL_SEC)
+
+static unsigned fired;
+
+static void
+timer_fired (void *arg, el_time_t now)
+{
+  (void)arg;
+  (void)now;
+  fired++;
+}
+
+/* The clock goes on, and timers that fell due meanwhile fire at the first turn
+   of the loop that anything else brings about. */
+START_TEST (test_clock_counts_while_the_host_is_suspended)
+{
+  el_timer_t late = { .cb = timer_fired };
+  el_timer_t soon = { .cb = timer_fired };
+  el_time_t before = net_clock_now (&test_clock);
+
+  net_clock_set (&test_clock, &late, 4 * EL_SEC);
+  suspend_for (SUSPENDED);
+  ck_assert_uint_ge (net_clock_now (&test_clock), before + SUSPENDED);
+  net_clock_set (&test_clock, &soon, EL_MSEC);
+  fired = 0;
+  while (fired < 2
+         && net_clock_now (&test_clock) < before + SUSPENDED + EL_SEC)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_uint_eq (fired, 2);
+}
+END_TEST
+
+static int
+vacant_always (void *arg)
+{
+  (void)arg;
+  return 1;
+}
+
+/* A duty is leased for two seconds; the holder sleeps for five: it does not
+   believe to have it when it wakes. */
+START_TEST (test_duty_is_over_after_a_suspension)
+{
+  gt_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  gt_duty_options_t options = { .store = &store,
+                                .key = EL_STR ("elmarch/planner"),
+                                .holder = EL_STR ("h"),
+                                .ttl_ms = 2000,
+                                .vacant = vacant_always };
+  gt_duty_t *duty;
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n"
+            "{\"lease\":7,\"ttl_ms\":2000}",
+            KEEP },
+          { "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n"
+            "{\"Revision\":3}",
+            KEEP });
+  store.address = el_str (script.address);
+  duty = gt_duty_new (&options);
+  gt_duty_want (duty, 1);
+  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+    uv_run (&loop, UV_RUN_ONCE);
+  suspend_for (SUSPENDED);
+  ck_assert_int_eq (gt_duty_held (duty, net_clock_now (&test_clock)), 0);
+}
+END_TEST
+
+/* A request that was blocked may come again when its time is over, whether the
+   host slept meanwhile or not. */
+START_TEST (test_block_runs_out_while_the_host_is_suspended)
+{
+  const rt_blame_options_t options
+      = { .most = 10, .customer_most = 10, .rule = &rt_blame_odds };
+  rt_blame_t *blame = rt_blame_new (&options);
+
+  rt_blame_block (blame, 7, 1, net_clock_now (&test_clock), 1);
+  ck_assert_int_eq (rt_blame_of (blame, net_clock_now (&test_clock), 7).state,
+                    RT_BLAME_BLOCKED);
+  suspend_for (rt_blame_hold (1));
+  ck_assert_int_eq (rt_blame_of (blame, net_clock_now (&test_clock), 7).state,
+                    RT_BLAME_SUSPECT);
+  rt_blame_free (blame);
+}
+END_TEST
+
+Suite *
+clock_suite (void)
+{
+  Suite *suite = suite_create ("clock");
+  TCase *tcase = tcase_create ("clock");
+
+  tcase_add_checked_fixture (tcase, script_setup, NULL);
+  ADD (tcase, test_clock_counts_while_the_host_is_suspended);
+  ADD (tcase, test_duty_is_over_after_a_suspension);
+  ADD (tcase, test_block_runs_out_while_the_host_is_suspended);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
