--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -40,6 +40,12 @@
    each. */
 #define REQUESTS_MOST 4096
 #define REQUESTS_CUSTOMER 1024
+/* Others are told of runs that were younger than this, and of requests that
+   were suspects before: of fifty streams of an engine that ended some eight.
+   With all of them told by all hosts, a day of 50 s with 64 hosts and 20 ends
+   took 12 KB/s more of each host, and its worst windows fell from 0.545 to
+   0.498. */
+#define TOLD_YOUNG (400 * EL_MSEC)
 /* Facts are told as long as they count. */
 #define FACT_HOLD (600 * EL_SEC)
 /* One host tells of one request once in this that it ran to its end. */
@@ -155,6 +161,15 @@
           EL_FN ("runs", runs));
 }
 
+/* Whether other hosts are told of a run. */
+static int
+note_told (const gt_relays_t *relays, const blame_note_t *note)
+{
+  return note->ended.ran < TOLD_YOUNG
+         || rt_blame_of (relays->blame->rt, note->ended.at, note->ended.digest)
+                .state;
+}
+
 /* TARGET has ended: tell which requests of this host ran there. */
 static void
 notes_settle (gt_relays_t *relays, const rt_target_t *target, const char *sign)
@@ -170,8 +185,9 @@
   if (note->target == target)
     {
       runs += note->ended.digest != 0;
+      if (note_told (relays, note))
+        fact.runs[fact.nruns++] = note->ended;
       rt_blame_ended (blame->rt, now, &note->ended);
-      fact.runs[fact.nruns++] = note->ended;
       note_drop (blame, note);
       if (fact.nruns < RELAY_FACT_RUNS)
         continue;
@@ -188,6 +204,18 @@
   ended_log (target, sign, runs);
 }
 
+/* Whether other endpoints will give signs of life by themselves. */
+static int
+runs_elsewhere (const gt_relays_t *relays, const rt_target_t *target)
+{
+  const gt_relay_t *relay;
+
+  DL_FOREACH (relays->running, relay)
+  if (relay->exchange && relay->stream && relay->target != target)
+    return 1;
+  return 0;
+}
+
 /* Another endpoint to ask, which tells whether this host is cut off. */
 static rt_target_t *
 other_engine (const gt_relays_t *relays, const rt_target_t *target)
@@ -231,7 +259,9 @@
       note->refused = 1;
       blame->nrefused++;
     }
-  other = blame->nrefused ? other_engine (relays, target) : NULL;
+  other = blame->nrefused && !runs_elsewhere (relays, target)
+              ? other_engine (relays, target)
+              : NULL;
   if (other && relays->options.dialect->check)
     relay_check_poll (relays, other,
                       net_clock_now (relays->options.clock) - ASK_GAP);
@@ -367,11 +397,13 @@
   gt_relays_t *relays = relay->relays;
   el_time_t now = net_clock_now (relays->options.clock);
   relay_fact_t fact = { .kind = RELAY_FACT_SURVIVED };
+  rt_judgement_t judgement = relay_blame_of (relay);
 
-  if (rt_blame_empty (relays->blame->rt))
+  if (judgement.state == RT_BLAME_NONE)
     return;
   fact.digest = relay_digest (relay);
-  if (rt_blame_survived (relays->blame->rt, fact.digest, now))
+  rt_blame_survived (relays->blame->rt, fact.digest, now);
+  if (judgement.ends > 1 || judgement.holds) /* one end is soon forgotten */
     fact_tell (relays, &fact,
                fact.digest ^ relays->options.witness ^ now / SURVIVED_GAP,
                FACT_HOLD);
--- a/peer/peer_rumor.c
+++ b/peer/peer_rumor.c
@@ -15,7 +15,7 @@
 /* Hosts that each host passes a rumor on to. Of 300 hosts half know it after
    22 ms, all after 0.53 s at the most: one that nobody passed it on to learns
    it by its next probe (library, 20 seeds, 2 messages of 100 lost). */
-#define FANOUT 8
+#define FANOUT 6
 /* A datagram that was not answered is sent once more. */
 #define RUMOR_WAIT (200 * EL_MSEC)
 #define RUMOR_TRIES 2
--- a/tests/rumor_net.c
+++ b/tests/rumor_net.c
@@ -15,7 +15,7 @@
 #define COMPARE_EVERY (500 * EL_MSEC)
 #define HOLD (600 * EL_SEC)
 #define STEP EL_MSEC
-#define FANOUT 8
+#define FANOUT 6
 #define BODY EL_STR ("what all should know soon")
 
 /* A message on its way: rumors, or a question for all. */
