Streams that lost their engine wait for somewhere to go on

A stream whose caller has a part now looks again after 25 ms, each time later to 400 ms, with all engines allowed again, until its time is over or its caller leaves; refused sends go from 4 at the most to 8 for it, since it waits between them.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -96,6 +96,7 @@
   uint64_t resumed;  /**< streams that went on at another line */
   uint64_t rerouted; /**< streams moved within their line */
   uint64_t held;     /**< streams that stand still and may not be sent again */
+  uint64_t waits;    /**< streams that found no endpoint to go on at */
   uint64_t checks;   /**< engines asked for a sign of life */
   uint64_t silent;   /**< of these, those that gave none */
   uint64_t crossed;  /**< answers to another request */
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -81,11 +81,12 @@
   rt_tried_t tried;
   el_timer_t turn; /* a suspect waits for its turn */
   unsigned turns;
-  int refused;   /* its answer says that it did not run */
-  int crossed;   /* its answer is to another request */
-  int stream;    /* its answer is a stream that is passed on */
-  double prompt; /* tokens */
-  double tokens; /* that the stream will have, as far as can be guessed */
+  unsigned waits; /* for an endpoint to go on at, since the last event */
+  int refused;    /* its answer says that it did not run */
+  int crossed;    /* its answer is to another request */
+  int stream;     /* its answer is a stream that is passed on */
+  double prompt;  /* tokens */
+  double tokens;  /* that the stream will have, as far as can be guessed */
 
   /* the answer as far as it went to the caller */
   int begun;
@@ -142,6 +143,9 @@
 void relay_abandon (gt_relay_t *relay);
 int relay_may_resume (gt_relay_t *relay);
 
+/* relay_wait.c */
+int relay_wait_endpoint (gt_relay_t *relay);
+
 /* relay_watch.c */
 void relay_watch_begin (gt_relay_t *relay);
 void relay_watch_event (gt_relay_t *relay, el_time_t gap);
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -168,6 +168,7 @@
   relay_watch_event (relay, now - relay->still_since);
   event_time (relay, now);
   relay->last_event = now;
+  relay->waits = 0;
   relays->counts.events++;
   if (has_id)
     {
@@ -229,7 +230,8 @@
   int promise = result->status == 429 || result->status == 503
                 || result->status == 408 || result->status == 421;
 
-  *attempt = (rt_attempt_t){ .verdict = result->verdict };
+  *attempt
+      = (rt_attempt_t){ .verdict = result->verdict, .begun = relay->begun };
   if (result->net != NET_OK)
     return;
   attempt->verdict = EL_MAY_HAVE_RUN;
@@ -391,7 +393,7 @@
   relay->turn.arg = relay;
   if (broken)
     net_clock_set (relay->relays->options.clock, &relay->turn, BROKEN_WAIT);
-  else
+  else if (!relay->waits || !relay_wait_endpoint (relay))
     relay_try (relay);
 }
 
@@ -436,7 +438,8 @@
 void
 relay_abandon (gt_relay_t *relay)
 {
-  const rt_attempt_t attempt = { .verdict = EL_MAY_HAVE_RUN };
+  const rt_attempt_t attempt
+      = { .verdict = EL_MAY_HAVE_RUN, .begun = relay->begun };
   const net_result_t result = { .net = NET_BROKEN };
 
   relay_watch_end (relay);
@@ -512,6 +515,8 @@
       try_send (relay, now);
       return;
     }
+  if (relay_wait_endpoint (relay))
+    return;
   if (relay->begun)
     relay_answer_break (relay, "no endpoint to go on at");
   else if (relay->course.may_run)
--- a/route/course.c
+++ b/route/course.c
@@ -11,6 +11,9 @@
 
 /* Most endpoints that one request is offered to, when none of them ran it. */
 #define SENDS_MAX 4
+/* The same once its caller has a part of its stream: there is more to lose,
+   and it waits between them, 1.2 s in all. */
+#define SENDS_BEGUN_MAX 8
 /* A repeat with less time than this left would be late work for nobody. */
 #define REPEAT_LEAST (30 * EL_MSEC)
 /* Part of the common budget that hosts use: their windows do not begin
@@ -37,7 +40,8 @@
     course->may_run++;
   if (attempt->answered && !not_run && !attempt->failed)
     return RT_NEXT_PASS;
-  again = budget && left > REPEAT_LEAST && course->sent < SENDS_MAX
+  again = budget && left > REPEAT_LEAST
+          && course->sent < (attempt->begun ? SENDS_BEGUN_MAX : SENDS_MAX)
           && (not_run || may_repeat (rule))
           && course->may_run < rule->attempts;
   if (again)
--- a/route/relay.h
+++ b/route/relay.h
@@ -356,6 +356,7 @@
   el_verdict_t verdict; /**< EL_NOT_RUN only when that is proved */
   int answered;         /**< a whole answer to this request came */
   int failed;           /**< that answer says that the work failed */
+  int begun;            /**< the caller has a part of the answer */
 } rt_attempt_t;
 
 typedef enum rt_next
--- a/tests/t_course.c
+++ b/tests/t_course.c
@@ -102,6 +102,32 @@
 }
 END_TEST
 
+/* A caller that has a part of its stream has more to lose: refusals are
+   outwaited longer than before the first event. */
+START_TEST (test_course_stream_that_began_is_offered_longer)
+{
+  const rt_rule_t rule = { .kind = RT_STREAM, .resumable = 1, .attempts = 2 };
+  const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN, .begun = 1 };
+  const rt_attempt_t refused = { .verdict = EL_NOT_RUN, .begun = 1 };
+  const rt_attempt_t first = { .verdict = EL_NOT_RUN };
+  rt_course_t course = { 0, 0 };
+  unsigned sends;
+
+  for (sends = 1; sends < 4; sends++)
+    ck_assert_int_eq (rt_course_next (&course, &rule, &first, 1, EL_SEC),
+                      RT_NEXT_AGAIN);
+  ck_assert_int_eq (rt_course_next (&course, &rule, &first, 1, EL_SEC),
+                    RT_NEXT_REFUSE);
+  course = (rt_course_t){ 0, 0 };
+  ck_assert_int_eq (rt_course_next (&course, &rule, &lost, 1, EL_SEC),
+                    RT_NEXT_AGAIN);
+  for (sends = 2; sends < 8; sends++)
+    ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 1, EL_SEC),
+                      RT_NEXT_AGAIN);
+  ck_assert_int_eq (rt_course_next (&course, &rule, &refused, 1, EL_SEC),
+                    RT_NEXT_FAIL);
+}
+END_TEST
 START_TEST (test_course_keeps_to_the_rules_attempts)
 {
   const rt_rule_t rule = { .kind = RT_SAFE, .attempts = 2 };
@@ -202,6 +228,7 @@
   ADD (tcase, test_rules_split_follows_the_weights);
   ADD (tcase, test_course_unsafe_runs_once);
   ADD (tcase, test_course_refusal_is_said_only_when_nothing_ran);
+  ADD (tcase, test_course_stream_that_began_is_offered_longer);
   ADD (tcase, test_course_keeps_to_the_rules_attempts);
   ADD (tcase, test_course_stream_goes_on_only_when_resumable);
   ADD (tcase, test_spend_holds_over_hosts_and_windows);
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -154,6 +154,29 @@
 }
 END_TEST
 
+/* Both engines with the first layers end while a stream runs, and others get
+   those layers a moment later: the stream goes on there. A host whose other
+   engines had no room broke such streams off 8 ms after the end
+   (reason="no endpoint to go on at" events=106). */
+START_TEST (test_stream_waits_for_somewhere_to_go_on)
+{
+  caller_t caller;
+  size_t i;
+
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (member_number (&site.engines[i], "first") == 0)
+      proc_kill (&site.engines[i]);
+  metric_wait (&site.hosts[0], "elmarch_relay_waits_total", 1);
+  ck_assert_uint_eq (site_engines_back (), 2);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
 /* An engine further down dies: the stream stays where it is and is moved
    around it. */
 START_TEST (test_stream_is_moved_around_a_lost_engine)
@@ -564,6 +587,7 @@
   ADD (tcase, test_relay_passes_a_stream_on);
   ADD_LOOP (tcase, test_stream_goes_on_when_its_first_engine_is_lost, 2);
   ADD (tcase, test_stream_waits_where_it_may_not_be_sent_again);
+  ADD (tcase, test_stream_waits_for_somewhere_to_go_on);
   ADD (tcase, test_stream_is_moved_around_a_lost_engine);
   ADD (tcase, test_stream_is_moved_around_an_engine_out_of_reach);
   ADD (tcase, test_relay_unsafe_runs_once_when_its_answer_is_lost);
