--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -6,16 +6,14 @@
  * What this host sees of requests and of endpoints that end, and what other
  * hosts tell of it.
  *
- * | seen                                       | said of the endpoint        |
- * |--------------------------------------------|-----------------------------|
- * | it answers what it was asked after a break | it lives; at once           |
- * | its connections are refused after a break, | it ended, by one witness; at
- * | | and another endpoint gave a sign since     | once | | the same, and no
- * other gave a sign         | nothing: this host may be   | | | cut off | | it
- * is silent                               | nothing until it is gone    | |
- * its entry is gone, or has another start,   | it ended, surely; after     |
- * | and it was not leaving                     | three heartbeats or so      |
- * | it refused, was slow, or was leaving       | nothing                     |
+ * - It answers what it was asked after a break: it lives; said at once.
+ * - Its connections are refused after a break and another endpoint gave a sign
+ *   since: it ended, by one witness; said at once.
+ * - The same, and no other gave a sign: nothing, this host may be cut off.
+ * - It is silent: nothing, until it is gone.
+ * - Its entry is gone or has another start, and it was not leaving: it ended,
+ *   surely; said after three heartbeats or so.
+ * - It refused, was slow, or was leaving: nothing.
  */
 #include <stdlib.h>
 #include <string.h>
