Logs: each send with what its choice rests on; what a refusal asked for

Two hypotheses of the incident could not be told apart from the logs: that the time which a refusing endpoint names is not read, and that it is read and ended early. attempt_failed now holds it as it came (asked), and each send has a line with its endpoint, that one's start, the time for which it is still set aside, whether it is silent or leaves, how much of this host's work runs there and how old its last report is. No decision changes.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -33,6 +33,9 @@
   const char *line;     /**< the engines that a request passes */
   const char *at_fault; /**< on a refusal: the address of the engine that
                              refused */
+  const char *rest;     /**< on a refusal: seconds in which the endpoint wants
+                             nothing from this host */
+  const char *leaving;  /**< on any answer: "1", the endpoint leaves */
 } gt_relay_names_t;
 
 /** What came of asking an engine where a stream stands still. */
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -343,6 +343,7 @@
       EL_FN ("budget_left", relay_spend_left (relay)),
       EL_FC ("next", nexts[next]),
       EL_FS ("fault", net_result_header (result, dialect->names.at_fault)),
+      EL_FS ("asked", net_result_header (result, dialect->names.rest)),
       EL_FS ("line", el_buf_str (&line)));
   el_buf_free (&line);
 }
@@ -449,6 +450,25 @@
   try_after (relay, &attempt, &result);
 }
 
+/* The choice, with what it rests on and how old that is. */
+static void
+sent_log (const gt_relay_t *relay, el_time_t now)
+{
+  const rt_target_t *target = relay->target;
+  el_time_t aside = target->avoid_until;
+
+  EL_LOG (EL_LOG_INFO, "sent", EL_FS ("request", relay->id),
+          EL_FS ("endpoint", target->facts.id),
+          EL_FN ("born", target->facts.born),
+          EL_FN ("attempt", relay->course.sent + 1),
+          EL_FN ("parts", relay->line.n),
+          EL_FN ("aside_left_us", aside > now ? aside - now : 0),
+          EL_FN ("silent", target->suspect),
+          EL_FN ("leaving", target->facts.leaving),
+          EL_FN ("running", target->running),
+          EL_FN ("told_age_us", target->told ? now - target->told : 0));
+}
+
 static void
 try_send (gt_relay_t *relay, el_time_t now)
 {
@@ -476,6 +496,7 @@
   relay->sent = now;
   relay->began = 0;
   relay->relays->counts.attempts++;
+  sent_log (relay, now);
   relay->exchange = net_client_send (o->client, &send);
   relay_head_free (&head);
   if (relay->line.n)
