Test: endpoints that ask for rest, or say that they leave, in processes; red

What callers' requests do to an endpoint that answers 503 with Retry-After, or says in its answers that it leaves: they go on coming. The stand-in of endpoints asks for both and counts, by host, what arrives in spite of it.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
-          standin/store.c standin/member.c
+          standin/store.c standin/member.c standin/rest.c
 
 LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
@@ -109,7 +109,7 @@
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
-PROC = tests/proc_main.c tests/known_red.c tests/t_stream.c tests/t_once.c tests/t_stop.c tests/t_agree.c tests/t_site.c tests/t_ends.c tests/t_again.c tests/site.c \
+PROC = tests/proc_main.c tests/known_red.c tests/t_stream.c tests/t_once.c tests/t_stop.c tests/t_agree.c tests/t_site.c tests/t_ends.c tests/t_again.c tests/t_rest.c tests/site.c \
        tests/cluster.c tests/expect.c standin/reference.c
 $(BIN)/proc: $(PROC:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
--- a/standin/member.c
+++ b/standin/member.c
@@ -8,7 +8,8 @@
  * plain service. Faults are those of the stand-ins; POST /stall {"at":
  * ADDRESS} has its streams stand still for that engine until they are moved
  * around it. A request whose body holds "deadly" ends the process soon after
- * it begins to run. GET /runs tells what ran, GET /seen the last request's
+ * it begins to run. POST /rest has it ask hosts for rest, or say that it
+ * leaves (rest.c). GET /runs tells what ran, GET /seen the last request's
  * headers. With --record each run is noted, before it begins, as a line of a
  * file that outlives the process: "MICROSECONDS ID MEMBER CUSTOMER LINE
  * RESUMED".
@@ -22,7 +23,7 @@
 #include <unistd.h>
 
 #include "libgate.h"
-#include "standin.h"
+#include "rest.h"
 
 #define PIECES 40
 #define SEAL "seal.of.a.stand-in"
@@ -63,6 +64,7 @@
   char id[64];
   uint64_t born;    /* Unix milliseconds of the start */
   el_timer_t dying; /* a deadly request runs */
+  sn_rest_t *rest;
 } member_t;
 
 static void stream_step (void *arg, el_time_t now);
@@ -118,6 +120,7 @@
   gettimeofday (&now, NULL);
   member->born = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_usec / 1000;
   member->process = process;
+  member->rest = sn_rest_new (&process->clock);
   member->client = net_client_new (&process->clock);
   if (process->set.same_id)
     snprintf (member->id, sizeof member->id, "%s", process->set.name);
@@ -387,7 +390,10 @@
   json_t *json = sn_body (req);
   const char *op = json_string_value (json_object_get (json, "op"));
 
-  if (op && strcmp (op, "place") == 0)
+  sn_rest_arrives (member->rest, req, SN_ORDER);
+  if (sn_rest_refuses (member->rest, req, SN_ORDER))
+    ;
+  else if (op && strcmp (op, "place") == 0)
     order_place (member, req, json);
   else if (op && strcmp (op, "repath") == 0)
     order_repath (member, req, json);
@@ -399,9 +405,13 @@
 static void
 serve_report (member_t *member, h2o_req_t *req)
 {
-  json_t *stalled = json_array ();
+  json_t *stalled;
   member_stream_t *stream;
 
+  sn_rest_arrives (member->rest, req, SN_REPORT);
+  if (sn_rest_refuses (member->rest, req, SN_REPORT))
+    return;
+  stalled = json_array ();
   for (stream = member->streams; stream; stream = stream->next_stream)
     if (stream_stalled (stream))
       json_array_append_new (stalled, json_pack ("{s:s,s:s}", "Id", stream->id,
@@ -431,6 +441,22 @@
   net_req_reply (req, 204, EL_STR (""), EL_STR (""));
 }
 
+static void
+serve_rest (member_t *member, h2o_req_t *req)
+{
+  json_t *json = sn_body (req);
+
+  sn_rest_set (member->rest, json);
+  json_decref (json);
+  net_req_reply (req, 204, EL_STR (""), EL_STR (""));
+}
+
+static void
+serve_rests (member_t *member, h2o_req_t *req)
+{
+  sn_json (req, 200, sn_rest_json (member->rest));
+}
+
 static void
 serve_runs (member_t *member, h2o_req_t *req)
 {
@@ -520,6 +546,9 @@
   el_str_t expect = net_req_header (req, "x-elmarch-expect-instance");
   el_str_t line = net_req_header (req, "path");
 
+  sn_rest_arrives (member->rest, req, SN_REQUEST);
+  if (sn_rest_refuses (member->rest, req, SN_REQUEST))
+    return;
   if (expect.len && !el_str_eq (expect, el_str (member->id)))
     {
       member_refuse (req, 421);
@@ -543,6 +572,8 @@
   { EL_STR ("/elmarch/report"), serve_report },
   { EL_STR ("/stall"), serve_stall },
   { EL_STR ("/leave"), serve_leave },
+  { EL_STR ("/rest"), serve_rest },
+  { EL_STR ("/rests"), serve_rests },
   { EL_STR ("/runs"), serve_runs },
   { EL_STR ("/seen"), serve_seen },
 };
--- a/tests/site.c
+++ b/tests/site.c
@@ -463,17 +463,36 @@
     unlink (site.record);
 }
 
+/* The headers of a request through a host: its id, and for the stand-ins which
+   host it passed. */
+typedef struct site_head
+{
+  char id[96];
+  char via[32];
+  const char *list[4];
+} site_head_t;
+
+static void
+head_make (site_head_t *head, size_t host, const char *id)
+{
+  snprintf (head->id, sizeof head->id, "x-elmarch-request-id: %s", id);
+  snprintf (head->via, sizeof head->via, "x-via: %zu", host);
+  head->list[0] = HOST_NAME;
+  head->list[1] = head->id;
+  head->list[2] = head->via;
+  head->list[3] = NULL;
+}
+
 /** One request through a host. */
 void
 ask (size_t host, const char *method, const char *path, const char *id,
      reply_t *reply)
 {
-  char name[96];
-  const char *headers[] = { HOST_NAME, name, NULL };
+  site_head_t head;
 
-  snprintf (name, sizeof name, "x-elmarch-request-id: %s", id);
+  head_make (&head, host, id);
   http (method, site.entries[host].address, path,
-        strcmp (method, "POST") == 0 ? "body" : NULL, headers, reply);
+        strcmp (method, "POST") == 0 ? "body" : NULL, head.list, reply);
 }
 
 /** One request with BODY through a host. */
@@ -481,23 +500,21 @@
 ask_body (size_t host, const char *path, const char *body, const char *id,
           reply_t *reply)
 {
-  char name[96];
-  const char *headers[] = { HOST_NAME, name, NULL };
+  site_head_t head;
 
-  snprintf (name, sizeof name, "x-elmarch-request-id: %s", id);
-  http ("POST", site.entries[host].address, path, body, headers, reply);
+  head_make (&head, host, id);
+  http ("POST", site.entries[host].address, path, body, head.list, reply);
 }
 
 /** Begin a stream through a host. */
 void
 stream_start (caller_t *caller, size_t host, const char *id)
 {
-  char name[96];
-  const char *headers[] = { HOST_NAME, name, NULL };
+  site_head_t head;
 
-  snprintf (name, sizeof name, "x-elmarch-request-id: %s", id);
-  caller_start (caller, site.entries[host].address, "/chat/x", "body", headers,
-                0);
+  head_make (&head, host, id);
+  caller_start (caller, site.entries[host].address, "/chat/x", "body",
+                head.list, 0);
 }
 
 /** Every event once and in order. */
--- a/tests/test.h
+++ b/tests/test.h
@@ -37,6 +37,7 @@
 Suite *spoiled_suite (void);
 Suite *site_suite (void);
 Suite *ends_suite (void);
+Suite *rest_suite (void);
 Suite *stream_suite (void);
 Suite *once_suite (void);
 Suite *stop_suite (void);
