Endpoints: what is known against sending there, in one place

Whether something may go to an endpoint was worked out in five places from five fields, of which two were one: the time for which it is set aside after failures was also that after a refusal for want of room and after a wrong hold, so that each wrote over the others, and a good answer ended all of them. route/access.c keeps each apart with its own end and gives the strongest; choices, the planner and the checks ask it. It has places for a rest that an endpoint asks for and for a first request after it, which nothing sets yet, and the fleet keeps what a start asked for while its entry is not listed.

Behaviour changes in two points only: a good answer no longer ends the 100 ms after a refusal for want of room, nor the second after a wrong hold.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -196,7 +196,7 @@
   for (target = rt_fleet_first (site->fleet); target; target = target->hh.next)
     {
       site->gauge_placed += target->facts.end > target->facts.first;
-      site->gauge_leaving += target->facts.leaving != 0;
+      site->gauge_leaving += rt_target_leaves (target);
     }
 }
 
--- a/gate/planner.c
+++ b/gate/planner.c
@@ -103,7 +103,7 @@
   {
     const rt_target_t *target = order->order.target;
 
-    if (!target->gone && now < order->given + ORDER_AGAIN
+    if (!target->access.gone && now < order->given + ORDER_AGAIN
         && !order_shows (order))
       continue;
     if (!order->over && order_shows (order))
@@ -135,7 +135,7 @@
         gt_relays_order_ended (relays, &planner->falls, &order->order);
       }
     else if (now > order->given && now < order->given + FALL_WITHIN
-             && !target->gone)
+             && !target->access.gone)
       gt_relays_ask (relays, target, order->given);
   }
 }
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -116,7 +116,7 @@
           .ran = now - (relay->began ? relay->began : relay->sent),
           .first = target == relay->target };
 
-  if (!target->facts.leaving)
+  if (!rt_target_leaves (target))
     note_add (relays->blame, target, &ended);
 }
 
@@ -308,7 +308,7 @@
   el_time_t now = net_clock_now (relays->options.clock);
   const rt_ended_t end = { .start = rt_target_start (target), .at = now };
 
-  if (target->facts.leaving)
+  if (rt_target_leaves (target))
     return;
   rt_target_ref (target);
   notes_settle (relays, target, "gone");
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -147,12 +147,12 @@
   gt_relays_t *relays = check->relays;
   rt_target_t *engine = check->engine;
   int answered = life == GT_LIFE_SIGN;
-  int was = engine->suspect;
+  int was = engine->access.silent;
 
   check->ask = NULL;
   net_clock_cancel (relays->options.clock, &check->judge);
   engine->asked = 0;
-  engine->suspect = !answered;
+  engine->access.silent = !answered;
   if (life == GT_LIFE_REFUSED && !engine->refused_at)
     engine->refused_at = check->asked;
   if (answered)
@@ -177,7 +177,7 @@
   check_streams (relays, engine, relay_watch_silent);
   if (life == GT_LIFE_REFUSED)
     relay_blame_refused (relays, engine);
-  if (engine->gone)
+  if (engine->access.gone)
     check_free (check);
   else
     net_clock_set (relays->options.clock, &check->again, CHECK_AGAIN);
@@ -215,7 +215,7 @@
   if (check->ask)
     return;
   net_clock_cancel (o->clock, &check->again);
-  if (check->engine->gone)
+  if (check->engine->access.gone)
     {
       check_free (check);
       return;
@@ -255,7 +255,7 @@
   relay_check_t *check = check_get (relays, engine);
   el_time_t due;
 
-  if (check->ask || engine->suspect)
+  if (check->ask || engine->access.silent)
     return;
   if (now > check->still + GAP_FORGET)
     check->gap = GAP_LEAST;
--- a/gate/relay_poll.c
+++ b/gate/relay_poll.c
@@ -24,7 +24,7 @@
 static int
 poll_takes (const gt_relays_t *relays, const rt_target_t *engine)
 {
-  return engine->facts.end > engine->facts.first && !engine->facts.leaving
+  return engine->facts.end > engine->facts.first && !rt_target_leaves (engine)
          && el_str_eq (engine->facts.hall, relays->options.hall);
 }
 
@@ -108,7 +108,7 @@
                                    .pace = engine->pace,
                                    .taken = engine->taken,
                                    .age = now - engine->told,
-                                   .silent = engine->suspect };
+                                   .silent = engine->access.silent };
   return n;
 }
 
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -102,7 +102,7 @@
   if (!target)
     return NULL;
   relay->relays->counts.apart++;
-  target->proof_until = now + PROOF;
+  rt_access_proof (&target->access, now, PROOF);
   return target;
 }
 
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -455,18 +455,16 @@
 sent_log (const gt_relay_t *relay, el_time_t now)
 {
   const rt_target_t *target = relay->target;
-  el_time_t aside = target->avoid_until;
-
-  EL_LOG (EL_LOG_INFO, "sent", EL_FS ("request", relay->id),
-          EL_FS ("endpoint", target->facts.id),
-          EL_FN ("born", target->facts.born),
-          EL_FN ("attempt", relay->course.sent + 1),
-          EL_FN ("parts", relay->line.n),
-          EL_FN ("aside_left_us", aside > now ? aside - now : 0),
-          EL_FN ("silent", target->suspect),
-          EL_FN ("leaving", target->facts.leaving),
-          EL_FN ("running", target->running),
-          EL_FN ("told_age_us", target->told ? now - target->told : 0));
+  EL_LOG (
+      EL_LOG_INFO, "sent", EL_FS ("request", relay->id),
+      EL_FS ("endpoint", target->facts.id), EL_FN ("born", target->facts.born),
+      EL_FN ("attempt", relay->course.sent + 1),
+      EL_FN ("parts", relay->line.n),
+      EL_FC ("against", rt_why_name (rt_access_why (&target->access, now))),
+      EL_FN ("rest_left_us", rt_access_rest_left (&target->access, now)),
+      EL_FN ("leaving", rt_target_leaves (target)),
+      EL_FN ("running", target->running),
+      EL_FN ("told_age_us", target->told ? now - target->told : 0));
 }
 
 static void
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -10,11 +10,10 @@
 
 #include "relay.h"
 
-/* An endpoint that fails is set aside, longer with each failure in a row. */
-#define AVOID_FIRST (200 * EL_MSEC)
-#define AVOID_DOUBLINGS 4
-/* Failures in a row before an endpoint is set aside: one alone is chance. */
-#define AVOID_AFTER 2
+/* An endpoint that fails is set aside; one failure alone is chance. */
+static const rt_avoid_t avoid = {
+  .after = 2, .first = 200 * EL_MSEC, .doublings = 4, .most = 3200 * EL_MSEC
+};
 /* An engine without room is left for this long: streams end all the time. */
 #define BUSY_AVOID (100 * EL_MSEC)
 /* News of an endpoint takes about a second. */
@@ -26,10 +25,25 @@
 
 /* The flow of tokens is a mean over this, about as long as streams take. */
 #define FLOW_MEAN (2 * EL_SEC)
+/* Starts of endpoints that are remembered though they are not listed, 160
+   bytes each: more than those of a day on which each of 1,900 is replaced
+   twice. The oldest give way. */
+#define NOTICES_MOST 4096
+
+/* What a start of an endpoint asked for that is not listed: entries lapse
+   while the store is away, and return. */
+typedef struct notice
+{
+  el_str_t id;
+  uint64_t born;
+  rt_access_t access;
+  UT_hash_handle hh;
+} notice_t;
 
 struct rt_fleet
 {
   rt_target_t *by_id;
+  notice_t *notices;
   uint64_t random;
   size_t hosts; /* that send to the same engines */
   size_t all;   /* hosts of all halls */
@@ -48,6 +62,14 @@
   return fleet;
 }
 
+static void
+notice_drop (rt_fleet_t *fleet, notice_t *notice)
+{
+  HASH_DEL (fleet->notices, notice);
+  el_str_free (&notice->id);
+  free (notice);
+}
+
 /** Forget all endpoints; those in use stay until they are let go of. */
 void
 rt_fleet_free (rt_fleet_t *fleet)
@@ -60,6 +82,8 @@
     HASH_DEL (fleet->by_id, target);
     rt_target_unref (target);
   }
+  while (fleet->notices)
+    notice_drop (fleet, fleet->notices);
   free (fleet);
 }
 
@@ -110,9 +134,68 @@
          || target->facts.born == facts->born;
 }
 
+static notice_t *
+notice_find (const rt_fleet_t *fleet, el_str_t id)
+{
+  notice_t *notice;
+
+  HASH_FIND (hh, fleet->notices, id.ptr, (unsigned)id.len, notice);
+  return notice;
+}
+
+/* Remember what the start BORN of ID, which is not listed, asked for. */
+static void
+notice_add (rt_fleet_t *fleet, el_str_t id, uint64_t born,
+            const rt_access_t *access)
+{
+  notice_t *notice = notice_find (fleet, id);
+
+  if (notice)
+    notice_drop (fleet, notice);
+  if (HASH_COUNT (fleet->notices) >= NOTICES_MOST)
+    notice_drop (fleet, fleet->notices);
+  notice = el_alloc (sizeof *notice);
+  notice->id = el_str_dup (id);
+  notice->born = born;
+  notice->access = (rt_access_t){ .leaves_until = access->leaves_until,
+                                  .rest_began = access->rest_began,
+                                  .rest_until = access->rest_until,
+                                  .trial = access->trial };
+  HASH_ADD_KEYPTR (hh, fleet->notices, notice->id.ptr, (unsigned)id.len,
+                   notice);
+}
+
+/* What the start that TARGET is asked for before it was listed holds. */
+static void
+notice_take (rt_fleet_t *fleet, rt_target_t *target)
+{
+  notice_t *notice = notice_find (fleet, target->facts.id);
+
+  if (!notice)
+    return;
+  if (!notice->born || !target->facts.born
+      || notice->born == target->facts.born)
+    target->access = notice->access;
+  notice_drop (fleet, notice);
+}
+
+static rt_target_t *
+target_new (rt_fleet_t *fleet, const rt_facts_t *facts)
+{
+  rt_target_t *target = el_alloc (sizeof *target);
+
+  target->refs = 1;
+  facts_copy (&target->facts, facts);
+  notice_take (fleet, target);
+  HASH_ADD_KEYPTR (hh, fleet->by_id, target->facts.id.ptr,
+                   (unsigned)target->facts.id.len, target);
+  return target;
+}
+
 /** Take in what is told of an endpoint, new or known. One that said it leaves
     does not come back; another start under its id is another endpoint, which
-    holds and knows nothing of before. */
+    holds and knows nothing of before, neither that it leaves nor that it asked
+    for rest. */
 rt_target_t *
 rt_fleet_set (rt_fleet_t *fleet, const rt_facts_t *facts)
 {
@@ -124,20 +207,14 @@
       target = NULL;
     }
   if (!target)
-    {
-      target = el_alloc (sizeof *target);
-      target->refs = 1;
-      facts_copy (&target->facts, facts);
-      HASH_ADD_KEYPTR (hh, fleet->by_id, target->facts.id.ptr,
-                       (unsigned)target->facts.id.len, target);
-      return target;
-    }
-  if (facts->born)
+    target = target_new (fleet, facts);
+  else if (facts->born)
     target->facts.born = facts->born;
   target->facts.slots = facts->slots;
-  target->facts.leaving |= facts->leaving;
   target->facts.first = facts->first;
   target->facts.end = facts->end;
+  if (facts->leaving)
+    rt_target_leave (target);
   return target;
 }
 
@@ -149,11 +226,65 @@
 
   if (!target)
     return;
-  target->gone = 1;
+  if (rt_target_leaves (target) || target->access.rest_until)
+    notice_add (fleet, target->facts.id, target->facts.born, &target->access);
+  target->access.gone = 1;
   HASH_DEL (fleet->by_id, target);
   rt_target_unref (target);
 }
 
+/** The start BORN of ID said that it leaves; gives the endpoint if that is
+    new, NULL if it is known or none such is listed, which is remembered. */
+rt_target_t *
+rt_fleet_leaves (rt_fleet_t *fleet, el_str_t id, uint64_t born)
+{
+  const rt_access_t leaves = { .leaves_until = EL_TIME_NEVER };
+  rt_target_t *target = rt_fleet_find (fleet, id);
+  const rt_facts_t facts = { .born = born };
+
+  if (!target)
+    {
+      notice_add (fleet, id, born, &leaves);
+      return NULL;
+    }
+  if (!rt_target_same_start (target, &facts) || rt_target_leaves (target))
+    return NULL;
+  rt_target_leave (target);
+  return target;
+}
+
+/** TARGET asked at NOW to be left in peace for so long; gives 1 when a rest
+    begins. */
+int
+rt_fleet_rests (rt_fleet_t *fleet, rt_target_t *target, el_time_t now,
+                el_time_t asked)
+{
+  return rt_access_rest (&target->access, now, asked,
+                         el_random (&fleet->random));
+}
+
+/** When the first endpoint of SERVICE may be used again whose rest is all that
+    keeps it from that; 0 when one may be used at NOW, or none ever. */
+el_time_t
+rt_fleet_opens (const rt_fleet_t *fleet, el_time_t now, el_str_t service)
+{
+  const rt_target_t *target;
+  el_time_t first = 0;
+
+  for (target = fleet->by_id; target; target = target->hh.next)
+    {
+      rt_why_t why = rt_access_why (&target->access, now);
+
+      if (!el_str_eq (target->facts.service, service))
+        continue;
+      if (why < RT_WHY_RESTS)
+        return 0;
+      if (why == RT_WHY_RESTS && (!first || target->access.rest_until < first))
+        first = target->access.rest_until;
+    }
+  return first;
+}
+
 /** The endpoint named ID; NULL without one. */
 rt_target_t *
 rt_fleet_find (const rt_fleet_t *fleet, el_str_t id)
@@ -222,27 +353,33 @@
   return HASH_COUNT (fleet->by_id);
 }
 
-/** Whether new work may go there now. */
+/** Whether new work may go there now, as the first choice or where a suspect
+    may end it. */
 int
 rt_target_usable (const rt_target_t *target, el_time_t now)
 {
-  return !target->gone && !target->facts.leaving && !target->suspect
-         && now >= target->avoid_until;
+  return rt_access_open (&target->access, now) <= RT_DOUBT;
+}
+
+/** Whether it said that it takes no new work. */
+int
+rt_target_leaves (const rt_target_t *target)
+{
+  return target->access.leaves_until == EL_TIME_NEVER;
+}
+
+/** It says that it takes no new work; that holds for this start. */
+void
+rt_target_leave (rt_target_t *target)
+{
+  target->access.leaves_until = EL_TIME_NEVER;
 }
 
 /** An exchange with it failed. */
 void
 rt_target_failed (rt_target_t *target, el_time_t now)
 {
-  unsigned over;
-
-  target->failures++;
-  if (target->failures < AVOID_AFTER)
-    return;
-  over = target->failures - AVOID_AFTER;
-  if (over > AVOID_DOUBLINGS)
-    over = AVOID_DOUBLINGS;
-  target->avoid_until = now + (AVOID_FIRST << over);
+  rt_access_failed (&target->access, now, &avoid, 0);
 }
 
 /** It does not hold what it was said to hold, or is another one by now: what
@@ -250,15 +387,14 @@
 void
 rt_target_changed (rt_target_t *target, el_time_t now)
 {
-  target->avoid_until = now + CHANGED_AVOID;
+  rt_access_changed (&target->access, now, CHANGED_AVOID);
 }
 
 /** It refused for want of room. */
 void
 rt_target_busy (rt_target_t *target, el_time_t now)
 {
-  if (target->avoid_until < now + BUSY_AVOID)
-    target->avoid_until = now + BUSY_AVOID;
+  rt_access_busy (&target->access, now, BUSY_AVOID);
 }
 
 /** It reported at AT how it does; gives 0 when something newer is known. */
@@ -282,8 +418,7 @@
 {
   double ms = (double)took / (double)EL_MSEC;
 
-  target->failures = 0;
-  target->avoid_until = 0;
+  rt_access_served (&target->access);
   if (target->usual_ms > 0)
     target->usual_ms += MEAN_WEIGHT * (ms - target->usual_ms);
   else
@@ -327,7 +462,8 @@
 }
 
 /** An endpoint of SERVICE for a request from HALL; NULL when none may be
-    used. When all are set aside, one of them is tried all the same. */
+    used. When all are set aside, one of them is tried all the same, unless it
+    rests or leaves. */
 rt_target_t *
 rt_fleet_pick (rt_fleet_t *fleet, el_time_t now, el_str_t service,
                el_str_t hall, const rt_tried_t *tried)
@@ -335,25 +471,23 @@
   rt_target_t *best = NULL;
   rt_target_t *target;
   rt_target_t *next;
+  rt_open_t best_open = RT_ASIDE;
   double least = 0;
-  int aside = 1;
 
   HASH_ITER (hh, fleet->by_id, target, next)
   {
-    int set_aside = target->suspect || now < target->avoid_until
-                    || now < target->proof_until;
+    rt_open_t open = rt_access_open (&target->access, now);
     double cost;
 
-    if (target->gone || target->facts.leaving || set_aside > aside
-        || !el_str_eq (target->facts.service, service)
+    if (open > best_open || !el_str_eq (target->facts.service, service)
         || rt_tried_has (tried, target))
       continue;
     cost = pick_cost (fleet, target, hall);
-    if (best && set_aside == aside && cost >= least)
+    if (best && open == best_open && cost >= least)
       continue;
     best = target;
     least = cost;
-    aside = set_aside;
+    best_open = open;
   }
   return best;
 }
@@ -375,7 +509,7 @@
     {
       int engine = target->facts.card.len > 0;
 
-      if (!rt_target_usable (target, now) || now < target->proof_until
+      if (rt_access_open (&target->access, now) != RT_OPEN
           || !el_str_eq (target->facts.service, service)
           || (engine && (target->facts.first > 0 || target->facts.end == 0))
           || rt_tried_has (tried, target))
--- a/route/layout.c
+++ b/route/layout.c
@@ -106,8 +106,9 @@
     {
       const rt_facts_t *facts = &target->facts;
 
-      if (!el_str_eq (facts->service, layout->service->name) || facts->leaving
-          || target->suspect || (hall.len && !el_str_eq (facts->hall, hall)))
+      if (!el_str_eq (facts->service, layout->service->name)
+          || rt_target_leaves (target) || target->access.silent
+          || (hall.len && !el_str_eq (facts->hall, hall)))
         continue;
       order = order_for (layout->pending, layout->npending, target);
       if (!order)
@@ -123,7 +124,7 @@
 layout_empty (const layout_t *layout, const rt_target_t *target)
 {
   return el_str_eq (target->facts.service, layout->service->name)
-         && !target->facts.leaving && !target->gone
+         && !rt_target_leaves (target) && !target->access.gone
          && target->facts.end == target->facts.first
          && !order_for (layout->pending, layout->npending, target)
          && !order_for (layout->out, layout->n, target);
@@ -133,7 +134,7 @@
 static const rt_card_t *
 layout_card (const layout_t *layout, const rt_target_t *target)
 {
-  if (target->facts.leaving
+  if (rt_target_leaves (target)
       || !el_str_eq (target->facts.service, layout->service->name))
     return NULL;
   return rt_model_card (&layout->service->model, target->facts.card);
@@ -329,9 +330,9 @@
 {
   unsigned i;
 
-  if (!el_str_eq (target->facts.service, layout->service->name) || target->gone
-      || target->suspect || target->facts.leaving
-      || target->facts.first == target->facts.end
+  if (!el_str_eq (target->facts.service, layout->service->name)
+      || target->access.gone || target->access.silent
+      || rt_target_leaves (target) || target->facts.first == target->facts.end
       || order_for (layout->pending, layout->npending, target)
       || order_for (layout->out, layout->n, target))
     return 0;
--- a/route/line.c
+++ b/route/line.c
@@ -167,11 +167,13 @@
 static int
 search_takes (const line_search_t *search, const rt_target_t *target)
 {
+  rt_open_t open = rt_access_open (&target->access, search->now);
+
   if (search->trust == TRUST_ANY)
-    return !target->gone && !target->facts.leaving;
-  if (!rt_target_usable (target, search->now))
+    return open != RT_CLOSED;
+  if (open > RT_DOUBT)
     return 0;
-  if (search->now < target->proof_until && target != search->begin)
+  if (open == RT_DOUBT && target != search->begin)
     return search->trust == TRUST_USABLE;
   return search->trust == TRUST_USABLE || !target->asked
          || search->now < target->asked + ASKED_DOUBT;
--- a/route/relay.h
+++ b/route/relay.h
@@ -11,6 +11,7 @@
 #ifndef ELMARCH_RELAY_H
 #define ELMARCH_RELAY_H
 
+#include "access.h"
 #include "base.h"
 #include "map.h"
 
@@ -137,7 +138,7 @@
   el_str_t hall;
   el_str_t card; /**< kind of accelerator; empty for a plain service */
   uint64_t slots;
-  int leaving;    /**< takes no new work */
+  int leaving;    /**< it says that it takes no new work */
   unsigned first; /**< first layer held */
   unsigned end;   /**< first layer after those held */
 } rt_facts_t;
@@ -156,10 +157,9 @@
 {
   rt_facts_t facts; /**< strings are owned */
   unsigned refs;
-  int gone;              /**< no longer listed */
+  rt_access_t access;    /**< what is known against sending there */
   unsigned running;      /**< exchanges of this host with it */
   unsigned lines;        /**< streams of this host through it */
-  unsigned failures;     /**< in a row */
   double held;           /**< tokens times layers of this host's streams */
   double unread;         /**< of these, those still to be read */
   el_time_t alive;       /**< when a stream through it had its last event */
@@ -171,16 +171,20 @@
   double taken;          /**< requests there against its slots, as told */
   unsigned running_then; /**< exchanges of this host with it then */
   el_time_t told;        /**< 0 is never */
-  int suspect;           /**< it did not answer when it was asked */
   el_time_t asked;       /**< for a sign of life that has not come yet; 0:
                               none is awaited */
-  el_time_t avoid_until; /**< set aside after failures */
-  el_time_t proof_until; /**< a suspect may end it until then */
   el_time_t refused_at;  /**< nobody listens there since; 0: somebody does */
   double usual_ms;       /**< moving mean of its answers' times */
   UT_hash_handle hh;
 } rt_target_t;
 
+/** What an endpoint asks of a host beside what it answers. */
+typedef struct rt_asks
+{
+  el_time_t rest; /**< it wants nothing for so long; 0: it did not say */
+  int leaves;     /**< it takes no new work */
+} rt_asks_t;
+
 typedef struct rt_fleet rt_fleet_t;
 
 rt_fleet_t *rt_fleet_new (uint64_t seed);
@@ -198,6 +202,13 @@
 rt_target_t *rt_target_ref (rt_target_t *target);
 void rt_target_unref (rt_target_t *target);
 int rt_target_usable (const rt_target_t *target, el_time_t now);
+int rt_target_leaves (const rt_target_t *target);
+void rt_target_leave (rt_target_t *target);
+rt_target_t *rt_fleet_leaves (rt_fleet_t *fleet, el_str_t id, uint64_t born);
+int rt_fleet_rests (rt_fleet_t *fleet, rt_target_t *target, el_time_t now,
+                    el_time_t asked);
+el_time_t rt_fleet_opens (const rt_fleet_t *fleet, el_time_t now,
+                          el_str_t service);
 void rt_target_failed (rt_target_t *target, el_time_t now);
 void rt_target_changed (rt_target_t *target, el_time_t now);
 void rt_target_busy (rt_target_t *target, el_time_t now);
--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -128,7 +128,7 @@
 START_TEST (test_check_report_is_taken_in)
 {
   engines_met ();
-  ck_assert_int_eq (engines[0].engine->suspect, 0);
+  ck_assert_int_eq (engines[0].engine->access.silent, 0);
   ck_assert (engines[0].engine->pace == 2.5);
   ck_assert (engines[0].engine->fill == 0.25);
 }
@@ -142,11 +142,11 @@
   relay_check (&relays, engines[0].engine);
   relay_check (&relays, engines[1].engine);
   judged (&engines[0]);
-  ck_assert_int_eq (engines[0].engine->suspect, 1);
-  ck_assert_int_eq (engines[1].engine->suspect, 0);
+  ck_assert_int_eq (engines[0].engine->access.silent, 1);
+  ck_assert_int_eq (engines[1].engine->access.silent, 0);
   ck_assert_uint_eq (relays.counts.silent, 1);
   engines[0].mute = 0;
-  while (engines[0].engine->suspect)
+  while (engines[0].engine->access.silent)
     turns (EL_MSEC);
 }
 END_TEST
@@ -161,7 +161,7 @@
   relay_check (&relays, engines[0].engine);
   asked = engines[0].engine->asked;
   judged (&engines[0]);
-  ck_assert_int_eq (engines[0].engine->suspect, 1);
+  ck_assert_int_eq (engines[0].engine->access.silent, 1);
   ck_assert_uint_ge (net_clock_now (&test_clock), asked + 100 * EL_MSEC);
 }
 END_TEST
@@ -176,7 +176,7 @@
   turns (5 * EL_MSEC);
   engines[0].engine->alive = net_clock_now (&test_clock);
   judged (&engines[0]);
-  ck_assert_int_eq (engines[0].engine->suspect, 0);
+  ck_assert_int_eq (engines[0].engine->access.silent, 0);
   ck_assert_uint_eq (relays.counts.silent, 0);
 }
 END_TEST
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -114,7 +114,7 @@
 
   for (target = rt_fleet_first (fleet); target; target = target->hh.next)
     for (i = target->facts.first;
-         i < target->facts.end && !target->facts.leaving; i++)
+         i < target->facts.end && !rt_target_leaves (target); i++)
       cover[i] += el_str_eq (target->facts.hall, el_str (hall));
   for (i = 0; i < LAYERS; i++)
     holes += !cover[i];
@@ -145,7 +145,7 @@
   rt_target_t *b = worker ("b");
   rt_tried_t tried = { .n = 0 };
 
-  b->facts.leaving = 1;
+  rt_target_leave (b);
   ck_assert_ptr_eq (rt_fleet_pick (fleet, NOW, SERVICE, EL_STR ("h"), &tried),
                     a);
   rt_tried_add (&tried, a);
@@ -178,7 +178,7 @@
 {
   rt_target_t *a = worker ("a");
 
-  a->facts.leaving = 1;
+  rt_target_leave (a);
   worker ("a");
   ck_assert_int_eq (rt_target_usable (a, NOW), 0);
 }
@@ -256,7 +256,7 @@
 
   rt_target_busy (a, NOW);
   ck_assert_int_eq (line_pick ("h", NULL, &line), 1);
-  a->facts.leaving = 1;
+  rt_target_leave (a);
   ck_assert_int_eq (line_pick ("h", NULL, &line), 0);
 }
 END_TEST
--- a/tests/t_seeded.c
+++ b/tests/t_seeded.c
@@ -236,11 +236,11 @@
       break;
     case 2:
       if (target)
-        target->facts.leaving = 1;
+        rt_target_leave (target);
       break;
     case 3:
       if (target)
-        target->suspect = !target->suspect;
+        target->access.silent = !target->access.silent;
       break;
     default:
       place_look ();
@@ -261,7 +261,7 @@
   *can_hold = 0;
   for (target = rt_fleet_first (place.fleet); target; target = target->hh.next)
     {
-      if (target->facts.leaving)
+      if (rt_target_leaves (target))
         continue;
       *can_hold += target->facts.end - target->facts.first;
       for (k = target->facts.first; k < target->facts.end; k++)
@@ -302,7 +302,7 @@
   for (step = 0; step < STEPS; step++)
     place_event ();
   for (target = rt_fleet_first (place.fleet); target; target = target->hh.next)
-    target->suspect = 0;
+    target->access.silent = 0;
   for (step = 0; step < 400 && looks < 20; step++)
     {
       looks = place_look () ? 0 : looks + 1;
--- a/tests/t_starts.c
+++ b/tests/t_starts.c
@@ -220,7 +220,7 @@
   facts.first = facts.end = 0;
   target = rt_fleet_set (fleet, &facts);
   ck_assert_ptr_ne (former, target);
-  ck_assert_int_eq (former->gone, 1);
+  ck_assert_int_eq (former->access.gone, 1);
   ck_assert_int_eq (rt_target_usable (former, NOW), 0);
   ck_assert_int_eq (rt_target_usable (target, NOW), 1);
   ck_assert (target->held < 1 && target->pace < 1 && target->told == 0);
