Rumors of requests: their kinds in tables, apart from who is to blame

The facts that hosts tell each other were written, read and taken in by a switch each. Two tables name a kind's form and who takes it in, in a file of their own, so that another kind is a row.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -176,6 +176,20 @@
 void relay_blame_survived (gt_relay_t *relay);
 rt_judgement_t relay_blame_of (gt_relay_t *relay);
 
+typedef struct relay_fact relay_fact_t;
+void relay_blame_hear_ended (gt_relays_t *relays, const co_rumor_t *rumor,
+                             const relay_fact_t *fact);
+void relay_blame_hear_survived (gt_relays_t *relays, const co_rumor_t *rumor,
+                                const relay_fact_t *fact);
+void relay_blame_hear_blocked (gt_relays_t *relays, const co_rumor_t *rumor,
+                               const relay_fact_t *fact);
+void relay_blame_hear_cleared (gt_relays_t *relays, const co_rumor_t *rumor,
+                               const relay_fact_t *fact);
+
+/* relay_rumor.c */
+void relay_rumor_tell (gt_relays_t *relays, const relay_fact_t *fact,
+                       uint64_t id, el_time_t hold);
+
 /* relay_suspect.c */
 int relay_suspect_admit (gt_relay_t *relay);
 int relay_suspect_waits (gt_relay_t *relay, el_time_t now);
@@ -197,7 +211,7 @@
 /* Runs under one end in one rumor: it fits a body. */
 #define RELAY_FACT_RUNS 12
 
-typedef struct relay_fact
+struct relay_fact
 {
   relay_fact_kind_t kind;
   rt_ended_t runs[RELAY_FACT_RUNS]; /* of the same end */
@@ -205,7 +219,7 @@
   rt_digest_t digest; /* of the others */
   uint64_t customer;
   unsigned holds;
-} relay_fact_t;
+};
 
 void relay_fact_write (const relay_fact_t *fact, el_buf_t *out);
 int relay_fact_read (el_str_t body, el_time_t at, relay_fact_t *out);
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -132,19 +132,6 @@
                    due > now ? due - now : 0);
 }
 
-static void
-fact_tell (gt_relays_t *relays, const relay_fact_t *fact, uint64_t id,
-           el_time_t hold)
-{
-  el_buf_t body = { NULL, 0, 0 };
-
-  if (!relays->options.tell)
-    return;
-  relay_fact_write (fact, &body);
-  relays->options.tell (relays->options.arg, id, hold, el_buf_str (&body));
-  el_buf_free (&body);
-}
-
 static void
 ended_log (const rt_target_t *target, const char *sign, size_t runs)
 {
@@ -185,11 +172,11 @@
       note_drop (blame, note);
       if (fact.nruns < RELAY_FACT_RUNS)
         continue;
-      fact_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+      relay_rumor_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
       fact.nruns = 0;
     }
   if (fact.nruns)
-    fact_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+    relay_rumor_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
   judge_soon (relays);
   if (runs == 0)
     return;
@@ -367,8 +354,8 @@
 
   relays->counts.blocked++;
   block_log (relays, digest, judgement, "ends");
-  fact_tell (relays, &fact, digest + judgement->holds,
-             rt_blame_hold (judgement->holds));
+  relay_rumor_tell (relays, &fact, digest + judgement->holds,
+                    rt_blame_hold (judgement->holds));
   block_keep (relays, digest, judgement->holds);
   relay_suspect_stop (relays, digest);
 }
@@ -398,9 +385,9 @@
   fact.digest = relay_digest (relay);
   rt_blame_survived (relays->blame->rt, fact.digest, now);
   if (judgement.ends > 1 || judgement.holds) /* one end is soon forgotten */
-    fact_tell (relays, &fact,
-               fact.digest ^ relays->options.witness ^ now / SURVIVED_GAP,
-               FACT_HOLD);
+    relay_rumor_tell (
+        relays, &fact,
+        fact.digest ^ relays->options.witness ^ now / SURVIVED_GAP, FACT_HOLD);
 }
 
 /** What is thought of RELAY now. */
@@ -477,7 +464,8 @@
       || !block_hear (relays, digest, 0, net_clock_now (relays->options.clock),
                       fact.holds, "orders"))
     return;
-  fact_tell (relays, &fact, digest + fact.holds, rt_blame_hold (fact.holds));
+  relay_rumor_tell (relays, &fact, digest + fact.holds,
+                    rt_blame_hold (fact.holds));
   block_keep (relays, digest, fact.holds);
 }
 
@@ -510,7 +498,7 @@
   if (!rt_blame_clear (relays->blame->rt, digest, now))
     return 0;
   clear_log (digest, "operator");
-  fact_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+  relay_rumor_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
   return 1;
 }
 
@@ -528,42 +516,46 @@
     relay_check_poll (relays, target, net_clock_now (o->clock) - ASK_GAP);
 }
 
-/** Another host told RUMOR. */
+/** Another host saw an endpoint end where requests ran. */
 void
-gt_relays_rumor (gt_relays_t *relays, const co_rumor_t *rumor)
+relay_blame_hear_ended (gt_relays_t *relays, const co_rumor_t *rumor,
+                        const relay_fact_t *fact)
 {
-  rt_blame_t *rt = relays->blame->rt;
-  relay_fact_t fact;
+  el_time_t now = net_clock_now (relays->options.clock);
   size_t i;
 
-  if (!relay_fact_read (rumor->body, rumor->at, &fact))
-    {
-      EL_LOG (EL_LOG_ERROR, "rumor_refused", EL_FS ("body", rumor->body));
-      return;
-    }
-  switch (fact.kind)
-    {
-    case RELAY_FACT_ENDED:
-      for (i = 0; i < fact.nruns; i++)
-        if (rt_blame_ended (rt, net_clock_now (relays->options.clock),
-                            &fact.runs[i]))
-          judge_soon (relays);
-      ended_doubt (relays, &fact.runs[0].start);
-      break;
-    case RELAY_FACT_SURVIVED:
-      rt_blame_survived (rt, fact.digest, rumor->at);
-      break;
-    case RELAY_FACT_BLOCKED:
-      if (block_hear (relays, fact.digest, fact.customer, rumor->at,
-                      fact.holds, "another host"))
-        block_keep (relays, fact.digest, fact.holds);
-      break;
-    case RELAY_FACT_CLEARED:
-    default:
-      if (rt_blame_clear (rt, fact.digest, rumor->at))
-        clear_log (fact.digest, "another host");
-      break;
-    }
+  (void)rumor;
+  for (i = 0; i < fact->nruns; i++)
+    if (rt_blame_ended (relays->blame->rt, now, &fact->runs[i]))
+      judge_soon (relays);
+  ended_doubt (relays, &fact->runs[0].start);
+}
+
+/** A request ran to its end at another host. */
+void
+relay_blame_hear_survived (gt_relays_t *relays, const co_rumor_t *rumor,
+                           const relay_fact_t *fact)
+{
+  rt_blame_survived (relays->blame->rt, fact->digest, rumor->at);
+}
+
+/** Another host found a request to be to blame. */
+void
+relay_blame_hear_blocked (gt_relays_t *relays, const co_rumor_t *rumor,
+                          const relay_fact_t *fact)
+{
+  if (block_hear (relays, fact->digest, fact->customer, rumor->at, fact->holds,
+                  "another host"))
+    block_keep (relays, fact->digest, fact->holds);
+}
+
+/** An operator lets a request in again, at another host. */
+void
+relay_blame_hear_cleared (gt_relays_t *relays, const co_rumor_t *rumor,
+                          const relay_fact_t *fact)
+{
+  if (rt_blame_clear (relays->blame->rt, fact->digest, rumor->at))
+    clear_log (fact->digest, "another host");
 }
 
 static void
--- a/gate/relay_fact.c
+++ b/gate/relay_fact.c
@@ -14,11 +14,21 @@
 
 #define HEX_MAX 17
 
-static const char *const kinds[RELAY_FACTS] = {
-  [RELAY_FACT_ENDED] = "ended",
-  [RELAY_FACT_SURVIVED] = "survived",
-  [RELAY_FACT_BLOCKED] = "blocked",
-  [RELAY_FACT_CLEARED] = "cleared",
+static void runs_write (const relay_fact_t *fact, json_t *json);
+static int runs_read (json_t *json, el_time_t at, relay_fact_t *out);
+static void request_write (const relay_fact_t *fact, json_t *json);
+static int request_read (json_t *json, el_time_t at, relay_fact_t *out);
+
+static const struct
+{
+  const char *name;
+  void (*write) (const relay_fact_t *fact, json_t *json);
+  int (*read) (json_t *json, el_time_t at, relay_fact_t *out);
+} kinds[RELAY_FACTS] = {
+  [RELAY_FACT_ENDED] = { "ended", runs_write, runs_read },
+  [RELAY_FACT_SURVIVED] = { "survived", request_write, request_read },
+  [RELAY_FACT_BLOCKED] = { "blocked", request_write, request_read },
+  [RELAY_FACT_CLEARED] = { "cleared", request_write, request_read },
 };
 
 static json_t *
@@ -61,26 +71,25 @@
   json_object_set_new (json, "runs", list);
 }
 
-/** Put FACT into a rumor's body. */
-void
-relay_fact_write (const relay_fact_t *fact, el_buf_t *out)
+/* What is told of a request by its digest. */
+static void
+request_write (const relay_fact_t *fact, json_t *json)
 {
-  json_t *json = json_pack ("{s:s}", "fact", kinds[fact->kind]);
-  char *text;
+  json_object_set_new (json, "digest", number_write (fact->digest));
+  json_object_set_new (json, "customer", number_write (fact->customer));
+  json_object_set_new (json, "holds", json_integer ((json_int_t)fact->holds));
+}
 
-  if (fact->kind == RELAY_FACT_ENDED)
-    runs_write (fact, json);
-  else
-    {
-      json_object_set_new (json, "digest", number_write (fact->digest));
-      json_object_set_new (json, "customer", number_write (fact->customer));
-      json_object_set_new (json, "holds",
-                           json_integer ((json_int_t)fact->holds));
-    }
-  text = json_dumps (json, JSON_COMPACT);
-  el_buf_add (out, el_str (text));
-  free (text);
-  json_decref (json);
+static int
+request_read (json_t *json, el_time_t at, relay_fact_t *out)
+{
+  json_int_t holds = json_integer_value (json_object_get (json, "holds"));
+
+  (void)at;
+  out->holds = holds > 0 ? (unsigned)holds : 0;
+  return number_read (json_object_get (json, "digest"), &out->digest)
+         && number_read (json_object_get (json, "customer"), &out->customer)
+         && holds >= 0;
 }
 
 static int
@@ -122,28 +131,34 @@
   return out->nruns > 0;
 }
 
+/** Put FACT into a rumor's body. */
+void
+relay_fact_write (const relay_fact_t *fact, el_buf_t *out)
+{
+  json_t *json = json_pack ("{s:s}", "fact", kinds[fact->kind].name);
+  char *text;
+
+  kinds[fact->kind].write (fact, json);
+  text = json_dumps (json, JSON_COMPACT);
+  el_buf_add (out, el_str (text));
+  free (text);
+  json_decref (json);
+}
+
 /** Read a rumor's body, which was first told AT; gives 0 when it is none. */
 int
 relay_fact_read (el_str_t body, el_time_t at, relay_fact_t *out)
 {
   json_t *json = json_loadb (body.ptr, body.len, 0, NULL);
   const char *kind = json_string_value (json_object_get (json, "fact"));
-  json_int_t holds = json_integer_value (json_object_get (json, "holds"));
   int ok;
 
   memset (out, 0, sizeof *out);
   while (kind && out->kind < RELAY_FACTS
-         && strcmp (kind, kinds[out->kind]) != 0)
+         && strcmp (kind, kinds[out->kind].name) != 0)
     out->kind++;
-  if (!kind || out->kind == RELAY_FACTS)
-    ok = 0;
-  else if (out->kind == RELAY_FACT_ENDED)
-    ok = runs_read (json, at, out);
-  else
-    ok = number_read (json_object_get (json, "digest"), &out->digest)
-         && number_read (json_object_get (json, "customer"), &out->customer)
-         && holds >= 0;
-  out->holds = holds > 0 ? (unsigned)holds : 0;
+  ok = kind && out->kind < RELAY_FACTS
+       && kinds[out->kind].read (json, at, out);
   json_decref (json);
   return ok;
 }
--- /dev/null
+++ b/gate/relay_rumor.c
@@ -0,0 +1,45 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * What hosts tell each other at once of requests and of endpoints.
+ */
+#include "librelay.h"
+
+/* Who takes in a fact that another host tells. */
+static void (*const hears[RELAY_FACTS]) (gt_relays_t *relays,
+                                         const co_rumor_t *rumor,
+                                         const relay_fact_t *fact)
+    = {
+        [RELAY_FACT_ENDED] = relay_blame_hear_ended,
+        [RELAY_FACT_SURVIVED] = relay_blame_hear_survived,
+        [RELAY_FACT_BLOCKED] = relay_blame_hear_blocked,
+        [RELAY_FACT_CLEARED] = relay_blame_hear_cleared,
+      };
+
+/** Have all hosts know FACT, which ID names, for HOLD. */
+void
+relay_rumor_tell (gt_relays_t *relays, const relay_fact_t *fact, uint64_t id,
+                  el_time_t hold)
+{
+  el_buf_t body = { NULL, 0, 0 };
+
+  if (!relays->options.tell)
+    return;
+  relay_fact_write (fact, &body);
+  relays->options.tell (relays->options.arg, id, hold, el_buf_str (&body));
+  el_buf_free (&body);
+}
+
+/** Another host told RUMOR. */
+void
+gt_relays_rumor (gt_relays_t *relays, const co_rumor_t *rumor)
+{
+  relay_fact_t fact;
+
+  if (relay_fact_read (rumor->body, rumor->at, &fact))
+    hears[fact.kind](relays, rumor, &fact);
+  else
+    EL_LOG (EL_LOG_ERROR, "rumor_refused", EL_FS ("body", rumor->body));
+}
