An endpoint that says in an answer that it leaves gets nothing new

Requests that callers sent seconds after an answer with the word that its endpoint leaves still went there, until its entry in the store said so or its process ended.

Cause: the same as of the rests, what an answer tells of its endpoint was lost with it; that one leaves was known from the store alone, which a host may not reach.

Any answer counts, of any status, to a request, a report or an order; it holds for that start of the endpoint, also while its entry is gone or says nothing, and not for the next start under the id. Other hosts are told by a rumor that the fact itself names, so that it is one however many tell it; hosts that start hear it with the others, before the endpoint is listed, too. What runs there ends there.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -116,6 +116,8 @@
   uint64_t rest_us;  /**< time that endpoints rested, microseconds */
   uint64_t in_rest;  /**< sends to one that rests; stays 0 */
   uint64_t rested;   /**< refused as all endpoints rest */
+  uint64_t leaves;   /**< endpoints that said in an answer that they leave, or
+                          of which other hosts told it */
   uint64_t events;
   el_hist_t first_event; /**< microseconds from the request */
   el_hist_t answer;      /**< microseconds to the whole plain answer */
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -205,6 +205,7 @@
   RELAY_FACT_SURVIVED, /* a request ran to its end */
   RELAY_FACT_BLOCKED,  /* a request is to blame */
   RELAY_FACT_CLEARED,  /* an operator lets a request in again */
+  RELAY_FACT_LEAVES,   /* an endpoint says that it takes no new work */
   RELAY_FACTS
 } relay_fact_kind_t;
 
@@ -216,6 +217,7 @@
   relay_fact_kind_t kind;
   rt_ended_t runs[RELAY_FACT_RUNS]; /* of the same end */
   size_t nruns;
+  rt_start_t start;   /* that leaves */
   rt_digest_t digest; /* of the others */
   uint64_t customer;
   unsigned holds;
@@ -229,6 +231,8 @@
 void relay_poll_end (gt_relays_t *relays);
 
 /* relay_rest.c */
+void relay_rest_hear_leaves (gt_relays_t *relays, const co_rumor_t *rumor,
+                             const relay_fact_t *fact);
 void relay_rest_heard (gt_relay_t *relay, const net_result_t *head);
 void relay_rest_sent (gt_relay_t *relay, el_time_t now);
 void relay_rest_answered (gt_relay_t *relay);
--- a/gate/relay_fact.c
+++ b/gate/relay_fact.c
@@ -16,6 +16,8 @@
 
 static void runs_write (const relay_fact_t *fact, json_t *json);
 static int runs_read (json_t *json, el_time_t at, relay_fact_t *out);
+static void leaves_write (const relay_fact_t *fact, json_t *json);
+static int leaves_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void request_write (const relay_fact_t *fact, json_t *json);
 static int request_read (json_t *json, el_time_t at, relay_fact_t *out);
 
@@ -29,6 +31,7 @@
   [RELAY_FACT_SURVIVED] = { "survived", request_write, request_read },
   [RELAY_FACT_BLOCKED] = { "blocked", request_write, request_read },
   [RELAY_FACT_CLEARED] = { "cleared", request_write, request_read },
+  [RELAY_FACT_LEAVES] = { "leaves", leaves_write, leaves_read },
 };
 
 static json_t *
@@ -53,14 +56,46 @@
   return *end == '\0';
 }
 
+static void
+start_write (const rt_start_t *start, json_t *json)
+{
+  json_object_set_new (json, "endpoint", json_string (start->id));
+  json_object_set_new (json, "born", number_write (start->born));
+}
+
+/* Gives 0 when it names none. */
+static int
+start_read (json_t *json, rt_start_t *out)
+{
+  const char *id = json_string_value (json_object_get (json, "endpoint"));
+
+  if (!id || !*id || strlen (id) >= sizeof out->id
+      || !number_read (json_object_get (json, "born"), &out->born))
+    return 0;
+  snprintf (out->id, sizeof out->id, "%s", id);
+  return 1;
+}
+
+static void
+leaves_write (const relay_fact_t *fact, json_t *json)
+{
+  start_write (&fact->start, json);
+}
+
+static int
+leaves_read (json_t *json, el_time_t at, relay_fact_t *out)
+{
+  (void)at;
+  return start_read (json, &out->start);
+}
+
 static void
 runs_write (const relay_fact_t *fact, json_t *json)
 {
   json_t *list = json_array ();
   size_t i;
 
-  json_object_set_new (json, "endpoint", json_string (fact->runs[0].start.id));
-  json_object_set_new (json, "born", number_write (fact->runs[0].start.born));
+  start_write (&fact->runs[0].start, json);
   json_object_set_new (json, "host", number_write (fact->runs[0].host));
   for (i = 0; i < fact->nruns; i++)
     json_array_append_new (
@@ -110,17 +145,14 @@
 runs_read (json_t *json, el_time_t at, relay_fact_t *out)
 {
   json_t *list = json_object_get (json, "runs");
-  const char *id = json_string_value (json_object_get (json, "endpoint"));
   rt_ended_t end = { .at = at };
   json_t *row;
   size_t i;
 
-  if (!id || !*id || strlen (id) >= sizeof end.start.id
-      || !number_read (json_object_get (json, "born"), &end.start.born)
+  if (!start_read (json, &end.start)
       || !number_read (json_object_get (json, "host"), &end.host) || !end.host
       || json_array_size (list) > RELAY_FACT_RUNS)
     return 0;
-  snprintf (end.start.id, sizeof end.start.id, "%s", id);
   json_array_foreach (list, i, row)
   {
     out->runs[i] = end;
--- a/gate/relay_rest.c
+++ b/gate/relay_rest.c
@@ -4,11 +4,16 @@
  */
 /** @file
  * What endpoints ask of this host beside their answers: for how long they are
- * to be left in peace. It is heard with one answer and counts for every choice
- * after it (route/access.h), whichever request, check or order brought it.
+ * to be left in peace, and that they take no new work. It is heard with one
+ * answer and counts for every choice after it (route/access.h), whichever
+ * request, check or order brought it.
  */
 #include "librelay.h"
 
+/* How long hosts tell each other that an endpoint leaves: it serves on for
+   seconds, and a host that starts meanwhile should know. */
+#define LEAVES_HOLD (120 * EL_SEC)
+
 /* An endpoint that rests, until its rest is over. */
 typedef struct relay_rest
 {
@@ -73,12 +78,56 @@
           EL_FN ("resting", HASH_COUNT (relays->rests)));
 }
 
+static void
+leaves_log (gt_relays_t *relays, const rt_target_t *target, el_str_t by)
+{
+  relays->counts.leaves++;
+  EL_LOG (EL_LOG_INFO, "endpoint_leaves", EL_FS ("endpoint", target->facts.id),
+          EL_FN ("born", target->facts.born),
+          EL_FS ("service", target->facts.service), EL_FS ("by", by),
+          EL_FN ("running", target->running), EL_FN ("lines", target->lines));
+}
+
+/* It takes no new work, whatever its entry says: where only the answers said
+   so 78 of 80 requests went on coming. The other hosts should know before they
+   send there. The fact is named by what it says, so that it
+   is one rumor whoever tells it. */
+static void
+leaves_hear (gt_relays_t *relays, rt_target_t *target, el_str_t by)
+{
+  const relay_fact_t fact
+      = { .kind = RELAY_FACT_LEAVES, .start = rt_target_start (target) };
+
+  if (rt_target_leaves (target))
+    return;
+  rt_target_leave (target);
+  leaves_log (relays, target, by);
+  relay_rumor_tell (relays, &fact,
+                    rt_start_key (&fact.start) ^ RELAY_FACT_LEAVES,
+                    LEAVES_HOLD);
+}
+
+/** Another host was told that an endpoint leaves. */
+void
+relay_rest_hear_leaves (gt_relays_t *relays, const co_rumor_t *rumor,
+                        const relay_fact_t *fact)
+{
+  const rt_target_t *target = rt_fleet_leaves (
+      relays->options.fleet, el_str (fact->start.id), fact->start.born);
+
+  (void)rumor;
+  if (target)
+    leaves_log (relays, target, EL_STR ("another host"));
+}
+
 /** An answer of TARGET to BY, a request, a check or an order, asks for
     something. */
 void
 gt_relays_asked (gt_relays_t *relays, rt_target_t *target,
                  const rt_asks_t *asks, el_str_t by)
 {
+  if (asks->leaves)
+    leaves_hear (relays, target, by);
   if (asks->rest
       && rt_fleet_rests (relays->options.fleet, target,
                          net_clock_now (relays->options.clock), asks->rest))
--- a/tests/site.c
+++ b/tests/site.c
@@ -83,7 +83,7 @@
   member_id (&site.engines[i], site.engine_ids[i], sizeof site.engine_ids[i]);
 }
 
-static void
+void
 site_worker_start (size_t i)
 {
   static const char *const names[SITE_WORKERS] = { "w0", "w1" };
--- a/tests/site.h
+++ b/tests/site.h
@@ -41,6 +41,7 @@
 void site_open (size_t nhosts);
 void site_teardown (void);
 void site_engine_start (size_t i);
+void site_worker_start (size_t i);
 size_t site_engines_back (void);
 size_t site_engines_restart (void);
 void site_store_start (void);
--- a/tests/t_rest.c
+++ b/tests/t_rest.c
@@ -24,6 +24,7 @@
  * an endpoint leaves was known from its entry in the store alone, though it
  * says so in every answer.
  */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -102,6 +103,14 @@
     }
 }
 
+/* Have the hosts know that the first plain endpoint is the quicker one. */
+static void
+prefer_first_worker (void)
+{
+  fault (&site.workers[1], "{\"fault\":\"slow\",\"delay_ms\":10}");
+  ask_often ();
+}
+
 /* Streams through the hosts in turn; all come whole. */
 static void
 stream_often (void)
@@ -128,8 +137,7 @@
 
   site.step_us = "1000";
   site_open (2);
-  fault (&site.workers[1], "{\"fault\":\"slow\",\"delay_ms\":10}");
-  ask_often (); /* the other plain endpoint is known to be quicker */
+  prefer_first_worker ();
   member = _i == 0 ? &site.workers[0] : engine_with_first_layers ();
   rest_set (member, LONG_REST);
   if (_i == 0)
@@ -188,8 +196,7 @@
   int i;
 
   site_open (1);
-  fault (&site.workers[1], "{\"fault\":\"slow\",\"delay_ms\":10}");
-  ask_often ();
+  prefer_first_worker ();
   rest_set (member, "{\"kinds\":[\"requests\"],\"status\":503,"
                     "\"asked\":[\"1\"],\"span_ms\":1000}");
   ask_often ();
@@ -315,6 +322,24 @@
 }
 END_TEST
 
+/* Requests through HOST until it was told that an endpoint leaves. */
+static void
+ask_until_leaving (size_t host)
+{
+  char id[16];
+  reply_t reply;
+  int i;
+
+  for (i = 0; !metric (&site.hosts[host], "elmarch_relay_leaves_total"); i++)
+    {
+      ck_assert_int_lt (i, WAIT_STEPS);
+      snprintf (id, sizeof id, "u%d", i);
+      ask (host, "GET", "/look/x", id, &reply);
+      ck_assert_int_eq (reply.status, 200);
+      reply_free (&reply);
+    }
+}
+
 /* One says in its answers that it leaves, and its entry in the store does not:
    nothing new comes there. */
 START_TEST (test_endpoint_that_says_it_leaves_gets_nothing_new)
@@ -323,6 +348,7 @@
 
   site.step_us = "1000";
   site_open (2);
+  prefer_first_worker ();
   member = _i == 0 ? &site.workers[0] : engine_with_first_layers ();
   rest_set (member, "{\"leaving\":true}");
   if (_i == 0)
@@ -334,6 +360,104 @@
 }
 END_TEST
 
+/* One host was told: the other one keeps away, too, before an answer tells it,
+   and so does a host that starts after that. */
+START_TEST (test_endpoint_that_leaves_is_known_to_the_other_hosts)
+{
+  const proc_t *member = &site.workers[0];
+  int64_t all;
+  size_t i;
+
+  site_open (2);
+  prefer_first_worker ();
+  rest_set (member, "{\"leaving\":true}");
+  ask_until_leaving (0);
+  metric_is (&site.hosts[1], "elmarch_endpoints_leaving", 1);
+  all = rest_count (member, "requests", "all");
+  ask_often ();
+  proc_end (&site.hosts[1], SIGKILL);
+  site_host_start (1);
+  metric_is (&site.hosts[1], "elmarch_endpoints_leaving", 1);
+  for (i = 0; i < 2; i++)
+    ask_often ();
+  ck_assert_int_eq (rest_count (member, "requests", "all"), all);
+}
+END_TEST
+
+/* The host does not reach the store: what the answer said holds. */
+START_TEST (test_endpoint_that_leaves_is_left_by_a_host_cut_off)
+{
+  const proc_t *member = &site.workers[0];
+  char id[16];
+  reply_t reply;
+  int64_t all;
+  size_t i;
+
+  site_open (1);
+  prefer_first_worker ();
+  site_mute (1);
+  rest_set (member, "{\"leaving\":true}");
+  ask_until_leaving (0);
+  all = rest_count (member, "requests", "all");
+  for (i = 0; i < 20; i++)
+    {
+      snprintf (id, sizeof id, "c%zu", i);
+      ask (0, "POST", "/pay/x", id, &reply);
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (rest_count (member, "requests", "all"), all);
+  site_mute (0);
+}
+END_TEST
+
+/* The next start under its id has not said so. */
+START_TEST (test_endpoint_that_left_and_started_again_gets_work)
+{
+  int64_t runs;
+  int i;
+
+  site.same_ids = 1;
+  site_open (1);
+  prefer_first_worker ();
+  rest_set (&site.workers[0], "{\"leaving\":true}");
+  ask_until_leaving (0);
+  proc_end (&site.workers[0], SIGKILL);
+  site_worker_start (0);
+  metric_is (&site.hosts[0], "elmarch_endpoints_leaving", 0);
+  runs = member_number (&site.workers[0], "runs");
+  for (i = 0; i < 10 && member_number (&site.workers[0], "runs") == runs; i++)
+    ask_often ();
+  ck_assert_int_gt (member_number (&site.workers[0], "runs"), runs);
+}
+END_TEST
+
+/* What runs there when it says so ends there, whole. */
+START_TEST (test_stream_ends_where_it_runs_though_its_engine_leaves)
+{
+  const proc_t *member = NULL;
+  caller_t caller;
+  size_t i;
+
+  site.step_us = "20000";
+  site_open (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (member_number (&site.engines[i], "runs"))
+      member = &site.engines[i];
+  ck_assert_ptr_nonnull (member);
+  rest_set (member, "{\"leaving\":true}");
+  metric_wait (&site.hosts[0], "elmarch_relay_leaves_total", 1);
+  caller_join (&caller);
+  stream_whole (&caller.reply);
+  reply_free (&caller.reply);
+  stream_often ();
+  ck_assert_int_eq (member_number (member, "runs"), 1);
+  ck_assert_uint_eq (metric (&site.hosts[0], "elmarch_relay_rerouted_total"),
+                     0);
+}
+END_TEST
+
 Suite *
 rest_suite (void)
 {
@@ -349,6 +473,10 @@
   ADD (tcase, test_rest_of_an_engine_further_down_the_line);
   ADD (tcase, test_rest_asked_for_by_a_report);
   ADD_LOOP (tcase, test_endpoint_that_says_it_leaves_gets_nothing_new, 2);
+  ADD (tcase, test_endpoint_that_leaves_is_known_to_the_other_hosts);
+  ADD (tcase, test_endpoint_that_leaves_is_left_by_a_host_cut_off);
+  ADD (tcase, test_endpoint_that_left_and_started_again_gets_work);
+  ADD (tcase, test_stream_ends_where_it_runs_though_its_engine_leaves);
   suite_add_tcase (suite, tcase);
   return suite;
 }
