A request that was to go to an endpoint is kept back if that closes meanwhile

A choice that was made before an endpoint asked for rest, said that it leaves or was gone went there all the same when the connection to it was still being made: up to a second later. The client asks its sender once more before anything leaves on a connection that had to be made, and keeps the connection if it is not to; the relay then chooses anew, and neither an attempt nor a repeat was spent. What waits on a timer (a break, a turn, an endpoint to go on at) chose anew before, too.

Test in one loop, between choice and sending: a rest, a leave, an entry that goes; red without.

--- a/gate/engine.c
+++ b/gate/engine.c
@@ -45,7 +45,7 @@
 static const rt_fail_t net_fails[] = {
   [NET_CONNECT] = RT_FAIL_CONNECT, [NET_REFUSED] = RT_FAIL_CONNECT,
   [NET_BROKEN] = RT_FAIL_BROKEN,   [NET_TIMEOUT] = RT_FAIL_TIMEOUT,
-  [NET_TOO_BIG] = RT_FAIL_BROKEN,
+  [NET_TOO_BIG] = RT_FAIL_BROKEN,  [NET_HELD] = RT_FAIL_BUSY,
 };
 
 rt_fail_t
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -114,6 +114,7 @@
   uint64_t turns;    /**< of these, waits for a turn */
   uint64_t rests;    /**< times that an endpoint asked for rest */
   uint64_t rest_us;  /**< time that endpoints rested, microseconds */
+  uint64_t kept;     /**< sends kept back while a connection was made */
   uint64_t in_rest;  /**< sends to one that rests; stays 0 */
   uint64_t rested;   /**< refused as all endpoints rest */
   uint64_t leaves;   /**< endpoints that said in an answer that they leave, or
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -234,6 +234,7 @@
 void relay_rest_hear_leaves (gt_relays_t *relays, const co_rumor_t *rumor,
                              const relay_fact_t *fact);
 void relay_rest_heard (gt_relay_t *relay, const net_result_t *head);
+int relay_rest_may (gt_relay_t *relay, el_time_t now);
 void relay_rest_sent (gt_relay_t *relay, el_time_t now);
 void relay_rest_answered (gt_relay_t *relay);
 el_time_t relay_rest_left (gt_relay_t *relay, el_time_t now);
--- a/gate/relay_log.c
+++ b/gate/relay_log.c
@@ -15,7 +15,8 @@
 static const char *const nets[]
     = { [NET_OK] = "answered",     [NET_CONNECT] = "not connected",
         [NET_REFUSED] = "refused", [NET_BROKEN] = "broken",
-        [NET_TIMEOUT] = "timeout", [NET_TOO_BIG] = "too big" };
+        [NET_TIMEOUT] = "timeout", [NET_TOO_BIG] = "too big",
+        [NET_HELD] = "kept back" };
 
 /** Log one decision on a request. */
 void
--- a/gate/relay_rest.c
+++ b/gate/relay_rest.c
@@ -178,6 +178,19 @@
   rest_each (relay, now, sent_to);
 }
 
+/** Whether RELAY may still go where it was to be sent: the choice was made
+    before a connection was there. */
+int
+relay_rest_may (gt_relay_t *relay, el_time_t now)
+{
+  size_t i;
+
+  for (i = 0; i < relay->line.n; i++)
+    if (rt_access_open (&relay->line.part[i].target->access, now) == RT_CLOSED)
+      return 0;
+  return rt_access_open (&relay->target->access, now) != RT_CLOSED;
+}
+
 static void
 answered_by (gt_relay_t *relay, rt_target_t *target, el_time_t now)
 {
--- a/gate/relay_try.c
+++ b/gate/relay_try.c
@@ -299,6 +299,25 @@
                       net_clock_now (relays->options.clock) - ASK_GAP);
 }
 
+/* It never left: nothing was spent on it, and another endpoint is chosen. */
+static void
+try_kept (gt_relay_t *relay)
+{
+  relay->relays->counts.kept++;
+  EL_LOG (EL_LOG_INFO, "kept_back", EL_FS ("request", relay->id),
+          EL_FS ("endpoint", relay->target->facts.id));
+  try_release (relay);
+  relay_try (relay);
+}
+
+static int
+try_may (void *arg)
+{
+  gt_relay_t *relay = arg;
+
+  return relay_rest_may (relay, net_clock_now (relay->relays->options.clock));
+}
+
 static void
 try_done (void *arg, const net_result_t *result)
 {
@@ -307,6 +326,11 @@
 
   relay->exchange = NULL;
   relay_watch_end (relay);
+  if (result->net == NET_HELD)
+    {
+      try_kept (relay);
+      return;
+    }
   try_judge (relay, result, &attempt);
   try_blame (relay, result, &attempt);
   try_note (relay, result, &attempt);
@@ -436,6 +460,7 @@
           .path = { req->path.base, req->path.len },
           .body = net_req_body (req),
           .max_idle = relay->rule->kind == RT_UNSAFE ? UNSAFE_IDLE : 0,
+          .may = try_may,
           .head = try_head,
           .piece = try_piece,
           .done = try_done,
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -197,6 +197,7 @@
   ex->client = client;
   DL_PREPEND (client->open, ex);
   ex->done = send->done;
+  ex->may = send->may;
   ex->head = send->head;
   ex->piece = send->piece;
   ex->drop = send->drop;
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -341,6 +341,19 @@
 
 /* Connecting. */
 
+/* Its sender does not want it to leave any more; the connection is good. */
+static void
+conn_held (net_conn_t *conn)
+{
+  net_exchange_t *ex = conn->exchange;
+
+  ex->conn = NULL;
+  conn->exchange = NULL;
+  conn->keep = IDLE_UNSAID;
+  conn_rest (conn);
+  net_exchange_end (ex, NET_HELD);
+}
+
 /** Send an exchange's request on a connection that is up. */
 void
 net_conn_begin (net_conn_t *conn, net_exchange_t *ex)
@@ -384,7 +397,10 @@
   if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0)
     setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
   uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
-  net_conn_begin (conn, conn->exchange);
+  if (conn->exchange->may && !conn->exchange->may (conn->exchange->arg))
+    conn_held (conn);
+  else
+    net_conn_begin (conn, conn->exchange);
 }
 
 /** Make a connection for an exchange, which begins when it is up. */
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -64,6 +64,7 @@
   net_client_t *client;
   net_conn_t *conn;
   net_result_cb done;
+  int (*may) (void *arg);
   net_head_cb head;
   net_piece_cb piece;
   void (*drop) (void *arg);
--- a/net/net.h
+++ b/net/net.h
@@ -81,6 +81,7 @@
   NET_REFUSED, /**< the same, as nobody listens there */
   NET_BROKEN,  /**< something may have left, no whole answer came */
   NET_TIMEOUT, /**< as NET_BROKEN, after the time given */
+  NET_HELD,    /**< kept back by its sender: nothing has left */
   NET_TOO_BIG  /**< the answer passes the bound */
 } net_outcome_t;
 
@@ -114,12 +115,15 @@
   const net_header_t *headers;
   size_t nheaders;
   el_str_t body;
-  int fresh;          /**< use a connection of its own */
-  el_time_t max_idle; /**< take no connection that rested longer; 0 takes
-                           any */
-  el_time_t timeout;  /**< microseconds; 0 is none */
-  size_t max_answer;  /**< bytes of body; 0 takes the client's own bound */
-  net_head_cb head;   /**< called with status and headers; may be NULL */
+  int fresh;              /**< use a connection of its own */
+  el_time_t max_idle;     /**< take no connection that rested longer; 0 takes
+                               any */
+  el_time_t timeout;      /**< microseconds; 0 is none */
+  size_t max_answer;      /**< bytes of body; 0 takes the client's own bound */
+  int (*may) (void *arg); /**< asked once more before it leaves on a connection
+                               that had to be made; 0 keeps it back; may be
+                               NULL */
+  net_head_cb head;       /**< called with status and headers; may be NULL */
   net_piece_cb piece; /**< called with each piece of the body, which is then
                            not collected; may be NULL */
   net_result_cb done; /**< called once, unless cancelled, never before
--- /dev/null
+++ b/tests/t_held.c
@@ -0,0 +1,250 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of requests that were to go to an endpoint and are kept back, with a
+ * host's part for callers, its endpoints and a caller on one loop: what
+ * happens between a choice and the sending is up to the test.
+ */
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "libgate.h"
+#include "librelay.h"
+#include "platform.h"
+#include "test.h"
+
+#define ENDPOINTS 2
+#define TURN_US 200
+#define TURNS_MAX 20000
+#define LIMIT (20 * EL_SEC)
+
+static const char rules_text[]
+    = "{\"Version\":1,\"Routes\":[{\"Name\":\"look\",\"Host\":\"rel.example\","
+      "\"PathPrefix\":\"/look/\",\"RouteType\":\"safe\",\"TimeoutMs\":9000,"
+      "\"MaxAttempts\":2,\"Service\":\"app\"}],"
+      "\"Services\":[{\"Name\":\"app\"}],\"Limits\":{}}";
+
+typedef struct held_endpoint
+{
+  net_server_t *server;
+  rt_target_t *target;
+  unsigned requests;
+} held_endpoint_t;
+
+typedef struct held_answer
+{
+  int done;
+  int status;
+  char body[64];
+} held_answer_t;
+
+static uv_loop_t loop;
+static net_clock_t held_clock;
+static net_client_t *callers;
+static gt_relays_t *relays;
+static held_endpoint_t endpoints[ENDPOINTS];
+
+static void
+endpoint_handle (void *arg, h2o_req_t *req)
+{
+  held_endpoint_t *endpoint = arg;
+
+  endpoint->requests++;
+  net_req_add_header (req, EL_STR ("x-elmarch-request-id"),
+                      net_req_header (req, "x-elmarch-request-id"));
+  net_req_add_header (req, EL_STR ("x-elmarch-response-seal"), EL_STR ("s"));
+  net_req_reply (req, 200, EL_STR ("text/plain"), EL_STR ("served"));
+}
+
+static void
+endpoint_open (held_endpoint_t *endpoint, const char *id)
+{
+  const net_server_options_t server = { .loop = &loop,
+                                        .address = EL_STR ("127.0.0.1:0"),
+                                        .max_body = 1024,
+                                        .handle = endpoint_handle,
+                                        .arg = endpoint };
+  rt_facts_t facts = { .id = el_str (id),
+                       .born = 1,
+                       .service = EL_STR ("app"),
+                       .hall = EL_STR ("h"),
+                       .slots = 8 };
+  char address[32];
+  el_err_t err;
+
+  endpoint->requests = 0;
+  endpoint->server = net_server_new (&server, &err);
+  ck_assert_ptr_nonnull (endpoint->server);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            net_server_port (endpoint->server));
+  facts.address = el_str (address);
+  endpoint->target = rt_fleet_set (relays->options.fleet, &facts);
+}
+
+static size_t
+one_host (void *arg)
+{
+  (void)arg;
+  return 1;
+}
+
+static int
+polls_never (void *arg)
+{
+  (void)arg;
+  return 0;
+}
+
+static void
+held_setup (void)
+{
+  gt_relay_options_t options = { .clock = &held_clock,
+                                 .dialect = &pf_relay,
+                                 .listen = EL_STR ("127.0.0.1:0"),
+                                 .hall = EL_STR ("h"),
+                                 .key = EL_STR ("a key"),
+                                 .max_body = 1024,
+                                 .repeat_ratio = 1,
+                                 .repeat_window = 10 * EL_SEC,
+                                 .hosts = one_host,
+                                 .hall_hosts = one_host,
+                                 .polls = polls_never };
+  el_err_t err;
+
+  uv_loop_init (&loop);
+  net_clock_open (&held_clock, &loop);
+  callers = net_client_new (&held_clock);
+  options.client = net_client_new (&held_clock);
+  options.fleet = rt_fleet_new (7);
+  relays = gt_relays_new (&options, &err);
+  ck_assert_ptr_nonnull (relays);
+  gt_relays_known (relays, net_clock_now (&held_clock));
+  gt_relays_heard (relays);
+  gt_relays_rules (relays, pf_rules_read (el_str (rules_text), &err));
+}
+
+static void
+answer_done (void *arg, const net_result_t *result)
+{
+  held_answer_t *answer = arg;
+
+  answer->done = 1;
+  answer->status = result->status;
+  snprintf (answer->body, sizeof answer->body, "%.*s", (int)result->body.len,
+            result->body.ptr);
+}
+
+/* Send a request, and stop once an endpoint is chosen for it and a connection
+   to that is being made. */
+static rt_target_t *
+ask_until_chosen (held_answer_t *answer)
+{
+  static const net_header_t headers[]
+      = { { EL_STR ("x-elmarch-request-id"), EL_STR ("r1") } };
+  char address[32];
+  const net_send_t send = { .address = { address, 0 },
+                            .host = EL_STR ("rel.example"),
+                            .method = EL_STR ("GET"),
+                            .path = EL_STR ("/look/x"),
+                            .headers = headers,
+                            .nheaders = 1,
+                            .timeout = LIMIT,
+                            .done = answer_done,
+                            .arg = answer };
+  net_send_t whole = send;
+  int i;
+
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            net_server_port (relays->server));
+  whole.address = el_str (address);
+  memset (answer, 0, sizeof *answer);
+  net_client_send (callers, &whole);
+  for (i = 0; i < TURNS_MAX && !relays->counts.attempts; i++)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      usleep (TURN_US);
+    }
+  ck_assert_msg (relays->counts.attempts == 1, "%d %s", answer->status,
+                 answer->body);
+  return relays->running->target;
+}
+
+static void
+answer_wait (const held_answer_t *answer)
+{
+  int i;
+
+  for (i = 0; i < TURNS_MAX && !answer->done; i++)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      usleep (TURN_US);
+    }
+  ck_assert_int_eq (answer->done, 1);
+}
+
+/* What may close an endpoint while a connection to it is being made. */
+static void
+closed_by (rt_target_t *target, int how)
+{
+  static const rt_asks_t asks[]
+      = { { .rest = 60 * EL_SEC }, { .leaves = 1 }, { 0 } };
+
+  gt_relays_asked (relays, target, &asks[how], EL_STR ("test"));
+  if (how == 2)
+    rt_fleet_remove (relays->options.fleet, target->facts.id);
+}
+
+/* It goes to the other one, and nothing is spent on it. */
+START_TEST (test_held_while_a_connection_is_made)
+{
+  held_answer_t answer;
+  rt_target_t *target;
+  size_t closed;
+
+  endpoint_open (&endpoints[0], "a");
+  endpoint_open (&endpoints[1], "b");
+  target = ask_until_chosen (&answer);
+  closed = target == endpoints[0].target ? 0 : 1;
+  closed_by (target, _i);
+  answer_wait (&answer);
+  ck_assert_int_eq (answer.status, 200);
+  ck_assert_uint_eq (endpoints[closed].requests, 0);
+  ck_assert_uint_eq (endpoints[1 - closed].requests, 1);
+  ck_assert_uint_eq (relays->counts.kept, 1);
+  ck_assert_uint_eq (relays->counts.repeats, 0);
+  ck_assert_uint_eq (relays->counts.in_rest, 0);
+}
+END_TEST
+
+/* There is no other one: it is refused as not run, at once. */
+START_TEST (test_held_and_nowhere_else_to_go)
+{
+  held_answer_t answer;
+
+  endpoint_open (&endpoints[0], "a");
+  closed_by (ask_until_chosen (&answer), _i);
+  answer_wait (&answer);
+  ck_assert_int_eq (answer.status, 503);
+  ck_assert_str_eq (answer.body,
+                    _i == 0 ? "all endpoints rest" : "no endpoint");
+  ck_assert_uint_eq (endpoints[0].requests, 0);
+  ck_assert_uint_eq (relays->counts.kept, 1);
+}
+END_TEST
+
+Suite *
+held_suite (void)
+{
+  Suite *suite = suite_create ("held");
+  TCase *tcase = tcase_create ("held");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, held_setup, NULL);
+  ADD_LOOP (tcase, test_held_while_a_connection_is_made, 3);
+  ADD_LOOP (tcase, test_held_and_nowhere_else_to_go, 3);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -28,6 +28,7 @@
 Suite *rumor_suite (void);
 Suite *clock_suite (void);
 Suite *access_suite (void);
+Suite *held_suite (void);
 Suite *starts_suite (void);
 Suite *again_suite (void);
 Suite *load_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -41,6 +41,7 @@
   srunner_add_suite (runner, rumor_suite ());
   srunner_add_suite (runner, clock_suite ());
   srunner_add_suite (runner, access_suite ());
+  srunner_add_suite (runner, held_suite ());
   srunner_add_suite (runner, starts_suite ());
   srunner_add_suite (runner, load_suite ());
   srunner_add_suite (runner, net_suite ());
