The product's own doors keep to a rest, by the same state of an endpoint

A worker or an engine behind the product's own interface that refused with a Retry-After got the next call at once: a refusal for want of room set nothing aside there, and the time was not read. The router's endpoints hold the same state as those of relayed requests (route/access.c) in place of three fields of their own, with the times of ejection that they had; a refusal's time is decoded by the one function for seconds; a call that waits for its connection asks again; and a caller who finds all at rest is told when the first is over, spread.

Recorded traces replay as before (the event has one more field).

--- a/base/base.h
+++ b/base/base.h
@@ -107,6 +107,8 @@
 #define EL_MSEC ((el_time_t)1000)
 #define EL_SEC ((el_time_t)1000000)
 
+int el_str_to_time (el_str_t s, el_time_t most, el_time_t *out);
+
 typedef struct el_timer el_timer_t;
 typedef void (*el_timer_cb) (void *arg, el_time_t now);
 
--- a/base/str.c
+++ b/base/str.c
@@ -101,6 +101,36 @@
   return errno == 0 && *end == '\0';
 }
 
+/** Read seconds, fractions too: digits, and digits behind a point; what passes
+    MOST is cut to it. Gives 0 when S is anything else. */
+int
+el_str_to_time (el_str_t s, el_time_t most, el_time_t *out)
+{
+  el_time_t unit = EL_SEC;
+  int point = 0;
+  size_t i;
+
+  *out = 0;
+  for (i = 0; i < s.len; i++)
+    {
+      el_time_t digit = (el_time_t)(s.ptr[i] - '0');
+
+      if (s.ptr[i] == '.' && !point && i > 0 && i + 1 < s.len)
+        {
+          point = 1;
+          continue;
+        }
+      if (s.ptr[i] < '0' || s.ptr[i] > '9')
+        return 0;
+      if (point)
+        unit /= 10;
+      *out = point ? *out + digit * unit : *out * 10 + digit * EL_SEC;
+      if (*out > most)
+        *out = most;
+    }
+  return s.len > 0;
+}
+
 uint64_t
 el_str_hash (el_str_t s)
 {
--- a/gate/engine.c
+++ b/gate/engine.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "access.h"
 #include "libgate.h"
 
 #define SESSION_MAX 64
@@ -55,17 +56,20 @@
 }
 
 /** Whether the endpoint says, in a header of its own, that it refused the
-    request before it began. */
+    request before it began, and for how long it wants nothing. */
 int
-gt_refused (const net_result_t *result, rt_fail_t *fail)
+gt_refused (const net_result_t *result, rt_event_t *event)
 {
   el_str_t word = net_result_header (result, "x-refused");
+  el_str_t rest = net_result_header (result, "retry-after");
   size_t i;
 
   for (i = 0; i < sizeof refusals / sizeof *refusals; i++)
     if (el_str_eq (word, el_str (refusals[i].word)))
       {
-        *fail = refusals[i].fail;
+        event->fail = refusals[i].fail;
+        if (rest.len && !el_str_to_time (rest, RT_REST_MOST, &event->rest))
+          EL_LOG (EL_LOG_WARN, "rest_unread", EL_FS ("value", rest));
         return 1;
       }
   return 0;
@@ -168,7 +172,7 @@
   json_t *json;
   json_t *token;
 
-  if (gt_refused (result, &event->fail))
+  if (gt_refused (result, event))
     {
       event->kind = RT_EV_FAILED;
       event->verdict = EL_NOT_RUN;
--- a/gate/flow.c
+++ b/gate/flow.c
@@ -204,6 +204,16 @@
     acts[action->kind](gate, flow, action);
 }
 
+/* Asked before a call leaves on a connection that had to be made. */
+static int
+flow_may (void *arg)
+{
+  const gt_flow_t *flow = arg;
+
+  return rt_router_may (flow->gate->router, net_clock_now (&flow->gate->clock),
+                        flow->endpoint);
+}
+
 static void
 flow_call (gt_gate_t *gate, gt_flow_t *flow, const rt_action_t *action)
 {
@@ -223,6 +233,7 @@
                       .path = gt_engine_http.call_path,
                       .headers = &type,
                       .nheaders = 1,
+                      .may = flow_may,
                       .done = chat_done,
                       .arg = flow };
 
@@ -245,6 +256,7 @@
                       .nheaders = flow->nheaders,
                       .body = flow->body,
                       .fresh = !flow->repeatable,
+                      .may = flow_may,
                       .done = call_done,
                       .arg = flow };
 
@@ -296,7 +308,7 @@
   flow->exchange = NULL;
   if (result->net != NET_OK)
     exchange_failed (result, &event);
-  else if (gt_refused (result, &event.fail))
+  else if (gt_refused (result, &event))
     {
       event.kind = RT_EV_FAILED;
       event.verdict = EL_NOT_RUN;
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -231,7 +231,7 @@
 
 extern const gt_engine_dialect_t gt_engine_http;
 rt_fail_t gt_net_fail (net_outcome_t net);
-int gt_refused (const net_result_t *result, rt_fail_t *fail);
+int gt_refused (const net_result_t *result, rt_event_t *event);
 
 /* caller.c */
 void gt_caller_serve (gt_gate_t *gate, h2o_req_t *req, gt_answer_t *answer,
--- a/route/access.h
+++ b/route/access.h
@@ -12,6 +12,10 @@
 
 #include "base.h"
 
+/** A longer rest is cut to this: an endpoint that is to stay away longer is
+    replaced, and one misread number must not close it for good. */
+#define RT_REST_MOST (600 * EL_SEC)
+
 /** How far a choice may use an endpoint, from best to last. */
 typedef enum rt_open
 {
--- a/route/call.c
+++ b/route/call.c
@@ -11,12 +11,14 @@
 static void call_reply (rt_stream_t *, el_time_t, const rt_event_t *);
 static void call_leave (rt_stream_t *, el_time_t, int);
 static rt_budget_t *call_budget (rt_stream_t *);
+static el_time_t call_opens (const rt_stream_t *, el_time_t);
 
 const rt_work_ops_t rt_call_ops = {
   .start = call_start,
   .reply = call_reply,
   .leave = call_leave,
   .budget = call_budget,
+  .opens = call_opens,
 };
 
 static rt_reason_t
@@ -78,3 +80,23 @@
 
   return service ? &service->budget : NULL;
 }
+
+static el_time_t
+call_opens (const rt_stream_t *stream, el_time_t now)
+{
+  const rt_service_t *service
+      = rt_service_find (stream->router, stream->target);
+  el_time_t first = EL_TIME_NEVER;
+  size_t i;
+
+  for (i = 0; service && i < service->spec.nendpoints; i++)
+    {
+      const rt_endpoint_t *ep
+          = rt_endpoint_find (stream->router, service->spec.endpoints[i]);
+      el_time_t opens = ep ? rt_endpoint_opens (ep, now) : EL_TIME_NEVER;
+
+      if (opens < first)
+        first = opens;
+    }
+  return first == EL_TIME_NEVER ? 0 : first;
+}
--- a/route/health.c
+++ b/route/health.c
@@ -3,16 +3,15 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Which endpoints may get new work: not those that leave, and not those set
- * aside after failures. Being set aside is a hint only: the choice of route
- * passes over it when nothing else is left.
+ * Which endpoints may get new work: not those that leave or rest, and not
+ * those set aside after failures. Being set aside is a hint only: the choice
+ * of route passes over it when nothing else is left.
  */
 #include "librt.h"
 
-#define EJECT_AFTER 3
-#define EJECT_FIRST (500 * EL_MSEC)
-#define EJECT_MAX (15 * EL_SEC)
-#define EJECT_DOUBLINGS 5
+static const rt_avoid_t eject = {
+  .after = 3, .first = 500 * EL_MSEC, .doublings = 5, .most = 15 * EL_SEC
+};
 
 /* What a failure says of its endpoint. */
 static const struct
@@ -26,25 +25,25 @@
   [RT_FAIL_CROSSED] = { 1, 0 },
 };
 
+/** Whether it may get new work, with failures passed over if need be. */
 int
 rt_endpoint_usable (const rt_endpoint_t *ep, el_time_t now,
                     int ignore_ejection)
 {
-  if (ep->draining || now < ep->leaving_until)
-    return 0;
-  return ignore_ejection || now >= ep->ejected_until;
+  rt_open_t open = rt_access_open (&ep->access, now);
+
+  return !ep->draining && open <= (ignore_ejection ? RT_ASIDE : RT_DOUBT);
 }
 
-static void
-endpoint_eject (rt_router_t *router, rt_endpoint_t *ep, el_time_t now)
+/** When it may get work again: now, when its rest is over, or never. */
+el_time_t
+rt_endpoint_opens (const rt_endpoint_t *ep, el_time_t now)
 {
-  unsigned over = ep->failures > EJECT_AFTER ? ep->failures - EJECT_AFTER : 0;
-  el_time_t hold = EJECT_FIRST
-                   << (over < EJECT_DOUBLINGS ? over : EJECT_DOUBLINGS);
+  rt_why_t why = rt_access_why (&ep->access, now);
 
-  if (now >= ep->ejected_until)
-    router->counts.ejected++;
-  ep->ejected_until = now + (hold < EJECT_MAX ? hold : EJECT_MAX);
+  if (ep->draining || why > RT_WHY_RESTS)
+    return EL_TIME_NEVER;
+  return why == RT_WHY_RESTS ? ep->access.rest_until : now;
 }
 
 /** A call to the endpoint failed. */
@@ -53,19 +52,31 @@
                     rt_fail_t fail)
 {
   rt_endpoint_t *ep = rt_endpoint_find (router, name);
+  int ejected;
 
   if (!ep)
     return;
   if (fail == RT_FAIL_LEAVING)
     {
       router->counts.leaving++;
-      ep->leaving_until = now + router->options.leave_hold;
+      ep->access.leaves_until = now + router->options.leave_hold;
     }
   if (!fails[fail].counts)
     return;
-  ep->failures++;
-  if (fails[fail].at_once || ep->failures >= EJECT_AFTER)
-    endpoint_eject (router, ep, now);
+  ejected = now < ep->access.failed_until;
+  if (rt_access_failed (&ep->access, now, &eject, fails[fail].at_once))
+    router->counts.ejected += !ejected;
+}
+
+/** The endpoint wants nothing from this host for so long. */
+void
+rt_endpoint_rests (rt_router_t *router, el_str_t name, el_time_t now,
+                   el_time_t asked)
+{
+  rt_endpoint_t *ep = rt_endpoint_find (router, name);
+
+  if (ep && rt_access_rest (&ep->access, now, asked, rt_random (router)))
+    router->counts.rests++;
 }
 
 /** A call to the endpoint was answered. */
@@ -76,20 +87,24 @@
 
   if (!ep)
     return;
-  ep->failures = 0;
-  ep->ejected_until = 0;
+  rt_access_answered (&ep->access);
+  rt_access_served (&ep->access);
 }
 
-/** A call went out to the endpoint (1), or is over (-1). */
+/** A call went out to the endpoint at NOW (1), or is over (-1). */
 void
-rt_endpoint_flight (rt_router_t *router, el_str_t name, int delta)
+rt_endpoint_flight (rt_router_t *router, el_str_t name, el_time_t now,
+                    int delta)
 {
   rt_endpoint_t *ep = rt_endpoint_find (router, name);
 
   if (!ep)
     return;
   if (delta > 0)
-    ep->in_flight++;
+    {
+      rt_access_sent (&ep->access, now);
+      ep->in_flight++;
+    }
   else if (ep->in_flight)
     ep->in_flight--;
 }
--- a/route/librt.h
+++ b/route/librt.h
@@ -8,6 +8,7 @@
 #ifndef ELMARCH_LIBRT_H
 #define ELMARCH_LIBRT_H
 
+#include "access.h"
 #include "map.h"
 #include "route.h"
 
@@ -18,10 +19,8 @@
   el_str_t hall;
   co_role_t role;
   uint64_t capacity;
-  int draining;            /* by the operator */
-  el_time_t leaving_until; /* by the last sign that it leaves */
-  el_time_t ejected_until;
-  unsigned failures; /* since the last answer */
+  int draining;       /* by the operator */
+  rt_access_t access; /* what is known against sending there */
   size_t in_flight;
   UT_hash_handle hh;
 } rt_endpoint_t;
@@ -171,6 +170,9 @@
   /* The attempt is over: give back what it held. */
   void (*leave) (rt_stream_t *stream, el_time_t now, int abandon);
   rt_budget_t *(*budget) (rt_stream_t *stream);
+  /* When endpoints may be used again that only rests keep from it; 0 where
+     that is not so. */
+  el_time_t (*opens) (const rt_stream_t *stream, el_time_t now);
 } rt_work_ops_t;
 
 extern const rt_work_ops_t rt_chat_ops;
@@ -213,7 +215,11 @@
 void rt_endpoint_failed (rt_router_t *router, el_str_t name, el_time_t now,
                          rt_fail_t fail);
 void rt_endpoint_answered (rt_router_t *router, el_str_t name);
-void rt_endpoint_flight (rt_router_t *router, el_str_t name, int delta);
+void rt_endpoint_rests (rt_router_t *router, el_str_t name, el_time_t now,
+                        el_time_t asked);
+el_time_t rt_endpoint_opens (const rt_endpoint_t *endpoint, el_time_t now);
+void rt_endpoint_flight (rt_router_t *router, el_str_t name, el_time_t now,
+                         int delta);
 
 /* admit.c */
 rt_reason_t rt_admit (rt_stream_t *stream, el_time_t now);
--- a/route/route.h
+++ b/route/route.h
@@ -89,6 +89,7 @@
   int finish; /**< the model ends its answer with this token */
   el_verdict_t verdict;
   rt_fail_t fail;
+  el_time_t rest; /**< the endpoint wants nothing for so long */
 
   /* RT_EV_LEAVING (of the endpoint in target), RT_EV_HOSTS */
   int leaving;
@@ -180,6 +181,7 @@
   uint64_t crossed;  /**< answers to another call than asked */
   uint64_t ejected;  /**< times an endpoint was set aside */
   uint64_t leaving;  /**< times an endpoint said that it leaves */
+  uint64_t rests;    /**< times an endpoint asked for rest */
 } rt_counts_t;
 
 rt_router_t *rt_router_new (const rt_options_t *options);
@@ -198,6 +200,8 @@
 const co_service_t *rt_router_service (const rt_router_t *router,
                                        el_str_t name);
 
+int rt_router_may (const rt_router_t *router, el_time_t now,
+                   el_str_t endpoint);
 const char *rt_reason_name (rt_reason_t reason);
 const char *rt_fail_name (rt_fail_t fail);
 
--- a/route/router.c
+++ b/route/router.c
@@ -16,6 +16,9 @@
 #define ATTEMPTS_MAX 4
 /* The smoothed time of a stream moves by this part of each new one. */
 #define MEAN_WEIGHT 16
+/* Callers who are told to come back after a rest are spread over this part of
+   what is left of it. */
+#define REST_SPREAD_PART 4
 
 typedef void (*event_fn) (rt_router_t *router, el_time_t now,
                           const rt_event_t *event);
@@ -173,7 +176,7 @@
                          ? stream->deadline
                          : now + router->options.call_limit;
   stream_arm (stream, stream->call_due);
-  rt_endpoint_flight (router, hop->endpoint, 1);
+  rt_endpoint_flight (router, hop->endpoint, now, 1);
   router->counts.calls++;
   action->kind = RT_ACT_CALL;
   action->stream = stream->id;
@@ -199,7 +202,24 @@
   stream->calling = 0;
   stream->verdict = el_verdict_join (stream->verdict, verdict);
   rt_endpoint_flight (stream->router,
-                      stream->route->hops[stream->hop].endpoint, -1);
+                      stream->route->hops[stream->hop].endpoint, 0, -1);
+}
+
+/* When a refused caller should come back: when the first rest is over that
+   keeps it out, spread, or as the queue passes. */
+static uint64_t
+stream_retry_after (const rt_stream_t *stream, el_time_t now,
+                    rt_reason_t reason)
+{
+  rt_router_t *router = stream->router;
+  el_time_t opens
+      = reason == RT_NO_ROUTE ? works[stream->work]->opens (stream, now) : 0;
+  uint64_t wait;
+
+  if (opens <= now)
+    return rt_admit_retry_after (router);
+  wait = (opens - now) / EL_MSEC + 1;
+  return wait + rt_random (router) % (wait / REST_SPREAD_PART + 1);
 }
 
 /** End a request with its final answer, and run what waits. Without the whole
@@ -244,7 +264,7 @@
     }
   action.verdict = stream->verdict;
   if (reasons[reason].come_back)
-    action.retry_after_ms = rt_admit_retry_after (router);
+    action.retry_after_ms = stream_retry_after (stream, now, reason);
   stream_free (stream);
   rt_customer_put (router, customer);
   rt_act (router, &action);
@@ -474,8 +494,12 @@
 {
   rt_stream_t *stream = stream_waiting (router, event);
 
-  if (stream)
-    rt_stream_failed (stream, now, event->verdict, event->fail);
+  if (!stream)
+    return;
+  if (event->rest)
+    rt_endpoint_rests (router, stream->route->hops[stream->hop].endpoint, now,
+                       event->rest);
+  rt_stream_failed (stream, now, event->verdict, event->fail);
 }
 
 static void
@@ -500,7 +524,8 @@
   rt_endpoint_t *ep = rt_endpoint_find (router, event->target);
 
   if (ep)
-    ep->leaving_until = event->leaving ? now + router->options.leave_hold : 0;
+    ep->access.leaves_until
+        = event->leaving ? now + router->options.leave_hold : 0;
 }
 
 static void
@@ -525,6 +550,15 @@
   return el_timers_next (&router->timers);
 }
 
+/** Whether something that was to go to ENDPOINT still may. */
+int
+rt_router_may (const rt_router_t *router, el_time_t now, el_str_t endpoint)
+{
+  const rt_endpoint_t *ep = rt_endpoint_find (router, endpoint);
+
+  return !ep || rt_access_rest_left (&ep->access, now) == 0;
+}
+
 const rt_counts_t *
 rt_router_counts (const rt_router_t *router)
 {
@@ -546,11 +580,13 @@
 static const char *
 endpoint_state (const rt_endpoint_t *ep, el_time_t now)
 {
-  if (ep->draining)
-    return "draining";
-  if (now < ep->leaving_until)
-    return "leaving";
-  return now < ep->ejected_until ? "ejected" : "live";
+  static const char *const states[RT_WHYS] = { [RT_WHY_NOTHING] = "live",
+                                               [RT_WHY_TRIAL] = "trial",
+                                               [RT_WHY_FAILED] = "ejected",
+                                               [RT_WHY_RESTS] = "resting",
+                                               [RT_WHY_LEAVES] = "leaving" };
+
+  return ep->draining ? "draining" : states[rt_access_why (&ep->access, now)];
 }
 
 /** The router's state for operators. */
@@ -568,11 +604,12 @@
   rt_customer_t *next_customer;
 
   HASH_ITER (hh, router->endpoints, ep, next_ep)
-  json_object_set_new (endpoints, ep->key,
-                       json_pack ("{s:s,s:I,s:I}", "state",
-                                  endpoint_state (ep, now), "inFlight",
-                                  (json_int_t)ep->in_flight, "failures",
-                                  (json_int_t)ep->failures));
+  json_object_set_new (
+      endpoints, ep->key,
+      json_pack ("{s:s,s:I,s:I,s:I}", "state", endpoint_state (ep, now),
+                 "inFlight", (json_int_t)ep->in_flight, "failures",
+                 (json_int_t)ep->access.failures, "restLeftUs",
+                 (json_int_t)rt_access_rest_left (&ep->access, now)));
   HASH_ITER (hh, router->pipelines, pipe, next_pipe)
   json_object_set_new (pipelines, pipe->key,
                        json_pack ("{s:I,s:I}", "streams",
--- a/route/stream.c
+++ b/route/stream.c
@@ -15,12 +15,14 @@
 static void chat_reply (rt_stream_t *, el_time_t, const rt_event_t *);
 static void chat_leave (rt_stream_t *, el_time_t, int);
 static rt_budget_t *chat_budget (rt_stream_t *);
+static el_time_t chat_opens (const rt_stream_t *, el_time_t);
 
 const rt_work_ops_t rt_chat_ops = {
   .start = chat_start,
   .reply = chat_reply,
   .leave = chat_leave,
   .budget = chat_budget,
+  .opens = chat_opens,
 };
 
 static uint64_t
@@ -221,3 +223,41 @@
     return &dep->budget;
   return NULL;
 }
+
+/* When the last of its stages may be used. */
+static el_time_t
+pipeline_opens (const rt_router_t *router, const rt_pipeline_t *pipe,
+                el_time_t now)
+{
+  el_time_t last = 0;
+  size_t i;
+
+  for (i = 0; i < pipe->nstages; i++)
+    {
+      const rt_endpoint_t *ep
+          = rt_endpoint_find (router, pipe->stages[i].endpoint);
+      el_time_t opens = ep ? rt_endpoint_opens (ep, now) : EL_TIME_NEVER;
+
+      if (opens > last)
+        last = opens;
+    }
+  return last;
+}
+
+static el_time_t
+chat_opens (const rt_stream_t *stream, el_time_t now)
+{
+  const rt_deployment_t *dep;
+  el_time_t first = EL_TIME_NEVER;
+  size_t i;
+
+  for (dep = stream->router->deployments; dep; dep = dep->hh.next)
+    for (i = 0; i < dep->npipes && el_str_eq (dep->model, stream->target); i++)
+      {
+        el_time_t opens = pipeline_opens (stream->router, dep->pipes[i], now);
+
+        if (opens < first)
+          first = opens;
+      }
+  return first == EL_TIME_NEVER ? 0 : first;
+}
--- a/route/trace.c
+++ b/route/trace.c
@@ -79,6 +79,7 @@
   { "finish", FIELD_INT, EV (finish), NULL, 0 },
   { "verdict", FIELD_KIND, EV (verdict), WORDS (verdict_words) },
   { "fail", FIELD_KIND, EV (fail), WORDS (fail_words) },
+  { "rest", FIELD_NUMBER, EV (rest), NULL, 0 },
   { "leaving", FIELD_INT, EV (leaving), NULL, 0 },
   { "hosts", FIELD_NUMBER, EV (hosts), NULL, 0 },
 };
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -211,7 +211,7 @@
     {
       engine->refused++;
       free (p.list);
-      sn_refuse (req, "invalid");
+      sn_refuse (process, req, "invalid");
       return;
     }
   engine->calls++;
@@ -277,9 +277,9 @@
         sn_json (req, 500, json_object ());
       else if (fault == SN_LEAVING
                && json_integer_value (json_object_get (json, "step")) == 0)
-        sn_refuse (req, "leaving");
+        sn_refuse (process, req, "leaving");
       else if (fault == SN_BUSY)
-        sn_refuse (req, "busy");
+        sn_refuse (process, req, "busy");
       else
         stage_serve (process, req, json, fault);
     }
--- a/standin/main.c
+++ b/standin/main.c
@@ -130,9 +130,16 @@
 }
 
 void
-sn_refuse (h2o_req_t *req, const char *word)
+sn_refuse (const sn_process_t *process, h2o_req_t *req, const char *word)
 {
+  char text[32];
+
   net_req_add_header (req, EL_STR ("x-refused"), el_str (word));
+  if (process->delay_ms)
+    {
+      snprintf (text, sizeof text, "%.3f", (double)process->delay_ms / 1000);
+      net_req_add_header (req, EL_STR ("retry-after"), el_str (text));
+    }
   net_req_reply (req, 503, (el_str_t){ NULL, 0 }, EL_STR (""));
 }
 
--- a/standin/service.c
+++ b/standin/service.c
@@ -135,7 +135,7 @@
   if (fault == SN_DIE_BEFORE)
     exit (EXIT_FAILURE);
   if (fault == SN_LEAVING || fault == SN_BUSY)
-    sn_refuse (req, fault == SN_LEAVING ? "leaving" : "busy");
+    sn_refuse (process, req, fault == SN_LEAVING ? "leaving" : "busy");
   else if (fault == SN_DOWN)
     sn_json (req, 500, json_object ());
   else
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -55,9 +55,10 @@
   net_clock_t clock;
   net_server_t *server;
   sn_fault_t fault;
-  uint64_t after; /**< calls to let pass before the fault */
-  uint64_t times; /**< calls that it hits; 0 is all */
-  uint64_t delay_ms;
+  uint64_t after;    /**< calls to let pass before the fault */
+  uint64_t times;    /**< calls that it hits; 0 is all */
+  uint64_t delay_ms; /**< of a slow answer; of the rest that a refusal asks
+                          for, 0: none */
   void *state;
 } sn_process_t;
 
@@ -77,7 +78,7 @@
 
 sn_fault_t sn_fault_take (sn_process_t *process);
 void sn_lose (h2o_req_t *req);
-void sn_refuse (h2o_req_t *req, const char *word);
+void sn_refuse (const sn_process_t *process, h2o_req_t *req, const char *word);
 void sn_json (h2o_req_t *req, int status, json_t *json);
 json_t *sn_body (const h2o_req_t *req);
 
--- a/tests/t_rest.c
+++ b/tests/t_rest.c
@@ -458,6 +458,49 @@
 }
 END_TEST
 
+/* The product's own doors: a worker that refuses a call, and an engine that
+   refuses a stage, with a rest get nothing in it; when both workers rest, the
+   caller is told for how long. */
+START_TEST (test_rest_is_kept_to_at_the_own_doors)
+{
+  static const char *const busy
+      = "{\"fault\":\"busy\",\"times\":1,\"delay_ms\":60000}";
+  char *body = chat_body (QUESTION, 1, MAX_TOKENS, NULL, 0);
+  char header[64];
+  char id[16];
+  reply_t reply;
+  size_t i;
+
+  cluster_open (&c, 1);
+  fault (&c.workers[0], busy);
+  fault (&c.engines[0][1], busy);
+  for (i = 0; i < STREAMS; i++)
+    {
+      snprintf (id, sizeof id, "p%zu", i);
+      pay (0, id, NULL, &reply);
+      verdict_is (&reply, 200, "ran");
+      reply_free (&reply);
+      http ("POST", c.hosts[0].address, CHAT, body, NULL, &reply);
+      stream_is_whole (&reply, 0);
+      reply_free (&reply);
+    }
+  free (body);
+  ck_assert_uint_eq (metric (&c.hosts[0], "elmarch_rests_total"), 2);
+  ck_assert_uint_eq (metric (&c.hosts[0], "elmarch_retries_total"), 2);
+  for (i = 0; i < STREAMS; i++)
+    {
+      snprintf (id, sizeof id, "p%zu", i);
+      ck_assert_int_eq (runs (&c.workers[0], id), 0);
+    }
+  fault (&c.workers[1], busy);
+  pay (0, "q", NULL, &reply);
+  verdict_is (&reply, 503, "not-run");
+  reply_header (&reply, "retry-after", header, sizeof header);
+  ck_assert (strtod (header, NULL) > 30);
+  reply_free (&reply);
+}
+END_TEST
+
 Suite *
 rest_suite (void)
 {
@@ -478,5 +521,10 @@
   ADD (tcase, test_endpoint_that_left_and_started_again_gets_work);
   ADD (tcase, test_stream_ends_where_it_runs_though_its_engine_leaves);
   suite_add_tcase (suite, tcase);
+  tcase = tcase_create ("own");
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, cluster_setup, cluster_teardown);
+  ADD (tcase, test_rest_is_kept_to_at_the_own_doors);
+  suite_add_tcase (suite, tcase);
   return suite;
 }
