Soak: members that ask for rest, and that say only in answers that they leave

They note requests of a host that come half a second or more after it was told; that is a broken promise unless that host or member stood still, or their link was disturbed, since.

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,7 @@
 	CK_VERBOSITY=normal $(BIN)/unit
 	CK_VERBOSITY=normal $(BIN)/proc
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 1 --seeds 2 --seconds 6
+	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 3 --seeds 1 --seconds 6 --asks
 # Each mechanism taken out in a scratch copy must turn its test red.
 red: deps
 	sh tests/red.sh
@@ -131,7 +132,7 @@
        soak/fault.c soak/operator.c soak/http.c soak/caller.c soak/check.c
 $(BIN)/soak: $(SOAK:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcurl -lpthread
-SOAK_SEEDS = --seed 1 --seeds 50
+SOAK_SEEDS = --seed 1 --seeds 50 --asks
 soak: deps
 	$(MAKE) -s all $(BIN)/soak
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak $(SOAK_SEEDS)
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -147,6 +147,9 @@
   snprintf (text, sizeof text, "x-elmarch-deadline-ms: %ld",
             request->kind == SK_STREAM ? STREAM_LIMIT_MS : PLAIN_LIMIT_MS);
   list = curl_slist_append (list, text);
+  snprintf (text, sizeof text, "x-via: %u-%" PRIu64, request->host,
+            request->boot);
+  list = curl_slist_append (list, text);
   if (request->resumed)
     {
       snprintf (text, sizeof text, "last-event-id: %u", request->resumed);
@@ -192,6 +195,7 @@
   struct curl_slist *headers;
   char key[32];
 
+  request->boot = world->hosts[request->host].boots;
   sk_key_text (request->key, request->generation, key, sizeof key);
   headers = request_headers (request, key);
   curl_prepare (curl, world, request);
@@ -201,7 +205,6 @@
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, answer_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, &answer);
   request->events = request->resumed;
-  request->boot = world->hosts[request->host].boots;
   request->sent = sk_now ();
   request->whole = curl_easy_perform (curl) == CURLE_OK;
   request->done = sk_now ();
--- a/soak/check.c
+++ b/soak/check.c
@@ -359,6 +359,78 @@
     }
 }
 
+/* Whether a fault may have held up what passed between a host and a member, or
+   what either of them read, after the member asked for something. */
+static int
+may_hold_up (const sk_fault_t *fault, unsigned host, unsigned member)
+{
+  switch (fault->kind)
+    {
+    case SK_HOST_PAUSE:
+      return fault->which == host;
+    case SK_MEMBER_PAUSE:
+      return fault->which == member;
+    case SK_LINK_DELAY:
+    case SK_LINK_RESET:
+    case SK_LINK_CUT:
+    case SK_LINK_SILENT:
+      return fault->which == SK_HOSTS + member;
+    default:
+      return 0;
+    }
+}
+
+/* The member of that id, which begins with its name, "mN-". */
+static unsigned
+member_number (const char *id)
+{
+  return (unsigned)strtoul (id + 1, NULL, 10);
+}
+
+/* A member's note of a request that came though it had asked the host for
+   rest, or told it that it leaves, half a second before or more. A host that
+   was started again since has another name there. */
+static void
+asked_check (const char *text, const sk_fault_t *faults, size_t nfaults,
+             el_time_t begun)
+{
+  check_note_t note;
+  char via[32];
+  char what[16];
+  el_time_t since;
+  unsigned host;
+  size_t i;
+
+  if (sscanf (text, "%" SCNu64 " %31s %63s %31s %15s %" SCNu64, &note.at,
+              note.id, note.member, via, what, &since)
+      != 6)
+    return;
+  host = (unsigned)strtoul (via, NULL, 10);
+  for (i = 0; i < nfaults; i++)
+    if (may_hold_up (&faults[i], host, member_number (note.member))
+        && begun + faults[i].at < note.at
+        && begun + faults[i].at + faults[i].lasts + CALM_AFTER > since)
+      return;
+  sk_broken (what, note.id, "came to %s from host %s %" PRIu64 " us after",
+             note.member, via, note.at - since);
+}
+
+static void
+asked_read (const sk_world_t *world, const sk_fault_t *faults, size_t nfaults,
+            el_time_t begun)
+{
+  char path[300];
+  char text[LINE_MAX_BYTES];
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/runs.asked", world->dir);
+  file = fopen (path, "r");
+  while (file && fgets (text, sizeof text, file))
+    asked_check (text, faults, nfaults, begun);
+  if (file)
+    fclose (file);
+}
+
 /** Check all promises; gives how many times one is broken. */
 size_t
 sk_check (const sk_world_t *world, const sk_seen_t *seen,
@@ -379,6 +451,7 @@
   keys_never_back (seen);
   stops_check (seen, faults, nfaults, begun);
   leaving_check (&notes, faults, nfaults, begun);
+  asked_read (world, faults, nfaults, begun);
   free (notes.list);
   seen_print (seen);
   printf ("ran=%u ", HASH_COUNT (runs));
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -111,6 +111,45 @@
   member_kill_for (member, 0); /* also one that is paused */
 }
 
+/* What a member asks for that turns requests away, in each variant. */
+static const char *const rests[] = {
+  "{\"kinds\":[\"requests\"],\"status\":503,\"asked\":[\"1.2\"],"
+  "\"span_ms\":1200}",
+  "{\"kinds\":[\"requests\"],\"status\":503,\"asked\":[\"0.6\"],"
+  "\"span_ms\":600}",
+  "{\"kinds\":[\"requests\",\"orders\"],\"status\":503,"
+  "\"asked\":[\"2\"],\"span_ms\":2000}",
+  "{\"kinds\":[\"requests\"],\"status\":503,"
+  "\"asked\":[\"0.5\",\"1.5\"],\"span_ms\":1500}",
+};
+
+static void
+member_ask (const sk_world_t *world, const sk_fault_t *fault, const char *what)
+{
+  const sk_proc_t *member = &world->members[fault->which];
+
+  if (member->pid && !member->paused)
+    sk_http ("POST", member->address, "/rest", what, NULL);
+}
+
+static void
+member_rest (sk_world_t *world, sk_fault_t *fault)
+{
+  member_ask (world, fault, rests[fault->how]);
+}
+
+static void
+member_rested (sk_world_t *world, sk_fault_t *fault)
+{
+  member_ask (world, fault, "{}");
+}
+
+static void
+member_says (sk_world_t *world, sk_fault_t *fault)
+{
+  member_ask (world, fault, "{\"leaving\":true}");
+}
+
 /* Tell a worker how to answer from now on. */
 static void
 worker_tell (const sk_world_t *world, const sk_fault_t *fault,
@@ -235,6 +274,8 @@
   [SK_LINK_SILENT] = { link_silent, link_pass },
   [SK_CONFIG] = { config_again, NULL },
   [SK_KEY] = { key_take, NULL },
+  [SK_MEMBER_REST] = { member_rest, member_rested },
+  [SK_MEMBER_SAYS] = { member_says, member_left },
 };
 
 /** Have FAULT strike. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -32,6 +32,7 @@
   uint64_t seconds;
   uint64_t callers;
   int plan;
+  int asks;
 } soak_settings_t;
 
 #define AT(field) offsetof (soak_settings_t, field)
@@ -49,6 +50,8 @@
   { "callers", EL_SET_U64, AT (callers), "12", 1, 256, 0, "N", "threads" },
   { "plan", EL_SET_FLAG, AT (plan), "0", 0, 1, 0, NULL,
     "print the faults as they strike" },
+  { "asks", EL_SET_FLAG, AT (asks), "0", 0, 1, 0, NULL,
+    "have members ask for rest, and say that they leave, besides" },
 };
 
 /* Begin and end what is due. */
@@ -119,12 +122,14 @@
   mkdir (out, 0700);
   snprintf (record, sizeof record, "%s/runs", out);
   unlink (record);
+  snprintf (record, sizeof record, "%s/runs.asked", out);
+  unlink (record);
 }
 
 static size_t
 seed_run (const soak_settings_t *set, uint64_t seed)
 {
-  sk_fault_t faults[SK_FAULTS_MAX];
+  sk_fault_t faults[2 * SK_FAULTS_MAX];
   sk_seen_t seen = { .lock = PTHREAD_MUTEX_INITIALIZER };
   el_time_t length = set->seconds * EL_SEC;
   size_t nfaults = sk_plan (seed, length, faults);
@@ -134,6 +139,8 @@
   char dir[256];
   size_t n;
 
+  if (set->asks)
+    nfaults += sk_plan_asks (seed, length, &faults[nfaults]);
   dir_make (set, seed, dir, sizeof dir);
   sk_world_open (&world, set->bin, dir);
   recovery_check (&world, &seen); /* the layers are placed */
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -42,6 +42,8 @@
   [SK_LINK_SILENT] = { "link_silent", SK_LINKS, 200, 4000, 3 },
   [SK_CONFIG] = { "config", 1, 0, 0, 3 },
   [SK_KEY] = { "key", SK_KEYS, 0, 0, 5 },
+  [SK_MEMBER_REST] = { "member_rest", SK_MEMBERS, 500, 4000, 4 },
+  [SK_MEMBER_SAYS] = { "member_says", SK_MEMBERS, 2000, 4000, 1 },
 };
 
 /** The kind's name, as runs print it. */
@@ -51,21 +53,36 @@
   return kinds[kind].name;
 }
 
+/* One of the kinds from FIRST to before END, by their weights. */
 static sk_kind_t
-kind_draw (uint64_t *random)
+kind_draw (uint64_t *random, sk_kind_t first, sk_kind_t end)
 {
   unsigned all = 0;
   unsigned draw;
   unsigned k;
 
-  for (k = 0; k < SK_KINDS; k++)
+  for (k = first; k < end; k++)
     all += kinds[k].weight;
   draw = (unsigned)(el_random (random) % all);
-  for (k = 0; draw >= kinds[k].weight; k++)
+  for (k = first; draw >= kinds[k].weight; k++)
     draw -= kinds[k].weight;
   return (sk_kind_t)k;
 }
 
+/* A fault of that kind: what it strikes, how, and for how long. */
+static void
+fault_draw (uint64_t *random, sk_kind_t kind, el_time_t at, sk_fault_t *out)
+{
+  unsigned span = kinds[kind].most - kinds[kind].least;
+
+  *out = (sk_fault_t){ .kind = kind, .at = at };
+  out->which = (unsigned)(el_random (random) % kinds[kind].things);
+  out->how = (unsigned)(el_random (random) % 4);
+  if (kind >= SK_LINK_DELAY && kind <= SK_LINK_SILENT && out->how >= 2)
+    out->which %= SK_HOSTS; /* the store's links, as often as others */
+  out->lasts = (kinds[kind].least + el_random (random) % (span + 1)) * EL_MSEC;
+}
+
 /* A host that can't hear of the store while a key is taken away. */
 static void
 key_unheard (const sk_fault_t *key, sk_fault_t *out)
@@ -87,19 +104,30 @@
   while (at < length && n < SK_FAULTS_MAX)
     {
       sk_fault_t *fault = &out[n++];
-      sk_kind_t kind = kind_draw (&random);
-      unsigned span = kinds[kind].most - kinds[kind].least;
+      sk_kind_t kind = kind_draw (&random, 0, SK_DRAWN);
 
-      *fault = (sk_fault_t){ .kind = kind, .at = at };
-      fault->which = (unsigned)(el_random (&random) % kinds[kind].things);
-      fault->how = (unsigned)(el_random (&random) % 4);
-      if (kind >= SK_LINK_DELAY && kind <= SK_LINK_SILENT && fault->how >= 2)
-        fault->which %= SK_HOSTS; /* the store's links, as often as others */
-      fault->lasts
-          = (kinds[kind].least + el_random (&random) % (span + 1)) * EL_MSEC;
+      fault_draw (&random, kind, at, fault);
       if (kind == SK_KEY && fault->how >= 2 && n < SK_FAULTS_MAX)
         key_unheard (fault, &out[n++]);
       at += el_random (&random) % (2 * EVERY);
     }
   return n;
 }
+
+/** The same for members that ask something of hosts: a schedule of its own, so
+    that a seed's other faults are the same with and without it. */
+size_t
+sk_plan_asks (uint64_t seed, el_time_t length, sk_fault_t *out)
+{
+  uint64_t random = ~seed;
+  el_time_t at = FIRST;
+  size_t n = 0;
+
+  while (at < length && n < SK_FAULTS_MAX)
+    {
+      fault_draw (&random, kind_draw (&random, SK_DRAWN, SK_KINDS), at,
+                  &out[n++]);
+      at += el_random (&random) % (2 * EVERY);
+    }
+  return n;
+}
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -52,6 +52,10 @@
   SK_LINK_SILENT,   /**< both ways */
   SK_CONFIG,        /**< a new version that changes nothing */
   SK_KEY,           /**< a key is taken away */
+  SK_DRAWN,         /**< the kinds before it are drawn together */
+  SK_MEMBER_REST = SK_DRAWN, /**< turns requests away, asks for rest */
+  SK_MEMBER_SAYS, /**< its answers say that it leaves, its entry does not; ends
+                       at the fault's end */
   SK_KINDS
 } sk_kind_t;
 
@@ -67,11 +71,12 @@
   int over;
 } sk_fault_t;
 
-/** Most faults of one run. */
+/** Most faults of one schedule, of which a run may have two. */
 #define SK_FAULTS_MAX 64
 
 const char *sk_kind_name (sk_kind_t kind);
 size_t sk_plan (uint64_t seed, el_time_t length, sk_fault_t *out);
+size_t sk_plan_asks (uint64_t seed, el_time_t length, sk_fault_t *out);
 
 /* The proxy: a thread of its own. */
 
--- a/standin/member.c
+++ b/standin/member.c
@@ -120,13 +120,14 @@
   gettimeofday (&now, NULL);
   member->born = (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_usec / 1000;
   member->process = process;
-  member->rest = sn_rest_new (&process->clock);
   member->client = net_client_new (&process->clock);
   if (process->set.same_id)
     snprintf (member->id, sizeof member->id, "%s", process->set.name);
   else
     snprintf (member->id, sizeof member->id, "%s-%" PRIx64, process->set.name,
               uv_hrtime ());
+  member->rest
+      = sn_rest_new (&process->clock, member->id, process->set.record);
   member->record = -1;
   if (process->set.record[0])
     member->record = open (process->set.record,
--- a/standin/rest.c
+++ b/standin/rest.c
@@ -12,10 +12,17 @@
  * of it more than half a second after it was asked for, and what came after
  * the member said that it leaves. The header x-via, which callers send, names
  * the host that a request passed; reports and orders count as of one host of
- * their own.
+ * their own. With a record, requests that came in spite of it and did not
+ * cross with the answer that told it are noted in the file beside it,
+ * RECORD.asked: "MICROSECONDS ID MEMBER VIA WHAT SINCE", the times on one
+ * clock.
  */
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "map.h"
 #include "rest.h"
@@ -43,7 +50,7 @@
   el_time_t since; /* of its rest */
   el_time_t until;
   uint64_t rests;
-  int told; /* that the member leaves */
+  el_time_t told; /* that the member leaves; 0: not yet */
   rest_count_t counts[SN_ARRIVALS];
   UT_hash_handle hh;
 } rest_host_t;
@@ -51,6 +58,8 @@
 struct sn_rest
 {
   net_clock_t *clock;
+  const char *member;
+  int record; /* descriptor; -1 is none */
   int refuses[SN_ARRIVALS];
   int status;
   char *asked[ASKED_MAX];
@@ -62,11 +71,18 @@
 
 /** A member that asks for nothing. */
 sn_rest_t *
-sn_rest_new (net_clock_t *clock)
+sn_rest_new (net_clock_t *clock, const char *member, const char *record)
 {
   sn_rest_t *rest = el_alloc (sizeof *rest);
+  char path[300];
 
   rest->clock = clock;
+  rest->member = member;
+  rest->record = -1;
+  snprintf (path, sizeof path, "%s.asked", record);
+  if (*record)
+    rest->record
+        = open (path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
   return rest;
 }
 
@@ -119,7 +135,7 @@
   rest->span
       = (el_time_t)json_integer_value (json_object_get (json, "span_ms"))
         * EL_MSEC;
-  rest->leaving = json_is_true (json_object_get (json, "leaving"));
+  rest->leaving |= json_is_true (json_object_get (json, "leaving"));
 }
 
 static rest_host_t *
@@ -140,6 +156,41 @@
   return host;
 }
 
+static void
+arrival_note (const sn_rest_t *rest, const rest_host_t *host,
+              const h2o_req_t *req, const char *what, el_time_t ago)
+{
+  el_str_t id = net_req_header (req, "x-elmarch-request-id");
+  uint64_t now = uv_hrtime () / 1000;
+  el_buf_t out = { NULL, 0, 0 };
+
+  if (rest->record < 0 || !id.len || !*host->via)
+    return;
+  el_buf_printf (&out, "%" PRIu64 " %.*s %s %s %s %" PRIu64 "\n", now,
+                 (int)id.len, id.ptr, rest->member, host->via, what,
+                 now - ago);
+  if (write (rest->record, out.ptr, out.len) != (ssize_t)out.len)
+    fprintf (stderr, "standin: an arrival was not noted\n");
+  el_buf_free (&out);
+}
+
+/* It was told before that the member leaves, or is now. */
+static void
+leaving_count (sn_rest_t *rest, rest_host_t *host, h2o_req_t *req,
+               sn_arrival_t kind)
+{
+  el_time_t now = net_clock_now (rest->clock);
+
+  if (!rest->leaving)
+    return;
+  net_req_add_header (req, EL_STR ("server-leaving"), EL_STR ("1"));
+  host->counts[kind].after_leaving += host->told != 0;
+  if (!host->told)
+    host->told = now;
+  else if (now >= host->told + CROSSING)
+    arrival_note (rest, host, req, "leaving", now - host->told);
+}
+
 /** Count what arrives, before anything is made of it. */
 void
 sn_rest_arrives (sn_rest_t *rest, h2o_req_t *req, sn_arrival_t kind)
@@ -149,16 +200,14 @@
   el_time_t now = net_clock_now (rest->clock);
 
   count->all++;
-  count->after_leaving += host->told != 0;
-  if (rest->leaving)
-    {
-      host->told = 1;
-      net_req_add_header (req, EL_STR ("server-leaving"), EL_STR ("1"));
-    }
+  leaving_count (rest, host, req, kind);
   if (now >= host->until)
     return;
   count->in_rest++;
-  count->late += now >= host->since + CROSSING;
+  if (now < host->since + CROSSING)
+    return;
+  count->late++;
+  arrival_note (rest, host, req, "rest", now - host->since);
 }
 
 /* Whether the engine at ADDRESS is on the request's line. */
--- a/standin/rest.h
+++ b/standin/rest.h
@@ -22,7 +22,8 @@
 
 typedef struct sn_rest sn_rest_t;
 
-sn_rest_t *sn_rest_new (net_clock_t *clock);
+sn_rest_t *sn_rest_new (net_clock_t *clock, const char *member,
+                        const char *record);
 void sn_rest_set (sn_rest_t *rest, const json_t *json);
 json_t *sn_rest_json (const sn_rest_t *rest);
 void sn_rest_arrives (sn_rest_t *rest, h2o_req_t *req, sn_arrival_t kind);
