--- a/soak/caller.c
+++ b/soak/caller.c
@@ -208,6 +208,7 @@
   request->sent = sk_now ();
   request->whole = curl_easy_perform (curl) == CURLE_OK;
   request->done = sk_now ();
+  request->rebooted = world->hosts[request->host].boots != request->boot;
   request->taken
       = __atomic_load_n (&world->keys[request->key], __ATOMIC_RELAXED)
         > request->generation;
--- a/soak/check.c
+++ b/soak/check.c
@@ -387,12 +387,25 @@
   return (unsigned)strtoul (id + 1, NULL, 10);
 }
 
+static int
+was_rebooted (const sk_seen_t *seen, const char *id)
+{
+  size_t i;
+
+  for (i = 0; i < seen->len; i++)
+    if (strcmp (seen->list[i].id, id) == 0)
+      return seen->list[i].rebooted;
+  return 0;
+}
+
 /* A member's note of a request that came though it had asked the host for
    rest, or told it that it leaves, half a second before or more. A host that
-   was started again since has another name there. */
+   was started again since has another name there, unless its caller had made
+   up the name just before: a request that was named for the start before came
+   from one that had been started 13 ms earlier and knew nothing yet. */
 static void
-asked_check (const char *text, const sk_fault_t *faults, size_t nfaults,
-             el_time_t begun)
+asked_check (const char *text, const sk_seen_t *seen, const sk_fault_t *faults,
+             size_t nfaults, el_time_t begun)
 {
   check_note_t note;
   char via[32];
@@ -405,6 +418,8 @@
               note.id, note.member, via, what, &since)
       != 6)
     return;
+  if (was_rebooted (seen, note.id))
+    return;
   host = (unsigned)strtoul (via, NULL, 10);
   for (i = 0; i < nfaults; i++)
     if (may_hold_up (&faults[i], host, member_number (note.member))
@@ -416,8 +431,8 @@
 }
 
 static void
-asked_read (const sk_world_t *world, const sk_fault_t *faults, size_t nfaults,
-            el_time_t begun)
+asked_read (const sk_world_t *world, const sk_seen_t *seen,
+            const sk_fault_t *faults, size_t nfaults, el_time_t begun)
 {
   char path[300];
   char text[LINE_MAX_BYTES];
@@ -426,7 +441,7 @@
   snprintf (path, sizeof path, "%s/runs.asked", world->dir);
   file = fopen (path, "r");
   while (file && fgets (text, sizeof text, file))
-    asked_check (text, faults, nfaults, begun);
+    asked_check (text, seen, faults, nfaults, begun);
   if (file)
     fclose (file);
 }
@@ -451,7 +466,7 @@
   keys_never_back (seen);
   stops_check (seen, faults, nfaults, begun);
   leaving_check (&notes, faults, nfaults, begun);
-  asked_read (world, faults, nfaults, begun);
+  asked_read (world, seen, faults, nfaults, begun);
   free (notes.list);
   seen_print (seen);
   printf ("ran=%u ", HASH_COUNT (runs));
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -121,6 +121,8 @@
   el_time_t changed_at; /**< when the store took the key's last change; 0 is
                              never, or not known */
   uint64_t boot;        /**< how often the host had been started */
+  int rebooted;         /**< it was started again before the answer came: which
+                             of both took it is not known */
   el_time_t sent;
   el_time_t done;
   long status;      /**< 0: none */
