Test: a request that ran well elsewhere is blocked as ending endpoints; red

A caller's payment was refused for ten minutes as "ends endpoints" after two endpoints were killed under it five seconds apart, though it ran well hundreds of times in between, at other hosts.

--- a/tests/site.c
+++ b/tests/site.c
@@ -103,11 +103,12 @@
   reply_free (&reply);
 }
 
-/* Whether a member's process has ended by itself; its entry lapses then. */
+/* Whether a member's process has ended, by itself or by proc_end; its entry
+   lapses then. */
 static int
 member_ended (proc_t *proc, const char *id)
 {
-  if (waitpid (proc->pid, NULL, WNOHANG) != proc->pid)
+  if (proc->pid && waitpid (proc->pid, NULL, WNOHANG) != proc->pid)
     return 0;
   proc->pid = 0;
   entry_lapse (id);
--- a/tests/t_ends.c
+++ b/tests/t_ends.c
@@ -267,6 +267,51 @@
 }
 END_TEST
 
+/* The payment hangs at a worker, which is killed; gives how many ended. */
+static size_t
+pay_under_an_end (size_t host, const char *id)
+{
+  caller_t caller;
+  const char *headers[] = { "host: rel.example", id, NULL };
+  size_t i;
+
+  for (i = 0; i < SITE_WORKERS; i++)
+    fault (&site.workers[i], "{\"fault\":\"hang\"}");
+  caller_start (&caller, site.entries[host].address, "/pay/x", "body", headers,
+                0);
+  for (i = 0; !member_number (&site.workers[i], "runs");
+       i = (i + 1) % SITE_WORKERS)
+    pause_step ();
+  proc_end (&site.workers[i], SIGKILL);
+  caller_join (&caller);
+  ck_assert_int_eq (caller.reply.status, 502);
+  reply_free (&caller.reply);
+  for (i = 0; i < SITE_WORKERS; i++)
+    if (site.workers[i].pid)
+      fault (&site.workers[i], "{\"fault\":\"none\"}");
+  return site_workers_back ();
+}
+
+/* A payment that comes often is under way at one host when an endpoint ends,
+   and again at the next end a while later; in between another host had it
+   served well. Hosts that saw it only under ends blocked it for ten minutes:
+   that it ran well after one end was told to nobody. */
+START_TEST (test_request_that_ran_well_elsewhere_is_not_blocked)
+{
+  reply_t reply;
+
+  site_open (2);
+  ck_assert_uint_eq (pay_under_an_end (1, "x-elmarch-request-id: p1"), 1);
+  ask (0, "POST", "/pay/x", "p2", &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+  ck_assert_uint_eq (pay_under_an_end (1, "x-elmarch-request-id: p3"), 1);
+  ask (1, "POST", "/pay/x", "p4", &reply);
+  ck_assert_msg (reply.status == 200, "%ld %s", reply.status, reply.body.ptr);
+  reply_free (&reply);
+}
+END_TEST
+
 Suite *
 ends_suite (void)
 {
@@ -281,6 +326,7 @@
   ADD (tcase, test_streams_beside_a_deadly_request_come_whole);
   ADD (tcase, test_blocked_request_is_let_in_by_an_operator);
   ADD (tcase, test_order_that_ends_engines_is_not_given_for_ever);
+  ADD (tcase, test_request_that_ran_well_elsewhere_is_not_blocked);
   suite_add_tcase (suite, tcase);
   return suite;
 }
