A request that ran well at any host is cleared of its first end at all of them

A caller's payment that comes often was refused for ten minutes as "ends endpoints" after two endpoints had been killed under it, though it ran well in between.

Cause: that a request ran well was told to other hosts only if it had run under two ends by then. A host that heard of a second end therefore knew two ends of it and nothing good, blocked it and told all. Ruled out: a wrong note of who ran there (both ends were sure, listed=1) and the odds (24 for two young ends without a survival).

It is told from the first end on, of what others were told of, under a name that follows from request and end, so that it is one rumor whoever tells it. Not kept: a host objects when it hears of the second end; that had every judgement wait 0.1 s.

The test picked the endpoint to kill by any run there and could take the wrong one; it picks the one where the payment hangs.

--- a/bench/bench_blame.c
+++ b/bench/bench_blame.c
@@ -35,6 +35,13 @@
       .rack = 2 } },
   { "small-innocent",
     { .hosts = 7, .engines = 6, .rate = 62, .end_rate = 0.02, .rack = 3 } },
+  { "small-often",
+    { .hosts = 7,
+      .engines = 6,
+      .rate = 42,
+      .often = 20,
+      .end_rate = 0.02,
+      .rack = 3 } },
   { "large",
     { .hosts = 60, .engines = 24, .rate = 240, .deadly = 1, .again_s = 0.5 } },
   { "large-faults",
@@ -59,16 +66,18 @@
   const rt_blame_rule_t *rule;
   int apart;
   int patient;
+  int tell_late;
 } ways[] = {
-  { "none", NULL, 0, 0 },
-  { "count", &rt_blame_count, 0, 0 },
-  { "count+apart", &rt_blame_count, 1, 0 },
-  { "odds", &rt_blame_odds, 0, 0 },
-  { "odds+apart", &rt_blame_odds, 1, 0 },
-  { "odds+turn", &rt_blame_odds, 2, 0 },
-  { "odds+turn+foremost", &rt_blame_odds, 3, 0 },
-  { "odds+apart+patient", &rt_blame_odds, 1, 1 },
-  { "odds+turn+patient", &rt_blame_odds, 2, 1 },
+  { "none", NULL, 0, 0, 0 },
+  { "count", &rt_blame_count, 0, 0, 0 },
+  { "count+apart", &rt_blame_count, 1, 0, 0 },
+  { "odds", &rt_blame_odds, 0, 0, 0 },
+  { "odds+apart", &rt_blame_odds, 1, 0, 0 },
+  { "odds+turn", &rt_blame_odds, 2, 0, 0 },
+  { "odds+turn+foremost", &rt_blame_odds, 3, 0, 0 },
+  { "odds+turn+foremost+late", &rt_blame_odds, 3, 0, 1 },
+  { "odds+apart+patient", &rt_blame_odds, 1, 1, 0 },
+  { "odds+turn+patient", &rt_blame_odds, 2, 1, 0 },
 };
 
 static void
@@ -98,6 +107,7 @@
   options.rule = ways[w].rule;
   options.apart = ways[w].apart;
   options.patient = ways[w].patient;
+  options.tell_late = ways[w].tell_late;
   options.seconds = SECONDS;
   options.loss = 0.02;
   for (seed = 1; seed <= seeds; seed++)
@@ -129,7 +139,8 @@
 
   for (c = 0; c < sizeof cases / sizeof *cases; c++)
     for (w = 0; w < sizeof ways / sizeof *ways; w++)
-      if (argc < 3 || strcmp (argv[2], cases[c].name) == 0)
+      if ((argc < 3 || strcmp (argv[2], cases[c].name) == 0)
+          && (argc < 4 || strcmp (argv[3], ways[w].name) == 0))
         measure (c, w, seeds);
   return EXIT_SUCCESS;
 }
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -40,8 +40,6 @@
 #define REQUESTS_CUSTOMER 1024
 /* Facts are told as long as they count. */
 #define FACT_HOLD (600 * EL_SEC)
-/* One host tells of one request once in this that it ran to its end. */
-#define SURVIVED_GAP (1 * EL_SEC)
 
 /* A run that broke off at an endpoint which may have ended. */
 typedef struct blame_note
@@ -140,17 +138,6 @@
           EL_FN ("runs", runs));
 }
 
-/* Whether other hosts are told of a run: it was young, or a suspect before.
-   With all runs told by all hosts, a day of 50 s with 64 hosts and 20 ends
-   took 10 KB/s more of each host; with this 2. */
-static int
-note_told (const gt_relays_t *relays, const blame_note_t *note)
-{
-  return note->ended.ran < RT_BLAME_YOUNG
-         || rt_blame_of (relays->blame->rt, note->ended.at, note->ended.digest)
-                .state;
-}
-
 /* TARGET has ended: tell which requests of this host ran there. */
 static void
 notes_settle (gt_relays_t *relays, const rt_target_t *target, const char *sign)
@@ -166,7 +153,7 @@
   if (note->target == target)
     {
       runs += note->ended.digest != 0;
-      if (note_told (relays, note))
+      if (rt_blame_told (blame->rt, &note->ended))
         fact.runs[fact.nruns++] = note->ended;
       rt_blame_ended (blame->rt, now, &note->ended);
       note_drop (blame, note);
@@ -371,23 +358,25 @@
                   relays);
 }
 
-/** RELAY ran to its end. */
+/** RELAY ran to its end. All hosts should know at its first end already: a
+    payment that comes often was blocked under the second of two ends 5 s
+    apart, as the hosts that saw them did not know that it had run well
+    hundreds of times between them at others. It is one rumor, however many
+    hosts tell it. */
 void
 relay_blame_survived (gt_relay_t *relay)
 {
   gt_relays_t *relays = relay->relays;
-  el_time_t now = net_clock_now (relays->options.clock);
   relay_fact_t fact = { .kind = RELAY_FACT_SURVIVED };
-  rt_judgement_t judgement = relay_blame_of (relay);
+  uint64_t news;
 
-  if (judgement.state == RT_BLAME_NONE)
+  if (rt_blame_empty (relays->blame->rt))
     return;
   fact.digest = relay_digest (relay);
-  rt_blame_survived (relays->blame->rt, fact.digest, now);
-  if (judgement.ends > 1 || judgement.holds) /* one end is soon forgotten */
-    relay_rumor_tell (
-        relays, &fact,
-        fact.digest ^ relays->options.witness ^ now / SURVIVED_GAP, FACT_HOLD);
+  news = rt_blame_survived (relays->blame->rt, fact.digest,
+                            net_clock_now (relays->options.clock));
+  if (news)
+    relay_rumor_tell (relays, &fact, fact.digest ^ news, FACT_HOLD);
 }
 
 /** What is thought of RELAY now. */
--- a/route/blame.c
+++ b/route/blame.c
@@ -349,17 +349,43 @@
     run_drop (run);
 }
 
-/** The request ran to its end at AT and its endpoint lives: what was seen
-    before says nothing. Gives 0 when nothing had been. */
+/** Whether other hosts are to know of a run: it was young, or a suspect
+    before. With all runs told by all hosts, a day of 50 s with 64 hosts and 20
+    ends took 10 KB/s more of each host; with this 2. */
 int
+rt_blame_told (const rt_blame_t *blame, const rt_ended_t *ended)
+{
+  return ended->ran < RT_BLAME_YOUNG
+         || rt_blame_of (blame, ended->at, ended->digest).state;
+}
+
+/* The newest end under which it ran as far as other hosts know, or that it was
+   blocked, by name. */
+static uint64_t
+request_news (const blame_request_t *request)
+{
+  const blame_run_t *run;
+  const blame_end_t *newest = NULL;
+
+  DL_FOREACH (request->runs, run)
+  if ((run->ran < RT_BLAME_YOUNG || request->runs->next)
+      && (!newest || run->end->at > newest->at))
+    newest = run->end;
+  return newest ? newest->key : request->until;
+}
+
+/** The request ran to its end at AT and its endpoint lives: what was seen
+    before says nothing. Gives a name for what other hosts are to know that it
+    is cleared of, the same at all hosts; 0 when they know nothing of it. */
+uint64_t
 rt_blame_survived (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
 {
   blame_request_t *request = request_find (blame, digest);
-  int news;
+  uint64_t news;
 
   if (!request || at <= request->cleared)
     return 0;
-  news = request->runs || request->until;
+  news = request_news (request);
   request_acquit (request, at);
   if (request->until && at + rt_blame_hold (request->holds) > request->until)
     request->until = 0;
--- a/route/blame.h
+++ b/route/blame.h
@@ -93,9 +93,11 @@
 rt_blame_t *rt_blame_new (const rt_blame_options_t *options);
 void rt_blame_free (rt_blame_t *blame);
 int rt_blame_ended (rt_blame_t *blame, el_time_t now, const rt_ended_t *ended);
+int rt_blame_told (const rt_blame_t *blame, const rt_ended_t *ended);
 int rt_blame_unsure (const rt_blame_t *blame, const rt_start_t *start,
                      uint64_t host);
-int rt_blame_survived (rt_blame_t *blame, rt_digest_t digest, el_time_t at);
+uint64_t rt_blame_survived (rt_blame_t *blame, rt_digest_t digest,
+                            el_time_t at);
 int rt_blame_block (rt_blame_t *blame, rt_digest_t digest, uint64_t customer,
                     el_time_t at, unsigned holds);
 int rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at);
--- a/tests/blame_sim.c
+++ b/tests/blame_sim.c
@@ -35,6 +35,8 @@
 #define BACK_MOST 100
 /* Who ran under so many ends waits for its turn. */
 #define TURN_ENDS 2
+/* The request that comes often, and the first of the others. */
+#define OFTEN 1000
 /* A suspect is proved when it has run so long. */
 #define PROOF (500 * EL_MSEC)
 
@@ -293,9 +295,10 @@
       ended.ran = sim->now - stream->at;
       if (ended.ran > BEGIN_AFTER)
         ended.ran -= BEGIN_AFTER;
+      if (rt_blame_told (sim->blame[stream->host], &ended))
+        news_spread (sim, stream->host, &ended, 0);
       rt_blame_ended (sim->blame[stream->host], sim->now, &ended);
       sim->fresh[stream->host] = 1;
-      news_spread (sim, stream->host, &ended, 0);
     }
   DL_FOREACH_SAFE (sim->streams, stream, next)
   if (!stream->waits && stream->engine == i)
@@ -333,8 +336,10 @@
   if (news->at <= sim->now)
     {
       if (news->survived)
-        sim->fresh[news->to] |= rt_blame_survived (
-            sim->blame[news->to], news->survived, news->ended.at);
+        sim->fresh[news->to]
+            |= rt_blame_survived (sim->blame[news->to], news->survived,
+                                  news->ended.at)
+               != 0;
       else
         sim->fresh[news->to]
             |= rt_blame_ended (sim->blame[news->to], sim->now, &news->ended);
@@ -349,6 +354,7 @@
 {
   size_t d = stream->deadly - 1;
   const rt_ended_t at = { .at = sim->now };
+  unsigned ends = judgement (sim, stream->host, stream->digest).ends;
 
   if (stream->deadly)
     {
@@ -359,8 +365,8 @@
       return;
     }
   if (sim->o.rule
-      && rt_blame_survived (sim->blame[stream->host], stream->digest,
-                            sim->now))
+      && rt_blame_survived (sim->blame[stream->host], stream->digest, sim->now)
+      && (!sim->o.tell_late || ends > 1))
     news_spread (sim, stream->host, &at, stream->digest);
   stream_drop (sim, stream);
 }
@@ -429,14 +435,16 @@
 static void
 callers_come (sim_t *sim)
 {
-  double due = sim->o.rate * (double)STEP / (double)EL_SEC;
+  double rate = sim->o.rate + sim->o.often;
+  double due = rate * (double)STEP / (double)EL_SEC;
   size_t n = (size_t)due;
   sim_stream_t *stream;
 
   for (n += sim_chance (sim) < due - (double)n; n; n--)
     {
       stream = el_alloc (sizeof *stream);
-      stream->digest = ++sim->next;
+      stream->digest
+          = sim_chance (sim) * rate < sim->o.often ? OFTEN : ++sim->next;
       stream->host = el_random (&sim->rng) % sim->o.hosts;
       stream->waits = 1;
       stream->at = sim->now;
@@ -456,7 +464,7 @@
 
   sim->rng = sim->o.seed * 2654435761U + 1;
   sim->now = 100 * EL_SEC;
-  sim->next = 1000;
+  sim->next = OFTEN;
   for (i = 0; i < sim->o.engines; i++)
     sim->engine[i].up = 1;
   for (i = 0; sim->o.rule && i < sim->o.hosts; i++)
--- a/tests/blame_sim.h
+++ b/tests/blame_sim.h
@@ -28,6 +28,8 @@
   double end_rate; /* ends of an engine in a second without a reason */
   size_t rack;     /* engines that end within a second, each 20 s */
   double loss;     /* share of news that come a second late */
+  double often;    /* streams a second that are one innocent request */
+  int tell_late;   /* that it ran well is told from its second end on */
   double seconds;
 } sim_options_t;
 
--- a/tests/t_ends.c
+++ b/tests/t_ends.c
@@ -273,13 +273,17 @@
 {
   caller_t caller;
   const char *headers[] = { "host: rel.example", id, NULL };
+  int64_t ran[SITE_WORKERS];
   size_t i;
 
   for (i = 0; i < SITE_WORKERS; i++)
-    fault (&site.workers[i], "{\"fault\":\"hang\"}");
+    {
+      ran[i] = member_number (&site.workers[i], "runs");
+      fault (&site.workers[i], "{\"fault\":\"hang\"}");
+    }
   caller_start (&caller, site.entries[host].address, "/pay/x", "body", headers,
                 0);
-  for (i = 0; !member_number (&site.workers[i], "runs");
+  for (i = 0; member_number (&site.workers[i], "runs") == ran[i];
        i = (i + 1) % SITE_WORKERS)
     pause_step ();
   proc_end (&site.workers[i], SIGKILL);
@@ -292,23 +296,34 @@
   return site_workers_back ();
 }
 
-/* A payment that comes often is under way at one host when an endpoint ends,
-   and again at the next end a while later; in between another host had it
-   served well. Hosts that saw it only under ends blocked it for ten minutes:
-   that it ran well after one end was told to nobody. */
+/* A payment that comes often was under way at one host when an endpoint ended,
+   and again at the next end a while later; in between another host, or the
+   same, had it served well. It was refused for ten minutes as the one that
+   ends endpoints. A host told the others that a request ran well only if it
+   had run under two ends by then, so that those who heard of two ends took it
+   for one that had done nothing but end endpoints: request_blocked by=ends
+   ends=2 odds=24 holds=1 left_us=599724755 blocked_for_end
+   endpoint=w1-5dde3a43f5 age_us=876151 ran_us=5829 first=1 blocked_for_end
+   endpoint=w0-5dddd9c771 age_us=275259 ran_us=585 first=1 request_blocked
+   by="another host" ends=1 odds=0 holds=1 */
 START_TEST (test_request_that_ran_well_elsewhere_is_not_blocked)
 {
   reply_t reply;
+  size_t i;
 
   site_open (2);
   ck_assert_uint_eq (pay_under_an_end (1, "x-elmarch-request-id: p1"), 1);
-  ask (0, "POST", "/pay/x", "p2", &reply);
+  ask ((size_t)_i, "POST", "/pay/x", "p2", &reply);
   ck_assert_int_eq (reply.status, 200);
   reply_free (&reply);
   ck_assert_uint_eq (pay_under_an_end (1, "x-elmarch-request-id: p3"), 1);
-  ask (1, "POST", "/pay/x", "p4", &reply);
-  ck_assert_msg (reply.status == 200, "%ld %s", reply.status, reply.body.ptr);
-  reply_free (&reply);
+  for (i = 0; i < 2; i++)
+    {
+      ask (i, "POST", "/pay/x", i ? "p4" : "p5", &reply);
+      ck_assert_msg (reply.status == 200, "%ld %s", reply.status,
+                     reply.body.ptr);
+      reply_free (&reply);
+    }
 }
 END_TEST
 
@@ -326,7 +341,7 @@
   ADD (tcase, test_streams_beside_a_deadly_request_come_whole);
   ADD (tcase, test_blocked_request_is_let_in_by_an_operator);
   ADD (tcase, test_order_that_ends_engines_is_not_given_for_ever);
-  ADD (tcase, test_request_that_ran_well_elsewhere_is_not_blocked);
+  ADD_LOOP (tcase, test_request_that_ran_well_elsewhere_is_not_blocked, 2);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/t_suspect.c
+++ b/tests/t_suspect.c
@@ -227,14 +227,14 @@
 {
   ended (1, NOW, DEADLY, EL_MSEC);
   ended (2, NOW + EL_SEC, DEADLY, EL_MSEC);
-  ck_assert_int_eq (rt_blame_survived (blame, DEADLY, NOW + 5 * EL_SEC), 1);
+  ck_assert_uint_ne (rt_blame_survived (blame, DEADLY, NOW + 5 * EL_SEC), 0);
   ended (3, NOW + 2 * EL_SEC, DEADLY, EL_MSEC);
   ck_assert_int_eq (state_of (DEADLY), RT_BLAME_NONE);
   ended (4, NOW + 6 * EL_SEC, DEADLY, EL_MSEC);
   judge (NOW + 6 * EL_SEC);
   ck_assert_uint_eq (rt_blame_of (blame, NOW, DEADLY).ends, 1);
   ck_assert_uint_eq (blocked, 0);
-  ck_assert_int_eq (rt_blame_survived (blame, 99, NOW), 0);
+  ck_assert_uint_eq (rt_blame_survived (blame, 99, NOW), 0);
 }
 END_TEST
 
