A store that asks for rest gets no calls in it

Kin of the rests that endpoints ask for: a Retry-After in a refusal of the store was heard by nobody; the call came again after 60 to 500 ms, and the other parts of the host (follower, duty, kept keys) went on as before. No answer of the store was seen to carry one; what it asks for is kept to in one place, for all three, with a bound of 2 s, as a host that misses the store for 5 s lets no customer in. A duty that is held is renewed all the same.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -535,6 +535,9 @@
                   EL_COUNTER, &site->store.counts.calls);
   el_metrics_add (metrics, "elmarch_store_failures_total", "of those, failed",
                   EL_COUNTER, &site->store.counts.failures);
+  el_metrics_add (metrics, "elmarch_store_rests_total",
+                  "times that the store asked this host for no calls",
+                  EL_COUNTER, &site->store.counts.rests);
 }
 
 /** Serve relayed requests; NULL, with the reason in ERR, when an address can't
--- a/gate/store.c
+++ b/gate/store.c
@@ -13,6 +13,11 @@
 #define BACKOFF_FIRST (60 * EL_MSEC)
 #define BACKOFF_DOUBLINGS 5
 #define BACKOFF_MOST (500 * EL_MSEC)
+/* A longer rest is cut to this: a host that misses the store for 5 s lets no
+   customer in, and should have tried twice before. */
+#define REST_MOST (2 * EL_SEC)
+/* Hosts come back later than they may by up to this part of a rest. */
+#define REST_SPREAD 5
 
 /** Send one call; BODY, which may be NULL, is JSON. */
 net_exchange_t *
@@ -39,10 +44,41 @@
   return net_client_send (store->client, &send);
 }
 
-/** How long to wait after FAILURES in a row; half of it is random, so that
-    hosts do not come back together. */
+/** A call failed. A refusal may ask for no calls for a while, of whichever
+   part of this host; a rest that ends later stays as it is. */
+void
+gt_store_heard (gt_store_t *store, const net_result_t *result)
+{
+  el_time_t now = net_clock_now (store->clock);
+  el_time_t asked
+      = result->net == NET_OK ? store->dialect->read_rest (result) : 0;
+  el_time_t rest = asked < REST_MOST ? asked : REST_MOST;
+
+  if (!rest)
+    return;
+  rest += el_random (&store->random) % (rest / REST_SPREAD + 1);
+  if (now + rest <= store->rest_until)
+    return;
+  store->rest_until = now + rest;
+  store->counts.rests++;
+  EL_LOG (EL_LOG_INFO, "store_rests", EL_FN ("status", result->status),
+          EL_FN ("asked_us", asked), EL_FN ("left_us", rest));
+}
+
+/** How much longer the store wants no calls. */
+el_time_t
+gt_store_rest_left (const gt_store_t *store)
+{
+  el_time_t now = net_clock_now (store->clock);
+
+  return now < store->rest_until ? store->rest_until - now : 0;
+}
+
+/** How long to wait after a call that failed with RESULT, after FAILURES in a
+    row; half of it is random, so that hosts do not come back together. */
 el_time_t
-gt_store_backoff (gt_store_t *store, unsigned failures)
+gt_store_backoff (gt_store_t *store, const net_result_t *result,
+                  unsigned failures)
 {
   el_time_t wait = BACKOFF_FIRST
                    << (failures < BACKOFF_DOUBLINGS ? failures
@@ -51,7 +87,9 @@
   if (wait > BACKOFF_MOST)
     wait = BACKOFF_MOST;
   store->counts.failures++;
-  return wait / 2 + el_random (&store->random) % (wait / 2 + 1);
+  wait = wait / 2 + el_random (&store->random) % (wait / 2 + 1);
+  gt_store_heard (store, result);
+  return wait > gt_store_rest_left (store) ? wait : gt_store_rest_left (store);
 }
 
 /** Free what a list holds. */
--- a/gate/store.h
+++ b/gate/store.h
@@ -48,6 +48,8 @@
   void (*claim) (el_buf_t *path, el_buf_t *body, el_str_t key, el_str_t value,
                  uint64_t lease);
   gt_store_state_t (*read_claim) (const net_result_t *result);
+  /** For how long a refusal asks this host to make no calls; 0: not at all. */
+  el_time_t (*read_rest) (const net_result_t *result);
 } gt_store_dialect_t;
 
 void gt_store_list_free (gt_store_list_t *list);
@@ -56,6 +58,7 @@
 {
   uint64_t calls;
   uint64_t failures;
+  uint64_t rests; /**< times that it asked for no calls */
   uint64_t reads; /**< whole ranges read */
 } gt_store_counts_t;
 
@@ -67,14 +70,18 @@
   const gt_store_dialect_t *dialect;
   el_str_t address;
   gt_store_counts_t counts;
-  uint64_t random; /**< of el_random; not 0 */
+  uint64_t random;      /**< of el_random; not 0 */
+  el_time_t rest_until; /**< it asked for no calls until then */
 } gt_store_t;
 
 net_exchange_t *gt_store_call (gt_store_t *store, const char *method,
                                const el_buf_t *path, const el_buf_t *body,
                                el_time_t timeout, net_result_cb done,
                                void *arg);
-el_time_t gt_store_backoff (gt_store_t *store, unsigned failures);
+void gt_store_heard (gt_store_t *store, const net_result_t *result);
+el_time_t gt_store_backoff (gt_store_t *store, const net_result_t *result,
+                            unsigned failures);
+el_time_t gt_store_rest_left (const gt_store_t *store);
 
 /* Following the keys below a prefix. */
 
--- a/gate/store_duty.c
+++ b/gate/store_duty.c
@@ -111,7 +111,7 @@
       || store->dialect->read_grant (result, &duty->lease) != GT_STORE_OK)
     {
       duty_lost (duty, "no lease granted",
-                 gt_store_backoff (store, duty->failures++));
+                 gt_store_backoff (store, result, duty->failures++));
       return;
     }
   duty->failures = 0;
@@ -140,6 +140,7 @@
     state = store->dialect->read_claim (result);
   if (state != GT_STORE_OK)
     {
+      gt_store_heard (store, result);
       duty_lost (duty, "not claimed", TAKEN_WAIT);
       return;
     }
@@ -174,9 +175,12 @@
       duty_later (duty, duty_ttl (duty) / RENEWALS);
     }
   else if (state == GT_STORE_NO_LEASE || now >= duty->valid)
-    duty_lost (duty, "lease over", TAKEN_WAIT);
+    {
+      gt_store_heard (store, result);
+      duty_lost (duty, "lease over", TAKEN_WAIT);
+    }
   else
-    duty_later (duty, gt_store_backoff (store, duty->failures++));
+    duty_later (duty, gt_store_backoff (store, result, duty->failures++));
 }
 
 static void
@@ -206,8 +210,10 @@
   el_buf_free (&path);
 }
 
-/* Make the call of the step that the duty is at. A call without a body, as
-   that of a renewal, is sent without one. */
+/* Make the call of the step that the duty is at. A duty that is held is kept
+   up also while the store rests: a renewal costs it a tenth of a call, a
+   change of hands three. A call without a body, as that of a renewal, is sent
+   without one. */
 static void
 duty_call (gt_duty_t *duty)
 {
@@ -227,6 +233,7 @@
 duty_next (void *arg, el_time_t now)
 {
   gt_duty_t *duty = arg;
+  el_time_t rest;
 
   (void)now;
   if (duty->call || (!duty->wanted && duty->step == DUTY_IDLE))
@@ -238,6 +245,12 @@
     }
   if (duty->step == DUTY_IDLE)
     {
+      rest = gt_store_rest_left (duty->options.store);
+      if (rest)
+        {
+          duty_later (duty, rest);
+          return;
+        }
       if (!duty->options.vacant (duty->options.arg))
         {
           duty_later (duty, VACANT_EVERY);
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -139,16 +139,17 @@
 }
 
 static void
-follow_failed (gt_follow_t *follow, const char *what, int status)
+follow_failed (gt_follow_t *follow, const char *what,
+               const net_result_t *result)
 {
   gt_follow_options_t *o = &follow->options;
-  el_time_t wait = gt_store_backoff (o->store, follow->failures++);
+  el_time_t wait = gt_store_backoff (o->store, result, follow->failures++);
 
   follow->doubt = 0; /* the store can't tell either */
 
   if (follow->failures == 1)
     EL_LOG (EL_LOG_WARN, "store_lost", EL_FS ("prefix", o->prefix),
-            EL_FC ("call", what), EL_FN ("status", status),
+            EL_FC ("call", what), EL_FN ("status", result->status),
             EL_FN ("revision", follow->revision));
   follow_later (follow, wait);
 }
@@ -190,7 +191,7 @@
              != GT_STORE_OK)
     {
       follow_restart (follow);
-      follow_failed (follow, "range", result->status);
+      follow_failed (follow, "range", result);
       return;
     }
   follow_works (follow);
@@ -238,7 +239,7 @@
     }
   if (state != GT_STORE_OK)
     {
-      follow_failed (follow, "watch", result->status);
+      follow_failed (follow, "watch", result);
       return;
     }
   follow_works (follow);
@@ -373,10 +374,16 @@
 follow_next (void *arg, el_time_t now)
 {
   gt_follow_t *follow = arg;
+  el_time_t rest = gt_store_rest_left (follow->options.store);
 
   (void)now;
   if (follow_ask (follow))
     return;
+  if (rest)
+    {
+      follow_later (follow, rest);
+      return;
+    }
   follow->sent = net_clock_now (follow->options.store->clock);
   if (follow->whole)
     follow_watch (follow);
--- a/gate/store_keep.c
+++ b/gate/store_keep.c
@@ -46,7 +46,7 @@
 }
 
 static void
-keep_failed (keep_t *keep)
+keep_failed (keep_t *keep, const net_result_t *result)
 {
   gt_store_t *store = keep->store;
 
@@ -56,7 +56,7 @@
       return;
     }
   net_clock_set (store->clock, &keep->again,
-                 gt_store_backoff (store, keep->failures++));
+                 gt_store_backoff (store, result, keep->failures++));
 }
 
 static void
@@ -72,7 +72,7 @@
   else if (state == GT_STORE_CONFLICT)
     keep_over (keep, "was there");
   else
-    keep_failed (keep);
+    keep_failed (keep, result);
 }
 
 static void
@@ -86,7 +86,7 @@
   if (result->net != NET_OK
       || dialect->read_grant (result, &keep->lease) != GT_STORE_OK)
     {
-      keep_failed (keep);
+      keep_failed (keep, result);
       return;
     }
   dialect->claim (&path, &body, keep->key, keep->value, keep->lease);
@@ -102,8 +102,14 @@
   keep_t *keep = arg;
   el_buf_t path = { NULL, 0, 0 };
   el_buf_t body = { NULL, 0, 0 };
+  el_time_t rest = gt_store_rest_left (keep->store);
 
   (void)now;
+  if (rest)
+    {
+      net_clock_set (keep->store->clock, &keep->again, rest);
+      return;
+    }
   keep->store->dialect->grant (&path, &body, keep->ttl_ms);
   gt_store_call (keep->store, "POST", &path, &body, CALL_LIMIT, grant_done,
                  keep);
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -223,12 +223,79 @@
 }
 END_TEST
 
+static void
+span_over (void *arg, el_time_t now)
+{
+  (void)now;
+  *(int *)arg = 1;
+}
+
+/* Let the loop run for so long. */
+static void
+run_for (el_time_t span)
+{
+  int over = 0;
+  el_timer_t timer = { .cb = span_over, .arg = &over };
+
+  net_clock_set (&test_clock, &timer, span);
+  while (!over)
+    uv_run (&loop, UV_RUN_ONCE);
+}
+
 static int
 duty_vacant (void *arg)
 {
   return *(int *)arg;
 }
 
+/* The store refuses a call and asks for half a second without calls: neither
+   the part that made it nor another one of this host makes one in it. A time
+   of an hour is not kept to. */
+START_TEST (test_store_that_asks_for_rest_gets_no_calls_in_it)
+{
+  static int vacant = 1;
+  old_host_t host = { .asked = 0 };
+  gt_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  const gt_follow_options_t follow_options = { .store = &store,
+                                               .prefix = EL_STR ("p/"),
+                                               .wait_ms = 100,
+                                               .item = followed_item,
+                                               .known = followed_known,
+                                               .arg = &host };
+  const gt_duty_options_t duty_options = { .store = &store,
+                                           .key = EL_STR ("duty"),
+                                           .holder = EL_STR ("a"),
+                                           .ttl_ms = 2000,
+                                           .vacant = duty_vacant,
+                                           .arg = &vacant };
+  gt_follow_t *follow;
+  gt_duty_t *duty;
+
+  SCRIPT ({ "HTTP/1.1 429 Busy\r\nretry-after: 0.5\r\n"
+            "connection: close\r\n\r\n",
+            END },
+          { "HTTP/1.1 503 Busy\r\nretry-after: 3600\r\n"
+            "content-length: 0\r\n\r\n",
+            KEEP });
+  store.address = el_str (script.address);
+  follow = gt_follow_new (&follow_options);
+  while (!store.counts.rests)
+    uv_run (&loop, UV_RUN_ONCE);
+  duty = gt_duty_new (&duty_options);
+  gt_duty_want (duty, 1);
+  gt_store_keep (&store, EL_STR ("k"), EL_STR ("v"), 1000, 0);
+  run_for (480 * EL_MSEC);
+  ck_assert_uint_eq (store.counts.calls, 1);
+  while (store.counts.rests < 2)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_uint_le (gt_store_rest_left (&store), 2500 * EL_MSEC);
+  ck_assert_uint_ge (gt_store_rest_left (&store), 1900 * EL_MSEC);
+  gt_follow_free (follow);
+}
+END_TEST
+
 /* A duty that another host has is not asked for. */
 START_TEST (test_duty_is_asked_for_when_it_is_vacant)
 {
@@ -243,7 +310,6 @@
                                 .vacant = duty_vacant,
                                 .arg = &vacant };
   gt_duty_t *duty;
-  el_time_t until;
 
   /* What was sent of a body is read with the next request. */
   SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n"
@@ -255,9 +321,7 @@
   store.address = el_str (script.address);
   duty = gt_duty_new (&options);
   gt_duty_want (duty, 1);
-  until = net_clock_now (&test_clock) + 300 * EL_MSEC;
-  while (net_clock_now (&test_clock) < until)
-    uv_run (&loop, UV_RUN_ONCE);
+  run_for (300 * EL_MSEC);
   ck_assert_uint_eq (store.counts.calls, 0);
   vacant = 1;
   while (!gt_duty_held (duty, net_clock_now (&test_clock)))
@@ -278,6 +342,7 @@
   ADD (tcase, test_follow_reads_pages_and_ignores_older_events);
   ADD (tcase, test_follow_news_too_old_have_the_store_asked);
   ADD (tcase, test_follow_store_away_is_asked_seldom);
+  ADD (tcase, test_store_that_asks_for_rest_gets_no_calls_in_it);
   ADD (tcase, test_duty_is_asked_for_when_it_is_vacant);
   suite_add_tcase (suite, tcase);
   return suite;
