The time to come back comes through another host, too

Kin of the rests that endpoints ask for: a caller whose call of a session came to another host than the session's home got the home's refusal without Retry-After, so that it did not know for how long all endpoints rest. Cause: the two ways a refusal leaves a host each wrote its headers, and the one between hosts wrote no time. One function writes them for both.

--- a/gate/caller.c
+++ b/gate/caller.c
@@ -12,7 +12,6 @@
 
 #include "libgate.h"
 
-#define NUMBER_MAX 24
 #define MSEC_PER_SEC 1000
 
 typedef struct caller
@@ -46,20 +45,35 @@
   [RT_STOPPING] = { 503, "this host is stopping; use another" },
 };
 
-static void
-verdict_headers (h2o_req_t *req, el_verdict_t verdict, uint64_t retry_after_ms)
+/** Tell the verdict, and when to come back unless that is 0. */
+void
+gt_verdict_headers (el_verdict_t verdict, uint64_t retry_after_ms,
+                    gt_verdict_head_t *out)
 {
-  char text[NUMBER_MAX];
-
-  net_req_add_header (req, EL_STR ("x-elmarch-verdict"),
-                      el_str (el_verdict_name (verdict)));
+  out->n = 0;
+  out->headers[out->n++]
+      = (net_header_t){ EL_STR ("x-elmarch-verdict"),
+                        el_str (el_verdict_name (verdict)) };
   if (!retry_after_ms)
     return;
-  snprintf (text, sizeof text, "%" PRIu64,
+  snprintf (out->seconds, sizeof out->seconds, "%" PRIu64,
             (retry_after_ms + MSEC_PER_SEC - 1) / MSEC_PER_SEC);
-  net_req_add_header (req, EL_STR ("retry-after"), el_str (text));
-  snprintf (text, sizeof text, "%" PRIu64, retry_after_ms);
-  net_req_add_header (req, EL_STR ("x-elmarch-retry-after-ms"), el_str (text));
+  snprintf (out->ms, sizeof out->ms, "%" PRIu64, retry_after_ms);
+  out->headers[out->n++]
+      = (net_header_t){ EL_STR ("retry-after"), el_str (out->seconds) };
+  out->headers[out->n++] = (net_header_t){ EL_STR ("x-elmarch-retry-after-ms"),
+                                           el_str (out->ms) };
+}
+
+static void
+verdict_headers (h2o_req_t *req, el_verdict_t verdict, uint64_t retry_after_ms)
+{
+  gt_verdict_head_t head;
+  size_t i;
+
+  gt_verdict_headers (verdict, retry_after_ms, &head);
+  for (i = 0; i < head.n; i++)
+    net_req_add_header (req, head.headers[i].name, head.headers[i].value);
 }
 
 /** The body of a refusal. */
@@ -130,7 +144,7 @@
   size_t offset = skip < answer->ntokens ? answer->tokens[skip].offset
                                          : answer->text.len;
   el_str_t text = el_str_after (el_buf_str (&answer->text), offset);
-  char id[NUMBER_MAX + 16];
+  char id[GT_NUMBER_MAX + 16];
   json_t *json;
   char *dump;
 
@@ -187,7 +201,7 @@
 {
   gt_answer_t *answer = caller->reader.answer;
   const gt_token_t *token = &answer->tokens[i];
-  char id[NUMBER_MAX + 16];
+  char id[GT_NUMBER_MAX + 16];
 
   snprintf (id, sizeof id, "chatcmpl-%" PRIu64, answer->stream);
   event_write (&caller->chunk,
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -240,6 +240,22 @@
 void gt_refusal_of_end (const gt_end_t *end, gt_refusal_t *out);
 json_t *gt_refusal_json (const gt_refusal_t *refusal);
 
+/* Digits of any number, with the final NUL. */
+#define GT_NUMBER_MAX 24
+
+/** The headers that tell an answer's verdict and when to come back; they lie
+    in the struct. */
+typedef struct gt_verdict_head
+{
+  net_header_t headers[3];
+  size_t n;
+  char seconds[GT_NUMBER_MAX];
+  char ms[GT_NUMBER_MAX];
+} gt_verdict_head_t;
+
+void gt_verdict_headers (el_verdict_t verdict, uint64_t retry_after_ms,
+                         gt_verdict_head_t *out);
+
 /* hold.c: a request whose answer waits for news that the caller may not
    live to see. */
 typedef struct gt_hold gt_hold_t;
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -127,22 +127,25 @@
     gate->talk.rumor (gate->talk.arg, rumor);
 }
 
+/* When to come back is told with it: a caller through another host than its
+   session's home was left without, also while all endpoints rested for 60 s.
+ */
 static void
 call_refuse (net_rpc_req_t *req, const gt_refusal_t *refusal)
 {
-  net_header_t headers[] = {
-    { EL_STR ("content-type"), GT_JSON },
-    { EL_STR ("x-elmarch-verdict"),
-      el_str (el_verdict_name (refusal->verdict)) },
-  };
+  net_header_t headers[4] = { { EL_STR ("content-type"), GT_JSON } };
+  gt_verdict_head_t head;
   json_t *json = gt_refusal_json (refusal);
   char *text = json_dumps (json, JSON_COMPACT);
   pr_called_t called = { .verdict = refusal->verdict,
                          .status = refusal->status,
                          .headers = headers,
-                         .nheaders = sizeof headers / sizeof *headers,
+                         .nheaders = 1,
                          .body = el_str (text) };
 
+  gt_verdict_headers (refusal->verdict, refusal->retry_after_ms, &head);
+  memcpy (headers + 1, head.headers, head.n * sizeof *headers);
+  called.nheaders += head.n;
   pr_call_answer (req, &called);
   free (text);
   json_decref (json);
--- a/tests/t_rest.c
+++ b/tests/t_rest.c
@@ -501,6 +501,32 @@
 }
 END_TEST
 
+/* A call of a session comes to another host than the session's home, which
+   refuses it as all endpoints rest: the caller is told for how long all the
+   same. */
+START_TEST (test_time_of_a_refusal_comes_through_another_host)
+{
+  static const char *const busy
+      = "{\"fault\":\"busy\",\"times\":1,\"delay_ms\":60000}";
+  char session[640];
+  const char *headers[] = { session, "x-elmarch-sequence: 1", NULL };
+  char header[64];
+  reply_t reply;
+  size_t i;
+
+  cluster_open (&c, 2);
+  session_open (&c.hosts[0], session, sizeof session);
+  for (i = 0; i < 2; i++)
+    fault (&c.workers[i], busy);
+  pay (1, "t1", headers, &reply);
+  verdict_is (&reply, 503, "not-run");
+  reply_header (&reply, "retry-after", header, sizeof header);
+  ck_assert (strtod (header, NULL) > 30);
+  reply_free (&reply);
+  ck_assert_uint_eq (metric (&c.hosts[1], "elmarch_forwarded_total"), 1);
+}
+END_TEST
+
 Suite *
 rest_suite (void)
 {
@@ -525,6 +551,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, cluster_setup, cluster_teardown);
   ADD (tcase, test_rest_is_kept_to_at_the_own_doors);
+  ADD (tcase, test_time_of_a_refusal_comes_through_another_host);
   suite_add_tcase (suite, tcase);
   return suite;
 }
