--- a/tests/t_rest.c
+++ b/tests/t_rest.c
@@ -35,6 +35,9 @@
 /* Requests through the hosts in turn, far fewer than a rest lasts. */
 #define ASKED 80
 #define STREAMS 40
+/* A good deal longer than until an order that came to nothing is given again.
+ */
+#define ORDER_STEPS 800
 /* Far longer than a test's requests take. */
 #define LONG_REST                                                             \
   "{\"kinds\":[\"requests\"],\"status\":503,\"asked\":[\"60\"],"              \
@@ -251,21 +254,90 @@
 }
 END_TEST
 
-/* The engine that holds the last layers and that, of the copies, is the other
-   one than NOT. */
+/* The path of the last request that came to an engine first. */
+static json_t *
+last_path (const proc_t *engine)
+{
+  json_t *seen = http_json (engine->address, "/seen");
+  json_t *path = json_incref (json_object_get (seen, "path"));
+
+  json_decref (seen);
+  return path;
+}
+
+/* The first engine that the last of some streams passed. */
 static const proc_t *
-engine_with_last_layers (const proc_t * not )
+engine_passed_first (void)
 {
+  json_t *path;
   size_t i;
 
+  stream_often ();
   for (i = 0; i < SITE_ENGINES; i++)
-    if (&site.engines[i]
-        != not &&member_number (&site.engines[i], "first") > 0)
-      return &site.engines[i];
-  ck_abort_msg ("no engine holds the last layers");
+    {
+      path = last_path (&site.engines[i]);
+      json_decref (path);
+      if (path)
+        return &site.engines[i];
+    }
+  ck_abort_msg ("no engine was passed first");
   return NULL;
 }
 
+/* The engine with the last layers on the path of streams that begin at FIRST.
+ */
+static const proc_t *
+engine_passed_last (const proc_t *first)
+{
+  json_t *path = last_path (first);
+  const proc_t *last = NULL;
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (&site.engines[i] != first
+        && strstr (json_string_value (path), site.engines[i].address))
+      last = &site.engines[i];
+  json_decref (path);
+  ck_assert_ptr_nonnull (last);
+  return last;
+}
+
+/* Whether the last request that came to AT first was ID and passed ENGINE. */
+static int
+last_passed (const proc_t *at, const char *id, const proc_t *engine)
+{
+  json_t *seen = http_json (at->address, "/seen");
+  const char *last
+      = json_string_value (json_object_get (seen, "x-elmarch-request-id"));
+  const char *path = json_string_value (json_object_get (seen, "path"));
+  int passed = last && path && strcmp (last, id) == 0
+               && strstr (path, engine->address) != NULL;
+
+  json_decref (seen);
+  return passed;
+}
+
+/* Streams from now on are served, and pass ENGINE nowhere. */
+static void
+streams_pass_by (const proc_t *engine)
+{
+  char id[16];
+  caller_t caller;
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < STREAMS; i++)
+    {
+      snprintf (id, sizeof id, "b%zu", i);
+      stream_start (&caller, 0, id);
+      caller_join (&caller);
+      stream_whole (&caller.reply);
+      reply_free (&caller.reply);
+      for (k = 0; k < SITE_ENGINES; k++)
+        ck_assert (!last_passed (&site.engines[k], id, engine));
+    }
+}
+
 /* A refusal names another engine of the line as the one at fault, and does not
    say whose rest it is: no line passes either of them. */
 START_TEST (test_rest_of_an_engine_further_down_the_line)
@@ -273,13 +345,11 @@
   const proc_t *first;
   const proc_t *named;
   char text[160];
-  json_t *seen;
-  size_t i;
 
   site.step_us = "1000";
   site_open (1);
-  first = engine_with_first_layers ();
-  named = engine_with_last_layers (NULL);
+  first = engine_passed_first ();
+  named = engine_passed_last (first);
   snprintf (text, sizeof text,
             "{\"kinds\":[\"requests\"],\"status\":503,\"asked\":[\"60\"],"
             "\"span_ms\":60000,\"at\":\"%s\"}",
@@ -288,17 +358,7 @@
   stream_often ();
   ck_assert_int_gt (rests (first), 0);
   ck_assert_int_eq (rest_count (first, "requests", "in_rest"), 0);
-  stream_often ();
-  for (i = 0; i < SITE_ENGINES; i++)
-    if (&site.engines[i] != first
-        && member_number (&site.engines[i], "first") == 0)
-      {
-        seen = http_json (site.engines[i].address, "/seen");
-        ck_assert_ptr_null (
-            strstr (json_string_value (json_object_get (seen, "path")),
-                    named->address));
-        json_decref (seen);
-      }
+  streams_pass_by (named);
 }
 END_TEST
 
@@ -322,6 +382,24 @@
 }
 END_TEST
 
+/* Empty engines turn their first order away with a rest: they get no further
+   one in it, and the others with the same card get theirs. */
+START_TEST (test_rest_asked_for_by_an_order)
+{
+  int i;
+
+  site_open_unplaced (1);
+  rest_set (&site.engines[0], "{\"kinds\":[\"orders\"],\"status\":503,"
+                              "\"asked\":[\"60\"],\"span_ms\":60000}");
+  metric_wait (&site.hosts[0], "elmarch_relay_rests_total", 1);
+  metric_wait (&site.hosts[0], "elmarch_engines_placed", SITE_ENGINES - 1);
+  for (i = 0; i < ORDER_STEPS; i++)
+    pause_step ();
+  ck_assert_int_eq (rest_count (&site.engines[0], "orders", "all"), 1);
+  ck_assert_int_eq (rest_count (&site.engines[0], "orders", "in_rest"), 0);
+}
+END_TEST
+
 /* Requests through HOST until it was told that an endpoint leaves. */
 static void
 ask_until_leaving (size_t host)
@@ -541,6 +619,7 @@
   ADD (tcase, test_stream_begun_waits_for_the_end_of_a_rest);
   ADD (tcase, test_rest_of_an_engine_further_down_the_line);
   ADD (tcase, test_rest_asked_for_by_a_report);
+  ADD (tcase, test_rest_asked_for_by_an_order);
   ADD_LOOP (tcase, test_endpoint_that_says_it_leaves_gets_nothing_new, 2);
   ADD (tcase, test_endpoint_that_leaves_is_known_to_the_other_hosts);
   ADD (tcase, test_endpoint_that_leaves_is_left_by_a_host_cut_off);
