--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -13,6 +13,7 @@
 #include "bench.h"
 #include "blame.h"
 #include "coord.h"
+#include "relay.h"
 #include "route.h"
 
 #define LINE_STAGES 4
@@ -288,9 +289,63 @@
           (double)(bench_ns () - began) / REQUESTS);
 }
 
+static double
+picks_ns (rt_fleet_t *fleet)
+{
+  const rt_tried_t tried = { .n = 0 };
+  uint64_t began = bench_ns ();
+  unsigned i;
+
+  for (i = 0; i < REQUESTS; i++)
+    rt_fleet_pick (fleet, EL_SEC + i, EL_STR ("s"), EL_STR ("h"), &tried);
+  return (double)(bench_ns () - began) / REQUESTS;
+}
+
+/* A plain service of so many endpoints: a choice among them while none rests
+   and while half of them do, and what is kept of an endpoint that asked for
+   rest and is not listed now. */
+static void
+rests (unsigned endpoints)
+{
+  rt_fleet_t *fleet = rt_fleet_new (1);
+  rt_facts_t facts = { .service = EL_STR ("s"),
+                       .address = EL_STR ("10.0.0.1:80"),
+                       .hall = EL_STR ("h"),
+                       .slots = 6 };
+  double none_ns;
+  double half_ns;
+  size_t heap;
+  char id[16];
+  unsigned i;
+
+  for (i = 0; i < endpoints; i++)
+    {
+      snprintf (id, sizeof id, "i-%u", i);
+      facts.id = el_str (id);
+      rt_fleet_set (fleet, &facts);
+    }
+  none_ns = picks_ns (fleet);
+  heap = bench_heap ();
+  for (i = 0; i < endpoints; i += 2)
+    {
+      snprintf (id, sizeof id, "i-%u", i);
+      rt_fleet_rests (fleet, rt_fleet_find (fleet, el_str (id)), EL_SEC,
+                      60 * EL_SEC);
+    }
+  half_ns = picks_ns (fleet);
+  printf ("bench=rests endpoints=%u access_bytes=%zu bytes_per_rest=%zu "
+          "pick_ns=%.0f pick_half_rest_ns=%.0f\n",
+          endpoints, sizeof (rt_access_t),
+          (bench_heap () - heap) / (endpoints / 2), none_ns, half_ns);
+  rt_fleet_free (fleet);
+}
+
 int
 main (void)
 {
+  rests (12);
+  rests (40);
+  rests (1900);
   digest ();
   blame (1, 60);
   blame (64, 60);
--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -18,7 +18,8 @@
 #define ENGINES 2
 #define TURN_US 500
 #define REPORT                                                                \
-  "{\"SeqNo\":0,\"pace\":2.5,\"KvUsed\":50,\"KvTotal\":200,\"stalled\":[]}"
+  "{\"SeqNo\":0,\"pace\":2.5,\"KvUsed\":50,\"KvTotal\":200,\"stalled\":[],"   \
+  "\"ActiveRequests\":40,\"QueueDepth\":20}"
 
 typedef struct asked
 {
@@ -63,6 +64,7 @@
   rt_facts_t facts = { .id = el_str (id),
                        .service = EL_STR ("pool"),
                        .hall = EL_STR ("h"),
+                       .slots = 48,
                        .first = 0,
                        .end = 8 };
   char address[32];
@@ -131,6 +133,7 @@
   ck_assert_int_eq (engines[0].engine->access.silent, 0);
   ck_assert (engines[0].engine->pace == 2.5);
   ck_assert (engines[0].engine->fill == 0.25);
+  ck_assert (engines[0].engine->taken == 1.25); /* with what waits there */
 }
 END_TEST
 
--- a/tests/t_net.c
+++ b/tests/t_net.c
@@ -149,6 +149,31 @@
 }
 END_TEST
 
+/* An endpoint that says it closes the connection, or keeps it for no longer,
+   is not sent anything more on it. */
+START_TEST (test_client_leaves_a_connection_that_is_to_close)
+{
+  static const char *const first[]
+      = { "HTTP/1.1 200 OK\r\nconnection: close\r\nkeep-alive: timeout=9\r\n"
+          "content-length: 1\r\n\r\na",
+          "HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\n"
+          "content-length: 1\r\n\r\na" };
+  static answer_t answers[] = {
+    { NULL, KEEP },
+    { "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb", KEEP },
+  };
+  seen_t seen;
+
+  answers[0].bytes = first[_i];
+  script_open (answers, 2);
+  ask (&seen);
+  ask (&seen);
+  ck_assert_int_eq (seen.net, NET_OK);
+  pthread_join (script.thread, NULL);
+  ck_assert_uint_eq (script.connections, 2);
+}
+END_TEST
+
 START_TEST (test_client_surplus_bytes_end_the_connection)
 {
   seen_t seen;
@@ -377,6 +402,7 @@
   ADD (tcase, test_client_tells_a_reset_from_an_end);
   ADD (tcase, test_client_answer_cut_short_is_broken);
   ADD (tcase, test_client_keeps_a_connection);
+  ADD_LOOP (tcase, test_client_leaves_a_connection_that_is_to_close, 2);
   ADD (tcase, test_client_surplus_bytes_end_the_connection);
   ADD (tcase, test_client_held_up_reads_what_came_first);
   ADD (tcase, test_client_no_connection_is_not_run);
