--- a/standin/rest.c
+++ b/standin/rest.c
@@ -144,14 +144,15 @@
   el_str_t via = net_req_header (req, "x-via");
   rest_host_t *host;
 
+  if (!via.ptr)
+    via = EL_STR ("");
   if (via.len >= VIA_MAX)
     via.len = VIA_MAX - 1;
   HASH_FIND (hh, rest->hosts, via.ptr, (unsigned)via.len, host);
   if (host)
     return host;
   host = el_alloc (sizeof *host);
-  if (via.len)
-    memcpy (host->via, via.ptr, via.len);
+  memcpy (host->via, via.ptr, via.len);
   HASH_ADD_KEYPTR (hh, rest->hosts, host->via, (unsigned)via.len, host);
   return host;
 }
