--- a/tests/t_stop.c
+++ b/tests/t_stop.c
@@ -13,6 +13,10 @@
 #include "cluster.h"
 #include "test.h"
 
+/* A stopping host that waits for nobody is gone after this: it looks every
+   50 ms. */
+#define STOP_STEPS 200
+
 /* kill() returns before the host has handled its signal, so what is sent right
    after it may still be served. Wait until the host takes nothing new: it
    refuses a request of no session, or it is gone. */
@@ -202,6 +206,7 @@
   static const size_t bytes = 7 << 20;
   caller_t caller;
   reply_t reply;
+  int i;
 
   cluster_open (&c, 1);
   caller_start (&caller, c.hosts[0].address,
@@ -214,6 +219,8 @@
       reply_free (&reply);
     }
   while (reply.status == 200);
+  for (i = 0; i < STOP_STEPS; i++)
+    pause_step ();
   caller_release (&caller);
   caller_join (&caller);
   ck_assert_int_eq (caller.reply.status, 200);
