Test: a request that ends engines which take a while to end (red)

In all of the failures the third engine had cut its stream and its port was not yet closed; the host took that for a broken connection and sent the request on. Ruled out: odds that need a fourth end (they were 10 to 392 at the third one wherever it was known), slow runs under load (29 to 40 ms in all of them).

--- a/standin/member.c
+++ b/standin/member.c
@@ -30,6 +30,10 @@
 #define DEADLY "deadly"
 /* From the beginning of a deadly request to the process's end. */
 #define DEADLY_AFTER (20 * EL_MSEC)
+/* If it holds that, too, its stream is cut then, and the process still holds
+   its port for a while, answering nothing. */
+#define LINGERS "lingers"
+#define LINGERS_FOR (300 * EL_MSEC)
 
 typedef struct member_stream
 {
@@ -64,6 +68,8 @@
   char id[64];
   uint64_t born;    /* Unix milliseconds of the start */
   el_timer_t dying; /* a deadly request runs */
+  int lingers;      /* its streams are cut before it ends */
+  int mute;
   sn_rest_t *rest;
 } member_t;
 
@@ -207,6 +213,21 @@
   exit (EXIT_FAILURE);
 }
 
+static void
+member_dying (void *arg, el_time_t now)
+{
+  member_t *member = arg;
+  member_stream_t *stream;
+
+  if (!member->lingers)
+    member_end (arg, now);
+  member->mute = 1;
+  DL_FOREACH2 (member->streams, stream, next_stream)
+  net_req_cut (stream->req);
+  member->dying.cb = member_end;
+  net_clock_set (&member->process->clock, &member->dying, LINGERS_FOR);
+}
+
 /* Whether the request ends the process; it will soon, if so. */
 static int
 member_dies (member_t *member, const h2o_req_t *req)
@@ -215,10 +236,12 @@
   char *text = strndup (body.ptr ? body.ptr : "", body.len);
   int dies = strstr (text, DEADLY) != NULL;
 
+  member->lingers = dies && strstr (text, LINGERS);
   free (text);
   if (!dies)
     return 0;
-  member->dying.cb = member_end;
+  member->dying.cb = member_dying;
+  member->dying.arg = member;
   net_clock_set (&member->process->clock, &member->dying, DEADLY_AFTER);
   return 1;
 }
@@ -582,16 +605,22 @@
 static void
 member_serve (sn_process_t *process, h2o_req_t *req)
 {
+  member_t *member = process->state;
   el_str_t path = net_req_path (req);
   size_t i;
 
+  if (member->mute)
+    {
+      gt_hold_new (req);
+      return;
+    }
   for (i = 0; i < sizeof calls / sizeof *calls; i++)
     if (el_str_eq (path, calls[i].path))
       {
-        calls[i].serve (process->state, req);
+        calls[i].serve (member, req);
         return;
       }
-  serve_request (process->state, req);
+  serve_request (member, req);
 }
 
 const sn_role_t sn_member = { "member", member_open, member_serve };
--- a/tests/t_ends.c
+++ b/tests/t_ends.c
@@ -27,6 +27,8 @@
 #include "test.h"
 
 #define DEADLY "a deadly roster"
+/* The engine cuts its streams and then takes 0.3 s to end. */
+#define DEADLY_SLOWLY "a deadly roster that lingers"
 /* Arrivals of it, at the hosts in turn. */
 #define ARRIVALS 8
 /* Ends under one request that can be told from chance. */
@@ -34,6 +36,8 @@
 /* Engines that end under one kind of order: all four are given it at once, and
    again before the first three are known to have ended. */
 #define FALLS_MOST (2 * SITE_ENGINES)
+/* An engine that ends slowly has ended. */
+#define SLOW_STEPS 25
 /* Steps without an end: engines are given orders every 0.2 s. */
 #define QUIET_STEPS 600
 /* From an engine's end to its next start; on the platform it takes seconds. */
@@ -41,7 +45,8 @@
 
 /* Each arrival finds all engines back, and the hosts have had the time to tell
    each other. */
-START_TEST (test_request_that_ends_engines_is_not_sent_for_ever)
+static void
+ends_few (const char *body, size_t steps)
 {
   char id[16];
   char header[64];
@@ -50,12 +55,15 @@
   size_t ended = 0;
   long status = 0;
   size_t i;
+  size_t k;
 
   site_open (2);
   for (i = 0; i < ARRIVALS; i++)
     {
       snprintf (id, sizeof id, "d%zu", i);
-      ask_body (i % 2, "/chat/x", DEADLY, id, &reply);
+      ask_body (i % 2, "/chat/x", body, id, &reply);
+      for (k = 0; k < steps; k++)
+        pause_step ();
       ended += site_engines_back ();
       ck_assert_uint_le (ended, ENDS_MOST);
       status = reply.status;
@@ -72,6 +80,27 @@
       reply_free (&caller.reply);
     }
 }
+
+START_TEST (test_request_that_ends_engines_is_not_sent_for_ever)
+{
+  ends_few (DEADLY, 0);
+}
+END_TEST
+
+/* A fourth engine ended under one request, whose blame was plain after the
+   third. The third engine had cut its streams and still held its port: nothing
+   told yet that it was ending, and the request was sent on at once, as after a
+   broken connection. The host of the second arrival heard of the third end
+   when it had sent the request to the fourth engine 40 ms before:
+   event=endpoint_ended endpoint=e0-6be99d7ed4 sign=gone runs=1
+   event=endpoint_ended endpoint=e3-6beb4e4f24 sign=gone runs=1
+   event=request_blocked by=ends ends=4
+   event=blocked_for_end endpoint=e0-6be99d7ed4 age_us=120487 ran_us=31018
+   event=blocked_for_end endpoint=e3-6beb4e4f24 age_us=80613 ran_us=33991 */
+START_TEST (test_request_that_ends_engines_slowly_is_not_sent_for_ever)
+{
+  ends_few (DEADLY_SLOWLY, SLOW_STEPS);
+}
 END_TEST
 
 /* Send it until it is refused as being to blame; gives the engines that ended
@@ -336,6 +365,7 @@
   tcase_set_timeout (tcase, 120);
   tcase_add_checked_fixture (tcase, site_setup, site_teardown);
   ADD (tcase, test_request_that_ends_engines_is_not_sent_for_ever);
+  ADD (tcase, test_request_that_ends_engines_slowly_is_not_sent_for_ever);
   ADD (tcase, test_request_that_ends_workers_is_not_sent_for_ever);
   ADD (tcase, test_blocked_request_is_known_to_hosts_that_start);
   ADD (tcase, test_streams_beside_a_deadly_request_come_whole);
