--- a/standin/member.c
+++ b/standin/member.c
@@ -30,9 +30,8 @@
 #define DEADLY "deadly"
 /* From the beginning of a deadly request to the process's end. */
 #define DEADLY_AFTER (20 * EL_MSEC)
-/* If it holds that, too, its stream is cut then, and the process still holds
-   its port for a while, answering nothing. */
-#define LINGERS "lingers"
+/* A process that lingers cuts its streams then, and holds its port for a
+   while, answering nothing. */
 #define LINGERS_FOR (300 * EL_MSEC)
 
 typedef struct member_stream
@@ -236,7 +235,6 @@
   char *text = strndup (body.ptr ? body.ptr : "", body.len);
   int dies = strstr (text, DEADLY) != NULL;
 
-  member->lingers = dies && strstr (text, LINGERS);
   free (text);
   if (!dies)
     return 0;
@@ -465,6 +463,13 @@
   net_req_reply (req, 204, EL_STR (""), EL_STR (""));
 }
 
+static void
+serve_linger (member_t *member, h2o_req_t *req)
+{
+  member->lingers = 1;
+  net_req_reply (req, 204, EL_STR (""), EL_STR (""));
+}
+
 static void
 serve_rest (member_t *member, h2o_req_t *req)
 {
@@ -596,6 +601,7 @@
   { EL_STR ("/elmarch/report"), serve_report },
   { EL_STR ("/stall"), serve_stall },
   { EL_STR ("/leave"), serve_leave },
+  { EL_STR ("/linger"), serve_linger },
   { EL_STR ("/rest"), serve_rest },
   { EL_STR ("/rests"), serve_rests },
   { EL_STR ("/runs"), serve_runs },
--- a/tests/t_ends.c
+++ b/tests/t_ends.c
@@ -27,8 +27,6 @@
 #include "test.h"
 
 #define DEADLY "a deadly roster"
-/* The engine cuts its streams and then takes 0.3 s to end. */
-#define DEADLY_SLOWLY "a deadly roster that lingers"
 /* Arrivals of it, at the hosts in turn. */
 #define ARRIVALS 8
 /* Ends under one request that can be told from chance. */
@@ -43,10 +41,25 @@
 /* From an engine's end to its next start; on the platform it takes seconds. */
 #define BACK_STEPS 150
 
+/* From now on the engines cut their streams first and then take 0.3 s to end.
+ */
+static void
+engines_linger (void)
+{
+  reply_t reply;
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    {
+      http ("POST", site.engines[i].address, "/linger", "{}", NULL, &reply);
+      reply_free (&reply);
+    }
+}
+
 /* Each arrival finds all engines back, and the hosts have had the time to tell
-   each other. */
+   each other. From the second arrival on engines end SLOWLY. */
 static void
-ends_few (const char *body, size_t steps)
+ends_few (int slowly)
 {
   char id[16];
   char header[64];
@@ -61,8 +74,10 @@
   for (i = 0; i < ARRIVALS; i++)
     {
       snprintf (id, sizeof id, "d%zu", i);
-      ask_body (i % 2, "/chat/x", body, id, &reply);
-      for (k = 0; k < steps; k++)
+      if (slowly && i)
+        engines_linger ();
+      ask_body (i % 2, "/chat/x", DEADLY, id, &reply);
+      for (k = 0; slowly && k < SLOW_STEPS; k++)
         pause_step ();
       ended += site_engines_back ();
       ck_assert_uint_le (ended, ENDS_MOST);
@@ -83,7 +98,7 @@
 
 START_TEST (test_request_that_ends_engines_is_not_sent_for_ever)
 {
-  ends_few (DEADLY, 0);
+  ends_few (0);
 }
 END_TEST
 
@@ -99,7 +114,7 @@
    event=blocked_for_end endpoint=e3-6beb4e4f24 age_us=80613 ran_us=33991 */
 START_TEST (test_request_that_ends_engines_slowly_is_not_sent_for_ever)
 {
-  ends_few (DEADLY_SLOWLY, SLOW_STEPS);
+  ends_few (1);
 }
 END_TEST
 
