Soak: a rest counts from a refusal that its host has read

Traced in the hosts' logs and the members' record. Host 0: c11-7 and c8-4 were sent at 268.808 and .818, given up at 268.958 as the engine was silent for 150 ms beside others that answered; the engine refused them at 269.090, asking for 1.2 s, which nobody read; c4-6 at 269.418 was told 0.6 s and that was kept to (rest_over at 270.030); c2-13 came at 270.068, within the first. Host 2: c7-11 was sent at 284.148124 and broken off at 284.148297 by its time limit; its refusal asked for 0.6 s; c4-18 and c9-21 came 523 and 579 ms after. What an answer asks of a host begins when the host has read it; a host that has given a request up has closed the connection. Ruled out: a host that read it and sent all the same (none of the three has a refusal in the host's log).

The members note which request was told; the check asks the host's log whether it read the refusal (attempt_failed, status=503).

--- a/soak/check.c
+++ b/soak/check.c
@@ -398,25 +398,55 @@
   return 0;
 }
 
+/* Whether HOST read a refusal of MEMBER to the request BY. Members note that
+   they sent it: on a machine that stood still for 13 s two of them went to
+   requests that their hosts had given up 132 ms before and 0.2 ms after they
+   were sent, so that nobody read for how long the member asked. */
+static int
+refusal_read (const sk_world_t *world, unsigned host, const char *by,
+              const char *member)
+{
+  char path[300];
+  char request[96];
+  char endpoint[96];
+  char *line = NULL;
+  size_t size = 0;
+  int found = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/h%u.log", world->dir, host);
+  snprintf (request, sizeof request, "event=attempt_failed request=%s ", by);
+  snprintf (endpoint, sizeof endpoint, " endpoint=%s ", member);
+  file = fopen (path, "r");
+  while (file && !found && getline (&line, &size, file) > 0)
+    found = strstr (line, request) && strstr (line, endpoint)
+            && strstr (line, " status=503 ");
+  if (file)
+    fclose (file);
+  free (line);
+  return found;
+}
+
 /* A member's note of a request that came though it had asked the host for
    rest, or told it that it leaves, half a second before or more. A host that
    was started again since has another name there, unless its caller had made
    up the name just before: a request that was named for the start before came
    from one that had been started 13 ms earlier and knew nothing yet. */
 static void
-asked_check (const char *text, const sk_seen_t *seen, const sk_fault_t *faults,
-             size_t nfaults, el_time_t begun)
+asked_check (const sk_world_t *world, const char *text, const sk_seen_t *seen,
+             const sk_fault_t *faults, size_t nfaults, el_time_t begun)
 {
   check_note_t note;
   char via[32];
   char what[16];
+  char by[64];
   el_time_t since;
   unsigned host;
   size_t i;
 
-  if (sscanf (text, "%" SCNu64 " %31s %63s %31s %15s %" SCNu64, &note.at,
-              note.id, note.member, via, what, &since)
-      != 6)
+  if (sscanf (text, "%" SCNu64 " %31s %63s %31s %15s %" SCNu64 " %63s",
+              &note.at, note.id, note.member, via, what, &since, by)
+      != 7)
     return;
   if (was_rebooted (seen, note.id))
     return;
@@ -426,6 +456,9 @@
         && begun + faults[i].at < note.at
         && begun + faults[i].at + faults[i].lasts + CALM_AFTER > since)
       return;
+  if (strcmp (what, "rest") == 0
+      && !refusal_read (world, host, by, note.member))
+    return;
   sk_broken (what, note.id, "came to %s from host %s %" PRIu64 " us after",
              note.member, via, note.at - since);
 }
@@ -441,7 +474,7 @@
   snprintf (path, sizeof path, "%s/runs.asked", world->dir);
   file = fopen (path, "r");
   while (file && fgets (text, sizeof text, file))
-    asked_check (text, seen, faults, nfaults, begun);
+    asked_check (world, text, seen, faults, nfaults, begun);
   if (file)
     fclose (file);
 }
--- a/standin/rest.c
+++ b/standin/rest.c
@@ -14,8 +14,8 @@
  * the host that a request passed; reports and orders count as of one host of
  * their own. With a record, requests that came in spite of it and did not
  * cross with the answer that told it are noted in the file beside it,
- * RECORD.asked: "MICROSECONDS ID MEMBER VIA WHAT SINCE", the times on one
- * clock.
+ * RECORD.asked: "MICROSECONDS ID MEMBER VIA WHAT SINCE BY", the times on one
+ * clock; BY is the request whose answer asked for the rest.
  */
 #include <fcntl.h>
 #include <inttypes.h>
@@ -30,6 +30,7 @@
 /* What the users' pages allow to cross with the answer. */
 #define CROSSING (500 * EL_MSEC)
 #define VIA_MAX 32
+#define BY_MAX 64
 #define ASKED_MAX 2
 
 static const char *const kinds[SN_ARRIVALS] = {
@@ -49,6 +50,7 @@
   char via[VIA_MAX];
   el_time_t since; /* of its rest */
   el_time_t until;
+  char by[BY_MAX]; /* the request that was told so; "-" is none */
   uint64_t rests;
   el_time_t told; /* that the member leaves; 0: not yet */
   rest_count_t counts[SN_ARRIVALS];
@@ -167,9 +169,9 @@
 
   if (rest->record < 0 || !id.len || !*host->via)
     return;
-  el_buf_printf (&out, "%" PRIu64 " %.*s %s %s %s %" PRIu64 "\n", now,
-                 (int)id.len, id.ptr, rest->member, host->via, what,
-                 now - ago);
+  el_buf_printf (&out, "%" PRIu64 " %.*s %s %s %s %" PRIu64 " %s\n", now,
+                 (int)id.len, id.ptr, rest->member, host->via, what, now - ago,
+                 *host->by ? host->by : "-");
   if (write (rest->record, out.ptr, out.len) != (ssize_t)out.len)
     fprintf (stderr, "standin: an arrival was not noted\n");
   el_buf_free (&out);
@@ -223,6 +225,19 @@
   return found;
 }
 
+static void
+rest_begins (rest_host_t *host, const h2o_req_t *req, el_time_t now,
+             el_time_t span)
+{
+  el_str_t id = net_req_header (req, "x-elmarch-request-id");
+
+  host->since = now;
+  host->until = now + span;
+  host->rests++;
+  snprintf (host->by, sizeof host->by, "%.*s", (int)id.len,
+            id.len ? id.ptr : "");
+}
+
 /** Turn REQ away if that is asked for; gives 0 if it is to be served. */
 int
 sn_rest_refuses (sn_rest_t *rest, h2o_req_t *req, sn_arrival_t kind)
@@ -244,11 +259,7 @@
                       net_req_header (req, "x-elmarch-request-id"));
   net_req_reply (req, rest->status, EL_STR ("text/plain"), EL_STR (""));
   if (rest->span && now + rest->span > host->until)
-    {
-      host->since = now;
-      host->until = now + rest->span;
-      host->rests++;
-    }
+    rest_begins (host, req, now, rest->span);
   return 1;
 }
 
