Test: an attempt that came after an endpoint's end counts as run there (red)

Traced: the first of the two ended at 3.087 by two hosts' refused connections; the probe came there at 3.788, as the entry still stood, and was broken off after 177 us by what stands before the port; sent on, it was broken off after 269 us at one that ended at that time. A run that begins after its endpoint's end is no evidence. Ruled out: the wait for an endpoint's fate (the attempt was not a suspect's), hosts that did not hear that it ran well (it had not, between the two ends).

--- a/tests/t_suspect.c
+++ b/tests/t_suspect.c
@@ -264,6 +264,35 @@
 }
 END_TEST
 
+/* A request that many send was refused for ten minutes as ending endpoints. It
+   had been sent to one 0.70 s after that had ended, as its entry still stood,
+   and to another that was ending, 6 ms after; each attempt was broken off at
+   once, and both counted as ends under which it had run:
+   endpoint_ended endpoint=m8-2b4d3950f0b sign="connections refused" (3.087)
+   attempt_failed endpoint=m8-2b4d3950f0b net=broken sent_us=177 (3.788)
+   attempt_failed endpoint=m9-2b204256ac9 net=broken sent_us=269 (3.794)
+   request_blocked by=ends ends=2 odds=26
+   blocked_for_end endpoint=m8-2b4d3950f0b age_us=1864681 ran_us=175
+   blocked_for_end endpoint=m9-2b204256ac9 age_us=1157988 ran_us=267 */
+START_TEST (test_blame_what_came_after_an_end_is_not_to_blame)
+{
+  rt_ended_t e = { .start = { .id = "e", .born = 1 },
+                   .digest = DEADLY,
+                   .customer = 1,
+                   .host = 3,
+                   .at = NOW + 701 * EL_MSEC,
+                   .ran = 175,
+                   .first = 1 };
+
+  ended (1, NOW, 99, 20 * EL_MSEC);
+  rt_blame_ended (blame, NOW + EL_SEC, &e);
+  ended (2, NOW + 707 * EL_MSEC, DEADLY, 267);
+  judge (NOW + 2 * EL_SEC);
+  ck_assert_uint_eq (rt_blame_of (blame, NOW + 2 * EL_SEC, DEADLY).ends, 1);
+  ck_assert_uint_eq (blocked, 0);
+}
+END_TEST
+
 /* Let in again after ten minutes, it ends one engine and is blocked for
    twenty. */
 START_TEST (test_blame_waiting_it_out_costs_an_engine_each_time)
@@ -363,6 +392,7 @@
   ADD_LOOP (tcase, test_blame_order_of_news_plays_no_part, SEEDS);
   ADD (tcase, test_blame_who_ran_to_the_end_is_cleared);
   ADD (tcase, test_blame_one_witness_counts_half);
+  ADD (tcase, test_blame_what_came_after_an_end_is_not_to_blame);
   ADD (tcase, test_blame_waiting_it_out_costs_an_engine_each_time);
   ADD (tcase, test_blame_one_caller_pushes_nobody_out);
   ADD_LOOP (tcase, test_blame_any_course_keeps_to_the_bound, SEEDS);
