Soak: a member has told that it leaves when its answer goes out

Leaving: host 1 was told by c3-32, sent at 81.278, and host 3 by c10-47, 81.255: both were held by the member, which hung, and broken off at 82.5105 without an answer (attempt_failed net=broken status=0); c9-51 at 82.036 and c8-53 at 82.104 came before anything had been said. The stand-in counts a host as told when an answer goes out at once, not when a request arrives whose answer is held, slow or never sent.

--- a/standin/member.c
+++ b/standin/member.c
@@ -557,8 +557,11 @@
       return;
     }
   net_req_watch (req, plain_gone, member);
+  if (fault == SN_SLOW)
+    sn_rest_held (member->rest, req);
   if (member_dies (member, req) || fault == SN_HANG)
     {
+      sn_rest_held (member->rest, req);
       gt_hold_new (req);
       return;
     }
--- a/standin/rest.c
+++ b/standin/rest.c
@@ -53,6 +53,7 @@
   char by[BY_MAX]; /* the request that was told so; "-" is none */
   uint64_t rests;
   el_time_t told; /* that the member leaves; 0: not yet */
+  char told_by[BY_MAX];
   rest_count_t counts[SN_ARRIVALS];
   UT_hash_handle hh;
 } rest_host_t;
@@ -177,6 +178,14 @@
   el_buf_free (&out);
 }
 
+static void
+id_copy (char *out, const h2o_req_t *req)
+{
+  el_str_t id = net_req_header (req, "x-elmarch-request-id");
+
+  snprintf (out, BY_MAX, "%.*s", (int)id.len, id.len ? id.ptr : "");
+}
+
 /* It was told before that the member leaves, or is now. */
 static void
 leaving_count (sn_rest_t *rest, rest_host_t *host, h2o_req_t *req,
@@ -189,7 +198,10 @@
   net_req_add_header (req, EL_STR ("server-leaving"), EL_STR ("1"));
   host->counts[kind].after_leaving += host->told != 0;
   if (!host->told)
-    host->told = now;
+    {
+      host->told = now;
+      id_copy (host->told_by, req);
+    }
   else if (now >= host->told + CROSSING)
     arrival_note (rest, host, req, "leaving", now - host->told);
 }
@@ -213,6 +225,19 @@
   arrival_note (rest, host, req, "rest", now - host->since);
 }
 
+/** REQ's answer does not go out now, or never: its host is told nothing by
+    it. */
+void
+sn_rest_held (sn_rest_t *rest, const h2o_req_t *req)
+{
+  rest_host_t *host = host_get (rest, req);
+  char id[BY_MAX];
+
+  id_copy (id, req);
+  if (host->told && strcmp (host->told_by, id) == 0)
+    host->told = 0;
+}
+
 /* Whether the engine at ADDRESS is on the request's line. */
 static int
 passes (const h2o_req_t *req, const char *address)
@@ -229,13 +254,10 @@
 rest_begins (rest_host_t *host, const h2o_req_t *req, el_time_t now,
              el_time_t span)
 {
-  el_str_t id = net_req_header (req, "x-elmarch-request-id");
-
   host->since = now;
   host->until = now + span;
   host->rests++;
-  snprintf (host->by, sizeof host->by, "%.*s", (int)id.len,
-            id.len ? id.ptr : "");
+  id_copy (host->by, req);
 }
 
 /** Turn REQ away if that is asked for; gives 0 if it is to be served. */
--- a/standin/rest.h
+++ b/standin/rest.h
@@ -27,6 +27,7 @@
 void sn_rest_set (sn_rest_t *rest, const json_t *json);
 json_t *sn_rest_json (const sn_rest_t *rest);
 void sn_rest_arrives (sn_rest_t *rest, h2o_req_t *req, sn_arrival_t kind);
+void sn_rest_held (sn_rest_t *rest, const h2o_req_t *req);
 int sn_rest_refuses (sn_rest_t *rest, h2o_req_t *req, sn_arrival_t kind);
 
 #endif
