Logs: what a reading of the store or another host brought; each host logs a leave

The logs of the incident could not tell whether a host had dropped what came under a lower revision, or had never been told: readings and news between hosts had no line, and only the first host of a hall logged an endpoint's entry. store_told says what an answer brought (taken, older), at info where it is whole or anything went back, else at debug. No logic is changed.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -102,12 +102,15 @@
     gt_relays_rules (site->relays, rules);
 }
 
-/* All hosts learn the same: the first of each hall logs it. */
+/* All hosts learn the same, and the first of each hall logs it; that an
+   endpoint leaves is a bound for each host. */
 static void
 endpoint_log (site_t *site, const rt_facts_t *facts, const char *what,
               uint64_t revision)
 {
-  EL_LOG (gt_gate_leads (site->gate) ? EL_LOG_INFO : EL_LOG_DEBUG, what,
+  int notable = facts->leaving || gt_gate_leads (site->gate);
+
+  EL_LOG (notable ? EL_LOG_INFO : EL_LOG_DEBUG, what,
           EL_FS ("endpoint", facts->id), EL_FS ("service", facts->service),
           EL_FS ("address", facts->address), EL_FS ("hall", facts->hall),
           EL_FS ("card", facts->card), EL_FN ("leaving", facts->leaving),
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -57,6 +57,8 @@
   uint64_t read_at;     /* revision of the first page */
   el_buf_t page_after;  /* last key of the page before */
   uint64_t reading;     /* number of the last or present reading of all */
+  size_t taken;         /* items that this reading or answer changed */
+  size_t older;         /* items of it that were below what is known */
   int whole;            /* that reading is done */
   el_time_t known;      /* all changes before it were told */
   unsigned old;         /* answers of other hosts in a row that were old */
@@ -101,7 +103,11 @@
 
   key->reading = follow->reading;
   if (item->revision <= key->revision)
-    return;
+    {
+      follow->older += item->revision < key->revision;
+      return;
+    }
+  follow->taken++;
   key->revision = item->revision;
   key->gone = item->gone;
   el_str_free (&key->value);
@@ -110,6 +116,21 @@
   follow->options.item (follow->options.arg, item);
 }
 
+/* What an answer brought. FROM: the store, or another host; BEFORE: up to
+   where changes were known. */
+static void
+taken_log (gt_follow_t *follow, const char *from, uint64_t before, int whole)
+{
+  int notable = whole || follow->older || follow->revision < before;
+
+  EL_LOG (notable ? EL_LOG_INFO : EL_LOG_DEBUG, "store_told",
+          EL_FC ("by", from), EL_FN ("whole", whole), EL_FN ("before", before),
+          EL_FN ("revision", follow->revision), EL_FN ("taken", follow->taken),
+          EL_FN ("older", follow->older));
+  follow->taken = 0;
+  follow->older = 0;
+}
+
 /* Keys that a whole reading did not show are gone. What changed after the
    first page is told by the watch. */
 static void
@@ -204,10 +225,13 @@
     el_buf_add (&follow->page_after, list.items[list.n - 1].key);
   else
     {
+      uint64_t before = follow->revision;
+
       follow->options.store->counts.reads++;
       follow->whole = 1;
       follow_prune (follow);
       follow->revision = follow->read_at;
+      taken_log (follow, "store", before, 1);
       follow_known (follow, follow->read_since);
     }
   gt_store_list_free (&list);
@@ -223,6 +247,7 @@
   gt_follow_t *follow = arg;
   gt_store_list_t list = { 0 };
   gt_store_state_t state = GT_STORE_BAD;
+  uint64_t before;
   size_t i;
 
   follow->call = NULL;
@@ -245,8 +270,10 @@
   follow_works (follow);
   for (i = 0; i < list.n; i++)
     follow_item (follow, &list.items[i]);
+  before = follow->revision;
   if (list.revision > follow->revision)
     follow->revision = list.revision;
+  taken_log (follow, "store", before, 0);
   follow_known (follow, follow->sent);
   if (list.n && follow->options.gather)
     follow_later (follow, follow->options.gather);
@@ -289,6 +316,7 @@
 static void
 news_take (gt_follow_t *follow, const pr_news_t *news)
 {
+  uint64_t before = follow->revision;
   size_t i;
 
   if (news->whole)
@@ -302,6 +330,7 @@
     follow_prune (follow);
   if (news->revision > follow->revision)
     follow->revision = news->revision;
+  taken_log (follow, "host", before, news->whole);
 }
 
 /* Another host has told. When it could not, or what it knows is old, the store
