Test: a leave under a revision that the store gave out again (red)

The stand-in's store takes a copy and goes on from it: what the system wrote since is gone, what operators and endpoints wrote is written again, revisions are given out again, Store-Era rises, a watch from a revision it does not have gets 410.

Three hosts, one of which follows the store; the store loses nine revisions; a worker leaves.

--- a/standin/store.c
+++ b/standin/store.c
@@ -6,8 +6,11 @@
  * The users' platform's store, as far as the tests need it: ranges, watches,
  * leases, writes under a condition. PUT /test/KEY sets a key as an operator
  * or an endpoint would, DELETE /test/KEY removes it; POST /test/forget drops
- * the history, POST /test/mute {"on": BOOL} leaves calls unanswered. With
- * --record what is acknowledged stands in a file, from which it starts again.
+ * the history, POST /test/mute {"on": BOOL} leaves calls unanswered. POST
+ * /test/copy notes what it holds, POST /test/restore has it go on from there:
+ * what the system wrote since is gone, what operators and endpoints wrote is
+ * written again, and revisions are given out again. With --record what is
+ * acknowledged stands in a file, from which it starts again.
  */
 #include <fcntl.h>
 #include <stdio.h>
@@ -21,6 +24,7 @@
 #include "standin.h"
 
 #define TEST_PREFIX EL_STR ("/test/")
+#define ERA_HEADER EL_STR ("store-era")
 #define LEASES_MAX 256
 
 typedef struct store_item
@@ -60,6 +64,9 @@
   uint64_t next_lease;
   uint64_t revision;
   uint64_t forgotten; /* changes up to it are no longer kept */
+  uint64_t era;       /* times that it went on from a copy */
+  store_item_t *copy;
+  uint64_t copy_revision;
   int mute;
   int record; /* descriptor; -1 is none */
 } store_t;
@@ -291,7 +298,7 @@
                  strtoull (wait, NULL, 10) * EL_MSEC);
   free (since);
   free (wait);
-  if (watch->since < store->forgotten)
+  if (watch->since < store->forgotten || watch->since > store->revision)
     {
       req = gt_hold_release (watch->hold);
       net_clock_cancel (&store->process->clock, &watch->over);
@@ -409,6 +416,95 @@
   net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
 }
 
+static void
+items_free (store_item_t **items)
+{
+  store_item_t *item;
+  store_item_t *next;
+
+  HASH_ITER (hh, *items, item, next)
+  {
+    HASH_DEL (*items, item);
+    free (item->key);
+    free (item->value);
+    free (item);
+  }
+}
+
+static void
+items_copy (const store_item_t *from, store_item_t **to)
+{
+  const store_item_t *item;
+  store_item_t *copy;
+
+  for (item = from; item; item = item->hh.next)
+    {
+      copy = el_alloc (sizeof *copy);
+      copy->key = strdup (item->key);
+      copy->value = item->value ? strdup (item->value) : NULL;
+      copy->revision = item->revision;
+      copy->lease = item->lease;
+      HASH_ADD_KEYPTR (hh, *to, copy->key, strlen (copy->key), copy);
+    }
+}
+
+static void
+store_copy (store_t *store)
+{
+  items_free (&store->copy);
+  items_copy (store->items, &store->copy);
+  store->copy_revision = store->revision;
+}
+
+/* Whether others than the system write ITEM. */
+static int
+item_of_others (const store_item_t *item)
+{
+  return strncmp (item->key, "op/", 3) == 0
+         || strncmp (item->key, "servers/", 8) == 0;
+}
+
+static int
+item_same (const store_item_t *a, const store_item_t *b)
+{
+  if (!a->value || !b || !b->value)
+    return !a->value && (!b || !b->value);
+  return strcmp (a->value, b->value) == 0;
+}
+
+static void
+store_restore (store_t *store)
+{
+  store_item_t *lost = store->items;
+  const store_item_t *item;
+  store_item_t *now;
+  h2o_req_t *req;
+
+  while (store->watches)
+    {
+      store_watch_t *watch = store->watches;
+
+      net_clock_cancel (&store->process->clock, &watch->over);
+      DL_DELETE (store->watches, watch);
+      req = gt_hold_release (watch->hold);
+      if (req)
+        net_req_reply (req, 503, EL_STR (""), EL_STR (""));
+      free (watch->prefix);
+      free (watch);
+    }
+  store->items = NULL;
+  items_copy (store->copy, &store->items);
+  store->revision = store->copy_revision;
+  store->era++;
+  for (item = lost; item; item = item->hh.next)
+    {
+      HASH_FIND_STR (store->items, item->key, now);
+      if (item_of_others (item) && !item_same (item, now))
+        item_set (store, item->key, item->value, 0);
+    }
+  items_free (&lost);
+}
+
 static void
 serve_test (store_t *store, h2o_req_t *req)
 {
@@ -429,6 +525,16 @@
       store->forgotten = ++store->revision;
       net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
     }
+  else if (strcmp (key, "copy") == 0)
+    {
+      store_copy (store);
+      net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
+    }
+  else if (strcmp (key, "restore") == 0)
+    {
+      store_restore (store);
+      net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
+    }
   else if (strcmp (key, "mute") == 0)
     {
       json = sn_body (req);
@@ -459,8 +565,12 @@
 {
   store_t *store = process->state;
   el_str_t path = net_req_path (req);
+  char era[24];
   size_t i;
 
+  snprintf (era, sizeof era, "%llu", (unsigned long long)store->era);
+  net_req_add_header (req, ERA_HEADER, el_str (era));
+
   if (el_str_starts (path, TEST_PREFIX))
     {
       serve_test (store, req);
--- a/tests/proc_main.c
+++ b/tests/proc_main.c
@@ -22,6 +22,7 @@
   srunner_add_suite (runner, ends_suite ());
   srunner_add_suite (runner, again_suite ());
   srunner_add_suite (runner, rest_suite ());
+  srunner_add_suite (runner, era_suite ());
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
   srunner_free (runner);
--- a/tests/site.c
+++ b/tests/site.c
@@ -115,8 +115,9 @@
   return 1;
 }
 
-static void
-hosts_see (const char *name, uint64_t value)
+/** Wait until all hosts have a metric at VALUE. */
+void
+site_hosts_see (const char *name, uint64_t value)
 {
   size_t i;
 
@@ -139,12 +140,12 @@
       ended[i] = member_ended (&site.engines[i], site.engine_ids[i]);
       n += (size_t)ended[i];
     }
-  hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS - n);
+  site_hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS - n);
   for (i = 0; i < SITE_ENGINES; i++)
     if (ended[i])
       site_engine_start (i);
-  hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS);
-  hosts_see ("elmarch_engines_placed", SITE_ENGINES);
+  site_hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS);
+  site_hosts_see ("elmarch_engines_placed", SITE_ENGINES);
   return n;
 }
 
@@ -178,11 +179,11 @@
       ended[i] = member_ended (&site.workers[i], site.worker_ids[i]);
       n += (size_t)ended[i];
     }
-  hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS - n);
+  site_hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS - n);
   for (i = 0; i < SITE_WORKERS; i++)
     if (ended[i])
       site_worker_start (i);
-  hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS);
+  site_hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS);
   return n;
 }
 
@@ -344,7 +345,7 @@
   for (i = 0; i < site.nhosts; i++)
     site_ready_wait (i);
   site_placed_wait ();
-  hosts_see ("elmarch_engines_placed", SITE_ENGINES);
+  site_hosts_see ("elmarch_engines_placed", SITE_ENGINES);
 }
 
 /** A number that a member tells of itself. */
