A place in the store is an epoch and a revision, in the follower and between hosts

Cause: the store had gone on from an older copy and gave revisions out again. All of the follower and the news between hosts took a revision for an order that holds for ever: hosts that ask another one for "changes after 102" are never told those that the store numbered 98 to 102 anew; a follower drops what comes under a revision not above the one it knows.

Evidence: 0 of 3 hosts that follow the store sent there late, 6 of 6 that ask those did; the leave had revision 101 where they knew 102, changes from 104 on reached them. Ruled out: late news (configurations arrived at the same time) and a choice that passes a known leave by (leaving=0 on each line).

Change: pr_position_t (epoch, revision) is compared, never a revision alone. A watch that left in a former epoch is not believed, 410 or not; an epoch that begins between two pages begins the reading anew; news carry the epoch, a host that lags has nothing to tell and says so at once, one that is asked from a former epoch tells all. The keys that are known move to gate/store_keys.c. A value that is refused as older by its own count (a lower version of the configuration) is not what other hosts are told.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
        gate/relay.c gate/relay_try.c gate/relay_head.c gate/relay_answer.c \
        gate/relay_events.c gate/relay_blame.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_rest.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_poll.c \
        gate/relay_metrics.c \
-       gate/store.c gate/store_follow.c gate/store_duty.c gate/store_keep.c gate/planner.c
+       gate/store.c gate/store_keys.c gate/store_follow.c gate/store_duty.c gate/store_keep.c gate/planner.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_asks.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
@@ -104,7 +104,7 @@
 	$(LINK) -lcurl
 
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
-       tests/t_replay.c tests/t_relay.c tests/t_course.c tests/t_suspect.c tests/t_load.c tests/t_net.c tests/t_store.c tests/script.c \
+       tests/t_replay.c tests/t_relay.c tests/t_course.c tests/t_suspect.c tests/t_load.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_seeded.c tests/t_check.c tests/t_spoiled.c tests/seeds.c \
        tests/t_members.c tests/mbr_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_access.c tests/t_held.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -78,7 +78,8 @@
   return (el_time_t)((double)site->options.change_limit * OLD_OF_CHANGE);
 }
 
-static void
+/* Gives 0 for a version older than the one in force. */
+static int
 rules_item (void *arg, const pr_item_t *item)
 {
   site_t *site = arg;
@@ -87,7 +88,7 @@
   el_err_t err;
 
   if (item->gone || !el_str_eq (item->key, PF_RULES_KEY))
-    return;
+    return 1;
   rules = pf_rules_read (item->value, &err);
   if (!rules)
     EL_LOG (EL_LOG_ERROR, "config_refused", EL_FC ("reason", err.msg),
@@ -97,9 +98,11 @@
       EL_LOG (EL_LOG_WARN, "config_older", EL_FN ("version", rules->version),
               EL_FN ("in_force", now->version));
       rt_rules_unref (rules);
+      return 0;
     }
   else
     gt_relays_rules (site->relays, rules);
+  return rules != NULL;
 }
 
 /* All hosts learn the same, and the first of each hall logs it; that an
@@ -115,7 +118,7 @@
           EL_FS ("address", facts->address), EL_FS ("hall", facts->hall),
           EL_FS ("card", facts->card), EL_FN ("leaving", facts->leaving),
           EL_FN ("first", facts->first), EL_FN ("end", facts->end),
-          EL_FN ("revision", revision));
+          EL_FN ("epoch", site->store.epoch), EL_FN ("revision", revision));
 }
 
 /* No endpoint is listed under the entry's key any more. */
@@ -293,17 +296,18 @@
     gt_relays_block (site->relays, digest, holds);
 }
 
-static void
+static int
 site_item (void *arg, const pr_item_t *item)
 {
   if (el_str_starts (item->key, PF_RULES_PREFIX))
-    rules_item (arg, item);
-  else if (el_str_starts (item->key, PF_ENDPOINTS_PREFIX))
+    return rules_item (arg, item);
+  if (el_str_starts (item->key, PF_ENDPOINTS_PREFIX))
     endpoints_item (arg, item);
   else if (el_str_eq (item->key, PF_PLANNER_KEY))
     planner_item (arg, item);
   else if (el_str_starts (item->key, PF_BLOCKED_PREFIX))
     blocked_item (arg, item);
+  return 1;
 }
 
 /* Two calls to the store every 0.7 s while another host plans were 140 of
@@ -330,7 +334,7 @@
 }
 
 static int
-site_ask (void *arg, uint64_t after, unsigned old, pr_news_cb done,
+site_ask (void *arg, pr_position_t after, unsigned old, pr_news_cb done,
           void *done_arg)
 {
   site_t *site = arg;
@@ -519,7 +523,13 @@
 static void
 site_metrics (site_t *site)
 {
+  static const char *const reads[GT_STORE_READS] = {
+    [GT_STORE_READ_START] = "elmarch_store_reads_start_total",
+    [GT_STORE_READ_HISTORY] = "elmarch_store_reads_history_total",
+    [GT_STORE_READ_EPOCH] = "elmarch_store_reads_epoch_total",
+  };
   el_metrics_t *metrics = gt_gate_metrics (site->gate);
+  size_t i;
 
   el_metrics_add (metrics, "elmarch_endpoints", "endpoints listed", EL_GAUGE,
                   &site->gauge_endpoints);
@@ -541,6 +551,16 @@
   el_metrics_add (metrics, "elmarch_store_rests_total",
                   "times that the store asked this host for no calls",
                   EL_COUNTER, &site->store.counts.rests);
+  el_metrics_add (metrics, "elmarch_store_epoch",
+                  "the store's epoch: it rises when the store goes on from an "
+                  "older copy",
+                  EL_GAUGE, &site->store.epoch);
+  el_metrics_add (metrics, "elmarch_store_former_total",
+                  "answers of the store that were given in a former epoch",
+                  EL_COUNTER, &site->store.counts.former);
+  for (i = 0; i < GT_STORE_READS; i++)
+    el_metrics_add (metrics, reads[i], "times that all keys were read",
+                    EL_COUNTER, &site->store.counts.reads[i]);
 }
 
 /** Serve relayed requests; NULL, with the reason in ERR, when an address can't
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -522,7 +522,7 @@
     a row had old answers; gives 0 when this host
     should ask the store. */
 int
-gt_gate_ask_news (gt_gate_t *gate, uint64_t after, unsigned old,
+gt_gate_ask_news (gt_gate_t *gate, pr_position_t after, unsigned old,
                   pr_news_cb done, void *arg)
 {
   return !gate->draining
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -87,7 +87,7 @@
 int gt_gate_rumors_known (const gt_gate_t *gate);
 uint64_t gt_gate_witness (const gt_gate_t *gate);
 int gt_gate_leads (const gt_gate_t *gate);
-int gt_gate_ask_news (gt_gate_t *gate, uint64_t after, unsigned old,
+int gt_gate_ask_news (gt_gate_t *gate, pr_position_t after, unsigned old,
                       pr_news_cb done, void *arg);
 void gt_gate_withdraw (gt_gate_t *gate, int withdrawn);
 size_t gt_gate_hosts (const gt_gate_t *gate);
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -23,7 +23,9 @@
 
 static void ops_hosts (void *arg, size_t live);
 static void ops_leaving (void *arg, el_str_t endpoint);
-static int ops_news (void *arg, uint64_t after, pr_news_t *out);
+static int ops_news (void *arg, pr_position_t after, pr_news_t *out);
+static pr_position_t ops_position (void *arg);
+static void ops_epoch (void *arg, uint64_t epoch);
 static el_time_t ops_known (void *arg);
 static size_t ops_engines (void *arg, pr_engine_t **out);
 static void ops_engines_heard (void *arg, const pr_engine_t *engines,
@@ -39,6 +41,8 @@
   .hosts = ops_hosts,
   .leaving = ops_leaving,
   .news = ops_news,
+  .position = ops_position,
+  .epoch = ops_epoch,
   .known = ops_known,
   .engines = ops_engines,
   .engines_heard = ops_engines_heard,
@@ -81,14 +85,29 @@
 }
 
 static int
-ops_news (void *arg, uint64_t after, pr_news_t *out)
+ops_news (void *arg, pr_position_t after, pr_news_t *out)
 {
-  gt_gate_t *gate = arg;
+  const gt_gate_t *gate = arg;
 
-  if (!gate->follow)
-    return 0;
-  gt_follow_tell (gate->follow, after, out);
-  return 1;
+  return gate->follow && gt_follow_tell (gate->follow, after, out);
+}
+
+static pr_position_t
+ops_position (void *arg)
+{
+  const gt_gate_t *gate = arg;
+
+  return gate->follow ? gt_follow_position (gate->follow)
+                      : (pr_position_t){ 0 };
+}
+
+static void
+ops_epoch (void *arg, uint64_t epoch)
+{
+  const gt_gate_t *gate = arg;
+
+  if (gate->follow)
+    gt_follow_epoch (gate->follow, epoch);
 }
 
 static el_time_t
--- a/gate/store.c
+++ b/gate/store.c
@@ -8,6 +8,7 @@
  */
 #include <stdlib.h>
 
+#include "map.h"
 #include "store.h"
 
 #define BACKOFF_FIRST (60 * EL_MSEC)
@@ -19,7 +20,94 @@
 /* Hosts come back later than they may by up to this part of a rest. */
 #define REST_SPREAD 5
 
-/** Send one call; BODY, which may be NULL, is JSON. */
+/* A call that is out. */
+typedef struct store_call
+{
+  gt_store_t *store;
+  net_result_cb done;
+  void *arg;
+} store_call_t;
+
+/** PART is told of epochs from now on. */
+void
+gt_store_join (gt_store_t *store, gt_store_part_t *part)
+{
+  DL_APPEND (store->parts, part);
+}
+
+void
+gt_store_leave (gt_store_t *store, gt_store_part_t *part)
+{
+  DL_DELETE (store->parts, part);
+}
+
+static void
+parts_tell (void *arg, el_time_t now)
+{
+  gt_store_t *store = arg;
+  gt_store_part_t *part;
+  gt_store_part_t *next;
+
+  (void)now;
+  DL_FOREACH_SAFE (store->parts, part, next)
+  part->epoch (part->arg);
+}
+
+/** The store has begun EPOCH, as BY tells; a lower one changes nothing. Parts
+    are told from the loop: an answer may be under way to one of them. */
+void
+gt_store_epoch (gt_store_t *store, uint64_t epoch, const char *by)
+{
+  uint64_t before = store->epoch;
+
+  if (epoch <= before)
+    return;
+  store->epoch = epoch;
+  store->counts.epochs++;
+  EL_LOG (EL_LOG_WARN, "store_epoch", EL_FN ("epoch", epoch),
+          EL_FN ("before", before), EL_FC ("by", by));
+  store->tell.cb = parts_tell;
+  store->tell.arg = store;
+  net_clock_set (store->clock, &store->tell, 0);
+}
+
+/* Whether an answer was given in the epoch that is known to be the latest; one
+   that tells none counts as of that. */
+static int
+epoch_take (gt_store_t *store, const net_result_t *result)
+{
+  uint64_t epoch = 0;
+  gt_store_said_t said = store->dialect->read_epoch (result, &epoch);
+
+  if (said == GT_STORE_SAID_BADLY
+      || (said == GT_STORE_SAID_NOTHING && store->epoch))
+    EL_LOG (EL_LOG_WARN, "store_epoch_unread",
+            EL_FN ("status", result->status), EL_FN ("epoch", store->epoch));
+  if (said != GT_STORE_SAID)
+    return 1;
+  gt_store_epoch (store, epoch, "store");
+  if (epoch == store->epoch)
+    return 1;
+  store->counts.former++;
+  EL_LOG (EL_LOG_INFO, "store_answer_former", EL_FN ("status", result->status),
+          EL_FN ("epoch", epoch), EL_FN ("known", store->epoch));
+  return 0;
+}
+
+static void
+call_done (void *arg, const net_result_t *result)
+{
+  static const net_result_t none = { .net = NET_BROKEN };
+  store_call_t call = *(store_call_t *)arg;
+
+  free (arg);
+  if (result->net == NET_OK && !epoch_take (call.store, result))
+    result = &none;
+  call.done (call.arg, result);
+}
+
+/** Send one call; BODY, which may be NULL, is JSON. DONE has an answer of a
+    former epoch as a call that broke off. */
 net_exchange_t *
 gt_store_call (gt_store_t *store, const char *method, const el_buf_t *path,
                const el_buf_t *body, el_time_t timeout, net_result_cb done,
@@ -27,13 +115,16 @@
 {
   static const net_header_t json
       = { EL_STR ("content-type"), EL_STR ("application/json") };
+  store_call_t *call = el_alloc (sizeof *call);
   net_send_t send = { .address = store->address,
                       .method = el_str (method),
                       .path = el_buf_str (path),
                       .timeout = timeout,
-                      .done = done,
-                      .arg = arg };
+                      .done = call_done,
+                      .drop = free,
+                      .arg = call };
 
+  *call = (store_call_t){ store, done, arg };
   if (body)
     {
       send.body = el_buf_str (body);
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -6,10 +6,10 @@
  * Follows the keys below a prefix: reads all, then waits for changes; reads
  * all again when the store no longer keeps the changes asked for.
  */
-#include <string.h>
+#include <stdlib.h>
 
-#include "map.h"
 #include "store.h"
+#include "store_keys.h"
 
 /* A call that takes longer than this gets no answer any more: a store that is
    slow takes some 300 ms. */
@@ -33,124 +33,51 @@
    time for a host that has just started to learn whom it can ask. */
 #define READ_PAUSE (700 * EL_MSEC)
 
-/* A key that is known, with the revision of its last change. */
-typedef struct follow_key
-{
-  char *key;
-  size_t len;
-  uint64_t revision;
-  el_str_t value;
-  int gone;
-  uint64_t reading; /* number of the reading that showed it last */
-  UT_hash_handle hh;
-} follow_key_t;
-
 struct gt_follow
 {
   gt_follow_options_t options;
-  follow_key_t *keys;
+  gt_store_part_t part;
+  gt_keys_t *keys;
   net_exchange_t *call;
+  uint64_t call_epoch; /* known when the call left */
+  int asking;          /* another host was asked and has not answered */
   el_timer_t again;
-  el_time_t sent;       /* when the call left */
-  el_time_t read_since; /* when the first page was asked for */
-  uint64_t revision;    /* changes up to it were told */
-  uint64_t read_at;     /* revision of the first page */
-  el_buf_t page_after;  /* last key of the page before */
-  uint64_t reading;     /* number of the last or present reading of all */
-  size_t taken;         /* items that this reading or answer changed */
-  size_t older;         /* items of it that were below what is known */
-  int whole;            /* that reading is done */
-  el_time_t known;      /* all changes before it were told */
-  unsigned old;         /* answers of other hosts in a row that were old */
-  int doubt;            /* another host could not tell: the store is asked
-                           once */
-  el_time_t doubt_due;  /* not again before */
-  el_time_t doubt_wait; /* from one such call to the next */
+  el_time_t sent;        /* when the call left */
+  el_time_t read_since;  /* when the first page was asked for */
+  pr_position_t at;      /* changes up to it were told */
+  pr_position_t read_at; /* of the first page */
+  el_buf_t page_after;   /* last key of the page before */
+  gt_store_read_t cause; /* of the last or next reading of all */
+  int whole;             /* that reading is done */
+  el_time_t known;       /* all changes before it were told */
+  unsigned old;          /* answers of other hosts in a row that were old */
+  int doubt;             /* another host could not tell: the store is asked
+                            once */
+  el_time_t doubt_due;   /* not again before */
+  el_time_t doubt_wait;  /* from one such call to the next */
   unsigned failures;
 };
 
 static void follow_known (gt_follow_t *follow, el_time_t as_of);
 static void follow_next (void *arg, el_time_t now);
 
-static follow_key_t *
-follow_key (gt_follow_t *follow, el_str_t name)
-{
-  follow_key_t *key;
-
-  HASH_FIND (hh, follow->keys, name.ptr, (unsigned)name.len, key);
-  if (key)
-    return key;
-  key = el_alloc (sizeof *key);
-  key->key = (char *)(uintptr_t)el_str_dup (name).ptr;
-  key->len = name.len;
-  HASH_ADD_KEYPTR (hh, follow->keys, key->key, (unsigned)name.len, key);
-  return key;
-}
-
-static void
-key_free (gt_follow_t *follow, follow_key_t *key)
-{
-  HASH_DEL (follow->keys, key);
-  el_str_free (&key->value);
-  free (key->key);
-  free (key);
-}
-
-static void
-follow_item (gt_follow_t *follow, const pr_item_t *item)
-{
-  follow_key_t *key = follow_key (follow, item->key);
-
-  key->reading = follow->reading;
-  if (item->revision <= key->revision)
-    {
-      follow->older += item->revision < key->revision;
-      return;
-    }
-  follow->taken++;
-  key->revision = item->revision;
-  key->gone = item->gone;
-  el_str_free (&key->value);
-  if (follow->options.ask)
-    key->value = el_str_dup (item->value);
-  follow->options.item (follow->options.arg, item);
-}
-
 /* What an answer brought. FROM: the store, or another host; BEFORE: up to
    where changes were known. */
 static void
-taken_log (gt_follow_t *follow, const char *from, uint64_t before, int whole)
+told_log (gt_follow_t *follow, const char *from, pr_position_t before,
+          int whole)
 {
-  int notable = whole || follow->older || follow->revision < before;
+  gt_keys_counts_t counts = gt_keys_counts_take (follow->keys);
+  int notable
+      = whole || counts.older || pr_position_cmp (follow->at, before) < 0;
 
   EL_LOG (notable ? EL_LOG_INFO : EL_LOG_DEBUG, "store_told",
-          EL_FC ("by", from), EL_FN ("whole", whole), EL_FN ("before", before),
-          EL_FN ("revision", follow->revision), EL_FN ("taken", follow->taken),
-          EL_FN ("older", follow->older));
-  follow->taken = 0;
-  follow->older = 0;
-}
-
-/* Keys that a whole reading did not show are gone. What changed after the
-   first page is told by the watch. */
-static void
-follow_prune (gt_follow_t *follow)
-{
-  follow_key_t *key;
-  follow_key_t *next;
-
-  HASH_ITER (hh, follow->keys, key, next)
-  {
-    pr_item_t item = { .key = { key->key, key->len },
-                       .revision = follow->read_at,
-                       .gone = 1 };
-
-    if (key->reading == follow->reading && !key->gone)
-      continue;
-    if (!key->gone)
-      follow->options.item (follow->options.arg, &item);
-    key_free (follow, key);
-  }
+          EL_FC ("by", from), EL_FN ("whole", whole),
+          EL_FN ("epoch", follow->at.epoch),
+          EL_FN ("revision", follow->at.revision),
+          EL_FN ("epoch_before", before.epoch),
+          EL_FN ("revision_before", before.revision),
+          EL_FN ("taken", counts.taken), EL_FN ("older", counts.older));
 }
 
 static void
@@ -171,7 +98,8 @@
   if (follow->failures == 1)
     EL_LOG (EL_LOG_WARN, "store_lost", EL_FS ("prefix", o->prefix),
             EL_FC ("call", what), EL_FN ("status", result->status),
-            EL_FN ("revision", follow->revision));
+            EL_FN ("epoch", follow->at.epoch),
+            EL_FN ("revision", follow->at.revision));
   follow_later (follow, wait);
 }
 
@@ -182,7 +110,8 @@
     EL_LOG (EL_LOG_INFO, "store_back",
             EL_FS ("prefix", follow->options.prefix),
             EL_FN ("failures", follow->failures),
-            EL_FN ("revision", follow->revision));
+            EL_FN ("epoch", follow->at.epoch),
+            EL_FN ("revision", follow->at.revision));
   follow->failures = 0;
   follow->old = 0;
   follow->doubt_wait = 0;
@@ -192,48 +121,71 @@
   follow->doubt = 0;
 }
 
+/* All is to be read anew. */
 static void
-follow_restart (gt_follow_t *follow)
+follow_restart (gt_follow_t *follow, gt_store_read_t cause)
 {
   follow->whole = 0;
+  follow->cause = cause;
   el_buf_reset (&follow->page_after);
 }
 
+/* What is known is of a former epoch: neither changes after it nor further
+   pages fit. */
+static int
+follow_former (const gt_follow_t *follow, pr_position_t at)
+{
+  return at.epoch != follow->options.store->epoch;
+}
+
+static void
+page_take (gt_follow_t *follow, const gt_store_list_t *list)
+{
+  gt_store_t *store = follow->options.store;
+  pr_position_t before = follow->at;
+  size_t i;
+
+  if (follow->page_after.len == 0)
+    {
+      follow->read_at = (pr_position_t){ store->epoch, list->revision };
+      gt_keys_begin (follow->keys);
+    }
+  for (i = 0; i < list->n; i++)
+    gt_keys_item (follow->keys, follow->read_at.epoch, &list->items[i]);
+  el_buf_reset (&follow->page_after);
+  if (list->more && list->n)
+    {
+      el_buf_add (&follow->page_after, list->items[list->n - 1].key);
+      return;
+    }
+  store->counts.reads[follow->cause]++;
+  follow->whole = 1;
+  gt_keys_end (follow->keys, follow->read_at);
+  follow->at = follow->read_at;
+  told_log (follow, "store", before, 1);
+  follow_known (follow, follow->read_since);
+}
+
 static void
 range_done (void *arg, const net_result_t *result)
 {
   gt_follow_t *follow = arg;
   gt_store_list_t list = { 0 };
-  size_t i;
 
   follow->call = NULL;
   if (result->net != NET_OK
       || follow->options.store->dialect->read_list (result, &list)
              != GT_STORE_OK)
     {
-      follow_restart (follow);
+      follow_restart (follow, follow->cause);
       follow_failed (follow, "range", result);
       return;
     }
   follow_works (follow);
-  if (follow->page_after.len == 0)
-    follow->read_at = list.revision;
-  for (i = 0; i < list.n; i++)
-    follow_item (follow, &list.items[i]);
-  el_buf_reset (&follow->page_after);
-  if (list.more && list.n)
-    el_buf_add (&follow->page_after, list.items[list.n - 1].key);
+  if (follow->page_after.len && follow_former (follow, follow->read_at))
+    follow_restart (follow, GT_STORE_READ_EPOCH);
   else
-    {
-      uint64_t before = follow->revision;
-
-      follow->options.store->counts.reads++;
-      follow->whole = 1;
-      follow_prune (follow);
-      follow->revision = follow->read_at;
-      taken_log (follow, "store", before, 1);
-      follow_known (follow, follow->read_since);
-    }
+    page_take (follow, &list);
   gt_store_list_free (&list);
   if (follow->whole && follow->options.ask)
     follow_later (follow, READ_PAUSE);
@@ -241,44 +193,66 @@
     follow_next (follow, 0);
 }
 
+/* What a watch tells of a former epoch's position is not believed, whether or
+   not the store says that it has lost it: the same revision may exist again.
+   Gives 0 where all is to be read anew. */
+static int
+watch_holds (gt_follow_t *follow, gt_store_state_t state)
+{
+  if (follow_former (follow, follow->at))
+    {
+      follow_restart (follow, GT_STORE_READ_EPOCH);
+      return 0;
+    }
+  if (state != GT_STORE_LOST)
+    return 1;
+  EL_LOG (EL_LOG_INFO, "store_history_lost",
+          EL_FS ("prefix", follow->options.prefix),
+          EL_FN ("epoch", follow->at.epoch),
+          EL_FN ("revision", follow->at.revision));
+  follow_restart (follow, GT_STORE_READ_HISTORY);
+  return 0;
+}
+
+static void
+changes_take (gt_follow_t *follow, const gt_store_list_t *list)
+{
+  pr_position_t before = follow->at;
+  size_t i;
+
+  for (i = 0; i < list->n; i++)
+    gt_keys_item (follow->keys, follow->at.epoch, &list->items[i]);
+  if (list->revision > follow->at.revision)
+    follow->at.revision = list->revision;
+  told_log (follow, "store", before, 0);
+  follow_known (follow, follow->sent);
+}
+
 static void
 watch_done (void *arg, const net_result_t *result)
 {
   gt_follow_t *follow = arg;
   gt_store_list_t list = { 0 };
   gt_store_state_t state = GT_STORE_BAD;
-  uint64_t before;
-  size_t i;
+  int pause;
 
   follow->call = NULL;
   if (result->net == NET_OK)
     state = follow->options.store->dialect->read_list (result, &list);
-  if (state == GT_STORE_LOST)
-    {
-      EL_LOG (EL_LOG_INFO, "store_history_lost",
-              EL_FS ("prefix", follow->options.prefix),
-              EL_FN ("revision", follow->revision));
-      follow_restart (follow);
-      follow_next (follow, 0);
-      return;
-    }
-  if (state != GT_STORE_OK)
+  if (result->net == NET_OK && !watch_holds (follow, state))
+    follow_next (follow, 0);
+  else if (state != GT_STORE_OK)
+    follow_failed (follow, "watch", result);
+  else
     {
-      follow_failed (follow, "watch", result);
-      return;
+      follow_works (follow);
+      changes_take (follow, &list);
+      pause = list.n && follow->options.gather;
+      if (pause)
+        follow_later (follow, follow->options.gather);
+      else
+        follow_next (follow, 0);
     }
-  follow_works (follow);
-  for (i = 0; i < list.n; i++)
-    follow_item (follow, &list.items[i]);
-  before = follow->revision;
-  if (list.revision > follow->revision)
-    follow->revision = list.revision;
-  taken_log (follow, "store", before, 0);
-  follow_known (follow, follow->sent);
-  if (list.n && follow->options.gather)
-    follow_later (follow, follow->options.gather);
-  else
-    follow_next (follow, 0);
   gt_store_list_free (&list);
 }
 
@@ -316,21 +290,28 @@
 static void
 news_take (gt_follow_t *follow, const pr_news_t *news)
 {
-  uint64_t before = follow->revision;
+  pr_position_t before = follow->at;
   size_t i;
 
   if (news->whole)
-    {
-      follow->reading++;
-      follow->read_at = news->revision;
-    }
+    gt_keys_begin (follow->keys);
   for (i = 0; i < news->n; i++)
-    follow_item (follow, &news->items[i]);
+    gt_keys_item (follow->keys, news->at.epoch, &news->items[i]);
   if (news->whole)
-    follow_prune (follow);
-  if (news->revision > follow->revision)
-    follow->revision = news->revision;
-  taken_log (follow, "host", before, news->whole);
+    gt_keys_end (follow->keys, news->at);
+  if (pr_position_cmp (news->at, follow->at) > 0)
+    follow->at = news->at;
+  told_log (follow, "host", before, news->whole);
+}
+
+/* Whether news can be taken in: of the latest epoch, changes only on top of
+   what is known of it. */
+static int
+news_fit (const gt_follow_t *follow, const pr_news_t *news, el_time_t now)
+{
+  return news && news->as_of + follow->options.news_old >= now
+         && !follow_former (follow, news->at)
+         && (news->whole || news->at.epoch == follow->at.epoch);
 }
 
 /* Another host has told. When it could not, or what it knows is old, the store
@@ -341,7 +322,10 @@
   gt_follow_t *follow = arg;
   el_time_t now = net_clock_now (follow->options.store->clock);
 
-  if (!news || news->as_of + follow->options.news_old < now)
+  follow->asking = 0;
+  if (news)
+    gt_follow_epoch (follow, news->at.epoch);
+  if (!news_fit (follow, news, now))
     {
       news_old (follow, now);
       return;
@@ -358,8 +342,10 @@
 {
   gt_follow_options_t *o = &follow->options;
 
-  return o->ask && follow->whole && !follow->doubt
-         && o->ask (o->arg, follow->revision, follow->old, news_told, follow);
+  follow->asking
+      = o->ask && follow->whole && !follow->doubt
+        && o->ask (o->arg, follow->at, follow->old, news_told, follow);
+  return follow->asking;
 }
 
 /* Wait for changes; a store that was missed is asked for an answer at once. */
@@ -372,7 +358,7 @@
   uint64_t wait = missed ? MISSED_WAIT_MS : o->wait_ms;
   el_time_t limit = missed ? MISSED_LIMIT : CALL_LIMIT;
 
-  o->store->dialect->watch (&path, o->prefix, follow->revision, wait);
+  o->store->dialect->watch (&path, o->prefix, follow->at.revision, wait);
   follow->call = gt_store_call (o->store, "GET", &path, NULL,
                                 wait * EL_MSEC + limit, watch_done, follow);
   el_buf_free (&path);
@@ -386,10 +372,7 @@
   el_buf_t path = { NULL, 0, 0 };
 
   if (follow->page_after.len == 0)
-    {
-      follow->read_since = follow->sent;
-      follow->reading++;
-    }
+    follow->read_since = follow->sent;
   o->store->dialect->range (&path, o->prefix,
                             el_buf_str (&follow->page_after));
   follow->call = gt_store_call (o->store, "GET", &path, NULL,
@@ -414,47 +397,75 @@
       return;
     }
   follow->sent = net_clock_now (follow->options.store->clock);
+  follow->call_epoch = follow->options.store->epoch;
+  if (follow->whole && follow_former (follow, follow->at))
+    follow_restart (follow, GT_STORE_READ_EPOCH);
   if (follow->whole)
     follow_watch (follow);
   else
     follow_page (follow);
 }
 
+/* The store has begun an epoch. A call that left before it is of no use, and
+   may have gone to a store that answers no more. */
+static void
+follow_epoch (void *arg)
+{
+  gt_follow_t *follow = arg;
+
+  if (follow->asking
+      || (follow->call && follow->call_epoch == follow->options.store->epoch))
+    return;
+  if (follow->call)
+    net_client_cancel (follow->call);
+  follow->call = NULL;
+  follow_later (follow, 0);
+}
+
 /** A follower; it begins to read at once. */
 gt_follow_t *
 gt_follow_new (const gt_follow_options_t *options)
 {
   gt_follow_t *follow = el_alloc (sizeof *follow);
+  const gt_keys_options_t keys
+      = { .item = options->item, .arg = options->arg };
 
   follow->options = *options;
+  follow->keys = gt_keys_new (&keys);
+  follow->part.epoch = follow_epoch;
+  follow->part.arg = follow;
+  gt_store_join (options->store, &follow->part);
   follow->again.cb = follow_next;
   follow->again.arg = follow;
   follow_next (follow, 0);
   return follow;
 }
 
-/** Tell what was seen after a revision, or all when not every removal since
-    then is known. The items belong to the follower; the list is freed by the
-    caller. */
+/** Tell what was seen after a position, or all when not every removal since
+    then is known; gives 0 where that epoch is not known here yet. The items
+    belong to the follower; the list is freed by the caller. */
+int
+gt_follow_tell (const gt_follow_t *follow, pr_position_t after, pr_news_t *out)
+{
+  *out = (pr_news_t){ .at = follow->at, .as_of = follow->known };
+  if (after.epoch > follow->at.epoch)
+    return 0;
+  gt_keys_tell (follow->keys, after, out);
+  return 1;
+}
+
+/** Changes up to here were told. */
+pr_position_t
+gt_follow_position (const gt_follow_t *follow)
+{
+  return follow->at;
+}
+
+/** Another host knows that the store has begun EPOCH. */
 void
-gt_follow_tell (gt_follow_t *follow, uint64_t after, pr_news_t *out)
+gt_follow_epoch (gt_follow_t *follow, uint64_t epoch)
 {
-  follow_key_t *key;
-  follow_key_t *next;
-
-  *out = (pr_news_t){ .whole = after < follow->read_at,
-                      .revision = follow->revision,
-                      .as_of = follow->known };
-  out->items = el_alloc ((HASH_COUNT (follow->keys) + 1) * sizeof *out->items);
-  HASH_ITER (hh, follow->keys, key, next)
-  {
-    if (out->whole ? key->gone : key->revision <= after)
-      continue;
-    out->items[out->n++] = (pr_item_t){ .key = { key->key, key->len },
-                                        .value = key->value,
-                                        .revision = key->revision,
-                                        .gone = key->gone };
-  }
+  gt_store_epoch (follow->options.store, epoch, "host");
 }
 
 /** All changes before this time were told; 0 before the first. */
@@ -468,13 +479,11 @@
 void
 gt_follow_free (gt_follow_t *follow)
 {
-  follow_key_t *key;
-  follow_key_t *next;
-
+  gt_store_leave (follow->options.store, &follow->part);
   net_clock_cancel (follow->options.store->clock, &follow->again);
   if (follow->call)
     net_client_cancel (follow->call);
-  HASH_ITER (hh, follow->keys, key, next) { key_free (follow, key); }
+  gt_keys_free (follow->keys);
   el_buf_free (&follow->page_after);
   free (follow);
 }
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -51,12 +51,23 @@
 
 /* News of the store and of engines. */
 
+/** A place in the history of the store. A store that goes on from an older
+   copy begins an epoch and gives revisions out again: a revision has an order
+    within its epoch only. */
+typedef struct pr_position
+{
+  uint64_t epoch;
+  uint64_t revision;
+} pr_position_t;
+
+int pr_position_cmp (pr_position_t a, pr_position_t b);
+
 /** A key as the store has it. */
 typedef struct pr_item
 {
   el_str_t key;
   el_str_t value;
-  uint64_t revision; /**< of its last change */
+  uint64_t revision; /**< of its last change, in the epoch of its list */
   int gone;          /**< the change removed it */
 } pr_item_t;
 
@@ -67,8 +78,8 @@
   pr_item_t *items;
   size_t n;
   int whole;
-  uint64_t revision; /**< changes up to it were told */
-  el_time_t as_of;   /**< by this host's clock */
+  pr_position_t at; /**< changes up to it were told */
+  el_time_t as_of;  /**< by this host's clock */
 } pr_news_t;
 
 /** NEWS is NULL when nobody answered, or one that knows nothing itself. */
@@ -143,9 +154,14 @@
   void (*hosts) (void *arg, size_t live);
   /** An endpoint leaves, as another host has seen. */
   void (*leaving) (void *arg, el_str_t endpoint);
-  /** Give what was seen of the store after a revision; gives 0 when this host
-      does not follow it. The list is freed by the caller, the strings stay. */
-  int (*news) (void *arg, uint64_t after, pr_news_t *out);
+  /** Give what was seen of the store after a position; gives 0 when this host
+      does not follow it, or lags behind that epoch. The list is freed by the
+      caller, the strings stay. */
+  int (*news) (void *arg, pr_position_t after, pr_news_t *out);
+  /** Up to where this host has seen the store's changes. */
+  pr_position_t (*position) (void *arg);
+  /** Another host knows of an epoch of the store. */
+  void (*epoch) (void *arg, uint64_t epoch);
   /** All changes of the store before this time are known here; 0: none. */
   el_time_t (*known) (void *arg);
   /** Give a list of engines, which the caller frees; the strings stay. */
@@ -214,7 +230,7 @@
 /* News. */
 void pr_peers_heard (pr_peers_t *peers);
 void pr_peers_blame_news (pr_peers_t *peers);
-int pr_peers_ask_news (pr_peers_t *peers, uint64_t after, unsigned old,
+int pr_peers_ask_news (pr_peers_t *peers, pr_position_t after, unsigned old,
                        pr_news_cb done, void *arg);
 
 /* Rumors. */
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -182,10 +182,11 @@
   bool taken<PEER_SESSIONS_MAX>;
 };
 
-/* Asks a host for what it has seen of the store after a revision; answered
-   when it knows something newer, or has heard of its hall's engines. KNOWN_AGO:
-   microseconds since the moment as of which the asker knows all. */
+/* Asks a host for what it has seen of the store after a revision of an epoch;
+   answered when it knows something newer, or has heard of its hall's engines.
+   KNOWN_AGO: microseconds since the moment as of which the asker knows all. */
 struct peer_news_args {
+  unsigned hyper epoch;
   unsigned hyper after;
   unsigned hyper known_ago;
 };
@@ -213,6 +214,7 @@
 struct peer_news_res {
   bool ready;
   bool whole;
+  unsigned hyper epoch;
   unsigned hyper revision;
   hyper known_after;
   peer_item items<PEER_CHANGES_MAX>;
--- a/peer/peer_news.c
+++ b/peer/peer_news.c
@@ -29,7 +29,7 @@
 typedef struct peer_asker
 {
   net_rpc_req_t *req;
-  uint64_t after;
+  pr_position_t after;
   el_time_t came;
   struct peer_asker *next;
 } peer_asker_t;
@@ -43,6 +43,15 @@
   void *arg;
 } peer_question_t;
 
+/** Below, at or above 0 where A lies before, at or behind B. */
+int
+pr_position_cmp (pr_position_t a, pr_position_t b)
+{
+  if (a.epoch != b.epoch)
+    return a.epoch < b.epoch ? -1 : 1;
+  return (a.revision > b.revision) - (a.revision < b.revision);
+}
+
 /* Put what is known of engines into an answer; gives the list to free. */
 static pr_engine_t *
 engines_write (const pr_peers_t *peers, peer_news_res *res)
@@ -129,7 +138,8 @@
       = peers->options.ops->news (peers->options.arg, asker->after, &news)
         && news.as_of != 0;
   res.whole = news.whole;
-  res.revision = news.revision;
+  res.epoch = news.at.epoch;
+  res.revision = news.at.revision;
   res.known_after = (int64_t)news.as_of - (int64_t)asker->came;
   items_write (&news, &res);
   engines = engines_write (peers, &res);
@@ -142,6 +152,21 @@
   el_buf_free (&out);
 }
 
+/* Whether a question is answered at once: this host knows something newer, or
+   lags behind the asker's epoch and has nothing to tell. */
+static int
+news_due (pr_peers_t *peers, const peer_asker_t *asker, uint64_t known_ago)
+{
+  const pr_ops_t *ops = peers->options.ops;
+  uint64_t epoch = ops->position (peers->options.arg).epoch;
+
+  if (asker->after.epoch > epoch)
+    ops->epoch (peers->options.arg, asker->after.epoch);
+  return asker->after.epoch != epoch
+         || ops->known (peers->options.arg) + known_ago
+                > asker->came + NEWER_LEAST;
+}
+
 /** Another host asks for news. */
 void
 peer_serve_news (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
@@ -156,10 +181,9 @@
     }
   asker = el_alloc (sizeof *asker);
   asker->req = req;
-  asker->after = args.after;
+  asker->after = (pr_position_t){ args.epoch, args.after };
   asker->came = net_clock_now (peers->options.clock);
-  if (peers->options.ops->known (peers->options.arg) + args.known_ago
-      > asker->came + NEWER_LEAST)
+  if (news_due (peers, asker, args.known_ago))
     {
       news_answer (peers, asker);
       free (asker);
@@ -187,7 +211,7 @@
 {
   pr_news_t news
       = { .whole = res->whole,
-          .revision = res->revision,
+          .at = { res->epoch, res->revision },
           .as_of = (el_time_t)((int64_t)question->sent + res->known_after) };
   u_int i;
 
@@ -298,10 +322,10 @@
     a row had old answers; gives 0 when this host follows it itself, or knows
     none. */
 int
-pr_peers_ask_news (pr_peers_t *peers, uint64_t after, unsigned old,
+pr_peers_ask_news (pr_peers_t *peers, pr_position_t after, unsigned old,
                    pr_news_cb done, void *arg)
 {
-  peer_news_args args = { .after = after };
+  peer_news_args args = { .epoch = after.epoch, .after = after.revision };
   el_time_t now = net_clock_now (peers->options.clock);
   el_buf_t body = { NULL, 0, 0 };
   peer_question_t *question;
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -308,6 +308,7 @@
 typedef struct peer_handover_res peer_handover_res;
 
 struct peer_news_args {
+	u_quad_t epoch;
 	u_quad_t after;
 	u_quad_t known_ago;
 };
@@ -344,6 +345,7 @@
 struct peer_news_res {
 	bool_t ready;
 	bool_t whole;
+	u_quad_t epoch;
 	u_quad_t revision;
 	quad_t known_after;
 	struct {
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -435,6 +435,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->after))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->known_ago))
@@ -542,6 +544,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->known_after))
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -23,13 +23,14 @@
   int enough;
 } followed_t;
 
-static void
+static int
 followed_item (void *arg, const pr_item_t *item)
 {
   followed_t *seen = arg;
 
   el_buf_printf (&seen->text, "%s%.*s ", item->gone ? "-" : "+",
                  (int)item->key.len, item->key.ptr);
+  return 1;
 }
 
 static void
@@ -120,12 +121,11 @@
 END_TEST
 
 static int
-ask_old (void *arg, uint64_t after, unsigned old, pr_news_cb done,
+ask_old (void *arg, pr_position_t after, unsigned old, pr_news_cb done,
          void *done_arg)
 {
   const pr_news_t news
-      = { .revision = after,
-          .as_of = net_clock_now (&test_clock) - 1700 * EL_MSEC };
+      = { .at = after, .as_of = net_clock_now (&test_clock) - 1700 * EL_MSEC };
 
   (void)arg;
   (void)old;
@@ -184,7 +184,7 @@
 } old_host_t;
 
 static int
-ask_old_later (void *arg, uint64_t after, unsigned old, pr_news_cb done,
+ask_old_later (void *arg, pr_position_t after, unsigned old, pr_news_cb done,
                void *done_arg)
 {
   old_host_t *host = arg;
--- a/tests/test.h
+++ b/tests/test.h
@@ -32,6 +32,7 @@
 Suite *starts_suite (void);
 Suite *again_suite (void);
 Suite *era_suite (void);
+Suite *epoch_suite (void);
 Suite *load_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -46,6 +46,7 @@
   srunner_add_suite (runner, load_suite ());
   srunner_add_suite (runner, net_suite ());
   srunner_add_suite (runner, store_suite ());
+  srunner_add_suite (runner, epoch_suite ());
   srunner_add_suite (runner, seeded_suite ());
   srunner_add_suite (runner, check_suite ());
   srunner_add_suite (runner, spoiled_suite ());
