A duty is held by its lease and the store's epoch

Cause: a store that goes on from an older copy has lost the leases that it granted since, and gives their numbers out again. A renewal by number may keep up somebody else's lease and looks well; the end of one may end somebody else's; the host that asks next has the duty while the former holder, which has not heard of the epoch, goes on for up to the lease's time.

Change: the lease counts in its epoch only, from the moment at which any part of the host hears of the next one; nobody asks for a duty until a lease's time after it heard of an epoch; a lease whose last renewal had no answer is left to run out and not ended. The first epoch that a host hears of ends nothing, so a start is as quick as before.

Four tests in tests/t_epoch.c, each red without its mechanism.

--- a/gate/store.c
+++ b/gate/store.c
@@ -54,15 +54,20 @@
 }
 
 /** The store has begun EPOCH, as BY tells; a lower one changes nothing. Parts
-    are told from the loop: an answer may be under way to one of them. */
+    are told from the loop: an answer may be under way to one of them. The
+   first one that is heard of ends none. */
 void
 gt_store_epoch (gt_store_t *store, uint64_t epoch, const char *by)
 {
   uint64_t before = store->epoch;
+  int first = !store->known;
 
+  store->known = 1;
   if (epoch <= before)
     return;
   store->epoch = epoch;
+  if (first)
+    return;
   store->counts.epochs++;
   EL_LOG (EL_LOG_WARN, "store_epoch", EL_FN ("epoch", epoch),
           EL_FN ("before", before), EL_FC ("by", by));
@@ -84,7 +89,10 @@
     EL_LOG (EL_LOG_WARN, "store_epoch_unread",
             EL_FN ("status", result->status), EL_FN ("epoch", store->epoch));
   if (said != GT_STORE_SAID)
-    return 1;
+    {
+      store->known = 1;
+      return 1;
+    }
   gt_store_epoch (store, epoch, "store");
   if (epoch == store->epoch)
     return 1;
--- a/gate/store.h
+++ b/gate/store.h
@@ -106,6 +106,7 @@
   uint64_t random;      /**< of el_random; not 0 */
   el_time_t rest_until; /**< it asked for no calls until then */
   uint64_t epoch;       /**< the latest that is known */
+  int known;            /**< some answer came, here or at another host */
   gt_store_part_t *parts;
   el_timer_t tell; /**< the parts, of an epoch */
 } gt_store_t;
--- a/gate/store_duty.c
+++ b/gate/store_duty.c
@@ -5,7 +5,9 @@
 /** @file
  * A duty that is leased in the store: whoever holds the key has it. The
  * holder counts the lease from before it asked, on its own clock, and stops
- * ahead of its end; so a holder that was paused knows when it wakes.
+ * ahead of its end; so a holder that was paused knows when it wakes. A store
+ * that goes on from an older copy has lost the lease and may give its number
+ * to somebody else: the duty is held by lease and epoch.
  */
 #include <string.h>
 
@@ -33,8 +35,12 @@
   duty_step_t step;
   int wanted;
   uint64_t lease;
+  uint64_t epoch; /* of the lease */
   el_time_t sent;
   el_time_t valid; /* the lease lasts to here at least */
+  el_time_t after; /* not asked for before: whoever held it in a former epoch
+                      may not know yet */
+  gt_store_part_t part;
   net_exchange_t *call;
   el_timer_t again;
   unsigned failures;
@@ -66,7 +72,15 @@
 int
 gt_duty_held (const gt_duty_t *duty, el_time_t now)
 {
-  return duty->step == DUTY_HELD && now + duty->options.margin < duty->valid;
+  return duty->step == DUTY_HELD && duty->epoch == duty->options.store->epoch
+         && now + duty->options.margin < duty->valid;
+}
+
+/* Whether the lease is of an epoch that is over. */
+static int
+duty_former (const gt_duty_t *duty)
+{
+  return duty->lease && duty->epoch != duty->options.store->epoch;
 }
 
 static void
@@ -92,6 +106,17 @@
   return duty->options.ttl_ms * EL_MSEC;
 }
 
+/* The store has begun an epoch. */
+static void
+duty_epoch (void *arg)
+{
+  gt_duty_t *duty = arg;
+
+  duty->after = net_clock_now (duty->options.store->clock) + duty_ttl (duty);
+  if (duty_former (duty) && !duty->call)
+    duty_lost (duty, "store's epoch over", 0);
+}
+
 static void
 grant_write (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body)
 {
@@ -115,6 +140,7 @@
       return;
     }
   duty->failures = 0;
+  duty->epoch = store->epoch;
   duty->valid = duty->sent + duty_ttl (duty);
   duty->step = DUTY_CLAIM;
   duty_next (duty, 0);
@@ -138,7 +164,8 @@
   duty->call = NULL;
   if (result->net == NET_OK)
     state = store->dialect->read_claim (result);
-  if (state != GT_STORE_OK)
+  if (state != GT_STORE_OK || duty_former (duty)
+      || net_clock_now (store->clock) < duty->after)
     {
       gt_store_heard (store, result);
       duty_lost (duty, "not claimed", TAKEN_WAIT);
@@ -168,7 +195,9 @@
   duty->call = NULL;
   if (result->net == NET_OK)
     state = store->dialect->read_renew (result);
-  if (state == GT_STORE_OK)
+  if (duty_former (duty))
+    duty_lost (duty, "store's epoch over", 0);
+  else if (state == GT_STORE_OK)
     {
       duty->failures = 0;
       duty->valid = duty->sent + duty_ttl (duty);
@@ -195,13 +224,20 @@
     duty_later (duty, 0);
 }
 
-/* End the lease, so that another host need not wait for its end. */
+/* End the lease, so that another host need not wait for its end. One that the
+   store did not answer for last may be somebody else's by now: it runs out by
+   itself. */
 static void
 duty_release (gt_duty_t *duty)
 {
   gt_store_t *store = duty->options.store;
   el_buf_t path = { NULL, 0, 0 };
 
+  if (duty->failures || duty_former (duty))
+    {
+      duty_lost (duty, "left to run out", duty_ttl (duty));
+      return;
+    }
   store->dialect->end (&path, duty->lease);
   duty->step = DUTY_IDLE;
   duty->lease = 0;
@@ -229,11 +265,21 @@
   el_buf_free (&body);
 }
 
+/* How long the duty is not to be asked for. */
+static el_time_t
+duty_wait (const gt_duty_t *duty, el_time_t now)
+{
+  el_time_t rest = gt_store_rest_left (duty->options.store);
+  el_time_t epoch = now < duty->after ? duty->after - now : 0;
+
+  return rest > epoch ? rest : epoch;
+}
+
 static void
 duty_next (void *arg, el_time_t now)
 {
   gt_duty_t *duty = arg;
-  el_time_t rest;
+  el_time_t wait;
 
   (void)now;
   if (duty->call || (!duty->wanted && duty->step == DUTY_IDLE))
@@ -245,10 +291,10 @@
     }
   if (duty->step == DUTY_IDLE)
     {
-      rest = gt_store_rest_left (duty->options.store);
-      if (rest)
+      wait = duty_wait (duty, net_clock_now (duty->options.store->clock));
+      if (wait)
         {
-          duty_later (duty, rest);
+          duty_later (duty, wait);
           return;
         }
       if (!duty->options.vacant (duty->options.arg))
@@ -270,6 +316,9 @@
   duty->options = *options;
   duty->again.cb = duty_next;
   duty->again.arg = duty;
+  duty->part.epoch = duty_epoch;
+  duty->part.arg = duty;
+  gt_store_join (options->store, &duty->part);
   return duty;
 }
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -8,8 +8,9 @@
  * or an endpoint would, DELETE /test/KEY removes it; POST /test/forget drops
  * the history, POST /test/mute {"on": BOOL} leaves calls unanswered. POST
  * /test/copy notes what it holds, POST /test/restore has it go on from there:
- * what the system wrote since is gone, what operators and endpoints wrote is
- * written again, and revisions are given out again. With --record what is
+ * what the system wrote since is gone, leases too, what operators and
+ * endpoints wrote is written again, and revisions and numbers of leases are
+ * given out again. With --record what is
  * acknowledged stands in a file, from which it starts again.
  */
 #include <fcntl.h>
@@ -67,6 +68,7 @@
   uint64_t era;       /* times that it went on from a copy */
   store_item_t *copy;
   uint64_t copy_revision;
+  uint64_t copy_lease; /* numbers up to it were given */
   int mute;
   int record; /* descriptor; -1 is none */
 } store_t;
@@ -454,6 +456,7 @@
   items_free (&store->copy);
   items_copy (store->items, &store->copy);
   store->copy_revision = store->revision;
+  store->copy_lease = store->next_lease;
 }
 
 /* Whether others than the system write ITEM. */
@@ -472,6 +475,22 @@
   return strcmp (a->value, b->value) == 0;
 }
 
+/* Leases that were granted since the copy are gone, and their numbers are
+   given out again. */
+static void
+leases_restore (store_t *store)
+{
+  size_t i;
+
+  for (i = 0; i < LEASES_MAX; i++)
+    if (store->leases[i].id > store->copy_lease)
+      {
+        net_clock_cancel (&store->process->clock, &store->leases[i].over);
+        store->leases[i].id = 0;
+      }
+  store->next_lease = store->copy_lease;
+}
+
 static void
 store_restore (store_t *store)
 {
@@ -495,6 +514,7 @@
   store->items = NULL;
   items_copy (store->copy, &store->items);
   store->revision = store->copy_revision;
+  leases_restore (store);
   store->era++;
   for (item = lost; item; item = item->hh.next)
     {
--- a/tests/script.c
+++ b/tests/script.c
@@ -110,3 +110,22 @@
   net_clock_open (&test_clock, &loop);
   client = net_client_new (&test_clock);
 }
+
+static void
+span_over (void *arg, el_time_t now)
+{
+  (void)now;
+  *(int *)arg = 1;
+}
+
+/** Let the loop run for so long. */
+void
+run_for (el_time_t span)
+{
+  int over = 0;
+  el_timer_t timer = { .cb = span_over, .arg = &over };
+
+  net_clock_set (&test_clock, &timer, span);
+  while (!over)
+    uv_run (&loop, UV_RUN_ONCE);
+}
--- a/tests/script.h
+++ b/tests/script.h
@@ -46,6 +46,7 @@
 
 void script_open (const answer_t *answers, size_t n);
 void script_setup (void);
+void run_for (el_time_t span);
 
 #define SCRIPT(...)                                                           \
   do                                                                          \
--- a/tests/t_epoch.c
+++ b/tests/t_epoch.c
@@ -278,6 +278,120 @@
 }
 END_TEST
 
+/* The duty. */
+
+#define WHOLE(era, len, body)                                                 \
+  "HTTP/1.1 200 OK\r\nstore-era: " era "\r\ncontent-length: " len             \
+  "\r\n\r\n" body
+#define GRANTED(era) WHOLE (era, "25", "{\"lease\":7,\"ttl_ms\":2000}")
+#define CLAIMED(era) WHOLE (era, "14", "{\"Revision\":3}")
+
+static int
+vacant_always (void *arg)
+{
+  (void)arg;
+  return 1;
+}
+
+static gt_duty_t *
+duty_script (gt_store_t *store)
+{
+  const gt_duty_options_t options = { .store = store,
+                                      .key = EL_STR ("duty"),
+                                      .holder = EL_STR ("a"),
+                                      .ttl_ms = 900,
+                                      .vacant = vacant_always };
+  gt_duty_t *duty;
+
+  *store = (gt_store_t){ .clock = &test_clock,
+                         .client = client,
+                         .dialect = &pf_store,
+                         .address = el_str (script.address),
+                         .random = 1 };
+  duty = gt_duty_new (&options);
+  gt_duty_want (duty, 1);
+  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+    uv_run (&loop, UV_RUN_ONCE);
+  return duty;
+}
+
+/* Guards against a renewal that goes well as the number of the lease was given
+   to somebody else. */
+START_TEST (test_duty_renewed_in_another_epoch_is_lost)
+{
+  gt_store_t store;
+  gt_duty_t *duty;
+
+  SCRIPT ({ GRANTED ("1"), KEEP }, { CLAIMED ("1"), KEEP },
+          { WHOLE ("2", "2", "{}"), KEEP });
+  duty = duty_script (&store);
+  while (store.epoch == 1)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert (!gt_duty_held (duty, net_clock_now (&test_clock)));
+}
+END_TEST
+
+START_TEST (test_duty_is_lost_when_another_part_hears_of_an_epoch)
+{
+  gt_store_t store;
+  gt_duty_t *duty;
+
+  SCRIPT ({ GRANTED ("1"), KEEP }, { CLAIMED ("1"), KEEP });
+  duty = duty_script (&store);
+  gt_store_epoch (&store, 2, "host");
+  ck_assert (!gt_duty_held (duty, net_clock_now (&test_clock)));
+}
+END_TEST
+
+/* Guards against two holders: one that has not heard of the epoch may go on
+   until its lease runs out. */
+START_TEST (test_duty_is_not_asked_for_before_leases_of_a_former_epoch_end)
+{
+  gt_store_t store = { .clock = &test_clock,
+                       .client = client,
+                       .dialect = &pf_store,
+                       .random = 1,
+                       .known = 1 };
+  const gt_duty_options_t options = { .store = &store,
+                                      .key = EL_STR ("duty"),
+                                      .holder = EL_STR ("a"),
+                                      .ttl_ms = 900,
+                                      .vacant = vacant_always };
+  gt_duty_t *duty;
+
+  SCRIPT ({ GRANTED ("2"), KEEP }, { CLAIMED ("2"), KEEP });
+  store.address = el_str (script.address);
+  duty = gt_duty_new (&options);
+  gt_store_epoch (&store, 2, "host");
+  run_for (20 * EL_MSEC);
+  gt_duty_want (duty, 1);
+  run_for (800 * EL_MSEC);
+  ck_assert_uint_eq (store.counts.calls, 0);
+  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+    uv_run (&loop, UV_RUN_ONCE);
+}
+END_TEST
+
+/* Guards against the end of a lease whose number may be somebody else's. */
+START_TEST (test_duty_that_the_store_did_not_renew_is_left_to_run_out)
+{
+  gt_store_t store;
+  gt_duty_t *duty;
+
+  SCRIPT ({ GRANTED ("1"), KEEP }, { CLAIMED ("1"), KEEP },
+          { "HTTP/1.1 503 Busy\r\nstore-era: 1\r\n"
+            "content-length: 0\r\n\r\n",
+            KEEP });
+  duty = duty_script (&store);
+  while (!store.counts.failures)
+    uv_run (&loop, UV_RUN_ONCE);
+  gt_duty_want (duty, 0);
+  while (gt_duty_held (duty, net_clock_now (&test_clock)))
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_uint_eq (store.counts.calls, 3);
+}
+END_TEST
+
 Suite *
 epoch_suite (void)
 {
@@ -297,6 +411,10 @@
   ADD (tcase, test_follow_answer_of_a_former_epoch_is_not_applied);
   ADD_LOOP (tcase, test_follow_epoch_that_cannot_be_read_leaves_what_is_known,
             5);
+  ADD (tcase, test_duty_renewed_in_another_epoch_is_lost);
+  ADD (tcase, test_duty_is_lost_when_another_part_hears_of_an_epoch);
+  ADD (tcase, test_duty_is_not_asked_for_before_leases_of_a_former_epoch_end);
+  ADD (tcase, test_duty_that_the_store_did_not_renew_is_left_to_run_out);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/t_era.c
+++ b/tests/t_era.c
@@ -85,6 +85,80 @@
 }
 END_TEST
 
+/* The number of the lease of the planner's key; 0 where there is none. */
+static json_int_t
+planner_lease (void)
+{
+  json_t *json = http_json (site.store.address,
+                            "/elmarch/kv-range?PathPrefix=elmarch/planner");
+  json_t *items = json_object_get (json, "Items");
+  json_int_t lease = json_integer_value (
+      json_object_get (json_array_get (items, 0), "lease"));
+
+  json_decref (json);
+  return lease;
+}
+
+static json_int_t
+planner_lease_wait (void)
+{
+  json_int_t lease = 0;
+  int i;
+
+  for (i = 0; i < WAIT_STEPS && !lease; i++)
+    {
+      lease = planner_lease ();
+      pause_step ();
+    }
+  ck_assert_int_ne (lease, 0);
+  return lease;
+}
+
+static int64_t
+orders_taken (void)
+{
+  int64_t sum = 0;
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    sum += member_number (&site.engines[i], "orders");
+  return sum;
+}
+
+/* Guards against a planner that goes on by a lease which the store has lost,
+   beside the one that has the duty then. */
+START_TEST (test_planner_of_a_lost_lease_stops_before_the_next_one)
+{
+  char path[64];
+  uint64_t planners;
+  int64_t orders;
+  reply_t reply;
+  size_t host;
+  int i;
+
+  site_open (HOSTS);
+  snprintf (path, sizeof path, "/elmarch/kv-lease-end/%lld",
+            (long long)planner_lease_wait ());
+  http ("DELETE", site.store.address, path, NULL, NULL, &reply);
+  reply_free (&reply);
+  store_post ("/test/copy");
+  planner_lease_wait ();
+  orders = orders_taken ();
+  store_post ("/test/restore");
+  ck_assert_int_eq (planner_lease (), 0);
+  for (i = 0; i < WAIT_STEPS && !planner_lease (); i++)
+    {
+      planners = 0;
+      for (host = 0; host < HOSTS; host++)
+        planners += metric (&site.hosts[host], "elmarch_planner");
+      ck_assert_uint_le (planners, 1);
+      pause_step ();
+    }
+  planner_lease_wait ();
+  ck_assert_int_eq (orders_taken (), orders);
+}
+END_TEST
+
 Suite *
 era_suite (void)
 {
@@ -94,6 +168,7 @@
   tcase_add_checked_fixture (tcase, site_setup, site_teardown);
   tcase_set_timeout (tcase, 90);
   ADD (tcase, test_leave_under_a_reused_revision_reaches_all_hosts);
+  ADD (tcase, test_planner_of_a_lost_lease_stops_before_the_next_one);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -223,25 +223,6 @@
 }
 END_TEST
 
-static void
-span_over (void *arg, el_time_t now)
-{
-  (void)now;
-  *(int *)arg = 1;
-}
-
-/* Let the loop run for so long. */
-static void
-run_for (el_time_t span)
-{
-  int over = 0;
-  el_timer_t timer = { .cb = span_over, .arg = &over };
-
-  net_clock_set (&test_clock, &timer, span);
-  while (!over)
-    uv_run (&loop, UV_RUN_ONCE);
-}
-
 static int
 duty_vacant (void *arg)
 {
