What a new epoch of the store lacks or has again waits for its writers

Cause: the first reading of an epoch shows the copy, which is some seconds old: endpoints that entered since are missing, those that are gone since are there again. Hosts dropped the former (and would have taken them for ended under the requests that ran there) and sent to the latter.

Each half of the mechanism has its test, red without it.

--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -29,6 +29,9 @@
 #define DOUBT_MOST (8 * EL_SEC)
 /* A host that could tell nothing is asked again after this. */
 #define ASK_AGAIN (200 * EL_MSEC)
+/* Writers of a store that went on from an older copy have written anew what it
+   lost within about two seconds. */
+#define SETTLE_AFTER (2500 * EL_MSEC)
 /* What was read is as fresh as what a watch tells that waits as long. It is
    time for a host that has just started to learn whom it can ask. */
 #define READ_PAUSE (700 * EL_MSEC)
@@ -42,6 +45,7 @@
   uint64_t call_epoch; /* known when the call left */
   int asking;          /* another host was asked and has not answered */
   el_timer_t again;
+  el_timer_t settle;
   el_time_t sent;        /* when the call left */
   el_time_t read_since;  /* when the first page was asked for */
   pr_position_t at;      /* changes up to it were told */
@@ -64,8 +68,7 @@
 /* What an answer brought. FROM: the store, or another host; BEFORE: up to
    where changes were known. */
 static void
-told_log (gt_follow_t *follow, const char *from, pr_position_t before,
-          int whole)
+told (gt_follow_t *follow, const char *from, pr_position_t before, int whole)
 {
   gt_keys_counts_t counts = gt_keys_counts_take (follow->keys);
   int notable
@@ -77,7 +80,22 @@
           EL_FN ("revision", follow->at.revision),
           EL_FN ("epoch_before", before.epoch),
           EL_FN ("revision_before", before.revision),
-          EL_FN ("taken", counts.taken), EL_FN ("older", counts.older));
+          EL_FN ("taken", counts.taken), EL_FN ("older", counts.older),
+          EL_FN ("held", counts.held));
+  if (counts.held)
+    net_clock_set (follow->options.store->clock, &follow->settle,
+                   SETTLE_AFTER);
+}
+
+/* What a new epoch lacks or has again stands as it is by now. */
+static void
+follow_settle (void *arg, el_time_t now)
+{
+  gt_follow_t *follow = arg;
+
+  (void)now;
+  gt_keys_settle (follow->keys);
+  told (follow, "settled", follow->at, 0);
 }
 
 static void
@@ -162,7 +180,7 @@
   follow->whole = 1;
   gt_keys_end (follow->keys, follow->read_at);
   follow->at = follow->read_at;
-  told_log (follow, "store", before, 1);
+  told (follow, "store", before, 1);
   follow_known (follow, follow->read_since);
 }
 
@@ -224,7 +242,7 @@
     gt_keys_item (follow->keys, follow->at.epoch, &list->items[i]);
   if (list->revision > follow->at.revision)
     follow->at.revision = list->revision;
-  told_log (follow, "store", before, 0);
+  told (follow, "store", before, 0);
   follow_known (follow, follow->sent);
 }
 
@@ -301,7 +319,7 @@
     gt_keys_end (follow->keys, news->at);
   if (pr_position_cmp (news->at, follow->at) > 0)
     follow->at = news->at;
-  told_log (follow, "host", before, news->whole);
+  told (follow, "host", before, news->whole);
 }
 
 /* Whether news can be taken in: of the latest epoch, changes only on top of
@@ -432,6 +450,8 @@
 
   follow->options = *options;
   follow->keys = gt_keys_new (&keys);
+  follow->settle.cb = follow_settle;
+  follow->settle.arg = follow;
   follow->part.epoch = follow_epoch;
   follow->part.arg = follow;
   gt_store_join (options->store, &follow->part);
@@ -481,6 +501,7 @@
 {
   gt_store_leave (follow->options.store, &follow->part);
   net_clock_cancel (follow->options.store->clock, &follow->again);
+  net_clock_cancel (follow->options.store->clock, &follow->settle);
   if (follow->call)
     net_client_cancel (follow->call);
   gt_keys_free (follow->keys);
--- a/gate/store_keys.c
+++ b/gate/store_keys.c
@@ -6,6 +6,11 @@
  * The keys of a store as far as they are known: which change of a key is
  * newer, which keys a whole reading shows to be gone, and what another host
  * has yet to be told. Nothing here does I/O.
+ *
+ * A store that goes on from an older copy lacks what was written since, and
+ * has again what was removed since, until its writers have done so anew. The
+ * first reading of an epoch is not believed in either until gt_keys_settle; a
+ * change that is told after it counts at once.
  */
 #include <stdlib.h>
 
@@ -21,6 +26,7 @@
   el_str_t value;
   int known; /* it was shown before */
   int gone;
+  int held;         /* this was not handed on yet */
   uint64_t reading; /* number of the reading that showed it last */
   UT_hash_handle hh;
 } keys_key_t;
@@ -30,6 +36,7 @@
   gt_keys_options_t options;
   keys_key_t *keys;
   uint64_t reading;      /* number of the last or present whole reading */
+  int in_reading;        /* it is under way */
   pr_position_t read_at; /* changes up to it are known by a whole reading */
   gt_keys_counts_t counts;
 };
@@ -102,11 +109,29 @@
 key_set (gt_keys_t *keys, keys_key_t *key, const pr_item_t *item)
 {
   int first = !key->known || key->gone;
+  el_str_t value = el_str_dup (item->value);
 
   keys->counts.taken++;
   key->known = 1;
+  key->held = 0;
   key->gone = item->gone != 0;
-  if (!keys->options.item (keys->options.arg, item) && !first)
+  if (keys->options.item (keys->options.arg, item) || first)
+    {
+      el_str_free (&key->value);
+      key->value = value;
+    }
+  else
+    el_str_free (&value);
+}
+
+/* ITEM is how KEY stands, to be handed on when it still does. */
+static void
+key_hold (gt_keys_t *keys, keys_key_t *key, const pr_item_t *item)
+{
+  keys->counts.held += !key->held;
+  key->held = 1;
+  key->gone = item->gone != 0;
+  if (item->gone)
     return;
   el_str_free (&key->value);
   key->value = el_str_dup (item->value);
@@ -122,6 +147,7 @@
   int order = pr_position_cmp (at, key->at);
   int same = key->known && key_says (key, item);
   int again = epoch != key->at.epoch;
+  int back = key->known && (key->gone || key->held) && !item->gone;
 
   key->reading = keys->reading;
   if (key->known && (order < 0 || (order == 0 && same)))
@@ -130,7 +156,9 @@
       return;
     }
   key->at = at;
-  if (!(same && again))
+  if (keys->in_reading && again && back)
+    key_hold (keys, key, item);
+  else if (!(same && again))
     key_set (keys, key, item);
 }
 
@@ -139,10 +167,11 @@
 gt_keys_begin (gt_keys_t *keys)
 {
   keys->reading++;
+  keys->in_reading = 1;
 }
 
 /** The reading is done, and shows all changes up to AT: keys that it did not
-    show are gone. */
+    show are gone, or, where it is the first of an epoch, may be. */
 void
 gt_keys_end (gt_keys_t *keys, pr_position_t at)
 {
@@ -150,20 +179,45 @@
   keys_key_t *next;
 
   keys->read_at = at;
+  keys->in_reading = 0;
   HASH_ITER (hh, keys->keys, key, next)
   {
     pr_item_t item = { .key = { key->name, key->len },
                        .revision = at.revision,
                        .gone = 1 };
 
-    if (key->reading == keys->reading && !key->gone)
+    if (key->reading == keys->reading || (key->held && key->gone))
       continue;
+    if (!key->gone && key->at.epoch < at.epoch)
+      {
+        key_hold (keys, key, &item);
+        continue;
+      }
     if (!key->gone)
       key_set (keys, key, &item);
     key_free (keys, key);
   }
 }
 
+/** Hand on what was held back and has not changed since. */
+void
+gt_keys_settle (gt_keys_t *keys)
+{
+  keys_key_t *key;
+  keys_key_t *next;
+
+  HASH_ITER (hh, keys->keys, key, next)
+  {
+    pr_item_t item = key_item (key);
+
+    if (!key->held)
+      continue;
+    key_set (keys, key, &item);
+    if (item.gone)
+      key_free (keys, key);
+  }
+}
+
 /** Append to OUT what changed after a position, or all keys where not every
     removal since then is known. The strings stay here; the list is freed by
     the caller. */
--- a/gate/store_keys.h
+++ b/gate/store_keys.h
@@ -24,6 +24,8 @@
 {
   size_t taken; /**< changes handed on */
   size_t older; /**< changes below what was known */
+  size_t held;  /**< changes of a new epoch held back until
+                     gt_keys_settle */
 } gt_keys_counts_t;
 
 gt_keys_t *gt_keys_new (const gt_keys_options_t *options);
@@ -31,6 +33,7 @@
 void gt_keys_item (gt_keys_t *keys, uint64_t epoch, const pr_item_t *item);
 void gt_keys_begin (gt_keys_t *keys);
 void gt_keys_end (gt_keys_t *keys, pr_position_t at);
+void gt_keys_settle (gt_keys_t *keys);
 void gt_keys_tell (const gt_keys_t *keys, pr_position_t after, pr_news_t *out);
 gt_keys_counts_t gt_keys_counts_take (gt_keys_t *keys);
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -7,10 +7,10 @@
  * leases, writes under a condition. PUT /test/KEY sets a key as an operator
  * or an endpoint would, DELETE /test/KEY removes it; POST /test/forget drops
  * the history, POST /test/mute {"on": BOOL} leaves calls unanswered. POST
- * /test/copy notes what it holds, POST /test/restore has it go on from there:
- * what the system wrote since is gone, leases too, what operators and
- * endpoints wrote is written again, and revisions and numbers of leases are
- * given out again. With --record what is
+ * /test/copy notes what it holds, POST /test/restore {"again_ms": N} has it go
+ * on from there: what the system wrote since is gone, leases too, what
+ * operators and endpoints wrote is written again after N ms, and revisions and
+ * numbers of leases are given out again. With --record what is
  * acknowledged stands in a file, from which it starts again.
  */
 #include <fcntl.h>
@@ -69,6 +69,8 @@
   store_item_t *copy;
   uint64_t copy_revision;
   uint64_t copy_lease; /* numbers up to it were given */
+  store_item_t *lost;  /* as it was before it went on from the copy */
+  el_timer_t again;    /* writers of these write anew */
   int mute;
   int record; /* descriptor; -1 is none */
 } store_t;
@@ -491,12 +493,29 @@
   store->next_lease = store->copy_lease;
 }
 
+/* What others had written since the copy, and have not since then, they write
+   again. */
 static void
-store_restore (store_t *store)
+lost_again (void *arg, el_time_t due)
 {
-  store_item_t *lost = store->items;
+  store_t *store = arg;
   const store_item_t *item;
   store_item_t *now;
+
+  (void)due;
+  for (item = store->lost; item; item = item->hh.next)
+    {
+      HASH_FIND_STR (store->items, item->key, now);
+      if (item_of_others (item) && !item_same (item, now)
+          && (!now || now->revision <= store->copy_revision))
+        item_set (store, item->key, item->value, 0);
+    }
+  items_free (&store->lost);
+}
+
+static void
+store_restore (store_t *store, el_time_t again)
+{
   h2o_req_t *req;
 
   while (store->watches)
@@ -511,18 +530,19 @@
       free (watch->prefix);
       free (watch);
     }
+  items_free (&store->lost);
+  store->lost = store->items;
   store->items = NULL;
   items_copy (store->copy, &store->items);
   store->revision = store->copy_revision;
   leases_restore (store);
   store->era++;
-  for (item = lost; item; item = item->hh.next)
-    {
-      HASH_FIND_STR (store->items, item->key, now);
-      if (item_of_others (item) && !item_same (item, now))
-        item_set (store, item->key, item->value, 0);
-    }
-  items_free (&lost);
+  store->again.cb = lost_again;
+  store->again.arg = store;
+  if (again)
+    net_clock_set (&store->process->clock, &store->again, again);
+  else
+    lost_again (store, 0);
 }
 
 static void
@@ -552,7 +572,11 @@
     }
   else if (strcmp (key, "restore") == 0)
     {
-      store_restore (store);
+      json = sn_body (req);
+      store_restore (store, (el_time_t)json_integer_value (
+                                json_object_get (json, "again_ms"))
+                                * EL_MSEC);
+      json_decref (json);
       net_req_reply (req, 200, EL_STR (""), EL_STR ("{}"));
     }
   else if (strcmp (key, "mute") == 0)
--- a/tests/t_epoch.c
+++ b/tests/t_epoch.c
@@ -139,6 +139,34 @@
 }
 END_TEST
 
+/* A key that the first reading of an epoch lacks counts on, one that was gone
+   and is there again does not count, until it settles or a change is told. */
+START_TEST (test_keys_what_an_epoch_lacks_or_has_again_waits)
+{
+  static const pr_item_t gone[]
+      = { { .key = EL_STR ("g"), .value = EL_STR ("1"), .revision = 3 },
+          { .key = EL_STR ("g"), .revision = 6, .gone = 1 } };
+  seen_t seen = { .refuse = 0 };
+  gt_keys_t *keys = keys_open (&seen);
+  int changed = _i;
+
+  keys_put (keys, 1, 5, "a");
+  gt_keys_item (keys, 1, &gone[0]);
+  gt_keys_item (keys, 1, &gone[1]);
+  gt_keys_begin (keys);
+  gt_keys_item (keys, 2, &gone[0]);
+  gt_keys_end (keys, (pr_position_t){ 2, 4 });
+  seen_is (&seen, "+k=a +g=1 -g= ");
+  if (changed)
+    keys_put (keys, 2, 5, "a");
+  gt_keys_settle (keys);
+  seen_is (&seen,
+           changed ? "+k=a +g=1 -g= +k=a +g=1 " : "+k=a +g=1 -g= -k=a +g=1 ");
+  gt_keys_free (keys);
+  el_buf_free (&seen.text);
+}
+END_TEST
+
 /* The follower. */
 
 static void
@@ -405,6 +433,7 @@
   ADD (tcase, test_keys_change_of_a_former_epoch_counts_for_nothing);
   ADD (tcase, test_keys_new_epoch_hands_on_what_differs);
   ADD (tcase, test_keys_refused_value_is_not_told_on);
+  ADD_LOOP (tcase, test_keys_what_an_epoch_lacks_or_has_again_waits, 2);
   ADD (tcase, test_follow_watch_across_an_epoch_is_not_believed);
   ADD (tcase, test_follow_epoch_that_begins_between_pages_reads_anew);
   ADD (tcase, test_follow_two_epochs_within_a_moment);
--- a/tests/t_era.c
+++ b/tests/t_era.c
@@ -5,6 +5,7 @@
 /** @file
  * A store that goes on from an older copy, with real processes.
  */
+#include <signal.h>
 #include <stdio.h>
 
 #include "site.h"
@@ -13,13 +14,15 @@
 #define HOSTS 3
 #define LOST_WRITES 8
 #define ASKS 12
+/* One each 5 ms or more. */
+#define ASKS_MEANWHILE 600
 
 static void
-store_post (const char *path)
+store_post (const char *path, const char *body)
 {
   reply_t reply;
 
-  http ("POST", site.store.address, path, "", NULL, &reply);
+  http ("POST", site.store.address, path, body, NULL, &reply);
   ck_assert_int_eq (reply.status, 200);
   reply_free (&reply);
 }
@@ -44,7 +47,7 @@
   int i;
 
   site_open (HOSTS);
-  store_post ("/test/copy");
+  store_post ("/test/copy", "{}");
   for (i = 0; i < LOST_WRITES; i++)
     {
       snprintf (key, sizeof key, "elmarch/lost-%d", i);
@@ -66,7 +69,7 @@
   int i;
 
   site_open_ahead_of_copy ();
-  store_post ("/test/restore");
+  store_post ("/test/restore", "{}");
   http ("POST", site.workers[0].address, "/leave", "{}", NULL, &reply);
   reply_free (&reply);
   site_hosts_see ("elmarch_endpoints_leaving", 1);
@@ -141,10 +144,10 @@
             (long long)planner_lease_wait ());
   http ("DELETE", site.store.address, path, NULL, NULL, &reply);
   reply_free (&reply);
-  store_post ("/test/copy");
+  store_post ("/test/copy", "{}");
   planner_lease_wait ();
   orders = orders_taken ();
-  store_post ("/test/restore");
+  store_post ("/test/restore", "{}");
   ck_assert_int_eq (planner_lease (), 0);
   for (i = 0; i < WAIT_STEPS && !planner_lease (); i++)
     {
@@ -159,6 +162,35 @@
 }
 END_TEST
 
+/* Guards against requests that are refused, or sent to workers of before, as
+   the copy lacks the workers of now and has those. */
+START_TEST (test_workers_newer_than_the_copy_are_used_meanwhile)
+{
+  char id[32];
+  reply_t reply;
+  size_t i;
+
+  site_open (HOSTS);
+  store_post ("/test/copy", "{}");
+  for (i = 0; i < SITE_WORKERS; i++)
+    proc_end (&site.workers[i], SIGKILL);
+  site_workers_back ();
+  store_post ("/test/restore", "{\"again_ms\":1500}");
+  for (i = 0; i < ASKS_MEANWHILE; i++)
+    {
+      snprintf (id, sizeof id, "m-%zu", i);
+      ask (i % HOSTS, "GET", "/look/x", id, &reply);
+      ck_assert_int_eq (reply.status, 200);
+      reply_free (&reply);
+      pause_step ();
+    }
+  site_hosts_see ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS);
+  for (i = 0; i < HOSTS; i++)
+    ck_assert_uint_eq (metric (&site.hosts[i], "elmarch_relay_repeats_total"),
+                       0);
+}
+END_TEST
+
 Suite *
 era_suite (void)
 {
@@ -169,6 +201,7 @@
   tcase_set_timeout (tcase, 90);
   ADD (tcase, test_leave_under_a_reused_revision_reaches_all_hosts);
   ADD (tcase, test_planner_of_a_lost_lease_stops_before_the_next_one);
+  ADD (tcase, test_workers_newer_than_the_copy_are_used_meanwhile);
   suite_add_tcase (suite, tcase);
   return suite;
 }
