Hosts tell each other who left when the store begins an epoch

Cause: that an endpoint leaves is kept with its start by hosts that saw it, but a host that starts before the endpoint has written it again reads the copy, where it is ready.

Change: when a host hears of an epoch it tells the starts that it knows to leave as rumors, named by what they say, so that they are one whoever tells them.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -53,6 +53,7 @@
   gt_duty_t *duty;
   gt_planner_t *planner;
   gt_follow_t *follow;
+  gt_store_part_t part;
   int endpoints_known;
   int planned; /* some host has the planner's duty, as far as is known */
   uint64_t gauge_endpoints;
@@ -350,6 +351,15 @@
   gt_gate_blame_news (site->gate);
 }
 
+/* The store goes on from an older copy. */
+static void
+site_epoch (void *arg)
+{
+  site_t *site = arg;
+
+  gt_relays_epoch (site->relays);
+}
+
 /* One watch for all keys: each call to the store has its price. */
 static void
 site_follow (site_t *site)
@@ -365,6 +375,9 @@
                               .known = site_known,
                               .arg = site };
 
+  site->part.epoch = site_epoch;
+  site->part.arg = site;
+  gt_store_join (&site->store, &site->part);
   site->follow = gt_follow_new (&all);
   gt_gate_follow (site->gate, site->follow);
 }
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -232,6 +232,7 @@
 void relay_poll_end (gt_relays_t *relays);
 
 /* relay_rest.c */
+void relay_rest_leaves_tell (gt_relays_t *relays, const rt_start_t *start);
 void relay_rest_hear_leaves (gt_relays_t *relays, const co_rumor_t *rumor,
                              const relay_fact_t *fact);
 void relay_rest_heard (gt_relay_t *relay, const net_result_t *head);
--- a/gate/relay_rest.c
+++ b/gate/relay_rest.c
@@ -88,23 +88,29 @@
           EL_FN ("running", target->running), EL_FN ("lines", target->lines));
 }
 
-/* It takes no new work, whatever its entry says: where only the answers said
-   so 78 of 80 requests went on coming. The other hosts should know before they
-   send there. The fact is named by what it says, so that it
-   is one rumor whoever tells it. */
+/** All hosts should know that START leaves. The fact is named by what it says,
+    so that it is one rumor whoever tells it. */
+void
+relay_rest_leaves_tell (gt_relays_t *relays, const rt_start_t *start)
+{
+  const relay_fact_t fact = { .kind = RELAY_FACT_LEAVES, .start = *start };
+
+  relay_rumor_tell (relays, &fact, rt_start_key (start) ^ RELAY_FACT_LEAVES,
+                    LEAVES_HOLD);
+}
+
+/* It takes no new work, whatever its entry says. The other hosts should know
+   before they send there. */
 static void
 leaves_hear (gt_relays_t *relays, rt_target_t *target, el_str_t by)
 {
-  const relay_fact_t fact
-      = { .kind = RELAY_FACT_LEAVES, .start = rt_target_start (target) };
+  const rt_start_t start = rt_target_start (target);
 
   if (rt_target_leaves (target))
     return;
   rt_target_leave (target);
   leaves_log (relays, target, by);
-  relay_rumor_tell (relays, &fact,
-                    rt_start_key (&fact.start) ^ RELAY_FACT_LEAVES,
-                    LEAVES_HOLD);
+  relay_rest_leaves_tell (relays, &start);
 }
 
 /** Another host was told that an endpoint leaves. */
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -253,6 +253,32 @@
   return target;
 }
 
+static int
+notice_leaves (const notice_t *notice)
+{
+  return notice->access.leaves_until == EL_TIME_NEVER;
+}
+
+/** Visit the starts that said they leave: those listed, and of the others the
+    MOST that were last to go. */
+void
+rt_fleet_left (const rt_fleet_t *fleet, size_t most, rt_left_cb left,
+               void *arg)
+{
+  const rt_target_t *target;
+  const notice_t *notice = NULL;
+
+  for (target = fleet->by_id; target; target = target->hh.next)
+    if (rt_target_leaves (target))
+      left (arg, target->facts.id, target->facts.born);
+  if (fleet->notices)
+    notice
+        = ELMT_FROM_HH (fleet->notices->hh.tbl, fleet->notices->hh.tbl->tail);
+  for (; notice && most; notice = notice->hh.prev, most--)
+    if (notice_leaves (notice))
+      left (arg, notice->id, notice->born);
+}
+
 /** TARGET asked at NOW to be left in peace for so long; gives 1 when a rest
     begins. */
 int
--- a/route/relay.h
+++ b/route/relay.h
@@ -205,6 +205,9 @@
 int rt_target_leaves (const rt_target_t *target);
 void rt_target_leave (rt_target_t *target);
 rt_target_t *rt_fleet_leaves (rt_fleet_t *fleet, el_str_t id, uint64_t born);
+typedef void (*rt_left_cb) (void *arg, el_str_t id, uint64_t born);
+void rt_fleet_left (const rt_fleet_t *fleet, size_t most, rt_left_cb left,
+                    void *arg);
 int rt_fleet_rests (rt_fleet_t *fleet, rt_target_t *target, el_time_t now,
                     el_time_t asked);
 el_time_t rt_fleet_opens (const rt_fleet_t *fleet, el_time_t now,
--- a/tests/t_era.c
+++ b/tests/t_era.c
@@ -16,6 +16,7 @@
 #define ASKS 12
 /* One each 5 ms or more. */
 #define ASKS_MEANWHILE 600
+#define ASKS_STARTED 200
 
 static void
 store_post (const char *path, const char *body)
@@ -191,6 +192,36 @@
 }
 END_TEST
 
+/* Guards against requests by a host that starts before the leave is written
+   again, and reads the copy. */
+START_TEST (test_host_started_after_the_copy_knows_who_left)
+{
+  char id[32];
+  int64_t before;
+  reply_t reply;
+  int i;
+
+  site_open (HOSTS);
+  store_post ("/test/copy", "{}");
+  http ("POST", site.workers[0].address, "/leave", "{}", NULL, &reply);
+  reply_free (&reply);
+  site_hosts_see ("elmarch_endpoints_leaving", 1);
+  before = member_number (&site.workers[0], "runs");
+  store_post ("/test/restore", "{\"again_ms\":6000}");
+  site_hosts_see ("elmarch_store_epoch", 1);
+  proc_end (&site.hosts[1], SIGKILL);
+  site_host_start (1);
+  for (i = 0; i < ASKS_STARTED; i++)
+    {
+      snprintf (id, sizeof id, "n-%d", i);
+      ask (1, "GET", "/look/x", id, &reply);
+      reply_free (&reply);
+      pause_step ();
+    }
+  ck_assert_int_eq (member_number (&site.workers[0], "runs"), before);
+}
+END_TEST
+
 Suite *
 era_suite (void)
 {
@@ -202,6 +233,7 @@
   ADD (tcase, test_leave_under_a_reused_revision_reaches_all_hosts);
   ADD (tcase, test_planner_of_a_lost_lease_stops_before_the_next_one);
   ADD (tcase, test_workers_newer_than_the_copy_are_used_meanwhile);
+  ADD (tcase, test_host_started_after_the_copy_knows_who_left);
   suite_add_tcase (suite, tcase);
   return suite;
 }
