A host waits for the configuration that others have in force in a new epoch

Cause: hosts that run refuse a lower version of the configuration, whatever the copy says; a host that starts before the operator has written it again reads the copy's, and lets in keys that were taken away since.

Change: when a host hears of an epoch it tells the version that it has in force as a rumor, one whoever tells it. Who hears of a higher one than its own takes no requests until it has it, for 5 s at the most, is not ready and out of the entry addresses; requests wait a second as for a first configuration.

Weighed: asking another host for the configuration itself would cut the two seconds until the operator has written it again, for one host that starts within them; it needs a request of its own between hosts, as news hold changes only.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -188,7 +188,8 @@
   site_t *site = arg;
 
   return !site->stopping && site->endpoints_known
-         && gt_relays_in_force (site->relays);
+         && gt_relays_in_force (site->relays)
+         && !gt_relays_behind (site->relays);
 }
 
 /* Bring the gauges up to date. */
@@ -228,7 +229,8 @@
 site_look (void *arg, el_time_t now)
 {
   site_t *site = arg;
-  int stale = !gt_relays_in_force (site->relays) || !site->endpoints_known
+  int stale = !gt_relays_in_force (site->relays)
+              || gt_relays_behind (site->relays) || !site->endpoints_known
               || now > site->rules_known + site_news_old (site) + STALE_SLACK;
 
   if (stale != site->withdrawn)
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -182,6 +182,7 @@
                       const rt_asks_t *asks, el_str_t by);
 void gt_relays_heard (gt_relays_t *relays);
 void gt_relays_epoch (gt_relays_t *relays);
+int gt_relays_behind (const gt_relays_t *relays);
 void gt_relays_retire (gt_relays_t *relays);
 void gt_relays_close (gt_relays_t *relays);
 size_t gt_relays_running (const gt_relays_t *relays);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -44,6 +44,8 @@
   el_time_t usual_first; /* mean time to a stream's first event */
   el_time_t usual_gap;   /* mean time between events */
   int closed;            /* takes no new requests */
+  uint64_t rules_due;    /* version that others have in force */
+  el_time_t rules_due_until;
 };
 
 /* Splits an event stream into whole events; a part stays behind. */
@@ -207,6 +209,7 @@
   RELAY_FACT_BLOCKED,  /* a request is to blame */
   RELAY_FACT_CLEARED,  /* an operator lets a request in again */
   RELAY_FACT_LEAVES,   /* an endpoint says that it takes no new work */
+  RELAY_FACT_RULES,    /* a version of the rules is in force */
   RELAY_FACTS
 } relay_fact_kind_t;
 
@@ -222,6 +225,7 @@
   rt_digest_t digest; /* of the others */
   uint64_t customer;
   unsigned holds;
+  uint64_t version; /* of the rules */
 };
 
 void relay_fact_write (const relay_fact_t *fact, el_buf_t *out);
@@ -231,6 +235,10 @@
 void relay_poll_begin (gt_relays_t *relays);
 void relay_poll_end (gt_relays_t *relays);
 
+/* relay_epoch.c */
+void relay_epoch_hear_rules (gt_relays_t *relays, const co_rumor_t *rumor,
+                             const relay_fact_t *fact);
+
 /* relay_rest.c */
 void relay_rest_leaves_tell (gt_relays_t *relays, const rt_start_t *start);
 void relay_rest_hear_leaves (gt_relays_t *relays, const co_rumor_t *rumor,
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -337,7 +337,8 @@
 static int
 relays_know (const gt_relays_t *relays)
 {
-  return relays->rules && relays->known && relays->heard;
+  return relays->rules && relays->known && relays->heard
+         && !gt_relays_behind (relays);
 }
 
 static void
--- a/gate/relay_fact.c
+++ b/gate/relay_fact.c
@@ -18,6 +18,8 @@
 static int runs_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void leaves_write (const relay_fact_t *fact, json_t *json);
 static int leaves_read (json_t *json, el_time_t at, relay_fact_t *out);
+static void rules_write (const relay_fact_t *fact, json_t *json);
+static int rules_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void request_write (const relay_fact_t *fact, json_t *json);
 static int request_read (json_t *json, el_time_t at, relay_fact_t *out);
 
@@ -32,6 +34,7 @@
   [RELAY_FACT_BLOCKED] = { "blocked", request_write, request_read },
   [RELAY_FACT_CLEARED] = { "cleared", request_write, request_read },
   [RELAY_FACT_LEAVES] = { "leaves", leaves_write, leaves_read },
+  [RELAY_FACT_RULES] = { "rules", rules_write, rules_read },
 };
 
 static json_t *
@@ -89,6 +92,19 @@
   return start_read (json, &out->start);
 }
 
+static void
+rules_write (const relay_fact_t *fact, json_t *json)
+{
+  json_object_set_new (json, "version", number_write (fact->version));
+}
+
+static int
+rules_read (json_t *json, el_time_t at, relay_fact_t *out)
+{
+  (void)at;
+  return number_read (json_object_get (json, "version"), &out->version);
+}
+
 static void
 runs_write (const relay_fact_t *fact, json_t *json)
 {
--- a/gate/relay_rumor.c
+++ b/gate/relay_rumor.c
@@ -17,6 +17,7 @@
         [RELAY_FACT_BLOCKED] = relay_blame_hear_blocked,
         [RELAY_FACT_CLEARED] = relay_blame_hear_cleared,
         [RELAY_FACT_LEAVES] = relay_rest_hear_leaves,
+        [RELAY_FACT_RULES] = relay_epoch_hear_rules,
       };
 
 /** Have all hosts know FACT, which ID names, for HOLD. */
--- a/tests/t_era.c
+++ b/tests/t_era.c
@@ -222,6 +222,40 @@
 }
 END_TEST
 
+/* Guards against a key that was taken away and that a host lets in again, as
+   it starts before the configuration is written again and reads the copy. */
+START_TEST (test_host_started_after_the_copy_lets_no_former_key_in)
+{
+  char id[32];
+  reply_t reply;
+  size_t i;
+
+  site_open (HOSTS);
+  store_post ("/test/copy", "{}");
+  site_config (2, "[\"another\"]");
+  for (i = 0; i < HOSTS; i++)
+    do
+      {
+        ask (i, "GET", "/look/x", "a", &reply);
+        reply_free (&reply);
+      }
+    while (reply.status != 401);
+  store_post ("/test/restore", "{\"again_ms\":2000}");
+  site_hosts_see ("elmarch_store_epoch", 1);
+  proc_end (&site.hosts[1], SIGKILL);
+  site_host_start (1);
+  for (i = 0; i < ASKS_STARTED; i++)
+    {
+      snprintf (id, sizeof id, "k-%zu", i);
+      ask (i % HOSTS, "GET", "/look/x", id, &reply);
+      ck_assert_int_ne (reply.status, 200);
+      reply_free (&reply);
+      pause_step ();
+    }
+  ck_assert_int_eq (reply.status, 401);
+}
+END_TEST
+
 Suite *
 era_suite (void)
 {
@@ -234,6 +268,7 @@
   ADD (tcase, test_planner_of_a_lost_lease_stops_before_the_next_one);
   ADD (tcase, test_workers_newer_than_the_copy_are_used_meanwhile);
   ADD (tcase, test_host_started_after_the_copy_knows_who_left);
+  ADD (tcase, test_host_started_after_the_copy_lets_no_former_key_in);
   suite_add_tcase (suite, tcase);
   return suite;
 }
