Blocked requests are kept in the store again when it begins an epoch

Cause: that a request ends engines is kept in the store under a lease, so that it outlasts all hosts. A store that goes on from an older copy has lost it.

Change: the first host of each hall writes the blocked requests that it knows again, for the rest of their time, when it hears of an epoch.

--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -360,6 +360,7 @@
   site_t *site = arg;
 
   gt_relays_epoch (site->relays);
+  gt_relays_blocked_keep (site->relays);
 }
 
 /* One watch for all keys: each call to the store has its price. */
@@ -491,10 +492,10 @@
 /* The first host of each hall has the store keep it that a request is blocked,
    for when all hosts are lost at once; two calls. */
 static void
-site_blocked (void *arg, rt_digest_t digest, unsigned holds)
+site_blocked (void *arg, rt_digest_t digest, unsigned holds, el_time_t left)
 {
   site_t *site = arg;
-  el_time_t hold = rt_blame_hold (holds) / EL_MSEC;
+  el_time_t hold = left / EL_MSEC;
   el_buf_t key = { NULL, 0, 0 };
 
   if (!gt_gate_leads (site->gate))
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -154,8 +154,9 @@
   /** Have all hosts know BODY, named by ID, for HOLD. */
   void (*tell) (void *arg, uint64_t id, el_time_t hold, el_str_t body);
   /** A request was found to be to blame for ends of endpoints, the HOLDS-th
-      time: that is to last. */
-  void (*blocked) (void *arg, rt_digest_t digest, unsigned holds);
+      time: that is to last for LEFT. */
+  void (*blocked) (void *arg, rt_digest_t digest, unsigned holds,
+                   el_time_t left);
   void *arg;
 } gt_relay_options_t;
 
@@ -182,6 +183,7 @@
                       const rt_asks_t *asks, el_str_t by);
 void gt_relays_heard (gt_relays_t *relays);
 void gt_relays_epoch (gt_relays_t *relays);
+void gt_relays_blocked_keep (gt_relays_t *relays);
 int gt_relays_behind (const gt_relays_t *relays);
 void gt_relays_retire (gt_relays_t *relays);
 void gt_relays_close (gt_relays_t *relays);
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -341,10 +341,29 @@
 
 /* That DIGEST is blocked should outlast all hosts. */
 static void
-block_keep (const gt_relays_t *relays, rt_digest_t digest, unsigned holds)
+block_keep (const gt_relays_t *relays, rt_digest_t digest, unsigned holds,
+            el_time_t left)
 {
   if (relays->options.blocked)
-    relays->options.blocked (relays->options.arg, digest, holds);
+    relays->options.blocked (relays->options.arg, digest, holds, left);
+}
+
+static void
+blocked_keep (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
+{
+  const gt_relays_t *relays = arg;
+
+  if (judgement->state == RT_BLAME_BLOCKED)
+    block_keep (relays, digest, judgement->holds,
+                judgement->until - net_clock_now (relays->options.clock));
+}
+
+/** The store has lost what was kept there of requests that are blocked. */
+void
+gt_relays_blocked_keep (gt_relays_t *relays)
+{
+  rt_blame_visit (relays->blame->rt, net_clock_now (relays->options.clock),
+                  blocked_keep, relays);
 }
 
 /* DIGEST is to blame: all hosts should know, also those that did not hear of
@@ -361,7 +380,8 @@
   block_log (relays, digest, judgement, "ends");
   relay_rumor_tell (relays, &fact, digest + judgement->holds,
                     rt_blame_hold (judgement->holds));
-  block_keep (relays, digest, judgement->holds);
+  block_keep (relays, digest, judgement->holds,
+              rt_blame_hold (judgement->holds));
   relay_suspect_stop (relays, digest);
 }
 
@@ -473,7 +493,7 @@
     return;
   relay_rumor_tell (relays, &fact, digest + fact.holds,
                     rt_blame_hold (fact.holds));
-  block_keep (relays, digest, fact.holds);
+  block_keep (relays, digest, fact.holds, rt_blame_hold (fact.holds));
 }
 
 /** ORDER's engine shows it. */
@@ -553,7 +573,8 @@
 {
   if (block_hear (relays, fact->digest, fact->customer, rumor->at, fact->holds,
                   "another host"))
-    block_keep (relays, fact->digest, fact->holds);
+    block_keep (relays, fact->digest, fact->holds,
+                rt_blame_hold (fact->holds));
 }
 
 /** An operator lets a request in again, at another host. */
--- a/tests/t_era.c
+++ b/tests/t_era.c
@@ -17,6 +17,7 @@
 /* One each 5 ms or more. */
 #define ASKS_MEANWHILE 600
 #define ASKS_STARTED 200
+#define DEADLY_MOST 12
 
 static void
 store_post (const char *path, const char *body)
@@ -256,6 +257,50 @@
 }
 END_TEST
 
+static size_t
+blocked_kept (void)
+{
+  json_t *json = http_json (site.store.address,
+                            "/elmarch/kv-range?PathPrefix=elmarch/blocked/");
+  size_t n = json_array_size (json_object_get (json, "Items"));
+
+  json_decref (json);
+  return n;
+}
+
+static void
+blocked_kept_wait (void)
+{
+  int i;
+
+  for (i = 0; i < WAIT_STEPS && !blocked_kept (); i++)
+    pause_step ();
+  ck_assert_uint_gt (blocked_kept (), 0);
+}
+
+/* Guards against a request that ends engines and is let in again by hosts that
+   start, as the store has lost that it is blocked. */
+START_TEST (test_blocked_request_is_kept_again_after_the_copy)
+{
+  char id[32];
+  reply_t reply;
+  size_t i;
+
+  site_open (1);
+  store_post ("/test/copy", "{}");
+  for (i = 0; i < DEADLY_MOST && !blocked_kept (); i++)
+    {
+      snprintf (id, sizeof id, "d%zu", i);
+      ask_body (0, "/chat/x", "a deadly roster", id, &reply);
+      reply_free (&reply);
+      site_engines_back ();
+    }
+  blocked_kept_wait ();
+  store_post ("/test/restore", "{}");
+  blocked_kept_wait ();
+}
+END_TEST
+
 Suite *
 era_suite (void)
 {
@@ -269,6 +314,7 @@
   ADD (tcase, test_workers_newer_than_the_copy_are_used_meanwhile);
   ADD (tcase, test_host_started_after_the_copy_knows_who_left);
   ADD (tcase, test_host_started_after_the_copy_lets_no_former_key_in);
+  ADD (tcase, test_blocked_request_is_kept_again_after_the_copy);
   suite_add_tcase (suite, tcase);
   return suite;
 }
