Blame: one end is not enough, also after an end of long ago

Cause: the rate at which endpoints end near a run's end was taken from a sum in which ends of long ago are counted in and out again. What is left of that in floating point, some 1e-17, is above zero and replaced the least rate: the end had no other explanation, odds by one end. The sum now raises the rate and never lowers it below the least one.

Evidence: test_blame_one_end_after_another_of_long_ago_is_not_enough, an end 32 s after another one: 2 of 20 variants blocked before, none now.

--- a/route/blame_rule.c
+++ b/route/blame_rule.c
@@ -115,9 +115,8 @@
   double n;
   size_t w;
 
-  if (run->end->around[0] > 0)
+  if (RATE_NEAR * run->end->around[0] > most)
     most = RATE_NEAR * run->end->around[0];
-
   for (w = 0; w < BLAME_WINDOWS; w++)
     {
       n = run->end->around[w];
--- a/tests/t_suspect.c
+++ b/tests/t_suspect.c
@@ -264,6 +264,20 @@
 }
 END_TEST
 
+/* Guards against a request that is blocked by one end: what is left of
+   counting an end of long ago in and out again is no end near this one. */
+START_TEST (test_blame_one_end_after_another_of_long_ago_is_not_enough)
+{
+  const rt_ended_t gone = { .start = { .id = "gone" }, .at = NOW };
+
+  rt_blame_ended (blame, NOW, &gone);
+  ended (1, NOW + 32 * EL_SEC, 1000, 1 * EL_MSEC);
+  ended (1, NOW + 32 * EL_SEC, 1001, (1 + (unsigned)_i) * 50 * EL_MSEC);
+  judge (NOW + 32 * EL_SEC);
+  ck_assert_uint_eq (blocked, 0);
+}
+END_TEST
+
 /* A request that many send was refused for ten minutes as ending endpoints. It
    had been sent to one 0.70 s after that had ended, as its entry still stood,
    and to another that was ending, 6 ms after; each attempt was broken off at
@@ -392,6 +406,8 @@
   ADD_LOOP (tcase, test_blame_order_of_news_plays_no_part, SEEDS);
   ADD (tcase, test_blame_who_ran_to_the_end_is_cleared);
   ADD (tcase, test_blame_one_witness_counts_half);
+  ADD_LOOP (tcase, test_blame_one_end_after_another_of_long_ago_is_not_enough,
+            SEEDS);
   ADD (tcase, test_blame_what_came_after_an_end_is_not_to_blame);
   ADD (tcase, test_blame_waiting_it_out_costs_an_engine_each_time);
   ADD (tcase, test_blame_one_caller_pushes_nobody_out);
