Blame: what came to an endpoint after its end did not run there

Cause: each attempt that broke off at an endpoint which ended counted as a run under that end, whenever it began; other hosts did not know when, as they took the time of the message for that of the break.

Change: an end keeps the earliest time at which some host knew of it, and runs that began after it are dropped, in whatever order facts come; a fact tells how long before it each run broke off. The earliest break itself is not taken: a connection that was reset seconds before an end would push out the one to blame.

--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -171,6 +171,7 @@
   if (note->target == target)
     {
       runs += note->ended.digest != 0;
+      note->ended.found = now;
       if (rt_blame_told (blame->rt, &note->ended))
         fact.runs[fact.nruns++] = note->ended;
       rt_blame_ended (blame->rt, now, &note->ended);
@@ -298,7 +299,8 @@
 gt_relays_engine_gone (gt_relays_t *relays, rt_target_t *target)
 {
   el_time_t now = net_clock_now (relays->options.clock);
-  const rt_ended_t end = { .start = rt_target_start (target), .at = now };
+  const rt_ended_t end
+      = { .start = rt_target_start (target), .at = now, .found = now };
 
   if (rt_target_leaves (target))
     return;
--- a/gate/relay_fact.c
+++ b/gate/relay_fact.c
@@ -109,16 +109,20 @@
 runs_write (const relay_fact_t *fact, json_t *json)
 {
   json_t *list = json_array ();
+  const rt_ended_t *run;
   size_t i;
 
   start_write (&fact->runs[0].start, json);
   json_object_set_new (json, "host", number_write (fact->runs[0].host));
   for (i = 0; i < fact->nruns; i++)
-    json_array_append_new (
-        list, json_pack ("[o,o,I,b]", number_write (fact->runs[i].digest),
-                         number_write (fact->runs[i].customer),
-                         (json_int_t)(fact->runs[i].ran / EL_MSEC),
-                         fact->runs[i].first));
+    {
+      run = &fact->runs[i];
+      json_array_append_new (
+          list, json_pack ("[o,o,I,b,I]", number_write (run->digest),
+                           number_write (run->customer),
+                           (json_int_t)(run->ran / EL_MSEC), run->first,
+                           (json_int_t)((run->found - run->at) / EL_MSEC)));
+    }
   json_object_set_new (json, "runs", list);
 }
 
@@ -149,7 +153,13 @@
   json_t *digest = json_array_get (row, 0);
   json_t *customer = json_array_get (row, 1);
   json_t *ran = json_array_get (row, 2);
+  json_t *ago = json_array_get (row, 4);
+  el_time_t before = (el_time_t)json_integer_value (ago) * EL_MSEC;
 
+  if (!json_is_integer (ago) || json_integer_value (ago) < 0
+      || before > out->found)
+    return 0;
+  out->at = out->found - before;
   out->ran = (el_time_t)json_integer_value (ran) * EL_MSEC;
   out->first = json_is_true (json_array_get (row, 3));
   return number_read (digest, &out->digest)
@@ -161,7 +171,7 @@
 runs_read (json_t *json, el_time_t at, relay_fact_t *out)
 {
   json_t *list = json_object_get (json, "runs");
-  rt_ended_t end = { .at = at };
+  rt_ended_t end = { .found = at };
   json_t *row;
   size_t i;
 
--- a/route/blame.c
+++ b/route/blame.c
@@ -34,6 +34,9 @@
 /* Part of the odds of the likeliest under an end from which on a request is
    among the foremost there. */
 #define FOREMOST_PART 0.3
+/* Hosts place what others tell in time by the age of a message: it may seem
+   later than it was by this. */
+#define PLACE_SLACK (50 * EL_MSEC)
 /* Odds from which it is blocked, 10 to 1. */
 #define BLOCK_ODDS 10.0
 
@@ -227,6 +230,7 @@
   end->key = key;
   end->start = ended->start;
   end->at = ended->at;
+  end->found = EL_TIME_NEVER;
   HASH_ADD (hh, blame->ends, key, sizeof end->key, end);
   end_order (blame, end);
   return end;
@@ -266,19 +270,46 @@
   return NULL;
 }
 
-/* Gives 0 where the request has run to its end since. */
+/* Whether what began at that time came to an endpoint that was known to have
+   ended: it did not run there. */
+static int
+end_before (const blame_end_t *end, el_time_t began)
+{
+  return end->found < EL_TIME_NEVER && began > end->found + PLACE_SLACK;
+}
+
+/* Some host knew at FOUND that the endpoint had ended. */
+static void
+end_found (blame_end_t *end, el_time_t found)
+{
+  blame_run_t *run;
+  blame_run_t *next;
+
+  if (found >= end->found)
+    return;
+  end->found = found;
+  DL_FOREACH_SAFE2 (end->runs, run, next, end_next)
+  if (end_before (end, run->began))
+    run_drop (run);
+}
+
+/* Gives 0 where the request came after the end, or has run to its end since.
+ */
 static int
 run_add (rt_blame_t *blame, blame_end_t *end, const rt_ended_t *ended)
 {
-  blame_request_t *request
-      = request_get (blame, ended->digest, ended->customer);
+  blame_request_t *request;
   blame_run_t *run;
 
+  if (end_before (end, ended->at - ended->ran))
+    return 0;
+  request = request_get (blame, ended->digest, ended->customer);
   if (end->at <= request->cleared)
     return 0;
   run = el_alloc (sizeof *run);
   run->end = end;
   run->request = request;
+  run->began = ended->at - ended->ran;
   run->ran = ended->ran;
   run->first = ended->first;
   if (request->last < end->at)
@@ -294,8 +325,9 @@
 static int
 run_again (blame_run_t *run, const rt_ended_t *ended)
 {
-  if (ended->ran >= run->ran)
+  if (ended->ran >= run->ran || end_before (run->end, ended->at - ended->ran))
     return 0;
+  run->began = ended->at - ended->ran;
   run->ran = ended->ran;
   run->first |= ended->first;
   return 1;
@@ -314,6 +346,7 @@
     return 0;
   end = end_get (blame, ended);
   news = end_seen (end, ended->host);
+  end_found (end, ended->found ? ended->found : ended->at);
   if (!ended->digest)
     return news;
   run = run_find (end, ended->digest);
--- a/route/blame.h
+++ b/route/blame.h
@@ -43,7 +43,8 @@
   rt_digest_t digest; /**< 0: none that this host knows of */
   uint64_t customer;  /**< a hash: whose request it is */
   uint64_t host;      /**< who saw it; 0: the store, which is sure alone */
-  el_time_t at;       /**< when it ended */
+  el_time_t at;       /**< when it ended, or the request's run broke off */
+  el_time_t found;    /**< when the host knew that it had; 0: at once */
   el_time_t ran;      /**< how long the request had run there */
   int first;          /**< it ran there as at the only or first endpoint */
 } rt_ended_t;
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -32,6 +32,7 @@
 {
   blame_end_t *end;
   blame_request_t *request;
+  el_time_t began;
   el_time_t ran;
   int first;
   double log_ratio; /* by how much this end raises the request's odds */
@@ -48,6 +49,7 @@
   uint64_t key;
   rt_start_t start;
   el_time_t at;
+  el_time_t found; /* the earliest that some host knew it to have ended */
   uint64_t hosts[BLAME_HOSTS]; /* that saw it */
   size_t nhosts;
   int listed; /* the store says so */
--- a/tests/t_suspect.c
+++ b/tests/t_suspect.c
@@ -278,16 +278,8 @@
 }
 END_TEST
 
-/* A request that many send was refused for ten minutes as ending endpoints. It
-   had been sent to one 0.70 s after that had ended, as its entry still stood,
-   and to another that was ending, 6 ms after; each attempt was broken off at
-   once, and both counted as ends under which it had run:
-   endpoint_ended endpoint=m8-2b4d3950f0b sign="connections refused" (3.087)
-   attempt_failed endpoint=m8-2b4d3950f0b net=broken sent_us=177 (3.788)
-   attempt_failed endpoint=m9-2b204256ac9 net=broken sent_us=269 (3.794)
-   request_blocked by=ends ends=2 odds=26
-   blocked_for_end endpoint=m8-2b4d3950f0b age_us=1864681 ran_us=175
-   blocked_for_end endpoint=m9-2b204256ac9 age_us=1157988 ran_us=267 */
+/* Guards against an attempt that came to an endpoint after its end and counts as
+   run there. */
 START_TEST (test_blame_what_came_after_an_end_is_not_to_blame)
 {
   rt_ended_t e = { .start = { .id = "e", .born = 1 },
