--- a/tests/t_suspect.c
+++ b/tests/t_suspect.c
@@ -278,8 +278,8 @@
 }
 END_TEST
 
-/* Guards against an attempt that came to an endpoint after its end and counts as
-   run there. */
+/* Guards against an attempt that came to an endpoint after its end and counts
+   as run there. */
 START_TEST (test_blame_what_came_after_an_end_is_not_to_blame)
 {
   rt_ended_t e = { .start = { .id = "e", .born = 1 },
