Soak: the store goes on from copies of itself (--copies); returns of all kinds

The soak's schedule of rounds: a copy, configurations, a key and a member's end while the store is ahead of it, the return, a member that leaves then, in half of the rounds a restart, a cut, a reset or a pause of the store beside it. It takes the place of the other faults, as leaves are held to their bound only where little else strikes.

--- a/soak/fault.c
+++ b/soak/fault.c
@@ -17,6 +17,8 @@
    DELAY_STEP_MS more in each next one. */
 #define DELAY_MS 20
 #define DELAY_STEP_MS 60
+#define RETURN_MS 100
+#define RETURN_STEP_MS 500
 
 static void
 host_term (sk_world_t *world, sk_fault_t *fault)
@@ -197,6 +199,26 @@
   sk_http ("POST", world->store.address, "/test/forget", "{}", NULL);
 }
 
+static void
+store_copy (sk_world_t *world, sk_fault_t *fault)
+{
+  (void)fault;
+  if (!world->store.paused)
+    sk_http ("POST", world->store.address, "/test/copy", "{}", NULL);
+}
+
+/* Writers write again what it lost, sooner or later. */
+static void
+store_return (sk_world_t *world, sk_fault_t *fault)
+{
+  char body[64];
+
+  snprintf (body, sizeof body, "{\"again_ms\":%u}",
+            RETURN_MS + RETURN_STEP_MS * fault->how);
+  if (!world->store.paused)
+    sk_http ("POST", world->store.address, "/test/restore", body, NULL);
+}
+
 static void
 link_delay (sk_world_t *world, sk_fault_t *fault)
 {
@@ -276,6 +298,7 @@
   [SK_KEY] = { key_take, NULL },
   [SK_MEMBER_REST] = { member_rest, member_rested },
   [SK_MEMBER_SAYS] = { member_says, member_left },
+  [SK_STORE_COPY] = { store_copy, store_return },
 };
 
 /** Have FAULT strike. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -33,6 +33,7 @@
   uint64_t callers;
   int plan;
   int asks;
+  int copies;
 } soak_settings_t;
 
 #define AT(field) offsetof (soak_settings_t, field)
@@ -52,6 +53,8 @@
     "print the faults as they strike" },
   { "asks", EL_SET_FLAG, AT (asks), "0", 0, 1, 0, NULL,
     "have members ask for rest, and say that they leave, besides" },
+  { "copies", EL_SET_FLAG, AT (copies), "0", 0, 1, 0, NULL,
+    "have the store go on from copies of itself, in place of most faults" },
 };
 
 /* Begin and end what is due. */
@@ -132,7 +135,8 @@
   sk_fault_t faults[2 * SK_FAULTS_MAX];
   sk_seen_t seen = { .lock = PTHREAD_MUTEX_INITIALIZER };
   el_time_t length = set->seconds * EL_SEC;
-  size_t nfaults = sk_plan (seed, length, faults);
+  size_t nfaults = set->copies ? sk_plan_copies (seed, length, faults)
+                               : sk_plan (seed, length, faults);
   sk_callers_t *callers;
   sk_world_t world;
   el_time_t begun;
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -44,6 +44,7 @@
   [SK_KEY] = { "key", SK_KEYS, 0, 0, 5 },
   [SK_MEMBER_REST] = { "member_rest", SK_MEMBERS, 500, 4000, 4 },
   [SK_MEMBER_SAYS] = { "member_says", SK_MEMBERS, 2000, 4000, 1 },
+  [SK_STORE_COPY] = { "store_copy", 1, 1000, 2500, 0 },
 };
 
 /** The kind's name, as runs print it. */
@@ -114,6 +115,52 @@
   return n;
 }
 
+/* What strikes while the store is ahead of its copy, so that it goes back. */
+static const sk_kind_t ahead[]
+    = { SK_CONFIG, SK_KEY, SK_MEMBER_KILL, SK_CONFIG };
+/* What strikes, in some rounds, around its return. */
+static const sk_kind_t beside[] = { SK_HOST_TERM, SK_HOST_KILL, SK_LINK_SILENT,
+                                    SK_LINK_RESET, SK_STORE_PAUSE };
+/* A round is a copy, the return to it, and a member that leaves then. */
+#define ROUND_QUIET (5 * EL_SEC)
+#define AHEAD_EVERY (200 * EL_MSEC)
+#define RETURN_SPREAD (400 * EL_MSEC)
+/* One in so many rounds has nothing else strike. */
+#define ROUNDS_CALM 2
+
+/** The same for a store that goes on from copies of itself, in place of the
+    other faults: leaves are held to their bound only where little else
+   strikes.
+ */
+size_t
+sk_plan_copies (uint64_t seed, el_time_t length, sk_fault_t *out)
+{
+  uint64_t random = (seed << 1) ^ 0x5bd1e995;
+  el_time_t at = FIRST;
+  el_time_t back;
+  size_t n = 0;
+  size_t i;
+
+  while (at < length && n + 8 < SK_FAULTS_MAX)
+    {
+      fault_draw (&random, SK_STORE_COPY, at, &out[n]);
+      back = at + out[n++].lasts;
+      for (i = 0; i < sizeof ahead / sizeof *ahead; i++)
+        fault_draw (&random, ahead[i], at + (i + 1) * AHEAD_EVERY, &out[n++]);
+      if (el_random (&random) % ROUNDS_CALM)
+        {
+          i = el_random (&random) % (sizeof beside / sizeof *beside);
+          fault_draw (&random, beside[i],
+                      back - el_random (&random) % RETURN_SPREAD, &out[n]);
+          out[n++].which %= SK_HOSTS;
+        }
+      fault_draw (&random, SK_MEMBER_LEAVE,
+                  back + el_random (&random) % RETURN_SPREAD, &out[n++]);
+      at = back + ROUND_QUIET;
+    }
+  return n;
+}
+
 /** The same for members that ask something of hosts: a schedule of its own, so
     that a seed's other faults are the same with and without it. */
 size_t
@@ -125,7 +172,7 @@
 
   while (at < length && n < SK_FAULTS_MAX)
     {
-      fault_draw (&random, kind_draw (&random, SK_DRAWN, SK_KINDS), at,
+      fault_draw (&random, kind_draw (&random, SK_DRAWN, SK_ASKS_END), at,
                   &out[n++]);
       at += el_random (&random) % (2 * EVERY);
     }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -56,6 +56,9 @@
   SK_MEMBER_REST = SK_DRAWN, /**< turns requests away, asks for rest */
   SK_MEMBER_SAYS, /**< its answers say that it leaves, its entry does not; ends
                        at the fault's end */
+  SK_ASKS_END,
+  SK_STORE_COPY = SK_ASKS_END, /**< at its end the store goes on from a copy
+                                    that it took at the beginning */
   SK_KINDS
 } sk_kind_t;
 
@@ -76,6 +79,7 @@
 
 const char *sk_kind_name (sk_kind_t kind);
 size_t sk_plan (uint64_t seed, el_time_t length, sk_fault_t *out);
+size_t sk_plan_copies (uint64_t seed, el_time_t length, sk_fault_t *out);
 size_t sk_plan_asks (uint64_t seed, el_time_t length, sk_fault_t *out);
 
 /* The proxy: a thread of its own. */
--- a/tests/site.c
+++ b/tests/site.c
@@ -115,14 +115,22 @@
   return 1;
 }
 
-/** Wait until all hosts have a metric at VALUE. */
+/** Wait until all hosts but EXCEPT have a metric at VALUE. */
 void
-site_hosts_see (const char *name, uint64_t value)
+site_hosts_see_but (size_t except, const char *name, uint64_t value)
 {
   size_t i;
 
   for (i = 0; i < site.nhosts; i++)
-    metric_is (&site.hosts[i], name, value);
+    if (i != except)
+      metric_is (&site.hosts[i], name, value);
+}
+
+/** Wait until all hosts have a metric at VALUE. */
+void
+site_hosts_see (const char *name, uint64_t value)
+{
+  site_hosts_see_but (site.nhosts, name, value);
 }
 
 /** Start the engines again whose processes have ended, as other ones; the
--- a/tests/site.h
+++ b/tests/site.h
@@ -53,6 +53,7 @@
 void site_config (int version, const char *keys);
 void site_placed_wait (void);
 void site_hosts_see (const char *name, uint64_t value);
+void site_hosts_see_but (size_t except, const char *name, uint64_t value);
 void site_mute (int on);
 int64_t member_number (const proc_t *member, const char *name);
 void member_id (const proc_t *member, char *out, size_t size);
--- a/tests/t_era.c
+++ b/tests/t_era.c
@@ -90,6 +90,65 @@
 }
 END_TEST
 
+static void
+return_frozen (size_t host)
+{
+  proc_signal (&site.hosts[host], SIGSTOP);
+  store_post ("/test/restore", "{}");
+  site_hosts_see_but (host, "elmarch_store_epoch", 1);
+  proc_signal (&site.hosts[host], SIGCONT);
+}
+
+static void
+return_first_frozen (void)
+{
+  return_frozen (0);
+}
+
+static void
+return_other_frozen (void)
+{
+  return_frozen (1);
+}
+
+static void
+return_twice (void)
+{
+  store_post ("/test/restore", "{}");
+  store_put ("elmarch/lost-again", "lost");
+  store_post ("/test/restore", "{}");
+}
+
+static void
+return_to_new_hosts (void)
+{
+  size_t i;
+
+  store_post ("/test/restore", "{}");
+  for (i = 0; i < HOSTS; i++)
+    proc_end (&site.hosts[i], SIGKILL);
+  for (i = 0; i < HOSTS; i++)
+    site_host_start (i);
+}
+
+static void (*const returns[]) (void)
+    = { return_first_frozen, return_other_frozen, return_twice,
+        return_to_new_hosts };
+
+/* Guards against a leave that a host misses which was frozen or started as the
+   store returned, or saw it return twice. */
+START_TEST (test_leave_reaches_hosts_however_the_store_returned)
+{
+  reply_t reply;
+
+  site_open_ahead_of_copy ();
+  returns[_i]();
+  http ("POST", site.workers[0].address, "/leave", "{}", NULL, &reply);
+  reply_free (&reply);
+  site_hosts_see ("elmarch_endpoints_leaving", 1);
+}
+END_TEST
+
 /* The number of the lease of the planner's key; 0 where there is none. */
 static json_int_t
 planner_lease (void)
@@ -310,6 +369,8 @@
   tcase_add_checked_fixture (tcase, site_setup, site_teardown);
   tcase_set_timeout (tcase, 90);
   ADD (tcase, test_leave_under_a_reused_revision_reaches_all_hosts);
+  ADD_LOOP (tcase, test_leave_reaches_hosts_however_the_store_returned,
+            sizeof returns / sizeof *returns);
   ADD (tcase, test_planner_of_a_lost_lease_stops_before_the_next_one);
   ADD (tcase, test_workers_newer_than_the_copy_are_used_meanwhile);
   ADD (tcase, test_host_started_after_the_copy_knows_who_left);
