--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -113,13 +113,15 @@
               uint64_t revision)
 {
   int notable = facts->leaving || gt_gate_leads (site->gate);
+  el_time_t now = net_clock_now (gt_gate_clock (site->gate));
 
   EL_LOG (notable ? EL_LOG_INFO : EL_LOG_DEBUG, what,
           EL_FS ("endpoint", facts->id), EL_FS ("service", facts->service),
           EL_FS ("address", facts->address), EL_FS ("hall", facts->hall),
           EL_FS ("card", facts->card), EL_FN ("leaving", facts->leaving),
           EL_FN ("first", facts->first), EL_FN ("end", facts->end),
-          EL_FN ("epoch", site->store.epoch), EL_FN ("revision", revision));
+          EL_FN ("epoch", site->store.epoch), EL_FN ("revision", revision),
+          EL_FN ("known_age_us", now - site->rules_known));
 }
 
 /* No endpoint is listed under the entry's key any more. */
@@ -159,6 +161,8 @@
         endpoint_gone (site, item, "endpoint_restarted");
       endpoint_log (site, &facts, "endpoint", item->revision);
       target = rt_fleet_set (site->fleet, &facts);
+      target->epoch = site->store.epoch;
+      target->listed = net_clock_now (gt_gate_clock (site->gate));
       gt_relays_engine_changed (site->relays, target);
     }
   else
@@ -469,8 +473,18 @@
 site_closed (void *arg)
 {
   site_t *site = arg;
-
-  return gt_relays_closed (site->relays);
+  const gt_store_counts_t *counts = &site->store.counts;
+  pr_position_t at = gt_follow_position (site->follow);
+  json_t *json = gt_relays_closed (site->relays);
+
+  json_object_set_new (json, "store",
+                       json_pack ("{s:I,s:I,s:I,s:I,s:I}", "epoch",
+                                  (json_int_t)site->store.epoch, "readEpoch",
+                                  (json_int_t)at.epoch, "revision",
+                                  (json_int_t)at.revision, "epochs",
+                                  (json_int_t)counts->epochs, "formerAnswers",
+                                  (json_int_t)counts->former));
+  return json;
 }
 
 static int
--- a/gate/relay_log.c
+++ b/gate/relay_log.c
@@ -55,7 +55,10 @@
       EL_FN ("rest_left_us", rt_access_rest_left (&target->access, now)),
       EL_FN ("leaving", rt_target_leaves (target)),
       EL_FN ("running", target->running),
-      EL_FN ("told_age_us", target->told ? now - target->told : 0));
+      EL_FN ("told_age_us", target->told ? now - target->told : 0),
+      EL_FN ("listed_epoch", target->epoch),
+      EL_FN ("listed_age_us", target->listed ? now - target->listed : 0),
+      EL_FN ("known_age_us", now - relay->relays->known));
 }
 
 /** An attempt was not simply passed on; NEXT follows. */
--- a/route/relay.h
+++ b/route/relay.h
@@ -157,6 +157,8 @@
 {
   rt_facts_t facts; /**< strings are owned */
   unsigned refs;
+  uint64_t epoch;        /**< of the store, as its entry was told last */
+  el_time_t listed;      /**< when that was */
   rt_access_t access;    /**< what is known against sending there */
   unsigned running;      /**< exchanges of this host with it */
   unsigned lines;        /**< streams of this host through it */
