--- a/coord/mbr_news.c
+++ b/coord/mbr_news.c
@@ -4,12 +4,8 @@
  */
 /** @file
  * News of membership: what waits to be passed on, and what messages carry.
- * Members that should be sent nothing any more go first: where 300 hosts have
- * just started, the news of their starts fill the messages for minutes, and a
- * death that stands in line with them was known to half of the hosts after 2.6
- * to 4.6 s and to nine in ten after 11 s (library, 17 s after the start, four
- * seeds); ahead of them, and with probes that come sooner to carry it, it is
- * known to all after 1.6 to 1.8 s.
+ * Members that should be sent nothing any more go first: where many hosts have
+ * just started, the news of their starts fill the messages for minutes.
  */
 #include <string.h>
 
@@ -308,9 +304,7 @@
 
 /* Compare what the sender of a message holds for alive with this host's own.
    News are passed on for a while only: who could not hear them asks for all.
-   Without it, some of 100 hosts that had been cut off for 8 s gave out one
-   that died meanwhile until 5.1 to 5.5 s after the cut, with it until 0.9
-   to 1.1 s (library, 300 hosts, four seeds). */
+ */
 static void
 digest_hear (co_members_t *members, el_time_t now, const co_gossip_t *gossip)
 {
--- a/elmarchd/site.c
+++ b/elmarchd/site.c
@@ -20,9 +20,7 @@
 #define WAIT_OF_KEYS 0.2
 #define WAIT_OF_CHANGE 0.35
 /* News of another host are old after this part of the time within which a
-   change must be in force: what is left is for a call to the store. With all
-   of 2 s one was put in force after 2.05 s by a host whose hall's follower was
-   turned away by the store. */
+   change must be in force: what is left is for a call to the store. */
 #define OLD_OF_CHANGE 0.75
 /* A host whose facts are older than the news of others may be, by this much,
    is left out of the entry addresses. */
@@ -31,9 +29,7 @@
 /* Until it serves, a host looks this often whether others have told it. */
 #define LOOK_YOUNG (10 * EL_MSEC)
 /* A host that no other one has answered for so long serves by what the store
-   keeps: others that live answered after 17 to 103 ms (19 starts). Where 64
-   hosts had lost power at once they found each other after 0.41 s; waiting for
-   it, the window after was worth 0.57 to 0.63 in place of 0.69. */
+   keeps. */
 #define ALONE_AFTER (110 * EL_MSEC)
 /* Keys change together: at the start, when many endpoints are replaced. */
 #define STORE_GATHER (300 * EL_MSEC)
@@ -317,8 +313,7 @@
   return 1;
 }
 
-/* Two calls to the store every 0.7 s while another host plans were 140 of
-   2,245 calls of a calm day of 50 s with 295 hosts. */
+/* A host that tried while another one plans would call the store in vain. */
 static int
 site_vacant (void *arg)
 {
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -119,10 +119,8 @@
 }
 
 /** Whether it is not known yet what became of an endpoint where DIGEST's run
-    broke off, or not judged yet. Engines that cut their streams a moment
-    before their ports closed had one to blame sent on to a fourth: 35 of 120
-    plays of six sites at a time beside 12 busy loops on five cores, none of
-    144 since it waits. */
+    broke off, or not judged yet: an engine may cut its streams a moment before
+    its port closes. */
 int
 relay_blame_awaits (const gt_relays_t *relays, rt_digest_t digest)
 {
@@ -398,11 +396,9 @@
                   relays);
 }
 
-/** RELAY ran to its end. All hosts should know at its first end already: a
-    payment that comes often was blocked under the second of two ends 5 s
-    apart, as the hosts that saw them did not know that it had run well
-    hundreds of times between them at others. It is one rumor, however many
-    hosts tell it. */
+/** RELAY ran to its end. All hosts should know at its first end already: those
+    that see a second one may not know that it ran well elsewhere between them.
+    It is one rumor, however many hosts tell it. */
 void
 relay_blame_survived (gt_relay_t *relay)
 {
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -9,13 +9,11 @@
  */
 #include "librelay.h"
 
-/* A suspect has not ended its endpoint so long after it was sent: the one to
-   blame that was seen ended its engines within 0.2 s of being sent. */
+/* A suspect that has not ended its endpoint so long after it was sent does not
+   keep others waiting. */
 #define PROOF (500 * EL_MSEC)
 /* Who ran under so many ends waits until no other suspect of this host is
-   under proof where it would be sent. Drawn courses of 90 s with three
-   requests to blame and six first engines, 40 seeds: streams that fail 278
-   without waiting, 101 with it. */
+   under proof where it would be sent. */
 #define TURN_ENDS 2
 /* It waits, too, until it is known whether its last endpoint has ended: a few
    milliseconds where its port is closed and other hosts look, three heartbeats
--- a/gate/relay_wait.c
+++ b/gate/relay_wait.c
@@ -5,9 +5,7 @@
 /** @file
  * Streams that have lost their endpoint and find none to go on at: they wait,
  * since what their callers have is worth more than a new request, until the
- * request's time is over or its caller leaves. A day with a rolling release:
- * 2 to 8 streams broken off in 5 of 7 plays that did not wait, none in 6 that
- * did.
+ * request's time is over or its caller leaves.
  */
 #include "librelay.h"
 
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -12,12 +12,9 @@
 
 #include "librelay.h"
 
-/* A stream without an event for this long stands still: events come every
-   25 to 40 ms, the longest pause of 95 in 100 streams of a calm day is 75 ms,
-   and pauses of 200 ms already count as late. */
+/* A stream without an event for this long stands still. */
 #define STILL_AFTER (75 * EL_MSEC)
-/* Before the first event a prompt is read: 90 ms or less for 99 in 100 on a
-   calm day. */
+/* The same before the first event, until which a prompt is read. */
 #define STILL_FIRST (150 * EL_MSEC)
 /* Where all streams are slow, one stands still after this many times what is
    usual on this host. */
--- a/gate/store_follow.c
+++ b/gate/store_follow.c
@@ -11,8 +11,7 @@
 #include "store.h"
 #include "store_keys.h"
 
-/* A call that takes longer than this gets no answer any more: a store that is
-   slow takes some 300 ms. */
+/* A call that takes longer than this gets no answer any more. */
 #define CALL_LIMIT (1500 * EL_MSEC)
 /* While the store is missed, calls ask for an answer at once: one that was
    sent just before it comes back must not hold the next one up. */
@@ -21,10 +20,7 @@
 
 /* A host whose news are old asks the store itself at once, and after each
    vain try half as often; until then it asks the others, of whom the first of
-   each hall asks the store. Calls to the store of a day at 295 hosts on which
-   it is away for 8 s: 5,565 with a try of each host every half second, 2,412
-   with this, first ones that stay while all are withdrawn, and the pause
-   below. */
+   each hall asks the store. */
 #define DOUBT_FIRST (2 * EL_SEC)
 #define DOUBT_MOST (8 * EL_SEC)
 /* A host that could tell nothing is asked again after this. */
--- a/peer/peer_rumor.c
+++ b/peer/peer_rumor.c
@@ -12,10 +12,8 @@
 
 #include "libpeer.h"
 
-/* Hosts that each host passes a rumor on to. Of 9 hosts half know it after 8
-   ms and all after 18, of 300 after 24 and 470, of 570 after 27 and 465 ms:
-   one that nobody passed it on to learns it by its next probe (library, 20
-   seeds, 2 messages of 100 lost; 5.8 bodies sent a host). */
+/* Hosts that each host passes a rumor on to; one that nobody passed it on to
+   learns it by its next probe. */
 #define FANOUT 6
 /* A datagram that was not answered is sent once more. */
 #define RUMOR_WAIT (200 * EL_MSEC)
--- a/route/access.c
+++ b/route/access.c
@@ -8,8 +8,7 @@
 #include "access.h"
 
 /* When a rest is over one request goes there first; the others follow when it
-   was answered, or after this: a first event takes 90 ms or less for 99 in 100
-   streams on a calm day. */
+   was answered, or after this. */
 #define TRIAL_MOST (500 * EL_MSEC)
 /* Part of a rest, at the most, by which a host comes back later than it may:
    endpoints ask all hosts at about the same moment. */
--- a/route/blame.c
+++ b/route/blame.c
@@ -383,8 +383,7 @@
 }
 
 /** Whether other hosts are to know of a run: it was young, or a suspect
-    before. With all runs told by all hosts, a day of 50 s with 64 hosts and 20
-    ends took 10 KB/s more of each host; with this 2. */
+    before. */
 int
 rt_blame_told (const rt_blame_t *blame, const rt_ended_t *ended)
 {
--- a/route/blame_rule.c
+++ b/route/blame_rule.c
@@ -29,9 +29,7 @@
 #define RATE_LEAST (1.0 / 3600)
 /* The same within half a second of another end: what ends one, as a rack that
    goes dark, ends others, and what is sent on from one to the next of them was
-   there each time. Drawn courses of 90 s, 40 seeds, engines that end in racks:
-   innocent requests blocked in a course 0.000, 0.025 at 0.005 and 0.050 at
-   0.002; engines that one request to blame ends 3.40, 3.23 and 3.12. */
+   there each time. */
 #define RATE_NEAR 0.01
 /* Ends elsewhere are counted in windows around an end, and the one with most
    counts: a rack ends within a second, a rolling fault over a minute. */
--- a/route/estimate.c
+++ b/route/estimate.c
@@ -23,11 +23,8 @@
 #define STEP_LOADED 1.5
 /* Load pattern: engines of a hall are lost, the others' streams take longer,
    and the slots of the engines with the first layers run out while memory and
-   time of all engines are half used; streams wait there for a place, 30 at a
-   time, beside another first engine with 28 of 192 slots taken. Past
-   PLACES_KNEE of the slots an engine costs more as a first one, at all of them
-   as much as leaving the hall. Worth served, 20 days with losses: 0.655
-   before, 0.677 with this; the six worst of another draw 0.527 and 0.582. */
+   time of all engines are half used. Past PLACES_KNEE of the slots an engine
+   costs more as a first one, at all of them as much as leaving the hall. */
 #define PLACES_KNEE 0.85
 #define PLACES_MS 100.0
 
--- a/route/layout.c
+++ b/route/layout.c
@@ -20,10 +20,8 @@
 /* The most room that an engine is given, as a share of its slots' worth of
    usual requests: streams go to the quick engines first, and memory that none
    of them uses is better one more layer, fewer engines in a line and more
-   copies. Load pattern: a hall without its large engines. Worth served, 20
-   days with losses: 0.674 at 1, 0.721 at 0.8, 0.729 at 0.75, 0.728 at 0.7;
-   20 others 0.700 at 0.5, where 0.75 has 0.727. Fleets whose memory is scarce
-   have less room anyway. */
+   copies. Load pattern: a hall without its large engines. Fleets whose memory
+   is scarce have less room anyway. */
 #define ROOM_SLOTS 0.75
 /* The room is looked for in such steps, down to one usual request. */
 #define ROOM_STEP 0.95
@@ -173,11 +171,7 @@
   return ROOM_SLOTS * (double)slots * layout->service->model.usual_tokens;
 }
 
-/* As much room as leaves COPIES of the model in the hall. Worth served to the
-   callers of a fleet with long streams, mean of five days with losses and six
-   seeds each: 0.31 with a fixed room of 75 usual requests, 0.60 with this and
-   the order of layout_quickest; fleets for which 75 was chosen stay within
-   0.02 of what they were. */
+/* As much room as leaves COPIES of the model in the hall. */
 static double
 hall_room (const layout_t *layout, el_str_t hall)
 {
@@ -237,10 +231,7 @@
 }
 
 /* The empty engine where a layer costs a token least: the quick ones make a
-   hall's line, the others its copies. Time between events on a calm day, means
-   of three halls of mixed cards: 56, 88 and 75 ms with the largest engines
-   first, 46, 69 and 49 ms with this; worth served under losses 0.55 and 0.60
-   (three seeds). */
+   hall's line, the others its copies. */
 static rt_target_t *
 layout_quickest (layout_t *layout, unsigned *layers)
 {
--- a/route/line.c
+++ b/route/line.c
@@ -18,11 +18,7 @@
 #define CANDIDATES_MAX 512
 /* Milliseconds of a token's time that a line may cost more before it leaves
    its hall, with a pipe that would just carry all streams if each went through
-   it once; more where it would carry fewer, as all share it. Worth served with
-   a fixed cost, mean of five days with losses and four to six seeds: 0.60 at
-   50, 0.64 at 10, 0.65 at 5, 0.66 at 2 in a fleet whose streams want 1.4 times
-   the pipe, and 0.68, 0.69, 0.69, 0.67 in one where they want 1.3 times; where
-   they want 6 times, 0.78 at 50 and at 20, 0.68 at 10, 0.59 at 2. */
+   it once; more where it would carry fewer, as all share it. */
 #define CROSS_MS 4.0
 /* Share of chance in the cost, so that hosts do not all choose the same. */
 #define CHANCE 0.15
