--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -178,15 +178,20 @@
 void relay_blame_sign (gt_relays_t *relays, const rt_target_t *target);
 void relay_blame_survived (gt_relay_t *relay);
 rt_judgement_t relay_blame_of (gt_relay_t *relay);
+rt_blame_t *relay_blame_book (const gt_relays_t *relays);
 
 typedef struct relay_fact relay_fact_t;
 void relay_blame_hear_ended (gt_relays_t *relays, const co_rumor_t *rumor,
                              const relay_fact_t *fact);
 void relay_blame_hear_survived (gt_relays_t *relays, const co_rumor_t *rumor,
                                 const relay_fact_t *fact);
-void relay_blame_hear_blocked (gt_relays_t *relays, const co_rumor_t *rumor,
-                               const relay_fact_t *fact);
-void relay_blame_hear_cleared (gt_relays_t *relays, const co_rumor_t *rumor,
+
+/* relay_block.c */
+void relay_block_found (void *arg, rt_digest_t digest,
+                        const rt_judgement_t *judgement);
+void relay_block_hear (gt_relays_t *relays, const co_rumor_t *rumor,
+                       const relay_fact_t *fact);
+void relay_block_hear_cleared (gt_relays_t *relays, const co_rumor_t *rumor,
                                const relay_fact_t *fact);
 
 /* relay_rumor.c */
@@ -215,6 +220,8 @@
 
 /* Runs under one end in one rumor: it fits a body. */
 #define RELAY_FACT_RUNS 12
+/* Facts of requests are told as long as they count. */
+#define RELAY_FACT_HOLD (600 * EL_SEC)
 
 struct relay_fact
 {
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -38,9 +38,6 @@
    each. */
 #define REQUESTS_MOST 4096
 #define REQUESTS_CUSTOMER 1024
-/* Facts are told as long as they count. */
-#define FACT_HOLD (600 * EL_SEC)
-
 /* A run that broke off at an endpoint which may have ended. */
 typedef struct blame_note
 {
@@ -134,6 +131,13 @@
   return 0;
 }
 
+/** What is known of requests and of ends. */
+rt_blame_t *
+relay_blame_book (const gt_relays_t *relays)
+{
+  return relays->blame->rt;
+}
+
 static void
 judge_soon (gt_relays_t *relays)
 {
@@ -176,11 +180,13 @@
       note_drop (blame, note);
       if (fact.nruns < RELAY_FACT_RUNS)
         continue;
-      relay_rumor_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+      relay_rumor_tell (relays, &fact, el_random (&relays->random),
+                        RELAY_FACT_HOLD);
       fact.nruns = 0;
     }
   if (fact.nruns)
-    relay_rumor_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
+    relay_rumor_tell (relays, &fact, el_random (&relays->random),
+                      RELAY_FACT_HOLD);
   judge_soon (relays);
   if (runs == 0)
     return;
@@ -311,80 +317,6 @@
     judge_soon (relays);
 }
 
-static void
-end_log (void *arg, const rt_ended_t *ended)
-{
-  const gt_relays_t *relays = arg;
-  el_time_t now = net_clock_now (relays->options.clock);
-
-  EL_LOG (EL_LOG_WARN, "blocked_for_end", EL_FC ("endpoint", ended->start.id),
-          EL_FN ("age_us", now > ended->at ? now - ended->at : 0),
-          EL_FN ("ran_us", ended->ran), EL_FN ("first", ended->first),
-          EL_FN ("listed", ended->host == 0));
-}
-
-static void
-block_log (gt_relays_t *relays, rt_digest_t digest,
-           const rt_judgement_t *judgement, const char *by)
-{
-  el_time_t now = net_clock_now (relays->options.clock);
-  char hex[RT_DIGEST_HEX + 1];
-
-  rt_digest_hex (digest, hex);
-  EL_LOG (EL_LOG_WARN, "request_blocked", EL_FC ("digest", hex),
-          EL_FC ("by", by), EL_FN ("ends", judgement->ends),
-          EL_FN ("odds", (uint64_t)judgement->odds),
-          EL_FN ("holds", judgement->holds),
-          EL_FN ("left_us", judgement->until - now));
-  rt_blame_ends (relays->blame->rt, digest, end_log, relays);
-}
-
-/* That DIGEST is blocked should outlast all hosts. */
-static void
-block_keep (const gt_relays_t *relays, rt_digest_t digest, unsigned holds,
-            el_time_t left)
-{
-  if (relays->options.blocked)
-    relays->options.blocked (relays->options.arg, digest, holds, left);
-}
-
-static void
-blocked_keep (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
-{
-  const gt_relays_t *relays = arg;
-
-  if (judgement->state == RT_BLAME_BLOCKED)
-    block_keep (relays, digest, judgement->holds,
-                judgement->until - net_clock_now (relays->options.clock));
-}
-
-/** The store has lost what was kept there of requests that are blocked. */
-void
-gt_relays_blocked_keep (gt_relays_t *relays)
-{
-  rt_blame_visit (relays->blame->rt, net_clock_now (relays->options.clock),
-                  blocked_keep, relays);
-}
-
-/* DIGEST is to blame: all hosts should know, also those that did not hear of
-   every end, and those that start later. */
-static void
-blame_blocked (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
-{
-  gt_relays_t *relays = arg;
-  const relay_fact_t fact = { .kind = RELAY_FACT_BLOCKED,
-                              .digest = digest,
-                              .holds = judgement->holds };
-
-  relays->counts.blocked++;
-  block_log (relays, digest, judgement, "ends");
-  relay_rumor_tell (relays, &fact, digest + judgement->holds,
-                    rt_blame_hold (judgement->holds));
-  block_keep (relays, digest, judgement->holds,
-              rt_blame_hold (judgement->holds));
-  relay_suspect_stop (relays, digest);
-}
-
 static void
 blame_judge (void *arg, el_time_t now)
 {
@@ -392,7 +324,7 @@
 
   relays->blame->judged = now;
   rt_blame_judge (relays->blame->rt, now,
-                  rt_fleet_count (relays->options.fleet), blame_blocked,
+                  rt_fleet_count (relays->options.fleet), relay_block_found,
                   relays);
 }
 
@@ -412,7 +344,7 @@
   news = rt_blame_survived (relays->blame->rt, fact.digest,
                             net_clock_now (relays->options.clock));
   if (news)
-    relay_rumor_tell (relays, &fact, fact.digest ^ news, FACT_HOLD);
+    relay_rumor_tell (relays, &fact, fact.digest ^ news, RELAY_FACT_HOLD);
 }
 
 /** What is thought of RELAY now. */
@@ -427,106 +359,6 @@
                       relay_digest (relay));
 }
 
-/* Another host, or the store, tells that a request is blocked since AT; gives
-   0 when that is known or over. */
-static int
-block_hear (gt_relays_t *relays, rt_digest_t digest, uint64_t customer,
-            el_time_t at, unsigned holds, const char *by)
-{
-  el_time_t now = net_clock_now (relays->options.clock);
-  rt_judgement_t judgement;
-
-  if (!rt_blame_block (relays->blame->rt, digest, customer, at, holds))
-    return 0;
-  judgement = rt_blame_of (relays->blame->rt, now, digest);
-  if (judgement.state != RT_BLAME_BLOCKED)
-    return 0;
-  block_log (relays, digest, &judgement, by);
-  relay_suspect_stop (relays, digest);
-  return 1;
-}
-
-/** The store says that DIGEST is blocked the HOLDS-th time: for how long, its
-    entry does not tell, so that it counts from now on. */
-void
-gt_relays_block (gt_relays_t *relays, rt_digest_t digest, unsigned holds)
-{
-  block_hear (relays, digest, 0, net_clock_now (relays->options.clock), holds,
-              "store");
-}
-
-/** Whether engines ended under such orders: no other one is given it until an
-    operator lets it in again, or some time has passed. */
-int
-gt_relays_order_blocked (gt_relays_t *relays, const rt_order_t *order)
-{
-  if (rt_blame_empty (relays->blame->rt))
-    return 0;
-  return rt_blame_of (relays->blame->rt, net_clock_now (relays->options.clock),
-                      rt_order_digest (relays->options.key, order))
-             .state
-         == RT_BLAME_BLOCKED;
-}
-
-/** ORDER's engine ended under it. The host that plans next knows
-    what came of it, too. */
-void
-gt_relays_order_ended (gt_relays_t *relays, rt_falls_t *falls,
-                       const rt_order_t *order)
-{
-  const rt_digest_t digest = rt_order_digest (relays->options.key, order);
-  const rt_judgement_t before = rt_blame_of (
-      relays->blame->rt, net_clock_now (relays->options.clock), digest);
-  const relay_fact_t fact = { .kind = RELAY_FACT_BLOCKED,
-                              .digest = digest,
-                              .holds = before.holds + 1 };
-
-  EL_LOG (EL_LOG_WARN, "engine_fell",
-          EL_FS ("engine", order->target->facts.id),
-          EL_FS ("card", order->target->facts.card),
-          EL_FN ("layers", order->end - order->first));
-  if (!rt_falls_ended (falls, digest)
-      || !block_hear (relays, digest, 0, net_clock_now (relays->options.clock),
-                      fact.holds, "orders"))
-    return;
-  relay_rumor_tell (relays, &fact, digest + fact.holds,
-                    rt_blame_hold (fact.holds));
-  block_keep (relays, digest, fact.holds, rt_blame_hold (fact.holds));
-}
-
-/** ORDER's engine shows it. */
-void
-gt_relays_order_done (const gt_relays_t *relays, rt_falls_t *falls,
-                      const rt_order_t *order)
-{
-  rt_falls_done (falls, rt_order_digest (relays->options.key, order));
-}
-
-static void
-clear_log (rt_digest_t digest, const char *by)
-{
-  char hex[RT_DIGEST_HEX + 1];
-
-  rt_digest_hex (digest, hex);
-  EL_LOG (EL_LOG_INFO, "request_cleared", EL_FC ("digest", hex),
-          EL_FC ("by", by));
-}
-
-/** An operator lets DIGEST in again, at all hosts; gives 0 when nothing is
-    known of it. */
-int
-gt_relays_unblock (gt_relays_t *relays, rt_digest_t digest)
-{
-  el_time_t now = net_clock_now (relays->options.clock);
-  const relay_fact_t fact = { .kind = RELAY_FACT_CLEARED, .digest = digest };
-
-  if (!rt_blame_clear (relays->blame->rt, digest, now))
-    return 0;
-  clear_log (digest, "operator");
-  relay_rumor_tell (relays, &fact, el_random (&relays->random), FACT_HOLD);
-  return 1;
-}
-
 /* One host alone saw an endpoint end: a few others look, too. */
 static void
 ended_doubt (gt_relays_t *relays, const rt_start_t *start)
@@ -564,53 +396,6 @@
   rt_blame_survived (relays->blame->rt, fact->digest, rumor->at);
 }
 
-/** Another host found a request to be to blame. */
-void
-relay_blame_hear_blocked (gt_relays_t *relays, const co_rumor_t *rumor,
-                          const relay_fact_t *fact)
-{
-  if (block_hear (relays, fact->digest, fact->customer, rumor->at, fact->holds,
-                  "another host"))
-    block_keep (relays, fact->digest, fact->holds,
-                rt_blame_hold (fact->holds));
-}
-
-/** An operator lets a request in again, at another host. */
-void
-relay_blame_hear_cleared (gt_relays_t *relays, const co_rumor_t *rumor,
-                          const relay_fact_t *fact)
-{
-  if (rt_blame_clear (relays->blame->rt, fact->digest, rumor->at))
-    clear_log (fact->digest, "another host");
-}
-
-static void
-suspect_dump (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
-{
-  static const char *const states[] = { [RT_BLAME_NONE] = "none",
-                                        [RT_BLAME_SUSPECT] = "suspect",
-                                        [RT_BLAME_BLOCKED] = "blocked" };
-  char hex[RT_DIGEST_HEX + 1];
-
-  rt_digest_hex (digest, hex);
-  json_array_append_new (
-      arg, json_pack ("{s:s,s:s,s:i,s:f,s:i,s:I}", "digest", hex, "state",
-                      states[judgement->state], "ends", (int)judgement->ends,
-                      "odds", judgement->odds, "holds", (int)judgement->holds,
-                      "untilUs", (json_int_t)judgement->until));
-}
-
-/** The requests that are suspect or blocked. */
-json_t *
-gt_relays_suspects (gt_relays_t *relays)
-{
-  json_t *list = json_array ();
-
-  rt_blame_visit (relays->blame->rt, net_clock_now (relays->options.clock),
-                  suspect_dump, list);
-  return list;
-}
-
 /** Nothing is known yet. */
 void
 relay_blame_open (gt_relays_t *relays)
--- a/gate/relay_rumor.c
+++ b/gate/relay_rumor.c
@@ -14,8 +14,8 @@
     = {
         [RELAY_FACT_ENDED] = relay_blame_hear_ended,
         [RELAY_FACT_SURVIVED] = relay_blame_hear_survived,
-        [RELAY_FACT_BLOCKED] = relay_blame_hear_blocked,
-        [RELAY_FACT_CLEARED] = relay_blame_hear_cleared,
+        [RELAY_FACT_BLOCKED] = relay_block_hear,
+        [RELAY_FACT_CLEARED] = relay_block_hear_cleared,
         [RELAY_FACT_LEAVES] = relay_rest_hear_leaves,
         [RELAY_FACT_RULES] = relay_epoch_hear_rules,
       };
