--- a/route/libblame.h
+++ b/route/libblame.h
@@ -85,6 +85,11 @@
   blame_end_t *order;
 };
 
+blame_request_t *blame_request_find (const rt_blame_t *blame,
+                                     rt_digest_t digest);
+rt_judgement_t blame_judgement (const blame_request_t *request, el_time_t now);
+void blame_fade (rt_blame_t *blame, el_time_t now);
+
 /* Whether it is known that the endpoint ended: one host alone may have lost
    its way there. */
 static inline int
