--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -15,6 +15,7 @@
 #include "coord.h"
 #include "relay.h"
 #include "route.h"
+#include "store_keys.h"
 
 #define LINE_STAGES 4
 #define LAYERS 32
@@ -226,6 +227,51 @@
   co_ledger_free (book);
 }
 
+static int
+item_none (void *arg, const pr_item_t *item)
+{
+  (void)arg;
+  (void)item;
+  return 1;
+}
+
+/* A store's keys that are known, and all of them read anew in an epoch that
+   shows them as they were. */
+static void
+keys_read (unsigned n)
+{
+  const gt_keys_options_t options = { .item = item_none };
+  gt_keys_t *keys = gt_keys_new (&options);
+  char value[300];
+  char name[32];
+  pr_item_t item = { .value = { value, sizeof value } };
+  size_t heap = bench_heap ();
+  size_t bytes = 0;
+  uint64_t began = 0;
+  uint64_t epoch;
+  unsigned i;
+
+  memset (value, 'v', sizeof value);
+  for (epoch = 1; epoch <= 2; epoch++)
+    {
+      began = bench_ns ();
+      gt_keys_begin (keys);
+      for (i = 0; i < n; i++)
+        {
+          snprintf (name, sizeof name, "servers/i-%010u", i);
+          item.key = el_str (name);
+          item.revision = i + 1;
+          gt_keys_item (keys, epoch, &item);
+        }
+      gt_keys_end (keys, (pr_position_t){ epoch, n });
+      if (epoch == 1)
+        bytes = bench_heap () - heap;
+    }
+  printf ("bench=keys keys=%u bytes_per_key=%zu anew_us=%.0f\n", n, bytes / n,
+          (double)(bench_ns () - began) / 1e3);
+  gt_keys_free (keys);
+}
+
 static void
 blocked_none (void *arg, rt_digest_t digest, const rt_judgement_t *judgement)
 {
@@ -347,6 +393,9 @@
   rests (40);
   rests (1900);
   digest ();
+  keys_read (475);
+  keys_read (950);
+  keys_read (1900);
   blame (1, 60);
   blame (64, 60);
   decisions (40);
