--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 	CK_VERBOSITY=normal $(BIN)/proc
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 1 --seeds 2 --seconds 6
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 3 --seeds 1 --seconds 6 --asks
+	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 8 --seeds 1 --seconds 12 --copies
 # Each mechanism taken out in a scratch copy must turn its test red.
 red: deps
 	sh tests/red.sh
@@ -138,6 +139,7 @@
 soak: deps
 	$(MAKE) -s all $(BIN)/soak
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak $(SOAK_SEEDS)
+	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 1 --seeds 50 --seconds 14 --copies
 	sh soak/seeds.sh $(BIN) $(B)/soak
 
 BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
