--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CFLAGS = -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wwrite-strings
-INC = -Ibase -Icoord -Iroute -Inet -Ipeer -Igate -Iplatform -isystem /usr/include/tirpc
+INC = -Ibase -Icoord -Iroute -Inet -Ipeer -Istore -Igate -Iplatform -isystem /usr/include/tirpc
 PREFIX = /usr/local
 # With the sanitizers, gcc warns of null format strings that exist only in the
 # instrumented code.
@@ -34,7 +34,8 @@
        gate/relay.c gate/relay_attempt.c gate/relay_head.c gate/relay_response.c \
        gate/relay_events.c gate/relay_blame.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_poll.c \
        gate/relay_metrics.c \
-       gate/store.c gate/store_keys.c gate/store_follow.c gate/store_duty.c gate/store_put.c gate/planner.c
+       gate/planner.c
+STORE = store/st_store.c store/st_keys.c store/st_follow.c store/st_duty.c store/st_put.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
@@ -43,7 +44,7 @@
 LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
 
-LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libpeer.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
+LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libstore.a $(B)/libpeer.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
 
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
               grep -v 'peer/peer_xdr.c\|peer/peer_proto.h')
@@ -201,6 +202,8 @@
 	ar rcs $@ $^
 $(B)/libpeer.a: $(PEER:%.c=$(B)/%.o)
 	ar rcs $@ $^
+$(B)/libstore.a: $(STORE:%.c=$(B)/%.o)
+	ar rcs $@ $^
 $(B)/libgate.a: $(GATE:%.c=$(B)/%.o)
 	ar rcs $@ $^
 
--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -15,7 +15,7 @@
 #include "coord.h"
 #include "relay.h"
 #include "route.h"
-#include "store_keys.h"
+#include "libstore.h"
 
 #define PIPELINE_STAGES 4
 #define LAYERS 32
@@ -241,8 +241,8 @@
 static void
 bench_keys (unsigned n)
 {
-  const gt_keys_options_t options = { .item = ignore_item };
-  gt_keys_t *keys = gt_keys_new (&options);
+  const st_keys_options_t options = { .item = ignore_item };
+  st_keys_t *keys = st_keys_new (&options);
   char value[300];
   char name[32];
   pr_store_item_t item = { .value = { value, sizeof value } };
@@ -256,21 +256,21 @@
   for (epoch = 1; epoch <= 2; epoch++)
     {
       began = bench_ns ();
-      gt_keys_begin_snapshot (keys);
+      st_keys_begin_snapshot (keys);
       for (i = 0; i < n; i++)
         {
           snprintf (name, sizeof name, "servers/i-%010u", i);
           item.key = el_str (name);
           item.revision = i + 1;
-          gt_keys_apply (keys, epoch, &item);
+          st_keys_apply (keys, epoch, &item);
         }
-      gt_keys_end_snapshot (keys, (pr_store_position_t){ epoch, n });
+      st_keys_end_snapshot (keys, (pr_store_position_t){ epoch, n });
       if (epoch == 1)
         bytes = bench_heap () - heap;
     }
   printf ("bench=keys keys=%u bytes_per_key=%zu anew_us=%.0f\n", n, bytes / n,
           (double)(bench_ns () - began) / 1e3);
-  gt_keys_free (keys);
+  st_keys_free (keys);
 }
 
 static void
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -45,13 +45,13 @@
 {
   gt_gate_t *gate;
   frontend_options_t options;
-  gt_store_t store;
+  st_store_t store;
   rt_fleet_t *fleet;
   gt_relays_t *relays;
-  gt_duty_t *duty;
+  st_duty_t *duty;
   gt_planner_t *planner;
-  gt_follow_t *follow;
-  gt_store_listener_t store_listener;
+  st_follow_t *follow;
+  st_store_listener_t store_listener;
   int endpoints_known;
   int planner_held; /* some host is known to hold the planner lease */
   uint64_t gauge_endpoints;
@@ -252,7 +252,7 @@
   frontend_await_peers (frontend, now);
   gt_gate_withdraw (frontend->gate, stale);
   frontend_update_gauges (frontend);
-  frontend->gauge_planner = (uint64_t)gt_duty_held (frontend->duty, now);
+  frontend->gauge_planner = (uint64_t)st_duty_held (frontend->duty, now);
   net_clock_set (gt_gate_clock (frontend->gate), &frontend->check_timer,
                  frontend->peers_synced ? CHECK_INTERVAL
                                         : STARTUP_CHECK_INTERVAL);
@@ -384,7 +384,7 @@
 static void
 frontend_follow_store (frontend_t *frontend)
 {
-  gt_follow_options_t options
+  st_follow_options_t options
       = { .store = &frontend->store,
           .prefix = PF_ALL_PREFIX,
           .wait_ms = frontend_watch_wait_ms (frontend),
@@ -398,8 +398,8 @@
 
   frontend->store_listener.epoch = frontend_epoch_began;
   frontend->store_listener.arg = frontend;
-  gt_store_add_listener (&frontend->store, &frontend->store_listener);
-  frontend->follow = gt_follow_new (&options);
+  st_store_add_listener (&frontend->store, &frontend->store_listener);
+  frontend->follow = st_follow_new (&options);
   gt_gate_set_follower (frontend->gate, frontend->follow);
 }
 
@@ -414,7 +414,7 @@
 static void
 frontend_start_planner (frontend_t *frontend)
 {
-  gt_duty_options_t duty = { .store = &frontend->store,
+  st_duty_options_t duty = { .store = &frontend->store,
                              .key = PF_PLANNER_KEY,
                              .holder = frontend->options.name,
                              .ttl_ms = frontend->options.lease_ms,
@@ -430,7 +430,7 @@
                                    .known = frontend_known_as_of,
                                    .arg = frontend };
 
-  frontend->duty = gt_duty_new (&duty);
+  frontend->duty = st_duty_new (&duty);
   planner.duty = frontend->duty;
   frontend->planner = gt_planner_new (&planner);
 }
@@ -488,8 +488,8 @@
 frontend_closed_endpoints (void *arg)
 {
   frontend_t *frontend = arg;
-  const gt_store_counts_t *counts = &frontend->store.counts;
-  pr_store_position_t at = gt_follow_position (frontend->follow);
+  const st_store_counts_t *counts = &frontend->store.counts;
+  pr_store_position_t at = st_follow_position (frontend->follow);
   json_t *json = gt_relays_unavailable_endpoints (frontend->relays);
 
   json_object_set_new (
@@ -531,7 +531,7 @@
   if (!gt_gate_is_hall_leader (frontend->gate))
     return;
   pf_blocked_key (digest, holds, &key);
-  gt_store_put_leased (
+  st_store_put_leased (
       &frontend->store, el_buf_str (&key), frontend->options.name,
       ttl_ms < PF_LEASE_TTL_MAX_MS ? ttl_ms : PF_LEASE_TTL_MAX_MS,
       el_random (&frontend->store.random) % STORE_WRITE_JITTER);
@@ -571,10 +571,10 @@
 static void
 frontend_metrics (frontend_t *frontend)
 {
-  static const char *const reads[GT_STORE_READ_CAUSES] = {
-    [GT_STORE_READ_START] = "elmarch_store_reads_start_total",
-    [GT_STORE_READ_HISTORY] = "elmarch_store_reads_history_total",
-    [GT_STORE_READ_EPOCH] = "elmarch_store_reads_epoch_total",
+  static const char *const reads[ST_READ_CAUSES] = {
+    [ST_READ_START] = "elmarch_store_reads_start_total",
+    [ST_READ_HISTORY] = "elmarch_store_reads_history_total",
+    [ST_READ_EPOCH] = "elmarch_store_reads_epoch_total",
   };
   el_metrics_t *metrics = gt_gate_metrics (frontend->gate);
   size_t i;
@@ -607,7 +607,7 @@
   el_metrics_add (metrics, "elmarch_store_former_total",
                   "answers of the store that were given in a former epoch",
                   EL_COUNTER, &frontend->store.counts.former);
-  for (i = 0; i < GT_STORE_READ_CAUSES; i++)
+  for (i = 0; i < ST_READ_CAUSES; i++)
     el_metrics_add (metrics, reads[i], "times that all keys were read",
                     EL_COUNTER, &frontend->store.counts.reads[i]);
 }
@@ -637,7 +637,7 @@
   frontend->gate = gate;
   frontend->options = *options;
   frontend->started_at = net_clock_now (gt_gate_clock (gate));
-  frontend->store = (gt_store_t){ .clock = gt_gate_clock (gate),
+  frontend->store = (st_store_t){ .clock = gt_gate_clock (gate),
                                   .client = gt_gate_client (gate),
                                   .dialect = &pf_store,
                                   .address = options->store,
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -469,7 +469,7 @@
 
 /** Sets the follower whose store changes other hosts may request. */
 void
-gt_gate_set_follower (gt_gate_t *gate, gt_follow_t *store_follower)
+gt_gate_set_follower (gt_gate_t *gate, st_follow_t *store_follower)
 {
   gate->store_follower = store_follower;
 }
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -85,7 +85,7 @@
 net_clock_t *gt_gate_clock (gt_gate_t *gate);
 net_client_t *gt_gate_client (gt_gate_t *gate);
 el_metrics_t *gt_gate_metrics (gt_gate_t *gate);
-void gt_gate_set_follower (gt_gate_t *gate, gt_follow_t *follow);
+void gt_gate_set_follower (gt_gate_t *gate, st_follow_t *follow);
 void gt_gate_updates_available (gt_gate_t *gate);
 void gt_gate_avoid_update_source (gt_gate_t *gate);
 void gt_gate_set_relay_hooks (gt_gate_t *gate,
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -171,7 +171,7 @@
   uint64_t next_change_id;
   gt_answer_t *dirty;
   pr_peers_t *peers;
-  gt_follow_t *store_follower; /* source of store changes for other hosts; may
+  st_follow_t *store_follower; /* source of store changes for other hosts; may
                                   be NULL */
   gt_relay_hooks_t relay_hooks;
   gt_platform_t *platform;
--- a/gate/planner.c
+++ b/gate/planner.c
@@ -236,10 +236,10 @@
     return;
   net_clock_set (o->clock, &planner->timer, TICK_INTERVAL);
   /* The holder keeps the duty, so that it does not move when hosts join. */
-  gt_duty_want (o->duty,
+  st_duty_want (o->duty,
                 rules
-                    && (gt_duty_held (o->duty, now) || o->preferred (o->arg)));
-  if (!rules || !gt_duty_held (o->duty, now))
+                    && (st_duty_held (o->duty, now) || o->preferred (o->arg)));
+  if (!rules || !st_duty_held (o->duty, now))
     return;
   orders_probe (planner, now);
   if (!planner_list_stable (planner, now))
@@ -268,5 +268,5 @@
 gt_planner_stop (gt_planner_t *planner)
 {
   planner->stopped = 1;
-  gt_duty_want (planner->options.duty, 0);
+  st_duty_want (planner->options.duty, 0);
 }
--- a/gate/planner.h
+++ b/gate/planner.h
@@ -26,7 +26,7 @@
 typedef struct gt_planner_options
 {
   gt_relays_t *relays;
-  gt_duty_t *duty;
+  st_duty_t *duty;
   net_clock_t *clock;
   net_client_t *client;
   rt_fleet_t *fleet;
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -94,7 +94,7 @@
   const gt_gate_t *gate = arg;
 
   return gate->store_follower
-         && gt_follow_changes_since (gate->store_follower, after, out);
+         && st_follow_changes_since (gate->store_follower, after, out);
 }
 
 static pr_store_position_t
@@ -102,7 +102,7 @@
 {
   const gt_gate_t *gate = arg;
 
-  return gate->store_follower ? gt_follow_position (gate->store_follower)
+  return gate->store_follower ? st_follow_position (gate->store_follower)
                               : (pr_store_position_t){ 0 };
 }
 
@@ -112,7 +112,7 @@
   const gt_gate_t *gate = arg;
 
   if (gate->store_follower)
-    gt_follow_observe_epoch (gate->store_follower, epoch);
+    st_follow_observe_epoch (gate->store_follower, epoch);
 }
 
 static el_time_t
@@ -120,7 +120,7 @@
 {
   const gt_gate_t *gate = arg;
 
-  return gate->store_follower ? gt_follow_synced_at (gate->store_follower) : 0;
+  return gate->store_follower ? st_follow_synced_at (gate->store_follower) : 0;
 }
 
 static size_t
--- a/gate/store_duty.c
+++ b/store/st_duty.c
@@ -31,9 +31,9 @@
   DUTY_HELD
 } duty_step_t;
 
-struct gt_duty
+struct st_duty
 {
-  gt_duty_options_t options;
+  st_duty_options_t options;
   duty_step_t step;
   int wanted;
   uint64_t lease;
@@ -42,27 +42,27 @@
   el_time_t valid_until; /* the lease does not expire before */
   el_time_t not_before;  /* no request before: the holder of the previous
                             epoch may not know of the new one yet */
-  gt_store_listener_t listener;
+  st_store_listener_t listener;
   net_exchange_t *call;
   el_timer_t timer;
   unsigned failures;
 };
 
 static void duty_run (void *arg, el_time_t now);
-static void grant_write (const gt_duty_t *duty, el_buf_t *path,
+static void grant_write (const st_duty_t *duty, el_buf_t *path,
                          el_buf_t *body);
 static void grant_done (void *arg, const net_result_t *result);
-static void create_write (const gt_duty_t *duty, el_buf_t *path,
+static void create_write (const st_duty_t *duty, el_buf_t *path,
                           el_buf_t *body);
 static void create_done (void *arg, const net_result_t *result);
-static void renew_write (const gt_duty_t *duty, el_buf_t *path,
+static void renew_write (const st_duty_t *duty, el_buf_t *path,
                          el_buf_t *body);
 static void renew_done (void *arg, const net_result_t *result);
 
 /* The request of each step and the callback for its answer. */
 static const struct
 {
-  void (*write) (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body);
+  void (*write) (const st_duty_t *duty, el_buf_t *path, el_buf_t *body);
   net_result_cb done;
 } calls[] = {
   [DUTY_GRANT] = { grant_write, grant_done },
@@ -72,7 +72,7 @@
 
 /** Returns whether this host has the duty at NOW. */
 int
-gt_duty_held (const gt_duty_t *duty, el_time_t now)
+st_duty_held (const st_duty_t *duty, el_time_t now)
 {
   return duty->step == DUTY_HELD && duty->epoch == duty->options.store->epoch
          && now + duty->options.margin < duty->valid_until;
@@ -80,19 +80,19 @@
 
 /* Returns whether the lease was granted in a previous epoch. */
 static int
-duty_lease_stale (const gt_duty_t *duty)
+duty_lease_stale (const st_duty_t *duty)
 {
   return duty->lease && duty->epoch != duty->options.store->epoch;
 }
 
 static void
-duty_schedule (gt_duty_t *duty, el_time_t wait)
+duty_schedule (st_duty_t *duty, el_time_t wait)
 {
   net_clock_set (duty->options.store->clock, &duty->timer, wait);
 }
 
 static void
-duty_lost (gt_duty_t *duty, const char *why, el_time_t wait)
+duty_lost (st_duty_t *duty, const char *why, el_time_t wait)
 {
   if (duty->step == DUTY_HELD)
     EL_LOG (EL_LOG_WARN, "duty_lost", EL_FS ("duty", duty->options.key),
@@ -103,7 +103,7 @@
 }
 
 static el_time_t
-duty_ttl (const gt_duty_t *duty)
+duty_ttl (const st_duty_t *duty)
 {
   return duty->options.ttl_ms * EL_MSEC;
 }
@@ -112,7 +112,7 @@
 static void
 duty_epoch_changed (void *arg)
 {
-  gt_duty_t *duty = arg;
+  st_duty_t *duty = arg;
 
   duty->not_before
       = net_clock_now (duty->options.store->clock) + duty_ttl (duty);
@@ -121,9 +121,9 @@
 }
 
 static void
-grant_write (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body)
+grant_write (const st_duty_t *duty, el_buf_t *path, el_buf_t *body)
 {
-  const gt_duty_options_t *o = &duty->options;
+  const st_duty_options_t *o = &duty->options;
 
   o->store->dialect->grant (path, body, o->ttl_ms);
 }
@@ -131,15 +131,15 @@
 static void
 grant_done (void *arg, const net_result_t *result)
 {
-  gt_duty_t *duty = arg;
-  gt_store_t *store = duty->options.store;
+  st_duty_t *duty = arg;
+  st_store_t *store = duty->options.store;
 
   duty->call = NULL;
   if (result->net != NET_OK
-      || store->dialect->read_grant (result, &duty->lease) != GT_STORE_OK)
+      || store->dialect->read_grant (result, &duty->lease) != ST_OK)
     {
       duty_lost (duty, "no lease granted",
-                 gt_store_retry_delay (store, result, duty->failures++));
+                 st_store_retry_delay (store, result, duty->failures++));
       return;
     }
   duty->failures = 0;
@@ -150,9 +150,9 @@
 }
 
 static void
-create_write (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body)
+create_write (const st_duty_t *duty, el_buf_t *path, el_buf_t *body)
 {
-  const gt_duty_options_t *o = &duty->options;
+  const st_duty_options_t *o = &duty->options;
 
   o->store->dialect->create (path, body, o->key, o->holder, duty->lease);
 }
@@ -160,17 +160,17 @@
 static void
 create_done (void *arg, const net_result_t *result)
 {
-  gt_duty_t *duty = arg;
-  gt_store_t *store = duty->options.store;
-  gt_store_state_t state = GT_STORE_INVALID;
+  st_duty_t *duty = arg;
+  st_store_t *store = duty->options.store;
+  st_store_state_t state = ST_INVALID;
 
   duty->call = NULL;
   if (result->net == NET_OK)
     state = store->dialect->read_create (result);
-  if (state != GT_STORE_OK || duty_lease_stale (duty)
+  if (state != ST_OK || duty_lease_stale (duty)
       || net_clock_now (store->clock) < duty->not_before)
     {
-      gt_store_apply_retry_after (store, result);
+      st_store_apply_retry_after (store, result);
       duty_lost (duty, "key not created", HELD_ELSEWHERE_RETRY);
       return;
     }
@@ -181,7 +181,7 @@
 }
 
 static void
-renew_write (const gt_duty_t *duty, el_buf_t *path, el_buf_t *body)
+renew_write (const st_duty_t *duty, el_buf_t *path, el_buf_t *body)
 {
   (void)body;
   duty->options.store->dialect->renew (path, duty->lease);
@@ -190,9 +190,9 @@
 static void
 renew_done (void *arg, const net_result_t *result)
 {
-  gt_duty_t *duty = arg;
-  gt_store_t *store = duty->options.store;
-  gt_store_state_t state = GT_STORE_INVALID;
+  st_duty_t *duty = arg;
+  st_store_t *store = duty->options.store;
+  st_store_state_t state = ST_INVALID;
   el_time_t now = net_clock_now (store->clock);
 
   duty->call = NULL;
@@ -200,26 +200,26 @@
     state = store->dialect->read_renew (result);
   if (duty_lease_stale (duty))
     duty_lost (duty, "store began a new epoch", 0);
-  else if (state == GT_STORE_OK)
+  else if (state == ST_OK)
     {
       duty->failures = 0;
       duty->valid_until = duty->sent_at + duty_ttl (duty);
       duty_schedule (duty, duty_ttl (duty) / RENEWALS_PER_TTL);
     }
-  else if (state == GT_STORE_LEASE_EXPIRED || now >= duty->valid_until)
+  else if (state == ST_LEASE_EXPIRED || now >= duty->valid_until)
     {
-      gt_store_apply_retry_after (store, result);
+      st_store_apply_retry_after (store, result);
       duty_lost (duty, "lease expired", HELD_ELSEWHERE_RETRY);
     }
   else
     duty_schedule (duty,
-                   gt_store_retry_delay (store, result, duty->failures++));
+                   st_store_retry_delay (store, result, duty->failures++));
 }
 
 static void
 release_done (void *arg, const net_result_t *result)
 {
-  gt_duty_t *duty = arg;
+  st_duty_t *duty = arg;
 
   duty->call = NULL;
   EL_LOG (EL_LOG_INFO, "duty_released", EL_FS ("duty", duty->options.key),
@@ -232,9 +232,9 @@
    the last renewal failed or a new epoch has begun, the lease number may
    belong to another host by now, and the lease is left to expire. */
 static void
-duty_release (gt_duty_t *duty)
+duty_release (st_duty_t *duty)
 {
-  gt_store_t *store = duty->options.store;
+  st_store_t *store = duty->options.store;
   el_buf_t path = { NULL, 0, 0 };
 
   if (duty->failures || duty_lease_stale (duty))
@@ -245,7 +245,7 @@
   store->dialect->revoke (&path, duty->lease);
   duty->step = DUTY_IDLE;
   duty->lease = 0;
-  duty->call = gt_store_call (store, "DELETE", &path, NULL, CALL_TIMEOUT,
+  duty->call = st_store_call (store, "DELETE", &path, NULL, CALL_TIMEOUT,
                               release_done, duty);
   el_buf_free (&path);
 }
@@ -254,15 +254,15 @@
    the retry-after time of the store: a renewal costs the store a tenth of a
    call, a change of holder costs three. A renewal is sent without a body. */
 static void
-duty_send (gt_duty_t *duty)
+duty_send (st_duty_t *duty)
 {
-  gt_store_t *store = duty->options.store;
+  st_store_t *store = duty->options.store;
   el_buf_t path = { NULL, 0, 0 };
   el_buf_t body = { NULL, 0, 0 };
 
   duty->sent_at = net_clock_now (store->clock);
   calls[duty->step].write (duty, &path, &body);
-  duty->call = gt_store_call (store, "POST", &path, body.len ? &body : NULL,
+  duty->call = st_store_call (store, "POST", &path, body.len ? &body : NULL,
                               CALL_TIMEOUT, calls[duty->step].done, duty);
   el_buf_free (&path);
   el_buf_free (&body);
@@ -270,9 +270,9 @@
 
 /* Returns the time until the duty may be requested. */
 static el_time_t
-duty_delay (const gt_duty_t *duty, el_time_t now)
+duty_delay (const st_duty_t *duty, el_time_t now)
 {
-  el_time_t retry_after = gt_store_retry_after (duty->options.store);
+  el_time_t retry_after = st_store_retry_after (duty->options.store);
   el_time_t epoch = now < duty->not_before ? duty->not_before - now : 0;
 
   return retry_after > epoch ? retry_after : epoch;
@@ -281,7 +281,7 @@
 static void
 duty_run (void *arg, el_time_t now)
 {
-  gt_duty_t *duty = arg;
+  st_duty_t *duty = arg;
   el_time_t wait;
 
   (void)now;
@@ -310,24 +310,24 @@
   duty_send (duty);
 }
 
-/** Creates a duty, which is not requested until gt_duty_want. */
-gt_duty_t *
-gt_duty_new (const gt_duty_options_t *options)
+/** Creates a duty, which is not requested until st_duty_want. */
+st_duty_t *
+st_duty_new (const st_duty_options_t *options)
 {
-  gt_duty_t *duty = el_alloc (sizeof *duty);
+  st_duty_t *duty = el_alloc (sizeof *duty);
 
   duty->options = *options;
   duty->timer.cb = duty_run;
   duty->timer.arg = duty;
   duty->listener.epoch = duty_epoch_changed;
   duty->listener.arg = duty;
-  gt_store_add_listener (options->store, &duty->listener);
+  st_store_add_listener (options->store, &duty->listener);
   return duty;
 }
 
 /** Sets whether this host should try to get and keep the duty. */
 void
-gt_duty_want (gt_duty_t *duty, int wanted)
+st_duty_want (st_duty_t *duty, int wanted)
 {
   int changed = !wanted != !duty->wanted;
 
--- a/gate/store_follow.c
+++ b/store/st_follow.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 
 #include "store.h"
-#include "store_keys.h"
+#include "libstore.h"
 
 /* Time limit of a call, on top of the wait of a watch: a call that takes
    longer never gets an answer. */
@@ -37,11 +37,11 @@
    other hosts it can ask. */
 #define AFTER_READ_DELAY (700 * EL_MSEC)
 
-struct gt_follow
+struct st_follow
 {
-  gt_follow_options_t options;
-  gt_store_listener_t listener;
-  gt_keys_t *keys;
+  st_follow_options_t options;
+  st_store_listener_t listener;
+  st_keys_t *keys;
   net_exchange_t *call;
   uint64_t call_epoch; /* latest known epoch when the call was sent */
   int peer_pending;    /* another host has not answered yet */
@@ -52,7 +52,7 @@
   pr_store_position_t at;            /* changes up to it are known */
   pr_store_position_t read_position; /* position of the first page */
   el_buf_t page_cursor;              /* last key of the previous page */
-  gt_store_read_cause_t read_cause;  /* of the last or next full read */
+  st_store_read_cause_t read_cause;  /* of the last or next full read */
   int complete;                      /* that read is complete */
   el_time_t synced_at;               /* all changes before it are known */
   unsigned stale_answers;  /* unusable answers of other hosts in a row */
@@ -63,17 +63,17 @@
   unsigned failures;
 };
 
-static void follow_set_synced (gt_follow_t *follow, el_time_t as_of);
+static void follow_set_synced (st_follow_t *follow, el_time_t as_of);
 static void follow_run (void *arg, el_time_t now);
 
 /* Logs what an answer from FROM, the store or another host, changed, and
    schedules the release of changes that were held back. BEFORE is the position
    before the answer. */
 static void
-changes_finish (gt_follow_t *follow, const char *from,
+changes_finish (st_follow_t *follow, const char *from,
                 pr_store_position_t before, int whole)
 {
-  gt_keys_counts_t counts = gt_keys_counts_take (follow->keys);
+  st_keys_counts_t counts = st_keys_counts_take (follow->keys);
   int notable = whole || counts.older
                 || pr_store_position_cmp (follow->at, before) < 0;
 
@@ -95,25 +95,25 @@
 static void
 follow_release_held (void *arg, el_time_t now)
 {
-  gt_follow_t *follow = arg;
+  st_follow_t *follow = arg;
 
   (void)now;
-  gt_keys_release_held (follow->keys);
+  st_keys_release_held (follow->keys);
   changes_finish (follow, "settled", follow->at, 0);
 }
 
 static void
-follow_schedule (gt_follow_t *follow, el_time_t wait)
+follow_schedule (st_follow_t *follow, el_time_t wait)
 {
   net_clock_set (follow->options.store->clock, &follow->timer, wait);
 }
 
 static void
-follow_failed (gt_follow_t *follow, const char *what,
+follow_failed (st_follow_t *follow, const char *what,
                const net_result_t *result)
 {
-  gt_follow_options_t *o = &follow->options;
-  el_time_t wait = gt_store_retry_delay (o->store, result, follow->failures++);
+  st_follow_options_t *o = &follow->options;
+  el_time_t wait = st_store_retry_delay (o->store, result, follow->failures++);
 
   follow->ask_store = 0; /* the store does not answer either */
 
@@ -126,7 +126,7 @@
 }
 
 static void
-follow_recovered (gt_follow_t *follow)
+follow_recovered (st_follow_t *follow)
 {
   if (follow->failures)
     EL_LOG (EL_LOG_INFO, "store_back",
@@ -145,7 +145,7 @@
 
 /* Starts a full read anew. */
 static void
-follow_reread (gt_follow_t *follow, gt_store_read_cause_t read_cause)
+follow_reread (st_follow_t *follow, st_store_read_cause_t read_cause)
 {
   follow->complete = 0;
   follow->read_cause = read_cause;
@@ -155,15 +155,15 @@
 /* Returns whether AT is in a previous epoch: neither changes after it nor
    further pages can be combined with it. */
 static int
-follow_stale (const gt_follow_t *follow, pr_store_position_t at)
+follow_stale (const st_follow_t *follow, pr_store_position_t at)
 {
   return at.epoch != follow->options.store->epoch;
 }
 
 static void
-page_apply (gt_follow_t *follow, const gt_store_list_t *list)
+page_apply (st_follow_t *follow, const st_store_list_t *list)
 {
-  gt_store_t *store = follow->options.store;
+  st_store_t *store = follow->options.store;
   pr_store_position_t before = follow->at;
   size_t i;
 
@@ -171,10 +171,10 @@
     {
       follow->read_position
           = (pr_store_position_t){ store->epoch, list->revision };
-      gt_keys_begin_snapshot (follow->keys);
+      st_keys_begin_snapshot (follow->keys);
     }
   for (i = 0; i < list->n; i++)
-    gt_keys_apply (follow->keys, follow->read_position.epoch, &list->items[i]);
+    st_keys_apply (follow->keys, follow->read_position.epoch, &list->items[i]);
   el_buf_reset (&follow->page_cursor);
   if (list->more && list->n)
     {
@@ -183,7 +183,7 @@
     }
   store->counts.reads[follow->read_cause]++;
   follow->complete = 1;
-  gt_keys_end_snapshot (follow->keys, follow->read_position);
+  st_keys_end_snapshot (follow->keys, follow->read_position);
   follow->at = follow->read_position;
   changes_finish (follow, "store", before, 1);
   follow_set_synced (follow, follow->read_started_at);
@@ -192,13 +192,12 @@
 static void
 range_done (void *arg, const net_result_t *result)
 {
-  gt_follow_t *follow = arg;
-  gt_store_list_t list = { 0 };
+  st_follow_t *follow = arg;
+  st_store_list_t list = { 0 };
 
   follow->call = NULL;
   if (result->net != NET_OK
-      || follow->options.store->dialect->read_list (result, &list)
-             != GT_STORE_OK)
+      || follow->options.store->dialect->read_list (result, &list) != ST_OK)
     {
       follow_reread (follow, follow->read_cause);
       follow_failed (follow, "range", result);
@@ -206,10 +205,10 @@
     }
   follow_recovered (follow);
   if (follow->page_cursor.len && follow_stale (follow, follow->read_position))
-    follow_reread (follow, GT_STORE_READ_EPOCH);
+    follow_reread (follow, ST_READ_EPOCH);
   else
     page_apply (follow, &list);
-  gt_store_list_free (&list);
+  st_store_list_free (&list);
   if (follow->complete && follow->options.ask_peer)
     follow_schedule (follow, AFTER_READ_DELAY);
   else
@@ -221,31 +220,31 @@
    used, even if the store does not report the position as compacted: the same
    revision may exist again. */
 static int
-watch_usable (gt_follow_t *follow, gt_store_state_t state)
+watch_usable (st_follow_t *follow, st_store_state_t state)
 {
   if (follow_stale (follow, follow->at))
     {
-      follow_reread (follow, GT_STORE_READ_EPOCH);
+      follow_reread (follow, ST_READ_EPOCH);
       return 0;
     }
-  if (state != GT_STORE_COMPACTED)
+  if (state != ST_COMPACTED)
     return 1;
   EL_LOG (EL_LOG_INFO, "store_history_lost",
           EL_FS ("prefix", follow->options.prefix),
           EL_FN ("epoch", follow->at.epoch),
           EL_FN ("revision", follow->at.revision));
-  follow_reread (follow, GT_STORE_READ_HISTORY);
+  follow_reread (follow, ST_READ_HISTORY);
   return 0;
 }
 
 static void
-changes_apply (gt_follow_t *follow, const gt_store_list_t *list)
+changes_apply (st_follow_t *follow, const st_store_list_t *list)
 {
   pr_store_position_t before = follow->at;
   size_t i;
 
   for (i = 0; i < list->n; i++)
-    gt_keys_apply (follow->keys, follow->at.epoch, &list->items[i]);
+    st_keys_apply (follow->keys, follow->at.epoch, &list->items[i]);
   if (list->revision > follow->at.revision)
     follow->at.revision = list->revision;
   changes_finish (follow, "store", before, 0);
@@ -255,9 +254,9 @@
 static void
 watch_done (void *arg, const net_result_t *result)
 {
-  gt_follow_t *follow = arg;
-  gt_store_list_t list = { 0 };
-  gt_store_state_t state = GT_STORE_INVALID;
+  st_follow_t *follow = arg;
+  st_store_list_t list = { 0 };
+  st_store_state_t state = ST_INVALID;
   int pause;
 
   follow->call = NULL;
@@ -265,7 +264,7 @@
     state = follow->options.store->dialect->read_list (result, &list);
   if (result->net == NET_OK && !watch_usable (follow, state))
     follow_run (follow, 0);
-  else if (state != GT_STORE_OK)
+  else if (state != ST_OK)
     follow_failed (follow, "watch", result);
   else
     {
@@ -277,11 +276,11 @@
       else
         follow_run (follow, 0);
     }
-  gt_store_list_free (&list);
+  st_store_list_free (&list);
 }
 
 static void
-follow_set_synced (gt_follow_t *follow, el_time_t as_of)
+follow_set_synced (st_follow_t *follow, el_time_t as_of)
 {
   if (as_of > follow->synced_at)
     follow->synced_at = as_of;
@@ -291,9 +290,9 @@
 /* Another host had no usable answer. The store is asked, at a limited rate; if
    it answers, that host is at fault. */
 static void
-update_rejected (gt_follow_t *follow, el_time_t now)
+update_rejected (st_follow_t *follow, el_time_t now)
 {
-  gt_store_t *store = follow->options.store;
+  st_store_t *store = follow->options.store;
 
   follow->stale_answers++;
   if (now < follow->fallback_due)
@@ -312,17 +311,17 @@
 }
 
 static void
-update_apply (gt_follow_t *follow, const pr_store_update_t *update)
+update_apply (st_follow_t *follow, const pr_store_update_t *update)
 {
   pr_store_position_t before = follow->at;
   size_t i;
 
   if (update->whole)
-    gt_keys_begin_snapshot (follow->keys);
+    st_keys_begin_snapshot (follow->keys);
   for (i = 0; i < update->n; i++)
-    gt_keys_apply (follow->keys, update->at.epoch, &update->items[i]);
+    st_keys_apply (follow->keys, update->at.epoch, &update->items[i]);
   if (update->whole)
-    gt_keys_end_snapshot (follow->keys, update->at);
+    st_keys_end_snapshot (follow->keys, update->at);
   if (pr_store_position_cmp (update->at, follow->at) > 0)
     follow->at = update->at;
   changes_finish (follow, "host", before, update->whole);
@@ -332,7 +331,7 @@
    latest epoch, and contains all keys unless this host has keys of that
    epoch. */
 static int
-update_usable (const gt_follow_t *follow, const pr_store_update_t *update,
+update_usable (const st_follow_t *follow, const pr_store_update_t *update,
                el_time_t now)
 {
   return update && update->as_of + follow->options.update_max_age >= now
@@ -345,12 +344,12 @@
 static void
 update_done (void *arg, const pr_store_update_t *update)
 {
-  gt_follow_t *follow = arg;
+  st_follow_t *follow = arg;
   el_time_t now = net_clock_now (follow->options.store->clock);
 
   follow->peer_pending = 0;
   if (update)
-    gt_follow_observe_epoch (follow, update->at.epoch);
+    st_follow_observe_epoch (follow, update->at.epoch);
   if (!update_usable (follow, update, now))
     {
       update_rejected (follow, now);
@@ -364,9 +363,9 @@
 
 /* Asks another host in place of the store; returns whether it did. */
 static int
-follow_ask_peer (gt_follow_t *follow)
+follow_ask_peer (st_follow_t *follow)
 {
-  gt_follow_options_t *o = &follow->options;
+  st_follow_options_t *o = &follow->options;
 
   follow->peer_pending
       = o->ask_peer && follow->complete && !follow->ask_store
@@ -378,32 +377,32 @@
 /* Watches for changes. A store that did not answer before is asked for an
    immediate answer. */
 static void
-follow_watch (gt_follow_t *follow)
+follow_watch (st_follow_t *follow)
 {
-  gt_follow_options_t *o = &follow->options;
+  st_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
   int recovering = follow->failures || follow->ask_store;
   uint64_t wait = recovering ? RECOVERY_WAIT_MS : o->wait_ms;
   el_time_t limit = recovering ? RECOVERY_TIMEOUT : CALL_TIMEOUT;
 
   o->store->dialect->watch (&path, o->prefix, follow->at.revision, wait);
-  follow->call = gt_store_call (o->store, "GET", &path, NULL,
+  follow->call = st_store_call (o->store, "GET", &path, NULL,
                                 wait * EL_MSEC + limit, watch_done, follow);
   el_buf_free (&path);
 }
 
 /* Requests the first or the next page of a full read. */
 static void
-follow_page (gt_follow_t *follow)
+follow_page (st_follow_t *follow)
 {
-  gt_follow_options_t *o = &follow->options;
+  st_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
 
   if (follow->page_cursor.len == 0)
     follow->read_started_at = follow->sent_at;
   o->store->dialect->range (&path, o->prefix,
                             el_buf_str (&follow->page_cursor));
-  follow->call = gt_store_call (
+  follow->call = st_store_call (
       o->store, "GET", &path, NULL,
       follow->failures ? RECOVERY_TIMEOUT : CALL_TIMEOUT, range_done, follow);
   el_buf_free (&path);
@@ -413,8 +412,8 @@
 static void
 follow_run (void *arg, el_time_t now)
 {
-  gt_follow_t *follow = arg;
-  el_time_t retry_after = gt_store_retry_after (follow->options.store);
+  st_follow_t *follow = arg;
+  el_time_t retry_after = st_store_retry_after (follow->options.store);
 
   (void)now;
   if (follow_ask_peer (follow))
@@ -427,7 +426,7 @@
   follow->sent_at = net_clock_now (follow->options.store->clock);
   follow->call_epoch = follow->options.store->epoch;
   if (follow->complete && follow_stale (follow, follow->at))
-    follow_reread (follow, GT_STORE_READ_EPOCH);
+    follow_reread (follow, ST_READ_EPOCH);
   if (follow->complete)
     follow_watch (follow);
   else
@@ -440,7 +439,7 @@
 static void
 follow_epoch_changed (void *arg)
 {
-  gt_follow_t *follow = arg;
+  st_follow_t *follow = arg;
 
   if (follow->peer_pending
       || (follow->call && follow->call_epoch == follow->options.store->epoch))
@@ -452,20 +451,20 @@
 }
 
 /** Creates a follower and starts the first read. */
-gt_follow_t *
-gt_follow_new (const gt_follow_options_t *options)
+st_follow_t *
+st_follow_new (const st_follow_options_t *options)
 {
-  gt_follow_t *follow = el_alloc (sizeof *follow);
-  const gt_keys_options_t keys
+  st_follow_t *follow = el_alloc (sizeof *follow);
+  const st_keys_options_t keys
       = { .item = options->item, .arg = options->arg };
 
   follow->options = *options;
-  follow->keys = gt_keys_new (&keys);
+  follow->keys = st_keys_new (&keys);
   follow->held_timer.cb = follow_release_held;
   follow->held_timer.arg = follow;
   follow->listener.epoch = follow_epoch_changed;
   follow->listener.arg = follow;
-  gt_store_add_listener (options->store, &follow->listener);
+  st_store_add_listener (options->store, &follow->listener);
   follow->timer.cb = follow_run;
   follow->timer.arg = follow;
   follow_run (follow, 0);
@@ -476,47 +475,47 @@
     removal since then is known; returns 0 if that epoch is not known here yet.
     The items belong to the follower; the caller frees the list. */
 int
-gt_follow_changes_since (const gt_follow_t *follow, pr_store_position_t after,
+st_follow_changes_since (const st_follow_t *follow, pr_store_position_t after,
                          pr_store_update_t *out)
 {
   *out = (pr_store_update_t){ .at = follow->at, .as_of = follow->synced_at };
   if (after.epoch > follow->at.epoch)
     return 0;
-  gt_keys_changes_since (follow->keys, after, out);
+  st_keys_changes_since (follow->keys, after, out);
   return 1;
 }
 
 /** Returns the position up to which changes are known. */
 pr_store_position_t
-gt_follow_position (const gt_follow_t *follow)
+st_follow_position (const st_follow_t *follow)
 {
   return follow->at;
 }
 
 /** Records that the store has begun EPOCH, as reported by another host. */
 void
-gt_follow_observe_epoch (gt_follow_t *follow, uint64_t epoch)
+st_follow_observe_epoch (st_follow_t *follow, uint64_t epoch)
 {
-  gt_store_observe_epoch (follow->options.store, epoch, "host");
+  st_store_observe_epoch (follow->options.store, epoch, "host");
 }
 
 /** Returns the time before which all changes are known; 0 if none are. */
 el_time_t
-gt_follow_synced_at (const gt_follow_t *follow)
+st_follow_synced_at (const st_follow_t *follow)
 {
   return follow->synced_at;
 }
 
 /** Cancels all calls and frees the follower. */
 void
-gt_follow_free (gt_follow_t *follow)
+st_follow_free (st_follow_t *follow)
 {
-  gt_store_remove_listener (follow->options.store, &follow->listener);
+  st_store_remove_listener (follow->options.store, &follow->listener);
   net_clock_cancel (follow->options.store->clock, &follow->timer);
   net_clock_cancel (follow->options.store->clock, &follow->held_timer);
   if (follow->call)
     net_client_cancel (follow->call);
-  gt_keys_free (follow->keys);
+  st_keys_free (follow->keys);
   el_buf_free (&follow->page_cursor);
   free (follow);
 }
--- a/gate/store_keys.c
+++ b/store/st_keys.c
@@ -10,13 +10,13 @@
  * A store restored from an older copy lacks what was written since that copy,
  * and has again what was removed since, until the writers have written their
  * changes again. Differences of both kinds in the first snapshot of an epoch
- * are therefore held back until gt_keys_release_held; a change reported after
+ * are therefore held back until st_keys_release_held; a change reported after
  * the snapshot takes effect at once.
  */
 #include <stdlib.h>
 
 #include "map.h"
-#include "store_keys.h"
+#include "libstore.h"
 
 /* A key, its state and the position of its last change. */
 typedef struct keys_entry
@@ -32,28 +32,28 @@
   UT_hash_handle hh;
 } keys_entry_t;
 
-struct gt_keys
+struct st_keys
 {
-  gt_keys_options_t options;
+  st_keys_options_t options;
   keys_entry_t *keys;
   uint64_t snapshot;               /* number of the last or current snapshot */
   int in_snapshot;                 /* a snapshot is being read */
   pr_store_position_t snapshot_at; /* the last complete snapshot's position */
-  gt_keys_counts_t counts;
+  st_keys_counts_t counts;
 };
 
 /** Creates an empty mirror. */
-gt_keys_t *
-gt_keys_new (const gt_keys_options_t *options)
+st_keys_t *
+st_keys_new (const st_keys_options_t *options)
 {
-  gt_keys_t *keys = el_alloc (sizeof *keys);
+  st_keys_t *keys = el_alloc (sizeof *keys);
 
   keys->options = *options;
   return keys;
 }
 
 static keys_entry_t *
-key_get (gt_keys_t *keys, el_str_t name)
+key_get (st_keys_t *keys, el_str_t name)
 {
   keys_entry_t *key;
 
@@ -68,7 +68,7 @@
 }
 
 static void
-key_free (gt_keys_t *keys, keys_entry_t *key)
+key_free (st_keys_t *keys, keys_entry_t *key)
 {
   HASH_DEL (keys->keys, key);
   el_str_free (&key->value);
@@ -78,7 +78,7 @@
 
 /** Frees the mirror and all its keys. */
 void
-gt_keys_free (gt_keys_t *keys)
+st_keys_free (st_keys_t *keys)
 {
   keys_entry_t *key;
   keys_entry_t *next;
@@ -108,7 +108,7 @@
    value has a newer version of its own, the value that other hosts get stays
    as it is. */
 static void
-key_apply (gt_keys_t *keys, keys_entry_t *key, const pr_store_item_t *item)
+key_apply (st_keys_t *keys, keys_entry_t *key, const pr_store_item_t *item)
 {
   int first = !key->known || key->gone;
   el_str_t value = el_str_dup (item->value);
@@ -129,7 +129,7 @@
 /* Stores ITEM as the state of KEY, to be passed to the callback later unless
    it changes before. */
 static void
-key_hold (gt_keys_t *keys, keys_entry_t *key, const pr_store_item_t *item)
+key_hold (st_keys_t *keys, keys_entry_t *key, const pr_store_item_t *item)
 {
   keys->counts.held += !key->held;
   key->held = 1;
@@ -143,7 +143,7 @@
 /** Applies ITEM, a change made in EPOCH. If a key has its known state in a new
     epoch as well, only its position changes. */
 void
-gt_keys_apply (gt_keys_t *keys, uint64_t epoch, const pr_store_item_t *item)
+st_keys_apply (st_keys_t *keys, uint64_t epoch, const pr_store_item_t *item)
 {
   keys_entry_t *key = key_get (keys, item->key);
   pr_store_position_t at = { epoch, item->revision };
@@ -165,9 +165,9 @@
     key_apply (keys, key, item);
 }
 
-/** Begins a snapshot: all keys will be passed to gt_keys_apply. */
+/** Begins a snapshot: all keys will be passed to st_keys_apply. */
 void
-gt_keys_begin_snapshot (gt_keys_t *keys)
+st_keys_begin_snapshot (st_keys_t *keys)
 {
   keys->snapshot++;
   keys->in_snapshot = 1;
@@ -177,7 +177,7 @@
     it are removed; in the first snapshot of an epoch their removal is held
     back. */
 void
-gt_keys_end_snapshot (gt_keys_t *keys, pr_store_position_t at)
+st_keys_end_snapshot (st_keys_t *keys, pr_store_position_t at)
 {
   keys_entry_t *key;
   keys_entry_t *next;
@@ -205,7 +205,7 @@
 
 /** Passes to the callback what was held back and has not changed since. */
 void
-gt_keys_release_held (gt_keys_t *keys)
+st_keys_release_held (st_keys_t *keys)
 {
   keys_entry_t *key;
   keys_entry_t *next;
@@ -226,7 +226,7 @@
     removal since then is known. The strings belong to KEYS; the caller frees
     the list. */
 void
-gt_keys_changes_since (const gt_keys_t *keys, pr_store_position_t after,
+st_keys_changes_since (const st_keys_t *keys, pr_store_position_t after,
                        pr_store_update_t *out)
 {
   const keys_entry_t *key;
@@ -239,11 +239,11 @@
 }
 
 /** Returns the counts since the last call and resets them. */
-gt_keys_counts_t
-gt_keys_counts_take (gt_keys_t *keys)
+st_keys_counts_t
+st_keys_counts_take (st_keys_t *keys)
 {
-  gt_keys_counts_t counts = keys->counts;
+  st_keys_counts_t counts = keys->counts;
 
-  keys->counts = (gt_keys_counts_t){ 0 };
+  keys->counts = (st_keys_counts_t){ 0 };
   return counts;
 }
--- a/gate/store_put.c
+++ b/store/st_put.c
@@ -17,7 +17,7 @@
 
 typedef struct leased_put
 {
-  gt_store_t *store;
+  st_store_t *store;
   el_str_t key;
   el_str_t value;
   uint64_t ttl_ms;
@@ -48,7 +48,7 @@
 static void
 put_retry (leased_put_t *put, const net_result_t *result)
 {
-  gt_store_t *store = put->store;
+  st_store_t *store = put->store;
 
   if (net_clock_now (store->clock) > put->started_at + RETRY_FOR_MAX)
     {
@@ -56,20 +56,20 @@
       return;
     }
   net_clock_set (store->clock, &put->retry_timer,
-                 gt_store_retry_delay (store, result, put->failures++));
+                 st_store_retry_delay (store, result, put->failures++));
 }
 
 static void
 create_done (void *arg, const net_result_t *result)
 {
   leased_put_t *put = arg;
-  gt_store_state_t state = GT_STORE_INVALID;
+  st_store_state_t state = ST_INVALID;
 
   if (result->net == NET_OK)
     state = put->store->dialect->read_create (result);
-  if (state == GT_STORE_OK)
+  if (state == ST_OK)
     put_finish (put, "put");
-  else if (state == GT_STORE_CONFLICT)
+  else if (state == ST_CONFLICT)
     put_finish (put, "already there");
   else
     put_retry (put, result);
@@ -79,18 +79,18 @@
 grant_done (void *arg, const net_result_t *result)
 {
   leased_put_t *put = arg;
-  const gt_store_dialect_t *dialect = put->store->dialect;
+  const st_store_dialect_t *dialect = put->store->dialect;
   el_buf_t path = { NULL, 0, 0 };
   el_buf_t body = { NULL, 0, 0 };
 
   if (result->net != NET_OK
-      || dialect->read_grant (result, &put->lease) != GT_STORE_OK)
+      || dialect->read_grant (result, &put->lease) != ST_OK)
     {
       put_retry (put, result);
       return;
     }
   dialect->create (&path, &body, put->key, put->value, put->lease);
-  gt_store_call (put->store, "POST", &path, &body, CALL_TIMEOUT, create_done,
+  st_store_call (put->store, "POST", &path, &body, CALL_TIMEOUT, create_done,
                  put);
   el_buf_free (&path);
   el_buf_free (&body);
@@ -102,7 +102,7 @@
   leased_put_t *put = arg;
   el_buf_t path = { NULL, 0, 0 };
   el_buf_t body = { NULL, 0, 0 };
-  el_time_t retry_after = gt_store_retry_after (put->store);
+  el_time_t retry_after = st_store_retry_after (put->store);
 
   (void)now;
   if (retry_after)
@@ -111,7 +111,7 @@
       return;
     }
   put->store->dialect->grant (&path, &body, put->ttl_ms);
-  gt_store_call (put->store, "POST", &path, &body, CALL_TIMEOUT, grant_done,
+  st_store_call (put->store, "POST", &path, &body, CALL_TIMEOUT, grant_done,
                  put);
   el_buf_free (&path);
   el_buf_free (&body);
@@ -120,7 +120,7 @@
 /** Writes VALUE under KEY, after WAIT, for TTL_MS; a key that exists is left
     as it is. */
 void
-gt_store_put_leased (gt_store_t *store, el_str_t key, el_str_t value,
+st_store_put_leased (st_store_t *store, el_str_t key, el_str_t value,
                      uint64_t ttl_ms, el_time_t wait)
 {
   leased_put_t *put = el_alloc (sizeof *put);
--- a/gate/store.c
+++ b/store/st_store.c
@@ -23,21 +23,21 @@
 /* A call whose answer is awaited. */
 typedef struct store_call
 {
-  gt_store_t *store;
+  st_store_t *store;
   net_result_cb done;
   void *arg;
 } store_call_t;
 
 /** Adds a listener, which is called on each new epoch. */
 void
-gt_store_add_listener (gt_store_t *store, gt_store_listener_t *listener)
+st_store_add_listener (st_store_t *store, st_store_listener_t *listener)
 {
   DL_APPEND (store->listeners, listener);
 }
 
 /** Removes a listener. */
 void
-gt_store_remove_listener (gt_store_t *store, gt_store_listener_t *listener)
+st_store_remove_listener (st_store_t *store, st_store_listener_t *listener)
 {
   DL_DELETE (store->listeners, listener);
 }
@@ -45,9 +45,9 @@
 static void
 listeners_notify (void *arg, el_time_t now)
 {
-  gt_store_t *store = arg;
-  gt_store_listener_t *listener;
-  gt_store_listener_t *next;
+  st_store_t *store = arg;
+  st_store_listener_t *listener;
+  st_store_listener_t *next;
 
   (void)now;
   DL_FOREACH_SAFE (store->listeners, listener, next)
@@ -59,7 +59,7 @@
     of them may be handling an answer now. The first known epoch is not a
     change. */
 void
-gt_store_observe_epoch (gt_store_t *store, uint64_t epoch, const char *by)
+st_store_observe_epoch (st_store_t *store, uint64_t epoch, const char *by)
 {
   uint64_t before = store->epoch;
   int first = !store->known;
@@ -81,22 +81,22 @@
 /* Returns whether an answer was given in the latest known epoch; an answer
    that names none is taken as if it were. */
 static int
-epoch_check (gt_store_t *store, const net_result_t *result)
+epoch_check (st_store_t *store, const net_result_t *result)
 {
   uint64_t epoch = 0;
-  gt_store_epoch_field_t epoch_field
+  st_store_epoch_field_t epoch_field
       = store->dialect->read_epoch (result, &epoch);
 
-  if (epoch_field == GT_STORE_EPOCH_MALFORMED
-      || (epoch_field == GT_STORE_EPOCH_ABSENT && store->epoch))
+  if (epoch_field == ST_EPOCH_MALFORMED
+      || (epoch_field == ST_EPOCH_ABSENT && store->epoch))
     EL_LOG (EL_LOG_WARN, "store_epoch_unread",
             EL_FN ("status", result->status), EL_FN ("epoch", store->epoch));
-  if (epoch_field != GT_STORE_EPOCH_PRESENT)
+  if (epoch_field != ST_EPOCH_PRESENT)
     {
       store->known = 1;
       return 1;
     }
-  gt_store_observe_epoch (store, epoch, "store");
+  st_store_observe_epoch (store, epoch, "store");
   if (epoch == store->epoch)
     return 1;
   store->counts.former++;
@@ -120,7 +120,7 @@
 /** Sends a call; BODY, which may be NULL, is JSON. An answer from a previous
     epoch is reported to DONE as a lost connection. */
 net_exchange_t *
-gt_store_call (gt_store_t *store, const char *method, const el_buf_t *path,
+st_store_call (st_store_t *store, const char *method, const el_buf_t *path,
                const el_buf_t *body, el_time_t timeout, net_result_cb done,
                void *arg)
 {
@@ -150,7 +150,7 @@
     store on this host, except the renewal of a duty. A time in force that ends
     later stays as it is. */
 void
-gt_store_apply_retry_after (gt_store_t *store, const net_result_t *result)
+st_store_apply_retry_after (st_store_t *store, const net_result_t *result)
 {
   el_time_t now = net_clock_now (store->clock);
   el_time_t asked
@@ -172,7 +172,7 @@
 /** Returns the time until calls to the store are allowed again; 0 if they
     are. */
 el_time_t
-gt_store_retry_after (const gt_store_t *store)
+st_store_retry_after (const st_store_t *store)
 {
   el_time_t now = net_clock_now (store->clock);
 
@@ -183,7 +183,7 @@
     FAILURES consecutive failures before it. Up to half of the delay is random,
     so that hosts do not retry at the same time. */
 el_time_t
-gt_store_retry_delay (gt_store_t *store, const net_result_t *result,
+st_store_retry_delay (st_store_t *store, const net_result_t *result,
                       unsigned failures)
 {
   el_time_t wait = RETRY_DELAY_FIRST << (failures < RETRY_DELAY_DOUBLINGS
@@ -194,14 +194,14 @@
     wait = RETRY_DELAY_MAX;
   store->counts.failures++;
   wait = wait / 2 + el_random (&store->random) % (wait / 2 + 1);
-  gt_store_apply_retry_after (store, result);
-  return wait > gt_store_retry_after (store) ? wait
-                                             : gt_store_retry_after (store);
+  st_store_apply_retry_after (store, result);
+  return wait > st_store_retry_after (store) ? wait
+                                             : st_store_retry_after (store);
 }
 
 /** Frees the items of a list. */
 void
-gt_store_list_free (gt_store_list_t *list)
+st_store_list_free (st_store_list_t *list)
 {
   size_t i;
 
@@ -211,5 +211,5 @@
       el_str_free (&list->items[i].value);
     }
   free (list->items);
-  *list = (gt_store_list_t){ 0 };
+  *list = (st_store_list_t){ 0 };
 }
--- a/tests/t_clock.c
+++ b/tests/t_clock.c
@@ -59,15 +59,15 @@
    must not count it as held when it resumes. */
 START_TEST (test_duty_expires_during_suspension)
 {
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_duty_options_t options = { .store = &store,
+  st_duty_options_t options = { .store = &store,
                                 .key = EL_STR ("elmarch/planner"),
                                 .holder = EL_STR ("h"),
                                 .ttl_ms = 2000,
                                 .vacant = always_vacant };
-  gt_duty_t *duty;
+  st_duty_t *duty;
 
   SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n"
             "{\"lease\":7,\"ttl_ms\":2000}",
@@ -76,12 +76,12 @@
             "{\"Revision\":3}",
             KEEP_ALIVE });
   store.address = el_str (script.address);
-  duty = gt_duty_new (&options);
-  gt_duty_want (duty, 1);
-  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+  duty = st_duty_new (&options);
+  st_duty_want (duty, 1);
+  while (!st_duty_held (duty, net_clock_now (&test_clock)))
     uv_run (&loop, UV_RUN_ONCE);
   suspend_for (SUSPEND_TIME);
-  ck_assert_int_eq (gt_duty_held (duty, net_clock_now (&test_clock)), 0);
+  ck_assert_int_eq (st_duty_held (duty, net_clock_now (&test_clock)), 0);
 }
 END_TEST
 
--- a/tests/t_epoch.c
+++ b/tests/t_epoch.c
@@ -13,7 +13,7 @@
 #include "platform.h"
 #include "script.h"
 #include "store.h"
-#include "store_keys.h"
+#include "libstore.h"
 #include "test.h"
 
 /* The table of known keys. */
@@ -43,23 +43,23 @@
   ck_assert_str_eq (record->text.ptr ? record->text.ptr : "", expected);
 }
 
-static gt_keys_t *
+static st_keys_t *
 open_keys (record_t *record)
 {
-  const gt_keys_options_t options = { .item = record_item, .arg = record };
+  const st_keys_options_t options = { .item = record_item, .arg = record };
 
-  return gt_keys_new (&options);
+  return st_keys_new (&options);
 }
 
 static void
-put_key (gt_keys_t *keys, uint64_t epoch, uint64_t revision, const char *value)
+put_key (st_keys_t *keys, uint64_t epoch, uint64_t revision, const char *value)
 {
   const pr_store_item_t item = { .key = EL_STR ("k"),
                                  .value = el_str (value ? value : ""),
                                  .revision = revision,
                                  .gone = !value };
 
-  gt_keys_apply (keys, epoch, &item);
+  st_keys_apply (keys, epoch, &item);
 }
 
 /* Guards against a change that is dropped because its revision is not above
@@ -68,12 +68,12 @@
 {
   static const uint64_t revisions[] = { 4, 5, 6 };
   record_t record = { .refuse = 0 };
-  gt_keys_t *keys = open_keys (&record);
+  st_keys_t *keys = open_keys (&record);
 
   put_key (keys, 1, 5, "ready");
   put_key (keys, 2, revisions[_i], "leaves");
   check_record (&record, "+k=ready +k=leaves ");
-  gt_keys_free (keys);
+  st_keys_free (keys);
   el_buf_free (&record.text);
 }
 END_TEST
@@ -81,13 +81,13 @@
 START_TEST (test_keys_former_epoch_is_ignored)
 {
   record_t record = { .refuse = 0 };
-  gt_keys_t *keys = open_keys (&record);
+  st_keys_t *keys = open_keys (&record);
 
   put_key (keys, 2, 5, "leaves");
   put_key (keys, 1, 9, "ready");
   put_key (keys, 1, 10, NULL);
   check_record (&record, "+k=leaves ");
-  gt_keys_free (keys);
+  st_keys_free (keys);
   el_buf_free (&record.text);
 }
 END_TEST
@@ -99,24 +99,24 @@
   const pr_store_item_t other
       = { .key = EL_STR ("o"), .value = EL_STR ("x"), .revision = 3 };
   record_t record = { .refuse = 0 };
-  gt_keys_t *keys = open_keys (&record);
+  st_keys_t *keys = open_keys (&record);
   pr_store_update_t update = { 0 };
 
   put_key (keys, 1, 5, "a");
-  gt_keys_apply (keys, 1, &other);
-  gt_keys_begin_snapshot (keys);
-  gt_keys_apply (keys, 2, &other);
+  st_keys_apply (keys, 1, &other);
+  st_keys_begin_snapshot (keys);
+  st_keys_apply (keys, 2, &other);
   put_key (keys, 2, 4, "b");
-  gt_keys_end_snapshot (keys, (pr_store_position_t){ 2, 4 });
+  st_keys_end_snapshot (keys, (pr_store_position_t){ 2, 4 });
   check_record (&record, "+k=a +o=x +k=b ");
-  gt_keys_changes_since (keys, (pr_store_position_t){ 1, 9 }, &update);
+  st_keys_changes_since (keys, (pr_store_position_t){ 1, 9 }, &update);
   ck_assert_int_eq (update.whole, 1);
   ck_assert_uint_eq (update.n, 2);
   free (update.items);
-  gt_keys_changes_since (keys, (pr_store_position_t){ 2, 4 }, &update);
+  st_keys_changes_since (keys, (pr_store_position_t){ 2, 4 }, &update);
   ck_assert_int_eq (update.whole, 0);
   free (update.items);
-  gt_keys_free (keys);
+  st_keys_free (keys);
   el_buf_free (&record.text);
 }
 END_TEST
@@ -126,22 +126,22 @@
 START_TEST (test_keys_refused_value_is_not_passed_on)
 {
   record_t record = { .refuse = 0 };
-  gt_keys_t *keys = open_keys (&record);
+  st_keys_t *keys = open_keys (&record);
   pr_store_update_t update = { 0 };
 
   put_key (keys, 1, 5, "v66");
   record.refuse = 1;
   put_key (keys, 2, 3, "v59");
-  gt_keys_changes_since (keys, (pr_store_position_t){ 1, 0 }, &update);
+  st_keys_changes_since (keys, (pr_store_position_t){ 1, 0 }, &update);
   ck_assert (el_str_eq (update.items[0].value, EL_STR ("v66")));
   free (update.items);
-  gt_keys_free (keys);
+  st_keys_free (keys);
   el_buf_free (&record.text);
 }
 END_TEST
 
 /* A key that the first read of an epoch lacks stays valid, and one that had
-   been deleted and is back stays deleted, until gt_keys_release_held or the
+   been deleted and is back stays deleted, until st_keys_release_held or the
    next change of the key. */
 START_TEST (test_keys_missing_or_restored_are_held_until_release)
 {
@@ -149,22 +149,22 @@
       = { { .key = EL_STR ("g"), .value = EL_STR ("1"), .revision = 3 },
           { .key = EL_STR ("g"), .revision = 6, .gone = 1 } };
   record_t record = { .refuse = 0 };
-  gt_keys_t *keys = open_keys (&record);
+  st_keys_t *keys = open_keys (&record);
   int changed = _i;
 
   put_key (keys, 1, 5, "a");
-  gt_keys_apply (keys, 1, &gone[0]);
-  gt_keys_apply (keys, 1, &gone[1]);
-  gt_keys_begin_snapshot (keys);
-  gt_keys_apply (keys, 2, &gone[0]);
-  gt_keys_end_snapshot (keys, (pr_store_position_t){ 2, 4 });
+  st_keys_apply (keys, 1, &gone[0]);
+  st_keys_apply (keys, 1, &gone[1]);
+  st_keys_begin_snapshot (keys);
+  st_keys_apply (keys, 2, &gone[0]);
+  st_keys_end_snapshot (keys, (pr_store_position_t){ 2, 4 });
   check_record (&record, "+k=a +g=1 -g= ");
   if (changed)
     put_key (keys, 2, 5, "a");
-  gt_keys_release_held (keys);
+  st_keys_release_held (keys);
   check_record (&record, changed ? "+k=a +g=1 -g= +k=a +g=1 "
                                  : "+k=a +g=1 -g= -k=a +g=1 ");
-  gt_keys_free (keys);
+  st_keys_free (keys);
   el_buf_free (&record.text);
 }
 END_TEST
@@ -192,26 +192,26 @@
 /* Follows the scripted store until the given number of reads and watches have
    been accepted. The base64 values "YQ==" and "Yg==" are "a" and "b". */
 static void
-run_follower (record_t *record, gt_store_t *store, int wanted)
+run_follower (record_t *record, st_store_t *store, int wanted)
 {
-  gt_follow_options_t options = { .store = store,
+  st_follow_options_t options = { .store = store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
                                   .known = record_known,
                                   .arg = record };
-  gt_follow_t *follow;
+  st_follow_t *follow;
 
   record->wanted = wanted;
-  *store = (gt_store_t){ .clock = &test_clock,
+  *store = (st_store_t){ .clock = &test_clock,
                          .client = client,
                          .dialect = &pf_store,
                          .address = el_str (script.address),
                          .random = 1 };
-  follow = gt_follow_new (&options);
+  follow = st_follow_new (&options);
   while (record->wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
+  st_follow_free (follow);
 }
 
 /* Guards against the events of a watch that spans two epochs: the store does
@@ -219,7 +219,7 @@
 START_TEST (test_follow_watch_across_epochs_is_discarded)
 {
   record_t record = { .refuse = 0 };
-  gt_store_t store;
+  st_store_t store;
 
   SCRIPT (
       { HTTP_OK ("1") RANGE (ITEM ("p/a", "YQ==", "9"), "9"), CLOSE },
@@ -229,7 +229,7 @@
         CLOSE });
   run_follower (&record, &store, 2);
   check_record (&record, "+p/a=a +p/a=b +p/c=a ");
-  ck_assert_uint_eq (store.counts.reads[GT_STORE_READ_EPOCH], 1);
+  ck_assert_uint_eq (store.counts.reads[ST_READ_EPOCH], 1);
   el_buf_free (&record.text);
 }
 END_TEST
@@ -237,7 +237,7 @@
 START_TEST (test_follow_new_epoch_between_pages_restarts_read)
 {
   record_t record = { .refuse = 0 };
-  gt_store_t store;
+  st_store_t store;
 
   SCRIPT ({ HTTP_OK ("1") PAGE (ITEM ("p/a", "YQ==", "9"), "9"), CLOSE },
           { HTTP_OK ("2") RANGE (ITEM ("p/b", "YQ==", "9"), "9"), CLOSE },
@@ -252,7 +252,7 @@
 START_TEST (test_follow_two_epochs_in_quick_succession)
 {
   record_t record = { .refuse = 0 };
-  gt_store_t store;
+  st_store_t store;
 
   SCRIPT ({ HTTP_OK ("1") RANGE (ITEM ("p/a", "YQ==", "9"), "9"), CLOSE },
           { "HTTP/1.1 410 Gone\r\nstore-era: 2\r\nconnection: close\r\n\r\n",
@@ -271,7 +271,7 @@
 START_TEST (test_follow_answer_of_a_former_epoch_is_not_applied)
 {
   record_t record = { .refuse = 0 };
-  gt_store_t store;
+  st_store_t store;
 
   SCRIPT ({ HTTP_OK ("2") RANGE (ITEM ("p/a", "YQ==", "3"), "3"), CLOSE },
           { HTTP_OK ("1") EVENTS (ITEM ("p/a", "Yg==", "9"), "9"), CLOSE },
@@ -296,7 +296,7 @@
       = { { HTTP_OK ("1") RANGE (ITEM ("p/a", "YQ==", "3"), "3"), CLOSE },
           { bytes, CLOSE } };
   record_t record = { .refuse = 0 };
-  gt_store_t store;
+  st_store_t store;
 
   snprintf (bytes, sizeof bytes,
             "HTTP/1.1 200 OK\r\n%sconnection: close\r\n\r\n%s", headers[_i],
@@ -325,24 +325,24 @@
   return 1;
 }
 
-static gt_duty_t *
-acquire_duty (gt_store_t *store)
+static st_duty_t *
+acquire_duty (st_store_t *store)
 {
-  const gt_duty_options_t options = { .store = store,
+  const st_duty_options_t options = { .store = store,
                                       .key = EL_STR ("duty"),
                                       .holder = EL_STR ("a"),
                                       .ttl_ms = 900,
                                       .vacant = always_vacant };
-  gt_duty_t *duty;
+  st_duty_t *duty;
 
-  *store = (gt_store_t){ .clock = &test_clock,
+  *store = (st_store_t){ .clock = &test_clock,
                          .client = client,
                          .dialect = &pf_store,
                          .address = el_str (script.address),
                          .random = 1 };
-  duty = gt_duty_new (&options);
-  gt_duty_want (duty, 1);
-  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+  duty = st_duty_new (&options);
+  st_duty_want (duty, 1);
+  while (!st_duty_held (duty, net_clock_now (&test_clock)))
     uv_run (&loop, UV_RUN_ONCE);
   return duty;
 }
@@ -351,8 +351,8 @@
    number of the lease to another holder. */
 START_TEST (test_duty_renewed_in_another_epoch_is_lost)
 {
-  gt_store_t store;
-  gt_duty_t *duty;
+  st_store_t store;
+  st_duty_t *duty;
 
   SCRIPT ({ LEASE_GRANTED ("1"), KEEP_ALIVE },
           { KEY_CLAIMED ("1"), KEEP_ALIVE },
@@ -360,20 +360,20 @@
   duty = acquire_duty (&store);
   while (store.epoch == 1)
     uv_run (&loop, UV_RUN_ONCE);
-  ck_assert (!gt_duty_held (duty, net_clock_now (&test_clock)));
+  ck_assert (!st_duty_held (duty, net_clock_now (&test_clock)));
 }
 END_TEST
 
 START_TEST (test_duty_is_lost_when_store_epoch_changes)
 {
-  gt_store_t store;
-  gt_duty_t *duty;
+  st_store_t store;
+  st_duty_t *duty;
 
   SCRIPT ({ LEASE_GRANTED ("1"), KEEP_ALIVE },
           { KEY_CLAIMED ("1"), KEEP_ALIVE });
   duty = acquire_duty (&store);
-  gt_store_observe_epoch (&store, 2, "host");
-  ck_assert (!gt_duty_held (duty, net_clock_now (&test_clock)));
+  st_store_observe_epoch (&store, 2, "host");
+  ck_assert (!st_duty_held (duty, net_clock_now (&test_clock)));
 }
 END_TEST
 
@@ -381,28 +381,28 @@
    continue until its lease expires. */
 START_TEST (test_duty_waits_for_leases_of_former_epoch)
 {
-  gt_store_t store = { .clock = &test_clock,
+  st_store_t store = { .clock = &test_clock,
                        .client = client,
                        .dialect = &pf_store,
                        .random = 1,
                        .known = 1 };
-  const gt_duty_options_t options = { .store = &store,
+  const st_duty_options_t options = { .store = &store,
                                       .key = EL_STR ("duty"),
                                       .holder = EL_STR ("a"),
                                       .ttl_ms = 900,
                                       .vacant = always_vacant };
-  gt_duty_t *duty;
+  st_duty_t *duty;
 
   SCRIPT ({ LEASE_GRANTED ("2"), KEEP_ALIVE },
           { KEY_CLAIMED ("2"), KEEP_ALIVE });
   store.address = el_str (script.address);
-  duty = gt_duty_new (&options);
-  gt_store_observe_epoch (&store, 2, "host");
+  duty = st_duty_new (&options);
+  st_store_observe_epoch (&store, 2, "host");
   loop_run_for (20 * EL_MSEC);
-  gt_duty_want (duty, 1);
+  st_duty_want (duty, 1);
   loop_run_for (800 * EL_MSEC);
   ck_assert_uint_eq (store.counts.calls, 0);
-  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+  while (!st_duty_held (duty, net_clock_now (&test_clock)))
     uv_run (&loop, UV_RUN_ONCE);
 }
 END_TEST
@@ -411,8 +411,8 @@
    now. */
 START_TEST (test_duty_not_renewed_is_left_to_expire)
 {
-  gt_store_t store;
-  gt_duty_t *duty;
+  st_store_t store;
+  st_duty_t *duty;
 
   SCRIPT ({ LEASE_GRANTED ("1"), KEEP_ALIVE },
           { KEY_CLAIMED ("1"), KEEP_ALIVE },
@@ -422,8 +422,8 @@
   duty = acquire_duty (&store);
   while (!store.counts.failures)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_duty_want (duty, 0);
-  while (gt_duty_held (duty, net_clock_now (&test_clock)))
+  st_duty_want (duty, 0);
+  while (st_duty_held (duty, net_clock_now (&test_clock)))
     uv_run (&loop, UV_RUN_ONCE);
   ck_assert_uint_eq (store.counts.calls, 3);
 }
--- a/tests/t_random.c
+++ b/tests/t_random.c
@@ -60,7 +60,7 @@
   el_buf_t text = seeds_mutate (rules_text);
   relay_events_t events = { { NULL, 0, 0 } };
   net_result_t result = { .net = NET_OK, .status = 200 };
-  gt_store_list_t list = { 0 };
+  st_store_list_t list = { 0 };
   rt_attrs_t attrs;
   json_t *entry_json;
   el_err_t err;
@@ -79,7 +79,7 @@
   text = seeds_mutate (list_text);
   result.body = el_buf_str (&text);
   pf_store.read_list (&result, &list);
-  gt_store_list_free (&list);
+  st_store_list_free (&list);
   el_buf_free (&text);
   text = seeds_mutate (events_text);
   cut = seeds_random ((unsigned)text.len + 1);
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -51,16 +51,16 @@
 START_TEST (test_follow_reports_key_deleted_in_lost_history)
 {
   record_t record = { .wanted = 3 };
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_follow_options_t options = { .store = &store,
+  st_follow_options_t options = { .store = &store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
                                   .known = record_known,
                                   .arg = &record };
-  gt_follow_t *follow;
+  st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
                        "\"Revision\":1},{\"Key\":\"p/b\",\"Value\":\"\","
@@ -74,10 +74,10 @@
                        "\"Revision\":2}],\"more\":false,\"at\":9}",
             CLOSE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
+  follow = st_follow_new (&options);
   while (record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
+  st_follow_free (follow);
   ck_assert_str_eq (record.text.ptr, "+p/a +p/b +p/a -p/a ");
   el_buf_free (&record.text);
 }
@@ -89,16 +89,16 @@
 START_TEST (test_follow_reads_pages_and_ignores_older_events)
 {
   record_t record = { .wanted = 2 };
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_follow_options_t options = { .store = &store,
+  st_follow_options_t options = { .store = &store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
                                   .known = record_known,
                                   .arg = &record };
-  gt_follow_t *follow;
+  st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
                        "\"Revision\":1}],\"more\":true,\"at\":5}",
@@ -111,10 +111,10 @@
                        "\"Revision\":8}],\"at\":8}",
             CLOSE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
+  follow = st_follow_new (&options);
   while (record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
+  st_follow_free (follow);
   ck_assert_str_eq (record.text.ptr, "+p/a +p/b ");
   ck_assert_ptr_nonnull (strstr (script.requests.ptr, "SinceRev=p/a"));
   ck_assert_ptr_nonnull (strstr (script.requests.ptr, "SinceRev=5&"));
@@ -146,10 +146,10 @@
 START_TEST (test_follow_asks_store_when_peer_update_is_stale)
 {
   record_t record = { .wanted = 2 };
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_follow_options_t options = { .store = &store,
+  st_follow_options_t options = { .store = &store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
@@ -158,7 +158,7 @@
                                   .peer_failed = ignore_peer_failure,
                                   .known = record_known,
                                   .arg = &record };
-  gt_follow_t *follow;
+  st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
                        "\"Revision\":1}],\"more\":false,\"at\":1}",
@@ -167,10 +167,10 @@
                        "\"Revision\":2}],\"at\":2}",
             CLOSE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
+  follow = st_follow_new (&options);
   while (record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
+  st_follow_free (follow);
   ck_assert_str_eq (record.text.ptr, "+p/a +p/b ");
   el_buf_free (&record.text);
 }
@@ -202,10 +202,10 @@
 START_TEST (test_follow_rarely_asks_unavailable_store)
 {
   stale_host_t host = { .nasked = 0 };
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_follow_options_t options = { .store = &store,
+  st_follow_options_t options = { .store = &store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
@@ -214,16 +214,16 @@
                                   .peer_failed = ignore_peer_failure,
                                   .known = record_known,
                                   .arg = &host };
-  gt_follow_t *follow;
+  st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[],\"more\":false,\"at\":1}", CLOSE },
           { HTTP_UNAVAILABLE (), CLOSE }, { HTTP_UNAVAILABLE (), CLOSE },
           { HTTP_UNAVAILABLE (), CLOSE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
+  follow = st_follow_new (&options);
   while (host.nasked < 5)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
+  st_follow_free (follow);
   ck_assert_uint_eq (store.counts.calls, 2);
 }
 END_TEST
@@ -241,23 +241,23 @@
 {
   static int vacant = 1;
   stale_host_t host = { .nasked = 0 };
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  const gt_follow_options_t follow_options = { .store = &store,
+  const st_follow_options_t follow_options = { .store = &store,
                                                .prefix = EL_STR ("p/"),
                                                .wait_ms = 100,
                                                .item = record_item,
                                                .known = record_known,
                                                .arg = &host };
-  const gt_duty_options_t duty_options = { .store = &store,
+  const st_duty_options_t duty_options = { .store = &store,
                                            .key = EL_STR ("duty"),
                                            .holder = EL_STR ("a"),
                                            .ttl_ms = 2000,
                                            .vacant = read_vacant,
                                            .arg = &vacant };
-  gt_follow_t *follow;
-  gt_duty_t *duty;
+  st_follow_t *follow;
+  st_duty_t *duty;
 
   SCRIPT ({ "HTTP/1.1 429 Busy\r\nretry-after: 0.5\r\n"
             "connection: close\r\n\r\n",
@@ -266,19 +266,19 @@
             "content-length: 0\r\n\r\n",
             KEEP_ALIVE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&follow_options);
+  follow = st_follow_new (&follow_options);
   while (!store.counts.rests)
     uv_run (&loop, UV_RUN_ONCE);
-  duty = gt_duty_new (&duty_options);
-  gt_duty_want (duty, 1);
-  gt_store_put_leased (&store, EL_STR ("k"), EL_STR ("v"), 1000, 0);
+  duty = st_duty_new (&duty_options);
+  st_duty_want (duty, 1);
+  st_store_put_leased (&store, EL_STR ("k"), EL_STR ("v"), 1000, 0);
   loop_run_for (480 * EL_MSEC);
   ck_assert_uint_eq (store.counts.calls, 1);
   while (store.counts.rests < 2)
     uv_run (&loop, UV_RUN_ONCE);
-  ck_assert_uint_le (gt_store_retry_after (&store), 2500 * EL_MSEC);
-  ck_assert_uint_ge (gt_store_retry_after (&store), 1900 * EL_MSEC);
-  gt_follow_free (follow);
+  ck_assert_uint_le (st_store_retry_after (&store), 2500 * EL_MSEC);
+  ck_assert_uint_ge (st_store_retry_after (&store), 1900 * EL_MSEC);
+  st_follow_free (follow);
 }
 END_TEST
 
@@ -286,16 +286,16 @@
 START_TEST (test_duty_is_requested_only_when_vacant)
 {
   int vacant = 0;
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_duty_options_t options = { .store = &store,
+  st_duty_options_t options = { .store = &store,
                                 .key = EL_STR ("duty"),
                                 .holder = EL_STR ("a"),
                                 .ttl_ms = 2000,
                                 .vacant = read_vacant,
                                 .arg = &vacant };
-  gt_duty_t *duty;
+  st_duty_t *duty;
 
   /* The endpoint reads the body of a request with the next request. */
   SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n"
@@ -305,12 +305,12 @@
             "{\"Revision\":3}",
             KEEP_ALIVE });
   store.address = el_str (script.address);
-  duty = gt_duty_new (&options);
-  gt_duty_want (duty, 1);
+  duty = st_duty_new (&options);
+  st_duty_want (duty, 1);
   loop_run_for (300 * EL_MSEC);
   ck_assert_uint_eq (store.counts.calls, 0);
   vacant = 1;
-  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+  while (!st_duty_held (duty, net_clock_now (&test_clock)))
     uv_run (&loop, UV_RUN_ONCE);
   ck_assert_uint_eq (store.counts.calls, 2);
 }
