--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 BASE = base/str.c base/err.c base/timer.c base/random.c base/metrics.c base/log.c \
        base/settings.c
-COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/rumor.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
+COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/mbr_hall.c coord/feed.c coord/rumor.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/avail.c route/router.c route/table.c route/route_build.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/chat.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/chain.c route/chain_use.c route/estimate.c \
@@ -110,7 +110,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_load.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_connect.c tests/t_clock.c tests/suspend.c
+       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
@@ -128,6 +128,8 @@
 	$(LINK)
 $(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(B)/tests/rumor_net.o $(LIBA)
 	$(LINK)
+$(BIN)/bench_feed: $(B)/bench/bench_feed.o $(B)/tests/feed_net.o $(B)/tests/mbr_net.o $(LIBA)
+	$(LINK)
 $(BIN)/bench_rest: $(B)/bench/bench_rest.o $(LIBA)
 	$(LINK)
 $(BIN)/bench_blame: $(B)/bench/bench_blame.o $(B)/tests/blame_sim.o $(LIBA)
@@ -147,13 +149,14 @@
 	sh soak/seeds.sh $(BIN) $(B)/soak
 
 BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
-          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_rest
+          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_rest $(BIN)/bench_feed
 bench: deps
 	$(MAKE) -s all $(BENCHES)
 	$(BIN)/bench_core
 	$(BIN)/bench_route
 	$(BIN)/bench_members
 	$(BIN)/bench_blame
+	$(BIN)/bench_feed
 	$(BIN)/bench_rest
 	sh bench/bench_control.sh $(BIN)
 	sh bench/bench_gate.sh $(BIN)
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -243,6 +243,10 @@
       to co_members_apply_member and all others to co_members_apply_change. May
       be NULL. */
   void (*sync) (void *arg, el_str_t address);
+  /** Ask the host at ADDRESS, a seed, for a few members, which it gets by
+      co_members_introduce; pass them to co_members_apply_member and call
+      co_members_set_discovered. May be NULL. */
+  void (*discover) (void *arg, el_str_t address);
   /** A member was added or has changed. */
   void (*changed) (void *arg, const co_member_t *member);
   /** Another host reported that an endpoint is leaving. */
@@ -285,11 +289,65 @@
 const co_member_t *co_members_next_ranked (const co_members_t *members,
                                            const co_member_t *after,
                                            co_member_skip_cb skip, void *arg);
+size_t co_members_rank_hall (const co_members_t *members,
+                             co_member_skip_cb skip, void *arg,
+                             const co_member_t ***out);
+size_t co_members_introduce (co_members_t *members, el_str_t hall,
+                             const co_member_t **out, size_t max);
+void co_members_set_discovered (co_members_t *members);
+int co_members_is_discovered (const co_members_t *members);
 int co_member_ranks_before (const co_member_t *a, const co_member_t *b);
 int co_members_is_top_ranked (const co_members_t *members, size_t max);
 const char *co_mbr_state_name (co_mbr_state_t state);
 const char *co_mbr_offer_name (co_mbr_offer_t offer);
 
+/* Feeds: where a host gets the contents of a store that all hosts mirror. In
+   each hall the first hosts read the store; the others get the contents from
+   hosts of their hall that rank before them, in a tree whose width follows
+   the capacity of the hosts. */
+
+typedef struct co_feed co_feed_t;
+
+typedef struct co_feed_options
+{
+  const co_members_t *members;
+  size_t readers;      /**< hosts of a hall that read the store */
+  el_time_t discovery; /**< longest wait for members after the start, before
+                          this host reads the store itself */
+  el_time_t born;      /**< when this host started */
+  uint64_t seed;       /**< seed of the random number generator */
+} co_feed_options_t;
+
+/** What a host should do now; valid until the members change. */
+typedef struct co_feed_plan
+{
+  int store;    /**< ask the store */
+  int fallback; /**< only as HOST had nothing new enough for a long time */
+  const co_member_t *host; /**< ask this host; NULL: none */
+  int stand_in; /**< HOST is to ask the store, as it does not answer this host
+                 */
+  el_time_t until; /**< plan again then, at the latest; EL_TIME_NEVER: only
+                      after the next answer */
+} co_feed_plan_t;
+
+/** The outcome of asking a host. */
+typedef enum co_feed_answer
+{
+  CO_FEED_CURRENT, /**< it had what was asked for */
+  CO_FEED_STALE,   /**< it answered, but had nothing new enough */
+  CO_FEED_NONE     /**< it did not answer */
+} co_feed_answer_t;
+
+co_feed_t *co_feed_new (const co_feed_options_t *options);
+void co_feed_free (co_feed_t *feed);
+void co_feed_plan (co_feed_t *feed, el_time_t now, co_feed_plan_t *out);
+void co_feed_host_done (co_feed_t *feed, el_time_t now,
+                        const co_incarnation_t *host, int stand_in,
+                        co_feed_answer_t answer);
+void co_feed_store_done (co_feed_t *feed, el_time_t now, int ok);
+void co_feed_store_overdue (co_feed_t *feed);
+void co_feed_stand_in (co_feed_t *feed, el_time_t now);
+
 /* Rumors: short messages that reach all hosts quickly. */
 
 /** Maximum size of a rumor's body, and maximum number of rumors and total size
--- a/coord/libcoord.h
+++ b/coord/libcoord.h
@@ -96,6 +96,8 @@
   el_time_t last_tick;
   el_time_t startup_until; /* probes are more frequent until then */
   unsigned startup_probes; /* number of such probes so far */
+  int discovered;          /* another host has introduced members */
+  el_time_t next_discovery;
 };
 
 /* splitmix64 by Sebastiano Vigna, public domain. */
@@ -149,5 +151,6 @@
 /* mbr_probe.c */
 void mbr_probe_expedite (co_members_t *members, el_time_t now);
 void mbr_probes_free (co_members_t *members);
+int mbr_has_other_seed (const co_members_t *members);
 
 #endif
--- a/coord/mbr_members.c
+++ b/coord/mbr_members.c
@@ -373,6 +373,7 @@
   members->rng = options->seed;
   member_copy (&members->self, &options->self);
   members->seeds = el_str_dup (options->seeds);
+  members->discovered = !mbr_has_other_seed (members);
   return members;
 }
 
@@ -413,69 +414,3 @@
   HASH_ITER (hh, members->entries, entry, next)
   visit (arg, &entry->m);
 }
-
-/** Return whether A precedes B in the order by which one host is chosen to act
-    for several: by higher capacity, then by lower incarnation. Whether a host
-    is withdrawn is not considered: otherwise, while all hosts are withdrawn
-    and are offered again one by one, no host would know which one comes first.
- */
-int
-co_member_ranks_before (const co_member_t *a, const co_member_t *b)
-{
-  if (a->capacity != b->capacity)
-    return a->capacity > b->capacity;
-  return memcmp (a->incarnation.byte, b->incarnation.byte,
-                 CO_INCARNATION_BYTES)
-         < 0;
-}
-
-/* Whether MEMBER is eligible to act for the hosts of this hall. */
-static int
-member_is_eligible (const co_members_t *members, const co_member_t *member)
-{
-  return member->state == CO_MBR_ALIVE && member->offer != CO_MBR_DRAINING
-         && el_str_eq (member->hall, members->self.hall);
-}
-
-/** Return whether this host is among the first MAX of its hall, which perform
-    the tasks that only a few hosts should perform. Every host determines
-    this from its own view. While views differ, a few hosts more or fewer may
-    perform them, which is harmless. */
-int
-co_members_is_top_ranked (const co_members_t *members, size_t max)
-{
-  size_t before = 0;
-  mbr_entry_t *entry;
-  mbr_entry_t *next;
-
-  HASH_ITER (hh, members->entries, entry, next)
-  if (member_is_eligible (members, &entry->m)
-      && co_member_ranks_before (&entry->m, &members->self))
-    before++;
-  return before < max;
-}
-
-/** Return the first member of this hall (this host included) after AFTER, or
-    the very first one when AFTER is NULL, that is alive, not draining and not
-    skipped; NULL when there is none. Hosts with the same view get the same
-    result. */
-const co_member_t *
-co_members_next_ranked (const co_members_t *members, const co_member_t *after,
-                        co_member_skip_cb skip, void *arg)
-{
-  const co_member_t *first = NULL;
-  mbr_entry_t *entry;
-  mbr_entry_t *next;
-
-  if (member_is_eligible (members, &members->self)
-      && (!after || co_member_ranks_before (after, &members->self))
-      && !skip (arg, &members->self))
-    first = &members->self;
-  HASH_ITER (hh, members->entries, entry, next)
-  if (member_is_eligible (members, &entry->m)
-      && (!after || co_member_ranks_before (after, &entry->m))
-      && (!first || co_member_ranks_before (&entry->m, first))
-      && !skip (arg, &entry->m))
-    first = &entry->m;
-  return first;
-}
--- a/coord/mbr_probe.c
+++ b/coord/mbr_probe.c
@@ -22,6 +22,11 @@
 /* During that time, every STARTUP_SYNC_PROBES-th probe is accompanied by a
    request for the full member list. */
 #define STARTUP_SYNC_PROBES 3
+/* Interval at which one seed after the other is asked for members, until one
+   has answered. */
+#define DISCOVERY_INTERVAL (40 * EL_MSEC)
+/* Seeds among which the first one to be asked is chosen. */
+#define DISCOVERY_SEEDS 3
 /* While there are urgent updates, probes are this many times as frequent, to
    carry them. */
 #define URGENT_SPEEDUP 5
@@ -74,17 +79,40 @@
   return el_str_eq (address, members->self.peer);
 }
 
+/* Return the next seed address, in turn; empty when there are none. */
+static el_str_t
+seed_next (co_members_t *members)
+{
+  el_str_t rest = el_str_after (members->seeds, members->seed_offset);
+  el_str_t address = el_str_cut (&rest, ',');
+
+  members->seed_offset = rest.len ? members->seeds.len - rest.len : 0;
+  return address;
+}
+
+/** Return whether there is a seed other than this host. */
+int
+mbr_has_other_seed (const co_members_t *members)
+{
+  el_str_t rest = members->seeds;
+  el_str_t address;
+
+  while (rest.len)
+    {
+      address = el_str_cut (&rest, ',');
+      if (address.len && !el_str_eq (address, members->self.peer))
+        return 1;
+    }
+  return 0;
+}
+
 /* Probe the next seed, unless a live member is known at its address: to join,
    and to rejoin after a network partition. */
 static void
 probe_seed (co_members_t *members, el_time_t now)
 {
-  el_str_t rest = el_str_after (members->seeds, members->seed_offset);
-  el_str_t address = el_str_cut (&rest, ',');
+  el_str_t address = seed_next (members);
 
-  if (members->seeds.len == 0)
-    return;
-  members->seed_offset = rest.len ? members->seeds.len - rest.len : 0;
   if (address.len && !address_is_live (members, address))
     probe_add (members, now, NULL, address);
 }
@@ -198,14 +226,78 @@
   while (members->seed_offset);
 }
 
+/* Return a random member among those whose capacity is at least half of the
+   largest one: a member list is long, and hosts that start together ask the
+   few members that they know. */
+static const mbr_entry_t *
+sync_source (co_members_t *members)
+{
+  const mbr_entry_t *source = NULL;
+  uint64_t max = 0;
+  size_t n = 0;
+  size_t i;
+
+  for (i = 0; i < members->norder; i++)
+    if (mbr_is_live (members->order[i])
+        && members->order[i]->m.capacity > max)
+      max = members->order[i]->m.capacity;
+  for (i = 0; i < members->norder; i++)
+    if (mbr_is_live (members->order[i])
+        && members->order[i]->m.capacity >= max / 2
+        && mbr_random (members) % ++n == 0)
+      source = members->order[i];
+  return source;
+}
+
 /* Request a full member list along with some of the probes just after the
    start. */
 static void
-startup_sync (co_members_t *members, const mbr_entry_t *other)
+startup_sync (co_members_t *members)
+{
+  const mbr_entry_t *source;
+
+  if (!members->options.sync
+      || members->startup_probes % STARTUP_SYNC_PROBES != 0)
+    return;
+  source = sync_source (members);
+  if (source)
+    members->options.sync (members->options.arg, source->m.peer);
+}
+
+/* Ask one of the seeds for members, first a random one, so that hosts that
+   start together do not all turn to the same one. */
+static void
+discover (co_members_t *members, el_time_t now, int first)
+{
+  size_t skip = first ? mbr_random (members) % DISCOVERY_SEEDS : 0;
+  el_str_t address;
+
+  if (members->discovered || !members->options.discover
+      || now < members->next_discovery)
+    return;
+  members->next_discovery = now + DISCOVERY_INTERVAL;
+  while (skip--)
+    seed_next (members);
+  address = seed_next (members);
+  if (el_str_eq (address, members->self.peer))
+    address = seed_next (members);
+  if (address.len)
+    members->options.discover (members->options.arg, address);
+}
+
+/** Record that another host has introduced members to this one. */
+void
+co_members_set_discovered (co_members_t *members)
+{
+  members->discovered = 1;
+}
+
+/** Return whether another host has introduced members, or there is no seed to
+    ask for them. */
+int
+co_members_is_discovered (const co_members_t *members)
 {
-  if (other && members->options.sync
-      && members->startup_probes++ % STARTUP_SYNC_PROBES == 0)
-    members->options.sync (members->options.arg, other->m.peer);
+  return members->discovered;
 }
 
 /** Check probes and suspicions for timeouts and send the next probe; call it
@@ -224,6 +316,7 @@
   if (paused)
     suspects_restart (members, now);
   el_timers_run (&members->timers, now);
+  discover (members, now, first);
   if (now < members->next_period)
     return;
   if (first)
@@ -232,7 +325,11 @@
   if (now < members->startup_until)
     {
       period /= STARTUP_SPEEDUP;
-      startup_sync (members, entry);
+      if (entry)
+        {
+          startup_sync (members);
+          members->startup_probes++;
+        }
     }
   if (mbr_update_urgent (members))
     period = members->options.period / URGENT_SPEEDUP;
@@ -254,6 +351,9 @@
 
   if (members->next_period < due)
     due = members->next_period;
+  if (!members->discovered && members->options.discover
+      && members->next_discovery < due)
+    due = members->next_discovery;
   DL_FOREACH (members->probes, probe)
   if (probe->due < due)
     due = probe->due;
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -351,23 +351,24 @@
   gt_gate_updates_available (frontend->gate);
 }
 
-static int
-frontend_request_update (void *arg, pr_store_position_t after,
-                         unsigned stale_replies, pr_store_update_cb done,
-                         void *done_arg)
+static void
+frontend_request_update (void *arg, const co_member_t *host,
+                         const pr_store_query_t *query, int stand_in,
+                         pr_store_update_cb done, void *done_arg)
 {
   frontend_t *frontend = arg;
 
-  return gt_gate_request_update (frontend->gate, after, stale_replies, done,
-                                 done_arg);
+  gt_gate_request_update (frontend->gate, host, query, stand_in, done,
+                          done_arg);
 }
 
+/* Other hosts may get more of the store's keys than before. */
 static void
-frontend_avoid_source (void *arg)
+frontend_store_progress (void *arg)
 {
   frontend_t *frontend = arg;
 
-  gt_gate_avoid_update_source (frontend->gate);
+  gt_gate_updates_available (frontend->gate);
 }
 
 /* The store was restored from an older copy. */
@@ -391,8 +392,9 @@
           .batch_delay = STORE_BATCH_DELAY,
           .update_max_age = frontend_update_max_age (frontend),
           .item = frontend_item_received,
-          .ask_peer = frontend_request_update,
-          .peer_failed = frontend_avoid_source,
+          .feed = gt_gate_feed (frontend->gate),
+          .ask_host = frontend_request_update,
+          .progress = frontend_store_progress,
           .known = frontend_store_read,
           .arg = frontend };
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -482,14 +482,6 @@
   pr_peers_reply_pending (gate->peers);
 }
 
-/** Avoids, for a while, the host that was last asked for store changes: it had
-    no usable answer although the store is reachable. */
-void
-gt_gate_avoid_update_source (gt_gate_t *gate)
-{
-  pr_peers_avoid_last_source (gate->peers);
-}
-
 /** Sets the callbacks that exchange the state of engines and requests with
     other hosts. */
 void
@@ -532,15 +524,19 @@
   return !gate->draining && pr_peers_is_first_in_hall (gate->peers);
 }
 
-/** Asks another host for store changes after AFTER; STALE_ANSWERS is the
-    number of consecutive unusable answers. Returns 0 if this host should ask
-    the store itself. */
-int
-gt_gate_request_update (gt_gate_t *gate, pr_store_position_t after,
-                        unsigned stale_answers, pr_store_update_cb done,
-                        void *arg)
+/** The feed that decides whom this host asks for store updates. */
+co_feed_t *
+gt_gate_feed (const gt_gate_t *gate)
+{
+  return pr_peers_feed (gate->peers);
+}
+
+/** Asks HOST for store updates; with STAND_IN set it is to ask the store in
+    this host's place. */
+void
+gt_gate_request_update (gt_gate_t *gate, const co_member_t *host,
+                        const pr_store_query_t *query, int stand_in,
+                        pr_store_update_cb done, void *arg)
 {
-  return !gate->draining
-         && pr_peers_request_update (gate->peers, after, stale_answers, done,
-                                     arg);
+  pr_peers_request_update (gate->peers, host, query, stand_in, done, arg);
 }
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -87,7 +87,6 @@
 el_metrics_t *gt_gate_metrics (gt_gate_t *gate);
 void gt_gate_set_follower (gt_gate_t *gate, st_follow_t *follow);
 void gt_gate_updates_available (gt_gate_t *gate);
-void gt_gate_avoid_update_source (gt_gate_t *gate);
 void gt_gate_set_relay_hooks (gt_gate_t *gate,
                               const gt_relay_hooks_t *relay_hooks);
 void gt_gate_publish_rumor (gt_gate_t *gate, uint64_t id, el_time_t hold,
@@ -95,9 +94,10 @@
 int gt_gate_rumors_received (const gt_gate_t *gate);
 uint64_t gt_gate_incarnation_number (const gt_gate_t *gate);
 int gt_gate_is_hall_leader (const gt_gate_t *gate);
-int gt_gate_request_update (gt_gate_t *gate, pr_store_position_t after,
-                            unsigned stale_answers, pr_store_update_cb done,
-                            void *arg);
+co_feed_t *gt_gate_feed (const gt_gate_t *gate);
+void gt_gate_request_update (gt_gate_t *gate, const co_member_t *host,
+                             const pr_store_query_t *query, int stand_in,
+                             pr_store_update_cb done, void *arg);
 void gt_gate_withdraw (gt_gate_t *gate, int withdrawn);
 size_t gt_gate_live_hosts (const gt_gate_t *gate);
 size_t gt_gate_hall_live_hosts (const gt_gate_t *gate);
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -24,8 +24,9 @@
 
 static void ops_hosts (void *arg, size_t live);
 static void ops_leaving (void *arg, el_str_t endpoint);
-static int ops_changes_since (void *arg, pr_store_position_t after,
-                              pr_store_update_t *out);
+static void ops_update (void *arg, const pr_store_query_t *query,
+                        pr_store_update_t *out);
+static void ops_stand_in (void *arg);
 static pr_store_position_t ops_position (void *arg);
 static void ops_epoch (void *arg, uint64_t epoch);
 static el_time_t ops_known (void *arg);
@@ -43,7 +44,8 @@
 static const pr_ops_t ops = {
   .hosts = ops_hosts,
   .leaving = ops_leaving,
-  .store_update = ops_changes_since,
+  .store_update = ops_update,
+  .stand_in = ops_stand_in,
   .store_position = ops_position,
   .epoch = ops_epoch,
   .store_known_until = ops_known,
@@ -87,14 +89,23 @@
   gt_router_event (arg, &event);
 }
 
-static int
-ops_changes_since (void *arg, pr_store_position_t after,
-                   pr_store_update_t *out)
+static void
+ops_update (void *arg, const pr_store_query_t *query, pr_store_update_t *out)
 {
   const gt_gate_t *gate = arg;
 
-  return gate->store_follower
-         && st_follow_changes_since (gate->store_follower, after, out);
+  *out = (pr_store_update_t){ 0 };
+  if (gate->store_follower)
+    st_follow_update (gate->store_follower, query, out);
+}
+
+static void
+ops_stand_in (void *arg)
+{
+  const gt_gate_t *gate = arg;
+
+  if (gate->store_follower)
+    st_follow_stand_in (gate->store_follower);
 }
 
 static pr_store_position_t
--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -22,17 +22,6 @@
 
 typedef struct peer_handover peer_handover_t;
 
-/* A host whose store updates failed or were stale while the store itself
-   answered; no updates are requested from it before UNTIL. */
-typedef struct peer_failed_source
-{
-  co_incarnation_t incarnation;
-  el_time_t until;
-} peer_failed_source_t;
-
-/* Failed sources remembered at once; a further one overwrites the oldest. */
-#define PEER_FAILED_SOURCES_MAX 8
-
 struct pr_peers
 {
   pr_options_t options;
@@ -46,10 +35,9 @@
   uint64_t random;      /* state of el_random */
   size_t live_reported; /* live hosts, as last passed to ops->hosts */
   int fetching;         /* a request for configuration is pending */
-  struct peer_pending_request *pending_requests;
-  co_incarnation_t last_source; /* receiver of the last update request */
-  peer_failed_source_t failed_sources[PEER_FAILED_SOURCES_MAX];
-  unsigned next_failed_source;
+  co_feed_t *feed;
+  struct peer_pending_request *pending_requests; /* the newest first */
+  el_timer_t pending_timer;
   peer_leaving_notice_t *leaving_notices;
   peer_handover_t *handover;
   pr_session_home_t successor;
@@ -88,6 +76,7 @@
 
 /* peer_members.c */
 void peer_sync_members (void *arg, el_str_t address);
+void peer_discover (void *arg, el_str_t address);
 void peer_serve_members (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer.c */
@@ -101,6 +90,7 @@
 void peer_serve_forward (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_news.c */
+void peer_news_init (pr_peers_t *peers);
 void peer_serve_news (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_rumor.c */
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -159,6 +159,7 @@
                                    .leaving_hold = options->leave_hold,
                                    .probe = peer_probe,
                                    .sync = peer_sync_members,
+                                   .discover = peer_discover,
                                    .changed = member_changed,
                                    .leaving = endpoint_leaving,
                                    .arg = peers };
@@ -174,6 +175,7 @@
   self_describe (options, &members.self);
   peers->members = co_members_new (&members);
   peer_rumors_init (peers);
+  peer_news_init (peers);
   options->config->peers = peers;
   peers->members_timer.cb = members_timer_fired;
   peers->members_timer.arg = peers;
@@ -208,6 +210,7 @@
 {
   net_clock_cancel (peers->options.clock, &peers->members_timer);
   net_clock_cancel (peers->options.clock, &peers->rumors_timer);
+  net_clock_cancel (peers->options.clock, &peers->pending_timer);
   net_rpc_stop (peers->rpc);
 }
 
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -73,17 +73,38 @@
   int gone;          /**< the last change removed the key */
 } pr_store_item_t;
 
-/** Contents of the store: the keys changed since a position, or all keys. */
+/** What a host asks another one for: the changes after a position or, to read
+    all keys, the next page of them. */
+typedef struct pr_store_query
+{
+  pr_store_position_t after; /**< changes: known up to it; pages: position of
+                                the first page, or the known epoch */
+  int read;                  /**< read all keys */
+  el_str_t cursor;           /**< last key of the previous page */
+} pr_store_query_t;
+
+typedef enum pr_update_state
+{
+  PR_UPDATE_NONE,    /**< nothing to offer yet */
+  PR_UPDATE_CHANGES, /**< the changes after the position that was asked for */
+  PR_UPDATE_PAGE,    /**< keys after the cursor */
+  PR_UPDATE_READ_ALL /**< the changes are no longer known: read all keys */
+} pr_update_state_t;
+
+/** Contents of the store. */
 typedef struct pr_store_update
 {
+  pr_update_state_t state;
   pr_store_item_t *items;
   size_t n;
-  int whole; /**< the list has all keys, not only the changed ones */
-  pr_store_position_t at; /**< the list includes all changes up to it */
-  el_time_t as_of; /**< when the list was current, by this host's clock */
+  int more;               /**< there are further changes or pages */
+  pr_store_position_t at; /**< changes: the list includes all up to it; pages:
+                             the keys are at least as new as it */
+  el_time_t as_of; /**< when the sender's data were complete, by this host's
+                      clock; 0: never */
 } pr_store_update_t;
 
-/** UPDATE is NULL when the host did not answer or had no data itself. */
+/** UPDATE is NULL when the host did not answer. */
 typedef void (*pr_store_update_cb) (void *arg,
                                     const pr_store_update_t *update);
 
@@ -157,11 +178,13 @@
   void (*hosts) (void *arg, size_t live);
   /** Another host reported that an endpoint is leaving. */
   void (*leaving) (void *arg, el_str_t endpoint);
-  /** Get the store's changes after a position. Returns 0 when this host does
-      not follow the store, or has not reached that epoch. The caller frees the
+  /** Get what QUERY asks for, in pieces of limited size. The caller frees the
       list but not the strings. */
-  int (*store_update) (void *arg, pr_store_position_t after,
-                       pr_store_update_t *out);
+  void (*store_update) (void *arg, const pr_store_query_t *query,
+                        pr_store_update_t *out);
+  /** Another host, to which the store does not answer, wants this host to ask
+      it. */
+  void (*stand_in) (void *arg);
   /** The position up to which this host has seen the store's changes. */
   pr_store_position_t (*store_position) (void *arg);
   /** Another host is in this epoch of the store, which is later than the one
@@ -229,6 +252,7 @@
 /* Membership. */
 int pr_peers_is_top_ranked (const pr_peers_t *peers, size_t max);
 int pr_peers_is_first_in_hall (const pr_peers_t *peers);
+co_feed_t *pr_peers_feed (const pr_peers_t *peers);
 int pr_peers_is_preferred (const pr_peers_t *peers);
 size_t pr_peers_count_live (const pr_peers_t *peers);
 size_t pr_peers_count_hall_live (const pr_peers_t *peers);
@@ -240,10 +264,9 @@
 
 /* Store updates. */
 void pr_peers_reply_pending (pr_peers_t *peers);
-void pr_peers_avoid_last_source (pr_peers_t *peers);
-int pr_peers_request_update (pr_peers_t *peers, pr_store_position_t after,
-                             unsigned stale_replies, pr_store_update_cb done,
-                             void *arg);
+void pr_peers_request_update (pr_peers_t *peers, const co_member_t *host,
+                              const pr_store_query_t *query, int stand_in,
+                              pr_store_update_cb done, void *arg);
 
 /* Rumors. */
 void pr_peers_publish_rumor (pr_peers_t *peers, uint64_t id, el_time_t hold,
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -91,7 +91,13 @@
   peer_gossip gossip;
 };
 
-/* Reply to a host that has just started or has missed gossip: all members that
+/* Requests a few members, for a host of HALL that has just started. A request
+   with an empty body asks for all members. */
+struct peer_members_args {
+  opaque hall<PEER_ADDRESS_MAX>;
+};
+
+/* Reply to a host that has just started or has missed gossip: the members that
    the sender knows, those alive or suspect in full, the others as state
    changes. */
 struct peer_members {
@@ -188,15 +194,19 @@
   bool taken<PEER_SESSIONS_MAX>;
 };
 
-/* Requests store updates after a revision of an epoch. The reply is sent at
-   once when the other host has newer data or is in another epoch, else when it
-   has got an answer of the store or polled the engines of its hall.
-   KNOWN_AGO: microseconds since the time as of which the requester's data is
-   complete. */
+/* Requests store updates after a revision of an epoch or, with READ set, the
+   keys that follow CURSOR. The reply is sent at once when the other host has
+   newer data, has more keys or is in another epoch, else when it has got an
+   answer of the store or polled the engines of its hall. KNOWN_AGO:
+   microseconds since the time as of which the requester's data is complete.
+   STAND_IN: the other host is to ask the store in the requester's place. */
 struct peer_news_args {
   unsigned hyper epoch;
   unsigned hyper after;
   unsigned hyper known_ago;
+  bool read;
+  bool stand_in;
+  opaque cursor<PEER_NAME_MAX>;
 };
 
 struct peer_item {
@@ -220,8 +230,9 @@
 /* KNOWN_AFTER: microseconds from the arrival of the request to the time as of
    which the reply is complete; negative when that time is earlier. */
 struct peer_news_res {
-  bool ready;
-  bool whole;
+  int state; /* a pr_update_state_t */
+  bool more;
+  bool known; /* KNOWN_AFTER is valid */
   unsigned hyper epoch;
   unsigned hyper revision;
   hyper known_after;
--- a/peer/peer_news.c
+++ b/peer/peer_news.c
@@ -3,24 +3,21 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Store updates between the hosts of a hall: one or a few hosts poll the
- * store, the others request updates from the first of these. A request stays
- * pending until the host that received it gets the next answer of the store,
- * so that the reply is up to date.
+ * Store updates between the hosts of a hall. A request stays pending until the
+ * host that received it has something to reply: further keys or changes, or
+ * the next answer of the store, so that the reply is up to date.
  */
 #include <stdlib.h>
 #include <string.h>
 
 #include "libpeer.h"
 
-/* Several times the longest interval in which a host that polls the store gets
-   no answer from it or from the engines of its hall. */
-#define UPDATE_TIMEOUT (1300 * EL_MSEC)
-/* No updates are requested for this long from a host whose updates failed. */
-#define FAILED_SOURCE_HOLD (5 * EL_SEC)
-/* Number of hosts of a hall that requests rotate through while updates are
-   stale. */
-#define SOURCES_MAX 3
+/* A request that stays pending is replied to after this time, with what there
+   is, to show that the host is alive. */
+#define PENDING_MAX (500 * EL_MSEC)
+#define UPDATE_TIMEOUT (1000 * EL_MSEC)
+/* Longest wait for members after the start. */
+#define DISCOVERY_MAX (400 * EL_MSEC)
 /* Data that is newer than the requester's by less than this does not trigger
    an immediate reply: both may have it from the same host. */
 #define NEWER_MIN (50 * EL_MSEC)
@@ -31,7 +28,7 @@
 typedef struct peer_pending_request
 {
   net_rpc_req_t *req;
-  pr_store_position_t after;
+  pr_store_query_t query; /* owns its cursor */
   el_time_t received_at;
   struct peer_pending_request *next;
 } peer_pending_request_t;
@@ -127,97 +124,167 @@
     }
 }
 
-/* Reply to a pending request with store updates and engine reports. */
 static void
-update_reply (pr_peers_t *peers, const peer_pending_request_t *pending)
+pending_free (peer_pending_request_t *pending)
 {
-  pr_engine_report_t *engines;
+  el_str_free (&pending->query.cursor);
+  free (pending);
+}
+
+/* Reply to a pending request with UPDATE and engine reports, and free it. A
+   host that reads all keys needs the reports once it has them. */
+static void
+update_reply (pr_peers_t *peers, peer_pending_request_t *pending,
+              const pr_store_update_t *update)
+{
+  pr_engine_report_t *engines = NULL;
   el_buf_t out = { NULL, 0, 0 };
   peer_news_res res;
-  pr_store_update_t update = { 0 };
 
   memset (&res, 0, sizeof res);
-  res.ready = peers->options.ops->store_update (peers->options.arg,
-                                                pending->after, &update)
-              && update.as_of != 0;
-  res.whole = update.whole;
-  res.epoch = update.at.epoch;
-  res.revision = update.at.revision;
-  res.known_after = (int64_t)update.as_of - (int64_t)pending->received_at;
-  items_encode (&update, &res);
-  engines = engines_encode (peers, &res);
+  res.state = (int)update->state;
+  res.more = update->more;
+  res.epoch = update->at.epoch;
+  res.revision = update->at.revision;
+  res.known = update->as_of != 0;
+  res.known_after = (int64_t)update->as_of - (int64_t)pending->received_at;
+  items_encode (update, &res);
+  if (!pending->query.read)
+    engines = engines_encode (peers, &res);
   peer_xdr_encode ((xdrproc_t)xdr_peer_news_res, &res, &out);
   net_rpc_reply (pending->req, el_buf_str (&out));
   free (res.engines.engines_val);
   free (engines);
   free (res.items.items_val);
-  free (update.items);
   el_buf_free (&out);
+  pending_free (pending);
 }
 
-/* Whether a request is replied to at once: this host has newer data, or is in
-   an earlier epoch than the requester and has nothing to offer. */
+/* Whether UPDATE, for a request just received, is replied at once: this host
+   has newer data or further keys, or the requester has to read all keys. */
 static int
-update_reply_now (pr_peers_t *peers, const peer_pending_request_t *pending,
-                  uint64_t known_ago)
+update_is_news (pr_peers_t *peers, const peer_pending_request_t *pending,
+                const pr_store_update_t *update, uint64_t known_ago)
 {
-  const pr_ops_t *ops = peers->options.ops;
-  uint64_t epoch = ops->store_position (peers->options.arg).epoch;
-
-  if (pending->after.epoch > epoch)
-    ops->epoch (peers->options.arg, pending->after.epoch);
-  return pending->after.epoch != epoch
-         || ops->store_known_until (peers->options.arg) + known_ago
+  if (update->state != PR_UPDATE_CHANGES)
+    return update->state != PR_UPDATE_NONE;
+  return update->more
+         || peers->options.ops->store_known_until (peers->options.arg)
+                    + known_ago
                 > pending->received_at + NEWER_MIN;
 }
 
+static void
+pending_schedule (pr_peers_t *peers)
+{
+  const peer_pending_request_t *pending;
+  el_time_t now = net_clock_now (peers->options.clock);
+  el_time_t due = EL_TIME_NEVER;
+
+  LL_FOREACH (peers->pending_requests, pending)
+  if (pending->received_at + PENDING_MAX < due)
+    due = pending->received_at + PENDING_MAX;
+  if (due != EL_TIME_NEVER)
+    net_clock_set (peers->options.clock, &peers->pending_timer,
+                   due > now ? due - now : 0);
+}
+
 /** Reply to a request for store updates, or leave it pending. */
 void
 peer_serve_news (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
-  peer_news_args args = { 0 };
+  const pr_ops_t *ops = peers->options.ops;
+  peer_news_args args;
   peer_pending_request_t *pending;
+  pr_store_update_t update = { 0 };
 
+  memset (&args, 0, sizeof args);
   if (!peer_xdr_decode ((xdrproc_t)xdr_peer_news_args, body, &args))
     {
+      peers->counts.refused++;
       net_rpc_reply (req, (el_str_t){ NULL, 0 });
+      xdr_free ((xdrproc_t)xdr_peer_news_args, (char *)&args);
       return;
     }
   pending = el_alloc (sizeof *pending);
   pending->req = req;
-  pending->after = (pr_store_position_t){ args.epoch, args.after };
+  pending->query = (pr_store_query_t){
+    .after = { args.epoch, args.after },
+    .read = args.read,
+    .cursor = el_str_dup (PEER_BYTES_GET (args.cursor, cursor)),
+  };
   pending->received_at = net_clock_now (peers->options.clock);
-  if (update_reply_now (peers, pending, args.known_ago))
+  if (args.epoch > ops->store_position (peers->options.arg).epoch)
+    ops->epoch (peers->options.arg, args.epoch);
+  if (args.stand_in)
+    ops->stand_in (peers->options.arg);
+  ops->store_update (peers->options.arg, &pending->query, &update);
+  if (update_is_news (peers, pending, &update, args.known_ago))
+    update_reply (peers, pending, &update);
+  else
     {
-      update_reply (peers, pending);
-      free (pending);
-      return;
+      LL_PREPEND (peers->pending_requests, pending);
+      pending_schedule (peers);
     }
-  LL_PREPEND (peers->pending_requests, pending);
+  free (update.items);
+  xdr_free ((xdrproc_t)xdr_peer_news_args, (char *)&args);
 }
 
-/** Reply to all pending requests; called when this host got an answer of the
-    store or has polled the engines. */
+/** Reply to the pending requests for which there is something; called when
+    this host got an answer of the store or has polled the engines. */
 void
 pr_peers_reply_pending (pr_peers_t *peers)
 {
   peer_pending_request_t *pending;
+  peer_pending_request_t *next;
+
+  LL_FOREACH_SAFE (peers->pending_requests, pending, next)
+  {
+    pr_store_update_t update = { 0 };
+
+    peers->options.ops->store_update (peers->options.arg, &pending->query,
+                                      &update);
+    if (update.state != PR_UPDATE_NONE)
+      {
+        LL_DELETE (peers->pending_requests, pending);
+        update_reply (peers, pending, &update);
+      }
+    free (update.items);
+  }
+}
 
-  while ((pending = peers->pending_requests))
-    {
-      LL_DELETE (peers->pending_requests, pending);
-      update_reply (peers, pending);
-      free (pending);
-    }
+static void
+pending_timer_fired (void *arg, el_time_t now)
+{
+  pr_peers_t *peers = arg;
+  peer_pending_request_t *pending;
+  peer_pending_request_t *next;
+
+  LL_FOREACH_SAFE (peers->pending_requests, pending, next)
+  {
+    pr_store_update_t update = { 0 };
+
+    if (now < pending->received_at + PENDING_MAX)
+      continue;
+    LL_DELETE (peers->pending_requests, pending);
+    peers->options.ops->store_update (peers->options.arg, &pending->query,
+                                      &update);
+    update_reply (peers, pending, &update);
+    free (update.items);
+  }
+  pending_schedule (peers);
 }
 
 static void
 update_decode (const peer_update_request_t *request, const peer_news_res *res)
 {
   pr_store_update_t update
-      = { .whole = res->whole,
+      = { .state = (pr_update_state_t)res->state,
+          .more = res->more,
           .at = { res->epoch, res->revision },
-          .as_of = (el_time_t)((int64_t)request->sent + res->known_after) };
+          .as_of = res->known
+                       ? (el_time_t)((int64_t)request->sent + res->known_after)
+                       : 0 };
   u_int i;
 
   update.items = el_alloc ((res->items.items_len + 1) * sizeof *update.items);
@@ -245,7 +312,7 @@
   (void)sent;
   memset (&res, 0, sizeof res);
   if (ok && peer_xdr_decode ((xdrproc_t)xdr_peer_news_res, body, &res)
-      && res.ready)
+      && res.state >= PR_UPDATE_NONE && res.state <= PR_UPDATE_READ_ALL)
     update_decode (request, &res);
   else
     request->done (request->arg, NULL);
@@ -253,109 +320,61 @@
   free (request);
 }
 
-/* Whether the updates of a host failed within the last FAILED_SOURCE_HOLD. */
-static int
-source_failed_lately (void *arg, const co_member_t *member)
-{
-  const pr_peers_t *peers = arg;
-  el_time_t now = net_clock_now (peers->options.clock);
-  size_t i;
-
-  for (i = 0; i < PEER_FAILED_SOURCES_MAX; i++)
-    if (now < peers->failed_sources[i].until
-        && co_incarnation_eq (&peers->failed_sources[i].incarnation,
-                              &member->incarnation))
-      return 1;
-  return 0;
-}
-
-static int
-source_skip_none (void *arg, const co_member_t *member)
-{
-  (void)arg;
-  (void)member;
-  return 0;
-}
-
-/** For a while, request no updates from the receiver of the last request: it
-    had no usable updates although the store answers. */
-void
-pr_peers_avoid_last_source (pr_peers_t *peers)
-{
-  peer_failed_source_t *source
-      = &peers->failed_sources[peers->next_failed_source++
-                               % PEER_FAILED_SOURCES_MAX];
-
-  source->incarnation = peers->last_source;
-  source->until = net_clock_now (peers->options.clock) + FAILED_SOURCE_HOLD;
-}
-
 /** Whether this host is the first of its hall. */
 int
 pr_peers_is_first_in_hall (const pr_peers_t *peers)
 {
-  const co_member_t *first
-      = co_members_next_ranked (peers->members, NULL, source_skip_none, NULL);
+  return co_members_is_top_ranked (peers->members, 1);
+}
 
-  return first
-         && co_incarnation_eq (&first->incarnation,
-                               &peers->options.incarnation);
+/** The feed that decides whom this host asks for store updates. */
+co_feed_t *
+pr_peers_feed (const pr_peers_t *peers)
+{
+  return peers->feed;
 }
 
-/* The host of this hall to request updates from; NULL when this host should
-   poll the store itself. The selected host need not poll the store: it passes
-   on what it receives. After STALE_REPLIES consecutive stale replies, the next
-   hosts are selected in turn, as they may have polled the store. */
-static const co_member_t *
-source_select (pr_peers_t *peers, unsigned stale_replies)
+/** Create the feed. */
+void
+peer_news_init (pr_peers_t *peers)
 {
-  const co_member_t *self
-      = co_members_find (peers->members, &peers->options.incarnation);
-  const co_member_t *first;
-  const co_member_t *from;
-  unsigned i;
-
-  if (co_members_is_top_ranked (peers->members,
-                                peers->options.store_followers))
-    return NULL;
-  first = co_members_next_ranked (peers->members, NULL, source_failed_lately,
-                                  peers);
-  if (!first || first == self)
-    return NULL;
-  from = first;
-  for (i = 0; from && i < stale_replies % SOURCES_MAX; i++)
-    from = co_members_next_ranked (peers->members, from, source_failed_lately,
-                                   peers);
-  return from && from != self ? from : first;
+  const co_feed_options_t options
+      = { .members = peers->members,
+          .readers = peers->options.store_followers,
+          .discovery = DISCOVERY_MAX,
+          .born = net_clock_now (peers->options.clock),
+          .seed = peers->options.seed };
+
+  peers->feed = co_feed_new (&options);
+  peers->pending_timer.cb = pending_timer_fired;
+  peers->pending_timer.arg = peers;
 }
 
-/** Request store updates from another host of this hall. STALE_REPLIES is the
-    number of consecutive stale replies so far. Returns 0 when this host should
-    poll the store itself or no other host is known. */
-int
-pr_peers_request_update (pr_peers_t *peers, pr_store_position_t after,
-                         unsigned stale_replies, pr_store_update_cb done,
-                         void *arg)
+/** Request store updates from HOST. With STAND_IN set it is to ask the store
+    in this host's place. */
+void
+pr_peers_request_update (pr_peers_t *peers, const co_member_t *host,
+                         const pr_store_query_t *query, int stand_in,
+                         pr_store_update_cb done, void *arg)
 {
-  peer_news_args args = { .epoch = after.epoch, .after = after.revision };
   el_time_t now = net_clock_now (peers->options.clock);
+  peer_news_args args
+      = { .epoch = query->after.epoch,
+          .after = query->after.revision,
+          .known_ago
+          = now - peers->options.ops->store_known_until (peers->options.arg),
+          .read = query->read,
+          .stand_in = stand_in };
   el_buf_t body = { NULL, 0, 0 };
-  peer_update_request_t *request;
-  const co_member_t *from = source_select (peers, stale_replies);
+  peer_update_request_t *request = el_alloc (sizeof *request);
 
-  if (!from)
-    return 0;
-  peers->last_source = from->incarnation;
-  request = el_alloc (sizeof *request);
   request->peers = peers;
   request->sent = now;
-  args.known_ago
-      = now - peers->options.ops->store_known_until (peers->options.arg);
   request->done = done;
   request->arg = arg;
+  PEER_BYTES_SET (args.cursor, cursor, query->cursor);
   peer_xdr_encode ((xdrproc_t)xdr_peer_news_args, &args, &body);
-  net_rpc_call (peers->rpc, from->peer, PEER_NEWS, el_buf_str (&body),
+  net_rpc_call (peers->rpc, host->peer, PEER_NEWS, el_buf_str (&body),
                 UPDATE_TIMEOUT, update_done, request);
   el_buf_free (&body);
-  return 1;
 }
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -128,6 +128,14 @@
 };
 typedef struct peer_relay peer_relay;
 
+struct peer_members_args {
+	struct {
+		u_int hall_len;
+		char *hall_val;
+	} hall;
+};
+typedef struct peer_members_args peer_members_args;
+
 struct peer_members {
 	struct {
 		u_int members_len;
@@ -311,6 +319,12 @@
 	u_quad_t epoch;
 	u_quad_t after;
 	u_quad_t known_ago;
+	bool_t read;
+	bool_t stand_in;
+	struct {
+		u_int cursor_len;
+		char *cursor_val;
+	} cursor;
 };
 typedef struct peer_news_args peer_news_args;
 
@@ -343,8 +357,9 @@
 typedef struct peer_engine peer_engine;
 
 struct peer_news_res {
-	bool_t ready;
-	bool_t whole;
+	int state;
+	bool_t more;
+	bool_t known;
 	u_quad_t epoch;
 	u_quad_t revision;
 	quad_t known_after;
@@ -428,6 +443,7 @@
 extern  bool_t xdr_peer_rumor (XDR *, peer_rumor*);
 extern  bool_t xdr_peer_rumors (XDR *, peer_rumors*);
 extern  bool_t xdr_peer_relay (XDR *, peer_relay*);
+extern  bool_t xdr_peer_members_args (XDR *, peer_members_args*);
 extern  bool_t xdr_peer_members (XDR *, peer_members*);
 extern  bool_t xdr_peer_fetch_args (XDR *, peer_fetch_args*);
 extern  bool_t xdr_peer_change (XDR *, peer_change*);
@@ -455,6 +471,7 @@
 extern bool_t xdr_peer_rumor ();
 extern bool_t xdr_peer_rumors ();
 extern bool_t xdr_peer_relay ();
+extern bool_t xdr_peer_members_args ();
 extern bool_t xdr_peer_members ();
 extern bool_t xdr_peer_fetch_args ();
 extern bool_t xdr_peer_change ();
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -140,6 +140,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_members_args (XDR *xdrs, peer_members_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->hall.hall_val, (u_int *) &objp->hall.hall_len, PEER_ADDRESS_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_members (XDR *xdrs, peer_members *objp)
 {
@@ -441,6 +451,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->known_ago))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->read))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->stand_in))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->cursor.cursor_val, (u_int *) &objp->cursor.cursor_len, PEER_NAME_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -540,9 +556,70 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bool (xdrs, &objp->ready))
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->more))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->known))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_LONG(buf, objp->state);
+		IXDR_PUT_BOOL(buf, objp->more);
+		IXDR_PUT_BOOL(buf, objp->known);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->known_after))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_CHANGES_MAX,
+			sizeof (peer_item), (xdrproc_t) xdr_peer_item))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->engines.engines_val, (u_int *) &objp->engines.engines_len, PEER_ENGINES_MAX,
+			sizeof (peer_engine), (xdrproc_t) xdr_peer_engine))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->more))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->known))
+				 return FALSE;
+
+		} else {
+		objp->state = IXDR_GET_LONG(buf);
+		objp->more = IXDR_GET_BOOL(buf);
+		objp->known = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->known_after))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_CHANGES_MAX,
+			sizeof (peer_item), (xdrproc_t) xdr_peer_item))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->engines.engines_val, (u_int *) &objp->engines.engines_len, PEER_ENGINES_MAX,
+			sizeof (peer_engine), (xdrproc_t) xdr_peer_engine))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_int (xdrs, &objp->state))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->whole))
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->known))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
 		 return FALSE;
--- a/store/libstore.h
+++ b/store/libstore.h
@@ -36,8 +36,10 @@
 void st_keys_begin_snapshot (st_keys_t *keys);
 void st_keys_end_snapshot (st_keys_t *keys, pr_store_position_t at);
 void st_keys_release_held (st_keys_t *keys);
-void st_keys_changes_since (const st_keys_t *keys, pr_store_position_t after,
-                            pr_store_update_t *out);
+int st_keys_changes_since (const st_keys_t *keys, pr_store_position_t after,
+                           size_t max_bytes, pr_store_update_t *out);
+void st_keys_page (st_keys_t *keys, el_str_t after, el_str_t last,
+                   size_t max_bytes, pr_store_update_t *out);
 st_keys_counts_t st_keys_counts_take (st_keys_t *keys);
 
 #endif
--- a/store/st_follow.c
+++ b/store/st_follow.c
@@ -3,39 +3,44 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Mirrors the keys below a prefix: reads all, page by page, then watches for
- * changes, and reads all again if the store no longer keeps the requested
- * changes or has begun a new epoch. Changes may also come from another host.
+ * Mirrors the keys below a prefix: reads all, page by page, then gets the
+ * changes. Pages and changes come from the store or from another host, as the
+ * feed decides; a page is applied if it continues where the one before it
+ * ended, whoever sent it. All keys are read again if the changes are no longer
+ * known, or if the store has begun a new epoch.
  */
 #include <stdlib.h>
 
-#include "store.h"
 #include "libstore.h"
+#include "store.h"
 
 /* Time limit of a call, on top of the wait of a watch: a call that takes
    longer never gets an answer. */
 #define CALL_TIMEOUT (1500 * EL_MSEC)
+/* A call that takes this long, on top of the wait of a watch, is overdue:
+   meanwhile another host is to ask the store. */
+#define CALL_OVERDUE (300 * EL_MSEC)
 /* While the store does not answer, calls ask for an immediate answer and have
    a shorter time limit: a call sent just before the store recovers must not
    delay the next one. */
 #define RECOVERY_WAIT_MS 1
 #define RECOVERY_TIMEOUT (800 * EL_MSEC)
-
-/* A host that got an outdated answer from another host asks the store itself
-   at once, and after each failure half as often. In between it asks the other
-   hosts; the first host of each hall asks the store. */
-#define FALLBACK_FIRST (2 * EL_SEC)
-#define FALLBACK_MAX (8 * EL_SEC)
-/* Delay before another host is asked after an unusable answer. */
-#define PEER_RETRY (200 * EL_MSEC)
+/* Least delay between calls that fail while another host asks the store in
+   place of this one. */
+#define STOOD_IN_RETRY EL_SEC
+/* Delay before another host is asked after an unusable answer, or after
+   none. */
+#define HOST_RETRY (200 * EL_MSEC)
+#define HOST_FAILED_RETRY (20 * EL_MSEC)
 /* How long differences in a new epoch are held back. After the store is
    restored from an older copy, its writers write their lost changes again
    within about two seconds. */
 #define HELD_DELAY (2500 * EL_MSEC)
 /* Delay after a full read; the next result is as current as that of a watch
-   that waits as long. In this time a host that has just started learns which
-   other hosts it can ask. */
+   that waits as long. */
 #define AFTER_READ_DELAY (700 * EL_MSEC)
+/* Size of a page or list of changes for another host. */
+#define UPDATE_BYTES_MAX ((size_t)64 << 10)
 
 struct st_follow
 {
@@ -43,24 +48,31 @@
   st_store_listener_t listener;
   st_keys_t *keys;
   net_exchange_t *call;
-  uint64_t call_epoch; /* latest known epoch when the call was sent */
-  int peer_pending;    /* another host has not answered yet */
+  uint64_t call_epoch;  /* latest known epoch when the call was sent */
+  el_time_t call_at;    /* when the call was sent */
+  el_buf_t call_cursor; /* with which a page was requested */
+  int call_fallback;    /* this host should not have to ask the store */
+  el_time_t store_at;   /* the store is not asked before */
+  unsigned failures;    /* calls that failed in a row */
+  el_time_t
+      answered_at;  /* when the last call that the store answered was sent */
+  int stood_in;     /* another host asks the store in place of this one */
+  int host_pending; /* another host has not answered yet */
+  int host_stand_in;
+  co_incarnation_t host;
+  el_buf_t host_cursor; /* with which it was asked */
+  el_time_t host_at;    /* no host is asked before */
   el_timer_t timer;
+  el_timer_t overdue_timer;
   el_timer_t held_timer;
-  el_time_t sent_at;                 /* when the call was sent */
-  el_time_t read_started_at;         /* when the first page was requested */
-  pr_store_position_t at;            /* changes up to it are known */
-  pr_store_position_t read_position; /* position of the first page */
+  pr_store_position_t at; /* changes up to it are known */
+  int complete;           /* all keys were read, in this epoch or another */
+  int reading;            /* all keys are being read */
+  el_time_t read_as_of;   /* when the first page was requested */
+  pr_store_position_t read_position; /* of the first page */
   el_buf_t page_cursor;              /* last key of the previous page */
   st_store_read_cause_t read_cause;  /* of the last or next full read */
-  int complete;                      /* that read is complete */
   el_time_t synced_at;               /* all changes before it are known */
-  unsigned stale_answers;  /* unusable answers of other hosts in a row */
-  int ask_store;           /* another host had no usable answer: ask the
-                              store once */
-  el_time_t fallback_due;  /* the store is not asked again before */
-  el_time_t fallback_wait; /* from one such call to the next, plus jitter */
-  unsigned failures;
 };
 
 static void follow_set_synced (st_follow_t *follow, el_time_t as_of);
@@ -108,6 +120,26 @@
   net_clock_set (follow->options.store->clock, &follow->timer, wait);
 }
 
+/* Plans anew as soon as the loop runs. */
+static void
+follow_wake (st_follow_t *follow)
+{
+  follow_schedule (follow, 0);
+}
+
+static el_time_t
+follow_now (const st_follow_t *follow)
+{
+  return net_clock_now (follow->options.store->clock);
+}
+
+static void
+feed_store_done (st_follow_t *follow, int ok)
+{
+  if (follow->options.feed)
+    co_feed_store_done (follow->options.feed, follow_now (follow), ok);
+}
+
 static void
 follow_failed (st_follow_t *follow, const char *what,
                const net_result_t *result)
@@ -115,14 +147,18 @@
   st_follow_options_t *o = &follow->options;
   el_time_t wait = st_store_retry_delay (o->store, result, follow->failures++);
 
-  follow->ask_store = 0; /* the store does not answer either */
-
+  if (follow->stood_in && wait < STOOD_IN_RETRY)
+    wait = STOOD_IN_RETRY;
+  follow->store_at = follow_now (follow) + wait;
   if (follow->failures == 1)
     EL_LOG (EL_LOG_WARN, "store_lost", EL_FS ("prefix", o->prefix),
             EL_FC ("call", what), EL_FN ("status", result->status),
             EL_FN ("epoch", follow->at.epoch),
             EL_FN ("revision", follow->at.revision));
-  follow_schedule (follow, wait);
+  feed_store_done (follow, 0);
+  if (o->progress)
+    o->progress (o->arg);
+  follow_wake (follow);
 }
 
 static void
@@ -135,19 +171,17 @@
             EL_FN ("epoch", follow->at.epoch),
             EL_FN ("revision", follow->at.revision));
   follow->failures = 0;
-  follow->stale_answers = 0;
-  follow->fallback_wait = 0;
-  follow->fallback_due = 0;
-  if (follow->ask_store)
-    follow->options.peer_failed (follow->options.arg);
-  follow->ask_store = 0;
+  follow->stood_in = 0;
+  follow->answered_at = follow->call_at;
+  feed_store_done (follow, 1);
 }
 
-/* Starts a full read anew. */
+/* Starts a full read anew. The keys known so far stay, and so does their
+   position. */
 static void
 follow_reread (st_follow_t *follow, st_store_read_cause_t read_cause)
 {
-  follow->complete = 0;
+  follow->reading = 1;
   follow->read_cause = read_cause;
   el_buf_reset (&follow->page_cursor);
 }
@@ -160,65 +194,111 @@
   return at.epoch != follow->options.store->epoch;
 }
 
+/* A page of a full read, from the store or from another host. */
+typedef struct follow_page
+{
+  const char *from;
+  const pr_store_item_t *items;
+  size_t n;
+  int more;
+  pr_store_position_t at;
+  el_time_t as_of; /* when the page was requested, or the sender's data were
+                      complete */
+} follow_page_t;
+
 static void
-page_apply (st_follow_t *follow, const st_store_list_t *list)
+page_apply (st_follow_t *follow, const follow_page_t *page)
 {
-  st_store_t *store = follow->options.store;
   pr_store_position_t before = follow->at;
   size_t i;
 
   if (follow->page_cursor.len == 0)
     {
-      follow->read_position
-          = (pr_store_position_t){ store->epoch, list->revision };
+      follow->read_position = page->at;
+      follow->read_as_of = page->as_of;
       st_keys_begin_snapshot (follow->keys);
     }
-  for (i = 0; i < list->n; i++)
-    st_keys_apply (follow->keys, follow->read_position.epoch, &list->items[i]);
+  for (i = 0; i < page->n; i++)
+    st_keys_apply (follow->keys, follow->read_position.epoch, &page->items[i]);
   el_buf_reset (&follow->page_cursor);
-  if (list->more && list->n)
+  if (page->more && page->n)
     {
-      el_buf_add (&follow->page_cursor, list->items[list->n - 1].key);
+      el_buf_add (&follow->page_cursor, page->items[page->n - 1].key);
+      if (follow->options.progress)
+        follow->options.progress (follow->options.arg);
       return;
     }
-  store->counts.reads[follow->read_cause]++;
+  follow->options.store->counts.reads[follow->read_cause]++;
   follow->complete = 1;
+  follow->reading = 0;
   st_keys_end_snapshot (follow->keys, follow->read_position);
   follow->at = follow->read_position;
-  changes_finish (follow, "store", before, 1);
-  follow_set_synced (follow, follow->read_started_at);
+  changes_finish (follow, page->from, before, 1);
+  follow_set_synced (follow, follow->read_as_of);
+}
+
+/* Returns whether the pages read so far are of a previous epoch. */
+static int
+read_stale (const st_follow_t *follow)
+{
+  return follow->page_cursor.len
+         && follow_stale (follow, follow->read_position);
 }
 
 static void
 range_done (void *arg, const net_result_t *result)
 {
   st_follow_t *follow = arg;
+  st_store_t *store = follow->options.store;
   st_store_list_t list = { 0 };
 
   follow->call = NULL;
+  net_clock_cancel (store->clock, &follow->overdue_timer);
   if (result->net != NET_OK
-      || follow->options.store->dialect->read_list (result, &list) != ST_OK)
+      || store->dialect->read_list (result, &list) != ST_OK)
     {
-      follow_reread (follow, follow->read_cause);
       follow_failed (follow, "range", result);
       return;
     }
   follow_recovered (follow);
-  if (follow->page_cursor.len && follow_stale (follow, follow->read_position))
+  if (read_stale (follow))
     follow_reread (follow, ST_READ_EPOCH);
-  else
-    page_apply (follow, &list);
+  else if (el_str_eq (el_buf_str (&follow->page_cursor),
+                      el_buf_str (&follow->call_cursor)))
+    {
+      follow_page_t page = { .from = "store",
+                             .items = list.items,
+                             .n = list.n,
+                             .more = list.more,
+                             .at = { store->epoch, list.revision },
+                             .as_of = follow->call_at };
+
+      page_apply (follow, &page);
+    }
   st_store_list_free (&list);
-  if (follow->complete && follow->options.ask_peer)
-    follow_schedule (follow, AFTER_READ_DELAY);
+  if (!follow->reading && follow->options.feed)
+    follow->store_at = follow_now (follow) + AFTER_READ_DELAY;
+  follow_run (follow, 0);
+}
+
+/* Handles a position whose changes the store no longer has. A host that only
+   asks the store now and then gets them from another host. */
+static void
+history_lost (st_follow_t *follow)
+{
+  EL_LOG (EL_LOG_INFO, "store_history_lost",
+          EL_FS ("prefix", follow->options.prefix),
+          EL_FN ("epoch", follow->at.epoch),
+          EL_FN ("revision", follow->at.revision));
+  if (follow->call_fallback)
+    feed_store_done (follow, 0);
   else
-    follow_run (follow, 0);
+    follow_reread (follow, ST_READ_HISTORY);
 }
 
-/* Returns 0 if the answer of a watch cannot be used and all keys have to be
-   read again. No answer about changes after a position in a previous epoch is
-   used, even if the store does not report the position as compacted: the same
-   revision may exist again. */
+/* Returns 0 if the answer of a watch cannot be used. No answer about changes
+   after a position in a previous epoch is used, even if the store does not
+   report the position as compacted: the same revision may exist again. */
 static int
 watch_usable (st_follow_t *follow, st_store_state_t state)
 {
@@ -229,11 +309,7 @@
     }
   if (state != ST_COMPACTED)
     return 1;
-  EL_LOG (EL_LOG_INFO, "store_history_lost",
-          EL_FS ("prefix", follow->options.prefix),
-          EL_FN ("epoch", follow->at.epoch),
-          EL_FN ("revision", follow->at.revision));
-  follow_reread (follow, ST_READ_HISTORY);
+  history_lost (follow);
   return 0;
 }
 
@@ -248,7 +324,7 @@
   if (list->revision > follow->at.revision)
     follow->at.revision = list->revision;
   changes_finish (follow, "store", before, 0);
-  follow_set_synced (follow, follow->sent_at);
+  follow_set_synced (follow, follow->call_at);
 }
 
 static void
@@ -257,9 +333,9 @@
   st_follow_t *follow = arg;
   st_store_list_t list = { 0 };
   st_store_state_t state = ST_INVALID;
-  int pause;
 
   follow->call = NULL;
+  net_clock_cancel (follow->options.store->clock, &follow->overdue_timer);
   if (result->net == NET_OK)
     state = follow->options.store->dialect->read_list (result, &list);
   if (result->net == NET_OK && !watch_usable (follow, state))
@@ -270,11 +346,9 @@
     {
       follow_recovered (follow);
       changes_apply (follow, &list);
-      pause = list.n && follow->options.batch_delay;
-      if (pause)
-        follow_schedule (follow, follow->options.batch_delay);
-      else
-        follow_run (follow, 0);
+      if (list.n && follow->options.batch_delay)
+        follow->store_at = follow_now (follow) + follow->options.batch_delay;
+      follow_run (follow, 0);
     }
   st_store_list_free (&list);
 }
@@ -282,155 +356,261 @@
 static void
 follow_set_synced (st_follow_t *follow, el_time_t as_of)
 {
-  if (as_of > follow->synced_at)
-    follow->synced_at = as_of;
+  if (as_of <= follow->synced_at)
+    return;
+  follow->synced_at = as_of;
   follow->options.known (follow->options.arg, as_of);
 }
 
-/* Another host had no usable answer. The store is asked, at a limited rate; if
-   it answers, that host is at fault. */
-static void
-update_rejected (st_follow_t *follow, el_time_t now)
+/* The answer of another host to a read is its next page. */
+static co_feed_answer_t
+host_page_apply (st_follow_t *follow, const pr_store_update_t *update)
 {
-  st_store_t *store = follow->options.store;
-
-  follow->stale_answers++;
-  if (now < follow->fallback_due)
+  follow_page_t page = { .from = "host",
+                         .items = update->items,
+                         .n = update->n,
+                         .more = update->more,
+                         .at = update->at,
+                         .as_of = update->as_of };
+
+  if (!follow->reading || follow_stale (follow, update->at))
+    return CO_FEED_STALE;
+  if (read_stale (follow))
     {
-      follow_schedule (follow, PEER_RETRY);
-      return;
+      follow_reread (follow, ST_READ_EPOCH);
+      return CO_FEED_CURRENT;
     }
-  follow->fallback_wait
-      = follow->fallback_wait ? 2 * follow->fallback_wait : FALLBACK_FIRST;
-  if (follow->fallback_wait > FALLBACK_MAX)
-    follow->fallback_wait = FALLBACK_MAX;
-  follow->fallback_due = now + follow->fallback_wait
-                         + el_random (&store->random) % follow->fallback_wait;
-  follow->ask_store = 1;
-  follow_run (follow, 0);
+  /* A host that has seen less than the sender of the first page may lack
+     changes that this host will not ask for again. */
+  if (follow->page_cursor.len
+      && pr_store_position_cmp (update->at, follow->read_position) < 0)
+    return CO_FEED_STALE;
+  if (!el_str_eq (el_buf_str (&follow->page_cursor),
+                  el_buf_str (&follow->host_cursor)))
+    return CO_FEED_CURRENT;
+  page_apply (follow, &page);
+  return CO_FEED_CURRENT;
 }
 
-static void
-update_apply (st_follow_t *follow, const pr_store_update_t *update)
+/* Returns whether the data of another host are new enough: in general, not
+   older than update_max_age; those of a stand-in, newer than this host's. */
+static int
+update_current (const st_follow_t *follow, const pr_store_update_t *update)
+{
+  if (follow->host_stand_in)
+    return update->as_of > follow->synced_at;
+  return update->as_of + follow->options.update_max_age >= follow_now (follow);
+}
+
+static co_feed_answer_t
+host_changes_apply (st_follow_t *follow, const pr_store_update_t *update)
 {
   pr_store_position_t before = follow->at;
+  int current = update_current (follow, update);
   size_t i;
 
-  if (update->whole)
-    st_keys_begin_snapshot (follow->keys);
+  if (follow->reading || follow_stale (follow, update->at)
+      || update->at.epoch != follow->at.epoch)
+    return CO_FEED_STALE;
   for (i = 0; i < update->n; i++)
     st_keys_apply (follow->keys, update->at.epoch, &update->items[i]);
-  if (update->whole)
-    st_keys_end_snapshot (follow->keys, update->at);
   if (pr_store_position_cmp (update->at, follow->at) > 0)
     follow->at = update->at;
-  changes_finish (follow, "host", before, update->whole);
+  changes_finish (follow, "host", before, 0);
+  if (!current)
+    return CO_FEED_STALE;
+  if (!update->more)
+    follow_set_synced (follow, update->as_of);
+  return CO_FEED_CURRENT;
 }
 
-/* Returns whether another host's answer can be applied: it is recent, of the
-   latest epoch, and contains all keys unless this host has keys of that
-   epoch. */
-static int
-update_usable (const st_follow_t *follow, const pr_store_update_t *update,
-               el_time_t now)
+static co_feed_answer_t
+host_none (st_follow_t *follow, const pr_store_update_t *update)
+{
+  (void)follow;
+  (void)update;
+  return CO_FEED_STALE;
+}
+
+static co_feed_answer_t
+host_read_all (st_follow_t *follow, const pr_store_update_t *update)
 {
-  return update && update->as_of + follow->options.update_max_age >= now
-         && !follow_stale (follow, update->at)
-         && (update->whole || update->at.epoch == follow->at.epoch);
+  if (follow_stale (follow, update->at))
+    return CO_FEED_STALE;
+  if (!follow->reading)
+    follow_reread (follow, follow_stale (follow, follow->at)
+                               ? ST_READ_EPOCH
+                               : ST_READ_HISTORY);
+  return CO_FEED_CURRENT;
 }
 
-/* Another host has answered. If UPDATE is NULL or cannot be used, the store is
-   asked. */
+/* What is done with the answer of another host. */
+static co_feed_answer_t (*const host_answers[]) (st_follow_t *follow,
+                                                 const pr_store_update_t *)
+    = {
+        [PR_UPDATE_NONE] = host_none,
+        [PR_UPDATE_CHANGES] = host_changes_apply,
+        [PR_UPDATE_PAGE] = host_page_apply,
+        [PR_UPDATE_READ_ALL] = host_read_all,
+      };
+
+/* Another host has answered; UPDATE is NULL if it has not. */
 static void
-update_done (void *arg, const pr_store_update_t *update)
+host_done (void *arg, const pr_store_update_t *update)
 {
   st_follow_t *follow = arg;
-  el_time_t now = net_clock_now (follow->options.store->clock);
+  el_time_t now = follow_now (follow);
+  co_feed_answer_t answer = CO_FEED_NONE;
 
-  follow->peer_pending = 0;
+  follow->host_pending = 0;
   if (update)
-    st_follow_observe_epoch (follow, update->at.epoch);
-  if (!update_usable (follow, update, now))
     {
-      update_rejected (follow, now);
-      return;
+      st_follow_observe_epoch (follow, update->at.epoch);
+      answer = host_answers[update->state](follow, update);
     }
-  follow_recovered (follow);
-  update_apply (follow, update);
-  follow_set_synced (follow, update->as_of);
+  if (answer != CO_FEED_CURRENT)
+    follow->host_at
+        = now + (answer == CO_FEED_STALE ? HOST_RETRY : HOST_FAILED_RETRY);
+  follow->stood_in = follow->host_stand_in && answer == CO_FEED_CURRENT;
+  co_feed_host_done (follow->options.feed, now, &follow->host,
+                     follow->host_stand_in, answer);
+  follow_wake (follow);
+}
+
+/* Asks another host for changes or the next page. */
+static void
+host_send (st_follow_t *follow, const co_feed_plan_t *plan)
+{
+  st_follow_options_t *o = &follow->options;
+  pr_store_query_t query = { .after = follow->at,
+                             .read = follow->reading,
+                             .cursor = el_buf_str (&follow->page_cursor) };
+
+  if (follow->reading)
+    query.after = follow->page_cursor.len
+                      ? follow->read_position
+                      : (pr_store_position_t){ o->store->epoch, 0 };
+  el_buf_reset (&follow->host_cursor);
+  el_buf_add (&follow->host_cursor, query.cursor);
+  if (plan->stand_in
+      && !co_incarnation_eq (&follow->host, &plan->host->incarnation))
+    EL_LOG (EL_LOG_INFO, "store_stand_in", EL_FS ("peer", plan->host->peer),
+            EL_FN ("epoch", follow->at.epoch),
+            EL_FN ("revision", follow->at.revision),
+            EL_FN ("known_age_us", follow_now (follow) - follow->synced_at));
+  follow->host = plan->host->incarnation;
+  follow->host_stand_in = plan->stand_in;
+  follow->host_pending = 1;
+  o->ask_host (o->arg, plan->host, &query, plan->stand_in, host_done, follow);
+}
+
+/* The call to the store is overdue. */
+static void
+call_overdue (void *arg, el_time_t now)
+{
+  st_follow_t *follow = arg;
+
+  (void)now;
+  co_feed_store_overdue (follow->options.feed);
   follow_run (follow, 0);
 }
 
-/* Asks another host in place of the store; returns whether it did. */
-static int
-follow_ask_peer (st_follow_t *follow)
+static void
+call_send (st_follow_t *follow, const el_buf_t *path, uint64_t wait_ms,
+           int recovering, net_result_cb done)
 {
   st_follow_options_t *o = &follow->options;
+  el_time_t wait = wait_ms * EL_MSEC;
 
-  follow->peer_pending
-      = o->ask_peer && follow->complete && !follow->ask_store
-        && o->ask_peer (o->arg, follow->at, follow->stale_answers, update_done,
-                        follow);
-  return follow->peer_pending;
+  follow->call_at = follow_now (follow);
+  follow->call_epoch = o->store->epoch;
+  follow->call = st_store_call (
+      o->store, "GET", path, NULL,
+      wait + (recovering ? RECOVERY_TIMEOUT : CALL_TIMEOUT), done, follow);
+  if (o->feed)
+    net_clock_set (o->store->clock, &follow->overdue_timer,
+                   wait + CALL_OVERDUE);
 }
 
-/* Watches for changes. A store that did not answer before is asked for an
-   immediate answer. */
+/* Watches for changes. If the store has not answered lately, it is asked for
+   an immediate answer. */
 static void
 follow_watch (st_follow_t *follow)
 {
   st_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
-  int recovering = follow->failures || follow->ask_store;
+  int recovering = follow->failures
+                   || follow_now (follow) > follow->answered_at
+                                                + o->wait_ms * EL_MSEC
+                                                + CALL_TIMEOUT;
   uint64_t wait = recovering ? RECOVERY_WAIT_MS : o->wait_ms;
-  el_time_t limit = recovering ? RECOVERY_TIMEOUT : CALL_TIMEOUT;
 
   o->store->dialect->watch (&path, o->prefix, follow->at.revision, wait);
-  follow->call = st_store_call (o->store, "GET", &path, NULL,
-                                wait * EL_MSEC + limit, watch_done, follow);
+  call_send (follow, &path, wait, recovering, watch_done);
   el_buf_free (&path);
 }
 
 /* Requests the first or the next page of a full read. */
 static void
-follow_page (st_follow_t *follow)
+follow_read (st_follow_t *follow)
 {
   st_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
+  el_str_t cursor = el_buf_str (&follow->page_cursor);
 
-  if (follow->page_cursor.len == 0)
-    follow->read_started_at = follow->sent_at;
-  o->store->dialect->range (&path, o->prefix,
-                            el_buf_str (&follow->page_cursor));
-  follow->call = st_store_call (
-      o->store, "GET", &path, NULL,
-      follow->failures ? RECOVERY_TIMEOUT : CALL_TIMEOUT, range_done, follow);
+  el_buf_reset (&follow->call_cursor);
+  el_buf_add (&follow->call_cursor, cursor);
+  o->store->dialect->range (&path, o->prefix, cursor);
+  call_send (follow, &path, 0, follow->failures > 0, range_done);
   el_buf_free (&path);
 }
 
-/* Sends the next request, to another host or to the store. */
+/* Returns the earlier of DUE and AT. */
+static el_time_t
+sooner (el_time_t due, el_time_t at)
+{
+  return at < due ? at : due;
+}
+
+/* Asks the store or other hosts, as the feed plans, unless it is too soon or
+   they have been asked. */
 static void
 follow_run (void *arg, el_time_t now)
 {
   st_follow_t *follow = arg;
-  el_time_t retry_after = st_store_retry_after (follow->options.store);
-
-  (void)now;
-  if (follow_ask_peer (follow))
-    return;
-  if (retry_after)
+  st_follow_options_t *o = &follow->options;
+  el_time_t retry_after = st_store_retry_after (o->store);
+  co_feed_plan_t plan = { .store = 1, .until = EL_TIME_NEVER };
+  el_time_t due;
+  int ask_host;
+  int ask_store;
+
+  now = follow_now (follow);
+  if (o->feed)
+    co_feed_plan (o->feed, now, &plan);
+  if (!follow->reading && follow_stale (follow, follow->at))
+    follow_reread (follow, ST_READ_EPOCH);
+  if (retry_after && follow->store_at < now + retry_after)
+    follow->store_at = now + retry_after;
+  ask_host = plan.host && !follow->host_pending;
+  ask_store = plan.store && !follow->call;
+  due = plan.until;
+  if (ask_host && now < follow->host_at)
+    due = sooner (due, follow->host_at);
+  if (ask_store && now < follow->store_at)
+    due = sooner (due, follow->store_at);
+  if (due != EL_TIME_NEVER)
+    follow_schedule (follow, due > now ? due - now : 0);
+  if (ask_store && now >= follow->store_at)
     {
-      follow_schedule (follow, retry_after);
-      return;
+      follow->call_fallback = plan.fallback;
+      if (follow->reading)
+        follow_read (follow);
+      else
+        follow_watch (follow);
     }
-  follow->sent_at = net_clock_now (follow->options.store->clock);
-  follow->call_epoch = follow->options.store->epoch;
-  if (follow->complete && follow_stale (follow, follow->at))
-    follow_reread (follow, ST_READ_EPOCH);
-  if (follow->complete)
-    follow_watch (follow);
-  else
-    follow_page (follow);
+  if (ask_host && now >= follow->host_at)
+    host_send (follow, &plan);
 }
 
 /* Called when the store has begun a new epoch. A call that was sent before is
@@ -441,13 +621,14 @@
 {
   st_follow_t *follow = arg;
 
-  if (follow->peer_pending
-      || (follow->call && follow->call_epoch == follow->options.store->epoch))
-    return;
-  if (follow->call)
-    net_client_cancel (follow->call);
-  follow->call = NULL;
-  follow_schedule (follow, 0);
+  if (follow->call && follow->call_epoch != follow->options.store->epoch)
+    {
+      net_client_cancel (follow->call);
+      net_clock_cancel (follow->options.store->clock, &follow->overdue_timer);
+      follow->call = NULL;
+      follow->store_at = 0;
+    }
+  follow_wake (follow);
 }
 
 /** Creates a follower and starts the first read. */
@@ -467,22 +648,69 @@
   st_store_add_listener (options->store, &follow->listener);
   follow->timer.cb = follow_run;
   follow->timer.arg = follow;
+  follow->overdue_timer.cb = call_overdue;
+  follow->overdue_timer.arg = follow;
+  follow->reading = 1;
   follow_run (follow, 0);
   return follow;
 }
 
-/** Writes to OUT the changes after a position, or all keys if not every
-    removal since then is known; returns 0 if that epoch is not known here yet.
-    The items belong to the follower; the caller frees the list. */
-int
-st_follow_changes_since (const st_follow_t *follow, pr_store_position_t after,
-                         pr_store_update_t *out)
+/* Fills OUT with the next page of a host that reads all keys. While this host
+   reads them itself, it passes on those that it has. */
+static void
+update_page (st_follow_t *follow, const pr_store_query_t *query,
+             pr_store_update_t *out)
+{
+  int partial = follow->reading
+                && (!follow->complete || follow_stale (follow, follow->at));
+  el_str_t last = { NULL, 0 };
+
+  if (partial)
+    {
+      last = el_buf_str (&follow->page_cursor);
+      out->at = follow->read_position;
+      out->as_of = follow->read_as_of;
+      if (last.len == 0 || read_stale (follow))
+        return;
+    }
+  if (query->after.epoch > out->at.epoch
+      || (query->cursor.len
+          && pr_store_position_cmp (out->at, query->after) < 0))
+    return;
+  st_keys_page (follow->keys, query->cursor, last, UPDATE_BYTES_MAX, out);
+  out->more = out->more || partial;
+  if (!partial || out->n)
+    out->state = PR_UPDATE_PAGE;
+}
+
+/** Writes to OUT what another host asks for, in pieces of limited size. The
+    items belong to the follower; the caller frees the list. */
+void
+st_follow_update (st_follow_t *follow, const pr_store_query_t *query,
+                  pr_store_update_t *out)
 {
   *out = (pr_store_update_t){ .at = follow->at, .as_of = follow->synced_at };
-  if (after.epoch > follow->at.epoch)
-    return 0;
-  st_keys_changes_since (follow->keys, after, out);
-  return 1;
+  if (query->read)
+    {
+      update_page (follow, query, out);
+      return;
+    }
+  if (!follow->complete || query->after.epoch > follow->at.epoch)
+    return;
+  out->state = st_keys_changes_since (follow->keys, query->after,
+                                      UPDATE_BYTES_MAX, out)
+                   ? PR_UPDATE_CHANGES
+                   : PR_UPDATE_READ_ALL;
+}
+
+/** Asks the store for a while, as another host requests that cannot. */
+void
+st_follow_stand_in (st_follow_t *follow)
+{
+  if (!follow->options.feed)
+    return;
+  co_feed_stand_in (follow->options.feed, follow_now (follow));
+  follow_wake (follow);
 }
 
 /** Returns the position up to which changes are known. */
@@ -513,9 +741,12 @@
   st_store_remove_listener (follow->options.store, &follow->listener);
   net_clock_cancel (follow->options.store->clock, &follow->timer);
   net_clock_cancel (follow->options.store->clock, &follow->held_timer);
+  net_clock_cancel (follow->options.store->clock, &follow->overdue_timer);
   if (follow->call)
     net_client_cancel (follow->call);
   st_keys_free (follow->keys);
   el_buf_free (&follow->page_cursor);
+  el_buf_free (&follow->call_cursor);
+  el_buf_free (&follow->host_cursor);
   free (follow);
 }
--- a/store/store.h
+++ b/store/store.h
@@ -147,24 +147,23 @@
   int (*item) (void *arg, const pr_store_item_t *item);
   el_time_t update_max_age; /**< an answer whose data are older than this comes
                                from a host that cannot reach the store */
-  /** Asks another host for the changes after a position; STALE_ANSWERS is the
-      number of consecutive unusable answers. Returns 0 if this host should ask
-      the store itself; may be NULL. */
-  int (*ask_peer) (void *arg, pr_store_position_t after,
-                   unsigned stale_answers, pr_store_update_cb done,
-                   void *done_arg);
-  /** Called when the store has answered although another host had no usable
-      answer: that host is at fault. */
-  void (*peer_failed) (void *arg);
+  co_feed_t *feed;          /**< decides who is asked; NULL: the store alone */
+  /** Asks HOST; STAND_IN: it is to ask the store in this host's place. */
+  void (*ask_host) (void *arg, const co_member_t *host,
+                    const pr_store_query_t *query, int stand_in,
+                    pr_store_update_cb done, void *done_arg);
+  /** Called when another host may get more of the keys than before, or when a
+      call to the store has failed; may be NULL. */
+  void (*progress) (void *arg);
   /** Called when all changes made before AS_OF, by the clock, are known. */
   void (*known) (void *arg, el_time_t as_of);
   void *arg;
 } st_follow_options_t;
 
 st_follow_t *st_follow_new (const st_follow_options_t *options);
-int st_follow_changes_since (const st_follow_t *follow,
-                             pr_store_position_t after,
-                             pr_store_update_t *out);
+void st_follow_update (st_follow_t *follow, const pr_store_query_t *query,
+                       pr_store_update_t *out);
+void st_follow_stand_in (st_follow_t *follow);
 pr_store_position_t st_follow_position (const st_follow_t *follow);
 void st_follow_observe_epoch (st_follow_t *follow, uint64_t epoch);
 el_time_t st_follow_synced_at (const st_follow_t *follow);
--- a/tests/mbr_net.c
+++ b/tests/mbr_net.c
@@ -42,8 +42,9 @@
 
 static void msg_arrive (void *arg, el_time_t now);
 
-static uint64_t
-net_random (mbr_net_t *net)
+/** Returns the next random number of the simulation. */
+uint64_t
+mbr_net_random (mbr_net_t *net)
 {
   net->rng = net->rng * 6364136223846793005ULL + 1442695040888963407ULL;
   return net->rng >> 33;
@@ -104,7 +105,7 @@
   msg->timer.cb = msg_arrive;
   msg->timer.arg = msg;
   el_timers_set (&net->timers, &msg->timer,
-                 net->now + 1 + net_random (net) % LATENCY_MAX);
+                 net->now + 1 + mbr_net_random (net) % LATENCY_MAX);
 }
 
 static int
@@ -112,7 +113,7 @@
 {
   mbr_net_t *net = msg->from->net;
 
-  return msg->to->down || msg->to->paused
+  return msg->to->down || msg->to->paused || net->now < msg->to->starts_at
          || (net->link && !net->link (msg->from, msg->to));
 }
 
@@ -227,14 +228,28 @@
     msg_send (&msg, NULL);
 }
 
-static void
-host_sync (void *arg, el_str_t address)
+/** Whether messages pass between two hosts in both directions. */
+int
+mbr_net_passes (const mbr_net_host_t *a, const mbr_net_host_t *b)
 {
-  mbr_net_host_t *host = arg;
+  const mbr_net_t *net = a->net;
 
-  host->sync_peer = find_host_by_address (host->net, address);
+  return !a->down && !a->paused && !b->down && !b->paused
+         && net->now >= b->starts_at
+         && (!net->link || (net->link (a, b) && net->link (b, a)));
 }
 
+/* A member list on its way from one host to another. */
+typedef struct net_list
+{
+  el_timer_t timer;
+  mbr_net_host_t *from;
+  mbr_net_host_t *to;
+  int introduction; /* a few members only */
+} net_list_t;
+
+#define INTRODUCED_MAX 16
+
 static void
 sync_visit (void *arg, const co_member_t *member)
 {
@@ -250,18 +265,69 @@
     co_members_apply_change (host->members, host->net->now, &change);
 }
 
-/* Applies the member list of the peer from which it was requested, if messages
-   pass in both directions. */
 static void
-host_run_sync (mbr_net_host_t *host)
+introduce (mbr_net_host_t *from, mbr_net_host_t *to)
+{
+  const co_member_t *list[INTRODUCED_MAX];
+  size_t n = co_members_introduce (from->members, el_str (to->hall), list,
+                                   INTRODUCED_MAX);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    sync_visit (to, list[i]);
+  co_members_set_discovered (to->members);
+}
+
+static void
+list_arrive (void *arg, el_time_t now)
 {
-  mbr_net_host_t *other = host->sync_peer;
-  const mbr_net_t *net = host->net;
+  net_list_t *list = arg;
 
-  host->sync_peer = NULL;
-  if (other && !other->down && !other->paused
-      && (!net->link || (net->link (host, other) && net->link (other, host))))
-    co_members_visit (other->members, sync_visit, host);
+  (void)now;
+  if (mbr_net_passes (list->to, list->from))
+    {
+      if (list->introduction)
+        introduce (list->from, list->to);
+      else
+        co_members_visit (list->from->members, sync_visit, list->to);
+    }
+  free (list);
+}
+
+static void
+list_request (mbr_net_host_t *host, el_str_t address, int introduction)
+{
+  mbr_net_t *net = host->net;
+  mbr_net_host_t *other = find_host_by_address (net, address);
+  net_list_t *list;
+  size_t n = introduction ? INTRODUCED_MAX : net->n;
+
+  if (!other || !mbr_net_passes (host, other))
+    return;
+  list = calloc (1, sizeof *list);
+  list->from = other;
+  list->to = host;
+  list->introduction = introduction;
+  if (net->carry_list)
+    {
+      net->carry_list (other, host, n, list_arrive, list);
+      return;
+    }
+  list->timer.cb = list_arrive;
+  list->timer.arg = list;
+  el_timers_set (&net->timers, &list->timer, net->now + 1);
+}
+
+static void
+host_sync (void *arg, el_str_t address)
+{
+  list_request (arg, address, 0);
+}
+
+static void
+host_discover (void *arg, el_str_t address)
+{
+  list_request (arg, address, 1);
 }
 
 static void
@@ -290,6 +356,7 @@
                                    .leaving_hold = LEAVING_HOLD,
                                    .probe = host_probe,
                                    .sync = host_sync,
+                                   .discover = host_discover,
                                    .changed = host_member_changed,
                                    .leaving = host_endpoint_leaving,
                                    .arg = host };
@@ -300,14 +367,14 @@
   snprintf (host->address, sizeof host->address, "%s", address);
   snprintf (host->hall, sizeof host->hall, "%s", hall);
   for (i = 0; i < CO_INCARNATION_BYTES; i++)
-    host->incarnation.byte[i] = (unsigned char)net_random (net);
+    host->incarnation.byte[i] = (unsigned char)mbr_net_random (net);
   HASH_ADD (hh, net->by_incarnation, incarnation, CO_INCARNATION_BYTES, host);
-  options.seed = net_random (net);
+  options.seed = mbr_net_random (net);
   options.self.incarnation = host->incarnation;
   options.self.peer = el_str (host->address);
   options.self.http = options.self.peer;
   options.self.hall = el_str (host->hall);
-  options.self.capacity = (size_t)(host - net->hosts) / 3 * 4;
+  options.self.capacity = host->capacity;
   for (i = 0; i < net->seeds; i++)
     el_buf_printf (&seeds, "10.0.%zu.%zu:1,", i / 250, i % 250);
   options.seeds = el_buf_str (&seeds);
@@ -315,8 +382,22 @@
   el_buf_free (&seeds);
 }
 
+static uint64_t
+capacity_by_index (size_t host)
+{
+  return host / 3 * 4;
+}
+
 mbr_net_t *
 mbr_net_new (uint64_t seed, size_t hosts, size_t halls)
+{
+  return mbr_net_new_with (seed, hosts, halls, capacity_by_index);
+}
+
+/** As mbr_net_new, with hosts of the given capacity. */
+mbr_net_t *
+mbr_net_new_with (uint64_t seed, size_t hosts, size_t halls,
+                  uint64_t (*capacity) (size_t host))
 {
   mbr_net_t *net = calloc (1, sizeof *net);
   char address[32];
@@ -330,6 +411,7 @@
     {
       snprintf (address, sizeof address, "10.0.%zu.%zu:1", i / 250, i % 250);
       snprintf (hall, sizeof hall, "hall-%zu", i % halls);
+      net->hosts[i].capacity = capacity (i);
       host_open (net, &net->hosts[net->n++], address, hall);
     }
   return net;
@@ -342,6 +424,7 @@
   mbr_net_host_t *replacement = &net->hosts[net->n++];
 
   net->hosts[host].down = 1;
+  replacement->capacity = (uint64_t)(net->n - 1) / 3 * 4;
   host_open (net, replacement, net->hosts[host].address,
              net->hosts[host].hall);
   return replacement;
@@ -376,12 +459,10 @@
     {
       el_timers_run (&net->timers, net->now);
       for (i = 0; i < net->n; i++)
-        if (!net->hosts[i].down && !net->hosts[i].paused)
-          {
-            host_run_sync (&net->hosts[i]);
-            if (co_members_next_due (net->hosts[i].members) <= net->now)
-              co_members_tick (net->hosts[i].members, net->now);
-          }
+        if (!net->hosts[i].down && !net->hosts[i].paused
+            && net->now >= net->hosts[i].starts_at
+            && co_members_next_due (net->hosts[i].members) <= net->now)
+          co_members_tick (net->hosts[i].members, net->now);
       net->now += 5 * EL_MSEC;
     }
 }
--- a/tests/mbr_net.h
+++ b/tests/mbr_net.h
@@ -35,8 +35,9 @@
   uint64_t bytes;           /* size of the messages sent */
   uint64_t revision; /* of the configuration; fetched when gossip names a newer
                         one */
-  mbr_net_host_t *sync_peer; /* peer asked for its full member list; answers at
-                            the next step */
+  uint64_t capacity;
+  el_time_t starts_at; /* it neither runs nor answers before */
+  void *owner;         /* of a simulation built on this one */
   UT_hash_handle hh;
 };
 
@@ -51,12 +52,20 @@
   uint64_t rng;
   /** Returns the size of a message in bytes; NULL counts nothing. */
   size_t (*size) (const co_gossip_t *gossip);
+  /** Carries a list of N members from A to B and calls ARRIVE with ARG, which
+      frees it; NULL: it arrives at once. */
+  void (*carry_list) (mbr_net_host_t *a, mbr_net_host_t *b, size_t n,
+                      void (*arrive) (void *arg, el_time_t now), void *arg);
   /** Whether a message from A reaches B; NULL delivers all. */
   int (*link) (const mbr_net_host_t *a, const mbr_net_host_t *b);
 };
 
 mbr_net_t *mbr_net_new (uint64_t seed, size_t hosts, size_t halls);
+mbr_net_t *mbr_net_new_with (uint64_t seed, size_t hosts, size_t halls,
+                             uint64_t (*capacity) (size_t host));
+int mbr_net_passes (const mbr_net_host_t *a, const mbr_net_host_t *b);
 void mbr_net_free (mbr_net_t *net);
+uint64_t mbr_net_random (mbr_net_t *net);
 void mbr_net_set_revision (mbr_net_host_t *host, uint64_t revision);
 void mbr_net_run (mbr_net_t *net, el_time_t until);
 mbr_net_host_t *mbr_net_replace_host (mbr_net_t *net, size_t host);
--- a/tests/t_epoch.c
+++ b/tests/t_epoch.c
@@ -8,6 +8,7 @@
  * again. Tests the table of known keys, and a follower and a duty against an
  * endpoint that sends scripted bytes.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "platform.h"
@@ -51,6 +52,8 @@
   return st_keys_new (&options);
 }
 
+#define NO_KEY ((el_str_t){ NULL, 0 })
+
 static void
 put_key (st_keys_t *keys, uint64_t epoch, uint64_t revision, const char *value)
 {
@@ -101,6 +104,7 @@
   record_t record = { .refuse = 0 };
   st_keys_t *keys = open_keys (&record);
   pr_store_update_t update = { 0 };
+  pr_store_update_t page = { 0 };
 
   put_key (keys, 1, 5, "a");
   st_keys_apply (keys, 1, &other);
@@ -109,12 +113,16 @@
   put_key (keys, 2, 4, "b");
   st_keys_end_snapshot (keys, (pr_store_position_t){ 2, 4 });
   check_record (&record, "+k=a +o=x +k=b ");
-  st_keys_changes_since (keys, (pr_store_position_t){ 1, 9 }, &update);
-  ck_assert_int_eq (update.whole, 1);
-  ck_assert_uint_eq (update.n, 2);
-  free (update.items);
-  st_keys_changes_since (keys, (pr_store_position_t){ 2, 4 }, &update);
-  ck_assert_int_eq (update.whole, 0);
+  ck_assert_int_eq (st_keys_changes_since (keys, (pr_store_position_t){ 1, 9 },
+                                           SIZE_MAX, &update),
+                    0);
+  st_keys_page (keys, NO_KEY, NO_KEY, SIZE_MAX, &page);
+  ck_assert_uint_eq (page.n, 2);
+  free (page.items);
+  ck_assert_int_eq (st_keys_changes_since (keys, (pr_store_position_t){ 2, 4 },
+                                           SIZE_MAX, &update),
+                    1);
+  ck_assert_uint_eq (update.n, 0);
   free (update.items);
   st_keys_free (keys);
   el_buf_free (&record.text);
@@ -132,7 +140,7 @@
   put_key (keys, 1, 5, "v66");
   record.refuse = 1;
   put_key (keys, 2, 3, "v59");
-  st_keys_changes_since (keys, (pr_store_position_t){ 1, 0 }, &update);
+  st_keys_page (keys, NO_KEY, NO_KEY, SIZE_MAX, &update);
   ck_assert (el_str_eq (update.items[0].value, EL_STR ("v66")));
   free (update.items);
   st_keys_free (keys);
@@ -169,6 +177,153 @@
 }
 END_TEST
 
+/* Applies a snapshot of the keys "k000" to "k(N-1)", without those whose
+   number DROPPED divides. */
+static void
+read_keys (st_keys_t *keys, uint64_t revision, size_t n, size_t dropped)
+{
+  char name[32];
+  size_t i;
+
+  st_keys_begin_snapshot (keys);
+  for (i = 0; i < n; i++)
+    {
+      const pr_store_item_t item
+          = { .key = el_str (name), .value = EL_STR ("x"), .revision = 1 };
+      pr_store_item_t copy = item;
+
+      if (dropped && i % dropped == 0)
+        continue;
+      snprintf (name, sizeof name, "k%03zu", i);
+      copy.key = el_str (name);
+      st_keys_apply (keys, 1, &copy);
+    }
+  st_keys_end_snapshot (keys, (pr_store_position_t){ 1, revision });
+}
+
+/* Guards against a second read of all keys after which other hosts get all of
+   them again: what they get is what changed, and it does not grow with the
+   number of keys. */
+START_TEST (test_keys_second_read_yields_differences)
+{
+  static const size_t sizes[] = { 30, 300, 900 };
+  size_t k;
+
+  for (k = 0; k < 3; k++)
+    {
+      record_t record = { .refuse = 0 };
+      st_keys_t *keys = open_keys (&record);
+      pr_store_update_t update = { .at = { 1, 50 } };
+      size_t i;
+
+      read_keys (keys, 10, sizes[k], 0);
+      read_keys (keys, 50, sizes[k], sizes[k] / 3);
+      ck_assert_int_eq (st_keys_changes_since (keys,
+                                               (pr_store_position_t){ 1, 10 },
+                                               SIZE_MAX, &update),
+                        1);
+      ck_assert_uint_eq (update.n, 3);
+      for (i = 0; i < update.n; i++)
+        ck_assert_int_eq (update.items[i].gone, 1);
+      free (update.items);
+      ck_assert_int_eq (st_keys_changes_since (keys,
+                                               (pr_store_position_t){ 1, 9 },
+                                               SIZE_MAX, &update),
+                        0);
+      st_keys_free (keys);
+      el_buf_free (&record.text);
+    }
+}
+END_TEST
+
+/* Pages hold all keys once, in order, each within the limit; so do lists of
+   changes, whose position is that of the last change in them. */
+START_TEST (test_keys_pieces_are_complete_and_bounded)
+{
+  record_t record = { .refuse = 0 };
+  st_keys_t *keys = open_keys (&record);
+  pr_store_update_t piece = { .more = 1 };
+  pr_store_position_t at = { 1, 0 };
+  el_buf_t cursor = { NULL, 0, 0 };
+  size_t n = 0;
+  size_t i;
+  char name[32];
+
+  read_keys (keys, 1, 500, 7);
+  for (i = 500; i-- > 0;)
+    {
+      pr_store_item_t item = { .value = EL_STR ("y"), .revision = 2 + i / 2 };
+
+      snprintf (name, sizeof name, "k%03zu", i);
+      item.key = el_str (name);
+      st_keys_apply (keys, 1, &item);
+    }
+  while (piece.more)
+    {
+      piece = (pr_store_update_t){ 0 };
+      st_keys_page (keys, el_buf_str (&cursor), NO_KEY, 1000, &piece);
+      ck_assert_uint_le (piece.n, 1000 / 25);
+      for (i = 0; i < piece.n; i++, n++)
+        {
+          snprintf (name, sizeof name, "k%03zu", n);
+          ck_assert (el_str_eq (piece.items[i].key, el_str (name)));
+        }
+      el_buf_reset (&cursor);
+      el_buf_add (&cursor, piece.items[piece.n - 1].key);
+      free (piece.items);
+    }
+  ck_assert_uint_eq (n, 500);
+  at.revision = 1;
+  for (n = 0, piece.more = 1; piece.more; n += piece.n)
+    {
+      piece = (pr_store_update_t){ .at = { 1, 251 } };
+      ck_assert_int_eq (st_keys_changes_since (keys, at, 1000, &piece), 1);
+      ck_assert_uint_le (piece.n, 1000 / 25);
+      ck_assert_uint_gt (piece.at.revision, at.revision);
+      at = piece.at;
+      free (piece.items);
+    }
+  ck_assert_uint_eq (n, 500);
+  ck_assert_uint_eq (at.revision, 251);
+  st_keys_free (keys);
+  el_buf_free (&cursor);
+  el_buf_free (&record.text);
+}
+END_TEST
+
+/* The removed keys that are kept are bounded. A host that lacks a removal
+   which was dropped has to read all keys. */
+START_TEST (test_keys_removed_are_bounded)
+{
+  record_t record = { .refuse = 0 };
+  st_keys_t *keys = open_keys (&record);
+  pr_store_update_t update = { .at = { 1, 20001 } };
+  char name[32];
+  uint64_t i;
+
+  read_keys (keys, 1, 1, 0);
+  for (i = 0; i < 20000; i++)
+    {
+      pr_store_item_t item = { .revision = 2 + i, .gone = 1 };
+
+      snprintf (name, sizeof name, "g%05u", (unsigned)i);
+      item.key = el_str (name);
+      st_keys_apply (keys, 1, &item);
+    }
+  ck_assert_int_eq (st_keys_changes_since (keys, (pr_store_position_t){ 1, 1 },
+                                           SIZE_MAX, &update),
+                    0);
+  ck_assert_int_eq (st_keys_changes_since (keys,
+                                           (pr_store_position_t){ 1, 19000 },
+                                           SIZE_MAX, &update),
+                    1);
+  ck_assert_uint_eq (update.n, 1001);
+  free (update.items);
+  st_keys_free (keys);
+  el_buf_free (&record.text);
+}
+END_TEST
+
 /* The follower. */
 
 static void
@@ -441,6 +596,9 @@
   ADD (tcase, test_keys_former_epoch_is_ignored);
   ADD (tcase, test_keys_new_epoch_passes_on_differences);
   ADD (tcase, test_keys_refused_value_is_not_passed_on);
+  ADD (tcase, test_keys_second_read_yields_differences);
+  ADD (tcase, test_keys_pieces_are_complete_and_bounded);
+  ADD (tcase, test_keys_removed_are_bounded);
   ADD_LOOP (tcase, test_keys_missing_or_restored_are_held_until_release, 2);
   ADD (tcase, test_follow_watch_across_epochs_is_discarded);
   ADD (tcase, test_follow_new_epoch_between_pages_restarts_read);
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -122,42 +122,98 @@
 }
 END_TEST
 
-static int
-answer_stale_update (void *arg, pr_store_position_t after, unsigned old,
-                     pr_store_update_cb done, void *done_arg)
+/* A hall of which this host is not the first, and the answers of the first
+   one. */
+typedef struct hall
 {
-  const pr_store_update_t update
-      = { .at = after, .as_of = net_clock_now (&test_clock) - 1700 * EL_MSEC };
+  record_t record; /* first, as the callbacks cast the hall to a record_t */
+  co_members_t *members;
+  co_feed_t *feed;
+  unsigned nasked;
+  el_time_t age; /* of the data that the first host has */
+} hall_t;
 
+static void
+ignore_change (void *arg, const co_member_t *member)
+{
   (void)arg;
-  (void)old;
-  done (done_arg, &update);
-  return 1;
+  (void)member;
+}
+
+static co_member_t
+hall_member (unsigned char n)
+{
+  return (co_member_t){ .incarnation = { .byte = { n } },
+                        .peer = EL_STR ("h:1"),
+                        .hall = EL_STR ("a") };
 }
 
 static void
-ignore_peer_failure (void *arg)
+hall_open (hall_t *hall)
 {
-  (void)arg;
+  const co_members_options_t options
+      = { .self = hall_member (2), .seed = 1, .changed = ignore_change };
+  const co_member_t first = hall_member (1);
+  co_feed_options_t feed = { .readers = 1, .seed = 1 };
+
+  hall->members = co_members_new (&options);
+  co_members_apply_member (hall->members, 0, &first);
+  feed.members = hall->members;
+  hall->feed = co_feed_new (&feed);
 }
 
-/* If the update from another host is too old for a configuration to take
+static void
+hall_close (hall_t *hall)
+{
+  co_feed_free (hall->feed);
+  co_members_free (hall->members);
+}
+
+/* Answers with data that are older than update_max_age. */
+static void
+answer_stale (void *arg, const co_member_t *host,
+              const pr_store_query_t *query, int stand_in,
+              pr_store_update_cb done, void *done_arg)
+{
+  hall_t *hall = arg;
+  const pr_store_update_t update
+      = { .state = query->read ? PR_UPDATE_NONE : PR_UPDATE_CHANGES,
+          .at = query->after,
+          .as_of = net_clock_now (&test_clock) - 1700 * EL_MSEC };
+
+  (void)host;
+  (void)stand_in;
+  hall->nasked++;
+  done (done_arg, &update);
+}
+
+static st_follow_t *
+hall_follow (hall_t *hall, st_store_t *store)
+{
+  const st_follow_options_t options = { .store = store,
+                                        .prefix = EL_STR ("p/"),
+                                        .wait_ms = 100,
+                                        .item = record_item,
+                                        .update_max_age = 1500 * EL_MSEC,
+                                        .feed = hall->feed,
+                                        .ask_host = answer_stale,
+                                        .known = record_known,
+                                        .arg = hall };
+
+  *store = (st_store_t){ .clock = &test_clock,
+                         .client = client,
+                         .dialect = &pf_store,
+                         .address = el_str (script.address),
+                         .random = 1 };
+  return st_follow_new (&options);
+}
+
+/* If the updates of another host stay too old for a configuration to take
    effect in time, the follower asks the store instead. */
 START_TEST (test_follow_asks_store_when_peer_update_is_stale)
 {
-  record_t record = { .wanted = 2 };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  st_follow_options_t options = { .store = &store,
-                                  .prefix = EL_STR ("p/"),
-                                  .wait_ms = 100,
-                                  .item = record_item,
-                                  .update_max_age = 1500 * EL_MSEC,
-                                  .ask_peer = answer_stale_update,
-                                  .peer_failed = ignore_peer_failure,
-                                  .known = record_known,
-                                  .arg = &record };
+  hall_t hall = { .record = { .wanted = 2 } };
+  st_store_t store;
   st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
@@ -166,65 +222,65 @@
           { HTTP_OK () "{\"events\":[{\"Key\":\"p/b\",\"Value\":\"\","
                        "\"Revision\":2}],\"at\":2}",
             CLOSE });
-  store.address = el_str (script.address);
-  follow = st_follow_new (&options);
-  while (record.wanted)
+  hall_open (&hall);
+  follow = hall_follow (&hall, &store);
+  while (hall.record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
   st_follow_free (follow);
-  ck_assert_str_eq (record.text.ptr, "+p/a +p/b ");
-  el_buf_free (&record.text);
+  ck_assert_str_eq (hall.record.text.ptr, "+p/a +p/b ");
+  el_buf_free (&hall.record.text);
+  hall_close (&hall);
 }
 END_TEST
 
 #define HTTP_UNAVAILABLE() "HTTP/1.1 503 Busy\r\nconnection: close\r\n\r\n"
 
-/* Another host that always answers with a stale update. */
-typedef struct stale_host
-{
-  record_t record; /* first, as the callbacks cast the host to a record_t */
-  unsigned nasked;
-} stale_host_t;
-
-static int
-count_and_answer_stale_update (void *arg, pr_store_position_t after,
-                               unsigned old, pr_store_update_cb done,
-                               void *done_arg)
-{
-  stale_host_t *host = arg;
-
-  host->nasked++;
-  return answer_stale_update (&host->record, after, old, done, done_arg);
-}
-
 /* While the store is unavailable, a host continues to ask other hosts and asks
    the store itself only rarely; otherwise all hosts of a fleet would ask it at
    once for as long as the outage lasts. */
 START_TEST (test_follow_rarely_asks_unavailable_store)
 {
-  stale_host_t host = { .nasked = 0 };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  st_follow_options_t options = { .store = &store,
-                                  .prefix = EL_STR ("p/"),
-                                  .wait_ms = 100,
-                                  .item = record_item,
-                                  .update_max_age = 1500 * EL_MSEC,
-                                  .ask_peer = count_and_answer_stale_update,
-                                  .peer_failed = ignore_peer_failure,
-                                  .known = record_known,
-                                  .arg = &host };
+  hall_t hall = { .nasked = 0 };
+  st_store_t store;
   st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[],\"more\":false,\"at\":1}", CLOSE },
           { HTTP_UNAVAILABLE (), CLOSE }, { HTTP_UNAVAILABLE (), CLOSE },
           { HTTP_UNAVAILABLE (), CLOSE });
-  store.address = el_str (script.address);
-  follow = st_follow_new (&options);
-  while (host.nasked < 5)
+  hall_open (&hall);
+  follow = hall_follow (&hall, &store);
+  while (!hall.record.nknown)
+    uv_run (&loop, UV_RUN_ONCE);
+  hall.nasked = 0;
+  while (hall.nasked < 9)
     uv_run (&loop, UV_RUN_ONCE);
   st_follow_free (follow);
-  ck_assert_uint_eq (store.counts.calls, 2);
+  ck_assert_uint_eq (store.counts.calls, 1);
+  hall_close (&hall);
+}
+END_TEST
+
+/* A host that is not to read the store does not read all keys when the store
+   has lost the history since its position: another host of its hall has the
+   changes. Otherwise all hosts of a fleet would read all keys together. */
+START_TEST (test_follow_lost_history_is_read_by_few)
+{
+  hall_t hall = { .nasked = 0 };
+  st_store_t store;
+  st_follow_t *follow;
+
+  SCRIPT ({ HTTP_OK () "{\"Items\":[],\"more\":false,\"at\":1}", CLOSE },
+          { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE },
+          { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE });
+  hall_open (&hall);
+  follow = hall_follow (&hall, &store);
+  while (store.counts.calls < 3)
+    uv_run (&loop, UV_RUN_ONCE);
+  st_follow_free (follow);
+  ck_assert_uint_eq (store.counts.reads[ST_READ_HISTORY], 0);
+  ck_assert_ptr_null (
+      strstr (strstr (script.requests.ptr, "kv-watch"), "kv-range"));
+  hall_close (&hall);
 }
 END_TEST
 
@@ -240,7 +296,7 @@
 START_TEST (test_store_retry_after_stops_all_calls)
 {
   static int vacant = 1;
-  stale_host_t host = { .nasked = 0 };
+  record_t record = { .wanted = 0 };
   st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
@@ -249,7 +305,7 @@
                                                .wait_ms = 100,
                                                .item = record_item,
                                                .known = record_known,
-                                               .arg = &host };
+                                               .arg = &record };
   const st_duty_options_t duty_options = { .store = &store,
                                            .key = EL_STR ("duty"),
                                            .holder = EL_STR ("a"),
@@ -328,6 +384,7 @@
   ADD (tcase, test_follow_reads_pages_and_ignores_older_events);
   ADD (tcase, test_follow_asks_store_when_peer_update_is_stale);
   ADD (tcase, test_follow_rarely_asks_unavailable_store);
+  ADD (tcase, test_follow_lost_history_is_read_by_few);
   ADD (tcase, test_store_retry_after_stops_all_calls);
   ADD (tcase, test_duty_is_requested_only_when_vacant);
   suite_add_tcase (suite, tcase);
--- a/tests/test.h
+++ b/tests/test.h
@@ -20,6 +20,7 @@
 Suite *base_suite (void);
 Suite *coord_suite (void);
 Suite *members_suite (void);
+Suite *feed_suite (void);
 Suite *route_suite (void);
 Suite *replay_suite (void);
 Suite *relay_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -33,6 +33,7 @@
 
   srunner_add_suite (runner, coord_suite ());
   srunner_add_suite (runner, members_suite ());
+  srunner_add_suite (runner, feed_suite ());
   srunner_add_suite (runner, route_suite ());
   srunner_add_suite (runner, replay_suite ());
   srunner_add_suite (runner, relay_suite ());
