Members: a start asks large hosts of the own hall for the member list

Now the list comes from a random member with at least half of the largest capacity known, of the own hall but for each third time.

--- a/coord/mbr_probe.c
+++ b/coord/mbr_probe.c
@@ -22,6 +22,9 @@
 /* During that time, every STARTUP_SYNC_PROBES-th probe is accompanied by a
    request for the full member list. */
 #define STARTUP_SYNC_PROBES 3
+/* Every STARTUP_FAR_PROBES-th probe, the list is requested from a host of any
+   hall; else from one of the same hall, to save links between halls. */
+#define STARTUP_FAR_PROBES 9
 /* Interval at which one seed after the other is asked for members, until one
    has answered. */
 #define DISCOVERY_INTERVAL (40 * EL_MSEC)
@@ -226,11 +229,12 @@
   while (members->seed_offset);
 }
 
-/* Return a random member among those whose capacity is at least half of the
-   largest one: a member list is long, and hosts that start together ask the
-   few members that they know. */
+/* Return a random live member among those of HALL, or of all halls if that is
+   empty, whose capacity is at least half of the largest one; NULL when there is
+   none. A member list is long, and hosts that start together ask the few
+   members that they know. */
 static const mbr_entry_t *
-sync_source (co_members_t *members)
+sync_source (co_members_t *members, el_str_t hall)
 {
   const mbr_entry_t *source = NULL;
   uint64_t max = 0;
@@ -238,14 +242,20 @@
   size_t i;
 
   for (i = 0; i < members->norder; i++)
-    if (mbr_is_live (members->order[i])
-        && members->order[i]->m.capacity > max)
-      max = members->order[i]->m.capacity;
-  for (i = 0; i < members->norder; i++)
-    if (mbr_is_live (members->order[i])
-        && members->order[i]->m.capacity >= max / 2
-        && mbr_random (members) % ++n == 0)
-      source = members->order[i];
+    {
+      const mbr_entry_t *entry = members->order[i];
+
+      if (!mbr_is_live (entry)
+          || (hall.len && !el_str_eq (entry->m.hall, hall))
+          || entry->m.capacity < max / 2)
+        continue;
+      if (entry->m.capacity / 2 > max)
+        n = 0;
+      if (entry->m.capacity > max)
+        max = entry->m.capacity;
+      if (mbr_random (members) % ++n == 0)
+        source = entry;
+    }
   return source;
 }
 
@@ -259,7 +269,12 @@
   if (!members->options.sync
       || members->startup_probes % STARTUP_SYNC_PROBES != 0)
     return;
-  source = sync_source (members);
+  source = (members->startup_probes + STARTUP_SYNC_PROBES)
+                   % STARTUP_FAR_PROBES
+               ? sync_source (members, members->self.hall)
+               : NULL;
+  if (!source)
+    source = sync_source (members, (el_str_t){ NULL, 0 });
   if (source)
     members->options.sync (members->options.arg, source->m.peer);
 }
