Fleet: a host uses a few endpoints of a plain service

Cause: an endpoint whose response time is unknown counted as 1 ms, so that each host went to each endpoint of a service once before it used one again: hosts x endpoints connections.

The test counts endpoints used by one host at 10, 30 and 300; before it was all of them (30 of 30).

--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -187,6 +187,78 @@
 }
 END_TEST
 
+/* The response time of the endpoint with number I; the first SLOW_TO are
+   slow. */
+static el_time_t
+worker_time (size_t i, size_t slow_to)
+{
+  return (i < slow_to ? 900 : 60) * EL_MSEC;
+}
+
+/* Sends REQUESTS requests, CONCURRENT of them at a time, to N endpoints, a
+   third of which are slow; returns how many endpoints got one. SLOW counts the
+   requests to slow ones. */
+static size_t
+count_used (size_t n, size_t requests, size_t concurrent, size_t *slow)
+{
+  static rt_target_t *workers[300];
+  rt_target_t *running[16] = { NULL };
+  const rt_tried_t none = { .n = 0 };
+  unsigned char used[300] = { 0 };
+  size_t count = 0;
+  size_t i;
+  size_t k;
+  char id[32];
+
+  rt_fleet_free (fleet);
+  fleet = rt_fleet_new (7);
+  for (i = 0; i < n; i++)
+    {
+      snprintf (id, sizeof id, "w%03zu", i);
+      workers[i] = add_worker (id);
+    }
+  *slow = 0;
+  for (i = 0; i < requests; i++)
+    {
+      rt_target_t **at = &running[i % concurrent];
+
+      if (*at)
+        {
+          (*at)->running--;
+          for (k = 0; workers[k] != *at; k++)
+            ;
+          rt_target_succeeded (*at, worker_time (k, n / 3));
+        }
+      *at = rt_fleet_pick (fleet, NOW, SERVICE, EL_STR ("h"), &none);
+      (*at)->running++;
+      for (k = 0; workers[k] != *at; k++)
+        ;
+      *slow += k < n / 3;
+      count += !used[k];
+      used[k] = 1;
+    }
+  return count;
+}
+
+/* Guards against hosts that each use all endpoints of a service, so that
+   connections grow with the product of both: a host uses as many as it has
+   requests at a time, and a few more. */
+START_TEST (test_pick_uses_few_endpoints_of_many)
+{
+  static const size_t sizes[] = { 10, 30, 300 };
+  size_t slow;
+  size_t i;
+
+  for (i = 0; i < 3; i++)
+    {
+      ck_assert_uint_le (count_used (sizes[i], 60, 1, &slow), 3 + 60 / 16 + 6);
+      ck_assert_uint_le (slow, 12);
+      ck_assert_uint_le (count_used (sizes[i], 200, 8, &slow),
+                         3 + 8 + 200 / 16 + 10);
+    }
+}
+END_TEST
+
 /* Chains. */
 
 START_TEST (test_chain_covers_each_layer_once)
@@ -660,6 +732,7 @@
   ADD (tcase, test_pick_skips_leaving_and_tried_endpoints);
   ADD (tcase, test_pick_avoids_failing_endpoints_unless_all_fail);
   ADD (tcase, test_pick_leaving_endpoint_stays_excluded);
+  ADD (tcase, test_pick_uses_few_endpoints_of_many);
   ADD (tcase, test_chain_covers_each_layer_once);
   ADD (tcase, test_chain_stays_in_the_callers_hall);
   ADD (tcase, test_chain_leaves_full_hall_while_link_has_capacity);
