Duty: a planner's duty left vacant is taken by the next host

Cause: one host, the first of all in rank, could take the duty. Now a host waits 0.4 s for each host before it, the first sixteen take part, and the condition of the store's key decides.

--- a/coord/coord.h
+++ b/coord/coord.h
@@ -296,6 +296,7 @@
                              const co_member_t **out, size_t max);
 void co_members_set_discovered (co_members_t *members);
 int co_members_is_discovered (const co_members_t *members);
+size_t co_members_count_preferred (const co_members_t *members);
 int co_member_ranks_before (const co_member_t *a, const co_member_t *b);
 int co_members_is_top_ranked (const co_members_t *members, size_t max);
 const char *co_mbr_state_name (co_mbr_state_t state);
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -40,6 +40,9 @@
 /* The lease is taken to expire this much earlier, as clocks run at different
    speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
+/* Hosts that take the planner's duty, one after the other, if those before them
+   do not. */
+#define DUTY_CANDIDATES 16
 
 struct frontend
 {
@@ -282,13 +285,23 @@
   return gt_gate_hall_live_hosts (frontend->gate);
 }
 
+/* Number of hosts that should take the planner's duty before this one. */
+static size_t
+frontend_duty_rank (void *arg)
+{
+  frontend_t *frontend = arg;
+
+  return gt_gate_count_preferred (frontend->gate);
+}
+
+/* Whether this host is among those that take the planner's duty. */
 static int
-frontend_is_preferred (void *arg)
+frontend_is_candidate (void *arg)
 {
   frontend_t *frontend = arg;
 
   return !frontend->stopping && frontend->endpoints_known
-         && gt_gate_is_preferred (frontend->gate);
+         && frontend_duty_rank (frontend) < DUTY_CANDIDATES;
 }
 
 static void
@@ -422,13 +435,14 @@
                              .ttl_ms = frontend->options.lease_ms,
                              .margin = LEASE_MARGIN,
                              .vacant = frontend_planner_vacant,
+                             .rank = frontend_duty_rank,
                              .arg = frontend };
   gt_planner_options_t planner = { .relays = frontend->relays,
                                    .clock = gt_gate_clock (frontend->gate),
                                    .client = gt_gate_client (frontend->gate),
                                    .fleet = frontend->fleet,
                                    .send_order = pf_send_order,
-                                   .preferred = frontend_is_preferred,
+                                   .candidate = frontend_is_candidate,
                                    .known = frontend_known_as_of,
                                    .arg = frontend };
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -451,12 +451,13 @@
   return pr_peers_count_hall_live (gate->peers);
 }
 
-/** Whether this host comes first among the live hosts that are not draining.
-    Hosts with the same view of the membership agree on it. */
-int
-gt_gate_is_preferred (const gt_gate_t *gate)
+/** Number of live hosts, not draining, that come before this one where a single
+    host is chosen; SIZE_MAX while this host drains. Hosts with the same view of
+    the membership agree on the order. */
+size_t
+gt_gate_count_preferred (const gt_gate_t *gate)
 {
-  return !gate->draining && pr_peers_is_preferred (gate->peers);
+  return gate->draining ? SIZE_MAX : pr_peers_count_preferred (gate->peers);
 }
 
 /** Appends the entry addresses for callers in HALL to LIST: hosts of that hall
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -101,7 +101,7 @@
 void gt_gate_withdraw (gt_gate_t *gate, int withdrawn);
 size_t gt_gate_live_hosts (const gt_gate_t *gate);
 size_t gt_gate_hall_live_hosts (const gt_gate_t *gate);
-int gt_gate_is_preferred (const gt_gate_t *gate);
+size_t gt_gate_count_preferred (const gt_gate_t *gate);
 void gt_gate_entry_addresses (gt_gate_t *gate, el_str_t hall, json_t *list);
 
 #endif
--- a/gate/planner.c
+++ b/gate/planner.c
@@ -238,7 +238,7 @@
   /* The holder keeps the duty, so that it does not move when hosts join. */
   st_duty_want (o->duty,
                 rules
-                    && (st_duty_held (o->duty, now) || o->preferred (o->arg)));
+                    && (st_duty_held (o->duty, now) || o->candidate (o->arg)));
   if (!rules || !st_duty_held (o->duty, now))
     return;
   orders_probe (planner, now);
--- a/gate/planner.h
+++ b/gate/planner.h
@@ -33,9 +33,8 @@
   /** Sends an engine the order to hold a range of layers. */
   void (*send_order) (net_client_t *client, const rt_order_t *order,
                       gt_order_cb done, void *arg);
-  /** Whether this host should be the planner: one of the live hosts, the same
-      one on all hosts as long as they agree on which are alive. */
-  int (*preferred) (void *arg);
+  /** Whether this host should take the planner's duty if it is vacant. */
+  int (*candidate) (void *arg);
   /** The time, by the clock, up to which the list of endpoints is current. */
   el_time_t (*known) (void *arg);
   void *arg;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -81,7 +81,7 @@
   int here = el_str_eq (member->hall, peers->options.hall);
 
   co_incarnation_hex (&member->incarnation, inc);
-  EL_LOG (here || member->state != CO_MBR_ALIVE ? EL_LOG_INFO : EL_LOG_DEBUG,
+  EL_LOG (here && member->state != CO_MBR_ALIVE ? EL_LOG_INFO : EL_LOG_DEBUG,
           "member", EL_FS ("peer", member->peer), EL_FS ("hall", member->hall),
           EL_FC ("incarnation", inc),
           EL_FC ("state", co_mbr_state_name (member->state)),
@@ -288,35 +288,12 @@
   return in_force.n;
 }
 
-typedef struct preferred_arg
-{
-  const co_member_t *self;
-  int first;
-} preferred_arg_t;
-
-static void
-preferred_visit (void *arg, const co_member_t *member)
-{
-  preferred_arg_t *preferred = arg;
-
-  if (member->state != CO_MBR_ALIVE || member->offer == CO_MBR_DRAINING)
-    return;
-  if (member->offer < preferred->self->offer
-      || (member->offer == preferred->self->offer
-          && co_member_ranks_before (member, preferred->self)))
-    preferred->first = 0;
-}
-
-/** Whether this host comes first among the live hosts that are not draining.
-    Withdrawn hosts come after the others. */
-int
-pr_peers_is_preferred (const pr_peers_t *peers)
+/** Number of live hosts, not draining, that come before this one where a single
+    host is chosen. */
+size_t
+pr_peers_count_preferred (const pr_peers_t *peers)
 {
-  preferred_arg_t preferred
-      = { co_members_find (peers->members, &peers->options.incarnation), 1 };
-
-  co_members_visit (peers->members, preferred_visit, &preferred);
-  return preferred.first;
+  return co_members_count_preferred (peers->members);
 }
 
 typedef struct hall_arg
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -253,7 +253,7 @@
 int pr_peers_is_top_ranked (const pr_peers_t *peers, size_t max);
 int pr_peers_is_first_in_hall (const pr_peers_t *peers);
 co_feed_t *pr_peers_feed (const pr_peers_t *peers);
-int pr_peers_is_preferred (const pr_peers_t *peers);
+size_t pr_peers_count_preferred (const pr_peers_t *peers);
 size_t pr_peers_count_live (const pr_peers_t *peers);
 size_t pr_peers_count_hall_live (const pr_peers_t *peers);
 size_t pr_peers_count_in_force (const pr_peers_t *peers, uint64_t revision);
--- a/store/st_duty.c
+++ b/store/st_duty.c
@@ -20,6 +20,9 @@
 /* Delay while another host has the duty; if that host crashed, its lease
    expires within a few seconds. */
 #define HELD_ELSEWHERE_RETRY (700 * EL_MSEC)
+/* How long a host leaves a vacant duty to each host before it, which may be
+   unable to reach the store. */
+#define TAKEOVER_STEP (400 * EL_MSEC)
 /* Interval at which the vacant callback is called. */
 #define VACANCY_CHECK_INTERVAL (100 * EL_MSEC)
 
@@ -42,6 +45,7 @@
   el_time_t valid_until; /* the lease does not expire before */
   el_time_t not_before;  /* no request before: the holder of the previous
                             epoch may not know of the new one yet */
+  el_time_t vacant_since; /* 0: it is not */
   st_store_listener_t listener;
   net_exchange_t *call;
   el_timer_t timer;
@@ -268,6 +272,24 @@
   el_buf_free (&body);
 }
 
+/* Returns whether the duty is vacant and the hosts before this one have had the
+   time to take it. */
+static int
+duty_is_due (st_duty_t *duty, el_time_t now)
+{
+  const st_duty_options_t *o = &duty->options;
+  size_t rank = o->rank ? o->rank (o->arg) : 0;
+
+  if (!o->vacant (o->arg))
+    {
+      duty->vacant_since = 0;
+      return 0;
+    }
+  if (!duty->vacant_since)
+    duty->vacant_since = now;
+  return now - duty->vacant_since >= rank * TAKEOVER_STEP;
+}
+
 /* Returns the time until the duty may be requested. */
 static el_time_t
 duty_delay (const st_duty_t *duty, el_time_t now)
@@ -284,7 +306,9 @@
   st_duty_t *duty = arg;
   el_time_t wait;
 
-  (void)now;
+  now = net_clock_now (duty->options.store->clock);
+  if (!duty->wanted)
+    duty->vacant_since = 0;
   if (duty->call || (!duty->wanted && duty->step == DUTY_IDLE))
     return;
   if (!duty->wanted && duty->lease)
@@ -294,13 +318,13 @@
     }
   if (duty->step == DUTY_IDLE)
     {
-      wait = duty_delay (duty, net_clock_now (duty->options.store->clock));
+      wait = duty_delay (duty, now);
       if (wait)
         {
           duty_schedule (duty, wait);
           return;
         }
-      if (!duty->options.vacant (duty->options.arg))
+      if (!duty_is_due (duty, now))
         {
           duty_schedule (duty, VACANCY_CHECK_INTERVAL);
           return;
--- a/store/store.h
+++ b/store/store.h
@@ -189,6 +189,9 @@
   /** Whether no other host is known to have the duty; otherwise it is not
       requested. */
   int (*vacant) (void *arg);
+  /** How many hosts should take the duty before this one, which waits longer
+      the more there are. NULL: none. */
+  size_t (*rank) (void *arg);
   void *arg;
 } st_duty_options_t;
 
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -362,6 +362,25 @@
 }
 END_TEST
 
+/* Hosts that agree on the members agree on the order in which one of them all
+   is chosen; a withdrawn host comes last. */
+START_TEST (test_members_agree_on_one_order_of_all)
+{
+  mbr_net_t *net = new_converged_net (_i);
+  unsigned seen = 0;
+  size_t i;
+
+  co_members_set_withdrawn (net->hosts[8].members, 1);
+  mbr_net_run (net, net->now + 3 * EL_SEC);
+  for (i = 0; i < HOSTS; i++)
+    seen |= 1U << co_members_count_preferred (net->hosts[i].members);
+  ck_assert_uint_eq (seen, (1U << HOSTS) - 1);
+  ck_assert_uint_eq (co_members_count_preferred (net->hosts[8].members),
+                     HOSTS - 1);
+  mbr_net_free (net);
+}
+END_TEST
+
 Suite *
 members_suite (void)
 {
@@ -381,6 +400,7 @@
   ADD (tcase, test_members_messages_per_host_are_constant);
   ADD_LOOP (tcase, test_members_first_of_a_hall_is_the_largest, SEEDS);
   ADD_LOOP (tcase, test_members_few_are_chosen_in_each_hall, SEEDS);
+  ADD_LOOP (tcase, test_members_agree_on_one_order_of_all, SEEDS);
   ADD_LOOP (tcase, test_members_death_in_large_fleet_is_known_soon,
             FLEET_SEEDS);
   ADD_LOOP (tcase, test_members_isolated_hosts_catch_up, FLEET_SEEDS);
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -372,6 +372,49 @@
 }
 END_TEST
 
+static size_t
+rank_two (void *arg)
+{
+  (void)arg;
+  return 2;
+}
+
+/* Guards against a duty that stays vacant while the host that should take it
+   cannot reach the store: the hosts after it take it, one after the other. */
+START_TEST (test_duty_left_vacant_is_taken_by_the_next)
+{
+  int vacant = 1;
+  st_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  st_duty_options_t options = { .store = &store,
+                                .key = EL_STR ("duty"),
+                                .holder = EL_STR ("a"),
+                                .ttl_ms = 2000,
+                                .vacant = read_vacant,
+                                .rank = rank_two,
+                                .arg = &vacant };
+  st_duty_t *duty;
+  el_time_t began = net_clock_now (&test_clock);
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n"
+            "{\"lease\":7,\"ttl_ms\":2000}",
+            KEEP_ALIVE },
+          { "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n"
+            "{\"Revision\":3}",
+            KEEP_ALIVE });
+  store.address = el_str (script.address);
+  duty = st_duty_new (&options);
+  st_duty_want (duty, 1);
+  loop_run_for (500 * EL_MSEC);
+  ck_assert_uint_eq (store.counts.calls, 0);
+  while (!st_duty_held (duty, net_clock_now (&test_clock)))
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_uint_le (net_clock_now (&test_clock) - began, 1500 * EL_MSEC);
+  ck_assert_uint_eq (store.counts.calls, 2);
+}
+END_TEST
+
 Suite *
 store_suite (void)
 {
@@ -387,6 +430,7 @@
   ADD (tcase, test_follow_lost_history_is_read_by_few);
   ADD (tcase, test_store_retry_after_stops_all_calls);
   ADD (tcase, test_duty_is_requested_only_when_vacant);
+  ADD (tcase, test_duty_left_vacant_is_taken_by_the_next);
   suite_add_tcase (suite, tcase);
   return suite;
 }
