Checks and reports of engines follow their use, not their number

Cause: an engine that its poller found silent was checked by every host of the hall at once and each 0.4 s (silent engines x hosts); every reply to a host's request for news had the reports of all engines of the hall (engines x hosts, twice a second: 146 KB/s at the middle host of 986, 23 MB/s at the one asked).

Change: a host checks such an engine if it has requests there; others prefer other engines until a report says that it answers. A reply has the reports that changed since the last one to that host; an engine that stays idle is not reported. The tests count checks, and reports at 10, 100 and 500 engines.

--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -468,11 +468,11 @@
 }
 
 static size_t
-frontend_engine_reports (void *arg, pr_engine_report_t **out)
+frontend_engine_reports (void *arg, el_time_t after, pr_engine_report_t **out)
 {
   frontend_t *frontend = arg;
 
-  return gt_relays_engine_reports (frontend->relays, out);
+  return gt_relays_engine_reports (frontend->relays, after, out);
 }
 
 static void
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -63,7 +63,8 @@
 {
   /** Returns the state of engines known here, for other hosts. The caller
       frees the list but not its strings. */
-  size_t (*list_engines) (void *arg, pr_engine_report_t **out);
+  size_t (*list_engines) (void *arg, el_time_t after,
+                          pr_engine_report_t **out);
   /** Another host sent the state of its engines. */
   void (*engines_received) (void *arg, const pr_engine_report_t *reports,
                             size_t n);
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -167,7 +167,7 @@
 void gt_relays_set_rules (gt_relays_t *relays, rt_rules_t *rules);
 void gt_relays_set_rules_as_of (gt_relays_t *relays, el_time_t as_of);
 const rt_rules_t *gt_relays_rules_in_force (const gt_relays_t *relays);
-size_t gt_relays_engine_reports (gt_relays_t *relays,
+size_t gt_relays_engine_reports (gt_relays_t *relays, el_time_t after,
                                  pr_engine_report_t **out);
 void gt_relays_receive_reports (gt_relays_t *relays,
                                 const pr_engine_report_t *reports, size_t n);
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -31,6 +31,9 @@
 #define CHECK_INTERVAL_RESET (3 * EL_SEC)
 /* Interval between checks of a silent engine. */
 #define SILENT_RECHECK (400 * EL_MSEC)
+/* An engine is idle with less of its memory and slots in use. */
+#define IDLE_SHARE 0.02
+#define IDLE_PACE 1.1
 /* Streams are moved off an engine that is this many times slower than others
    of its kind. The factor is high since the new engine has to process all
    tokens so far again. */
@@ -92,6 +95,19 @@
   check_each_stream (relays, engine, relay_watch_engine_silent);
 }
 
+/* Marks a report as news for other hosts, unless ENGINE was idle and still is:
+   hosts that know of no load assume none. */
+static void
+check_note_load (const gt_relays_t *relays, rt_target_t *engine)
+{
+  int idle = engine->fill < IDLE_SHARE && engine->taken < IDLE_SHARE
+             && engine->pace < IDLE_PACE;
+
+  if (!idle || !engine->idle)
+    engine->news_at = net_clock_now (relays->options.clock);
+  engine->idle = idle;
+}
+
 /** Processes a LOAD that ENGINE reported at AT. Streams are moved off a slow
     engine if their hall has a replica, fewer new streams are sent to it, and
     it is checked until it has recovered. */
@@ -110,7 +126,10 @@
         check_engine_restarted (relays, engine, load);
       return;
     }
-  if (!rt_target_report (engine, load, at) || slow == was_slow)
+  if (!rt_target_report (engine, load, at))
+    return;
+  check_note_load (relays, engine);
+  if (slow == was_slow)
     return;
   EL_LOG (EL_LOG_INFO, slow ? "engine_slow" : "engine_well",
           EL_FS ("engine", engine->attrs.id),
@@ -157,6 +176,9 @@
   net_clock_cancel (relays->options.clock, &check->timeout);
   gt_relays_apply_hints (relays, engine, hints, EL_STR ("check"));
   engine->asked = 0;
+  if (engine->reported_silent || was_silent == answered)
+    engine->news_at = net_clock_now (relays->options.clock);
+  engine->reported_silent = 0;
   engine->avail.silent = !answered;
   if (result == GT_CHECK_REFUSED && !engine->refused_at)
     engine->refused_at = check->sent;
--- a/gate/relay_poll.c
+++ b/gate/relay_poll.c
@@ -94,33 +94,50 @@
   net_clock_cancel (relays->options.clock, &relays->poll);
 }
 
-/** Stores the recent reports of the hall's engines in OUT, which the caller
-    frees, and returns their number. */
+/** Stores in OUT, which the caller frees, the reports of the hall's engines
+    that this host got after AFTER, or all recent ones if that is 0, and returns
+    their number. Engines that stay idle have no report after AFTER, so that
+    the number follows the load and not the engines. */
 size_t
-gt_relays_engine_reports (gt_relays_t *relays, pr_engine_report_t **out)
+gt_relays_engine_reports (gt_relays_t *relays, el_time_t after,
+                          pr_engine_report_t **out)
 {
   const gt_relay_options_t *o = &relays->options;
   el_time_t now = net_clock_now (o->clock);
   rt_target_t *engine;
+  size_t size = 0;
   size_t n = 0;
 
-  *out = el_alloc ((rt_fleet_count (o->fleet) + 1) * sizeof **out);
+  *out = NULL;
   for (engine = rt_fleet_first (o->fleet); engine; engine = engine->hh.next)
-    if (poll_covers (relays, engine) && engine->reported_at
-        && now < engine->reported_at + REPORT_AGE_MAX)
+    {
+      int silent = engine->avail.silent || engine->reported_silent;
+
+      if (!poll_covers (relays, engine) || (after && engine->news_at < after)
+          || !engine->reported_at
+          || (!silent && now >= engine->reported_at + REPORT_AGE_MAX))
+        continue;
+      if (n == size)
+        {
+          size = size ? 2 * size : 16;
+          *out = el_grow (*out, size, sizeof **out);
+        }
       (*out)[n++] = (pr_engine_report_t){ .id = engine->attrs.id,
                                           .born = engine->attrs.born,
                                           .fill = engine->fill,
                                           .pace = engine->pace,
                                           .taken = engine->taken,
                                           .age = now - engine->reported_at,
-                                          .silent = engine->avail.silent };
+                                          .silent = silent };
+    }
   return n;
 }
 
 /** Processes engine reports from another host. An engine that did not respond
-    there is checked by this host, too: it may be unreachable for the other
-    host only. */
+    there may be unreachable for the other host only: this host checks it, too,
+    if it uses it, and otherwise prefers others. If all hosts of a hall checked
+    it, one engine that is slow to answer would have as many checks as the hall
+    has hosts. */
 void
 gt_relays_receive_reports (gt_relays_t *relays,
                            const pr_engine_report_t *reports, size_t n)
@@ -139,9 +156,12 @@
 
       if (!engine)
         continue;
-      if (reports[i].silent)
-        relay_check (relays, engine);
-      else
+      if (engine->reported_silent != reports[i].silent)
+        engine->news_at = now;
+      engine->reported_silent = reports[i].silent;
+      if (!reports[i].silent)
         relay_check_load (relays, engine, &load, now - reports[i].age);
+      else if (engine->chains || engine->running)
+        relay_check (relays, engine);
     }
 }
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -30,7 +30,8 @@
 static pr_store_position_t ops_position (void *arg);
 static void ops_epoch (void *arg, uint64_t epoch);
 static el_time_t ops_known (void *arg);
-static size_t ops_engines (void *arg, pr_engine_report_t **out);
+static size_t ops_engines (void *arg, el_time_t after,
+                           pr_engine_report_t **out);
 static void ops_engine_reports (void *arg, const pr_engine_report_t *engines,
                                 size_t n);
 static void ops_rumor (void *arg, const co_rumor_t *rumor);
@@ -135,13 +136,13 @@
 }
 
 static size_t
-ops_engines (void *arg, pr_engine_report_t **out)
+ops_engines (void *arg, el_time_t after, pr_engine_report_t **out)
 {
   gt_gate_t *gate = arg;
 
   if (!gate->relay_hooks.list_engines)
     return 0;
-  return gate->relay_hooks.list_engines (gate->relay_hooks.arg, out);
+  return gate->relay_hooks.list_engines (gate->relay_hooks.arg, after, out);
 }
 
 static void
--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -34,10 +34,14 @@
   el_timer_t members_timer;
   uint64_t random;      /* state of el_random */
   size_t live_reported; /* live hosts, as last passed to ops->hosts */
+  size_t live_logged;   /* live hosts, as last logged */
+  el_time_t live_logged_at;
   int fetching;         /* a request for configuration is pending */
   co_feed_t *feed;
   struct peer_pending_request *pending_requests; /* the newest first */
   el_timer_t pending_timer;
+  co_incarnation_t reports_from; /* host of the last engine reports */
+  uint64_t reports_at;           /* by its clock */
   peer_leaving_notice_t *leaving_notices;
   peer_handover_t *handover;
   pr_session_home_t successor;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -15,6 +15,9 @@
 #define PROBE_TIMEOUT (200 * EL_MSEC)
 #define MEMBER_FORGET_DELAY (600 * EL_SEC)
 #define NO_DELAY 0
+/* Least time between two lines that say how many hosts are live; a line for
+   each host of a large fleet would take more than the change itself. */
+#define LIVE_LOG_INTERVAL EL_SEC
 
 static const struct
 {
@@ -111,6 +114,14 @@
 
   net_clock_set (peers->options.clock, &peers->members_timer,
                  due > now ? due - now : NO_DELAY);
+  if (live != peers->live_logged
+      && now >= peers->live_logged_at + LIVE_LOG_INTERVAL)
+    {
+      EL_LOG (EL_LOG_INFO, "members", EL_FN ("live", live),
+              EL_FN ("before", peers->live_logged));
+      peers->live_logged = live;
+      peers->live_logged_at = now;
+    }
   if (live == peers->live_reported)
     return;
   peers->live_reported = live;
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -193,9 +193,9 @@
   /** The time up to which all changes of the store are known here; 0: no data
       yet. */
   el_time_t (*store_known_until) (void *arg);
-  /** Get the engine reports of this host. The caller frees the list but not
-      the strings. */
-  size_t (*engines) (void *arg, pr_engine_report_t **out);
+  /** Get the engine reports that this host got after AFTER, all recent ones if
+      that is 0. The caller frees the list but not the strings. */
+  size_t (*engines) (void *arg, el_time_t after, pr_engine_report_t **out);
   /** Another host sent engine reports. */
   void (*receive_engine_reports) (void *arg, const pr_engine_report_t *engines,
                                   size_t n);
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -199,13 +199,16 @@
    newer data, has more keys or is in another epoch, else when it has got an
    answer of the store or polled the engines of its hall. KNOWN_AGO:
    microseconds since the time as of which the requester's data is complete.
-   STAND_IN: the other host is to ask the store in the requester's place. */
+   STAND_IN: the other host is to ask the store in the requester's place.
+   REPORTS_AFTER: REPORTS_AT of the last reply of this host, 0 if the last
+   reply came from another one. */
 struct peer_news_args {
   unsigned hyper epoch;
   unsigned hyper after;
   unsigned hyper known_ago;
   bool read;
   bool stand_in;
+  unsigned hyper reports_after;
   opaque cursor<PEER_NAME_MAX>;
 };
 
@@ -228,7 +231,9 @@
 };
 
 /* KNOWN_AFTER: microseconds from the arrival of the request to the time as of
-   which the reply is complete; negative when that time is earlier. */
+   which the reply is complete; negative when that time is earlier. REPORTS_AT:
+   the sender's clock; the reply has the reports of engines that changed since
+   REPORTS_AFTER of the request. */
 struct peer_news_res {
   int state; /* a pr_update_state_t */
   bool more;
@@ -236,6 +241,7 @@
   unsigned hyper epoch;
   unsigned hyper revision;
   hyper known_after;
+  unsigned hyper reports_at;
   peer_item items<PEER_CHANGES_MAX>;
   peer_engine engines<PEER_ENGINES_MAX>;
 };
--- a/peer/peer_news.c
+++ b/peer/peer_news.c
@@ -29,6 +29,7 @@
 {
   net_rpc_req_t *req;
   pr_store_query_t query; /* owns its cursor */
+  el_time_t reports_after;
   el_time_t received_at;
   struct peer_pending_request *next;
 } peer_pending_request_t;
@@ -37,6 +38,7 @@
 typedef struct peer_update_request
 {
   pr_peers_t *peers;
+  co_incarnation_t host;
   el_time_t sent;
   pr_store_update_cb done;
   void *arg;
@@ -55,10 +57,10 @@
 /* Encode this host's engine reports into a reply; returns the list that their
    strings point into, for the caller to free. */
 static pr_engine_report_t *
-engines_encode (const pr_peers_t *peers, peer_news_res *res)
+engines_encode (const pr_peers_t *peers, el_time_t after, peer_news_res *res)
 {
   pr_engine_report_t *list = NULL;
-  size_t n = peers->options.ops->engines (peers->options.arg, &list);
+  size_t n = peers->options.ops->engines (peers->options.arg, after, &list);
   size_t i;
 
   res->engines.engines_val = el_alloc ((n + 1) * sizeof (peer_engine));
@@ -150,7 +152,10 @@
   res.known_after = (int64_t)update->as_of - (int64_t)pending->received_at;
   items_encode (update, &res);
   if (!pending->query.read)
-    engines = engines_encode (peers, &res);
+    {
+      engines = engines_encode (peers, pending->reports_after, &res);
+      res.reports_at = net_clock_now (peers->options.clock);
+    }
   peer_xdr_encode ((xdrproc_t)xdr_peer_news_res, &res, &out);
   net_rpc_reply (pending->req, el_buf_str (&out));
   free (res.engines.engines_val);
@@ -213,6 +218,7 @@
     .read = args.read,
     .cursor = el_str_dup (PEER_BYTES_GET (args.cursor, cursor)),
   };
+  pending->reports_after = args.reports_after;
   pending->received_at = net_clock_now (peers->options.clock);
   if (args.epoch > ops->store_position (peers->options.arg).epoch)
     ops->epoch (peers->options.arg, args.epoch);
@@ -299,6 +305,11 @@
                                .gone = item->gone };
     }
   engines_decode (request->peers, res);
+  if (res->reports_at)
+    {
+      request->peers->reports_from = request->host;
+      request->peers->reports_at = res->reports_at;
+    }
   request->done (request->arg, &update);
   free (update.items);
 }
@@ -369,7 +380,10 @@
   peer_update_request_t *request = el_alloc (sizeof *request);
 
   request->peers = peers;
+  request->host = host->incarnation;
   request->sent = now;
+  if (co_incarnation_eq (&peers->reports_from, &host->incarnation))
+    args.reports_after = peers->reports_at;
   request->done = done;
   request->arg = arg;
   PEER_BYTES_SET (args.cursor, cursor, query->cursor);
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -321,6 +321,7 @@
 	u_quad_t known_ago;
 	bool_t read;
 	bool_t stand_in;
+	u_quad_t reports_after;
 	struct {
 		u_int cursor_len;
 		char *cursor_val;
@@ -363,6 +364,7 @@
 	u_quad_t epoch;
 	u_quad_t revision;
 	quad_t known_after;
+	u_quad_t reports_at;
 	struct {
 		u_int items_len;
 		peer_item *items_val;
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -455,6 +455,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->stand_in))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->reports_after))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->cursor.cursor_val, (u_int *) &objp->cursor.cursor_len, PEER_NAME_MAX))
 		 return FALSE;
 	return TRUE;
@@ -578,6 +580,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->known_after))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->reports_at))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_CHANGES_MAX,
 			sizeof (peer_item), (xdrproc_t) xdr_peer_item))
 			 return FALSE;
@@ -606,6 +610,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->known_after))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->reports_at))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_CHANGES_MAX,
 			sizeof (peer_item), (xdrproc_t) xdr_peer_item))
 			 return FALSE;
@@ -627,6 +633,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->known_after))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->reports_at))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_CHANGES_MAX,
 		sizeof (peer_item), (xdrproc_t) xdr_peer_item))
 		 return FALSE;
--- a/route/chain.c
+++ b/route/chain.c
@@ -55,8 +55,9 @@
 typedef enum chain_level
 {
   LEVEL_HEALTHY, /* no reason to avoid them */
-  LEVEL_USABLE,  /* also those with an overdue health check, and those that a
-                    suspect request may crash */
+  LEVEL_USABLE,  /* also those with an overdue health check, those that another
+                    host found silent, and those that a suspect request may
+                    crash */
   LEVEL_ANY      /* also those that are a last resort */
 } chain_level_t;
 
@@ -180,8 +181,10 @@
     return 0;
   if (avail_level == RT_AVAIL_DOUBTFUL && target != search->required_first)
     return search->level == LEVEL_USABLE;
-  return search->level == LEVEL_USABLE || !target->asked
-         || search->now < target->asked + CHECK_GRACE;
+  if (search->level == LEVEL_USABLE)
+    return 1;
+  return !target->reported_silent
+         && (!target->asked || search->now < target->asked + CHECK_GRACE);
 }
 
 static void
--- a/route/relay.h
+++ b/route/relay.h
@@ -174,9 +174,14 @@
   double taken; /**< running and queued requests per slot, as last reported */
   unsigned running_at_report; /**< RUNNING at that report */
   el_time_t reported_at;      /**< time of the last load report; 0: none yet */
+  el_time_t news_at; /**< when this host learned of a state that other hosts
+                        should know */
+  int idle;          /**< the last report showed no load worth passing on */
   el_time_t asked; /**< when the outstanding health check was sent; 0: none is
                       outstanding */
   el_time_t refused_at; /**< connections are refused since; 0: they are not */
+  int reported_silent;  /**< another host got no answer to a health check; this
+                           host has not checked it */
   double mean_ms;       /**< moving average of its response time */
   UT_hash_handle hh;
 } rt_target_t;
--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -127,6 +127,114 @@
   run_loop (120 * EL_MSEC); /* until a new check is allowed */
 }
 
+/* Guards against hosts that all check an engine which one of them found
+   silent: only those whose requests it runs do. The others prefer other
+   engines until a report says that it answers again. */
+START_TEST (test_check_silent_report_is_checked_by_users_only)
+{
+  const pr_engine_report_t silent = { .id = EL_STR ("a"), .silent = 1 };
+  const pr_engine_report_t well = { .id = EL_STR ("a"), .pace = 1 };
+  unsigned before;
+
+  check_all_once ();
+  before = engines[0].requests;
+  gt_relays_receive_reports (&relays, &silent, 1);
+  run_loop (30 * EL_MSEC);
+  ck_assert_uint_eq (engines[0].requests, before);
+  ck_assert_int_eq (engines[0].engine->reported_silent, 1);
+  gt_relays_receive_reports (&relays, &well, 1);
+  ck_assert_int_eq (engines[0].engine->reported_silent, 0);
+  engines[0].engine->chains = 1;
+  gt_relays_receive_reports (&relays, &silent, 1);
+  wait_checked (&engines[0]);
+  ck_assert_uint_eq (engines[0].requests, before + 1);
+  ck_assert_int_eq (engines[0].engine->reported_silent, 0);
+  engines[0].engine->chains = 0;
+}
+END_TEST
+
+/* Reports of N engines, of which two are busy, as a host sends them to one that
+   got the reports of the poll before. */
+static size_t
+count_reports_of_second_poll (size_t n)
+{
+  const rt_load_t idle = { .pace = 1, .fill = 0.001 };
+  const rt_load_t busy = { .pace = 1, .fill = 0.4, .taken = 0.3 };
+  pr_engine_report_t *reports;
+  el_time_t after = 0;
+  size_t count = 0;
+  size_t poll;
+  size_t i;
+  char id[32];
+
+  for (poll = 0; poll < 2; poll++)
+    {
+      run_loop (5 * EL_MSEC);
+      after = net_clock_now (&test_clock);
+      for (i = 0; i < n; i++)
+        {
+          rt_attrs_t attrs = { .id = el_str (id),
+                               .service = EL_STR ("pool"),
+                               .address = EL_STR ("127.0.0.1:9"),
+                               .hall = EL_STR ("h"),
+                               .slots = 48,
+                               .end = 8 };
+          rt_target_t *engine;
+
+          snprintf (id, sizeof id, "e%03zu", i);
+          engine = rt_fleet_update (relays.options.fleet, &attrs);
+          relay_check_load (&relays, engine, i < 2 ? &busy : &idle,
+                            net_clock_now (&test_clock));
+        }
+    }
+  count = gt_relays_engine_reports (&relays, after, &reports);
+  free (reports);
+  ck_assert_uint_ge (gt_relays_engine_reports (&relays, 0, &reports), n);
+  free (reports);
+  return count;
+}
+
+/* Guards against reports of all engines in each message: what is sent follows
+   the engines that are busy, not those that there are. */
+START_TEST (test_check_reports_follow_load)
+{
+  static const size_t sizes[] = { 10, 100, 500 };
+  size_t i;
+
+  for (i = 0; i < 3; i++)
+    ck_assert_uint_eq (count_reports_of_second_poll (sizes[i]), 2);
+}
+END_TEST
+
+/* An engine that falls silent, or answers again, is news; so is one that
+   becomes idle. */
+START_TEST (test_check_reports_include_each_change)
+{
+  const rt_load_t idle = { .pace = 1 };
+  const rt_load_t busy = { .pace = 1, .fill = 0.4 };
+  const pr_engine_report_t silent = { .id = EL_STR ("a"), .silent = 1 };
+  const pr_engine_report_t well = { .id = EL_STR ("a"), .pace = 1 };
+  const pr_engine_report_t *changes[] = { &silent, &well };
+  pr_engine_report_t *reports;
+  el_time_t after;
+  size_t i;
+
+  for (i = 0; i < 4; i++)
+    {
+      run_loop (5 * EL_MSEC);
+      after = net_clock_now (&test_clock);
+      if (i < 2)
+        relay_check_load (&relays, engines[0].engine, i ? &idle : &busy, after);
+      else
+        gt_relays_receive_reports (&relays, changes[i - 2], 1);
+      ck_assert_uint_eq (gt_relays_engine_reports (&relays, after, &reports),
+                         1);
+      ck_assert_int_eq (reports[0].silent, i == 2);
+      free (reports);
+    }
+}
+END_TEST
+
 START_TEST (test_check_applies_reported_load)
 {
   check_all_once ();
@@ -261,6 +369,9 @@
 
   tcase_set_timeout (tcase, 30);
   tcase_add_checked_fixture (tcase, check_setup, NULL);
+  ADD (tcase, test_check_silent_report_is_checked_by_users_only);
+  ADD (tcase, test_check_reports_follow_load);
+  ADD (tcase, test_check_reports_include_each_change);
   ADD (tcase, test_check_applies_reported_load);
   ADD (tcase, test_check_silent_engine_is_detected);
   ADD (tcase, test_check_waits_longer_if_no_engine_answers);
