Members: additional probes of urgent changes stay mostly in the hall

Cause: while members change, all hosts probe five times as often, at random: four fifths of these messages cross halls. Hosts that are stopped and started in turn keep this up for the whole time.

--- a/coord/libcoord.h
+++ b/coord/libcoord.h
@@ -74,8 +74,10 @@
   mbr_entry_t *entries;
   mbr_entry_t **order; /* all entries, in probing order */
   size_t norder;
-  size_t cursor; /* next index in order to probe */
-  size_t live;   /* number of other members that are alive or suspect */
+  size_t cursor;       /* next index in order to probe */
+  size_t near_cursor;  /* the same, for additional probes of this hall */
+  unsigned additional; /* probes since updates became urgent */
+  size_t live;         /* number of other members that are alive or suspect */
   el_str_t seeds;
   size_t seed_offset;
   mbr_probe_t *probes;
--- a/coord/mbr_probe.c
+++ b/coord/mbr_probe.c
@@ -24,7 +24,7 @@
 #define STARTUP_SYNC_PROBES 3
 /* Every STARTUP_FAR_PROBES-th probe, the list is requested from a host of any
    hall; else from one of the same hall, to save links between halls. */
-#define STARTUP_FAR_PROBES 9
+#define STARTUP_FAR_PROBES 18
 /* Interval at which one seed after the other is asked for members, until one
    has answered. */
 #define DISCOVERY_INTERVAL (40 * EL_MSEC)
@@ -34,23 +34,37 @@
    carry them. */
 #define URGENT_SPEEDUP 5
 
-/* Return the next live member to probe. All are probed in turn, in an order
-   that is random on each host. */
+/* Return the next live member to probe, of HALL if that is not empty. All are
+   probed in turn, in an order that is random on each host. */
 static mbr_entry_t *
-probe_next (co_members_t *members)
+probe_next (const co_members_t *members, size_t *cursor, el_str_t hall)
 {
   mbr_entry_t *entry;
   size_t i;
 
   for (i = 0; i < members->norder; i++)
     {
-      entry = members->order[members->cursor++ % members->norder];
-      if (mbr_is_live (entry))
+      entry = members->order[(*cursor)++ % members->norder];
+      if (mbr_is_live (entry)
+          && (hall.len == 0 || el_str_eq (entry->m.hall, hall)))
         return entry;
     }
   return NULL;
 }
 
+/* Return the member to probe now. Of the additional probes that carry urgent
+   updates, most go to hosts of the own hall, to save links between halls. */
+static mbr_entry_t *
+probe_select (co_members_t *members)
+{
+  mbr_entry_t *entry = NULL;
+
+  if (members->additional && members->additional % URGENT_SPEEDUP)
+    entry = probe_next (members, &members->near_cursor, members->self.hall);
+  return entry ? entry
+               : probe_next (members, &members->cursor, (el_str_t){ NULL, 0 });
+}
+
 static void
 probe_add (co_members_t *members, el_time_t now, const mbr_entry_t *entry,
            el_str_t address)
@@ -230,8 +244,8 @@
 }
 
 /* Return a random live member among those of HALL, or of all halls if that is
-   empty, whose capacity is at least half of the largest one; NULL when there is
-   none. A member list is long, and hosts that start together ask the few
+   empty, whose capacity is at least half of the largest one; NULL when there
+   is none. A member list is long, and hosts that start together ask the few
    members that they know. */
 static const mbr_entry_t *
 sync_source (co_members_t *members, el_str_t hall)
@@ -269,8 +283,7 @@
   if (!members->options.sync
       || members->startup_probes % STARTUP_SYNC_PROBES != 0)
     return;
-  source = (members->startup_probes + STARTUP_SYNC_PROBES)
-                   % STARTUP_FAR_PROBES
+  source = (members->startup_probes + STARTUP_SYNC_PROBES) % STARTUP_FAR_PROBES
                ? sync_source (members, members->self.hall)
                : NULL;
   if (!source)
@@ -336,7 +349,7 @@
     return;
   if (first)
     members->startup_until = now + STARTUP_PERIODS * period;
-  entry = probe_next (members);
+  entry = probe_select (members);
   if (now < members->startup_until)
     {
       period /= STARTUP_SPEEDUP;
@@ -347,7 +360,12 @@
         }
     }
   if (mbr_update_urgent (members))
-    period = members->options.period / URGENT_SPEEDUP;
+    {
+      period = members->options.period / URGENT_SPEEDUP;
+      members->additional++;
+    }
+  else
+    members->additional = 0;
   members->next_period = now + period;
   if (entry)
     probe_add (members, now, entry, entry->m.peer);
--- a/tests/mbr_net.c
+++ b/tests/mbr_net.c
@@ -97,6 +97,7 @@
 
   *msg = *model;
   msg->from->sent++;
+  msg->from->sent_far += strcmp (msg->from->hall, msg->to->hall) != 0;
   co_members_write_gossip (msg->from->members, to_inc, &msg->gossip);
   gossip_use_stable_strings (net, &msg->gossip);
   if (net->size)
--- a/tests/mbr_net.h
+++ b/tests/mbr_net.h
@@ -31,6 +31,7 @@
   int paused;               /* neither runs nor answers */
   int isolated;             /* cut off from all others */
   uint64_t sent;            /* messages sent */
+  uint64_t sent_far;        /* of these, to hosts of other halls */
   unsigned leaving_notices; /* endpoint-leaving notices received */
   uint64_t bytes;           /* size of the messages sent */
   uint64_t revision; /* of the configuration; fetched when gossip names a newer
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -362,6 +362,39 @@
 }
 END_TEST
 
+/* While hosts are replaced in turn, probes are more frequent; those added stay
+   mostly in the hall. Four fifths of the messages would leave it if they went
+   to hosts at random. */
+START_TEST (test_members_churn_stays_mostly_in_the_hall)
+{
+  mbr_net_t *net = mbr_net_new ((uint64_t)_i + 1, 100, 5);
+  uint64_t sent = 0;
+  uint64_t far = 0;
+  size_t i;
+
+  mbr_net_run (net, net->now + 3 * SETTLE_TIME);
+  for (i = 0; i < 100; i++)
+    {
+      sent -= net->hosts[i].sent;
+      far -= net->hosts[i].sent_far;
+    }
+  for (i = 0; i < 20; i++)
+    {
+      mbr_net_replace_host (net, 40 + i);
+      mbr_net_run (net, net->now + EL_SEC);
+    }
+  for (i = 0; i < 100; i++)
+    {
+      sent += net->hosts[i].sent;
+      far += net->hosts[i].sent_far;
+    }
+  ck_assert_uint_le (far, sent / 2);
+  mbr_net_run (net, net->now + SETTLE_TIME);
+  ck_assert (mbr_net_is_converged (net, 100));
+  mbr_net_free (net);
+}
+END_TEST
+
 /* Hosts that agree on the members agree on the order in which one of them all
    is chosen; a withdrawn host comes last. */
 START_TEST (test_members_agree_on_one_order_of_all)
@@ -400,6 +433,7 @@
   ADD (tcase, test_members_messages_per_host_are_constant);
   ADD_LOOP (tcase, test_members_first_of_a_hall_is_the_largest, SEEDS);
   ADD_LOOP (tcase, test_members_few_are_chosen_in_each_hall, SEEDS);
+  ADD_LOOP (tcase, test_members_churn_stays_mostly_in_the_hall, 2);
   ADD_LOOP (tcase, test_members_agree_on_one_order_of_all, SEEDS);
   ADD_LOOP (tcase, test_members_death_in_large_fleet_is_known_soon,
             FLEET_SEEDS);
