Chains: a search sees all engines and costs what the distinct ranges cost

Cause: a search took the first 512 engines in the order of their listing; of 2,844 the other 2,332 got no streams, whatever their load. Now all are looked at, and of those that hold the same layers on the same card in the same hall, which are replicas of each other, the two cheapest are searched; up to 512 engines all are, as before. The search visits only the engines that hold a layer, and compares kinds of engines (service, hall, card) in place of strings.

Chains over replicas are within 5 % of a full search on 20 drawn fleets; the quick engines of 2,000 are found wherever they are listed (red before).

--- a/route/chain.c
+++ b/route/chain.c
@@ -15,7 +15,13 @@
 
 #define LAYERS_MAX 256
 #define HALLS_MAX 32
-#define CANDIDATES_MAX 512
+/* Up to this many engines are all searched. Of more, those that hold the same
+   layers on the same card in the same hall are replicas of each other, and the
+   REPLICAS_SEARCHED cheapest of them are: a search then costs what the
+   distinct ranges cost, not the engines. Several remain, as an engine runs
+   only one part of a chain. */
+#define CANDIDATES_ALL 512
+#define REPLICAS_SEARCHED 2
 /* Cost of leaving the hall, in milliseconds of token latency, beyond the
    network latency. It applies while the link between the halls has capacity
    for every stream to cross it once, and rises in proportion beyond that, as
@@ -46,11 +52,29 @@
 typedef struct chain_candidate
 {
   rt_target_t *target;
+  const rt_card_t *card;
   unsigned hall;
   double layer_ms; /* decode time per layer */
   rt_estimate_t estimate;
+  int required; /* is searched whatever it costs */
 } chain_candidate_t;
 
+/* Engines that hold the same layers on the same card in the same hall. */
+typedef struct chain_replicas
+{
+  struct chain_replicas_key
+  {
+    const rt_card_t *card;
+    unsigned hall;
+    unsigned first;
+    unsigned end;
+    unsigned unused; /* no padding in a key */
+  } key;
+  chain_candidate_t cheapest[REPLICAS_SEARCHED]; /* in order of cost */
+  size_t n;
+  UT_hash_handle hh;
+} chain_replicas_t;
+
 /* Which engines a search may use. */
 typedef enum chain_level
 {
@@ -75,7 +99,7 @@
   unsigned layers;
   el_str_t halls[HALLS_MAX];
   unsigned nhalls;
-  chain_candidate_t candidates[CANDIDATES_MAX];
+  chain_candidate_t *candidates;
   size_t ncandidates;
   unsigned char boundary[LAYERS_MAX + 1]; /* whether a part may end there */
   chain_node_t node[LAYERS_MAX + 1][HALLS_MAX];
@@ -137,25 +161,129 @@
   return 1 + COST_JITTER * (double)(mixed % 1000) / 1000;
 }
 
+/* What a search knows of the engines of one kind. */
+typedef struct chain_kind
+{
+  const rt_card_t *card; /* NULL: they are not searched */
+  unsigned hall;
+} chain_kind_t;
+
+/* Returns a list by the kinds' index, which the caller frees. */
+static chain_kind_t *
+kinds_read (chain_search_t *search, const rt_fleet_t *fleet,
+            const rt_service_t *service)
+{
+  rt_kind_t *const *kinds;
+  size_t n = rt_fleet_kinds (fleet, &kinds);
+  chain_kind_t *out = el_alloc ((n + 1) * sizeof *out);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      if (!el_str_eq (kinds[i]->service, service->name))
+        continue;
+      out[i].card = rt_model_card (&service->model, kinds[i]->card);
+      if (out[i].card)
+        out[i].hall = search_hall (search, kinds[i]->hall);
+    }
+  return out;
+}
+
 static void
 search_add_candidate (chain_search_t *search, const rt_fleet_t *fleet,
-                      const rt_model_t *model, rt_target_t *target,
-                      uint64_t draw)
+                      const rt_model_t *model, const chain_kind_t *kind,
+                      rt_target_t *target)
 {
-  const rt_card_t *card = rt_model_card (model, target->attrs.card);
-  chain_candidate_t *c;
+  chain_candidate_t *c = &search->candidates[search->ncandidates++];
 
-  if (!card || search->ncandidates == CANDIDATES_MAX)
-    return;
-  c = &search->candidates[search->ncandidates++];
   c->target = target;
-  c->estimate
-      = rt_estimate (fleet, model, target, search->tokens, search->now);
-  c->hall = search_hall (search, target->attrs.hall);
-  c->layer_ms = model->step_ms * card->step_scale / (double)model->layers
-                * c->estimate.step_factor * search_jitter (target, draw);
-  search->boundary[target->attrs.first] = 1;
-  search->boundary[target->attrs.end] = 1;
+  c->card = kind->card;
+  c->hall = kind->hall;
+  c->estimate = rt_estimate (fleet, model, kind->card, target, search->tokens,
+                             search->now);
+  c->layer_ms = model->step_ms * kind->card->step_scale / (double)model->layers
+                * c->estimate.step_factor
+                * search_jitter (target, search->now);
+  c->required = target == search->kept_engine
+                || target == search->required_first
+                || (search->old && rt_chain_has (search->old, target));
+}
+
+/* Cost of all layers that C holds, as one part. */
+static double
+candidate_cost (const chain_candidate_t *c)
+{
+  const rt_attrs_t *attrs = &c->target->attrs;
+
+  return (attrs->end - attrs->first) * c->layer_ms
+         + PREFILL_WAIT_WEIGHT * c->estimate.prefill_wait_ms
+         + (attrs->first ? 0 : c->estimate.slot_wait_ms);
+}
+
+/* Keeps C if it is among the cheapest ones of its replicas. */
+static void
+replicas_add (chain_replicas_t *replicas, const chain_candidate_t *c)
+{
+  double cost = candidate_cost (c);
+  size_t i = replicas->n;
+
+  while (i > 0 && cost < candidate_cost (&replicas->cheapest[i - 1]))
+    {
+      if (i < REPLICAS_SEARCHED)
+        replicas->cheapest[i] = replicas->cheapest[i - 1];
+      i--;
+    }
+  if (i == REPLICAS_SEARCHED)
+    return;
+  replicas->cheapest[i] = *c;
+  if (replicas->n < REPLICAS_SEARCHED)
+    replicas->n++;
+}
+
+/* Reduces the candidates to the required ones and the cheapest of each group
+   of replicas. */
+static void
+search_reduce (chain_search_t *search)
+{
+  chain_replicas_t *all = NULL;
+  chain_replicas_t *replicas;
+  chain_replicas_t *next;
+  size_t n = 0;
+  size_t i;
+
+  if (search->ncandidates <= CANDIDATES_ALL)
+    return;
+  for (i = 0; i < search->ncandidates; i++)
+    {
+      const chain_candidate_t *c = &search->candidates[i];
+      const rt_attrs_t *attrs = &c->target->attrs;
+      struct chain_replicas_key key = { .card = c->card,
+                                        .hall = c->hall,
+                                        .first = attrs->first,
+                                        .end = attrs->end };
+
+      if (c->required)
+        {
+          search->candidates[n++] = *c;
+          continue;
+        }
+      HASH_FIND (hh, all, &key, sizeof key, replicas);
+      if (!replicas)
+        {
+          replicas = el_alloc (sizeof *replicas);
+          replicas->key = key;
+          HASH_ADD (hh, all, key, sizeof key, replicas);
+        }
+      replicas_add (replicas, c);
+    }
+  HASH_ITER (hh, all, replicas, next)
+  {
+    for (i = 0; i < replicas->n; i++)
+      search->candidates[n++] = replicas->cheapest[i];
+    HASH_DEL (all, replicas);
+    free (replicas);
+  }
+  search->ncandidates = n;
 }
 
 /* Cost of leaving a hall. The token rate is known only a few seconds after the
@@ -192,19 +320,32 @@
              const rt_service_t *service, const rt_tried_t *tried)
 {
   const rt_model_t *model = &service->model;
+  chain_kind_t *kinds;
   rt_target_t *target;
   unsigned at;
   unsigned h;
+  size_t i;
 
+  search->candidates
+      = el_alloc ((rt_fleet_count (fleet) + 1) * sizeof *search->candidates);
   search->layers = model->layers;
   search->crossing_ms = crossing_ms (model, fleet, now);
   search->now = now;
+  kinds = kinds_read (search, fleet, service);
   for (target = rt_fleet_first (fleet); target; target = target->hh.next)
-    if (el_str_eq (target->attrs.service, service->name)
+    if (kinds[target->kind->index].card
         && target->attrs.end > target->attrs.first
         && target->attrs.end <= model->layers && search_admits (search, target)
         && !rt_tried_has (tried, target))
-      search_add_candidate (search, fleet, model, target, now);
+      search_add_candidate (search, fleet, model, &kinds[target->kind->index],
+                            target);
+  free (kinds);
+  search_reduce (search);
+  for (i = 0; i < search->ncandidates; i++)
+    {
+      search->boundary[search->candidates[i].target->attrs.first] = 1;
+      search->boundary[search->candidates[i].target->attrs.end] = 1;
+    }
   for (at = 0; at <= search->layers; at++)
     for (h = 0; h < search->nhalls; h++)
       search->node[at][h].cost = DBL_MAX;
@@ -260,29 +401,58 @@
          || (candidate && candidate->target == target);
 }
 
+/* For each layer, the candidates that hold it: those of layer L are LIST[I]
+   for I from FROM[L] to FROM[L + 1]. */
+typedef struct chain_index
+{
+  size_t from[LAYERS_MAX + 2];
+  const chain_candidate_t **list;
+} chain_index_t;
+
+static void
+index_build (const chain_search_t *search, chain_index_t *index)
+{
+  size_t at[LAYERS_MAX + 1];
+  unsigned layer;
+  size_t i;
+
+  memset (index, 0, sizeof *index);
+  for (i = 0; i < search->ncandidates; i++)
+    for (layer = search->candidates[i].target->attrs.first;
+         layer < search->candidates[i].target->attrs.end; layer++)
+      index->from[layer + 1]++;
+  for (layer = 0; layer <= LAYERS_MAX; layer++)
+    index->from[layer + 1] += index->from[layer];
+  memcpy (at, index->from, sizeof at);
+  index->list
+      = el_alloc ((index->from[LAYERS_MAX + 1] + 1) * sizeof *index->list);
+  for (i = 0; i < search->ncandidates; i++)
+    for (layer = search->candidates[i].target->attrs.first;
+         layer < search->candidates[i].target->attrs.end; layer++)
+      index->list[at[layer]++] = &search->candidates[i];
+}
+
 static void
 search_run (chain_search_t *search, unsigned begin)
 {
+  chain_index_t index;
   unsigned at;
   unsigned h;
   size_t i;
 
+  index_build (search, &index);
   for (at = begin; at < search->layers; at++)
     for (h = 0; h < search->nhalls; h++)
       {
         if (search->node[at][h].cost == DBL_MAX)
           continue;
-        for (i = 0; i < search->ncandidates; i++)
-          {
-            const chain_candidate_t *c = &search->candidates[i];
-
-            if (c->target->attrs.first <= at && at < c->target->attrs.end
-                && (at || !search->required_first
-                    || c->target == search->required_first)
-                && !search_engine_in_use (search, at, h, c->target))
-              search_extend (search, c, at, h);
-          }
+        for (i = index.from[at]; i < index.from[at + 1]; i++)
+          if ((at || !search->required_first
+               || index.list[i]->target == search->required_first)
+              && !search_engine_in_use (search, at, h, index.list[i]->target))
+            search_extend (search, index.list[i], at, h);
       }
+  free (index.list);
 }
 
 /* Appends the parts of the cheapest path from layer BEGIN to OUT. Returns 0 if
@@ -371,6 +541,13 @@
   return search_result (search, 0, out);
 }
 
+static void
+search_free (chain_search_t *search)
+{
+  free (search->candidates);
+  free (search);
+}
+
 /* Searches for a chain of engines that LEVEL admits. */
 static int
 chain_pick (rt_fleet_t *fleet, el_time_t now, const rt_chain_query_t *query,
@@ -385,7 +562,7 @@
   search->required_first = query->first;
   search->level = level;
   found = chain_search (search, fleet, now, query, out);
-  free (search);
+  search_free (search);
   return found;
 }
 
@@ -511,7 +688,7 @@
       search->old = old;
       search->level = level;
       found = chain_search_around (search, fleet, now, service, tried, out);
-      free (search);
+      search_free (search);
     }
   return found;
 }
--- a/route/estimate.c
+++ b/route/estimate.c
@@ -91,13 +91,13 @@
   return taken > SLOTS_KNEE ? SLOTS_PENALTY_MS * (taken - SLOTS_KNEE) : 0;
 }
 
-/** Estimates the cost of a stream of TOKENS at TARGET, an engine with one of
-    the model's accelerator types. */
+/** Estimates the cost of a stream of TOKENS at TARGET, an engine with the
+    accelerator type CARD. */
 rt_estimate_t
 rt_estimate (const rt_fleet_t *fleet, const rt_model_t *model,
-             const rt_target_t *target, double tokens, el_time_t now)
+             const rt_card_t *card, const rt_target_t *target, double tokens,
+             el_time_t now)
 {
-  const rt_card_t *card = rt_model_card (model, target->attrs.card);
   double pace = target->pace > 1 ? target->pace : 1;
   int fresh = target->reported_at && now < target->reported_at + REPORT_TTL;
   double fill = fill_with (fleet, model, card, target, fresh, tokens);
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -55,6 +55,8 @@
 struct rt_fleet
 {
   rt_target_t *by_id;
+  rt_kind_t **kinds;
+  size_t nkinds;
   unlisted_t *unlisted;
   uint64_t random;
   size_t hosts;      /* number of hosts that send to the same engines */
@@ -82,6 +84,56 @@
   free (entry);
 }
 
+static int
+kind_matches (const rt_kind_t *kind, const rt_attrs_t *attrs)
+{
+  return el_str_eq (kind->service, attrs->service)
+         && el_str_eq (kind->hall, attrs->hall)
+         && el_str_eq (kind->card, attrs->card);
+}
+
+/* Counts TARGET among the endpoints of its kind. */
+static void
+kind_join (rt_fleet_t *fleet, rt_target_t *target)
+{
+  rt_kind_t *kind;
+  size_t i;
+
+  for (i = 0; i < fleet->nkinds; i++)
+    if (kind_matches (fleet->kinds[i], &target->attrs))
+      break;
+  if (i == fleet->nkinds)
+    {
+      kind = el_alloc (sizeof *kind);
+      kind->service = el_str_dup (target->attrs.service);
+      kind->hall = el_str_dup (target->attrs.hall);
+      kind->card = el_str_dup (target->attrs.card);
+      kind->index = i;
+      fleet->kinds
+          = el_grow (fleet->kinds, fleet->nkinds + 1, sizeof *fleet->kinds);
+      fleet->kinds[fleet->nkinds++] = kind;
+    }
+  target->kind = fleet->kinds[i];
+  target->kind->endpoints++;
+}
+
+/* Ends the membership of TARGET, which is not listed any more. */
+static void
+kind_leave (rt_fleet_t *fleet, rt_target_t *target)
+{
+  rt_kind_t *kind = target->kind;
+
+  target->kind = NULL;
+  if (--kind->endpoints)
+    return;
+  fleet->kinds[kind->index] = fleet->kinds[--fleet->nkinds];
+  fleet->kinds[kind->index]->index = kind->index;
+  el_str_free (&kind->service);
+  el_str_free (&kind->hall);
+  el_str_free (&kind->card);
+  free (kind);
+}
+
 /** Frees FLEET. Endpoints that are referenced elsewhere stay allocated. */
 void
 rt_fleet_free (rt_fleet_t *fleet)
@@ -92,10 +144,12 @@
   HASH_ITER (hh, fleet->by_id, target, next)
   {
     HASH_DEL (fleet->by_id, target);
+    kind_leave (fleet, target);
     rt_target_unref (target);
   }
   while (fleet->unlisted)
     unlisted_drop (fleet, fleet->unlisted);
+  free (fleet->kinds);
   free (fleet);
 }
 
@@ -201,6 +255,7 @@
   target->refs = 1;
   attrs_copy (&target->attrs, attrs);
   unlisted_apply (fleet, target);
+  kind_join (fleet, target);
   HASH_ADD_KEYPTR (hh, fleet->by_id, target->attrs.id.ptr,
                    (unsigned)target->attrs.id.len, target);
   return target;
@@ -243,6 +298,7 @@
     unlisted_add (fleet, target->attrs.id, target->attrs.born, &target->avail);
   target->avail.gone = 1;
   HASH_DEL (fleet->by_id, target);
+  kind_leave (fleet, target);
   rt_target_unref (target);
 }
 
@@ -399,6 +455,15 @@
   return HASH_COUNT (fleet->by_id);
 }
 
+/** Returns the number of kinds of the listed endpoints, and the kinds in
+    OUT. */
+size_t
+rt_fleet_kinds (const rt_fleet_t *fleet, rt_kind_t *const **out)
+{
+  *out = fleet->kinds;
+  return fleet->nkinds;
+}
+
 /** Whether TARGET may be sent new requests at NOW without being a last resort.
     A suspect request may be about to crash it. */
 int
--- a/route/relay.h
+++ b/route/relay.h
@@ -153,12 +153,24 @@
   uint64_t born; /**< start time of the instance that reported; 0: unknown */
 } rt_load_t;
 
+/** Endpoints of one service, hall and accelerator type. Their number is small,
+    whatever that of the endpoints. */
+typedef struct rt_kind
+{
+  el_str_t service;
+  el_str_t hall;
+  el_str_t card;
+  size_t endpoints; /**< listed ones of this kind */
+  size_t index;     /**< below rt_fleet_kinds */
+} rt_kind_t;
+
 /** State that this host keeps for an endpoint. */
 typedef struct rt_target
 {
   rt_attrs_t attrs; /**< owns its strings */
   unsigned refs;
-  uint64_t epoch; /**< epoch of the store when its entry was last reported */
+  rt_kind_t *kind; /**< NULL once it is not listed */
+  uint64_t epoch;  /**< epoch of the store when its entry was last reported */
   el_time_t listed_at; /**< time at which its entry was last reported */
   rt_avail_t avail;    /**< availability for new requests */
   unsigned running;    /**< requests of this host in flight there */
@@ -205,6 +217,7 @@
 rt_target_t *rt_fleet_first (const rt_fleet_t *fleet);
 double rt_fleet_hosts (const rt_fleet_t *fleet);
 size_t rt_fleet_count (const rt_fleet_t *fleet);
+size_t rt_fleet_kinds (const rt_fleet_t *fleet, rt_kind_t *const **out);
 void rt_fleet_set_hosts (rt_fleet_t *fleet, size_t hosts, size_t all_hosts);
 void rt_fleet_stream_sent (rt_fleet_t *fleet, el_time_t now, double tokens);
 double rt_fleet_token_rate (const rt_fleet_t *fleet, el_time_t now);
@@ -260,8 +273,8 @@
 } rt_estimate_t;
 
 rt_estimate_t rt_estimate (const rt_fleet_t *fleet, const rt_model_t *model,
-                           const rt_target_t *target, double tokens,
-                           el_time_t now);
+                           const rt_card_t *card, const rt_target_t *target,
+                           double tokens, el_time_t now);
 
 /** Latency between two engines of a hall, in milliseconds. */
 #define RT_HOP_MS 0.5
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -276,6 +276,119 @@
 }
 END_TEST
 
+/* Adds N replicas of each half of the model. */
+static void
+add_replicas (size_t n)
+{
+  char id[32];
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      snprintf (id, sizeof id, "a%04zu", i);
+      add_engine (id, "h", "middle", 0, 40);
+      snprintf (id, sizeof id, "b%04zu", i);
+      add_engine (id, "h", "middle", 40, 80);
+    }
+}
+
+/* Guards against a search that ends at a number of engines: in a larger fleet,
+   those beyond it got no streams. Wherever the two quick engines are listed,
+   the chain goes through them. */
+START_TEST (test_chain_sees_all_engines_of_a_large_fleet)
+{
+  const rt_load_t slow = { .pace = 9 };
+  const rt_load_t quick = { .pace = 1 };
+  const size_t at = (size_t)_i * 333;
+  rt_target_t *engine;
+  rt_chain_t chain;
+  char id[32];
+
+  add_replicas (1000);
+  for (engine = rt_fleet_first (fleet); engine; engine = engine->hh.next)
+    rt_target_report (engine, &slow, NOW - 2);
+  snprintf (id, sizeof id, "a%04zu", at);
+  rt_target_report (rt_fleet_find (fleet, el_str (id)), &quick, NOW - 1);
+  snprintf (id, sizeof id, "b%04zu", 999 - at);
+  rt_target_report (rt_fleet_find (fleet, el_str (id)), &quick, NOW - 1);
+  ck_assert_int_eq (chain_pick ("h", NULL, &chain), 1);
+  ck_assert_uint_eq (chain.n, 2);
+  ck_assert (chain.part[0].target->pace == 1);
+  ck_assert (chain.part[1].target->pace == 1);
+}
+END_TEST
+
+/* Token latency of a chain without load, in milliseconds. */
+static double
+chain_ms (const rt_chain_t *chain)
+{
+  double ms = 0;
+  size_t i;
+
+  for (i = 0; i < chain->n; i++)
+    {
+      const rt_target_t *target = chain->part[i].target;
+      const rt_card_t *card
+          = rt_model_card (&service.model, target->attrs.card);
+      double pace = target->pace > 1 ? target->pace : 1;
+
+      ms += RT_HOP_MS
+            + (chain->part[i].to - chain->part[i].from) * card->step_scale
+                  * pace * service.model.step_ms / LAYERS;
+      if (i
+          && !el_str_eq (target->attrs.hall,
+                         chain->part[i - 1].target->attrs.hall))
+        ms += 4;
+    }
+  return ms;
+}
+
+/* A search over the cheapest replicas finds a chain that is as good as that of
+   a full search: engines that are added to a drawn fleet, replicas of others
+   but slower, do not make the chain worse. */
+START_TEST (test_chain_of_replicas_is_as_good_as_full_search)
+{
+  uint64_t random = (uint64_t)_i + 1;
+  const rt_load_t slow = { .pace = 4 };
+  rt_chain_t full;
+  rt_chain_t reduced;
+  char id[32];
+  size_t i;
+
+  for (i = 0; i < 480; i++)
+    {
+      const size_t card = el_random (&random) % 3;
+      const unsigned layers = (unsigned[]){ 16, 10, 6 }[card];
+      const unsigned first
+          = (unsigned)(el_random (&random) % (LAYERS / layers + 1)) * layers;
+      const rt_load_t load
+          = { .pace = 1 + (double)(el_random (&random) % 200) / 100,
+              .fill = (double)(el_random (&random) % 60) / 100 };
+      const unsigned from = first + layers > LAYERS ? LAYERS - layers : first;
+
+      snprintf (id, sizeof id, "e%04zu", i);
+      rt_target_report (add_engine (id, i % 2 ? "h" : "g",
+                                    cards[card].name.ptr, from, from + layers),
+                        &load, NOW - 1);
+    }
+  ck_assert_int_eq (chain_pick ("h", NULL, &full), 1);
+  for (i = 0; i < 480; i++)
+    {
+      const rt_target_t *other;
+
+      snprintf (id, sizeof id, "e%04zu", i);
+      other = rt_fleet_find (fleet, el_str (id));
+      snprintf (id, sizeof id, "s%04zu", i);
+      rt_target_report (add_engine (id, i % 2 ? "h" : "g",
+                                    other->attrs.card.ptr, other->attrs.first,
+                                    other->attrs.end),
+                        &slow, NOW - 1);
+    }
+  ck_assert_int_eq (chain_pick ("h", NULL, &reduced), 1);
+  ck_assert (chain_ms (&reduced) <= 1.05 * chain_ms (&full));
+}
+END_TEST
+
 START_TEST (test_chain_stays_in_the_callers_hall)
 {
   rt_order_t orders[64];
@@ -734,6 +847,8 @@
   ADD (tcase, test_pick_leaving_endpoint_stays_excluded);
   ADD (tcase, test_pick_uses_few_endpoints_of_many);
   ADD (tcase, test_chain_covers_each_layer_once);
+  ADD_LOOP (tcase, test_chain_sees_all_engines_of_a_large_fleet, 4);
+  ADD_LOOP (tcase, test_chain_of_replicas_is_as_good_as_full_search, 20);
   ADD (tcase, test_chain_stays_in_the_callers_hall);
   ADD (tcase, test_chain_leaves_full_hall_while_link_has_capacity);
   ADD (tcase, test_chain_uses_avoided_engines_as_last_resort);
