--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -162,6 +162,21 @@
   hall->feed = co_feed_new (&feed);
 }
 
+/* Adds N hosts that rank between the first one and this one. */
+static void
+hall_grow (hall_t *hall, unsigned char n)
+{
+  unsigned char i;
+
+  for (i = 1; i <= n; i++)
+    {
+      co_member_t member = hall_member (1);
+
+      member.incarnation.byte[1] = i;
+      co_members_apply_member (hall->members, 0, &member);
+    }
+}
+
 static void
 hall_close (hall_t *hall)
 {
@@ -284,6 +299,93 @@
 }
 END_TEST
 
+/* Answers of other hosts to a host that reads all keys, in order; those
+   without a state stand for a host that does not answer. */
+static const pr_store_item_t first_page[]
+    = { { .key = EL_STR ("p/a"), .revision = 3 },
+        { .key = EL_STR ("p/b"), .revision = 4 } };
+static const pr_store_item_t old_page[]
+    = { { .key = EL_STR ("p/x"), .revision = 2 } };
+static const pr_store_item_t last_page[]
+    = { { .key = EL_STR ("p/c"), .revision = 7 } };
+static const struct
+{
+  int silent;
+  pr_store_update_t update;
+} read_answers[] = {
+  { .update = { .state = PR_UPDATE_NONE } },
+  { .update = { .state = PR_UPDATE_PAGE,
+                .items = (pr_store_item_t *)(uintptr_t)first_page,
+                .n = 2,
+                .more = 1,
+                .at = { 0, 5 } } },
+  { .silent = 1 },
+  /* This host has seen less than the one that sent the first page. */
+  { .update = { .state = PR_UPDATE_PAGE,
+                .items = (pr_store_item_t *)(uintptr_t)old_page,
+                .n = 1,
+                .at = { 0, 4 } } },
+  { .update = { .state = PR_UPDATE_PAGE,
+                .items = (pr_store_item_t *)(uintptr_t)last_page,
+                .n = 1,
+                .at = { 0, 8 } } },
+};
+
+static void
+answer_read (void *arg, const co_member_t *host, const pr_store_query_t *query,
+             int stand_in, pr_store_update_cb done, void *done_arg)
+{
+  hall_t *hall = arg;
+  size_t at = hall->nasked++;
+  pr_store_update_t update;
+
+  (void)host;
+  (void)stand_in;
+  if (at >= sizeof read_answers / sizeof *read_answers)
+    return;
+  if (at)
+    ck_assert (
+        el_str_eq (query->cursor, at == 1 ? EL_STR ("") : EL_STR ("p/b")));
+  update = read_answers[at].update;
+  update.as_of = net_clock_now (&test_clock) - EL_SEC;
+  done (done_arg, read_answers[at].silent ? NULL : &update);
+}
+
+/* A read goes on at the page that it has reached, whoever sends the next one:
+   sources that have nothing yet, do not answer or are behind cost time only,
+   and no call to the store. */
+START_TEST (test_follow_read_goes_on_with_another_host)
+{
+  hall_t hall = { .record = { .wanted = 1 } };
+  st_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  st_follow_options_t options = { .store = &store,
+                                  .prefix = EL_STR ("p/"),
+                                  .wait_ms = 100,
+                                  .item = record_item,
+                                  .update_max_age = 1500 * EL_MSEC,
+                                  .ask_host = answer_read,
+                                  .known = record_known,
+                                  .arg = &hall };
+  st_follow_t *follow;
+
+  store.address = EL_STR ("127.0.0.1:1");
+  hall_open (&hall);
+  hall_grow (&hall, 60);
+  options.feed = hall.feed;
+  follow = st_follow_new (&options);
+  while (hall.record.wanted)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_str_eq (hall.record.text.ptr, "+p/a +p/b +p/c ");
+  ck_assert_uint_eq (st_follow_position (follow).revision, 5);
+  ck_assert_uint_eq (store.counts.calls, 0);
+  st_follow_free (follow);
+  el_buf_free (&hall.record.text);
+  hall_close (&hall);
+}
+END_TEST
+
 static int
 read_vacant (void *arg)
 {
@@ -428,6 +530,7 @@
   ADD (tcase, test_follow_asks_store_when_peer_update_is_stale);
   ADD (tcase, test_follow_rarely_asks_unavailable_store);
   ADD (tcase, test_follow_lost_history_is_read_by_few);
+  ADD (tcase, test_follow_read_goes_on_with_another_host);
   ADD (tcase, test_store_retry_after_stops_all_calls);
   ADD (tcase, test_duty_is_requested_only_when_vacant);
   ADD (tcase, test_duty_left_vacant_is_taken_by_the_next);
