--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CFLAGS = -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wwrite-strings
-INC = -Ibase -Icoord -Iroute -Inet -Ipeer -Igate -Iplatform -isystem /usr/include/tirpc
+INC = -Ibase -Icoord -Iroute -Inet -Ipeer -Istore -Igate -Iplatform -isystem /usr/include/tirpc
 PREFIX = /usr/local
 # With the sanitizers, gcc warns of null format strings that exist only in the
 # instrumented code.
@@ -17,7 +17,7 @@
 
 BASE = base/str.c base/err.c base/timer.c base/random.c base/metrics.c base/log.c \
        base/settings.c
-COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/rumor.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
+COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/mbr_hall.c coord/feed.c coord/rumor.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/avail.c route/router.c route/table.c route/route_build.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/chat.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/chain.c route/chain_use.c route/estimate.c \
@@ -34,7 +34,8 @@
        gate/relay.c gate/relay_attempt.c gate/relay_head.c gate/relay_response.c \
        gate/relay_events.c gate/relay_blame.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_poll.c \
        gate/relay_metrics.c \
-       gate/store.c gate/store_keys.c gate/store_follow.c gate/store_duty.c gate/store_put.c gate/planner.c
+       gate/planner.c
+STORE = store/st_store.c store/st_keys.c store/st_follow.c store/st_duty.c store/st_put.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
@@ -43,7 +44,7 @@
 LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
 
-LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libpeer.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
+LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libstore.a $(B)/libpeer.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
 
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
               grep -v 'peer/peer_xdr.c\|peer/peer_proto.h')
@@ -109,7 +110,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_load.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_connect.c tests/t_clock.c tests/suspend.c
+       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
@@ -127,6 +128,8 @@
 	$(LINK)
 $(BIN)/bench_members: $(B)/bench/bench_members.o $(B)/tests/mbr_net.o $(B)/tests/rumor_net.o $(LIBA)
 	$(LINK)
+$(BIN)/bench_feed: $(B)/bench/bench_feed.o $(B)/tests/feed_net.o $(B)/tests/mbr_net.o $(LIBA)
+	$(LINK)
 $(BIN)/bench_rest: $(B)/bench/bench_rest.o $(LIBA)
 	$(LINK)
 $(BIN)/bench_blame: $(B)/bench/bench_blame.o $(B)/tests/blame_sim.o $(LIBA)
@@ -146,13 +149,14 @@
 	sh soak/seeds.sh $(BIN) $(B)/soak
 
 BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
-          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_rest
+          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_rest $(BIN)/bench_feed
 bench: deps
 	$(MAKE) -s all $(BENCHES)
 	$(BIN)/bench_core
 	$(BIN)/bench_route
 	$(BIN)/bench_members
 	$(BIN)/bench_blame
+	$(BIN)/bench_feed
 	$(BIN)/bench_rest
 	sh bench/bench_control.sh $(BIN)
 	sh bench/bench_gate.sh $(BIN)
@@ -201,6 +205,8 @@
 	ar rcs $@ $^
 $(B)/libpeer.a: $(PEER:%.c=$(B)/%.o)
 	ar rcs $@ $^
+$(B)/libstore.a: $(STORE:%.c=$(B)/%.o)
+	ar rcs $@ $^
 $(B)/libgate.a: $(GATE:%.c=$(B)/%.o)
 	ar rcs $@ $^
 
--- a/coord/libcoord.h
+++ b/coord/libcoord.h
@@ -74,8 +74,10 @@
   mbr_entry_t *entries;
   mbr_entry_t **order; /* all entries, in probing order */
   size_t norder;
-  size_t cursor; /* next index in order to probe */
-  size_t live;   /* number of other members that are alive or suspect */
+  size_t cursor;       /* next index in order to probe */
+  size_t near_cursor;  /* the same, for additional probes of this hall */
+  unsigned additional; /* probes since updates became urgent */
+  size_t live;         /* number of other members that are alive or suspect */
   el_str_t seeds;
   size_t seed_offset;
   mbr_probe_t *probes;
@@ -96,6 +98,8 @@
   el_time_t last_tick;
   el_time_t startup_until; /* probes are more frequent until then */
   unsigned startup_probes; /* number of such probes so far */
+  int discovered;          /* another host has introduced members */
+  el_time_t next_discovery;
 };
 
 /* splitmix64 by Sebastiano Vigna, public domain. */
@@ -149,5 +153,6 @@
 /* mbr_probe.c */
 void mbr_probe_expedite (co_members_t *members, el_time_t now);
 void mbr_probes_free (co_members_t *members);
+int mbr_has_other_seed (const co_members_t *members);
 
 #endif
--- a/coord/mbr_probe.c
+++ b/coord/mbr_probe.c
@@ -22,27 +22,49 @@
 /* During that time, every STARTUP_SYNC_PROBES-th probe is accompanied by a
    request for the full member list. */
 #define STARTUP_SYNC_PROBES 3
+/* Every STARTUP_FAR_PROBES-th probe, the list is requested from a host of any
+   hall; else from one of the same hall, to save links between halls. */
+#define STARTUP_FAR_PROBES 18
+/* Interval at which one seed after the other is asked for members, until one
+   has answered. */
+#define DISCOVERY_INTERVAL (40 * EL_MSEC)
+/* Seeds among which the first one to be asked is chosen. */
+#define DISCOVERY_SEEDS 3
 /* While there are urgent updates, probes are this many times as frequent, to
    carry them. */
 #define URGENT_SPEEDUP 5
 
-/* Return the next live member to probe. All are probed in turn, in an order
-   that is random on each host. */
+/* Return the next live member to probe, of HALL if that is not empty. All are
+   probed in turn, in an order that is random on each host. */
 static mbr_entry_t *
-probe_next (co_members_t *members)
+probe_next (const co_members_t *members, size_t *cursor, el_str_t hall)
 {
   mbr_entry_t *entry;
   size_t i;
 
   for (i = 0; i < members->norder; i++)
     {
-      entry = members->order[members->cursor++ % members->norder];
-      if (mbr_is_live (entry))
+      entry = members->order[(*cursor)++ % members->norder];
+      if (mbr_is_live (entry)
+          && (hall.len == 0 || el_str_eq (entry->m.hall, hall)))
         return entry;
     }
   return NULL;
 }
 
+/* Return the member to probe now. Of the additional probes that carry urgent
+   updates, most go to hosts of the own hall, to save links between halls. */
+static mbr_entry_t *
+probe_select (co_members_t *members)
+{
+  mbr_entry_t *entry = NULL;
+
+  if (members->additional && members->additional % URGENT_SPEEDUP)
+    entry = probe_next (members, &members->near_cursor, members->self.hall);
+  return entry ? entry
+               : probe_next (members, &members->cursor, (el_str_t){ NULL, 0 });
+}
+
 static void
 probe_add (co_members_t *members, el_time_t now, const mbr_entry_t *entry,
            el_str_t address)
@@ -74,17 +96,40 @@
   return el_str_eq (address, members->self.peer);
 }
 
+/* Return the next seed address, in turn; empty when there are none. */
+static el_str_t
+seed_next (co_members_t *members)
+{
+  el_str_t rest = el_str_after (members->seeds, members->seed_offset);
+  el_str_t address = el_str_cut (&rest, ',');
+
+  members->seed_offset = rest.len ? members->seeds.len - rest.len : 0;
+  return address;
+}
+
+/** Return whether there is a seed other than this host. */
+int
+mbr_has_other_seed (const co_members_t *members)
+{
+  el_str_t rest = members->seeds;
+  el_str_t address;
+
+  while (rest.len)
+    {
+      address = el_str_cut (&rest, ',');
+      if (address.len && !el_str_eq (address, members->self.peer))
+        return 1;
+    }
+  return 0;
+}
+
 /* Probe the next seed, unless a live member is known at its address: to join,
    and to rejoin after a network partition. */
 static void
 probe_seed (co_members_t *members, el_time_t now)
 {
-  el_str_t rest = el_str_after (members->seeds, members->seed_offset);
-  el_str_t address = el_str_cut (&rest, ',');
+  el_str_t address = seed_next (members);
 
-  if (members->seeds.len == 0)
-    return;
-  members->seed_offset = rest.len ? members->seeds.len - rest.len : 0;
   if (address.len && !address_is_live (members, address))
     probe_add (members, now, NULL, address);
 }
@@ -198,14 +243,89 @@
   while (members->seed_offset);
 }
 
+/* Return a random live member among those of HALL, or of all halls if that is
+   empty, whose capacity is at least half of the largest one; NULL when there
+   is none. A member list is long, and hosts that start together ask the few
+   members that they know. */
+static const mbr_entry_t *
+sync_source (co_members_t *members, el_str_t hall)
+{
+  const mbr_entry_t *source = NULL;
+  uint64_t max = 0;
+  size_t n = 0;
+  size_t i;
+
+  for (i = 0; i < members->norder; i++)
+    {
+      const mbr_entry_t *entry = members->order[i];
+
+      if (!mbr_is_live (entry)
+          || (hall.len && !el_str_eq (entry->m.hall, hall))
+          || entry->m.capacity < max / 2)
+        continue;
+      if (entry->m.capacity / 2 > max)
+        n = 0;
+      if (entry->m.capacity > max)
+        max = entry->m.capacity;
+      if (mbr_random (members) % ++n == 0)
+        source = entry;
+    }
+  return source;
+}
+
 /* Request a full member list along with some of the probes just after the
    start. */
 static void
-startup_sync (co_members_t *members, const mbr_entry_t *other)
+startup_sync (co_members_t *members)
 {
-  if (other && members->options.sync
-      && members->startup_probes++ % STARTUP_SYNC_PROBES == 0)
-    members->options.sync (members->options.arg, other->m.peer);
+  const mbr_entry_t *source;
+
+  if (!members->options.sync
+      || members->startup_probes % STARTUP_SYNC_PROBES != 0)
+    return;
+  source = (members->startup_probes + STARTUP_SYNC_PROBES) % STARTUP_FAR_PROBES
+               ? sync_source (members, members->self.hall)
+               : NULL;
+  if (!source)
+    source = sync_source (members, (el_str_t){ NULL, 0 });
+  if (source)
+    members->options.sync (members->options.arg, source->m.peer);
+}
+
+/* Ask one of the seeds for members, first a random one, so that hosts that
+   start together do not all turn to the same one. */
+static void
+discover (co_members_t *members, el_time_t now, int first)
+{
+  size_t skip = first ? mbr_random (members) % DISCOVERY_SEEDS : 0;
+  el_str_t address;
+
+  if (members->discovered || !members->options.discover
+      || now < members->next_discovery)
+    return;
+  members->next_discovery = now + DISCOVERY_INTERVAL;
+  while (skip--)
+    seed_next (members);
+  address = seed_next (members);
+  if (el_str_eq (address, members->self.peer))
+    address = seed_next (members);
+  if (address.len)
+    members->options.discover (members->options.arg, address);
+}
+
+/** Record that another host has introduced members to this one. */
+void
+co_members_set_discovered (co_members_t *members)
+{
+  members->discovered = 1;
+}
+
+/** Return whether another host has introduced members, or there is no seed to
+    ask for them. */
+int
+co_members_is_discovered (const co_members_t *members)
+{
+  return members->discovered;
 }
 
 /** Check probes and suspicions for timeouts and send the next probe; call it
@@ -224,18 +344,28 @@
   if (paused)
     suspects_restart (members, now);
   el_timers_run (&members->timers, now);
+  discover (members, now, first);
   if (now < members->next_period)
     return;
   if (first)
     members->startup_until = now + STARTUP_PERIODS * period;
-  entry = probe_next (members);
+  entry = probe_select (members);
   if (now < members->startup_until)
     {
       period /= STARTUP_SPEEDUP;
-      startup_sync (members, entry);
+      if (entry)
+        {
+          startup_sync (members);
+          members->startup_probes++;
+        }
     }
   if (mbr_update_urgent (members))
-    period = members->options.period / URGENT_SPEEDUP;
+    {
+      period = members->options.period / URGENT_SPEEDUP;
+      members->additional++;
+    }
+  else
+    members->additional = 0;
   members->next_period = now + period;
   if (entry)
     probe_add (members, now, entry, entry->m.peer);
@@ -254,6 +384,9 @@
 
   if (members->next_period < due)
     due = members->next_period;
+  if (!members->discovered && members->options.discover
+      && members->next_discovery < due)
+    due = members->next_discovery;
   DL_FOREACH (members->probes, probe)
   if (probe->due < due)
     due = probe->due;
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -40,18 +40,21 @@
 /* The lease is taken to expire this much earlier, as clocks run at different
    speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
+/* Hosts that take the planner's duty, one after the other, if those before them
+   do not. */
+#define DUTY_CANDIDATES 16
 
 struct frontend
 {
   gt_gate_t *gate;
   frontend_options_t options;
-  gt_store_t store;
+  st_store_t store;
   rt_fleet_t *fleet;
   gt_relays_t *relays;
-  gt_duty_t *duty;
+  st_duty_t *duty;
   gt_planner_t *planner;
-  gt_follow_t *follow;
-  gt_store_listener_t store_listener;
+  st_follow_t *follow;
+  st_store_listener_t store_listener;
   int endpoints_known;
   int planner_held; /* some host is known to hold the planner lease */
   uint64_t gauge_endpoints;
@@ -252,7 +255,7 @@
   frontend_await_peers (frontend, now);
   gt_gate_withdraw (frontend->gate, stale);
   frontend_update_gauges (frontend);
-  frontend->gauge_planner = (uint64_t)gt_duty_held (frontend->duty, now);
+  frontend->gauge_planner = (uint64_t)st_duty_held (frontend->duty, now);
   net_clock_set (gt_gate_clock (frontend->gate), &frontend->check_timer,
                  frontend->peers_synced ? CHECK_INTERVAL
                                         : STARTUP_CHECK_INTERVAL);
@@ -282,13 +285,23 @@
   return gt_gate_hall_live_hosts (frontend->gate);
 }
 
+/* Number of hosts that should take the planner's duty before this one. */
+static size_t
+frontend_duty_rank (void *arg)
+{
+  frontend_t *frontend = arg;
+
+  return gt_gate_count_preferred (frontend->gate);
+}
+
+/* Whether this host is among those that take the planner's duty. */
 static int
-frontend_is_preferred (void *arg)
+frontend_is_candidate (void *arg)
 {
   frontend_t *frontend = arg;
 
   return !frontend->stopping && frontend->endpoints_known
-         && gt_gate_is_preferred (frontend->gate);
+         && frontend_duty_rank (frontend) < DUTY_CANDIDATES;
 }
 
 static void
@@ -351,23 +364,24 @@
   gt_gate_updates_available (frontend->gate);
 }
 
-static int
-frontend_request_update (void *arg, pr_store_position_t after,
-                         unsigned stale_replies, pr_store_update_cb done,
-                         void *done_arg)
+static void
+frontend_request_update (void *arg, const co_member_t *host,
+                         const pr_store_query_t *query, int stand_in,
+                         pr_store_update_cb done, void *done_arg)
 {
   frontend_t *frontend = arg;
 
-  return gt_gate_request_update (frontend->gate, after, stale_replies, done,
-                                 done_arg);
+  gt_gate_request_update (frontend->gate, host, query, stand_in, done,
+                          done_arg);
 }
 
+/* Other hosts may get more of the store's keys than before. */
 static void
-frontend_avoid_source (void *arg)
+frontend_store_progress (void *arg)
 {
   frontend_t *frontend = arg;
 
-  gt_gate_avoid_update_source (frontend->gate);
+  gt_gate_updates_available (frontend->gate);
 }
 
 /* The store was restored from an older copy. */
@@ -384,22 +398,23 @@
 static void
 frontend_follow_store (frontend_t *frontend)
 {
-  gt_follow_options_t options
+  st_follow_options_t options
       = { .store = &frontend->store,
           .prefix = PF_ALL_PREFIX,
           .wait_ms = frontend_watch_wait_ms (frontend),
           .batch_delay = STORE_BATCH_DELAY,
           .update_max_age = frontend_update_max_age (frontend),
           .item = frontend_item_received,
-          .ask_peer = frontend_request_update,
-          .peer_failed = frontend_avoid_source,
+          .feed = gt_gate_feed (frontend->gate),
+          .ask_host = frontend_request_update,
+          .progress = frontend_store_progress,
           .known = frontend_store_read,
           .arg = frontend };
 
   frontend->store_listener.epoch = frontend_epoch_began;
   frontend->store_listener.arg = frontend;
-  gt_store_add_listener (&frontend->store, &frontend->store_listener);
-  frontend->follow = gt_follow_new (&options);
+  st_store_add_listener (&frontend->store, &frontend->store_listener);
+  frontend->follow = st_follow_new (&options);
   gt_gate_set_follower (frontend->gate, frontend->follow);
 }
 
@@ -414,23 +429,24 @@
 static void
 frontend_start_planner (frontend_t *frontend)
 {
-  gt_duty_options_t duty = { .store = &frontend->store,
+  st_duty_options_t duty = { .store = &frontend->store,
                              .key = PF_PLANNER_KEY,
                              .holder = frontend->options.name,
                              .ttl_ms = frontend->options.lease_ms,
                              .margin = LEASE_MARGIN,
                              .vacant = frontend_planner_vacant,
+                             .rank = frontend_duty_rank,
                              .arg = frontend };
   gt_planner_options_t planner = { .relays = frontend->relays,
                                    .clock = gt_gate_clock (frontend->gate),
                                    .client = gt_gate_client (frontend->gate),
                                    .fleet = frontend->fleet,
                                    .send_order = pf_send_order,
-                                   .preferred = frontend_is_preferred,
+                                   .candidate = frontend_is_candidate,
                                    .known = frontend_known_as_of,
                                    .arg = frontend };
 
-  frontend->duty = gt_duty_new (&duty);
+  frontend->duty = st_duty_new (&duty);
   planner.duty = frontend->duty;
   frontend->planner = gt_planner_new (&planner);
 }
@@ -452,11 +468,11 @@
 }
 
 static size_t
-frontend_engine_reports (void *arg, pr_engine_report_t **out)
+frontend_engine_reports (void *arg, el_time_t after, pr_engine_report_t **out)
 {
   frontend_t *frontend = arg;
 
-  return gt_relays_engine_reports (frontend->relays, out);
+  return gt_relays_engine_reports (frontend->relays, after, out);
 }
 
 static void
@@ -488,8 +504,8 @@
 frontend_closed_endpoints (void *arg)
 {
   frontend_t *frontend = arg;
-  const gt_store_counts_t *counts = &frontend->store.counts;
-  pr_store_position_t at = gt_follow_position (frontend->follow);
+  const st_store_counts_t *counts = &frontend->store.counts;
+  pr_store_position_t at = st_follow_position (frontend->follow);
   json_t *json = gt_relays_unavailable_endpoints (frontend->relays);
 
   json_object_set_new (
@@ -531,7 +547,7 @@
   if (!gt_gate_is_hall_leader (frontend->gate))
     return;
   pf_blocked_key (digest, holds, &key);
-  gt_store_put_leased (
+  st_store_put_leased (
       &frontend->store, el_buf_str (&key), frontend->options.name,
       ttl_ms < PF_LEASE_TTL_MAX_MS ? ttl_ms : PF_LEASE_TTL_MAX_MS,
       el_random (&frontend->store.random) % STORE_WRITE_JITTER);
@@ -571,10 +587,10 @@
 static void
 frontend_metrics (frontend_t *frontend)
 {
-  static const char *const reads[GT_STORE_READ_CAUSES] = {
-    [GT_STORE_READ_START] = "elmarch_store_reads_start_total",
-    [GT_STORE_READ_HISTORY] = "elmarch_store_reads_history_total",
-    [GT_STORE_READ_EPOCH] = "elmarch_store_reads_epoch_total",
+  static const char *const reads[ST_READ_CAUSES] = {
+    [ST_READ_START] = "elmarch_store_reads_start_total",
+    [ST_READ_HISTORY] = "elmarch_store_reads_history_total",
+    [ST_READ_EPOCH] = "elmarch_store_reads_epoch_total",
   };
   el_metrics_t *metrics = gt_gate_metrics (frontend->gate);
   size_t i;
@@ -607,7 +623,7 @@
   el_metrics_add (metrics, "elmarch_store_former_total",
                   "answers of the store that were given in a former epoch",
                   EL_COUNTER, &frontend->store.counts.former);
-  for (i = 0; i < GT_STORE_READ_CAUSES; i++)
+  for (i = 0; i < ST_READ_CAUSES; i++)
     el_metrics_add (metrics, reads[i], "times that all keys were read",
                     EL_COUNTER, &frontend->store.counts.reads[i]);
 }
@@ -637,7 +653,7 @@
   frontend->gate = gate;
   frontend->options = *options;
   frontend->started_at = net_clock_now (gt_gate_clock (gate));
-  frontend->store = (gt_store_t){ .clock = gt_gate_clock (gate),
+  frontend->store = (st_store_t){ .clock = gt_gate_clock (gate),
                                   .client = gt_gate_client (gate),
                                   .dialect = &pf_store,
                                   .address = options->store,
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -24,12 +24,14 @@
 
 static void ops_hosts (void *arg, size_t live);
 static void ops_leaving (void *arg, el_str_t endpoint);
-static int ops_changes_since (void *arg, pr_store_position_t after,
-                              pr_store_update_t *out);
+static void ops_update (void *arg, const pr_store_query_t *query,
+                        pr_store_update_t *out);
+static void ops_stand_in (void *arg);
 static pr_store_position_t ops_position (void *arg);
 static void ops_epoch (void *arg, uint64_t epoch);
 static el_time_t ops_known (void *arg);
-static size_t ops_engines (void *arg, pr_engine_report_t **out);
+static size_t ops_engines (void *arg, el_time_t after,
+                           pr_engine_report_t **out);
 static void ops_engine_reports (void *arg, const pr_engine_report_t *engines,
                                 size_t n);
 static void ops_rumor (void *arg, const co_rumor_t *rumor);
@@ -43,7 +45,8 @@
 static const pr_ops_t ops = {
   .hosts = ops_hosts,
   .leaving = ops_leaving,
-  .store_update = ops_changes_since,
+  .store_update = ops_update,
+  .stand_in = ops_stand_in,
   .store_position = ops_position,
   .epoch = ops_epoch,
   .store_known_until = ops_known,
@@ -87,14 +90,23 @@
   gt_router_event (arg, &event);
 }
 
-static int
-ops_changes_since (void *arg, pr_store_position_t after,
-                   pr_store_update_t *out)
+static void
+ops_update (void *arg, const pr_store_query_t *query, pr_store_update_t *out)
 {
   const gt_gate_t *gate = arg;
 
-  return gate->store_follower
-         && gt_follow_changes_since (gate->store_follower, after, out);
+  *out = (pr_store_update_t){ 0 };
+  if (gate->store_follower)
+    st_follow_update (gate->store_follower, query, out);
+}
+
+static void
+ops_stand_in (void *arg)
+{
+  const gt_gate_t *gate = arg;
+
+  if (gate->store_follower)
+    st_follow_stand_in (gate->store_follower);
 }
 
 static pr_store_position_t
@@ -102,7 +114,7 @@
 {
   const gt_gate_t *gate = arg;
 
-  return gate->store_follower ? gt_follow_position (gate->store_follower)
+  return gate->store_follower ? st_follow_position (gate->store_follower)
                               : (pr_store_position_t){ 0 };
 }
 
@@ -112,7 +124,7 @@
   const gt_gate_t *gate = arg;
 
   if (gate->store_follower)
-    gt_follow_observe_epoch (gate->store_follower, epoch);
+    st_follow_observe_epoch (gate->store_follower, epoch);
 }
 
 static el_time_t
@@ -120,17 +132,17 @@
 {
   const gt_gate_t *gate = arg;
 
-  return gate->store_follower ? gt_follow_synced_at (gate->store_follower) : 0;
+  return gate->store_follower ? st_follow_synced_at (gate->store_follower) : 0;
 }
 
 static size_t
-ops_engines (void *arg, pr_engine_report_t **out)
+ops_engines (void *arg, el_time_t after, pr_engine_report_t **out)
 {
   gt_gate_t *gate = arg;
 
   if (!gate->relay_hooks.list_engines)
     return 0;
-  return gate->relay_hooks.list_engines (gate->relay_hooks.arg, out);
+  return gate->relay_hooks.list_engines (gate->relay_hooks.arg, after, out);
 }
 
 static void
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -15,6 +15,9 @@
 #define PROBE_TIMEOUT (200 * EL_MSEC)
 #define MEMBER_FORGET_DELAY (600 * EL_SEC)
 #define NO_DELAY 0
+/* Least time between two lines that say how many hosts are live; a line for
+   each host of a large fleet would take more than the change itself. */
+#define LIVE_LOG_INTERVAL EL_SEC
 
 static const struct
 {
@@ -81,7 +84,7 @@
   int here = el_str_eq (member->hall, peers->options.hall);
 
   co_incarnation_hex (&member->incarnation, inc);
-  EL_LOG (here || member->state != CO_MBR_ALIVE ? EL_LOG_INFO : EL_LOG_DEBUG,
+  EL_LOG (here && member->state != CO_MBR_ALIVE ? EL_LOG_INFO : EL_LOG_DEBUG,
           "member", EL_FS ("peer", member->peer), EL_FS ("hall", member->hall),
           EL_FC ("incarnation", inc),
           EL_FC ("state", co_mbr_state_name (member->state)),
@@ -111,6 +114,14 @@
 
   net_clock_set (peers->options.clock, &peers->members_timer,
                  due > now ? due - now : NO_DELAY);
+  if (live != peers->live_logged
+      && now >= peers->live_logged_at + LIVE_LOG_INTERVAL)
+    {
+      EL_LOG (EL_LOG_INFO, "members", EL_FN ("live", live),
+              EL_FN ("before", peers->live_logged));
+      peers->live_logged = live;
+      peers->live_logged_at = now;
+    }
   if (live == peers->live_reported)
     return;
   peers->live_reported = live;
@@ -159,6 +170,7 @@
                                    .leaving_hold = options->leave_hold,
                                    .probe = peer_probe,
                                    .sync = peer_sync_members,
+                                   .discover = peer_discover,
                                    .changed = member_changed,
                                    .leaving = endpoint_leaving,
                                    .arg = peers };
@@ -174,6 +186,7 @@
   self_describe (options, &members.self);
   peers->members = co_members_new (&members);
   peer_rumors_init (peers);
+  peer_news_init (peers);
   options->config->peers = peers;
   peers->members_timer.cb = members_timer_fired;
   peers->members_timer.arg = peers;
@@ -208,6 +221,7 @@
 {
   net_clock_cancel (peers->options.clock, &peers->members_timer);
   net_clock_cancel (peers->options.clock, &peers->rumors_timer);
+  net_clock_cancel (peers->options.clock, &peers->pending_timer);
   net_rpc_stop (peers->rpc);
 }
 
@@ -285,35 +299,12 @@
   return in_force.n;
 }
 
-typedef struct preferred_arg
-{
-  const co_member_t *self;
-  int first;
-} preferred_arg_t;
-
-static void
-preferred_visit (void *arg, const co_member_t *member)
-{
-  preferred_arg_t *preferred = arg;
-
-  if (member->state != CO_MBR_ALIVE || member->offer == CO_MBR_DRAINING)
-    return;
-  if (member->offer < preferred->self->offer
-      || (member->offer == preferred->self->offer
-          && co_member_ranks_before (member, preferred->self)))
-    preferred->first = 0;
-}
-
-/** Whether this host comes first among the live hosts that are not draining.
-    Withdrawn hosts come after the others. */
-int
-pr_peers_is_preferred (const pr_peers_t *peers)
+/** Number of live hosts, not draining, that come before this one where a single
+    host is chosen. */
+size_t
+pr_peers_count_preferred (const pr_peers_t *peers)
 {
-  preferred_arg_t preferred
-      = { co_members_find (peers->members, &peers->options.incarnation), 1 };
-
-  co_members_visit (peers->members, preferred_visit, &preferred);
-  return preferred.first;
+  return co_members_count_preferred (peers->members);
 }
 
 typedef struct hall_arg
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -23,6 +23,15 @@
 #define STALE_DURATION (1000 * EL_MSEC)
 /* Weight of the newest answer in the moving average of response times. */
 #define LATENCY_WEIGHT 0.2
+/* Endpoints of a service whose response time a host should know, so that it
+   notices when one of them is slow. */
+#define KNOWN_MIN 3
+/* One request of so many goes to an endpoint whose response time is unknown,
+   so that a host finds others if all that it knows are slow. */
+#define EXPLORE_REQUESTS 16
+/* Response time assumed of an endpoint that is to be tried, relative to the
+   mean of the known ones. */
+#define EXPLORE_FACTOR 0.25
 /* Fraction by which an endpoint in another hall costs more. */
 #define REMOTE_HALL_PENALTY 0.25
 
@@ -46,6 +55,8 @@
 struct rt_fleet
 {
   rt_target_t *by_id;
+  rt_kind_t **kinds;
+  size_t nkinds;
   unlisted_t *unlisted;
   uint64_t random;
   size_t hosts;      /* number of hosts that send to the same engines */
@@ -73,6 +84,56 @@
   free (entry);
 }
 
+static int
+kind_matches (const rt_kind_t *kind, const rt_attrs_t *attrs)
+{
+  return el_str_eq (kind->service, attrs->service)
+         && el_str_eq (kind->hall, attrs->hall)
+         && el_str_eq (kind->card, attrs->card);
+}
+
+/* Counts TARGET among the endpoints of its kind. */
+static void
+kind_join (rt_fleet_t *fleet, rt_target_t *target)
+{
+  rt_kind_t *kind;
+  size_t i;
+
+  for (i = 0; i < fleet->nkinds; i++)
+    if (kind_matches (fleet->kinds[i], &target->attrs))
+      break;
+  if (i == fleet->nkinds)
+    {
+      kind = el_alloc (sizeof *kind);
+      kind->service = el_str_dup (target->attrs.service);
+      kind->hall = el_str_dup (target->attrs.hall);
+      kind->card = el_str_dup (target->attrs.card);
+      kind->index = i;
+      fleet->kinds
+          = el_grow (fleet->kinds, fleet->nkinds + 1, sizeof *fleet->kinds);
+      fleet->kinds[fleet->nkinds++] = kind;
+    }
+  target->kind = fleet->kinds[i];
+  target->kind->endpoints++;
+}
+
+/* Ends the membership of TARGET, which is not listed any more. */
+static void
+kind_leave (rt_fleet_t *fleet, rt_target_t *target)
+{
+  rt_kind_t *kind = target->kind;
+
+  target->kind = NULL;
+  if (--kind->endpoints)
+    return;
+  fleet->kinds[kind->index] = fleet->kinds[--fleet->nkinds];
+  fleet->kinds[kind->index]->index = kind->index;
+  el_str_free (&kind->service);
+  el_str_free (&kind->hall);
+  el_str_free (&kind->card);
+  free (kind);
+}
+
 /** Frees FLEET. Endpoints that are referenced elsewhere stay allocated. */
 void
 rt_fleet_free (rt_fleet_t *fleet)
@@ -83,10 +144,12 @@
   HASH_ITER (hh, fleet->by_id, target, next)
   {
     HASH_DEL (fleet->by_id, target);
+    kind_leave (fleet, target);
     rt_target_unref (target);
   }
   while (fleet->unlisted)
     unlisted_drop (fleet, fleet->unlisted);
+  free (fleet->kinds);
   free (fleet);
 }
 
@@ -192,6 +255,7 @@
   target->refs = 1;
   attrs_copy (&target->attrs, attrs);
   unlisted_apply (fleet, target);
+  kind_join (fleet, target);
   HASH_ADD_KEYPTR (hh, fleet->by_id, target->attrs.id.ptr,
                    (unsigned)target->attrs.id.len, target);
   return target;
@@ -234,6 +298,7 @@
     unlisted_add (fleet, target->attrs.id, target->attrs.born, &target->avail);
   target->avail.gone = 1;
   HASH_DEL (fleet->by_id, target);
+  kind_leave (fleet, target);
   rt_target_unref (target);
 }
 
@@ -390,6 +455,15 @@
   return HASH_COUNT (fleet->by_id);
 }
 
+/** Returns the number of kinds of the listed endpoints, and the kinds in
+    OUT. */
+size_t
+rt_fleet_kinds (const rt_fleet_t *fleet, rt_kind_t *const **out)
+{
+  *out = fleet->kinds;
+  return fleet->nkinds;
+}
+
 /** Whether TARGET may be sent new requests at NOW without being a last resort.
     A suspect request may be about to crash it. */
 int
@@ -483,17 +557,50 @@
   return 0;
 }
 
+/* Response times of the endpoints of a service, as far as they are known. */
+typedef struct pick_service
+{
+  size_t known;
+  double mean_ms; /* of the known ones */
+  int explore;    /* try an endpoint whose response time is unknown */
+} pick_service_t;
+
+/* The endpoints that a host has used lately are known to it and connected to
+   it. A few of them are enough: with every host at every endpoint, connections
+   grow with the product of both. */
+static pick_service_t
+pick_service (rt_fleet_t *fleet, el_str_t service)
+{
+  pick_service_t out = { .known = 0 };
+  const rt_target_t *target;
+
+  for (target = fleet->by_id; target; target = target->hh.next)
+    if (target->mean_ms > 0 && el_str_eq (target->attrs.service, service))
+      {
+        out.known++;
+        out.mean_ms += target->mean_ms;
+      }
+  out.mean_ms = out.known ? out.mean_ms / (double)out.known : 1;
+  out.explore = out.known < KNOWN_MIN
+                || el_random (&fleet->random) % EXPLORE_REQUESTS == 0;
+  return out;
+}
+
 /* Estimated wait at TARGET: load per slot times response time, with jitter so
    that hosts do not all choose the same endpoint. */
 static double
-pick_cost (rt_fleet_t *fleet, const rt_target_t *target, el_str_t hall)
+pick_cost (rt_fleet_t *fleet, const rt_target_t *target, el_str_t hall,
+           const pick_service_t *service)
 {
   double slots = target->attrs.slots ? (double)target->attrs.slots : 1;
   double jitter = (double)(el_random (&fleet->random) % 1000) / 1000;
   double load = (double)(target->running + 1) / slots;
-  double latency_ms = target->mean_ms > 0 ? target->mean_ms : 1;
-  double cost = load * latency_ms * (1 + jitter / 4);
+  double latency_ms = target->mean_ms;
+  double cost;
 
+  if (latency_ms == 0)
+    latency_ms = service->mean_ms * (service->explore ? EXPLORE_FACTOR : 1);
+  cost = load * latency_ms * (1 + jitter / 4);
   if (!el_str_eq (target->attrs.hall, hall))
     cost *= 1 + REMOTE_HALL_PENALTY;
   return cost;
@@ -506,6 +613,7 @@
 rt_fleet_pick (rt_fleet_t *fleet, el_time_t now, el_str_t service,
                el_str_t hall, const rt_tried_t *tried)
 {
+  pick_service_t known = pick_service (fleet, service);
   rt_target_t *best = NULL;
   rt_target_t *target;
   rt_target_t *next;
@@ -520,7 +628,7 @@
     if (level > best_level || !el_str_eq (target->attrs.service, service)
         || rt_tried_has (tried, target))
       continue;
-    cost = pick_cost (fleet, target, hall);
+    cost = pick_cost (fleet, target, hall, &known);
     if (best && level == best_level && cost >= min_cost)
       continue;
     best = target;
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -51,16 +51,16 @@
 START_TEST (test_follow_reports_key_deleted_in_lost_history)
 {
   record_t record = { .wanted = 3 };
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_follow_options_t options = { .store = &store,
+  st_follow_options_t options = { .store = &store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
                                   .known = record_known,
                                   .arg = &record };
-  gt_follow_t *follow;
+  st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
                        "\"Revision\":1},{\"Key\":\"p/b\",\"Value\":\"\","
@@ -74,10 +74,10 @@
                        "\"Revision\":2}],\"more\":false,\"at\":9}",
             CLOSE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
+  follow = st_follow_new (&options);
   while (record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
+  st_follow_free (follow);
   ck_assert_str_eq (record.text.ptr, "+p/a +p/b +p/a -p/a ");
   el_buf_free (&record.text);
 }
@@ -89,16 +89,16 @@
 START_TEST (test_follow_reads_pages_and_ignores_older_events)
 {
   record_t record = { .wanted = 2 };
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_follow_options_t options = { .store = &store,
+  st_follow_options_t options = { .store = &store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
                                   .known = record_known,
                                   .arg = &record };
-  gt_follow_t *follow;
+  st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
                        "\"Revision\":1}],\"more\":true,\"at\":5}",
@@ -111,10 +111,10 @@
                        "\"Revision\":8}],\"at\":8}",
             CLOSE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
+  follow = st_follow_new (&options);
   while (record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
+  st_follow_free (follow);
   ck_assert_str_eq (record.text.ptr, "+p/a +p/b ");
   ck_assert_ptr_nonnull (strstr (script.requests.ptr, "SinceRev=p/a"));
   ck_assert_ptr_nonnull (strstr (script.requests.ptr, "SinceRev=5&"));
@@ -122,43 +122,114 @@
 }
 END_TEST
 
-static int
-answer_stale_update (void *arg, pr_store_position_t after, unsigned old,
-                     pr_store_update_cb done, void *done_arg)
+/* A hall of which this host is not the first, and the answers of the first
+   one. */
+typedef struct hall
 {
-  const pr_store_update_t update
-      = { .at = after, .as_of = net_clock_now (&test_clock) - 1700 * EL_MSEC };
+  record_t record; /* first, as the callbacks cast the hall to a record_t */
+  co_members_t *members;
+  co_feed_t *feed;
+  unsigned nasked;
+  el_time_t age; /* of the data that the first host has */
+} hall_t;
 
+static void
+ignore_change (void *arg, const co_member_t *member)
+{
   (void)arg;
-  (void)old;
-  done (done_arg, &update);
-  return 1;
+  (void)member;
+}
+
+static co_member_t
+hall_member (unsigned char n)
+{
+  return (co_member_t){ .incarnation = { .byte = { n } },
+                        .peer = EL_STR ("h:1"),
+                        .hall = EL_STR ("a") };
 }
 
 static void
-ignore_peer_failure (void *arg)
+hall_open (hall_t *hall)
 {
-  (void)arg;
+  const co_members_options_t options
+      = { .self = hall_member (2), .seed = 1, .changed = ignore_change };
+  const co_member_t first = hall_member (1);
+  co_feed_options_t feed = { .readers = 1, .seed = 1 };
+
+  hall->members = co_members_new (&options);
+  co_members_apply_member (hall->members, 0, &first);
+  feed.members = hall->members;
+  hall->feed = co_feed_new (&feed);
+}
+
+/* Adds N hosts that rank between the first one and this one. */
+static void
+hall_grow (hall_t *hall, unsigned char n)
+{
+  unsigned char i;
+
+  for (i = 1; i <= n; i++)
+    {
+      co_member_t member = hall_member (1);
+
+      member.incarnation.byte[1] = i;
+      co_members_apply_member (hall->members, 0, &member);
+    }
+}
+
+static void
+hall_close (hall_t *hall)
+{
+  co_feed_free (hall->feed);
+  co_members_free (hall->members);
+}
+
+/* Answers with data that are older than update_max_age. */
+static void
+answer_stale (void *arg, const co_member_t *host,
+              const pr_store_query_t *query, int stand_in,
+              pr_store_update_cb done, void *done_arg)
+{
+  hall_t *hall = arg;
+  const pr_store_update_t update
+      = { .state = query->read ? PR_UPDATE_NONE : PR_UPDATE_CHANGES,
+          .at = query->after,
+          .as_of = net_clock_now (&test_clock) - 1700 * EL_MSEC };
+
+  (void)host;
+  (void)stand_in;
+  hall->nasked++;
+  done (done_arg, &update);
 }
 
-/* If the update from another host is too old for a configuration to take
+static st_follow_t *
+hall_follow (hall_t *hall, st_store_t *store)
+{
+  const st_follow_options_t options = { .store = store,
+                                        .prefix = EL_STR ("p/"),
+                                        .wait_ms = 100,
+                                        .item = record_item,
+                                        .update_max_age = 1500 * EL_MSEC,
+                                        .feed = hall->feed,
+                                        .ask_host = answer_stale,
+                                        .known = record_known,
+                                        .arg = hall };
+
+  *store = (st_store_t){ .clock = &test_clock,
+                         .client = client,
+                         .dialect = &pf_store,
+                         .address = el_str (script.address),
+                         .random = 1 };
+  return st_follow_new (&options);
+}
+
+/* If the updates of another host stay too old for a configuration to take
    effect in time, the follower asks the store instead. */
 START_TEST (test_follow_asks_store_when_peer_update_is_stale)
 {
-  record_t record = { .wanted = 2 };
-  gt_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  gt_follow_options_t options = { .store = &store,
-                                  .prefix = EL_STR ("p/"),
-                                  .wait_ms = 100,
-                                  .item = record_item,
-                                  .update_max_age = 1500 * EL_MSEC,
-                                  .ask_peer = answer_stale_update,
-                                  .peer_failed = ignore_peer_failure,
-                                  .known = record_known,
-                                  .arg = &record };
-  gt_follow_t *follow;
+  hall_t hall = { .record = { .wanted = 2 } };
+  st_store_t store;
+  st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
                        "\"Revision\":1}],\"more\":false,\"at\":1}",
@@ -166,65 +237,152 @@
           { HTTP_OK () "{\"events\":[{\"Key\":\"p/b\",\"Value\":\"\","
                        "\"Revision\":2}],\"at\":2}",
             CLOSE });
-  store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
-  while (record.wanted)
+  hall_open (&hall);
+  follow = hall_follow (&hall, &store);
+  while (hall.record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
-  ck_assert_str_eq (record.text.ptr, "+p/a +p/b ");
-  el_buf_free (&record.text);
+  st_follow_free (follow);
+  ck_assert_str_eq (hall.record.text.ptr, "+p/a +p/b ");
+  el_buf_free (&hall.record.text);
+  hall_close (&hall);
 }
 END_TEST
 
 #define HTTP_UNAVAILABLE() "HTTP/1.1 503 Busy\r\nconnection: close\r\n\r\n"
 
-/* Another host that always answers with a stale update. */
-typedef struct stale_host
+/* While the store is unavailable, a host continues to ask other hosts and asks
+   the store itself only rarely; otherwise all hosts of a fleet would ask it at
+   once for as long as the outage lasts. */
+START_TEST (test_follow_rarely_asks_unavailable_store)
 {
-  record_t record; /* first, as the callbacks cast the host to a record_t */
-  unsigned nasked;
-} stale_host_t;
+  hall_t hall = { .nasked = 0 };
+  st_store_t store;
+  st_follow_t *follow;
 
-static int
-count_and_answer_stale_update (void *arg, pr_store_position_t after,
-                               unsigned old, pr_store_update_cb done,
-                               void *done_arg)
+  SCRIPT ({ HTTP_OK () "{\"Items\":[],\"more\":false,\"at\":1}", CLOSE },
+          { HTTP_UNAVAILABLE (), CLOSE }, { HTTP_UNAVAILABLE (), CLOSE },
+          { HTTP_UNAVAILABLE (), CLOSE });
+  hall_open (&hall);
+  follow = hall_follow (&hall, &store);
+  while (!hall.record.nknown)
+    uv_run (&loop, UV_RUN_ONCE);
+  hall.nasked = 0;
+  while (hall.nasked < 9)
+    uv_run (&loop, UV_RUN_ONCE);
+  st_follow_free (follow);
+  ck_assert_uint_eq (store.counts.calls, 1);
+  hall_close (&hall);
+}
+END_TEST
+
+/* A host that is not to read the store does not read all keys when the store
+   has lost the history since its position: another host of its hall has the
+   changes. Otherwise all hosts of a fleet would read all keys together. */
+START_TEST (test_follow_lost_history_is_read_by_few)
 {
-  stale_host_t *host = arg;
+  hall_t hall = { .nasked = 0 };
+  st_store_t store;
+  st_follow_t *follow;
 
-  host->nasked++;
-  return answer_stale_update (&host->record, after, old, done, done_arg);
+  SCRIPT ({ HTTP_OK () "{\"Items\":[],\"more\":false,\"at\":1}", CLOSE },
+          { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE },
+          { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE });
+  hall_open (&hall);
+  follow = hall_follow (&hall, &store);
+  while (store.counts.calls < 3)
+    uv_run (&loop, UV_RUN_ONCE);
+  st_follow_free (follow);
+  ck_assert_uint_eq (store.counts.reads[ST_READ_HISTORY], 0);
+  ck_assert_ptr_null (
+      strstr (strstr (script.requests.ptr, "kv-watch"), "kv-range"));
+  hall_close (&hall);
 }
+END_TEST
 
-/* While the store is unavailable, a host continues to ask other hosts and asks
-   the store itself only rarely; otherwise all hosts of a fleet would ask it at
-   once for as long as the outage lasts. */
-START_TEST (test_follow_rarely_asks_unavailable_store)
+/* Answers of other hosts to a host that reads all keys, in order; those
+   without a state stand for a host that does not answer. */
+static const pr_store_item_t first_page[]
+    = { { .key = EL_STR ("p/a"), .revision = 3 },
+        { .key = EL_STR ("p/b"), .revision = 4 } };
+static const pr_store_item_t old_page[]
+    = { { .key = EL_STR ("p/x"), .revision = 2 } };
+static const pr_store_item_t last_page[]
+    = { { .key = EL_STR ("p/c"), .revision = 7 } };
+static const struct
+{
+  int silent;
+  pr_store_update_t update;
+} read_answers[] = {
+  { .update = { .state = PR_UPDATE_NONE } },
+  { .update = { .state = PR_UPDATE_PAGE,
+                .items = (pr_store_item_t *)(uintptr_t)first_page,
+                .n = 2,
+                .more = 1,
+                .at = { 0, 5 } } },
+  { .silent = 1 },
+  /* This host has seen less than the one that sent the first page. */
+  { .update = { .state = PR_UPDATE_PAGE,
+                .items = (pr_store_item_t *)(uintptr_t)old_page,
+                .n = 1,
+                .at = { 0, 4 } } },
+  { .update = { .state = PR_UPDATE_PAGE,
+                .items = (pr_store_item_t *)(uintptr_t)last_page,
+                .n = 1,
+                .at = { 0, 8 } } },
+};
+
+static void
+answer_read (void *arg, const co_member_t *host, const pr_store_query_t *query,
+             int stand_in, pr_store_update_cb done, void *done_arg)
 {
-  stale_host_t host = { .nasked = 0 };
-  gt_store_t store = {
+  hall_t *hall = arg;
+  size_t at = hall->nasked++;
+  pr_store_update_t update;
+
+  (void)host;
+  (void)stand_in;
+  if (at >= sizeof read_answers / sizeof *read_answers)
+    return;
+  if (at)
+    ck_assert (
+        el_str_eq (query->cursor, at == 1 ? EL_STR ("") : EL_STR ("p/b")));
+  update = read_answers[at].update;
+  update.as_of = net_clock_now (&test_clock) - EL_SEC;
+  done (done_arg, read_answers[at].silent ? NULL : &update);
+}
+
+/* A read goes on at the page that it has reached, whoever sends the next one:
+   sources that have nothing yet, do not answer or are behind cost time only,
+   and no call to the store. */
+START_TEST (test_follow_read_goes_on_with_another_host)
+{
+  hall_t hall = { .record = { .wanted = 1 } };
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_follow_options_t options = { .store = &store,
+  st_follow_options_t options = { .store = &store,
                                   .prefix = EL_STR ("p/"),
                                   .wait_ms = 100,
                                   .item = record_item,
                                   .update_max_age = 1500 * EL_MSEC,
-                                  .ask_peer = count_and_answer_stale_update,
-                                  .peer_failed = ignore_peer_failure,
+                                  .ask_host = answer_read,
                                   .known = record_known,
-                                  .arg = &host };
-  gt_follow_t *follow;
+                                  .arg = &hall };
+  st_follow_t *follow;
 
-  SCRIPT ({ HTTP_OK () "{\"Items\":[],\"more\":false,\"at\":1}", CLOSE },
-          { HTTP_UNAVAILABLE (), CLOSE }, { HTTP_UNAVAILABLE (), CLOSE },
-          { HTTP_UNAVAILABLE (), CLOSE });
-  store.address = el_str (script.address);
-  follow = gt_follow_new (&options);
-  while (host.nasked < 5)
+  store.address = EL_STR ("127.0.0.1:1");
+  hall_open (&hall);
+  hall_grow (&hall, 60);
+  options.feed = hall.feed;
+  follow = st_follow_new (&options);
+  while (hall.record.wanted)
     uv_run (&loop, UV_RUN_ONCE);
-  gt_follow_free (follow);
-  ck_assert_uint_eq (store.counts.calls, 2);
+  ck_assert_str_eq (hall.record.text.ptr, "+p/a +p/b +p/c ");
+  ck_assert_uint_eq (st_follow_position (follow).revision, 5);
+  ck_assert_uint_eq (store.counts.calls, 0);
+  st_follow_free (follow);
+  el_buf_free (&hall.record.text);
+  hall_close (&hall);
 }
 END_TEST
 
@@ -240,24 +398,24 @@
 START_TEST (test_store_retry_after_stops_all_calls)
 {
   static int vacant = 1;
-  stale_host_t host = { .nasked = 0 };
-  gt_store_t store = {
+  record_t record = { .wanted = 0 };
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  const gt_follow_options_t follow_options = { .store = &store,
+  const st_follow_options_t follow_options = { .store = &store,
                                                .prefix = EL_STR ("p/"),
                                                .wait_ms = 100,
                                                .item = record_item,
                                                .known = record_known,
-                                               .arg = &host };
-  const gt_duty_options_t duty_options = { .store = &store,
+                                               .arg = &record };
+  const st_duty_options_t duty_options = { .store = &store,
                                            .key = EL_STR ("duty"),
                                            .holder = EL_STR ("a"),
                                            .ttl_ms = 2000,
                                            .vacant = read_vacant,
                                            .arg = &vacant };
-  gt_follow_t *follow;
-  gt_duty_t *duty;
+  st_follow_t *follow;
+  st_duty_t *duty;
 
   SCRIPT ({ "HTTP/1.1 429 Busy\r\nretry-after: 0.5\r\n"
             "connection: close\r\n\r\n",
@@ -266,19 +424,19 @@
             "content-length: 0\r\n\r\n",
             KEEP_ALIVE });
   store.address = el_str (script.address);
-  follow = gt_follow_new (&follow_options);
+  follow = st_follow_new (&follow_options);
   while (!store.counts.rests)
     uv_run (&loop, UV_RUN_ONCE);
-  duty = gt_duty_new (&duty_options);
-  gt_duty_want (duty, 1);
-  gt_store_put_leased (&store, EL_STR ("k"), EL_STR ("v"), 1000, 0);
+  duty = st_duty_new (&duty_options);
+  st_duty_want (duty, 1);
+  st_store_put_leased (&store, EL_STR ("k"), EL_STR ("v"), 1000, 0);
   loop_run_for (480 * EL_MSEC);
   ck_assert_uint_eq (store.counts.calls, 1);
   while (store.counts.rests < 2)
     uv_run (&loop, UV_RUN_ONCE);
-  ck_assert_uint_le (gt_store_retry_after (&store), 2500 * EL_MSEC);
-  ck_assert_uint_ge (gt_store_retry_after (&store), 1900 * EL_MSEC);
-  gt_follow_free (follow);
+  ck_assert_uint_le (st_store_retry_after (&store), 2500 * EL_MSEC);
+  ck_assert_uint_ge (st_store_retry_after (&store), 1900 * EL_MSEC);
+  st_follow_free (follow);
 }
 END_TEST
 
@@ -286,16 +444,16 @@
 START_TEST (test_duty_is_requested_only_when_vacant)
 {
   int vacant = 0;
-  gt_store_t store = {
+  st_store_t store = {
     .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
   };
-  gt_duty_options_t options = { .store = &store,
+  st_duty_options_t options = { .store = &store,
                                 .key = EL_STR ("duty"),
                                 .holder = EL_STR ("a"),
                                 .ttl_ms = 2000,
                                 .vacant = read_vacant,
                                 .arg = &vacant };
-  gt_duty_t *duty;
+  st_duty_t *duty;
 
   /* The endpoint reads the body of a request with the next request. */
   SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n"
@@ -305,13 +463,56 @@
             "{\"Revision\":3}",
             KEEP_ALIVE });
   store.address = el_str (script.address);
-  duty = gt_duty_new (&options);
-  gt_duty_want (duty, 1);
+  duty = st_duty_new (&options);
+  st_duty_want (duty, 1);
   loop_run_for (300 * EL_MSEC);
   ck_assert_uint_eq (store.counts.calls, 0);
   vacant = 1;
-  while (!gt_duty_held (duty, net_clock_now (&test_clock)))
+  while (!st_duty_held (duty, net_clock_now (&test_clock)))
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_uint_eq (store.counts.calls, 2);
+}
+END_TEST
+
+static size_t
+rank_two (void *arg)
+{
+  (void)arg;
+  return 2;
+}
+
+/* Guards against a duty that stays vacant while the host that should take it
+   cannot reach the store: the hosts after it take it, one after the other. */
+START_TEST (test_duty_left_vacant_is_taken_by_the_next)
+{
+  int vacant = 1;
+  st_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  st_duty_options_t options = { .store = &store,
+                                .key = EL_STR ("duty"),
+                                .holder = EL_STR ("a"),
+                                .ttl_ms = 2000,
+                                .vacant = read_vacant,
+                                .rank = rank_two,
+                                .arg = &vacant };
+  st_duty_t *duty;
+  el_time_t began = net_clock_now (&test_clock);
+
+  SCRIPT ({ "HTTP/1.1 200 OK\r\ncontent-length: 25\r\n\r\n"
+            "{\"lease\":7,\"ttl_ms\":2000}",
+            KEEP_ALIVE },
+          { "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n"
+            "{\"Revision\":3}",
+            KEEP_ALIVE });
+  store.address = el_str (script.address);
+  duty = st_duty_new (&options);
+  st_duty_want (duty, 1);
+  loop_run_for (500 * EL_MSEC);
+  ck_assert_uint_eq (store.counts.calls, 0);
+  while (!st_duty_held (duty, net_clock_now (&test_clock)))
     uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_uint_le (net_clock_now (&test_clock) - began, 1500 * EL_MSEC);
   ck_assert_uint_eq (store.counts.calls, 2);
 }
 END_TEST
@@ -328,8 +529,11 @@
   ADD (tcase, test_follow_reads_pages_and_ignores_older_events);
   ADD (tcase, test_follow_asks_store_when_peer_update_is_stale);
   ADD (tcase, test_follow_rarely_asks_unavailable_store);
+  ADD (tcase, test_follow_lost_history_is_read_by_few);
+  ADD (tcase, test_follow_read_goes_on_with_another_host);
   ADD (tcase, test_store_retry_after_stops_all_calls);
   ADD (tcase, test_duty_is_requested_only_when_vacant);
+  ADD (tcase, test_duty_left_vacant_is_taken_by_the_next);
   suite_add_tcase (suite, tcase);
   return suite;
 }
