store, route: the long files are split

What the follower says to other hosts is st_follow_host.c, the reduction of a search's engines chain_reduce.c, kinds of endpoints fleet_kind.c, the choice among endpoints of a plain service fleet_pick.c.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/mbr_hall.c coord/feed.c coord/rumor.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/avail.c route/router.c route/table.c route/route_build.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/chat.c route/call.c route/trace.c \
-        route/rules.c route/fleet.c route/chain.c route/chain_use.c route/estimate.c \
+        route/rules.c route/fleet.c route/fleet_kind.c route/fleet_pick.c route/chain.c route/chain_reduce.c route/chain_use.c route/estimate.c \
         route/layout.c route/attempts.c route/digest.c route/order_failures.c route/blame.c route/blame_status.c route/blame_rule.c
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
@@ -35,7 +35,7 @@
        gate/relay_events.c gate/relay_blame.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_poll.c \
        gate/relay_metrics.c \
        gate/planner.c
-STORE = store/st_store.c store/st_keys.c store/st_follow.c store/st_duty.c store/st_put.c
+STORE = store/st_store.c store/st_keys.c store/st_follow.c store/st_follow_host.c store/st_duty.c store/st_put.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
--- a/route/chain.c
+++ b/route/chain.c
@@ -11,17 +11,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "relay.h"
+#include "libchain.h"
 
 #define LAYERS_MAX 256
 #define HALLS_MAX 32
-/* Up to this many engines are all searched. Of more, those that hold the same
-   layers on the same card in the same hall are replicas of each other, and the
-   REPLICAS_SEARCHED cheapest of them are: a search then costs what the
-   distinct ranges cost, not the engines. Several remain, as an engine runs
-   only one part of a chain. */
-#define CANDIDATES_ALL 512
-#define REPLICAS_SEARCHED 2
 /* Cost of leaving the hall, in milliseconds of token latency, beyond the
    network latency. It applies while the link between the halls has capacity
    for every stream to cross it once, and rises in proportion beyond that, as
@@ -32,10 +25,6 @@
 #define COST_JITTER 0.15
 /* Cost factor of a part that already has the stream's KV cache. */
 #define KEPT_PART_FACTOR 0.3
-/* Weight of a millisecond in the prefill queue relative to one of token
-   latency. The delay of the first event occurs only once, and a stream is
-   prefilled in only one of its chain's ten or so parts at a time. */
-#define PREFILL_WAIT_WEIGHT 0.01
 /* A live engine answers a health check within this time. One that has not
    answered is avoided if there is another. */
 #define CHECK_GRACE (10 * EL_MSEC)
@@ -49,32 +38,6 @@
   unsigned from_hall; /* hall in which the path reached that layer */
 } chain_node_t;
 
-typedef struct chain_candidate
-{
-  rt_target_t *target;
-  const rt_card_t *card;
-  unsigned hall;
-  double layer_ms; /* decode time per layer */
-  rt_estimate_t estimate;
-  int required; /* is searched whatever it costs */
-} chain_candidate_t;
-
-/* Engines that hold the same layers on the same card in the same hall. */
-typedef struct chain_replicas
-{
-  struct chain_replicas_key
-  {
-    const rt_card_t *card;
-    unsigned hall;
-    unsigned first;
-    unsigned end;
-    unsigned unused; /* no padding in a key */
-  } key;
-  chain_candidate_t cheapest[REPLICAS_SEARCHED]; /* in order of cost */
-  size_t n;
-  UT_hash_handle hh;
-} chain_replicas_t;
-
 /* Which engines a search may use. */
 typedef enum chain_level
 {
@@ -209,83 +172,6 @@
                 || (search->old && rt_chain_has (search->old, target));
 }
 
-/* Cost of all layers that C holds, as one part. */
-static double
-candidate_cost (const chain_candidate_t *c)
-{
-  const rt_attrs_t *attrs = &c->target->attrs;
-
-  return (attrs->end - attrs->first) * c->layer_ms
-         + PREFILL_WAIT_WEIGHT * c->estimate.prefill_wait_ms
-         + (attrs->first ? 0 : c->estimate.slot_wait_ms);
-}
-
-/* Keeps C if it is among the cheapest ones of its replicas. */
-static void
-replicas_add (chain_replicas_t *replicas, const chain_candidate_t *c)
-{
-  double cost = candidate_cost (c);
-  size_t i = replicas->n;
-
-  while (i > 0 && cost < candidate_cost (&replicas->cheapest[i - 1]))
-    {
-      if (i < REPLICAS_SEARCHED)
-        replicas->cheapest[i] = replicas->cheapest[i - 1];
-      i--;
-    }
-  if (i == REPLICAS_SEARCHED)
-    return;
-  replicas->cheapest[i] = *c;
-  if (replicas->n < REPLICAS_SEARCHED)
-    replicas->n++;
-}
-
-/* Reduces the candidates to the required ones and the cheapest of each group
-   of replicas. */
-static void
-search_reduce (chain_search_t *search)
-{
-  chain_replicas_t *all = NULL;
-  chain_replicas_t *replicas;
-  chain_replicas_t *next;
-  size_t n = 0;
-  size_t i;
-
-  if (search->ncandidates <= CANDIDATES_ALL)
-    return;
-  for (i = 0; i < search->ncandidates; i++)
-    {
-      const chain_candidate_t *c = &search->candidates[i];
-      const rt_attrs_t *attrs = &c->target->attrs;
-      struct chain_replicas_key key = { .card = c->card,
-                                        .hall = c->hall,
-                                        .first = attrs->first,
-                                        .end = attrs->end };
-
-      if (c->required)
-        {
-          search->candidates[n++] = *c;
-          continue;
-        }
-      HASH_FIND (hh, all, &key, sizeof key, replicas);
-      if (!replicas)
-        {
-          replicas = el_alloc (sizeof *replicas);
-          replicas->key = key;
-          HASH_ADD (hh, all, key, sizeof key, replicas);
-        }
-      replicas_add (replicas, c);
-    }
-  HASH_ITER (hh, all, replicas, next)
-  {
-    for (i = 0; i < replicas->n; i++)
-      search->candidates[n++] = replicas->cheapest[i];
-    HASH_DEL (all, replicas);
-    free (replicas);
-  }
-  search->ncandidates = n;
-}
-
 /* Cost of leaving a hall. The token rate is known only a few seconds after the
    start; until then the link is assumed to have capacity for all streams. */
 static double
@@ -340,7 +226,7 @@
       search_add_candidate (search, fleet, model, &kinds[target->kind->index],
                             target);
   free (kinds);
-  search_reduce (search);
+  search->ncandidates = chain_reduce (search->candidates, search->ncandidates);
   for (i = 0; i < search->ncandidates; i++)
     {
       search->boundary[search->candidates[i].target->attrs.first] = 1;
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -3,12 +3,11 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * The endpoints of relayed requests that this host knows, and load balancing
- * among those of a plain service.
+ * The endpoints of relayed requests that this host knows.
  */
 #include <string.h>
 
-#include "relay.h"
+#include "libfleet.h"
 
 /* A single failure may be coincidence and does not eject an endpoint. */
 static const rt_ejection_t ejection = { .threshold = 2,
@@ -23,17 +22,6 @@
 #define STALE_DURATION (1000 * EL_MSEC)
 /* Weight of the newest answer in the moving average of response times. */
 #define LATENCY_WEIGHT 0.2
-/* Endpoints of a service whose response time a host should know, so that it
-   notices when one of them is slow. */
-#define KNOWN_MIN 3
-/* One request of so many goes to an endpoint whose response time is unknown,
-   so that a host finds others if all that it knows are slow. */
-#define EXPLORE_REQUESTS 16
-/* Response time assumed of an endpoint that is to be tried, relative to the
-   mean of the known ones. */
-#define EXPLORE_FACTOR 0.25
-/* Fraction by which an endpoint in another hall costs more. */
-#define REMOTE_HALL_PENALTY 0.25
 
 /* Averaging time of the token rate, about the duration of a stream. */
 #define TOKEN_RATE_WINDOW (2 * EL_SEC)
@@ -42,30 +30,6 @@
    oldest are evicted. */
 #define UNLISTED_MAX 4096
 
-/* State of an endpoint instance that is not listed. While the store is
-   unreachable, entries expire and later return. */
-typedef struct unlisted
-{
-  el_str_t id;
-  uint64_t born;
-  rt_avail_t avail;
-  UT_hash_handle hh;
-} unlisted_t;
-
-struct rt_fleet
-{
-  rt_target_t *by_id;
-  rt_kind_t **kinds;
-  size_t nkinds;
-  unlisted_t *unlisted;
-  uint64_t random;
-  size_t hosts;      /* number of hosts that send to the same engines */
-  size_t all_hosts;  /* number of hosts in all halls */
-  double token_rate; /* tokens per second of this host's streams, a moving
-                        average as of RATE_UPDATED */
-  el_time_t rate_updated;
-};
-
 /** Creates an empty fleet. SEED should differ between hosts. */
 rt_fleet_t *
 rt_fleet_new (uint64_t seed)
@@ -84,56 +48,6 @@
   free (entry);
 }
 
-static int
-kind_matches (const rt_kind_t *kind, const rt_attrs_t *attrs)
-{
-  return el_str_eq (kind->service, attrs->service)
-         && el_str_eq (kind->hall, attrs->hall)
-         && el_str_eq (kind->card, attrs->card);
-}
-
-/* Counts TARGET among the endpoints of its kind. */
-static void
-kind_join (rt_fleet_t *fleet, rt_target_t *target)
-{
-  rt_kind_t *kind;
-  size_t i;
-
-  for (i = 0; i < fleet->nkinds; i++)
-    if (kind_matches (fleet->kinds[i], &target->attrs))
-      break;
-  if (i == fleet->nkinds)
-    {
-      kind = el_alloc (sizeof *kind);
-      kind->service = el_str_dup (target->attrs.service);
-      kind->hall = el_str_dup (target->attrs.hall);
-      kind->card = el_str_dup (target->attrs.card);
-      kind->index = i;
-      fleet->kinds
-          = el_grow (fleet->kinds, fleet->nkinds + 1, sizeof *fleet->kinds);
-      fleet->kinds[fleet->nkinds++] = kind;
-    }
-  target->kind = fleet->kinds[i];
-  target->kind->endpoints++;
-}
-
-/* Ends the membership of TARGET, which is not listed any more. */
-static void
-kind_leave (rt_fleet_t *fleet, rt_target_t *target)
-{
-  rt_kind_t *kind = target->kind;
-
-  target->kind = NULL;
-  if (--kind->endpoints)
-    return;
-  fleet->kinds[kind->index] = fleet->kinds[--fleet->nkinds];
-  fleet->kinds[kind->index]->index = kind->index;
-  el_str_free (&kind->service);
-  el_str_free (&kind->hall);
-  el_str_free (&kind->card);
-  free (kind);
-}
-
 /** Frees FLEET. Endpoints that are referenced elsewhere stay allocated. */
 void
 rt_fleet_free (rt_fleet_t *fleet)
@@ -144,7 +58,7 @@
   HASH_ITER (hh, fleet->by_id, target, next)
   {
     HASH_DEL (fleet->by_id, target);
-    kind_leave (fleet, target);
+    fleet_kind_leave (fleet, target);
     rt_target_unref (target);
   }
   while (fleet->unlisted)
@@ -255,7 +169,7 @@
   target->refs = 1;
   attrs_copy (&target->attrs, attrs);
   unlisted_apply (fleet, target);
-  kind_join (fleet, target);
+  fleet_kind_join (fleet, target);
   HASH_ADD_KEYPTR (hh, fleet->by_id, target->attrs.id.ptr,
                    (unsigned)target->attrs.id.len, target);
   return target;
@@ -298,7 +212,7 @@
     unlisted_add (fleet, target->attrs.id, target->attrs.born, &target->avail);
   target->avail.gone = 1;
   HASH_DEL (fleet->by_id, target);
-  kind_leave (fleet, target);
+  fleet_kind_leave (fleet, target);
   rt_target_unref (target);
 }
 
@@ -455,15 +369,6 @@
   return HASH_COUNT (fleet->by_id);
 }
 
-/** Returns the number of kinds of the listed endpoints, and the kinds in
-    OUT. */
-size_t
-rt_fleet_kinds (const rt_fleet_t *fleet, rt_kind_t *const **out)
-{
-  *out = fleet->kinds;
-  return fleet->nkinds;
-}
-
 /** Whether TARGET may be sent new requests at NOW without being a last resort.
     A suspect request may be about to crash it. */
 int
@@ -556,118 +461,3 @@
       return 1;
   return 0;
 }
-
-/* Response times of the endpoints of a service, as far as they are known. */
-typedef struct pick_service
-{
-  size_t known;
-  double mean_ms; /* of the known ones */
-  int explore;    /* try an endpoint whose response time is unknown */
-} pick_service_t;
-
-/* The endpoints that a host has used lately are known to it and connected to
-   it. A few of them are enough: with every host at every endpoint, connections
-   grow with the product of both. */
-static pick_service_t
-pick_service (rt_fleet_t *fleet, el_str_t service)
-{
-  pick_service_t out = { .known = 0 };
-  const rt_target_t *target;
-
-  for (target = fleet->by_id; target; target = target->hh.next)
-    if (target->mean_ms > 0 && el_str_eq (target->attrs.service, service))
-      {
-        out.known++;
-        out.mean_ms += target->mean_ms;
-      }
-  out.mean_ms = out.known ? out.mean_ms / (double)out.known : 1;
-  out.explore = out.known < KNOWN_MIN
-                || el_random (&fleet->random) % EXPLORE_REQUESTS == 0;
-  return out;
-}
-
-/* Estimated wait at TARGET: load per slot times response time, with jitter so
-   that hosts do not all choose the same endpoint. */
-static double
-pick_cost (rt_fleet_t *fleet, const rt_target_t *target, el_str_t hall,
-           const pick_service_t *service)
-{
-  double slots = target->attrs.slots ? (double)target->attrs.slots : 1;
-  double jitter = (double)(el_random (&fleet->random) % 1000) / 1000;
-  double load = (double)(target->running + 1) / slots;
-  double latency_ms = target->mean_ms;
-  double cost;
-
-  if (latency_ms == 0)
-    latency_ms = service->mean_ms * (service->explore ? EXPLORE_FACTOR : 1);
-  cost = load * latency_ms * (1 + jitter / 4);
-  if (!el_str_eq (target->attrs.hall, hall))
-    cost *= 1 + REMOTE_HALL_PENALTY;
-  return cost;
-}
-
-/** Selects an endpoint of SERVICE for a request from HALL; NULL if none may be
-    used. If all are to be avoided, one of them is used anyway, unless it is in
-    backoff or leaving. */
-rt_target_t *
-rt_fleet_pick (rt_fleet_t *fleet, el_time_t now, el_str_t service,
-               el_str_t hall, const rt_tried_t *tried)
-{
-  pick_service_t known = pick_service (fleet, service);
-  rt_target_t *best = NULL;
-  rt_target_t *target;
-  rt_target_t *next;
-  rt_avail_level_t best_level = RT_AVAIL_LAST_RESORT;
-  double min_cost = 0;
-
-  HASH_ITER (hh, fleet->by_id, target, next)
-  {
-    rt_avail_level_t level = rt_avail_level_at (&target->avail, now);
-    double cost;
-
-    if (level > best_level || !el_str_eq (target->attrs.service, service)
-        || rt_tried_has (tried, target))
-      continue;
-    cost = pick_cost (fleet, target, hall, &known);
-    if (best && level == best_level && cost >= min_cost)
-      continue;
-    best = target;
-    min_cost = cost;
-    best_level = level;
-  }
-  return best;
-}
-
-/** Selects the endpoint of SERVICE for a suspect request; NULL if there is
-    none. An engine must hold the first layers. Rendezvous hashing with DRAW
-    makes all hosts choose the same endpoint for a request, and spreads suspect
-    requests over the endpoints. An endpoint that another suspect request may
-    be about to crash is skipped. */
-rt_target_t *
-rt_fleet_pick_isolated (const rt_fleet_t *fleet, el_time_t now,
-                        el_str_t service, uint64_t draw,
-                        const rt_tried_t *tried)
-{
-  rt_target_t *best = NULL;
-  rt_target_t *target;
-  uint64_t highest = 0;
-  uint64_t rank;
-
-  for (target = fleet->by_id; target; target = target->hh.next)
-    {
-      int engine = target->attrs.card.len > 0;
-
-      if (rt_avail_level_at (&target->avail, now) != RT_AVAIL_FULL
-          || !el_str_eq (target->attrs.service, service)
-          || (engine && (target->attrs.first > 0 || target->attrs.end == 0))
-          || rt_tried_has (tried, target))
-        continue;
-      rank = XXH3_64bits_withSeed (target->attrs.id.ptr, target->attrs.id.len,
-                                   draw);
-      if (best && rank <= highest)
-        continue;
-      best = target;
-      highest = rank;
-    }
-  return best;
-}
--- a/store/st_duty.c
+++ b/store/st_duty.c
@@ -42,9 +42,9 @@
   uint64_t lease;
   uint64_t epoch; /* in which the lease was granted */
   el_time_t sent_at;
-  el_time_t valid_until; /* the lease does not expire before */
-  el_time_t not_before;  /* no request before: the holder of the previous
-                            epoch may not know of the new one yet */
+  el_time_t valid_until;  /* the lease does not expire before */
+  el_time_t not_before;   /* no request before: the holder of the previous
+                             epoch may not know of the new one yet */
   el_time_t vacant_since; /* 0: it is not */
   st_store_listener_t listener;
   net_exchange_t *call;
@@ -272,8 +272,8 @@
   el_buf_free (&body);
 }
 
-/* Returns whether the duty is vacant and the hosts before this one have had the
-   time to take it. */
+/* Returns whether the duty is vacant and the hosts before this one have had
+   the time to take it. */
 static int
 duty_is_due (st_duty_t *duty, el_time_t now)
 {
--- a/store/st_follow.c
+++ b/store/st_follow.c
@@ -28,10 +28,6 @@
 /* Least delay between calls that fail while another host asks the store in
    place of this one. */
 #define STOOD_IN_RETRY EL_SEC
-/* Delay before another host is asked after an unusable answer, or after
-   none. */
-#define HOST_RETRY (200 * EL_MSEC)
-#define HOST_FAILED_RETRY (20 * EL_MSEC)
 /* How long differences in a new epoch are held back. After the store is
    restored from an older copy, its writers write their lost changes again
    within about two seconds. */
@@ -39,51 +35,14 @@
 /* Delay after a full read; the next result is as current as that of a watch
    that waits as long. */
 #define AFTER_READ_DELAY (700 * EL_MSEC)
-/* Size of a page or list of changes for another host. */
-#define UPDATE_BYTES_MAX ((size_t)64 << 10)
-
-struct st_follow
-{
-  st_follow_options_t options;
-  st_store_listener_t listener;
-  st_keys_t *keys;
-  net_exchange_t *call;
-  uint64_t call_epoch;  /* latest known epoch when the call was sent */
-  el_time_t call_at;    /* when the call was sent */
-  el_buf_t call_cursor; /* with which a page was requested */
-  int call_fallback;    /* this host should not have to ask the store */
-  el_time_t store_at;   /* the store is not asked before */
-  unsigned failures;    /* calls that failed in a row */
-  el_time_t
-      answered_at;  /* when the last call that the store answered was sent */
-  int stood_in;     /* another host asks the store in place of this one */
-  int host_pending; /* another host has not answered yet */
-  int host_stand_in;
-  co_incarnation_t host;
-  el_buf_t host_cursor; /* with which it was asked */
-  el_time_t host_at;    /* no host is asked before */
-  el_timer_t timer;
-  el_timer_t overdue_timer;
-  el_timer_t held_timer;
-  pr_store_position_t at; /* changes up to it are known */
-  int complete;           /* all keys were read, in this epoch or another */
-  int reading;            /* all keys are being read */
-  el_time_t read_as_of;   /* when the first page was requested */
-  pr_store_position_t read_position; /* of the first page */
-  el_buf_t page_cursor;              /* last key of the previous page */
-  st_store_read_cause_t read_cause;  /* of the last or next full read */
-  el_time_t synced_at;               /* all changes before it are known */
-};
-
-static void follow_set_synced (st_follow_t *follow, el_time_t as_of);
 static void follow_run (void *arg, el_time_t now);
 
-/* Logs what an answer from FROM, the store or another host, changed, and
+/** Logs what an answer from FROM, the store or another host, changed, and
    schedules the release of changes that were held back. BEFORE is the position
    before the answer. */
-static void
-changes_finish (st_follow_t *follow, const char *from,
-                pr_store_position_t before, int whole)
+void
+follow_changes_finish (st_follow_t *follow, const char *from,
+                       pr_store_position_t before, int whole)
 {
   st_keys_counts_t counts = st_keys_counts_take (follow->keys);
   int notable = whole || counts.older
@@ -111,7 +70,7 @@
 
   (void)now;
   st_keys_release_held (follow->keys);
-  changes_finish (follow, "settled", follow->at, 0);
+  follow_changes_finish (follow, "settled", follow->at, 0);
 }
 
 static void
@@ -120,14 +79,15 @@
   net_clock_set (follow->options.store->clock, &follow->timer, wait);
 }
 
-/* Plans anew as soon as the loop runs. */
-static void
+/** Plans anew as soon as the loop runs. */
+void
 follow_wake (st_follow_t *follow)
 {
   follow_schedule (follow, 0);
 }
 
-static el_time_t
+/** Returns the time of the follower's clock. */
+el_time_t
 follow_now (const st_follow_t *follow)
 {
   return net_clock_now (follow->options.store->clock);
@@ -176,9 +136,9 @@
   feed_store_done (follow, 1);
 }
 
-/* Starts a full read anew. The keys known so far stay, and so does their
+/** Starts a full read anew. The keys known so far stay, and so does their
    position. */
-static void
+void
 follow_reread (st_follow_t *follow, st_store_read_cause_t read_cause)
 {
   follow->reading = 1;
@@ -186,28 +146,27 @@
   el_buf_reset (&follow->page_cursor);
 }
 
-/* Returns whether AT is in a previous epoch: neither changes after it nor
+/** Returns whether AT is in a previous epoch: neither changes after it nor
    further pages can be combined with it. */
-static int
+int
 follow_stale (const st_follow_t *follow, pr_store_position_t at)
 {
   return at.epoch != follow->options.store->epoch;
 }
 
-/* A page of a full read, from the store or from another host. */
-typedef struct follow_page
+/** Records that all changes made before AS_OF are known. */
+void
+follow_set_synced (st_follow_t *follow, el_time_t as_of)
 {
-  const char *from;
-  const pr_store_item_t *items;
-  size_t n;
-  int more;
-  pr_store_position_t at;
-  el_time_t as_of; /* when the page was requested, or the sender's data were
-                      complete */
-} follow_page_t;
+  if (as_of <= follow->synced_at)
+    return;
+  follow->synced_at = as_of;
+  follow->options.known (follow->options.arg, as_of);
+}
 
-static void
-page_apply (st_follow_t *follow, const follow_page_t *page)
+/** Applies the next page of the full read; the last one ends it. */
+void
+follow_page_apply (st_follow_t *follow, const follow_page_t *page)
 {
   pr_store_position_t before = follow->at;
   size_t i;
@@ -233,13 +192,13 @@
   follow->reading = 0;
   st_keys_end_snapshot (follow->keys, follow->read_position);
   follow->at = follow->read_position;
-  changes_finish (follow, page->from, before, 1);
+  follow_changes_finish (follow, page->from, before, 1);
   follow_set_synced (follow, follow->read_as_of);
 }
 
-/* Returns whether the pages read so far are of a previous epoch. */
-static int
-read_stale (const st_follow_t *follow)
+/** Returns whether the pages read so far are of a previous epoch. */
+int
+follow_read_stale (const st_follow_t *follow)
 {
   return follow->page_cursor.len
          && follow_stale (follow, follow->read_position);
@@ -261,7 +220,7 @@
       return;
     }
   follow_recovered (follow);
-  if (read_stale (follow))
+  if (follow_read_stale (follow))
     follow_reread (follow, ST_READ_EPOCH);
   else if (el_str_eq (el_buf_str (&follow->page_cursor),
                       el_buf_str (&follow->call_cursor)))
@@ -273,7 +232,7 @@
                              .at = { store->epoch, list.revision },
                              .as_of = follow->call_at };
 
-      page_apply (follow, &page);
+      follow_page_apply (follow, &page);
     }
   st_store_list_free (&list);
   if (!follow->reading && follow->options.feed)
@@ -323,7 +282,7 @@
     st_keys_apply (follow->keys, follow->at.epoch, &list->items[i]);
   if (list->revision > follow->at.revision)
     follow->at.revision = list->revision;
-  changes_finish (follow, "store", before, 0);
+  follow_changes_finish (follow, "store", before, 0);
   follow_set_synced (follow, follow->call_at);
 }
 
@@ -353,157 +312,6 @@
   st_store_list_free (&list);
 }
 
-static void
-follow_set_synced (st_follow_t *follow, el_time_t as_of)
-{
-  if (as_of <= follow->synced_at)
-    return;
-  follow->synced_at = as_of;
-  follow->options.known (follow->options.arg, as_of);
-}
-
-/* The answer of another host to a read is its next page. */
-static co_feed_answer_t
-host_page_apply (st_follow_t *follow, const pr_store_update_t *update)
-{
-  follow_page_t page = { .from = "host",
-                         .items = update->items,
-                         .n = update->n,
-                         .more = update->more,
-                         .at = update->at,
-                         .as_of = update->as_of };
-
-  if (!follow->reading || follow_stale (follow, update->at))
-    return CO_FEED_STALE;
-  if (read_stale (follow))
-    {
-      follow_reread (follow, ST_READ_EPOCH);
-      return CO_FEED_CURRENT;
-    }
-  /* A host that has seen less than the sender of the first page may lack
-     changes that this host will not ask for again. */
-  if (follow->page_cursor.len
-      && pr_store_position_cmp (update->at, follow->read_position) < 0)
-    return CO_FEED_STALE;
-  if (!el_str_eq (el_buf_str (&follow->page_cursor),
-                  el_buf_str (&follow->host_cursor)))
-    return CO_FEED_CURRENT;
-  page_apply (follow, &page);
-  return CO_FEED_CURRENT;
-}
-
-/* Returns whether the data of another host are new enough: in general, not
-   older than update_max_age; those of a stand-in, newer than this host's. */
-static int
-update_current (const st_follow_t *follow, const pr_store_update_t *update)
-{
-  if (follow->host_stand_in)
-    return update->as_of > follow->synced_at;
-  return update->as_of + follow->options.update_max_age >= follow_now (follow);
-}
-
-static co_feed_answer_t
-host_changes_apply (st_follow_t *follow, const pr_store_update_t *update)
-{
-  pr_store_position_t before = follow->at;
-  int current = update_current (follow, update);
-  size_t i;
-
-  if (follow->reading || follow_stale (follow, update->at)
-      || update->at.epoch != follow->at.epoch)
-    return CO_FEED_STALE;
-  for (i = 0; i < update->n; i++)
-    st_keys_apply (follow->keys, update->at.epoch, &update->items[i]);
-  if (pr_store_position_cmp (update->at, follow->at) > 0)
-    follow->at = update->at;
-  changes_finish (follow, "host", before, 0);
-  if (!current)
-    return CO_FEED_STALE;
-  if (!update->more)
-    follow_set_synced (follow, update->as_of);
-  return CO_FEED_CURRENT;
-}
-
-static co_feed_answer_t
-host_none (st_follow_t *follow, const pr_store_update_t *update)
-{
-  (void)follow;
-  (void)update;
-  return CO_FEED_STALE;
-}
-
-static co_feed_answer_t
-host_read_all (st_follow_t *follow, const pr_store_update_t *update)
-{
-  if (follow_stale (follow, update->at))
-    return CO_FEED_STALE;
-  if (!follow->reading)
-    follow_reread (follow, follow_stale (follow, follow->at)
-                               ? ST_READ_EPOCH
-                               : ST_READ_HISTORY);
-  return CO_FEED_CURRENT;
-}
-
-/* What is done with the answer of another host. */
-static co_feed_answer_t (*const host_answers[]) (st_follow_t *follow,
-                                                 const pr_store_update_t *)
-    = {
-        [PR_UPDATE_NONE] = host_none,
-        [PR_UPDATE_CHANGES] = host_changes_apply,
-        [PR_UPDATE_PAGE] = host_page_apply,
-        [PR_UPDATE_READ_ALL] = host_read_all,
-      };
-
-/* Another host has answered; UPDATE is NULL if it has not. */
-static void
-host_done (void *arg, const pr_store_update_t *update)
-{
-  st_follow_t *follow = arg;
-  el_time_t now = follow_now (follow);
-  co_feed_answer_t answer = CO_FEED_NONE;
-
-  follow->host_pending = 0;
-  if (update)
-    {
-      st_follow_observe_epoch (follow, update->at.epoch);
-      answer = host_answers[update->state](follow, update);
-    }
-  if (answer != CO_FEED_CURRENT)
-    follow->host_at
-        = now + (answer == CO_FEED_STALE ? HOST_RETRY : HOST_FAILED_RETRY);
-  follow->stood_in = follow->host_stand_in && answer == CO_FEED_CURRENT;
-  co_feed_host_done (follow->options.feed, now, &follow->host,
-                     follow->host_stand_in, answer);
-  follow_wake (follow);
-}
-
-/* Asks another host for changes or the next page. */
-static void
-host_send (st_follow_t *follow, const co_feed_plan_t *plan)
-{
-  st_follow_options_t *o = &follow->options;
-  pr_store_query_t query = { .after = follow->at,
-                             .read = follow->reading,
-                             .cursor = el_buf_str (&follow->page_cursor) };
-
-  if (follow->reading)
-    query.after = follow->page_cursor.len
-                      ? follow->read_position
-                      : (pr_store_position_t){ o->store->epoch, 0 };
-  el_buf_reset (&follow->host_cursor);
-  el_buf_add (&follow->host_cursor, query.cursor);
-  if (plan->stand_in
-      && !co_incarnation_eq (&follow->host, &plan->host->incarnation))
-    EL_LOG (EL_LOG_INFO, "store_stand_in", EL_FS ("peer", plan->host->peer),
-            EL_FN ("epoch", follow->at.epoch),
-            EL_FN ("revision", follow->at.revision),
-            EL_FN ("known_age_us", follow_now (follow) - follow->synced_at));
-  follow->host = plan->host->incarnation;
-  follow->host_stand_in = plan->stand_in;
-  follow->host_pending = 1;
-  o->ask_host (o->arg, plan->host, &query, plan->stand_in, host_done, follow);
-}
-
 /* The call to the store is overdue. */
 static void
 call_overdue (void *arg, el_time_t now)
@@ -610,7 +418,7 @@
         follow_watch (follow);
     }
   if (ask_host && now >= follow->host_at)
-    host_send (follow, &plan);
+    follow_ask_host (follow, &plan);
 }
 
 /* Called when the store has begun a new epoch. A call that was sent before is
@@ -655,54 +463,6 @@
   return follow;
 }
 
-/* Fills OUT with the next page of a host that reads all keys. While this host
-   reads them itself, it passes on those that it has. */
-static void
-update_page (st_follow_t *follow, const pr_store_query_t *query,
-             pr_store_update_t *out)
-{
-  int partial = follow->reading
-                && (!follow->complete || follow_stale (follow, follow->at));
-  el_str_t last = { NULL, 0 };
-
-  if (partial)
-    {
-      last = el_buf_str (&follow->page_cursor);
-      out->at = follow->read_position;
-      out->as_of = follow->read_as_of;
-      if (last.len == 0 || read_stale (follow))
-        return;
-    }
-  if (query->after.epoch > out->at.epoch
-      || (query->cursor.len
-          && pr_store_position_cmp (out->at, query->after) < 0))
-    return;
-  st_keys_page (follow->keys, query->cursor, last, UPDATE_BYTES_MAX, out);
-  out->more = out->more || partial;
-  if (!partial || out->n)
-    out->state = PR_UPDATE_PAGE;
-}
-
-/** Writes to OUT what another host asks for, in pieces of limited size. The
-    items belong to the follower; the caller frees the list. */
-void
-st_follow_update (st_follow_t *follow, const pr_store_query_t *query,
-                  pr_store_update_t *out)
-{
-  *out = (pr_store_update_t){ .at = follow->at, .as_of = follow->synced_at };
-  if (query->read)
-    {
-      update_page (follow, query, out);
-      return;
-    }
-  if (!follow->complete || query->after.epoch > follow->at.epoch)
-    return;
-  out->state = st_keys_changes_since (follow->keys, query->after,
-                                      UPDATE_BYTES_MAX, out)
-                   ? PR_UPDATE_CHANGES
-                   : PR_UPDATE_READ_ALL;
-}
-
 /** Asks the store for a while, as another host requests that cannot. */
 void
 st_follow_stand_in (st_follow_t *follow)
