--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -40,8 +40,8 @@
 /* The lease is taken to expire this much earlier, as clocks run at different
    speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
-/* Hosts that take the planner's duty, one after the other, if those before them
-   do not. */
+/* Hosts that take the planner's duty, one after the other, if those before
+   them do not. */
 #define DUTY_CANDIDATES 16
 
 struct frontend
