--- a/gate/gate.c
+++ b/gate/gate.c
@@ -451,9 +451,9 @@
   return pr_peers_count_hall_live (gate->peers);
 }
 
-/** Number of live hosts, not draining, that come before this one where a single
-    host is chosen; SIZE_MAX while this host drains. Hosts with the same view of
-    the membership agree on the order. */
+/** Number of live hosts, not draining, that come before this one where a
+   single host is chosen; SIZE_MAX while this host drains. Hosts with the same
+   view of the membership agree on the order. */
 size_t
 gt_gate_count_preferred (const gt_gate_t *gate)
 {
--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -36,7 +36,7 @@
   size_t live_reported; /* live hosts, as last passed to ops->hosts */
   size_t live_logged;   /* live hosts, as last logged */
   el_time_t live_logged_at;
-  int fetching;         /* a request for configuration is pending */
+  int fetching; /* a request for configuration is pending */
   co_feed_t *feed;
   struct peer_pending_request *pending_requests; /* the newest first */
   el_timer_t pending_timer;
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -299,8 +299,8 @@
   return in_force.n;
 }
 
-/** Number of live hosts, not draining, that come before this one where a single
-    host is chosen. */
+/** Number of live hosts, not draining, that come before this one where a
+   single host is chosen. */
 size_t
 pr_peers_count_preferred (const pr_peers_t *peers)
 {
