--- a/gate/relay_poll.c
+++ b/gate/relay_poll.c
@@ -95,9 +95,9 @@
 }
 
 /** Stores in OUT, which the caller frees, the reports of the hall's engines
-    that this host got after AFTER, or all recent ones if that is 0, and returns
-    their number. Engines that stay idle have no report after AFTER, so that
-    the number follows the load and not the engines. */
+    that this host got after AFTER, or all recent ones if that is 0, and
+   returns their number. Engines that stay idle have no report after AFTER, so
+   that the number follows the load and not the engines. */
 size_t
 gt_relays_engine_reports (gt_relays_t *relays, el_time_t after,
                           pr_engine_report_t **out)
--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -153,8 +153,8 @@
 }
 END_TEST
 
-/* Reports of N engines, of which two are busy, as a host sends them to one that
-   got the reports of the poll before. */
+/* Reports of N engines, of which two are busy, as a host sends them to one
+   that got the reports of the poll before. */
 static size_t
 count_reports_of_second_poll (size_t n)
 {
@@ -224,7 +224,8 @@
       run_loop (5 * EL_MSEC);
       after = net_clock_now (&test_clock);
       if (i < 2)
-        relay_check_load (&relays, engines[0].engine, i ? &idle : &busy, after);
+        relay_check_load (&relays, engines[0].engine, i ? &idle : &busy,
+                          after);
       else
         gt_relays_receive_reports (&relays, changes[i - 2], 1);
       ck_assert_uint_eq (gt_relays_engine_reports (&relays, after, &reports),
