--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -285,11 +285,12 @@
   st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[],\"more\":false,\"at\":1}", CLOSE },
+          { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE },
           { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE },
           { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE });
   hall_open (&hall);
   follow = hall_follow (&hall, &store);
-  while (store.counts.calls < 3)
+  while (store.counts.calls < 4)
     uv_run (&loop, UV_RUN_ONCE);
   st_follow_free (follow);
   ck_assert_uint_eq (store.counts.reads[ST_READ_HISTORY], 0);
