--- a/coord/feed.c
+++ b/coord/feed.c
@@ -55,6 +55,7 @@
   size_t before;            /* of these, hosts that rank before this one */
 };
 
+/** Creates a feed over the members of OPTIONS, which must outlive it. */
 co_feed_t *
 co_feed_new (const co_feed_options_t *options)
 {
@@ -65,6 +66,7 @@
   return feed;
 }
 
+/** Frees the feed. */
 void
 co_feed_free (co_feed_t *feed)
 {
