Duty: those after the first wait for a renewal; withdrawn hosts keep their place

Where the store loses a lease, its holder learns it with its next renewal, 0.67 s later at most; the next host took the duty after 0.4 s, and the host that comes first took it at once where another one held it. The latter is older (a host that holds the duty keeps it); it came about more often since all hosts of a start have their entries at the same moment and are offered one after the other.

What stays: the first host takes a duty at once that the store took from a holder which is not first; they overlap for 0.67 s at most.

--- a/coord/mbr_hall.c
+++ b/coord/mbr_hall.c
@@ -77,22 +77,9 @@
   return first;
 }
 
-/* Whether MEMBER comes before this host where one host of all halls is chosen.
-   Withdrawn hosts come after the others. */
-static int
-member_is_preferred (const co_members_t *members, const co_member_t *member)
-{
-  const co_member_t *self = &members->self;
-
-  if (member->state != CO_MBR_ALIVE || member->offer == CO_MBR_DRAINING)
-    return 0;
-  return member->offer < self->offer
-         || (member->offer == self->offer
-             && co_member_ranks_before (member, self));
-}
-
-/** Returns how many hosts of all halls come before this one where a single
-    host is chosen. */
+/** Returns how many hosts of all halls that are alive and not draining come
+    before this one where a single host is chosen. Withdrawn hosts keep their
+    place: a common start would else pass a task from one to the next. */
 size_t
 co_members_count_preferred (const co_members_t *members)
 {
@@ -100,7 +87,8 @@
   size_t n = 0;
 
   for (entry = members->entries; entry; entry = entry->hh.next)
-    n += (size_t)member_is_preferred (members, &entry->m);
+    n += entry->m.state == CO_MBR_ALIVE && entry->m.offer != CO_MBR_DRAINING
+         && co_member_ranks_before (&entry->m, &members->self);
   return n;
 }
 
--- a/store/st_duty.c
+++ b/store/st_duty.c
@@ -272,13 +272,24 @@
   el_buf_free (&body);
 }
 
+/* Returns how long this host leaves a vacant duty to others. If the store has
+   lost the lease, its former holder learns that with its next renewal, and
+   only the first host, which is mostly that holder, does not wait for it. */
+static el_time_t
+duty_takeover_delay (const st_duty_t *duty)
+{
+  const st_duty_options_t *o = &duty->options;
+  size_t rank = o->rank ? o->rank (o->arg) : 0;
+
+  return rank ? duty_ttl (duty) / RENEWALS_PER_TTL + rank * TAKEOVER_STEP : 0;
+}
+
 /* Returns whether the duty is vacant and the hosts before this one have had
    the time to take it. */
 static int
 duty_is_due (st_duty_t *duty, el_time_t now)
 {
   const st_duty_options_t *o = &duty->options;
-  size_t rank = o->rank ? o->rank (o->arg) : 0;
 
   if (!o->vacant (o->arg))
     {
@@ -287,7 +298,7 @@
     }
   if (!duty->vacant_since)
     duty->vacant_since = now;
-  return now - duty->vacant_since >= rank * TAKEOVER_STEP;
+  return now - duty->vacant_since >= duty_takeover_delay (duty);
 }
 
 /* Returns the time until the duty may be requested. */
