--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -122,6 +122,7 @@
   uint64_t sent_in_backoff; /**< sends to an endpoint in backoff; stays 0 */
   uint64_t refused_backoff; /**< refused: all endpoints in backoff */
   uint64_t leaving; /**< endpoints found leaving by a response or by gossip */
+  uint64_t limits;  /**< rate limits that endpoints began to name */
   uint64_t events;
   el_hist_t first_event; /**< arrival to first event, microseconds */
   el_hist_t answer;    /**< arrival to complete plain response, microseconds */
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -264,6 +264,12 @@
 void relay_backoff_answered (gt_relay_t *relay);
 el_time_t relay_backoff_left (gt_relay_t *relay, el_time_t now);
 
+/* relay_limit.c */
+uint64_t relay_limit_milli (const rt_limit_t *limit);
+void relay_limit_named (gt_relays_t *relays, rt_target_t *target, double rate,
+                        el_str_t by);
+void relay_limit_read_head (gt_relay_t *relay);
+
 /* relay_log.c */
 void relay_log (gt_relay_t *relay, const char *event, int status,
                 const char *reason);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -491,6 +491,7 @@
   relay->relays->counts.attempts++;
   relay_log_sent (relay, now);
   relay_backoff_sent (relay, now);
+  relay->target->limit.sent++;
   relay->exchange = net_client_send (o->client, &send);
   relay_head_free (&head);
   if (relay->chain.n)
--- a/gate/relay_backoff.c
+++ b/gate/relay_backoff.c
@@ -137,6 +137,8 @@
 {
   if (hints->leaving)
     leaving_learned (relays, target, by);
+  if (hints->limited == RT_LIMIT_NAMED)
+    relay_limit_named (relays, target, hints->limit, by);
   if (hints->backoff
       && rt_fleet_backoff (relays->options.fleet, target,
                            net_clock_now (relays->options.clock),
@@ -155,6 +157,7 @@
   relay->relays->options.dialect->read_hints (head, &relay->hints);
   gt_relays_apply_hints (relay->relays, relay->target, &relay->hints,
                          relay->id);
+  relay_limit_read_head (relay);
   if (fault != relay->target)
     gt_relays_apply_hints (relay->relays, fault,
                            &(rt_hints_t){ .backoff = relay->hints.backoff },
--- a/route/relay.h
+++ b/route/relay.h
@@ -13,6 +13,7 @@
 
 #include "avail.h"
 #include "base.h"
+#include "limit.h"
 #include "map.h"
 
 #include <jansson.h>
@@ -173,6 +174,7 @@
   uint64_t epoch;  /**< epoch of the store when its entry was last reported */
   el_time_t listed_at; /**< time at which its entry was last reported */
   rt_avail_t avail;    /**< availability for new requests */
+  rt_limit_t limit;    /**< limit on new requests, of all hosts together */
   unsigned running;    /**< requests of this host in flight there */
   unsigned chains;     /**< streams of this host whose chain includes it */
   double kv_held; /**< KV cache of this host's streams there, in tokens times
@@ -203,6 +205,9 @@
 {
   el_time_t backoff; /**< requested backoff; 0: none */
   int leaving;       /**< it is leaving: takes no new requests */
+  rt_limit_hint_t limited;
+  double limit; /**< requests per second that it takes from all hosts
+                   together, if RT_LIMIT_NAMED */
 } rt_hints_t;
 
 typedef struct rt_fleet rt_fleet_t;
--- a/tests/t_avail.c
+++ b/tests/t_avail.c
@@ -441,6 +441,40 @@
 }
 END_TEST
 
+START_TEST (test_limit_header_is_parsed)
+{
+  static const struct
+  {
+    const char *value;
+    rt_limit_hint_t limited;
+    double limit;
+  } values[] = {
+    { "6.9", RT_LIMIT_NAMED, 6.9 },    { " 3 ", RT_LIMIT_NAMED, 3 },
+    { "0", RT_LIMIT_NAMED, 0 },        { "0.25", RT_LIMIT_NAMED, 0.25 },
+    { "100000", RT_LIMIT_NAMED, 1e5 }, { "", RT_LIMIT_UNREAD, 0 },
+    { "-1", RT_LIMIT_UNREAD, 0 },      { "1e3", RT_LIMIT_UNREAD, 0 },
+    { "nan", RT_LIMIT_UNREAD, 0 },     { "6.9/s", RT_LIMIT_UNREAD, 0 },
+    { "6.9, 3", RT_LIMIT_UNREAD, 0 },
+  };
+  net_header_t headers[] = { { EL_STR ("Server-Limit"), EL_STR ("") },
+                             { EL_STR ("server-limit"), EL_STR ("2") },
+                             { EL_STR ("server-limit"), EL_STR ("?") } };
+  rt_hints_t hints;
+  size_t i;
+
+  for (i = 0; i < sizeof values / sizeof *values; i++)
+    {
+      headers[0].value = el_str (values[i].value);
+      hints = read_hints (i % 2 ? 200 : 503, headers, 1);
+      ck_assert_int_eq (hints.limited, values[i].limited);
+      ck_assert_double_eq_tol (hints.limit, values[i].limit, 1e-6);
+    }
+  ck_assert_int_eq (read_hints (200, NULL, 0).limited, RT_LIMIT_NONE);
+  headers[0].value = EL_STR ("7");
+  ck_assert_double_eq_tol (read_hints (200, headers, 3).limit, 2, 1e-6);
+}
+END_TEST
+
 Suite *
 avail_suite (void)
 {
@@ -460,6 +494,7 @@
   ADD (tcase, test_retry_after_is_parsed_and_bounded);
   ADD (tcase, test_retry_after_longest_of_several_wins);
   ADD (tcase, test_leaving_header_is_read_from_any_answer);
+  ADD (tcase, test_limit_header_is_parsed);
   suite_add_tcase (suite, tcase);
   return suite;
 }
