Test: hosts together keep to the limit of an endpoint (known red)

The stand-in names a limit (POST /limit) and counts arrivals from hosts that were told, in windows of four seconds as the users' requirement has it.

--- a/standin/member.c
+++ b/standin/member.c
@@ -10,10 +10,11 @@
  * includes that engine until they are rerouted around it. A request with
  * "deadly" in its body makes the process exit soon after it starts to run.
  * POST /rest makes the member ask hosts to back off, or announce that it is
- * leaving. GET /runs returns counters, GET /seen the headers of the
- * last request. With --record the member appends a line to a file before it
- * runs a request, so that the runs can be checked after the process has
- * exited: "MICROSECONDS ID MEMBER CUSTOMER CHAIN LAST-EVENT-ID".
+ * leaving, POST /limit makes it name a rate limit. GET /runs returns counters,
+ * GET /seen the headers of the last request. With --record the member appends
+ * a line to a file before it runs a request, so that the runs can be checked
+ * after the process has exited: "MICROSECONDS ID MEMBER CUSTOMER CHAIN
+ * LAST-EVENT-ID".
  */
 #include <fcntl.h>
 #include <inttypes.h>
@@ -25,6 +26,7 @@
 
 #include "libgate.h"
 #include "backoff.h"
+#include "limit.h"
 
 #define STREAM_EVENTS 40
 #define RESPONSE_SEAL "seal.of.a.stand-in"
@@ -71,6 +73,7 @@
   int linger;             /* abort streams before exiting */
   int unresponsive;
   sn_backoff_t *backoff;
+  sn_limit_t *limit;
 } member_t;
 
 static void stream_send_event (void *arg, el_time_t now);
@@ -135,6 +138,7 @@
               process->settings.name, uv_hrtime ());
   member->backoff
       = sn_backoff_new (&process->clock, member->id, process->settings.record);
+  member->limit = sn_limit_new (&process->clock);
   member->record_fd = -1;
   if (process->settings.record[0])
     member->record_fd = open (process->settings.record,
@@ -493,6 +497,22 @@
   sn_reply_json (req, 200, sn_backoff_stats (member->backoff));
 }
 
+static void
+serve_limit (member_t *member, h2o_req_t *req)
+{
+  json_t *json;
+
+  if (el_str_eq (net_req_method (req), EL_STR ("GET")))
+    {
+      sn_reply_json (req, 200, sn_limit_stats (member->limit));
+      return;
+    }
+  json = sn_parse_body (req);
+  sn_limit_configure (member->limit, json);
+  json_decref (json);
+  net_req_reply (req, 204, EL_STR (""), EL_STR (""));
+}
+
 static void
 serve_runs (member_t *member, h2o_req_t *req)
 {
@@ -589,6 +609,7 @@
   el_str_t expect = net_req_header (req, "x-elmarch-expect-instance");
   el_str_t chain = net_req_header (req, "path");
 
+  sn_limit_count (member->limit, req);
   sn_backoff_count (member->backoff, req, SN_CALL_REQUEST);
   if (sn_backoff_reject (member->backoff, req, SN_CALL_REQUEST))
     return;
@@ -618,6 +639,7 @@
   { EL_STR ("/linger"), serve_linger },
   { EL_STR ("/rest"), serve_backoff },
   { EL_STR ("/rests"), serve_backoff_stats },
+  { EL_STR ("/limit"), serve_limit },
   { EL_STR ("/runs"), serve_runs },
   { EL_STR ("/seen"), serve_seen },
 };
--- a/tests/proc_main.c
+++ b/tests/proc_main.c
@@ -22,6 +22,7 @@
   srunner_add_suite (runner, crash_suite ());
   srunner_add_suite (runner, restart_suite ());
   srunner_add_suite (runner, backoff_suite ());
+  srunner_add_suite (runner, rate_limit_suite ());
   srunner_add_suite (runner, restore_suite ());
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
