--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 BASE = base/str.c base/err.c base/timer.c base/random.c base/metrics.c base/log.c \
        base/settings.c
-COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/mbr_hall.c coord/feed.c coord/rumor.c coord/token.c coord/ledger.c coord/cfg_schema.c coord/cfg_apply.c
+COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/mbr_hall.c coord/feed.c coord/rumor.c coord/token.c coord/ledger.c coord/allowance.c coord/cfg_schema.c coord/cfg_apply.c
 ROUTE = route/avail.c route/limit.c route/router.c route/table.c route/route_build.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/chat.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/fleet_kind.c route/fleet_pick.c route/chain.c route/chain_reduce.c route/chain_use.c route/estimate.c \
@@ -25,7 +25,7 @@
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_members.c peer/peer_config.c \
-       peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_forward.c \
+       peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_loan.c peer/peer_forward.c \
        peer/peer_handover.c peer/peer_xdr.c
 GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/deferred.c gate/inflight.c gate/engine.c gate/api.c \
@@ -110,7 +110,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_load.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_connect.c tests/t_clock.c tests/suspend.c
+       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
@@ -132,13 +132,15 @@
 	$(LINK)
 $(BIN)/bench_rest: $(B)/bench/bench_rest.o $(LIBA)
 	$(LINK)
+$(BIN)/bench_limit: $(B)/bench/bench_limit.o $(B)/tests/limit_sim.o $(LIBA)
+	$(LINK)
 $(BIN)/bench_blame: $(B)/bench/bench_blame.o $(B)/tests/blame_sim.o $(LIBA)
 	$(LINK)
 $(B)/bench/%.o: INC += -Itests
 # Soak test: runs real processes, injects faults chosen by seed, and checks the
 # invariants from outside.
 SOAK = soak/main.c soak/plan.c soak/proxy.c soak/cluster.c soak/proc.c \
-       soak/fault.c soak/operator.c soak/http.c soak/caller.c soak/check.c
+       soak/fault.c soak/operator.c soak/http.c soak/caller.c soak/check.c soak/check_limit.c
 $(BIN)/soak: $(SOAK:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcurl -lpthread
 SOAK_SEEDS = --seed 1 --seeds 50 --asks
@@ -149,7 +151,7 @@
 	sh soak/seeds.sh $(BIN) $(B)/soak
 
 BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
-          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_rest $(BIN)/bench_feed
+          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_rest $(BIN)/bench_limit $(BIN)/bench_feed
 bench: deps
 	$(MAKE) -s all $(BENCHES)
 	$(BIN)/bench_core
@@ -158,6 +160,7 @@
 	$(BIN)/bench_blame
 	$(BIN)/bench_feed
 	$(BIN)/bench_rest
+	$(BIN)/bench_limit
 	sh bench/bench_control.sh $(BIN)
 	sh bench/bench_gate.sh $(BIN)
 
--- a/coord/coord.h
+++ b/coord/coord.h
@@ -297,6 +297,8 @@
 void co_members_set_discovered (co_members_t *members);
 int co_members_is_discovered (const co_members_t *members);
 size_t co_members_count_preferred (const co_members_t *members);
+const co_member_t *co_members_pick_by_draw (const co_members_t *members,
+                                            uint64_t draw);
 int co_member_ranks_before (const co_member_t *a, const co_member_t *b);
 int co_members_is_top_ranked (const co_members_t *members, size_t max);
 const char *co_mbr_state_name (co_mbr_state_t state);
@@ -395,6 +397,66 @@
 void co_rumors_visit (const co_rumors_t *rumors, co_rumor_visit_cb visit,
                       void *arg);
 
+/* Allowances: a rate that all hosts share. One host lends it in tokens, the
+   others borrow. Neither part reads a clock or sends anything. */
+
+/** Validity of a token, from when it was asked for. */
+#define CO_TOKEN_TTL EL_SEC
+
+/** The lender's token bucket. */
+typedef struct co_lender
+{
+  double rate;             /**< tokens per second */
+  el_time_t full_at;       /**< when the bucket will be full */
+  el_time_t opens_at;      /**< lends nothing before; 0: it was never opened */
+  el_time_t next_referral; /**< time to which the next host without a token is
+                              referred */
+} co_lender_t;
+
+/** What a host gets when it asks for tokens. */
+typedef struct co_loan
+{
+  unsigned tokens;
+  el_time_t wait; /**< if these are fewer than it asked for: the time until it
+                     should ask again */
+} co_loan_t;
+
+/** Tokens of one host. */
+typedef struct co_borrower
+{
+  unsigned tokens;
+  el_time_t tokens_until; /**< expiry of all of them */
+  el_time_t denied_until; /**< does not ask before */
+  el_time_t asked_at;     /**< the outstanding request; 0: none */
+  double demand;          /**< tokens wanted per second, a moving average as of
+                             DEMAND_AT */
+  el_time_t demand_at;
+} co_borrower_t;
+
+/** Result of co_borrower_take. */
+typedef enum co_take
+{
+  CO_TAKE_OK,    /**< a token was taken */
+  CO_TAKE_ASK,   /**< none: the caller should ask the lender */
+  CO_TAKE_WAIT,  /**< none: the lender was asked and has not answered */
+  CO_TAKE_DENIED /**< none, and the lender has none */
+} co_take_t;
+
+void co_lender_open (co_lender_t *lender, el_time_t now, double rate,
+                     el_time_t limited_since);
+void co_lender_set_rate (co_lender_t *lender, el_time_t now, double rate);
+co_loan_t co_lender_lend (co_lender_t *lender, el_time_t now, unsigned wanted);
+int co_borrower_may_take (const co_borrower_t *borrower, el_time_t now);
+co_take_t co_borrower_take (co_borrower_t *borrower, el_time_t now);
+unsigned co_borrower_loan (const co_borrower_t *borrower);
+int co_borrower_should_prefetch (const co_borrower_t *borrower, el_time_t now);
+void co_borrower_asked (co_borrower_t *borrower, el_time_t now);
+void co_borrower_answered (co_borrower_t *borrower, el_time_t now,
+                           const co_loan_t *loan);
+void co_borrower_give_back (co_borrower_t *borrower, el_time_t now,
+                            el_time_t until);
+void co_borrower_rate_changed (co_borrower_t *borrower, double factor);
+
 /* Configuration: typed resources. */
 
 typedef enum co_kind
--- a/coord/mbr_hall.c
+++ b/coord/mbr_hall.c
@@ -92,6 +92,50 @@
   return n;
 }
 
+/* Rendezvous hashing: the eligible host with the highest hash is chosen. A
+   suspect host counts as alive until it is declared dead. */
+static int
+draw_is_eligible (const co_member_t *member)
+{
+  return member->state <= CO_MBR_SUSPECT && member->offer != CO_MBR_DRAINING;
+}
+
+static uint64_t
+draw_hash (const co_member_t *member, uint64_t draw)
+{
+  return XXH3_64bits_withSeed (member->incarnation.byte, CO_INCARNATION_BYTES,
+                               draw);
+}
+
+/** Returns the host, possibly this one, that performs the task DRAW for all
+    hosts; NULL if there is none. Hosts with the same view get the same
+    result, and tasks are spread over all hosts. */
+const co_member_t *
+co_members_pick_by_draw (const co_members_t *members, uint64_t draw)
+{
+  const co_member_t *best = NULL;
+  const mbr_entry_t *entry;
+  uint64_t highest = 0;
+  uint64_t hash;
+
+  if (draw_is_eligible (&members->self))
+    {
+      best = &members->self;
+      highest = draw_hash (best, draw);
+    }
+  for (entry = members->entries; entry; entry = entry->hh.next)
+    {
+      if (!draw_is_eligible (&entry->m))
+        continue;
+      hash = draw_hash (&entry->m, draw);
+      if (best && hash <= highest)
+        continue;
+      best = &entry->m;
+      highest = hash;
+    }
+  return best;
+}
+
 static int
 rank_cmp (const void *a, const void *b)
 {
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -60,6 +60,7 @@
   uint64_t gauge_endpoints;
   uint64_t gauge_placed;
   uint64_t gauge_leaving;
+  uint64_t gauge_limits;
   uint64_t gauge_planner;
   int withdrawn;
   el_timer_t check_timer;
@@ -210,11 +211,13 @@
   frontend->gauge_endpoints = rt_fleet_count (frontend->fleet);
   frontend->gauge_placed = 0;
   frontend->gauge_leaving = 0;
+  frontend->gauge_limits = 0;
   for (target = rt_fleet_first (frontend->fleet); target;
        target = target->hh.next)
     {
       frontend->gauge_placed += target->attrs.end > target->attrs.first;
       frontend->gauge_leaving += rt_target_is_leaving (target);
+      frontend->gauge_limits += target->limit.named != 0;
     }
 }
 
@@ -492,6 +495,24 @@
   gt_relays_receive_rumor (frontend->relays, rumor);
 }
 
+static void
+frontend_borrow (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
+                 void *done_arg)
+{
+  frontend_t *frontend = arg;
+
+  gt_gate_borrow (frontend->gate, request, done, done_arg);
+}
+
+static void
+frontend_lend (void *arg, const pr_loan_request_t *request, int is_lender,
+               co_loan_t *out)
+{
+  frontend_t *frontend = arg;
+
+  gt_relays_lend (frontend->relays, request, is_lender, out);
+}
+
 static json_t *
 frontend_suspects (void *arg)
 {
@@ -508,6 +529,7 @@
   pr_store_position_t at = st_follow_position (frontend->follow);
   json_t *json = gt_relays_unavailable_endpoints (frontend->relays);
 
+  json_object_set_new (json, "limits", gt_relays_limits (frontend->relays));
   json_object_set_new (
       json, "store",
       json_pack ("{s:I,s:I,s:I,s:I,s:I}", "epoch",
@@ -578,6 +600,7 @@
           .poll_done = frontend_poll_done,
           .host_incarnation = gt_gate_incarnation_number (frontend->gate),
           .publish = frontend_send_rumor,
+          .borrow = frontend_borrow,
           .blocked = frontend_store_blocked,
           .arg = frontend };
 
@@ -603,6 +626,9 @@
   el_metrics_add (metrics, "elmarch_endpoints_leaving",
                   "endpoints listed that said that they leave", EL_GAUGE,
                   &frontend->gauge_leaving);
+  el_metrics_add (metrics, "elmarch_limits",
+                  "endpoints listed that name a rate limit", EL_GAUGE,
+                  &frontend->gauge_limits);
   el_metrics_add (metrics, "elmarch_planner",
                   "1 on the host that places layers", EL_GAUGE,
                   &frontend->gauge_planner);
@@ -645,6 +671,7 @@
   gt_relay_hooks_t hooks = { .list_engines = frontend_engine_reports,
                              .engines_received = frontend_receive_reports,
                              .rumor = frontend_receive_rumor,
+                             .lend = frontend_lend,
                              .suspects = frontend_suspects,
                              .closed = frontend_closed_endpoints,
                              .unblock = frontend_unblock,
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -500,6 +500,15 @@
   pr_peers_publish_rumor (gate->peers, id, hold, body);
 }
 
+/** Asks the lender of an endpoint's rate limit for tokens; see
+    pr_peers_borrow. */
+void
+gt_gate_borrow (gt_gate_t *gate, const pr_loan_request_t *request,
+                pr_loan_cb done, void *arg)
+{
+  pr_peers_borrow (gate->peers, request, done, arg);
+}
+
 /** Whether this host has received the rumors known to another host. */
 int
 gt_gate_rumors_received (const gt_gate_t *gate)
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -70,6 +70,9 @@
                             size_t n);
   /** A rumor that was not known here arrived from another host. */
   void (*rumor) (void *arg, const co_rumor_t *rumor);
+  /** Lends tokens of an endpoint's rate limit; see pr_ops_t. */
+  void (*lend) (void *arg, const pr_loan_request_t *request, int is_lender,
+                co_loan_t *out);
   /** Lists the requests that are blocked, or suspected of crashing
       endpoints. */
   json_t *(*suspects) (void *arg);
@@ -92,6 +95,8 @@
                               const gt_relay_hooks_t *relay_hooks);
 void gt_gate_publish_rumor (gt_gate_t *gate, uint64_t id, el_time_t hold,
                             el_str_t body);
+void gt_gate_borrow (gt_gate_t *gate, const pr_loan_request_t *request,
+                     pr_loan_cb done, void *arg);
 int gt_gate_rumors_received (const gt_gate_t *gate);
 uint64_t gt_gate_incarnation_number (const gt_gate_t *gate);
 int gt_gate_is_hall_leader (const gt_gate_t *gate);
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -123,6 +123,17 @@
   uint64_t refused_backoff; /**< refused: all endpoints in backoff */
   uint64_t leaving; /**< endpoints found leaving by a response or by gossip */
   uint64_t limits;  /**< rate limits that endpoints began to name */
+  uint64_t limit_borrows;    /**< times that a lender was asked for tokens */
+  uint64_t limit_unanswered; /**< of these, without an answer */
+  uint64_t limit_tokens;     /**< tokens borrowed */
+  uint64_t limit_lent;       /**< tokens lent, also to this host */
+  uint64_t limit_returned;   /**< tokens of requests that were not sent */
+  uint64_t limit_waits;      /**< waits of requests for a token */
+  uint64_t limit_denied;     /**< times that a request got no token and another
+                                endpoint was chosen */
+  uint64_t refused_limit;    /**< refused: all endpoints' limits are used up */
+  uint64_t sent_over_limit;  /**< sends to a limited endpoint without a token;
+                                stays 0 */
   uint64_t events;
   el_hist_t first_event; /**< arrival to first event, microseconds */
   el_hist_t answer;    /**< arrival to complete plain response, microseconds */
@@ -157,6 +168,10 @@
   uint64_t host_incarnation; /**< identifies this host in crash reports */
   /** Publishes BODY as the rumor ID, which is gossiped for HOLD. */
   void (*publish) (void *arg, uint64_t id, el_time_t hold, el_str_t body);
+  /** Asks the lender of an endpoint's rate limit for tokens. DONE may be
+      called before it returns. */
+  void (*borrow) (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
+                  void *done_arg);
   /** Called to store a block: DIGEST is blocked for the HOLDS-th time, and the
       block ends after LEFT. */
   void (*blocked) (void *arg, rt_digest_t digest, unsigned holds,
@@ -185,9 +200,12 @@
 void gt_relays_order_done (const gt_relays_t *relays,
                            rt_order_failures_t *failures,
                            const rt_order_t *order);
+void gt_relays_lend (gt_relays_t *relays, const pr_loan_request_t *request,
+                     int is_lender, co_loan_t *out);
 int gt_relays_unblock (gt_relays_t *relays, rt_digest_t digest);
 json_t *gt_relays_suspects (gt_relays_t *relays);
 json_t *gt_relays_unavailable_endpoints (gt_relays_t *relays);
+json_t *gt_relays_limits (gt_relays_t *relays);
 void gt_relays_apply_hints (gt_relays_t *relays, rt_target_t *target,
                             const rt_hints_t *hints, el_str_t by);
 void gt_relays_first_gossip_done (gt_relays_t *relays);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -18,7 +18,9 @@
 {
   char *name;
   rt_shared_budget_t retry_budget;
-  uint64_t backoff_us; /* total backoff of its endpoints */
+  uint64_t backoff_us;       /* total backoff of its endpoints */
+  el_time_t limit_return_at; /* latest return of a caller that was refused for
+                                a limit */
   UT_hash_handle hh;
 } relay_service_t;
 
@@ -86,10 +88,12 @@
   rt_digest_t digest; /* identifies the request across retries; 0: not
                          computed yet */
   rt_attempts_t attempts;
-  rt_tried_t tried;        /* endpoints that later attempts avoid */
-  el_timer_t retry_timer;  /* delay before the next attempt */
-  unsigned turn_waits;     /* waits of a suspect request for its turn */
-  unsigned endpoint_waits; /* waits for an endpoint, since the last event */
+  rt_tried_t tried;          /* endpoints that later attempts avoid */
+  el_timer_t retry_timer;    /* delay before the next attempt */
+  unsigned turn_waits;       /* waits of a suspect request for its turn */
+  unsigned endpoint_waits;   /* waits for an endpoint, since the last event */
+  rt_target_t *limit_target; /* waits for a token of its limit; NULL: not */
+  el_time_t token_until;     /* expiry of the token that was taken; 0: none */
   int refused;      /* the response proves that the request was not executed */
   int wrong_id;     /* the response carries another request's id */
   rt_hints_t hints; /* backoff and leaving notice in the response */
@@ -147,6 +151,7 @@
 
 /* relay_attempt.c */
 void relay_attempt (gt_relay_t *relay);
+void relay_schedule_attempt (gt_relay_t *relay, el_time_t wait);
 void relay_abort (gt_relay_t *relay, const char *reason);
 void relay_cancel_attempt (gt_relay_t *relay);
 void relay_abandon_attempt (gt_relay_t *relay);
@@ -220,6 +225,8 @@
   RELAY_FACT_CLEARED,   /* an operator unblocked a request */
   RELAY_FACT_LEAVING,   /* an endpoint is leaving */
   RELAY_FACT_RULES,     /* a version of the rules is in force */
+  RELAY_FACT_LIMIT,     /* an endpoint names a rate limit */
+  RELAY_FACT_UNLIMITED, /* it no longer does */
   RELAY_FACT_KINDS
 } relay_fact_kind_t;
 
@@ -238,8 +245,10 @@
   rt_instance_t instance; /* the endpoint instance that is leaving */
   rt_digest_t digest;     /* the request, for the kinds that concern one */
   uint64_t customer;
-  unsigned holds;   /* how often the request has been blocked */
-  uint64_t version; /* version of the rules */
+  unsigned holds;        /* how often the request has been blocked */
+  uint64_t version;      /* version of the rules */
+  uint64_t limit_milli;  /* requests per second, in thousandths */
+  el_time_t limited_for; /* time since it was first named */
 };
 
 void relay_fact_encode (const relay_fact_t *fact, el_buf_t *out);
@@ -265,10 +274,31 @@
 el_time_t relay_backoff_left (gt_relay_t *relay, el_time_t now);
 
 /* relay_limit.c */
+
+/* Whether a request may be sent to a target. */
+typedef enum relay_permit
+{
+  RELAY_PERMIT_SEND,
+  RELAY_PERMIT_WAIT, /* the lender was asked; another attempt follows */
+  RELAY_PERMIT_DENIED
+} relay_permit_t;
+
 uint64_t relay_limit_milli (const rt_limit_t *limit);
 void relay_limit_named (gt_relays_t *relays, rt_target_t *target, double rate,
                         el_str_t by);
 void relay_limit_read_head (gt_relay_t *relay);
+void relay_limit_on_rumor (gt_relays_t *relays, const co_rumor_t *rumor,
+                           const relay_fact_t *fact);
+relay_permit_t relay_limit_permit (gt_relay_t *relay, rt_target_t *target,
+                                   el_time_t now);
+int relay_limit_still_permits (gt_relay_t *relay, el_time_t now);
+void relay_limit_sent (gt_relay_t *relay);
+void relay_limit_not_sent (gt_relay_t *relay);
+void relay_limit_stop_waiting (gt_relay_t *relay);
+el_time_t relay_limit_left (gt_relay_t *relay, el_time_t now);
+el_time_t relay_limit_reserve (gt_relay_t *relay, el_time_t now,
+                               el_time_t left);
+int relay_limit_wait (gt_relay_t *relay, el_time_t now);
 
 /* relay_log.c */
 void relay_log (gt_relay_t *relay, const char *event, int status,
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -26,6 +26,14 @@
 /* Longest buffered response; streams are not buffered. */
 #define BUFFERED_BODY_MAX ((size_t)4 << 20)
 
+/* Result of picking a target. */
+typedef enum attempt_pick
+{
+  ATTEMPT_PICKED,
+  ATTEMPT_WAITS, /* for a token; another attempt follows */
+  ATTEMPT_NO_TARGET
+} attempt_pick_t;
+
 static void attempt_follow_up (gt_relay_t *relay, const rt_attempt_t *attempt,
                                const net_result_t *result);
 
@@ -57,24 +65,34 @@
     net_client_cancel (relay->exchange);
   relay->exchange = NULL;
   net_clock_cancel (relay->relays->options.clock, &relay->retry_timer);
+  relay_limit_stop_waiting (relay);
   attempt_release (relay);
 }
 
 /* Responds that the request was not executed, with a retry-after that is not
-   before the end of the endpoints' backoff. */
+   before the end of the endpoints' backoff or of their lack of tokens. */
 static void
 attempt_refuse (gt_relay_t *relay, const char *reason)
 {
   gt_relays_t *relays = relay->relays;
-  el_time_t left
-      = relay_backoff_left (relay, net_clock_now (relays->options.clock));
+  el_time_t now = net_clock_now (relays->options.clock);
+  el_time_t left = relay_backoff_left (relay, now);
+  el_time_t limited = left ? 0 : relay_limit_left (relay, now);
+  el_time_t wait = left ? left : REFUSED_RETRY_AFTER / 2;
   el_time_t spread
       = left ? left / BACKOFF_SPREAD_DIVISOR : REFUSED_RETRY_AFTER / 2;
-  el_time_t wait = left ? left : REFUSED_RETRY_AFTER / 2;
 
   relays->counts.refused++;
   relays->counts.refused_backoff += left > 0;
-  relay_respond_error (relay, 503, left ? "all endpoints rest" : reason,
+  relays->counts.refused_limit += limited > 0;
+  if (left)
+    reason = "all endpoints rest";
+  if (limited)
+    {
+      reason = "all endpoints are at their limits";
+      wait = relay_limit_reserve (relay, now, limited);
+    }
+  relay_respond_error (relay, 503, reason,
                        wait + el_random (&relays->random) % (spread + 1));
 }
 
@@ -103,32 +121,55 @@
   return first && rt_chain_pick (o->fleet, now, &want, &relay->chain);
 }
 
-/* Picks the target of the next attempt. Returns 0 if there is none. */
-static int
-attempt_pick_target (gt_relay_t *relay, el_time_t now)
+/* Returns the best target now, which is the first engine if a chain is needed;
+   NULL if there is none. */
+static rt_target_t *
+attempt_best_target (gt_relay_t *relay, el_time_t now)
 {
-  gt_relays_t *relays = relay->relays;
-  const gt_relay_options_t *o = &relays->options;
+  const gt_relay_options_t *o = &relay->relays->options;
   rt_target_t *isolated = relay_suspect_pick_target (relay, now);
 
+  if (uses_chain (relay))
+    return attempt_pick_chain (relay, isolated, now)
+               ? relay->chain.part[0].target
+               : NULL;
+  return isolated ? isolated
+                  : rt_fleet_pick (o->fleet, now, relay->service->name,
+                                   o->hall, &relay->tried);
+}
+
+/* Picks the target of the next attempt. A target whose limit has no token left
+   is not picked again. */
+static attempt_pick_t
+attempt_pick_target (gt_relay_t *relay, el_time_t now)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+  relay_permit_t permit;
+  rt_target_t *target;
+
   rt_fleet_set_hosts (o->fleet, o->hall_hosts (o->arg), o->hosts (o->arg));
-  if (!uses_chain (relay))
-    relay->target = isolated
-                        ? isolated
-                        : rt_fleet_pick (o->fleet, now, relay->service->name,
-                                         o->hall, &relay->tried);
-  else if (attempt_pick_chain (relay, isolated, now))
+  do
+    {
+      target = attempt_best_target (relay, now);
+      if (!target)
+        return ATTEMPT_NO_TARGET;
+      permit = relay_limit_permit (relay, target, now);
+      if (permit != RELAY_PERMIT_SEND)
+        relay->chain.n = 0;
+    }
+  while (permit == RELAY_PERMIT_DENIED);
+  if (permit == RELAY_PERMIT_WAIT)
+    return ATTEMPT_WAITS;
+  if (uses_chain (relay))
     {
       rt_chain_acquire (&relay->chain, NULL,
                         relay->nevents ? relay->tokens : relay->prompt);
       if (relay->attempts.sent == 0)
         rt_fleet_stream_sent (o->fleet, now, relay->tokens);
-      relay->target = relay->chain.part[0].target;
     }
-  if (!relay->target)
-    return 0;
-  rt_target_ref (relay->target)->running++;
-  return 1;
+  relay->target = rt_target_ref (target);
+  target->running++;
+  return ATTEMPT_PICKED;
 }
 
 /* Records the time from arrival to the first event, or between events. */
@@ -315,6 +356,7 @@
   relay->relays->counts.withheld++;
   EL_LOG (EL_LOG_INFO, "kept_back", EL_FS ("request", relay->id),
           EL_FS ("endpoint", relay->target->attrs.id));
+  relay_limit_not_sent (relay);
   attempt_release (relay);
   relay_attempt (relay);
 }
@@ -324,8 +366,10 @@
 {
   gt_relay_t *relay = arg;
 
-  return relay_backoff_permits (relay,
-                                net_clock_now (relay->relays->options.clock));
+  el_time_t now = net_clock_now (relay->relays->options.clock);
+
+  return relay_backoff_permits (relay, now)
+         && relay_limit_still_permits (relay, now);
 }
 
 static void
@@ -342,6 +386,8 @@
       return;
     }
   attempt_classify (relay, result, &attempt);
+  if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
+    relay_limit_not_sent (relay);
   attempt_record_blame (relay, result, &attempt);
   attempt_record_health (relay, result, &attempt);
   if (relay->response_started && !relay->stream)
@@ -388,6 +434,15 @@
   relay_attempt (arg);
 }
 
+/** Schedules another attempt after WAIT. */
+void
+relay_schedule_attempt (gt_relay_t *relay, el_time_t wait)
+{
+  relay->retry_timer.cb = retry_due;
+  relay->retry_timer.arg = relay;
+  net_clock_set (relay->relays->options.clock, &relay->retry_timer, wait);
+}
+
 /* Retries. After a lost connection, waits until it is known whether the
    endpoint crashed and the request is to blame. */
 static void
@@ -397,11 +452,8 @@
 
   counts->retries++;
   counts->resumed += relay->response_started != 0;
-  relay->retry_timer.cb = retry_due;
-  relay->retry_timer.arg = relay;
   if (connection_lost)
-    net_clock_set (relay->relays->options.clock, &relay->retry_timer,
-                   CONNECTION_LOST_RETRY_DELAY);
+    relay_schedule_attempt (relay, CONNECTION_LOST_RETRY_DELAY);
   else if (!relay->endpoint_waits || !relay_wait_endpoint (relay))
     relay_attempt (relay);
 }
@@ -491,7 +543,7 @@
   relay->relays->counts.attempts++;
   relay_log_sent (relay, now);
   relay_backoff_sent (relay, now);
-  relay->target->limit.sent++;
+  relay_limit_sent (relay);
   relay->exchange = net_client_send (o->client, &send);
   relay_head_free (&head);
   if (relay->chain.n)
@@ -528,12 +580,18 @@
     }
   if (relay_suspect_must_wait (relay, now))
     return;
-  if (attempt_pick_target (relay, now))
+  relay_limit_stop_waiting (relay);
+  switch (attempt_pick_target (relay, now))
     {
+    case ATTEMPT_PICKED:
       attempt_send (relay, now);
       return;
+    case ATTEMPT_WAITS:
+      return;
+    case ATTEMPT_NO_TARGET:
+      break;
     }
-  if (relay_wait_endpoint (relay))
+  if (relay_wait_endpoint (relay) || relay_limit_wait (relay, now))
     return;
   if (relay->response_started)
     relay_respond_abort (relay, "no endpoint to go on at");
--- a/gate/relay_fact.c
+++ b/gate/relay_fact.c
@@ -18,6 +18,8 @@
 static int runs_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void leaving_write (const relay_fact_t *fact, json_t *json);
 static int leaving_read (json_t *json, el_time_t at, relay_fact_t *out);
+static void limit_write (const relay_fact_t *fact, json_t *json);
+static int limit_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void rules_write (const relay_fact_t *fact, json_t *json);
 static int rules_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void request_write (const relay_fact_t *fact, json_t *json);
@@ -35,6 +37,8 @@
   [RELAY_FACT_CLEARED] = { "cleared", request_write, request_read },
   [RELAY_FACT_LEAVING] = { "leaves", leaving_write, leaving_read },
   [RELAY_FACT_RULES] = { "rules", rules_write, rules_read },
+  [RELAY_FACT_LIMIT] = { "limit", limit_write, limit_read },
+  [RELAY_FACT_UNLIMITED] = { "unlimited", leaving_write, leaving_read },
 };
 
 static json_t *
@@ -92,6 +96,29 @@
   return instance_read (json, &out->instance);
 }
 
+static void
+limit_write (const relay_fact_t *fact, json_t *json)
+{
+  instance_write (&fact->instance, json);
+  json_object_set_new (json, "milli", number_write (fact->limit_milli));
+  json_object_set_new (
+      json, "for_ms",
+      json_integer ((json_int_t)(fact->limited_for / EL_MSEC)));
+}
+
+static int
+limit_read (json_t *json, el_time_t at, relay_fact_t *out)
+{
+  json_t *limited_for = json_object_get (json, "for_ms");
+
+  (void)at;
+  if (!json_is_integer (limited_for) || json_integer_value (limited_for) < 0)
+    return 0;
+  out->limited_for = (el_time_t)json_integer_value (limited_for) * EL_MSEC;
+  return instance_read (json, &out->instance)
+         && number_read (json_object_get (json, "milli"), &out->limit_milli);
+}
+
 static void
 rules_write (const relay_fact_t *fact, json_t *json)
 {
--- a/gate/relay_log.c
+++ b/gate/relay_log.c
@@ -61,6 +61,7 @@
       EL_FN ("rest_left_us", rt_avail_backoff_left (&target->avail, now)),
       EL_FN ("leaving", rt_target_is_leaving (target)),
       EL_FN ("limit_milli", relay_limit_milli (&target->limit)),
+      EL_FN ("tokens", target->limit.borrower.tokens),
       EL_FN ("running", target->running),
       EL_FN ("told_age_us",
              target->reported_at ? now - target->reported_at : 0),
--- a/gate/relay_rumor.c
+++ b/gate/relay_rumor.c
@@ -19,6 +19,8 @@
         [RELAY_FACT_CLEARED] = relay_block_on_cleared,
         [RELAY_FACT_LEAVING] = relay_backoff_on_leaving,
         [RELAY_FACT_RULES] = relay_epoch_on_rules,
+        [RELAY_FACT_LIMIT] = relay_limit_on_rumor,
+        [RELAY_FACT_UNLIMITED] = relay_limit_on_rumor,
       };
 
 /** Publishes FACT as the rumor ID, which is gossiped for HOLD. */
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -47,13 +47,6 @@
   return 0;
 }
 
-static void
-turn_timeout (void *arg, el_time_t now)
-{
-  (void)now;
-  relay_attempt (arg);
-}
-
 /* Picks an endpoint for a suspect, other than those on probation. */
 static rt_target_t *
 pick_isolated_target (gt_relay_t *relay, const rt_blame_status_t *status,
@@ -85,10 +78,7 @@
       relay_respond_error (relay, 503, "waits for its turn", PROBATION_TIME);
       return 1;
     }
-  relay->retry_timer.cb = turn_timeout;
-  relay->retry_timer.arg = relay;
-  net_clock_set (relays->options.clock, &relay->retry_timer,
-                 TURN_RETRY_INTERVAL);
+  relay_schedule_attempt (relay, TURN_RETRY_INTERVAL);
   return 1;
 }
 
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -14,6 +14,8 @@
 
 /* Enough for home, successor, and back to the host where the request runs. */
 #define HOPS_MAX 3
+/* When another host may ask again for tokens of a limit. */
+#define NO_RELAY_WAIT EL_SEC
 
 /* A call that runs here for another host. */
 typedef struct remote_call
@@ -35,6 +37,8 @@
 static void ops_engine_reports (void *arg, const pr_engine_report_t *engines,
                                 size_t n);
 static void ops_rumor (void *arg, const co_rumor_t *rumor);
+static void ops_lend (void *arg, const pr_loan_request_t *request,
+                      int is_lender, co_loan_t *out);
 static void ops_call (void *arg, net_rpc_req_t *req,
                       const pr_forward_request_t *call);
 static void ops_encode_answer (void *arg, const void *answer, peer_answer *to);
@@ -53,6 +57,7 @@
   .engines = ops_engines,
   .receive_engine_reports = ops_engine_reports,
   .rumor = ops_rumor,
+  .lend = ops_lend,
   .call = ops_call,
   .encode_answer = ops_encode_answer,
   .decode_answer = ops_decode_answer,
@@ -163,6 +168,17 @@
     gate->relay_hooks.rumor (gate->relay_hooks.arg, rumor);
 }
 
+static void
+ops_lend (void *arg, const pr_loan_request_t *request, int is_lender,
+          co_loan_t *out)
+{
+  gt_gate_t *gate = arg;
+
+  *out = (co_loan_t){ .wait = NO_RELAY_WAIT };
+  if (gate->relay_hooks.lend)
+    gate->relay_hooks.lend (gate->relay_hooks.arg, request, is_lender, out);
+}
+
 /* Includes the retry headers: without them, a caller whose call was forwarded
    from another host would not learn when to retry, even while all endpoints
    are in backoff for 60 s. */
--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -104,6 +104,9 @@
                           uint64_t digest);
 void peer_serve_rumors (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
+/* peer_loan.c */
+void peer_serve_loan (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+
 /* peer_handover.c */
 void peer_serve_handover (pr_peers_t *peers, net_rpc_req_t *req,
                           el_str_t body);
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -120,6 +120,21 @@
   int silent;    /**< the engine does not answer health checks */
 } pr_engine_report_t;
 
+/** A request for tokens of an endpoint's rate limit. */
+typedef struct pr_loan_request
+{
+  el_str_t endpoint;
+  uint64_t born;       /**< start time of its instance; 0: unknown */
+  uint64_t rate_milli; /**< the limit as the requester knows it, in thousandths
+                          of a request per second */
+  el_time_t since_ago; /**< time since it was first named */
+  el_time_t heard_ago; /**< time since it was last named */
+  unsigned wanted;
+} pr_loan_request_t;
+
+/** LOAN is NULL if the lender did not answer. */
+typedef void (*pr_loan_cb) (void *arg, const co_loan_t *loan);
+
 /* Requests for sessions of other hosts. */
 
 /** The host that keeps a session: its home. */
@@ -201,6 +216,11 @@
                                   size_t n);
   /** Another host sent a rumor that was not known here. */
   void (*rumor) (void *arg, const co_rumor_t *rumor);
+  /** A host, possibly this one, asks for tokens of an endpoint's rate limit.
+      IS_LENDER is whether this host is their lender; if not, another one is.
+      Set OUT to what is lent. */
+  void (*lend) (void *arg, const pr_loan_request_t *request, int is_lender,
+                co_loan_t *out);
   /** Run a request forwarded by another host and reply to REQ with
       pr_forward_reply. REQUEST is NULL when the request is invalid or this
       host is not the home of its session. */
@@ -273,6 +293,10 @@
                              el_str_t body);
 int pr_peers_rumors_known (const pr_peers_t *peers);
 
+/* Rate limits. */
+void pr_peers_borrow (pr_peers_t *peers, const pr_loan_request_t *request,
+                      pr_loan_cb done, void *arg);
+
 /* Sessions. */
 int pr_peers_find_home (pr_peers_t *peers, const co_token_t *token,
                         pr_session_home_t *out);
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -246,6 +246,24 @@
   peer_engine engines<PEER_ENGINES_MAX>;
 };
 
+/* Asks the lender of an endpoint's rate limit for tokens, WANTED of them. The
+   requester knows the limit since SINCE_AGO_US and heard of it last before
+   HEARD_AGO_US microseconds. */
+struct peer_loan_args {
+  opaque endpoint<PEER_NAME_MAX>;
+  unsigned hyper born;
+  unsigned hyper rate_milli;
+  unsigned hyper since_ago_us;
+  unsigned hyper heard_ago_us;
+  unsigned int wanted;
+};
+
+/* The tokens lent and, if they are fewer than wanted, when to ask again. */
+struct peer_loan_res {
+  unsigned int tokens;
+  unsigned hyper wait_us;
+};
+
 program ELMARCH_PEER {
   version ELMARCH_PEER_V1 {
     peer_sealed PEER_GOSSIP (peer_sealed) = 1;
@@ -256,5 +274,6 @@
     peer_sealed PEER_NEWS (peer_sealed) = 6;
     peer_sealed PEER_MEMBERS (peer_sealed) = 7;
     peer_sealed PEER_RUMORS (peer_sealed) = 8;
+    peer_sealed PEER_LOAN (peer_sealed) = 9;
   } = 1;
 } = 0x20656c6d;
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -376,6 +376,25 @@
 };
 typedef struct peer_news_res peer_news_res;
 
+struct peer_loan_args {
+	struct {
+		u_int endpoint_len;
+		char *endpoint_val;
+	} endpoint;
+	u_quad_t born;
+	u_quad_t rate_milli;
+	u_quad_t since_ago_us;
+	u_quad_t heard_ago_us;
+	u_int wanted;
+};
+typedef struct peer_loan_args peer_loan_args;
+
+struct peer_loan_res {
+	u_int tokens;
+	u_quad_t wait_us;
+};
+typedef struct peer_loan_res peer_loan_res;
+
 #define ELMARCH_PEER 0x20656c6d
 #define ELMARCH_PEER_V1 1
 
@@ -404,6 +423,9 @@
 #define PEER_RUMORS 8
 extern  peer_sealed * peer_rumors_1(peer_sealed *, CLIENT *);
 extern  peer_sealed * peer_rumors_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_LOAN 9
+extern  peer_sealed * peer_loan_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_loan_1_svc(peer_sealed *, struct svc_req *);
 extern int elmarch_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -431,6 +453,9 @@
 #define PEER_RUMORS 8
 extern  peer_sealed * peer_rumors_1();
 extern  peer_sealed * peer_rumors_1_svc();
+#define PEER_LOAN 9
+extern  peer_sealed * peer_loan_1();
+extern  peer_sealed * peer_loan_1_svc();
 extern int elmarch_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -463,6 +488,8 @@
 extern  bool_t xdr_peer_item (XDR *, peer_item*);
 extern  bool_t xdr_peer_engine (XDR *, peer_engine*);
 extern  bool_t xdr_peer_news_res (XDR *, peer_news_res*);
+extern  bool_t xdr_peer_loan_args (XDR *, peer_loan_args*);
+extern  bool_t xdr_peer_loan_res (XDR *, peer_loan_res*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_sealed ();
@@ -491,6 +518,8 @@
 extern bool_t xdr_peer_item ();
 extern bool_t xdr_peer_engine ();
 extern bool_t xdr_peer_news_res ();
+extern bool_t xdr_peer_loan_args ();
+extern bool_t xdr_peer_loan_res ();
 
 #endif /* K&R C */
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -643,3 +643,35 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_loan_args (XDR *xdrs, peer_loan_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->endpoint.endpoint_val, (u_int *) &objp->endpoint.endpoint_len, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rate_milli))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since_ago_us))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->heard_ago_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wanted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_loan_res (XDR *xdrs, peer_loan_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->wait_us))
+		 return FALSE;
+	return TRUE;
+}
--- a/route/chain.c
+++ b/route/chain.c
@@ -170,6 +170,7 @@
   c->required = target == search->kept_engine
                 || target == search->required_first
                 || (search->old && rt_chain_has (search->old, target));
+  c->may_begin = rt_limit_admits (&target->limit, search->now);
 }
 
 /* Cost of leaving a hall. The token rate is known only a few seconds after the
@@ -333,8 +334,10 @@
         if (search->node[at][h].cost == DBL_MAX)
           continue;
         for (i = index.from[at]; i < index.from[at + 1]; i++)
-          if ((at || !search->required_first
-               || index.list[i]->target == search->required_first)
+          if ((at
+               || (index.list[i]->may_begin
+                   && (!search->required_first
+                       || index.list[i]->target == search->required_first)))
               && !search_engine_in_use (search, at, h, index.list[i]->target))
             search_extend (search, index.list[i], at, h);
       }
--- a/route/chain_reduce.c
+++ b/route/chain_reduce.c
@@ -15,7 +15,8 @@
 #define CANDIDATES_ALL 512
 #define REPLICAS_SEARCHED 2
 
-/* Engines that hold the same layers on the same card in the same hall. */
+/* Engines that hold the same layers on the same card in the same hall, and at
+   all of which streams may begin, or at none. */
 typedef struct chain_replicas
 {
   struct chain_replicas_key
@@ -24,7 +25,7 @@
     unsigned hall;
     unsigned first;
     unsigned end;
-    unsigned unused; /* no padding in a key */
+    unsigned may_begin; /* also fills the padding */
   } key;
   chain_candidate_t cheapest[REPLICAS_SEARCHED]; /* in order of cost */
   size_t n;
@@ -82,7 +83,8 @@
       struct chain_replicas_key key = { .card = c->card,
                                         .hall = c->hall,
                                         .first = attrs->first,
-                                        .end = attrs->end };
+                                        .end = attrs->end,
+                                        .may_begin = (unsigned)c->may_begin };
 
       if (c->required)
         {
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -25,7 +25,7 @@
 
 /* Averaging time of the token rate, about the duration of a stream. */
 #define TOKEN_RATE_WINDOW (2 * EL_SEC)
-/* Maximum number of unlisted instances whose state is kept, at 160 bytes each:
+/* Maximum number of unlisted instances whose state is kept, at 360 bytes each:
    enough for a day on which each of 1,900 endpoints is replaced twice. The
    oldest are evicted. */
 #define UNLISTED_MAX 4096
@@ -125,11 +125,11 @@
   return entry;
 }
 
-/* Keeps the leaving and backoff state of an unlisted instance: that of
-   endpoint ID which started at BORN. */
+/* Keeps the leaving and backoff state and the limit of an unlisted instance:
+   that of endpoint ID which started at BORN. */
 static void
 unlisted_add (rt_fleet_t *fleet, el_str_t id, uint64_t born,
-              const rt_avail_t *avail)
+              const rt_avail_t *avail, const rt_limit_t *limit)
 {
   unlisted_t *entry = unlisted_find (fleet, id);
 
@@ -144,6 +144,7 @@
                                .backoff_since = avail->backoff_since,
                                .backoff_until = avail->backoff_until,
                                .trial = avail->trial };
+  entry->limit = *limit;
   HASH_ADD_KEYPTR (hh, fleet->unlisted, entry->id.ptr, (unsigned)id.len,
                    entry);
 }
@@ -157,7 +158,10 @@
   if (!entry)
     return;
   if (!entry->born || !target->attrs.born || entry->born == target->attrs.born)
-    target->avail = entry->avail;
+    {
+      target->avail = entry->avail;
+      target->limit = entry->limit;
+    }
   unlisted_drop (fleet, entry);
 }
 
@@ -208,8 +212,10 @@
 
   if (!target)
     return;
-  if (rt_target_is_leaving (target) || target->avail.backoff_until)
-    unlisted_add (fleet, target->attrs.id, target->attrs.born, &target->avail);
+  if (rt_target_is_leaving (target) || target->avail.backoff_until
+      || target->limit.named)
+    unlisted_add (fleet, target->attrs.id, target->attrs.born, &target->avail,
+                  &target->limit);
   target->avail.gone = 1;
   HASH_DEL (fleet->by_id, target);
   fleet_kind_leave (fleet, target);
@@ -223,12 +229,13 @@
 rt_fleet_mark_leaving (rt_fleet_t *fleet, el_str_t id, uint64_t born)
 {
   const rt_avail_t leaving = { .leaving_until = EL_TIME_NEVER };
+  const rt_limit_t unlimited = { .named = 0 };
   rt_target_t *target = rt_fleet_find (fleet, id);
   const rt_attrs_t attrs = { .born = born };
 
   if (!target)
     {
-      unlisted_add (fleet, id, born, &leaving);
+      unlisted_add (fleet, id, born, &leaving, &unlimited);
       return NULL;
     }
   if (!rt_target_same_instance (target, &attrs)
--- a/route/fleet_pick.c
+++ b/route/fleet_pick.c
@@ -71,7 +71,7 @@
 
 /** Selects an endpoint of SERVICE for a request from HALL; NULL if none may be
     used. If all are to be avoided, one of them is used anyway, unless it is in
-    backoff or leaving. */
+    backoff or leaving, or its rate limit is used up. */
 rt_target_t *
 rt_fleet_pick (rt_fleet_t *fleet, el_time_t now, el_str_t service,
                el_str_t hall, const rt_tried_t *tried)
@@ -89,7 +89,8 @@
     double cost;
 
     if (level > best_level || !el_str_eq (target->attrs.service, service)
-        || rt_tried_has (tried, target))
+        || rt_tried_has (tried, target)
+        || !rt_limit_admits (&target->limit, now))
       continue;
     cost = pick_cost (fleet, target, hall, &known);
     if (best && level == best_level && cost >= min_cost)
@@ -123,7 +124,8 @@
       if (rt_avail_level_at (&target->avail, now) != RT_AVAIL_FULL
           || !el_str_eq (target->attrs.service, service)
           || (engine && (target->attrs.first > 0 || target->attrs.end == 0))
-          || rt_tried_has (tried, target))
+          || rt_tried_has (tried, target)
+          || !rt_limit_admits (&target->limit, now))
         continue;
       rank = XXH3_64bits_withSeed (target->attrs.id.ptr, target->attrs.id.len,
                                    draw);
--- a/route/libchain.h
+++ b/route/libchain.h
@@ -23,7 +23,8 @@
   unsigned hall;
   double layer_ms; /* decode time per layer */
   rt_estimate_t estimate;
-  int required; /* is searched whatever it costs */
+  int required;  /* is searched whatever it costs */
+  int may_begin; /* its rate limit admits another stream that begins there */
 } chain_candidate_t;
 
 /* chain_reduce.c */
--- a/route/libfleet.h
+++ b/route/libfleet.h
@@ -17,6 +17,7 @@
   el_str_t id;
   uint64_t born;
   rt_avail_t avail;
+  rt_limit_t limit;
   UT_hash_handle hh;
 } unlisted_t;
 
--- a/route/relay.h
+++ b/route/relay.h
@@ -203,9 +203,9 @@
 /** Load-control hints that an endpoint sends with an answer. */
 typedef struct rt_hints
 {
-  el_time_t backoff; /**< requested backoff; 0: none */
-  int leaving;       /**< it is leaving: takes no new requests */
-  rt_limit_hint_t limited;
+  el_time_t backoff;       /**< requested backoff; 0: none */
+  int leaving;             /**< it is leaving: takes no new requests */
+  rt_limit_hint_t limited; /**< whether it names a rate limit */
   double limit; /**< requests per second that it takes from all hosts
                    together, if RT_LIMIT_NAMED */
 } rt_hints_t;
--- a/soak/check.c
+++ b/soak/check.c
@@ -403,16 +403,17 @@
     }
 }
 
-/* The number of the endpoint with that id, which begins with its name, "mN-".
+/** The number of the endpoint with that id, which begins with its name, "mN-".
  */
-static unsigned
-endpoint_number (const char *id)
+unsigned
+sk_endpoint_number (const char *id)
 {
   return (unsigned)strtoul (id + 1, NULL, 10);
 }
 
-static int
-was_host_restarted (const sk_requests_t *requests, const char *id)
+/** Whether its host was restarted while the request ID was under way. */
+int
+sk_host_restarted_during (const sk_requests_t *requests, const char *id)
 {
   size_t i;
 
@@ -477,11 +478,11 @@
               by)
       != 7)
     return;
-  if (was_host_restarted (requests, record.id))
+  if (sk_host_restarted_during (requests, record.id))
     return;
   host = (unsigned)strtoul (via, NULL, 10);
   for (i = 0; i < nfaults; i++)
-    if (may_delay (&faults[i], host, endpoint_number (record.endpoint_id))
+    if (may_delay (&faults[i], host, sk_endpoint_number (record.endpoint_id))
         && traffic_start + faults[i].start_at < record.time
         && traffic_start + faults[i].start_at + faults[i].duration
                    + FAULT_SETTLE_TIME
@@ -534,6 +535,7 @@
   planned_stops_check (requests, faults, nfaults, traffic_start);
   leaving_check (&records, faults, nfaults, traffic_start);
   notices_check (cluster, requests, faults, nfaults, traffic_start);
+  sk_limits_check (cluster, requests, faults, nfaults, traffic_start);
   free (records.list);
   outcomes_print (requests);
   printf ("ran=%u ", HASH_COUNT (by_id));
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -155,6 +155,33 @@
   endpoint_notice_set (cluster, fault, "{\"leaving\":true}");
 }
 
+/* The rate limits that endpoints name, by variant. */
+static const char *const limits[]
+    = { "{\"limit\":\"2\"}", "{\"limit\":\"0.5\"}", "{\"limit\":\"6.9\"}",
+        "{\"limit\":\"30\"}" };
+
+static void
+endpoint_limit_set (const sk_cluster_t *cluster, const sk_fault_t *fault,
+                    const char *what)
+{
+  const sk_proc_t *endpoint = &cluster->endpoints[fault->target];
+
+  if (endpoint->pid && !endpoint->paused)
+    sk_http ("POST", endpoint->address, "/limit", what, NULL);
+}
+
+static void
+endpoint_limit (sk_cluster_t *cluster, sk_fault_t *fault)
+{
+  endpoint_limit_set (cluster, fault, limits[fault->variant]);
+}
+
+static void
+endpoint_limit_end (sk_cluster_t *cluster, sk_fault_t *fault)
+{
+  endpoint_limit_set (cluster, fault, "{}");
+}
+
 /* Set the fault with which a worker responds from now on; "none" clears it. */
 static void
 worker_fault_set (const sk_cluster_t *cluster, const sk_fault_t *fault,
@@ -303,6 +330,7 @@
   [SK_ENDPOINT_BACKOFF] = { endpoint_backoff, endpoint_backoff_end },
   [SK_ENDPOINT_LEAVE_NOTICE] = { endpoint_leave_notice, endpoint_stop },
   [SK_STORE_ROLLBACK] = { store_snapshot, store_rollback },
+  [SK_ENDPOINT_LIMIT] = { endpoint_limit, endpoint_limit_end },
 };
 
 /** Start FAULT. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -34,6 +34,7 @@
   int plan;
   int asks;
   int copies;
+  int limits;
 } soak_settings_t;
 
 #define FIELD(field) offsetof (soak_settings_t, field)
@@ -58,6 +59,8 @@
     "leave" },
   { "copies", EL_SETTING_FLAG, FIELD (copies), "0", 0, 1, 0, NULL,
     "roll the store back to snapshots, in place of most faults" },
+  { "limits", EL_SETTING_FLAG, FIELD (limits), "0", 0, 1, 0, NULL,
+    "in addition, have endpoints name rate limits for all hosts together" },
 };
 
 /* Start and end the faults that are due. */
@@ -133,12 +136,14 @@
   unlink (record);
   snprintf (record, sizeof record, "%s/runs.asked", out);
   unlink (record);
+  snprintf (record, sizeof record, "%s/runs.limit", out);
+  unlink (record);
 }
 
 static size_t
 seed_run (const soak_settings_t *set, uint64_t seed)
 {
-  sk_fault_t faults[2 * SK_FAULTS_MAX];
+  sk_fault_t faults[3 * SK_FAULTS_MAX];
   sk_requests_t requests = { .lock = PTHREAD_MUTEX_INITIALIZER };
   el_time_t length = set->seconds * EL_SEC;
   size_t nfaults = set->copies ? sk_plan_rollbacks (seed, length, faults)
@@ -151,6 +156,8 @@
 
   if (set->asks)
     nfaults += sk_plan_notices (seed, length, &faults[nfaults]);
+  if (set->limits)
+    nfaults += sk_plan_limits (seed, length, &faults[nfaults]);
   seed_dir_prepare (set, seed, dir, sizeof dir);
   sk_cluster_start (&cluster, set->bin, dir);
   recovery_check (&cluster, &requests); /* waits until layers are placed */
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -45,6 +45,7 @@
   [SK_ENDPOINT_BACKOFF] = { "member_rest", SK_ENDPOINTS, 500, 4000, 4 },
   [SK_ENDPOINT_LEAVE_NOTICE] = { "member_says", SK_ENDPOINTS, 2000, 4000, 1 },
   [SK_STORE_ROLLBACK] = { "store_copy", 1, 1000, 2500, 0 },
+  [SK_ENDPOINT_LIMIT] = { "member_limit", SK_ENDPOINTS, 7000, 14000, 0 },
 };
 
 /** The name of a kind in the output of --plan. */
@@ -189,3 +190,22 @@
     }
   return n;
 }
+
+/* Mean time between the starts of two limits. */
+#define LIMIT_INTERVAL (2000 * EL_MSEC)
+
+/** The same for endpoints that name a rate limit. */
+size_t
+sk_plan_limits (uint64_t seed, el_time_t length, sk_fault_t *out)
+{
+  uint64_t random = (seed << 2) ^ 0x27d4eb2d;
+  el_time_t at = FIRST_FAULT_AT;
+  size_t n = 0;
+
+  while (at < length && n < SK_FAULTS_MAX)
+    {
+      fault_draw (&random, SK_ENDPOINT_LIMIT, at, &out[n++]);
+      at += el_random (&random) % (2 * LIMIT_INTERVAL);
+    }
+  return n;
+}
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -65,6 +65,7 @@
   SK_NOTICE_KINDS_END,      /**< sk_plan_notices() draws from the two before */
   SK_STORE_ROLLBACK = SK_NOTICE_KINDS_END, /**< takes a snapshot; the store
                                                 is restored to it at the end */
+  SK_ENDPOINT_LIMIT, /**< names a rate limit for all hosts together */
   SK_FAULT_KINDS
 } sk_fault_kind_t;
 
@@ -87,6 +88,7 @@
 size_t sk_plan (uint64_t seed, el_time_t length, sk_fault_t *out);
 size_t sk_plan_rollbacks (uint64_t seed, el_time_t length, sk_fault_t *out);
 size_t sk_plan_notices (uint64_t seed, el_time_t length, sk_fault_t *out);
+size_t sk_plan_limits (uint64_t seed, el_time_t length, sk_fault_t *out);
 
 /* The proxy, which runs in its own thread. */
 
@@ -247,6 +249,11 @@
                             const sk_requests_t *requests,
                             const sk_fault_t *faults, size_t nfaults,
                             el_time_t traffic_start);
+void sk_limits_check (const sk_cluster_t *cluster,
+                      const sk_requests_t *requests, const sk_fault_t *faults,
+                      size_t nfaults, el_time_t traffic_start);
+int sk_host_restarted_during (const sk_requests_t *requests, const char *id);
+unsigned sk_endpoint_number (const char *id);
 void sk_violation (const char *invariant, const char *id, const char *fmt, ...)
     __attribute__ ((format (printf, 3, 4)));
 
--- a/standin/limit.c
+++ b/standin/limit.c
@@ -9,10 +9,16 @@
  * WINDOW, and "over", how often that was more than allowed. The last two count
  * requests from hosts that were told half a second before or earlier, as their
  * header x-via says, and begin CONTACT_TIME after the limit was first named.
- * Window, slack and times are the users' requirement.
+ * Window, slack and times are the users' requirement. With --record, the
+ * requests that count are appended to the file RECORD.limit: "MICROSECONDS ID
+ * MEMBER VIA LIMIT SINCE", where SINCE is when the limit was first named.
  */
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "limit.h"
 #include "map.h"
@@ -37,8 +43,11 @@
 struct sn_limit
 {
   net_clock_t *clock;
-  char *named; /* NULL: none */
+  const char *member;
+  int record_fd; /* file descriptor; -1: none */
+  char *named;   /* NULL: none */
   el_time_t named_at;
+  uint64_t recorded_since; /* the same by the clock of the records */
   told_host_t *hosts;
   el_time_t arrivals[ARRIVALS_MAX]; /* of the window, oldest first */
   size_t narrivals;
@@ -47,12 +56,20 @@
   uint64_t over;
 };
 
+/** Creates a member's state; it names no limit. */
 sn_limit_t *
-sn_limit_new (net_clock_t *clock)
+sn_limit_new (net_clock_t *clock, const char *member, const char *record)
 {
   sn_limit_t *limit = el_alloc (sizeof *limit);
+  char path[300];
 
   limit->clock = clock;
+  limit->member = member;
+  limit->record_fd = -1;
+  snprintf (path, sizeof path, "%s.limit", record);
+  if (*record)
+    limit->record_fd
+        = open (path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
   return limit;
 }
 
@@ -82,6 +99,7 @@
   if (named)
     limit->named = strdup (named);
   limit->named_at = net_clock_now (limit->clock);
+  limit->recorded_since = uv_hrtime () / 1000;
 }
 
 /* Requests that may arrive in WINDOW. */
@@ -111,6 +129,23 @@
   limit->over += (double)limit->narrivals > limit_allowed (limit);
 }
 
+static void
+arrival_record (const sn_limit_t *limit, const h2o_req_t *req,
+                const told_host_t *host)
+{
+  el_str_t id = net_req_header (req, "x-elmarch-request-id");
+  el_buf_t out = { NULL, 0, 0 };
+
+  if (limit->record_fd < 0 || !id.len)
+    return;
+  el_buf_printf (&out, "%" PRIu64 " %.*s %s %s %s %" PRIu64 "\n",
+                 uv_hrtime () / 1000, (int)id.len, id.ptr, limit->member,
+                 host->via, limit->named, limit->recorded_since);
+  if (write (limit->record_fd, out.ptr, out.len) != (ssize_t)out.len)
+    fprintf (stderr, "standin: cannot record an arrival\n");
+  el_buf_free (&out);
+}
+
 /** Counts a request on arrival, and names the limit in its answer. */
 void
 sn_limit_count (sn_limit_t *limit, h2o_req_t *req)
@@ -135,7 +170,10 @@
     }
   else if (now >= host->told_at + IN_FLIGHT_TIME
            && now >= limit->named_at + CONTACT_TIME)
-    arrival_add (limit, now);
+    {
+      arrival_add (limit, now);
+      arrival_record (limit, req, host);
+    }
 }
 
 json_t *
--- a/standin/limit.h
+++ b/standin/limit.h
@@ -13,7 +13,8 @@
 
 typedef struct sn_limit sn_limit_t;
 
-sn_limit_t *sn_limit_new (net_clock_t *clock);
+sn_limit_t *sn_limit_new (net_clock_t *clock, const char *member,
+                          const char *record);
 void sn_limit_configure (sn_limit_t *limit, const json_t *json);
 void sn_limit_count (sn_limit_t *limit, h2o_req_t *req);
 json_t *sn_limit_stats (const sn_limit_t *limit);
--- a/standin/member.c
+++ b/standin/member.c
@@ -138,7 +138,8 @@
               process->settings.name, uv_hrtime ());
   member->backoff
       = sn_backoff_new (&process->clock, member->id, process->settings.record);
-  member->limit = sn_limit_new (&process->clock);
+  member->limit
+      = sn_limit_new (&process->clock, member->id, process->settings.record);
   member->record_fd = -1;
   if (process->settings.record[0])
     member->record_fd = open (process->settings.record,
--- a/tests/t_avail.c
+++ b/tests/t_avail.c
@@ -3,9 +3,9 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Tests of the availability of endpoints, which a requested backoff, leaving
- * and failures restrict, and of parsing the headers by which an endpoint
- * requests a backoff or announces that it is leaving.
+ * Tests of the availability of endpoints, which a requested backoff, leaving,
+ * failures and a rate limit restrict, and of parsing the headers by which an
+ * endpoint requests a backoff, names a limit or announces that it is leaving.
  */
 #include <stdio.h>
 #include <string.h>
@@ -352,6 +352,71 @@
 }
 END_TEST
 
+/* The lender of TARGET's limit has no token for this host. */
+static void
+deny_tokens (rt_target_t *target)
+{
+  rt_limit_hear (&target->limit, NOW, NOW, 2);
+  target->limit.borrower.denied_until = NOW + EL_SEC;
+}
+
+static rt_target_t *
+pick (el_time_t now)
+{
+  return rt_fleet_pick (fleet, now, SERVICE, HALL, &none);
+}
+
+START_TEST (test_limit_used_up_endpoint_is_not_picked)
+{
+  rt_target_t *a = add_endpoint ("a", 1, 0, 0);
+  rt_target_t *b = add_endpoint ("b", 1, 0, 0);
+
+  deny_tokens (a);
+  ck_assert_ptr_eq (pick (NOW), b);
+  ck_assert_ptr_eq (rt_fleet_pick_isolated (fleet, NOW, SERVICE, 3, &none), b);
+  deny_tokens (b);
+  ck_assert_ptr_null (pick (NOW));
+  ck_assert_ptr_null (rt_fleet_pick_isolated (fleet, NOW, SERVICE, 3, &none));
+  ck_assert_ptr_nonnull (pick (NOW + EL_SEC));
+}
+END_TEST
+
+/* The limit is on the streams that begin at an engine: one that has none left
+   is no first engine of a chain, but may be a later one. */
+START_TEST (test_limit_used_up_engine_begins_no_chain)
+{
+  rt_target_t *a = add_endpoint ("a", 1, 0, 4);
+  rt_target_t *b = add_endpoint ("b", 1, 0, 4);
+  rt_target_t *c = add_endpoint ("c", 1, 4, 8);
+  rt_chain_t chain;
+
+  deny_tokens (a);
+  deny_tokens (c);
+  ck_assert_int_eq (chain_pick (NOW, &chain), 1);
+  ck_assert_ptr_eq (chain.part[0].target, b);
+  ck_assert_ptr_eq (chain.part[1].target, c);
+  deny_tokens (b);
+  ck_assert_int_eq (chain_pick (NOW, &chain), 0);
+  ck_assert_int_eq (chain_pick (NOW + EL_SEC, &chain), 1);
+}
+END_TEST
+
+/* A limit is of one instance, and is kept while its entry lapses. */
+START_TEST (test_limit_applies_to_one_instance)
+{
+  rt_target_t *target = add_endpoint ("a", 1, 0, 0);
+
+  deny_tokens (target);
+  rt_fleet_remove (fleet, EL_STR ("a"));
+  target = add_endpoint ("a", 1, 0, 0);
+  ck_assert_int_eq (target->limit.named, 1);
+  ck_assert_ptr_null (pick (NOW));
+  target = add_endpoint ("a", 2, 0, 0);
+  ck_assert_int_eq (target->limit.named, 0);
+  ck_assert_ptr_eq (pick (NOW), target);
+}
+END_TEST
+
 /* Hints in the headers of an answer. */
 
 static rt_hints_t
@@ -491,6 +556,9 @@
   ADD (tcase, test_chain_skips_engines_in_backoff);
   ADD (tcase, test_layout_keeps_engines_in_backoff);
   ADD (tcase, test_fleet_leaving_applies_to_one_instance);
+  ADD (tcase, test_limit_used_up_endpoint_is_not_picked);
+  ADD (tcase, test_limit_used_up_engine_begins_no_chain);
+  ADD (tcase, test_limit_applies_to_one_instance);
   ADD (tcase, test_retry_after_is_parsed_and_bounded);
   ADD (tcase, test_retry_after_longest_of_several_wins);
   ADD (tcase, test_leaving_header_is_read_from_any_answer);
--- a/tests/t_connect.c
+++ b/tests/t_connect.c
@@ -4,8 +4,10 @@
  */
 /** @file
  * Tests of requests whose endpoint stops accepting new requests after it was
- * chosen and before the request is sent. The relay, its endpoints and a caller
- * run on one loop, so that the test controls what happens in between.
+ * chosen and before the request is sent, and of requests to endpoints that
+ * name a rate limit. The relay, its endpoints and a caller run on one loop, so
+ * that the test controls what happens in between; it is the lender of the
+ * limits, too.
  */
 #include <stdio.h>
 #include <string.h>
@@ -32,6 +34,7 @@
   net_server_t *server;
   rt_target_t *target;
   unsigned requests;
+  const char *limit; /* named in its answers; NULL: none */
 } connect_endpoint_t;
 
 typedef struct connect_answer
@@ -47,6 +50,20 @@
 static gt_relays_t *relays;
 static connect_endpoint_t endpoints[ENDPOINTS];
 
+/* How the lender answers. */
+typedef enum lender_mode
+{
+  LENDER_SILENT, /* later, by lender_answer */
+  LENDER_LENDS,
+  LENDER_DENIES,
+  LENDER_UNREACHABLE
+} lender_mode_t;
+
+static lender_mode_t lender_mode;
+static unsigned borrows;
+static pr_loan_cb loan_done;
+static void *loan_arg;
+
 static void
 endpoint_handle (void *arg, h2o_req_t *req)
 {
@@ -56,6 +73,9 @@
   net_req_add_header (req, EL_STR ("x-elmarch-request-id"),
                       net_req_header (req, "x-elmarch-request-id"));
   net_req_add_header (req, EL_STR ("x-elmarch-response-seal"), EL_STR ("s"));
+  if (endpoint->limit)
+    net_req_add_header (req, EL_STR ("server-limit"),
+                        el_str (endpoint->limit));
   net_req_reply (req, 200, EL_STR ("text/plain"), EL_STR ("served"));
 }
 
@@ -76,6 +96,7 @@
   el_err_t err;
 
   endpoint->requests = 0;
+  endpoint->limit = NULL;
   endpoint->server = net_server_new (&server, &err);
   ck_assert_ptr_nonnull (endpoint->server);
   snprintf (address, sizeof address, "127.0.0.1:%u",
@@ -98,6 +119,29 @@
   return 0;
 }
 
+static void
+lender_answer (const co_loan_t *loan)
+{
+  loan_done (loan_arg, loan);
+}
+
+static void
+borrow (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
+        void *done_arg)
+{
+  static const co_loan_t denied = { .wait = 5 * EL_SEC };
+  const co_loan_t loan = { .tokens = request->wanted };
+
+  (void)arg;
+  borrows++;
+  loan_done = done;
+  loan_arg = done_arg;
+  if (lender_mode == LENDER_UNREACHABLE)
+    lender_answer (NULL);
+  else if (lender_mode != LENDER_SILENT)
+    lender_answer (lender_mode == LENDER_LENDS ? &loan : &denied);
+}
+
 static void
 connect_setup (void)
 {
@@ -111,7 +155,8 @@
                                  .retry_window = 10 * EL_SEC,
                                  .hosts = one_host,
                                  .hall_hosts = one_host,
-                                 .is_poller = is_no_poller };
+                                 .is_poller = is_no_poller,
+                                 .borrow = borrow };
   el_err_t err;
 
   uv_loop_init (&loop);
@@ -137,10 +182,8 @@
             result->body.ptr);
 }
 
-/* Send a request, and stop once an endpoint is chosen for it and the
-   connection to it is being established. */
-static rt_target_t *
-send_until_chosen (connect_answer_t *answer)
+static void
+request_send (connect_answer_t *answer)
 {
   static const net_header_t headers[]
       = { { EL_STR ("x-elmarch-request-id"), EL_STR ("r1") } };
@@ -155,13 +198,22 @@
                                .done = answer_done,
                                .arg = answer };
   net_request_t request = send;
-  int i;
 
   snprintf (address, sizeof address, "127.0.0.1:%u",
             net_server_port (relays->server));
   request.address = el_str (address);
   memset (answer, 0, sizeof *answer);
   net_client_send (callers, &request);
+}
+
+/* Send a request, and stop once an endpoint is chosen for it and the
+   connection to it is being established. */
+static rt_target_t *
+send_until_chosen (connect_answer_t *answer)
+{
+  int i;
+
+  request_send (answer);
   for (i = 0; i < MAX_ITERATIONS && !relays->counts.attempts; i++)
     {
       uv_run (&loop, UV_RUN_NOWAIT);
@@ -237,6 +289,181 @@
 }
 END_TEST
 
+/* Sends a request and returns its status. */
+static int
+request_status (void)
+{
+  connect_answer_t answer;
+
+  request_send (&answer);
+  answer_wait (&answer);
+  return answer.status;
+}
+
+/* Opens an endpoint that names LIMIT, and sends the request that is told. */
+static void
+limited_open (size_t i, const char *id, const char *limit)
+{
+  endpoint_open (&endpoints[i], id);
+  endpoints[i].limit = limit;
+  gt_relays_apply_hints (
+      relays, endpoints[i].target,
+      &(rt_hints_t){ .limited = RT_LIMIT_NAMED, .limit = 2 }, EL_STR ("test"));
+  borrows = 0;
+}
+
+static void
+wait_for_borrow (void)
+{
+  int i;
+
+  for (i = 0; i < MAX_ITERATIONS && !borrows; i++)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      usleep (LOOP_INTERVAL_US);
+    }
+  ck_assert_uint_eq (borrows, 1);
+}
+
+/* A request to a limited endpoint waits for the lender's answer, and is then
+   sent. */
+START_TEST (test_connect_request_waits_for_a_token)
+{
+  const co_loan_t loan = { .tokens = 1 };
+  connect_answer_t answer;
+
+  limited_open (0, "a", "2");
+  lender_mode = LENDER_SILENT;
+  request_send (&answer);
+  wait_for_borrow ();
+  ck_assert_uint_eq (relays->counts.attempts, 0);
+  lender_answer (&loan);
+  answer_wait (&answer);
+  ck_assert_int_eq (answer.status, 200);
+  ck_assert_uint_eq (relays->counts.limit_waits, 1);
+  ck_assert_uint_eq (relays->counts.sent_over_limit, 0);
+}
+END_TEST
+
+/* There is no token: another endpoint serves the request; without one it is
+   refused as not run, and the caller is told to return later. The same if the
+   lender cannot be reached. */
+START_TEST (test_connect_request_without_a_token_goes_elsewhere)
+{
+  connect_answer_t answer;
+
+  limited_open (0, "a", "2");
+  lender_mode = _i ? LENDER_UNREACHABLE : LENDER_DENIES;
+  request_send (&answer);
+  answer_wait (&answer);
+  ck_assert_int_eq (answer.status, 503);
+  ck_assert_str_eq (answer.body, "all endpoints are at their limits");
+  ck_assert_uint_eq (relays->counts.refused_limit, 1);
+  endpoint_open (&endpoints[1], "b");
+  ck_assert_int_eq (request_status (), 200);
+  ck_assert_uint_eq (endpoints[0].requests, 0);
+  ck_assert_uint_eq (endpoints[1].requests, 1);
+}
+END_TEST
+
+/* The caller disconnects while its request waits for a token. */
+START_TEST (test_connect_caller_leaves_while_waiting_for_a_token)
+{
+  const co_loan_t loan = { .tokens = 1 };
+  connect_answer_t answer;
+  int i;
+
+  limited_open (0, "a", "2");
+  lender_mode = LENDER_SILENT;
+  request_send (&answer);
+  wait_for_borrow ();
+  relay_abort (relays->running, "test");
+  lender_answer (&loan);
+  for (i = 0; i < 100; i++)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  ck_assert_uint_eq (endpoints[0].requests, 0);
+  ck_assert_uint_eq (endpoints[0].target->limit.borrower.tokens, 1);
+}
+END_TEST
+
+/* The endpoint names a limit after it was chosen: nothing is sent there
+   without a token. */
+START_TEST (test_connect_limit_named_after_the_choice)
+{
+  connect_answer_t answer;
+  rt_target_t *target;
+  size_t limited;
+
+  endpoint_open (&endpoints[0], "a");
+  endpoint_open (&endpoints[1], "b");
+  lender_mode = LENDER_DENIES;
+  target = send_until_chosen (&answer);
+  limited = target == endpoints[0].target ? 0 : 1;
+  gt_relays_apply_hints (
+      relays, target, &(rt_hints_t){ .limited = RT_LIMIT_NAMED, .limit = 2 },
+      EL_STR ("test"));
+  answer_wait (&answer);
+  ck_assert_int_eq (answer.status, 200);
+  ck_assert_uint_eq (endpoints[limited].requests, 0);
+  ck_assert_uint_eq (endpoints[1 - limited].requests, 1);
+  ck_assert_uint_eq (relays->counts.withheld, 1);
+}
+END_TEST
+
+/* The token of a request that was not sent is given back; one that was sent is
+   spent. */
+START_TEST (test_connect_token_of_an_unsent_request_is_given_back)
+{
+  co_borrower_t *borrower;
+
+  limited_open (0, "a", "2");
+  borrower = &endpoints[0].target->limit.borrower;
+  lender_mode = LENDER_LENDS;
+  if (_i)
+    net_server_stop (endpoints[0].server);
+  ck_assert_int_eq (request_status (), _i ? 503 : 200);
+  ck_assert_uint_eq (borrower->tokens, (unsigned)_i);
+  ck_assert_uint_eq (relays->counts.limit_returned, (unsigned)_i);
+}
+END_TEST
+
+/* An answer without a limit lifts it, unless its request was sent before the
+   limit was named. */
+START_TEST (test_connect_late_answer_does_not_lift_the_limit)
+{
+  connect_answer_t answer;
+
+  limited_open (0, "a", NULL);
+  endpoints[0].target->limit.named = 0;
+  lender_mode = LENDER_LENDS;
+  send_until_chosen (&answer);
+  relays->running->token_until = EL_TIME_NEVER;
+  gt_relays_apply_hints (
+      relays, endpoints[0].target,
+      &(rt_hints_t){ .limited = RT_LIMIT_NAMED, .limit = 2 }, EL_STR ("test"));
+  answer_wait (&answer);
+  ck_assert_int_eq (answer.status, 200);
+  ck_assert_int_eq (endpoints[0].target->limit.named, 1);
+  ck_assert_int_eq (request_status (), 200);
+  ck_assert_int_eq (endpoints[0].target->limit.named, 0);
+}
+END_TEST
+
+/* The limit that an answer names applies to the next request. */
+START_TEST (test_connect_limit_applies_from_the_first_answer)
+{
+  endpoint_open (&endpoints[0], "a");
+  endpoints[0].limit = "0.5";
+  borrows = 0;
+  lender_mode = LENDER_DENIES;
+  ck_assert_int_eq (request_status (), 200);
+  ck_assert_uint_eq (borrows, 0);
+  ck_assert_int_eq (request_status (), 503);
+  ck_assert_uint_eq (borrows, 1);
+  ck_assert_uint_eq (endpoints[0].requests, 1);
+}
+END_TEST
+
 Suite *
 connect_suite (void)
 {
@@ -247,6 +474,13 @@
   tcase_add_checked_fixture (tcase, connect_setup, NULL);
   ADD_LOOP (tcase, test_connect_closed_endpoint_is_replaced, 3);
   ADD_LOOP (tcase, test_connect_closed_only_endpoint_is_refused, 3);
+  ADD (tcase, test_connect_request_waits_for_a_token);
+  ADD_LOOP (tcase, test_connect_request_without_a_token_goes_elsewhere, 2);
+  ADD (tcase, test_connect_caller_leaves_while_waiting_for_a_token);
+  ADD (tcase, test_connect_limit_named_after_the_choice);
+  ADD_LOOP (tcase, test_connect_token_of_an_unsent_request_is_given_back, 2);
+  ADD (tcase, test_connect_late_answer_does_not_lift_the_limit);
+  ADD (tcase, test_connect_limit_applies_from_the_first_answer);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/t_members.c
+++ b/tests/t_members.c
@@ -414,6 +414,39 @@
 }
 END_TEST
 
+/* Hosts that agree on the members agree on which of them performs a task;
+   tasks are spread over all hosts, and a draining host gets none. */
+START_TEST (test_members_agree_on_the_host_of_a_task)
+{
+  mbr_net_t *net = new_converged_net (_i);
+  const co_member_t *picked;
+  unsigned seen = 0;
+  uint64_t draw;
+  size_t i;
+
+  co_members_drain (net->hosts[8].members, CO_MBR_ALIVE);
+  mbr_net_run (net, net->now + 3 * EL_SEC);
+  for (draw = 0; draw < 200; draw++)
+    {
+      picked = co_members_pick_by_draw (net->hosts[0].members, draw);
+      for (i = 0; i < HOSTS; i++)
+        {
+          const co_member_t *other
+              = co_members_pick_by_draw (net->hosts[i].members, draw);
+
+          ck_assert_mem_eq (other->incarnation.byte, picked->incarnation.byte,
+                            CO_INCARNATION_BYTES);
+          if (memcmp (picked->incarnation.byte, net->hosts[i].incarnation.byte,
+                      CO_INCARNATION_BYTES)
+              == 0)
+            seen |= 1U << i;
+        }
+    }
+  ck_assert_uint_eq (seen, (1U << 8) - 1);
+  mbr_net_free (net);
+}
+END_TEST
+
 Suite *
 members_suite (void)
 {
@@ -435,6 +468,7 @@
   ADD_LOOP (tcase, test_members_few_are_chosen_in_each_hall, SEEDS);
   ADD_LOOP (tcase, test_members_churn_stays_mostly_in_the_hall, 2);
   ADD_LOOP (tcase, test_members_agree_on_one_order_of_all, SEEDS);
+  ADD_LOOP (tcase, test_members_agree_on_the_host_of_a_task, SEEDS);
   ADD_LOOP (tcase, test_members_death_in_large_fleet_is_known_soon,
             FLEET_SEEDS);
   ADD_LOOP (tcase, test_members_isolated_hosts_catch_up, FLEET_SEEDS);
--- a/tests/test.h
+++ b/tests/test.h
@@ -44,6 +44,7 @@
 Suite *crash_suite (void);
 Suite *backoff_suite (void);
 Suite *rate_limit_suite (void);
+Suite *limit_suite (void);
 Suite *stream_suite (void);
 Suite *at_most_once_suite (void);
 Suite *stop_suite (void);
