Soak: endpoints name rate limits, checked from their records

--limits has all endpoints name limits that change, end and come back, beside restarts, pauses and resets; what arrives in any four seconds is counted from the endpoints' records, with the excuses of the users' rule only (a restart, pause or cut of the host) and, for what is held up on the way, of the endpoint's link or pause.

--- a/soak/main.c
+++ b/soak/main.c
@@ -60,7 +60,7 @@
   { "copies", EL_SETTING_FLAG, FIELD (copies), "0", 0, 1, 0, NULL,
     "roll the store back to snapshots, in place of most faults" },
   { "limits", EL_SETTING_FLAG, FIELD (limits), "0", 0, 1, 0, NULL,
-    "in addition, have endpoints name rate limits for all hosts together" },
+    "have all endpoints name rate limits, in place of most faults" },
 };
 
 /* Start and end the faults that are due. */
@@ -143,11 +143,12 @@
 static size_t
 seed_run (const soak_settings_t *set, uint64_t seed)
 {
-  sk_fault_t faults[3 * SK_FAULTS_MAX];
+  sk_fault_t faults[2 * SK_FAULTS_MAX];
   sk_requests_t requests = { .lock = PTHREAD_MUTEX_INITIALIZER };
   el_time_t length = set->seconds * EL_SEC;
-  size_t nfaults = set->copies ? sk_plan_rollbacks (seed, length, faults)
-                               : sk_plan (seed, length, faults);
+  size_t nfaults = set->copies   ? sk_plan_rollbacks (seed, length, faults)
+                   : set->limits ? sk_plan_limits (seed, length, faults)
+                                 : sk_plan (seed, length, faults);
   sk_callers_t *callers;
   sk_cluster_t cluster;
   el_time_t traffic_start;
@@ -156,8 +157,6 @@
 
   if (set->asks)
     nfaults += sk_plan_notices (seed, length, &faults[nfaults]);
-  if (set->limits)
-    nfaults += sk_plan_limits (seed, length, &faults[nfaults]);
   seed_dir_prepare (set, seed, dir, sizeof dir);
   sk_cluster_start (&cluster, set->bin, dir);
   recovery_check (&cluster, &requests); /* waits until layers are placed */
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -191,21 +191,40 @@
   return n;
 }
 
-/* Mean time between the starts of two limits. */
-#define LIMIT_INTERVAL (2000 * EL_MSEC)
-
-/** The same for endpoints that name a rate limit. */
+/* While all endpoints name limits, other faults start this far apart on
+   average, so that some time remains in which no fault excuses a host. */
+#define FAULT_BESIDE_LIMITS_INTERVAL (4 * EL_SEC)
+/* Time without a limit between two of the same endpoint. */
+#define LIMIT_PAUSE (300 * EL_MSEC)
+
+static const sk_fault_kind_t beside_limits[]
+    = { SK_HOST_TERM,     SK_HOST_KILL,   SK_HOST_PAUSE,
+        SK_ENDPOINT_KILL, SK_STORE_PAUSE, SK_LINK_RESET };
+
+/** The same with rate limits that all endpoints name, in place of most other
+    faults. */
 size_t
 sk_plan_limits (uint64_t seed, el_time_t length, sk_fault_t *out)
 {
   uint64_t random = (seed << 2) ^ 0x27d4eb2d;
-  el_time_t at = FIRST_FAULT_AT;
+  sk_fault_kind_t kind;
   size_t n = 0;
-
-  while (at < length && n < SK_FAULTS_MAX)
+  unsigned i;
+  el_time_t at;
+
+  for (i = 0; i < SK_ENDPOINTS; i++)
+    for (at = FIRST_FAULT_AT; at < length && n < SK_FAULTS_MAX;
+         at += out[n++].duration + LIMIT_PAUSE)
+      {
+        fault_draw (&random, SK_ENDPOINT_LIMIT, at, &out[n]);
+        out[n].target = i;
+      }
+  for (at = FIRST_FAULT_AT; at < length && n < SK_FAULTS_MAX; n++)
     {
-      fault_draw (&random, SK_ENDPOINT_LIMIT, at, &out[n++]);
-      at += el_random (&random) % (2 * LIMIT_INTERVAL);
+      at += el_random (&random) % (2 * FAULT_BESIDE_LIMITS_INTERVAL);
+      kind = beside_limits[el_random (&random)
+                           % (sizeof beside_limits / sizeof *beside_limits)];
+      fault_draw (&random, kind, at, &out[n]);
     }
   return n;
 }
