--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -382,9 +382,10 @@
                         60 * EL_SEC);
     }
   half_available_ns = mean_pick_ns (fleet);
-  printf ("bench=rests endpoints=%u access_bytes=%zu bytes_per_rest=%zu "
+  printf ("bench=rests endpoints=%u access_bytes=%zu limit_bytes=%zu "
+          "bytes_per_rest=%zu "
           "pick_ns=%.0f pick_half_rest_ns=%.0f\n",
-          endpoints, sizeof (rt_avail_t),
+          endpoints, sizeof (rt_avail_t), sizeof (rt_limit_t),
           (bench_heap () - heap) / (endpoints / 2), available_ns,
           half_available_ns);
   rt_fleet_free (fleet);
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -25,9 +25,8 @@
 
 /* Averaging time of the token rate, about the duration of a stream. */
 #define TOKEN_RATE_WINDOW (2 * EL_SEC)
-/* Maximum number of unlisted instances whose state is kept, at 360 bytes each:
-   enough for a day on which each of 1,900 endpoints is replaced twice. The
-   oldest are evicted. */
+/* Maximum number of unlisted instances whose state is kept. The oldest are
+   evicted. */
 #define UNLISTED_MAX 4096
 
 /** Creates an empty fleet. SEED should differ between hosts. */
