--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 1 --seeds 2 --seconds 6
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 3 --seeds 1 --seconds 6 --asks
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 8 --seeds 1 --seconds 12 --copies
+	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 4001 --seeds 1 --seconds 12 --limits
 # Mutation check: each listed test must fail in a scratch copy of the tree that
 # lacks the code it covers.
 red: deps
