A lack of layers is not taken for a limit that is used up

What callers saw: where a service's first engines name limits that have tokens left, but no chain exists for another reason (a later layer is held by nobody), a request was tried again each millisecond for up to 250 ms, each time with a search for a chain, and then refused with the wrong reason and time.

Cause: relay_limit_left looked at whether an endpoint names a limit, not at whether the limit is what stands in the way.

--- a/gate/relay_limit.c
+++ b/gate/relay_limit.c
@@ -330,7 +330,8 @@
 }
 
 /** Returns the time until a token may be had at one of the endpoints to which
-    RELAY could be sent; 0 if one of them has no limit, or there is none. */
+    RELAY could be sent; 0 if there is none, or if the limit of one of them
+    admits it now, so that it lacks something else. */
 el_time_t
 relay_limit_left (gt_relay_t *relay, el_time_t now)
 {
@@ -343,14 +344,12 @@
       if (!target_serves (target, relay->service, now)
           || rt_tried_has (&relay->tried, target))
         continue;
-      if (!target->limit.named)
+      if (rt_limit_admits (&target->limit, now))
         return 0;
       if (target->limit.borrower.denied_until < first)
         first = target->limit.borrower.denied_until;
     }
-  if (first == EL_TIME_NEVER)
-    return 0;
-  return first > now ? first - now : 1;
+  return first == EL_TIME_NEVER ? 0 : first - now;
 }
 
 /** Returns the time after which the caller of RELAY, which is refused, should
--- a/tests/t_connect.c
+++ b/tests/t_connect.c
@@ -26,8 +26,15 @@
 static const char rules_text[]
     = "{\"Version\":1,\"Routes\":[{\"Name\":\"look\",\"Host\":\"rel.example\","
       "\"PathPrefix\":\"/look/\",\"RouteType\":\"safe\",\"TimeoutMs\":9000,"
-      "\"MaxAttempts\":2,\"Service\":\"app\"}],"
-      "\"Services\":[{\"Name\":\"app\"}],\"Limits\":{}}";
+      "\"MaxAttempts\":2,\"Service\":\"app\"},"
+      "{\"Name\":\"chat\",\"Host\":\"rel.example\",\"PathPrefix\":"
+      "\"/chat/\",\"RouteType\":\"safe\",\"TimeoutMs\":9000,"
+      "\"MaxAttempts\":2,\"Service\":\"llm\"}],"
+      "\"Services\":[{\"Name\":\"app\"},{\"Name\":\"llm\",\"Engine\":{"
+      "\"layers\":8,\"layer_mb\":1000,\"step_ms\":1,\"KvTokenBytes\":8000,"
+      "\"usual\":{\"prompt\":10,\"answer\":10},"
+      "\"kinds\":[{\"Name\":\"half\",\"mb\":4500,\"pace\":1}]}}],"
+      "\"Limits\":{}}";
 
 typedef struct connect_endpoint
 {
@@ -183,7 +190,7 @@
 }
 
 static void
-request_send (connect_answer_t *answer)
+request_send_to (connect_answer_t *answer, const char *path)
 {
   static const net_header_t headers[]
       = { { EL_STR ("x-elmarch-request-id"), EL_STR ("r1") } };
@@ -191,7 +198,7 @@
   const net_request_t send = { .address = { address, 0 },
                                .host = EL_STR ("rel.example"),
                                .method = EL_STR ("GET"),
-                               .path = EL_STR ("/look/x"),
+                               .path = el_str (path),
                                .headers = headers,
                                .nheaders = 1,
                                .timeout = REQUEST_TIMEOUT,
@@ -206,6 +213,12 @@
   net_client_send (callers, &request);
 }
 
+static void
+request_send (connect_answer_t *answer)
+{
+  request_send_to (answer, "/look/x");
+}
+
 /* Send a request, and stop once an endpoint is chosen for it and the
    connection to it is being established. */
 static rt_target_t *
@@ -464,6 +477,33 @@
 }
 END_TEST
 
+/* An engine names a limit that is not used up, but no engine holds the other
+   layers: the request is refused at once, for that reason. */
+START_TEST (test_connect_missing_layers_are_not_taken_for_a_limit)
+{
+  const rt_attrs_t attrs = { .id = EL_STR ("e"),
+                             .born = 1,
+                             .service = EL_STR ("llm"),
+                             .address = EL_STR ("127.0.0.1:1"),
+                             .hall = EL_STR ("h"),
+                             .card = EL_STR ("half"),
+                             .slots = 8,
+                             .end = 4 };
+  rt_target_t *engine = rt_fleet_update (relays->options.fleet, &attrs);
+  connect_answer_t answer;
+
+  lender_mode = LENDER_LENDS;
+  gt_relays_apply_hints (
+      relays, engine, &(rt_hints_t){ .limited = RT_LIMIT_NAMED, .limit = 2 },
+      EL_STR ("test"));
+  request_send_to (&answer, "/chat/x");
+  answer_wait (&answer);
+  ck_assert_int_eq (answer.status, 503);
+  ck_assert_str_eq (answer.body, "no endpoint");
+  ck_assert_uint_eq (relays->counts.limit_waits, 0);
+}
+END_TEST
+
 Suite *
 connect_suite (void)
 {
@@ -481,6 +521,7 @@
   ADD_LOOP (tcase, test_connect_token_of_an_unsent_request_is_given_back, 2);
   ADD (tcase, test_connect_late_answer_does_not_lift_the_limit);
   ADD (tcase, test_connect_limit_applies_from_the_first_answer);
+  ADD (tcase, test_connect_missing_layers_are_not_taken_for_a_limit);
   suite_add_tcase (suite, tcase);
   return suite;
 }
