--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
        gate/caller.c gate/deferred.c gate/inflight.c gate/engine.c gate/api.c \
        gate/api_chat.c gate/api_call.c gate/api_session.c gate/api_admin.c \
        gate/platform.c gate/kv_http.c gate/session_peer.c \
-       gate/relay.c gate/relay_attempt.c gate/relay_head.c gate/relay_response.c \
+       gate/relay.c gate/relay_attempt.c gate/relay_pick.c gate/relay_head.c gate/relay_response.c \
        gate/relay_events.c gate/relay_blame.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_limit.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_poll.c \
        gate/relay_metrics.c \
        gate/planner.c
@@ -99,7 +99,7 @@
 
 LINK = @mkdir -p $(BIN) && $(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS)
 
-$(BIN)/elmarchd: $(B)/elmarchd/main.o $(B)/elmarchd/frontend.o $(LIBA)
+$(BIN)/elmarchd: $(B)/elmarchd/main.o $(B)/elmarchd/frontend.o $(B)/elmarchd/frontend_relays.o $(LIBA)
 	$(LINK)
 $(BIN)/elmarchctl: $(B)/elmarchctl/main.o $(LIBA)
 	$(LINK)
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -6,12 +6,8 @@
  * Serves relayed requests on the users' platform: connects the relays, the
  * list of endpoints, the rules and the planner to the platform adapter.
  */
-#include "frontend.h"
+#include "libfrontend.h"
 
-#include "platform.h"
-
-/* Largest request body accepted until the rules set their own limit. */
-#define DEFAULT_BODY_MAX ((size_t)4 << 20)
 /* Longest wait of a watch, as a share of --keys-limit-ms (if set) and of
    --change-limit-ms. The rules are current as of the time when the last
    answered watch was sent: that watch may have waited this long, and the next
@@ -34,8 +30,6 @@
 /* Delay to collect changes, as many keys change together when many endpoints
    start or are replaced. */
 #define STORE_BATCH_DELAY (300 * EL_MSEC)
-/* Random delay that keeps the halls from writing the same key at once. */
-#define STORE_WRITE_JITTER (500 * EL_MSEC)
 #define STOP_CHECK_INTERVAL (50 * EL_MSEC)
 /* The lease is taken to expire this much earlier, as clocks run at different
    speeds. */
@@ -44,36 +38,6 @@
    them do not. */
 #define DUTY_CANDIDATES 16
 
-struct frontend
-{
-  gt_gate_t *gate;
-  frontend_options_t options;
-  st_store_t store;
-  rt_fleet_t *fleet;
-  gt_relays_t *relays;
-  st_duty_t *duty;
-  gt_planner_t *planner;
-  st_follow_t *follow;
-  st_store_listener_t store_listener;
-  int endpoints_known;
-  int planner_held; /* some host is known to hold the planner lease */
-  uint64_t gauge_endpoints;
-  uint64_t gauge_placed;
-  uint64_t gauge_leaving;
-  uint64_t gauge_limits;
-  uint64_t gauge_planner;
-  int withdrawn;
-  el_timer_t check_timer;
-  el_time_t store_as_of;
-  el_time_t started_at;
-  int peers_synced; /* rumors were fetched, or there is no other host */
-  int stopping;
-  el_time_t stop_started_at;
-  el_timer_t stop_timer;
-  gt_drained_cb stop_done;
-  void *stop_done_arg;
-};
-
 /* Maximum age of updates from another host. */
 static el_time_t
 frontend_update_max_age (const frontend_t *frontend)
@@ -272,22 +236,6 @@
   gt_gate_entry_addresses (frontend->gate, hall, list);
 }
 
-static size_t
-frontend_count_hosts (void *arg)
-{
-  frontend_t *frontend = arg;
-
-  return gt_gate_live_hosts (frontend->gate);
-}
-
-static size_t
-frontend_count_hall_hosts (void *arg)
-{
-  frontend_t *frontend = arg;
-
-  return gt_gate_hall_live_hosts (frontend->gate);
-}
-
 /* Number of hosts that should take the planner's duty before this one. */
 static size_t
 frontend_duty_rank (void *arg)
@@ -454,159 +402,6 @@
   frontend->planner = gt_planner_new (&planner);
 }
 
-static int
-frontend_is_poller (void *arg)
-{
-  frontend_t *frontend = arg;
-
-  return !frontend->stopping && gt_gate_is_hall_leader (frontend->gate);
-}
-
-static void
-frontend_poll_done (void *arg)
-{
-  frontend_t *frontend = arg;
-
-  gt_gate_updates_available (frontend->gate);
-}
-
-static size_t
-frontend_engine_reports (void *arg, el_time_t after, pr_engine_report_t **out)
-{
-  frontend_t *frontend = arg;
-
-  return gt_relays_engine_reports (frontend->relays, after, out);
-}
-
-static void
-frontend_receive_reports (void *arg, const pr_engine_report_t *reports,
-                          size_t n)
-{
-  frontend_t *frontend = arg;
-
-  gt_relays_receive_reports (frontend->relays, reports, n);
-}
-
-static void
-frontend_receive_rumor (void *arg, const co_rumor_t *rumor)
-{
-  frontend_t *frontend = arg;
-
-  gt_relays_receive_rumor (frontend->relays, rumor);
-}
-
-static void
-frontend_borrow (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
-                 void *done_arg)
-{
-  frontend_t *frontend = arg;
-
-  gt_gate_borrow (frontend->gate, request, done, done_arg);
-}
-
-static void
-frontend_lend (void *arg, const pr_loan_request_t *request, int is_lender,
-               co_loan_t *out)
-{
-  frontend_t *frontend = arg;
-
-  gt_relays_lend (frontend->relays, request, is_lender, out);
-}
-
-static json_t *
-frontend_suspects (void *arg)
-{
-  frontend_t *frontend = arg;
-
-  return gt_relays_suspects (frontend->relays);
-}
-
-static json_t *
-frontend_closed_endpoints (void *arg)
-{
-  frontend_t *frontend = arg;
-  const st_store_counts_t *counts = &frontend->store.counts;
-  pr_store_position_t at = st_follow_position (frontend->follow);
-  json_t *json = gt_relays_unavailable_endpoints (frontend->relays);
-
-  json_object_set_new (json, "limits", gt_relays_limits (frontend->relays));
-  json_object_set_new (
-      json, "store",
-      json_pack ("{s:I,s:I,s:I,s:I,s:I}", "epoch",
-                 (json_int_t)frontend->store.epoch, "readEpoch",
-                 (json_int_t)at.epoch, "revision", (json_int_t)at.revision,
-                 "epochs", (json_int_t)counts->epochs, "formerAnswers",
-                 (json_int_t)counts->former));
-  return json;
-}
-
-static int
-frontend_unblock (void *arg, rt_digest_t digest)
-{
-  frontend_t *frontend = arg;
-
-  return gt_relays_unblock (frontend->relays, digest);
-}
-
-static void
-frontend_send_rumor (void *arg, uint64_t id, el_time_t hold, el_str_t body)
-{
-  frontend_t *frontend = arg;
-
-  gt_gate_publish_rumor (frontend->gate, id, hold, body);
-}
-
-/* Record a blocked request in the store, in case all hosts fail at once. Only
-   the first host of each hall does so, as it takes two calls. */
-static void
-frontend_store_blocked (void *arg, rt_digest_t digest, unsigned holds,
-                        el_time_t time_left)
-{
-  frontend_t *frontend = arg;
-  el_time_t ttl_ms = time_left / EL_MSEC;
-  el_buf_t key = { NULL, 0, 0 };
-
-  if (!gt_gate_is_hall_leader (frontend->gate))
-    return;
-  pf_blocked_key (digest, holds, &key);
-  st_store_put_leased (
-      &frontend->store, el_buf_str (&key), frontend->options.name,
-      ttl_ms < PF_LEASE_TTL_MAX_MS ? ttl_ms : PF_LEASE_TTL_MAX_MS,
-      el_random (&frontend->store.random) % STORE_WRITE_JITTER);
-  el_buf_free (&key);
-}
-
-static gt_relays_t *
-frontend_new_relays (frontend_t *frontend, el_err_t *err)
-{
-  const frontend_options_t *o = &frontend->options;
-  gt_relay_options_t relays
-      = { .clock = gt_gate_clock (frontend->gate),
-          .client = gt_gate_client (frontend->gate),
-          .fleet = frontend->fleet,
-          .dialect = &pf_relay,
-          .listen = o->entry,
-          .hall = o->hall,
-          .key = o->key,
-          .max_body = DEFAULT_BODY_MAX,
-          .retry_ratio = o->retry_ratio,
-          .retry_slack = o->retry_slack,
-          .retry_window = o->retry_window,
-          .keys_limit = o->keys_limit,
-          .seed = o->seed,
-          .hosts = frontend_count_hosts,
-          .hall_hosts = frontend_count_hall_hosts,
-          .is_poller = frontend_is_poller,
-          .poll_done = frontend_poll_done,
-          .host_incarnation = gt_gate_incarnation_number (frontend->gate),
-          .publish = frontend_send_rumor,
-          .borrow = frontend_borrow,
-          .blocked = frontend_store_blocked,
-          .arg = frontend };
-
-  return gt_relays_new (&relays, err);
-}
-
 static void
 frontend_metrics (frontend_t *frontend)
 {
@@ -668,14 +463,6 @@
                                .ready = frontend_is_ready,
                                .addresses = frontend_addresses,
                                .arg = frontend };
-  gt_relay_hooks_t hooks = { .list_engines = frontend_engine_reports,
-                             .engines_received = frontend_receive_reports,
-                             .rumor = frontend_receive_rumor,
-                             .lend = frontend_lend,
-                             .suspects = frontend_suspects,
-                             .closed = frontend_closed_endpoints,
-                             .unblock = frontend_unblock,
-                             .arg = frontend };
 
   frontend->gate = gate;
   frontend->options = *options;
@@ -689,7 +476,7 @@
   frontend->relays = frontend_new_relays (frontend, err);
   if (!frontend->relays || !pf_entry_new (&entry, err))
     return NULL;
-  gt_gate_set_relay_hooks (gate, &hooks);
+  frontend_set_relay_hooks (frontend);
   gt_relays_metrics (frontend->relays, gt_gate_metrics (gate));
   frontend_metrics (frontend);
   frontend_follow_store (frontend);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -159,6 +159,18 @@
 rt_target_t *relay_fault_target (gt_relay_t *relay,
                                  const net_result_t *result);
 
+/* relay_pick.c */
+
+/* Result of picking a target. */
+typedef enum relay_pick
+{
+  RELAY_PICK_OK,
+  RELAY_PICK_WAIT, /* for a token; another attempt follows */
+  RELAY_PICK_NONE
+} relay_pick_t;
+
+relay_pick_t relay_pick_target (gt_relay_t *relay, el_time_t now);
+
 /* relay_wait.c */
 int relay_wait_endpoint (gt_relay_t *relay);
 
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -3,8 +3,8 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Attempts at a relayed request: picks a target, sends the request,
- * classifies the result and decides on a retry.
+ * Attempts at a relayed request: sends the request, classifies the result and
+ * decides on a retry.
  */
 #include "librelay.h"
 
@@ -26,23 +26,9 @@
 /* Longest buffered response; streams are not buffered. */
 #define BUFFERED_BODY_MAX ((size_t)4 << 20)
 
-/* Result of picking a target. */
-typedef enum attempt_pick
-{
-  ATTEMPT_PICKED,
-  ATTEMPT_WAITS, /* for a token; another attempt follows */
-  ATTEMPT_NO_TARGET
-} attempt_pick_t;
-
 static void attempt_follow_up (gt_relay_t *relay, const rt_attempt_t *attempt,
                                const net_result_t *result);
 
-static int
-uses_chain (const gt_relay_t *relay)
-{
-  return relay->service->model.layers > 0;
-}
-
 /* Releases the target and chain of the current attempt. */
 static void
 attempt_release (gt_relay_t *relay)
@@ -104,74 +90,6 @@
   relay_respond_error (relay, 502, reason, 0);
 }
 
-/* Picks a chain that starts at FIRST, or any if there is none. */
-static int
-attempt_pick_chain (gt_relay_t *relay, rt_target_t *first, el_time_t now)
-{
-  const gt_relay_options_t *o = &relay->relays->options;
-  rt_chain_query_t want = { .service = relay->service,
-                            .hall = o->hall,
-                            .tokens = relay->tokens,
-                            .tried = &relay->tried,
-                            .first = first };
-
-  if (rt_chain_pick (o->fleet, now, &want, &relay->chain))
-    return 1;
-  want.first = NULL;
-  return first && rt_chain_pick (o->fleet, now, &want, &relay->chain);
-}
-
-/* Returns the best target now, which is the first engine if a chain is needed;
-   NULL if there is none. */
-static rt_target_t *
-attempt_best_target (gt_relay_t *relay, el_time_t now)
-{
-  const gt_relay_options_t *o = &relay->relays->options;
-  rt_target_t *isolated = relay_suspect_pick_target (relay, now);
-
-  if (uses_chain (relay))
-    return attempt_pick_chain (relay, isolated, now)
-               ? relay->chain.part[0].target
-               : NULL;
-  return isolated ? isolated
-                  : rt_fleet_pick (o->fleet, now, relay->service->name,
-                                   o->hall, &relay->tried);
-}
-
-/* Picks the target of the next attempt. A target whose limit has no token left
-   is not picked again. */
-static attempt_pick_t
-attempt_pick_target (gt_relay_t *relay, el_time_t now)
-{
-  const gt_relay_options_t *o = &relay->relays->options;
-  relay_permit_t permit;
-  rt_target_t *target;
-
-  rt_fleet_set_hosts (o->fleet, o->hall_hosts (o->arg), o->hosts (o->arg));
-  do
-    {
-      target = attempt_best_target (relay, now);
-      if (!target)
-        return ATTEMPT_NO_TARGET;
-      permit = relay_limit_permit (relay, target, now);
-      if (permit != RELAY_PERMIT_SEND)
-        relay->chain.n = 0;
-    }
-  while (permit == RELAY_PERMIT_DENIED);
-  if (permit == RELAY_PERMIT_WAIT)
-    return ATTEMPT_WAITS;
-  if (uses_chain (relay))
-    {
-      rt_chain_acquire (&relay->chain, NULL,
-                        relay->nevents ? relay->tokens : relay->prompt);
-      if (relay->attempts.sent == 0)
-        rt_fleet_stream_sent (o->fleet, now, relay->tokens);
-    }
-  relay->target = rt_target_ref (target);
-  target->running++;
-  return ATTEMPT_PICKED;
-}
-
 /* Records the time from arrival to the first event, or between events. */
 static void
 record_event_time (gt_relay_t *relay, el_time_t now)
@@ -232,9 +150,7 @@
                   && !relay->wrong_id && head->status >= 200
                   && head->status < 300
                   && net_result_header (head, names->seal).len;
-  /* The backoff applies before the body arrives: of 102 requests that one
-     engine refused in 6 s, 70 arrived within the backoff that it had
-     requested. */
+  /* What the head asks for applies before the body arrives. */
   relay_backoff_read_head (relay, head);
   if (!relay->refused)
     relay_backoff_answered (relay);
@@ -581,14 +497,14 @@
   if (relay_suspect_must_wait (relay, now))
     return;
   relay_limit_stop_waiting (relay);
-  switch (attempt_pick_target (relay, now))
+  switch (relay_pick_target (relay, now))
     {
-    case ATTEMPT_PICKED:
+    case RELAY_PICK_OK:
       attempt_send (relay, now);
       return;
-    case ATTEMPT_WAITS:
+    case RELAY_PICK_WAIT:
       return;
-    case ATTEMPT_NO_TARGET:
+    case RELAY_PICK_NONE:
       break;
     }
   if (relay_wait_endpoint (relay) || relay_limit_wait (relay, now))
--- /dev/null
+++ b/gate/relay_pick.c
@@ -0,0 +1,82 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Choice of the endpoint, or of the chain of engines, for an attempt at a
+ * relayed request.
+ */
+#include "librelay.h"
+
+static int
+uses_chain (const gt_relay_t *relay)
+{
+  return relay->service->model.layers > 0;
+}
+
+/* Picks a chain that starts at FIRST, or any if there is none. */
+static int
+pick_chain (gt_relay_t *relay, rt_target_t *first, el_time_t now)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+  rt_chain_query_t want = { .service = relay->service,
+                            .hall = o->hall,
+                            .tokens = relay->tokens,
+                            .tried = &relay->tried,
+                            .first = first };
+
+  if (rt_chain_pick (o->fleet, now, &want, &relay->chain))
+    return 1;
+  want.first = NULL;
+  return first && rt_chain_pick (o->fleet, now, &want, &relay->chain);
+}
+
+/* Returns the best target now, which is the first engine if a chain is needed;
+   NULL if there is none. */
+static rt_target_t *
+best_target (gt_relay_t *relay, el_time_t now)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+  rt_target_t *isolated = relay_suspect_pick_target (relay, now);
+
+  if (uses_chain (relay))
+    return pick_chain (relay, isolated, now) ? relay->chain.part[0].target
+                                             : NULL;
+  return isolated ? isolated
+                  : rt_fleet_pick (o->fleet, now, relay->service->name,
+                                   o->hall, &relay->tried);
+}
+
+/** Picks the target of the next attempt. A target whose limit has no token
+   left is not picked again. */
+relay_pick_t
+relay_pick_target (gt_relay_t *relay, el_time_t now)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+  relay_permit_t permit;
+  rt_target_t *target;
+
+  rt_fleet_set_hosts (o->fleet, o->hall_hosts (o->arg), o->hosts (o->arg));
+  do
+    {
+      target = best_target (relay, now);
+      if (!target)
+        return RELAY_PICK_NONE;
+      permit = relay_limit_permit (relay, target, now);
+      if (permit != RELAY_PERMIT_SEND)
+        relay->chain.n = 0;
+    }
+  while (permit == RELAY_PERMIT_DENIED);
+  if (permit == RELAY_PERMIT_WAIT)
+    return RELAY_PICK_WAIT;
+  if (uses_chain (relay))
+    {
+      rt_chain_acquire (&relay->chain, NULL,
+                        relay->nevents ? relay->tokens : relay->prompt);
+      if (relay->attempts.sent == 0)
+        rt_fleet_stream_sent (o->fleet, now, relay->tokens);
+    }
+  relay->target = rt_target_ref (target);
+  target->running++;
+  return RELAY_PICK_OK;
+}
