The bound on rate limits stands once

What is allowed in a window stood in the stand-in, the soak and the simulation, each with its own constants; it is sn_limit_allowed now. standin/limit.[ch] are rate_limit.[ch]: two headers of one name (route/limit.h) depended on the order of include paths.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
-          standin/store.c standin/member.c standin/backoff.c standin/limit.c
+          standin/store.c standin/member.c standin/backoff.c standin/rate_limit.c
 
 LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
@@ -119,7 +119,7 @@
        tests/cluster.c tests/asserts.c standin/reference.c
 $(BIN)/proc: $(PROC:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
-$(B)/tests/%.o: INC += -Istandin
+$(B)/tests/%.o $(B)/soak/%.o $(B)/bench/%.o: INC += -Istandin
 
 $(BIN)/bench_gate: $(B)/bench/bench_gate.o $(LIBA)
 	$(LINK)
--- a/soak/check_limit.c
+++ b/soak/check_limit.c
@@ -11,14 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "rate_limit.h"
 #include "soak.h"
 
-/* The users' requirement: the requests allowed in any WINDOW. A restart, pause
-   or partition excuses its host for CONTACT_TIME. */
-#define WINDOW (4 * EL_SEC)
-#define ALLOWED_FACTOR 1.5
-#define ALLOWED_SLACK 5
-#define CONTACT_TIME (3 * EL_SEC)
 #define LINE_MAX_BYTES 512
 
 /* A request that arrived at an endpoint which named a limit. */
@@ -76,7 +71,7 @@
     if (fault_excuses (&faults[i], host, endpoint)
         && traffic_start + faults[i].start_at < arrival->time
         && traffic_start + faults[i].start_at + faults[i].duration
-                   + CONTACT_TIME
+                   + SN_LIMIT_CONTACT_TIME
                > arrival->time)
       return 1;
   return sk_host_restarted_during (requests, arrival->id);
@@ -117,7 +112,8 @@
 
       if (strcmp (arrival->endpoint_id, end->endpoint_id) != 0)
         continue;
-      if (arrival->since != end->since || arrival->time + WINDOW <= end->time)
+      if (arrival->since != end->since
+          || arrival->time + SN_LIMIT_WINDOW <= end->time)
         break;
       n++;
     }
@@ -147,9 +143,7 @@
       counted.list
           = el_grow (counted.list, counted.len + 1, sizeof *counted.list);
       counted.list[counted.len++] = all.list[i];
-      allowed = ALLOWED_FACTOR * all.list[i].limit * (double)WINDOW
-                    / (double)EL_SEC
-                + ALLOWED_SLACK;
+      allowed = sn_limit_allowed (all.list[i].limit);
       n = window_count (&counted, counted.len - 1);
       if ((double)n > allowed)
         sk_violation ("limit", all.list[i].id,
--- a/standin/member.c
+++ b/standin/member.c
@@ -26,7 +26,7 @@
 
 #include "libgate.h"
 #include "backoff.h"
-#include "limit.h"
+#include "rate_limit.h"
 
 #define STREAM_EVENTS 40
 #define RESPONSE_SEAL "seal.of.a.stand-in"
--- a/standin/limit.c
+++ b/standin/rate_limit.c
@@ -6,12 +6,12 @@
  * POST /limit sets the rate limit that a member names in its answers:
  * {"limit": TEXT}, or {} for none. GET /limit returns "all", the requests that
  * arrived while a limit was named, "most", the highest number that arrived in
- * WINDOW, and "over", how often that was more than allowed. The last two count
- * requests from hosts that were told half a second before or earlier, as their
- * header x-via says, and begin CONTACT_TIME after the limit was first named.
- * Window, slack and times are the users' requirement. With --record, the
- * requests that count are appended to the file RECORD.limit: "MICROSECONDS ID
- * MEMBER VIA LIMIT SINCE", where SINCE is when the limit was first named.
+ * SN_LIMIT_WINDOW, and "over", how often that was more than allowed. The last
+ * two count requests from hosts that were told half a second before or
+ * earlier, as their header x-via says, and begin SN_LIMIT_CONTACT_TIME after
+ * the limit was first named. With --record, the requests that count are
+ * appended to the file RECORD.limit: "MICROSECONDS ID MEMBER VIA LIMIT SINCE",
+ * where SINCE is when the limit was first named.
  */
 #include <fcntl.h>
 #include <inttypes.h>
@@ -20,16 +20,12 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "limit.h"
+#include "rate_limit.h"
 #include "map.h"
 
-#define WINDOW (4 * EL_SEC)
-#define ALLOWED_FACTOR 1.5
-#define ALLOWED_SLACK 5
-#define CONTACT_TIME (3 * EL_SEC)
 #define IN_FLIGHT_TIME (500 * EL_MSEC)
 #define VIA_MAX 32
-/* Arrivals of a window that are kept; more of them are over any limit in
+/* Arrivals of a window that are kept; more than that are over any limit in
    use. */
 #define ARRIVALS_MAX 4096
 
@@ -102,21 +98,13 @@
   limit->recorded_since = uv_hrtime () / 1000;
 }
 
-/* Requests that may arrive in WINDOW. */
-static double
-limit_allowed (const sn_limit_t *limit)
-{
-  return ALLOWED_FACTOR * strtod (limit->named, NULL) * (double)WINDOW
-             / (double)EL_SEC
-         + ALLOWED_SLACK;
-}
-
 static void
 arrival_add (sn_limit_t *limit, el_time_t now)
 {
   size_t old = 0;
 
-  while (old < limit->narrivals && limit->arrivals[old] + WINDOW <= now)
+  while (old < limit->narrivals
+         && limit->arrivals[old] + SN_LIMIT_WINDOW <= now)
     old++;
   if (old == 0 && limit->narrivals == ARRIVALS_MAX)
     old = 1;
@@ -126,7 +114,8 @@
   limit->arrivals[limit->narrivals++] = now;
   if (limit->narrivals > limit->most)
     limit->most = limit->narrivals;
-  limit->over += (double)limit->narrivals > limit_allowed (limit);
+  limit->over += (double)limit->narrivals
+                 > sn_limit_allowed (strtod (limit->named, NULL));
 }
 
 static void
@@ -169,7 +158,7 @@
       HASH_ADD_KEYPTR (hh, limit->hosts, host->via, (unsigned)via.len, host);
     }
   else if (now >= host->told_at + IN_FLIGHT_TIME
-           && now >= limit->named_at + CONTACT_TIME)
+           && now >= limit->named_at + SN_LIMIT_CONTACT_TIME)
     {
       arrival_add (limit, now);
       arrival_record (limit, req, host);
--- a/tests/limit_sim.c
+++ b/tests/limit_sim.c
@@ -11,13 +11,8 @@
 
 #include "limit_sim.h"
 #include "map.h"
+#include "rate_limit.h"
 
-/* The users' requirement: in any WINDOW, ALLOWED_FACTOR times the limit and
-   ALLOWED_SLACK requests. A fault excuses its host for CONTACT_TIME. */
-#define WINDOW (4 * EL_SEC)
-#define ALLOWED_FACTOR 1.5
-#define ALLOWED_SLACK 5
-#define CONTACT_TIME (3 * EL_SEC)
 #define MINUTE (60 * EL_SEC)
 #define START (100 * EL_SEC)
 /* Times after which another host notices a failure or a new host. */
@@ -141,10 +136,10 @@
   if (host->fault == FAULT_NONE)
     return 1;
   if (host->fault == FAULT_ADDED)
-    return sim->now >= host->from + CONTACT_TIME;
+    return sim->now >= host->from + SN_LIMIT_CONTACT_TIME;
   return sim->now < host->from
          || (host->until != EL_TIME_NEVER
-             && sim->now >= host->until + CONTACT_TIME);
+             && sim->now >= host->until + SN_LIMIT_CONTACT_TIME);
 }
 
 /* A fixed time in RANGE that differs for each pair of hosts. */
@@ -224,13 +219,6 @@
   return before < sharers ? sim->rate / (double)sharers : 0;
 }
 
-static double
-limit_allowed (const sim_t *sim)
-{
-  return ALLOWED_FACTOR * sim->o->rate * (double)WINDOW / (double)EL_SEC
-         + ALLOWED_SLACK;
-}
-
 /* A request of HOST arrives at the endpoint. */
 static void
 endpoint_arrival (sim_t *sim, const host_t *host)
@@ -242,11 +230,12 @@
   if (!host_counts (sim, host) || sim->n - sim->first == ARRIVALS_MAX)
     return;
   sim->arrivals[sim->n++ % ARRIVALS_MAX] = sim->now;
-  while (sim->arrivals[sim->first % ARRIVALS_MAX] + WINDOW <= sim->now)
+  while (sim->arrivals[sim->first % ARRIVALS_MAX] + SN_LIMIT_WINDOW
+         <= sim->now)
     sim->first++;
   if (sim->n - sim->first > sim->out->most)
     sim->out->most = (unsigned)(sim->n - sim->first);
-  share = (double)(sim->n - sim->first) / limit_allowed (sim);
+  share = (double)(sim->n - sim->first) / sn_limit_allowed (sim->o->rate);
   if (share > sim->out->worst)
     sim->out->worst = share;
 }
