Tests: bounds of limits, one past each; customers' limits over many hosts (known red)

Bounds that had no test: a loan (64 tokens), the wait for a token that is due (0.25 s), the return of refused callers (10 s, one after the other at the rate).

Not mended: what is lent for rates expires, requests in flight do not.

bench_limit also plays 1,972 hosts and a demand of a hundred times the limit.

--- a/bench/bench_limit.c
+++ b/bench/bench_limit.c
@@ -20,18 +20,21 @@
     = { "alone", "even", "few", "lend" };
 static const char *const demand_names[LSIM_DEMANDS]
     = { "spread", "one-90", "moving" };
-static const size_t host_counts[] = { 2, 7, 9, 60, 300, 986 };
+static const size_t host_counts[] = { 2, 7, 9, 60, 300, 986, 1972 };
+/* Demand in multiples of the limit. */
+#define EXCESS 3
+#define EXCESS_LARGE 100
 static const double rates[] = { 0.5, 3.6, 6.9, 50 };
 
 static void
 measure (lsim_strategy_t strategy, lsim_demand_t demand, size_t hosts,
-         double rate)
+         double rate, double excess)
 {
   lsim_options_t o = { .strategy = strategy,
                        .demand = demand,
                        .hosts = hosts,
                        .rate = rate,
-                       .excess = 3,
+                       .excess = excess,
                        .duration = 120 * EL_SEC,
                        .step = EL_MSEC };
   lsim_results_t sum = { 0 };
@@ -48,10 +51,10 @@
       sum.most = one.most > sum.most ? one.most : sum.most;
       sum.busiest = one.busiest > sum.busiest ? one.busiest : sum.busiest;
     }
-  printf ("bench=limit way=%s demand=%s hosts=%zu rate=%.1f "
+  printf ("bench=limit way=%s demand=%s excess=%.0f hosts=%zu rate=%.1f "
           "most_in_4s=%u worst_of_allowed=%.2f worst_minute=%.2f used=%.2f "
           "calls_per_s=%.1f busiest_host_calls_per_s=%.1f\n",
-          strategy_names[strategy], demand_names[demand], hosts, rate,
+          strategy_names[strategy], demand_names[demand], excess, hosts, rate,
           sum.most, sum.worst, sum.minute, sum.used / SEEDS,
           (double)sum.asked / SEEDS / 120, (double)sum.busiest / 120);
   fflush (stdout);
@@ -98,6 +101,9 @@
       for (d = 0; d < LSIM_DEMANDS; d++)
         for (s = 0; s < LSIM_STRATEGIES; s++)
           measure ((lsim_strategy_t)s, (lsim_demand_t)d, host_counts[h],
-                   rates[r]);
+                   rates[r], EXCESS);
+  for (h = 0; h < sizeof host_counts / sizeof *host_counts; h++)
+    for (r = 0; r < sizeof rates / sizeof *rates; r++)
+      measure (LSIM_LEND, LSIM_SPREAD, host_counts[h], rates[r], EXCESS_LARGE);
   return EXIT_SUCCESS;
 }
--- a/tests/t_connect.c
+++ b/tests/t_connect.c
@@ -10,6 +10,7 @@
  * limits, too.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -49,6 +50,7 @@
   int done;
   int status;
   char body[64];
+  double retry_after_s; /* 0: none */
 } connect_answer_t;
 
 static uv_loop_t loop;
@@ -67,6 +69,7 @@
 } lender_mode_t;
 
 static lender_mode_t lender_mode;
+static el_time_t lender_wait; /* with LENDER_DENIES */
 static unsigned borrows;
 static pr_loan_cb loan_done;
 static void *loan_arg;
@@ -136,7 +139,7 @@
 borrow (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
         void *done_arg)
 {
-  static const co_loan_t denied = { .wait = 5 * EL_SEC };
+  const co_loan_t denied = { .wait = lender_wait };
   const co_loan_t loan = { .tokens = request->wanted };
 
   (void)arg;
@@ -166,6 +169,7 @@
                                  .borrow = borrow };
   el_err_t err;
 
+  lender_wait = 5 * EL_SEC;
   uv_loop_init (&loop);
   net_clock_init (&test_clock, &loop);
   callers = net_client_new (&test_clock);
@@ -187,6 +191,9 @@
   answer->status = result->status;
   snprintf (answer->body, sizeof answer->body, "%.*s", (int)result->body.len,
             result->body.ptr);
+  if (net_result_header (result, "retry-after").len)
+    answer->retry_after_s
+        = strtod (net_result_header (result, "retry-after").ptr, NULL);
 }
 
 static void
@@ -379,6 +386,53 @@
 }
 END_TEST
 
+/* A token is due soon: the request waits for it and is served. It is due a
+   little later than that: the request is refused at once. */
+START_TEST (test_connect_request_waits_for_a_token_due_soon)
+{
+  el_time_t began;
+  el_time_t took;
+
+  limited_open (0, "a", "2");
+  endpoints[0].target->limit.borrower.denied_until
+      = net_clock_now (&test_clock) + (_i ? 260 * EL_MSEC : 100 * EL_MSEC);
+  began = net_clock_now (&test_clock);
+  lender_mode = LENDER_LENDS;
+  ck_assert_int_eq (request_status (), _i ? 503 : 200);
+  took = net_clock_now (&test_clock) - began;
+  if (_i)
+    ck_assert_uint_lt (took, 100 * EL_MSEC);
+  else
+    ck_assert_uint_ge (took, 90 * EL_MSEC);
+  ck_assert_uint_eq (relays->counts.limit_waits, !_i);
+}
+END_TEST
+
+/* Callers that are refused for a limit are told to return one after the other
+   at its rate, and none too late. */
+START_TEST (test_connect_refused_callers_return_one_after_the_other)
+{
+  connect_answer_t answer;
+  double last = 0;
+  unsigned i;
+
+  limited_open (0, "a", "2");
+  lender_mode = LENDER_DENIES;
+  for (i = 0; i < 40; i++)
+    {
+      request_send (&answer);
+      answer_wait (&answer);
+      ck_assert_int_eq (answer.status, 503);
+      ck_assert_double_ge (answer.retry_after_s, 4);
+      if (i > 0 && i < 8)
+        ck_assert_double_ge (answer.retry_after_s, last + 0.3);
+      ck_assert_double_le (answer.retry_after_s, 10.1);
+      last = answer.retry_after_s;
+    }
+  ck_assert_double_ge (last, 9.9);
+}
+END_TEST
+
 /* The caller disconnects while its request waits for a token. */
 START_TEST (test_connect_caller_leaves_while_waiting_for_a_token)
 {
@@ -516,6 +570,8 @@
   ADD_LOOP (tcase, test_connect_closed_only_endpoint_is_refused, 3);
   ADD (tcase, test_connect_request_waits_for_a_token);
   ADD_LOOP (tcase, test_connect_request_without_a_token_goes_elsewhere, 2);
+  ADD_LOOP (tcase, test_connect_request_waits_for_a_token_due_soon, 2);
+  ADD (tcase, test_connect_refused_callers_return_one_after_the_other);
   ADD (tcase, test_connect_caller_leaves_while_waiting_for_a_token);
   ADD (tcase, test_connect_limit_named_after_the_choice);
   ADD_LOOP (tcase, test_connect_token_of_an_unsent_request_is_given_back, 2);
--- a/tests/t_limit.c
+++ b/tests/t_limit.c
@@ -144,6 +144,25 @@
 }
 END_TEST
 
+/* However much a host wants, one loan has a bound; the next is asked for
+   before the first is used up. */
+START_TEST (test_limit_loan_is_bounded)
+{
+  co_borrower_t borrower = { 0 };
+  unsigned i;
+
+  for (i = 0; i < 10000; i++)
+    co_borrower_take (&borrower, NOW + i * 100);
+  ck_assert_uint_eq (co_borrower_loan (&borrower), 64);
+  borrower = (co_borrower_t){ 0 };
+  co_borrower_asked (&borrower, NOW);
+  co_borrower_answered (&borrower, NOW, &(co_loan_t){ .tokens = 64 });
+  for (i = 0; !co_borrower_should_prefetch (&borrower, NOW); i++)
+    ck_assert_int_eq (co_borrower_take (&borrower, NOW), CO_TAKE_OK);
+  ck_assert_uint_gt (borrower.tokens, 0);
+}
+END_TEST
+
 /* Drawn schedules with hosts that are killed, frozen, cut off or added, calls
    that are lost, uneven demand and limits that change: the hosts never exceed
    what is allowed. */
@@ -280,6 +299,7 @@
   ADD (tcase, test_limit_lower_rate_applies_at_once);
   ADD (tcase, test_limit_token_expires_and_is_given_back);
   ADD (tcase, test_limit_denied_host_does_not_ask_again_at_once);
+  ADD (tcase, test_limit_loan_is_bounded);
   ADD (tcase, test_limit_is_kept_in_drawn_schedules);
   ADD_LOOP (tcase, test_limit_is_used, 4);
   ADD (tcase, test_limit_older_news_changes_nothing);
--- a/tests/t_route.c
+++ b/tests/t_route.c
@@ -526,6 +526,33 @@
 }
 END_TEST
 
+/* There are more hosts than the customer may have requests: all of them
+   together still admit no more. */
+START_TEST (test_customer_limit_holds_over_more_hosts_than_requests)
+{
+  enum
+  {
+    HOSTS = 12,
+    LIMIT = 6
+  };
+  rt_event_t hosts = { .kind = RT_EV_HOSTS, .hosts = HOSTS };
+  size_t admitted = 0;
+  uint64_t stream;
+  int host;
+
+  for (host = 0; host < HOSTS; host++)
+    {
+      teardown ();
+      setup ();
+      rt_router_handle_event (router, now, &hosts);
+      for (stream = 1; stream <= LIMIT; stream++)
+        request (stream, RT_CHAT, 1);
+      admitted += rt_router_active (router) + rt_router_queued (router);
+    }
+  ck_assert_uint_le (admitted, LIMIT);
+}
+END_TEST
+
 START_TEST (test_queue_is_fair_by_weight)
 {
   unsigned served[2] = { 0, 0 };
@@ -646,6 +673,7 @@
   ADD (tcase, test_retry_avoids_the_endpoint_that_just_failed);
   ADD (tcase, test_admission_overload_is_refused_as_not_run);
   ADD (tcase, test_customer_limit_is_shared_by_hosts);
+  ADD (tcase, test_customer_limit_holds_over_more_hosts_than_requests);
   ADD (tcase, test_queue_is_fair_by_weight);
   ADD (tcase, test_stop_refuses_new_and_finishes_running);
   ADD (tcase, test_route_rejects_pipeline_with_missing_layers);
