--- a/tests/site.c
+++ b/tests/site.c
@@ -548,3 +548,16 @@
   ck_assert_str_eq (reply->body.ptr, want.ptr);
   el_buf_free (&want);
 }
+
+/** An engine with the first layers. */
+const proc_t *
+site_engine_with_first_layers (void)
+{
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (member_value (&site.engines[i], "first") == 0)
+      return &site.engines[i];
+  ck_abort_msg ("no engine holds the first layers");
+  return NULL;
+}
--- a/tests/site.h
+++ b/tests/site.h
@@ -56,6 +56,7 @@
 void site_wait_metric (const char *name, uint64_t value);
 void site_wait_metric_except (size_t except, const char *name, uint64_t value);
 void site_store_mute (int on);
+const proc_t *site_engine_with_first_layers (void);
 int64_t member_value (const proc_t *member, const char *name);
 void member_id (const proc_t *member, char *out, size_t size);
 void send_request (size_t host, const char *method, const char *path,
--- a/tests/t_backoff.c
+++ b/tests/t_backoff.c
@@ -77,19 +77,6 @@
   return count;
 }
 
-/* An engine with the first layers. */
-static const proc_t *
-engine_with_first_layers (void)
-{
-  size_t i;
-
-  for (i = 0; i < SITE_ENGINES; i++)
-    if (member_value (&site.engines[i], "first") == 0)
-      return &site.engines[i];
-  ck_abort_msg ("no engine holds the first layers");
-  return NULL;
-}
-
 /* Sends requests through the hosts in turn. All must be served. */
 static void
 send_requests (void)
@@ -144,7 +131,7 @@
   site.step_us = "1000";
   site_start (2);
   prefer_first_worker ();
-  member = _i == 0 ? &site.workers[0] : engine_with_first_layers ();
+  member = _i == 0 ? &site.workers[0] : site_engine_with_first_layers ();
   backoff_set (member, LONG_BACKOFF);
   if (_i == 0)
     send_requests ();
@@ -378,7 +365,7 @@
 
   site.step_us = "1000";
   site_start (1);
-  member = engine_with_first_layers ();
+  member = site_engine_with_first_layers ();
   backoff_set (member, "{\"kinds\":[\"reports\"],\"status\":503,"
                        "\"asked\":[\"60\"],\"span_ms\":60000}");
   metric_wait_min (&site.hosts[0], "elmarch_relay_rests_total", 1);
@@ -436,7 +423,7 @@
   site.step_us = "1000";
   site_start (2);
   prefer_first_worker ();
-  member = _i == 0 ? &site.workers[0] : engine_with_first_layers ();
+  member = _i == 0 ? &site.workers[0] : site_engine_with_first_layers ();
   backoff_set (member, "{\"leaving\":true}");
   if (_i == 0)
     send_requests ();
--- a/tests/t_rate_limit.c
+++ b/tests/t_rate_limit.c
@@ -134,19 +134,6 @@
     }
 }
 
-/* An engine with the first layers. */
-static const proc_t *
-engine_with_first_layers (void)
-{
-  size_t i;
-
-  for (i = 0; i < SITE_ENGINES; i++)
-    if (member_value (&site.engines[i], "first") == 0)
-      return &site.engines[i];
-  ck_abort_msg ("no engine holds the first layers");
-  return NULL;
-}
-
 /* An endpoint names a limit: all hosts together send it no more, while another
    endpoint serves the rest, and use what the limit allows. */
 START_TEST (test_hosts_together_keep_to_the_limit_of_an_endpoint)
@@ -156,7 +143,7 @@
   site.step_us = "500";
   site_start (SITE_HOSTS);
   slow_second_worker ();
-  member = _i == 0 ? &site.workers[0] : engine_with_first_layers ();
+  member = _i == 0 ? &site.workers[0] : site_engine_with_first_layers ();
   limit_set (member, LIMIT);
   if (_i == 0)
     load_requests (LOAD_TIME_MS);
