Tests: a host cut off from all endpoints serves first attempts (known red)

The test starts three hosts and cuts two of them off from the endpoints: connections break and new ones are refused, or all packets are dropped, or connections stay and new ones are refused. From three seconds on, a plain safe request, an unsafe one and a stream each, ten times, are to be served.

A library preloaded into the hosts of these tests makes the cut, since all processes of a test share one loopback interface: it refuses connects, or attaches a socket filter that drops what arrives.

--- a/Makefile
+++ b/Makefile
@@ -115,10 +115,14 @@
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
-PROC = tests/proc_main.c tests/known_red.c tests/t_stream.c tests/t_at_most_once.c tests/t_stop.c tests/t_agreement.c tests/t_site.c tests/t_crash.c tests/t_restart.c tests/t_backoff.c tests/t_rate_limit.c tests/t_restore.c tests/site.c \
+PROC = tests/proc_main.c tests/known_red.c tests/t_stream.c tests/t_at_most_once.c tests/t_stop.c tests/t_agreement.c tests/t_site.c tests/t_crash.c tests/t_restart.c tests/t_backoff.c tests/t_rate_limit.c tests/t_restore.c tests/t_partition.c tests/site.c \
        tests/cluster.c tests/asserts.c standin/reference.c
 $(BIN)/proc: $(PROC:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
+$(BIN)/proc: | $(BIN)/cut_preload.so
+$(BIN)/cut_preload.so: tests/cut_preload.c
+	@mkdir -p $(BIN)
+	$(CC) $(CFLAGS) $(WARN) -D_GNU_SOURCE -shared -fPIC -o $@ $< -ldl -lpthread
 $(B)/tests/%.o $(B)/soak/%.o $(B)/bench/%.o: INC += -Istandin
 
 $(BIN)/bench_gate: $(B)/bench/bench_gate.o $(LIBA)
--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -21,7 +21,6 @@
 
 #include <curl/curl.h>
 
-#define BIN_DIR_DEFAULT "build/san/bin"
 #define WAIT_STEP_NS 5000000
 #define ARGS_MAX 40
 #define OPERATOR_KEY "an-operator's-key"
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -17,6 +17,8 @@
 
 #include "base.h"
 
+/** Directory of the programs unless ELMARCH_TEST_BIN names another. */
+#define BIN_DIR_DEFAULT "build/san/bin"
 #define PIPELINES 2
 #define STAGES 3
 #define HOSTS_MAX 9
--- a/tests/site.c
+++ b/tests/site.c
@@ -220,6 +220,56 @@
   out->address[strlen (out->address) - 1] = digit;
 }
 
+static void
+cut_file (size_t host, char *out, size_t size)
+{
+  snprintf (out, size, "/tmp/elmarch-cut-%d-%zu", (int)getpid (), host);
+}
+
+/** Makes the hosts that are started from now on subject to site_cut. */
+void
+site_cut_enable (void)
+{
+  site.cuttable = 1;
+}
+
+/** Cuts HOST off from the endpoints as tests/cut_preload.c describes; 0 ends
+    that. */
+void
+site_cut (size_t host, char how)
+{
+  char path[64];
+  FILE *file;
+
+  cut_file (host, path, sizeof path);
+  file = fopen (path, "w");
+  ck_assert_ptr_nonnull (file);
+  if (how)
+    fputc (how, file);
+  fclose (file);
+}
+
+/* Sets or clears the environment that makes a host subject to site_cut. */
+static void
+cut_environment (size_t host, int on)
+{
+  const char *bin = getenv ("ELMARCH_TEST_BIN");
+  char library[256];
+  char path[64];
+
+  if (!on)
+    {
+      unsetenv ("LD_PRELOAD");
+      return;
+    }
+  cut_file (host, path, sizeof path);
+  snprintf (library, sizeof library, "%s/cut_preload.so",
+            bin ? bin : BIN_DIR_DEFAULT);
+  setenv ("ELMARCH_TEST_CUT", path, 1);
+  setenv ("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+  setenv ("LD_PRELOAD", library, 1);
+}
+
 /** Starts a host. It may not have received its configuration yet on return. */
 void
 site_host_start (size_t i)
@@ -266,7 +316,9 @@
       strcat (strcat (peers, peer.address), ",");
     }
   address_with_port (&site.hosts[i], &peer, '1');
+  cut_environment (i, site.cuttable);
   proc_spawn (&site.hosts[i], args);
+  cut_environment (i, 0);
   proc_wait_ready (&site.hosts[i], "/metrics");
 }
 
@@ -464,11 +516,16 @@
 void
 site_teardown (void)
 {
+  char path[64];
   size_t i;
 
   for (i = 0; i < site.nhosts; i++)
-    ck_assert_msg (proc_end (&site.hosts[i], SIGTERM) == 0,
-                   "host %zu did not end cleanly", i);
+    {
+      ck_assert_msg (proc_end (&site.hosts[i], SIGTERM) == 0,
+                     "host %zu did not end cleanly", i);
+      cut_file (i, path, sizeof path);
+      unlink (path);
+    }
   for (i = 0; i < SITE_ENGINES; i++)
     proc_end (&site.engines[i], SIGKILL);
   for (i = 0; i < SITE_WORKERS; i++)
--- a/tests/site.h
+++ b/tests/site.h
@@ -34,6 +34,7 @@
   char record_file[64]; /* file of the store; empty: not persistent */
   char engine_ids[SITE_ENGINES][96];
   char worker_ids[SITE_WORKERS][96];
+  int cuttable; /* hosts can be cut off from the endpoints */
 } site_t;
 
 extern site_t site;
@@ -56,6 +57,8 @@
 void site_wait_metric (const char *name, uint64_t value);
 void site_wait_metric_except (size_t except, const char *name, uint64_t value);
 void site_store_mute (int on);
+void site_cut_enable (void);
+void site_cut (size_t host, char how);
 const proc_t *site_engine_with_first_layers (void);
 int64_t member_value (const proc_t *member, const char *name);
 void member_id (const proc_t *member, char *out, size_t size);
