A host that reaches no endpoint has its requests served by another one

Cause: the class is that a host takes its own reach for the state of the endpoints. It knew no way to an endpoint but its own, so that endpoints which it could not connect to were as good as gone, though its neighbours used them all the time.

Change: - route/reach.c (pure): whether this host reaches an endpoint is a fact about both, kept by endpoint from connects alone. Regained after two connects that began after the loss, more if the path comes and goes. gate/relay_reach.c samples three endpoints when one is lost; if none connects, the host is cut off. - gate/relay_forward.c: a request whose best endpoint here is not reached goes to another host at its address for callers, with the caller's key; that host decides as for its own callers and never forwards it again. Event by event; the time left, the attempts that may have run and the last event go with it. The better of two hosts drawn at random; one that reaches nothing either says so and another is asked. Without such a host the request is refused at once as not run. - The way to an endpoint is a table of functions chosen once for each send. - A host that is cut off leaves the entry directory. - A retry after a connection that never opened is not charged to the budget of retries: no endpoint saw it.

--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -201,10 +201,11 @@
   gt_relays_first_gossip_done (frontend->relays);
 }
 
-/* Withdraw this host from the entry addresses while its data is stale. A host
-   that can't reach the store will soon refuse requests with keys, so callers
-   are directed to hosts that can. If no host can, all addresses are given out
-   as before. */
+/* Withdraw this host from the entry addresses while its data is stale, or
+   while it reaches no endpoint. A host that can't reach the store will soon
+   refuse requests with keys, and one that reaches no endpoint burdens others
+   with its requests, so callers are directed to hosts that do. If no host
+   does, all addresses are given out as before. */
 static void
 frontend_check (void *arg, el_time_t now)
 {
@@ -214,13 +215,16 @@
               || !frontend->endpoints_known
               || now > frontend->store_as_of
                            + frontend_update_max_age (frontend) + STALE_SLACK;
-
-  if (stale != frontend->withdrawn)
-    EL_LOG (EL_LOG_INFO, stale ? "withdrawn" : "offered",
-            EL_FN ("config_age_us", now - frontend->store_as_of));
-  frontend->withdrawn = stale;
+  int cut_off = gt_relays_is_cut_off (frontend->relays);
+  int withdraw = stale || cut_off;
+
+  if (withdraw != frontend->withdrawn)
+    EL_LOG (EL_LOG_INFO, withdraw ? "withdrawn" : "offered",
+            EL_FN ("config_age_us", now - frontend->store_as_of),
+            EL_FN ("cut_off", cut_off));
+  frontend->withdrawn = withdraw;
   frontend_await_peers (frontend, now);
-  gt_gate_withdraw (frontend->gate, stale);
+  gt_gate_withdraw (frontend->gate, withdraw);
   frontend_update_gauges (frontend);
   frontend->gauge_planner = (uint64_t)st_duty_held (frontend->duty, now);
   net_clock_set (gt_gate_clock (frontend->gate), &frontend->check_timer,
--- a/elmarchd/frontend_relays.c
+++ b/elmarchd/frontend_relays.c
@@ -88,6 +88,40 @@
   gt_relays_lend (frontend->relays, request, is_lender, out);
 }
 
+typedef struct entry_visitor
+{
+  gt_entry_host_cb visit;
+  void *arg;
+} entry_visitor_t;
+
+static void
+frontend_visit_entry (void *arg, const co_member_t *member)
+{
+  const entry_visitor_t *visitor = arg;
+  const gt_entry_host_t host = { .address = member->http,
+                                 .hall = member->hall,
+                                 .capacity = member->capacity };
+
+  visitor->visit (visitor->arg, &host);
+}
+
+static void
+frontend_entry_hosts (void *arg, gt_entry_host_cb visit, void *visit_arg)
+{
+  const frontend_t *frontend = arg;
+  entry_visitor_t visitor = { visit, visit_arg };
+
+  gt_gate_visit_entries (frontend->gate, frontend_visit_entry, &visitor);
+}
+
+static int
+frontend_entry_is_live (void *arg, el_str_t address)
+{
+  const frontend_t *frontend = arg;
+
+  return gt_gate_entry_is_live (frontend->gate, address);
+}
+
 static json_t *
 frontend_suspects (void *arg)
 {
@@ -175,6 +209,8 @@
           .hall_hosts = frontend_count_hall_hosts,
           .is_poller = frontend_is_poller,
           .poll_done = frontend_poll_done,
+          .entry_hosts = frontend_entry_hosts,
+          .entry_is_live = frontend_entry_is_live,
           .host_incarnation = gt_gate_incarnation_number (frontend->gate),
           .publish = frontend_send_rumor,
           .borrow = frontend_borrow,
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -460,6 +460,20 @@
   return gate->draining ? SIZE_MAX : pr_peers_count_preferred (gate->peers);
 }
 
+/** Calls VISIT for each other host that is offered to callers. */
+void
+gt_gate_visit_entries (const gt_gate_t *gate, pr_entry_cb visit, void *arg)
+{
+  pr_peers_visit_entries (gate->peers, visit, arg);
+}
+
+/** Whether the host that callers use at ADDRESS is alive. */
+int
+gt_gate_entry_is_live (const gt_gate_t *gate, el_str_t address)
+{
+  return pr_peers_entry_is_live (gate->peers, address);
+}
+
 /** Appends the entry addresses for callers in HALL to LIST: hosts of that hall
     if enough of them are available, else of all halls. */
 void
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -108,6 +108,9 @@
 size_t gt_gate_live_hosts (const gt_gate_t *gate);
 size_t gt_gate_hall_live_hosts (const gt_gate_t *gate);
 size_t gt_gate_count_preferred (const gt_gate_t *gate);
+void gt_gate_visit_entries (const gt_gate_t *gate, pr_entry_cb visit,
+                            void *arg);
+int gt_gate_entry_is_live (const gt_gate_t *gate, el_str_t address);
 void gt_gate_entry_addresses (gt_gate_t *gate, el_str_t hall, json_t *list);
 
 #endif
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -134,12 +134,28 @@
   uint64_t refused_limit;    /**< refused: all endpoints' limits are used up */
   uint64_t sent_over_limit;  /**< sends to a limited endpoint without a token;
                                 stays 0 */
+  uint64_t over_host; /**< sends of requests to another host, which serves
+                         them */
+  uint64_t for_host;  /**< requests that came from another host */
+  uint64_t refused_unreached; /**< refused: no endpoint is reached */
+  uint64_t cuts;              /**< times that this host reached no endpoint */
+  uint64_t probes; /**< connects that show whether an endpoint is reached */
   uint64_t events;
   el_hist_t first_event; /**< arrival to first event, microseconds */
   el_hist_t answer;    /**< arrival to complete plain response, microseconds */
   el_hist_t event_gap; /**< between events, microseconds */
 } gt_relay_counts_t;
 
+/** A host to which callers may send requests. */
+typedef struct gt_entry_host
+{
+  el_str_t address; /**< for callers, ip:port */
+  el_str_t hall;
+  uint64_t capacity;
+} gt_entry_host_t;
+
+typedef void (*gt_entry_host_cb) (void *arg, const gt_entry_host_t *host);
+
 typedef struct gt_relay_options
 {
   net_clock_t *clock;
@@ -165,6 +181,11 @@
   /** Called when all slices have been polled: the reports may be sent to
       other hosts. */
   void (*poll_done) (void *arg);
+  /** Calls VISIT for each other live host that callers may use; may be
+      NULL. */
+  void (*entry_hosts) (void *arg, gt_entry_host_cb visit, void *visit_arg);
+  /** Returns whether the host that callers use at ADDRESS is live. */
+  int (*entry_is_live) (void *arg, el_str_t address);
   uint64_t host_incarnation; /**< identifies this host in crash reports */
   /** Publishes BODY as the rumor ID, which is gossiped for HOLD. */
   void (*publish) (void *arg, uint64_t id, el_time_t hold, el_str_t body);
@@ -211,6 +232,7 @@
 void gt_relays_first_gossip_done (gt_relays_t *relays);
 void gt_relays_store_epoch_began (gt_relays_t *relays);
 void gt_relays_persist_blocked (gt_relays_t *relays);
+int gt_relays_is_cut_off (const gt_relays_t *relays);
 int gt_relays_rules_outdated (const gt_relays_t *relays);
 void gt_relays_drain_connections (gt_relays_t *relays);
 void gt_relays_stop (gt_relays_t *relays);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -24,6 +24,36 @@
   UT_hash_handle hh;
 } relay_service_t;
 
+/* What this host knows of another one that serves requests for it. */
+typedef struct relay_helper
+{
+  el_str_t address;
+  unsigned running; /* requests of this host there */
+  el_time_t unusable_until;
+  UT_hash_handle hh;
+} relay_helper_t;
+
+/* What varies with the way that a request takes to an endpoint: from this
+   host, or over another one. */
+typedef struct relay_way
+{
+  void (*send) (gt_relay_t *relay, el_time_t now);
+  void (*event) (gt_relay_t *relay, el_time_t now);
+} relay_way_t;
+
+extern const relay_way_t relay_way_direct;
+extern const relay_way_t relay_way_over_host;
+
+/* Which endpoints this host reaches. */
+typedef struct relay_reach
+{
+  rt_reach_t all;           /* of the endpoints as a whole */
+  rt_reach_sample_t sample; /* decides whether this host is cut off */
+  size_t lost;              /* endpoints that are lost */
+  size_t next;              /* position among them of the next one to try */
+  el_timer_t timer;
+} relay_reach_t;
+
 struct gt_relays
 {
   gt_relay_options_t options;
@@ -36,6 +66,8 @@
   struct relay_check *checks;
   struct relay_blame *blame;
   struct relay_backoff *backoffs;
+  relay_reach_t reach;
+  relay_helper_t *helpers;
   el_time_t first_gossip_at; /* when the first gossip exchange completed; 0:
                                 not yet */
   el_timer_t poll;
@@ -75,12 +107,16 @@
   el_time_t received;
   el_time_t deadline;
   el_timer_t deadline_timer;
+  int forwarded;     /* another host sent it, which took it from the caller */
   int awaits_config; /* held until the host is ready to serve it */
   int ended;         /* the response is complete, or the caller disconnected */
 
   /* Current attempt. */
   net_exchange_t *exchange;
-  rt_target_t *target; /* the endpoint, or the first engine of the chain */
+  const relay_way_t *way;
+  relay_helper_t *helper; /* host that serves it; NULL: none */
+  unsigned helpers;       /* hosts that it was forwarded to */
+  rt_target_t *target;    /* the endpoint, or the first engine of the chain */
   rt_chain_t chain;
   el_time_t sent;
   el_time_t head_at; /* response head received: the request is executing; 0: no
@@ -155,17 +191,38 @@
 void relay_abort (gt_relay_t *relay, const char *reason);
 void relay_cancel_attempt (gt_relay_t *relay);
 void relay_abandon_attempt (gt_relay_t *relay);
+void relay_attempt_unsent (gt_relay_t *relay);
+void relay_attempt_body (void *arg, el_str_t bytes);
+void relay_attempt_ended (gt_relay_t *relay, const rt_attempt_t *attempt,
+                          const net_result_t *result);
+void relay_fail (gt_relay_t *relay, const char *reason);
 int relay_may_resume (gt_relay_t *relay);
 rt_target_t *relay_fault_target (gt_relay_t *relay,
                                  const net_result_t *result);
 
+/* relay_reach.c */
+void relay_reach_open (gt_relays_t *relays);
+void relay_reach_connected (gt_relays_t *relays, rt_target_t *target,
+                            el_time_t begun);
+void relay_reach_failed (gt_relays_t *relays, rt_target_t *target);
+void relay_reach_check (gt_relays_t *relays, rt_target_t *target);
+
+/* relay_forward.c */
+int relay_forward_read (gt_relay_t *relay);
+int relay_forward_is_own_header (el_str_t name);
+int relay_forward_pick (gt_relay_t *relay);
+void relay_forward_release (gt_relay_t *relay);
+void relay_forward_refuse (gt_relay_t *relay, el_time_t retry_after);
+
 /* relay_pick.c */
 
 /* Result of picking a target. */
 typedef enum relay_pick
 {
   RELAY_PICK_OK,
-  RELAY_PICK_WAIT, /* for a token; another attempt follows */
+  RELAY_PICK_WAIT,      /* for a token; another attempt follows */
+  RELAY_PICK_UNREACHED, /* this host does not reach the endpoints, and no other
+                           host is known that does */
   RELAY_PICK_NONE
 } relay_pick_t;
 
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -327,8 +327,10 @@
       return;
     }
   relay_estimate_tokens (relay);
-  rt_shared_budget_add_request (&relay_service (relays, service)->retry_budget,
-                                relay->received);
+  /* The host that took the request from the caller has counted it. */
+  if (!relay->forwarded)
+    rt_shared_budget_add_request (
+        &relay_service (relays, service)->retry_budget, relay->received);
   if (!relay_suspect_admit (relay))
     return;
   relay_start_deadline (relay);
@@ -401,6 +403,8 @@
   relay->received = net_clock_now (relays->options.clock);
   net_req_watch (req, relay_caller_disconnected, relay);
   relay->id = net_req_header (req, dialect->names.id);
+  relay->forwarded = relay_forward_read (relay);
+  relays->counts.for_host += relay->forwarded != 0;
   if (relays->stopping)
     {
       relays->counts.refused++;
@@ -432,6 +436,7 @@
   if (relays->server)
     {
       relay_blame_open (relays);
+      relay_reach_open (relays);
       relay_poll_start (relays);
       return relays;
     }
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -26,13 +26,11 @@
 /* Longest buffered response; streams are not buffered. */
 #define BUFFERED_BODY_MAX ((size_t)4 << 20)
 
-static void attempt_follow_up (gt_relay_t *relay, const rt_attempt_t *attempt,
-                               const net_result_t *result);
-
-/* Releases the target and chain of the current attempt. */
+/* Releases the target and chain, or the other host, of the current attempt. */
 static void
 attempt_release (gt_relay_t *relay)
 {
+  relay_forward_release (relay);
   rt_chain_release (&relay->chain);
   if (relay->target)
     {
@@ -82,9 +80,9 @@
                        wait + el_random (&relays->random) % (spread + 1));
 }
 
-/* Responds that the request may have been executed. */
-static void
-attempt_fail (gt_relay_t *relay, const char *reason)
+/** Responds that the request may have been executed. */
+void
+relay_fail (gt_relay_t *relay, const char *reason)
 {
   relay->relays->counts.failed++;
   relay_respond_error (relay, 502, reason, 0);
@@ -108,6 +106,15 @@
   el_hist_add (&counts->event_gap, gap);
 }
 
+/* An event of a stream that runs at an endpoint of this host. */
+static void
+direct_event (gt_relay_t *relay, el_time_t now)
+{
+  relay_blame_target_alive (relay->relays, relay->target);
+  rt_chain_progress (&relay->chain, now);
+  relay_watch_event (relay, now - relay->last_progress);
+}
+
 static void
 attempt_event (void *arg, el_str_t event, int has_id, uint64_t id)
 {
@@ -120,9 +127,7 @@
   if (has_id && relay->has_id && id <= relay->last_event_id)
     return; /* already forwarded by an earlier attempt */
   now = net_clock_now (relays->options.clock);
-  relay_blame_target_alive (relays, relay->target);
-  rt_chain_progress (&relay->chain, now);
-  relay_watch_event (relay, now - relay->last_progress);
+  relay->way->event (relay, now);
   record_event_time (relay, now);
   relay->last_event = now;
   relay->endpoint_waits = 0;
@@ -158,9 +163,9 @@
     relay_respond_head (relay, head);
 }
 
-/* Forwards complete events of a stream; buffers other responses. */
-static void
-attempt_body (void *arg, el_str_t bytes)
+/** Forwards complete events of a stream; buffers other responses. */
+void
+relay_attempt_body (void *arg, el_str_t bytes)
 {
   gt_relay_t *relay = arg;
 
@@ -195,7 +200,9 @@
                        || result->status == 408 || result->status == 421;
 
   *attempt = (rt_attempt_t){ .verdict = result->verdict,
-                             .begun = relay->response_started };
+                             .begun = relay->response_started,
+                             .unseen = result->net == NET_CONNECT_FAILED
+                                       || result->net == NET_CONNECT_REFUSED };
   if (result->net != NET_OK)
     return;
   attempt->verdict = EL_MAY_HAVE_RUN;
@@ -284,10 +291,20 @@
 
   el_time_t now = net_clock_now (relay->relays->options.clock);
 
+  relay_reach_connected (relay->relays, relay->target, relay->sent);
   return relay_backoff_permits (relay, now)
          && relay_limit_still_permits (relay, now);
 }
 
+static void
+attempt_record_reach (gt_relay_t *relay, const net_result_t *result)
+{
+  if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
+    relay_reach_failed (relay->relays, relay->target);
+  else if (result->net == NET_CONNECTION_LOST || result->net == NET_TIMEOUT)
+    relay_reach_check (relay->relays, relay->target);
+}
+
 static void
 attempt_done (void *arg, const net_result_t *result)
 {
@@ -304,6 +321,7 @@
   attempt_classify (relay, result, &attempt);
   if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
     relay_limit_not_sent (relay);
+  attempt_record_reach (relay, result);
   attempt_record_blame (relay, result, &attempt);
   attempt_record_health (relay, result, &attempt);
   if (relay->response_started && !relay->stream)
@@ -314,10 +332,11 @@
       attempt_release (relay);
       return;
     }
-  attempt_follow_up (relay, &attempt, result);
+  relay_attempt_ended (relay, &attempt, result);
 }
 
-/* Decides what follows an attempt. A retry is charged to the budget. */
+/* Decides what follows an attempt. A retry is charged to the budget, unless no
+   endpoint has seen the attempt. */
 static rt_next_t
 attempt_next (gt_relay_t *relay, const rt_attempt_t *attempt)
 {
@@ -327,7 +346,7 @@
   rt_next_t next
       = rt_attempts_next (&relay->attempts, relay->rule, attempt, 1, left);
 
-  if (next != RT_NEXT_RETRY || relay_retry_take (relay))
+  if (next != RT_NEXT_RETRY || attempt->unseen || relay_retry_take (relay))
     return next;
   relay->attempts = before;
   return rt_attempts_next (&relay->attempts, relay->rule, attempt, 0, left);
@@ -374,11 +393,11 @@
     relay_attempt (relay);
 }
 
-/* Handles an attempt whose response was not forwarded as a stream: forwards it
-   whole, retries, or responds with an error. */
-static void
-attempt_follow_up (gt_relay_t *relay, const rt_attempt_t *attempt,
-                   const net_result_t *result)
+/** Handles an attempt whose response was not forwarded as a stream: forwards
+   it whole, retries, or responds with an error. */
+void
+relay_attempt_ended (gt_relay_t *relay, const rt_attempt_t *attempt,
+                     const net_result_t *result)
 {
   rt_next_t next = attempt_next (relay, attempt);
 
@@ -399,7 +418,7 @@
   else if (next == RT_NEXT_REFUSE)
     attempt_refuse (relay, "not run");
   else
-    attempt_fail (relay, "may have run");
+    relay_fail (relay, "may have run");
 }
 
 /** Whether the stream may be resumed on another chain after the current
@@ -424,12 +443,13 @@
   relay_watch_stop (relay);
   net_client_cancel (relay->exchange);
   relay->exchange = NULL;
-  rt_tried_add (&relay->tried, relay->target);
-  attempt_follow_up (relay, &attempt, &result);
+  if (relay->target)
+    rt_tried_add (&relay->tried, relay->target);
+  relay_attempt_ended (relay, &attempt, &result);
 }
 
 static void
-attempt_send (gt_relay_t *relay, el_time_t now)
+direct_send (gt_relay_t *relay, el_time_t now)
 {
   const gt_relay_options_t *o = &relay->relays->options;
   const h2o_req_t *req = relay->req;
@@ -443,19 +463,13 @@
           .max_idle = relay->rule->kind == RT_UNSAFE ? UNSAFE_IDLE_MAX : 0,
           .allow = attempt_permitted,
           .head = attempt_head,
-          .body_part = attempt_body,
+          .body_part = relay_attempt_body,
           .done = attempt_done,
           .arg = relay };
 
   relay_head_build (relay, now, &head);
   send.headers = head.list;
   send.nheaders = head.n;
-  relay->refused = 0;
-  relay->wrong_id = 0;
-  relay->stream = 0;
-  relay->sent = now;
-  relay->head_at = 0;
-  relay->hints = (rt_hints_t){ 0 };
   relay->relays->counts.attempts++;
   relay_log_sent (relay, now);
   relay_backoff_sent (relay, now);
@@ -466,6 +480,30 @@
     relay_watch_start (relay);
 }
 
+const relay_way_t relay_way_direct
+    = { .send = direct_send, .event = direct_event };
+
+static void
+attempt_send (gt_relay_t *relay, el_time_t now)
+{
+  relay->refused = 0;
+  relay->wrong_id = 0;
+  relay->stream = 0;
+  relay->sent = now;
+  relay->head_at = 0;
+  relay->hints = (rt_hints_t){ 0 };
+  relay->way->send (relay, now);
+}
+
+/** Gives up an attempt of which nothing was sent, and starts another one. */
+void
+relay_attempt_unsent (gt_relay_t *relay)
+{
+  relay_limit_not_sent (relay);
+  relay_cancel_attempt (relay);
+  relay_attempt (relay);
+}
+
 /** Ends the request: cancels its attempt and responds with an error or aborts
     the response. */
 void
@@ -477,7 +515,7 @@
   if (relay->response_started)
     relay_respond_abort (relay, reason);
   else if (relay->attempts.may_run || sent)
-    attempt_fail (relay, reason);
+    relay_fail (relay, reason);
   else
     attempt_refuse (relay, reason);
 }
@@ -504,6 +542,11 @@
       return;
     case RELAY_PICK_WAIT:
       return;
+    case RELAY_PICK_UNREACHED:
+      if (relay->response_started || relay->attempts.may_run)
+        break;
+      relay_forward_refuse (relay, REFUSED_RETRY_AFTER);
+      return;
     case RELAY_PICK_NONE:
       break;
     }
@@ -512,7 +555,7 @@
   if (relay->response_started)
     relay_respond_abort (relay, "no endpoint to go on at");
   else if (relay->attempts.may_run)
-    attempt_fail (relay, "may have run, no endpoint left");
+    relay_fail (relay, "may have run, no endpoint left");
   else
     attempt_refuse (relay, "no endpoint");
 }
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -202,6 +202,10 @@
   relays->counts.silent++;
   rt_target_ref (engine);
   check_each_stream (relays, engine, relay_watch_engine_silent);
+  if (result == GT_CHECK_REFUSED)
+    relay_reach_failed (relays, engine);
+  else
+    relay_reach_check (relays, engine);
   if (result == GT_CHECK_REFUSED)
     relay_blame_connect_refused (relays, engine);
   if (engine->avail.gone)
--- a/gate/relay_head.c
+++ b/gate/relay_head.c
@@ -33,7 +33,7 @@
       && h2o_lcstris (name.ptr, name.len, names->resume,
                       strlen (names->resume)))
     return 0;
-  return gt_header_is_forwarded (name);
+  return gt_header_is_forwarded (name) && !relay_forward_is_own_header (name);
 }
 
 static void
--- a/gate/relay_pick.c
+++ b/gate/relay_pick.c
@@ -47,21 +47,60 @@
                                    o->hall, &relay->tried);
 }
 
-/** Picks the target of the next attempt. A target whose limit has no token
-   left is not picked again. */
+/* Whether some endpoint of the service is lost, so that another host may have
+   an endpoint for the request where this one has none. */
+static int
+service_has_lost (const gt_relay_t *relay)
+{
+  const rt_target_t *target;
+
+  for (target = rt_fleet_first (relay->relays->options.fleet); target;
+       target = target->hh.next)
+    if (target->reach.lost_at
+        && el_str_eq (target->attrs.service, relay->service->name))
+      return 1;
+  return 0;
+}
+
+/* Picks another host for a request whose best target here is TARGET, if this
+   host does not reach it. */
+static relay_pick_t
+pick_host (gt_relay_t *relay, const rt_target_t *target)
+{
+  gt_relays_t *relays = relay->relays;
+  int cut_off = gt_relays_is_cut_off (relays);
+
+  if (!cut_off && target && !target->reach.lost_at)
+    return RELAY_PICK_NONE;
+  if (!cut_off && !target && !service_has_lost (relay))
+    return RELAY_PICK_NONE;
+  if (relay_forward_pick (relay))
+    {
+      relay->way = &relay_way_over_host;
+      return RELAY_PICK_OK;
+    }
+  return cut_off || relay->forwarded ? RELAY_PICK_UNREACHED : RELAY_PICK_NONE;
+}
+
+/** Picks the target of the next attempt, or the host that serves the request.
+   A target whose limit has no token left is not picked again. */
 relay_pick_t
 relay_pick_target (gt_relay_t *relay, el_time_t now)
 {
   const gt_relay_options_t *o = &relay->relays->options;
   relay_permit_t permit;
+  relay_pick_t pick;
   rt_target_t *target;
 
   rt_fleet_set_hosts (o->fleet, o->hall_hosts (o->arg), o->hosts (o->arg));
   do
     {
       target = best_target (relay, now);
-      if (!target)
-        return RELAY_PICK_NONE;
+      pick = pick_host (relay, target);
+      if (pick != RELAY_PICK_NONE)
+        relay->chain.n = 0;
+      if (pick != RELAY_PICK_NONE || !target)
+        return pick;
       permit = relay_limit_permit (relay, target, now);
       if (permit != RELAY_PERMIT_SEND)
         relay->chain.n = 0;
@@ -76,6 +115,7 @@
       if (relay->attempts.sent == 0)
         rt_fleet_stream_sent (o->fleet, now, relay->tokens);
     }
+  relay->way = &relay_way_direct;
   relay->target = rt_target_ref (target);
   target->running++;
   return RELAY_PICK_OK;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -243,6 +243,13 @@
   exchange_free (ex);
 }
 
+/** Return whether any byte of the request may have left this host. */
+int
+net_exchange_is_sent (const net_exchange_t *ex)
+{
+  return ex->sent;
+}
+
 /** Return whether a header is called NAME, which is in lower case. */
 int
 net_header_is (const net_header_t *header, el_str_t name)
--- a/net/net.h
+++ b/net/net.h
@@ -151,6 +151,7 @@
                                  const net_request_t *request);
 const net_client_counts_t *net_client_counts (const net_client_t *client);
 void net_client_cancel (net_exchange_t *exchange);
+int net_exchange_is_sent (const net_exchange_t *exchange);
 int net_header_is (const net_header_t *header, el_str_t name);
 el_str_t net_result_header (const net_result_t *result, const char *name);
 
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -279,6 +279,10 @@
 size_t pr_peers_count_in_force (const pr_peers_t *peers, uint64_t revision);
 void pr_peers_list_entry_hosts (const pr_peers_t *peers, json_t *hosts,
                                 size_t max, uint64_t spread);
+typedef void (*pr_entry_cb) (void *arg, const co_member_t *member);
+void pr_peers_visit_entries (const pr_peers_t *peers, pr_entry_cb visit,
+                             void *arg);
+int pr_peers_entry_is_live (const pr_peers_t *peers, el_str_t address);
 void pr_peers_list_addresses (pr_peers_t *peers, el_str_t hall, json_t *list);
 json_t *pr_peers_dump (const pr_peers_t *peers);
 
--- a/peer/peer_entry.c
+++ b/peer/peer_entry.c
@@ -108,3 +108,56 @@
     }
   free (entries.list);
 }
+
+typedef struct entry_search
+{
+  const pr_peers_t *peers;
+  pr_entry_cb visit;
+  void *arg;
+} entry_search_t;
+
+static void
+entry_visit_other (void *arg, const co_member_t *member)
+{
+  entry_search_t *search = arg;
+
+  if (member->state == CO_MBR_ALIVE && member->offer == CO_MBR_OFFERED
+      && !co_incarnation_eq (&member->incarnation,
+                             &search->peers->options.incarnation))
+    search->visit (search->arg, member);
+}
+
+/** Call VISIT for each other host that is offered to callers. */
+void
+pr_peers_visit_entries (const pr_peers_t *peers, pr_entry_cb visit, void *arg)
+{
+  entry_search_t search = { peers, visit, arg };
+
+  co_members_visit (peers->members, entry_visit_other, &search);
+}
+
+typedef struct live_search
+{
+  el_str_t address;
+  int live;
+} live_search_t;
+
+static void
+live_visit (void *arg, const co_member_t *member)
+{
+  live_search_t *search = arg;
+
+  if (member->state == CO_MBR_ALIVE
+      && el_str_eq (member->http, search->address))
+    search->live = 1;
+}
+
+/** Whether the host that callers use at ADDRESS is alive. */
+int
+pr_peers_entry_is_live (const pr_peers_t *peers, el_str_t address)
+{
+  live_search_t search = { address, 0 };
+
+  co_members_visit (peers->members, live_visit, &search);
+  return search.live;
+}
--- a/route/avail.c
+++ b/route/avail.c
@@ -28,6 +28,7 @@
   [RT_UNAVAIL_CHANGED] = { "changed", RT_AVAIL_LAST_RESORT },
   [RT_UNAVAIL_FAILED] = { "failed", RT_AVAIL_LAST_RESORT },
   [RT_UNAVAIL_SILENT] = { "silent", RT_AVAIL_LAST_RESORT },
+  [RT_UNAVAIL_UNREACHED] = { "unreached", RT_AVAIL_LAST_RESORT },
   [RT_UNAVAIL_BACKOFF] = { "rests", RT_AVAIL_NONE },
   [RT_UNAVAIL_LEAVING] = { "leaves", RT_AVAIL_NONE },
   [RT_UNAVAIL_GONE] = { "gone", RT_AVAIL_NONE },
@@ -43,6 +44,8 @@
     return RT_UNAVAIL_LEAVING;
   if (now < avail->backoff_until)
     return RT_UNAVAIL_BACKOFF;
+  if (avail->unreached)
+    return RT_UNAVAIL_UNREACHED;
   if (avail->silent)
     return RT_UNAVAIL_SILENT;
   if (now < avail->ejected_until)
--- a/route/avail.h
+++ b/route/avail.h
@@ -32,16 +32,17 @@
 typedef enum rt_unavail
 {
   RT_UNAVAIL_NOTHING,
-  RT_UNAVAIL_SUSPECT, /**< a suspect request may crash it */
-  RT_UNAVAIL_TRIAL,   /**< its backoff is over; the first request since
-                         then is unanswered */
-  RT_UNAVAIL_BUSY,    /**< it refused a request: no capacity */
-  RT_UNAVAIL_CHANGED, /**< its listed attributes are out of date */
-  RT_UNAVAIL_FAILED,  /**< consecutive failures */
-  RT_UNAVAIL_SILENT,  /**< it did not answer a health check */
-  RT_UNAVAIL_BACKOFF, /**< it requested a backoff */
-  RT_UNAVAIL_LEAVING, /**< it gave notice that it will stop */
-  RT_UNAVAIL_GONE,    /**< it is no longer listed */
+  RT_UNAVAIL_SUSPECT,   /**< a suspect request may crash it */
+  RT_UNAVAIL_TRIAL,     /**< its backoff is over; the first request since
+                           then is unanswered */
+  RT_UNAVAIL_BUSY,      /**< it refused a request: no capacity */
+  RT_UNAVAIL_CHANGED,   /**< its listed attributes are out of date */
+  RT_UNAVAIL_FAILED,    /**< consecutive failures */
+  RT_UNAVAIL_SILENT,    /**< it did not answer a health check */
+  RT_UNAVAIL_UNREACHED, /**< this host can open no connection to it */
+  RT_UNAVAIL_BACKOFF,   /**< it requested a backoff */
+  RT_UNAVAIL_LEAVING,   /**< it gave notice that it will stop */
+  RT_UNAVAIL_GONE,      /**< it is no longer listed */
   RT_UNAVAIL_COUNT
 } rt_unavail_t;
 
@@ -60,6 +61,7 @@
 {
   int gone;                /**< no longer listed */
   int silent;              /**< did not answer a health check */
+  int unreached;           /**< no connection to it can be opened */
   el_time_t leaving_until; /**< EL_TIME_NEVER: until it exits */
   el_time_t backoff_since;
   el_time_t backoff_until;
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -404,6 +404,26 @@
   rt_avail_failed (&target->avail, now, &ejection, 0);
 }
 
+/** Records that no connection to TARGET could be opened at AT. Returns 1 if
+    this host reached it until then. */
+int
+rt_target_connect_failed (rt_target_t *target, el_time_t at)
+{
+  target->avail.unreached = 1;
+  return rt_reach_failed (&target->reach, at);
+}
+
+/** Records that a connection to TARGET, requested at BEGUN, is open. Returns 1
+    if this host reaches it again. */
+int
+rt_target_connected (rt_target_t *target, el_time_t begun, el_time_t now)
+{
+  if (!rt_reach_connected (&target->reach, begun, now))
+    return 0;
+  target->avail.unreached = 0;
+  return 1;
+}
+
 /** Records that TARGET's listed attributes are out of date: it holds other
     layers, or it is another instance. */
 void
--- a/route/relay.h
+++ b/route/relay.h
@@ -12,6 +12,7 @@
 #define ELMARCH_RELAY_H
 
 #include "avail.h"
+#include "reach.h"
 #include "base.h"
 #include "limit.h"
 #include "map.h"
@@ -174,6 +175,7 @@
   uint64_t epoch;  /**< epoch of the store when its entry was last reported */
   el_time_t listed_at; /**< time at which its entry was last reported */
   rt_avail_t avail;    /**< availability for new requests */
+  rt_reach_t reach;    /**< whether this host reaches it */
   rt_limit_t limit;    /**< limit on new requests, of all hosts together */
   unsigned running;    /**< requests of this host in flight there */
   unsigned chains;     /**< streams of this host whose chain includes it */
@@ -196,6 +198,7 @@
   el_time_t refused_at; /**< connections are refused since; 0: they are not */
   int reported_silent;  /**< another host got no answer to a health check; this
                            host has not checked it */
+  int probing;          /**< a connect that shows its reach is outstanding */
   double mean_ms;       /**< moving average of its response time */
   UT_hash_handle hh;
 } rt_target_t;
@@ -241,6 +244,8 @@
 el_time_t rt_fleet_available_at (const rt_fleet_t *fleet, el_time_t now,
                                  el_str_t service);
 void rt_target_failed (rt_target_t *target, el_time_t now);
+int rt_target_connect_failed (rt_target_t *target, el_time_t at);
+int rt_target_connected (rt_target_t *target, el_time_t begun, el_time_t now);
 void rt_target_changed (rt_target_t *target, el_time_t now);
 void rt_target_busy (rt_target_t *target, el_time_t now);
 int rt_target_report (rt_target_t *target, const rt_load_t *load,
@@ -404,6 +409,7 @@
   el_verdict_t verdict; /**< EL_NOT_RUN only if that is proven */
   int answered;         /**< a complete answer to this request arrived */
   int failed;           /**< the answer reports a failure */
+  int unseen;           /**< no part of it arrived at an endpoint */
   int begun; /**< the caller has already received a part of the answer */
 } rt_attempt_t;
 
--- a/tests/test.h
+++ b/tests/test.h
@@ -34,6 +34,7 @@
 Suite *restart_suite (void);
 Suite *restore_suite (void);
 Suite *partition_suite (void);
+Suite *reach_suite (void);
 Suite *epoch_suite (void);
 Suite *load_suite (void);
 Suite *net_suite (void);
