A cut-off host takes no endpoint for crashed; reach is judged by service

In the test eight innocent streams gave two endpoint_ended at a host whose connections were reset and refused.

Cause: relay_blame_target_alive took any answer from any endpoint for proof that the host is not cut off, so that all refusals before it were crashes. A stream that lives on while new connections are refused, an endpoint of another service, or the first answer after the cut gave that proof.

Change: only a connection that is requested after the refusal, to another endpoint of the same service, is proof; a sample of such connects is made for it. When it fails, the host is cut off from that service and drops what it held against its endpoints. The search for another engine whose check could prove it goes with it.

Reach is kept by service: a host may reach the engines and not the plain endpoints.

A plain request without a response for 0.2 s has its endpoint's reach checked: before, a hang was noticed by requests for engines alone, and a host with plain requests only gave 504 at each time limit (found by the test of all hosts cut off, which did not end). When a cut is found, requests not yet sent, or that may be repeated, take the other way at once.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -138,8 +138,9 @@
                          them */
   uint64_t for_host;  /**< requests that came from another host */
   uint64_t refused_unreached; /**< refused: no endpoint is reached */
-  uint64_t cuts;              /**< times that this host reached no endpoint */
-  uint64_t probes; /**< connects that show whether an endpoint is reached */
+  uint64_t cut_off; /**< services of which this host reaches no endpoint */
+  uint64_t cuts;    /**< times that a service became one of these */
+  uint64_t probes;  /**< connects that show whether an endpoint is reached */
   uint64_t events;
   el_hist_t first_event; /**< arrival to first event, microseconds */
   el_hist_t answer;    /**< arrival to complete plain response, microseconds */
@@ -232,7 +233,8 @@
 void gt_relays_first_gossip_done (gt_relays_t *relays);
 void gt_relays_store_epoch_began (gt_relays_t *relays);
 void gt_relays_persist_blocked (gt_relays_t *relays);
-int gt_relays_is_cut_off (const gt_relays_t *relays);
+int gt_relays_is_cut_off (gt_relays_t *relays);
+int gt_relays_is_cut_off_from_engines (const gt_relays_t *relays);
 int gt_relays_rules_outdated (const gt_relays_t *relays);
 void gt_relays_drain_connections (gt_relays_t *relays);
 void gt_relays_stop (gt_relays_t *relays);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -19,6 +19,11 @@
   char *name;
   rt_shared_budget_t retry_budget;
   uint64_t backoff_us;       /* total backoff of its endpoints */
+  rt_reach_t reach;          /* of its endpoints as a whole */
+  rt_reach_sample_t sample;  /* shows whether any of them is reached */
+  int sample_again;          /* one was lost since the sample began */
+  int engines;               /* its endpoints are engines; set at a loss */
+  size_t lost;               /* endpoints of it that are lost */
   el_time_t limit_return_at; /* latest return of a caller that was refused for
                                 a limit */
   UT_hash_handle hh;
@@ -44,13 +49,10 @@
 extern const relay_way_t relay_way_direct;
 extern const relay_way_t relay_way_over_host;
 
-/* Which endpoints this host reaches. */
+/* The search for endpoints that this host does not reach. */
 typedef struct relay_reach
 {
-  rt_reach_t all;           /* of the endpoints as a whole */
-  rt_reach_sample_t sample; /* decides whether this host is cut off */
-  size_t lost;              /* endpoints that are lost */
-  size_t next;              /* position among them of the next one to try */
+  size_t next; /* position among the lost endpoints of the next one to try */
   el_timer_t timer;
 } relay_reach_t;
 
@@ -197,6 +199,7 @@
                           const net_result_t *result);
 void relay_fail (gt_relay_t *relay, const char *reason);
 int relay_may_resume (gt_relay_t *relay);
+int relay_may_repeat (gt_relay_t *relay);
 rt_target_t *relay_fault_target (gt_relay_t *relay,
                                  const net_result_t *result);
 
@@ -206,6 +209,8 @@
                             el_time_t begun);
 void relay_reach_failed (gt_relays_t *relays, rt_target_t *target);
 void relay_reach_check (gt_relays_t *relays, rt_target_t *target);
+void relay_reach_prove (gt_relays_t *relays, rt_target_t *target);
+int relay_reach_is_cut_off (gt_relays_t *relays, el_str_t service);
 
 /* relay_forward.c */
 int relay_forward_read (gt_relay_t *relay);
@@ -251,10 +256,12 @@
 void relay_blame_close (gt_relays_t *relays);
 void relay_blame_run_interrupted (gt_relay_t *relay, rt_target_t *target);
 int relay_blame_is_pending (const gt_relays_t *relays, rt_digest_t digest);
+void relay_blame_cut_off (gt_relays_t *relays, el_str_t service);
 void relay_blame_connect_refused (gt_relays_t *relays, rt_target_t *target);
 void relay_blame_check_answered (gt_relays_t *relays,
                                  const rt_target_t *target, el_time_t sent_at);
-void relay_blame_target_alive (gt_relays_t *relays, const rt_target_t *target);
+void relay_blame_connected (gt_relays_t *relays, const rt_target_t *target,
+                            el_time_t begun);
 void relay_blame_completed (gt_relay_t *relay);
 rt_blame_status_t relay_blame_get_status (gt_relay_t *relay);
 rt_blame_t *relay_blame_table (const gt_relays_t *relays);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -23,6 +23,9 @@
 /* A lost connection triggers a health check unless one was sent this
    recently. */
 #define CHECK_INTERVAL_MIN (10 * EL_MSEC)
+/* A plain request without a response for this long may hang on a connection
+   that gets no packets. */
+#define RESPONSE_OVERDUE (200 * EL_MSEC)
 /* Longest buffered response; streams are not buffered. */
 #define BUFFERED_BODY_MAX ((size_t)4 << 20)
 
@@ -110,7 +113,6 @@
 static void
 direct_event (gt_relay_t *relay, el_time_t now)
 {
-  relay_blame_target_alive (relay->relays, relay->target);
   rt_chain_progress (&relay->chain, now);
   relay_watch_event (relay, now - relay->last_progress);
 }
@@ -258,8 +260,6 @@
 
   if (result->net == NET_CONNECT_REFUSED)
     relay_blame_connect_refused (relays, relay->target);
-  else if (result->net == NET_OK)
-    relay_blame_target_alive (relays, relay->target);
   if (attempt->answered)
     relay_blame_completed (relay);
   if (result->net != NET_CONNECTION_LOST || attempt->verdict == EL_NOT_RUN)
@@ -431,6 +431,15 @@
          && relay_retry_left (relay);
 }
 
+/** Whether the request may be sent once more. */
+int
+relay_may_repeat (gt_relay_t *relay)
+{
+  return (relay->rule->kind == RT_SAFE || relay->rule->resumable)
+         && relay->attempts.may_run + 1 < relay->rule->attempts
+         && relay_retry_left (relay);
+}
+
 /** Cancels the current attempt, counts it as possibly executed, and
     retries. */
 void
@@ -448,6 +457,17 @@
   relay_attempt_ended (relay, &attempt, &result);
 }
 
+/* The answer to a plain request is overdue. */
+static void
+direct_overdue (void *arg, el_time_t now)
+{
+  gt_relay_t *relay = arg;
+
+  (void)now;
+  if (!relay->head_at)
+    relay_reach_check (relay->relays, relay->target);
+}
+
 static void
 direct_send (gt_relay_t *relay, el_time_t now)
 {
@@ -477,7 +497,13 @@
   relay->exchange = net_client_send (o->client, &send);
   relay_head_free (&head);
   if (relay->chain.n)
-    relay_watch_start (relay);
+    {
+      relay_watch_start (relay);
+      return;
+    }
+  relay->watch_timer.cb = direct_overdue;
+  relay->watch_timer.arg = relay;
+  net_clock_set (o->clock, &relay->watch_timer, RESPONSE_OVERDUE);
 }
 
 const relay_way_t relay_way_direct
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -48,7 +48,7 @@
 {
   rt_target_t *target;
   rt_crash_report_t report;
-  int refused; /* the endpoint refuses connections */
+  el_time_t refused_at; /* the endpoint refuses connections since; 0: not */
   struct pending_run *prev;
   struct pending_run *next;
 } pending_run_t;
@@ -75,7 +75,7 @@
 {
   DL_DELETE (blame->pending, run);
   blame->npending--;
-  blame->npending_refused -= run->refused != 0;
+  blame->npending_refused -= run->refused_at != 0;
   rt_target_unref (run->target);
   free (run);
 }
@@ -119,7 +119,8 @@
           .ran = now - (relay->head_at ? relay->head_at : relay->sent),
           .first = target == relay->target };
 
-  if (!rt_target_is_leaving (target))
+  if (!rt_target_is_leaving (target)
+      && !relay_reach_is_cut_off (relays, target->attrs.service))
     pending_add (relays->blame, target, &report);
 }
 
@@ -205,35 +206,6 @@
   log_crash (target, evidence, runs);
 }
 
-/* Whether streams at other endpoints will show, without a health check, that
-   this host is not cut off. */
-static int
-has_streams_elsewhere (const gt_relays_t *relays, const rt_target_t *target)
-{
-  const gt_relay_t *relay;
-
-  DL_FOREACH (relays->running, relay)
-  if (relay->exchange && relay->stream && relay->target != target)
-    return 1;
-  return 0;
-}
-
-/* Picks another engine, whose answer would show that this host is not cut
-   off. */
-static rt_target_t *
-pick_other_engine (const gt_relays_t *relays, const rt_target_t *target)
-{
-  el_time_t now = net_clock_now (relays->options.clock);
-  rt_target_t *other;
-
-  for (other = rt_fleet_first (relays->options.fleet); other;
-       other = other->hh.next)
-    if (other != target && other->attrs.end > other->attrs.first
-        && rt_target_usable (other, now))
-      return other;
-  return NULL;
-}
-
 /* If another host reported that TARGET crashed and a second witness is needed,
    adds a pending report that concerns no request. */
 static void
@@ -249,35 +221,55 @@
     pending_add (relays->blame, target, &report);
 }
 
+/** This host is cut off from SERVICE: what it saw of its endpoints since is no
+    evidence of crashes. */
+void
+relay_blame_cut_off (gt_relays_t *relays, el_str_t service)
+{
+  relay_blame_t *blame = relays->blame;
+  pending_run_t *run;
+  pending_run_t *next;
+  size_t dropped = 0;
+
+  DL_FOREACH_SAFE (blame->pending, run, next)
+  if (el_str_eq (run->target->attrs.service, service))
+    {
+      pending_free (blame, run);
+      dropped++;
+    }
+  if (dropped)
+    EL_LOG (EL_LOG_INFO, "runs_dropped", EL_FS ("service", service),
+            EL_FN ("runs", dropped));
+}
+
 /** Handles a connection refused by TARGET: it has crashed, unless this host is
-    cut off. A health check of another endpoint decides that. */
+    cut off. Connects to other endpoints of its service decide that. */
 void
 relay_blame_connect_refused (gt_relays_t *relays, rt_target_t *target)
 {
   relay_blame_t *blame = relays->blame;
-  rt_target_t *other;
   pending_run_t *run;
 
+  if (relay_reach_is_cut_off (relays, target->attrs.service))
+    return;
   pending_add_check (relays, target);
   DL_FOREACH (blame->pending, run)
-  if (run->target == target && !run->refused)
+  if (run->target == target && !run->refused_at)
     {
-      run->refused = 1;
+      run->refused_at = net_clock_now (relays->options.clock);
       blame->npending_refused++;
     }
-  other = blame->npending_refused && !has_streams_elsewhere (relays, target)
-              ? pick_other_engine (relays, target)
-              : NULL;
-  if (other && relays->options.dialect->check)
-    relay_check_unless_recent (relays, other,
-                               net_clock_now (relays->options.clock)
-                                   - CHECK_INTERVAL_MIN);
+  if (blame->npending_refused)
+    relay_reach_prove (relays, target);
 }
 
-/** Handles any response or event from TARGET. It shows that this host is not
-    cut off: the other endpoints that refuse connections have crashed. */
+/** Handles that a connection to TARGET, requested at BEGUN, is open. It shows
+    that this host is not cut off from TARGET's service: the other endpoints of
+    the service that refused connections before have crashed. An answer on an
+    older connection would not show that. */
 void
-relay_blame_target_alive (gt_relays_t *relays, const rt_target_t *target)
+relay_blame_connected (gt_relays_t *relays, const rt_target_t *target,
+                       el_time_t begun)
 {
   const pending_run_t *run;
   rt_target_t *other;
@@ -285,7 +277,8 @@
   while (relays->blame->npending_refused)
     {
       DL_FOREACH (relays->blame->pending, run)
-      if (run->refused && run->target != target)
+      if (run->refused_at && run->refused_at <= begun && run->target != target
+          && el_str_eq (run->target->attrs.service, target->attrs.service))
         break;
       if (!run)
         return;
@@ -306,7 +299,6 @@
   pending_run_t *run;
   pending_run_t *next;
 
-  relay_blame_target_alive (relays, target);
   DL_FOREACH_SAFE (blame->pending, run, next)
   if (run->target == target && run->report.at <= sent_at
       && now < run->report.at + ALIVE_WINDOW)
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -31,6 +31,8 @@
 #define CHECK_INTERVAL_RESET (3 * EL_SEC)
 /* Interval between checks of a silent engine. */
 #define SILENT_RECHECK (400 * EL_MSEC)
+/* The same while this host reaches no engine; connects show when it does. */
+#define CUT_OFF_RECHECK (2 * EL_SEC)
 /* An engine is idle with less of its memory and slots in use. */
 #define IDLE_SHARE 0.02
 #define IDLE_PACE 1.1
@@ -180,7 +182,8 @@
     engine->news_at = net_clock_now (relays->options.clock);
   engine->reported_silent = 0;
   engine->avail.silent = !answered;
-  if (result == GT_CHECK_REFUSED && !engine->refused_at)
+  if (result == GT_CHECK_REFUSED && !engine->refused_at
+      && !gt_relays_is_cut_off (relays))
     engine->refused_at = check->sent;
   if (answered)
     engine->refused_at = 0;
@@ -211,7 +214,10 @@
   if (engine->avail.gone)
     check_free (check);
   else
-    net_clock_set (relays->options.clock, &check->recheck, SILENT_RECHECK);
+    net_clock_set (relays->options.clock, &check->recheck,
+                   relay_reach_is_cut_off (relays, engine->attrs.service)
+                       ? CUT_OFF_RECHECK
+                       : SILENT_RECHECK);
   rt_target_unref (engine);
 }
 
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -312,7 +312,7 @@
       return;
     }
   relay->helper->unusable_until = now + HELPER_UNUSABLE;
-  if (relay_may_resume (relay))
+  if (relay_may_repeat (relay))
     relay_abandon_attempt (relay);
 }
 
@@ -389,8 +389,10 @@
           EL_FN ("attempt", relay->attempts.sent + 1),
           EL_FN ("may_have_run", relay->attempts.may_run),
           EL_FN ("running", relay->helper->running),
-          EL_FN ("cut_off", gt_relays_is_cut_off (relay->relays)),
-          EL_FN ("lost", relay->relays->reach.lost));
+          EL_FN ("cut_off",
+                 relay_reach_is_cut_off (relay->relays, relay->service->name)),
+          EL_FN ("lost",
+                 relay_service (relay->relays, relay->service->name)->lost));
   relay->exchange = net_client_send (o->client, &send);
   free (list);
   relay->watch_timer.cb = forward_check_helper;
--- a/gate/relay_pick.c
+++ b/gate/relay_pick.c
@@ -47,32 +47,18 @@
                                    o->hall, &relay->tried);
 }
 
-/* Whether some endpoint of the service is lost, so that another host may have
-   an endpoint for the request where this one has none. */
-static int
-service_has_lost (const gt_relay_t *relay)
-{
-  const rt_target_t *target;
-
-  for (target = rt_fleet_first (relay->relays->options.fleet); target;
-       target = target->hh.next)
-    if (target->reach.lost_at
-        && el_str_eq (target->attrs.service, relay->service->name))
-      return 1;
-  return 0;
-}
-
 /* Picks another host for a request whose best target here is TARGET, if this
    host does not reach it. */
 static relay_pick_t
 pick_host (gt_relay_t *relay, const rt_target_t *target)
 {
   gt_relays_t *relays = relay->relays;
-  int cut_off = gt_relays_is_cut_off (relays);
+  int cut_off = relay_reach_is_cut_off (relays, relay->service->name);
 
   if (!cut_off && target && !target->reach.lost_at)
     return RELAY_PICK_NONE;
-  if (!cut_off && !target && !service_has_lost (relay))
+  if (!cut_off && !target
+      && !relay_service (relays, relay->service->name)->lost)
     return RELAY_PICK_NONE;
   if (relay_forward_pick (relay))
     {
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -5,8 +5,9 @@
 /** @file
  * Which endpoints this host reaches. An endpoint to which no connection can be
  * opened may be gone, or this host may be cut off from it. As soon as one is
- * lost, connections to a sample of others show whether this host is cut off
- * from all of them. Lost endpoints are tried until they are regained.
+ * lost, connections to a sample of the others of its service show whether this
+ * host is cut off from the service. Lost endpoints are tried until they are
+ * regained.
  */
 #include "librelay.h"
 
@@ -18,111 +19,190 @@
 #define PROBES_MAX 4
 /* Endpoints in a sample. */
 #define SAMPLE_MAX 3
-/* A sample that found some endpoint holds for this long. */
-#define SAMPLE_VALID (200 * EL_MSEC)
 /* A cut is noticed at most this long after the first endpoint is lost. */
 #define CUT_NOTICED (1 * EL_SEC)
+/* Engines that crash together are not listed any more after a while. */
+#define CUT_SETTLED (1 * EL_SEC)
+/* An endpoint is not checked again for this long. */
+#define CHECK_INTERVAL (1 * EL_SEC)
 
 typedef struct reach_probe
 {
   gt_relays_t *relays;
   rt_target_t *target;
+  relay_service_t *service;
   el_time_t begun;
   int sampled; /* it belongs to the sample */
 } reach_probe_t;
 
-static void reach_sample (gt_relays_t *relays);
+static void reach_sample (gt_relays_t *relays, relay_service_t *service);
 
-/* Requests of this host that were not sent yet look for another way. */
+static relay_service_t *
+reach_service (gt_relays_t *relays, const rt_target_t *target)
+{
+  return relay_service (relays, target->attrs.service);
+}
+
+/** Whether this host reaches no endpoint of SERVICE. */
+int
+relay_reach_is_cut_off (gt_relays_t *relays, el_str_t service)
+{
+  return relay_service (relays, service)->reach.lost_at != 0;
+}
+
+/** Whether this host reaches no endpoint of any service. */
+int
+gt_relays_is_cut_off (gt_relays_t *relays)
+{
+  const rt_target_t *target = rt_fleet_first (relays->options.fleet);
+
+  if (!relays->counts.cut_off)
+    return 0;
+  for (; target; target = target->hh.next)
+    if (!reach_service (relays, target)->reach.lost_at)
+      return 0;
+  return 1;
+}
+
+/** Whether this host has reached no engine of some service for some time.
+   Until then it may be the engines that are gone. */
+int
+gt_relays_is_cut_off_from_engines (const gt_relays_t *relays)
+{
+  el_time_t now = net_clock_now (relays->options.clock);
+  const relay_service_t *service;
+
+  for (service = relays->services; service; service = service->hh.next)
+    if (service->engines && service->reach.lost_at
+        && now >= service->reach.lost_at + CUT_SETTLED)
+      return 1;
+  return 0;
+}
+
+/* Requests that were not sent yet, or that may be repeated and have no answer,
+   look for another way. */
 static void
-reach_move_unsent (gt_relays_t *relays)
+reach_move_requests (gt_relays_t *relays, const relay_service_t *service)
 {
   gt_relay_t *relay;
   gt_relay_t *next;
 
   DL_FOREACH_SAFE (relays->running, relay, next)
   if (!relay->ended && relay->exchange && relay->target
-      && !net_exchange_is_sent (relay->exchange))
-    relay_attempt_unsent (relay);
+      && el_str_eq (relay->target->attrs.service, el_str (service->name)))
+    {
+      if (!net_exchange_is_sent (relay->exchange))
+        relay_attempt_unsent (relay);
+      else if (!relay->head_at && relay_may_repeat (relay))
+        relay_abandon_attempt (relay);
+    }
 }
 
-/** Whether this host reaches no endpoint. */
-int
-gt_relays_is_cut_off (const gt_relays_t *relays)
+/* Takes back what this host concluded of endpoints that it does not reach.
+   Other hosts may have been told that engines are silent. */
+static void
+reach_retract (gt_relays_t *relays, relay_service_t *service)
 {
-  return relays->reach.all.lost_at != 0;
+  el_time_t now = net_clock_now (relays->options.clock);
+  int reaches_none = gt_relays_is_cut_off (relays);
+  rt_target_t *target;
+
+  for (target = rt_fleet_first (relays->options.fleet); target;
+       target = target->hh.next)
+    if (reach_service (relays, target) == service)
+      {
+        /* If this host reaches other services, the engines may have crashed
+           under the planner's orders. */
+        if (reaches_none)
+          target->refused_at = 0;
+        if (target->avail.silent)
+          target->news_at = now;
+      }
 }
 
 static void
-reach_set_cut_off (gt_relays_t *relays)
+reach_set_cut_off (gt_relays_t *relays, relay_service_t *service)
 {
   el_time_t now = net_clock_now (relays->options.clock);
 
-  if (!rt_reach_failed (&relays->reach.all, now))
+  if (!rt_reach_failed (&service->reach, now))
     return;
   relays->counts.cuts++;
-  EL_LOG (EL_LOG_WARN, "host_cut_off",
-          EL_FN ("sampled", relays->reach.sample.failed),
-          EL_FN ("sampled_us", now - relays->reach.sample.begun),
-          EL_FN ("lost", relays->reach.lost),
-          EL_FN ("requests", relays->nrunning));
-  reach_move_unsent (relays);
+  relays->counts.cut_off++;
+  EL_LOG (EL_LOG_WARN, "host_cut_off", EL_FC ("service", service->name),
+          EL_FN ("sampled", service->sample.failed),
+          EL_FN ("sampled_us", now - service->sample.begun),
+          EL_FN ("lost", service->lost), EL_FN ("requests", relays->nrunning));
+  relay_blame_cut_off (relays, el_str (service->name));
+  reach_retract (relays, service);
+  reach_move_requests (relays, service);
 }
 
 /* Regains the endpoints that were lost because this host was cut off at
    CUT_AT. */
 static void
-reach_regain_all (gt_relays_t *relays, el_time_t cut_at, el_time_t now)
+reach_regain_all (gt_relays_t *relays, relay_service_t *service,
+                  el_time_t cut_at, el_time_t now)
 {
   rt_target_t *target;
 
   for (target = rt_fleet_first (relays->options.fleet); target;
        target = target->hh.next)
-    if (target->reach.lost_at && target->reach.lost_at + CUT_NOTICED > cut_at)
+    if (target->reach.lost_at && target->reach.lost_at + CUT_NOTICED > cut_at
+        && reach_service (relays, target) == service)
       {
         target->reach = (rt_reach_t){ .regained_at = now };
         target->avail.unreached = 0;
-        relays->reach.lost--;
+        service->lost--;
+        if (target->avail.silent)
+          relay_check_unless_recent (relays, target, now);
       }
 }
 
-static void
-reach_note_connected (gt_relays_t *relays, rt_target_t *target,
-                      el_time_t begun)
+/** Records that a connection to TARGET, requested at BEGUN, is open. */
+void
+relay_reach_connected (gt_relays_t *relays, rt_target_t *target,
+                       el_time_t begun)
 {
+  relay_service_t *service = reach_service (relays, target);
   el_time_t now = net_clock_now (relays->options.clock);
   el_time_t lost_at = target->reach.lost_at;
-  el_time_t cut_at = relays->reach.all.lost_at;
+  el_time_t cut_at = service->reach.lost_at;
 
   if (rt_target_connected (target, begun, now))
     {
-      relays->reach.lost--;
+      service->lost--;
       EL_LOG (EL_LOG_INFO, "endpoint_reached",
               EL_FS ("endpoint", target->attrs.id),
               EL_FN ("lost_us", now - lost_at));
     }
-  if (!rt_reach_connected (&relays->reach.all, begun, now))
+  relay_blame_connected (relays, target, begun);
+  if (!rt_reach_connected (&service->reach, begun, now))
     return;
-  reach_regain_all (relays, cut_at, now);
+  relays->counts.cut_off--;
+  reach_regain_all (relays, service, cut_at, now);
   EL_LOG (EL_LOG_WARN, "host_reaches_endpoints",
+          EL_FC ("service", service->name),
           EL_FS ("endpoint", target->attrs.id), EL_FN ("cut_us", now - cut_at),
-          EL_FN ("lost", relays->reach.lost));
+          EL_FN ("lost", service->lost));
 }
 
-static void
-reach_note_failed (gt_relays_t *relays, rt_target_t *target)
+/** Records that no connection to TARGET could be opened. */
+void
+relay_reach_failed (gt_relays_t *relays, rt_target_t *target)
 {
+  relay_service_t *service = reach_service (relays, target);
   el_time_t now = net_clock_now (relays->options.clock);
 
   if (target->avail.gone || !rt_target_connect_failed (target, now))
     return;
-  relays->reach.lost++;
-  EL_LOG (EL_LOG_INFO, "endpoint_unreached",
-          EL_FS ("endpoint", target->attrs.id),
-          EL_FS ("address", target->attrs.address),
-          EL_FN ("lost", relays->reach.lost),
-          EL_FN ("cut_off", gt_relays_is_cut_off (relays)));
-  reach_sample (relays);
+  service->lost++;
+  service->engines = target->attrs.card.len != 0;
+  EL_LOG (
+      EL_LOG_INFO, "endpoint_unreached", EL_FS ("endpoint", target->attrs.id),
+      EL_FS ("address", target->attrs.address), EL_FN ("lost", service->lost),
+      EL_FN ("cut_off", service->reach.lost_at != 0));
+  reach_sample (relays, service);
   if (!relays->reach.timer.heap_index)
     net_clock_set (relays->options.clock, &relays->reach.timer,
                    PROBE_INTERVAL);
@@ -141,17 +221,19 @@
 {
   reach_probe_t *probe = arg;
   gt_relays_t *relays = probe->relays;
+  relay_service_t *service = probe->service;
   int connected = result->net == NET_WITHHELD;
 
   probe->target->probing = 0;
   if (connected)
-    reach_note_connected (relays, probe->target, probe->begun);
+    relay_reach_connected (relays, probe->target, probe->begun);
   else
-    reach_note_failed (relays, probe->target);
+    relay_reach_failed (relays, probe->target);
   if (probe->sampled
-      && rt_reach_sample_add (&relays->reach.sample, connected)
-             == RT_REACH_NONE)
-    reach_set_cut_off (relays);
+      && rt_reach_sample_add (&service->sample, connected) == RT_REACH_NONE)
+    reach_set_cut_off (relays, service);
+  if (service->sample_again && !service->sample.pending)
+    reach_sample (relays, service);
   rt_target_unref (probe->target);
   free (probe);
 }
@@ -160,6 +242,7 @@
 probe_send (gt_relays_t *relays, rt_target_t *target, int sampled)
 {
   reach_probe_t *probe = el_alloc (sizeof *probe);
+  el_time_t now = net_clock_now (relays->options.clock);
   const net_request_t request = { .address = target->attrs.address,
                                   .method = EL_STR ("GET"),
                                   .path = EL_STR ("/"),
@@ -170,38 +253,39 @@
                                   .arg = probe };
 
   *probe = (reach_probe_t){ relays, rt_target_ref (target),
-                            net_clock_now (relays->options.clock), sampled };
+                            reach_service (relays, target), now, sampled };
   target->probing = 1;
+  target->probed_at = now;
   relays->counts.probes++;
   net_client_send (relays->options.client, &request);
 }
 
 static int
-reach_may_sample (const rt_target_t *target)
+reach_may_sample (gt_relays_t *relays, const relay_service_t *service,
+                  const rt_target_t *target)
 {
   return !target->reach.lost_at && !target->probing
-         && !rt_target_is_leaving (target);
+         && !rt_target_is_leaving (target)
+         && reach_service (relays, target) == service;
 }
 
-/* Connects to endpoints that are not lost, chosen at random. If all of them
-   are lost, this host is cut off, or all of them are gone. */
+/* Connects to endpoints of SERVICE that are not lost, chosen at random. If all
+   of them are lost, this host is cut off, or all of them are gone. */
 static void
-reach_sample (gt_relays_t *relays)
+reach_sample (gt_relays_t *relays, relay_service_t *service)
 {
-  rt_reach_sample_t *sample = &relays->reach.sample;
-  el_time_t now = net_clock_now (relays->options.clock);
   rt_target_t *chosen[SAMPLE_MAX];
   rt_target_t *target;
   unsigned seen = 0;
   unsigned n;
   uint64_t at;
 
-  if (gt_relays_is_cut_off (relays) || sample->pending
-      || (sample->connected && now < sample->begun + SAMPLE_VALID))
+  service->sample_again = service->sample.pending != 0;
+  if (service->reach.lost_at || service->sample.pending)
     return;
   for (target = rt_fleet_first (relays->options.fleet); target;
        target = target->hh.next)
-    if (reach_may_sample (target))
+    if (reach_may_sample (relays, service, target))
       {
         at = seen < SAMPLE_MAX ? seen
                                : el_random (&relays->random) % (seen + 1);
@@ -210,11 +294,32 @@
         seen++;
       }
   n = seen < SAMPLE_MAX ? seen : SAMPLE_MAX;
-  rt_reach_sample_begin (sample, now, n);
+  rt_reach_sample_begin (&service->sample,
+                         net_clock_now (relays->options.clock), n);
   while (n)
     probe_send (relays, chosen[--n], 1);
-  if (!seen && relays->reach.lost)
-    reach_set_cut_off (relays);
+  if (!seen)
+    reach_set_cut_off (relays, service);
+}
+
+/* Counts the lost endpoints anew, as some may have gone. */
+static void
+reach_recount (gt_relays_t *relays, el_time_t now)
+{
+  const rt_target_t *target;
+  relay_service_t *service;
+
+  for (service = relays->services; service; service = service->hh.next)
+    service->lost = 0;
+  for (target = rt_fleet_first (relays->options.fleet); target;
+       target = target->hh.next)
+    reach_service (relays, target)->lost += target->reach.lost_at != 0;
+  for (service = relays->services; service; service = service->hh.next)
+    if (!service->lost && service->reach.lost_at)
+      {
+        relays->counts.cut_off--;
+        service->reach = (rt_reach_t){ .regained_at = now };
+      }
 }
 
 /* Tries lost endpoints, starting after those that were tried last. */
@@ -226,25 +331,18 @@
   size_t lost = 0;
   size_t probes = 0;
 
-  (void)now;
   for (target = rt_fleet_first (relays->options.fleet); target;
        target = target->hh.next)
-    if (target->reach.lost_at)
+    if (target->reach.lost_at && ++lost > relays->reach.next
+        && probes < PROBES_MAX && !target->probing)
       {
-        lost++;
-        if (lost > relays->reach.next && probes < PROBES_MAX
-            && !target->probing)
-          {
-            probe_send (relays, target, 0);
-            probes++;
-            relays->reach.next = lost;
-          }
+        probe_send (relays, target, 0);
+        probes++;
+        relays->reach.next = lost;
       }
   if (probes < PROBES_MAX)
     relays->reach.next = 0;
-  relays->reach.lost = lost;
-  if (!lost && gt_relays_is_cut_off (relays))
-    relays->reach.all = (rt_reach_t){ .regained_at = now };
+  reach_recount (relays, now);
   if (lost)
     net_clock_set (relays->options.clock, &relays->reach.timer,
                    PROBE_INTERVAL);
@@ -258,27 +356,27 @@
   relays->reach.timer.arg = relays;
 }
 
-/** Records that a connection to TARGET, requested at BEGUN, is open. */
-void
-relay_reach_connected (gt_relays_t *relays, rt_target_t *target,
-                       el_time_t begun)
-{
-  reach_note_connected (relays, target, begun);
-}
-
-/** Records that no connection to TARGET could be opened. */
-void
-relay_reach_failed (gt_relays_t *relays, rt_target_t *target)
-{
-  reach_note_failed (relays, target);
-}
-
 /** Finds out whether this host reaches TARGET, which does not answer or has
     closed a connection. */
 void
 relay_reach_check (gt_relays_t *relays, rt_target_t *target)
 {
+  el_time_t now = net_clock_now (relays->options.clock);
+
   if (!target->probing && !target->reach.lost_at && !target->avail.gone
-      && !gt_relays_is_cut_off (relays))
+      && (!target->probed_at || now >= target->probed_at + CHECK_INTERVAL)
+      && !reach_service (relays, target)->reach.lost_at)
     probe_send (relays, target, 0);
 }
+
+/** Connects to other endpoints of TARGET's service, which refuses connections,
+    unless that is being done. */
+void
+relay_reach_prove (gt_relays_t *relays, rt_target_t *target)
+{
+  relay_service_t *service = reach_service (relays, target);
+
+  if (!service->sample.pending
+      || service->sample.begun < net_clock_now (relays->options.clock))
+    reach_sample (relays, service);
+}
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -6,7 +6,9 @@
  * Tests of hosts that are cut off from the endpoints, with real processes.
  * Callers, the store and the other hosts still reach them.
  */
+#include <signal.h>
 #include <stdio.h>
+#include <time.h>
 
 #include "site.h"
 #include "test.h"
@@ -22,6 +24,9 @@
    platform has it. */
 #define CONTACT_STEPS 600
 #define ROUNDS 10
+#define STREAMS 8
+/* Polls that take a good second. */
+#define FREEZE_STEPS 220
 
 static void
 hosts_cut (char how)
@@ -82,6 +87,253 @@
 }
 END_TEST
 
+/* Waits until HOST knows that it reaches no endpoint, with a request now and
+   then that lets it notice. */
+static void
+wait_cut_off (size_t host)
+{
+  reply_t reply;
+  char id[64];
+  int i;
+
+  for (i = 0; i < WAIT_STEPS_MAX
+              && !metric_value (&site.hosts[host], "elmarch_relay_cut_off");
+       i++)
+    {
+      snprintf (id, sizeof id, "notice-%zu-%d", host, i);
+      send_request (host, "GET", "/look/x", id, &reply);
+      reply_free (&reply);
+      poll_sleep ();
+    }
+  ck_assert_int_lt (i, WAIT_STEPS_MAX);
+}
+
+static int64_t
+workers_value (const char *name)
+{
+  return member_value (&site.workers[0], name)
+         + member_value (&site.workers[1], name);
+}
+
+START_TEST (test_request_over_another_host_runs_once)
+{
+  int64_t runs;
+  reply_t reply;
+  char id[64];
+  int i;
+
+  site_cut_enable ();
+  site_start (2);
+  site_cut (0, 'r');
+  wait_cut_off (0);
+  runs = workers_value ("runs");
+  for (i = 0; i < ROUNDS; i++)
+    {
+      snprintf (id, sizeof id, "once-%d", i);
+      send_request (0, "POST", "/pay/x", id, &reply);
+      ck_assert_int_eq (reply.status, 200);
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (workers_value ("runs"), runs + ROUNDS);
+  set_fault (&site.workers[0], "{\"fault\":\"lose\"}");
+  set_fault (&site.workers[1], "{\"fault\":\"lose\"}");
+  runs = workers_value ("runs");
+  send_request (0, "POST", "/pay/x", "lost", &reply);
+  ck_assert_int_eq (reply.status, 502);
+  reply_free (&reply);
+  ck_assert_int_eq (workers_value ("runs"), runs + 1);
+}
+END_TEST
+
+/* Nobody reaches an endpoint: refused at once as not run, and no host forwards
+   what another one forwarded. */
+START_TEST (test_requests_are_refused_at_once_when_all_hosts_are_cut_off)
+{
+  struct timespec from;
+  struct timespec to;
+  uint64_t forwarded = 0;
+  uint64_t received = 0;
+  char header[64];
+  reply_t reply;
+  size_t i;
+
+  site_cut_enable ();
+  site_start (SITE_HOSTS);
+  for (i = 0; i < SITE_HOSTS; i++)
+    site_cut (i, 'h');
+  for (i = 0; i < SITE_HOSTS; i++)
+    wait_cut_off (i);
+  clock_gettime (CLOCK_MONOTONIC, &from);
+  for (i = 0; i < ROUNDS; i++)
+    {
+      send_request (i % SITE_HOSTS, "POST", "/pay/x", "all", &reply);
+      ck_assert_int_eq (reply.status, 503);
+      reply_header (&reply, "retry-after", header, sizeof header);
+      ck_assert (strtod (header, NULL) > 0);
+      reply_free (&reply);
+    }
+  clock_gettime (CLOCK_MONOTONIC, &to);
+  ck_assert_int_lt (to.tv_sec - from.tv_sec, 2);
+  for (i = 0; i < SITE_HOSTS; i++)
+    {
+      forwarded
+          += metric_value (&site.hosts[i], "elmarch_relay_over_host_total");
+      received
+          += metric_value (&site.hosts[i], "elmarch_relay_for_host_total");
+    }
+  ck_assert_uint_eq (forwarded, received);
+  ck_assert_uint_lt (forwarded, (SITE_HOSTS + ROUNDS) * SITE_HOSTS);
+}
+END_TEST
+
+START_TEST (test_revoked_key_is_refused_over_another_host)
+{
+  reply_t reply;
+  long status = 0;
+  int i;
+
+  site_cut_enable ();
+  site_start (2);
+  site_cut (0, 'r');
+  wait_cut_off (0);
+  site_put_config (2, "[\"another-key\"]");
+  for (i = 0; i < WAIT_STEPS_MAX && status != 401; i++)
+    {
+      send_request (0, "GET", "/look/x", "revoked", &reply);
+      status = reply.status;
+      ck_assert (status == 200 || status == 401 || status == 503);
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (status, 401);
+}
+END_TEST
+
+START_TEST (test_caller_disconnect_over_another_host_cancels_work)
+{
+  caller_t caller;
+  int64_t gone;
+  size_t e;
+  int i;
+
+  site_cut_enable ();
+  site_start (2);
+  site_cut (0, 'r');
+  wait_cut_off (0);
+  stream_start (&caller, 0, "leaves");
+  caller_wait_body (&caller, 60);
+  caller_disconnect (&caller);
+  caller_join (&caller);
+  reply_free (&caller.reply);
+  for (i = 0; i < WAIT_STEPS_MAX; i++)
+    {
+      for (e = 0, gone = 0; e < SITE_ENGINES; e++)
+        gone += member_value (&site.engines[e], "gone");
+      if (gone)
+        return;
+      poll_sleep ();
+    }
+  ck_abort_msg ("the engine did not cancel the request");
+}
+END_TEST
+
+/* A stream that runs when its host is cut off goes on over another host, with
+   every event once. */
+START_TEST (test_stream_goes_on_over_another_host)
+{
+  caller_t caller;
+
+  site_cut_enable ();
+  site_start (2);
+  stream_start (&caller, 0, "goes-on");
+  caller_wait_body (&caller, 60);
+  site_cut (0, cuts[_i]);
+  caller_join (&caller);
+  assert_stream_complete (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
+START_TEST (test_host_serves_by_itself_after_a_cut)
+{
+  uint64_t forwarded;
+  int round;
+
+  site_cut_enable ();
+  site_start (2);
+  site_cut (0, cuts[_i]);
+  wait_cut_off (0);
+  site_cut (0, 0);
+  metric_wait_value (&site.hosts[0], "elmarch_relay_cut_off", 0);
+  forwarded = metric_value (&site.hosts[0], "elmarch_relay_over_host_total");
+  for (round = 0; round < ROUNDS; round++)
+    ck_assert_uint_eq (send_each_kind (0, "after", round), 0);
+  ck_assert_uint_eq (
+      metric_value (&site.hosts[0], "elmarch_relay_over_host_total"),
+      forwarded);
+}
+END_TEST
+
+/* Endpoints stand still for a second and go on. */
+START_TEST (test_frozen_endpoints_do_not_cut_a_host_off)
+{
+  size_t i;
+
+  site_start (2);
+  for (i = 0; i < SITE_ENGINES; i++)
+    proc_signal (&site.engines[i], SIGSTOP);
+  for (i = 0; i < SITE_WORKERS; i++)
+    proc_signal (&site.workers[i], SIGSTOP);
+  for (i = 0; i < FREEZE_STEPS; i++)
+    poll_sleep ();
+  for (i = 0; i < SITE_ENGINES; i++)
+    proc_signal (&site.engines[i], SIGCONT);
+  for (i = 0; i < SITE_WORKERS; i++)
+    proc_signal (&site.workers[i], SIGCONT);
+  ck_assert_uint_eq (send_each_kind (0, "thawed", 0), 0);
+  ck_assert_uint_eq (metric_value (&site.hosts[0], "elmarch_relay_cuts_total"),
+                     0);
+}
+END_TEST
+
+/* A host that is cut off takes no endpoint for crashed, so that no request is
+   suspected of it. */
+START_TEST (test_cut_off_host_reports_no_crashes)
+{
+  caller_t streams[STREAMS];
+  char id[64];
+  size_t host;
+  int i;
+
+  site_cut_enable ();
+  site_start (SITE_HOSTS);
+  for (i = 0; i < STREAMS; i++)
+    {
+      snprintf (id, sizeof id, "innocent-%d", i);
+      stream_start (&streams[i], 0, id);
+    }
+  for (i = 0; i < STREAMS; i++)
+    caller_wait_body (&streams[i], 60);
+  site_cut (0, cuts[_i]);
+  for (i = 0; i < STREAMS; i++)
+    {
+      caller_join (&streams[i]);
+      reply_free (&streams[i].reply);
+    }
+  wait_cut_off (0);
+  site_cut (0, 0);
+  metric_wait_value (&site.hosts[0], "elmarch_relay_cut_off", 0);
+  for (i = 0; i < ROUNDS; i++)
+    send_each_kind (0, "after", i);
+  for (host = 0; host < SITE_HOSTS; host++)
+    {
+      ck_assert_uint_eq (
+          metric_value (&site.hosts[host], "elmarch_relay_ends_total"), 0);
+      ck_assert_uint_eq (
+          metric_value (&site.hosts[host], "elmarch_relay_blocked_total"), 0);
+    }
+}
+END_TEST
+
 Suite *
 partition_suite (void)
 {
@@ -92,6 +344,14 @@
   tcase_set_timeout (tcase, 120);
   ADD_LOOP (tcase, test_host_cut_off_from_endpoints_serves_first_attempts,
             CUTS);
+  ADD (tcase, test_request_over_another_host_runs_once);
+  ADD (tcase, test_requests_are_refused_at_once_when_all_hosts_are_cut_off);
+  ADD (tcase, test_revoked_key_is_refused_over_another_host);
+  ADD (tcase, test_caller_disconnect_over_another_host_cancels_work);
+  ADD_LOOP (tcase, test_stream_goes_on_over_another_host, CUTS);
+  ADD_LOOP (tcase, test_host_serves_by_itself_after_a_cut, CUTS);
+  ADD (tcase, test_frozen_endpoints_do_not_cut_a_host_off);
+  ADD_LOOP (tcase, test_cut_off_host_reports_no_crashes, CUTS);
   suite_add_tcase (suite, tcase);
   return suite;
 }
