A cut-off host gives up the planner's duty and tells of no silent engines

Same cause: the host takes its own reach for the state of the engines.

What callers would see: the planner's host, cut off from the engines, kept its lease and no other host placed layers while engines were lost; the hall's poller told the others that all engines were silent, so that they avoided them.

Change: a host that has reached no engine of a service for a second lets the duty go and does not take it; what it has found silent without reaching it is not reported, and taken back where it was; it does not poll. Following the store and lending tokens of limits need no path to an endpoint and stay.

--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -259,6 +259,15 @@
          && frontend_duty_rank (frontend) < DUTY_CANDIDATES;
 }
 
+/* Whether this host can send orders to engines. */
+static int
+frontend_can_plan (void *arg)
+{
+  const frontend_t *frontend = arg;
+
+  return !gt_relays_is_cut_off_from_engines (frontend->relays);
+}
+
 static void
 planner_item_received (void *arg, const pr_store_item_t *item)
 {
@@ -398,6 +407,7 @@
                                    .fleet = frontend->fleet,
                                    .send_order = pf_send_order,
                                    .candidate = frontend_is_candidate,
+                                   .able = frontend_can_plan,
                                    .known = frontend_known_as_of,
                                    .arg = frontend };
 
--- a/elmarchd/frontend_relays.c
+++ b/elmarchd/frontend_relays.c
@@ -34,7 +34,8 @@
 {
   frontend_t *frontend = arg;
 
-  return !frontend->stopping && gt_gate_is_hall_leader (frontend->gate);
+  return !frontend->stopping && gt_gate_is_hall_leader (frontend->gate)
+         && !gt_relays_is_cut_off_from_engines (frontend->relays);
 }
 
 static void
--- a/gate/planner.c
+++ b/gate/planner.c
@@ -237,7 +237,7 @@
   net_clock_set (o->clock, &planner->timer, TICK_INTERVAL);
   /* The holder keeps the duty, so that it does not move when hosts join. */
   st_duty_want (o->duty,
-                rules
+                rules && o->able (o->arg)
                     && (st_duty_held (o->duty, now) || o->candidate (o->arg)));
   if (!rules || !st_duty_held (o->duty, now))
     return;
--- a/gate/planner.h
+++ b/gate/planner.h
@@ -35,6 +35,9 @@
                       gt_order_cb done, void *arg);
   /** Whether this host should take the planner's duty if it is vacant. */
   int (*candidate) (void *arg);
+  /** Returns whether orders from this host can reach the engines. Otherwise
+      it gives the duty up. */
+  int (*able) (void *arg);
   /** The time, by the clock, up to which the list of endpoints is current. */
   el_time_t (*known) (void *arg);
   void *arg;
--- a/gate/relay_poll.c
+++ b/gate/relay_poll.c
@@ -111,7 +111,10 @@
   *out = NULL;
   for (engine = rt_fleet_first (o->fleet); engine; engine = engine->hh.next)
     {
-      int silent = engine->avail.silent || engine->reported_silent;
+      int reached = !engine->reach.lost_at
+                    && !relay_reach_is_cut_off (relays, engine->attrs.service);
+      int silent
+          = (engine->avail.silent && reached) || engine->reported_silent;
 
       if (!poll_covers (relays, engine) || (after && engine->news_at < after)
           || !engine->reported_at
--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -362,6 +362,27 @@
 }
 END_TEST
 
+/* An engine that this host does not reach is not told to be silent: other
+   hosts may reach it. */
+START_TEST (test_check_unreached_engine_is_not_reported_silent)
+{
+  pr_engine_report_t *reports;
+  size_t n;
+  size_t i;
+
+  check_all_once ();
+  engines[0].engine->avail.silent = 1;
+  engines[1].engine->avail.silent = 1;
+  rt_target_connect_failed (engines[0].engine, net_clock_now (&test_clock));
+  n = gt_relays_engine_reports (&relays, 0, &reports);
+  ck_assert_uint_eq (n, ENGINES);
+  for (i = 0; i < n; i++)
+    ck_assert_int_eq (reports[i].silent,
+                      el_str_eq (reports[i].id, EL_STR ("b")));
+  free (reports);
+}
+END_TEST
+
 Suite *
 check_suite (void)
 {
@@ -379,6 +400,7 @@
   ADD (tcase, test_check_stream_event_proves_liveness);
   ADD (tcase, test_stream_is_rerouted_if_engine_releases_layers);
   ADD (tcase, test_check_one_outstanding_per_engine);
+  ADD (tcase, test_check_unreached_engine_is_not_reported_silent);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -334,6 +334,25 @@
 }
 END_TEST
 
+/* Orders of a planner that reaches no engine would arrive nowhere. */
+START_TEST (test_planner_that_is_cut_off_passes_its_duty_on)
+{
+  size_t planner = 0;
+
+  site_cut_enable ();
+  site_start (2);
+  if (!metric_value (&site.hosts[0], "elmarch_planner"))
+    planner = 1;
+  metric_wait_value (&site.hosts[planner], "elmarch_planner", 1);
+  site_cut (planner, 'r');
+  wait_cut_off (planner);
+  send_each_kind (planner, "planner", 0);
+  metric_wait_value (&site.hosts[1 - planner], "elmarch_planner", 1);
+  ck_assert_uint_eq (metric_value (&site.hosts[planner], "elmarch_planner"),
+                     0);
+}
+END_TEST
+
 Suite *
 partition_suite (void)
 {
@@ -352,6 +371,7 @@
   ADD_LOOP (tcase, test_host_serves_by_itself_after_a_cut, CUTS);
   ADD (tcase, test_frozen_endpoints_do_not_cut_a_host_off);
   ADD_LOOP (tcase, test_cut_off_host_reports_no_crashes, CUTS);
+  ADD (tcase, test_planner_that_is_cut_off_passes_its_duty_on);
   suite_add_tcase (suite, tcase);
   return suite;
 }
