A stream that makes progress stays where it is and blames no engine

An engine that does not answer this host's check was taken for silent to its neighbours in the chain, too.

Change: a stream through such an engine is moved only if it is stalled or has had no event yet, and only a stalled one counts as interrupted there. An engine that restarted loses its streams as before.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -241,6 +241,7 @@
 void relay_watch_event (gt_relay_t *relay, el_time_t gap);
 void relay_watch_stop (gt_relay_t *relay);
 void relay_watch_engine_silent (gt_relay_t *relay, rt_target_t *engine);
+void relay_watch_engine_restarted (gt_relay_t *relay, rt_target_t *engine);
 void relay_watch_engine_slow (gt_relay_t *relay, rt_target_t *engine);
 void relay_watch_layers_released (gt_relay_t *relay, rt_target_t *engine);
 
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -94,7 +94,7 @@
   engine->attrs.first = 0;
   engine->attrs.end = 0;
   rt_target_changed (engine, net_clock_now (relays->options.clock));
-  check_each_stream (relays, engine, relay_watch_engine_silent);
+  check_each_stream (relays, engine, relay_watch_engine_restarted);
 }
 
 /* Marks a report as news for other hosts, unless ENGINE was idle and still is:
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -34,6 +34,11 @@
 /* Refused reroutes before the stream is resumed on another chain. */
 #define REROUTES_MAX 3
 
+/* Part of the stall timeout after which a stream through an engine that does
+   not respond counts as stalled: another stream's stall had the engine
+   checked. */
+#define STALL_SHARE 2
+
 static void watch_tick (void *arg, el_time_t now);
 static void watch_move_stream (gt_relay_t *relay);
 static void watch_reroute_done (void *arg, int done, el_str_t at_fault,
@@ -228,9 +233,8 @@
   watch_restart_stream (relay, why);
 }
 
-/** Moves the stream off ENGINE, in its chain, which does not respond. */
-void
-relay_watch_engine_silent (gt_relay_t *relay, rt_target_t *engine)
+static void
+watch_leave_engine (gt_relay_t *relay, rt_target_t *engine)
 {
   EL_LOG (EL_LOG_INFO, "stream_through_silent_engine",
           EL_FS ("request", relay->id), EL_FS ("engine", engine->attrs.id),
@@ -238,11 +242,35 @@
           EL_FN ("still_us", net_clock_now (relay->relays->options.clock)
                                  - relay->last_progress));
   watch_cancel_query (relay);
-  relay_blame_run_interrupted (relay, engine);
   rt_tried_add (&relay->avoid, engine);
   watch_move_stream (relay);
 }
 
+/** Moves the stream off ENGINE, in its chain, which does not respond to this
+    host. A stream that makes progress shows that ENGINE runs and that its
+    neighbors reach it. */
+void
+relay_watch_engine_silent (gt_relay_t *relay, rt_target_t *engine)
+{
+  el_time_t now = net_clock_now (relay->relays->options.clock);
+  int stalled
+      = now >= relay->last_progress + stall_timeout (relay) / STALL_SHARE;
+
+  if (!stalled && relay->last_progress > relay->sent)
+    return;
+  if (stalled)
+    relay_blame_run_interrupted (relay, engine);
+  watch_leave_engine (relay, engine);
+}
+
+/** Moves the stream off ENGINE, in its chain, which has restarted. */
+void
+relay_watch_engine_restarted (gt_relay_t *relay, rt_target_t *engine)
+{
+  relay_blame_run_interrupted (relay, engine);
+  watch_leave_engine (relay, engine);
+}
+
 /** Moves the stream off ENGINE, in its chain, which is slow, if the same hall
     has a replica. */
 void
