--- a/tests/cut_preload.c
+++ b/tests/cut_preload.c
@@ -4,8 +4,9 @@
  */
 /** @file
  * Preloaded into a host: cuts it off from the endpoints while the file that
- * ELMARCH_TEST_CUT names holds one of the letters below. Its connections to
- * callers, to other hosts and to the store are not affected.
+ * ELMARCH_TEST_CUT names holds one of the letters below, or, if a digit
+ * follows, from that many of them. Its connections to callers, to other hosts
+ * and to the store are not affected.
  */
 #include <arpa/inet.h>
 #include <dlfcn.h>
@@ -28,6 +29,7 @@
 #define POLL_NS 2000000
 
 static volatile char cut;
+static volatile unsigned cut_last = ENDPOINT_LAST;
 
 static int
 is_endpoint (const struct sockaddr *addr)
@@ -38,7 +40,7 @@
   if (addr->sa_family != AF_INET)
     return 0;
   last = ntohl (in->sin_addr.s_addr) & 0xff;
-  return last >= ENDPOINT_FIRST && last <= ENDPOINT_LAST;
+  return last >= ENDPOINT_FIRST && last <= cut_last;
 }
 
 static void
@@ -78,21 +80,25 @@
 cut_follow (void *path)
 {
   struct timespec step = { 0, POLL_NS };
-  char how;
+  char how[2];
   int fd;
 
   for (;; nanosleep (&step, NULL))
     {
-      how = 0;
+      how[0] = 0;
+      how[1] = 0;
       fd = open (path, O_RDONLY | O_CLOEXEC);
-      if (fd >= 0 && read (fd, &how, 1) != 1)
-        how = 0;
+      if (fd >= 0 && read (fd, how, sizeof how) < 1)
+        how[0] = 0;
       if (fd >= 0)
         close (fd);
-      if (how == cut)
+      if (how[0] == cut)
         continue;
-      cut = how;
-      cut_apply (how);
+      if (how[0])
+        cut_last = how[1] ? ENDPOINT_FIRST + (unsigned)(how[1] - '1')
+                          : ENDPOINT_LAST;
+      cut = how[0];
+      cut_apply (how[0]);
     }
   return NULL;
 }
--- a/tests/site.c
+++ b/tests/site.c
@@ -233,10 +233,10 @@
   site.cuttable = 1;
 }
 
-/** Cuts HOST off from the endpoints as tests/cut_preload.c describes; 0 ends
-    that. */
+/** Cuts HOST off from the first N endpoints, or from all if N is 0, as
+    tests/cut_preload.c describes; a HOW of 0 ends that. */
 void
-site_cut (size_t host, char how)
+site_cut_some (size_t host, char how, unsigned n)
 {
   char path[64];
   FILE *file;
@@ -244,11 +244,20 @@
   cut_file (host, path, sizeof path);
   file = fopen (path, "w");
   ck_assert_ptr_nonnull (file);
-  if (how)
+  if (how && n)
+    fprintf (file, "%c%u", how, n);
+  else if (how)
     fputc (how, file);
   fclose (file);
 }
 
+/** Cuts HOST off from all endpoints. */
+void
+site_cut (size_t host, char how)
+{
+  site_cut_some (host, how, 0);
+}
+
 /* Sets or clears the environment that makes a host subject to site_cut. */
 static void
 cut_environment (size_t host, int on)
--- a/tests/site.h
+++ b/tests/site.h
@@ -59,6 +59,7 @@
 void site_store_mute (int on);
 void site_cut_enable (void);
 void site_cut (size_t host, char how);
+void site_cut_some (size_t host, char how, unsigned n);
 const proc_t *site_engine_with_first_layers (void);
 int64_t member_value (const proc_t *member, const char *name);
 void member_id (const proc_t *member, char *out, size_t size);
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -334,6 +334,36 @@
 }
 END_TEST
 
+/* The same with two hosts that are cut off from some engines only. */
+START_TEST (test_host_cut_off_from_some_engines_reports_no_crashes)
+{
+  caller_t streams[STREAMS];
+  char id[64];
+  size_t host;
+  int i;
+
+  site_cut_enable ();
+  site_start (SITE_HOSTS);
+  for (i = 0; i < STREAMS; i++)
+    {
+      snprintf (id, sizeof id, "innocent-%d", i);
+      stream_start (&streams[i], (size_t)i % CUT_HOSTS, id);
+    }
+  for (i = 0; i < STREAMS; i++)
+    caller_wait_body (&streams[i], 60);
+  for (host = 0; host < CUT_HOSTS; host++)
+    site_cut_some (host, 'r', SITE_ENGINES - 1);
+  for (i = 0; i < STREAMS; i++)
+    {
+      caller_join (&streams[i]);
+      reply_free (&streams[i].reply);
+    }
+  for (host = 0; host < SITE_HOSTS; host++)
+    ck_assert_uint_eq (
+        metric_value (&site.hosts[host], "elmarch_relay_ends_total"), 0);
+}
+END_TEST
+
 /* Orders of a planner that reaches no engine would arrive nowhere. */
 START_TEST (test_planner_that_is_cut_off_passes_its_duty_on)
 {
@@ -371,6 +401,7 @@
   ADD_LOOP (tcase, test_host_serves_by_itself_after_a_cut, CUTS);
   ADD (tcase, test_frozen_endpoints_do_not_cut_a_host_off);
   ADD_LOOP (tcase, test_cut_off_host_reports_no_crashes, CUTS);
+  ADD (tcase, test_host_cut_off_from_some_engines_reports_no_crashes);
   ADD (tcase, test_planner_that_is_cut_off_passes_its_duty_on);
   suite_add_tcase (suite, tcase);
   return suite;
