Attempts are counted once over both hosts; an endpoint that is gone costs no stream

What callers saw: with two of four engines crashed, streams that should have waited for an engine were failed (502 "may have run, no endpoint left" from the other host).

Cause: the host that serves a forwarded request counted the attempts of the host that sent it as its own, and so said that its refusal may have run. Streams in progress ended by it, and the requests that ran beside the crash stayed suspects.

Change: attempts before the request was forwarded count for the rule's limit only. A host that has no endpoint for a forwarded request refuses it, and the first host goes on as if it had not asked. A sample of connects takes any endpoint that is not lost, so that a host whose last endpoints were being tried is not taken for cut off.

--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -133,6 +133,7 @@
   record_event_time (relay, now);
   relay->last_event = now;
   relay->endpoint_waits = 0;
+  relay->helpers = 0;
   relays->counts.events++;
   if (has_id)
     {
@@ -427,7 +428,8 @@
 relay_may_resume (gt_relay_t *relay)
 {
   return relay->rule->resumable
-         && relay->attempts.may_run + 1 < relay->rule->attempts
+         && relay->attempts.before + relay->attempts.may_run + 1
+                < relay->rule->attempts
          && relay_retry_left (relay);
 }
 
@@ -436,7 +438,8 @@
 relay_may_repeat (gt_relay_t *relay)
 {
   return (relay->rule->kind == RT_SAFE || relay->rule->resumable)
-         && relay->attempts.may_run + 1 < relay->rule->attempts
+         && relay->attempts.before + relay->attempts.may_run + 1
+                < relay->rule->attempts
          && relay_retry_left (relay);
 }
 
@@ -480,6 +483,8 @@
           .method = net_req_method (req),
           .path = { req->path.base, req->path.len },
           .body = net_req_body (req),
+          /* If this host is cut off, nothing is sent on a new one. */
+          .new_connection = relay->attempts.may_run > 0,
           .max_idle = relay->rule->kind == RT_UNSAFE ? UNSAFE_IDLE_MAX : 0,
           .allow = attempt_permitted,
           .head = attempt_head,
@@ -582,6 +587,9 @@
     relay_respond_abort (relay, "no endpoint to go on at");
   else if (relay->attempts.may_run)
     relay_fail (relay, "may have run, no endpoint left");
+  else if (relay->forwarded
+           && relay_service (relay->relays, relay->service->name)->lost)
+    relay_forward_refuse (relay, REFUSED_RETRY_AFTER);
   else
     attempt_refuse (relay, "no endpoint");
 }
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -138,7 +138,7 @@
   if (!el_str_to_u64 (net_req_header (relay->req, FORWARDED_HEADER),
                       &may_have_run))
     return 0;
-  relay->attempts.may_run = (unsigned)may_have_run;
+  relay->attempts.before = (unsigned)may_have_run;
   return 1;
 }
 
@@ -376,7 +376,8 @@
   snprintf (time_left, sizeof time_left, "%" PRIu64,
             (relay->deadline - now) / EL_MSEC);
   forward_add (&send, list, names->time_left, el_str (time_left));
-  snprintf (may_have_run, sizeof may_have_run, "%u", relay->attempts.may_run);
+  snprintf (may_have_run, sizeof may_have_run, "%u",
+            relay->attempts.before + relay->attempts.may_run);
   forward_add (&send, list, FORWARDED_HEADER, el_str (may_have_run));
   if (relay->has_id)
     {
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -264,8 +264,7 @@
 reach_may_sample (gt_relays_t *relays, const relay_service_t *service,
                   const rt_target_t *target)
 {
-  return !target->reach.lost_at && !target->probing
-         && !rt_target_is_leaving (target)
+  return !target->reach.lost_at && !rt_target_is_leaving (target)
          && reach_service (relays, target) == service;
 }
 
--- a/route/attempts.c
+++ b/route/attempts.c
@@ -44,7 +44,8 @@
     return RT_NEXT_PASS;
   retry = budget && left > RETRY_TIME_MIN
           && state->sent < (attempt->begun ? ATTEMPTS_BEGUN_MAX : ATTEMPTS_MAX)
-          && (not_run || may_retry (rule)) && state->may_run < rule->attempts;
+          && (not_run || may_retry (rule))
+          && state->before + state->may_run < rule->attempts;
   if (retry)
     return RT_NEXT_RETRY;
   if (attempt->answered && !not_run)
--- a/route/relay.h
+++ b/route/relay.h
@@ -428,6 +428,8 @@
 {
   unsigned sent;    /**< attempts sent */
   unsigned may_run; /**< of these, attempts that may have run */
+  unsigned before;  /**< attempts of another host that may have run, before it
+                       forwarded the request */
 } rt_attempts_t;
 
 rt_next_t rt_attempts_next (rt_attempts_t *state, const rt_rule_t *rule,
--- a/tests/t_random.c
+++ b/tests/t_random.c
@@ -337,7 +337,7 @@
   const rt_rule_t rule = { .kind = (rt_rule_kind_t)seeds_random (3),
                            .attempts = 1 + seeds_random (3),
                            .resumable = (int)seeds_random (2) };
-  rt_attempts_t state = { 0, 0 };
+  rt_attempts_t state = { 0, 0, 0 };
   rt_attempt_t attempt;
   unsigned may_run = 0;
   unsigned sent = 0;
--- a/tests/t_retry.c
+++ b/tests/t_retry.c
@@ -77,7 +77,7 @@
   const rt_rule_t rule = { .kind = RT_UNSAFE, .attempts = 3 };
   const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
   const rt_attempt_t refused = { .verdict = EL_NOT_RUN };
-  rt_attempts_t state = { 0, 0 };
+  rt_attempts_t state = { 0, 0, 0 };
 
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &refused, 1, EL_SEC),
                     RT_NEXT_RETRY);
@@ -91,11 +91,11 @@
   const rt_rule_t rule = { .kind = RT_SAFE, .attempts = 2 };
   const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
   const rt_attempt_t refused = { .verdict = EL_NOT_RUN };
-  rt_attempts_t state = { 0, 0 };
+  rt_attempts_t state = { 0, 0, 0 };
 
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &refused, 0, EL_SEC),
                     RT_NEXT_REFUSE);
-  state = (rt_attempts_t){ 0, 0 };
+  state = (rt_attempts_t){ 0, 0, 0 };
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &lost, 1, EL_SEC),
                     RT_NEXT_RETRY);
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &refused, 0, EL_SEC),
@@ -111,7 +111,7 @@
   const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN, .begun = 1 };
   const rt_attempt_t refused = { .verdict = EL_NOT_RUN, .begun = 1 };
   const rt_attempt_t first = { .verdict = EL_NOT_RUN };
-  rt_attempts_t state = { 0, 0 };
+  rt_attempts_t state = { 0, 0, 0 };
   unsigned sends;
 
   for (sends = 1; sends < 4; sends++)
@@ -119,7 +119,7 @@
                       RT_NEXT_RETRY);
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &first, 1, EL_SEC),
                     RT_NEXT_REFUSE);
-  state = (rt_attempts_t){ 0, 0 };
+  state = (rt_attempts_t){ 0, 0, 0 };
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &lost, 1, EL_SEC),
                     RT_NEXT_RETRY);
   for (sends = 2; sends < 8; sends++)
@@ -136,7 +136,7 @@
   const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
   const rt_attempt_t failed
       = { .verdict = EL_RAN, .answered = 1, .failed = 1 };
-  rt_attempts_t state = { 0, 0 };
+  rt_attempts_t state = { 0, 0, 0 };
 
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &lost, 1, EL_SEC),
                     RT_NEXT_RETRY);
@@ -149,12 +149,12 @@
 {
   rt_rule_t rule = { .kind = RT_STREAM, .attempts = 2, .resumable = 1 };
   const rt_attempt_t lost = { .verdict = EL_MAY_HAVE_RUN };
-  rt_attempts_t state = { 0, 0 };
+  rt_attempts_t state = { 0, 0, 0 };
 
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &lost, 1, EL_SEC),
                     RT_NEXT_RETRY);
   rule.resumable = 0;
-  state = (rt_attempts_t){ 0, 0 };
+  state = (rt_attempts_t){ 0, 0, 0 };
   ck_assert_int_eq (rt_attempts_next (&state, &rule, &lost, 1, EL_SEC),
                     RT_NEXT_FAIL);
 }
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -185,6 +185,30 @@
 }
 END_TEST
 
+/* The same beside a second host, which reaches no such engine either: the
+   stream is not failed by forwarding it there. */
+START_TEST (test_stream_waits_when_no_host_reaches_an_engine)
+{
+  caller_t caller;
+  size_t first;
+  size_t i;
+
+  site_start (2);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  first = running_engine ();
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (i != first && member_value (&site.engines[i], "first") == 0)
+      proc_kill_wait (&site.engines[i]);
+  proc_kill (&site.engines[first]);
+  metric_wait_min (&site.hosts[0], "elmarch_relay_waits_total", 1);
+  ck_assert_uint_eq (site_engines_replace (), 2);
+  caller_join (&caller);
+  assert_stream_complete (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
 /* An engine after the first is killed: the stream stays at its first engine
    and is rerouted around the lost one. */
 START_TEST (test_stream_is_rerouted_around_lost_engine)
@@ -603,6 +627,7 @@
   ADD_LOOP (tcase, test_stream_resumes_after_loss_of_first_engine, 2);
   ADD (tcase, test_stream_waits_when_attempts_are_used_up);
   ADD (tcase, test_stream_waits_for_engine_to_resume_on);
+  ADD (tcase, test_stream_waits_when_no_host_reaches_an_engine);
   ADD (tcase, test_stream_is_rerouted_around_lost_engine);
   ADD (tcase, test_stream_is_rerouted_around_unreachable_engine);
   ADD (tcase, test_relay_unsafe_runs_once_when_response_is_lost);
