--- a/gate/relay.c
+++ b/gate/relay.c
@@ -146,6 +146,7 @@
       return 0;
     }
   relays->counts.no_config++;
+  relay_forward_mark_unserved (relay);
   relay_respond_error (relay, 503, "no configuration", NO_CONFIG_RETRY_AFTER);
   return 0;
 }
@@ -162,6 +163,7 @@
   if (!fresh)
     {
       relays->counts.no_config++;
+      relay_forward_mark_unserved (relay);
       relay_respond_error (relay, 503, "keys not known",
                            NO_CONFIG_RETRY_AFTER);
       return 0;
@@ -354,6 +356,7 @@
   (void)now;
   relay->awaits_config = 0;
   relay->relays->counts.no_config++;
+  relay_forward_mark_unserved (relay);
   relay_respond_error (relay, 503, "no configuration", NO_CONFIG_RETRY_AFTER);
 }
 
@@ -408,6 +411,7 @@
   if (relays->stopping)
     {
       relays->counts.refused++;
+      relay_forward_mark_unserved (relay);
       relay_respond_error (relay, 503, "stopping", STOPPING_RETRY_AFTER);
       return;
     }
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -19,14 +19,14 @@
 /* On a forwarded request: how many attempts may have run so far. It gives a
    caller who sends it no more than other callers have. */
 #define FORWARDED_HEADER "elmarch-forwarded"
-/* On a helper's refusal: it does not reach the endpoints either. */
-#define UNREACHED_HEADER "elmarch-unreached"
+/* On a helper's refusal: it can't serve callers now, but another host may. */
+#define UNSERVED_HEADER "elmarch-unserved"
 /* Headers of a forwarded request beside the caller's. */
 #define OWN_HEADERS_MAX 4
 /* Helpers that a request is forwarded to. */
 #define HELPERS_MAX 3
-/* A host that does not reach the endpoints, or does not answer, gets no
-   request for this long. */
+/* A host that can't serve callers, or does not answer, gets no request for
+   this long. */
 #define HELPER_UNUSABLE (1 * EL_SEC)
 /* Interval at which it is checked that the helper is live. */
 #define HELPER_CHECK_INTERVAL (250 * EL_MSEC)
@@ -150,14 +150,21 @@
                       strlen (FORWARDED_HEADER));
 }
 
+/** Tells the host that forwarded the request that another one may serve it. */
+void
+relay_forward_mark_unserved (gt_relay_t *relay)
+{
+  if (relay->forwarded)
+    net_req_add_header (relay->req, EL_STR (UNSERVED_HEADER), EL_STR ("1"));
+}
+
 /** Refuses a request, as this host does not reach the endpoints. */
 void
 relay_forward_refuse (gt_relay_t *relay, el_time_t retry_after)
 {
   relay->relays->counts.refused++;
   relay->relays->counts.refused_unreached++;
-  if (relay->forwarded)
-    net_req_add_header (relay->req, EL_STR (UNREACHED_HEADER), EL_STR ("1"));
+  relay_forward_mark_unserved (relay);
   relay_respond_error (relay, 503, "no endpoint reached", retry_after);
 }
 
@@ -244,7 +251,7 @@
 {
   if (result->net == NET_OK && attempt->verdict == EL_NOT_RUN
       && result->status == 503
-      && !net_result_header (result, UNREACHED_HEADER).len)
+      && !net_result_header (result, UNSERVED_HEADER).len)
     return 0;
   return attempt->verdict == EL_NOT_RUN
          || (result->net != NET_OK && relay->rule->kind != RT_UNSAFE);
@@ -272,8 +279,7 @@
 
   relay->exchange = NULL;
   forward_classify (relay, result, &attempt);
-  if (result->net != NET_OK
-      || net_result_header (result, UNREACHED_HEADER).len)
+  if (result->net != NET_OK || net_result_header (result, UNSERVED_HEADER).len)
     relay->helper->unusable_until = now + HELPER_UNUSABLE;
   if (relay->response_started && relay->stream && attempt.answered)
     {
