A host whose rules differ is not asked twice for a forwarded request

What callers would see: a request that another host refused by older rules (404) could be forwarded to the same host again until three tries were gone, while a third host would have served it.

Change: such a host gets no request for a second, as one that can't serve callers. relay_may_resume and relay_may_repeat share their condition. Constants' comments say what they are for.

--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -422,25 +422,23 @@
     relay_fail (relay, "may have run");
 }
 
-/** Whether the stream may be resumed on another chain after the current
-    attempt. */
+/** Whether the request may be sent once more. */
 int
-relay_may_resume (gt_relay_t *relay)
+relay_may_repeat (gt_relay_t *relay)
 {
-  return relay->rule->resumable
-         && relay->attempts.before + relay->attempts.may_run + 1
-                < relay->rule->attempts
+  const rt_attempts_t *attempts = &relay->attempts;
+
+  return (relay->rule->kind == RT_SAFE || relay->rule->resumable)
+         && attempts->before + attempts->may_run + 1 < relay->rule->attempts
          && relay_retry_left (relay);
 }
 
-/** Whether the request may be sent once more. */
+/** Whether the stream may be resumed on another chain after the current
+    attempt. */
 int
-relay_may_repeat (gt_relay_t *relay)
+relay_may_resume (gt_relay_t *relay)
 {
-  return (relay->rule->kind == RT_SAFE || relay->rule->resumable)
-         && relay->attempts.before + relay->attempts.may_run + 1
-                < relay->rule->attempts
-         && relay_retry_left (relay);
+  return relay->rule->resumable && relay_may_repeat (relay);
 }
 
 /** Cancels the current attempt, counts it as possibly executed, and
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -244,17 +244,24 @@
     }
 }
 
+/* Whether the helper can't serve the request where another one may: it says
+   so, it did not answer, or its rules differ from those of this host. */
+static int
+forward_is_unserved (const net_result_t *result, const rt_attempt_t *attempt)
+{
+  return result->net != NET_OK
+         || (attempt->verdict == EL_NOT_RUN
+             && (result->status != 503
+                 || net_result_header (result, UNSERVED_HEADER).len));
+}
+
 /* Whether another helper may serve the request. */
 static int
 forward_may_retry (const gt_relay_t *relay, const net_result_t *result,
                    const rt_attempt_t *attempt)
 {
-  if (result->net == NET_OK && attempt->verdict == EL_NOT_RUN
-      && result->status == 503
-      && !net_result_header (result, UNSERVED_HEADER).len)
-    return 0;
-  return attempt->verdict == EL_NOT_RUN
-         || (result->net != NET_OK && relay->rule->kind != RT_UNSAFE);
+  return forward_is_unserved (result, attempt)
+         && (attempt->verdict == EL_NOT_RUN || relay->rule->kind != RT_UNSAFE);
 }
 
 /* Passes a helper's refusal on, with its time after which to return. */
@@ -279,7 +286,7 @@
 
   relay->exchange = NULL;
   forward_classify (relay, result, &attempt);
-  if (result->net != NET_OK || net_result_header (result, UNSERVED_HEADER).len)
+  if (forward_is_unserved (result, &attempt))
     relay->helper->unusable_until = now + HELPER_UNUSABLE;
   if (relay->response_started && relay->stream && attempt.answered)
     {
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -19,7 +19,8 @@
 #define PROBES_MAX 4
 /* Endpoints in a sample. */
 #define SAMPLE_MAX 3
-/* A cut is noticed at most this long after the first endpoint is lost. */
+/* Endpoints that were lost this long before a cut was found were lost by it.
+ */
 #define CUT_NOTICED (1 * EL_SEC)
 /* Engines that crash together are not listed any more after a while. */
 #define CUT_SETTLED (1 * EL_SEC)
--- a/tests/site.c
+++ b/tests/site.c
@@ -220,65 +220,6 @@
   out->address[strlen (out->address) - 1] = digit;
 }
 
-static void
-cut_file (size_t host, char *out, size_t size)
-{
-  snprintf (out, size, "/tmp/elmarch-cut-%d-%zu", (int)getpid (), host);
-}
-
-/** Makes the hosts that are started from now on subject to site_cut. */
-void
-site_cut_enable (void)
-{
-  site.cuttable = 1;
-}
-
-/** Cuts HOST off from the first N endpoints, or from all if N is 0, as
-    tests/cut_preload.c describes; a HOW of 0 ends that. */
-void
-site_cut_some (size_t host, char how, unsigned n)
-{
-  char path[64];
-  FILE *file;
-
-  cut_file (host, path, sizeof path);
-  file = fopen (path, "w");
-  ck_assert_ptr_nonnull (file);
-  if (how && n)
-    fprintf (file, "%c%u", how, n);
-  else if (how)
-    fputc (how, file);
-  fclose (file);
-}
-
-/** Cuts HOST off from all endpoints. */
-void
-site_cut (size_t host, char how)
-{
-  site_cut_some (host, how, 0);
-}
-
-/* Sets or clears the environment that makes a host subject to site_cut. */
-static void
-cut_environment (size_t host, int on)
-{
-  const char *bin = getenv ("ELMARCH_TEST_BIN");
-  char library[256];
-  char path[64];
-
-  if (!on)
-    {
-      unsetenv ("LD_PRELOAD");
-      return;
-    }
-  cut_file (host, path, sizeof path);
-  snprintf (library, sizeof library, "%s/cut_preload.so",
-            bin ? bin : BIN_DIR_DEFAULT);
-  setenv ("ELMARCH_TEST_CUT", path, 1);
-  setenv ("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
-  setenv ("LD_PRELOAD", library, 1);
-}
-
 /** Starts a host. It may not have received its configuration yet on return. */
 void
 site_host_start (size_t i)
@@ -293,7 +234,7 @@
                          "--peers",
                          peers,
                          "--hall",
-                         "h",
+                         site.halls[i] ? site.halls[i] : "h",
                          "--entry",
                          site.entry_addrs[i].address,
                          "--ready",
@@ -325,9 +266,9 @@
       strcat (strcat (peers, peer.address), ",");
     }
   address_with_port (&site.hosts[i], &peer, '1');
-  cut_environment (i, site.cuttable);
+  site_cut_environment (i, site.cuttable);
   proc_spawn (&site.hosts[i], args);
-  cut_environment (i, 0);
+  site_cut_environment (i, 0);
   proc_wait_ready (&site.hosts[i], "/metrics");
 }
 
@@ -525,15 +466,13 @@
 void
 site_teardown (void)
 {
-  char path[64];
   size_t i;
 
   for (i = 0; i < site.nhosts; i++)
     {
       ck_assert_msg (proc_end (&site.hosts[i], SIGTERM) == 0,
                      "host %zu did not end cleanly", i);
-      cut_file (i, path, sizeof path);
-      unlink (path);
+      site_cut_remove (i);
     }
   for (i = 0; i < SITE_ENGINES; i++)
     proc_end (&site.engines[i], SIGKILL);
@@ -589,17 +528,24 @@
                 reply);
 }
 
-/** Starts a stream through a host. */
+/** Starts a POST request through a host. */
 void
-stream_start (caller_t *caller, size_t host, const char *id)
+request_start (caller_t *caller, size_t host, const char *path, const char *id)
 {
   request_headers_t head;
 
   request_headers_init (&head, host, id);
-  caller_start (caller, site.entry_addrs[host].address, "/chat/x", "body",
+  caller_start (caller, site.entry_addrs[host].address, path, "body",
                 head.list, 0);
 }
 
+/** Starts a stream through a host. */
+void
+stream_start (caller_t *caller, size_t host, const char *id)
+{
+  request_start (caller, host, "/chat/x", id);
+}
+
 /** The stream must have every event once and in order. */
 void
 assert_stream_complete (const reply_t *reply)
--- a/tests/site.h
+++ b/tests/site.h
@@ -34,7 +34,9 @@
   char record_file[64]; /* file of the store; empty: not persistent */
   char engine_ids[SITE_ENGINES][96];
   char worker_ids[SITE_WORKERS][96];
-  int cuttable; /* hosts can be cut off from the endpoints */
+  const char *halls[SITE_HOSTS]; /* of the hosts; NULL: that of the
+                                    endpoints */
+  int cuttable;                  /* hosts can be cut off from the endpoints */
 } site_t;
 
 extern site_t site;
@@ -58,6 +60,8 @@
 void site_wait_metric_except (size_t except, const char *name, uint64_t value);
 void site_store_mute (int on);
 void site_cut_enable (void);
+void site_cut_environment (size_t host, int on);
+void site_cut_remove (size_t host);
 void site_cut (size_t host, char how);
 void site_cut_some (size_t host, char how, unsigned n);
 const proc_t *site_engine_with_first_layers (void);
@@ -67,6 +71,8 @@
                    const char *id, reply_t *reply);
 void send_request_body (size_t host, const char *path, const char *body,
                         const char *id, reply_t *reply);
+void request_start (caller_t *caller, size_t host, const char *path,
+                    const char *id);
 void stream_start (caller_t *caller, size_t host, const char *id);
 void assert_stream_complete (const reply_t *reply);
 
--- a/tests/t_crash.c
+++ b/tests/t_crash.c
@@ -278,6 +278,30 @@
 }
 END_TEST
 
+/* A worker crashes, and no request is sent to it after that: the host finds
+   out by itself, before the store knows it. */
+START_TEST (test_crash_of_a_worker_is_found_without_another_request)
+{
+  caller_t caller;
+  size_t i;
+
+  site_start (1);
+  set_fault (&site.workers[0], "{\"fault\":\"slow\",\"delay_ms\":2000}");
+  set_fault (&site.workers[1], "{\"fault\":\"slow\",\"delay_ms\":2000}");
+  request_start (&caller, 0, "/pay/x", "crash");
+  for (i = 0; !member_value (&site.workers[i % SITE_WORKERS], "runs"); i++)
+    {
+      ck_assert_uint_lt (i, WAIT_STEPS_MAX);
+      poll_sleep ();
+    }
+  proc_kill (&site.workers[i % SITE_WORKERS]);
+  caller_join (&caller);
+  ck_assert_int_eq (caller.reply.status, 502);
+  reply_free (&caller.reply);
+  metric_wait_min (&site.hosts[0], "elmarch_relay_ends_total", 1);
+}
+END_TEST
+
 /* The same for workers and a request that is never retried: at most four of
    them crash. */
 START_TEST (test_request_that_crashes_workers_is_blocked)
@@ -411,6 +435,7 @@
   tcase_add_checked_fixture (tcase, site_setup, site_teardown);
   ADD (tcase, test_request_that_crashes_engines_is_blocked);
   ADD (tcase, test_request_that_crashes_engines_slowly_is_blocked);
+  ADD (tcase, test_crash_of_a_worker_is_found_without_another_request);
   ADD (tcase, test_request_that_crashes_workers_is_blocked);
   ADD (tcase, test_blocked_request_is_known_to_hosts_that_start);
   ADD (tcase, test_streams_beside_a_crashing_request_are_complete);
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -25,6 +25,12 @@
 #define CONTACT_STEPS 600
 #define ROUNDS 10
 #define STREAMS 8
+/* Kinds of requests that send_each_kind sends. */
+#define KINDS 3
+/* Least share of first attempts that a cut-off host serves, relative to the
+   share of the others. */
+#define SHARE_MIN 0.95
+#define SECOND_STEPS 200
 /* Polls that take a good second. */
 #define FREEZE_STEPS 220
 
@@ -108,6 +114,73 @@
   ck_assert_int_lt (i, WAIT_STEPS_MAX);
 }
 
+/* Starts a request of each kind at a host that is cut off, without waiting for
+   the responses. */
+static void
+send_early (caller_t *callers, int step)
+{
+  static const char *const paths[KINDS] = { "/look/x", "/pay/x", "/chat/x" };
+  char id[64];
+  int i;
+
+  for (i = 0; i < KINDS; i++)
+    {
+      snprintf (id, sizeof id, "early-%d-%d", step, i);
+      request_start (&callers[i], (size_t)step % CUT_HOSTS, paths[i], id);
+    }
+}
+
+/* Sends requests of each kind to all hosts in turn. Compares the share that is
+   served at the hosts that are cut off with that at the last one. */
+static void
+compare_shares (const char *label)
+{
+  unsigned failed[2] = { 0, 0 };
+  unsigned sent[2] = { 0, 0 };
+  size_t host;
+  int round;
+
+  for (round = 0; round < ROUNDS; round++)
+    for (host = 0; host < SITE_HOSTS; host++)
+      {
+        failed[host < CUT_HOSTS] += send_each_kind (host, label, round);
+        sent[host < CUT_HOSTS] += KINDS;
+      }
+  ck_assert_msg ((sent[1] - failed[1]) * sent[0]
+                     >= SHARE_MIN * (sent[0] - failed[0]) * sent[1],
+                 "cut off: %u of %u failed, others: %u of %u", failed[1],
+                 sent[1], failed[0], sent[0]);
+}
+
+/* From one second after the cut on. The loops after the first CUTS cut a whole
+   hall off. */
+START_TEST (test_cut_off_hosts_serve_as_often_as_others)
+{
+  caller_t early[ROUNDS][KINDS];
+  int step;
+  int i;
+
+  site_cut_enable ();
+  if (_i >= CUTS)
+    site.halls[SITE_HOSTS - 1] = "g";
+  site_start (SITE_HOSTS);
+  compare_shares ("before");
+  hosts_cut (cuts[_i % CUTS]);
+  for (step = 0; step < SECOND_STEPS; step++)
+    {
+      poll_sleep ();
+      if (step % (SECOND_STEPS / ROUNDS) == 0)
+        send_early (early[step * ROUNDS / SECOND_STEPS], step);
+    }
+  compare_shares ("cut");
+  for (i = 0; i < ROUNDS * KINDS; i++)
+    {
+      caller_join (&early[i / KINDS][i % KINDS]);
+      reply_free (&early[i / KINDS][i % KINDS].reply);
+    }
+}
+END_TEST
+
 static int64_t
 workers_value (const char *name)
 {
@@ -253,6 +326,67 @@
 }
 END_TEST
 
+/* Starts a request at host 0, which is cut off, and kills the host that serves
+   it. */
+static void
+kill_serving_host (caller_t *caller, const char *path, size_t bytes)
+{
+  uint64_t before[SITE_HOSTS];
+  size_t host;
+  int i;
+
+  for (host = 1; host < SITE_HOSTS; host++)
+    before[host]
+        = metric_value (&site.hosts[host], "elmarch_relay_for_host_total");
+  request_start (caller, 0, path, "midway");
+  if (bytes)
+    caller_wait_body (caller, bytes);
+  for (i = 0; i < WAIT_STEPS_MAX; i++)
+    {
+      for (host = 1; host < SITE_HOSTS; host++)
+        if (metric_value (&site.hosts[host], "elmarch_relay_for_host_total")
+            > before[host])
+          {
+            proc_end (&site.hosts[host], SIGKILL);
+            return;
+          }
+      poll_sleep ();
+    }
+  ck_abort_msg ("no host serves the request");
+}
+
+/* A stream goes on over a third host when the one that serves it is killed; a
+   request that may run once is failed and not repeated. */
+START_TEST (test_host_that_serves_for_another_is_killed)
+{
+  caller_t caller;
+  int64_t runs;
+
+  site.step_us = "20000";
+  site_cut_enable ();
+  site_start (SITE_HOSTS);
+  site_cut (0, 'r');
+  wait_cut_off (0);
+  if (_i == 0)
+    {
+      kill_serving_host (&caller, "/chat/x", 60);
+      caller_join (&caller);
+      assert_stream_complete (&caller.reply);
+    }
+  else
+    {
+      set_fault (&site.workers[0], "{\"fault\":\"slow\",\"delay_ms\":900}");
+      set_fault (&site.workers[1], "{\"fault\":\"slow\",\"delay_ms\":900}");
+      runs = workers_value ("runs");
+      kill_serving_host (&caller, "/pay/x", 0);
+      caller_join (&caller);
+      ck_assert_int_eq (caller.reply.status, 502);
+      ck_assert_int_le (workers_value ("runs"), runs + 1);
+    }
+  reply_free (&caller.reply);
+}
+END_TEST
+
 START_TEST (test_host_serves_by_itself_after_a_cut)
 {
   uint64_t forwarded;
@@ -398,6 +532,8 @@
   ADD (tcase, test_revoked_key_is_refused_over_another_host);
   ADD (tcase, test_caller_disconnect_over_another_host_cancels_work);
   ADD_LOOP (tcase, test_stream_goes_on_over_another_host, CUTS);
+  ADD_LOOP (tcase, test_cut_off_hosts_serve_as_often_as_others, 2 * CUTS);
+  ADD_LOOP (tcase, test_host_that_serves_for_another_is_killed, 2);
   ADD_LOOP (tcase, test_host_serves_by_itself_after_a_cut, CUTS);
   ADD (tcase, test_frozen_endpoints_do_not_cut_a_host_off);
   ADD_LOOP (tcase, test_cut_off_host_reports_no_crashes, CUTS);
--- a/tests/test.h
+++ b/tests/test.h
@@ -35,6 +35,7 @@
 Suite *restore_suite (void);
 Suite *partition_suite (void);
 Suite *reach_suite (void);
+Suite *forward_suite (void);
 Suite *epoch_suite (void);
 Suite *load_suite (void);
 Suite *net_suite (void);
