Logs: a failed attempt tells the parts of its request's prompt

What callers saw in the incident on parts of prompts: engines ended under requests whose digests did not repeat. No line told what different requests have in common, so that the logs could not decide between many culprits that share a part and an overload. attempt_failed now ends with the parts, as the caller named them. No logic is changed.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -30,6 +30,7 @@
   const char *resume; /**< id of the last event that the caller received */
   const char *tokens; /**< prompt length and response limit, in tokens */
   const char *expected_tokens; /**< the caller's estimate of response tokens */
+  const char *prompt_parts;    /**< ids of the parts of the prompt, in order */
   const char *priority; /**< priority of the prompt among those queued */
   const char *chain;    /**< engines of the chain and their layers */
   const char *at_fault; /**< on a refusal: address of the refusing engine */
--- a/gate/relay_log.c
+++ b/gate/relay_log.c
@@ -99,6 +99,8 @@
           EL_FC ("next", next_names[next]),
           EL_FS ("fault", net_result_header (result, dialect->names.at_fault)),
           EL_FN ("rest_asked_us", relay->hints.backoff),
-          EL_FS ("line", el_buf_str (&chain)));
+          EL_FS ("line", el_buf_str (&chain)),
+          EL_FS ("prompt",
+                 net_req_header (relay->req, dialect->names.prompt_parts)));
   el_buf_free (&chain);
 }
