--- a/standin/member.c
+++ b/standin/member.c
@@ -8,7 +8,9 @@
  * streams events through a chain of engines. PUT /fault applies to requests
  * without a chain. POST /stall {"at": ADDRESS} stalls streams whose chain
  * includes that engine until they are rerouted around it. A request with
- * "deadly" in its body makes the process exit soon after it starts to run.
+ * "deadly" in its body makes the process exit soon after it starts to run, and
+ * so does one with CRASH_PART among the parts of its prompt, unless it is the
+ * last part.
  * POST /rest makes the member ask hosts to back off, or announce that it is
  * leaving, POST /limit makes it name a rate limit. GET /runs returns counters,
  * GET /seen the headers of the last request. With --record the member appends
@@ -31,7 +33,8 @@
 #define STREAM_EVENTS 40
 #define RESPONSE_SEAL "seal.of.a.stand-in"
 #define CRASH_MARKER "deadly"
-/* Time from the start of a request with CRASH_MARKER to the process's exit. */
+#define CRASH_PART "deadbeef"
+/* Time from the start of a request that crashes the process to its exit. */
 #define CRASH_DELAY (20 * EL_MSEC)
 /* With POST /linger the process first aborts its streams, then keeps its port
    open for this time without answering. */
@@ -234,7 +237,21 @@
   net_clock_set (&member->process->clock, &member->crash_timer, LINGER_TIME);
 }
 
-/* Schedules the exit if the request has the marker; returns whether it has. */
+/* Whether a part of the prompt, other than the last, is CRASH_PART. */
+static int
+prompt_crashes (const h2o_req_t *req)
+{
+  el_str_t rest = net_req_header (req, "x-elmarch-prompt-prefix");
+  el_str_t part = el_str_cut (&rest, ',');
+
+  for (; rest.len; part = el_str_cut (&rest, ','))
+    if (el_str_eq (el_str_cut (&part, ':'), EL_STR (CRASH_PART)))
+      return 1;
+  return 0;
+}
+
+/* Schedules the exit if the request crashes the process; returns whether it
+   does. */
 static int
 member_schedule_crash (member_t *member, const h2o_req_t *req)
 {
@@ -243,7 +260,7 @@
   int crashes = strstr (text, CRASH_MARKER) != NULL;
 
   free (text);
-  if (!crashes)
+  if (!crashes && !prompt_crashes (req))
     return 0;
   member->crash_timer.cb = member_crash;
   member->crash_timer.arg = member;
--- a/tests/site.c
+++ b/tests/site.c
@@ -489,7 +489,8 @@
 {
   char id[96];
   char via[32];
-  const char *list[4];
+  char prompt[128];
+  const char *list[5];
 } request_headers_t;
 
 static void
@@ -528,6 +529,23 @@
                 reply);
 }
 
+/** Sends a POST request through a host; its body is ID, and PROMPT lists the
+    parts of its prompt. */
+void
+send_request_prompt (size_t host, const char *path, const char *prompt,
+                     const char *id, reply_t *reply)
+{
+  request_headers_t head;
+
+  request_headers_init (&head, host, id);
+  snprintf (head.prompt, sizeof head.prompt, "x-elmarch-prompt-prefix: %s",
+            prompt);
+  head.list[3] = head.prompt;
+  head.list[4] = NULL;
+  http_request ("POST", site.entry_addrs[host].address, path, id, head.list,
+                reply);
+}
+
 /** Starts a POST request through a host. */
 void
 request_start (caller_t *caller, size_t host, const char *path, const char *id)
--- a/tests/site.h
+++ b/tests/site.h
@@ -71,6 +71,8 @@
                    const char *id, reply_t *reply);
 void send_request_body (size_t host, const char *path, const char *body,
                         const char *id, reply_t *reply);
+void send_request_prompt (size_t host, const char *path, const char *prompt,
+                          const char *id, reply_t *reply);
 void request_start (caller_t *caller, size_t host, const char *path,
                     const char *id);
 void stream_start (caller_t *caller, size_t host, const char *id);
--- a/tests/t_crash.c
+++ b/tests/t_crash.c
@@ -32,6 +32,10 @@
 /* Maximum number of engines that one request may crash: fewer crashes may be a
    coincidence. */
 #define CRASHES_MAX 3
+/* Number of different requests with a crashing part, and the maximum number of
+   engines that they may crash together. */
+#define SHARED_ARRIVALS 10
+#define SHARED_CRASHES_MAX 5
 /* Maximum number of engines that one kind of order may crash: all four engines
    receive it at once, and once more before the first three crashes are known.
  */
@@ -140,6 +144,45 @@
 }
 END_TEST
 
+/* Sends a request with a prompt of three parts; the last is its own. */
+static void
+send_prompt (size_t host, const char *part, const char *id, reply_t *reply)
+{
+  char prompt[96];
+
+  snprintf (prompt, sizeof prompt, "aa11:40,%s:300,%s:60", part, id);
+  send_request_prompt (host, "/chat/x", prompt, id, reply);
+}
+
+/* Requests of one caller, no two alike, had one part of their prompts in
+   common and crashed each engine that ran them: each was taken for another
+   request. Sound requests share the caller and the other parts. */
+START_TEST (test_requests_that_share_a_crashing_part_are_blocked)
+{
+  char id[16];
+  reply_t reply;
+  size_t ended = 0;
+  long status = 0;
+  size_t i;
+
+  site_start (2);
+  for (i = 0; i < SHARED_ARRIVALS; i++)
+    {
+      snprintf (id, sizeof id, "c%zu", i);
+      send_prompt (i % 2, "deadbeef", id, &reply);
+      ended += crashed_engines_replace (&reply);
+      ck_assert_uint_le (ended, SHARED_CRASHES_MAX);
+      status = reply.status;
+      reply_free (&reply);
+      snprintf (id, sizeof id, "a%zu", i);
+      send_prompt ((i + 1) % 2, "bb22", id, &reply);
+      assert_stream_complete (&reply);
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (status, 503);
+}
+END_TEST
+
 /* Sends the crashing request until it is refused as blocked. Returns the
    number of engines that crashed. */
 static size_t
@@ -435,6 +478,7 @@
   tcase_add_checked_fixture (tcase, site_setup, site_teardown);
   ADD (tcase, test_request_that_crashes_engines_is_blocked);
   ADD (tcase, test_request_that_crashes_engines_slowly_is_blocked);
+  ADD (tcase, test_requests_that_share_a_crashing_part_are_blocked);
   ADD (tcase, test_crash_of_a_worker_is_found_without_another_request);
   ADD (tcase, test_request_that_crashes_workers_is_blocked);
   ADD (tcase, test_blocked_request_is_known_to_hosts_that_start);
