Blame: an entry of the table is a cause, not a request

The table is to judge other causes of crashes than whole requests. Names only: blame_request_t becomes blame_cause_t, and so on. No logic is changed; the unit tests pass as before.

--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -286,8 +286,8 @@
 static void
 bench_blame (unsigned ends, unsigned runs)
 {
-  const rt_blame_options_t options = { .max_requests = 4096,
-                                       .max_customer_requests = 4096,
+  const rt_blame_options_t options = { .max_causes = 4096,
+                                       .max_customer_causes = 4096,
                                        .rule = &rt_blame_rule_odds };
   rt_blame_t *blame = rt_blame_new (&options);
   rt_crash_report_t ended
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -417,8 +417,8 @@
 relay_blame_open (gt_relays_t *relays)
 {
   const rt_blame_options_t options
-      = { .max_requests = REQUESTS_MAX,
-          .max_customer_requests = CUSTOMER_REQUESTS_MAX,
+      = { .max_causes = REQUESTS_MAX,
+          .max_customer_causes = CUSTOMER_REQUESTS_MAX,
           .rule = &rt_blame_rule_odds };
   relay_blame_t *blame = el_alloc (sizeof *blame);
 
--- a/gate/relay_block.c
+++ b/gate/relay_block.c
@@ -64,7 +64,7 @@
 void
 gt_relays_persist_blocked (gt_relays_t *relays)
 {
-  rt_blame_visit_requests (relay_blame_table (relays),
+  rt_blame_visit_causes (relay_blame_table (relays),
                            net_clock_now (relays->options.clock),
                            persist_if_blocked, relays);
 }
@@ -238,7 +238,7 @@
 {
   json_t *list = json_array ();
 
-  rt_blame_visit_requests (relay_blame_table (relays),
+  rt_blame_visit_causes (relay_blame_table (relays),
                            net_clock_now (relays->options.clock), dump_suspect,
                            list);
   return list;
--- a/route/blame.c
+++ b/route/blame.c
@@ -76,34 +76,34 @@
 }
 
 /* Return the tracked request with DIGEST, or NULL. */
-blame_request_t *
-blame_request_find (const rt_blame_t *blame, rt_digest_t digest)
+blame_cause_t *
+blame_cause_find (const rt_blame_t *blame, rt_digest_t digest)
 {
-  blame_request_t *request;
+  blame_cause_t *cause;
 
-  HASH_FIND (hh, blame->requests, &digest, sizeof digest, request);
-  return request;
+  HASH_FIND (hh, blame->causes, &digest, sizeof digest, cause);
+  return cause;
 }
 
 static void
 run_free (blame_run_t *run)
 {
   DL_DELETE2 (run->crash->runs, run, crash_prev, crash_next);
-  DL_DELETE2 (run->request->runs, run, prev, next);
+  DL_DELETE2 (run->cause->runs, run, prev, next);
   run->crash->nruns--;
   free (run);
 }
 
 static void
-request_free (rt_blame_t *blame, blame_request_t *request)
+cause_free (rt_blame_t *blame, blame_cause_t *cause)
 {
-  blame_customer_t *customer = request->customer;
+  blame_customer_t *customer = cause->customer;
 
-  while (request->runs)
-    run_free (request->runs);
-  HASH_DEL (blame->requests, request);
-  free (request);
-  if (--customer->nrequests)
+  while (cause->runs)
+    run_free (cause->runs);
+  HASH_DEL (blame->causes, cause);
+  free (cause);
+  if (--customer->ncauses)
     return;
   HASH_DEL (blame->customers, customer);
   free (customer);
@@ -123,13 +123,13 @@
 void
 rt_blame_free (rt_blame_t *blame)
 {
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *cause;
+  blame_cause_t *next;
 
   while (blame->crashes_by_time)
     crash_free (blame, blame->crashes_by_time);
-  HASH_ITER (hh, blame->requests, request, next)
-  request_free (blame, request);
+  HASH_ITER (hh, blame->causes, cause, next)
+  cause_free (blame, cause);
   free (blame);
 }
 
@@ -139,30 +139,30 @@
    requests of others. Evict the request with the fewest blocks, and of these
    the one with the oldest report. */
 static void
-evict_request (rt_blame_t *blame, blame_customer_t *owner)
+evict_cause (rt_blame_t *blame, blame_customer_t *owner)
 {
-  blame_request_t *victim = NULL;
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *victim = NULL;
+  blame_cause_t *cause;
+  blame_cause_t *next;
   blame_customer_t *customer;
   blame_customer_t *other;
 
-  if (owner->nrequests <= blame->options.max_customer_requests)
+  if (owner->ncauses <= blame->options.max_customer_causes)
     {
-      if (HASH_COUNT (blame->requests) < blame->options.max_requests)
+      if (HASH_COUNT (blame->causes) < blame->options.max_causes)
         return;
       HASH_ITER (hh, blame->customers, customer, other)
-      if (customer->nrequests > owner->nrequests)
+      if (customer->ncauses > owner->ncauses)
         owner = customer;
     }
-  HASH_ITER (hh, blame->requests, request, next)
-  if (request->customer == owner
-      && (!victim || request->holds < victim->holds
-          || (request->holds == victim->holds
-              && request->last_report_at < victim->last_report_at)))
-    victim = request;
+  HASH_ITER (hh, blame->causes, cause, next)
+  if (cause->customer == owner
+      && (!victim || cause->holds < victim->holds
+          || (cause->holds == victim->holds
+              && cause->last_report_at < victim->last_report_at)))
+    victim = cause;
   if (victim)
-    request_free (blame, victim);
+    cause_free (blame, victim);
 }
 
 static blame_customer_t *
@@ -179,22 +179,22 @@
   return customer;
 }
 
-static blame_request_t *
-request_get (rt_blame_t *blame, rt_digest_t digest, uint64_t key)
+static blame_cause_t *
+cause_get (rt_blame_t *blame, rt_digest_t digest, uint64_t key)
 {
-  blame_request_t *request = blame_request_find (blame, digest);
+  blame_cause_t *cause = blame_cause_find (blame, digest);
   blame_customer_t *customer;
 
-  if (request)
-    return request;
+  if (cause)
+    return cause;
   customer = customer_get (blame, key);
-  customer->nrequests++; /* keeps the customer allocated during eviction */
-  evict_request (blame, customer);
-  request = el_alloc (sizeof *request);
-  request->digest = digest;
-  request->customer = customer;
-  HASH_ADD (hh, blame->requests, digest, sizeof request->digest, request);
-  return request;
+  customer->ncauses++; /* keeps the customer allocated during eviction */
+  evict_cause (blame, customer);
+  cause = el_alloc (sizeof *cause);
+  cause->digest = digest;
+  cause->customer = customer;
+  HASH_ADD (hh, blame->causes, digest, sizeof cause->digest, cause);
+  return cause;
 }
 
 /* Insert the crash into the list of crashes, which is sorted by time. */
@@ -263,7 +263,7 @@
   blame_run_t *run;
 
   DL_FOREACH2 (crash->runs, run, crash_next)
-  if (run->request->digest == digest)
+  if (run->cause->digest == digest)
     return run;
   return NULL;
 }
@@ -299,24 +299,24 @@
 run_add (rt_blame_t *blame, blame_crash_t *crash,
          const rt_crash_report_t *report)
 {
-  blame_request_t *request;
+  blame_cause_t *cause;
   blame_run_t *run;
 
   if (crash_detected_before (crash, report->at - report->ran))
     return 0;
-  request = request_get (blame, report->digest, report->customer);
-  if (crash->at <= request->cleared_at)
+  cause = cause_get (blame, report->digest, report->customer);
+  if (crash->at <= cause->cleared_at)
     return 0;
   run = el_alloc (sizeof *run);
   run->crash = crash;
-  run->request = request;
+  run->cause = cause;
   run->began_at = report->at - report->ran;
   run->ran = report->ran;
   run->first = report->first;
-  if (request->last_report_at < crash->at)
-    request->last_report_at = crash->at;
+  if (cause->last_report_at < crash->at)
+    cause->last_report_at = crash->at;
   DL_APPEND2 (crash->runs, run, crash_prev, crash_next);
-  DL_APPEND (request->runs, run);
+  DL_APPEND (cause->runs, run);
   crash->nruns++;
   return 1;
 }
@@ -376,14 +376,14 @@
 
 /* Stop counting crashes up to AT against the request. */
 static void
-request_exonerate (blame_request_t *request, el_time_t at)
+cause_exonerate (blame_cause_t *cause, el_time_t at)
 {
   blame_run_t *run;
   blame_run_t *next;
 
-  request->cleared_at = at;
-  request->odds = 0;
-  DL_FOREACH_SAFE (request->runs, run, next)
+  cause->cleared_at = at;
+  cause->odds = 0;
+  DL_FOREACH_SAFE (cause->runs, run, next)
   if (run->crash->at <= at)
     run_free (run);
 }
@@ -401,16 +401,16 @@
 /* Return an identifier of the newest crash of this request that other hosts
    know, or else of its block. */
 static uint64_t
-request_rumor_id (const blame_request_t *request)
+cause_rumor_id (const blame_cause_t *cause)
 {
   const blame_run_t *run;
   const blame_crash_t *newest = NULL;
 
-  DL_FOREACH (request->runs, run)
-  if ((run->ran < RT_BLAME_SHORT_RUN || request->runs->next)
+  DL_FOREACH (cause->runs, run)
+  if ((run->ran < RT_BLAME_SHORT_RUN || cause->runs->next)
       && (!newest || run->crash->at > newest->at))
     newest = run->crash;
-  return newest ? newest->key : request->blocked_until;
+  return newest ? newest->key : cause->blocked_until;
 }
 
 /** The request completed at AT without a crash: earlier crashes no longer
@@ -420,16 +420,16 @@
 uint64_t
 rt_blame_completed (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
 {
-  blame_request_t *request = blame_request_find (blame, digest);
+  blame_cause_t *cause = blame_cause_find (blame, digest);
   uint64_t rumor_id;
 
-  if (!request || at <= request->cleared_at)
+  if (!cause || at <= cause->cleared_at)
     return 0;
-  rumor_id = request_rumor_id (request);
-  request_exonerate (request, at);
-  if (request->blocked_until
-      && at + rt_blame_block_time (request->holds) > request->blocked_until)
-    request->blocked_until = 0;
+  rumor_id = cause_rumor_id (cause);
+  cause_exonerate (cause, at);
+  if (cause->blocked_until
+      && at + rt_blame_block_time (cause->holds) > cause->blocked_until)
+    cause->blocked_until = 0;
   return rumor_id;
 }
 
@@ -440,14 +440,14 @@
 rt_blame_block (rt_blame_t *blame, rt_digest_t digest, uint64_t customer,
                 el_time_t at, unsigned holds)
 {
-  blame_request_t *request = request_get (blame, digest, customer);
+  blame_cause_t *cause = cause_get (blame, digest, customer);
 
-  if (holds <= request->holds || at <= request->cleared_at)
+  if (holds <= cause->holds || at <= cause->cleared_at)
     return 0;
-  request->holds = holds;
-  request->blocked_until = at + rt_blame_block_time (holds);
-  if (request->last_report_at < at)
-    request->last_report_at = at;
+  cause->holds = holds;
+  cause->blocked_until = at + rt_blame_block_time (holds);
+  if (cause->last_report_at < at)
+    cause->last_report_at = at;
   return 1;
 }
 
@@ -456,13 +456,13 @@
 int
 rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
 {
-  blame_request_t *request = blame_request_find (blame, digest);
+  blame_cause_t *cause = blame_cause_find (blame, digest);
 
-  if (!request || at <= request->cleared_at)
+  if (!cause || at <= cause->cleared_at)
     return 0;
-  request_exonerate (request, at);
-  request->blocked_until = 0;
-  request->holds = 0;
+  cause_exonerate (cause, at);
+  cause->blocked_until = 0;
+  cause->holds = 0;
   return 1;
 }
 
@@ -470,50 +470,50 @@
    after the block ends; one that completed, until earlier reports about it
    have expired. */
 static int
-request_expired (const blame_request_t *request, el_time_t now)
+cause_expired (const blame_cause_t *cause, el_time_t now)
 {
-  return (!request->blocked_until
-          || request->blocked_until + rt_blame_block_time (request->holds)
+  return (!cause->blocked_until
+          || cause->blocked_until + rt_blame_block_time (cause->holds)
                  < now)
-         && request->cleared_at + REPORT_LIFETIME < now;
+         && cause->cleared_at + REPORT_LIFETIME < now;
 }
 
 /* Drop expired crashes and requests. */
 void
 blame_expire (rt_blame_t *blame, el_time_t now)
 {
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *cause;
+  blame_cause_t *next;
 
   while (blame->crashes_by_time
          && blame->crashes_by_time->at + REPORT_LIFETIME < now)
     crash_free (blame, blame->crashes_by_time);
-  HASH_ITER (hh, blame->requests, request, next)
-  if (!request->runs && request_expired (request, now))
-    request_free (blame, request);
+  HASH_ITER (hh, blame->causes, cause, next)
+  if (!cause->runs && cause_expired (cause, now))
+    cause_free (blame, cause);
 }
 
 /** Whether no request is tracked. */
 int
 rt_blame_is_empty (const rt_blame_t *blame)
 {
-  return !blame->requests;
+  return !blame->causes;
 }
 
 /** Visit all requests that are suspect or blocked. */
 void
-rt_blame_visit_requests (const rt_blame_t *blame, el_time_t now,
-                         rt_blame_request_cb visit, void *arg)
+rt_blame_visit_causes (const rt_blame_t *blame, el_time_t now,
+                         rt_blame_cause_cb visit, void *arg)
 {
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *cause;
+  blame_cause_t *next;
   rt_blame_status_t status;
 
-  HASH_ITER (hh, blame->requests, request, next)
+  HASH_ITER (hh, blame->causes, cause, next)
   {
-    status = blame_status (request, now);
+    status = blame_status (cause, now);
     if (status.state)
-      visit (arg, request->digest, &status);
+      visit (arg, cause->digest, &status);
   }
 }
 
@@ -522,15 +522,15 @@
 rt_blame_visit_crashes (const rt_blame_t *blame, rt_digest_t digest,
                         rt_blame_report_cb visit, void *arg)
 {
-  const blame_request_t *request = blame_request_find (blame, digest);
+  const blame_cause_t *cause = blame_cause_find (blame, digest);
   const blame_run_t *run;
 
-  DL_FOREACH (request ? request->runs : NULL, run)
+  DL_FOREACH (cause ? cause->runs : NULL, run)
   {
     const rt_crash_report_t report
         = { .instance = run->crash->instance,
             .digest = digest,
-            .customer = request->customer->key,
+            .customer = cause->customer->key,
             .host = run->crash->store_confirmed ? 0 : run->crash->witnesses[0],
             .at = run->crash->at,
             .ran = run->ran,
--- a/route/blame.h
+++ b/route/blame.h
@@ -76,8 +76,8 @@
 
 typedef struct rt_blame_options
 {
-  size_t max_requests;          /**< maximum number of tracked requests */
-  size_t max_customer_requests; /**< the same per customer */
+  size_t max_causes;          /**< maximum number of tracked requests */
+  size_t max_customer_causes; /**< the same per customer */
   /** Scoring rule. Selectable so that benchmarks can compare rules. */
   const struct rt_blame_rule *rule;
 } rt_blame_options_t;
@@ -113,12 +113,12 @@
                                        rt_digest_t digest);
 el_time_t rt_blame_block_time (unsigned holds);
 int rt_blame_is_empty (const rt_blame_t *blame);
-typedef void (*rt_blame_request_cb) (void *arg, rt_digest_t digest,
+typedef void (*rt_blame_cause_cb) (void *arg, rt_digest_t digest,
                                      const rt_blame_status_t *status);
 void rt_blame_update (rt_blame_t *blame, el_time_t now, size_t endpoints,
-                      rt_blame_request_cb blocked, void *arg);
-void rt_blame_visit_requests (const rt_blame_t *blame, el_time_t now,
-                              rt_blame_request_cb visit, void *arg);
+                      rt_blame_cause_cb blocked, void *arg);
+void rt_blame_visit_causes (const rt_blame_t *blame, el_time_t now,
+                              rt_blame_cause_cb visit, void *arg);
 /** Called for each crash of a request, with one host that reported it. */
 typedef void (*rt_blame_report_cb) (void *arg,
                                     const rt_crash_report_t *report);
--- a/route/blame_rule.c
+++ b/route/blame_rule.c
@@ -125,7 +125,7 @@
   for (w = 0; w < BLAME_RATE_WINDOWS; w++)
     {
       n = run->crash->nearby_unexplained[w];
-      DL_FOREACH (run->request->runs, other)
+      DL_FOREACH (run->cause->runs, other)
       if (other != run
           && crash_within (other->crash, run->crash->at, windows[w]))
         n -= other->crash->unexplained;
@@ -143,7 +143,7 @@
 static double
 run_expected_hazard (const blame_run_t *run)
 {
-  return odds_to_probability (run->request->odds / exp (run->llr))
+  return odds_to_probability (run->cause->odds / exp (run->llr))
          * run_hazard (run);
 }
 
@@ -160,8 +160,8 @@
   {
     run->expected_hazard = run_expected_hazard (run);
     crash->total_hazard += run->expected_hazard;
-    if (1 - odds_to_probability (run->request->odds) < crash->unexplained)
-      crash->unexplained = 1 - odds_to_probability (run->request->odds);
+    if (1 - odds_to_probability (run->cause->odds) < crash->unexplained)
+      crash->unexplained = 1 - odds_to_probability (run->cause->odds);
   }
 }
 
@@ -179,12 +179,12 @@
 }
 
 static double
-request_odds (const blame_request_t *request)
+cause_odds (const blame_cause_t *cause)
 {
   const blame_run_t *run;
   double sum = log (PRIOR_ODDS);
 
-  DL_FOREACH (request->runs, run)
+  DL_FOREACH (cause->runs, run)
   sum += run->llr;
   sum = sum < log (ODDS_MAX) ? sum : log (ODDS_MAX);
   return exp (sum);
@@ -193,8 +193,8 @@
 static void
 odds_pass (rt_blame_t *blame, size_t endpoints)
 {
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *cause;
+  blame_cause_t *next;
   blame_run_t *run;
   blame_crash_t *crash;
   size_t w;
@@ -206,22 +206,22 @@
   DL_FOREACH (blame->crashes_by_time, crash)
   DL_FOREACH2 (crash->runs, run, crash_next)
   run->llr = run_llr (run, endpoints);
-  HASH_ITER (hh, blame->requests, request, next)
-  request->odds = request_odds (request);
+  HASH_ITER (hh, blame->causes, cause, next)
+  cause->odds = cause_odds (cause);
 }
 
 static void
 odds_score (rt_blame_t *blame, size_t endpoints)
 {
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *cause;
+  blame_cause_t *next;
   blame_run_t *run;
   unsigned pass;
 
-  HASH_ITER (hh, blame->requests, request, next)
+  HASH_ITER (hh, blame->causes, cause, next)
   {
-    request->odds = PRIOR_ODDS;
-    DL_FOREACH (request->runs, run)
+    cause->odds = PRIOR_ODDS;
+    DL_FOREACH (cause->runs, run)
     run->llr = 0;
   }
   for (pass = 0; pass < BP_PASSES; pass++)
@@ -231,16 +231,16 @@
 static void
 count_score (rt_blame_t *blame, size_t endpoints)
 {
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *cause;
+  blame_cause_t *next;
   const blame_run_t *run;
   unsigned n;
 
   (void)endpoints;
-  HASH_ITER (hh, blame->requests, request, next)
+  HASH_ITER (hh, blame->causes, cause, next)
   {
-    DL_COUNT (request->runs, run, n);
-    request->odds = n >= COUNT_RULE_CRASHES ? ODDS_MAX : PRIOR_ODDS;
+    DL_COUNT (cause->runs, run, n);
+    cause->odds = n >= COUNT_RULE_CRASHES ? ODDS_MAX : PRIOR_ODDS;
   }
 }
 
--- a/route/blame_status.c
+++ b/route/blame_status.c
@@ -22,12 +22,12 @@
 /* Count the endpoints that crashed soon after the request began there, since
    it last completed. */
 static unsigned
-request_early_crashes (const blame_request_t *request)
+cause_early_crashes (const blame_cause_t *cause)
 {
   const blame_run_t *run;
   unsigned n = 0;
 
-  DL_FOREACH (request->runs, run)
+  DL_FOREACH (cause->runs, run)
   n += run->ran < EARLY_CRASH_TIME;
   return n;
 }
@@ -35,12 +35,12 @@
 /* Return the time of the newest crash at which the request was running, or
    0. */
 static el_time_t
-request_last_crash (const blame_request_t *request)
+cause_last_crash (const blame_cause_t *cause)
 {
   const blame_run_t *run;
   el_time_t last = 0;
 
-  DL_FOREACH (request->runs, run)
+  DL_FOREACH (cause->runs, run)
   if (run->crash->at > last)
     last = run->crash->at;
   return last;
@@ -48,15 +48,15 @@
 
 /* Whether no request at its newest crash, at LAST, has higher odds. */
 static int
-request_is_likeliest (const blame_request_t *request, el_time_t last)
+cause_is_likeliest (const blame_cause_t *cause, el_time_t last)
 {
   const blame_run_t *run;
   const blame_run_t *other;
 
-  DL_FOREACH (request->runs, run)
+  DL_FOREACH (cause->runs, run)
   if (run->crash->at == last)
     DL_FOREACH2 (run->crash->runs, other, crash_next)
-  if (other->request->odds > request->odds)
+  if (other->cause->odds > cause->odds)
     return 0;
   return 1;
 }
@@ -64,60 +64,60 @@
 /* Whether to block the request now: it is the culprit, or it was blocked
    before and crashed another endpoint after the block ended. */
 static int
-request_must_block (const blame_request_t *request, el_time_t now)
+cause_must_block (const blame_cause_t *cause, el_time_t now)
 {
-  el_time_t last = request_last_crash (request);
+  el_time_t last = cause_last_crash (cause);
 
-  if (!last || now < request->blocked_until)
+  if (!last || now < cause->blocked_until)
     return 0;
-  if (request->blocked_until)
-    return last > request->blocked_until;
-  return request->odds >= BLOCK_ODDS
-         || (request_early_crashes (request) >= EARLY_CRASHES_MAX
-             && request_is_likeliest (request, last));
+  if (cause->blocked_until)
+    return last > cause->blocked_until;
+  return cause->odds >= BLOCK_ODDS
+         || (cause_early_crashes (cause) >= EARLY_CRASHES_MAX
+             && cause_is_likeliest (cause, last));
 }
 
 /** Score all requests anew and call BLOCKED for each that is blocked from now
     on; ENDPOINTS is the number of endpoints listed. */
 void
 rt_blame_update (rt_blame_t *blame, el_time_t now, size_t endpoints,
-                 rt_blame_request_cb blocked, void *arg)
+                 rt_blame_cause_cb blocked, void *arg)
 {
-  blame_request_t *request;
-  blame_request_t *next;
+  blame_cause_t *cause;
+  blame_cause_t *next;
   rt_blame_status_t status;
 
   blame_expire (blame, now);
   blame->options.rule->score (blame, endpoints);
-  HASH_ITER (hh, blame->requests, request, next)
-  if (request_must_block (request, now))
+  HASH_ITER (hh, blame->causes, cause, next)
+  if (cause_must_block (cause, now))
     {
-      request->holds++;
-      request->blocked_until = request_last_crash (request)
-                               + rt_blame_block_time (request->holds);
-      status = rt_blame_get_status (blame, now, request->digest);
-      blocked (arg, request->digest, &status);
+      cause->holds++;
+      cause->blocked_until = cause_last_crash (cause)
+                               + rt_blame_block_time (cause->holds);
+      status = rt_blame_get_status (blame, now, cause->digest);
+      blocked (arg, cause->digest, &status);
     }
 }
 
 static unsigned
-request_count_crashes (const blame_request_t *request)
+cause_count_crashes (const blame_cause_t *cause)
 {
   const blame_run_t *run;
   unsigned n = 0;
 
-  DL_COUNT (request->runs, run, n);
+  DL_COUNT (cause->runs, run, n);
   return n;
 }
 
 /* Whether the newest crash at which the request was running is unconfirmed. */
 static int
-request_is_unconfirmed (const blame_request_t *request)
+cause_is_unconfirmed (const blame_cause_t *cause)
 {
-  el_time_t last = request_last_crash (request);
+  el_time_t last = cause_last_crash (cause);
   const blame_run_t *run;
 
-  DL_FOREACH (request->runs, run)
+  DL_FOREACH (cause->runs, run)
   if (run->crash->at == last)
     return !blame_crash_confirmed (run->crash);
   return 0;
@@ -125,35 +125,35 @@
 
 /* Whether no request at its newest crash has far higher odds. */
 static int
-request_is_prime_suspect (const blame_request_t *request)
+cause_is_prime_suspect (const blame_cause_t *cause)
 {
-  el_time_t last = request_last_crash (request);
+  el_time_t last = cause_last_crash (cause);
   const blame_run_t *run;
   const blame_run_t *other;
 
-  DL_FOREACH (request->runs, run)
+  DL_FOREACH (cause->runs, run)
   if (run->crash->at == last)
     DL_FOREACH2 (run->crash->runs, other, crash_next)
-  if (other->request->odds * PRIME_SUSPECT_ODDS_RATIO > request->odds)
+  if (other->cause->odds * PRIME_SUSPECT_ODDS_RATIO > cause->odds)
     return 0;
   return 1;
 }
 
 /* Return the status of a request at NOW. */
 rt_blame_status_t
-blame_status (const blame_request_t *request, el_time_t now)
+blame_status (const blame_cause_t *cause, el_time_t now)
 {
   rt_blame_status_t out
-      = { .crashes = request_count_crashes (request),
-          .odds = request->odds,
-          .blocked_until = request->blocked_until,
-          .holds = request->holds,
-          .unconfirmed = request_is_unconfirmed (request),
-          .prime_suspect = request_is_prime_suspect (request) };
-
-  if (now < request->blocked_until)
+      = { .crashes = cause_count_crashes (cause),
+          .odds = cause->odds,
+          .blocked_until = cause->blocked_until,
+          .holds = cause->holds,
+          .unconfirmed = cause_is_unconfirmed (cause),
+          .prime_suspect = cause_is_prime_suspect (cause) };
+
+  if (now < cause->blocked_until)
     out.state = RT_BLAME_BLOCKED;
-  else if (out.crashes || request->blocked_until)
+  else if (out.crashes || cause->blocked_until)
     out.state = RT_BLAME_SUSPECT;
   return out;
 }
@@ -163,7 +163,7 @@
 rt_blame_get_status (const rt_blame_t *blame, el_time_t now,
                      rt_digest_t digest)
 {
-  const blame_request_t *request = blame_request_find (blame, digest);
+  const blame_cause_t *cause = blame_cause_find (blame, digest);
 
-  return request ? blame_status (request, now) : (rt_blame_status_t){ 0 };
+  return cause ? blame_status (cause, now) : (rt_blame_status_t){ 0 };
 }
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -17,13 +17,13 @@
 #define BLAME_RATE_WINDOWS 3
 
 typedef struct blame_crash blame_crash_t;
-typedef struct blame_request blame_request_t;
+typedef struct blame_cause blame_cause_t;
 
 /* The number of tracked requests of a customer. */
 typedef struct blame_customer
 {
   uint64_t key;
-  size_t nrequests;
+  size_t ncauses;
   UT_hash_handle hh;
 } blame_customer_t;
 
@@ -31,7 +31,7 @@
 typedef struct blame_run
 {
   blame_crash_t *crash;
-  blame_request_t *request;
+  blame_cause_t *cause;
   el_time_t began_at;
   el_time_t ran;
   int first;
@@ -66,7 +66,7 @@
   UT_hash_handle hh;
 };
 
-struct blame_request
+struct blame_cause
 {
   rt_digest_t digest;
   blame_customer_t *customer;
@@ -82,15 +82,15 @@
 struct rt_blame
 {
   rt_blame_options_t options;
-  blame_request_t *requests;
+  blame_cause_t *causes;
   blame_customer_t *customers;
   blame_crash_t *crashes_by_key;
   blame_crash_t *crashes_by_time;
 };
 
-blame_request_t *blame_request_find (const rt_blame_t *blame,
+blame_cause_t *blame_cause_find (const rt_blame_t *blame,
                                      rt_digest_t digest);
-rt_blame_status_t blame_status (const blame_request_t *request, el_time_t now);
+rt_blame_status_t blame_status (const blame_cause_t *cause, el_time_t now);
 void blame_expire (rt_blame_t *blame, el_time_t now);
 
 /* Whether the crash is confirmed by the store or by two hosts: a single host
--- a/tests/blame_sim.c
+++ b/tests/blame_sim.c
@@ -472,8 +472,8 @@
 static void
 sim_open (sim_t *sim)
 {
-  const rt_blame_options_t options = { .max_requests = 4096,
-                                       .max_customer_requests = 4096,
+  const rt_blame_options_t options = { .max_causes = 4096,
+                                       .max_customer_causes = 4096,
                                        .rule = sim->options.rule };
   const sim_stream_t none = { 0 };
   sim_stream_t first = none;
--- a/tests/t_blame.c
+++ b/tests/t_blame.c
@@ -55,8 +55,8 @@
 static void
 blame_setup (void)
 {
-  const rt_blame_options_t options = { .max_requests = 1000,
-                                       .max_customer_requests = 200,
+  const rt_blame_options_t options = { .max_causes = 1000,
+                                       .max_customer_causes = 200,
                                        .rule = &rt_blame_rule_odds };
 
   blame = rt_blame_new (&options);
@@ -358,7 +358,7 @@
     }
   ck_assert_int_eq (state_of (CULPRIT), RT_BLAME_BLOCKED);
   blocked_count = 0;
-  rt_blame_visit_requests (blame, NOW + 6 * EL_SEC, count_suspect_or_blocked,
+  rt_blame_visit_causes (blame, NOW + 6 * EL_SEC, count_suspect_or_blocked,
                            &blocked_count);
   ck_assert_uint_le (blocked_count, 201);
 }
--- a/tests/t_clock.c
+++ b/tests/t_clock.c
@@ -89,8 +89,8 @@
    host was suspended meanwhile. */
 START_TEST (test_block_expires_during_suspension)
 {
-  const rt_blame_options_t options = { .max_requests = 10,
-                                       .max_customer_requests = 10,
+  const rt_blame_options_t options = { .max_causes = 10,
+                                       .max_customer_causes = 10,
                                        .rule = &rt_blame_rule_odds };
   rt_blame_t *blame = rt_blame_new (&options);
 
