--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 ROUTE = route/avail.c route/reach.c route/limit.c route/router.c route/table.c route/route_build.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/chat.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/fleet_kind.c route/fleet_pick.c route/chain.c route/chain_reduce.c route/chain_use.c route/estimate.c \
-        route/layout.c route/attempts.c route/digest.c route/order_failures.c route/blame.c route/blame_status.c route/blame_rule.c
+        route/layout.c route/attempts.c route/digest.c route/order_failures.c route/blame.c route/blame_status.c route/blame_rule.c route/blame_class.c route/trial.c
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_members.c peer/peer_config.c \
@@ -32,12 +32,12 @@
        gate/api_chat.c gate/api_call.c gate/api_session.c gate/api_admin.c \
        gate/platform.c gate/kv_http.c gate/session_peer.c \
        gate/relay.c gate/relay_attempt.c gate/relay_pick.c gate/relay_head.c gate/relay_response.c \
-       gate/relay_events.c gate/relay_blame.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_limit.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_reach.c gate/relay_forward.c gate/relay_poll.c \
+       gate/relay_events.c gate/relay_blame.c gate/relay_traits.c gate/relay_trial.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_limit.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_reach.c gate/relay_forward.c gate/relay_poll.c \
        gate/relay_metrics.c \
        gate/planner.c
 STORE = store/st_store.c store/st_keys.c store/st_follow.c store/st_follow_host.c store/st_duty.c store/st_put.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
-           platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_blocked.c platform/pf_json.c
+           platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_parts.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
           standin/store.c standin/member.c standin/backoff.c standin/rate_limit.c
 
--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -274,10 +274,11 @@
 }
 
 static void
-ignore_block (void *arg, rt_digest_t digest, const rt_blame_status_t *status)
+ignore_block (void *arg, const rt_block_t *block,
+              const rt_blame_status_t *status)
 {
   (void)arg;
-  (void)digest;
+  (void)block;
   (void)status;
 }
 
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -276,17 +276,17 @@
   frontend->planner_held = !item->gone;
 }
 
-/* A blocked request, which another host stored for hosts that start while no
-   other host is live to inform them. */
+/* A block, which another host stored for hosts that start while no other host
+   is live to inform them. */
 static void
 blocked_item_received (void *arg, const pr_store_item_t *item)
 {
   frontend_t *frontend = arg;
-  rt_digest_t digest;
+  rt_block_t block;
   unsigned holds;
 
-  if (!item->gone && pf_blocked_read (item->key, &digest, &holds))
-    gt_relays_block (frontend->relays, digest, holds);
+  if (!item->gone && pf_blocked_read (item->key, &block, &holds))
+    gt_relays_block (frontend->relays, &block, holds);
 }
 
 static int
--- a/elmarchd/frontend_relays.c
+++ b/elmarchd/frontend_relays.c
@@ -166,10 +166,10 @@
   gt_gate_publish_rumor (frontend->gate, id, hold, body);
 }
 
-/* Record a blocked request in the store, in case all hosts fail at once. Only
+/* Record a block in the store, in case all hosts fail at once. Only
    the first host of each hall does so, as it takes two calls. */
 static void
-frontend_store_blocked (void *arg, rt_digest_t digest, unsigned holds,
+frontend_store_blocked (void *arg, const rt_block_t *block, unsigned holds,
                         el_time_t time_left)
 {
   frontend_t *frontend = arg;
@@ -178,7 +178,7 @@
 
   if (!gt_gate_is_hall_leader (frontend->gate))
     return;
-  pf_blocked_key (digest, holds, &key);
+  pf_blocked_key (block, holds, &key);
   st_store_put_leased (
       &frontend->store, el_buf_str (&key), frontend->options.name,
       ttl_ms < PF_LEASE_TTL_MAX_MS ? ttl_ms : PF_LEASE_TTL_MAX_MS,
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -30,7 +30,8 @@
   const char *resume; /**< id of the last event that the caller received */
   const char *tokens; /**< prompt length and response limit, in tokens */
   const char *expected_tokens; /**< the caller's estimate of response tokens */
-  const char *prompt_parts;    /**< ids of the parts of the prompt, in order */
+  const char *model;           /**< the model that the request is for */
+  const char *prompt_parts;    /**< the parts of the prompt, in order */
   const char *priority; /**< priority of the prompt among those queued */
   const char *chain;    /**< engines of the chain and their layers */
   const char *at_fault; /**< on a refusal: address of the refusing engine */
@@ -72,6 +73,9 @@
   const char *priorities[GT_PRIORITIES]; /**< header values */
   /** Writes the header value that describes a chain. */
   void (*write_chain) (const rt_chain_t *chain, el_buf_t *out);
+  /** Reads from a header value the ids of the parts of a prompt that other
+      prompts may share, at most MAX. Returns how many there are. */
+  size_t (*read_parts) (el_str_t value, el_str_t *ids, size_t max);
   /** Reads the backoff and the leaving notice from a response head. */
   void (*read_hints) (const net_result_t *head, rt_hints_t *out);
   /** Asks the first engine of a chain which engine the stream ID is
@@ -115,6 +119,11 @@
   uint64_t suspects; /**< runs of requests recorded for these crashes */
   uint64_t blocked;  /**< requests blocked because they crash endpoints */
   uint64_t refused_blocked; /**< arrivals of blocked requests, refused */
+  uint64_t parts_ignored; /**< requests with more parts of the prompt than are
+                             judged */
+  uint64_t trials;        /**< sends of requests that have a suspect part */
+  uint64_t trial_waits;   /**< waits of such requests */
+  uint64_t refused_trial; /**< refused: they waited for too long */
   uint64_t isolated; /**< suspect requests sent to an endpoint of their own */
   uint64_t turn_waits; /**< waits of suspect requests for their turn */
   uint64_t backoffs;   /**< backoffs requested by endpoints */
@@ -195,9 +204,9 @@
       called before it returns. */
   void (*borrow) (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
                   void *done_arg);
-  /** Called to store a block: DIGEST is blocked for the HOLDS-th time, and the
-      block ends after LEFT. */
-  void (*blocked) (void *arg, rt_digest_t digest, unsigned holds,
+  /** Called to store a block, which took effect for the HOLDS-th time and
+      ends after LEFT. */
+  void (*blocked) (void *arg, const rt_block_t *block, unsigned holds,
                    el_time_t left);
   void *arg;
 } gt_relay_options_t;
@@ -213,7 +222,8 @@
 void gt_relays_engine_changed (gt_relays_t *relays, rt_target_t *engine);
 void gt_relays_engine_gone (gt_relays_t *relays, rt_target_t *target);
 void gt_relays_receive_rumor (gt_relays_t *relays, const co_rumor_t *rumor);
-void gt_relays_block (gt_relays_t *relays, rt_digest_t digest, unsigned holds);
+void gt_relays_block (gt_relays_t *relays, const rt_block_t *block,
+                      unsigned holds);
 void gt_relays_check_engine (gt_relays_t *relays, rt_target_t *engine,
                              el_time_t since);
 int gt_relays_order_blocked (gt_relays_t *relays, const rt_order_t *order);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -9,6 +9,7 @@
 #define ELMARCH_LIBRELAY_H
 
 #include "gate_relay.h"
+#include "trial.h"
 
 /* Buffer size for a decimal uint64_t and its NUL byte. */
 #define RELAY_NUMBER_MAX 24
@@ -67,6 +68,7 @@
   gt_relay_t *running;
   struct relay_check *checks;
   struct relay_blame *blame;
+  struct relay_trial *trials;
   struct relay_backoff *backoffs;
   relay_reach_t reach;
   relay_helper_t *helpers;
@@ -125,6 +127,10 @@
                       head yet */
   rt_digest_t digest; /* identifies the request across retries; 0: not
                          computed yet */
+  rt_digest_t *parts; /* of its prompt, as far as others may share them */
+  size_t nparts;
+  int parts_known;
+  rt_digest_t trial; /* suspect cause for which it was sent as a trial */
   rt_attempts_t attempts;
   rt_tried_t tried;          /* endpoints that later attempts avoid */
   el_timer_t retry_timer;    /* delay before the next attempt */
@@ -136,6 +142,7 @@
   int wrong_id;     /* the response carries another request's id */
   rt_hints_t hints; /* backoff and leaving notice in the response */
   int stream;       /* the response is forwarded event by event */
+  int writing;      /* an event of this attempt has arrived */
   double prompt;    /* prompt length in tokens */
   double tokens;    /* estimated tokens of prompt and response */
 
@@ -264,6 +271,7 @@
                                  const rt_target_t *target, el_time_t sent_at);
 void relay_blame_connected (gt_relays_t *relays, const rt_target_t *target,
                             el_time_t begun);
+void relay_blame_began (gt_relay_t *relay);
 void relay_blame_completed (gt_relay_t *relay);
 rt_blame_status_t relay_blame_get_status (gt_relay_t *relay);
 rt_blame_t *relay_blame_table (const gt_relays_t *relays);
@@ -274,8 +282,28 @@
 void relay_blame_on_completed (gt_relays_t *relays, const co_rumor_t *rumor,
                                const relay_fact_t *fact);
 
+/* relay_traits.c */
+el_str_t relay_host_name (const h2o_req_t *req);
+rt_digest_t relay_digest (gt_relay_t *relay);
+rt_traits_t relay_traits (gt_relay_t *relay);
+
+/* relay_trial.c */
+
+/* The one trial at a time of requests that have a suspect cause in common. */
+typedef struct relay_trial
+{
+  rt_digest_t cause;
+  rt_trial_t state;
+  UT_hash_handle hh;
+} relay_trial_t;
+
+int relay_trial_take (gt_relay_t *relay, rt_digest_t cause, el_time_t now);
+void relay_trial_lend (gt_relays_t *relays, rt_digest_t cause, int is_grantor,
+                       co_loan_t *out);
+void relay_trial_close (gt_relays_t *relays);
+
 /* relay_block.c */
-void relay_block_add (void *arg, rt_digest_t digest,
+void relay_block_add (void *arg, const rt_block_t *block,
                       const rt_blame_status_t *status);
 void relay_block_on_blocked (gt_relays_t *relays, const co_rumor_t *rumor,
                              const relay_fact_t *fact);
@@ -290,7 +318,8 @@
 int relay_suspect_admit (gt_relay_t *relay);
 int relay_suspect_must_wait (gt_relay_t *relay, el_time_t now);
 rt_target_t *relay_suspect_pick_target (gt_relay_t *relay, el_time_t now);
-void relay_suspect_cancel (gt_relays_t *relays, rt_digest_t digest);
+void relay_suspect_cancel (gt_relays_t *relays, const rt_block_t *block);
+void relay_suspect_refuse (gt_relay_t *relay);
 
 /* relay_fact.c */
 
@@ -308,8 +337,11 @@
   RELAY_FACT_KINDS
 } relay_fact_kind_t;
 
-/* Limit for the runs of one crash in a rumor, whose size is limited. */
+/* Limits for the runs of one crash, and the parts of their prompts, in a
+   rumor, whose size is limited. A run takes as much space as three parts. */
 #define RELAY_FACT_RUNS_MAX 12
+#define RELAY_FACT_PARTS_MAX 40
+#define RELAY_FACT_RUN_PARTS 3
 /* How long facts about requests are gossiped: as long as they count as
    evidence about a request. */
 #define RELAY_FACT_GOSSIP_TIME (600 * EL_SEC)
@@ -321,14 +353,16 @@
   rt_crash_report_t runs[RELAY_FACT_RUNS_MAX]; /* all of the same crash */
   size_t nruns;
   rt_instance_t instance; /* the endpoint instance that is leaving */
-  rt_digest_t digest;     /* the request, for the kinds that concern one */
+  rt_digest_t digest;     /* the cause, for the kinds that concern one */
+  rt_block_t block;       /* what is blocked */
   uint64_t customer;
-  unsigned holds;        /* how often the request has been blocked */
+  unsigned holds;        /* how often it has been blocked */
   uint64_t version;      /* version of the rules */
   uint64_t limit_milli;  /* requests per second, in thousandths */
   el_time_t limited_for; /* time since it was first named */
 };
 
+int relay_fact_add_run (relay_fact_t *fact, const rt_crash_report_t *run);
 void relay_fact_encode (const relay_fact_t *fact, el_buf_t *out);
 int relay_fact_decode (el_str_t body, el_time_t at, relay_fact_t *out);
 
@@ -399,6 +433,5 @@
 void relay_finish (gt_relay_t *relay);
 int relay_retry_take (gt_relay_t *relay);
 int relay_retry_left (gt_relay_t *relay);
-rt_digest_t relay_digest (gt_relay_t *relay);
 
 #endif
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -47,6 +47,7 @@
   el_buf_free (&relay->out);
   el_buf_free (&relay->in_flight);
   relay_events_reset (&relay->events);
+  free (relay->parts);
   rt_rules_unref (relay->rules);
   free (relay);
 }
@@ -96,14 +97,6 @@
     relay_respond_error (relay, 504, "time limit", 0);
 }
 
-static el_str_t
-host_name (const h2o_req_t *req)
-{
-  el_str_t rest = { req->authority.base, req->authority.len };
-
-  return el_str_cut (&rest, ':');
-}
-
 static el_str_t
 bearer (const h2o_req_t *req)
 {
@@ -134,7 +127,7 @@
   if (relays->rules)
     {
       relay->rules = rt_rules_ref (relays->rules);
-      relay->rule = rt_rules_match (relay->rules, host_name (relay->req),
+      relay->rule = rt_rules_match (relay->rules, relay_host_name (relay->req),
                                     net_req_path (relay->req));
     }
   if (relay->rule)
@@ -295,23 +288,6 @@
       net_clock_now (o->clock), o->hosts (o->arg));
 }
 
-/** Returns the digest that identifies RELAY's request when it is retried;
-    computed on first use. */
-rt_digest_t
-relay_digest (gt_relay_t *relay)
-{
-  const h2o_req_t *req = relay->req;
-  rt_digest_input_t input = { .customer = relay->customer,
-                              .method = net_req_method (req),
-                              .host = host_name (req),
-                              .path = { req->path.base, req->path.len },
-                              .body = net_req_body (req) };
-
-  if (!relay->digest)
-    relay->digest = rt_digest (relay->relays->options.key, &input);
-  return relay->digest;
-}
-
 /* Admits the request and starts its first attempt. */
 static void
 relay_start (gt_relay_t *relay)
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -126,6 +126,11 @@
 
   if (relay->ended)
     return;
+  if (!relay->writing)
+    {
+      relay->writing = 1;
+      relay_blame_began (relay);
+    }
   if (has_id && relay->has_id && id <= relay->last_event_id)
     return; /* already forwarded by an earlier attempt */
   now = net_clock_now (relays->options.clock);
@@ -518,6 +523,7 @@
   relay->refused = 0;
   relay->wrong_id = 0;
   relay->stream = 0;
+  relay->writing = 0;
   relay->sent = now;
   relay->head_at = 0;
   relay->hints = (rt_hints_t){ 0 };
@@ -558,7 +564,10 @@
 
   if (relay_blame_get_status (relay).state == RT_BLAME_BLOCKED)
     {
-      relay_abort (relay, "ends endpoints");
+      if (relay->attempts.may_run || relay->response_started)
+        relay_abort (relay, "ends endpoints");
+      else
+        relay_suspect_refuse (relay);
       return;
     }
   if (relay_suspect_must_wait (relay, now))
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -39,9 +39,9 @@
 #define EXTRA_CHECKERS 3
 /* Reports that arrive within this are evaluated together. */
 #define UPDATE_INTERVAL_MIN (20 * EL_MSEC)
-/* Tracked requests, in total and per customer; 240 bytes each. */
-#define REQUESTS_MAX 4096
-#define CUSTOMER_REQUESTS_MAX 1024
+/* Tracked causes, in total and per customer; some 300 bytes each. */
+#define CAUSES_MAX 4096
+#define CUSTOMER_CAUSES_MAX 1024
 
 /* A run whose connection was lost, at an endpoint that may have crashed. */
 typedef struct pending_run
@@ -64,12 +64,6 @@
   el_time_t last_update;
 } relay_blame_t;
 
-static uint64_t
-customer_key (const gt_relay_t *relay)
-{
-  return XXH3_64bits (relay->customer.ptr, relay->customer.len);
-}
-
 static void
 pending_free (relay_blame_t *blame, pending_run_t *run)
 {
@@ -110,15 +104,20 @@
 {
   gt_relays_t *relays = relay->relays;
   el_time_t now = net_clock_now (relays->options.clock);
-  const rt_crash_report_t report
+  const rt_traits_t traits = relay_traits (relay);
+  rt_crash_report_t report
       = { .instance = rt_target_instance (target),
-          .digest = relay_digest (relay),
-          .customer = customer_key (relay),
+          .digest = traits.digest,
+          .customer = traits.customer,
           .host = relays->options.host_incarnation,
           .at = now,
           .ran = now - (relay->head_at ? relay->head_at : relay->sent),
-          .first = target == relay->target };
+          .first = target == relay->target,
+          .writing = relay->writing,
+          .nparts = traits.nparts };
 
+  if (traits.nparts)
+    memcpy (report.parts, traits.parts, traits.nparts * sizeof *traits.parts);
   if (!rt_target_is_leaving (target)
       && !relay_reach_is_cut_off (relays, target->attrs.service))
     pending_add (relays->blame, target, &report);
@@ -167,6 +166,31 @@
           EL_FN ("runs", runs));
 }
 
+/* Logs a run that may have crashed its endpoint. */
+static void
+log_run (const pending_run_t *run)
+{
+  const rt_crash_report_t *report = &run->report;
+  char hex[RT_DIGEST_HEX + 1];
+
+  if (!report->digest || report->writing)
+    return;
+  rt_digest_hex (report->digest, hex);
+  EL_LOG (EL_LOG_INFO, "end_candidate",
+          EL_FS ("endpoint", run->target->attrs.id), EL_FC ("digest", hex),
+          EL_FN ("ran_us", report->ran), EL_FN ("first", report->first),
+          EL_FN ("shared_parts", report->nparts));
+}
+
+static void
+publish_runs (gt_relays_t *relays, relay_fact_t *fact)
+{
+  if (fact->nruns)
+    relay_rumor_publish (relays, fact, el_random (&relays->random),
+                         RELAY_FACT_GOSSIP_TIME);
+  fact->nruns = 0;
+}
+
 /* TARGET has crashed: reports the requests of this host that were running
    there. */
 static void
@@ -185,19 +209,17 @@
     {
       runs += run->report.digest != 0;
       run->report.detected_at = now;
-      if (rt_blame_should_publish (blame->table, &run->report))
-        fact.runs[fact.nruns++] = run->report;
+      if (rt_blame_should_publish (blame->table, &run->report)
+          && !relay_fact_add_run (&fact, &run->report))
+        {
+          publish_runs (relays, &fact);
+          relay_fact_add_run (&fact, &run->report);
+        }
       rt_blame_add_report (blame->table, now, &run->report);
+      log_run (run);
       pending_free (blame, run);
-      if (fact.nruns < RELAY_FACT_RUNS_MAX)
-        continue;
-      relay_rumor_publish (relays, &fact, el_random (&relays->random),
-                           RELAY_FACT_GOSSIP_TIME);
-      fact.nruns = 0;
     }
-  if (fact.nruns)
-    relay_rumor_publish (relays, &fact, el_random (&relays->random),
-                         RELAY_FACT_GOSSIP_TIME);
+  publish_runs (relays, &fact);
   schedule_update (relays);
   if (runs == 0)
     return;
@@ -338,25 +360,51 @@
                    relays);
 }
 
-/** Records that RELAY completed. If it was running at any crash, the
-    completion is published: a host that sees the next crash may not know that
-    the request completed elsewhere in between. All hosts give the rumor the
-    same id, so that it spreads only once. */
+/* CAUSE ran well. If it was at any crash, that is published: a host that sees
+   the next crash may not know that the cause ran well elsewhere in between.
+   All hosts give the rumor the same id, so that it spreads only once. */
+static void
+cause_ran_well (gt_relays_t *relays, rt_digest_t cause)
+{
+  const relay_fact_t fact = { .kind = RELAY_FACT_COMPLETED, .digest = cause };
+  uint64_t id = rt_blame_completed (relays->blame->table, cause,
+                                    net_clock_now (relays->options.clock));
+
+  if (!id)
+    return;
+  relay_rumor_publish (relays, &fact, cause ^ id, RELAY_FACT_GOSSIP_TIME);
+}
+
+/** Records that the response to RELAY began: what other requests share with it
+    crashes no endpoint. */
+void
+relay_blame_began (gt_relay_t *relay)
+{
+  gt_relays_t *relays = relay->relays;
+  rt_traits_t traits;
+  size_t i;
+
+  if (!rt_blame_tracks_parts (relays->blame->table))
+    return;
+  traits = relay_traits (relay);
+  for (i = 0; i < traits.nparts; i++)
+    {
+      cause_ran_well (relays, traits.parts[i]);
+      cause_ran_well (relays,
+                      rt_customer_part (traits.customer, traits.parts[i]));
+    }
+}
+
+/** Records that RELAY completed. */
 void
 relay_blame_completed (gt_relay_t *relay)
 {
   gt_relays_t *relays = relay->relays;
-  relay_fact_t fact = { .kind = RELAY_FACT_COMPLETED };
-  uint64_t id;
 
   if (rt_blame_is_empty (relays->blame->table))
     return;
-  fact.digest = relay_digest (relay);
-  id = rt_blame_completed (relays->blame->table, fact.digest,
-                           net_clock_now (relays->options.clock));
-  if (id)
-    relay_rumor_publish (relays, &fact, fact.digest ^ id,
-                         RELAY_FACT_GOSSIP_TIME);
+  cause_ran_well (relays, relay_digest (relay));
+  relay_blame_began (relay);
 }
 
 /** Returns whether RELAY's request is a suspect or blocked. */
@@ -364,12 +412,13 @@
 relay_blame_get_status (gt_relay_t *relay)
 {
   const gt_relays_t *relays = relay->relays;
+  rt_traits_t traits;
 
   if (rt_blame_is_empty (relays->blame->table))
     return (rt_blame_status_t){ 0 };
-  return rt_blame_get_status (relays->blame->table,
-                              net_clock_now (relays->options.clock),
-                              relay_digest (relay));
+  traits = relay_traits (relay);
+  return rt_blame_judge (relays->blame->table,
+                         net_clock_now (relays->options.clock), &traits);
 }
 
 /* Checks the endpoint if only one host has reported its crash and this host is
@@ -404,7 +453,7 @@
   check_unconfirmed_crash (relays, &fact->runs[0].instance);
 }
 
-/** Handles a rumor that a request completed. */
+/** Handles a rumor that a cause ran well. */
 void
 relay_blame_on_completed (gt_relays_t *relays, const co_rumor_t *rumor,
                           const relay_fact_t *fact)
@@ -417,8 +466,8 @@
 relay_blame_open (gt_relays_t *relays)
 {
   const rt_blame_options_t options
-      = { .max_causes = REQUESTS_MAX,
-          .max_customer_causes = CUSTOMER_REQUESTS_MAX,
+      = { .max_causes = CAUSES_MAX,
+          .max_customer_causes = CUSTOMER_CAUSES_MAX,
           .rule = &rt_blame_rule_odds };
   relay_blame_t *blame = el_alloc (sizeof *blame);
 
@@ -438,6 +487,7 @@
   while (blame->pending)
     pending_free (blame, blame->pending);
   rt_blame_free (blame->table);
+  relay_trial_close (relays);
   free (blame);
   relays->blame = NULL;
 }
--- a/gate/relay_block.c
+++ b/gate/relay_block.c
@@ -3,9 +3,10 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Requests and layer placement orders that are blocked because they crash
- * endpoints. A block is decided on this host, or learned from another host or
- * the store. It is persisted in the store, and an operator may clear it.
+ * Requests, parts of prompts and layer placement orders that are blocked
+ * because they crash endpoints. A block is decided on this host, or learned
+ * from another host or the store. It is persisted in the store, and an
+ * operator may clear it.
  */
 #include "librelay.h"
 
@@ -23,39 +24,43 @@
 }
 
 static void
-log_blocked (gt_relays_t *relays, rt_digest_t digest,
+log_blocked (gt_relays_t *relays, const rt_block_t *block,
              const rt_blame_status_t *status, const char *by)
 {
   el_time_t now = net_clock_now (relays->options.clock);
   char hex[RT_DIGEST_HEX + 1];
+  size_t i;
 
-  rt_digest_hex (digest, hex);
+  rt_digest_hex (block->id, hex);
   EL_LOG (EL_LOG_WARN, "request_blocked", EL_FC ("digest", hex),
-          EL_FC ("by", by), EL_FN ("ends", status->crashes),
+          EL_FC ("kind", rt_cause_kind_name (block->kind)),
+          EL_FN ("causes", block->n), EL_FC ("by", by),
+          EL_FN ("ends", status->crashes),
           EL_FN ("odds", (uint64_t)status->odds),
           EL_FN ("holds", status->holds),
           EL_FN ("left_us", status->blocked_until - now));
-  rt_blame_visit_crashes (relay_blame_table (relays), digest,
-                          log_crash_of_blocked, relays);
+  for (i = 0; i < block->n; i++)
+    rt_blame_visit_crashes (relay_blame_table (relays), block->causes[i],
+                            log_crash_of_blocked, relays);
 }
 
 /* Stores the block, so that it survives a restart of all hosts. */
 static void
-persist_block (const gt_relays_t *relays, rt_digest_t digest, unsigned holds,
-               el_time_t remaining)
+persist_block (const gt_relays_t *relays, const rt_block_t *block,
+               unsigned holds, el_time_t remaining)
 {
   if (relays->options.blocked)
-    relays->options.blocked (relays->options.arg, digest, holds, remaining);
+    relays->options.blocked (relays->options.arg, block, holds, remaining);
 }
 
 static void
-persist_if_blocked (void *arg, rt_digest_t digest,
+persist_if_blocked (void *arg, const rt_block_t *block,
                     const rt_blame_status_t *status)
 {
   const gt_relays_t *relays = arg;
 
   if (status->state == RT_BLAME_BLOCKED)
-    persist_block (relays, digest, status->holds,
+    persist_block (relays, block, status->holds,
                    status->blocked_until
                        - net_clock_now (relays->options.clock));
 }
@@ -65,57 +70,61 @@
 gt_relays_persist_blocked (gt_relays_t *relays)
 {
   rt_blame_visit_causes (relay_blame_table (relays),
-                           net_clock_now (relays->options.clock),
-                           persist_if_blocked, relays);
+                         net_clock_now (relays->options.clock),
+                         persist_if_blocked, relays);
 }
 
-/** Blocks DIGEST, which was found to crash endpoints. The block is published,
-    since some hosts do not know of every crash, and stored for hosts that
-    start later. */
+static void
+publish_block (gt_relays_t *relays, const rt_block_t *block, unsigned holds)
+{
+  const relay_fact_t fact
+      = { .kind = RELAY_FACT_BLOCKED, .block = *block, .holds = holds };
+
+  relay_rumor_publish (relays, &fact, block->id + holds,
+                       rt_blame_block_time (holds));
+  persist_block (relays, block, holds, rt_blame_block_time (holds));
+}
+
+/** Handles that BLOCK took effect. It is published, since some hosts do not
+    know of every crash, and stored for hosts that start later. */
 void
-relay_block_add (void *arg, rt_digest_t digest,
+relay_block_add (void *arg, const rt_block_t *block,
                  const rt_blame_status_t *status)
 {
   gt_relays_t *relays = arg;
-  const relay_fact_t fact = { .kind = RELAY_FACT_BLOCKED,
-                              .digest = digest,
-                              .holds = status->holds };
 
   relays->counts.blocked++;
-  log_blocked (relays, digest, status, "ends");
-  relay_rumor_publish (relays, &fact, digest + status->holds,
-                       rt_blame_block_time (status->holds));
-  persist_block (relays, digest, status->holds,
-                 rt_blame_block_time (status->holds));
-  relay_suspect_cancel (relays, digest);
+  log_blocked (relays, block, status, "ends");
+  publish_block (relays, block, status->holds);
+  relay_suspect_cancel (relays, block);
 }
 
 /* Applies a block that began at AT and was reported by BY. Returns 0 if it was
    known already or is over. */
 static int
-apply_block (gt_relays_t *relays, rt_digest_t digest, uint64_t customer,
+apply_block (gt_relays_t *relays, const rt_block_t *block, uint64_t customer,
              el_time_t at, unsigned holds, const char *by)
 {
   el_time_t now = net_clock_now (relays->options.clock);
   rt_blame_status_t status;
 
-  if (!rt_blame_block (relay_blame_table (relays), digest, customer, at,
-                       holds))
+  if (!rt_blame_block (relay_blame_table (relays), block, customer, at, holds))
     return 0;
-  status = rt_blame_get_status (relay_blame_table (relays), now, digest);
+  status = rt_blame_get_status (relay_blame_table (relays), now, block->id);
   if (status.state != RT_BLAME_BLOCKED)
     return 0;
-  log_blocked (relays, digest, &status, by);
-  relay_suspect_cancel (relays, digest);
+  log_blocked (relays, block, &status, by);
+  relay_suspect_cancel (relays, block);
   return 1;
 }
 
-/** Applies the HOLDS-th block of DIGEST, read from the store. The stored entry
-    does not tell how much of the block remains, so its time starts now. */
+/** Applies the HOLDS-th block of BLOCK's causes, read from the store. The
+    stored entry does not tell how much of it remains, so its time starts
+    now. */
 void
-gt_relays_block (gt_relays_t *relays, rt_digest_t digest, unsigned holds)
+gt_relays_block (gt_relays_t *relays, const rt_block_t *block, unsigned holds)
 {
-  apply_block (relays, digest, 0, net_clock_now (relays->options.clock), holds,
+  apply_block (relays, block, 0, net_clock_now (relays->options.clock), holds,
                "store");
 }
 
@@ -140,25 +149,20 @@
                          const rt_order_t *order)
 {
   const rt_digest_t digest = rt_order_digest (relays->options.key, order);
+  const rt_block_t block = rt_block_single (RT_CAUSE_REQUEST, digest);
   const rt_blame_status_t before
       = rt_blame_get_status (relay_blame_table (relays),
                              net_clock_now (relays->options.clock), digest);
-  const relay_fact_t fact = { .kind = RELAY_FACT_BLOCKED,
-                              .digest = digest,
-                              .holds = before.holds + 1 };
+  unsigned holds = before.holds + 1;
 
   EL_LOG (EL_LOG_WARN, "engine_fell",
           EL_FS ("engine", order->target->attrs.id),
           EL_FS ("card", order->target->attrs.card),
           EL_FN ("layers", order->end - order->first));
-  if (!rt_order_failures_add (failures, digest)
-      || !apply_block (relays, digest, 0,
-                       net_clock_now (relays->options.clock), fact.holds,
-                       "orders"))
-    return;
-  relay_rumor_publish (relays, &fact, digest + fact.holds,
-                       rt_blame_block_time (fact.holds));
-  persist_block (relays, digest, fact.holds, rt_blame_block_time (fact.holds));
+  if (rt_order_failures_add (failures, digest)
+      && apply_block (relays, &block, 0, net_clock_now (relays->options.clock),
+                      holds, "orders"))
+    publish_block (relays, &block, holds);
 }
 
 /** Records that ORDER's engine holds the ordered layers. */
@@ -196,14 +200,14 @@
   return 1;
 }
 
-/** Handles a rumor that a request is blocked. */
+/** Handles a rumor of a block. */
 void
 relay_block_on_blocked (gt_relays_t *relays, const co_rumor_t *rumor,
                         const relay_fact_t *fact)
 {
-  if (apply_block (relays, fact->digest, fact->customer, rumor->at,
+  if (apply_block (relays, &fact->block, fact->customer, rumor->at,
                    fact->holds, "another host"))
-    persist_block (relays, fact->digest, fact->holds,
+    persist_block (relays, &fact->block, fact->holds,
                    rt_blame_block_time (fact->holds));
 }
 
@@ -217,29 +221,32 @@
 }
 
 static void
-dump_suspect (void *arg, rt_digest_t digest, const rt_blame_status_t *status)
+dump_suspect (void *arg, const rt_block_t *block,
+              const rt_blame_status_t *status)
 {
   static const char *const states[] = { [RT_BLAME_NONE] = "none",
                                         [RT_BLAME_SUSPECT] = "suspect",
                                         [RT_BLAME_BLOCKED] = "blocked" };
   char hex[RT_DIGEST_HEX + 1];
 
-  rt_digest_hex (digest, hex);
+  rt_digest_hex (block->id, hex);
   json_array_append_new (
-      arg, json_pack ("{s:s,s:s,s:i,s:f,s:i,s:I}", "digest", hex, "state",
-                      states[status->state], "ends", (int)status->crashes,
-                      "odds", status->odds, "holds", (int)status->holds,
-                      "untilUs", (json_int_t)status->blocked_until));
+      arg,
+      json_pack ("{s:s,s:s,s:i,s:s,s:i,s:f,s:i,s:I}", "digest", hex, "kind",
+                 rt_cause_kind_name (block->kind), "causes", (int)block->n,
+                 "state", states[status->state], "ends", (int)status->crashes,
+                 "odds", status->odds, "holds", (int)status->holds, "untilUs",
+                 (json_int_t)status->blocked_until));
 }
 
-/** Returns the requests that are suspect or blocked, as a JSON array. */
+/** Returns the causes that are suspect or blocked, as a JSON array. */
 json_t *
 gt_relays_suspects (gt_relays_t *relays)
 {
   json_t *list = json_array ();
 
   rt_blame_visit_causes (relay_blame_table (relays),
-                           net_clock_now (relays->options.clock), dump_suspect,
-                           list);
+                         net_clock_now (relays->options.clock), dump_suspect,
+                         list);
   return list;
 }
--- a/gate/relay_fact.c
+++ b/gate/relay_fact.c
@@ -22,8 +22,10 @@
 static int limit_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void rules_write (const relay_fact_t *fact, json_t *json);
 static int rules_read (json_t *json, el_time_t at, relay_fact_t *out);
-static void request_write (const relay_fact_t *fact, json_t *json);
-static int request_read (json_t *json, el_time_t at, relay_fact_t *out);
+static void cause_write (const relay_fact_t *fact, json_t *json);
+static int cause_read (json_t *json, el_time_t at, relay_fact_t *out);
+static void block_write (const relay_fact_t *fact, json_t *json);
+static int block_read (json_t *json, el_time_t at, relay_fact_t *out);
 
 static const struct
 {
@@ -32,9 +34,9 @@
   int (*read) (json_t *json, el_time_t at, relay_fact_t *out);
 } codecs[RELAY_FACT_KINDS] = {
   [RELAY_FACT_CRASHED] = { "ended", runs_write, runs_read },
-  [RELAY_FACT_COMPLETED] = { "survived", request_write, request_read },
-  [RELAY_FACT_BLOCKED] = { "blocked", request_write, request_read },
-  [RELAY_FACT_CLEARED] = { "cleared", request_write, request_read },
+  [RELAY_FACT_COMPLETED] = { "survived", cause_write, cause_read },
+  [RELAY_FACT_BLOCKED] = { "blocked", block_write, block_read },
+  [RELAY_FACT_CLEARED] = { "cleared", cause_write, cause_read },
   [RELAY_FACT_LEAVING] = { "leaves", leaving_write, leaving_read },
   [RELAY_FACT_RULES] = { "rules", rules_write, rules_read },
   [RELAY_FACT_LIMIT] = { "limit", limit_write, limit_read },
@@ -132,6 +134,61 @@
   return number_read (json_object_get (json, "version"), &out->version);
 }
 
+static json_t *
+digests_write (const rt_digest_t *digests, size_t n)
+{
+  json_t *list = json_array ();
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    json_array_append_new (list, number_write (digests[i]));
+  return list;
+}
+
+/* Returns 0 if JSON is not a list of at most MAX digests. */
+static int
+digests_read (json_t *json, rt_digest_t *out, size_t max, size_t *n)
+{
+  json_t *item;
+  size_t i;
+
+  *n = json_array_size (json);
+  if (*n > max)
+    return 0;
+  json_array_foreach (json, i, item)
+  {
+    if (!number_read (item, &out[i]))
+      return 0;
+  }
+  return 1;
+}
+
+/* The number of parts that are told of a run: none if they are no causes. */
+static size_t
+run_parts (const rt_crash_report_t *run)
+{
+  return run->writing ? 0 : run->nparts;
+}
+
+/** Adds a run to a fact of kind RELAY_FACT_CRASHED. Returns 0 if it does not
+    fit. */
+int
+relay_fact_add_run (relay_fact_t *fact, const rt_crash_report_t *run)
+{
+  size_t parts = 0;
+  size_t i;
+
+  for (i = 0; i < fact->nruns; i++)
+    parts += RELAY_FACT_RUN_PARTS + run_parts (&fact->runs[i]);
+  if (fact->nruns == RELAY_FACT_RUNS_MAX
+      || (fact->nruns
+          && parts + RELAY_FACT_RUN_PARTS + run_parts (run)
+                 > RELAY_FACT_PARTS_MAX))
+    return 0;
+  fact->runs[fact->nruns++] = *run;
+  return 1;
+}
+
 static void
 runs_write (const relay_fact_t *fact, json_t *json)
 {
@@ -146,33 +203,63 @@
       run = &fact->runs[i];
       json_array_append_new (
           list,
-          json_pack ("[o,o,I,b,I]", number_write (run->digest),
-                     number_write (run->customer),
-                     (json_int_t)(run->ran / EL_MSEC), run->first,
-                     (json_int_t)((run->detected_at - run->at) / EL_MSEC)));
+          json_pack (
+              "[o,o,I,b,I,b,o]", number_write (run->digest),
+              number_write (run->customer), (json_int_t)(run->ran / EL_MSEC),
+              run->first, (json_int_t)((run->detected_at - run->at) / EL_MSEC),
+              run->writing, digests_write (run->parts, run_parts (run))));
     }
   json_object_set_new (json, "runs", list);
 }
 
-/* The fields common to facts about a request. */
 static void
-request_write (const relay_fact_t *fact, json_t *json)
+cause_write (const relay_fact_t *fact, json_t *json)
 {
   json_object_set_new (json, "digest", number_write (fact->digest));
   json_object_set_new (json, "customer", number_write (fact->customer));
+  json_object_set_new (json, "holds", json_integer (0));
+}
+
+static int
+cause_read (json_t *json, el_time_t at, relay_fact_t *out)
+{
+  (void)at;
+  return number_read (json_object_get (json, "digest"), &out->digest)
+         && number_read (json_object_get (json, "customer"), &out->customer);
+}
+
+static void
+block_write (const relay_fact_t *fact, json_t *json)
+{
+  json_object_set_new (json, "digest", number_write (fact->block.id));
+  json_object_set_new (json, "customer", number_write (fact->customer));
   json_object_set_new (json, "holds", json_integer ((json_int_t)fact->holds));
+  if (fact->block.kind == RT_CAUSE_REQUEST)
+    return;
+  json_object_set_new (json, "kind", json_integer (fact->block.kind));
+  json_object_set_new (json, "causes",
+                       digests_write (fact->block.causes, fact->block.n));
 }
 
 static int
-request_read (json_t *json, el_time_t at, relay_fact_t *out)
+block_read (json_t *json, el_time_t at, relay_fact_t *out)
 {
   json_int_t holds = json_integer_value (json_object_get (json, "holds"));
+  json_int_t kind = json_integer_value (json_object_get (json, "kind"));
 
   (void)at;
-  out->holds = holds > 0 ? (unsigned)holds : 0;
-  return number_read (json_object_get (json, "digest"), &out->digest)
-         && number_read (json_object_get (json, "customer"), &out->customer)
-         && holds >= 0;
+  if (holds < 0 || kind < 0 || kind >= RT_CAUSE_KINDS
+      || !number_read (json_object_get (json, "digest"), &out->block.id)
+      || !number_read (json_object_get (json, "customer"), &out->customer)
+      || !digests_read (json_object_get (json, "causes"), out->block.causes,
+                        RT_BLOCK_CAUSES_MAX, &out->block.n))
+    return 0;
+  out->holds = (unsigned)holds;
+  if (!out->block.n)
+    out->block = rt_block_single (RT_CAUSE_REQUEST, out->block.id);
+  out->block.kind = (rt_cause_kind_t)kind;
+  rt_block_seal (&out->block);
+  return 1;
 }
 
 static int
@@ -192,6 +279,10 @@
   out->at = out->detected_at - detection_delay;
   out->ran = (el_time_t)json_integer_value (ran) * EL_MSEC;
   out->first = json_is_true (json_array_get (item, 3));
+  out->writing = json_is_true (json_array_get (item, 5));
+  if (!digests_read (json_array_get (item, 6), out->parts, RT_PARTS_MAX,
+                     &out->nparts))
+    return 0;
   return number_read (digest, &out->digest)
          && number_read (customer, &out->customer) && json_is_integer (ran)
          && json_integer_value (ran) >= 0;
--- a/gate/relay_limit.c
+++ b/gate/relay_limit.c
@@ -396,8 +396,8 @@
   return 1;
 }
 
-/** Lends tokens of an endpoint's limit to a host, or notes that another host
-    is the lender. */
+/** Lends tokens of an endpoint's limit, or the trial of a cause, to a host; or
+    notes that another host is the lender. */
 void
 gt_relays_lend (gt_relays_t *relays, const pr_loan_request_t *request,
                 int is_lender, co_loan_t *out)
@@ -409,6 +409,11 @@
   rt_limit_t *limit;
   uint64_t former;
 
+  if (request->cause)
+    {
+      relay_trial_lend (relays, request->cause, is_lender, out);
+      return;
+    }
   *out = (co_loan_t){ .wait = UNKNOWN_WAIT };
   if (!target || !rt_target_same_instance (target, &attrs))
     return;
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -120,9 +120,11 @@
   int silent;    /**< the engine does not answer health checks */
 } pr_engine_report_t;
 
-/** A request for tokens of an endpoint's rate limit. */
+/** A request for tokens of an endpoint's rate limit, or for the trial of a
+    suspect cause of crashes. */
 typedef struct pr_loan_request
 {
+  uint64_t cause; /**< digest of the cause; 0: tokens are asked for */
   el_str_t endpoint;
   uint64_t born;       /**< start time of its instance; 0: unknown */
   uint64_t rate_milli; /**< the limit as the requester knows it, in thousandths
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -248,7 +248,8 @@
 
 /* Asks the lender of an endpoint's rate limit for tokens, WANTED of them. The
    requester knows the limit since SINCE_AGO_US and heard of it last before
-   HEARD_AGO_US microseconds. */
+   HEARD_AGO_US microseconds. Without an endpoint, asks for the trial of the
+   suspect cause BORN. */
 struct peer_loan_args {
   opaque endpoint<PEER_NAME_MAX>;
   unsigned hyper born;
--- a/peer/peer_loan.c
+++ b/peer/peer_loan.c
@@ -3,8 +3,8 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Borrowing of tokens of an endpoint's rate limit from the host that lends
- * them.
+ * Borrowing of tokens of an endpoint's rate limit, and of the trial of a
+ * suspect cause, from the host that lends them.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -24,12 +24,14 @@
   void *arg;
 } loan_call_t;
 
-/* The lender of an endpoint's limit, in this host's view. */
+/* The lender, in this host's view. */
 static const co_member_t *
 loan_lender (const pr_peers_t *peers, const pr_loan_request_t *request)
 {
   return co_members_pick_by_draw (
-      peers->members, el_str_hash (request->endpoint) ^ request->born);
+      peers->members, request->cause
+                          ? request->cause
+                          : el_str_hash (request->endpoint) ^ request->born);
 }
 
 static int
@@ -64,11 +66,12 @@
 {
   const co_member_t *lender = loan_lender (peers, request);
   int self = member_is_self (peers, lender);
-  peer_loan_args args = { .born = request->born,
-                          .rate_milli = request->rate_milli,
-                          .since_ago_us = request->since_ago,
-                          .heard_ago_us = request->heard_ago,
-                          .wanted = request->wanted };
+  peer_loan_args args
+      = { .born = request->cause ? request->cause : request->born,
+          .rate_milli = request->rate_milli,
+          .since_ago_us = request->since_ago,
+          .heard_ago_us = request->heard_ago,
+          .wanted = request->wanted };
   el_buf_t body = { NULL, 0, 0 };
   loan_call_t *call;
   co_loan_t loan;
@@ -110,6 +113,8 @@
         .heard_ago = args.heard_ago_us,
         .wanted = args.wanted,
       };
+      if (!request.endpoint.len)
+        request.cause = args.born;
       peers->options.ops->lend (
           peers->options.arg, &request,
           member_is_self (peers, loan_lender (peers, &request)), &loan);
--- a/route/blame.c
+++ b/route/blame.c
@@ -3,7 +3,8 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * The reports about requests that were running where endpoints crashed:
+ * The reports about requests that were running where endpoints crashed, and
+ * the causes that these requests have:
  * bounded in number, expiring, and independent of the order of arrival. The
  * scoring rules are in blame_rule.c.
  */
@@ -26,9 +27,10 @@
 /* Maximum number of stored crashes; a hall of a hundred engines may fail at
    once. */
 #define CRASHES_MAX 512
-/* Maximum number of requests stored per crash: those in the slots and the
-   queue of an engine. */
-#define RUNS_PER_CRASH_MAX 320
+/* Maximum number of causes stored per crash: those of the requests in the
+   slots and the queue of an engine, few of which have parts that are possible
+   causes. */
+#define RUNS_PER_CRASH_MAX 2048
 /* Hosts derive the time of a report from the age of its message, so that it
    may appear up to this much later than it was. */
 #define TIME_TOLERANCE (50 * EL_MSEC)
@@ -75,7 +77,7 @@
   return blame;
 }
 
-/* Return the tracked request with DIGEST, or NULL. */
+/* Return the tracked cause with DIGEST, or NULL. */
 blame_cause_t *
 blame_cause_find (const rt_blame_t *blame, rt_digest_t digest)
 {
@@ -102,6 +104,9 @@
   while (cause->runs)
     run_free (cause->runs);
   HASH_DEL (blame->causes, cause);
+  blame->nshared -= cause->kind != RT_CAUSE_REQUEST;
+  blame->nsets -= cause->set != NULL;
+  free (cause->set);
   free (cause);
   if (--customer->ncauses)
     return;
@@ -119,7 +124,7 @@
   free (crash);
 }
 
-/** Free all reports and requests. */
+/** Free all reports and causes. */
 void
 rt_blame_free (rt_blame_t *blame)
 {
@@ -133,11 +138,11 @@
   free (blame);
 }
 
-/* Evict a request if that is needed to add one of OWNER: one of OWNER's if it
+/* Evict a cause if that is needed to add one of OWNER: one of OWNER's if it
    exceeds its quota, else, when the table is full, one of the customer with
-   the most requests, so that no customer can evict what is known about the
-   requests of others. Evict the request with the fewest blocks, and of these
-   the one with the oldest report. */
+   the most causes, so that no customer can evict what is known about those of
+   others. Evict the cause with the fewest blocks, and of these the one with
+   the oldest report. */
 static void
 evict_cause (rt_blame_t *blame, blame_customer_t *owner)
 {
@@ -179,8 +184,10 @@
   return customer;
 }
 
-static blame_cause_t *
-cause_get (rt_blame_t *blame, rt_digest_t digest, uint64_t key)
+/* Return the cause with DIGEST, added if it is not tracked. */
+blame_cause_t *
+blame_cause_get (rt_blame_t *blame, rt_digest_t digest, rt_cause_kind_t kind,
+                 uint64_t key)
 {
   blame_cause_t *cause = blame_cause_find (blame, digest);
   blame_customer_t *customer;
@@ -192,11 +199,29 @@
   evict_cause (blame, customer);
   cause = el_alloc (sizeof *cause);
   cause->digest = digest;
+  cause->kind = kind;
+  cause->leader = cause;
   cause->customer = customer;
+  blame->nshared += kind != RT_CAUSE_REQUEST;
   HASH_ADD (hh, blame->causes, digest, sizeof cause->digest, cause);
   return cause;
 }
 
+/* Return the cause, or the set of causes, that BLOCK blocks. */
+blame_cause_t *
+blame_block_get (rt_blame_t *blame, const rt_block_t *block, uint64_t customer)
+{
+  blame_cause_t *cause
+      = blame_cause_get (blame, block->id, block->kind, customer);
+
+  if (block->n < 2 || cause->set)
+    return cause;
+  cause->set = el_alloc (sizeof *cause->set);
+  *cause->set = *block;
+  blame->nsets++;
+  return cause;
+}
+
 /* Insert the crash into the list of crashes, which is sorted by time. */
 static void
 crash_insert_by_time (rt_blame_t *blame, blame_crash_t *crash)
@@ -257,13 +282,14 @@
   return 1;
 }
 
-static blame_run_t *
-run_find (const blame_crash_t *crash, rt_digest_t digest)
+/* Return the run of CAUSE at CRASH, or NULL. */
+blame_run_t *
+blame_run_find (const blame_cause_t *cause, const blame_crash_t *crash)
 {
   blame_run_t *run;
 
-  DL_FOREACH2 (crash->runs, run, crash_next)
-  if (run->cause->digest == digest)
+  DL_FOREACH (cause->runs, run)
+  if (run->crash == crash)
     return run;
   return NULL;
 }
@@ -293,57 +319,91 @@
     run_free (run);
 }
 
-/* Add a run of the request at the crashed endpoint. Return 0 if the run began
-   after the crash was detected or the request was cleared since. */
-static int
-run_add (rt_blame_t *blame, blame_crash_t *crash,
+/* Add CAUSE to the crashed endpoint, where its run began early enough. Return
+   NULL if CAUSE was cleared since or there are too many. */
+static blame_run_t *
+run_add (blame_crash_t *crash, blame_cause_t *cause,
          const rt_crash_report_t *report)
 {
-  blame_cause_t *cause;
   blame_run_t *run;
 
-  if (crash_detected_before (crash, report->at - report->ran))
-    return 0;
-  cause = cause_get (blame, report->digest, report->customer);
-  if (crash->at <= cause->cleared_at)
-    return 0;
+  if (crash->at <= cause->cleared_at || crash->nruns >= RUNS_PER_CRASH_MAX)
+    return NULL;
   run = el_alloc (sizeof *run);
   run->crash = crash;
   run->cause = cause;
   run->began_at = report->at - report->ran;
   run->ran = report->ran;
   run->first = report->first;
+  run->writing = report->writing;
   if (cause->last_report_at < crash->at)
     cause->last_report_at = crash->at;
   DL_APPEND2 (crash->runs, run, crash_prev, crash_next);
   DL_APPEND (cause->runs, run);
   crash->nruns++;
-  return 1;
+  return run;
 }
 
-/* The request ran more than once concurrently at the endpoint: keep the run
-   that began last. Return 0 if nothing changes. */
+/* The cause ran more than once concurrently at the endpoint: keep the run that
+   began last. Return 0 if nothing changes. */
 static int
 run_update (blame_run_t *run, const rt_crash_report_t *report)
 {
-  if (report->ran >= run->ran
-      || crash_detected_before (run->crash, report->at - report->ran))
+  if (report->ran >= run->ran)
     return 0;
   run->began_at = report->at - report->ran;
   run->ran = report->ran;
   run->first |= report->first;
+  run->writing &= report->writing;
   return 1;
 }
 
+/* Add a cause that the reported request has. Return 0 if nothing changes. */
+static int
+report_add_cause (rt_blame_t *blame, blame_crash_t *crash,
+                  const rt_crash_report_t *report, rt_digest_t digest,
+                  rt_cause_kind_t kind)
+{
+  blame_cause_t *cause
+      = blame_cause_get (blame, digest, kind, report->customer);
+  blame_run_t *run = blame_run_find (cause, crash);
+  int changed = run ? run_update (run, report) : 1;
+
+  if (!run)
+    run = run_add (crash, cause, report);
+  if (!run)
+    return 0;
+  if (kind != RT_CAUSE_REQUEST || !run->requests)
+    run->requests ^= XXH3_64bits (&report->digest, sizeof report->digest);
+  return changed;
+}
+
+/* Add the parts of the reported request's prompt. */
+static void
+report_add_parts (rt_blame_t *blame, blame_crash_t *crash,
+                  const rt_crash_report_t *report)
+{
+  size_t i;
+
+  for (i = 0; i < report->nparts && !report->writing; i++)
+    {
+      report_add_cause (blame, crash, report, report->parts[i], RT_CAUSE_PART);
+      report_add_cause (blame, crash, report,
+                        rt_customer_part (report->customer, report->parts[i]),
+                        RT_CAUSE_CUSTOMER_PART);
+    }
+}
+
 /** Add a report of this or another host. Return 0 if it was known or has
     expired. */
 int
 rt_blame_add_report (rt_blame_t *blame, el_time_t now,
                      const rt_crash_report_t *report)
 {
+  const blame_cause_t *request;
   blame_crash_t *crash;
-  blame_run_t *run;
   int changed;
+  int is_new;
 
   if (report->at + REPORT_LIFETIME < now)
     return 0;
@@ -351,13 +411,17 @@
   changed = crash_add_witness (crash, report->host);
   crash_set_detected (crash,
                       report->detected_at ? report->detected_at : report->at);
-  if (!report->digest)
+  if (!report->digest
+      || crash_detected_before (crash, report->at - report->ran))
     return changed;
-  run = run_find (crash, report->digest);
-  if (run)
-    return run_update (run, report) || changed;
-  return (crash->nruns < RUNS_PER_CRASH_MAX && run_add (blame, crash, report))
-         || changed;
+  request = blame_cause_find (blame, report->digest);
+  is_new = !request || !blame_run_find (request, crash);
+  changed |= report_add_cause (blame, crash, report, report->digest,
+                               RT_CAUSE_REQUEST);
+  /* A second report of the request would count its parts twice. */
+  if (is_new)
+    report_add_parts (blame, crash, report);
+  return changed;
 }
 
 /** Whether the crash of INSTANCE is reported but not confirmed, and HOST has
@@ -374,7 +438,7 @@
          && (!crash->nwitnesses || crash->witnesses[0] != host);
 }
 
-/* Stop counting crashes up to AT against the request. */
+/* Stop counting crashes up to AT against the cause. */
 static void
 cause_exonerate (blame_cause_t *cause, el_time_t at)
 {
@@ -398,7 +462,7 @@
          || rt_blame_get_status (blame, report->at, report->digest).state;
 }
 
-/* Return an identifier of the newest crash of this request that other hosts
+/* Return an identifier of the newest crash of this cause that other hosts
    know, or else of its block. */
 static uint64_t
 cause_rumor_id (const blame_cause_t *cause)
@@ -413,34 +477,85 @@
   return newest ? newest->key : cause->blocked_until;
 }
 
-/** The request completed at AT without a crash: earlier crashes no longer
-    count against it, and a block that began before AT is lifted. Return an
-    identifier, the same at all hosts, of what other hosts must clear it of, or
-    0 if there is nothing to clear. */
+/* Lift the block of a cause that ran well at AT, if the block began before.
+   Return 0 if there was none. */
+static int
+cause_unblock (blame_cause_t *cause, el_time_t at)
+{
+  if (!cause->blocked_until
+      || at + rt_blame_block_time (cause->holds) <= cause->blocked_until)
+    return 0;
+  cause->blocked_until = 0;
+  return 1;
+}
+
+/* DIGEST ran well at AT: the others of SET are blocked without it, if SET
+   contains it. Return 0 if not. */
+static int
+set_narrow (rt_blame_t *blame, blame_cause_t *set, rt_digest_t digest,
+            el_time_t at)
+{
+  rt_block_t rest = *set->set;
+  el_time_t blocked_until = set->blocked_until;
+  unsigned holds = set->holds;
+  blame_cause_t *cause;
+
+  if (!rt_block_remove (&rest, digest) || !cause_unblock (set, at))
+    return 0;
+  cause = blame_block_get (blame, &rest, set->customer->key);
+  if (cause->blocked_until < blocked_until)
+    {
+      cause->blocked_until = blocked_until;
+      cause->holds = holds;
+      cause->last_report_at = set->last_report_at;
+    }
+  return 1;
+}
+
+/* Narrow the sets that contain DIGEST. Return 0 if there is none. */
+static int
+sets_narrow (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
+{
+  blame_cause_t *cause;
+  blame_cause_t *next;
+  int narrowed = 0;
+
+  if (!blame->nsets)
+    return 0;
+  HASH_ITER (hh, blame->causes, cause, next)
+  if (cause->set && set_narrow (blame, cause, digest, at))
+    narrowed = 1;
+  return narrowed;
+}
+
+/** A request that has the cause ran well at AT: earlier crashes no longer
+    count against it, and a block that began before AT is lifted. A request as
+    a cause ran well if it completed, a part of a prompt if the response began.
+    Return an identifier, the same at all hosts, of what other hosts must clear
+    it of, or 0 if there is nothing to clear. */
 uint64_t
 rt_blame_completed (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
 {
   blame_cause_t *cause = blame_cause_find (blame, digest);
-  uint64_t rumor_id;
+  uint64_t rumor_id = sets_narrow (blame, digest, at) ? at : 0;
 
   if (!cause || at <= cause->cleared_at)
-    return 0;
-  rumor_id = cause_rumor_id (cause);
+    return rumor_id;
+  if (!rumor_id)
+    rumor_id = cause_rumor_id (cause);
   cause_exonerate (cause, at);
-  if (cause->blocked_until
-      && at + rt_blame_block_time (cause->holds) > cause->blocked_until)
-    cause->blocked_until = 0;
+  cause_unblock (cause, at);
   return rumor_id;
 }
 
-/** Record that the request was blocked for the HOLDS-th time at AT, as
-    reported by another host or the store. Return 0 if that was known or the
-    request has been cleared since. */
+/** Record that BLOCK took effect for the HOLDS-th time at AT, as reported by
+    another host or the store. Return 0 if that was known or the cause has been
+    cleared since. */
 int
-rt_blame_block (rt_blame_t *blame, rt_digest_t digest, uint64_t customer,
+rt_blame_block (rt_blame_t *blame, const rt_block_t *block, uint64_t customer,
                 el_time_t at, unsigned holds)
 {
-  blame_cause_t *cause = cause_get (blame, digest, customer);
+  blame_cause_t *cause = blame_block_get (blame, block, customer);
 
   if (holds <= cause->holds || at <= cause->cleared_at)
     return 0;
@@ -451,34 +566,52 @@
   return 1;
 }
 
-/** Clear the request on behalf of an operator. Return 0 if it is not tracked
-    or has already been cleared since. */
+/* Clear the causes that can't be told apart from CAUSE, which would be blocked
+   in its place. */
+static void
+class_clear (rt_blame_t *blame, const blame_cause_t *cause, el_time_t at)
+{
+  uint64_t class_id = blame_class_id (cause);
+  blame_cause_t *other;
+  blame_cause_t *next;
+
+  HASH_ITER (hh, blame->causes, other, next)
+  if (other != cause && other->runs && blame_class_id (other) == class_id)
+    cause_exonerate (other, at);
+}
+
+/** Clear the cause on behalf of an operator. Return 0 if it is not tracked or
+    has already been cleared since. */
 int
 rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
 {
   blame_cause_t *cause = blame_cause_find (blame, digest);
+  size_t i;
 
   if (!cause || at <= cause->cleared_at)
     return 0;
+  for (i = 0; cause->set && i < cause->set->n; i++)
+    rt_blame_clear (blame, cause->set->causes[i], at);
+  if (cause->runs)
+    class_clear (blame, cause, at);
   cause_exonerate (cause, at);
   cause->blocked_until = 0;
   cause->holds = 0;
   return 1;
 }
 
-/* A request that was blocked is tracked for the duration of its last block
-   after the block ends; one that completed, until earlier reports about it
+/* A cause that was blocked is tracked for the duration of its last block
+   after the block ends; one that ran well, until earlier reports about it
    have expired. */
 static int
 cause_expired (const blame_cause_t *cause, el_time_t now)
 {
   return (!cause->blocked_until
-          || cause->blocked_until + rt_blame_block_time (cause->holds)
-                 < now)
+          || cause->blocked_until + rt_blame_block_time (cause->holds) < now)
          && cause->cleared_at + REPORT_LIFETIME < now;
 }
 
-/* Drop expired crashes and requests. */
+/* Drop expired crashes and causes. */
 void
 blame_expire (rt_blame_t *blame, el_time_t now)
 {
@@ -493,31 +626,41 @@
     cause_free (blame, cause);
 }
 
-/** Whether no request is tracked. */
+/** Whether no cause is tracked. */
 int
 rt_blame_is_empty (const rt_blame_t *blame)
 {
   return !blame->causes;
 }
 
-/** Visit all requests that are suspect or blocked. */
+/** Whether a cause other than a request is tracked. */
+int
+rt_blame_tracks_parts (const rt_blame_t *blame)
+{
+  return blame->nshared > 0;
+}
+
+/** Visit all causes that are suspect or blocked. */
 void
 rt_blame_visit_causes (const rt_blame_t *blame, el_time_t now,
-                         rt_blame_cause_cb visit, void *arg)
+                       rt_blame_cause_cb visit, void *arg)
 {
   blame_cause_t *cause;
   blame_cause_t *next;
   rt_blame_status_t status;
+  rt_block_t block;
 
   HASH_ITER (hh, blame->causes, cause, next)
   {
     status = blame_status (cause, now);
+    block = cause->set ? *cause->set
+                       : rt_block_single (cause->kind, cause->digest);
     if (status.state)
-      visit (arg, cause->digest, &status);
+      visit (arg, &block, &status);
   }
 }
 
-/** Visit the crashes of a request. */
+/** Visit the crashes of a cause. */
 void
 rt_blame_visit_crashes (const rt_blame_t *blame, rt_digest_t digest,
                         rt_blame_report_cb visit, void *arg)
--- a/route/blame.h
+++ b/route/blame.h
@@ -3,18 +3,22 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Attributes endpoint crashes to the requests that cause them.
+ * Attributes endpoint crashes to what requests have in common.
  *
  * The load pattern: a request crashes each endpoint that starts to run it (a
- * query of death), and its caller may retry it without limit, at any host. An
- * engine that crashes was running some fifty other, innocent requests. Engines
- * also crash for reasons unrelated to requests: a fault, or the outage of a
- * rack or hall.
+ * query of death), and its caller may retry it without limit, at any host; or
+ * a part of a prompt does, which many different requests contain. An engine
+ * that crashes was running some fifty other, innocent requests. Engines also
+ * crash for reasons unrelated to requests: a fault, or the outage of a rack or
+ * hall.
  *
- * Each host records which requests were running where an endpoint crashed, and
- * the hosts exchange these reports as rumors. The verdict on a request depends
- * only on the set of reports, not on the order in which they arrived. Nothing
- * here does I/O or reads a clock.
+ * A request has several possible causes of a crash: itself, each shared part
+ * of its prompt, and each of these parts in the prompts of its customer. Each
+ * host records which requests were running where an endpoint crashed, and the
+ * hosts exchange these reports as rumors. The verdict on a cause depends only
+ * on the set of reports, not on the order in which they arrived. Causes that
+ * all reports name together can't be told apart: only requests that have all
+ * of them are blocked. Nothing here does I/O or reads a clock.
  */
 #ifndef ELMARCH_BLAME_H
 #define ELMARCH_BLAME_H
@@ -39,6 +43,37 @@
                     endpoint */
 } rt_instance_t;
 
+/** Most parts of a prompt that a report names; later parts are ignored. */
+#define RT_PARTS_MAX 32
+/** Most causes that a block combines. */
+#define RT_BLOCK_CAUSES_MAX 8
+
+typedef enum rt_cause_kind
+{
+  RT_CAUSE_REQUEST,       /**< a request, as identified by its digest */
+  RT_CAUSE_PART,          /**< a part of a prompt */
+  RT_CAUSE_CUSTOMER_PART, /**< the same, in prompts of one customer */
+  RT_CAUSE_KINDS
+} rt_cause_kind_t;
+
+/** What a request has that may crash an endpoint. */
+typedef struct rt_traits
+{
+  rt_digest_t digest;
+  uint64_t customer; /**< hash of the name of its customer */
+  const rt_digest_t *parts;
+  size_t nparts;
+} rt_traits_t;
+
+/** What is blocked: requests that have all of these causes. */
+typedef struct rt_block
+{
+  rt_digest_t id;       /**< the cause, or a hash of several */
+  rt_cause_kind_t kind; /**< of all its causes */
+  rt_digest_t causes[RT_BLOCK_CAUSES_MAX]; /**< in ascending order */
+  size_t n;
+} rt_block_t;
+
 /** A report by a host or by the store that an endpoint instance crashed while
     a request was running there. */
 typedef struct rt_crash_report
@@ -51,8 +86,12 @@
   el_time_t at; /**< when it crashed, or when the request's run broke off */
   el_time_t detected_at; /**< when the host detected the crash; 0: at AT */
   el_time_t ran;         /**< how long the request had been running there */
-  int first; /**< the endpoint was the only one, or the first engine of the
-                chain */
+  int first;   /**< the endpoint was the only one, or the first engine of the
+                  chain */
+  int writing; /**< the response had begun to arrive: no part of the prompt is
+                  a cause */
+  rt_digest_t parts[RT_PARTS_MAX]; /**< shared parts of its prompt */
+  size_t nparts;
 } rt_crash_report_t;
 
 typedef enum rt_blame_state
@@ -62,7 +101,7 @@
   RT_BLAME_BLOCKED  /**< it is the culprit: not sent until the block ends */
 } rt_blame_state_t;
 
-/** What the reports say about a request. */
+/** What the reports say about a cause or a request. */
 typedef struct rt_blame_status
 {
   rt_blame_state_t state;
@@ -71,7 +110,13 @@
   el_time_t blocked_until; /**< end of the current or last block */
   unsigned holds;          /**< how often it has been blocked */
   int unconfirmed;   /**< only one host reported the newest of these crashes */
-  int prime_suspect; /**< no request at the newest crash has far higher odds */
+  int prime_suspect; /**< no cause at the newest crash has far higher odds */
+  rt_digest_t cause; /**< what it is blocked for; 0: not blocked */
+  rt_cause_kind_t kind;   /**< kind of CAUSE */
+  rt_digest_t trial;      /**< the likeliest culprit among what it shares with
+                             other requests: only one of them is sent at a time.
+                             0: there is none */
+  unsigned trial_crashes; /**< endpoint crashes that count against TRIAL */
 } rt_blame_status_t;
 
 typedef struct rt_blame_options
@@ -84,11 +129,11 @@
 
 typedef struct rt_blame rt_blame_t;
 
-/** A rule that scores requests. */
+/** A rule that scores causes. */
 typedef struct rt_blame_rule
 {
   const char *name;
-  /** Recompute the odds of all requests from the reports; ENDPOINTS is the
+  /** Recompute the odds of all causes from the reports; ENDPOINTS is the
       number of endpoints listed. */
   void (*score) (rt_blame_t *blame, size_t endpoints);
 } rt_blame_rule_t;
@@ -106,25 +151,35 @@
                             const rt_instance_t *instance, uint64_t host);
 uint64_t rt_blame_completed (rt_blame_t *blame, rt_digest_t digest,
                              el_time_t at);
-int rt_blame_block (rt_blame_t *blame, rt_digest_t digest, uint64_t customer,
-                    el_time_t at, unsigned holds);
+int rt_blame_block (rt_blame_t *blame, const rt_block_t *block,
+                    uint64_t customer, el_time_t at, unsigned holds);
 int rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at);
 rt_blame_status_t rt_blame_get_status (const rt_blame_t *blame, el_time_t now,
                                        rt_digest_t digest);
+rt_blame_status_t rt_blame_judge (const rt_blame_t *blame, el_time_t now,
+                                  const rt_traits_t *traits);
 el_time_t rt_blame_block_time (unsigned holds);
 int rt_blame_is_empty (const rt_blame_t *blame);
-typedef void (*rt_blame_cause_cb) (void *arg, rt_digest_t digest,
-                                     const rt_blame_status_t *status);
+int rt_blame_tracks_parts (const rt_blame_t *blame);
+/** Called with a cause, or what is blocked, and its status. */
+typedef void (*rt_blame_cause_cb) (void *arg, const rt_block_t *block,
+                                   const rt_blame_status_t *status);
 void rt_blame_update (rt_blame_t *blame, el_time_t now, size_t endpoints,
                       rt_blame_cause_cb blocked, void *arg);
 void rt_blame_visit_causes (const rt_blame_t *blame, el_time_t now,
-                              rt_blame_cause_cb visit, void *arg);
-/** Called for each crash of a request, with one host that reported it. */
+                            rt_blame_cause_cb visit, void *arg);
+/** Called for each crash of a cause, with one host that reported it. */
 typedef void (*rt_blame_report_cb) (void *arg,
                                     const rt_crash_report_t *report);
 void rt_blame_visit_crashes (const rt_blame_t *blame, rt_digest_t digest,
                              rt_blame_report_cb visit, void *arg);
 uint64_t rt_instance_key (const rt_instance_t *instance);
 rt_instance_t rt_target_instance (const rt_target_t *target);
+rt_block_t rt_block_single (rt_cause_kind_t kind, rt_digest_t cause);
+void rt_block_seal (rt_block_t *block);
+int rt_block_remove (rt_block_t *block, rt_digest_t cause);
+int rt_block_has (const rt_block_t *block, const rt_traits_t *traits);
+const char *rt_cause_kind_name (rt_cause_kind_t kind);
+rt_digest_t rt_customer_part (uint64_t customer, rt_digest_t part);
 
 #endif
--- /dev/null
+++ b/route/blame_class.c
@@ -0,0 +1,196 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Classes of causes that the reports can't tell apart, as they name them for
+ * the same requests at the same crashes, and what a block of a class covers.
+ */
+#include <stdlib.h>
+
+#include "libblame.h"
+
+/* Return a hash of the crashes of CAUSE and of the requests there that have
+   it. */
+uint64_t
+blame_class_id (const blame_cause_t *cause)
+{
+  const blame_run_t *run;
+  uint64_t id = 0;
+  uint64_t pair[2];
+
+  DL_FOREACH (cause->runs, run)
+  {
+    pair[0] = run->crash->key;
+    pair[1] = run->requests;
+    id ^= XXH3_64bits (pair, sizeof pair);
+  }
+  return id;
+}
+
+/* Choose the leader of each class. */
+void
+blame_classes_build (rt_blame_t *blame)
+{
+  blame_cause_t *leaders = NULL;
+  blame_cause_t *cause;
+  blame_cause_t *next;
+
+  HASH_ITER (hh, blame->causes, cause, next)
+  {
+    cause->class_id = blame_class_id (cause);
+    cause->leader = cause;
+    if (!cause->runs)
+      continue;
+    HASH_FIND (hh_class, leaders, &cause->class_id, sizeof cause->class_id,
+               cause->leader);
+    if (cause->leader)
+      continue;
+    cause->leader = cause;
+    HASH_ADD (hh_class, leaders, class_id, sizeof cause->class_id, cause);
+  }
+  HASH_CLEAR (hh_class, leaders);
+}
+
+/* Give the members of each class the odds of their leader. */
+void
+blame_classes_share_odds (rt_blame_t *blame)
+{
+  blame_cause_t *cause;
+  blame_cause_t *next;
+
+  HASH_ITER (hh, blame->causes, cause, next)
+  cause->odds = cause->leader->odds;
+}
+
+/* Add a cause to BLOCK. If there are too many, those with the lowest digests
+   stay, so that all hosts choose the same. */
+static void
+block_add (rt_block_t *block, rt_digest_t cause)
+{
+  size_t i;
+  size_t highest = 0;
+
+  if (block->n < RT_BLOCK_CAUSES_MAX)
+    {
+      block->causes[block->n++] = cause;
+      return;
+    }
+  for (i = 1; i < block->n; i++)
+    if (block->causes[i] > block->causes[highest])
+      highest = i;
+  if (cause < block->causes[highest])
+    block->causes[highest] = cause;
+}
+
+/* What to block for the class of LEADER: its narrowest kind of cause, as
+   requests that have these have the others, too. */
+rt_block_t
+blame_class_block (const blame_cause_t *leader)
+{
+  static const int width[RT_CAUSE_KINDS] = {
+    [RT_CAUSE_REQUEST] = 0, [RT_CAUSE_CUSTOMER_PART] = 1, [RT_CAUSE_PART] = 2
+  };
+  rt_block_t block = { .n = 0 };
+  const blame_run_t *run;
+
+  DL_FOREACH2 (leader->runs->crash->runs, run, crash_next)
+  if (run->cause->leader == leader)
+    {
+      if (!block.n || width[run->cause->kind] < width[block.kind])
+        block = (rt_block_t){ .kind = run->cause->kind };
+      if (run->cause->kind == block.kind)
+        block_add (&block, run->cause->digest);
+    }
+  rt_block_seal (&block);
+  return block;
+}
+
+/** Return the block of a single cause. */
+rt_block_t
+rt_block_single (rt_cause_kind_t kind, rt_digest_t cause)
+{
+  return (
+      rt_block_t){ .id = cause, .kind = kind, .causes = { cause }, .n = 1 };
+}
+
+static int
+digest_compare (const void *a, const void *b)
+{
+  rt_digest_t left = *(const rt_digest_t *)a;
+  rt_digest_t right = *(const rt_digest_t *)b;
+
+  return (left > right) - (left < right);
+}
+
+/** Sort the causes of BLOCK and set its id, the same for all hosts. */
+void
+rt_block_seal (rt_block_t *block)
+{
+  qsort (block->causes, block->n, sizeof *block->causes, digest_compare);
+  block->id = block->n == 1 ? block->causes[0]
+                            : XXH3_64bits (block->causes,
+                                           block->n * sizeof *block->causes);
+}
+
+/** Remove CAUSE from a set. Return 0 if it is not in it. */
+int
+rt_block_remove (rt_block_t *block, rt_digest_t cause)
+{
+  size_t kept = 0;
+  size_t i;
+
+  for (i = 0; i < block->n; i++)
+    if (block->causes[i] != cause)
+      block->causes[kept++] = block->causes[i];
+  if (kept == block->n || !kept)
+    return 0;
+  block->n = kept;
+  rt_block_seal (block);
+  return 1;
+}
+
+/** The cause PART of a prompt in prompts of CUSTOMER only. */
+rt_digest_t
+rt_customer_part (uint64_t customer, rt_digest_t part)
+{
+  return XXH3_64bits_withSeed (&part, sizeof part, customer);
+}
+
+static int
+traits_have (const rt_traits_t *traits, rt_digest_t cause)
+{
+  size_t i;
+
+  if (traits->digest == cause)
+    return 1;
+  for (i = 0; i < traits->nparts; i++)
+    if (traits->parts[i] == cause
+        || rt_customer_part (traits->customer, traits->parts[i]) == cause)
+      return 1;
+  return 0;
+}
+
+/** Whether a request with TRAITS has all causes of BLOCK. */
+int
+rt_block_has (const rt_block_t *block, const rt_traits_t *traits)
+{
+  size_t i;
+
+  for (i = 0; i < block->n; i++)
+    if (!traits_have (traits, block->causes[i]))
+      return 0;
+  return block->n > 0;
+}
+
+/** The name of KIND, as in logs. */
+const char *
+rt_cause_kind_name (rt_cause_kind_t kind)
+{
+  static const char *const names[RT_CAUSE_KINDS]
+      = { [RT_CAUSE_REQUEST] = "request",
+          [RT_CAUSE_PART] = "part",
+          [RT_CAUSE_CUSTOMER_PART] = "customer-part" };
+
+  return names[kind];
+}
--- a/route/blame_rule.c
+++ b/route/blame_rule.c
@@ -3,28 +3,30 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Rules that score how likely a request is to be the culprit.
+ * Rules that score how likely a cause is to be the culprit.
  *
- * The odds rule: each crash at which a request was running multiplies its odds
- * by the likelihood ratio of the crash, that is, how likely the request is to
- * cause it relative to how likely the crash is otherwise. The alternatives are
- * another request that ran there, weighted by the odds from its other crashes,
- * and a crash unrelated to any request, at the rate at which other endpoints
- * crash at that time. Requests and crashes form a bipartite graph, on which
- * belief propagation runs for a fixed number of passes: the message from a
- * crash to a request uses the messages of all other crashes to the other
- * requests. Thus the fifty requests that shared one crash with the culprit are
- * cleared by its next crash without them, and a rack failure incriminates no
- * request.
+ * The odds rule: each crash of a cause, that is, at which a request that has
+ * it was running, multiplies its odds by the likelihood ratio of the crash:
+ * how likely the cause is to crash the endpoint relative to how likely the
+ * crash is otherwise. The alternatives are another cause there, weighted by
+ * the odds from its other crashes, and a crash unrelated to any request, at
+ * the rate at which other endpoints crash at that time. Causes and crashes
+ * form a bipartite graph, on which belief propagation runs for a fixed number
+ * of passes: the message from a crash to a cause uses the messages of all
+ * other crashes to the other causes. Thus the fifty requests that shared one
+ * crash with the culprit are cleared by its next crash without them, and a
+ * rack failure incriminates no request. Of causes that the reports can't tell
+ * apart, only one takes part; alternatives to each other, they would clear
+ * each other.
  *
- * The count rule: a request is the culprit after three crashes.
+ * The count rule: a cause is the culprit after three crashes.
  */
 #include <math.h>
 #include <stdlib.h>
 
 #include "libblame.h"
 
-/* Prior odds that a request is a culprit. */
+/* Prior odds that a cause is a culprit. */
 #define PRIOR_ODDS 1e-6
 /* Minimum rate (1/s) of crashes of one endpoint that no request causes: one
    per hour. */
@@ -43,6 +45,9 @@
    the other half are spread over the other ten or so engines. */
 #define FIRST_ENGINE_SHARE 0.5
 #define OTHER_ENGINE_SHARE 0.05
+/* Factor on the rate where the response had begun to arrive: a culprit mostly
+   crashes the endpoint before. */
+#define WRITING_SHARE 0.05
 /* Weight of a crash that only one host reported. */
 #define UNCONFIRMED_WEIGHT 0.5
 /* In randomly generated fleets the odds change by less than 1 % after five
@@ -67,7 +72,7 @@
   double ran = (double)(run->ran + TIME_RESOLUTION) / (double)EL_SEC;
 
   return (run->first ? FIRST_ENGINE_SHARE : OTHER_ENGINE_SHARE)
-         / (HAZARD_LOG_RANGE * ran);
+         * (run->writing ? WRITING_SHARE : 1) / (HAZARD_LOG_RANGE * ran);
 }
 
 static double
@@ -110,7 +115,7 @@
 
 /* Rate (1/s) of crashes of one endpoint that no request causes, at the time of
    the run's crash. The rates over the windows exclude other crashes of the
-   run's own request; the minimum near another crash does not. */
+   run's own cause; the minimum near another crash does not. */
 static double
 run_background_rate (const blame_run_t *run, size_t endpoints)
 {
@@ -138,7 +143,7 @@
   return max_rate;
 }
 
-/* Rate (1/s) at which the run's request crashes the endpoint, weighted by the
+/* Rate (1/s) at which the run's cause crashes the endpoint, weighted by the
    probability that it is a culprit by its other crashes. */
 static double
 run_expected_hazard (const blame_run_t *run)
@@ -158,6 +163,8 @@
   crash->total_hazard = 0;
   DL_FOREACH2 (crash->runs, run, crash_next)
   {
+    if (run->cause->leader != run->cause)
+      continue;
     run->expected_hazard = run_expected_hazard (run);
     crash->total_hazard += run->expected_hazard;
     if (1 - odds_to_probability (run->cause->odds) < crash->unexplained)
@@ -205,9 +212,11 @@
     window_sum_unexplained (blame, w);
   DL_FOREACH (blame->crashes_by_time, crash)
   DL_FOREACH2 (crash->runs, run, crash_next)
-  run->llr = run_llr (run, endpoints);
+  if (run->cause->leader == run->cause)
+    run->llr = run_llr (run, endpoints);
   HASH_ITER (hh, blame->causes, cause, next)
-  cause->odds = cause_odds (cause);
+  if (cause->leader == cause)
+    cause->odds = cause_odds (cause);
 }
 
 static void
@@ -224,8 +233,10 @@
     DL_FOREACH (cause->runs, run)
     run->llr = 0;
   }
+  blame_classes_build (blame);
   for (pass = 0; pass < BP_PASSES; pass++)
     odds_pass (blame, endpoints);
+  blame_classes_share_odds (blame);
 }
 
 static void
@@ -237,6 +248,7 @@
   unsigned n;
 
   (void)endpoints;
+  blame_classes_build (blame);
   HASH_ITER (hh, blame->causes, cause, next)
   {
     DL_COUNT (cause->runs, run, n);
--- a/route/digest.c
+++ b/route/digest.c
@@ -24,27 +24,43 @@
   EVP_DigestUpdate (ctx, part.ptr, part.len);
 }
 
-/** The digest of INPUT under the hosts' KEY; never 0. */
-rt_digest_t
-rt_digest (el_str_t key, const rt_digest_input_t *input)
+/* The digest of N texts; never 0. */
+static rt_digest_t
+digest_texts (const el_str_t *texts, size_t n)
 {
   unsigned char hash[EVP_MAX_MD_SIZE];
   EVP_MD_CTX *ctx = EVP_MD_CTX_new ();
   rt_digest_t digest;
+  size_t i;
 
   EVP_DigestInit_ex (ctx, EVP_sha256 (), NULL);
-  digest_add (ctx, key);
-  digest_add (ctx, input->customer);
-  digest_add (ctx, input->method);
-  digest_add (ctx, input->host);
-  digest_add (ctx, input->path);
-  digest_add (ctx, input->body);
+  for (i = 0; i < n; i++)
+    digest_add (ctx, texts[i]);
   EVP_DigestFinal_ex (ctx, hash, NULL);
   EVP_MD_CTX_free (ctx);
   memcpy (&digest, hash, sizeof digest);
   return digest ? digest : 1;
 }
 
+/** The digest of INPUT under the hosts' KEY; never 0. */
+rt_digest_t
+rt_digest (el_str_t key, const rt_digest_input_t *input)
+{
+  const el_str_t texts[] = { key,         input->customer, input->method,
+                             input->host, input->path,     input->body };
+
+  return digest_texts (texts, sizeof texts / sizeof *texts);
+}
+
+/** The digest under the hosts' KEY of a part of prompts for MODEL; never 0. */
+rt_digest_t
+rt_part_digest (el_str_t key, el_str_t model, el_str_t part)
+{
+  const el_str_t texts[] = { key, EL_STR ("part"), model, part };
+
+  return digest_texts (texts, sizeof texts / sizeof *texts);
+}
+
 /** Formats DIGEST in hexadecimal, as in logs and in the admin interface. */
 void
 rt_digest_hex (rt_digest_t digest, char out[RT_DIGEST_HEX + 1])
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -3,7 +3,7 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Internals of crash attribution: requests, crashes, and the runs that connect
+ * Internals of crash attribution: causes, crashes, and the runs that connect
  * them.
  */
 #ifndef ELMARCH_LIBBLAME_H
@@ -19,7 +19,7 @@
 typedef struct blame_crash blame_crash_t;
 typedef struct blame_cause blame_cause_t;
 
-/* The number of tracked requests of a customer. */
+/* The number of tracked causes of a customer. */
 typedef struct blame_customer
 {
   uint64_t key;
@@ -27,19 +27,22 @@
   UT_hash_handle hh;
 } blame_customer_t;
 
-/* A request that was running where an endpoint crashed. */
+/* A cause at a crash: a request that was running there, or what some requests
+   there had in common. */
 typedef struct blame_run
 {
   blame_crash_t *crash;
   blame_cause_t *cause;
+  uint64_t requests; /* hash of the set of requests there that have it */
   el_time_t began_at;
   el_time_t ran;
   int first;
+  int writing;
   double llr; /* log-likelihood ratio that this crash adds to the odds */
-  /* Rate (1/s) at which the request crashes the endpoint, weighted by the
+  /* Rate (1/s) at which the cause crashes the endpoint, weighted by the
      probability that it is the culprit. */
   double expected_hazard;
-  struct blame_run *prev; /* list of the request's runs */
+  struct blame_run *prev; /* list of the cause's runs */
   struct blame_run *next;
   struct blame_run *crash_prev; /* list of the crash's runs */
   struct blame_run *crash_next;
@@ -66,9 +69,11 @@
   UT_hash_handle hh;
 };
 
+/* A possible cause of crashes, or a set of them that was blocked together. */
 struct blame_cause
 {
   rt_digest_t digest;
+  rt_cause_kind_t kind;
   blame_customer_t *customer;
   blame_run_t *runs;
   el_time_t last_report_at; /* time of the newest crash or block of it */
@@ -76,6 +81,12 @@
   el_time_t blocked_until;  /* end of its block; 0: none, or it was lifted */
   unsigned holds;           /* how often it has been blocked */
   double odds;
+  /* Causes with the same crashes and requests form a class, which is scored
+     once: CLASS_ID identifies it, LEADER stands for it. */
+  uint64_t class_id;
+  blame_cause_t *leader;
+  UT_hash_handle hh_class;
+  rt_block_t *set; /* of a set of causes: its members */
   UT_hash_handle hh;
 };
 
@@ -83,15 +94,28 @@
 {
   rt_blame_options_t options;
   blame_cause_t *causes;
+  size_t nshared; /* causes that are no requests */
+  size_t nsets;   /* sets of causes */
   blame_customer_t *customers;
   blame_crash_t *crashes_by_key;
   blame_crash_t *crashes_by_time;
 };
 
-blame_cause_t *blame_cause_find (const rt_blame_t *blame,
-                                     rt_digest_t digest);
+blame_cause_t *blame_cause_find (const rt_blame_t *blame, rt_digest_t digest);
 rt_blame_status_t blame_status (const blame_cause_t *cause, el_time_t now);
 void blame_expire (rt_blame_t *blame, el_time_t now);
+blame_cause_t *blame_cause_get (rt_blame_t *blame, rt_digest_t digest,
+                                rt_cause_kind_t kind, uint64_t customer);
+blame_cause_t *blame_block_get (rt_blame_t *blame, const rt_block_t *block,
+                                uint64_t customer);
+blame_run_t *blame_run_find (const blame_cause_t *cause,
+                             const blame_crash_t *crash);
+
+/* blame_class.c */
+void blame_classes_build (rt_blame_t *blame);
+void blame_classes_share_odds (rt_blame_t *blame);
+rt_block_t blame_class_block (const blame_cause_t *leader);
+uint64_t blame_class_id (const blame_cause_t *cause);
 
 /* Whether the crash is confirmed by the store or by two hosts: a single host
    may just have lost its connection to the endpoint. */
--- a/route/relay.h
+++ b/route/relay.h
@@ -378,6 +378,7 @@
 #define RT_DIGEST_HEX 16
 
 rt_digest_t rt_digest (el_str_t key, const rt_digest_input_t *input);
+rt_digest_t rt_part_digest (el_str_t key, el_str_t model, el_str_t part);
 void rt_digest_hex (rt_digest_t digest, char out[RT_DIGEST_HEX + 1]);
 int rt_digest_parse (el_str_t text, rt_digest_t *out);
 rt_digest_t rt_order_digest (el_str_t key, const rt_order_t *order);
--- a/tests/blame_sim.c
+++ b/tests/blame_sim.c
@@ -318,10 +318,11 @@
 }
 
 static void
-on_blocked (void *arg, rt_digest_t digest, const rt_blame_status_t *status)
+on_blocked (void *arg, const rt_block_t *block,
+            const rt_blame_status_t *status)
 {
   (void)arg;
-  (void)digest;
+  (void)block;
   (void)status;
 }
 
--- a/tests/t_blame.c
+++ b/tests/t_blame.c
@@ -70,21 +70,22 @@
 }
 
 static void
-count_blocked (void *arg, rt_digest_t digest, const rt_blame_status_t *status)
+count_blocked (void *arg, const rt_block_t *block,
+               const rt_blame_status_t *status)
 {
   (void)arg;
-  (void)digest;
+  (void)block;
   ck_assert_int_eq (status->state, RT_BLAME_BLOCKED);
   blocked_count++;
 }
 
 static void
-count_suspect_or_blocked (void *arg, rt_digest_t digest,
+count_suspect_or_blocked (void *arg, const rt_block_t *block,
                           const rt_blame_status_t *status)
 {
   unsigned *n = arg;
 
-  (void)digest;
+  (void)block;
   *n += status->state != RT_BLAME_NONE;
 }
 
@@ -354,12 +355,16 @@
       e.at = NOW + 5 * EL_SEC;
       rt_blame_add_report (blame, NOW, &e);
       if (i % 10 == 0)
-        rt_blame_block (blame, 2000000 + i, 2, NOW + 5 * EL_SEC, 1);
+        rt_blame_block (blame,
+                        &(const rt_block_t){ .id = 2000000 + i,
+                                             .causes = { 2000000 + i },
+                                             .n = 1 },
+                        2, NOW + 5 * EL_SEC, 1);
     }
   ck_assert_int_eq (state_of (CULPRIT), RT_BLAME_BLOCKED);
   blocked_count = 0;
   rt_blame_visit_causes (blame, NOW + 6 * EL_SEC, count_suspect_or_blocked,
-                           &blocked_count);
+                         &blocked_count);
   ck_assert_uint_le (blocked_count, 201);
 }
 END_TEST
--- a/tests/t_clock.c
+++ b/tests/t_clock.c
@@ -94,7 +94,9 @@
                                        .rule = &rt_blame_rule_odds };
   rt_blame_t *blame = rt_blame_new (&options);
 
-  rt_blame_block (blame, 7, 1, net_clock_now (&test_clock), 1);
+  const rt_block_t block = rt_block_single (RT_CAUSE_REQUEST, 7);
+
+  rt_blame_block (blame, &block, 1, net_clock_now (&test_clock), 1);
   ck_assert_int_eq (
       rt_blame_get_status (blame, net_clock_now (&test_clock), 7).state,
       RT_BLAME_BLOCKED);
