A clean close is no proof that a stream is complete

What callers saw: a stream with neither a length nor chunks was cut by the crash of its engine, and arrived as a complete answer; one that was cut before its first event arrived as an empty one. Cause: the crash closes the connection cleanly, and a close between two events counted as the end. It also cleared the request of the crash it had caused. Change: the client tells that a close ended the response. A plain answer that ends with its connection clears no request; whether a clean close cut it can't be known.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -204,12 +204,16 @@
 void relay_attempt_body (void *arg, el_str_t bytes);
 void relay_attempt_ended (gt_relay_t *relay, const rt_attempt_t *attempt,
                           const net_result_t *result);
+void relay_attempt_settled (gt_relay_t *relay, const net_result_t *result);
 void relay_fail (gt_relay_t *relay, const char *reason);
 int relay_may_resume (gt_relay_t *relay);
 int relay_may_repeat (gt_relay_t *relay);
 rt_target_t *relay_fault_target (gt_relay_t *relay,
                                  const net_result_t *result);
 
+/* relay_close.c */
+void relay_close_settle (gt_relay_t *relay);
+
 /* relay_reach.c */
 void relay_reach_open (gt_relays_t *relays);
 void relay_reach_connected (gt_relays_t *relays, rt_target_t *target,
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -225,9 +225,11 @@
       return;
     }
   /* A success without the endpoint's seal, a refusal without the header that
-     confirms it, and a truncated event prove nothing. */
+     confirms it, and a truncated event prove nothing. The head of a stream had
+     the seal. */
   if (refusal_status
-      || (success && !net_result_header (result, names->seal).len)
+      || (success && !relay->stream
+          && !net_result_header (result, names->seal).len)
       || relay->events.part.len)
     return;
   attempt->verdict = EL_RAN;
@@ -266,7 +268,8 @@
 
   if (result->net == NET_CONNECT_REFUSED)
     relay_blame_connect_refused (relays, relay->target);
-  if (attempt->answered)
+  /* A crash may have closed the connection in the middle of a plain answer. */
+  if (attempt->answered && (relay->stream || !result->by_close))
     relay_blame_completed (relay);
   if (result->net != NET_CONNECTION_LOST || attempt->verdict == EL_NOT_RUN)
     return;
@@ -311,19 +314,12 @@
     relay_reach_check (relay->relays, relay->target);
 }
 
-static void
-attempt_done (void *arg, const net_result_t *result)
+/** Handles the end of an attempt that was sent to an endpoint. */
+void
+relay_attempt_settled (gt_relay_t *relay, const net_result_t *result)
 {
-  gt_relay_t *relay = arg;
   rt_attempt_t attempt;
 
-  relay->exchange = NULL;
-  relay_watch_stop (relay);
-  if (result->net == NET_WITHHELD)
-    {
-      attempt_not_sent (relay);
-      return;
-    }
   attempt_classify (relay, result, &attempt);
   if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
     relay_limit_not_sent (relay);
@@ -341,6 +337,21 @@
   relay_attempt_ended (relay, &attempt, result);
 }
 
+static void
+attempt_done (void *arg, const net_result_t *result)
+{
+  gt_relay_t *relay = arg;
+
+  relay->exchange = NULL;
+  relay_watch_stop (relay);
+  if (result->net == NET_WITHHELD)
+    attempt_not_sent (relay);
+  else if (result->by_close && relay->stream)
+    relay_close_settle (relay);
+  else
+    relay_attempt_settled (relay, result);
+}
+
 /* Decides what follows an attempt. A retry is charged to the budget, unless no
    endpoint has seen the attempt. */
 static rt_next_t
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -74,6 +74,7 @@
 {
   net_result_t result = { .net = net,
                           .status = ex->status,
+                          .by_close = ex->by_close,
                           .headers = ex->headers,
                           .nheaders = ex->nheaders,
                           .body = el_buf_str (&ex->body) };
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -334,6 +334,7 @@
     {
       /* The end of the connection may be the end of the response. */
       conn->keep = 0;
+      conn->exchange->by_close = 1;
       conn_parse (conn, NULL, 0);
       if (!conn->closing && conn->exchange)
         net_exchange_fail (conn->exchange, NET_CONNECTION_LOST);
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -74,7 +74,8 @@
   int sent;
   int head_received; /**< the response's header was passed on */
   int complete;
-  int stalled; /**< its timeout was extended as the process was stalled */
+  int by_close; /**< the end of the connection ended the response */
+  int stalled;  /**< its timeout was extended as the process was stalled */
   int status;
   el_buf_t request;
   net_header_t *headers;
--- a/net/net.h
+++ b/net/net.h
@@ -101,6 +101,8 @@
   net_outcome_t net;    /**< outcome on the network, apart from the status */
   el_verdict_t verdict; /**< for this exchange only */
   int status;
+  int by_close; /**< the response has neither a length nor chunks: a clean
+                   close of the connection ended it */
   const net_header_t *headers;
   size_t nheaders;
   el_str_t body;
--- a/standin/member.c
+++ b/standin/member.c
@@ -12,7 +12,8 @@
  * so does one with CRASH_PART among the parts of its prompt, unless it is the
  * last part.
  * POST /rest makes the member ask hosts to back off, or announce that it is
- * leaving, POST /limit makes it name a rate limit. GET /runs returns counters,
+ * leaving, POST /limit makes it name a rate limit, POST /unframed makes it end
+ * its streams by closing their connections. GET /runs returns counters,
  * GET /seen the headers of the last request. With --record the member appends
  * a line to a file before it runs a request, so that the runs can be checked
  * after the process has exited: "MICROSECONDS ID MEMBER CUSTOMER CHAIN
@@ -74,6 +75,7 @@
   uint64_t born;          /* start time, in Unix milliseconds */
   el_timer_t crash_timer; /* set while a request with the marker runs */
   int linger;             /* abort streams before exiting */
+  int unframed;           /* streams have neither a length nor chunks */
   int unresponsive;
   sn_backoff_t *backoff;
   sn_limit_t *limit;
@@ -379,6 +381,11 @@
   net_req_watch (req, stream_disconnected, stream);
   req->res.status = 200;
   req->res.reason = "OK";
+  if (member->unframed)
+    {
+      req->version = 0x100; /* h2o sends no chunks to such a client */
+      req->http1_is_persistent = 0;
+    }
   net_req_add_header (req, EL_STR ("content-type"),
                       EL_STR ("text/event-stream"));
   net_req_add_header (req, EL_STR ("x-elmarch-response-seal"),
@@ -499,6 +506,13 @@
   net_req_reply (req, 204, EL_STR (""), EL_STR (""));
 }
 
+static void
+serve_unframed (member_t *member, h2o_req_t *req)
+{
+  member->unframed = 1;
+  net_req_reply (req, 204, EL_STR (""), EL_STR (""));
+}
+
 static void
 serve_backoff (member_t *member, h2o_req_t *req)
 {
@@ -655,6 +669,7 @@
   { EL_STR ("/stall"), serve_stall },
   { EL_STR ("/leave"), serve_leave },
   { EL_STR ("/linger"), serve_linger },
+  { EL_STR ("/unframed"), serve_unframed },
   { EL_STR ("/rest"), serve_backoff },
   { EL_STR ("/rests"), serve_backoff_stats },
   { EL_STR ("/limit"), serve_limit },
--- a/tests/t_crash.c
+++ b/tests/t_crash.c
@@ -46,17 +46,18 @@
    seconds. */
 #define RESTART_STEPS 150
 
-/* Makes crashing engines close their streams first and exit 0.3 s later. */
+/* Changes how engines behave. PATH is /linger, so that crashing ones close
+   their streams first and exit 0.3 s later, or /unframed, so that streams end
+   with their connection. */
 static void
-engines_crash_slowly (void)
+engines_set (const char *path)
 {
   reply_t reply;
   size_t i;
 
   for (i = 0; i < SITE_ENGINES; i++)
     {
-      http_request ("POST", site.engines[i].address, "/linger", "{}", NULL,
-                    &reply);
+      http_request ("POST", site.engines[i].address, path, "{}", NULL, &reply);
       reply_free (&reply);
     }
 }
@@ -98,7 +99,7 @@
     {
       snprintf (id, sizeof id, "d%zu", i);
       if (slow_crash && i)
-        engines_crash_slowly ();
+        engines_set ("/linger");
       send_request_body (i % 2, "/chat/x", CRASHING_BODY, id, &reply);
       ended += crashed_engines_replace (&reply);
       ck_assert_uint_le (ended, CRASHES_MAX);
@@ -183,6 +184,51 @@
 }
 END_TEST
 
+/* An engine that crashed closed the connection of a stream between two events.
+   As the stream had neither a length nor chunks, it was taken for complete. */
+START_TEST (test_stream_without_length_cut_by_a_crash_is_continued)
+{
+  caller_t caller;
+  size_t i;
+
+  site.step_us = "20000";
+  site_start (1);
+  engines_set ("/unframed");
+  stream_start (&caller, 0, "u1");
+  caller_wait_body (&caller, 60);
+  for (i = 0; !member_value (&site.engines[i], "runs"); i++)
+    ck_assert_uint_lt (i, SITE_ENGINES - 1);
+  proc_end (&site.engines[i], SIGKILL);
+  caller_join (&caller);
+  assert_stream_complete (&caller.reply);
+  reply_free (&caller.reply);
+}
+END_TEST
+
+/* The same before the first event: the request that crashes engines was taken
+   for answered each time, which cleared it. */
+START_TEST (test_crash_before_the_first_event_is_no_answer)
+{
+  char id[16];
+  reply_t reply;
+  size_t ended = 0;
+  size_t i;
+
+  site_start (2);
+  for (i = 0; i < SHARED_ARRIVALS; i++)
+    {
+      engines_set ("/unframed");
+      snprintf (id, sizeof id, "n%zu", i);
+      send_prompt (i % 2, "deadbeef", id, &reply);
+      ended += site_engines_replace ();
+      ck_assert_uint_le (ended, SHARED_CRASHES_MAX);
+      ck_assert_int_ne (reply.status, 200);
+      reply_free (&reply);
+    }
+  ck_assert_uint_gt (ended, 0);
+}
+END_TEST
+
 /* Sends the crashing request until it is refused as blocked. Returns the
    number of engines that crashed. */
 static size_t
@@ -479,6 +525,8 @@
   ADD (tcase, test_request_that_crashes_engines_is_blocked);
   ADD (tcase, test_request_that_crashes_engines_slowly_is_blocked);
   ADD (tcase, test_requests_that_share_a_crashing_part_are_blocked);
+  ADD (tcase, test_stream_without_length_cut_by_a_crash_is_continued);
+  ADD (tcase, test_crash_before_the_first_event_is_no_answer);
   ADD (tcase, test_crash_of_a_worker_is_found_without_another_request);
   ADD (tcase, test_request_that_crashes_workers_is_blocked);
   ADD (tcase, test_blocked_request_is_known_to_hosts_that_start);
