A part that ran well is a less likely culprit than a new one

What callers saw: nothing yet; found by the new simulation (tests/part_sim.c, bench_parts) of prompts that share parts. Cause: a part that crashing and sound requests share stands at the same crashes as the crashing part. Both were blocked, and a customer's own part, which had run well for long, was as likely as one never seen. Change: hosts remember the parts that ran well (8,192, the least recent are forgotten); such a part has lower prior odds. Parts with the same crashes are one class, whose leader is new and held by the fewest requests; while two differ in neither, nothing is blocked. A part with one request's crashes only is not blocked, as the request explains them. The prior odds of a new part are higher than those of a request.

--- a/Makefile
+++ b/Makefile
@@ -111,7 +111,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_load.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_forward.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
+       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/part_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_forward.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
@@ -141,6 +141,8 @@
 	$(LINK)
 $(BIN)/bench_blame: $(B)/bench/bench_blame.o $(B)/tests/blame_sim.o $(LIBA)
 	$(LINK)
+$(BIN)/bench_parts: $(B)/bench/bench_parts.o $(B)/tests/part_sim.o $(LIBA)
+	$(LINK)
 $(B)/bench/%.o: INC += -Itests
 # Soak test: runs real processes, injects faults chosen by seed, and checks the
 # invariants from outside.
@@ -156,13 +158,14 @@
 	sh soak/seeds.sh $(BIN) $(B)/soak
 
 BENCHES = $(BIN)/bench_gate $(BIN)/bench_core $(BIN)/bench_members \
-          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_rest $(BIN)/bench_limit $(BIN)/bench_feed
+          $(BIN)/bench_route $(BIN)/bench_blame $(BIN)/bench_parts $(BIN)/bench_rest $(BIN)/bench_limit $(BIN)/bench_feed
 bench: deps
 	$(MAKE) -s all $(BENCHES)
 	$(BIN)/bench_core
 	$(BIN)/bench_route
 	$(BIN)/bench_members
 	$(BIN)/bench_blame
+	$(BIN)/bench_parts
 	$(BIN)/bench_feed
 	$(BIN)/bench_rest
 	$(BIN)/bench_limit
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -289,6 +289,7 @@
 /* relay_traits.c */
 el_str_t relay_host_name (const h2o_req_t *req);
 rt_digest_t relay_digest (gt_relay_t *relay);
+rt_traits_t relay_shared_traits (gt_relay_t *relay);
 rt_traits_t relay_traits (gt_relay_t *relay);
 
 /* relay_trial.c */
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -42,6 +42,8 @@
 /* Tracked causes, in total and per customer; some 300 bytes each. */
 #define CAUSES_MAX 4096
 #define CUSTOMER_CAUSES_MAX 1024
+/* Parts of prompts remembered as having run well; 80 bytes each. */
+#define PROVEN_MAX 8192
 
 /* A run whose connection was lost, at an endpoint that may have crashed. */
 typedef struct pending_run
@@ -375,6 +377,14 @@
   relay_rumor_publish (relays, &fact, cause ^ id, RELAY_FACT_GOSSIP_TIME);
 }
 
+static void
+part_ran_well (gt_relays_t *relays, rt_digest_t part)
+{
+  rt_blame_prove (relays->blame->table, part);
+  if (rt_blame_tracks_parts (relays->blame->table))
+    cause_ran_well (relays, part);
+}
+
 /** Records that the response to RELAY began: what other requests share with it
     crashes no endpoint. */
 void
@@ -384,14 +394,12 @@
   rt_traits_t traits;
   size_t i;
 
-  if (!rt_blame_tracks_parts (relays->blame->table))
-    return;
-  traits = relay_traits (relay);
+  traits = relay_shared_traits (relay);
   for (i = 0; i < traits.nparts; i++)
     {
-      cause_ran_well (relays, traits.parts[i]);
-      cause_ran_well (relays,
-                      rt_customer_part (traits.customer, traits.parts[i]));
+      part_ran_well (relays, traits.parts[i]);
+      part_ran_well (relays,
+                     rt_customer_part (traits.customer, traits.parts[i]));
     }
 }
 
@@ -468,6 +476,7 @@
   const rt_blame_options_t options
       = { .max_causes = CAUSES_MAX,
           .max_customer_causes = CUSTOMER_CAUSES_MAX,
+          .max_proven = PROVEN_MAX,
           .rule = &rt_blame_rule_odds };
   relay_blame_t *blame = el_alloc (sizeof *blame);
 
--- a/gate/relay_traits.c
+++ b/gate/relay_traits.c
@@ -66,15 +66,24 @@
     relay->parts[i] = rt_part_digest (relays->options.key, model, ids[i]);
 }
 
-/** Returns the traits of RELAY's request, which it owns. */
+/** Returns the traits of RELAY's request but its digest. */
 rt_traits_t
-relay_traits (gt_relay_t *relay)
+relay_shared_traits (gt_relay_t *relay)
 {
   if (!relay->parts_known)
     parts_read (relay);
-  return (rt_traits_t){ .digest = relay_digest (relay),
-                        .customer = XXH3_64bits (relay->customer.ptr,
+  return (rt_traits_t){ .customer = XXH3_64bits (relay->customer.ptr,
                                                  relay->customer.len),
                         .parts = relay->parts,
                         .nparts = relay->nparts };
 }
+
+/** Returns the traits of RELAY's request, which owns the list of parts. */
+rt_traits_t
+relay_traits (gt_relay_t *relay)
+{
+  rt_traits_t traits = relay_shared_traits (relay);
+
+  traits.digest = relay_digest (relay);
+  return traits;
+}
--- a/route/blame.c
+++ b/route/blame.c
@@ -124,6 +124,50 @@
   free (crash);
 }
 
+static void
+proven_forget (rt_blame_t *blame, blame_proven_t *proven)
+{
+  HASH_DEL (blame->proven, proven);
+  free (proven);
+}
+
+static blame_proven_t *
+proven_find (const rt_blame_t *blame, rt_digest_t digest)
+{
+  blame_proven_t *proven;
+
+  HASH_FIND (hh, blame->proven, &digest, sizeof digest, proven);
+  return proven;
+}
+
+/* Whether the part ran well before. */
+int
+blame_is_proven (const rt_blame_t *blame, rt_digest_t digest)
+{
+  return proven_find (blame, digest) != NULL;
+}
+
+/** Record that the response to a request with PART began. A part that ran well
+    for long is a less likely culprit than a new one. */
+void
+rt_blame_prove (rt_blame_t *blame, rt_digest_t part)
+{
+  blame_proven_t *proven = proven_find (blame, part);
+
+  if (!blame->options.max_proven)
+    return;
+  if (proven)
+    HASH_DEL (blame->proven, proven);
+  else
+    {
+      if (HASH_COUNT (blame->proven) >= blame->options.max_proven)
+        proven_forget (blame, blame->proven);
+      proven = el_alloc (sizeof *proven);
+      proven->digest = part;
+    }
+  HASH_ADD (hh, blame->proven, digest, sizeof proven->digest, proven);
+}
+
 /** Free all reports and causes. */
 void
 rt_blame_free (rt_blame_t *blame)
@@ -135,6 +179,8 @@
     crash_free (blame, blame->crashes_by_time);
   HASH_ITER (hh, blame->causes, cause, next)
   cause_free (blame, cause);
+  while (blame->proven)
+    proven_forget (blame, blame->proven);
   free (blame);
 }
 
@@ -374,7 +420,10 @@
   if (!run)
     return 0;
   if (kind != RT_CAUSE_REQUEST || !run->requests)
-    run->requests ^= XXH3_64bits (&report->digest, sizeof report->digest);
+    {
+      run->requests ^= XXH3_64bits (&report->digest, sizeof report->digest);
+      run->nrequests++;
+    }
   return changed;
 }
 
@@ -541,6 +590,8 @@
 
   if (!cause || at <= cause->cleared_at)
     return rumor_id;
+  if (cause->kind != RT_CAUSE_REQUEST)
+    rt_blame_prove (blame, digest);
   if (!rumor_id)
     rumor_id = cause_rumor_id (cause);
   cause_exonerate (cause, at);
--- a/route/blame.h
+++ b/route/blame.h
@@ -121,8 +121,10 @@
 
 typedef struct rt_blame_options
 {
-  size_t max_causes;          /**< maximum number of tracked requests */
+  size_t max_causes;          /**< maximum number of tracked causes */
   size_t max_customer_causes; /**< the same per customer */
+  size_t max_proven; /**< maximum number of parts remembered as having run
+                        well */
   /** Scoring rule. Selectable so that benchmarks can compare rules. */
   const struct rt_blame_rule *rule;
 } rt_blame_options_t;
@@ -151,6 +153,7 @@
                             const rt_instance_t *instance, uint64_t host);
 uint64_t rt_blame_completed (rt_blame_t *blame, rt_digest_t digest,
                              el_time_t at);
+void rt_blame_prove (rt_blame_t *blame, rt_digest_t part);
 int rt_blame_block (rt_blame_t *blame, const rt_block_t *block,
                     uint64_t customer, el_time_t at, unsigned holds);
 int rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at);
--- a/route/blame_class.c
+++ b/route/blame_class.c
@@ -3,29 +3,82 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Classes of causes that the reports can't tell apart, as they name them for
- * the same requests at the same crashes, and what a block of a class covers.
+ * Classes of parts of prompts that the reports can't tell apart, as they name
+ * them at the same crashes, and what a block of a class covers.
  */
 #include <stdlib.h>
 
 #include "libblame.h"
 
-/* Return a hash of the crashes of CAUSE and of the requests there that have
-   it. */
+/* Prior odds that a cause is a culprit: a request, a part of a prompt that has
+   not run well yet, and one that has. */
+#define REQUEST_PRIOR_ODDS 1e-6
+#define PART_PRIOR_ODDS 1e-4
+#define PROVEN_PRIOR_ODDS 1e-10
+
+/* Return a hash of the crashes of CAUSE. Each request is a class of its own:
+   two requests at the same crash began there at different times. */
 uint64_t
 blame_class_id (const blame_cause_t *cause)
 {
   const blame_run_t *run;
-  uint64_t id = 0;
+  uint64_t id = cause->kind == RT_CAUSE_REQUEST ? cause->digest : 0;
+
+  DL_FOREACH (cause->runs, run)
+  id ^= XXH3_64bits (&run->crash->key, sizeof run->crash->key);
+  return id;
+}
+
+/* Sum up the requests at the crashes of CAUSE. */
+static void
+cause_sum_requests (blame_cause_t *cause)
+{
+  const blame_run_t *run;
   uint64_t pair[2];
 
+  cause->request_id = 0;
+  cause->nrequests = 0;
   DL_FOREACH (cause->runs, run)
   {
     pair[0] = run->crash->key;
     pair[1] = run->requests;
-    id ^= XXH3_64bits (pair, sizeof pair);
+    cause->request_id ^= XXH3_64bits (pair, sizeof pair);
+    cause->nrequests += run->nrequests;
   }
-  return id;
+}
+
+static double
+cause_prior (const rt_blame_t *blame, const blame_cause_t *cause)
+{
+  if (cause->kind == RT_CAUSE_REQUEST)
+    return REQUEST_PRIOR_ODDS;
+  return blame_is_proven (blame, cause->digest) ? PROVEN_PRIOR_ODDS
+                                                : PART_PRIOR_ODDS;
+}
+
+/* Whether LEFT is a likelier culprit than RIGHT, which has the same crashes;
+   negative if RIGHT is, 0 if both are as likely. */
+static int
+cause_compare (const blame_cause_t *left, const blame_cause_t *right)
+{
+  if (left->prior != right->prior)
+    return left->prior > right->prior ? 1 : -1;
+  if (left->nrequests != right->nrequests)
+    return left->nrequests < right->nrequests ? 1 : -1;
+  return 0;
+}
+
+/* Add CAUSE to the class of LEADER. Return the leader of both. */
+static blame_cause_t *
+class_join (blame_cause_t *leader, blame_cause_t *cause)
+{
+  int order = cause_compare (cause, leader);
+
+  if (order > 0)
+    return cause;
+  if (order == 0 && cause->request_id != leader->request_id)
+    leader->ambiguous = 1;
+  return leader;
 }
 
 /* Choose the leader of each class. */
@@ -35,20 +88,29 @@
   blame_cause_t *leaders = NULL;
   blame_cause_t *cause;
   blame_cause_t *next;
+  blame_cause_t *leader;
 
   HASH_ITER (hh, blame->causes, cause, next)
   {
     cause->class_id = blame_class_id (cause);
+    cause->prior = cause_prior (blame, cause);
+    cause->ambiguous = 0;
     cause->leader = cause;
+    cause_sum_requests (cause);
     if (!cause->runs)
       continue;
     HASH_FIND (hh_class, leaders, &cause->class_id, sizeof cause->class_id,
-               cause->leader);
-    if (cause->leader)
+               leader);
+    if (leader && class_join (leader, cause) == leader)
       continue;
-    cause->leader = cause;
+    if (leader)
+      HASH_DELETE (hh_class, leaders, leader);
     HASH_ADD (hh_class, leaders, class_id, sizeof cause->class_id, cause);
   }
+  HASH_ITER (hh, blame->causes, cause, next)
+  if (cause->runs)
+    HASH_FIND (hh_class, leaders, &cause->class_id, sizeof cause->class_id,
+               cause->leader);
   HASH_CLEAR (hh_class, leaders);
 }
 
@@ -83,8 +145,8 @@
     block->causes[highest] = cause;
 }
 
-/* What to block for the class of LEADER: its narrowest kind of cause, as
-   requests that have these have the others, too. */
+/* What to block for the class of LEADER: the causes of the narrowest kind that
+   the same requests have and that are as likely. */
 rt_block_t
 blame_class_block (const blame_cause_t *leader)
 {
@@ -93,15 +155,19 @@
   };
   rt_block_t block = { .n = 0 };
   const blame_run_t *run;
+  const blame_cause_t *cause;
 
   DL_FOREACH2 (leader->runs->crash->runs, run, crash_next)
-  if (run->cause->leader == leader)
-    {
-      if (!block.n || width[run->cause->kind] < width[block.kind])
-        block = (rt_block_t){ .kind = run->cause->kind };
-      if (run->cause->kind == block.kind)
-        block_add (&block, run->cause->digest);
-    }
+  {
+    cause = run->cause;
+    if (cause->leader != leader || cause->request_id != leader->request_id
+        || cause->prior != leader->prior)
+      continue;
+    if (!block.n || width[cause->kind] < width[block.kind])
+      block = (rt_block_t){ .kind = cause->kind };
+    if (cause->kind == block.kind)
+      block_add (&block, cause->digest);
+  }
   rt_block_seal (&block);
   return block;
 }
--- a/route/blame_rule.c
+++ b/route/blame_rule.c
@@ -26,8 +26,6 @@
 
 #include "libblame.h"
 
-/* Prior odds that a cause is a culprit. */
-#define PRIOR_ODDS 1e-6
 /* Minimum rate (1/s) of crashes of one endpoint that no request causes: one
    per hour. */
 #define CRASH_RATE_MIN (1.0 / 3600)
@@ -189,7 +187,7 @@
 cause_odds (const blame_cause_t *cause)
 {
   const blame_run_t *run;
-  double sum = log (PRIOR_ODDS);
+  double sum = log (cause->prior);
 
   DL_FOREACH (cause->runs, run)
   sum += run->llr;
@@ -227,13 +225,13 @@
   blame_run_t *run;
   unsigned pass;
 
+  blame_classes_build (blame);
   HASH_ITER (hh, blame->causes, cause, next)
   {
-    cause->odds = PRIOR_ODDS;
+    cause->odds = cause->prior;
     DL_FOREACH (cause->runs, run)
     run->llr = 0;
   }
-  blame_classes_build (blame);
   for (pass = 0; pass < BP_PASSES; pass++)
     odds_pass (blame, endpoints);
   blame_classes_share_odds (blame);
@@ -252,7 +250,7 @@
   HASH_ITER (hh, blame->causes, cause, next)
   {
     DL_COUNT (cause->runs, run, n);
-    cause->odds = n >= COUNT_RULE_CRASHES ? ODDS_MAX : PRIOR_ODDS;
+    cause->odds = n >= COUNT_RULE_CRASHES ? ODDS_MAX : cause->prior;
   }
 }
 
--- a/route/blame_status.c
+++ b/route/blame_status.c
@@ -14,6 +14,8 @@
    endpoints crash for other reasons, the odds alone would let it crash six. */
 #define EARLY_CRASHES_MAX 4
 #define EARLY_CRASH_TIME (1 * EL_SEC)
+/* The same for a part of a prompt that ran well before. */
+#define PROVEN_CRASHES_MAX 8
 /* A cause is a prime suspect if its odds are at least this fraction of the
    highest odds at its newest crash. */
 #define PRIME_SUSPECT_ODDS_RATIO 0.3
@@ -126,12 +128,33 @@
   }
 }
 
+/* Whether all crashes of a part of prompts were those of one request, which
+   explains them as well. */
+static int
+cause_is_of_one_request (const blame_cause_t *cause)
+{
+  const blame_run_t *run;
+
+  if (cause->kind == RT_CAUSE_REQUEST)
+    return 0;
+  DL_FOREACH (cause->runs, run)
+  if (run->requests != cause->runs->requests)
+    return 0;
+  return 1;
+}
+
 /* Whether the evidence against the leader of a class is sufficient. */
 static int
-leader_is_culprit (const blame_cause_t *leader)
+leader_is_culprit (const rt_blame_t *blame, const blame_cause_t *leader)
 {
+  unsigned crashes_max = blame_is_proven (blame, leader->digest)
+                             ? PROVEN_CRASHES_MAX
+                             : EARLY_CRASHES_MAX;
+
+  if (leader->ambiguous || cause_is_of_one_request (leader))
+    return 0;
   return leader->odds >= BLOCK_ODDS
-         || (cause_early_crashes (leader) >= EARLY_CRASHES_MAX
+         || (cause_early_crashes (leader) >= crashes_max
              && cause_is_likeliest (leader, cause_last_crash (leader)));
 }
 
@@ -157,7 +180,7 @@
   HASH_ITER (hh, blame->causes, cause, next)
   {
     if (n == max || !cause->runs || cause->leader != cause
-        || !leader_is_culprit (cause))
+        || !leader_is_culprit (blame, cause))
       continue;
     out[n].block = blame_class_block (cause);
     out[n].customer = cause->customer->key;
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -34,6 +34,7 @@
   blame_crash_t *crash;
   blame_cause_t *cause;
   uint64_t requests; /* hash of the set of requests there that have it */
+  size_t nrequests;  /* number of these */
   el_time_t began_at;
   el_time_t ran;
   int first;
@@ -81,21 +82,36 @@
   el_time_t blocked_until;  /* end of its block; 0: none, or it was lifted */
   unsigned holds;           /* how often it has been blocked */
   double odds;
-  /* Causes with the same crashes and requests form a class, which is scored
-     once: CLASS_ID identifies it, LEADER stands for it. */
-  uint64_t class_id;
+  /* Parts of prompts with the same crashes form a class, which is scored once.
+     Its leader is the likeliest culprit: one that never ran well, and that the
+     fewest requests have. */
+  uint64_t class_id;   /* hash of the crashes */
+  uint64_t request_id; /* hash of the requests at them that have the cause */
+  size_t nrequests;    /* number of these */
+  double prior;        /* prior odds */
   blame_cause_t *leader;
+  int ambiguous; /* of a leader: another cause, which other requests have, is
+                    as likely */
   UT_hash_handle hh_class;
   rt_block_t *set; /* of a set of causes: its members */
   UT_hash_handle hh;
 };
 
+/* A cause that is no request and ran well. The least recent ones are
+   forgotten. */
+typedef struct blame_proven
+{
+  rt_digest_t digest;
+  UT_hash_handle hh; /* in the order in which they ran well last */
+} blame_proven_t;
+
 struct rt_blame
 {
   rt_blame_options_t options;
   blame_cause_t *causes;
   size_t nshared; /* causes that are no requests */
   size_t nsets;   /* sets of causes */
+  blame_proven_t *proven;
   blame_customer_t *customers;
   blame_crash_t *crashes_by_key;
   blame_crash_t *crashes_by_time;
@@ -115,6 +131,7 @@
 void blame_classes_build (rt_blame_t *blame);
 void blame_classes_share_odds (rt_blame_t *blame);
 rt_block_t blame_class_block (const blame_cause_t *leader);
+int blame_is_proven (const rt_blame_t *blame, rt_digest_t digest);
 uint64_t blame_class_id (const blame_cause_t *cause);
 
 /* Whether the crash is confirmed by the store or by two hosts: a single host
