Parts of prompts: three crashes at least, none new to a host that starts; tests

Found by the new tests (tests/t_parts.c), each red before: a request that crashed five engines was not blocked, as its new parts explained the crashes as well (0 blocks); in 2 of 40 simulations without a culprit, racks and other crashes twice hit requests with the same rare part, which was blocked; in another one a rack failed in the first second of a host, when no part had run well yet, and a part of a third of all requests was blocked. Change: parts with the crashes of one request are no alternative to it; a part needs three crashes; a host takes no part for new in the first 5 s of the requests it sees.

--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -380,7 +380,8 @@
 static void
 part_ran_well (gt_relays_t *relays, rt_digest_t part)
 {
-  rt_blame_prove (relays->blame->table, part);
+  rt_blame_prove (relays->blame->table, part,
+                  net_clock_now (relays->options.clock));
   if (rt_blame_tracks_parts (relays->blame->table))
     cause_ran_well (relays, part);
 }
--- a/route/blame.c
+++ b/route/blame.c
@@ -31,6 +31,8 @@
    slots and the queue of an engine, few of which have parts that are possible
    causes. */
 #define RUNS_PER_CRASH_MAX 2048
+/* Time in which a host that has started learns which parts run well. */
+#define LEARNING_TIME (5 * EL_SEC)
 /* Hosts derive the time of a report from the age of its message, so that it
    may appear up to this much later than it was. */
 #define TIME_TOLERANCE (50 * EL_MSEC)
@@ -140,22 +142,27 @@
   return proven;
 }
 
-/* Whether the part ran well before. */
+/* Whether the part ran well before, or may have, as this host has not seen
+   requests for long enough to know. */
 int
 blame_is_proven (const rt_blame_t *blame, rt_digest_t digest)
 {
-  return proven_find (blame, digest) != NULL;
+  return !blame->first_proven_at
+         || blame->updated_at < blame->first_proven_at + LEARNING_TIME
+         || proven_find (blame, digest);
 }
 
-/** Record that the response to a request with PART began. A part that ran well
-    for long is a less likely culprit than a new one. */
+/** Record that the response to a request with PART began at AT. A part that
+    ran well is a less likely culprit than a new one. */
 void
-rt_blame_prove (rt_blame_t *blame, rt_digest_t part)
+rt_blame_prove (rt_blame_t *blame, rt_digest_t part, el_time_t at)
 {
   blame_proven_t *proven = proven_find (blame, part);
 
   if (!blame->options.max_proven)
     return;
+  if (!blame->first_proven_at)
+    blame->first_proven_at = at;
   if (proven)
     HASH_DEL (blame->proven, proven);
   else
@@ -591,7 +598,7 @@
   if (!cause || at <= cause->cleared_at)
     return rumor_id;
   if (cause->kind != RT_CAUSE_REQUEST)
-    rt_blame_prove (blame, digest);
+    rt_blame_prove (blame, digest, at);
   if (!rumor_id)
     rumor_id = cause_rumor_id (cause);
   cause_exonerate (cause, at);
--- a/route/blame.h
+++ b/route/blame.h
@@ -153,7 +153,7 @@
                             const rt_instance_t *instance, uint64_t host);
 uint64_t rt_blame_completed (rt_blame_t *blame, rt_digest_t digest,
                              el_time_t at);
-void rt_blame_prove (rt_blame_t *blame, rt_digest_t part);
+void rt_blame_prove (rt_blame_t *blame, rt_digest_t part, el_time_t at);
 int rt_blame_block (rt_blame_t *blame, const rt_block_t *block,
                     uint64_t customer, el_time_t at, unsigned holds);
 int rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at);
--- a/route/blame_class.c
+++ b/route/blame_class.c
@@ -29,6 +29,21 @@
   return id;
 }
 
+/* Whether all crashes of CAUSE, a part of prompts, were those of one
+   request. */
+static int
+cause_is_of_one_request (const blame_cause_t *cause)
+{
+  const blame_run_t *run;
+
+  if (cause->kind == RT_CAUSE_REQUEST || !cause->runs)
+    return 0;
+  DL_FOREACH (cause->runs, run)
+  if (run->nrequests > 1 || run->requests != cause->runs->requests)
+    return 0;
+  return 1;
+}
+
 /* Sum up the requests at the crashes of CAUSE. */
 static void
 cause_sum_requests (blame_cause_t *cause)
@@ -36,6 +51,7 @@
   const blame_run_t *run;
   uint64_t pair[2];
 
+  cause->one_request = cause_is_of_one_request (cause);
   cause->request_id = 0;
   cause->nrequests = 0;
   DL_FOREACH (cause->runs, run)
--- a/route/blame_rule.c
+++ b/route/blame_rule.c
@@ -161,7 +161,7 @@
   crash->total_hazard = 0;
   DL_FOREACH2 (crash->runs, run, crash_next)
   {
-    if (run->cause->leader != run->cause)
+    if (run->cause->leader != run->cause || run->cause->one_request)
       continue;
     run->expected_hazard = run_expected_hazard (run);
     crash->total_hazard += run->expected_hazard;
--- a/route/blame_status.c
+++ b/route/blame_status.c
@@ -19,6 +19,10 @@
 /* A cause is a prime suspect if its odds are at least this fraction of the
    highest odds at its newest crash. */
 #define PRIME_SUSPECT_ODDS_RATIO 0.3
+/* A part of prompts is not blocked before it has this many crashes: many parts
+   are shared by few requests, and two unrelated crashes may hit one of them.
+ */
+#define PART_CRASHES_MIN 3
 /* Odds from which a cause is blocked, 10 to 1. */
 #define BLOCK_ODDS 10.0
 /* Odds from which requests that share a cause are sent one at a time. A single
@@ -40,6 +44,16 @@
   return n;
 }
 
+static unsigned
+cause_count_crashes (const blame_cause_t *cause)
+{
+  const blame_run_t *run;
+  unsigned n = 0;
+
+  DL_COUNT (cause->runs, run, n);
+  return n;
+}
+
 /* Return the time of the newest crash of the cause, or 0. */
 static el_time_t
 cause_last_crash (const blame_cause_t *cause)
@@ -128,21 +142,6 @@
   }
 }
 
-/* Whether all crashes of a part of prompts were those of one request, which
-   explains them as well. */
-static int
-cause_is_of_one_request (const blame_cause_t *cause)
-{
-  const blame_run_t *run;
-
-  if (cause->kind == RT_CAUSE_REQUEST)
-    return 0;
-  DL_FOREACH (cause->runs, run)
-  if (run->requests != cause->runs->requests)
-    return 0;
-  return 1;
-}
-
 /* Whether the evidence against the leader of a class is sufficient. */
 static int
 leader_is_culprit (const rt_blame_t *blame, const blame_cause_t *leader)
@@ -151,7 +150,9 @@
                              ? PROVEN_CRASHES_MAX
                              : EARLY_CRASHES_MAX;
 
-  if (leader->ambiguous || cause_is_of_one_request (leader))
+  if (leader->kind != RT_CAUSE_REQUEST
+      && (leader->ambiguous || leader->one_request
+          || cause_count_crashes (leader) < PART_CRASHES_MIN))
     return 0;
   return leader->odds >= BLOCK_ODDS
          || (cause_early_crashes (leader) >= crashes_max
@@ -224,22 +225,13 @@
 rt_blame_update (rt_blame_t *blame, el_time_t now, size_t endpoints,
                  rt_blame_cause_cb blocked, void *arg)
 {
+  blame->updated_at = now;
   blame_expire (blame, now);
   blame->options.rule->score (blame, endpoints);
   block_again (blame, now, blocked, arg);
   classes_block (blame, now, blocked, arg);
 }
 
-static unsigned
-cause_count_crashes (const blame_cause_t *cause)
-{
-  const blame_run_t *run;
-  unsigned n = 0;
-
-  DL_COUNT (cause->runs, run, n);
-  return n;
-}
-
 /* Whether the newest crash of the cause is unconfirmed. */
 static int
 cause_is_unconfirmed (const blame_cause_t *cause)
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -90,8 +90,10 @@
   size_t nrequests;    /* number of these */
   double prior;        /* prior odds */
   blame_cause_t *leader;
-  int ambiguous; /* of a leader: another cause, which other requests have, is
-                    as likely */
+  int ambiguous;   /* of a leader: another cause, which other requests have,
+                      is as likely */
+  int one_request; /* a part with the crashes of one request only, which
+                      explains them as well */
   UT_hash_handle hh_class;
   rt_block_t *set; /* of a set of causes: its members */
   UT_hash_handle hh;
@@ -112,6 +114,8 @@
   size_t nshared; /* causes that are no requests */
   size_t nsets;   /* sets of causes */
   blame_proven_t *proven;
+  el_time_t first_proven_at; /* 0: none yet */
+  el_time_t updated_at;
   blame_customer_t *customers;
   blame_crash_t *crashes_by_key;
   blame_crash_t *crashes_by_time;
--- a/tests/part_sim.c
+++ b/tests/part_sim.c
@@ -39,7 +39,7 @@
 #define SETTLED_AFTER EL_SEC
 #define WAITS_MAX 200000
 /* Crashing parts come from then on. */
-#define WARM_UP (5 * EL_SEC)
+#define WARM_UP (8 * EL_SEC)
 #define MAX_TRIALS 64
 
 typedef struct part_engine
@@ -413,7 +413,7 @@
 {
   part_message_t *message;
 
-  rt_blame_prove (sim->hosts[host].blame, cause);
+  rt_blame_prove (sim->hosts[host].blame, cause, sim->now);
   if (!rt_blame_completed (sim->hosts[host].blame, cause, sim->now))
     return;
   sim->hosts[host].stale = 1;
--- a/tests/test.h
+++ b/tests/test.h
@@ -26,6 +26,7 @@
 Suite *relay_suite (void);
 Suite *retry_suite (void);
 Suite *blame_suite (void);
+Suite *parts_suite (void);
 Suite *rumor_suite (void);
 Suite *clock_suite (void);
 Suite *avail_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -39,6 +39,7 @@
   srunner_add_suite (runner, relay_suite ());
   srunner_add_suite (runner, retry_suite ());
   srunner_add_suite (runner, blame_suite ());
+  srunner_add_suite (runner, parts_suite ());
   srunner_add_suite (runner, rumor_suite ());
   srunner_add_suite (runner, clock_suite ());
   srunner_add_suite (runner, avail_suite ());
