--- a/tests/t_parts.c
+++ b/tests/t_parts.c
@@ -211,17 +211,17 @@
 }
 END_TEST
 
-/* A stream received events at each of four engines that crashed. It was
-   blocked for ten minutes, as it had run there for less than a second. */
+/* A stream received events at each of four engines that crashed in a short
+   time. It was blocked for ten minutes, as it had run there for less than a
+   second. */
 START_TEST (test_request_with_events_before_each_crash_is_not_blocked)
 {
   unsigned i;
 
   for (i = 0; i < 4; i++)
     {
-      add_run (i, NOW + i * EL_SEC, 100, CUSTOMER, RARE, COMMON, 1);
-      add_run (i, NOW + i * EL_SEC, 200 + i, CUSTOMER, RARE + i, BAD, 0);
-      update (NOW + i * EL_SEC);
+      add_run (i, NOW + i * 100 * EL_MSEC, 100, CUSTOMER, RARE, COMMON, 1);
+      update (NOW + i * 100 * EL_MSEC);
     }
   ck_assert_int_ne (
       judge (NOW + 5 * EL_SEC, 100, CUSTOMER, RARE, COMMON).state,
