Soak: parts of prompts that crash engines, beside other faults (--parts)

Callers' streams have parts; from 7 s on one stream in twelve has one that crashes each engine which runs it. Beside it restarts, kills and pauses of hosts, kills of engines, pauses of the store, resets of links. Checked: at most three sends later than 3 s after the fifth crash, the hosts with a fault excused.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -25,6 +25,13 @@
 #define REQUEST_PAUSE_NS 20000000
 /* One request in this many is sent with a revoked key, if there is one. */
 #define REVOKED_KEY_ONE_IN 8
+/* With parts of prompts, one stream in this many has one that crashes engines,
+   from this time on; hosts know by then which parts run well. */
+#define CRASH_PART_ONE_IN 12
+#define CRASH_PARTS_AFTER (7 * EL_SEC)
+#define CRASH_PART "deadbeef"
+/* Other parts of which a prompt has one. */
+#define SOUND_PARTS 5
 #define SEAL_HEADER "x-elmarch-response-seal: seal.of.a.stand-in"
 #define ID_HEADER "x-elmarch-request-id: "
 
@@ -47,6 +54,7 @@
   sk_requests_t *requests;
   caller_t *list;
   unsigned count;
+  el_time_t started_at;
   int stop;
 };
 
@@ -136,10 +144,11 @@
 }
 
 static struct curl_slist *
-request_headers (const sk_request_t *request, const char *key)
+request_headers (const sk_request_t *request, const char *key, int with_parts)
 {
   struct curl_slist *list = NULL;
   char text[128];
+  char part[16];
 
   list = curl_slist_append (list, "host: rel.example");
   snprintf (text, sizeof text, ID_HEADER "%s", request->id);
@@ -152,6 +161,15 @@
   snprintf (text, sizeof text, "x-via: %u-%" PRIu64, request->host,
             request->host_starts);
   list = curl_slist_append (list, text);
+  if (with_parts && request->kind == SK_STREAM)
+    {
+      snprintf (part, sizeof part, "b%u",
+                (unsigned)(el_str_hash (el_str (request->id)) % SOUND_PARTS));
+      snprintf (text, sizeof text,
+                "x-elmarch-prompt-prefix: a%u:40,%s:100,%s:60", request->key,
+                request->crashes_engines ? CRASH_PART : part, request->id);
+      list = curl_slist_append (list, text);
+    }
   if (request->resumed_after)
     {
       snprintf (text, sizeof text, "last-event-id: %u",
@@ -202,7 +220,7 @@
 
   request->host_starts = cluster->hosts[request->host].starts;
   sk_key_text (request->key, request->generation, key, sizeof key);
-  headers = request_headers (request, key);
+  headers = request_headers (request, key, cluster->crash_parts);
   curl_prepare (curl, cluster, request);
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, response_header);
@@ -283,6 +301,10 @@
   request->host = caller->hosts[el_random (&caller->random) % caller->nhosts];
   request_key_set (caller->pool->cluster, request,
                    el_random (&caller->random) % REVOKED_KEY_ONE_IN == 0);
+  request->crashes_engines
+      = caller->pool->cluster->crash_parts && kind == SK_STREAM
+        && sk_now () > caller->pool->started_at + CRASH_PARTS_AFTER
+        && el_random (&caller->random) % CRASH_PART_ONE_IN == 0;
 }
 
 /* Send one request. A stream that broke off is resumed at a random host. */
@@ -301,7 +323,8 @@
         caller->curl[request.host] = curl_easy_init ();
       request_send (caller->curl[request.host], caller->pool->cluster,
                     caller->pool->requests, &request);
-      if (kind != SK_STREAM || request.last_event >= SK_STREAM_EVENTS)
+      if (kind != SK_STREAM || request.crashes_engines
+          || request.last_event >= SK_STREAM_EVENTS)
         return;
     }
 }
@@ -338,6 +361,7 @@
 
   callers->cluster = cluster;
   callers->requests = requests;
+  callers->started_at = sk_now ();
   callers->count = threads;
   callers->list = el_alloc (threads * sizeof *callers->list);
   for (i = 0; i < threads; i++)
--- a/soak/check.c
+++ b/soak/check.c
@@ -536,6 +536,7 @@
   leaving_check (&records, faults, nfaults, traffic_start);
   notices_check (cluster, requests, faults, nfaults, traffic_start);
   sk_limits_check (cluster, requests, faults, nfaults, traffic_start);
+  sk_parts_check (cluster, requests, faults, nfaults, traffic_start);
   free (records.list);
   outcomes_print (requests);
   printf ("ran=%u ", HASH_COUNT (by_id));
--- a/soak/check_limit.c
+++ b/soak/check_limit.c
@@ -33,10 +33,10 @@
   size_t len;
 } limit_arrivals_t;
 
-/* Whether FAULT excuses HOST, or holds requests to ENDPOINT up so that they
-   arrive together. */
-static int
-fault_excuses (const sk_fault_t *fault, unsigned host, unsigned endpoint)
+/** Whether FAULT excuses HOST, or holds requests to ENDPOINT up so that they
+    arrive together. */
+int
+sk_fault_excuses (const sk_fault_t *fault, unsigned host, unsigned endpoint)
 {
   switch (fault->kind)
     {
@@ -68,7 +68,7 @@
   size_t i;
 
   for (i = 0; i < nfaults; i++)
-    if (fault_excuses (&faults[i], host, endpoint)
+    if (sk_fault_excuses (&faults[i], host, endpoint)
         && traffic_start + faults[i].start_at < arrival->time
         && traffic_start + faults[i].start_at + faults[i].duration
                    + SN_LIMIT_CONTACT_TIME
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -10,6 +10,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <jansson.h>
@@ -238,6 +239,18 @@
     proc->deregister_at = sk_now () + EL_SEC; /* the store is paused: retry */
 }
 
+/* An endpoint that crashed is restarted like one that was killed. */
+static void
+endpoint_reap (sk_proc_t *endpoint)
+{
+  if (!endpoint->pid
+      || waitpid (endpoint->pid, NULL, WNOHANG) != endpoint->pid)
+    return;
+  endpoint->pid = 0;
+  endpoint->deregister_at = sk_now () + SK_ENTRY_EXPIRY;
+  endpoint->restart_at = endpoint->deregister_at + EL_MSEC;
+}
+
 /** Restart processes and delete entries of endpoints when due, and check for
     hosts that have exited. */
 void
@@ -257,6 +270,8 @@
     {
       sk_proc_t *endpoint = &cluster->endpoints[i];
 
+      if (cluster->crash_parts)
+        endpoint_reap (endpoint);
       if (endpoint->deregister_at && now >= endpoint->deregister_at)
         endpoint_deregister (cluster, endpoint);
       if (!endpoint->pid && endpoint->restart_at && now >= endpoint->restart_at
--- a/soak/fault.c
+++ b/soak/fault.c
@@ -10,9 +10,6 @@
 
 #include "soak.h"
 
-/* Time until the store entry of a killed endpoint is deleted, as after three
-   missed heartbeats. */
-#define ENTRY_EXPIRY (1500 * EL_MSEC)
 /* Delay of a link in variant 0, and the increase with each further variant. */
 #define LINK_DELAY_MS 20
 #define LINK_DELAY_STEP_MS 60
@@ -73,10 +70,10 @@
   if (!endpoint->pid)
     return;
   sk_proc_kill (endpoint);
-  endpoint->deregister_at = sk_now () + ENTRY_EXPIRY;
+  endpoint->deregister_at = sk_now () + SK_ENTRY_EXPIRY;
   endpoint->restart_at
       = sk_now ()
-        + (duration > ENTRY_EXPIRY ? duration : ENTRY_EXPIRY + EL_MSEC);
+        + (duration > SK_ENTRY_EXPIRY ? duration : SK_ENTRY_EXPIRY + EL_MSEC);
 }
 
 static void
--- a/soak/main.c
+++ b/soak/main.c
@@ -35,6 +35,7 @@
   int asks;
   int copies;
   int limits;
+  int parts;
 } soak_settings_t;
 
 #define FIELD(field) offsetof (soak_settings_t, field)
@@ -61,6 +62,8 @@
     "roll the store back to snapshots, in place of most faults" },
   { "limits", EL_SETTING_FLAG, FIELD (limits), "0", 0, 1, 0, NULL,
     "have all endpoints name rate limits, in place of most faults" },
+  { "parts", EL_SETTING_FLAG, FIELD (parts), "0", 0, 1, 0, NULL,
+    "send prompts with a part that crashes engines, in place of most faults" },
 };
 
 /* Start and end the faults that are due. */
@@ -148,6 +151,7 @@
   el_time_t length = set->seconds * EL_SEC;
   size_t nfaults = set->copies   ? sk_plan_rollbacks (seed, length, faults)
                    : set->limits ? sk_plan_limits (seed, length, faults)
+                   : set->parts  ? sk_plan_parts (seed, length, faults)
                                  : sk_plan (seed, length, faults);
   sk_callers_t *callers;
   sk_cluster_t cluster;
@@ -159,6 +163,7 @@
     nfaults += sk_plan_notices (seed, length, &faults[nfaults]);
   seed_dir_prepare (set, seed, dir, sizeof dir);
   sk_cluster_start (&cluster, set->bin, dir);
+  cluster.crash_parts = set->parts;
   recovery_check (&cluster, &requests); /* waits until layers are placed */
   callers
       = sk_callers_start (&cluster, &requests, (unsigned)set->callers, seed);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -191,8 +191,9 @@
   return n;
 }
 
-/* While all endpoints name limits, other faults start this far apart on
-   average, so that some time remains in which no fault excuses a host. */
+/* While all endpoints name limits, or prompts crash engines, other faults
+   start this far apart on average, so that some time remains in which no fault
+   excuses a host. */
 #define FAULT_BESIDE_LIMITS_INTERVAL (4 * EL_SEC)
 /* Time without a limit between two of the same endpoint. */
 #define LIMIT_PAUSE (300 * EL_MSEC)
@@ -201,13 +202,30 @@
     = { SK_HOST_TERM,     SK_HOST_KILL,   SK_HOST_PAUSE,
         SK_ENDPOINT_KILL, SK_STORE_PAUSE, SK_LINK_RESET };
 
+/* Add faults beside what the endpoints do, to the N that are planned. Returns
+   their number. */
+static size_t
+plan_beside (uint64_t *random, el_time_t length, sk_fault_t *out, size_t n)
+{
+  sk_fault_kind_t kind;
+  el_time_t at;
+
+  for (at = FIRST_FAULT_AT; at < length && n < SK_FAULTS_MAX; n++)
+    {
+      at += el_random (random) % (2 * FAULT_BESIDE_LIMITS_INTERVAL);
+      kind = beside_limits[el_random (random)
+                           % (sizeof beside_limits / sizeof *beside_limits)];
+      fault_draw (random, kind, at, &out[n]);
+    }
+  return n;
+}
+
 /** The same with rate limits that all endpoints name, in place of most other
     faults. */
 size_t
 sk_plan_limits (uint64_t seed, el_time_t length, sk_fault_t *out)
 {
   uint64_t random = (seed << 2) ^ 0x27d4eb2d;
-  sk_fault_kind_t kind;
   size_t n = 0;
   unsigned i;
   el_time_t at;
@@ -219,12 +237,15 @@
         fault_draw (&random, SK_ENDPOINT_LIMIT, at, &out[n]);
         out[n].target = i;
       }
-  for (at = FIRST_FAULT_AT; at < length && n < SK_FAULTS_MAX; n++)
-    {
-      at += el_random (&random) % (2 * FAULT_BESIDE_LIMITS_INTERVAL);
-      kind = beside_limits[el_random (&random)
-                           % (sizeof beside_limits / sizeof *beside_limits)];
-      fault_draw (&random, kind, at, &out[n]);
-    }
-  return n;
+  return plan_beside (&random, length, out, n);
+}
+
+/** The same with parts of prompts that crash engines, in place of most other
+    faults. */
+size_t
+sk_plan_parts (uint64_t seed, el_time_t length, sk_fault_t *out)
+{
+  uint64_t random = (seed << 2) ^ 0x165667b1;
+
+  return plan_beside (&random, length, out, 0);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -32,6 +32,9 @@
 #define SK_STREAM_EVENTS 40
 /** A host that has not heard from the store for this long accepts no keys. */
 #define SK_KEYS_MAX_AGE (2 * EL_SEC)
+/** Time until the store entry of an endpoint that died is deleted, as after
+    three missed heartbeats. */
+#define SK_ENTRY_EXPIRY (1500 * EL_MSEC)
 #define SK_ADDRESS_MAX 32
 #define SK_ID_MAX 32
 
@@ -89,6 +92,7 @@
 size_t sk_plan_rollbacks (uint64_t seed, el_time_t length, sk_fault_t *out);
 size_t sk_plan_notices (uint64_t seed, el_time_t length, sk_fault_t *out);
 size_t sk_plan_limits (uint64_t seed, el_time_t length, sk_fault_t *out);
+size_t sk_plan_parts (uint64_t seed, el_time_t length, sk_fault_t *out);
 
 /* The proxy, which runs in its own thread. */
 
@@ -144,6 +148,7 @@
   int has_own_id;         /**< the response bears this request's id */
   unsigned resumed_after; /**< number of the last event received before */
   unsigned last_event;    /**< number of the last event received */
+  int crashes_engines;    /**< a part of its prompt does */
   int out_of_order;       /**< an event was missing, repeated or foreign */
 } sk_request_t;
 
@@ -185,6 +190,7 @@
 {
   char dir[256]; /**< logs and the record of the endpoints */
   const char *bin;
+  int crash_parts; /**< prompts have parts, some of which crash engines */
   unsigned subnet; /**< selects the loopback addresses of this run */
   sk_proxy_t *proxy;
   sk_proc_t store;
@@ -252,6 +258,11 @@
 void sk_limits_check (const sk_cluster_t *cluster,
                       const sk_requests_t *requests, const sk_fault_t *faults,
                       size_t nfaults, el_time_t traffic_start);
+void sk_parts_check (const sk_cluster_t *cluster,
+                     const sk_requests_t *requests, const sk_fault_t *faults,
+                     size_t nfaults, el_time_t traffic_start);
+int sk_fault_excuses (const sk_fault_t *fault, unsigned host,
+                      unsigned endpoint);
 int sk_host_restarted_during (const sk_requests_t *requests, const char *id);
 unsigned sk_endpoint_number (const char *id);
 void sk_violation (const char *invariant, const char *id, const char *fmt, ...)
