--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -318,6 +318,47 @@
   rt_blame_free (blame);
 }
 
+/* The same for requests with PARTS parts of prompts, all suspect: the most
+   that a crash can add. */
+static void
+bench_parts (unsigned ends, unsigned runs, size_t parts)
+{
+  const rt_blame_options_t options = { .max_causes = 4096,
+                                       .max_customer_causes = 1024,
+                                       .max_proven = 8192,
+                                       .rule = &rt_blame_rule_odds };
+  rt_blame_t *blame = rt_blame_new (&options);
+  rt_crash_report_t ended = {
+    .host = 1, .at = EL_SEC, .ran = EL_MSEC, .first = 1, .nparts = parts
+  };
+  size_t heap = bench_heap ();
+  uint64_t began = bench_ns ();
+  uint64_t update_began;
+  unsigned end;
+  unsigned run;
+  size_t i;
+
+  for (end = 0; end < ends; end++)
+    for (run = 0; run < runs; run++)
+      {
+        ended.instance.born = end;
+        ended.at = EL_SEC + end * EL_MSEC;
+        ended.digest = 1 + end * runs + run;
+        ended.customer = run % 10;
+        for (i = 0; i < parts; i++)
+          ended.parts[i] = 1000000 + (i < parts / 2 ? i : run * parts + i);
+        rt_blame_add_report (blame, EL_SEC, &ended);
+      }
+  update_began = bench_ns ();
+  rt_blame_update (blame, 2 * EL_SEC, 1900, ignore_block, NULL);
+  printf ("bench=parts ends=%u runs=%u parts=%zu bytes=%zu add_us=%.1f "
+          "judge_us=%.0f\n",
+          ends, runs, parts, bench_heap () - heap,
+          (double)(update_began - began) / ends / runs / 1e3,
+          (double)(bench_ns () - update_began) / 1e3);
+  rt_blame_free (blame);
+}
+
 static void
 bench_digest (void)
 {
@@ -404,6 +445,9 @@
   bench_keys (1900);
   bench_blame (1, 60);
   bench_blame (64, 60);
+  bench_parts (1, 50, 3);
+  bench_parts (1, 50, RT_PARTS_MAX);
+  bench_parts (8, 50, RT_PARTS_MAX);
   bench_decisions (40);
   bench_decisions (400);
   bench_decisions (1900);
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -75,6 +75,24 @@
                                  relay->service->name, draw, &relay->tried);
 }
 
+/* Whether some endpoint would take RELAY, if only as soon as a suspect there
+   has run well. */
+static int
+any_target_is_available (const gt_relay_t *relay, el_time_t now)
+{
+  const rt_target_t *target;
+
+  for (target = rt_fleet_first (relay->relays->options.fleet); target;
+       target = target->hh.next)
+    if (el_str_eq (target->attrs.service, relay->service->name)
+        && rt_avail_level_at (&target->avail, now) <= RT_AVAIL_DOUBTFUL
+        && (!relay->service->model.layers
+            || (target->attrs.first == 0 && target->attrs.end > 0))
+        && !rt_tried_has (&relay->tried, target))
+      return 1;
+  return 0;
+}
+
 /* Ends a wait that has taken too long: refuses the request if it was never
    sent. Returns 0 if it was. */
 static int
@@ -95,6 +113,11 @@
   gt_relays_t *relays = relay->relays;
 
   relay->trial = 0;
+  /* Without an endpoint, waiting is of no use; a host that reaches none sends
+     the request over another one, which waits for the trial. */
+  if (relay_reach_is_cut_off (relays, relay->service->name)
+      || !any_target_is_available (relay, now))
+    return 0;
   if (pick_isolated_target (relay, status, now)
       && relay_trial_take (relay, status->trial, now))
     {
