--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 ROUTE = route/avail.c route/reach.c route/limit.c route/router.c route/table.c route/route_build.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/chat.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/fleet_kind.c route/fleet_pick.c route/chain.c route/chain_reduce.c route/chain_use.c route/estimate.c \
-        route/layout.c route/attempts.c route/digest.c route/order_failures.c route/blame.c route/blame_status.c route/blame_rule.c route/blame_class.c route/trial.c
+        route/layout.c route/attempts.c route/digest.c route/order_failures.c route/blame.c route/blame_status.c route/blame_rule.c route/blame_class.c route/blame_proven.c route/blame_clear.c route/trial.c
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_members.c peer/peer_config.c \
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -130,7 +130,6 @@
   rt_digest_t *parts; /* of its prompt, as far as others may share them */
   size_t nparts;
   int parts_known;
-  rt_digest_t trial; /* suspect cause for which it was sent as a trial */
   rt_attempts_t attempts;
   rt_tried_t tried;          /* endpoints that later attempts avoid */
   el_timer_t retry_timer;    /* delay before the next attempt */
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -112,7 +112,6 @@
 {
   gt_relays_t *relays = relay->relays;
 
-  relay->trial = 0;
   /* Without an endpoint, waiting is of no use; a host that reaches none sends
      the request over another one, which waits for the trial. */
   if (relay_reach_is_cut_off (relays, relay->service->name)
@@ -120,10 +119,7 @@
     return 0;
   if (pick_isolated_target (relay, status, now)
       && relay_trial_take (relay, status->trial, now))
-    {
-      relay->trial = status->trial;
-      return 0;
-    }
+    return 0;
   if (relay->turn_waits++ >= TRIAL_WAITS_MAX)
     {
       relays->counts.refused_trial++;
--- a/route/blame.c
+++ b/route/blame.c
@@ -31,8 +31,6 @@
    slots and the queue of an engine, few of which have parts that are possible
    causes. */
 #define RUNS_PER_CRASH_MAX 2048
-/* Time in which a host that has started learns which parts run well. */
-#define LEARNING_TIME (5 * EL_SEC)
 /* Hosts derive the time of a report from the age of its message, so that it
    may appear up to this much later than it was. */
 #define TIME_TOLERANCE (50 * EL_MSEC)
@@ -89,8 +87,9 @@
   return cause;
 }
 
-static void
-run_free (blame_run_t *run)
+/* Remove a cause from a crash. */
+void
+blame_run_free (blame_run_t *run)
 {
   DL_DELETE2 (run->crash->runs, run, crash_prev, crash_next);
   DL_DELETE2 (run->cause->runs, run, prev, next);
@@ -104,7 +103,7 @@
   blame_customer_t *customer = cause->customer;
 
   while (cause->runs)
-    run_free (cause->runs);
+    blame_run_free (cause->runs);
   HASH_DEL (blame->causes, cause);
   blame->nshared -= cause->kind != RT_CAUSE_REQUEST;
   blame->nsets -= cause->set != NULL;
@@ -120,61 +119,12 @@
 crash_free (rt_blame_t *blame, blame_crash_t *crash)
 {
   while (crash->runs)
-    run_free (crash->runs);
+    blame_run_free (crash->runs);
   DL_DELETE (blame->crashes_by_time, crash);
   HASH_DEL (blame->crashes_by_key, crash);
   free (crash);
 }
 
-static void
-proven_forget (rt_blame_t *blame, blame_proven_t *proven)
-{
-  HASH_DEL (blame->proven, proven);
-  free (proven);
-}
-
-static blame_proven_t *
-proven_find (const rt_blame_t *blame, rt_digest_t digest)
-{
-  blame_proven_t *proven;
-
-  HASH_FIND (hh, blame->proven, &digest, sizeof digest, proven);
-  return proven;
-}
-
-/* Whether the part ran well before, or may have, as this host has not seen
-   requests for long enough to know. */
-int
-blame_is_proven (const rt_blame_t *blame, rt_digest_t digest)
-{
-  return !blame->first_proven_at
-         || blame->updated_at < blame->first_proven_at + LEARNING_TIME
-         || proven_find (blame, digest);
-}
-
-/** Record that the response to a request with PART began at AT. A part that
-    ran well is a less likely culprit than a new one. */
-void
-rt_blame_prove (rt_blame_t *blame, rt_digest_t part, el_time_t at)
-{
-  blame_proven_t *proven = proven_find (blame, part);
-
-  if (!blame->options.max_proven)
-    return;
-  if (!blame->first_proven_at)
-    blame->first_proven_at = at;
-  if (proven)
-    HASH_DEL (blame->proven, proven);
-  else
-    {
-      if (HASH_COUNT (blame->proven) >= blame->options.max_proven)
-        proven_forget (blame, blame->proven);
-      proven = el_alloc (sizeof *proven);
-      proven->digest = part;
-    }
-  HASH_ADD (hh, blame->proven, digest, sizeof proven->digest, proven);
-}
-
 /** Free all reports and causes. */
 void
 rt_blame_free (rt_blame_t *blame)
@@ -186,8 +136,7 @@
     crash_free (blame, blame->crashes_by_time);
   HASH_ITER (hh, blame->causes, cause, next)
   cause_free (blame, cause);
-  while (blame->proven)
-    proven_forget (blame, blame->proven);
+  blame_proven_free (blame);
   free (blame);
 }
 
@@ -369,7 +318,7 @@
   crash->detected_at = detected_at;
   DL_FOREACH_SAFE2 (crash->runs, run, next, crash_next)
   if (crash_detected_before (crash, run->began_at))
-    run_free (run);
+    blame_run_free (run);
 }
 
 /* Add CAUSE to the crashed endpoint, where its run began early enough. Return
@@ -494,20 +443,6 @@
          && (!crash->nwitnesses || crash->witnesses[0] != host);
 }
 
-/* Stop counting crashes up to AT against the cause. */
-static void
-cause_exonerate (blame_cause_t *cause, el_time_t at)
-{
-  blame_run_t *run;
-  blame_run_t *next;
-
-  cause->cleared_at = at;
-  cause->odds = 0;
-  DL_FOREACH_SAFE (cause->runs, run, next)
-  if (run->crash->at <= at)
-    run_free (run);
-}
-
 /** Whether to publish the report to other hosts: the run was short, or its
     request was already suspect or blocked. */
 int
@@ -518,94 +453,6 @@
          || rt_blame_get_status (blame, report->at, report->digest).state;
 }
 
-/* Return an identifier of the newest crash of this cause that other hosts
-   know, or else of its block. */
-static uint64_t
-cause_rumor_id (const blame_cause_t *cause)
-{
-  const blame_run_t *run;
-  const blame_crash_t *newest = NULL;
-
-  DL_FOREACH (cause->runs, run)
-  if ((run->ran < RT_BLAME_SHORT_RUN || cause->runs->next)
-      && (!newest || run->crash->at > newest->at))
-    newest = run->crash;
-  return newest ? newest->key : cause->blocked_until;
-}
-
-/* Lift the block of a cause that ran well at AT, if the block began before.
-   Return 0 if there was none. */
-static int
-cause_unblock (blame_cause_t *cause, el_time_t at)
-{
-  if (!cause->blocked_until
-      || at + rt_blame_block_time (cause->holds) <= cause->blocked_until)
-    return 0;
-  cause->blocked_until = 0;
-  return 1;
-}
-
-/* DIGEST ran well at AT: the others of SET are blocked without it, if SET
-   contains it. Return 0 if not. */
-static int
-set_narrow (rt_blame_t *blame, blame_cause_t *set, rt_digest_t digest,
-            el_time_t at)
-{
-  rt_block_t rest = *set->set;
-  el_time_t blocked_until = set->blocked_until;
-  unsigned holds = set->holds;
-  blame_cause_t *cause;
-
-  if (!rt_block_remove (&rest, digest) || !cause_unblock (set, at))
-    return 0;
-  cause = blame_block_get (blame, &rest, set->customer->key);
-  if (cause->blocked_until < blocked_until)
-    {
-      cause->blocked_until = blocked_until;
-      cause->holds = holds;
-      cause->last_report_at = set->last_report_at;
-    }
-  return 1;
-}
-
-/* Narrow the sets that contain DIGEST. Return 0 if there is none. */
-static int
-sets_narrow (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
-{
-  blame_cause_t *cause;
-  blame_cause_t *next;
-  int narrowed = 0;
-
-  if (!blame->nsets)
-    return 0;
-  HASH_ITER (hh, blame->causes, cause, next)
-  if (cause->set && set_narrow (blame, cause, digest, at))
-    narrowed = 1;
-  return narrowed;
-}
-
-/** A request that has the cause ran well at AT: earlier crashes no longer
-    count against it, and a block that began before AT is lifted. A request as
-    a cause ran well if it completed, a part of a prompt if the response began.
-    Return an identifier, the same at all hosts, of what other hosts must clear
-    it of, or 0 if there is nothing to clear. */
-uint64_t
-rt_blame_completed (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
-{
-  blame_cause_t *cause = blame_cause_find (blame, digest);
-  uint64_t rumor_id = sets_narrow (blame, digest, at) ? at : 0;
-
-  if (!cause || at <= cause->cleared_at)
-    return rumor_id;
-  if (cause->kind != RT_CAUSE_REQUEST)
-    rt_blame_prove (blame, digest, at);
-  if (!rumor_id)
-    rumor_id = cause_rumor_id (cause);
-  cause_exonerate (cause, at);
-  cause_unblock (cause, at);
-  return rumor_id;
-}
-
 /** Record that BLOCK took effect for the HOLDS-th time at AT, as reported by
     another host or the store. Return 0 if that was known or the cause has been
     cleared since. */
@@ -624,40 +471,6 @@
   return 1;
 }
 
-/* Clear the causes that can't be told apart from CAUSE, which would be blocked
-   in its place. */
-static void
-class_clear (rt_blame_t *blame, const blame_cause_t *cause, el_time_t at)
-{
-  uint64_t class_id = blame_class_id (cause);
-  blame_cause_t *other;
-  blame_cause_t *next;
-
-  HASH_ITER (hh, blame->causes, other, next)
-  if (other != cause && other->runs && blame_class_id (other) == class_id)
-    cause_exonerate (other, at);
-}
-
-/** Clear the cause on behalf of an operator. Return 0 if it is not tracked or
-    has already been cleared since. */
-int
-rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at)
-{
-  blame_cause_t *cause = blame_cause_find (blame, digest);
-  size_t i;
-
-  if (!cause || at <= cause->cleared_at)
-    return 0;
-  for (i = 0; cause->set && i < cause->set->n; i++)
-    rt_blame_clear (blame, cause->set->causes[i], at);
-  if (cause->runs)
-    class_clear (blame, cause, at);
-  cause_exonerate (cause, at);
-  cause->blocked_until = 0;
-  cause->holds = 0;
-  return 1;
-}
-
 /* A cause that was blocked is tracked for the duration of its last block
    after the block ends; one that ran well, until earlier reports about it
    have expired. */
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -131,11 +131,16 @@
 blame_run_t *blame_run_find (const blame_cause_t *cause,
                              const blame_crash_t *crash);
 
+void blame_run_free (blame_run_t *run);
+
+/* blame_proven.c */
+int blame_is_proven (const rt_blame_t *blame, rt_digest_t digest);
+void blame_proven_free (rt_blame_t *blame);
+
 /* blame_class.c */
 void blame_classes_build (rt_blame_t *blame);
 void blame_classes_share_odds (rt_blame_t *blame);
 rt_block_t blame_class_block (const blame_cause_t *leader);
-int blame_is_proven (const rt_blame_t *blame, rt_digest_t digest);
 uint64_t blame_class_id (const blame_cause_t *cause);
 
 /* Whether the crash is confirmed by the store or by two hosts: a single host
