--- a/soak/caller.c
+++ b/soak/caller.c
@@ -196,8 +196,10 @@
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS,
                     request->kind == SK_STREAM ? STREAM_TIMEOUT_MS
                                                : PLAIN_TIMEOUT_MS);
+  /* No two requests whose prompts have parts are alike. */
   if (post)
-    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, "body");
+    curl_easy_setopt (curl, CURLOPT_POSTFIELDS,
+                      cluster->crash_parts ? request->id : "body");
   /* libcurl retries a request by itself if a reused connection turns out to
      be closed. A new connection prevents that. */
   if (request->kind == SK_UNSAFE)
--- a/soak/check.c
+++ b/soak/check.c
@@ -352,9 +352,11 @@
 }
 
 /* Check that responses in progress at a planned stop are completed. Skipped
-   where another fault was active around the stop. */
+   where another fault was active around the stop, or a request crashed an
+   engine. */
 static void
-planned_stops_check (const sk_requests_t *requests, const sk_fault_t *faults,
+planned_stops_check (const sk_cluster_t *cluster,
+                     const sk_requests_t *requests, const sk_fault_t *faults,
                      size_t nfaults, el_time_t traffic_start)
 {
   size_t f;
@@ -366,7 +368,10 @@
 
       if (stop->kind != SK_HOST_TERM
           || !no_fault_around (faults, nfaults, stop, stop->start_at,
-                               stop->start_at + 4 * EL_SEC, is_any_fault))
+                               stop->start_at + 4 * EL_SEC, is_any_fault)
+          || sk_part_crashed (cluster, requests,
+                              traffic_start + stop->start_at - 4 * EL_SEC,
+                              traffic_start + stop->start_at + 4 * EL_SEC))
         continue;
       for (i = 0; i < requests->len; i++)
         {
@@ -532,7 +537,7 @@
       request_check (&requests->list[i], executions);
     }
   revoked_keys_check (requests);
-  planned_stops_check (requests, faults, nfaults, traffic_start);
+  planned_stops_check (cluster, requests, faults, nfaults, traffic_start);
   leaving_check (&records, faults, nfaults, traffic_start);
   notices_check (cluster, requests, faults, nfaults, traffic_start);
   sk_limits_check (cluster, requests, faults, nfaults, traffic_start);
--- a/soak/check_parts.c
+++ b/soak/check_parts.c
@@ -55,12 +55,17 @@
 
 /* Read the runs of requests that crash engines, by time. */
 static void
-runs_read (const char *path, const sk_requests_t *requests, part_runs_t *out)
+parts_read (const sk_cluster_t *cluster, const sk_requests_t *requests,
+            part_runs_t *out)
 {
   char text[LINE_MAX_BYTES];
+  char path[300];
   char id[SK_ID_MAX];
   part_run_t run;
-  FILE *file = fopen (path, "r");
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/runs", cluster->dir);
+  file = fopen (path, "r");
 
   while (file && fgets (text, sizeof text, file))
     if (sscanf (text, "%" SCNu64 " %31s %63s", &run.time, id, run.endpoint_id)
@@ -107,6 +112,24 @@
   return run->request->host_restarted;
 }
 
+/** Whether a request with such a part crashed an engine in the time. */
+int
+sk_part_crashed (const sk_cluster_t *cluster, const sk_requests_t *requests,
+                 el_time_t from, el_time_t to)
+{
+  part_runs_t runs = { NULL, 0 };
+  int crashed = 0;
+  size_t i;
+
+  if (!cluster->crash_parts)
+    return 0;
+  parts_read (cluster, requests, &runs);
+  for (i = 0; i < runs.len; i++)
+    crashed |= runs.list[i].time > from && runs.list[i].time < to;
+  free (runs.list);
+  return crashed;
+}
+
 /** Check the requests with a part that crashes engines. */
 void
 sk_parts_check (const sk_cluster_t *cluster, const sk_requests_t *requests,
@@ -114,7 +137,6 @@
                 el_time_t traffic_start)
 {
   part_runs_t runs = { NULL, 0 };
-  char path[300];
   el_time_t fifth = EL_TIME_NEVER - CONTACT_TIME;
   size_t crashes = 0;
   size_t late = 0;
@@ -122,8 +144,7 @@
 
   if (!cluster->crash_parts)
     return;
-  snprintf (path, sizeof path, "%s/runs", cluster->dir);
-  runs_read (path, requests, &runs);
+  parts_read (cluster, requests, &runs);
   for (i = 0; i < runs.len; i++)
     {
       if (!engine_seen (&runs, i) && ++crashes == CRASHES)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -261,6 +261,9 @@
 void sk_parts_check (const sk_cluster_t *cluster,
                      const sk_requests_t *requests, const sk_fault_t *faults,
                      size_t nfaults, el_time_t traffic_start);
+int sk_part_crashed (const sk_cluster_t *cluster,
+                     const sk_requests_t *requests, el_time_t from,
+                     el_time_t to);
 int sk_fault_excuses (const sk_fault_t *fault, unsigned host,
                       unsigned endpoint);
 int sk_host_restarted_during (const sk_requests_t *requests, const char *id);
