--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -98,6 +98,19 @@
   pending_expire (blame, report->at);
 }
 
+/* Logs a run that is not judged, as this host is cut off from its endpoint. */
+static void
+log_run_dropped (const rt_target_t *target, const rt_crash_report_t *report,
+                 const char *why)
+{
+  char hex[RT_DIGEST_HEX + 1];
+
+  rt_digest_hex (report->digest, hex);
+  EL_LOG (EL_LOG_INFO, "run_dropped", EL_FS ("endpoint", target->attrs.id),
+          EL_FC ("digest", hex), EL_FN ("ran_us", report->ran),
+          EL_FC ("why", why));
+}
+
 /** Records that RELAY's run at TARGET lost its connection, or stalls because
     TARGET does not respond. It is reported if TARGET turns out to have
     crashed. */
@@ -120,8 +133,11 @@
 
   if (traits.nparts)
     memcpy (report.parts, traits.parts, traits.nparts * sizeof *traits.parts);
-  if (!rt_target_is_leaving (target)
-      && !relay_reach_is_cut_off (relays, target->attrs.service))
+  if (rt_target_is_leaving (target))
+    return;
+  if (relay_reach_is_cut_off (relays, target->attrs.service))
+    log_run_dropped (target, &report, "cut off");
+  else
     pending_add (relays->blame, target, &report);
 }
 
@@ -258,6 +274,7 @@
   DL_FOREACH_SAFE (blame->pending, run, next)
   if (el_str_eq (run->target->attrs.service, service))
     {
+      log_run_dropped (run->target, &run->report, "found cut off");
       pending_free (blame, run);
       dropped++;
     }
