--- a/tests/t_crash.c
+++ b/tests/t_crash.c
@@ -36,6 +36,9 @@
    engines that they may crash together. */
 #define SHARED_ARRIVALS 10
 #define SHARED_CRASHES_MAX 5
+/* Callers that send the crashing request at once, to the hosts in turn: two at
+   each of two hosts, one for each worker. */
+#define CRASH_CALLERS 4
 /* Maximum number of engines that one kind of order may crash: all four engines
    receive it at once, and once more before the first three crashes are known.
  */
@@ -416,6 +419,56 @@
 }
 END_TEST
 
+/* Sends the crashing request to all hosts at once, so that it runs at all
+   workers. Returns the number of workers that crashed. */
+static size_t
+crash_workers_at_once (size_t wave)
+{
+  caller_t callers[CRASH_CALLERS];
+  char id[64];
+  const char *headers[] = { "host: rel.example", id, NULL };
+  size_t i;
+
+  for (i = 0; i < CRASH_CALLERS; i++)
+    {
+      snprintf (id, sizeof id, "x-elmarch-request-id: a%zu-%zu", wave, i);
+      caller_start (&callers[i], site.entry_addrs[i % site.nhosts].address,
+                    "/look/x", CRASHING_BODY, headers, 0);
+    }
+  for (i = 0; i < CRASH_CALLERS; i++)
+    {
+      caller_join (&callers[i]);
+      ck_assert_int_ne (callers[i].reply.status, 200);
+      reply_free (&callers[i].reply);
+    }
+  return site_workers_replace ();
+}
+
+/* Where all endpoints of a service had crashed, each host took itself for cut
+   off from them and dropped what it had seen. */
+START_TEST (test_request_that_crashes_all_workers_is_blocked)
+{
+  reply_t reply;
+  size_t ended = 0;
+  size_t i;
+
+  site_start (2);
+  for (i = 0; i < ARRIVALS; i++)
+    {
+      ended += crash_workers_at_once (i);
+      ck_assert_uint_le (ended, CRASHES_MAX + 1);
+    }
+  ck_assert_uint_ge (ended, SITE_WORKERS);
+  send_request_body (1, "/look/x", CRASHING_BODY, "last", &reply);
+  ck_assert_int_eq (reply.status, 503);
+  ck_assert_ptr_nonnull (strstr (reply.body.ptr, "ends endpoints"));
+  reply_free (&reply);
+  send_request (0, "GET", "/look/x", "innocent", &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+}
+END_TEST
+
 /* The memory size that operators configured for the card is wrong: each engine
    crashes on its order and restarts empty. The planner stops sending the
    order, and so does the planner that takes over. */
@@ -529,6 +582,7 @@
   ADD (tcase, test_crash_before_the_first_event_is_no_answer);
   ADD (tcase, test_crash_of_a_worker_is_found_without_another_request);
   ADD (tcase, test_request_that_crashes_workers_is_blocked);
+  ADD (tcase, test_request_that_crashes_all_workers_is_blocked);
   ADD (tcase, test_blocked_request_is_known_to_hosts_that_start);
   ADD (tcase, test_streams_beside_a_crashing_request_are_complete);
   ADD (tcase, test_operator_unblocks_request);
