Runs that broke off, in a file of their own; closers that nothing calls are gone

gate/relay_runs.c holds the runs that lost their connection until it is known what became of their endpoint, gate/relay_blame.c the reports and what follows from them. No logic changed. relay_blame_close and relay_trial_close had no caller: the relays live as long as the process.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -68,6 +68,7 @@
   gt_relay_t *running;
   struct relay_check *checks;
   struct relay_blame *blame;
+  struct relay_runs *runs;
   struct relay_trial *trials;
   struct relay_backoff *backoffs;
   relay_reach_t reach;
@@ -265,15 +266,8 @@
 
 /* relay_blame.c */
 void relay_blame_open (gt_relays_t *relays);
-void relay_blame_close (gt_relays_t *relays);
-void relay_blame_run_interrupted (gt_relay_t *relay, rt_target_t *target);
-int relay_blame_is_pending (const gt_relays_t *relays, rt_digest_t digest);
-void relay_blame_cut_off (gt_relays_t *relays, el_str_t service);
-void relay_blame_connect_refused (gt_relays_t *relays, rt_target_t *target);
-void relay_blame_check_answered (gt_relays_t *relays,
-                                 const rt_target_t *target, el_time_t sent_at);
-void relay_blame_connected (gt_relays_t *relays, const rt_target_t *target,
-                            el_time_t begun);
+int relay_blame_update_is_due (const gt_relays_t *relays);
+void relay_blame_schedule_update (gt_relays_t *relays);
 void relay_blame_began (gt_relay_t *relay);
 void relay_blame_completed (gt_relay_t *relay);
 rt_blame_status_t relay_blame_get_status (gt_relay_t *relay);
@@ -285,6 +279,17 @@
 void relay_blame_on_completed (gt_relays_t *relays, const co_rumor_t *rumor,
                                const relay_fact_t *fact);
 
+/* relay_runs.c */
+void relay_runs_open (gt_relays_t *relays);
+void relay_runs_interrupted (gt_relay_t *relay, rt_target_t *target);
+int relay_runs_is_pending (const gt_relays_t *relays, rt_digest_t digest);
+void relay_runs_cut_off (gt_relays_t *relays, el_str_t service);
+void relay_runs_connect_refused (gt_relays_t *relays, rt_target_t *target);
+void relay_runs_check_answered (gt_relays_t *relays, const rt_target_t *target,
+                                el_time_t sent_at);
+void relay_runs_connected (gt_relays_t *relays, const rt_target_t *target,
+                           el_time_t begun);
+
 /* relay_traits.c */
 el_str_t relay_host_name (const h2o_req_t *req);
 rt_digest_t relay_digest (gt_relay_t *relay);
@@ -304,7 +309,6 @@
 int relay_trial_take (gt_relay_t *relay, rt_digest_t cause, el_time_t now);
 void relay_trial_lend (gt_relays_t *relays, rt_digest_t cause, int is_grantor,
                        co_loan_t *out);
-void relay_trial_close (gt_relays_t *relays);
 
 /* relay_block.c */
 void relay_block_add (void *arg, const rt_block_t *block,
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -267,13 +267,13 @@
   gt_relays_t *relays = relay->relays;
 
   if (result->net == NET_CONNECT_REFUSED)
-    relay_blame_connect_refused (relays, relay->target);
+    relay_runs_connect_refused (relays, relay->target);
   /* A crash may have closed the connection in the middle of a plain answer. */
   if (attempt->answered && (relay->stream || !result->by_close))
     relay_blame_completed (relay);
   if (result->net != NET_CONNECTION_LOST || attempt->verdict == EL_NOT_RUN)
     return;
-  relay_blame_run_interrupted (relay, relay->target);
+  relay_runs_interrupted (relay, relay->target);
   if (relay->chain.n)
     relay_check_unless_recent (relays, relay->target,
                                net_clock_now (relays->options.clock)
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -192,7 +192,7 @@
   if (load)
     check_apply_load (check, load);
   if (answered)
-    relay_blame_check_answered (relays, engine, check->sent);
+    relay_runs_check_answered (relays, engine, check->sent);
   if (answered && !was_silent)
     return;
   if (answered == was_silent)
@@ -210,7 +210,7 @@
   else
     relay_reach_check (relays, engine);
   if (result == GT_CHECK_REFUSED)
-    relay_blame_connect_refused (relays, engine);
+    relay_runs_connect_refused (relays, engine);
   if (engine->avail.gone)
     check_free (check);
   else
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -134,7 +134,7 @@
           EL_FN ("sampled", service->sample.failed),
           EL_FN ("sampled_us", now - service->sample.begun),
           EL_FN ("lost", service->lost), EL_FN ("requests", relays->nrunning));
-  relay_blame_cut_off (relays, el_str (service->name));
+  relay_runs_cut_off (relays, el_str (service->name));
   reach_retract (relays, service);
   reach_move_requests (relays, service);
 }
@@ -177,7 +177,7 @@
               EL_FS ("endpoint", target->attrs.id),
               EL_FN ("lost_us", now - lost_at));
     }
-  relay_blame_connected (relays, target, begun);
+  relay_runs_connected (relays, target, begun);
   if (!rt_reach_connected (&service->reach, begun, now))
     return;
   relays->counts.cut_off--;
@@ -231,7 +231,7 @@
   else
     relay_reach_failed (relays, probe->target);
   if (result->net == NET_CONNECT_REFUSED)
-    relay_blame_connect_refused (relays, probe->target);
+    relay_runs_connect_refused (relays, probe->target);
   if (probe->sampled
       && rt_reach_sample_add (&service->sample, connected) == RT_REACH_NONE)
     reach_set_cut_off (relays, service);
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -142,7 +142,7 @@
 
   if (status->state != RT_BLAME_SUSPECT || status->crashes < TURN_CRASHES_MIN
       || (!status->unconfirmed
-          && !relay_blame_is_pending (relays, relay_digest (relay))
+          && !relay_runs_is_pending (relays, relay_digest (relay))
           && pick_isolated_target (relay, status, now))
       || relay->turn_waits++ >= TURN_WAITS_MAX)
     return 0;
--- a/gate/relay_trial.c
+++ b/gate/relay_trial.c
@@ -134,11 +134,3 @@
         &trial_get (relays, cause)->state,
         net_clock_now (relays->options.clock), &out->wait);
 }
-
-/** Frees the state of trials. */
-void
-relay_trial_close (gt_relays_t *relays)
-{
-  while (relays->trials)
-    trial_free (relays, relays->trials);
-}
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -259,7 +259,7 @@
   if (!stalled && relay->last_progress > relay->sent)
     return;
   if (stalled)
-    relay_blame_run_interrupted (relay, engine);
+    relay_runs_interrupted (relay, engine);
   watch_leave_engine (relay, engine);
 }
 
@@ -267,7 +267,7 @@
 void
 relay_watch_engine_restarted (gt_relay_t *relay, rt_target_t *engine)
 {
-  relay_blame_run_interrupted (relay, engine);
+  relay_runs_interrupted (relay, engine);
   watch_leave_engine (relay, engine);
 }
 
