--- a/Makefile
+++ b/Makefile
@@ -25,14 +25,14 @@
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_members.c peer/peer_config.c \
-       peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_loan.c peer/peer_forward.c \
+       peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_loan.c peer/peer_reach.c peer/peer_forward.c \
        peer/peer_handover.c peer/peer_xdr.c
 GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/deferred.c gate/inflight.c gate/engine.c gate/api.c \
        gate/api_chat.c gate/api_call.c gate/api_session.c gate/api_admin.c \
        gate/platform.c gate/kv_http.c gate/session_peer.c \
        gate/relay.c gate/relay_attempt.c gate/relay_pick.c gate/relay_head.c gate/relay_response.c \
-       gate/relay_events.c gate/relay_blame.c gate/relay_runs.c gate/relay_traits.c gate/relay_trial.c gate/relay_close.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_limit.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_reach.c gate/relay_forward.c gate/relay_poll.c \
+       gate/relay_events.c gate/relay_blame.c gate/relay_runs.c gate/relay_traits.c gate/relay_trial.c gate/relay_close.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_limit.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_reach.c gate/relay_survey.c gate/relay_forward.c gate/relay_poll.c \
        gate/relay_metrics.c \
        gate/planner.c
 STORE = store/st_store.c store/st_keys.c store/st_follow.c store/st_follow_host.c store/st_duty.c store/st_put.c
@@ -112,7 +112,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_parts.c tests/t_load.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/part_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_forward.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
+       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/part_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_runs.c tests/t_forward.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
--- a/elmarchd/frontend_relays.c
+++ b/elmarchd/frontend_relays.c
@@ -89,6 +89,24 @@
   gt_relays_lend (frontend->relays, request, is_lender, out);
 }
 
+static unsigned
+frontend_ask_reach (void *arg, const pr_reach_query_t *query, pr_reach_cb done,
+                    void *done_arg)
+{
+  frontend_t *frontend = arg;
+
+  return gt_gate_ask_reach (frontend->gate, query, done, done_arg);
+}
+
+static void
+frontend_reach (void *arg, const pr_reach_query_t *query, pr_reach_cb done,
+                void *done_arg)
+{
+  frontend_t *frontend = arg;
+
+  gt_relays_answer_reach (frontend->relays, query, done, done_arg);
+}
+
 typedef struct entry_visitor
 {
   gt_entry_host_cb visit;
@@ -215,6 +233,7 @@
           .host_incarnation = gt_gate_incarnation_number (frontend->gate),
           .publish = frontend_send_rumor,
           .borrow = frontend_borrow,
+          .ask_reach = frontend_ask_reach,
           .blocked = frontend_store_blocked,
           .arg = frontend };
 
@@ -231,6 +250,7 @@
           .engines_received = frontend_receive_reports,
           .rumor = frontend_receive_rumor,
           .lend = frontend_lend,
+          .reach = frontend_reach,
           .suspects = frontend_suspects,
           .closed = frontend_closed_endpoints,
           .unblock = frontend_unblock,
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -523,6 +523,14 @@
   pr_peers_borrow (gate->peers, request, done, arg);
 }
 
+/** Asks other hosts whether they reach endpoints; see pr_peers_ask_reach. */
+unsigned
+gt_gate_ask_reach (gt_gate_t *gate, const pr_reach_query_t *query,
+                   pr_reach_cb done, void *arg)
+{
+  return pr_peers_ask_reach (gate->peers, query, done, arg);
+}
+
 /** Whether this host has received the rumors known to another host. */
 int
 gt_gate_rumors_received (const gt_gate_t *gate)
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -73,6 +73,10 @@
   /** Lends tokens of an endpoint's rate limit; see pr_ops_t. */
   void (*lend) (void *arg, const pr_loan_request_t *request, int is_lender,
                 co_loan_t *out);
+  /** Finds out for another host whether this one reaches some endpoints; see
+      pr_ops_t. */
+  void (*reach) (void *arg, const pr_reach_query_t *query, pr_reach_cb done,
+                 void *done_arg);
   /** Lists the requests that are blocked, or suspected of crashing
       endpoints. */
   json_t *(*suspects) (void *arg);
@@ -97,6 +101,8 @@
                             el_str_t body);
 void gt_gate_borrow (gt_gate_t *gate, const pr_loan_request_t *request,
                      pr_loan_cb done, void *arg);
+unsigned gt_gate_ask_reach (gt_gate_t *gate, const pr_reach_query_t *query,
+                            pr_reach_cb done, void *arg);
 int gt_gate_rumors_received (const gt_gate_t *gate);
 uint64_t gt_gate_incarnation_number (const gt_gate_t *gate);
 int gt_gate_is_hall_leader (const gt_gate_t *gate);
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -117,7 +117,12 @@
   uint64_t budget_exhausted; /**< retries not made: budget exhausted */
   uint64_t crashes;          /**< endpoint crashes with requests running */
   uint64_t suspects; /**< runs of requests recorded for these crashes */
-  uint64_t blocked;  /**< requests blocked because they crash endpoints */
+  uint64_t doubts;   /**< runs that may have crashed an endpoint while no
+                        endpoint of the service was reached */
+  uint64_t doubts_confirmed; /**< of these, the endpoint had crashed */
+  uint64_t doubts_cleared;   /**< of these, it had not */
+  uint64_t surveys; /**< times that other hosts were asked what they reach */
+  uint64_t blocked; /**< requests blocked because they crash endpoints */
   uint64_t refused_blocked; /**< arrivals of blocked requests, refused */
   uint64_t parts_ignored; /**< requests with more parts of the prompt than are
                              judged */
@@ -204,6 +209,10 @@
       called before it returns. */
   void (*borrow) (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
                   void *done_arg);
+  /** Asks some other hosts whether they reach endpoints, and returns their
+      number. DONE is called for each of them. May be NULL. */
+  unsigned (*ask_reach) (void *arg, const pr_reach_query_t *query,
+                         pr_reach_cb done, void *done_arg);
   /** Called to store a block, which took effect for the HOLDS-th time and
       ends after LEFT. */
   void (*blocked) (void *arg, const rt_block_t *block, unsigned holds,
@@ -235,6 +244,9 @@
                            const rt_order_t *order);
 void gt_relays_lend (gt_relays_t *relays, const pr_loan_request_t *request,
                      int is_lender, co_loan_t *out);
+void gt_relays_answer_reach (gt_relays_t *relays,
+                             const pr_reach_query_t *query, pr_reach_cb done,
+                             void *arg);
 int gt_relays_unblock (gt_relays_t *relays, rt_digest_t digest);
 json_t *gt_relays_suspects (gt_relays_t *relays);
 json_t *gt_relays_unavailable_endpoints (gt_relays_t *relays);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -23,6 +23,8 @@
   rt_reach_t reach;          /* of its endpoints as a whole */
   rt_reach_sample_t sample;  /* shows whether any of them is reached */
   int sample_again;          /* one was lost since the sample began */
+  rt_reach_survey_t survey;  /* shows why none of them is reached */
+  int surveying;             /* other hosts are being asked */
   int engines;               /* its endpoints are engines; set at a loss */
   size_t lost;               /* endpoints of it that are lost */
   el_time_t limit_return_at; /* latest return of a caller that was refused for
@@ -223,6 +225,21 @@
 void relay_reach_prove (gt_relays_t *relays, rt_target_t *target);
 int relay_reach_is_cut_off (gt_relays_t *relays, el_str_t service);
 
+/* Endpoints in a sample. */
+#define RELAY_REACH_SAMPLE 3
+
+/* Called with the INDEX that was passed and whether a connection opened. */
+typedef void (*relay_probe_cb) (void *arg, size_t index, int connected);
+
+size_t relay_reach_choose (gt_relays_t *relays, const relay_service_t *service,
+                           rt_target_t *chosen[RELAY_REACH_SAMPLE]);
+void relay_reach_probe (gt_relays_t *relays, rt_target_t *target,
+                        relay_probe_cb done, void *arg, size_t index);
+
+/* relay_survey.c */
+void relay_survey_begin (gt_relays_t *relays, relay_service_t *service);
+void relay_survey_tick (gt_relays_t *relays, el_time_t now);
+
 /* relay_forward.c */
 int relay_forward_read (gt_relay_t *relay);
 int relay_forward_is_own_header (el_str_t name);
@@ -282,8 +299,14 @@
 /* relay_runs.c */
 void relay_runs_open (gt_relays_t *relays);
 void relay_runs_interrupted (gt_relay_t *relay, rt_target_t *target);
-int relay_runs_is_pending (const gt_relays_t *relays, rt_digest_t digest);
-void relay_runs_cut_off (gt_relays_t *relays, el_str_t service);
+int relay_runs_is_pending (gt_relays_t *relays, rt_digest_t digest);
+unsigned relay_runs_count_doubtful (gt_relay_t *relay);
+void relay_runs_doubt (gt_relays_t *relays, el_str_t service);
+size_t relay_runs_ask (gt_relays_t *relays, el_str_t service,
+                       rt_instance_t *out, size_t max);
+int relay_runs_has_unasked (const gt_relays_t *relays, el_str_t service);
+void relay_runs_alive (gt_relays_t *relays, const rt_instance_t *instance,
+                       el_time_t asked_at);
 void relay_runs_connect_refused (gt_relays_t *relays, rt_target_t *target);
 void relay_runs_check_answered (gt_relays_t *relays, const rt_target_t *target,
                                 el_time_t sent_at);
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -416,7 +416,6 @@
   if (relays->server)
     {
       relay_blame_open (relays);
-      relay_runs_open (relays);
       relay_reach_open (relays);
       relay_poll_start (relays);
       return relays;
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -192,4 +192,5 @@
   blame->update_timer.cb = update_timeout;
   blame->update_timer.arg = relays;
   relays->blame = blame;
+  relay_runs_open (relays);
 }
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -17,8 +17,6 @@
    at once. */
 #define PROBE_INTERVAL (200 * EL_MSEC)
 #define PROBES_MAX 4
-/* Endpoints in a sample. */
-#define SAMPLE_MAX 3
 /* Endpoints that were lost this long before a cut was found were lost by it.
  */
 #define CUT_NOTICED (1 * EL_SEC)
@@ -33,7 +31,10 @@
   rt_target_t *target;
   relay_service_t *service;
   el_time_t begun;
-  int sampled; /* it belongs to the sample */
+  int sampled;         /* it belongs to the sample */
+  relay_probe_cb done; /* NULL: none */
+  void *arg;
+  size_t index;
 } reach_probe_t;
 
 static void reach_sample (gt_relays_t *relays, relay_service_t *service);
@@ -134,7 +135,9 @@
           EL_FN ("sampled", service->sample.failed),
           EL_FN ("sampled_us", now - service->sample.begun),
           EL_FN ("lost", service->lost), EL_FN ("requests", relays->nrunning));
-  relay_runs_cut_off (relays, el_str (service->name));
+  relay_runs_doubt (relays, el_str (service->name));
+  service->survey.cause = RT_REACH_CAUSE_UNKNOWN;
+  relay_survey_begin (relays, service);
   reach_retract (relays, service);
   reach_move_requests (relays, service);
 }
@@ -232,6 +235,8 @@
     relay_reach_failed (relays, probe->target);
   if (result->net == NET_CONNECT_REFUSED)
     relay_runs_connect_refused (relays, probe->target);
+  if (probe->done)
+    probe->done (probe->arg, probe->index, connected);
   if (probe->sampled
       && rt_reach_sample_add (&service->sample, connected) == RT_REACH_NONE)
     reach_set_cut_off (relays, service);
@@ -242,11 +247,11 @@
 }
 
 static void
-probe_send (gt_relays_t *relays, rt_target_t *target, int sampled)
+probe_send (const reach_probe_t *template)
 {
+  gt_relays_t *relays = template->relays;
   reach_probe_t *probe = el_alloc (sizeof *probe);
-  el_time_t now = net_clock_now (relays->options.clock);
-  const net_request_t request = { .address = target->attrs.address,
+  const net_request_t request = { .address = template->target->attrs.address,
                                   .method = EL_STR ("GET"),
                                   .path = EL_STR ("/"),
                                   .new_connection = 1,
@@ -255,14 +260,39 @@
                                   .done = probe_done,
                                   .arg = probe };
 
-  *probe = (reach_probe_t){ relays, rt_target_ref (target),
-                            reach_service (relays, target), now, sampled };
-  target->probing = 1;
-  target->probed_at = now;
+  *probe = *template;
+  rt_target_ref (probe->target);
+  probe->service = reach_service (relays, probe->target);
+  probe->begun = net_clock_now (relays->options.clock);
+  probe->target->probing = 1;
+  probe->target->probed_at = probe->begun;
   relays->counts.probes++;
   net_client_send (relays->options.client, &request);
 }
 
+/** Connects to TARGET and calls DONE with INDEX and the result. */
+void
+relay_reach_probe (gt_relays_t *relays, rt_target_t *target,
+                   relay_probe_cb done, void *arg, size_t index)
+{
+  const reach_probe_t probe = { .relays = relays,
+                                .target = target,
+                                .done = done,
+                                .arg = arg,
+                                .index = index };
+
+  probe_send (&probe);
+}
+
+static void
+probe_send_plain (gt_relays_t *relays, rt_target_t *target, int sampled)
+{
+  const reach_probe_t probe
+      = { .relays = relays, .target = target, .sampled = sampled };
+
+  probe_send (&probe);
+}
+
 static int
 reach_may_sample (gt_relays_t *relays, const relay_service_t *service,
                   const rt_target_t *target)
@@ -271,37 +301,48 @@
          && reach_service (relays, target) == service;
 }
 
-/* Connects to endpoints of SERVICE that are not lost, chosen at random. If all
-   of them are lost, this host is cut off, or all of them are gone. */
-static void
-reach_sample (gt_relays_t *relays, relay_service_t *service)
+/** Chooses endpoints of SERVICE that are not lost, at random. Returns their
+    number. */
+size_t
+relay_reach_choose (gt_relays_t *relays, const relay_service_t *service,
+                    rt_target_t *chosen[RELAY_REACH_SAMPLE])
 {
-  rt_target_t *chosen[SAMPLE_MAX];
   rt_target_t *target;
-  unsigned seen = 0;
-  unsigned n;
+  size_t seen = 0;
   uint64_t at;
 
-  service->sample_again = service->sample.pending != 0;
-  if (service->reach.lost_at || service->sample.pending)
-    return;
   for (target = rt_fleet_first (relays->options.fleet); target;
        target = target->hh.next)
     if (reach_may_sample (relays, service, target))
       {
-        at = seen < SAMPLE_MAX ? seen
-                               : el_random (&relays->random) % (seen + 1);
-        if (at < SAMPLE_MAX)
+        at = seen < RELAY_REACH_SAMPLE
+                 ? seen
+                 : el_random (&relays->random) % (seen + 1);
+        if (at < RELAY_REACH_SAMPLE)
           chosen[at] = target;
         seen++;
       }
-  n = seen < SAMPLE_MAX ? seen : SAMPLE_MAX;
+  return seen < RELAY_REACH_SAMPLE ? seen : RELAY_REACH_SAMPLE;
+}
+
+/* Connects to endpoints of SERVICE that are not lost. If all of them are lost,
+   this host is cut off, or all of them are gone. */
+static void
+reach_sample (gt_relays_t *relays, relay_service_t *service)
+{
+  rt_target_t *chosen[RELAY_REACH_SAMPLE];
+  size_t n;
+
+  service->sample_again = service->sample.pending != 0;
+  if (service->reach.lost_at || service->sample.pending)
+    return;
+  n = relay_reach_choose (relays, service, chosen);
   rt_reach_sample_begin (&service->sample,
-                         net_clock_now (relays->options.clock), n);
-  while (n)
-    probe_send (relays, chosen[--n], 1);
-  if (!seen)
+                         net_clock_now (relays->options.clock), (unsigned)n);
+  if (!n)
     reach_set_cut_off (relays, service);
+  while (n)
+    probe_send_plain (relays, chosen[--n], 1);
 }
 
 /* Counts the lost endpoints anew, as some may have gone. */
@@ -338,13 +379,14 @@
     if (target->reach.lost_at && ++lost > relays->reach.next
         && probes < PROBES_MAX && !target->probing)
       {
-        probe_send (relays, target, 0);
+        probe_send_plain (relays, target, 0);
         probes++;
         relays->reach.next = lost;
       }
   if (probes < PROBES_MAX)
     relays->reach.next = 0;
   reach_recount (relays, now);
+  relay_survey_tick (relays, now);
   if (lost)
     net_clock_set (relays->options.clock, &relays->reach.timer,
                    PROBE_INTERVAL);
@@ -368,7 +410,7 @@
   if (!target->probing && !target->reach.lost_at && !target->avail.gone
       && (!target->probed_at || now >= target->probed_at + CHECK_INTERVAL)
       && !reach_service (relays, target)->reach.lost_at)
-    probe_send (relays, target, 0);
+    probe_send_plain (relays, target, 0);
 }
 
 /** Connects to other endpoints of TARGET's service, which refuses connections,
--- a/gate/relay_runs.c
+++ b/gate/relay_runs.c
@@ -13,7 +13,9 @@
  * - It refuses connections, and another endpoint has responded since: it
  *   crashed, with this host as the only witness; decided immediately.
  * - It refuses connections, and no other endpoint has responded: undecided, as
- *   this host may be cut off from the network.
+ *   this host may be cut off from the network. A request that crashes all
+ *   endpoints of a service looks the same from here, so that the run is kept
+ *   until another host reaches the endpoint, or the store's list decides.
  * - It does not respond: undecided, until it is no longer listed.
  * - It was not leaving, and is no longer listed or listed as another instance:
  *   it certainly crashed; decided after about three heartbeats.
@@ -24,10 +26,16 @@
 
 #include "librelay.h"
 
-/* How long a run stays pending: until a crashed endpoint is no longer listed,
-   which takes three heartbeats and the time until this host learns it. */
+/* An endpoint that is listed this long after its run was interrupted is alive:
+   it takes three heartbeats until a crashed one is not, and the time until
+   this host learns it. Only time up to which the store's list is known
+   counts. */
 #define PENDING_TIME_MAX (8 * EL_SEC)
+/* The same while the store does not answer. */
+#define PENDING_TIME_STORE_AWAY (120 * EL_SEC)
 #define PENDING_MAX 1024
+/* Endpoints in doubt are counted up to this number. */
+#define DOUBTS_COUNTED 4U
 /* An answer that arrives later than this after the connection was lost may be
    from the next instance at the same address. */
 #define ALIVE_WINDOW (1 * EL_SEC)
@@ -38,6 +46,9 @@
   rt_target_t *target;
   rt_crash_report_t report;
   el_time_t refused_at; /* the endpoint refuses connections since; 0: not */
+  int doubtful; /* this host reached no endpoint of the service: connects prove
+                   nothing */
+  int asked;    /* other hosts were asked whether the endpoint is alive */
   struct pending_run *prev;
   struct pending_run *next;
 } pending_run_t;
@@ -48,6 +59,7 @@
   size_t npending;
   size_t npending_refused; /* of these, runs whose endpoint refuses
                               connections */
+  size_t ndoubtful;        /* of these, doubtful runs */
 } relay_runs_t;
 
 static void
@@ -56,43 +68,67 @@
   DL_DELETE (runs->pending, run);
   runs->npending--;
   runs->npending_refused -= run->refused_at != 0;
+  runs->ndoubtful -= run->doubtful != 0;
   rt_target_unref (run->target);
   free (run);
 }
 
+/* Whether the store's list shows that the run's endpoint is alive, or the run
+   has been pending for too long. */
+static int
+pending_expired (const gt_relays_t *relays, const pending_run_t *run,
+                 el_time_t now)
+{
+  el_time_t at = run->report.at;
+
+  return at + PENDING_TIME_MAX < relays->rules_as_of
+         || at + PENDING_TIME_STORE_AWAY < now;
+}
+
 static void
-pending_expire (relay_runs_t *runs, el_time_t now)
+pending_expire (gt_relays_t *relays, el_time_t now)
 {
-  while (runs->pending
-         && (runs->pending->report.at + PENDING_TIME_MAX < now
-             || runs->npending > PENDING_MAX))
-    pending_free (runs, runs->pending);
+  relay_runs_t *runs = relays->runs;
+  pending_run_t *run;
+  pending_run_t *next;
+
+  DL_FOREACH_SAFE (runs->pending, run, next)
+  if (runs->npending > PENDING_MAX || pending_expired (relays, run, now))
+    {
+      relays->counts.doubts_cleared += run->doubtful != 0;
+      pending_free (runs, run);
+    }
 }
 
 static void
-pending_add (relay_runs_t *runs, rt_target_t *target,
-             const rt_crash_report_t *report)
+pending_add (gt_relays_t *relays, rt_target_t *target,
+             const rt_crash_report_t *report, int doubtful)
 {
+  relay_runs_t *runs = relays->runs;
   pending_run_t *run = el_alloc (sizeof *run);
 
   run->target = rt_target_ref (target);
   run->report = *report;
+  run->doubtful = doubtful;
+  runs->ndoubtful += doubtful != 0;
   DL_APPEND (runs->pending, run);
   runs->npending++;
-  pending_expire (runs, report->at);
+  pending_expire (relays, report->at);
 }
 
-/* Logs a run that is not judged, as this host is cut off from its endpoint. */
+/* Counts and logs a run that only the store's list decides. */
 static void
-log_run_dropped (const rt_target_t *target, const rt_crash_report_t *report,
-                 const char *why)
+note_doubt (gt_relays_t *relays, const rt_target_t *target,
+            const rt_crash_report_t *report)
 {
   char hex[RT_DIGEST_HEX + 1];
 
+  relays->counts.doubts++;
   rt_digest_hex (report->digest, hex);
-  EL_LOG (EL_LOG_INFO, "run_dropped", EL_FS ("endpoint", target->attrs.id),
-          EL_FC ("digest", hex), EL_FN ("ran_us", report->ran),
-          EL_FC ("why", why));
+  EL_LOG (
+      EL_LOG_INFO, "run_in_doubt", EL_FS ("endpoint", target->attrs.id),
+      EL_FC ("digest", hex), EL_FN ("ran_us", report->ran),
+      EL_FN ("age_us", net_clock_now (relays->options.clock) - report->at));
 }
 
 /** Records that RELAY's run at TARGET lost its connection, or stalls because
@@ -114,33 +150,65 @@
           .first = target == relay->target,
           .writing = relay->writing,
           .nparts = traits.nparts };
+  int doubtful;
 
   if (traits.nparts)
     memcpy (report.parts, traits.parts, traits.nparts * sizeof *traits.parts);
   if (rt_target_is_leaving (target))
     return;
-  if (relay_reach_is_cut_off (relays, target->attrs.service))
-    log_run_dropped (target, &report, "cut off");
-  else
-    pending_add (relays->runs, target, &report);
+  doubtful = relay_reach_is_cut_off (relays, target->attrs.service);
+  pending_add (relays, target, &report, doubtful);
+  if (!doubtful)
+    return;
+  note_doubt (relays, target, &report);
+  relay_survey_begin (relays, relay_service (relays, target->attrs.service));
 }
 
 /** Whether a crash is still possible, or not yet evaluated, at an endpoint
     where DIGEST's run lost its connection. An engine may close its streams a
     moment before it stops listening. */
 int
-relay_runs_is_pending (const gt_relays_t *relays, rt_digest_t digest)
+relay_runs_is_pending (gt_relays_t *relays, rt_digest_t digest)
 {
   const pending_run_t *run;
 
   if (relay_blame_update_is_due (relays))
     return 1;
+  pending_expire (relays, net_clock_now (relays->options.clock));
   DL_FOREACH (relays->runs->pending, run)
   if (run->report.digest == digest)
     return 1;
   return 0;
 }
 
+/** Returns the number of endpoints that runs of RELAY's request may have
+    crashed, and for which only the store's list decides. */
+unsigned
+relay_runs_count_doubtful (gt_relay_t *relay)
+{
+  gt_relays_t *relays = relay->relays;
+  const rt_target_t *seen[DOUBTS_COUNTED];
+  const pending_run_t *run;
+  rt_digest_t digest;
+  unsigned n = 0;
+  unsigned i;
+
+  if (!relays->runs->ndoubtful)
+    return 0;
+  digest = relay_digest (relay);
+  pending_expire (relays, net_clock_now (relays->options.clock));
+  DL_FOREACH (relays->runs->pending, run)
+  {
+    if (!run->doubtful || run->report.digest != digest)
+      continue;
+    for (i = 0; i < n && seen[i] != run->target; i++)
+      ;
+    if (i == n && n < DOUBTS_COUNTED)
+      seen[n++] = run->target;
+  }
+  return n;
+}
+
 static void
 log_crash (const rt_target_t *target, const char *evidence, size_t runs)
 {
@@ -191,6 +259,7 @@
   if (run->target == target)
     {
       n += run->report.digest != 0;
+      relays->counts.doubts_confirmed += run->doubtful != 0;
       run->report.detected_at = now;
       if (rt_blame_should_publish (relay_blame_table (relays), &run->report)
           && !relay_fact_add_run (&fact, &run->report))
@@ -223,29 +292,95 @@
 
   if (rt_blame_needs_witness (relay_blame_table (relays), &report.instance,
                               report.host))
-    pending_add (relays->runs, target, &report);
+    pending_add (relays, target, &report, 0);
+}
+
+/** This host reaches no endpoint of SERVICE: it is cut off, or all of them
+    have crashed. Refused connections no longer prove that an endpoint
+    crashed. */
+void
+relay_runs_doubt (gt_relays_t *relays, el_str_t service)
+{
+  relay_runs_t *runs = relays->runs;
+  pending_run_t *run;
+
+  DL_FOREACH (runs->pending, run)
+  if (!run->doubtful && el_str_eq (run->target->attrs.service, service))
+    {
+      runs->npending_refused -= run->refused_at != 0;
+      run->refused_at = 0;
+      run->doubtful = 1;
+      runs->ndoubtful++;
+      note_doubt (relays, run->target, &run->report);
+    }
+}
+
+static int
+pending_is_unasked (const pending_run_t *run, el_str_t service)
+{
+  return run->doubtful && !run->asked
+         && el_str_eq (run->target->attrs.service, service);
 }
 
-/** This host is cut off from SERVICE: what it saw of its endpoints since is no
-    evidence of crashes. */
+/** Lists the instances of SERVICE at which runs are in doubt, as far as other
+    hosts were not asked about them. Returns their number, at most MAX. */
+size_t
+relay_runs_ask (gt_relays_t *relays, el_str_t service, rt_instance_t *out,
+                size_t max)
+{
+  pending_run_t *run;
+  size_t n = 0;
+  size_t i;
+
+  DL_FOREACH (relays->runs->pending, run)
+  {
+    if (!pending_is_unasked (run, service))
+      continue;
+    for (i = 0; i < n; i++)
+      if (rt_instance_key (&out[i]) == rt_instance_key (&run->report.instance))
+        break;
+    if (i == max)
+      continue;
+    out[i] = run->report.instance;
+    n += i == n;
+    run->asked = 1;
+  }
+  return n;
+}
+
+/** Whether runs at SERVICE are in doubt about which other hosts were not
+    asked. */
+int
+relay_runs_has_unasked (const gt_relays_t *relays, el_str_t service)
+{
+  const pending_run_t *run;
+
+  DL_FOREACH (relays->runs->pending, run)
+  if (pending_is_unasked (run, service))
+    return 1;
+  return 0;
+}
+
+/** Another host reached INSTANCE after it was asked at ASKED_AT: the runs that
+    lost their connection before did not end in a crash. */
 void
-relay_runs_cut_off (gt_relays_t *relays, el_str_t service)
+relay_runs_alive (gt_relays_t *relays, const rt_instance_t *instance,
+                  el_time_t asked_at)
 {
   relay_runs_t *runs = relays->runs;
+  uint64_t key = rt_instance_key (instance);
+  el_time_t now = net_clock_now (relays->options.clock);
   pending_run_t *run;
   pending_run_t *next;
-  size_t dropped = 0;
 
   DL_FOREACH_SAFE (runs->pending, run, next)
-  if (el_str_eq (run->target->attrs.service, service))
+  if (run->doubtful && run->report.at <= asked_at
+      && now < run->report.at + ALIVE_WINDOW
+      && rt_instance_key (&run->report.instance) == key)
     {
-      log_run_dropped (run->target, &run->report, "found cut off");
+      relays->counts.doubts_cleared++;
       pending_free (runs, run);
-      dropped++;
     }
-  if (dropped)
-    EL_LOG (EL_LOG_INFO, "runs_dropped", EL_FS ("service", service),
-            EL_FN ("runs", dropped));
 }
 
 /** Handles a connection refused by TARGET: it has crashed, unless this host is
@@ -260,7 +395,7 @@
     return;
   pending_add_check (relays, target);
   DL_FOREACH (runs->pending, run)
-  if (run->target == target && !run->refused_at)
+  if (run->target == target && !run->refused_at && !run->doubtful)
     {
       run->refused_at = net_clock_now (relays->options.clock);
       runs->npending_refused++;
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -24,6 +24,9 @@
    confirm it, otherwise three heartbeats. */
 #define TURN_RETRY_INTERVAL (20 * EL_MSEC)
 #define TURN_WAITS_MAX 250
+/* Waits for the answers of other hosts, for a little longer than these take.
+ */
+#define SURVEY_WAITS_MAX 8
 /* A request that shares a suspect cause waits for its trial, or for the end of
    the suspicion, in steps of this length, for a little longer than a trial
    takes. Then it is refused. */
@@ -133,23 +136,50 @@
   return 1;
 }
 
-/* Whether RELAY has to wait for what it did to endpoints itself. */
+/* Whether what RELAY did to endpoints is not known yet, or no endpoint is
+   available to it as a suspect. */
 static int
-must_wait_for_outcome (gt_relay_t *relay, const rt_blame_status_t *status,
-                       el_time_t now)
+outcome_is_open (gt_relay_t *relay, const rt_blame_status_t *status,
+                 el_time_t now)
 {
   gt_relays_t *relays = relay->relays;
+  unsigned doubtful = relay_runs_count_doubtful (relay);
+
+  if (status->crashes + doubtful < TURN_CRASHES_MIN)
+    return 0;
+  return doubtful
+         || (status->state == RT_BLAME_SUSPECT
+             && (status->unconfirmed
+                 || relay_runs_is_pending (relays, relay_digest (relay))
+                 || !pick_isolated_target (relay, status, now)));
+}
+
+/* Whether other hosts may know that the endpoints are alive at which RELAY's
+   runs broke off: this host may be cut off. */
+static int
+survey_may_decide (gt_relay_t *relay, const rt_blame_status_t *status)
+{
+  return status->crashes < TURN_CRASHES_MIN
+         && relay_service (relay->relays, relay->service->name)->surveying
+         && relay->turn_waits < SURVEY_WAITS_MAX;
+}
 
-  if (status->state != RT_BLAME_SUSPECT || status->crashes < TURN_CRASHES_MIN
-      || (!status->unconfirmed
-          && !relay_runs_is_pending (relays, relay_digest (relay))
-          && pick_isolated_target (relay, status, now))
-      || relay->turn_waits++ >= TURN_WAITS_MAX)
+/* Whether RELAY has to wait for what it did to endpoints itself. It is never
+   sent before that is known. */
+static int
+must_wait_for_outcome (gt_relay_t *relay, const rt_blame_status_t *status,
+                       el_time_t now)
+{
+  if (!outcome_is_open (relay, status, now))
     return 0;
-  relays->counts.turn_waits++;
-  if (wait_refuse (relay, PROBATION_TIME))
+  relay->relays->counts.turn_waits++;
+  if (!survey_may_decide (relay, status)
+      && wait_refuse (relay, PROBATION_TIME))
     return 1;
-  relay_schedule_attempt (relay, TURN_RETRY_INTERVAL);
+  if (relay->turn_waits++ < TURN_WAITS_MAX)
+    relay_schedule_attempt (relay, TURN_RETRY_INTERVAL);
+  else
+    relay_abort (relay, "waits for its turn");
   return 1;
 }
 
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -37,6 +37,8 @@
 static void ops_engine_reports (void *arg, const pr_engine_report_t *engines,
                                 size_t n);
 static void ops_rumor (void *arg, const co_rumor_t *rumor);
+static void ops_reach (void *arg, const pr_reach_query_t *query,
+                       pr_reach_cb done, void *done_arg);
 static void ops_lend (void *arg, const pr_loan_request_t *request,
                       int is_lender, co_loan_t *out);
 static void ops_call (void *arg, net_rpc_req_t *req,
@@ -58,6 +60,7 @@
   .receive_engine_reports = ops_engine_reports,
   .rumor = ops_rumor,
   .lend = ops_lend,
+  .reach = ops_reach,
   .call = ops_call,
   .encode_answer = ops_encode_answer,
   .decode_answer = ops_decode_answer,
@@ -179,6 +182,18 @@
     gate->relay_hooks.lend (gate->relay_hooks.arg, request, is_lender, out);
 }
 
+static void
+ops_reach (void *arg, const pr_reach_query_t *query, pr_reach_cb done,
+           void *done_arg)
+{
+  gt_gate_t *gate = arg;
+
+  if (gate->relay_hooks.reach)
+    gate->relay_hooks.reach (gate->relay_hooks.arg, query, done, done_arg);
+  else
+    done (done_arg, 1, NULL);
+}
+
 /* Includes the retry headers: without them, a caller whose call was forwarded
    from another host would not learn when to retry, even while all endpoints
    are in backoff for 60 s. */
--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -107,6 +107,9 @@
 /* peer_loan.c */
 void peer_serve_loan (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
+/* peer_reach.c */
+void peer_serve_reach (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+
 /* peer_handover.c */
 void peer_serve_handover (pr_peers_t *peers, net_rpc_req_t *req,
                           el_str_t body);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -28,7 +28,7 @@
   { PEER_RELAY, peer_serve_relay },       { PEER_FETCH, peer_serve_fetch },
   { PEER_HANDOVER, peer_serve_handover }, { PEER_NEWS, peer_serve_news },
   { PEER_MEMBERS, peer_serve_members },   { PEER_RUMORS, peer_serve_rumors },
-  { PEER_LOAN, peer_serve_loan },
+  { PEER_LOAN, peer_serve_loan },         { PEER_REACH, peer_serve_reach },
 };
 
 /** Encode a value and append it to OUT. */
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -137,6 +137,36 @@
 /** LOAN is NULL if the lender did not answer. */
 typedef void (*pr_loan_cb) (void *arg, const co_loan_t *loan);
 
+/** Most endpoints that one query of reach names. */
+#define PR_REACH_MAX PEER_REACH_MAX
+
+/** One start of an endpoint. */
+typedef struct pr_instance
+{
+  el_str_t endpoint; /**< its id */
+  uint64_t born;     /**< start time */
+} pr_instance_t;
+
+/** A query whether another host reaches endpoints of a service. */
+typedef struct pr_reach_query
+{
+  el_str_t service;
+  pr_instance_t instances[PR_REACH_MAX]; /**< none: any of the service */
+  size_t n;
+} pr_reach_query_t;
+
+/** The answer to a query of reach. */
+typedef struct pr_reach_answer
+{
+  int any;                   /**< the host reaches some endpoint */
+  int reached[PR_REACH_MAX]; /**< for each endpoint of the query */
+  size_t n;
+} pr_reach_answer_t;
+
+/** The answer of one of HOSTS that were asked; NULL if it did not answer. */
+typedef void (*pr_reach_cb) (void *arg, unsigned hosts,
+                             const pr_reach_answer_t *answer);
+
 /* Requests for sessions of other hosts. */
 
 /** The host that keeps a session: its home. */
@@ -223,6 +253,10 @@
       Set OUT to what is lent. */
   void (*lend) (void *arg, const pr_loan_request_t *request, int is_lender,
                 co_loan_t *out);
+  /** Another host asks whether this one reaches some endpoints. DONE may be
+      called before or after this returns. */
+  void (*reach) (void *arg, const pr_reach_query_t *query, pr_reach_cb done,
+                 void *done_arg);
   /** Run a request forwarded by another host and reply to REQ with
       pr_forward_reply. REQUEST is NULL when the request is invalid or this
       host is not the home of its session. */
@@ -302,6 +336,8 @@
 /* Rate limits. */
 void pr_peers_borrow (pr_peers_t *peers, const pr_loan_request_t *request,
                       pr_loan_cb done, void *arg);
+unsigned pr_peers_ask_reach (pr_peers_t *peers, const pr_reach_query_t *query,
+                             pr_reach_cb done, void *arg);
 
 /* Sessions. */
 int pr_peers_find_home (pr_peers_t *peers, const co_token_t *token,
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -23,6 +23,7 @@
 const PEER_ENGINES_MAX = 4096;
 const PEER_RUMOR_MAX = 1000;
 const PEER_RUMORS_MAX = 4096;
+const PEER_REACH_MAX = 16;
 
 /* Every call and result is sent in this form: an XDR body and its message
    authentication code, keyed with the cluster key. */
@@ -265,6 +266,24 @@
   unsigned hyper wait_us;
 };
 
+struct peer_instance {
+  opaque endpoint<PEER_NAME_MAX>;
+  unsigned hyper born;
+};
+
+/* Asks whether the other host can open connections to these endpoints of a
+   service, which the sender can't; without any, to other endpoints of it. */
+struct peer_reach_args {
+  opaque service<PEER_NAME_MAX>;
+  peer_instance instances<PEER_REACH_MAX>;
+};
+
+/* Whether the other host reaches any endpoint, and which of those named. */
+struct peer_reach_res {
+  bool any;
+  bool reached<PEER_REACH_MAX>;
+};
+
 program ELMARCH_PEER {
   version ELMARCH_PEER_V1 {
     peer_sealed PEER_GOSSIP (peer_sealed) = 1;
@@ -276,5 +295,6 @@
     peer_sealed PEER_MEMBERS (peer_sealed) = 7;
     peer_sealed PEER_RUMORS (peer_sealed) = 8;
     peer_sealed PEER_LOAN (peer_sealed) = 9;
+    peer_sealed PEER_REACH (peer_sealed) = 10;
   } = 1;
 } = 0x20656c6d;
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -30,6 +30,7 @@
 #define PEER_ENGINES_MAX 4096
 #define PEER_RUMOR_MAX 1000
 #define PEER_RUMORS_MAX 4096
+#define PEER_REACH_MAX 16
 
 struct peer_sealed {
 	char mac[PEER_MAC];
@@ -395,6 +396,36 @@
 };
 typedef struct peer_loan_res peer_loan_res;
 
+struct peer_instance {
+	struct {
+		u_int endpoint_len;
+		char *endpoint_val;
+	} endpoint;
+	u_quad_t born;
+};
+typedef struct peer_instance peer_instance;
+
+struct peer_reach_args {
+	struct {
+		u_int service_len;
+		char *service_val;
+	} service;
+	struct {
+		u_int instances_len;
+		peer_instance *instances_val;
+	} instances;
+};
+typedef struct peer_reach_args peer_reach_args;
+
+struct peer_reach_res {
+	bool_t any;
+	struct {
+		u_int reached_len;
+		bool_t *reached_val;
+	} reached;
+};
+typedef struct peer_reach_res peer_reach_res;
+
 #define ELMARCH_PEER 0x20656c6d
 #define ELMARCH_PEER_V1 1
 
@@ -426,6 +457,9 @@
 #define PEER_LOAN 9
 extern  peer_sealed * peer_loan_1(peer_sealed *, CLIENT *);
 extern  peer_sealed * peer_loan_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_REACH 10
+extern  peer_sealed * peer_reach_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_reach_1_svc(peer_sealed *, struct svc_req *);
 extern int elmarch_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -456,6 +490,9 @@
 #define PEER_LOAN 9
 extern  peer_sealed * peer_loan_1();
 extern  peer_sealed * peer_loan_1_svc();
+#define PEER_REACH 10
+extern  peer_sealed * peer_reach_1();
+extern  peer_sealed * peer_reach_1_svc();
 extern int elmarch_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -490,6 +527,9 @@
 extern  bool_t xdr_peer_news_res (XDR *, peer_news_res*);
 extern  bool_t xdr_peer_loan_args (XDR *, peer_loan_args*);
 extern  bool_t xdr_peer_loan_res (XDR *, peer_loan_res*);
+extern  bool_t xdr_peer_instance (XDR *, peer_instance*);
+extern  bool_t xdr_peer_reach_args (XDR *, peer_reach_args*);
+extern  bool_t xdr_peer_reach_res (XDR *, peer_reach_res*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_sealed ();
@@ -520,6 +560,9 @@
 extern bool_t xdr_peer_news_res ();
 extern bool_t xdr_peer_loan_args ();
 extern bool_t xdr_peer_loan_res ();
+extern bool_t xdr_peer_instance ();
+extern bool_t xdr_peer_reach_args ();
+extern bool_t xdr_peer_reach_res ();
 
 #endif /* K&R C */
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -675,3 +675,41 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_instance (XDR *xdrs, peer_instance *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->endpoint.endpoint_val, (u_int *) &objp->endpoint.endpoint_len, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_reach_args (XDR *xdrs, peer_reach_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->service.service_val, (u_int *) &objp->service.service_len, PEER_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->instances.instances_val, (u_int *) &objp->instances.instances_len, PEER_REACH_MAX,
+		sizeof (peer_instance), (xdrproc_t) xdr_peer_instance))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_reach_res (XDR *xdrs, peer_reach_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->any))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reached.reached_val, (u_int *) &objp->reached.reached_len, PEER_REACH_MAX,
+		sizeof (bool_t), (xdrproc_t) xdr_bool))
+		 return FALSE;
+	return TRUE;
+}
--- a/route/reach.c
+++ b/route/reach.c
@@ -64,3 +64,28 @@
     return RT_REACH_SOME;
   return sample->pending ? RT_REACH_PENDING : RT_REACH_NONE;
 }
+
+/** Begins a survey. The cause that an earlier one showed holds until then. */
+void
+rt_reach_survey_begin (rt_reach_survey_t *survey, el_time_t now)
+{
+  *survey = (rt_reach_survey_t){ .begun = now, .cause = survey->cause };
+}
+
+/** Adds a reply, one of HOSTS that were asked. One host that reaches an
+    endpoint suffices; that all are gone takes most of the hosts, as one of
+   them may be cut off, too. Returns 1 if the survey is complete. */
+int
+rt_reach_survey_add (rt_reach_survey_t *survey, unsigned hosts,
+                     rt_reach_reply_t reply)
+{
+  survey->replies++;
+  survey->reached += reply == RT_REACH_REPLY_REACHED;
+  survey->unreached += reply == RT_REACH_REPLY_UNREACHED;
+  if (survey->reached)
+    survey->cause = RT_REACH_CAUSE_HOST;
+  else if (survey->replies == hosts)
+    survey->cause = 2 * survey->unreached > hosts ? RT_REACH_CAUSE_ENDPOINTS
+                                                  : RT_REACH_CAUSE_UNKNOWN;
+  return survey->replies == hosts;
+}
--- a/route/reach.h
+++ b/route/reach.h
@@ -47,4 +47,37 @@
 rt_reach_verdict_t rt_reach_sample_add (rt_reach_sample_t *sample,
                                         int connected);
 
+/** What another host replied when it was asked whether it reaches endpoints
+    that this host does not. */
+typedef enum rt_reach_reply
+{
+  RT_REACH_REPLY_NONE, /**< it did not reply */
+  RT_REACH_REPLY_REACHED,
+  RT_REACH_REPLY_UNREACHED /**< nor does it */
+} rt_reach_reply_t;
+
+/** Why this host reaches no endpoint of a service. */
+typedef enum rt_reach_cause
+{
+  RT_REACH_CAUSE_UNKNOWN,
+  RT_REACH_CAUSE_HOST,     /**< this host is cut off: another one reaches some
+                              endpoint */
+  RT_REACH_CAUSE_ENDPOINTS /**< the endpoints are gone: most of the hosts that
+                              were asked reach none, and no host reaches any */
+} rt_reach_cause_t;
+
+/** The replies of some other hosts. */
+typedef struct rt_reach_survey
+{
+  el_time_t begun;  /**< 0: none yet */
+  unsigned replies; /**< or calls that ended without one */
+  unsigned reached;
+  unsigned unreached;
+  rt_reach_cause_t cause; /**< by the newest survey that showed it */
+} rt_reach_survey_t;
+
+void rt_reach_survey_begin (rt_reach_survey_t *survey, el_time_t now);
+int rt_reach_survey_add (rt_reach_survey_t *survey, unsigned hosts,
+                         rt_reach_reply_t reply);
+
 #endif
--- a/tests/t_reach.c
+++ b/tests/t_reach.c
@@ -82,6 +82,63 @@
 }
 END_TEST
 
+/* One host that reaches an endpoint shows that this host is cut off, as soon
+   as it replies and whatever the others reply. */
+START_TEST (test_reach_survey_needs_one_host_that_reaches_endpoints)
+{
+  rt_reach_survey_t survey = { 0 };
+
+  rt_reach_survey_begin (&survey, NOW);
+  ck_assert (!rt_reach_survey_add (&survey, 3, RT_REACH_REPLY_UNREACHED));
+  ck_assert_int_eq (survey.cause, RT_REACH_CAUSE_UNKNOWN);
+  ck_assert (!rt_reach_survey_add (&survey, 3, RT_REACH_REPLY_REACHED));
+  ck_assert_int_eq (survey.cause, RT_REACH_CAUSE_HOST);
+  ck_assert (rt_reach_survey_add (&survey, 3, RT_REACH_REPLY_UNREACHED));
+  ck_assert_int_eq (survey.cause, RT_REACH_CAUSE_HOST);
+}
+END_TEST
+
+/* That the endpoints are gone takes most of the hosts that were asked, at any
+   number of these. */
+START_TEST (test_reach_survey_needs_most_hosts_to_find_endpoints_gone)
+{
+  rt_reach_survey_t survey;
+  unsigned hosts = (unsigned)_i;
+  unsigned unreached;
+  unsigned i;
+
+  for (unreached = 0; unreached <= hosts; unreached++)
+    {
+      survey = (rt_reach_survey_t){ 0 };
+      rt_reach_survey_begin (&survey, NOW);
+      for (i = 0; i < hosts; i++)
+        {
+          ck_assert_int_eq (survey.cause, RT_REACH_CAUSE_UNKNOWN);
+          rt_reach_survey_add (&survey, hosts,
+                               i < unreached ? RT_REACH_REPLY_UNREACHED
+                                             : RT_REACH_REPLY_NONE);
+        }
+      ck_assert_int_eq (survey.cause, unreached > hosts / 2
+                                          ? RT_REACH_CAUSE_ENDPOINTS
+                                          : RT_REACH_CAUSE_UNKNOWN);
+    }
+}
+END_TEST
+
+/* What the last survey showed holds until the next one shows something. */
+START_TEST (test_reach_survey_keeps_the_cause_until_the_next_one)
+{
+  rt_reach_survey_t survey = { 0 };
+
+  rt_reach_survey_begin (&survey, NOW);
+  rt_reach_survey_add (&survey, 1, RT_REACH_REPLY_UNREACHED);
+  rt_reach_survey_begin (&survey, NOW + EL_SEC);
+  ck_assert_int_eq (survey.cause, RT_REACH_CAUSE_ENDPOINTS);
+  rt_reach_survey_add (&survey, 1, RT_REACH_REPLY_NONE);
+  ck_assert_int_eq (survey.cause, RT_REACH_CAUSE_UNKNOWN);
+}
+END_TEST
+
 Suite *
 reach_suite (void)
 {
@@ -92,6 +149,10 @@
   ADD (tcase, test_reach_is_not_regained_by_the_first_connect);
   ADD (tcase, test_reach_of_a_flapping_path_takes_more_proof);
   ADD (tcase, test_reach_sample_needs_all_connects_to_fail);
+  ADD (tcase, test_reach_survey_needs_one_host_that_reaches_endpoints);
+  ADD_LOOP (tcase, test_reach_survey_needs_most_hosts_to_find_endpoints_gone,
+            5);
+  ADD (tcase, test_reach_survey_keeps_the_cause_until_the_next_one);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- /dev/null
+++ b/tests/t_runs.c
@@ -0,0 +1,199 @@
+/*
+ * Copyright (c) 2026 The elmarch authors
+ * SPDX-License-Identifier: ISC
+ */
+/** @file
+ * Tests of runs that were interrupted while this host reached no endpoint of
+ * the service.
+ */
+#include <string.h>
+
+#include "librelay.h"
+#include "platform.h"
+#include "test.h"
+
+#define ENDPOINTS_MAX 5
+#define DIGEST 7
+#define RAN (50 * EL_MSEC)
+
+static const char *const ids[ENDPOINTS_MAX] = { "a", "b", "c", "d", "e" };
+
+static uv_loop_t loop;
+static net_clock_t test_clock;
+static gt_relays_t relays;
+static rt_target_t *targets[ENDPOINTS_MAX];
+static h2o_req_t req;
+static rt_service_t service;
+static gt_relay_t relay;
+
+static void
+runs_setup (void)
+{
+  uv_loop_init (&loop);
+  net_clock_init (&test_clock, &loop);
+  memset (&relays, 0, sizeof relays);
+  relays.options.clock = &test_clock;
+  relays.options.client = net_client_new (&test_clock);
+  relays.options.fleet = rt_fleet_new (7);
+  relays.options.dialect = &pf_relay;
+  relays.options.host_incarnation = 1;
+  relay_blame_open (&relays);
+  req.method = req.path = req.authority = h2o_iovec_init ("", 0);
+  service.name = EL_STR ("app");
+  memset (&relay, 0, sizeof relay);
+  relay.relays = &relays;
+  relay.req = &req;
+  relay.digest = DIGEST;
+  relay.parts_known = 1;
+  relay.service = &service;
+  relay.sent = net_clock_now (&test_clock) - RAN;
+}
+
+/* A request ran at N endpoints, the only ones of the service, and all of these
+   runs were interrupted. No connection opens any more. */
+static void
+interrupt_all (int n)
+{
+  rt_attrs_t attrs = { .born = 1,
+                       .service = EL_STR ("app"),
+                       .address = EL_STR ("127.0.0.1:1"),
+                       .hall = EL_STR ("h"),
+                       .slots = 8 };
+  int i;
+
+  for (i = 0; i < n; i++)
+    {
+      attrs.id = el_str (ids[i]);
+      targets[i] = rt_fleet_update (relays.options.fleet, &attrs);
+      relay.target = targets[i];
+      relay_runs_interrupted (&relay, targets[i]);
+      relay_runs_connect_refused (&relays, targets[i]);
+    }
+  relay_runs_doubt (&relays, service.name);
+}
+
+static unsigned
+crashes (void)
+{
+  return rt_blame_get_status (relay_blame_table (&relays),
+                              net_clock_now (&test_clock), DIGEST)
+      .crashes;
+}
+
+static void
+all_gone (int n)
+{
+  int i;
+
+  for (i = 0; i < n; i++)
+    gt_relays_engine_gone (&relays, targets[i]);
+}
+
+static void
+all_alive (int n)
+{
+  rt_instance_t instance;
+  int i;
+
+  for (i = 0; i < n; i++)
+    {
+      instance = rt_target_instance (targets[i]);
+      relay_runs_alive (&relays, &instance, net_clock_now (&test_clock));
+    }
+}
+
+/* The store's list decides that they crashed, however many there are. */
+START_TEST (test_runs_in_doubt_count_once_their_endpoints_are_gone)
+{
+  interrupt_all (_i);
+  ck_assert_uint_eq (crashes (), 0);
+  all_gone (_i);
+  ck_assert_uint_eq (crashes (), (unsigned)_i);
+  ck_assert_uint_eq (relays.counts.doubts_confirmed, (unsigned)_i);
+}
+END_TEST
+
+/* The host was cut off, and another one reached the endpoints meanwhile. */
+START_TEST (test_runs_in_doubt_at_endpoints_that_others_reach_do_not_count)
+{
+  interrupt_all (3);
+  all_alive (3);
+  ck_assert_uint_eq (relays.counts.doubts_cleared, 3);
+  all_gone (3);
+  ck_assert_uint_eq (crashes (), 0);
+}
+END_TEST
+
+/* The cut ends: that connections open again shows nothing of the endpoints to
+   which none opens yet. */
+START_TEST (test_runs_in_doubt_are_not_decided_by_connects)
+{
+  interrupt_all (3);
+  relay_runs_connect_refused (&relays, targets[0]);
+  relay_runs_connected (&relays, targets[1], net_clock_now (&test_clock) + 1);
+  ck_assert_uint_eq (crashes (), 0);
+  ck_assert_uint_eq (relays.counts.crashes, 0);
+}
+END_TEST
+
+/* The store has listed the endpoints for long enough to show that they live.
+   While it does not answer, that shows nothing. */
+START_TEST (test_runs_in_doubt_at_endpoints_that_stay_listed_do_not_count)
+{
+  interrupt_all (3);
+  ck_assert_uint_eq (relay_runs_count_doubtful (&relay), 3);
+  relays.rules_as_of = net_clock_now (&test_clock) + 7 * EL_SEC;
+  ck_assert_uint_eq (relay_runs_count_doubtful (&relay), 3);
+  relays.rules_as_of = net_clock_now (&test_clock) + 9 * EL_SEC;
+  ck_assert_uint_eq (relay_runs_count_doubtful (&relay), 0);
+  all_gone (3);
+  ck_assert_uint_eq (crashes (), 0);
+}
+END_TEST
+
+/* A request that may have crashed two endpoints is sent to no third one. */
+START_TEST (test_request_in_doubt_at_two_endpoints_waits)
+{
+  el_time_t now = net_clock_now (&test_clock);
+
+  relay.attempts.sent = 1;
+  interrupt_all (2);
+  ck_assert (relay_suspect_must_wait (&relay, now));
+  net_clock_cancel (&test_clock, &relay.retry_timer);
+  all_alive (2);
+  ck_assert (!relay_suspect_must_wait (&relay, now));
+}
+END_TEST
+
+/* Each endpoint is asked about once. */
+START_TEST (test_runs_in_doubt_are_asked_about_in_batches)
+{
+  rt_instance_t asked[4];
+
+  interrupt_all (ENDPOINTS_MAX);
+  relay_runs_interrupted (&relay, targets[0]);
+  relay_runs_doubt (&relays, service.name);
+  ck_assert_uint_eq (relay_runs_ask (&relays, service.name, asked, 4), 4);
+  ck_assert (relay_runs_has_unasked (&relays, service.name));
+  ck_assert_uint_eq (relay_runs_ask (&relays, service.name, asked, 4), 1);
+  ck_assert (!relay_runs_has_unasked (&relays, service.name));
+}
+END_TEST
+
+Suite *
+runs_suite (void)
+{
+  Suite *suite = suite_create ("runs");
+  TCase *tcase = tcase_create ("runs");
+
+  tcase_add_checked_fixture (tcase, runs_setup, NULL);
+  ADD_LOOP (tcase, test_runs_in_doubt_count_once_their_endpoints_are_gone,
+            ENDPOINTS_MAX + 1);
+  ADD (tcase, test_runs_in_doubt_at_endpoints_that_others_reach_do_not_count);
+  ADD (tcase, test_runs_in_doubt_are_not_decided_by_connects);
+  ADD (tcase, test_runs_in_doubt_at_endpoints_that_stay_listed_do_not_count);
+  ADD (tcase, test_request_in_doubt_at_two_endpoints_waits);
+  ADD (tcase, test_runs_in_doubt_are_asked_about_in_batches);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -36,6 +36,7 @@
 Suite *restore_suite (void);
 Suite *partition_suite (void);
 Suite *reach_suite (void);
+Suite *runs_suite (void);
 Suite *forward_suite (void);
 Suite *epoch_suite (void);
 Suite *load_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -44,6 +44,7 @@
   srunner_add_suite (runner, clock_suite ());
   srunner_add_suite (runner, avail_suite ());
   srunner_add_suite (runner, reach_suite ());
+  srunner_add_suite (runner, runs_suite ());
   srunner_add_suite (runner, forward_suite ());
   srunner_add_suite (runner, limit_suite ());
   srunner_add_suite (runner, connect_suite ());
