Requests are not forwarded when the endpoints are gone

What callers saw: when all endpoints of a service had crashed, each request went to up to three other hosts that reached none either, before it was refused.

Cause: a host that reaches no endpoint took itself for cut off and forwarded; nothing told it that no host reaches any. Now it does not forward while the last survey of other hosts shows that the endpoints are gone, and refuses at once; a planner whose engines are gone keeps its duty. A host that is asked answers by connects to all endpoints of the service, also to those that it lost before: it gave no answer when it had lost all, so that the cause was unknown again after a second.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -232,6 +232,7 @@
 typedef void (*relay_probe_cb) (void *arg, size_t index, int connected);
 
 size_t relay_reach_choose (gt_relays_t *relays, const relay_service_t *service,
+                           int with_lost,
                            rt_target_t *chosen[RELAY_REACH_SAMPLE]);
 void relay_reach_probe (gt_relays_t *relays, rt_target_t *target,
                         relay_probe_cb done, void *arg, size_t index);
--- a/gate/relay_pick.c
+++ b/gate/relay_pick.c
@@ -53,13 +53,16 @@
 pick_host (gt_relay_t *relay, const rt_target_t *target)
 {
   gt_relays_t *relays = relay->relays;
-  int cut_off = relay_reach_is_cut_off (relays, relay->service->name);
+  const relay_service_t *service
+      = relay_service (relays, relay->service->name);
+  int cut_off = service->reach.lost_at != 0;
 
   if (!cut_off && target && !target->reach.lost_at)
     return RELAY_PICK_NONE;
-  if (!cut_off && !target
-      && !relay_service (relays, relay->service->name)->lost)
+  if (!cut_off && !target && !service->lost)
     return RELAY_PICK_NONE;
+  if (cut_off && service->survey.cause == RT_REACH_CAUSE_ENDPOINTS)
+    return RELAY_PICK_UNREACHED;
   if (relay_forward_pick (relay))
     {
       relay->way = &relay_way_over_host;
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -66,8 +66,9 @@
   return 1;
 }
 
-/** Whether this host has reached no engine of some service for some time.
-   Until then it may be the engines that are gone. */
+/** Whether this host is cut off from the engines of some service. As long as
+    other hosts have not told whether it is the engines that are gone, the host
+    counts as cut off after some time. */
 int
 gt_relays_is_cut_off_from_engines (const gt_relays_t *relays)
 {
@@ -76,6 +77,7 @@
 
   for (service = relays->services; service; service = service->hh.next)
     if (service->engines && service->reach.lost_at
+        && service->survey.cause != RT_REACH_CAUSE_ENDPOINTS
         && now >= service->reach.lost_at + CUT_SETTLED)
       return 1;
   return 0;
@@ -295,17 +297,18 @@
 
 static int
 reach_may_sample (gt_relays_t *relays, const relay_service_t *service,
-                  const rt_target_t *target)
+                  int with_lost, const rt_target_t *target)
 {
-  return !target->reach.lost_at && !rt_target_is_leaving (target)
+  return (with_lost || !target->reach.lost_at)
+         && !rt_target_is_leaving (target)
          && reach_service (relays, target) == service;
 }
 
-/** Chooses endpoints of SERVICE that are not lost, at random. Returns their
-    number. */
+/** Chooses endpoints of SERVICE at random, lost ones only if WITH_LOST.
+   Returns their number. */
 size_t
 relay_reach_choose (gt_relays_t *relays, const relay_service_t *service,
-                    rt_target_t *chosen[RELAY_REACH_SAMPLE])
+                    int with_lost, rt_target_t *chosen[RELAY_REACH_SAMPLE])
 {
   rt_target_t *target;
   size_t seen = 0;
@@ -313,7 +316,7 @@
 
   for (target = rt_fleet_first (relays->options.fleet); target;
        target = target->hh.next)
-    if (reach_may_sample (relays, service, target))
+    if (reach_may_sample (relays, service, with_lost, target))
       {
         at = seen < RELAY_REACH_SAMPLE
                  ? seen
@@ -336,7 +339,7 @@
   service->sample_again = service->sample.pending != 0;
   if (service->reach.lost_at || service->sample.pending)
     return;
-  n = relay_reach_choose (relays, service, chosen);
+  n = relay_reach_choose (relays, service, 0, chosen);
   rt_reach_sample_begin (&service->sample,
                          net_clock_now (relays->options.clock), (unsigned)n);
   if (!n)
--- a/gate/relay_survey.c
+++ b/gate/relay_survey.c
@@ -159,7 +159,7 @@
       index[n] = i;
       targets[n++] = target;
     }
-  i = n + relay_reach_choose (relays, service, targets + n);
+  i = n + relay_reach_choose (relays, service, 1, targets + n);
   for (; n < i; n++)
     index[n] = PR_REACH_MAX;
   if (!n)
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -407,6 +407,49 @@
 }
 END_TEST
 
+static void
+workers_kill (void)
+{
+  size_t i;
+
+  for (i = 0; i < SITE_WORKERS; i++)
+    proc_end (&site.workers[i], SIGKILL);
+}
+
+/* No host reaches an endpoint that is gone: requests are refused at once, and
+   no host sends them to another one. */
+START_TEST (test_requests_are_not_forwarded_when_all_endpoints_are_gone)
+{
+  uint64_t forwarded;
+  reply_t reply;
+  char id[64];
+  size_t host;
+  int i;
+
+  site_start (SITE_HOSTS);
+  workers_kill ();
+  for (host = 0; host < SITE_HOSTS; host++)
+    wait_cut_off (host);
+  for (i = 0; i < 2 * SECOND_STEPS; i++)
+    poll_sleep ();
+  for (host = 0; host < SITE_HOSTS; host++)
+    {
+      forwarded
+          = metric_value (&site.hosts[host], "elmarch_relay_over_host_total");
+      for (i = 0; i < ROUNDS; i++)
+        {
+          snprintf (id, sizeof id, "gone-%zu-%d", host, i);
+          send_request (host, "GET", "/look/x", id, &reply);
+          ck_assert_int_eq (reply.status, 503);
+          reply_free (&reply);
+        }
+      ck_assert_uint_eq (
+          metric_value (&site.hosts[host], "elmarch_relay_over_host_total"),
+          forwarded);
+    }
+}
+END_TEST
+
 /* Endpoints stand still for a second and go on. */
 START_TEST (test_frozen_endpoints_do_not_cut_a_host_off)
 {
@@ -535,6 +578,7 @@
   ADD_LOOP (tcase, test_cut_off_hosts_serve_as_often_as_others, 2 * CUTS);
   ADD_LOOP (tcase, test_host_that_serves_for_another_is_killed, 2);
   ADD_LOOP (tcase, test_host_serves_by_itself_after_a_cut, CUTS);
+  ADD (tcase, test_requests_are_not_forwarded_when_all_endpoints_are_gone);
   ADD (tcase, test_frozen_endpoints_do_not_cut_a_host_off);
   ADD_LOOP (tcase, test_cut_off_host_reports_no_crashes, CUTS);
   ADD (tcase, test_host_cut_off_from_some_engines_reports_no_crashes);
