Endpoints that replace lost ones are tried as soon as they are listed

What callers saw: after all endpoints of a service had crashed, their replacements at new addresses got no request until the store no longer listed the former ones, some three seconds.

Cause: a host that reaches no endpoint of a service tried the lost ones alone, and a replacement was never lost. Now it tries all endpoints of such a service.

--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -368,6 +368,16 @@
       }
 }
 
+/* Whether connects to TARGET may show that this host reaches it, or its
+   service, again. An endpoint that replaces a lost one was not lost itself. */
+static int
+reach_may_regain (gt_relays_t *relays, const rt_target_t *target)
+{
+  return target->reach.lost_at
+         || (relays->counts.cut_off
+             && reach_service (relays, target)->reach.lost_at);
+}
+
 /* Tries lost endpoints, starting after those that were tried last. */
 static void
 reach_tick (void *arg, el_time_t now)
@@ -379,7 +389,7 @@
 
   for (target = rt_fleet_first (relays->options.fleet); target;
        target = target->hh.next)
-    if (target->reach.lost_at && ++lost > relays->reach.next
+    if (reach_may_regain (relays, target) && ++lost > relays->reach.next
         && probes < PROBES_MAX && !target->probing)
       {
         probe_send_plain (relays, target, 0);
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -450,6 +450,33 @@
 }
 END_TEST
 
+/* Endpoints that replace those which are gone serve as soon as they are
+   listed, though the store lists the others, too, for some seconds. */
+START_TEST (test_endpoints_that_replace_lost_ones_are_used_at_once)
+{
+  reply_t reply;
+  char id[64];
+  long status = 0;
+  int i;
+
+  site_start (1);
+  workers_kill ();
+  wait_cut_off (0);
+  address_set (&site.workers[0], 24);
+  site_worker_start (0);
+  site_wait_metric ("elmarch_endpoints", SITE_ENGINES + SITE_WORKERS + 1);
+  for (i = 0; i < SECOND_STEPS && status != 200; i++)
+    {
+      poll_sleep ();
+      snprintf (id, sizeof id, "again-%d", i);
+      send_request (0, "GET", "/look/x", id, &reply);
+      status = reply.status;
+      reply_free (&reply);
+    }
+  ck_assert_int_eq (status, 200);
+}
+END_TEST
+
 /* Endpoints stand still for a second and go on. */
 START_TEST (test_frozen_endpoints_do_not_cut_a_host_off)
 {
@@ -579,6 +606,7 @@
   ADD_LOOP (tcase, test_host_that_serves_for_another_is_killed, 2);
   ADD_LOOP (tcase, test_host_serves_by_itself_after_a_cut, CUTS);
   ADD (tcase, test_requests_are_not_forwarded_when_all_endpoints_are_gone);
+  ADD (tcase, test_endpoints_that_replace_lost_ones_are_used_at_once);
   ADD (tcase, test_frozen_endpoints_do_not_cut_a_host_off);
   ADD_LOOP (tcase, test_cut_off_host_reports_no_crashes, CUTS);
   ADD (tcase, test_host_cut_off_from_some_engines_reports_no_crashes);
