The time of a crash comes from the runs there, not from the store's list

What callers could see: a request that ran well at an endpoint before, and stood on two or three endpoints of a service that went down in one moment, refused for ten minutes.

Cause: the time of a crash was that of the first report; where a host's store list told of the end before the runs there were told, that time was late by the seconds in which the list forgets an endpoint, for each endpoint another. Crashes of one moment looked like crashes at different times, which count far more against a request (found in a run of test_request_that_crashes_all_workers_is_blocked: blocked at ends=2 odds=10).

Evidence: test_blame_takes_the_time_of_a_crash_from_its_runs failed before: odds 1,285 times as high by the order of the reports.

--- a/route/blame.c
+++ b/route/blame.c
@@ -254,12 +254,29 @@
   crash->key = key;
   crash->instance = report->instance;
   crash->at = report->at;
+  crash->at_is_late = report->host == 0;
   crash->detected_at = EL_TIME_NEVER;
   HASH_ADD (hh, blame->crashes_by_key, key, sizeof crash->key, crash);
   crash_insert_by_time (blame, crash);
   return crash;
 }
 
+/* The store no longer lists an endpoint some time after it crashed: take the
+   time from the first report of a host. */
+static void
+crash_correct_time (rt_blame_t *blame, blame_crash_t *crash,
+                    const rt_crash_report_t *report)
+{
+  if (!crash->at_is_late || report->host == 0)
+    return;
+  crash->at_is_late = 0;
+  if (report->at >= crash->at)
+    return;
+  crash->at = report->at;
+  DL_DELETE (blame->crashes_by_time, crash);
+  crash_insert_by_time (blame, crash);
+}
+
 /* Record a witness of the crash; return 0 if it was known. Two hosts or the
    store confirm a crash: a single host may just have lost its connection to
    the endpoint. */
@@ -413,6 +430,7 @@
   if (report->at + REPORT_LIFETIME < now)
     return 0;
   crash = crash_get (blame, report);
+  crash_correct_time (blame, crash, report);
   changed = crash_add_witness (crash, report->host);
   crash_set_detected (crash,
                       report->detected_at ? report->detected_at : report->at);
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -55,6 +55,7 @@
   uint64_t key;
   rt_instance_t instance;
   el_time_t at;
+  int at_is_late;        /* AT is when the store no longer listed it */
   el_time_t detected_at; /* earliest time at which some host had detected it */
   uint64_t witnesses[BLAME_WITNESSES]; /* hosts that reported it */
   size_t nwitnesses;
--- a/tests/t_blame.c
+++ b/tests/t_blame.c
@@ -224,6 +224,45 @@
 }
 END_TEST
 
+/* Adds a rack outage of two engines, at both of which one request ran. The
+   store lists neither any more three seconds later, one after the other. */
+static void
+add_outage (int store_first)
+{
+  rt_crash_report_t listed = { .instance = { .id = "e" } };
+  int round;
+  unsigned i;
+
+  for (round = 0; round < 2; round++)
+    for (i = 0; i < 2; i++)
+      {
+        listed.instance.born = i;
+        listed.at = NOW + (3 + i) * EL_SEC;
+        if (round == !store_first)
+          rt_blame_add_report (blame, NOW + 5 * EL_SEC, &listed);
+        else
+          add_crash (i, NOW + i * 100 * EL_MSEC, CULPRIT, 60 * EL_MSEC);
+      }
+  update (NOW + 5 * EL_SEC);
+}
+
+/* That the store lists an endpoint no more does not tell when it crashed. A
+   host that learned it before it learned of the runs there took a rack outage
+   for two crashes a second apart, and blocked the request. */
+START_TEST (test_blame_takes_the_time_of_a_crash_from_its_runs)
+{
+  double odds;
+
+  add_outage (0);
+  odds = rt_blame_get_status (blame, NOW, CULPRIT).odds;
+  blame_teardown ();
+  blame_setup ();
+  add_outage (1);
+  ck_assert_double_eq_tol (
+      rt_blame_get_status (blame, NOW, CULPRIT).odds / odds, 1, 1e-6);
+}
+END_TEST
+
 /* A request that ran to completion is cleared of older crashes, also of those
    reported later, but not of new ones. */
 START_TEST (test_blame_completed_request_is_cleared)
@@ -411,6 +450,7 @@
   ADD_LOOP (tcase, test_blame_rack_outage_blocks_no_request,
             sizeof rack_loads / sizeof *rack_loads);
   ADD (tcase, test_blame_rack_outage_with_a_retried_request);
+  ADD (tcase, test_blame_takes_the_time_of_a_crash_from_its_runs);
   ADD_LOOP (tcase, test_blame_is_independent_of_report_order, SEEDS);
   ADD (tcase, test_blame_completed_request_is_cleared);
   ADD (tcase, test_blame_unconfirmed_crash_counts_half);
