An endpoint that closed a connection is tried at once, not after a second

What callers saw: an endpoint that had crashed got requests for up to a second more, and a request that crashes endpoints was sent to another one meanwhile.

Cause: a host connects to an endpoint that broke off a run to see whether it lives, at most once a second, also where the last connect was before the break. Now the least time is 20 ms after a lost connection, one second as before for overdue answers.

Evidence: test_endpoint_is_tried_at_once_when_a_run_breaks_off fails with an interval of a second.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -221,7 +221,8 @@
 void relay_reach_connected (gt_relays_t *relays, rt_target_t *target,
                             el_time_t begun);
 void relay_reach_failed (gt_relays_t *relays, rt_target_t *target);
-void relay_reach_check (gt_relays_t *relays, rt_target_t *target);
+void relay_reach_check_overdue (gt_relays_t *relays, rt_target_t *target);
+void relay_reach_check_lost (gt_relays_t *relays, rt_target_t *target);
 void relay_reach_prove (gt_relays_t *relays, rt_target_t *target);
 int relay_reach_is_cut_off (gt_relays_t *relays, el_str_t service);
 
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -310,8 +310,10 @@
 {
   if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
     relay_reach_failed (relay->relays, relay->target);
-  else if (result->net == NET_CONNECTION_LOST || result->net == NET_TIMEOUT)
-    relay_reach_check (relay->relays, relay->target);
+  else if (result->net == NET_CONNECTION_LOST)
+    relay_reach_check_lost (relay->relays, relay->target);
+  else if (result->net == NET_TIMEOUT)
+    relay_reach_check_overdue (relay->relays, relay->target);
 }
 
 /** Handles the end of an attempt that was sent to an endpoint. */
@@ -482,7 +484,7 @@
 
   (void)now;
   if (!relay->head_at)
-    relay_reach_check (relay->relays, relay->target);
+    relay_reach_check_overdue (relay->relays, relay->target);
 }
 
 static void
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -208,7 +208,7 @@
   if (result == GT_CHECK_REFUSED)
     relay_reach_failed (relays, engine);
   else
-    relay_reach_check (relays, engine);
+    relay_reach_check_overdue (relays, engine);
   if (result == GT_CHECK_REFUSED)
     relay_runs_connect_refused (relays, engine);
   if (engine->avail.gone)
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -22,8 +22,11 @@
 #define CUT_NOTICED (1 * EL_SEC)
 /* Engines that crash together are not listed any more after a while. */
 #define CUT_SETTLED (1 * EL_SEC)
-/* An endpoint is not checked again for this long. */
-#define CHECK_INTERVAL (1 * EL_SEC)
+/* Least time between two checks of an endpoint whose answers are overdue, and
+   of one that has closed connections: it closes all of them in one moment when
+   it crashes. */
+#define OVERDUE_INTERVAL (1 * EL_SEC)
+#define LOST_INTERVAL (20 * EL_MSEC)
 
 typedef struct reach_probe
 {
@@ -413,19 +416,32 @@
   relays->reach.timer.arg = relays;
 }
 
-/** Finds out whether this host reaches TARGET, which does not answer or has
-    closed a connection. */
-void
-relay_reach_check (gt_relays_t *relays, rt_target_t *target)
+static void
+reach_check (gt_relays_t *relays, rt_target_t *target, el_time_t interval)
 {
   el_time_t now = net_clock_now (relays->options.clock);
 
   if (!target->probing && !target->reach.lost_at && !target->avail.gone
-      && (!target->probed_at || now >= target->probed_at + CHECK_INTERVAL)
+      && (!target->probed_at || now >= target->probed_at + interval)
       && !reach_service (relays, target)->reach.lost_at)
     probe_send_plain (relays, target, 0);
 }
 
+/** Finds out whether this host reaches TARGET, whose answer is overdue. */
+void
+relay_reach_check_overdue (gt_relays_t *relays, rt_target_t *target)
+{
+  reach_check (relays, target, OVERDUE_INTERVAL);
+}
+
+/** Finds out whether this host reaches TARGET, which has closed a
+    connection. */
+void
+relay_reach_check_lost (gt_relays_t *relays, rt_target_t *target)
+{
+  reach_check (relays, target, LOST_INTERVAL);
+}
+
 /** Connects to other endpoints of TARGET's service, which refuses connections,
     unless that is being done. */
 void
--- a/tests/t_runs.c
+++ b/tests/t_runs.c
@@ -165,6 +165,24 @@
 }
 END_TEST
 
+/* A connection to the endpoint was opened a moment before its run broke off:
+   that does not show that it lives. */
+START_TEST (test_endpoint_is_tried_at_once_when_a_run_breaks_off)
+{
+  interrupt_all (1);
+  relays.counts.probes = 0;
+  targets[0]->probing = 0;
+  targets[0]->probed_at = net_clock_now (&test_clock) - 100 * EL_MSEC;
+  relay_reach_check_overdue (&relays, targets[0]);
+  ck_assert_uint_eq (relays.counts.probes, 0);
+  relay_reach_check_lost (&relays, targets[0]);
+  ck_assert_uint_eq (relays.counts.probes, 1);
+  targets[0]->probing = 0;
+  relay_reach_check_lost (&relays, targets[0]);
+  ck_assert_uint_eq (relays.counts.probes, 1);
+}
+END_TEST
+
 /* Each endpoint is asked about once. */
 START_TEST (test_runs_in_doubt_are_asked_about_in_batches)
 {
@@ -193,6 +211,7 @@
   ADD (tcase, test_runs_in_doubt_are_not_decided_by_connects);
   ADD (tcase, test_runs_in_doubt_at_endpoints_that_stay_listed_do_not_count);
   ADD (tcase, test_request_in_doubt_at_two_endpoints_waits);
+  ADD (tcase, test_endpoint_is_tried_at_once_when_a_run_breaks_off);
   ADD (tcase, test_runs_in_doubt_are_asked_about_in_batches);
   suite_add_tcase (suite, tcase);
   return suite;
