Soak: a request that crashes all workers, and sound requests refused as crashing (--crashes)

One request of one customer crashes each worker that runs it, beside restarts, kills and pauses; workers announce their own addresses, as the proxy accepts connections to one that is gone.

--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 8 --seeds 1 --seconds 12 --copies
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 4001 --seeds 1 --seconds 12 --limits
 	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 5001 --seeds 1 --seconds 16 --parts
+	$(BIN)/soak --bin $(BIN) --dir $(B)/soak --seed 6002 --seeds 1 --seconds 14 --crashes
 # Mutation check: each listed test must fail in a scratch copy of the tree that
 # lacks the code it covers.
 red: deps
@@ -148,7 +149,7 @@
 # Soak test: runs real processes, injects faults chosen by seed, and checks the
 # invariants from outside.
 SOAK = soak/main.c soak/plan.c soak/proxy.c soak/cluster.c soak/proc.c \
-       soak/fault.c soak/operator.c soak/http.c soak/caller.c soak/check.c soak/check_limit.c soak/check_parts.c
+       soak/fault.c soak/operator.c soak/http.c soak/caller.c soak/check.c soak/check_limit.c soak/check_crashes.c
 $(BIN)/soak: $(SOAK:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcurl -lpthread
 SOAK_SEEDS = --seed 1 --seeds 50 --asks
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -25,10 +25,16 @@
 #define REQUEST_PAUSE_NS 20000000
 /* One request in this many is sent with a revoked key, if there is one. */
 #define REVOKED_KEY_ONE_IN 8
-/* With parts of prompts, one stream in this many has one that crashes engines,
-   from this time on; hosts know by then which parts run well. */
+/* One stream in this many has a part that crashes engines, from this time on;
+   hosts know by then which parts run well. */
 #define CRASH_PART_ONE_IN 12
 #define CRASH_PARTS_AFTER (7 * EL_SEC)
+/* One safe request of the callers with key 0 in this many is the request that
+   crashes workers, from this time on. */
+#define CRASH_REQUEST_ONE_IN 3
+#define CRASH_REQUESTS_AFTER (2 * EL_SEC)
+#define CRASH_BODY "a deadly request"
+#define CRASH_REFUSAL "ends endpoints"
 #define CRASH_PART "deadbeef"
 /* Other parts of which a prompt has one. */
 #define SOUND_PARTS 5
@@ -125,6 +131,9 @@
 {
   response_t *response = arg;
 
+  if (!response->request->has_seal && size * n >= strlen (CRASH_REFUSAL)
+      && memcmp (data, CRASH_REFUSAL, strlen (CRASH_REFUSAL)) == 0)
+    response->request->refused_as_crashing = 1;
   if (response->request->kind == SK_STREAM && response->request->has_seal)
     {
       el_buf_add (&response->partial_event, (el_str_t){ data, size * n });
@@ -167,7 +176,7 @@
                 (unsigned)(el_str_hash (el_str (request->id)) % SOUND_PARTS));
       snprintf (text, sizeof text,
                 "x-elmarch-prompt-prefix: a%u:40,%s:100,%s:60", request->key,
-                request->crashes_engines ? CRASH_PART : part, request->id);
+                request->crashes_endpoints ? CRASH_PART : part, request->id);
       list = curl_slist_append (list, text);
     }
   if (request->resumed_after)
@@ -185,7 +194,8 @@
 {
   char address[SK_ADDRESS_MAX];
   char url[128];
-  int post = request->kind != SK_SAFE;
+  int post = request->kind != SK_SAFE || request->crashes_endpoints;
+  const char *body = "body";
 
   sk_host_address (cluster, request->host, SK_PORT_ENTRY, address);
   snprintf (url, sizeof url, "http://%s%s", address, paths[request->kind]);
@@ -197,9 +207,12 @@
                     request->kind == SK_STREAM ? STREAM_TIMEOUT_MS
                                                : PLAIN_TIMEOUT_MS);
   /* No two requests whose prompts have parts are alike. */
+  if (cluster->crash == SK_CRASH_PARTS)
+    body = request->id;
+  else if (request->crashes_endpoints)
+    body = CRASH_BODY;
   if (post)
-    curl_easy_setopt (curl, CURLOPT_POSTFIELDS,
-                      cluster->crash_parts ? request->id : "body");
+    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
   /* libcurl retries a request by itself if a reused connection turns out to
      be closed. A new connection prevents that. */
   if (request->kind == SK_UNSAFE)
@@ -222,7 +235,7 @@
 
   request->host_starts = cluster->hosts[request->host].starts;
   sk_key_text (request->key, request->generation, key, sizeof key);
-  headers = request_headers (request, key, cluster->crash_parts);
+  headers = request_headers (request, key, cluster->crash == SK_CRASH_PARTS);
   curl_prepare (curl, cluster, request);
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, response_header);
@@ -290,6 +303,27 @@
     }
 }
 
+/* Whether the next request is one that crashes endpoints. */
+static int
+crash_draw (caller_t *caller, const sk_request_t *request)
+{
+  el_time_t since = sk_now () - caller->pool->started_at;
+
+  switch (caller->pool->cluster->crash)
+    {
+    case SK_CRASH_PARTS:
+      return request->kind == SK_STREAM && since > CRASH_PARTS_AFTER
+             && el_random (&caller->random) % CRASH_PART_ONE_IN == 0;
+    case SK_CRASH_REQUEST:
+      return request->kind == SK_SAFE && request->key == 0
+             && since > CRASH_REQUESTS_AFTER
+             && el_random (&caller->random) % CRASH_REQUEST_ONE_IN == 0;
+    case SK_CRASH_NONE:
+      break;
+    }
+  return 0;
+}
+
 static void
 request_init (caller_t *caller, sk_request_t *request, sk_request_kind_t kind,
               unsigned resumed)
@@ -303,10 +337,7 @@
   request->host = caller->hosts[el_random (&caller->random) % caller->nhosts];
   request_key_set (caller->pool->cluster, request,
                    el_random (&caller->random) % REVOKED_KEY_ONE_IN == 0);
-  request->crashes_engines
-      = caller->pool->cluster->crash_parts && kind == SK_STREAM
-        && sk_now () > caller->pool->started_at + CRASH_PARTS_AFTER
-        && el_random (&caller->random) % CRASH_PART_ONE_IN == 0;
+  request->crashes_endpoints = crash_draw (caller, request);
 }
 
 /* Send one request. A stream that broke off is resumed at a random host. */
@@ -325,7 +356,7 @@
         caller->curl[request.host] = curl_easy_init ();
       request_send (caller->curl[request.host], caller->pool->cluster,
                     caller->pool->requests, &request);
-      if (kind != SK_STREAM || request.crashes_engines
+      if (kind != SK_STREAM || request.crashes_endpoints
           || request.last_event >= SK_STREAM_EVENTS)
         return;
     }
--- a/soak/check.c
+++ b/soak/check.c
@@ -369,9 +369,9 @@
       if (stop->kind != SK_HOST_TERM
           || !no_fault_around (faults, nfaults, stop, stop->start_at,
                                stop->start_at + 4 * EL_SEC, is_any_fault)
-          || sk_part_crashed (cluster, requests,
-                              traffic_start + stop->start_at - 4 * EL_SEC,
-                              traffic_start + stop->start_at + 4 * EL_SEC))
+          || sk_request_crashed (cluster, requests,
+                                 traffic_start + stop->start_at - 4 * EL_SEC,
+                                 traffic_start + stop->start_at + 4 * EL_SEC))
         continue;
       for (i = 0; i < requests->len; i++)
         {
@@ -541,7 +541,7 @@
   leaving_check (&records, faults, nfaults, traffic_start);
   notices_check (cluster, requests, faults, nfaults, traffic_start);
   sk_limits_check (cluster, requests, faults, nfaults, traffic_start);
-  sk_parts_check (cluster, requests, faults, nfaults, traffic_start);
+  sk_crashes_check (cluster, requests, faults, nfaults, traffic_start);
   free (records.list);
   outcomes_print (requests);
   printf ("ran=%u ", HASH_COUNT (by_id));
--- a/soak/check_parts.c
+++ b/soak/check_crashes.c
@@ -3,8 +3,9 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Checks that few requests with a part that crashes engines are sent once it
- * has crashed five of them, against what the engines recorded.
+ * Checks that few requests that crash endpoints are sent once they have
+ * crashed some, against what the endpoints recorded, and that no other request
+ * is refused as one of them.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -14,9 +15,10 @@
 #include "soak.h"
 
 #define LINE_MAX_BYTES 1024
-/* From the fifth crash on, hosts have this long to learn of it; then at most
-   LATE_MAX such requests may be sent. */
-#define CRASHES 5
+/* From the crash with this number on, hosts have CONTACT_TIME to learn of it;
+   then at most LATE_MAX such requests may be sent. */
+static const size_t crashes_max[]
+    = { [SK_CRASH_PARTS] = 5, [SK_CRASH_REQUEST] = 3 };
 #define CONTACT_TIME (3 * EL_SEC)
 #define LATE_MAX 3
 
@@ -72,7 +74,7 @@
         == 3)
       {
         run.request = request_find (requests, id);
-        if (!run.request || !run.request->crashes_engines)
+        if (!run.request || !run.request->crashes_endpoints)
           continue;
         out->list = el_grow (out->list, out->len + 1, sizeof *out->list);
         out->list[out->len++] = run;
@@ -112,16 +114,16 @@
   return run->request->host_restarted;
 }
 
-/** Whether a request with such a part crashed an engine in the time. */
+/** Whether such a request crashed an endpoint in the time. */
 int
-sk_part_crashed (const sk_cluster_t *cluster, const sk_requests_t *requests,
-                 el_time_t from, el_time_t to)
+sk_request_crashed (const sk_cluster_t *cluster, const sk_requests_t *requests,
+                    el_time_t from, el_time_t to)
 {
   part_runs_t runs = { NULL, 0 };
   int crashed = 0;
   size_t i;
 
-  if (!cluster->crash_parts)
+  if (!cluster->crash)
     return 0;
   parts_read (cluster, requests, &runs);
   for (i = 0; i < runs.len; i++)
@@ -130,32 +132,48 @@
   return crashed;
 }
 
-/** Check the requests with a part that crashes engines. */
+/* Check that no sound request was refused as one that crashes endpoints. */
+static void
+sound_check (const sk_requests_t *requests)
+{
+  size_t refused = 0;
+  size_t i;
+
+  for (i = 0; i < requests->len; i++)
+    if (requests->list[i].refused_as_crashing
+        && !requests->list[i].crashes_endpoints && refused++ == 0)
+      sk_violation ("sound", requests->list[i].id,
+                    "refused as one that crashes endpoints");
+  printf ("sound_refused=%zu ", refused);
+}
+
+/** Check the requests that crash endpoints. */
 void
-sk_parts_check (const sk_cluster_t *cluster, const sk_requests_t *requests,
-                const sk_fault_t *faults, size_t nfaults,
-                el_time_t traffic_start)
+sk_crashes_check (const sk_cluster_t *cluster, const sk_requests_t *requests,
+                  const sk_fault_t *faults, size_t nfaults,
+                  el_time_t traffic_start)
 {
   part_runs_t runs = { NULL, 0 };
-  el_time_t fifth = EL_TIME_NEVER - CONTACT_TIME;
+  el_time_t last = EL_TIME_NEVER - CONTACT_TIME;
   size_t crashes = 0;
   size_t late = 0;
   size_t i;
 
-  if (!cluster->crash_parts)
+  if (!cluster->crash)
     return;
   parts_read (cluster, requests, &runs);
   for (i = 0; i < runs.len; i++)
     {
-      if (!engine_seen (&runs, i) && ++crashes == CRASHES)
-        fifth = runs.list[i].time;
-      if (runs.list[i].time > fifth + CONTACT_TIME
+      if (!engine_seen (&runs, i) && ++crashes == crashes_max[cluster->crash])
+        last = runs.list[i].time;
+      if (runs.list[i].time > last + CONTACT_TIME
           && !run_excused (&runs.list[i], faults, nfaults, traffic_start)
           && ++late > LATE_MAX)
-        sk_violation ("parts", runs.list[i].request->id,
+        sk_violation ("crashes", runs.list[i].request->id,
                       "reached %s, %zu late after %zu crashes",
                       runs.list[i].endpoint_id, late, crashes);
     }
-  printf ("part_crashes=%zu part_late=%zu ", crashes, late);
+  printf ("crashes=%zu late=%zu ", crashes, late);
+  sound_check (requests);
   free (runs.list);
 }
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -86,15 +86,19 @@
                          engine ? "half" : "",
                          "--step-us",
                          "10000",
-                         "--announce",
-                         link,
                          "--record",
                          record,
+                         "--announce",
+                         link,
                          NULL };
+  const size_t nargs = sizeof args / sizeof *args;
 
   snprintf (name, sizeof name, "m%u", i);
   snprintf (record, sizeof record, "%s/runs", cluster->dir);
   link_address (cluster, SK_HOSTS + i, link);
+  /* The proxy accepts connections to a worker that has crashed. */
+  if (cluster->crash == SK_CRASH_REQUEST && !engine)
+    args[nargs - 3] = NULL;
   sk_proc_start (cluster, proc, name, args);
 }
 
@@ -185,7 +189,8 @@
 
 /** Start all processes and wait until all hosts are ready. */
 void
-sk_cluster_start (sk_cluster_t *cluster, const char *bin, const char *dir)
+sk_cluster_start (sk_cluster_t *cluster, const char *bin, const char *dir,
+                  sk_crash_t crash)
 {
   char link[SK_ADDRESS_MAX];
   char ready[SK_ADDRESS_MAX];
@@ -193,6 +198,7 @@
 
   memset (cluster, 0, sizeof *cluster);
   cluster->bin = bin;
+  cluster->crash = crash;
   snprintf (cluster->dir, sizeof cluster->dir, "%s", dir);
   cluster->subnet = (unsigned)getpid ();
   address_format (cluster, OCTET_STORE, cluster->store.address);
@@ -270,7 +276,7 @@
     {
       sk_proc_t *endpoint = &cluster->endpoints[i];
 
-      if (cluster->crash_parts)
+      if (cluster->crash)
         endpoint_reap (endpoint);
       if (endpoint->deregister_at && now >= endpoint->deregister_at)
         endpoint_deregister (cluster, endpoint);
--- a/soak/main.c
+++ b/soak/main.c
@@ -36,6 +36,7 @@
   int copies;
   int limits;
   int parts;
+  int crashes;
 } soak_settings_t;
 
 #define FIELD(field) offsetof (soak_settings_t, field)
@@ -64,6 +65,8 @@
     "have all endpoints name rate limits, in place of most faults" },
   { "parts", EL_SETTING_FLAG, FIELD (parts), "0", 0, 1, 0, NULL,
     "send prompts with a part that crashes engines, in place of most faults" },
+  { "crashes", EL_SETTING_FLAG, FIELD (crashes), "0", 0, 1, 0, NULL,
+    "send a request that crashes all workers, in place of most faults" },
 };
 
 /* Start and end the faults that are due. */
@@ -151,8 +154,9 @@
   el_time_t length = set->seconds * EL_SEC;
   size_t nfaults = set->copies   ? sk_plan_rollbacks (seed, length, faults)
                    : set->limits ? sk_plan_limits (seed, length, faults)
-                   : set->parts  ? sk_plan_parts (seed, length, faults)
-                                 : sk_plan (seed, length, faults);
+                   : set->parts || set->crashes
+                       ? sk_plan_crashes (seed, length, faults)
+                       : sk_plan (seed, length, faults);
   sk_callers_t *callers;
   sk_cluster_t cluster;
   el_time_t traffic_start;
@@ -162,8 +166,10 @@
   if (set->asks)
     nfaults += sk_plan_notices (seed, length, &faults[nfaults]);
   seed_dir_prepare (set, seed, dir, sizeof dir);
-  sk_cluster_start (&cluster, set->bin, dir);
-  cluster.crash_parts = set->parts;
+  sk_cluster_start (&cluster, set->bin, dir,
+                    set->parts     ? SK_CRASH_PARTS
+                    : set->crashes ? SK_CRASH_REQUEST
+                                   : SK_CRASH_NONE);
   recovery_check (&cluster, &requests); /* waits until layers are placed */
   callers
       = sk_callers_start (&cluster, &requests, (unsigned)set->callers, seed);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -240,10 +240,10 @@
   return plan_beside (&random, length, out, n);
 }
 
-/** The same with parts of prompts that crash engines, in place of most other
+/** The same with requests that crash endpoints, in place of most other
     faults. */
 size_t
-sk_plan_parts (uint64_t seed, el_time_t length, sk_fault_t *out)
+sk_plan_crashes (uint64_t seed, el_time_t length, sk_fault_t *out)
 {
   uint64_t random = (seed << 2) ^ 0x165667b1;
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -92,7 +92,7 @@
 size_t sk_plan_rollbacks (uint64_t seed, el_time_t length, sk_fault_t *out);
 size_t sk_plan_notices (uint64_t seed, el_time_t length, sk_fault_t *out);
 size_t sk_plan_limits (uint64_t seed, el_time_t length, sk_fault_t *out);
-size_t sk_plan_parts (uint64_t seed, el_time_t length, sk_fault_t *out);
+size_t sk_plan_crashes (uint64_t seed, el_time_t length, sk_fault_t *out);
 
 /* The proxy, which runs in its own thread. */
 
@@ -142,14 +142,15 @@
                                  came; either process may have accepted it */
   el_time_t sent;
   el_time_t done;
-  long status;            /**< 0: none */
-  int complete;           /**< the response was received to its end */
-  int has_seal;           /**< the response bears an endpoint's seal */
-  int has_own_id;         /**< the response bears this request's id */
-  unsigned resumed_after; /**< number of the last event received before */
-  unsigned last_event;    /**< number of the last event received */
-  int crashes_engines;    /**< a part of its prompt does */
-  int out_of_order;       /**< an event was missing, repeated or foreign */
+  long status;             /**< 0: none */
+  int complete;            /**< the response was received to its end */
+  int has_seal;            /**< the response bears an endpoint's seal */
+  int has_own_id;          /**< the response bears this request's id */
+  unsigned resumed_after;  /**< number of the last event received before */
+  unsigned last_event;     /**< number of the last event received */
+  int crashes_endpoints;   /**< it does, or a part of its prompt */
+  int refused_as_crashing; /**< the response says that it does */
+  int out_of_order;        /**< an event was missing, repeated or foreign */
 } sk_request_t;
 
 /** All requests of a run; entries are added under the lock. */
@@ -185,13 +186,21 @@
   SK_PORTS
 } sk_port_t;
 
+/** What crashes endpoints. */
+typedef enum sk_crash
+{
+  SK_CRASH_NONE,
+  SK_CRASH_PARTS,  /**< a part of prompts crashes engines */
+  SK_CRASH_REQUEST /**< one request crashes all workers */
+} sk_crash_t;
+
 /** The processes under test and the links between them. */
 typedef struct sk_cluster
 {
   char dir[256]; /**< logs and the record of the endpoints */
   const char *bin;
-  int crash_parts; /**< prompts have parts, some of which crash engines */
-  unsigned subnet; /**< selects the loopback addresses of this run */
+  sk_crash_t crash; /**< what callers send that crashes endpoints */
+  unsigned subnet;  /**< selects the loopback addresses of this run */
   sk_proxy_t *proxy;
   sk_proc_t store;
   sk_proc_t hosts[SK_HOSTS];
@@ -210,8 +219,8 @@
 void sk_proc_pause (sk_proc_t *proc, int on);
 void sk_proc_reap (sk_proc_t *proc, const char *what, unsigned i);
 
-void sk_cluster_start (sk_cluster_t *cluster, const char *bin,
-                       const char *dir);
+void sk_cluster_start (sk_cluster_t *cluster, const char *bin, const char *dir,
+                       sk_crash_t crash);
 void sk_cluster_tick (sk_cluster_t *cluster, el_time_t now);
 void sk_cluster_clear_faults (sk_cluster_t *cluster);
 void sk_cluster_stop (sk_cluster_t *cluster);
@@ -258,12 +267,12 @@
 void sk_limits_check (const sk_cluster_t *cluster,
                       const sk_requests_t *requests, const sk_fault_t *faults,
                       size_t nfaults, el_time_t traffic_start);
-void sk_parts_check (const sk_cluster_t *cluster,
-                     const sk_requests_t *requests, const sk_fault_t *faults,
-                     size_t nfaults, el_time_t traffic_start);
-int sk_part_crashed (const sk_cluster_t *cluster,
-                     const sk_requests_t *requests, el_time_t from,
-                     el_time_t to);
+void sk_crashes_check (const sk_cluster_t *cluster,
+                       const sk_requests_t *requests, const sk_fault_t *faults,
+                       size_t nfaults, el_time_t traffic_start);
+int sk_request_crashed (const sk_cluster_t *cluster,
+                        const sk_requests_t *requests, el_time_t from,
+                        el_time_t to);
 int sk_fault_excuses (const sk_fault_t *fault, unsigned host,
                       unsigned endpoint);
 int sk_host_restarted_during (const sk_requests_t *requests, const char *id);
