An order that crashes all engines of a site without other endpoints is withdrawn

What operators saw: where no plain service stands beside the engines, the planner gave an order that crashes each engine again and again.

Now that is erased only when another host reaches the service, and counts once this host reaches it again, the endpoint is no longer listed, or no other host reaches it.

Evidence: test_order_that_crashes_all_endpoints_is_withdrawn failed before (12 engines ended, 8 allowed) and is red again with the refusals erased at the cut. Partition suite 28 of 28.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -258,6 +258,7 @@
 void gt_relays_persist_blocked (gt_relays_t *relays);
 int gt_relays_is_cut_off (gt_relays_t *relays);
 int gt_relays_is_cut_off_from_engines (const gt_relays_t *relays);
+int gt_relays_refusal_counts (gt_relays_t *relays, const rt_target_t *target);
 int gt_relays_rules_outdated (const gt_relays_t *relays);
 void gt_relays_drain_connections (gt_relays_t *relays);
 void gt_relays_stop (gt_relays_t *relays);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -225,6 +225,8 @@
 void relay_reach_check_lost (gt_relays_t *relays, rt_target_t *target);
 void relay_reach_prove (gt_relays_t *relays, rt_target_t *target);
 int relay_reach_is_cut_off (gt_relays_t *relays, el_str_t service);
+void relay_reach_retract_refusals (gt_relays_t *relays,
+                                   const relay_service_t *service);
 
 /* Endpoints in a sample. */
 #define RELAY_REACH_SAMPLE 3
@@ -241,6 +243,8 @@
 /* relay_survey.c */
 void relay_survey_begin (gt_relays_t *relays, relay_service_t *service);
 void relay_survey_tick (gt_relays_t *relays, el_time_t now);
+int relay_survey_is_host (const relay_service_t *service);
+int relay_survey_is_endpoints (const relay_service_t *service);
 
 /* relay_forward.c */
 int relay_forward_read (gt_relay_t *relay);
--- a/gate/planner.c
+++ b/gate/planner.c
@@ -137,7 +137,8 @@
     if (order->crashed || order->finished)
       continue;
     if (target->refused_at >= order->sent_at
-        && target->refused_at < order->sent_at + CRASH_WINDOW)
+        && target->refused_at < order->sent_at + CRASH_WINDOW
+        && gt_relays_refusal_counts (relays, target))
       {
         order->crashed = 1;
         gt_relays_order_crashed (relays, &planner->failures, &order->order);
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -183,7 +183,7 @@
   engine->reported_silent = 0;
   engine->avail.silent = !answered;
   if (result == GT_CHECK_REFUSED && !engine->refused_at
-      && !gt_relays_is_cut_off (relays))
+      && !relay_survey_is_host (relay_service (relays, engine->attrs.service)))
     engine->refused_at = check->sent;
   if (answered)
     engine->refused_at = 0;
--- a/gate/relay_pick.c
+++ b/gate/relay_pick.c
@@ -61,7 +61,7 @@
     return RELAY_PICK_NONE;
   if (!cut_off && !target && !service->lost)
     return RELAY_PICK_NONE;
-  if (cut_off && service->survey.cause == RT_REACH_CAUSE_ENDPOINTS)
+  if (relay_survey_is_endpoints (service))
     return RELAY_PICK_UNREACHED;
   if (relay_forward_pick (relay))
     {
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -80,7 +80,7 @@
 
   for (service = relays->services; service; service = service->hh.next)
     if (service->engines && service->reach.lost_at
-        && service->survey.cause != RT_REACH_CAUSE_ENDPOINTS
+        && !relay_survey_is_endpoints (service)
         && now >= service->reach.lost_at + CUT_SETTLED)
       return 1;
   return 0;
@@ -105,26 +105,43 @@
     }
 }
 
-/* Takes back what this host concluded of endpoints that it does not reach.
-   Other hosts may have been told that engines are silent. */
+/* Other hosts may have been told that engines are silent: they are told that
+   this one reaches none. */
 static void
-reach_retract (gt_relays_t *relays, relay_service_t *service)
+reach_retract_silence (gt_relays_t *relays, const relay_service_t *service)
 {
   el_time_t now = net_clock_now (relays->options.clock);
-  int reaches_none = gt_relays_is_cut_off (relays);
+  rt_target_t *target;
+
+  for (target = rt_fleet_first (relays->options.fleet); target;
+       target = target->hh.next)
+    if (target->avail.silent && reach_service (relays, target) == service)
+      target->news_at = now;
+}
+
+/** This host is cut off from SERVICE: that its endpoints refuse connections
+    shows nothing. */
+void
+relay_reach_retract_refusals (gt_relays_t *relays,
+                              const relay_service_t *service)
+{
   rt_target_t *target;
 
   for (target = rt_fleet_first (relays->options.fleet); target;
        target = target->hh.next)
     if (reach_service (relays, target) == service)
-      {
-        /* If this host reaches other services, the engines may have crashed
-           under the planner's orders. */
-        if (reaches_none)
-          target->refused_at = 0;
-        if (target->avail.silent)
-          target->news_at = now;
-      }
+      target->refused_at = 0;
+}
+
+/** Whether refused connections show that TARGET crashed: this host reaches its
+    service, or no host does, or TARGET is no longer listed. */
+int
+gt_relays_refusal_counts (gt_relays_t *relays, const rt_target_t *target)
+{
+  const relay_service_t *service = reach_service (relays, target);
+
+  return target->avail.gone || !service->reach.lost_at
+         || relay_survey_is_endpoints (service);
 }
 
 static void
@@ -143,7 +160,7 @@
   relay_runs_doubt (relays, el_str (service->name));
   service->survey.cause = RT_REACH_CAUSE_UNKNOWN;
   relay_survey_begin (relays, service);
-  reach_retract (relays, service);
+  reach_retract_silence (relays, service);
   reach_move_requests (relays, service);
 }
 
--- a/gate/relay_survey.c
+++ b/gate/relay_survey.c
@@ -38,6 +38,22 @@
         [RT_REACH_CAUSE_HOST] = "host",
         [RT_REACH_CAUSE_ENDPOINTS] = "endpoints" };
 
+/** Whether this host reaches no endpoint of SERVICE as it is cut off. */
+int
+relay_survey_is_host (const relay_service_t *service)
+{
+  return service->reach.lost_at
+         && service->survey.cause == RT_REACH_CAUSE_HOST;
+}
+
+/** Whether this host reaches no endpoint of SERVICE as they are gone. */
+int
+relay_survey_is_endpoints (const relay_service_t *service)
+{
+  return service->reach.lost_at
+         && service->survey.cause == RT_REACH_CAUSE_ENDPOINTS;
+}
+
 static void
 survey_log (const gt_relays_t *relays, const relay_service_t *service,
             unsigned hosts)
@@ -70,7 +86,11 @@
   if (rt_reach_survey_add (&service->survey, hosts, reply))
     service->surveying = 0;
   if (service->survey.cause != before)
-    survey_log (call->relays, service, hosts);
+    {
+      survey_log (call->relays, service, hosts);
+      if (relay_survey_is_host (service))
+        relay_reach_retract_refusals (call->relays, service);
+    }
   if (service->surveying)
     return;
   if (relay_runs_has_unasked (call->relays, el_str (service->name)))
--- a/tests/site.c
+++ b/tests/site.c
@@ -441,7 +441,7 @@
   site_put_config (1, "[\"" CUSTOMER_KEY "\"]");
   for (i = 0; i < SITE_ENGINES; i++)
     site_engine_start (i);
-  for (i = 0; i < SITE_WORKERS; i++)
+  for (i = 0; i < SITE_WORKERS && !site.no_workers; i++)
     site_worker_start (i);
   for (i = 0; i < nhosts; i++)
     site_host_start (i);
--- a/tests/site.h
+++ b/tests/site.h
@@ -30,6 +30,7 @@
   const char *step_us;    /* time between two events */
   const char *max_layers; /* engines crash on an order for more layers; NULL:
                              no limit */
+  int no_workers;         /* only engines are started */
   int keep_ids;         /* engines and workers keep their ids over a restart */
   char record_file[64]; /* file of the store; empty: not persistent */
   char engine_ids[SITE_ENGINES][96];
--- a/tests/t_crash.c
+++ b/tests/t_crash.c
@@ -472,15 +472,14 @@
 /* The memory size that operators configured for the card is wrong: each engine
    crashes on its order and restarts empty. The planner stops sending the
    order, and so does the planner that takes over. */
-START_TEST (test_order_that_crashes_engines_is_withdrawn)
+static void
+assert_order_withdrawn (void)
 {
   size_t ended = 0;
   size_t last;
   size_t i;
   int no_crash;
 
-  site.max_layers = "1";
-  site_start_unplaced (2);
   for (no_crash = 0; no_crash < NO_CRASH_STEPS; no_crash++)
     {
       last = ended;
@@ -501,6 +500,23 @@
       poll_sleep ();
     }
 }
+
+START_TEST (test_order_that_crashes_engines_is_withdrawn)
+{
+  site.max_layers = "1";
+  site_start_unplaced (2);
+  assert_order_withdrawn ();
+}
+END_TEST
+
+/* There is no other endpoint that the hosts reach. */
+START_TEST (test_order_that_crashes_all_endpoints_is_withdrawn)
+{
+  site.max_layers = "1";
+  site.no_workers = 1;
+  site_start_unplaced (2);
+  assert_order_withdrawn ();
+}
 END_TEST
 
 /* The payment hangs at a worker, which is then killed. Returns the number of
@@ -587,6 +603,7 @@
   ADD (tcase, test_streams_beside_a_crashing_request_are_complete);
   ADD (tcase, test_operator_unblocks_request);
   ADD (tcase, test_order_that_crashes_engines_is_withdrawn);
+  ADD (tcase, test_order_that_crashes_all_endpoints_is_withdrawn);
   ADD_LOOP (tcase, test_request_that_succeeded_elsewhere_is_not_blocked, 2);
   suite_add_tcase (suite, tcase);
   return suite;
