--- a/peer/peer_reach.c
+++ b/peer/peer_reach.c
@@ -10,8 +10,8 @@
 
 #include "libpeer.h"
 
-/* Hosts that are asked, drawn at random. A cut may concern most hosts: that all
-   of a few reach no endpoint would say little. */
+/* Hosts that are asked, drawn at random. A cut may concern most hosts: that
+   all of a few reach no endpoint would say little. */
 #define HOSTS_ASKED 8
 /* A connection opens within a few milliseconds or not within a tenth of a
    second; the rest is for the messages. */
