--- a/gate/relay_block.c
+++ b/gate/relay_block.c
@@ -37,7 +37,7 @@
           EL_FN ("causes", block->n), EL_FC ("by", by),
           EL_FN ("ends", status->crashes),
           EL_FN ("odds", (uint64_t)status->odds),
-          EL_FN ("holds", status->holds),
+          EL_FN ("holds", status->holds), EL_FN ("new", status->taken_for_new),
           EL_FN ("left_us", status->blocked_until - now));
   for (i = 0; i < block->n; i++)
     rt_blame_visit_crashes (relay_blame_table (relays), block->causes[i],
--- a/route/blame.h
+++ b/route/blame.h
@@ -109,6 +109,8 @@
   double odds;             /**< odds that it caused them */
   el_time_t blocked_until; /**< end of the current or last block */
   unsigned holds;          /**< how often it has been blocked */
+  int taken_for_new; /**< its last block took it for a part of prompts that had
+                        not run well yet */
   int unconfirmed;   /**< only one host reported the newest of these crashes */
   int prime_suspect; /**< no cause at the newest crash has far higher odds */
   rt_digest_t cause; /**< what it is blocked for; 0: not blocked */
--- a/route/blame_status.c
+++ b/route/blame_status.c
@@ -166,6 +166,7 @@
   uint64_t customer;
   el_time_t last_crash;
   double odds;
+  int is_new; /* the leader is a part that has not run well yet */
 } class_verdict_t;
 
 /* Find classes that are to be blocked and are not yet; return their number, at
@@ -187,6 +188,8 @@
     out[n].customer = cause->customer->key;
     out[n].last_crash = cause_last_crash (cause);
     out[n].odds = cause->odds;
+    out[n].is_new = cause->kind != RT_CAUSE_REQUEST
+                    && !blame_is_proven (blame, cause->digest);
     known = blame_cause_find (blame, out[n].block.id);
     n += !known || !known->blocked_until;
   }
@@ -211,6 +214,7 @@
         {
           cause = blame_block_get (blame, &found[i].block, found[i].customer);
           cause->odds = found[i].odds;
+          cause->taken_for_new = found[i].is_new;
           if (cause->last_report_at < found[i].last_crash)
             cause->last_report_at = found[i].last_crash;
           cause_block (cause, now, found[i].last_crash, blocked, arg);
@@ -269,6 +273,7 @@
                             .odds = cause->odds,
                             .blocked_until = cause->blocked_until,
                             .holds = cause->holds,
+                            .taken_for_new = cause->taken_for_new,
                             .unconfirmed = cause_is_unconfirmed (cause),
                             .prime_suspect = cause_is_prime_suspect (cause) };
 
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -82,6 +82,8 @@
   el_time_t cleared_at;     /* crashes up to this time do not count */
   el_time_t blocked_until;  /* end of its block; 0: none, or it was lifted */
   unsigned holds;           /* how often it has been blocked */
+  int taken_for_new; /* its last block took it for a part that had not run well
+                        yet */
   double odds;
   /* Parts of prompts with the same crashes form a class, which is scored once.
      Its leader is the likeliest culprit: one that never ran well, and that the
--- a/tests/part_sim.c
+++ b/tests/part_sim.c
@@ -41,6 +41,8 @@
 /* Crashing parts come from then on. */
 #define WARM_UP (8 * EL_SEC)
 #define MAX_TRIALS 64
+/* One in so many of the requests that an idle host would take. */
+#define IDLE_ONE_IN 30
 
 typedef struct part_engine
 {
@@ -607,6 +609,18 @@
     }
 }
 
+/* Draw the host that takes a request. */
+static size_t
+host_draw (part_sim_t *sim)
+{
+  const part_options_t *o = &sim->options;
+  size_t host = el_random (&sim->rng) % o->hosts;
+
+  if (host >= o->idle_hosts || el_random (&sim->rng) % IDLE_ONE_IN == 0)
+    return host;
+  return o->idle_hosts + el_random (&sim->rng) % (o->hosts - o->idle_hosts);
+}
+
 static void
 stream_add (part_sim_t *sim)
 {
@@ -641,7 +655,7 @@
                                   .customer = part_id (1, customer),
                                   .parts = stream->parts,
                                   .nparts = n };
-  stream->host = el_random (&sim->rng) % o->hosts;
+  stream->host = host_draw (sim);
   stream->waiting = 1;
   stream->born = sim->now;
   stream->at = sim->now;
--- a/tests/part_sim.h
+++ b/tests/part_sim.h
@@ -29,6 +29,7 @@
   int requests_only; /* parts are no causes */
   int no_trials;     /* requests with a suspect part are not sent singly */
   size_t hosts;
+  size_t idle_hosts; /* of these, hosts that take few requests */
   size_t engines;
   size_t customers;
   double rate;          /* requests per second */
--- a/tests/t_parts.c
+++ b/tests/t_parts.c
@@ -460,6 +460,33 @@
 }
 END_TEST
 
+/* Some hosts take few requests and have not seen most parts run well: no sound
+   request is refused as crashing. */
+START_TEST (test_parts_sound_ones_are_not_blocked_by_idle_hosts)
+{
+  part_options_t options = { .hosts = 9,
+                             .idle_hosts = 4,
+                             .engines = 6,
+                             .customers = 10,
+                             .rate = 62,
+                             .bad_share = 0.08,
+                             .bad_parts = 1,
+                             .bad_customers = 5,
+                             .place = PART_MIDDLE,
+                             .seconds = 30 };
+  part_result_t result;
+  size_t blocked = 0;
+
+  for (options.seed = 1; options.seed <= SEEDS; options.seed++)
+    {
+      result = part_sim_run (&options);
+      blocked += result.sound_blocked;
+      ck_assert_uint_eq (result.blocked_parts, 1);
+    }
+  ck_assert_uint_eq (blocked, 0);
+}
+END_TEST
+
 Suite *
 parts_suite (void)
 {
@@ -483,6 +510,7 @@
   ADD (tcase, test_crash_fact_with_most_parts_fits_a_rumor);
   ADD (tcase, test_block_fact_of_several_parts_is_decoded);
   ADD_LOOP (tcase, test_parts_simulations_keep_the_send_bound, SEEDS);
+  ADD (tcase, test_parts_sound_ones_are_not_blocked_by_idle_hosts);
   suite_add_tcase (suite, tcase);
   return suite;
 }
