--- a/standin/member.c
+++ b/standin/member.c
@@ -37,6 +37,8 @@
 #define CRASH_PART "deadbeef"
 /* Time from the start of a request that crashes the process to its exit. */
 #define CRASH_DELAY (20 * EL_MSEC)
+/* The same after POST /crash-late. */
+#define LATE_CRASH_DELAY (300 * EL_MSEC)
 /* With POST /linger the process first aborts its streams, then keeps its port
    open for this time without answering. */
 #define LINGER_TIME (300 * EL_MSEC)
@@ -74,6 +76,7 @@
   char id[64];
   uint64_t born;          /* start time, in Unix milliseconds */
   el_timer_t crash_timer; /* set while a request with the marker runs */
+  int crash_late;         /* crash some time after the request started */
   int linger;             /* abort streams before exiting */
   int unframed;           /* streams have neither a length nor chunks */
   int unresponsive;
@@ -266,7 +269,8 @@
     return 0;
   member->crash_timer.cb = member_crash;
   member->crash_timer.arg = member;
-  net_clock_set (&member->process->clock, &member->crash_timer, CRASH_DELAY);
+  net_clock_set (&member->process->clock, &member->crash_timer,
+                 member->crash_late ? LATE_CRASH_DELAY : CRASH_DELAY);
   return 1;
 }
 
@@ -499,6 +503,13 @@
   net_req_reply (req, 204, EL_STR (""), EL_STR (""));
 }
 
+static void
+serve_crash_late (member_t *member, h2o_req_t *req)
+{
+  member->crash_late = 1;
+  net_req_reply (req, 204, EL_STR (""), EL_STR (""));
+}
+
 static void
 serve_linger (member_t *member, h2o_req_t *req)
 {
@@ -668,6 +679,7 @@
   { EL_STR ("/elmarch/report"), serve_report },
   { EL_STR ("/stall"), serve_stall },
   { EL_STR ("/leave"), serve_leave },
+  { EL_STR ("/crash-late"), serve_crash_late },
   { EL_STR ("/linger"), serve_linger },
   { EL_STR ("/unframed"), serve_unframed },
   { EL_STR ("/rest"), serve_backoff },
--- a/tests/t_crash.c
+++ b/tests/t_crash.c
@@ -18,10 +18,13 @@
  *   event=attempt_failed endpoint=i-8163cdb62c net=broken status=200
  *     attempt=2 events=0 next=fail
  */
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "site.h"
 #include "test.h"
@@ -469,6 +472,97 @@
 }
 END_TEST
 
+static void
+workers_crash_late (void)
+{
+  reply_t reply;
+  size_t i;
+
+  for (i = 0; i < SITE_WORKERS; i++)
+    {
+      http_request ("POST", site.workers[i].address, "/crash-late", "{}", NULL,
+                    &reply);
+      reply_free (&reply);
+    }
+}
+
+/* Sends the crashing request to HOST. */
+static int
+crashing_request_send (size_t host, size_t number)
+{
+  const char *address = site.entry_addrs[host].address;
+  const char *port = strchr (address, ':') + 1;
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)atoi (port)) };
+  char text[256];
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  snprintf (text, sizeof text, "%.*s", (int)(port - 1 - address), address);
+  inet_pton (AF_INET, text, &addr.sin_addr);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&addr, sizeof addr), 0);
+  snprintf (text, sizeof text,
+            "POST /pay/x HTTP/1.1\r\nhost: rel.example\r\n"
+            "authorization: Bearer " CUSTOMER_KEY "\r\n"
+            "x-elmarch-request-id: l%zu\r\ncontent-length: %zu\r\n\r\n%s",
+            number, strlen (CRASHING_BODY), CRASHING_BODY);
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+  return fd;
+}
+
+/* Waits until a request runs at a worker, and returns its number, or until the
+   response arrives on FD, and returns SITE_WORKERS. */
+static size_t
+worker_wait_run (int fd)
+{
+  char byte;
+  size_t worker;
+  size_t i;
+
+  for (i = 0; i < WAIT_STEPS_MAX; i++)
+    {
+      for (worker = 0; worker < SITE_WORKERS; worker++)
+        if (member_value (&site.workers[worker], "runs"))
+          return worker;
+      if (recv (fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 1)
+        return SITE_WORKERS;
+      poll_sleep ();
+    }
+  ck_abort_msg ("neither run nor answered");
+}
+
+/* Each caller leaves as soon as its request runs, and the worker, which goes
+   on, crashes a moment later: such runs count, too. */
+START_TEST (test_request_that_crashes_workers_after_its_caller_left_is_blocked)
+{
+  reply_t reply;
+  size_t ended = 0;
+  size_t worker;
+  size_t i;
+  int fd;
+
+  site_start (2);
+  for (i = 0; i < ARRIVALS; i++)
+    {
+      workers_crash_late ();
+      fd = crashing_request_send (i % 2, i);
+      worker = worker_wait_run (fd);
+      close (fd);
+      if (worker == SITE_WORKERS)
+        continue;
+      ck_assert_uint_le (++ended, CRASHES_MAX + 1);
+      while (!site_workers_replace ())
+        poll_sleep ();
+    }
+  send_request_body (1, "/pay/x", CRASHING_BODY, "last", &reply);
+  ck_assert_int_eq (reply.status, 503);
+  ck_assert_ptr_nonnull (strstr (reply.body.ptr, "ends endpoints"));
+  reply_free (&reply);
+  send_request (0, "POST", "/pay/x", "innocent", &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+}
+END_TEST
+
 /* The memory size that operators configured for the card is wrong: each engine
    crashes on its order and restarts empty. The planner stops sending the
    order, and so does the planner that takes over. */
@@ -599,6 +693,8 @@
   ADD (tcase, test_crash_of_a_worker_is_found_without_another_request);
   ADD (tcase, test_request_that_crashes_workers_is_blocked);
   ADD (tcase, test_request_that_crashes_all_workers_is_blocked);
+  ADD (tcase,
+       test_request_that_crashes_workers_after_its_caller_left_is_blocked);
   ADD (tcase, test_blocked_request_is_known_to_hosts_that_start);
   ADD (tcase, test_streams_beside_a_crashing_request_are_complete);
   ADD (tcase, test_operator_unblocks_request);
