Runs that a host cancels count if their endpoint crashes

Cause: what a host knew of a run stood in its exchange and went when the host cancelled it; the endpoint runs on for a while and crashes then. The class: evidence that is kept with a resource is lost with whoever gives the resource up, while what it is evidence of goes on elsewhere.

Change: cancelled runs are kept like interrupted ones, until the endpoint answers something begun half a second later, or turns out to have crashed; an endpoint of a suspect is connected to once then. The soak's callers of a crashing request leave in seven of eight.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -121,6 +121,8 @@
                         endpoint of the service was reached */
   uint64_t doubts_confirmed; /**< of these, the endpoint had crashed */
   uint64_t doubts_cleared;   /**< of these, it had not */
+  uint64_t runs_forgotten;   /**< runs dropped undecided, as there were too
+                                many */
   uint64_t surveys; /**< times that other hosts were asked what they reach */
   uint64_t blocked; /**< requests blocked because they crash endpoints */
   uint64_t refused_blocked; /**< arrivals of blocked requests, refused */
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -303,6 +303,45 @@
                                const relay_fact_t *fact);
 
 /* relay_runs.c */
+/* An answer that arrives later than this after the connection was lost may be
+   from the next instance at the same address. */
+#define RELAY_ALIVE_WINDOW (1 * EL_SEC)
+
+/* A run whose connection was lost, at an endpoint that may have crashed, or
+   that this host cancelled. */
+typedef struct relay_run
+{
+  rt_target_t *target;
+  rt_crash_report_t report;
+  int cancelled; /* by this host, at the time of the report */
+  int check;   /* of a cancelled run: connect to the endpoint once it must have
+                  noticed */
+  int checked; /* that was done */
+  el_time_t refused_at; /* the endpoint refuses connections since; 0: not */
+  int doubtful; /* this host reached no endpoint of the service: connects prove
+                   nothing */
+  int asked;    /* other hosts were asked whether the endpoint is alive */
+  struct relay_run *prev;
+  struct relay_run *next;
+} relay_run_t;
+
+typedef struct relay_runs
+{
+  relay_run_t *pending;
+  size_t npending;
+  size_t npending_refused; /* of these, runs whose endpoint refuses
+                              connections */
+  size_t ndoubtful;        /* of these, doubtful runs */
+  size_t ncancelled;       /* of these, cancelled runs */
+  el_timer_t check_timer;
+} relay_runs_t;
+
+void relay_pending_free (relay_runs_t *runs, relay_run_t *run);
+void relay_pending_expire (gt_relays_t *relays, el_time_t now);
+relay_run_t *relay_pending_add (gt_relays_t *relays, rt_target_t *target,
+                                const rt_crash_report_t *report);
+rt_crash_report_t relay_run_report (gt_relay_t *relay,
+                                    const rt_target_t *target, el_time_t now);
 void relay_runs_open (gt_relays_t *relays);
 void relay_runs_interrupted (gt_relay_t *relay, rt_target_t *target);
 int relay_runs_is_pending (gt_relays_t *relays, rt_digest_t digest);
@@ -319,6 +358,16 @@
 void relay_runs_connected (gt_relays_t *relays, const rt_target_t *target,
                            el_time_t begun);
 
+/* relay_cancelled.c */
+void relay_cancelled_add (gt_relay_t *relay);
+void relay_cancelled_check (gt_relays_t *relays, relay_run_t *run);
+void relay_cancelled_checks_due (void *arg, el_time_t now);
+void relay_cancelled_check_instance (gt_relays_t *relays,
+                                     const rt_instance_t *instance);
+void relay_cancelled_seen_alive (gt_relays_t *relays,
+                                 const rt_target_t *target, el_time_t since);
+int relay_cancelled_may_run (const relay_run_t *run, el_time_t at);
+
 /* relay_traits.c */
 el_str_t relay_host_name (const h2o_req_t *req);
 rt_digest_t relay_digest (gt_relay_t *relay);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -43,14 +43,23 @@
     }
 }
 
+static void
+attempt_cancel_exchange (gt_relay_t *relay)
+{
+  if (!relay->exchange)
+    return;
+  if (relay->target && net_exchange_is_sent (relay->exchange))
+    relay_cancelled_add (relay);
+  net_client_cancel (relay->exchange);
+  relay->exchange = NULL;
+}
+
 /** Cancels the current attempt, on this host and at the endpoint. */
 void
 relay_cancel_attempt (gt_relay_t *relay)
 {
   relay_watch_stop (relay);
-  if (relay->exchange)
-    net_client_cancel (relay->exchange);
-  relay->exchange = NULL;
+  attempt_cancel_exchange (relay);
   net_clock_cancel (relay->relays->options.clock, &relay->retry_timer);
   relay_limit_stop_waiting (relay);
   attempt_release (relay);
@@ -268,6 +277,8 @@
 
   if (result->net == NET_CONNECT_REFUSED)
     relay_runs_connect_refused (relays, relay->target);
+  if (attempt->answered)
+    relay_cancelled_seen_alive (relays, relay->target, relay->sent);
   /* A crash may have closed the connection in the middle of a plain answer. */
   if (attempt->answered && (relay->stream || !result->by_close))
     relay_blame_completed (relay);
@@ -469,8 +480,7 @@
   const net_result_t result = { .net = NET_CONNECTION_LOST };
 
   relay_watch_stop (relay);
-  net_client_cancel (relay->exchange);
-  relay->exchange = NULL;
+  attempt_cancel_exchange (relay);
   if (relay->target)
     rt_tried_add (&relay->tried, relay->target);
   relay_attempt_ended (relay, &attempt, &result);
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -167,6 +167,7 @@
     if (rt_blame_add_report (relays->blame->table, now, &fact->runs[i]))
       relay_blame_schedule_update (relays);
   check_unconfirmed_crash (relays, &fact->runs[0].instance);
+  relay_cancelled_check_instance (relays, &fact->runs[0].instance);
 }
 
 /** Handles a rumor that a cause ran well. */
--- a/gate/relay_runs.c
+++ b/gate/relay_runs.c
@@ -20,6 +20,8 @@
  * - It was not leaving, and is no longer listed or listed as another instance:
  *   it certainly crashed; decided after about three heartbeats.
  * - It refused a request, was slow, or was leaving: no evidence of a crash.
+ *
+ * Runs that this host cancelled are kept here, too (relay_cancelled.c).
  */
 #include <stdlib.h>
 #include <string.h>
@@ -34,41 +36,19 @@
 /* The same while the store does not answer. */
 #define PENDING_TIME_STORE_AWAY (120 * EL_SEC)
 #define PENDING_MAX 1024
+/* The same for cancelled runs. */
+#define CANCELLED_MAX 1024
 /* Endpoints in doubt are counted up to this number. */
 #define DOUBTS_COUNTED 4U
-/* An answer that arrives later than this after the connection was lost may be
-   from the next instance at the same address. */
-#define ALIVE_WINDOW (1 * EL_SEC)
-
-/* A run whose connection was lost, at an endpoint that may have crashed. */
-typedef struct pending_run
-{
-  rt_target_t *target;
-  rt_crash_report_t report;
-  el_time_t refused_at; /* the endpoint refuses connections since; 0: not */
-  int doubtful; /* this host reached no endpoint of the service: connects prove
-                   nothing */
-  int asked;    /* other hosts were asked whether the endpoint is alive */
-  struct pending_run *prev;
-  struct pending_run *next;
-} pending_run_t;
-
-typedef struct relay_runs
-{
-  pending_run_t *pending;
-  size_t npending;
-  size_t npending_refused; /* of these, runs whose endpoint refuses
-                              connections */
-  size_t ndoubtful;        /* of these, doubtful runs */
-} relay_runs_t;
 
-static void
-pending_free (relay_runs_t *runs, pending_run_t *run)
+void
+relay_pending_free (relay_runs_t *runs, relay_run_t *run)
 {
   DL_DELETE (runs->pending, run);
   runs->npending--;
   runs->npending_refused -= run->refused_at != 0;
   runs->ndoubtful -= run->doubtful != 0;
+  runs->ncancelled -= run->cancelled != 0;
   rt_target_unref (run->target);
   free (run);
 }
@@ -76,7 +56,7 @@
 /* Whether the store's list shows that the run's endpoint is alive, or the run
    has been pending for too long. */
 static int
-pending_expired (const gt_relays_t *relays, const pending_run_t *run,
+pending_expired (const gt_relays_t *relays, const relay_run_t *run,
                  el_time_t now)
 {
   el_time_t at = run->report.at;
@@ -85,35 +65,45 @@
          || at + PENDING_TIME_STORE_AWAY < now;
 }
 
-static void
-pending_expire (gt_relays_t *relays, el_time_t now)
+/* Whether there are too many runs of RUN's kind. */
+static int
+pending_is_excess (const relay_runs_t *runs, const relay_run_t *run)
+{
+  return run->cancelled ? runs->ncancelled > CANCELLED_MAX
+                        : runs->npending - runs->ncancelled > PENDING_MAX;
+}
+
+void
+relay_pending_expire (gt_relays_t *relays, el_time_t now)
 {
   relay_runs_t *runs = relays->runs;
-  pending_run_t *run;
-  pending_run_t *next;
+  relay_run_t *run;
+  relay_run_t *next;
+  int excess;
 
   DL_FOREACH_SAFE (runs->pending, run, next)
-  if (runs->npending > PENDING_MAX || pending_expired (relays, run, now))
-    {
-      relays->counts.doubts_cleared += run->doubtful != 0;
-      pending_free (runs, run);
-    }
+  {
+    excess = pending_is_excess (runs, run);
+    if (!excess && !pending_expired (relays, run, now))
+      continue;
+    relays->counts.runs_forgotten += excess != 0;
+    relays->counts.doubts_cleared += run->doubtful != 0;
+    relay_pending_free (runs, run);
+  }
 }
 
-static void
-pending_add (gt_relays_t *relays, rt_target_t *target,
-             const rt_crash_report_t *report, int doubtful)
+relay_run_t *
+relay_pending_add (gt_relays_t *relays, rt_target_t *target,
+                   const rt_crash_report_t *report)
 {
   relay_runs_t *runs = relays->runs;
-  pending_run_t *run = el_alloc (sizeof *run);
+  relay_run_t *run = el_alloc (sizeof *run);
 
   run->target = rt_target_ref (target);
   run->report = *report;
-  run->doubtful = doubtful;
-  runs->ndoubtful += doubtful != 0;
   DL_APPEND (runs->pending, run);
   runs->npending++;
-  pending_expire (relays, report->at);
+  return run;
 }
 
 /* Counts and logs a run that only the store's list decides. */
@@ -131,37 +121,51 @@
       EL_FN ("age_us", net_clock_now (relays->options.clock) - report->at));
 }
 
-/** Records that RELAY's run at TARGET lost its connection, or stalls because
-    TARGET does not respond. It is reported if TARGET turns out to have
-    crashed. */
-void
-relay_runs_interrupted (gt_relay_t *relay, rt_target_t *target)
+/* The report that RELAY's run at TARGET would make of a crash now. */
+rt_crash_report_t
+relay_run_report (gt_relay_t *relay, const rt_target_t *target, el_time_t now)
 {
-  gt_relays_t *relays = relay->relays;
-  el_time_t now = net_clock_now (relays->options.clock);
   const rt_traits_t traits = relay_traits (relay);
   rt_crash_report_t report
       = { .instance = rt_target_instance (target),
           .digest = traits.digest,
           .customer = traits.customer,
-          .host = relays->options.host_incarnation,
+          .host = relay->relays->options.host_incarnation,
           .at = now,
           .ran = now - (relay->head_at ? relay->head_at : relay->sent),
           .first = target == relay->target,
           .writing = relay->writing,
           .nparts = traits.nparts };
-  int doubtful;
 
   if (traits.nparts)
     memcpy (report.parts, traits.parts, traits.nparts * sizeof *traits.parts);
+  return report;
+}
+
+/** Records that RELAY's run at TARGET lost its connection, or stalls because
+    TARGET does not respond. It is reported if TARGET turns out to have
+    crashed. */
+void
+relay_runs_interrupted (gt_relay_t *relay, rt_target_t *target)
+{
+  gt_relays_t *relays = relay->relays;
+  el_time_t now = net_clock_now (relays->options.clock);
+  rt_crash_report_t report;
+  relay_run_t *run;
+
   if (rt_target_is_leaving (target))
     return;
-  doubtful = relay_reach_is_cut_off (relays, target->attrs.service);
-  pending_add (relays, target, &report, doubtful);
-  if (!doubtful)
-    return;
-  note_doubt (relays, target, &report);
-  relay_survey_begin (relays, relay_service (relays, target->attrs.service));
+  report = relay_run_report (relay, target, now);
+  run = relay_pending_add (relays, target, &report);
+  run->doubtful = relay_reach_is_cut_off (relays, target->attrs.service);
+  relays->runs->ndoubtful += run->doubtful != 0;
+  if (run->doubtful)
+    {
+      note_doubt (relays, target, &report);
+      relay_survey_begin (relays,
+                          relay_service (relays, target->attrs.service));
+    }
+  relay_pending_expire (relays, now);
 }
 
 /** Whether a crash is still possible, or not yet evaluated, at an endpoint
@@ -170,14 +174,18 @@
 int
 relay_runs_is_pending (gt_relays_t *relays, rt_digest_t digest)
 {
-  const pending_run_t *run;
+  relay_run_t *run;
 
   if (relay_blame_update_is_due (relays))
     return 1;
-  pending_expire (relays, net_clock_now (relays->options.clock));
+  relay_pending_expire (relays, net_clock_now (relays->options.clock));
   DL_FOREACH (relays->runs->pending, run)
   if (run->report.digest == digest)
-    return 1;
+    {
+      if (run->cancelled)
+        relay_cancelled_check (relays, run);
+      return 1;
+    }
   return 0;
 }
 
@@ -188,7 +196,7 @@
 {
   gt_relays_t *relays = relay->relays;
   const rt_target_t *seen[DOUBTS_COUNTED];
-  const pending_run_t *run;
+  const relay_run_t *run;
   rt_digest_t digest;
   unsigned n = 0;
   unsigned i;
@@ -196,7 +204,7 @@
   if (!relays->runs->ndoubtful)
     return 0;
   digest = relay_digest (relay);
-  pending_expire (relays, net_clock_now (relays->options.clock));
+  relay_pending_expire (relays, net_clock_now (relays->options.clock));
   DL_FOREACH (relays->runs->pending, run)
   {
     if (!run->doubtful || run->report.digest != digest)
@@ -219,7 +227,7 @@
 
 /* Logs a run that may have crashed its endpoint. */
 static void
-log_run (const pending_run_t *run)
+log_run (const relay_run_t *run)
 {
   const rt_crash_report_t *report = &run->report;
   char hex[RT_DIGEST_HEX + 1];
@@ -230,6 +238,7 @@
   EL_LOG (EL_LOG_INFO, "end_candidate",
           EL_FS ("endpoint", run->target->attrs.id), EL_FC ("digest", hex),
           EL_FN ("ran_us", report->ran), EL_FN ("first", report->first),
+          EL_FN ("cancelled", run->cancelled),
           EL_FN ("shared_parts", report->nparts));
 }
 
@@ -242,35 +251,58 @@
   fact->nruns = 0;
 }
 
-/* TARGET has crashed: reports the requests of this host that were running
-   there. */
-static void
-pending_confirm (gt_relays_t *relays, const rt_target_t *target,
-                 const char *evidence)
+/* Reports the runs at TARGET that were cancelled, or those that were not.
+   Returns their number. */
+static size_t
+runs_confirm (gt_relays_t *relays, const rt_target_t *target, int cancelled,
+              relay_fact_t *fact)
 {
   relay_runs_t *runs = relays->runs;
-  relay_fact_t fact = { .kind = RELAY_FACT_CRASHED };
+  const rt_instance_t instance = rt_target_instance (target);
   el_time_t now = net_clock_now (relays->options.clock);
-  pending_run_t *run;
-  pending_run_t *next;
+  el_time_t crashed_at
+      = cancelled ? rt_blame_crash_time (relay_blame_table (relays), &instance)
+                  : 0;
+  relay_run_t *run;
+  relay_run_t *next;
   size_t n = 0;
 
   DL_FOREACH_SAFE (runs->pending, run, next)
-  if (run->target == target)
+  if (run->target == target && run->cancelled == cancelled)
     {
+      if (crashed_at && !relay_cancelled_may_run (run, crashed_at))
+        {
+          relay_pending_free (runs, run);
+          continue;
+        }
       n += run->report.digest != 0;
       relays->counts.doubts_confirmed += run->doubtful != 0;
       run->report.detected_at = now;
       if (rt_blame_should_publish (relay_blame_table (relays), &run->report)
-          && !relay_fact_add_run (&fact, &run->report))
+          && !relay_fact_add_run (fact, &run->report))
         {
-          publish_runs (relays, &fact);
-          relay_fact_add_run (&fact, &run->report);
+          publish_runs (relays, fact);
+          relay_fact_add_run (fact, &run->report);
         }
       rt_blame_add_report (relay_blame_table (relays), now, &run->report);
       log_run (run);
-      pending_free (runs, run);
+      relay_pending_free (runs, run);
     }
+  return n;
+}
+
+/* TARGET has crashed: reports the requests of this host that were running
+   there. Those that were cancelled tell its time less exactly. */
+static void
+pending_confirm (gt_relays_t *relays, const rt_target_t *target,
+                 const char *evidence)
+{
+  relay_fact_t fact = { .kind = RELAY_FACT_CRASHED };
+  size_t n = 0;
+  int cancelled;
+
+  for (cancelled = 0; cancelled <= 1; cancelled++)
+    n += runs_confirm (relays, target, cancelled, &fact);
   publish_runs (relays, &fact);
   relay_blame_schedule_update (relays);
   if (n == 0)
@@ -292,7 +324,7 @@
 
   if (rt_blame_needs_witness (relay_blame_table (relays), &report.instance,
                               report.host))
-    pending_add (relays, target, &report, 0);
+    relay_pending_add (relays, target, &report);
 }
 
 /** This host reaches no endpoint of SERVICE: it is cut off, or all of them
@@ -302,13 +334,15 @@
 relay_runs_doubt (gt_relays_t *relays, el_str_t service)
 {
   relay_runs_t *runs = relays->runs;
-  pending_run_t *run;
+  relay_run_t *run;
 
   DL_FOREACH (runs->pending, run)
   if (!run->doubtful && el_str_eq (run->target->attrs.service, service))
     {
       runs->npending_refused -= run->refused_at != 0;
       run->refused_at = 0;
+      if (run->cancelled)
+        continue;
       run->doubtful = 1;
       runs->ndoubtful++;
       note_doubt (relays, run->target, &run->report);
@@ -316,7 +350,7 @@
 }
 
 static int
-pending_is_unasked (const pending_run_t *run, el_str_t service)
+pending_is_unasked (const relay_run_t *run, el_str_t service)
 {
   return run->doubtful && !run->asked
          && el_str_eq (run->target->attrs.service, service);
@@ -328,7 +362,7 @@
 relay_runs_ask (gt_relays_t *relays, el_str_t service, rt_instance_t *out,
                 size_t max)
 {
-  pending_run_t *run;
+  relay_run_t *run;
   size_t n = 0;
   size_t i;
 
@@ -353,7 +387,7 @@
 int
 relay_runs_has_unasked (const gt_relays_t *relays, el_str_t service)
 {
-  const pending_run_t *run;
+  const relay_run_t *run;
 
   DL_FOREACH (relays->runs->pending, run)
   if (pending_is_unasked (run, service))
@@ -370,16 +404,16 @@
   relay_runs_t *runs = relays->runs;
   uint64_t key = rt_instance_key (instance);
   el_time_t now = net_clock_now (relays->options.clock);
-  pending_run_t *run;
-  pending_run_t *next;
+  relay_run_t *run;
+  relay_run_t *next;
 
   DL_FOREACH_SAFE (runs->pending, run, next)
   if (run->doubtful && run->report.at <= asked_at
-      && now < run->report.at + ALIVE_WINDOW
+      && now < run->report.at + RELAY_ALIVE_WINDOW
       && rt_instance_key (&run->report.instance) == key)
     {
       relays->counts.doubts_cleared++;
-      pending_free (runs, run);
+      relay_pending_free (runs, run);
     }
 }
 
@@ -389,7 +423,7 @@
 relay_runs_connect_refused (gt_relays_t *relays, rt_target_t *target)
 {
   relay_runs_t *runs = relays->runs;
-  pending_run_t *run;
+  relay_run_t *run;
 
   if (relay_reach_is_cut_off (relays, target->attrs.service))
     return;
@@ -412,9 +446,10 @@
 relay_runs_connected (gt_relays_t *relays, const rt_target_t *target,
                       el_time_t begun)
 {
-  const pending_run_t *run;
+  const relay_run_t *run;
   rt_target_t *other;
 
+  relay_cancelled_seen_alive (relays, target, begun);
   while (relays->runs->npending_refused)
     {
       DL_FOREACH (relays->runs->pending, run)
@@ -437,13 +472,14 @@
 {
   relay_runs_t *runs = relays->runs;
   el_time_t now = net_clock_now (relays->options.clock);
-  pending_run_t *run;
-  pending_run_t *next;
+  relay_run_t *run;
+  relay_run_t *next;
 
+  relay_cancelled_seen_alive (relays, target, sent_at);
   DL_FOREACH_SAFE (runs->pending, run, next)
-  if (run->target == target && run->report.at <= sent_at
-      && now < run->report.at + ALIVE_WINDOW)
-    pending_free (runs, run);
+  if (run->target == target && !run->cancelled && run->report.at <= sent_at
+      && now < run->report.at + RELAY_ALIVE_WINDOW)
+    relay_pending_free (runs, run);
 }
 
 /** Handles that TARGET is no longer listed, or listed as another instance: it
@@ -473,4 +509,6 @@
 relay_runs_open (gt_relays_t *relays)
 {
   relays->runs = el_alloc (sizeof *relays->runs);
+  relays->runs->check_timer.cb = relay_cancelled_checks_due;
+  relays->runs->check_timer.arg = relays;
 }
--- a/route/blame.c
+++ b/route/blame.c
@@ -447,6 +447,17 @@
   return changed;
 }
 
+/** Return when INSTANCE crashed, as far as a run there showed it, or 0. */
+el_time_t
+rt_blame_crash_time (const rt_blame_t *blame, const rt_instance_t *instance)
+{
+  uint64_t key = rt_instance_key (instance);
+  const blame_crash_t *crash;
+
+  HASH_FIND (hh, blame->crashes_by_key, &key, sizeof key, crash);
+  return crash && !crash->at_is_late ? crash->at : 0;
+}
+
 /** Whether the crash of INSTANCE is reported but not confirmed, and HOST has
     not reported it yet. */
 int
--- a/route/blame.h
+++ b/route/blame.h
@@ -151,6 +151,8 @@
                          const rt_crash_report_t *report);
 int rt_blame_should_publish (const rt_blame_t *blame,
                              const rt_crash_report_t *report);
+el_time_t rt_blame_crash_time (const rt_blame_t *blame,
+                               const rt_instance_t *instance);
 int rt_blame_needs_witness (const rt_blame_t *blame,
                             const rt_instance_t *instance, uint64_t host);
 uint64_t rt_blame_completed (rt_blame_t *blame, rt_digest_t digest,
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -33,6 +33,10 @@
    crashes workers, from this time on. */
 #define CRASH_REQUEST_ONE_IN 3
 #define CRASH_REQUESTS_AFTER (2 * EL_SEC)
+/* All but one in this many of their callers leave after this time, before the
+   worker crashes. */
+#define STAY_ONE_IN 8
+#define LEAVE_AFTER_MS 10L
 #define CRASH_BODY "a deadly request"
 #define CRASH_REFUSAL "ends endpoints"
 #define CRASH_PART "deadbeef"
@@ -204,8 +208,9 @@
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS,
-                    request->kind == SK_STREAM ? STREAM_TIMEOUT_MS
-                                               : PLAIN_TIMEOUT_MS);
+                    request->leaves              ? LEAVE_AFTER_MS
+                    : request->kind == SK_STREAM ? STREAM_TIMEOUT_MS
+                                                 : PLAIN_TIMEOUT_MS);
   /* No two requests whose prompts have parts are alike. */
   if (cluster->crash == SK_CRASH_PARTS)
     body = request->id;
@@ -338,6 +343,8 @@
   request_key_set (caller->pool->cluster, request,
                    el_random (&caller->random) % REVOKED_KEY_ONE_IN == 0);
   request->crashes_endpoints = crash_draw (caller, request);
+  request->leaves = request->crashes_endpoints && kind == SK_SAFE
+                    && el_random (&caller->random) % STAY_ONE_IN;
 }
 
 /* Send one request. A stream that broke off is resumed at a random host. */
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -149,6 +149,7 @@
   unsigned resumed_after;  /**< number of the last event received before */
   unsigned last_event;     /**< number of the last event received */
   int crashes_endpoints;   /**< it does, or a part of its prompt */
+  int leaves;              /**< its caller leaves while it runs */
   int refused_as_crashing; /**< the response says that it does */
   int out_of_order;        /**< an event was missing, repeated or foreign */
 } sk_request_t;
--- a/tests/t_runs.c
+++ b/tests/t_runs.c
@@ -49,23 +49,31 @@
   relay.sent = net_clock_now (&test_clock) - RAN;
 }
 
+/* Lists an endpoint, at which the request runs. No connection to it opens. */
+static void
+target_add (int i)
+{
+  const rt_attrs_t attrs = { .id = el_str (ids[i]),
+                             .born = 1,
+                             .service = EL_STR ("app"),
+                             .address = EL_STR ("127.0.0.1:1"),
+                             .hall = EL_STR ("h"),
+                             .slots = 8 };
+
+  targets[i] = rt_fleet_update (relays.options.fleet, &attrs);
+  relay.target = targets[i];
+}
+
 /* A request ran at N endpoints, the only ones of the service, and all of these
    runs were interrupted. No connection opens any more. */
 static void
 interrupt_all (int n)
 {
-  rt_attrs_t attrs = { .born = 1,
-                       .service = EL_STR ("app"),
-                       .address = EL_STR ("127.0.0.1:1"),
-                       .hall = EL_STR ("h"),
-                       .slots = 8 };
   int i;
 
   for (i = 0; i < n; i++)
     {
-      attrs.id = el_str (ids[i]);
-      targets[i] = rt_fleet_update (relays.options.fleet, &attrs);
-      relay.target = targets[i];
+      target_add (i);
       relay_runs_interrupted (&relay, targets[i]);
       relay_runs_connect_refused (&relays, targets[i]);
     }
@@ -183,6 +191,123 @@
 }
 END_TEST
 
+/* A run of the request at the first endpoint is cancelled. */
+static void
+cancel_run (void)
+{
+  target_add (0);
+  relay_cancelled_add (&relay);
+}
+
+/* The caller left, and the endpoint crashed under its request. */
+START_TEST (test_cancelled_run_counts_once_its_endpoint_is_gone)
+{
+  cancel_run ();
+  ck_assert_uint_eq (crashes (), 0);
+  gt_relays_engine_gone (&relays, targets[0]);
+  ck_assert_uint_eq (crashes (), 1);
+}
+END_TEST
+
+/* The endpoint answers what was sent after it must have noticed. Before, that
+   shows nothing; long after, it may be the next instance. */
+START_TEST (test_cancelled_run_at_endpoint_that_answers_later_does_not_count)
+{
+  static const struct
+  {
+    el_time_t after;
+    unsigned crashes;
+  } cases[]
+      = { { 400 * EL_MSEC, 1 }, { 510 * EL_MSEC, 0 }, { EL_SEC * 2, 1 } };
+
+  cancel_run ();
+  relay_cancelled_seen_alive (&relays, targets[0],
+                              net_clock_now (&test_clock) + cases[_i].after);
+  gt_relays_engine_gone (&relays, targets[0]);
+  ck_assert_uint_eq (crashes (), cases[_i].crashes);
+}
+END_TEST
+
+/* Another request's run shows that the endpoint crashed later. */
+START_TEST (test_cancelled_run_that_was_over_before_the_crash_does_not_count)
+{
+  rt_crash_report_t report
+      = { .digest = DIGEST + 1, .host = 2, .ran = RAN, .first = 1 };
+
+  cancel_run ();
+  report.instance = rt_target_instance (targets[0]);
+  report.at = net_clock_now (&test_clock) + 600 * EL_MSEC;
+  rt_blame_add_report (relay_blame_table (&relays), report.at, &report);
+  gt_relays_engine_gone (&relays, targets[0]);
+  ck_assert_uint_eq (crashes (), 0);
+}
+END_TEST
+
+/* Callers leave all the time: that is no reason to doubt their endpoints. */
+START_TEST (test_cancelled_runs_are_not_in_doubt)
+{
+  cancel_run ();
+  relay_cancelled_add (&relay);
+  relay_runs_doubt (&relays, service.name);
+  ck_assert_uint_eq (relay_runs_count_doubtful (&relay), 0);
+  ck_assert_uint_eq (relays.counts.doubts, 0);
+}
+END_TEST
+
+/* Too many cancelled runs displace each other, but no interrupted one. */
+START_TEST (test_cancelled_runs_are_bounded)
+{
+  unsigned i;
+
+  interrupt_all (1);
+  relay.digest = DIGEST + 1;
+  for (i = 0; i < 1024 + 10; i++)
+    relay_cancelled_add (&relay);
+  ck_assert_uint_eq (relays.counts.runs_forgotten, 10);
+  gt_relays_engine_gone (&relays, targets[0]);
+  ck_assert_uint_eq (crashes (), 1);
+}
+END_TEST
+
+/* The endpoint of a suspect is tried as soon as it must have noticed that the
+   run was cancelled, and others are not. */
+START_TEST (test_endpoint_of_a_cancelled_suspect_is_tried)
+{
+  cancel_run ();
+  if (_i)
+    {
+      gt_relays_engine_gone (&relays, targets[0]);
+      targets[0]->avail.gone = 0;
+      relay_cancelled_add (&relay);
+    }
+  relays.counts.probes = 0;
+  targets[0]->probed_at = 0;
+  uv_sleep (510);
+  uv_update_time (&loop);
+  uv_run (&loop, UV_RUN_NOWAIT);
+  ck_assert_uint_eq (relays.counts.probes, (unsigned)_i);
+}
+END_TEST
+
+/* Another host reports that an endpoint crashed at which this one cancelled a
+   run. */
+START_TEST (test_reported_endpoint_of_a_cancelled_run_is_tried)
+{
+  rt_instance_t instance;
+
+  cancel_run ();
+  relays.counts.probes = 0;
+  instance = rt_target_instance (targets[0]);
+  relay_cancelled_check_instance (&relays, &instance);
+  ck_assert_uint_eq (relays.counts.probes, 1);
+  instance.born++;
+  targets[0]->probing = 0;
+  targets[0]->probed_at = 0;
+  relay_cancelled_check_instance (&relays, &instance);
+  ck_assert_uint_eq (relays.counts.probes, 1);
+}
+END_TEST
+
 /* Each endpoint is asked about once. */
 START_TEST (test_runs_in_doubt_are_asked_about_in_batches)
 {
@@ -213,6 +338,16 @@
   ADD (tcase, test_request_in_doubt_at_two_endpoints_waits);
   ADD (tcase, test_endpoint_is_tried_at_once_when_a_run_breaks_off);
   ADD (tcase, test_runs_in_doubt_are_asked_about_in_batches);
+  ADD (tcase, test_cancelled_run_counts_once_its_endpoint_is_gone);
+  ADD_LOOP (tcase,
+            test_cancelled_run_at_endpoint_that_answers_later_does_not_count,
+            3);
+  ADD (tcase,
+       test_cancelled_run_that_was_over_before_the_crash_does_not_count);
+  ADD (tcase, test_cancelled_runs_are_not_in_doubt);
+  ADD (tcase, test_cancelled_runs_are_bounded);
+  ADD_LOOP (tcase, test_endpoint_of_a_cancelled_suspect_is_tried, 2);
+  ADD (tcase, test_reported_endpoint_of_a_cancelled_run_is_tried);
   suite_add_tcase (suite, tcase);
   return suite;
 }
