Parts that ran well anywhere are not blocked as new; a host that has just started blocks none by odds

Cause: what ran well is remembered by each host alone. One that has taken few requests takes sound parts for new, and one that has just started takes new ones for proven, so that a sound part that stood at five crashes outweighs the culprit that stood at four; all other hosts obey. The class: a verdict that binds all hosts rests on what one host happens to have seen.

Change: hosts that saw a part run well within ten minutes say so when a crash names it (RELAY_FACT_RAN_WELL, gate/relay_testimony.c), once for all hosts; a block tells whether it took its parts for new, and whoever knows better refutes it; a host that is learning does not block parts by their odds.

--- a/bench/bench_parts.c
+++ b/bench/bench_parts.c
@@ -164,10 +164,12 @@
   const char *name;
   int requests_only;
   int no_trials;
+  int no_testimony;
 } ways[] = {
-  { "requests", 1, 1 },
-  { "parts", 0, 1 },
-  { "parts+trials", 0, 0 },
+  { "requests", 1, 1, 1 },
+  { "parts", 0, 1, 1 },
+  { "parts+trials", 0, 0, 1 },
+  { "testimony", 0, 0, 0 },
 };
 
 static int
@@ -195,6 +197,7 @@
     seeds = cases[c].seeds;
   options.requests_only = ways[w].requests_only;
   options.no_trials = ways[w].no_trials;
+  options.no_testimony = ways[w].no_testimony;
   options.customers = 10;
   options.delayed_share = 0.02;
   options.seconds = options.hosts > 64 ? SECONDS / 4 : SECONDS;
@@ -211,6 +214,7 @@
       sum.sound_blocked += one.sound_blocked;
       sum.sound_refused += one.sound_refused;
       sum.sound_waited += one.sound_waited;
+      sum.testimonies += one.testimonies;
       sum.blocked_parts += one.blocked_parts;
       sum.first_tries += one.first_tries;
       sum.first_begun += one.first_begun;
@@ -222,14 +226,15 @@
           "before_block_most=%zu late_most=%zu after_block=%.2f "
           "other_ends=%.1f sound=%.0f sound_blocked=%.3f "
           "sound_refused=%.2f sound_waited=%.1f wait_p50_ms=%.0f "
-          "wait_p99_ms=%.0f first_begun=%.4f parts_blocked=%.2f seeds=%u "
+          "wait_p99_ms=%.0f testimonies=%.1f first_begun=%.4f "
+          "parts_blocked=%.2f seeds=%u "
           "ms=%.0f\n",
           cases[c].name, ways[w].name, (double)sum.crashes / seeds,
           before[seeds / 2], before[seeds - 1], sum.late,
           (double)sum.after_block / seeds, (double)sum.other_crashes / seeds,
           (double)sum.sound / seeds, (double)sum.sound_blocked / seeds,
           (double)sum.sound_refused / seeds, (double)sum.sound_waited / seeds,
-          p50, p99,
+          p50, p99, (double)sum.testimonies / seeds,
           sum.first_tries ? (double)sum.first_begun / (double)sum.first_tries
                           : 0,
           (double)sum.blocked_parts / seeds, seeds,
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -358,6 +358,12 @@
 void relay_runs_connected (gt_relays_t *relays, const rt_target_t *target,
                            el_time_t begun);
 
+/* relay_testimony.c */
+void relay_testimony_give (gt_relays_t *relays, const rt_crash_report_t *run);
+void relay_testimony_refute (gt_relays_t *relays, const rt_block_t *block);
+void relay_testimony_on_rumor (gt_relays_t *relays, const co_rumor_t *rumor,
+                               const relay_fact_t *fact);
+
 /* relay_cancelled.c */
 void relay_cancelled_add (gt_relay_t *relay);
 void relay_cancelled_check (gt_relays_t *relays, relay_run_t *run);
@@ -420,6 +426,7 @@
   RELAY_FACT_RULES,     /* a version of the rules is in force */
   RELAY_FACT_LIMIT,     /* an endpoint names a rate limit */
   RELAY_FACT_UNLIMITED, /* it no longer does */
+  RELAY_FACT_RAN_WELL,  /* a part of prompts ran well before a crash */
   RELAY_FACT_KINDS
 } relay_fact_kind_t;
 
@@ -446,6 +453,7 @@
   uint64_t version;      /* version of the rules */
   uint64_t limit_milli;  /* requests per second, in thousandths */
   el_time_t limited_for; /* time since it was first named */
+  el_time_t ago;         /* time since the cause ran well */
 };
 
 int relay_fact_add_run (relay_fact_t *fact, const rt_crash_report_t *run);
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -164,8 +164,11 @@
 
   (void)rumor;
   for (i = 0; i < fact->nruns; i++)
-    if (rt_blame_add_report (relays->blame->table, now, &fact->runs[i]))
-      relay_blame_schedule_update (relays);
+    {
+      if (rt_blame_add_report (relays->blame->table, now, &fact->runs[i]))
+        relay_blame_schedule_update (relays);
+      relay_testimony_give (relays, &fact->runs[i]);
+    }
   check_unconfirmed_crash (relays, &fact->runs[0].instance);
   relay_cancelled_check_instance (relays, &fact->runs[0].instance);
 }
--- a/gate/relay_block.c
+++ b/gate/relay_block.c
@@ -37,7 +37,7 @@
           EL_FN ("causes", block->n), EL_FC ("by", by),
           EL_FN ("ends", status->crashes),
           EL_FN ("odds", (uint64_t)status->odds),
-          EL_FN ("holds", status->holds), EL_FN ("new", status->taken_for_new),
+          EL_FN ("holds", status->holds), EL_FN ("new", block->taken_for_new),
           EL_FN ("left_us", status->blocked_until - now));
   for (i = 0; i < block->n; i++)
     rt_blame_visit_crashes (relay_blame_table (relays), block->causes[i],
@@ -110,6 +110,7 @@
 
   if (!rt_blame_block (relay_blame_table (relays), block, customer, at, holds))
     return 0;
+  relay_testimony_refute (relays, block);
   status = rt_blame_get_status (relay_blame_table (relays), now, block->id);
   if (status.state != RT_BLAME_BLOCKED)
     return 0;
@@ -124,7 +125,10 @@
 void
 gt_relays_block (gt_relays_t *relays, const rt_block_t *block, unsigned holds)
 {
-  apply_block (relays, block, 0, net_clock_now (relays->options.clock), holds,
+  rt_block_t read = *block;
+
+  read.taken_for_new = block->kind != RT_CAUSE_REQUEST;
+  apply_block (relays, &read, 0, net_clock_now (relays->options.clock), holds,
                "store");
 }
 
--- a/gate/relay_fact.c
+++ b/gate/relay_fact.c
@@ -24,6 +24,8 @@
 static int rules_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void cause_write (const relay_fact_t *fact, json_t *json);
 static int cause_read (json_t *json, el_time_t at, relay_fact_t *out);
+static void ran_well_write (const relay_fact_t *fact, json_t *json);
+static int ran_well_read (json_t *json, el_time_t at, relay_fact_t *out);
 static void block_write (const relay_fact_t *fact, json_t *json);
 static int block_read (json_t *json, el_time_t at, relay_fact_t *out);
 
@@ -41,6 +43,7 @@
   [RELAY_FACT_RULES] = { "rules", rules_write, rules_read },
   [RELAY_FACT_LIMIT] = { "limit", limit_write, limit_read },
   [RELAY_FACT_UNLIMITED] = { "unlimited", leaving_write, leaving_read },
+  [RELAY_FACT_RAN_WELL] = { "ran-well", ran_well_write, ran_well_read },
 };
 
 static json_t *
@@ -228,6 +231,26 @@
          && number_read (json_object_get (json, "customer"), &out->customer);
 }
 
+static void
+ran_well_write (const relay_fact_t *fact, json_t *json)
+{
+  json_object_set_new (json, "digest", number_write (fact->digest));
+  json_object_set_new (json, "ago_ms",
+                       json_integer ((json_int_t)(fact->ago / EL_MSEC)));
+}
+
+static int
+ran_well_read (json_t *json, el_time_t at, relay_fact_t *out)
+{
+  json_t *ago = json_object_get (json, "ago_ms");
+
+  if (!json_is_integer (ago) || json_integer_value (ago) < 0
+      || (uint64_t)json_integer_value (ago) > at / EL_MSEC)
+    return 0;
+  out->ago = (el_time_t)json_integer_value (ago) * EL_MSEC;
+  return number_read (json_object_get (json, "digest"), &out->digest);
+}
+
 static void
 block_write (const relay_fact_t *fact, json_t *json)
 {
@@ -237,6 +260,7 @@
   if (fact->block.kind == RT_CAUSE_REQUEST)
     return;
   json_object_set_new (json, "kind", json_integer (fact->block.kind));
+  json_object_set_new (json, "new", json_boolean (fact->block.taken_for_new));
   json_object_set_new (json, "causes",
                        digests_write (fact->block.causes, fact->block.n));
 }
@@ -258,6 +282,7 @@
   if (!out->block.n)
     out->block = rt_block_single (RT_CAUSE_REQUEST, out->block.id);
   out->block.kind = (rt_cause_kind_t)kind;
+  out->block.taken_for_new = json_is_true (json_object_get (json, "new"));
   rt_block_seal (&out->block);
   return 1;
 }
--- a/gate/relay_rumor.c
+++ b/gate/relay_rumor.c
@@ -21,6 +21,7 @@
         [RELAY_FACT_RULES] = relay_epoch_on_rules,
         [RELAY_FACT_LIMIT] = relay_limit_on_rumor,
         [RELAY_FACT_UNLIMITED] = relay_limit_on_rumor,
+        [RELAY_FACT_RAN_WELL] = relay_testimony_on_rumor,
       };
 
 /** Publishes FACT as the rumor ID, which is gossiped for HOLD. */
--- a/gate/relay_runs.c
+++ b/gate/relay_runs.c
@@ -285,6 +285,7 @@
           relay_fact_add_run (fact, &run->report);
         }
       rt_blame_add_report (relay_blame_table (relays), now, &run->report);
+      relay_testimony_give (relays, &run->report);
       log_run (run);
       relay_pending_free (runs, run);
     }
--- a/route/blame.c
+++ b/route/blame.c
@@ -494,6 +494,7 @@
   if (holds <= cause->holds || at <= cause->cleared_at)
     return 0;
   cause->holds = holds;
+  cause->taken_for_new = block->taken_for_new;
   cause->blocked_until = at + rt_blame_block_time (holds);
   if (cause->last_report_at < at)
     cause->last_report_at = at;
--- a/route/blame.h
+++ b/route/blame.h
@@ -72,6 +72,8 @@
   rt_cause_kind_t kind; /**< of all its causes */
   rt_digest_t causes[RT_BLOCK_CAUSES_MAX]; /**< in ascending order */
   size_t n;
+  int taken_for_new; /**< none of them had run well yet, as far as the host
+                        knew that decided */
 } rt_block_t;
 
 /** A report by a host or by the store that an endpoint instance crashed while
@@ -109,8 +111,6 @@
   double odds;             /**< odds that it caused them */
   el_time_t blocked_until; /**< end of the current or last block */
   unsigned holds;          /**< how often it has been blocked */
-  int taken_for_new; /**< its last block took it for a part of prompts that had
-                        not run well yet */
   int unconfirmed;   /**< only one host reported the newest of these crashes */
   int prime_suspect; /**< no cause at the newest crash has far higher odds */
   rt_digest_t cause; /**< what it is blocked for; 0: not blocked */
@@ -158,6 +158,12 @@
 uint64_t rt_blame_completed (rt_blame_t *blame, rt_digest_t digest,
                              el_time_t at);
 void rt_blame_prove (rt_blame_t *blame, rt_digest_t part, el_time_t at);
+el_time_t rt_blame_ran_well_at (const rt_blame_t *blame, rt_digest_t part,
+                                el_time_t now);
+int rt_blame_should_testify (rt_blame_t *blame, rt_digest_t part,
+                             el_time_t now, el_time_t until);
+int rt_blame_testify (rt_blame_t *blame, rt_digest_t part, el_time_t at,
+                      el_time_t until);
 int rt_blame_block (rt_blame_t *blame, const rt_block_t *block,
                     uint64_t customer, el_time_t at, unsigned holds);
 int rt_blame_clear (rt_blame_t *blame, rt_digest_t digest, el_time_t at);
--- a/route/blame_clear.c
+++ b/route/blame_clear.c
@@ -36,39 +36,43 @@
   return newest ? newest->key : cause->blocked_until;
 }
 
-/* Lift the block of a cause that ran well at AT, if the block began before.
-   Return 0 if there was none. */
+/* Whether the cause was blocked before AT. */
 static int
-cause_unblock (blame_cause_t *cause, el_time_t at)
+cause_blocked_before (const blame_cause_t *cause, el_time_t at)
 {
-  if (!cause->blocked_until
-      || at + rt_blame_block_time (cause->holds) <= cause->blocked_until)
-    return 0;
-  cause->blocked_until = 0;
-  return 1;
+  return cause->blocked_until
+         && at + rt_blame_block_time (cause->holds) > cause->blocked_until;
 }
 
-/* DIGEST ran well at AT: the others of SET are blocked without it, if SET
-   contains it. Return 0 if not. */
-static int
-set_narrow (rt_blame_t *blame, blame_cause_t *set, rt_digest_t digest,
-            el_time_t at)
+/* Block the causes of SET without DIGEST in its place. */
+static void
+set_narrow (rt_blame_t *blame, blame_cause_t *set, rt_digest_t digest)
 {
   rt_block_t rest = *set->set;
   el_time_t blocked_until = set->blocked_until;
-  unsigned holds = set->holds;
   blame_cause_t *cause;
 
-  if (!rt_block_remove (&rest, digest) || !cause_unblock (set, at))
-    return 0;
+  set->blocked_until = 0;
+  rt_block_remove (&rest, digest);
   cause = blame_block_get (blame, &rest, set->customer->key);
   if (cause->blocked_until < blocked_until)
     {
       cause->blocked_until = blocked_until;
-      cause->holds = holds;
+      cause->holds = set->holds;
+      cause->taken_for_new = set->taken_for_new;
       cause->last_report_at = set->last_report_at;
     }
-  return 1;
+}
+
+static int
+set_contains (const blame_cause_t *set, rt_digest_t digest)
+{
+  rt_block_t rest;
+
+  if (!set->set)
+    return 0;
+  rest = *set->set;
+  return rt_block_remove (&rest, digest);
 }
 
 /* Narrow the sets that contain DIGEST. Return 0 if there is none. */
@@ -82,11 +86,35 @@
   if (!blame->nsets)
     return 0;
   HASH_ITER (hh, blame->causes, cause, next)
-  if (cause->set && set_narrow (blame, cause, digest, at))
-    narrowed = 1;
+  if (set_contains (cause, digest) && cause_blocked_before (cause, at))
+    {
+      set_narrow (blame, cause, digest);
+      narrowed = 1;
+    }
   return narrowed;
 }
 
+/* DIGEST ran well before: lift the block that took it for new, and narrow the
+   sets that contain it. Return 0 if there is none. */
+int
+blame_unblock_new (rt_blame_t *blame, rt_digest_t digest)
+{
+  blame_cause_t *cause = blame_cause_find (blame, digest);
+  blame_cause_t *next;
+  int lifted = cause && cause->blocked_until && cause->taken_for_new;
+
+  if (lifted)
+    cause->blocked_until = 0;
+  HASH_ITER (hh, blame->causes, cause, next)
+  if (cause->blocked_until && cause->taken_for_new
+      && set_contains (cause, digest))
+    {
+      set_narrow (blame, cause, digest);
+      lifted = 1;
+    }
+  return lifted;
+}
+
 /** A request that has the cause ran well at AT: earlier crashes no longer
     count against it, and a block that began before AT is lifted. A request as
     a cause ran well if it completed, a part of a prompt if the response began.
@@ -100,12 +128,13 @@
 
   if (!cause || at <= cause->cleared_at)
     return rumor_id;
-  if (cause->kind != RT_CAUSE_REQUEST)
-    rt_blame_prove (blame, digest, at);
+  if (cause->kind != RT_CAUSE_REQUEST && blame->options.max_proven)
+    blame_proven_add (blame, digest, at);
   if (!rumor_id)
     rumor_id = cause_rumor_id (cause);
   cause_exonerate (cause, at);
-  cause_unblock (cause, at);
+  if (cause_blocked_before (cause, at))
+    cause->blocked_until = 0;
   return rumor_id;
 }
 
--- a/route/blame_status.c
+++ b/route/blame_status.c
@@ -116,6 +116,7 @@
                                 : rt_block_single (cause->kind, cause->digest);
   rt_blame_status_t status;
 
+  block.taken_for_new = cause->taken_for_new;
   cause->holds++;
   cause->blocked_until = last + rt_blame_block_time (cause->holds);
   status = blame_status (cause, now);
@@ -150,11 +151,16 @@
                              ? PROVEN_CRASHES_MAX
                              : EARLY_CRASHES_MAX;
 
-  if (leader->kind != RT_CAUSE_REQUEST
+  int is_part = leader->kind != RT_CAUSE_REQUEST;
+
+  if (is_part
       && (leader->ambiguous || leader->one_request
           || cause_count_crashes (leader) < PART_CRASHES_MIN))
     return 0;
-  return leader->odds >= BLOCK_ODDS
+  /* To a host that is learning, parts that ran well are as likely as new ones,
+     and one that more requests have explains more crashes. */
+  return (leader->odds >= BLOCK_ODDS
+          && !(is_part && blame_is_learning (blame)))
          || (cause_early_crashes (leader) >= crashes_max
              && cause_is_likeliest (leader, cause_last_crash (leader)));
 }
@@ -166,7 +172,6 @@
   uint64_t customer;
   el_time_t last_crash;
   double odds;
-  int is_new; /* the leader is a part that has not run well yet */
 } class_verdict_t;
 
 /* Find classes that are to be blocked and are not yet; return their number, at
@@ -188,8 +193,8 @@
     out[n].customer = cause->customer->key;
     out[n].last_crash = cause_last_crash (cause);
     out[n].odds = cause->odds;
-    out[n].is_new = cause->kind != RT_CAUSE_REQUEST
-                    && !blame_is_proven (blame, cause->digest);
+    out[n].block.taken_for_new = cause->kind != RT_CAUSE_REQUEST
+                                 && !blame_is_proven (blame, cause->digest);
     known = blame_cause_find (blame, out[n].block.id);
     n += !known || !known->blocked_until;
   }
@@ -214,7 +219,7 @@
         {
           cause = blame_block_get (blame, &found[i].block, found[i].customer);
           cause->odds = found[i].odds;
-          cause->taken_for_new = found[i].is_new;
+          cause->taken_for_new = found[i].block.taken_for_new;
           if (cause->last_report_at < found[i].last_crash)
             cause->last_report_at = found[i].last_crash;
           cause_block (cause, now, found[i].last_crash, blocked, arg);
@@ -273,7 +278,6 @@
                             .odds = cause->odds,
                             .blocked_until = cause->blocked_until,
                             .holds = cause->holds,
-                            .taken_for_new = cause->taken_for_new,
                             .unconfirmed = cause_is_unconfirmed (cause),
                             .prime_suspect = cause_is_prime_suspect (cause) };
 
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -102,12 +102,14 @@
   UT_hash_handle hh;
 };
 
-/* A cause that is no request and ran well. The least recent ones are
-   forgotten. */
+/* A cause that is no request and ran well, here or elsewhere. The least recent
+   ones are forgotten. */
 typedef struct blame_proven
 {
   rt_digest_t digest;
-  UT_hash_handle hh; /* in the order in which they ran well last */
+  el_time_t at;         /* when it last ran well */
+  el_time_t told_until; /* all hosts know of it until then */
+  UT_hash_handle hh;    /* in the order in which they ran well last */
 } blame_proven_t;
 
 struct rt_blame
@@ -137,9 +139,15 @@
 void blame_run_free (blame_run_t *run);
 
 /* blame_proven.c */
+int blame_is_learning (const rt_blame_t *blame);
 int blame_is_proven (const rt_blame_t *blame, rt_digest_t digest);
+blame_proven_t *blame_proven_add (rt_blame_t *blame, rt_digest_t part,
+                                  el_time_t at);
 void blame_proven_free (rt_blame_t *blame);
 
+/* blame_clear.c */
+int blame_unblock_new (rt_blame_t *blame, rt_digest_t digest);
+
 /* blame_class.c */
 void blame_classes_build (rt_blame_t *blame);
 void blame_classes_share_odds (rt_blame_t *blame);
--- a/tests/part_sim.c
+++ b/tests/part_sim.c
@@ -41,6 +41,7 @@
 /* Crashing parts come from then on. */
 #define WARM_UP (8 * EL_SEC)
 #define MAX_TRIALS 64
+#define TESTIMONY_GOSSIP_TIME (60 * EL_SEC)
 /* One in so many of the requests that an idle host would take. */
 #define IDLE_ONE_IN 30
 
@@ -77,6 +78,7 @@
 {
   MESSAGE_CRASH,
   MESSAGE_WELL,
+  MESSAGE_TESTIMONY,
   MESSAGE_BLOCK
 } part_message_kind_t;
 
@@ -85,6 +87,7 @@
   part_message_kind_t kind;
   rt_crash_report_t crash;
   rt_digest_t well;
+  el_time_t well_at;
   rt_block_t block;
   unsigned holds;
   el_time_t sent_at;
@@ -116,6 +119,14 @@
   size_t ntrials;
 } part_host_t;
 
+/* A testimony that is being gossiped: all hosts give it the same id. */
+typedef struct part_testimony
+{
+  rt_digest_t id;
+  el_time_t until;
+  UT_hash_handle hh;
+} part_testimony_t;
+
 typedef struct part_sim
 {
   part_options_t options;
@@ -128,6 +139,7 @@
   part_engine_t engine[MAX_ENGINES];
   part_stream_t *streams;
   part_delivery_t *ring[RING];
+  part_testimony_t *testimonies;
   rt_digest_t last_digest;
   size_t crashes[MAX_BAD];
   el_time_t fifth[MAX_BAD];
@@ -200,6 +212,70 @@
   return message;
 }
 
+static void
+testimony_publish (part_sim_t *sim, size_t from, rt_digest_t part,
+                   rt_digest_t id)
+{
+  part_testimony_t *known;
+  part_message_t *message;
+
+  HASH_FIND (hh, sim->testimonies, &id, sizeof id, known);
+  if (known && sim->now < known->until)
+    return;
+  if (!known)
+    {
+      known = el_alloc (sizeof *known);
+      known->id = id;
+      HASH_ADD (hh, sim->testimonies, id, sizeof id, known);
+    }
+  known->until = sim->now + TESTIMONY_GOSSIP_TIME;
+  sim->result.testimonies++;
+  message = message_new (MESSAGE_TESTIMONY);
+  message->well = part;
+  message->well_at
+      = rt_blame_ran_well_at (sim->hosts[from].blame, part, sim->now);
+  message_deliver (sim, from, message);
+}
+
+static void
+testify (part_sim_t *sim, size_t host, rt_digest_t part)
+{
+  if (!sim->options.no_testimony
+      && rt_blame_should_testify (sim->hosts[host].blame, part, sim->now,
+                                  sim->now + TESTIMONY_GOSSIP_TIME))
+    testimony_publish (sim, host, part, part);
+}
+
+static void
+testimony_give (part_sim_t *sim, size_t host, const rt_crash_report_t *run)
+{
+  size_t i;
+
+  for (i = 0; i < run->nparts && !run->writing; i++)
+    {
+      testify (sim, host, run->parts[i]);
+      testify (sim, host, rt_customer_part (run->customer, run->parts[i]));
+    }
+}
+
+/* A host learns of a block that took its causes for new. */
+static void
+testimony_refute (part_sim_t *sim, size_t to, const rt_block_t *block)
+{
+  rt_blame_t *blame = sim->hosts[to].blame;
+  el_time_t at;
+  size_t i;
+
+  for (i = 0;
+       !sim->options.no_testimony && block->taken_for_new && i < block->n; i++)
+    {
+      at = rt_blame_ran_well_at (blame, block->causes[i], sim->now);
+      if (at && rt_blame_testify (blame, block->causes[i], at, sim->now))
+        testimony_publish (sim, to, block->causes[i],
+                           block->causes[i] ^ block->id ^ 1);
+    }
+}
+
 static void
 message_receive (part_sim_t *sim, size_t to, const part_message_t *message)
 {
@@ -210,14 +286,21 @@
     case MESSAGE_CRASH:
       host->stale
           |= rt_blame_add_report (host->blame, sim->now, &message->crash);
+      testimony_give (sim, to, &message->crash);
       break;
     case MESSAGE_WELL:
       rt_blame_completed (host->blame, message->well, message->sent_at);
       host->stale = 1;
       break;
+    case MESSAGE_TESTIMONY:
+      rt_blame_testify (host->blame, message->well, message->well_at,
+                        sim->now + TESTIMONY_GOSSIP_TIME);
+      host->stale = 1;
+      break;
     case MESSAGE_BLOCK:
-      rt_blame_block (host->blame, &message->block, 1, message->sent_at,
-                      message->holds);
+      if (rt_blame_block (host->blame, &message->block, 1, message->sent_at,
+                          message->holds))
+        testimony_refute (sim, to, &message->block);
       break;
     }
 }
@@ -487,6 +570,7 @@
         message_deliver (sim, stream->host, message);
       }
     rt_blame_add_report (host->blame, sim->now, &crash);
+    testimony_give (sim, stream->host, &crash);
     host->stale = 1;
   }
   DL_FOREACH_SAFE (sim->streams, stream, next)
@@ -687,6 +771,8 @@
 {
   part_stream_t *stream;
   part_stream_t *next;
+  part_testimony_t *testimony;
+  part_testimony_t *testimony_next;
   rt_traits_t traits = { .digest = 1, .customer = part_id (1, 0) };
   rt_digest_t bad;
   size_t i;
@@ -723,6 +809,11 @@
       }
   for (i = 0; i < sim->options.hosts; i++)
     rt_blame_free (sim->hosts[i].blame);
+  HASH_ITER (hh, sim->testimonies, testimony, testimony_next)
+  {
+    HASH_DEL (sim->testimonies, testimony);
+    free (testimony);
+  }
   free (sim->hosts);
   free (sim->waits);
 }
--- a/tests/part_sim.h
+++ b/tests/part_sim.h
@@ -28,6 +28,7 @@
   uint64_t seed;
   int requests_only; /* parts are no causes */
   int no_trials;     /* requests with a suspect part are not sent singly */
+  int no_testimony;  /* hosts do not say which parts ran well before */
   size_t hosts;
   size_t idle_hosts; /* of these, hosts that take few requests */
   size_t engines;
@@ -59,6 +60,7 @@
   size_t sound_refused; /* refused after a wait for a trial, or as no engine
                            was available */
   size_t sound_waited;  /* waited for a trial */
+  size_t testimonies;   /* that a part ran well before */
   double wait_p50_ms;   /* of these */
   double wait_p99_ms;
   size_t blocked_parts; /* crashing parts that are blocked at the end */
--- a/tests/t_parts.c
+++ b/tests/t_parts.c
@@ -25,9 +25,9 @@
 static rt_block_t blocks[64];
 static size_t nblocks;
 
-/* Creates a table of a host that saw its first request run well at AT. */
+/* Creates the table of a host that has not seen a request yet. */
 static void
-parts_setup_at (el_time_t at)
+parts_setup_new (void)
 {
   const rt_blame_options_t options = { .max_causes = 1000,
                                        .max_customer_causes = 400,
@@ -35,10 +35,17 @@
                                        .rule = &rt_blame_rule_odds };
 
   blame = rt_blame_new (&options);
-  rt_blame_prove (blame, 1, at);
   nblocks = 0;
 }
 
+/* Creates that of a host that saw its first request run well at AT. */
+static void
+parts_setup_at (el_time_t at)
+{
+  parts_setup_new ();
+  rt_blame_prove (blame, 1, at);
+}
+
 static void
 parts_setup (void)
 {
@@ -246,6 +253,42 @@
 }
 END_TEST
 
+/* Requests of a customer with one part crash engines, and one without it was
+   at a further crash: a host that has just started does not know that the part
+   is new, and that the customer's common one is not. */
+START_TEST (test_parts_common_one_is_not_blocked_by_a_host_that_starts)
+{
+  unsigned i;
+
+  parts_teardown ();
+  parts_setup_at (NOW);
+  for (i = 0; i < 5; i++)
+    {
+      add_run (i, NOW + i * 600 * EL_MSEC, 100 + i, CUSTOMER, COMMON,
+               i == 2 ? RARE : BAD, 0);
+      update (NOW + i * 600 * EL_MSEC);
+    }
+  ck_assert_uint_eq (nblocks, 0);
+}
+END_TEST
+
+/* If no host knows, the part is blocked at last. */
+START_TEST (test_parts_are_blocked_at_the_eighth_crash_after_a_start)
+{
+  unsigned i;
+
+  parts_teardown ();
+  parts_setup_at (NOW);
+  for (i = 0; i < 8; i++)
+    {
+      ck_assert_uint_eq (nblocks, 0);
+      add_run (i, NOW + i * 500 * EL_MSEC, 100 + i, CUSTOMER, RARE, BAD, 0);
+      update (NOW + i * 500 * EL_MSEC);
+    }
+  ck_assert_uint_eq (nblocks, 1);
+}
+END_TEST
+
 /* An operator unblocks a part: its siblings are not blocked in its place. */
 START_TEST (test_parts_unblocked_by_an_operator_stay_unblocked)
 {
@@ -460,6 +503,125 @@
 }
 END_TEST
 
+/* N requests with the parts P and Q crash an engine each. */
+static void
+crash_engines (unsigned n, rt_digest_t p, rt_digest_t q)
+{
+  unsigned i;
+
+  for (i = 0; i < n; i++)
+    {
+      add_run (i, NOW + i * EL_SEC, 100 + i, CUSTOMER, p, q, 0);
+      update (NOW + i * EL_SEC);
+    }
+}
+
+/* This host took a part for new and blocked it; another one saw it run well
+   before. */
+START_TEST (test_parts_block_of_one_that_ran_well_elsewhere_is_lifted)
+{
+  crash_engines (3, RARE, RARE);
+  ck_assert_uint_eq (blocks[nblocks - 1].n, 1);
+  ck_assert (blocks[nblocks - 1].taken_for_new);
+  ck_assert (rt_blame_testify (blame, rt_customer_part (CUSTOMER, RARE),
+                               NOW - EL_SEC, NOW + 5 * EL_SEC));
+  ck_assert (rt_blame_testify (blame, RARE, NOW - EL_SEC, NOW + 5 * EL_SEC)
+             == 0);
+  update (NOW + 4 * EL_SEC);
+  ck_assert_int_ne (judge (NOW + 5 * EL_SEC, 7, CUSTOMER, RARE, RARE).state,
+                    RT_BLAME_BLOCKED);
+}
+END_TEST
+
+/* A block that was decided although the part ran well before stands. */
+START_TEST (test_parts_block_of_a_proven_one_is_not_lifted_by_testimony)
+{
+  rt_block_t block = rt_block_single (RT_CAUSE_PART, BAD);
+
+  rt_blame_block (blame, &block, CUSTOMER, NOW, 1);
+  ck_assert (!rt_blame_testify (blame, BAD, NOW - EL_SEC, NOW + EL_SEC));
+  ck_assert_int_eq (judge (NOW + 1, 7, CUSTOMER, BAD, RARE).state,
+                    RT_BLAME_BLOCKED);
+  block.taken_for_new = 1;
+  rt_blame_block (blame, &block, CUSTOMER, NOW + 2, 2);
+  ck_assert (rt_blame_testify (blame, BAD, NOW - EL_SEC, NOW + EL_SEC));
+  ck_assert_int_ne (judge (NOW + 3, 7, CUSTOMER, BAD, RARE).state,
+                    RT_BLAME_BLOCKED);
+}
+END_TEST
+
+/* Of two parts that are blocked together, the one that ran well elsewhere
+   drops out. */
+START_TEST (test_parts_testimony_narrows_a_set)
+{
+  crash_engines (3, RARE, BAD);
+  ck_assert_uint_eq (blocks[nblocks - 1].n, 2);
+  ck_assert (rt_blame_testify (blame, rt_customer_part (CUSTOMER, RARE),
+                               NOW - EL_SEC, NOW + 5 * EL_SEC));
+  ck_assert_int_eq (judge (NOW + 5 * EL_SEC, 7, CUSTOMER, COMMON, BAD).state,
+                    RT_BLAME_BLOCKED);
+  ck_assert_int_ne (judge (NOW + 5 * EL_SEC, 7, CUSTOMER, COMMON, RARE).state,
+                    RT_BLAME_BLOCKED);
+}
+END_TEST
+
+/* A host that starts is told of some parts: it does not take all others for
+   new because of that. */
+START_TEST (test_parts_testimony_does_not_end_the_time_of_learning)
+{
+  parts_teardown ();
+  parts_setup_new ();
+  rt_blame_testify (blame, COMMON, NOW - 500 * EL_SEC, NOW);
+  crash_engines (3, RARE, BAD);
+  ck_assert_uint_eq (nblocks, 0);
+}
+END_TEST
+
+/* A host tells the others of a part that ran well within ten minutes, and not
+   again while they know. */
+START_TEST (test_parts_testimony_is_given_once)
+{
+  rt_blame_prove (blame, COMMON, NOW);
+  ck_assert (!rt_blame_should_testify (blame, RARE, NOW, NOW + 60 * EL_SEC));
+  ck_assert (rt_blame_should_testify (blame, COMMON, NOW, NOW + 60 * EL_SEC));
+  ck_assert (!rt_blame_should_testify (blame, COMMON, NOW + 59 * EL_SEC,
+                                       NOW + 120 * EL_SEC));
+  ck_assert (rt_blame_should_testify (blame, COMMON, NOW + 60 * EL_SEC,
+                                      NOW + 120 * EL_SEC));
+  rt_blame_testify (blame, RARE, NOW, NOW + 60 * EL_SEC);
+  ck_assert (!rt_blame_should_testify (blame, RARE, NOW + 1, NOW + EL_SEC));
+  ck_assert_uint_eq (rt_blame_ran_well_at (blame, RARE, NOW + 1), NOW);
+  ck_assert_uint_eq (rt_blame_ran_well_at (blame, RARE, NOW + 600 * EL_SEC),
+                     0);
+  ck_assert (!rt_blame_should_testify (blame, COMMON, NOW + 600 * EL_SEC,
+                                       NOW + 660 * EL_SEC));
+}
+END_TEST
+
+/* A testimony is decoded as it was encoded; one of the future is refused. */
+START_TEST (test_testimony_fact_is_decoded)
+{
+  const relay_fact_t fact = { .kind = RELAY_FACT_RAN_WELL,
+                              .digest = UINT64_MAX,
+                              .ago = 90 * EL_SEC };
+  relay_fact_t out;
+  el_buf_t body = { NULL, 0, 0 };
+
+  relay_fact_encode (&fact, &body);
+  ck_assert_int_eq (relay_fact_decode (el_buf_str (&body), NOW, &out), 1);
+  ck_assert_int_eq (out.kind, RELAY_FACT_RAN_WELL);
+  ck_assert_uint_eq (out.digest, UINT64_MAX);
+  ck_assert_uint_eq (out.ago, 90 * EL_SEC);
+  ck_assert_int_eq (relay_fact_decode (el_buf_str (&body), EL_SEC, &out), 0);
+  el_buf_free (&body);
+  ck_assert_int_eq (
+      relay_fact_decode (
+          EL_STR ("{\"fact\":\"ran-well\",\"digest\":\"1\",\"ago_ms\":-1}"),
+          NOW, &out),
+      0);
+}
+END_TEST
+
 /* Some hosts take few requests and have not seen most parts run well: no sound
    request is refused as crashing. */
 START_TEST (test_parts_sound_ones_are_not_blocked_by_idle_hosts)
@@ -502,6 +664,8 @@
   ADD (tcase, test_parts_of_one_crashing_request_are_not_blocked);
   ADD (tcase, test_request_with_events_before_each_crash_is_not_blocked);
   ADD (tcase, test_parts_are_not_new_to_a_host_that_starts);
+  ADD (tcase, test_parts_common_one_is_not_blocked_by_a_host_that_starts);
+  ADD (tcase, test_parts_are_blocked_at_the_eighth_crash_after_a_start);
   ADD (tcase, test_parts_unblocked_by_an_operator_stay_unblocked);
   ADD (tcase, test_parts_are_blocked_again_after_one_more_crash);
   ADD (tcase, test_trials_are_granted_one_at_a_time);
@@ -510,6 +674,12 @@
   ADD (tcase, test_crash_fact_with_most_parts_fits_a_rumor);
   ADD (tcase, test_block_fact_of_several_parts_is_decoded);
   ADD_LOOP (tcase, test_parts_simulations_keep_the_send_bound, SEEDS);
+  ADD (tcase, test_parts_block_of_one_that_ran_well_elsewhere_is_lifted);
+  ADD (tcase, test_parts_block_of_a_proven_one_is_not_lifted_by_testimony);
+  ADD (tcase, test_parts_testimony_narrows_a_set);
+  ADD (tcase, test_parts_testimony_does_not_end_the_time_of_learning);
+  ADD (tcase, test_parts_testimony_is_given_once);
+  ADD (tcase, test_testimony_fact_is_decoded);
   ADD (tcase, test_parts_sound_ones_are_not_blocked_by_idle_hosts);
   suite_add_tcase (suite, tcase);
   return suite;
