Runs at endpoints that leave do not count when these refuse connections; reports without a run are bounded

An endpoint that said that it leaves refuses connections as it stops; a run that was cancelled there up to 8 s before would have counted as one under a crash. And a report that only adds a second witness no longer dropped what was too much.

--- a/gate/relay_runs.c
+++ b/gate/relay_runs.c
@@ -323,9 +323,11 @@
           .host = relays->options.host_incarnation,
           .at = net_clock_now (relays->options.clock) };
 
-  if (rt_blame_needs_witness (relay_blame_table (relays), &report.instance,
-                              report.host))
-    relay_pending_add (relays, target, &report);
+  if (!rt_blame_needs_witness (relay_blame_table (relays), &report.instance,
+                               report.host))
+    return;
+  relay_pending_add (relays, target, &report);
+  relay_pending_expire (relays, report.at);
 }
 
 /** This host reaches no endpoint of SERVICE: it is cut off, or all of them
@@ -426,7 +428,8 @@
   relay_runs_t *runs = relays->runs;
   relay_run_t *run;
 
-  if (relay_reach_is_cut_off (relays, target->attrs.service))
+  if (rt_target_is_leaving (target)
+      || relay_reach_is_cut_off (relays, target->attrs.service))
     return;
   pending_add_check (relays, target);
   DL_FOREACH (runs->pending, run)
--- a/tests/t_runs.c
+++ b/tests/t_runs.c
@@ -243,6 +243,21 @@
 }
 END_TEST
 
+/* An endpoint refuses connections, and another one accepts them: it crashed,
+   unless it said that it leaves. */
+START_TEST (test_cancelled_run_at_endpoint_that_leaves_does_not_count)
+{
+  cancel_run ();
+  if (_i)
+    rt_target_mark_leaving (targets[0]);
+  relay_runs_connect_refused (&relays, targets[0]);
+  target_add (1);
+  relay_runs_connected (&relays, targets[1],
+                        net_clock_now (&test_clock) + EL_SEC);
+  ck_assert_uint_eq (crashes (), _i ? 0 : 1);
+}
+END_TEST
+
 /* Callers leave all the time: that is no reason to doubt their endpoints. */
 START_TEST (test_cancelled_runs_are_not_in_doubt)
 {
@@ -269,6 +284,23 @@
 }
 END_TEST
 
+/* Each refused connection to an endpoint that another host reported adds one.
+ */
+START_TEST (test_reports_without_a_run_are_bounded)
+{
+  rt_crash_report_t report = { .digest = DIGEST, .host = 2 };
+  unsigned i;
+
+  target_add (0);
+  report.instance = rt_target_instance (targets[0]);
+  report.at = net_clock_now (&test_clock);
+  rt_blame_add_report (relay_blame_table (&relays), report.at, &report);
+  for (i = 0; i < 1024 + 10; i++)
+    relay_runs_connect_refused (&relays, targets[0]);
+  ck_assert_uint_eq (relays.runs->npending, 1024);
+}
+END_TEST
+
 /* The endpoint of a suspect is tried as soon as it must have noticed that the
    run was cancelled, and others are not. */
 START_TEST (test_endpoint_of_a_cancelled_suspect_is_tried)
@@ -344,8 +376,11 @@
             3);
   ADD (tcase,
        test_cancelled_run_that_was_over_before_the_crash_does_not_count);
+  ADD_LOOP (tcase, test_cancelled_run_at_endpoint_that_leaves_does_not_count,
+            2);
   ADD (tcase, test_cancelled_runs_are_not_in_doubt);
   ADD (tcase, test_cancelled_runs_are_bounded);
+  ADD (tcase, test_reports_without_a_run_are_bounded);
   ADD_LOOP (tcase, test_endpoint_of_a_cancelled_suspect_is_tried, 2);
   ADD (tcase, test_reported_endpoint_of_a_cancelled_run_is_tried);
   suite_add_tcase (suite, tcase);
