Tests: the endpoint that leaves is not the only one of its service

Without another one its refused connections were doubted, so that the test passed without the code that it covers (make red showed it); red now.

--- a/tests/t_runs.c
+++ b/tests/t_runs.c
@@ -247,11 +247,11 @@
    unless it said that it leaves. */
 START_TEST (test_cancelled_run_at_endpoint_that_leaves_does_not_count)
 {
+  target_add (1);
   cancel_run ();
   if (_i)
     rt_target_mark_leaving (targets[0]);
   relay_runs_connect_refused (&relays, targets[0]);
-  target_add (1);
   relay_runs_connected (&relays, targets[1],
                         net_clock_now (&test_clock) + EL_SEC);
   ck_assert_uint_eq (crashes (), _i ? 0 : 1);
