--- a/route/blame_proven.c
+++ b/route/blame_proven.c
@@ -41,6 +41,13 @@
          || blame->updated_at < blame->first_proven_at + LEARNING_TIME;
 }
 
+/* Whether the part is known to have run well. */
+int
+blame_ran_well (const rt_blame_t *blame, rt_digest_t digest)
+{
+  return proven_find (blame, digest) != NULL;
+}
+
 /* Whether the part ran well before, or may have. */
 int
 blame_is_proven (const rt_blame_t *blame, rt_digest_t digest)
--- a/route/blame_status.c
+++ b/route/blame_status.c
@@ -157,10 +157,11 @@
       && (leader->ambiguous || leader->one_request
           || cause_count_crashes (leader) < PART_CRASHES_MIN))
     return 0;
-  /* To a host that is learning, parts that ran well are as likely as new ones,
-     and one that more requests have explains more crashes. */
+  /* A host that is learning takes new parts for as unlikely as those that ran
+     well, and one of these that more requests have explains more crashes. */
   return (leader->odds >= BLOCK_ODDS
-          && !(is_part && blame_is_learning (blame)))
+          && !(is_part && blame_is_learning (blame)
+               && blame_ran_well (blame, leader->digest)))
          || (cause_early_crashes (leader) >= crashes_max
              && cause_is_likeliest (leader, cause_last_crash (leader)));
 }
--- a/route/libblame.h
+++ b/route/libblame.h
@@ -140,6 +140,7 @@
 
 /* blame_proven.c */
 int blame_is_learning (const rt_blame_t *blame);
+int blame_ran_well (const rt_blame_t *blame, rt_digest_t digest);
 int blame_is_proven (const rt_blame_t *blame, rt_digest_t digest);
 blame_proven_t *blame_proven_add (rt_blame_t *blame, rt_digest_t part,
                                   el_time_t at);
--- a/tests/t_parts.c
+++ b/tests/t_parts.c
@@ -262,6 +262,9 @@
 
   parts_teardown ();
   parts_setup_at (NOW);
+  rt_blame_testify (blame, COMMON, NOW - EL_SEC, NOW);
+  rt_blame_testify (blame, rt_customer_part (CUSTOMER, COMMON), NOW - EL_SEC,
+                    NOW);
   for (i = 0; i < 5; i++)
     {
       add_run (i, NOW + i * 600 * EL_MSEC, 100 + i, CUSTOMER, COMMON,
@@ -279,6 +282,12 @@
 
   parts_teardown ();
   parts_setup_at (NOW);
+  for (i = 0; i < 4; i++)
+    rt_blame_testify (blame,
+                      i % 2   ? rt_customer_part (CUSTOMER, i / 2 ? BAD : RARE)
+                      : i / 2 ? BAD
+                              : RARE,
+                      NOW - EL_SEC, NOW);
   for (i = 0; i < 8; i++)
     {
       ck_assert_uint_eq (nblocks, 0);
