load/: what hosts tell each other, the order of waiting, admission; interfaces

Cause: under hard load each host guesses what the others of its hall have sent, requests do not wait, and ranks are used nowhere (docs/design/hard-load.md). Change: the interfaces of the parts and their pure modules. Reports of load and their sum (ld_report), the estimate of an engine's use from them (ld_others), the queue by rank, customer and arrival (ld_queue), admission and the time of return (ld_admit); the message between hosts (PEER_LOAD).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CFLAGS = -O2 -g
 WARN = -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wwrite-strings
-INC = -Ibase -Icoord -Iroute -Inet -Ipeer -Istore -Igate -Iplatform -isystem /usr/include/tirpc
+INC = -Ibase -Icoord -Iload -Iroute -Inet -Ipeer -Istore -Igate -Iplatform -isystem /usr/include/tirpc
 PREFIX = /usr/local
 # With the sanitizers, gcc warns of null format strings that exist only in the
 # instrumented code.
@@ -18,6 +18,7 @@
 BASE = base/str.c base/err.c base/timer.c base/random.c base/metrics.c base/log.c \
        base/settings.c
 COORD = coord/mbr_members.c coord/mbr_update.c coord/mbr_probe.c coord/mbr_hall.c coord/feed.c coord/rumor.c coord/token.c coord/ledger.c coord/allowance.c coord/cfg_schema.c coord/cfg_apply.c
+LOAD = load/ld_report.c load/ld_others.c load/ld_heap.c load/ld_queue.c load/ld_admit.c
 ROUTE = route/avail.c route/reach.c route/limit.c route/router.c route/table.c route/route_build.c route/pick.c route/health.c \
         route/admit.c route/retry.c route/chat.c route/call.c route/trace.c \
         route/rules.c route/fleet.c route/fleet_kind.c route/fleet_pick.c route/chain.c route/chain_reduce.c route/chain_use.c route/estimate.c \
@@ -25,7 +26,7 @@
 
 NET = net/clock.c net/http_server.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_members.c peer/peer_config.c \
-       peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_loan.c peer/peer_reach.c peer/peer_forward.c \
+       peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_loan.c peer/peer_reach.c peer/peer_load.c peer/peer_forward.c \
        peer/peer_handover.c peer/peer_xdr.c
 GATE = gate/gate.c gate/answer.c \
        gate/caller.c gate/deferred.c gate/inflight.c gate/engine.c gate/api.c \
@@ -44,7 +45,7 @@
 LIBS = -lh2o -lhttp_parser -luv -lssl -lcrypto -ljansson -lpopt -llog4c -lxxhash -ltirpc \
        -lpthread -lm
 
-LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libstore.a $(B)/libpeer.a $(B)/libnet.a $(B)/libroute.a $(B)/libcoord.a $(B)/libbase.a
+LIBA = $(B)/libplatform.a $(B)/libgate.a $(B)/libstore.a $(B)/libpeer.a $(B)/libnet.a $(B)/libroute.a $(B)/libload.a $(B)/libcoord.a $(B)/libbase.a
 
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
               grep -v 'peer/peer_xdr.c\|peer/peer_proto.h')
@@ -111,7 +112,7 @@
 	$(LINK) -lcurl
 
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
-       tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_parts.c tests/t_load.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
+       tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_parts.c tests/t_load.c tests/t_admit.c tests/t_told.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
        tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/part_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_runs.c tests/t_forward.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
@@ -208,6 +209,8 @@
 
 $(B)/libbase.a: $(BASE:%.c=$(B)/%.o)
 	ar rcs $@ $^
+$(B)/libload.a: $(LOAD:%.c=$(B)/%.o)
+	ar rcs $@ $^
 $(B)/libcoord.a: $(COORD:%.c=$(B)/%.o)
 	ar rcs $@ $^
 $(B)/libroute.a: $(ROUTE:%.c=$(B)/%.o)
--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -42,6 +42,7 @@
   el_timer_t pending_timer;
   co_incarnation_t reports_from; /* host of the last engine reports */
   uint64_t reports_at;           /* by its clock */
+  uint64_t load_sequence;        /* of this host's last report of its load */
   peer_leaving_notice_t *leaving_notices;
   peer_handover_t *handover;
   pr_session_home_t successor;
@@ -110,6 +111,11 @@
 /* peer_reach.c */
 void peer_serve_reach (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
+/* peer_load.c */
+void peer_load_encode (const ld_report_t *report, peer_load *out);
+int peer_load_decode (const peer_load *load, ld_report_t *out);
+void peer_serve_load (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
+
 /* peer_handover.c */
 void peer_serve_handover (pr_peers_t *peers, net_rpc_req_t *req,
                           el_str_t body);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -29,6 +29,7 @@
   { PEER_HANDOVER, peer_serve_handover }, { PEER_NEWS, peer_serve_news },
   { PEER_MEMBERS, peer_serve_members },   { PEER_RUMORS, peer_serve_rumors },
   { PEER_LOAN, peer_serve_loan },         { PEER_REACH, peer_serve_reach },
+  { PEER_LOAD, peer_serve_load },
 };
 
 /** Encode a value and append it to OUT. */
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -14,6 +14,7 @@
 #include <rpc/rpc.h>
 
 #include "coord.h"
+#include "load.h"
 #include "net.h"
 #include "peer_proto.h"
 #include "rpc.h"
@@ -167,6 +168,10 @@
 typedef void (*pr_reach_cb) (void *arg, unsigned hosts,
                              const pr_reach_answer_t *answer);
 
+/** The sum of what the other hosts of the hall reported; NULL if the host that
+    sums it up did not answer. */
+typedef void (*pr_load_cb) (void *arg, const ld_report_t *others);
+
 /* Requests for sessions of other hosts. */
 
 /** The host that keeps a session: its home. */
@@ -257,6 +262,10 @@
       called before or after this returns. */
   void (*reach) (void *arg, const pr_reach_query_t *query, pr_reach_cb done,
                  void *done_arg);
+  /** HOST, possibly this one, reports its load. Set OUT to the sum of what the
+      other hosts of the hall reported. */
+  void (*load) (void *arg, uint64_t host, uint64_t sequence,
+                const ld_report_t *report, ld_report_t *out);
   /** Run a request forwarded by another host and reply to REQ with
       pr_forward_reply. REQUEST is NULL when the request is invalid or this
       host is not the home of its session. */
@@ -339,6 +348,11 @@
 unsigned pr_peers_ask_reach (pr_peers_t *peers, const pr_reach_query_t *query,
                              pr_reach_cb done, void *arg);
 
+/* Load. */
+void pr_peers_report_load (pr_peers_t *peers, const ld_report_t *report,
+                           pr_load_cb done, void *arg);
+int pr_peers_hall_is_uneven (const pr_peers_t *peers);
+
 /* Sessions. */
 int pr_peers_find_home (pr_peers_t *peers, const co_token_t *token,
                         pr_session_home_t *out);
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -24,6 +24,9 @@
 const PEER_RUMOR_MAX = 1000;
 const PEER_RUMORS_MAX = 4096;
 const PEER_REACH_MAX = 16;
+const PEER_RANKS = 8;
+const PEER_USES_MAX = 96;
+const PEER_WAITS_MAX = 8;
 
 /* Every call and result is sent in this form: an XDR body and its message
    authentication code, keyed with the cluster key. */
@@ -284,6 +287,35 @@
   bool reached<PEER_REACH_MAX>;
 };
 
+/* What requests use of an engine; HELD in units of PEER_HELD_UNIT tokens times
+   layers. */
+const PEER_HELD_UNIT = 256;
+struct peer_use {
+  unsigned hyper engine;
+  unsigned int held;
+  unsigned int begun;
+};
+
+/* Number of requests of a service that wait, by rank. */
+struct peer_waits {
+  unsigned hyper service;
+  unsigned int waiting[PEER_RANKS];
+};
+
+struct peer_load {
+  unsigned int hosts;
+  peer_use uses<PEER_USES_MAX>;
+  peer_waits waits<PEER_WAITS_MAX>;
+};
+
+/* Reports a host's load; the later of its reports has the higher sequence. The
+   reply is the sum of what the other hosts of the hall reported. */
+struct peer_load_args {
+  opaque incarnation[PEER_INCARNATION];
+  unsigned hyper sequence;
+  peer_load load;
+};
+
 program ELMARCH_PEER {
   version ELMARCH_PEER_V1 {
     peer_sealed PEER_GOSSIP (peer_sealed) = 1;
@@ -296,5 +328,6 @@
     peer_sealed PEER_RUMORS (peer_sealed) = 8;
     peer_sealed PEER_LOAN (peer_sealed) = 9;
     peer_sealed PEER_REACH (peer_sealed) = 10;
+    peer_sealed PEER_LOAD (peer_sealed) = 11;
   } = 1;
 } = 0x20656c6d;
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -31,6 +31,9 @@
 #define PEER_RUMOR_MAX 1000
 #define PEER_RUMORS_MAX 4096
 #define PEER_REACH_MAX 16
+#define PEER_RANKS 8
+#define PEER_USES_MAX 96
+#define PEER_WAITS_MAX 8
 
 struct peer_sealed {
 	char mac[PEER_MAC];
@@ -425,6 +428,40 @@
 	} reached;
 };
 typedef struct peer_reach_res peer_reach_res;
+#define PEER_HELD_UNIT 256
+
+struct peer_use {
+	u_quad_t engine;
+	u_int held;
+	u_int begun;
+};
+typedef struct peer_use peer_use;
+
+struct peer_waits {
+	u_quad_t service;
+	u_int waiting[PEER_RANKS];
+};
+typedef struct peer_waits peer_waits;
+
+struct peer_load {
+	u_int hosts;
+	struct {
+		u_int uses_len;
+		peer_use *uses_val;
+	} uses;
+	struct {
+		u_int waits_len;
+		peer_waits *waits_val;
+	} waits;
+};
+typedef struct peer_load peer_load;
+
+struct peer_load_args {
+	char incarnation[PEER_INCARNATION];
+	u_quad_t sequence;
+	peer_load load;
+};
+typedef struct peer_load_args peer_load_args;
 
 #define ELMARCH_PEER 0x20656c6d
 #define ELMARCH_PEER_V1 1
@@ -460,6 +497,9 @@
 #define PEER_REACH 10
 extern  peer_sealed * peer_reach_1(peer_sealed *, CLIENT *);
 extern  peer_sealed * peer_reach_1_svc(peer_sealed *, struct svc_req *);
+#define PEER_LOAD 11
+extern  peer_sealed * peer_load_1(peer_sealed *, CLIENT *);
+extern  peer_sealed * peer_load_1_svc(peer_sealed *, struct svc_req *);
 extern int elmarch_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -493,6 +533,9 @@
 #define PEER_REACH 10
 extern  peer_sealed * peer_reach_1();
 extern  peer_sealed * peer_reach_1_svc();
+#define PEER_LOAD 11
+extern  peer_sealed * peer_load_1();
+extern  peer_sealed * peer_load_1_svc();
 extern int elmarch_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -530,6 +573,10 @@
 extern  bool_t xdr_peer_instance (XDR *, peer_instance*);
 extern  bool_t xdr_peer_reach_args (XDR *, peer_reach_args*);
 extern  bool_t xdr_peer_reach_res (XDR *, peer_reach_res*);
+extern  bool_t xdr_peer_use (XDR *, peer_use*);
+extern  bool_t xdr_peer_waits (XDR *, peer_waits*);
+extern  bool_t xdr_peer_load (XDR *, peer_load*);
+extern  bool_t xdr_peer_load_args (XDR *, peer_load_args*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_sealed ();
@@ -563,6 +610,10 @@
 extern bool_t xdr_peer_instance ();
 extern bool_t xdr_peer_reach_args ();
 extern bool_t xdr_peer_reach_res ();
+extern bool_t xdr_peer_use ();
+extern bool_t xdr_peer_waits ();
+extern bool_t xdr_peer_load ();
+extern bool_t xdr_peer_load_args ();
 
 #endif /* K&R C */
 
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -713,3 +713,103 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_use (XDR *xdrs, peer_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->engine))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->begun))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_waits (XDR *xdrs, peer_waits *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, ( PEER_RANKS ) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->waiting, PEER_RANKS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->waiting;
+					i < PEER_RANKS; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, ( PEER_RANKS ) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_vector (xdrs, (char *)objp->waiting, PEER_RANKS,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+		} else {
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->waiting;
+					i < PEER_RANKS; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->waiting, PEER_RANKS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_load (XDR *xdrs, peer_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->hosts))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, PEER_USES_MAX,
+		sizeof (peer_use), (xdrproc_t) xdr_peer_use))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->waits.waits_val, (u_int *) &objp->waits.waits_len, PEER_WAITS_MAX,
+		sizeof (peer_waits), (xdrproc_t) xdr_peer_waits))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_load_args (XDR *xdrs, peer_load_args *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->incarnation, PEER_INCARNATION))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_peer_load (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
+}
--- a/tests/test.h
+++ b/tests/test.h
@@ -40,6 +40,8 @@
 Suite *forward_suite (void);
 Suite *epoch_suite (void);
 Suite *load_suite (void);
+Suite *admit_suite (void);
+Suite *told_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
 Suite *random_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -50,6 +50,8 @@
   srunner_add_suite (runner, connect_suite ());
   srunner_add_suite (runner, starts_suite ());
   srunner_add_suite (runner, load_suite ());
+  srunner_add_suite (runner, admit_suite ());
+  srunner_add_suite (runner, told_suite ());
   srunner_add_suite (runner, net_suite ());
   srunner_add_suite (runner, store_suite ());
   srunner_add_suite (runner, epoch_suite ());
