--- a/elmarchctl/main.c
+++ b/elmarchctl/main.c
@@ -50,6 +50,7 @@
 static int ctl_drain (ctl_t *, const char **);
 static int ctl_dump (ctl_t *, const char **);
 static int ctl_hosts (ctl_t *, const char **);
+static int ctl_load (ctl_t *, const char **);
 static int ctl_blocked (ctl_t *, const char **);
 static int ctl_unblock (ctl_t *, const char **);
 
@@ -63,8 +64,8 @@
   { "apply", 1, 1, ctl_apply },     { "get", 1, 2, ctl_get },
   { "delete", 2, 2, ctl_delete },   { "watch", 1, 1, ctl_watch },
   { "drain", 1, 1, ctl_drain },     { "dump", 0, 0, ctl_dump },
-  { "hosts", 0, 0, ctl_hosts },     { "blocked", 0, 0, ctl_blocked },
-  { "unblock", 1, 1, ctl_unblock },
+  { "hosts", 0, 0, ctl_hosts },     { "load", 0, 0, ctl_load },
+  { "blocked", 0, 0, ctl_blocked }, { "unblock", 1, 1, ctl_unblock },
 };
 
 #define AT(field) offsetof (ctl_settings_t, field)
@@ -417,6 +418,58 @@
   return ctl_print_path (ctl, EL_STR ("/v1/entry-hosts"));
 }
 
+static json_int_t
+field (json_t *json, const char *name)
+{
+  return json_integer_value (json_object_get (json, name));
+}
+
+static void
+load_print_service (json_t *service)
+{
+  json_t *rank;
+  size_t i;
+
+  json_array_foreach (json_object_get (service, "ranks"), i, rank)
+  {
+    printf ("%-24s %4" PRId64 " %9" PRId64 " %9" PRId64 " %8" PRId64
+            " %9" PRId64 " %9" PRId64 " %9" PRId64 " %9" PRId64 "\n",
+            json_string_value (json_object_get (service, "service")),
+            (int64_t)field (rank, "rank"), (int64_t)field (rank, "arrivals"),
+            (int64_t)field (rank, "started"), (int64_t)field (rank, "waiting"),
+            (int64_t)field (rank, "waitingElsewhere"),
+            (int64_t)field (rank, "refusedNoTime"),
+            (int64_t)field (rank, "refusedDisplaced"),
+            (int64_t)field (rank, "expectedWaitUs"));
+  }
+}
+
+/* Print the requests that wait, a line for each service and rank. */
+static int
+ctl_load (ctl_t *ctl, const char **args)
+{
+  const el_str_t path = EL_STR ("/admin/v1/load");
+  json_t *service;
+  size_t i;
+
+  (void)args;
+  if (strcmp (ctl->set.output, "json") == 0)
+    return ctl_print_path (ctl, path);
+  if (!status_is_success (ctl_request (ctl, "GET", path, EL_STR (""))))
+    return ctl_print_error (ctl);
+  printf ("load of other hosts: %" PRId64 " hosts, told %" PRId64 " us ago\n",
+          (int64_t)field (ctl->json, "hostsTold"),
+          (int64_t)field (ctl->json, "toldAgoUs"));
+  printf ("%-24s %4s %9s %9s %8s %9s %9s %9s %9s\n", "SERVICE", "RANK",
+          "ARRIVALS", "STARTED", "WAITING", "ELSEWHERE", "NO-TIME",
+          "DISPLACED", "WAIT-US");
+  json_array_foreach (json_object_get (ctl->json, "services"), i, service)
+  {
+    load_print_service (service);
+  }
+  return EXIT_SUCCESS;
+}
+
 static int
 ctl_blocked (ctl_t *ctl, const char **args)
 {
@@ -461,7 +514,7 @@
       return commands[i].run (ctl, args + 1);
   fprintf (stderr,
            "elmarchctl: takes apply FILE, get KIND [NAME], delete KIND NAME, "
-           "watch KIND, drain ENDPOINT, dump, hosts, blocked or "
+           "watch KIND, drain ENDPOINT, dump, hosts, load, blocked or "
            "unblock DIGEST\n");
   return EL_EXIT_USAGE;
 }
@@ -474,7 +527,7 @@
           .env_prefix = "ELMARCHCTL",
           .usage = "[OPTION...] COMMAND [ARGUMENT...]\nCommands: apply FILE, "
                    "get KIND [NAME], delete KIND NAME, watch KIND, drain "
-                   "ENDPOINT, dump, hosts, blocked, unblock DIGEST.",
+                   "ENDPOINT, dump, hosts, load, blocked, unblock DIGEST.",
           .table = table,
           .ntable = sizeof table / sizeof *table };
   static ctl_t ctl;
--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -495,6 +495,7 @@
   frontend_metrics (frontend);
   frontend_follow_store (frontend);
   frontend_start_planner (frontend);
+  frontend_load_start (frontend);
   frontend->check_timer.cb = frontend_check;
   frontend->check_timer.arg = frontend;
   net_clock_set (gt_gate_clock (gate), &frontend->check_timer, 0);
--- a/elmarchd/frontend.h
+++ b/elmarchd/frontend.h
@@ -10,6 +10,14 @@
 
 #include "gate.h"
 
+/** Whether the hosts of a hall tell each other their load. */
+typedef enum frontend_tell
+{
+  FRONTEND_TELL_UNEVEN, /**< if they differ in capacity */
+  FRONTEND_TELL_ON,
+  FRONTEND_TELL_OFF
+} frontend_tell_t;
+
 typedef struct frontend_options
 {
   el_str_t entry;     /**< listens for callers, ip:port; empty: disabled */
@@ -31,6 +39,10 @@
   el_time_t stop_min;     /**< shortest duration of a stop; callers learn of
                              the stop by their next look-up */
   el_time_t stop_max;     /**< longest duration of a stop */
+  frontend_tell_t tell_load;
+  el_time_t load_interval; /**< between reports of this host's load */
+  size_t max_waiting;      /**< requests of a service that may wait in order of
+                              rank */
   uint64_t seed;
 } frontend_options_t;
 
--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -5,10 +5,12 @@
 /** @file
  * Main program of elmarchd: settings, start-up and signals.
  */
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "frontend.h"
 
@@ -18,6 +20,10 @@
    thousandths. */
 #define CAPACITY_SCALE 1000
 
+/* Memory that a request takes while it waits: its head, a short body and the
+   buffers of its connection. */
+#define WAITING_BYTES 16384
+
 /** Settings from options and environment variables; see elmarchd(8). */
 typedef struct daemon_settings
 {
@@ -56,6 +62,9 @@
   double keys_limit_ms;
   double change_limit_ms;
   uint64_t lease_ms;
+  const char *tell_load;
+  uint64_t load_interval_ms;
+  uint64_t max_waiting;
   uint64_t stop_least_ms;
   uint64_t stop_most_ms;
   int trace;
@@ -117,6 +126,13 @@
     3600000, 0, "MS", "time within which a rule change must be in force" },
   { "lease-ms", EL_SETTING_U64, AT (lease_ms), "2000", 1000, 600000, 0, "MS",
     "time to live of the planner lease" },
+  { "tell-load", EL_SETTING_STRING, AT (tell_load), "off", 2, 6, 0, "WHEN",
+    "whether the hosts of a hall tell each other their load: on, off, or if "
+    "they differ in capacity: uneven" },
+  { "load-interval-ms", EL_SETTING_U64, AT (load_interval_ms), "200", 20, 1000,
+    0, "MS", "time between two reports of a host's load" },
+  { "max-waiting", EL_SETTING_U64, AT (max_waiting), "1024", 1, 100000, 0, "N",
+    "maximum number of relayed requests of a service that wait for room" },
   { "stop-least-ms", EL_SETTING_U64, AT (stop_least_ms), "2500", 0, 3600000, 0,
     "MS", "a stopping host still accepts relayed requests for this long" },
   { "stop-most-ms", EL_SETTING_U64, AT (stop_most_ms), "7500", 0, 3600000, 0,
@@ -160,6 +176,47 @@
     "check the settings and exit" },
 };
 
+/* Values of --tell-load. */
+static const struct
+{
+  const char *name;
+  frontend_tell_t value;
+} tell_values[] = {
+  { "uneven", FRONTEND_TELL_UNEVEN },
+  { "on", FRONTEND_TELL_ON },
+  { "off", FRONTEND_TELL_OFF },
+};
+
+static int
+tell_load_parse (const char *text, frontend_tell_t *out)
+{
+  size_t i;
+
+  for (i = 0; i < sizeof tell_values / sizeof *tell_values; i++)
+    if (strcmp (text, tell_values[i].name) == 0)
+      {
+        *out = tell_values[i].value;
+        return 1;
+      }
+  return 0;
+}
+
+/* Check that requests that wait fit into half of the memory. */
+static el_status_t
+waiting_check (const daemon_settings_t *set, el_err_t *err)
+{
+  uint64_t memory
+      = (uint64_t)sysconf (_SC_PHYS_PAGES) * (uint64_t)sysconf (_SC_PAGESIZE);
+  uint64_t max = memory / 2 / WAITING_BYTES;
+
+  if (set->max_waiting <= max)
+    return EL_OK;
+  return el_err_set (err, EL_INVALID,
+                     "--max-waiting: %" PRIu64 " requests of %d bytes take "
+                     "more than half of the memory; at most %" PRIu64,
+                     set->max_waiting, WAITING_BYTES, max);
+}
+
 /* Check what the table of settings can't express. */
 static el_status_t
 settings_check (const daemon_settings_t *set, el_log_level_t *level,
@@ -178,6 +235,7 @@
     { set->entry[0] ? "store" : "ready",
       set->entry[0] ? set->store : set->ready },
   };
+  frontend_tell_t tell;
   size_t i;
 
   if (!el_log_level_parse (set->log_level, level))
@@ -189,6 +247,12 @@
     if (!net_address_valid (el_str (addresses[i].address)))
       return el_err_set (err, EL_INVALID, "--%s: takes ip:port, not '%s'",
                          addresses[i].name, addresses[i].address);
+  if (!tell_load_parse (set->tell_load, &tell))
+    return el_err_set (err, EL_INVALID,
+                       "--tell-load: takes uneven, on or off, not '%s'",
+                       set->tell_load);
+  if (waiting_check (set, err))
+    return err->status;
   if (!co_name_valid (el_str (set->hall)))
     return el_err_set (err, EL_INVALID,
                        "--hall: takes a name of a-z, 0-9, '-' and '.', "
@@ -245,9 +309,12 @@
     .keys_limit = (el_time_t)(set->keys_limit_ms * EL_MSEC),
     .change_limit = (el_time_t)(set->change_limit_ms * EL_MSEC),
     .lease_ms = set->lease_ms,
+    .load_interval = set->load_interval_ms * EL_MSEC,
+    .max_waiting = set->max_waiting,
     .stop_min = set->stop_least_ms * EL_MSEC,
     .stop_max = set->stop_most_ms * EL_MSEC,
   };
+  tell_load_parse (set->tell_load, &out->tell_load);
 }
 
 /* A component has stopped. The signal handlers stay installed, so that a
--- a/gate/api.c
+++ b/gate/api.c
@@ -45,6 +45,7 @@
   { NULL, EL_STR ("/services/"), 0, ROLE_ANY, gt_api_call },
   { "GET", EL_STR ("/admin/v1/dump"), 1, ROLE_OPERATOR, gt_api_dump },
   { "GET", EL_STR ("/metrics"), 1, ROLE_ANY, gt_api_metrics },
+  { "GET", EL_STR ("/admin/v1/load"), 1, ROLE_OPERATOR, gt_api_load },
   { "GET", EL_STR ("/admin/v1/blocked"), 1, ROLE_OPERATOR, gt_api_blocked },
   { "DELETE", EL_STR ("/admin/v1/blocked/"), 0, ROLE_OPERATOR,
     gt_api_unblock },
--- a/gate/api_admin.c
+++ b/gate/api_admin.c
@@ -294,6 +294,18 @@
                          : json_array ());
 }
 
+/** Serves GET /admin/v1/load: the load of the hall as this host knows it, and
+    the requests that wait, by service and rank. */
+void
+gt_api_load (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
+{
+  (void)rest;
+  gt_api_reply_json (req, 200,
+                     gate->relay_hooks.load_state
+                         ? gate->relay_hooks.load_state (gate->relay_hooks.arg)
+                         : json_object ());
+}
+
 /** Serves DELETE /admin/v1/blocked/DIGEST: unblocks a request. */
 void
 gt_api_unblock (gt_gate_t *gate, h2o_req_t *req, el_str_t rest)
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -394,19 +394,23 @@
   const gt_relay_hooks_t *relay_hooks = &gate->relay_hooks;
 
   return json_pack (
-      "{s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:o,s:o,s:o,s:o}", "version", EL_VERSION,
-      "incarnation", gate->incarnation_hex, "draining", gate->draining,
-      "sessions", (json_int_t)co_ledger_sessions (gate->ledger),
-      "ledgerEntries", (json_int_t)co_ledger_entries (gate->ledger),
-      "configRevision", (json_int_t)co_config_revision (gate->config),
-      "resources", (json_int_t)co_config_count (gate->config), "peers",
+      "{s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:o,s:o,s:o,s:o,s:o}", "version",
+      EL_VERSION, "incarnation", gate->incarnation_hex, "draining",
+      gate->draining, "sessions",
+      (json_int_t)co_ledger_sessions (gate->ledger), "ledgerEntries",
+      (json_int_t)co_ledger_entries (gate->ledger), "configRevision",
+      (json_int_t)co_config_revision (gate->config), "resources",
+      (json_int_t)co_config_count (gate->config), "peers",
       pr_peers_dump (gate->peers), "router",
       rt_router_dump (gate->router, net_clock_now (&gate->clock)), "blocked",
       relay_hooks->suspects ? relay_hooks->suspects (relay_hooks->arg)
                             : json_array (),
       "closed",
       relay_hooks->closed ? relay_hooks->closed (relay_hooks->arg)
-                          : json_object ());
+                          : json_object (),
+      "load",
+      relay_hooks->load_state ? relay_hooks->load_state (relay_hooks->arg)
+                              : json_object ());
 }
 
 net_clock_t *
@@ -531,6 +535,22 @@
   return pr_peers_ask_reach (gate->peers, query, done, arg);
 }
 
+/** Reports this host's load to the first host of its hall; see
+    pr_peers_report_load. */
+void
+gt_gate_report_load (gt_gate_t *gate, const ld_report_t *report,
+                     pr_load_cb done, void *arg)
+{
+  pr_peers_report_load (gate->peers, report, done, arg);
+}
+
+/** Whether the hosts of this hall differ in capacity. */
+int
+gt_gate_hall_is_uneven (const gt_gate_t *gate)
+{
+  return pr_peers_hall_is_uneven (gate->peers);
+}
+
 /** Whether this host has received the rumors known to another host. */
 int
 gt_gate_rumors_received (const gt_gate_t *gate)
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -77,6 +77,11 @@
       pr_ops_t. */
   void (*reach) (void *arg, const pr_reach_query_t *query, pr_reach_cb done,
                  void *done_arg);
+  /** Another host, or this one, reports its load; see pr_ops_t. */
+  void (*load) (void *arg, uint64_t host, uint64_t sequence,
+                const ld_report_t *report, ld_report_t *out);
+  /** The load and the requests that wait. */
+  json_t *(*load_state) (void *arg);
   /** Lists the requests that are blocked, or suspected of crashing
       endpoints. */
   json_t *(*suspects) (void *arg);
@@ -103,6 +108,9 @@
                      pr_loan_cb done, void *arg);
 unsigned gt_gate_ask_reach (gt_gate_t *gate, const pr_reach_query_t *query,
                             pr_reach_cb done, void *arg);
+void gt_gate_report_load (gt_gate_t *gate, const ld_report_t *report,
+                          pr_load_cb done, void *arg);
+int gt_gate_hall_is_uneven (const gt_gate_t *gate);
 int gt_gate_rumors_received (const gt_gate_t *gate);
 uint64_t gt_gate_incarnation_number (const gt_gate_t *gate);
 int gt_gate_is_hall_leader (const gt_gate_t *gate);
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -71,6 +71,8 @@
 {
   gt_relay_headers_t names;
   const char *priorities[GT_PRIORITIES]; /**< header values */
+  const char *ranked[LD_RANKS]; /**< the same, of new streams by rank, if the
+                                   streams of a service differ in it */
   /** Writes the header value that describes a chain. */
   void (*write_chain) (const rt_chain_t *chain, el_buf_t *out);
   /** Reads from a header value the ids of the parts of a prompt that other
@@ -110,10 +112,14 @@
   uint64_t resumed;     /**< streams resumed on another chain */
   uint64_t rerouted;    /**< streams moved to another chain without a retry */
   uint64_t not_retried; /**< stalled streams that may not be retried */
-  uint64_t waits;    /**< streams that waited for an endpoint to resume on */
-  uint64_t checks;   /**< health checks sent to engines */
-  uint64_t silent;   /**< of these, those without a response */
-  uint64_t wrong_id; /**< responses with another request's id */
+  uint64_t waits;  /**< streams that waited for an endpoint to resume on */
+  uint64_t queued; /**< times that a request began to wait in order of rank
+                    */
+  uint64_t refused_wait;     /**< refused: no room in their time, or others go
+                                first */
+  uint64_t checks;           /**< health checks sent to engines */
+  uint64_t silent;           /**< of these, those without a response */
+  uint64_t wrong_id;         /**< responses with another request's id */
   uint64_t budget_exhausted; /**< retries not made: budget exhausted */
   uint64_t crashes;          /**< endpoint crashes with requests running */
   uint64_t suspects; /**< runs of requests recorded for these crashes */
@@ -164,6 +170,8 @@
   el_hist_t first_event; /**< arrival to first event, microseconds */
   el_hist_t answer;    /**< arrival to complete plain response, microseconds */
   el_hist_t event_gap; /**< between events, microseconds */
+  el_hist_t wait;      /**< of requests that waited in order of rank and
+                          started, microseconds */
 } gt_relay_counts_t;
 
 /** A host to which callers may send requests. */
@@ -186,6 +194,8 @@
   el_str_t hall;
   el_str_t key; /**< cluster key */
   size_t max_body;
+  size_t max_waiting;     /**< maximum number of requests of a service that
+                             wait in order of rank */
   double retry_ratio;     /**< retries per request, over all hosts */
   double retry_slack;     /**< retries allowed in addition */
   el_time_t retry_window; /**< requests are counted over this time */
@@ -255,6 +265,10 @@
 json_t *gt_relays_suspects (gt_relays_t *relays);
 json_t *gt_relays_unavailable_endpoints (gt_relays_t *relays);
 json_t *gt_relays_limits (gt_relays_t *relays);
+json_t *gt_relays_waiting (gt_relays_t *relays);
+void gt_relays_report_waits (gt_relays_t *relays, ld_report_t *report);
+void gt_relays_told_waits (gt_relays_t *relays, el_time_t ttl,
+                           const ld_report_t *others);
 void gt_relays_apply_hints (gt_relays_t *relays, rt_target_t *target,
                             const rt_hints_t *hints, el_str_t by);
 void gt_relays_first_gossip_done (gt_relays_t *relays);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -281,6 +281,7 @@
 void gt_api_entry_hosts (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_api_resources (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_api_dump (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
+void gt_api_load (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_api_blocked (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_api_unblock (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
 void gt_api_metrics (gt_gate_t *gate, h2o_req_t *req, el_str_t rest);
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -29,6 +29,14 @@
   size_t lost;               /* endpoints of it that are lost */
   el_time_t limit_return_at; /* latest return of a caller that was refused for
                                 a limit */
+  gt_relays_t *relays;
+  ld_queue_t *queue;     /* its requests that wait in order of rank; NULL: none
+                            has had to */
+  el_timer_t wake_timer; /* set while requests wait */
+  el_time_t refused_at;  /* last refusal by an engine; 0: none */
+  el_time_t room_at;     /* last end of a stream of this host; 0: none */
+  ld_waits_t elsewhere;  /* requests that wait at other hosts of the hall */
+  el_time_t elsewhere_until; /* what was told of them is used until then */
   UT_hash_handle hh;
 } relay_service_t;
 
@@ -110,6 +118,7 @@
   const rt_rule_t *rule;
   const rt_service_t *service;
   el_str_t customer;
+  const rt_key_t *key; /* of the customer; NULL: none is needed */
   el_str_t id;
   el_time_t received;
   el_time_t deadline;
@@ -148,6 +157,12 @@
   double prompt;    /* prompt length in tokens */
   double tokens;    /* estimated tokens of prompt and response */
 
+  /* Waiting in order of rank. */
+  ld_entry_t entry;
+  int retry_unpaid;     /* the retry budget has to pay for the next attempt */
+  int offered;          /* the attempt is to check the estimate of room */
+  el_time_t started_at; /* admission of the current attempt; 0: none needed */
+
   /* Response to the caller. */
   int response_started;
   int sending;
@@ -208,6 +223,7 @@
                           const net_result_t *result);
 void relay_attempt_settled (gt_relay_t *relay, const net_result_t *result);
 void relay_fail (gt_relay_t *relay, const char *reason);
+void relay_refuse (gt_relay_t *relay, const char *reason);
 int relay_may_resume (gt_relay_t *relay);
 int relay_may_repeat (gt_relay_t *relay);
 rt_target_t *relay_fault_target (gt_relay_t *relay,
@@ -260,7 +276,8 @@
 typedef enum relay_pick
 {
   RELAY_PICK_OK,
-  RELAY_PICK_WAIT,      /* for a token; another attempt follows */
+  RELAY_PICK_WAIT, /* for a token or for room; another attempt follows */
+  RELAY_PICK_TURNED_AWAY, /* it has been refused for lack of room */
   RELAY_PICK_UNREACHED, /* this host does not reach the endpoints, and no other
                            host is known that does */
   RELAY_PICK_NONE
@@ -270,6 +287,15 @@
 
 /* relay_wait.c */
 int relay_wait_endpoint (gt_relay_t *relay);
+ld_queue_t *relay_wait_queue (gt_relay_t *relay);
+relay_pick_t relay_wait_admit (gt_relay_t *relay, el_time_t now);
+int relay_wait_refused (gt_relay_t *relay, el_time_t now, int charged);
+void relay_wait_started (gt_relay_t *relay, el_time_t now);
+void relay_wait_served (gt_relay_t *relay);
+void relay_wait_released (gt_relay_t *relay);
+void relay_wait_room (relay_service_t *service);
+void relay_wait_room_all (gt_relays_t *relays);
+int relay_wait_return_after (gt_relay_t *relay, el_time_t now, el_time_t *out);
 
 /* relay_watch.c */
 void relay_watch_start (gt_relay_t *relay);
@@ -318,6 +344,7 @@
                   noticed */
   int checked; /* that was done */
   el_time_t refused_at; /* the endpoint refuses connections since; 0: not */
+  el_time_t room_at;    /* last end of a stream of this host; 0: none */
   int doubtful; /* this host reached no endpoint of the service: connects prove
                    nothing */
   int asked;    /* other hosts were asked whether the endpoint is alive */
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -33,6 +33,7 @@
     return;
   relay->ended = 1;
   net_clock_cancel (relay->relays->options.clock, &relay->deadline_timer);
+  ld_queue_remove (&relay->entry);
   relay_cancel_attempt (relay);
 }
 
@@ -168,6 +169,7 @@
       relay_respond_error (relay, 401, "no such key", 0);
       return 0;
     }
+  relay->key = key;
   relay->customer = key->customer;
   return 1;
 }
@@ -252,6 +254,7 @@
   if (service)
     return service;
   service = el_alloc (sizeof *service);
+  service->relays = relays;
   service->name = (char *)(uintptr_t)el_str_dup (name).ptr;
   rt_shared_budget_init (&service->retry_budget, relays->options.retry_ratio,
                          relays->options.retry_slack,
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -34,6 +34,7 @@
 attempt_release (gt_relay_t *relay)
 {
   relay_forward_release (relay);
+  relay_wait_released (relay);
   rt_chain_release (&relay->chain);
   if (relay->target)
     {
@@ -65,10 +66,11 @@
   attempt_release (relay);
 }
 
-/* Responds that the request was not executed, with a retry-after that is not
-   before the end of the endpoints' backoff or of their lack of tokens. */
-static void
-attempt_refuse (gt_relay_t *relay, const char *reason)
+/** Responds that the request was not executed, with a retry-after that is not
+    before the end of the endpoints' backoff or of their lack of tokens or
+    room. */
+void
+relay_refuse (gt_relay_t *relay, const char *reason)
 {
   gt_relays_t *relays = relay->relays;
   el_time_t now = net_clock_now (relays->options.clock);
@@ -88,6 +90,8 @@
       reason = "all endpoints are at their limits";
       wait = relay_limit_reserve (relay, now, limited);
     }
+  if (!left && !limited && relay_wait_return_after (relay, now, &wait))
+    spread = 0;
   relay_respond_error (relay, 503, reason,
                        wait + el_random (&relays->random) % (spread + 1));
 }
@@ -138,6 +142,7 @@
   if (!relay->writing)
     {
       relay->writing = 1;
+      relay_wait_served (relay);
       relay_blame_began (relay);
     }
   if (has_id && relay->has_id && id <= relay->last_event_id)
@@ -445,10 +450,12 @@
     attempt_retry (relay, result->net == NET_CONNECTION_LOST);
   else if (relay->response_started)
     relay_respond_abort (relay, "no endpoint goes on with it");
-  else if (next == RT_NEXT_REFUSE)
-    attempt_refuse (relay, "not run");
-  else
+  else if (next == RT_NEXT_FAIL)
     relay_fail (relay, "may have run");
+  else if (!relay->refused
+           || !relay_wait_refused (
+               relay, net_clock_now (relay->relays->options.clock), 0))
+    relay_refuse (relay, "not run");
 }
 
 /** Whether the request may be sent once more. */
@@ -575,7 +582,7 @@
   else if (relay->attempts.may_run || sent)
     relay_fail (relay, reason);
   else
-    attempt_refuse (relay, reason);
+    relay_refuse (relay, reason);
 }
 
 /** Starts an attempt at the best target available now, if there is one.
@@ -602,6 +609,7 @@
       attempt_send (relay, now);
       return;
     case RELAY_PICK_WAIT:
+    case RELAY_PICK_TURNED_AWAY:
       return;
     case RELAY_PICK_UNREACHED:
       if (relay->response_started || relay->attempts.may_run)
@@ -611,7 +619,8 @@
     case RELAY_PICK_NONE:
       break;
     }
-  if (relay_wait_endpoint (relay) || relay_limit_wait (relay, now))
+  if (relay_wait_endpoint (relay) || relay_limit_wait (relay, now)
+      || relay_wait_refused (relay, now, 1))
     return;
   if (relay->response_started)
     relay_respond_abort (relay, "no endpoint to go on at");
@@ -621,5 +630,5 @@
            && relay_service (relay->relays, relay->service->name)->lost)
     relay_forward_refuse (relay, REFUSED_RETRY_AFTER);
   else
-    attempt_refuse (relay, "no endpoint");
+    relay_refuse (relay, "no endpoint");
 }
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -110,6 +110,18 @@
   engine->idle = idle;
 }
 
+/* Age of the values in the reports of ENGINE, as its service's configuration
+   tells. */
+static el_time_t
+check_report_lag (const gt_relays_t *relays, const rt_target_t *engine)
+{
+  const rt_service_t *service
+      = relays->rules ? rt_rules_service (relays->rules, engine->attrs.service)
+                      : NULL;
+
+  return service ? service->model.report_lag : 0;
+}
+
 /** Processes a LOAD that ENGINE reported at AT. Streams are moved off a slow
     engine if their hall has a replica, fewer new streams are sent to it, and
     it is checked until it has recovered. */
@@ -119,6 +131,7 @@
 {
   int was_slow = engine->pace >= SLOW_PACE;
   int slow = load->pace >= SLOW_PACE;
+  rt_load_t timed = *load;
 
   if (load->born && engine->attrs.born && load->born != engine->attrs.born)
     {
@@ -128,9 +141,11 @@
         check_engine_restarted (relays, engine, load);
       return;
     }
-  if (!rt_target_report (engine, load, at))
+  timed.lag = check_report_lag (relays, engine);
+  if (!rt_target_report (relays->options.fleet, engine, &timed, at))
     return;
   check_note_load (relays, engine);
+  relay_wait_room (relay_service (relays, engine->attrs.service));
   if (slow == was_slow)
     return;
   EL_LOG (EL_LOG_INFO, slow ? "engine_slow" : "engine_well",
@@ -148,6 +163,7 @@
 {
   if (engine->chains)
     check_each_stream (relays, engine, relay_watch_layers_released);
+  relay_wait_room (relay_service (relays, engine->attrs.service));
 }
 
 /* Processes a load in the response to a health check. A slow engine is checked
--- a/gate/relay_head.c
+++ b/gate/relay_head.c
@@ -60,6 +60,19 @@
     }
 }
 
+/* The priority of the prompt of RELAY at the engines. */
+static const char *
+head_priority (const gt_relay_t *relay)
+{
+  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+
+  if (relay->nevents)
+    return dialect->priorities[GT_PRIORITY_ACTIVE];
+  return rt_service_has_ranks (relay->service)
+             ? dialect->ranked[relay->entry.rank]
+             : dialect->priorities[GT_PRIORITY_NEW];
+}
+
 /** Builds the headers of an attempt at the current target. They point into the
     request, the target and HEAD itself. */
 void
@@ -84,10 +97,7 @@
     }
   if (relay->chain.n)
     {
-      head_add (
-          head, dialect->names.priority,
-          el_str (dialect->priorities[relay->nevents ? GT_PRIORITY_ACTIVE
-                                                     : GT_PRIORITY_NEW]));
+      head_add (head, dialect->names.priority, el_str (head_priority (relay)));
       dialect->write_chain (&relay->chain, &head->chain);
       head_add (head, dialect->names.chain, el_buf_str (&head->chain));
     }
--- a/gate/relay_pick.c
+++ b/gate/relay_pick.c
@@ -19,11 +19,13 @@
 pick_chain (gt_relay_t *relay, rt_target_t *first, el_time_t now)
 {
   const gt_relay_options_t *o = &relay->relays->options;
-  rt_chain_query_t want = { .service = relay->service,
-                            .hall = o->hall,
-                            .tokens = relay->tokens,
-                            .tried = &relay->tried,
-                            .first = first };
+  rt_chain_query_t want
+      = { .service = relay->service,
+          .hall = o->hall,
+          .tokens = relay->tokens,
+          .tried = &relay->tried,
+          .first = first,
+          .prefer_room = rt_service_has_ranks (relay->service) };
 
   if (rt_chain_pick (o->fleet, now, &want, &relay->chain))
     return 1;
@@ -78,6 +80,7 @@
 {
   const gt_relay_options_t *o = &relay->relays->options;
   relay_permit_t permit;
+  relay_pick_t admitted;
   relay_pick_t pick;
   rt_target_t *target;
 
@@ -90,6 +93,12 @@
         relay->chain.n = 0;
       if (pick != RELAY_PICK_NONE || !target)
         return pick;
+      admitted = relay_wait_admit (relay, now);
+      if (admitted != RELAY_PICK_OK)
+        {
+          relay->chain.n = 0;
+          return admitted;
+        }
       permit = relay_limit_permit (relay, target, now);
       if (permit != RELAY_PERMIT_SEND)
         relay->chain.n = 0;
@@ -103,6 +112,7 @@
                         relay->nevents ? relay->tokens : relay->prompt);
       if (relay->attempts.sent == 0)
         rt_fleet_stream_sent (o->fleet, now, relay->tokens);
+      relay_wait_started (relay, now);
     }
   relay->way = &relay_way_direct;
   relay->target = rt_target_ref (target);
--- a/gate/session_peer.c
+++ b/gate/session_peer.c
@@ -41,6 +41,8 @@
                        pr_reach_cb done, void *done_arg);
 static void ops_lend (void *arg, const pr_loan_request_t *request,
                       int is_lender, co_loan_t *out);
+static void ops_load (void *arg, uint64_t host, uint64_t sequence,
+                      const ld_report_t *report, ld_report_t *out);
 static void ops_call (void *arg, net_rpc_req_t *req,
                       const pr_forward_request_t *call);
 static void ops_encode_answer (void *arg, const void *answer, peer_answer *to);
@@ -61,6 +63,7 @@
   .rumor = ops_rumor,
   .lend = ops_lend,
   .reach = ops_reach,
+  .load = ops_load,
   .call = ops_call,
   .encode_answer = ops_encode_answer,
   .decode_answer = ops_decode_answer,
@@ -288,6 +291,18 @@
                              .body = call->body };
 }
 
+static void
+ops_load (void *arg, uint64_t host, uint64_t sequence,
+          const ld_report_t *report, ld_report_t *out)
+{
+  const gt_gate_t *gate = arg;
+
+  *out = (ld_report_t){ 0 };
+  if (gate->relay_hooks.load)
+    gate->relay_hooks.load (gate->relay_hooks.arg, host, sequence, report,
+                            out);
+}
+
 static void
 ops_call (void *arg, net_rpc_req_t *req, const pr_forward_request_t *call)
 {
--- a/load/ld_admit.c
+++ b/load/ld_admit.c
@@ -55,7 +55,7 @@
   el_time_t wait = question->elsewhere.before ? OFFER_INTERVAL * OFFER_YIELD
                                               : OFFER_INTERVAL;
 
-  return entry->queue && now >= entry->tried_at + wait
+  return entry->queue && now < entry->until && now >= entry->tried_at + wait
          && now >= queue->offered_at + wait;
 }
 
@@ -91,7 +91,9 @@
           .expected = ld_queue_expected_wait (queue, entry->rank, ahead) };
 
   if (now >= entry->until
-      || (!entry->queue && now + decision.expected > entry->in_time))
+      || (!entry->queue
+          && now + decision.expected
+                 > (entry->since ? entry->until : entry->in_time)))
     {
       decision.verdict = LD_REFUSE;
       decision.reason = LD_NO_TIME;
--- a/load/ld_others.c
+++ b/load/ld_others.c
@@ -10,8 +10,10 @@
  * jumps by the number of hosts with each request.
  *
  * What the others told is used as it is. Only for the time since, and for
- * hosts that told nothing, this host's own use stands for theirs: if all hosts
- * do the same, both ways have the same result.
+ * hosts that told nothing, this host's own use stands for theirs. That the
+ * others send where this host has just sent keeps hosts with the same view
+ * from all sending to the same engine. If all hosts do the same, both ways
+ * have the same result.
  */
 #include "libload.h"
 
@@ -21,53 +23,72 @@
   return now < others->told_until;
 }
 
-/* The others' use when this host uses OWN. */
+/* The use by all hosts when this host uses OWN, by what the others told. */
 static double
-others_now (const ld_others_t *others, const ld_quantity_t *quantity, int told,
-            double own, double hosts)
+all_now (const ld_others_t *others, const ld_quantity_t *quantity, double own,
+         double hosts)
 {
-  double all = hosts > 1 ? hosts - 1 : 0;
-  double untold = all > others->hosts ? all - others->hosts : 0;
+  double untold = hosts - 1 > others->hosts ? hosts - 1 - others->hosts : 0;
 
-  if (!told)
-    return own * all;
-  return quantity->told + quantity->own_at_told * untold
-         + (own - quantity->own_at_told) * all;
+  return quantity->told + quantity->own_at_told * (1 + untold)
+         + (own - quantity->own_at_told) * hosts;
+}
+
+static double
+interpolate (el_time_t from, double value_from, el_time_t to, double value_to,
+             el_time_t at)
+{
+  if (at >= to || to <= from)
+    return value_to;
+  if (at <= from)
+    return value_from;
+  return value_from
+         + (value_to - value_from) * (double)(at - from) / (double)(to - from);
 }
 
 static void
 quantity_reported (const ld_others_t *others, ld_quantity_t *quantity,
-                   int told, double own, double hosts)
+                   const ld_reported_t *report, double own, double hosts)
 {
-  quantity->others_at_report = others_now (others, quantity, told, own, hosts);
+  el_time_t at = report->at > report->lag ? report->at - report->lag : 0;
+
   quantity->own_at_report = own;
+  if (!is_told (others, report->at))
+    quantity->all_at_report = own * hosts;
+  else if (at < others->told_at && others->before_at)
+    quantity->all_at_report
+        = interpolate (others->before_at, quantity->all_before,
+                       others->told_at, quantity->all_at_told, at);
+  else
+    quantity->all_at_report
+        = interpolate (others->told_at, quantity->all_at_told, report->at,
+                       all_now (others, quantity, own, hosts), at);
 }
 
 /** Records that the engine has reported its load. HELD and BEGUN are this
     host's use, HOSTS the number of hosts that use it, this one included. */
 void
-ld_others_reported (ld_others_t *others, el_time_t now, double held,
-                    double begun, double hosts)
+ld_others_reported (ld_others_t *others, const ld_reported_t *report,
+                    double held, double begun, double hosts)
 {
-  int told = is_told (others, now);
-
-  quantity_reported (others, &others->held, told, held, hosts);
-  quantity_reported (others, &others->begun, told, begun, hosts);
+  quantity_reported (others, &others->held, report, held, hosts);
+  quantity_reported (others, &others->begun, report, begun, hosts);
 }
 
-/* If nothing was told at the time of the engine's report, the others' use then
-   is taken to be what makes up for the difference. */
+/* If nothing was told at the time of the engine's report, the use then is
+   taken to be what makes up for the difference. */
 static void
-quantity_told (const ld_others_t *others, ld_quantity_t *quantity, int known,
-               double told, double own, double hosts)
+quantity_told (const ld_others_t *others, ld_quantity_t *quantity, double told,
+               double own, double hosts)
 {
-  double since = (own - quantity->own_at_report) * (hosts > 1 ? hosts - 1 : 0);
+  double since = (own - quantity->own_at_report) * hosts;
 
   quantity->told = told;
   quantity->own_at_told = own;
-  if (!known)
-    quantity->others_at_report
-        = others_now (others, quantity, 1, own, hosts) - since;
+  quantity->all_before = quantity->all_at_told;
+  quantity->all_at_told = all_now (others, quantity, own, hosts);
+  if (!others->before_at)
+    quantity->all_at_report = quantity->all_at_told - since;
 }
 
 /** Records what other hosts told of their use of the engine. HELD and BEGUN
@@ -79,12 +100,13 @@
 {
   const ld_use_t none = { 0 };
   const ld_use_t *use = told->use ? told->use : &none;
-  int known = is_told (others, now);
 
+  others->before_at = is_told (others, now) ? others->told_at : 0;
   others->hosts = told->hosts;
+  others->told_at = now;
   others->told_until = now + told->ttl;
-  quantity_told (others, &others->held, known, use->held, held, all_hosts);
-  quantity_told (others, &others->begun, known, use->begun, begun, all_hosts);
+  quantity_told (others, &others->held, use->held, held, all_hosts);
+  quantity_told (others, &others->begun, use->begun, begun, all_hosts);
 }
 
 /** Estimates how much all hosts use of QUANTITY, of which this host uses OWN.
@@ -94,11 +116,8 @@
 ld_others_estimate (const ld_others_t *others, const ld_quantity_t *quantity,
                     el_time_t now, double own, double hosts, int since_report)
 {
-  int told = is_told (others, now);
-
-  if (!told)
+  if (!is_told (others, now))
     return (since_report ? own - quantity->own_at_report : own) * hosts;
-  return others_now (others, quantity, 1, own, hosts) + own
-         - (since_report ? quantity->others_at_report + quantity->own_at_report
-                         : 0);
+  return all_now (others, quantity, own, hosts)
+         - (since_report ? quantity->all_at_report : 0);
 }
--- a/load/ld_queue.c
+++ b/load/ld_queue.c
@@ -17,9 +17,10 @@
 
 /* Starts of higher ranks after which a rank that waits has the next one. */
 #define LD_SHARE 8
-/* Weights of the newest request in the moving averages of durations and of the
-   ranks' shares of starts. */
+/* Weights of the newest request in the moving averages of durations, of the
+   places in use and of the ranks' shares of them. */
 #define DURATION_WEIGHT 0.05
+#define PLACES_WEIGHT 0.05
 #define START_WEIGHT 0.02
 
 /** Creates an empty queue. */
@@ -235,28 +236,38 @@
 void
 ld_queue_started (ld_queue_t *queue, el_time_t now, ld_entry_t *entry,
                   int offered)
+{
+  ld_rank_t *rank = &queue->ranks[rank_of (entry)];
+
+  if (entry->queue && rank->turn < entry->turn)
+    rank->turn = entry->turn;
+  ld_queue_remove (entry);
+  if (offered)
+    queue->offered_at = now;
+  queue->running++;
+  if (queue->running > queue->places)
+    queue->places = (double)queue->running;
+}
+
+/** Records that ENTRY, which was sent, has found room. */
+void
+ld_queue_served (ld_queue_t *queue, const ld_entry_t *entry)
 {
   unsigned own = rank_of (entry);
   size_t i;
 
-  if (entry->queue && queue->ranks[own].turn < entry->turn)
-    queue->ranks[own].turn = entry->turn;
-  ld_queue_remove (entry);
-  queue->ranks[own].passed = 0;
   for (i = 0; i < LD_RANKS; i++)
     {
       queue->ranks[i].share
           += START_WEIGHT * ((i == own) - queue->ranks[i].share);
       queue->ranks[i].passed += i > own && queue->ranks[i].heap.n;
     }
-  if (offered)
-    queue->offered_at = now;
-  queue->running++;
+  queue->ranks[own].passed = 0;
   queue->counts[own].started++;
 }
 
-/** Records that a request that started has ended after DURATION; 0: it was
-    refused, or left no room. */
+/** Records that a request that was sent has ended, after DURATION if it found
+    room; 0: it was refused. */
 void
 ld_queue_ended (ld_queue_t *queue, el_time_t duration)
 {
@@ -264,6 +275,7 @@
     queue->running--;
   if (!duration)
     return;
+  queue->places += PLACES_WEIGHT * ((double)queue->running - queue->places);
   if (queue->mean_duration <= 0)
     queue->mean_duration = (double)duration;
   else
@@ -277,7 +289,7 @@
 ld_queue_rate (const ld_queue_t *queue)
 {
   return queue->mean_duration > 0
-             ? (double)queue->running * (double)EL_SEC / queue->mean_duration
+             ? queue->places * (double)EL_SEC / queue->mean_duration
              : 0;
 }
 
--- a/load/libload.h
+++ b/load/libload.h
@@ -34,8 +34,8 @@
   size_t returned;    /* entries that were sent and refused */
   ld_turns_t *customers;
   uint64_t turn;   /* of the entry that started last */
-  double share;    /* of all starts, a moving average */
-  unsigned passed; /* starts of higher ranks while entries waited here */
+  double share;    /* of all that found room, a moving average */
+  unsigned passed; /* others of higher ranks that found room meanwhile */
 } ld_rank_t;
 
 struct ld_queue
@@ -44,7 +44,9 @@
   ld_rank_t ranks[LD_RANKS];
   size_t length;
   uint64_t sequence;
-  size_t running;       /* requests that started and have not ended */
+  size_t running;       /* requests that were sent and have not ended */
+  double places;        /* as many as run under load: the highest number of
+                           late, which it approaches slowly */
   double mean_duration; /* moving average, microseconds; 0: not known */
   el_time_t offered_at; /* last start that was to check the estimate */
   el_time_t return_at[LD_RANKS]; /* latest return of a refused caller */
--- a/load/load.h
+++ b/load/load.h
@@ -78,13 +78,16 @@
 /* Use of one engine by all hosts: its own report is some hundred milliseconds
    old, and this host knows only what it has sent itself. */
 
-/** One quantity that requests use of an engine. */
+/** One quantity that requests use of an engine. "All" is an estimate of the
+    use by all hosts, this one included. */
 typedef struct ld_quantity
 {
-  double own_at_report;    /**< this host's use at the engine's report */
-  double others_at_report; /**< estimate of the others' use then */
-  double own_at_told;      /**< this host's use when the others' was told */
-  double told;             /**< the others' use, as told */
+  double own_at_report; /**< this host's use at the engine's report */
+  double all_at_report; /**< at the time of the values in that report */
+  double own_at_told;   /**< this host's use when the others' was told */
+  double told;          /**< the others' use, as told */
+  double all_at_told;
+  double all_before; /**< when the others' use was told the time before */
 } ld_quantity_t;
 
 /** What is known of the other hosts' use of an engine. */
@@ -92,13 +95,22 @@
 {
   ld_quantity_t held;   /**< KV cache, in tokens times layers */
   ld_quantity_t begun;  /**< streams that begin there */
+  el_time_t told_at;    /**< 0: never */
+  el_time_t before_at;  /**< told the time before; 0: it was not in force when
+                           the last one came */
   el_time_t told_until; /**< what they told is used until then */
   unsigned hosts;       /**< number of other hosts that told it */
 } ld_others_t;
 
-void ld_others_reported (ld_others_t *others, el_time_t now, double held,
-                         double begun, double hosts);
+/** A report of the engine. */
+typedef struct ld_reported
+{
+  el_time_t at;  /**< when it arrived */
+  el_time_t lag; /**< age of its values then */
+} ld_reported_t;
 
+void ld_others_reported (ld_others_t *others, const ld_reported_t *report,
+                         double held, double begun, double hosts);
 /** Use of an engine as other hosts told it. */
 typedef struct ld_told
 {
@@ -128,7 +140,7 @@
   el_time_t in_time;  /**< it begins to wait only if it is expected to start
                          before then */
   el_time_t until;    /**< it waits until then */
-  el_time_t since;    /**< when it was queued */
+  el_time_t since;    /**< when it first began to wait; 0: it has not */
   el_time_t tried_at; /**< when it was last sent and refused, or queued */
   void *owner;
 
@@ -153,7 +165,7 @@
 {
   uint64_t arrivals;
   uint64_t waited;    /**< of these, requests that waited */
-  uint64_t started;   /**< sent to endpoints; a request may be sent again */
+  uint64_t started;   /**< found room */
   uint64_t no_time;   /**< refused: no room is expected in their time */
   uint64_t displaced; /**< refused: the queue is full and others go first */
 } ld_rank_counts_t;
@@ -170,6 +182,7 @@
 size_t ld_queue_ahead (const ld_queue_t *queue, const ld_entry_t *entry);
 void ld_queue_started (ld_queue_t *queue, el_time_t now, ld_entry_t *entry,
                        int offered);
+void ld_queue_served (ld_queue_t *queue, const ld_entry_t *entry);
 void ld_queue_ended (ld_queue_t *queue, el_time_t duration);
 double ld_queue_rate (const ld_queue_t *queue);
 el_time_t ld_queue_expected_wait (const ld_queue_t *queue, unsigned rank,
--- a/route/chain.c
+++ b/route/chain.c
@@ -41,6 +41,7 @@
 /* Which engines a search may use. */
 typedef enum chain_level
 {
+  LEVEL_ROOM,    /* no reason to avoid them, and room for the stream */
   LEVEL_HEALTHY, /* no reason to avoid them */
   LEVEL_USABLE,  /* also those with an overdue health check, those that another
                     host found silent, and those that a suspect request may
@@ -171,6 +172,11 @@
                 || target == search->required_first
                 || (search->old && rt_chain_has (search->old, target));
   c->may_begin = rt_limit_admits (&target->limit, search->now);
+  if (search->level == LEVEL_ROOM)
+    {
+      c->may_begin = c->may_begin && c->estimate.slot_room >= 1;
+      search->ncandidates -= c->estimate.kv_room < 1;
+    }
 }
 
 /* Cost of leaving a hall. The token rate is known only a few seconds after the
@@ -369,6 +375,10 @@
         return 0;
       if (node->candidate->estimate.fill > out->fill)
         out->fill = node->candidate->estimate.fill;
+      if (n == 0 || node->candidate->estimate.kv_room < out->room)
+        out->room = node->candidate->estimate.kv_room;
+      if (node->from == 0 && node->candidate->estimate.slot_room < out->room)
+        out->room = node->candidate->estimate.slot_room;
       reversed[n++] = (struct rt_chain_part){
         .target = node->candidate->target, .from = node->from, .to = at
       };
@@ -462,10 +472,10 @@
 rt_chain_pick (rt_fleet_t *fleet, el_time_t now, const rt_chain_query_t *query,
                rt_chain_t *out)
 {
-  chain_level_t level;
+  chain_level_t level = query->prefer_room ? LEVEL_ROOM : LEVEL_HEALTHY;
   int found = 0;
 
-  for (level = LEVEL_HEALTHY; level <= LEVEL_ANY && !found; level++)
+  for (; level <= LEVEL_ANY && !found; level++)
     found = chain_pick (fleet, now, query, level, out);
   return found;
 }
--- a/route/estimate.c
+++ b/route/estimate.c
@@ -6,7 +6,8 @@
  * Estimates the cost of one more stream at an engine: memory use, slowdown of
  * a decode step, prefill queue, and wait for a slot. The inputs are the
  * engine's last load report, some hundred milliseconds old, and what this host
- * has sent since; the other hosts are assumed to have sent as much.
+ * has sent since; what the other hosts have sent is told by them, or assumed
+ * to be as much (load/ld_others.c).
  */
 #include "relay.h"
 
@@ -30,32 +31,47 @@
 #define SLOTS_KNEE 0.85
 #define SLOTS_PENALTY_MS 100.0
 
-/* Extrapolates this host's load to all hosts that use the engine, which are
-   assumed to cause as much: the change from AT_REPORT, at the engine's load
-   report, to NOW, or all of NOW if the report is not FRESH. */
+/* What an estimate is based on. */
+typedef struct basis
+{
+  const rt_fleet_t *fleet;
+  const rt_target_t *target;
+  el_time_t now;
+  int fresh; /* the engine's load report is recent */
+} basis_t;
+
+/* The use of QUANTITY, of which this host uses OWN, by all hosts that use the
+   engine: the change since its load report, or all if that is not recent. */
 static double
-extrapolate (const rt_fleet_t *fleet, int fresh, double at_report, double now)
+used_by_all (const basis_t *basis, const ld_quantity_t *quantity, double own)
 {
-  return (fresh ? now - at_report : now) * rt_fleet_hosts (fleet);
+  return ld_others_estimate (&basis->target->others, quantity, basis->now, own,
+                             rt_fleet_hosts (basis->fleet), basis->fresh);
 }
 
-static double
-fill_with (const rt_fleet_t *fleet, const rt_model_t *model,
-           const rt_card_t *card, const rt_target_t *target, int fresh,
-           double tokens)
+/* Sets the memory use with a stream of TOKENS, and the room for such. */
+static void
+estimate_memory (const basis_t *basis, const rt_model_t *model,
+                 const rt_card_t *card, double tokens, rt_estimate_t *out)
 {
+  const rt_target_t *target = basis->target;
   double layers = target->attrs.end - target->attrs.first;
   double kv_capacity = (card->memory_mb - layers * model->layer_mb)
                        / model->token_kv_mb * (double)model->layers;
   double fill;
 
+  out->fill = 1;
   if (kv_capacity <= 0)
-    return 1;
-  fill = extrapolate (fleet, fresh, target->held_at_report, target->kv_held)
+    return;
+  fill = used_by_all (basis, &target->others.held, target->kv_held)
          / kv_capacity;
-  if (fresh)
+  if (basis->fresh)
     fill += target->fill;
-  return (fill > 0 ? fill : 0) + tokens * layers / kv_capacity;
+  if (fill < 0)
+    fill = 0;
+  out->fill = fill + tokens * layers / kv_capacity;
+  if (tokens > 0 && layers > 0)
+    out->kv_room = (1 - fill) * kv_capacity / (tokens * layers);
 }
 
 static double
@@ -77,18 +93,21 @@
          / (double)model->layers;
 }
 
-static double
-slot_wait_ms (const rt_fleet_t *fleet, const rt_target_t *target, int fresh)
+/* Sets the cost of beginning one more stream, and the slots for such. */
+static void
+estimate_slots (const basis_t *basis, rt_estimate_t *out)
 {
+  const rt_target_t *target = basis->target;
   double slots = target->attrs.slots ? (double)target->attrs.slots : 1;
   double taken
-      = (extrapolate (fleet, fresh, target->running_at_report, target->running)
-         + 1)
+      = (used_by_all (basis, &target->others.begun, target->running) + 1)
         / slots;
 
-  if (fresh)
+  if (basis->fresh)
     taken += target->taken;
-  return taken > SLOTS_KNEE ? SLOTS_PENALTY_MS * (taken - SLOTS_KNEE) : 0;
+  out->slot_room = (1 - taken) * slots + 1;
+  if (taken > SLOTS_KNEE)
+    out->slot_wait_ms = SLOTS_PENALTY_MS * (taken - SLOTS_KNEE);
 }
 
 /** Estimates the cost of a stream of TOKENS at TARGET, an engine with the
@@ -98,15 +117,18 @@
              const rt_card_t *card, const rt_target_t *target, double tokens,
              el_time_t now)
 {
+  const basis_t basis = { .fleet = fleet,
+                          .target = target,
+                          .now = now,
+                          .fresh = target->reported_at
+                                   && now < target->reported_at + REPORT_TTL };
   double pace = target->pace > 1 ? target->pace : 1;
-  int fresh = target->reported_at && now < target->reported_at + REPORT_TTL;
-  double fill = fill_with (fleet, model, card, target, fresh, tokens);
+  rt_estimate_t out
+      = { .prefill_wait_ms = target->to_prefill * rt_fleet_hosts (fleet)
+                             * prefill_ms (model, card) * pace };
 
-  return (rt_estimate_t){ .fill = fill,
-                          .step_factor = pace * fill_factor (fill),
-                          .prefill_wait_ms = target->to_prefill
-                                             * rt_fleet_hosts (fleet)
-                                             * prefill_ms (model, card) * pace,
-                          .slot_wait_ms
-                          = slot_wait_ms (fleet, target, fresh) };
+  estimate_memory (&basis, model, card, tokens, &out);
+  estimate_slots (&basis, &out);
+  out.step_factor = pace * fill_factor (out.fill);
+  return out;
 }
--- a/route/fleet.c
+++ b/route/fleet.c
@@ -442,19 +442,76 @@
 /** Records the load that TARGET reported at AT. Returns 0 if a newer report is
     known. */
 int
-rt_target_report (rt_target_t *target, const rt_load_t *load, el_time_t at)
+rt_target_report (const rt_fleet_t *fleet, rt_target_t *target,
+                  const rt_load_t *load, el_time_t at)
 {
+  const ld_reported_t report = { .at = at, .lag = load->lag };
+
   if (at <= target->reported_at)
     return 0;
   target->reported_at = at;
   target->fill = load->fill;
   target->pace = load->pace;
-  target->held_at_report = target->kv_held;
   target->taken = load->taken;
-  target->running_at_report = target->running;
+  ld_others_reported (&target->others, &report, target->kv_held,
+                      target->running, rt_fleet_hosts (fleet));
   return 1;
 }
 
+/** The engine's key in reports of load between hosts. */
+uint64_t
+rt_target_load_key (const rt_target_t *target)
+{
+  return el_str_hash (target->attrs.id) ^ target->attrs.born;
+}
+
+/** Adds this host's use of the engines to REPORT. Those in use beyond
+    LD_USES_MAX are left out. */
+void
+rt_fleet_report_use (const rt_fleet_t *fleet, ld_report_t *report)
+{
+  const rt_target_t *target;
+  ld_use_t *use;
+
+  for (target = fleet->by_id; target; target = target->hh.next)
+    {
+      if (target->attrs.end <= target->attrs.first
+          || (!target->chains && !target->running))
+        continue;
+      use = ld_report_use (report, rt_target_load_key (target));
+      if (!use)
+        return;
+      use->held = target->kv_held > 0 ? target->kv_held : 0;
+      use->begun = target->running;
+    }
+}
+
+/** Records that other hosts told their use of the engines at NOW, which is
+   used for TTL. */
+void
+rt_fleet_told_use (rt_fleet_t *fleet, el_time_t now, el_time_t ttl,
+                   const ld_report_t *others)
+{
+  ld_told_t told = { .hosts = others->hosts, .ttl = ttl };
+  rt_target_t *target;
+  size_t i;
+
+  for (target = fleet->by_id; target; target = target->hh.next)
+    {
+      uint64_t key;
+
+      if (target->attrs.end <= target->attrs.first)
+        continue;
+      key = rt_target_load_key (target);
+      told.use = NULL;
+      for (i = 0; i < others->nuses && !told.use; i++)
+        if (others->uses[i].engine == key)
+          told.use = &others->uses[i];
+      ld_others_told (&target->others, now, &told, target->kv_held,
+                      target->running, rt_fleet_hosts (fleet));
+    }
+}
+
 /** Records a successful answer that took TOOK. */
 void
 rt_target_succeeded (rt_target_t *target, el_time_t took)
--- a/route/relay.h
+++ b/route/relay.h
@@ -15,6 +15,7 @@
 #include "reach.h"
 #include "base.h"
 #include "limit.h"
+#include "load.h"
 #include "map.h"
 
 #include <jansson.h>
@@ -43,12 +44,14 @@
   el_str_t host;   /**< as in the Host header, without the port */
   el_str_t prefix; /**< begins and ends with a slash */
   rt_rule_kind_t kind;
-  el_time_t timeout; /**< time limit of a request; 0: none */
-  el_time_t target;  /**< target latency; a slower answer counts as late */
-  unsigned attempts; /**< maximum number of attempts that may have run */
-  unsigned priority; /**< 0 is the highest */
-  int is_public;     /**< needs no API key */
-  int resumable;     /**< a stream may continue at another endpoint */
+  el_time_t timeout;  /**< time limit of a request; 0: none */
+  el_time_t target;   /**< target latency; a slower answer counts as late */
+  el_time_t patience; /**< callers of a stream leave after this time without
+                         an event; 0: not known */
+  unsigned attempts;  /**< maximum number of attempts that may have run */
+  unsigned priority;  /**< 0 is the highest */
+  int is_public;      /**< needs no API key */
+  int resumable;      /**< a stream may continue at another endpoint */
   rt_service_weight_t *shares;
   size_t nshares;
   char *index; /* hash key: host and prefix */
@@ -74,7 +77,8 @@
   /** Decode steps of other streams that an engine runs between two prefill
       batches, per prefilled token. */
   double interleaved_steps;
-  double token_kv_mb; /**< size of the KV cache of one token in all layers */
+  el_time_t report_lag; /**< age of the values in an engine's report */
+  double token_kv_mb;   /**< size of the KV cache of one token in all layers */
   double typical_tokens; /**< prompt and answer of a typical request */
   double inter_hall_ms;  /**< latency from one hall to another */
   double link_ms; /**< transmission time of a token over the link between
@@ -83,18 +87,31 @@
   size_t ncards;
 } rt_model_t;
 
+/** The different priorities of customers, or of the rules of a service,
+   highest first; of more than LD_RANKS, the highest. */
+typedef struct rt_priorities
+{
+  unsigned list[LD_RANKS];
+  size_t n;
+} rt_priorities_t;
+
 typedef struct rt_service
 {
   el_str_t name;
   rt_model_t model;
+  rt_priorities_t priorities; /**< of the rules of its streams */
   UT_hash_handle hh;
 } rt_service_t;
 
+/** Highest number of a priority. */
+#define RT_PRIORITY_MAX 1000
+
 /** A customer's API key. */
 typedef struct rt_key
 {
   el_str_t text;
   el_str_t customer;
+  unsigned priority; /**< its customer's, 0 is the highest */
   UT_hash_handle hh;
 } rt_key_t;
 
@@ -110,6 +127,7 @@
   size_t nservices;
   rt_key_t *keys;
   size_t nkeys;
+  rt_priorities_t priorities; /**< of customers */
   int needs_key; /**< requests need an API key unless their rule is public */
   uint64_t max_body;
   uint64_t idle_ms; /**< idle timeout of callers' connections */
@@ -127,6 +145,9 @@
 const rt_key_t *rt_rules_key (const rt_rules_t *rules, el_str_t text);
 const rt_service_t *rt_rules_service (const rt_rules_t *rules, el_str_t name);
 el_str_t rt_rule_pick_service (const rt_rule_t *rule, uint64_t draw);
+int rt_service_has_ranks (const rt_service_t *service);
+unsigned rt_rules_rank (const rt_rules_t *rules, const rt_service_t *service,
+                        const rt_rule_t *rule, const rt_key_t *key);
 
 /* Endpoints. */
 
@@ -153,6 +174,7 @@
   double pace;   /**< slowdown relative to its accelerator type */
   double taken;  /**< running and queued requests, per slot */
   uint64_t born; /**< start time of the instance that reported; 0: unknown */
+  el_time_t lag; /**< age of these values when they were sent */
 } rt_load_t;
 
 /** Endpoints of one service, hall and accelerator type. Their number is small,
@@ -183,13 +205,12 @@
                      layers */
   double to_prefill;       /**< part of that load that is not prefilled yet */
   el_time_t last_event_at; /**< when a stream through it last had an event */
-  double pace; /**< slowdown relative to its accelerator type; 0: unknown,
-                  taken as 1 */
-  double fill; /**< fraction of its KV memory in use, as last reported */
-  double held_at_report; /**< KV_HELD at that report */
+  double pace;  /**< slowdown relative to its accelerator type; 0: unknown,
+                   taken as 1 */
+  double fill;  /**< fraction of its KV memory in use, as last reported */
   double taken; /**< running and queued requests per slot, as last reported */
-  unsigned running_at_report; /**< RUNNING at that report */
-  el_time_t reported_at;      /**< time of the last load report; 0: none yet */
+  ld_others_t others;    /**< what other hosts use of it */
+  el_time_t reported_at; /**< time of the last load report; 0: none yet */
   el_time_t news_at; /**< when this host learned of a state that other hosts
                         should know */
   int idle;          /**< the last report showed no load worth passing on */
@@ -249,8 +270,12 @@
 int rt_target_connected (rt_target_t *target, el_time_t begun, el_time_t now);
 void rt_target_changed (rt_target_t *target, el_time_t now);
 void rt_target_busy (rt_target_t *target, el_time_t now);
-int rt_target_report (rt_target_t *target, const rt_load_t *load,
-                      el_time_t at);
+int rt_target_report (const rt_fleet_t *fleet, rt_target_t *target,
+                      const rt_load_t *load, el_time_t at);
+uint64_t rt_target_load_key (const rt_target_t *target);
+void rt_fleet_report_use (const rt_fleet_t *fleet, ld_report_t *report);
+void rt_fleet_told_use (rt_fleet_t *fleet, el_time_t now, el_time_t ttl,
+                        const ld_report_t *others);
 void rt_target_succeeded (rt_target_t *target, el_time_t took);
 
 /** Maximum number of endpoints that one request excludes. */
@@ -281,6 +306,9 @@
   double prefill_wait_ms; /**< time to prefill what is queued there */
   double slot_wait_ms; /**< cost of waiting for a slot as the first engine, as
                           added token latency */
+  double kv_room;   /**< streams of that size that its memory has room for */
+  double slot_room; /**< streams for which it has slots, as the first
+                       engine */
 } rt_estimate_t;
 
 rt_estimate_t rt_estimate (const rt_fleet_t *fleet, const rt_model_t *model,
@@ -309,6 +337,8 @@
   int prefilling; /**< some part has tokens to prefill */
   double fill;    /**< highest estimated memory use of its engines, the stream
                      included */
+  double room;    /**< streams of this size that it has room for, this one
+                     included */
 } rt_chain_t;
 
 /** Requirements on a new chain. */
@@ -319,6 +349,8 @@
   double tokens;            /**< expected length of the stream */
   const rt_tried_t *tried;  /**< engines to exclude */
   const rt_target_t *first; /**< engine of the first part; NULL: any */
+  int prefer_room; /**< engines without room for it are used only if there is
+                      no chain without them */
 } rt_chain_query_t;
 
 int rt_chain_valid (const rt_chain_t *chain, unsigned layers);
--- a/route/rules.c
+++ b/route/rules.c
@@ -36,7 +36,77 @@
   return key;
 }
 
-/** Builds the hash tables, once the arrays are filled in. */
+/* Adds a priority in ascending order, if it is new and among the first. */
+static void
+priorities_add (rt_priorities_t *priorities, unsigned priority)
+{
+  size_t at = 0;
+
+  while (at < priorities->n && priorities->list[at] < priority)
+    at++;
+  if (at == LD_RANKS
+      || (at < priorities->n && priorities->list[at] == priority))
+    return;
+  if (priorities->n < LD_RANKS)
+    priorities->n++;
+  memmove (&priorities->list[at + 1], &priorities->list[at],
+           (priorities->n - at - 1) * sizeof *priorities->list);
+  priorities->list[at] = priority;
+}
+
+/* Collects the priorities of the streams of RULE's services. */
+static void
+rule_add_priorities (rt_rules_t *rules, const rt_rule_t *rule)
+{
+  rt_service_t *service;
+  size_t i;
+
+  for (i = 0; i < rule->nshares && rule->kind == RT_STREAM; i++)
+    {
+      el_str_t name = rule->shares[i].service;
+
+      HASH_FIND (hh, rules->services_by_name, name.ptr, (unsigned)name.len,
+                 service);
+      if (service)
+        priorities_add (&service->priorities, rule->priority);
+    }
+}
+
+/** Whether requests for SERVICE are served in order of rank: the rules of its
+    streams differ in priority. */
+int
+rt_service_has_ranks (const rt_service_t *service)
+{
+  return service->priorities.n > 1;
+}
+
+/* The position of PRIORITY; lower ones than the last have that of the last. */
+static unsigned
+priorities_find (const rt_priorities_t *priorities, unsigned priority)
+{
+  unsigned at = 0;
+
+  while (at + 1 < priorities->n && priorities->list[at + 1] <= priority)
+    at++;
+  return at;
+}
+
+/** The rank, below LD_RANKS, of requests under RULE with KEY, which may be
+    NULL: the customer's priority goes before the rule's. */
+unsigned
+rt_rules_rank (const rt_rules_t *rules, const rt_service_t *service,
+               const rt_rule_t *rule, const rt_key_t *key)
+{
+  unsigned customer
+      = key ? priorities_find (&rules->priorities, key->priority) : 0;
+  size_t rank = customer * service->priorities.n
+                + priorities_find (&service->priorities, rule->priority);
+
+  return rank < LD_RANKS ? (unsigned)rank : LD_RANKS - 1;
+}
+
+/** Builds the hash tables and the services' ranks, once the arrays are filled
+    in. */
 void
 rt_rules_build_index (rt_rules_t *rules)
 {
@@ -64,7 +134,10 @@
 
       HASH_ADD_KEYPTR (hh, rules->keys_by_text, key->text.ptr,
                        (unsigned)key->text.len, key);
+      priorities_add (&rules->priorities, key->priority);
     }
+  for (i = 0; i < rules->nrules; i++)
+    rule_add_priorities (rules, &rules->rules[i]);
 }
 
 /** Takes a reference to RULES; rt_rules_unref releases it. */
--- a/standin/member.c
+++ b/standin/member.c
@@ -13,7 +13,8 @@
  * last part.
  * POST /rest makes the member ask hosts to back off, or announce that it is
  * leaving, POST /limit makes it name a rate limit, POST /unframed makes it end
- * its streams by closing their connections. GET /runs returns counters,
+ * its streams by closing their connections. POST /places {"streams": N} makes
+ * it refuse streams beyond N at a time. GET /runs returns counters,
  * GET /seen the headers of the last request. With --record the member appends
  * a line to a file before it runs a request, so that the runs can be checked
  * after the process has exited: "MICROSECONDS ID MEMBER CUSTOMER CHAIN
@@ -80,6 +81,8 @@
   int linger;             /* abort streams before exiting */
   int unframed;           /* streams have neither a length nor chunks */
   int unresponsive;
+  uint64_t places;  /* streams at a time; 0: not limited */
+  uint64_t refused; /* streams beyond that */
   sn_backoff_t *backoff;
   sn_limit_t *limit;
 } member_t;
@@ -524,6 +527,38 @@
   net_req_reply (req, 204, EL_STR (""), EL_STR (""));
 }
 
+static void
+serve_places (member_t *member, h2o_req_t *req)
+{
+  json_t *json = sn_parse_body (req);
+
+  member->places
+      = (uint64_t)json_integer_value (json_object_get (json, "streams"));
+  json_decref (json);
+  net_req_reply (req, 204, EL_STR (""), EL_STR (""));
+}
+
+static int
+places_taken (const member_t *member)
+{
+  const member_stream_t *stream;
+  uint64_t n = 0;
+
+  for (stream = member->streams; stream; stream = stream->next)
+    n++;
+  return member->places && n >= member->places;
+}
+
+/* Refuses a stream for lack of room. */
+static void
+refuse_full (member_t *member, h2o_req_t *req)
+{
+  member->refused++;
+  net_req_add_header (req, EL_STR ("at-server"),
+                      el_str (member->process->settings.listen));
+  member_refuse (req, 503);
+}
+
 static void
 serve_backoff (member_t *member, h2o_req_t *req)
 {
@@ -559,12 +594,12 @@
 static void
 serve_runs (member_t *member, h2o_req_t *req)
 {
-  sn_reply_json (req, 200,
-                 json_pack ("{s:I,s:I,s:s,s:I,s:I}", "runs",
-                            (json_int_t)member->runs, "gone",
-                            (json_int_t)member->disconnected, "id", member->id,
-                            "first", (json_int_t)member->first, "end",
-                            (json_int_t)member->end));
+  sn_reply_json (
+      req, 200,
+      json_pack ("{s:I,s:I,s:I,s:s,s:I,s:I}", "runs", (json_int_t)member->runs,
+                 "refused", (json_int_t)member->refused, "gone",
+                 (json_int_t)member->disconnected, "id", member->id, "first",
+                 (json_int_t)member->first, "end", (json_int_t)member->end));
 }
 
 static void
@@ -664,6 +699,8 @@
   headers_save (member, req);
   if (chain.len && !chain_starts_here (member, chain))
     member_refuse (req, 421);
+  else if (chain.len && places_taken (member))
+    refuse_full (member, req);
   else if (chain.len)
     serve_stream (member, req, chain);
   else
@@ -682,6 +719,7 @@
   { EL_STR ("/crash-late"), serve_crash_late },
   { EL_STR ("/linger"), serve_linger },
   { EL_STR ("/unframed"), serve_unframed },
+  { EL_STR ("/places"), serve_places },
   { EL_STR ("/rest"), serve_backoff },
   { EL_STR ("/rests"), serve_backoff_stats },
   { EL_STR ("/limit"), serve_limit },
--- a/tests/site.c
+++ b/tests/site.c
@@ -256,7 +256,11 @@
                          "--stop-least-ms",
                          "100",
                          "--log-level",
-                         "warn",
+                         "info",
+                         site.host_flags[0],
+                         site.host_flags[1],
+                         site.host_flags[2],
+                         site.host_flags[3],
                          NULL };
   size_t k;
 
@@ -289,7 +293,7 @@
         "{\"Name\":\"look\",\"Host\":\"rel.example\",\"PathPrefix\":\"/look/"
         "\","
         "\"RouteType\":\"safe\",\"TimeoutMs\":1000,\"MaxAttempts\":2,"
-        "\"Service\":\"app\"}],"
+        "\"Service\":\"app\"}%s],"
         "\"Services\":[{\"Name\":\"app\"},{\"Name\":\"llm\",\"Engine\":{"
         "\"layers\":8,\"layer_mb\":1000,\"step_ms\":1,\"KvTokenBytes\":8000,"
         "\"usual\":{\"prompt\":10,\"answer\":10},"
@@ -299,7 +303,8 @@
   char body[4096];
   reply_t reply;
 
-  snprintf (body, sizeof body, form, version, keys);
+  snprintf (body, sizeof body, form, version,
+            site.more_rules ? site.more_rules : "", keys);
   http_request ("PUT", site.store.address, "/test/op/config", body, NULL,
                 &reply);
   ck_assert_int_eq (reply.status, 200);
--- a/tests/site.h
+++ b/tests/site.h
@@ -37,7 +37,10 @@
   char worker_ids[SITE_WORKERS][96];
   const char *halls[SITE_HOSTS]; /* of the hosts; NULL: that of the
                                     endpoints */
-  int cuttable;                  /* hosts can be cut off from the endpoints */
+  const char *more_rules;    /* of the configuration, each after a comma; NULL:
+                                none */
+  const char *host_flags[4]; /* more flags for the hosts */
+  int cuttable;              /* hosts can be cut off from the endpoints */
 } site_t;
 
 extern site_t site;
--- a/tests/t_admit.c
+++ b/tests/t_admit.c
@@ -7,7 +7,10 @@
  * replays drive the decisions through a load pattern, without a network:
  * requests take one of a few places for a fixed time.
  */
+#include <stdio.h>
+
 #include "libload.h"
+#include "platform.h"
 #include "seeds.h"
 #include "test.h"
 
@@ -62,6 +65,7 @@
 
   ck_assert_ptr_nonnull (first);
   ld_queue_started (queue, NOW, first, 0);
+  ld_queue_served (queue, first);
   return (size_t)(first - entries);
 }
 
@@ -71,10 +75,10 @@
 {
   ld_entry_t other = { .rank = LD_RANKS - 1 };
 
-  while (n--)
-    ld_queue_started (queue, NOW, &other, 0);
   ld_queue_started (queue, NOW, &other, 0);
   ld_queue_ended (queue, DURATION);
+  while (n--)
+    ld_queue_started (queue, NOW, &other, 0);
 }
 
 static ld_decision_t
@@ -304,6 +308,7 @@
       result->in_time[entry->rank] += now < arrived + TARGET;
       result->late_starts += now >= entry->until;
       ld_queue_started (queue, now, entry, 0);
+      ld_queue_served (queue, entry);
       return 1;
     }
   if (decision.verdict == LD_REFUSE)
@@ -506,6 +511,76 @@
 START_TEST (test_admit_drawn_courses) { seeds_run (drawn_course); }
 END_TEST
 
+/* Rules of three streams and a plain request, with PRIORITY of the first and
+   that of the first customer. */
+static rt_rules_t *
+rules_with (const char *priority, const char *customer)
+{
+  static const char form[]
+      = "{\"Version\":1,\"Routes\":["
+        "{\"Name\":\"a\",\"Host\":\"h\",\"PathPrefix\":\"/a/\","
+        "\"RouteType\":\"streaming\",\"Service\":\"llm\",\"Priority\":%s},"
+        "{\"Name\":\"b\",\"Host\":\"h\",\"PathPrefix\":\"/b/\","
+        "\"RouteType\":\"streaming\",\"Service\":\"llm\",\"Priority\":1},"
+        "{\"Name\":\"c\",\"Host\":\"h\",\"PathPrefix\":\"/c/\","
+        "\"RouteType\":\"streaming\",\"Service\":\"llm\"},"
+        "{\"Name\":\"d\",\"Host\":\"h\",\"PathPrefix\":\"/d/\","
+        "\"RouteType\":\"safe\",\"Service\":\"app\",\"Priority\":7}],"
+        "\"Services\":[{\"Name\":\"llm\"},{\"Name\":\"app\"}],"
+        "\"Tenants\":[{\"Name\":\"x\",\"ApiKeys\":[\"kx\"],\"Priority\":%s},"
+        "{\"Name\":\"y\",\"ApiKeys\":[\"ky\"],\"Priority\":1}]}";
+  char text[2048];
+  el_err_t err;
+
+  snprintf (text, sizeof text, form, priority, customer);
+  return pf_rules_read (el_str (text), &err);
+}
+
+static unsigned
+rank_in (const rt_rules_t *rules, const char *path, const char *key)
+{
+  return rt_rules_rank (rules, rt_rules_service (rules, EL_STR ("llm")),
+                        rt_rules_match (rules, EL_STR ("h"), el_str (path)),
+                        rt_rules_key (rules, el_str (key)));
+}
+
+/* The customer's priority goes before the rule's. */
+START_TEST (test_ranks_follow_priorities)
+{
+  rt_rules_t *rules = rules_with ("0", "0");
+
+  ck_assert_ptr_nonnull (rules);
+  ck_assert (rt_service_has_ranks (rt_rules_service (rules, EL_STR ("llm"))));
+  ck_assert (!rt_service_has_ranks (rt_rules_service (rules, EL_STR ("app"))));
+  ck_assert_uint_eq (rank_in (rules, "/a/", "kx"), 0);
+  ck_assert_uint_eq (rank_in (rules, "/b/", "kx"), 1);
+  ck_assert_uint_eq (rank_in (rules, "/a/", "ky"), 2);
+  ck_assert_uint_eq (rank_in (rules, "/c/", "ky"), 3);
+  rt_rules_unref (rules);
+}
+END_TEST
+
+/* Customers of different priority alone do not make requests wait. */
+START_TEST (test_equal_rules_have_no_ranks)
+{
+  rt_rules_t *rules = rules_with ("1", "0");
+
+  ck_assert_ptr_nonnull (rules);
+  ck_assert (!rt_service_has_ranks (rt_rules_service (rules, EL_STR ("llm"))));
+  rt_rules_unref (rules);
+}
+END_TEST
+
+static const char *const bad_priorities[]
+    = { "-1", "1.5", "\"high\"", "1001", "null", "99999999999999999999" };
+
+START_TEST (test_bad_priority_is_refused)
+{
+  ck_assert_ptr_null (rules_with (bad_priorities[_i], "1"));
+  ck_assert_ptr_null (rules_with ("1", bad_priorities[_i]));
+}
+END_TEST
+
 Suite *
 admit_suite (void)
 {
@@ -530,6 +605,10 @@
   ADD (tcase, test_replay_burst_of_the_highest_rank);
   ADD (tcase, test_replay_even_load_starts_at_once);
   ADD (tcase, test_admit_drawn_courses);
+  ADD (tcase, test_ranks_follow_priorities);
+  ADD (tcase, test_equal_rules_have_no_ranks);
+  ADD_LOOP (tcase, test_bad_priority_is_refused,
+            sizeof bad_priorities / sizeof *bad_priorities);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/t_load.c
+++ b/tests/t_load.c
@@ -4,9 +4,10 @@
  */
 /** @file
  * Simulated load on the selection of chains. The hosts of a hall each know
- * only their own streams and the engines' reports; the engines account for all
- * streams. Deterministic: no clock, no random numbers.
+ * their own streams, the engines' reports and what the others tell them; the
+ * engines account for all streams. Deterministic: no clock, no random numbers.
  */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -25,6 +26,11 @@
 /* Factor on the time of a token step due to the other streams. */
 #define CONTENTION_FACTOR 1.3
 #define HOP_MS 0.4
+#define TOLD_INTERVAL (200 * EL_MSEC)
+/* In skewed demand, half of the hosts get this many times what the others
+   get. */
+#define SKEW 10
+#define ERRORS_MAX 100000
 
 static rt_card_t cards[] = {
   { { "large", 5 }, 72000, 2.4, 3.2 },
@@ -57,6 +63,10 @@
 static size_t nengines;
 static sim_stream_t streams[STREAMS_MAX];
 static el_time_t now;
+static int skewed;         /* demand differs between hosts */
+static ld_hall_t *reports; /* what hosts tell each other; NULL: nothing */
+static double errors[ERRORS_MAX]; /* of the estimates of engines' memory */
+static size_t nerrors;
 
 static void
 load_setup (void)
@@ -82,6 +92,9 @@
     }
   nengines = 0;
   now = 100 * EL_SEC;
+  skewed = 0;
+  reports = NULL;
+  nerrors = 0;
 }
 
 static void
@@ -97,6 +110,8 @@
       }
   for (i = 0; i < HOSTS; i++)
     rt_fleet_free (hosts[i]);
+  if (reports)
+    ld_hall_free (reports);
 }
 
 /* Memory that the engine's own layers leave, as tokens times layers. */
@@ -234,15 +249,90 @@
       sim_engine_t *engine = &engines[i];
 
       for (k = 0; k < HOSTS && !engine->removed; k++)
-        rt_target_report (rt_fleet_find (hosts[k], engine->attrs.id),
+        rt_target_report (hosts[k], rt_fleet_find (hosts[k], engine->attrs.id),
                           &engine->load, now);
       engine->load
           = (rt_load_t){ .fill = engine->token_layers / engine->capacity,
+                         .lag = REPORT_INTERVAL,
                          .pace = 1,
                          .taken = (double)engine->running / SLOTS };
     }
 }
 
+/* Each host reports its load and is told the others'. */
+static void
+hosts_tell (void)
+{
+  static uint64_t sequence;
+  ld_report_t others;
+  size_t i;
+
+  sequence++;
+  for (i = 0; i < HOSTS; i++)
+    {
+      ld_report_t report = { .hosts = 1 };
+
+      rt_fleet_report_use (hosts[i], &report);
+      ld_hall_receive (reports, now, EL_SEC, i, sequence, &report);
+      ld_hall_sum (reports, now, i, &others);
+      rt_fleet_told_use (hosts[i], now, EL_SEC, &others);
+    }
+}
+
+/* Records how far the estimates of the engines' memory are off at the hosts
+   with little demand. */
+static void
+errors_record (void)
+{
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < nengines; i++)
+    for (k = HOSTS / 2; k < HOSTS && nerrors < ERRORS_MAX; k++)
+      {
+        const rt_card_t *card
+            = rt_model_card (&service.model, engines[i].attrs.card);
+        const rt_target_t *target
+            = rt_fleet_find (hosts[k], engines[i].attrs.id);
+        double fill
+            = rt_estimate (hosts[k], &service.model, card, target, 0, now)
+                  .fill;
+
+        errors[nerrors++]
+            = fabs (fill - engines[i].token_layers / engines[i].capacity);
+      }
+}
+
+static int
+compare_errors (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* The error that the share Q of the estimates does not exceed. */
+static double
+errors_quantile (double q)
+{
+  ck_assert_uint_gt (nerrors, 0);
+  qsort (errors, nerrors, sizeof *errors, compare_errors);
+  return errors[(size_t)((double)(nerrors - 1) * q)];
+}
+
+/* The host that gets the Nth stream. */
+static size_t
+host_of (unsigned n)
+{
+  unsigned total = HOSTS / 2 * (SKEW + 1);
+  unsigned at = n * 37 % total;
+
+  if (!skewed)
+    return n % HOSTS;
+  return at < HOSTS / 2 * SKEW ? at / SKEW : HOSTS / 2 + at - HOSTS / 2 * SKEW;
+}
+
 /* Run RATE streams per second for SECONDS; returns how many found no free slot
    on their first engine. */
 static unsigned
@@ -261,16 +351,19 @@
           engines_send_reports ();
           reported = now;
         }
+      if (reports && (now - start) % TOLD_INTERVAL == 0)
+        hosts_tell ();
+      if (skewed && (now - start) % (100 * EL_MSEC) == 95 * EL_MSEC)
+        errors_record ();
       while (started < (now - start) * rate / EL_SEC)
-        without_slot += stream_start (started++ % HOSTS)->running > SLOTS;
+        without_slot += stream_start (host_of (started++))->running > SLOTS;
     }
   return without_slot;
 }
 
-/* A hall without most of its large engines: streams take 3.6 s instead of 2.3,
-   and one of the two first engines has the faster chain. 80 streams per second
-   are 288 at a time, for 384 slots. */
-START_TEST (test_load_slots_of_all_first_engines_are_used)
+/* A hall without most of its large engines. */
+static void
+add_small_engines (void)
 {
   unsigned at;
 
@@ -285,10 +378,30 @@
       add_engine ("quick", at + 4, at + 8);
       add_engine ("quick", at + 4, at + 8);
     }
+}
+
+/* Streams take 3.6 s instead of 2.3, and one of the two first engines has the
+   faster chain. 80 streams per second are 288 at a time, for 384 slots. */
+START_TEST (test_load_slots_of_all_first_engines_are_used)
+{
+  add_small_engines ();
   ck_assert_uint_le (load_run (80, 12), 960 / 100);
 }
 END_TEST
 
+/* Half of the hosts get ten times the demand of the others, which would take
+   engines for as idle as they themselves are. */
+START_TEST (test_load_skewed_hosts_know_the_engines)
+{
+  add_small_engines ();
+  skewed = 1;
+  reports = ld_hall_new ();
+  load_run (80, 12);
+  ck_assert_double_le (errors_quantile (0.5), 0.01);
+  ck_assert_double_le (errors_quantile (0.9), 0.04);
+}
+END_TEST
+
 /* Add N engines of a card that hold no layers. */
 static void
 add_empty_engines (const char *card, unsigned n)
@@ -353,6 +466,7 @@
 
   tcase_add_checked_fixture (tcase, load_setup, load_teardown);
   ADD (tcase, test_load_slots_of_all_first_engines_are_used);
+  ADD (tcase, test_load_skewed_hosts_know_the_engines);
   ADD (tcase, test_load_hall_without_its_large_engines);
   suite_add_tcase (suite, tcase);
   return suite;
--- a/tests/t_relay.c
+++ b/tests/t_relay.c
@@ -306,11 +306,13 @@
 
   add_replicas (1000);
   for (engine = rt_fleet_first (fleet); engine; engine = engine->hh.next)
-    rt_target_report (engine, &slow, NOW - 2);
+    rt_target_report (fleet, engine, &slow, NOW - 2);
   snprintf (id, sizeof id, "a%04zu", at);
-  rt_target_report (rt_fleet_find (fleet, el_str (id)), &quick, NOW - 1);
+  rt_target_report (fleet, rt_fleet_find (fleet, el_str (id)), &quick,
+                    NOW - 1);
   snprintf (id, sizeof id, "b%04zu", 999 - at);
-  rt_target_report (rt_fleet_find (fleet, el_str (id)), &quick, NOW - 1);
+  rt_target_report (fleet, rt_fleet_find (fleet, el_str (id)), &quick,
+                    NOW - 1);
   ck_assert_int_eq (chain_pick ("h", NULL, &chain), 1);
   ck_assert_uint_eq (chain.n, 2);
   ck_assert (chain.part[0].target->pace == 1);
@@ -367,7 +369,8 @@
       const unsigned from = first + layers > LAYERS ? LAYERS - layers : first;
 
       snprintf (id, sizeof id, "e%04zu", i);
-      rt_target_report (add_engine (id, i % 2 ? "h" : "g",
+      rt_target_report (fleet,
+                        add_engine (id, i % 2 ? "h" : "g",
                                     cards[card].name.ptr, from, from + layers),
                         &load, NOW - 1);
     }
@@ -379,7 +382,8 @@
       snprintf (id, sizeof id, "e%04zu", i);
       other = rt_fleet_find (fleet, el_str (id));
       snprintf (id, sizeof id, "s%04zu", i);
-      rt_target_report (add_engine (id, i % 2 ? "h" : "g",
+      rt_target_report (fleet,
+                        add_engine (id, i % 2 ? "h" : "g",
                                     other->attrs.card.ptr, other->attrs.first,
                                     other->attrs.end),
                         &slow, NOW - 1);
@@ -426,7 +430,7 @@
   orders_apply (orders, n);
   for (target = rt_fleet_first (fleet); target; target = target->hh.next)
     if (el_str_eq (target->attrs.hall, EL_STR ("near")))
-      rt_target_report (target, &full, NOW);
+      rt_target_report (fleet, target, &full, NOW);
   rt_fleet_set_hosts (fleet, 1, 10);
   rt_fleet_stream_sent (fleet, NOW, 900);
   ck_assert_int_eq (chain_pick ("near", NULL, &chain), 1);
@@ -598,12 +602,12 @@
   rt_chain_t filled;
 
   add_engine ("c", "h", "large", 6, 80);
-  ck_assert_int_eq (rt_target_report (a, &full, NOW), 1);
-  ck_assert_int_eq (rt_target_report (a, &old, NOW - EL_SEC), 0);
+  ck_assert_int_eq (rt_target_report (fleet, a, &full, NOW), 1);
+  ck_assert_int_eq (rt_target_report (fleet, a, &old, NOW - EL_SEC), 0);
   ck_assert_int_eq (chain_pick ("h", NULL, &chain), 1);
   ck_assert_ptr_eq (chain.part[0].target, b);
   ck_assert (chain.fill <= 1);
-  ck_assert_int_eq (rt_target_report (b, &full, NOW), 1);
+  ck_assert_int_eq (rt_target_report (fleet, b, &full, NOW), 1);
   ck_assert_int_eq (chain_pick ("h", NULL, &chain), 1);
   rt_fleet_set_hosts (fleet, 20, 20);
   rt_chain_acquire (&chain, NULL, 0); /* 20 hosts may do the same */
--- a/tests/t_starts.c
+++ b/tests/t_starts.c
@@ -222,7 +222,7 @@
 
   rt_target_failed (former, TEST_TIME);
   rt_target_failed (former, TEST_TIME);
-  rt_target_report (former, &load, TEST_TIME);
+  rt_target_report (fleet, former, &load, TEST_TIME);
   former->kv_held = 5000;
   attrs.born = 2000;
   attrs.leaving = 0;
--- a/tests/t_told.c
+++ b/tests/t_told.c
@@ -187,13 +187,12 @@
 }
 END_TEST
 
-/* A recorded course of one host: what it uses of an engine, when the engine
-   reported, and when the others told their use. */
+/* A recorded course of one host: what it uses of an engine, and when the
+   engine reported. */
 typedef enum course_event
 {
   COURSE_USE,
-  COURSE_REPORT,
-  COURSE_TOLD
+  COURSE_REPORT
 } course_event_t;
 
 static const struct
@@ -201,15 +200,14 @@
   course_event_t event;
   double own;
 } course[] = {
-  { COURSE_USE, 1000 },    { COURSE_TOLD, 1000 },   { COURSE_USE, 2600 },
-  { COURSE_REPORT, 2600 }, { COURSE_USE, 900 },     { COURSE_TOLD, 900 },
-  { COURSE_USE, 4000 },    { COURSE_TOLD, 4000 },   { COURSE_REPORT, 4000 },
-  { COURSE_USE, 3200 },    { COURSE_REPORT, 3200 }, { COURSE_REPORT, 3200 },
-  { COURSE_USE, 0 },       { COURSE_TOLD, 0 },      { COURSE_USE, 512 },
+  { COURSE_USE, 1000 }, { COURSE_USE, 2600 },    { COURSE_REPORT, 2600 },
+  { COURSE_USE, 900 },  { COURSE_USE, 4000 },    { COURSE_REPORT, 4000 },
+  { COURSE_USE, 3200 }, { COURSE_REPORT, 3200 }, { COURSE_REPORT, 3200 },
+  { COURSE_USE, 0 },    { COURSE_USE, 512 },
 };
 
-/* With even load the estimate is what it is without any report of the others,
-   event for event. */
+/* With even load that is told at each event the estimate is what it is without
+   any report of the others, event for event. */
 START_TEST (test_even_load_is_estimated_as_if_nothing_was_told)
 {
   ld_others_t others = { 0 };
@@ -223,14 +221,14 @@
       double own = course[i].own;
       const ld_use_t use = { 1, own * (HOSTS - 1), own * (HOSTS - 1) };
       const ld_told_t told = { &use, HOSTS - 1, TTL };
+      const ld_reported_t report = { .at = now };
 
+      ld_others_told (&others, now, &told, own, own, HOSTS);
       if (course[i].event == COURSE_REPORT)
         {
-          ld_others_reported (&others, now, own, own, HOSTS);
-          ld_others_reported (&untold, now, own, own, HOSTS);
+          ld_others_reported (&others, &report, own, own, HOSTS);
+          ld_others_reported (&untold, &report, own, own, HOSTS);
         }
-      else if (course[i].event == COURSE_TOLD)
-        ld_others_told (&others, now, &told, own, own, HOSTS);
       for (since = 0; since < 2; since++)
         ck_assert (
             ld_others_estimate (&others, &others.held, now, own, HOSTS, since)
@@ -248,10 +246,11 @@
   const ld_use_t after = { 1, 64000, 64 };
   const ld_told_t first = { &before, HOSTS - 1, TTL };
   const ld_told_t second = { &after, HOSTS - 1, TTL };
+  const ld_reported_t report = { .at = NOW };
   ld_others_t others = { 0 };
 
   ld_others_told (&others, NOW, &first, 1000, 1, HOSTS);
-  ld_others_reported (&others, NOW, 1000, 1, HOSTS);
+  ld_others_reported (&others, &report, 1000, 1, HOSTS);
   ck_assert (ld_others_estimate (&others, &others.held, NOW, 1000, HOSTS, 1)
              == 0);
   ld_others_told (&others, NOW + 200 * EL_MSEC, &second, 1000, 1, HOSTS);
@@ -264,6 +263,26 @@
 }
 END_TEST
 
+/* An engine's values are older than its report: what was sent in between is
+   not among them. */
+START_TEST (test_lag_of_reports_is_known)
+{
+  const ld_use_t before = { 1, 10000, 10 };
+  const ld_use_t after = { 1, 50000, 50 };
+  const ld_told_t first = { &before, HOSTS - 1, TTL };
+  const ld_told_t second = { &after, HOSTS - 1, TTL };
+  const ld_reported_t report
+      = { .at = NOW + 300 * EL_MSEC, .lag = 200 * EL_MSEC };
+  ld_others_t others = { 0 };
+
+  ld_others_told (&others, NOW, &first, 0, 0, HOSTS);
+  ld_others_told (&others, NOW + 200 * EL_MSEC, &second, 0, 0, HOSTS);
+  ld_others_reported (&others, &report, 0, 0, HOSTS);
+  ck_assert (ld_others_estimate (&others, &others.held, report.at, 0, HOSTS, 1)
+             == 50000 - 30000);
+}
+END_TEST
+
 /* Hosts that told nothing, of an older version or just started, count as this
    one; and all do when nothing was told for too long. */
 START_TEST (test_untold_hosts_are_assumed_as_before)
@@ -287,10 +306,11 @@
 {
   const ld_use_t use = { 1, 77000, 70 };
   const ld_told_t told = { &use, HOSTS - 1, TTL };
+  const ld_reported_t report = { .at = NOW };
   ld_others_t others = { 0 };
   double before;
 
-  ld_others_reported (&others, NOW, 1000, 1, HOSTS);
+  ld_others_reported (&others, &report, 1000, 1, HOSTS);
   before = ld_others_estimate (&others, &others.held, NOW, 1500, HOSTS, 1);
   ld_others_told (&others, NOW, &told, 1500, 1, HOSTS);
   ck_assert (ld_others_estimate (&others, &others.held, NOW, 1500, HOSTS, 1)
@@ -390,6 +410,7 @@
   ADD (tcase, test_report_interval_bounds_messages);
   ADD (tcase, test_even_load_is_estimated_as_if_nothing_was_told);
   ADD (tcase, test_skewed_load_is_known);
+  ADD (tcase, test_lag_of_reports_is_known);
   ADD (tcase, test_untold_hosts_are_assumed_as_before);
   ADD (tcase, test_first_told_continues_the_estimate);
   ADD (tcase, test_load_message_is_read_as_written);
--- a/tests/test.h
+++ b/tests/test.h
@@ -42,6 +42,7 @@
 Suite *load_suite (void);
 Suite *admit_suite (void);
 Suite *told_suite (void);
+Suite *hard_load_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
 Suite *random_suite (void);
