--- a/elmarchd/frontend_load.c
+++ b/elmarchd/frontend_load.c
@@ -84,6 +84,22 @@
   gt_gate_report_load (frontend->gate, &report, load_told, frontend);
 }
 
+/* Counts a report that is invalid or was overtaken. Lines are a second apart
+   at the least. */
+static void
+load_refused (frontend_t *frontend, uint64_t host, uint64_t sequence,
+              el_time_t now)
+{
+  frontend_load_t *load = &frontend->load;
+
+  load->stale++;
+  if (now < load->refused_logged_at + EL_SEC)
+    return;
+  load->refused_logged_at = now;
+  EL_LOG (EL_LOG_WARN, "load_refused", EL_FN ("host", host),
+          EL_FN ("sequence", sequence), EL_FN ("refused", load->stale));
+}
+
 /** Takes in the report of HOST, and sums up those of the others. */
 void
 frontend_load_received (void *arg, uint64_t host, uint64_t sequence,
@@ -97,7 +113,7 @@
   if (!ld_hall_receive (load->hall, now,
                         ld_report_ttl (load_interval (frontend)), host,
                         sequence, report))
-    load->stale++;
+    load_refused (frontend, host, sequence, now);
   ld_hall_sum (load->hall, now, host, out);
 }
 
--- a/elmarchd/libfrontend.h
+++ b/elmarchd/libfrontend.h
@@ -24,6 +24,7 @@
   uint64_t unanswered;
   uint64_t received;
   uint64_t stale;
+  el_time_t refused_logged_at;
 } frontend_load_t;
 
 struct frontend
--- a/gate/relay_wait.c
+++ b/gate/relay_wait.c
@@ -146,15 +146,16 @@
     relay_wait_room (service);
 }
 
-/* Whether an engine has refused a request for lack of room that was estimated,
-   and no stream of this host has left room since. */
+/* Whether an engine has just refused a request for lack of room that was
+   estimated, and no stream of this host has left room since. */
 static int
-estimate_is_wrong (const gt_relay_t *relay)
+estimate_is_wrong (const gt_relay_t *relay, el_time_t now)
 {
   const relay_service_t *service
       = relay_service (relay->relays, relay->service->name);
 
-  return service->refused_at > service->room_at;
+  return service->refused_at > service->room_at
+         && now < service->refused_at + PACED_TIME;
 }
 
 /* Whether an engine of the chain refused a request for lack of room. */
@@ -221,7 +222,7 @@
   EL_LOG (EL_LOG_INFO,
           decision->verdict == LD_WAIT ? "request_waits" : "wait_ended",
           EL_FS ("request", relay->id), EL_FN ("rank", entry->rank),
-          EL_FN ("returned", entry->returned),
+          EL_FN ("refused", entry->refused),
           EL_FC ("reason", ld_reason_name (decision->reason)),
           EL_FN ("ahead", decision->ahead),
           EL_FN ("waiting", ld_queue_length (queue)),
@@ -255,7 +256,7 @@
           wait_refuse (displaced->owner, ld_reason_name (LD_BEHIND));
         }
     }
-  relay->entry.returned |= relay->attempts.sent > 0;
+  relay->entry.refused |= relay->attempts.sent > 0;
   ld_queue_add (service->queue, now, &relay->entry);
   relays->counts.queued++;
   relay->retry_timer.cb = wait_expired;
@@ -266,6 +267,15 @@
     wait_schedule (service, WAKE_INTERVAL);
 }
 
+/* Refuses RELAY, for which a chain may be picked, but not acquired. */
+static relay_pick_t
+wait_turn_away (gt_relay_t *relay, const char *reason)
+{
+  relay->chain.n = 0;
+  wait_refuse (relay, reason);
+  return RELAY_PICK_TURNED_AWAY;
+}
+
 /* Decides on RELAY, for which there is ROOM. Unless it may start, it waits or
    has been refused. */
 static relay_pick_t
@@ -287,10 +297,11 @@
       relay->offered = decision.reason == LD_OFFER;
       return RELAY_PICK_OK;
     case LD_REFUSE:
-      ld_queue_counts (service->queue, relay->entry.rank)->no_time++;
-      relay->chain.n = 0; /* picked, but not acquired */
-      wait_refuse (relay, ld_reason_name (decision.reason));
-      return RELAY_PICK_TURNED_AWAY;
+      if (decision.reason == LD_FULL)
+        ld_queue_counts (service->queue, relay->entry.rank)->displaced++;
+      else
+        ld_queue_counts (service->queue, relay->entry.rank)->no_time++;
+      return wait_turn_away (relay, ld_reason_name (decision.reason));
     default:
       if (!relay->entry.queue)
         wait_begin (relay, now);
@@ -303,24 +314,23 @@
 relay_pick_t
 relay_wait_admit (gt_relay_t *relay, el_time_t now)
 {
-  const ld_room_t room
-      = { .streams = relay->chain.room,
-          .refused = chain_refused (relay, now)
-                     || (relay->entry.queue && estimate_is_wrong (relay)) };
+  ld_room_t room = { .streams = relay->chain.room };
 
   relay->offered = 0;
   if (!wait_applies (relay))
     return RELAY_PICK_OK;
   entry_fill (relay);
-  if (relay->retry_unpaid && relay->entry.queue && now < relay->entry.until
-      && !relay_retry_left (relay))
-    return RELAY_PICK_WAIT;
+  if (relay->retry_unpaid && !relay_retry_left (relay))
+    return wait_turn_away (relay, "not run, retry budget exhausted");
+  room.refused = chain_refused (relay, now)
+                 || (relay->entry.queue && estimate_is_wrong (relay, now));
   return wait_decide (relay, now, &room);
 }
 
 /** RELAY finds no engine but those that have refused it for lack of room. It
     waits for them, or is refused. CHARGED: the retry budget has paid for its
-    next attempt. Returns 0 if ranks do not apply to it. */
+    next attempt. Returns 0 if ranks do not apply to it, or if that budget is
+    exhausted. */
 int
 relay_wait_refused (gt_relay_t *relay, el_time_t now, int charged)
 {
@@ -329,10 +339,11 @@
   if (!wait_applies (relay) || !relay->tried.n)
     return 0;
   entry_fill (relay);
-  if (relay->entry.begun)
+  if (relay->entry.begun || (!charged && !relay_retry_left (relay)))
     return 0;
   relay->retry_unpaid = !charged;
-  wait_decide (relay, now, &none);
+  if (!relay->entry.queue || now >= relay->entry.until)
+    wait_decide (relay, now, &none);
   return 1;
 }
 
--- a/load/ld_admit.c
+++ b/load/ld_admit.c
@@ -126,9 +126,8 @@
 }
 
 /** Sets how long ENTRY may wait. It begins to wait if it is expected to start
-   in time for its callers: if all wait as long as they can, all are late. Once
-    it waits, it goes on as long as its caller can still have the first event
-    before it leaves. */
+   in time for its caller: if all wait as long as they can, all are late. Then
+   it waits as long as its caller can still have the first event. */
 void
 ld_entry_set_times (ld_entry_t *entry, const ld_times_t *times)
 {
--- a/load/ld_heap.c
+++ b/load/ld_heap.c
@@ -14,8 +14,8 @@
 static int
 goes_before (const ld_entry_t *a, const ld_entry_t *b)
 {
-  if (a->returned != b->returned)
-    return a->returned;
+  if (a->refused != b->refused)
+    return a->refused;
   if (a->turn != b->turn)
     return a->turn < b->turn;
   return a->sequence < b->sequence;
--- a/load/ld_others.c
+++ b/load/ld_others.c
@@ -92,8 +92,7 @@
 }
 
 /** Records what other hosts told of their use of the engine. HELD and BEGUN
-   are this host's use, ALL_HOSTS the number of hosts that use it, this one
-    included. */
+   are this host's use, ALL_HOSTS the number of hosts, this one included. */
 void
 ld_others_told (ld_others_t *others, el_time_t now, const ld_told_t *told,
                 double held, double begun, double all_hosts)
--- a/load/ld_queue.c
+++ b/load/ld_queue.c
@@ -115,7 +115,7 @@
   turn_take (rank, entry);
   ld_heap_add (&rank->heap, entry);
   DL_PREPEND (rank->newest, entry);
-  rank->returned += entry->returned != 0;
+  rank->refused += entry->refused != 0;
   queue->length++;
 }
 
@@ -132,7 +132,7 @@
   turn_release (rank, entry);
   ld_heap_remove (&rank->heap, entry);
   DL_DELETE (rank->newest, entry);
-  rank->returned -= entry->returned != 0;
+  rank->refused -= entry->refused != 0;
   queue->length--;
   entry->queue = NULL;
 }
@@ -179,7 +179,7 @@
   const ld_entry_t *first = ld_queue_first (queue);
   unsigned own = rank_of (entry);
   const ld_rank_t *rank = &queue->ranks[own];
-  size_t ahead = entry->returned ? rank->returned : rank->heap.n;
+  size_t ahead = entry->refused ? rank->refused : rank->heap.n;
   size_t i;
 
   if (first == entry)
--- a/load/libload.h
+++ b/load/libload.h
@@ -31,7 +31,7 @@
 {
   ld_heap_t heap;
   ld_entry_t *newest; /* list in the order of arrival, newest first */
-  size_t returned;    /* entries that were sent and refused */
+  size_t refused;     /* entries that were sent and refused */
   ld_turns_t *customers;
   uint64_t turn;   /* of the entry that started last */
   double share;    /* of all that found room, a moving average */
--- a/load/load.h
+++ b/load/load.h
@@ -134,7 +134,7 @@
   unsigned rank;      /**< 0 goes first */
   int begun;          /**< its caller has received a part, or it may have run:
                          it does not wait */
-  int returned;       /**< it was sent and refused: goes before those of its
+  int refused;        /**< it was sent and refused: goes before those of its
                          rank that are new */
   uint64_t customer;  /**< hash of the name; customers of a rank take turns */
   el_time_t in_time;  /**< it begins to wait only if it is expected to start
