--- a/elmarchd/frontend_load.c
+++ b/elmarchd/frontend_load.c
@@ -157,18 +157,20 @@
                   &load->hosts);
 }
 
-/** Starts to report this host's load. The first report is at a random time, so
-    that hosts which start together do not report together. */
+/** Starts to report this host's load, if hosts may tell each other. The first
+    report is at a random time, so that hosts which start together do not
+   report together. */
 void
 frontend_load_start (frontend_t *frontend)
 {
   frontend_load_t *load = &frontend->load;
+  uint64_t random = frontend->options.seed | 1;
 
   load->hall = ld_hall_new ();
   load->timer.cb = load_tick;
   load->timer.arg = frontend;
   load_metrics (frontend);
-  net_clock_set (gt_gate_clock (frontend->gate), &load->timer,
-                 el_random (&frontend->store.random)
-                     % frontend->options.load_interval);
+  if (frontend->options.tell_load != FRONTEND_TELL_OFF)
+    net_clock_set (gt_gate_clock (frontend->gate), &load->timer,
+                   el_random (&random) % frontend->options.load_interval);
 }
--- a/tests/t_admit.c
+++ b/tests/t_admit.c
@@ -482,6 +482,8 @@
             ck_assert_uint_eq (waiting[k], 0);
           waiting[entry->rank] -= entry->queue != NULL;
           ld_queue_started (queue, now, entry, streams < 1);
+          if (streams >= 1)
+            ld_queue_served (queue, entry);
           break;
         case LD_WAIT:
           ck_assert_uint_lt (now, entry->until);
