--- a/tests/site.c
+++ b/tests/site.c
@@ -256,7 +256,7 @@
                          "--stop-least-ms",
                          "100",
                          "--log-level",
-                         "info",
+                         "warn",
                          site.host_flags[0],
                          site.host_flags[1],
                          site.host_flags[2],
