--- a/route/rules.c
+++ b/route/rules.c
@@ -65,8 +65,10 @@
     {
       el_str_t name = rule->shares[i].service;
 
-      HASH_FIND (hh, rules->services_by_name, name.ptr, (unsigned)name.len,
-                 service);
+      service = NULL;
+      if (name.len)
+        HASH_FIND (hh, rules->services_by_name, name.ptr, (unsigned)name.len,
+                   service);
       if (service)
         priorities_add (&service->priorities, rule->priority);
     }
