Review: the clients of the scripts pass the linter

Cause: clang-tidy sees that the record's path may be missing.

Change: without a path the record goes to standard error.

--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -61,12 +61,13 @@
 record (const char *format, ...)
 {
   static int fd = -1;
+  const char *path = getenv ("RIG_RECORD");
   char line[512];
   va_list args;
   int n;
 
   if (fd < 0)
-    fd = open (getenv ("RIG_RECORD"),
+    fd = open (path ? path : "/dev/stderr",
                O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
   n = snprintf (line, sizeof line, "%.4f ", now_s ());
   va_start (args, format);
