A request has one phase: a wait ends whatever way the request goes

Cause: what a request waits for was spread over an exchange, a timer, a place in the queue, a token and a query, and each way out of a wait undid those that it knew. A request in the queue that went over another host kept its place and its timer.

Evidence: front-3, request r00662: three lines "sent" of attempt 4 without an end between them, 0, 16 and 17 ms apart, as the queue's wakes; then 503, then signal 11. With the sanitizers: heap-use-after-free in forward_head.

Change: gt_relay_t has a phase; relay_enter allows the steps of a table and undoes a wait whatever it waited for; relay_attempt begins only from a decision or a wait. A step outside the table is logged (phase_error), counted and not made. It works because no way from a wait to a send, a second wait or the end goes round relay_enter, and relay_phase_holds tells tests what each phase may hold. With it: the retry budget is charged on every way; a request that stays in the queue sets the timer of its wait anew.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -119,6 +119,8 @@
                                 first */
   uint64_t checks;           /**< health checks sent to engines */
   uint64_t silent;           /**< of these, those without a response */
+  uint64_t phase_errors;     /**< steps that a request's phase does not allow;
+                                stays 0 */
   uint64_t wrong_id;         /**< responses with another request's id */
   uint64_t budget_exhausted; /**< retries not made: budget exhausted */
   uint64_t crashes;          /**< endpoint crashes with requests running */
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -108,6 +108,25 @@
 typedef void (*relay_event_cb) (void *arg, el_str_t event, int has_id,
                                 uint64_t id);
 
+/* What a request waits for. Only that may act on it next: a request in one of
+   the phases between has no timer, queue entry, exchange or query of
+   another. */
+typedef enum relay_phase
+{
+  RELAY_HELD,     /* until the host is ready to serve: deadline_timer */
+  RELAY_DECIDING, /* nothing; the next step is being chosen */
+  RELAY_WAITING,  /* to start an attempt: retry_timer, perhaps also a place in
+                     the queue or a token */
+  RELAY_SENT, /* the response to an attempt: exchange; watch_timer and query
+                 act on that attempt */
+  RELAY_SETTLING, /* a check which tells whether the response is complete:
+                     query */
+  RELAY_ENDING,   /* the caller, to take the end of the response */
+  RELAY_ENDED,    /* nothing; the response is complete, or the caller
+                     disconnected */
+  RELAY_PHASES
+} relay_phase_t;
+
 /* One relayed request; lives as long as the caller's request. */
 struct gt_relay
 {
@@ -123,9 +142,8 @@
   el_time_t received;
   el_time_t deadline;
   el_timer_t deadline_timer;
-  int forwarded;     /* another host sent it, which took it from the caller */
-  int awaits_config; /* held until the host is ready to serve it */
-  int ended;         /* the response is complete, or the caller disconnected */
+  int forwarded; /* another host sent it, which took it from the caller */
+  relay_phase_t phase;
 
   /* Current attempt. */
   net_exchange_t *exchange;
@@ -166,8 +184,7 @@
   /* Response to the caller. */
   int response_started;
   int sending;
-  int end_pending; /* end the response once pending output is sent */
-  int abort_pending;
+  int abort_pending;  /* the pending end is that of an incomplete response */
   el_buf_t out;       /* bytes to send next */
   el_buf_t in_flight; /* bytes passed to h2o */
   relay_events_t events;
@@ -290,6 +307,8 @@
 ld_queue_t *relay_wait_queue (gt_relay_t *relay);
 relay_pick_t relay_wait_admit (gt_relay_t *relay, el_time_t now);
 int relay_wait_refused (gt_relay_t *relay, el_time_t now, int charged);
+relay_pick_t relay_wait_charge (gt_relay_t *relay);
+void relay_wait_over (gt_relay_t *relay, el_time_t now);
 void relay_wait_started (gt_relay_t *relay, el_time_t now);
 void relay_wait_served (gt_relay_t *relay);
 void relay_wait_released (gt_relay_t *relay);
@@ -551,6 +570,9 @@
 
 /* relay.c */
 relay_service_t *relay_service (gt_relays_t *relays, el_str_t name);
+int relay_phase_holds (const gt_relay_t *relay);
+void relay_enter (gt_relay_t *relay, relay_phase_t phase);
+int relay_begin_attempt (gt_relay_t *relay);
 void relay_finish (gt_relay_t *relay);
 int relay_retry_take (gt_relay_t *relay);
 int relay_retry_left (gt_relay_t *relay);
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -24,17 +24,124 @@
 /* Timeout of a request if neither the caller nor the rule sets one. */
 #define DEFAULT_TIMEOUT (60 * EL_SEC)
 
+/* Phases. */
+
+#define PHASE(phase) (1U << (phase))
+
+static const unsigned phase_follows[RELAY_PHASES] = {
+  [RELAY_HELD] = PHASE (RELAY_DECIDING) | PHASE (RELAY_ENDED),
+  [RELAY_DECIDING] = PHASE (RELAY_WAITING) | PHASE (RELAY_SENT)
+                     | PHASE (RELAY_SETTLING) | PHASE (RELAY_ENDING)
+                     | PHASE (RELAY_ENDED),
+  [RELAY_WAITING] = PHASE (RELAY_DECIDING),
+  [RELAY_SENT] = PHASE (RELAY_DECIDING),
+  [RELAY_SETTLING] = PHASE (RELAY_DECIDING),
+  [RELAY_ENDING] = PHASE (RELAY_ENDED),
+};
+
+static const char *const phase_names[RELAY_PHASES] = {
+  [RELAY_HELD] = "held",         [RELAY_DECIDING] = "deciding",
+  [RELAY_WAITING] = "waiting",   [RELAY_SENT] = "sent",
+  [RELAY_SETTLING] = "settling", [RELAY_ENDING] = "ending",
+  [RELAY_ENDED] = "ended",
+};
+
+/* The phases in which what a request holds may be there, and those in which it
+   has to be. */
+typedef struct phase_part
+{
+  unsigned allowed;
+  unsigned required;
+} phase_part_t;
+
+static int
+part_holds (const gt_relay_t *relay, phase_part_t part, int present)
+{
+  return ((present ? part.allowed : ~part.required) & PHASE (relay->phase))
+         != 0;
+}
+
+/** Whether RELAY holds just what its phase allows. A request is in
+    RELAY_DECIDING only while a function of the relay runs. */
+int
+relay_phase_holds (const gt_relay_t *relay)
+{
+  const unsigned sent = PHASE (RELAY_SENT);
+  const unsigned settling = PHASE (RELAY_SETTLING);
+  const unsigned waiting = PHASE (RELAY_WAITING);
+  const phase_part_t exchange = { sent, sent };
+  const phase_part_t place = { sent | settling, sent | settling };
+  const phase_part_t query = { sent | settling, settling };
+  const phase_part_t timer = { waiting, waiting };
+  const phase_part_t queued = { waiting, 0 };
+  const phase_part_t watched = { sent, 0 };
+
+  return relay->phase != RELAY_DECIDING
+         && part_holds (relay, exchange, relay->exchange != NULL)
+         && part_holds (relay, place, relay->target || relay->helper)
+         && !(relay->target && relay->helper)
+         && part_holds (relay, query, relay->query != NULL)
+         && part_holds (relay, timer, relay->retry_timer.heap_index != 0)
+         && part_holds (relay, queued, relay->entry.queue != NULL)
+         && part_holds (relay, queued, relay->limit_target != NULL)
+         && part_holds (relay, watched, relay->watch_timer.heap_index != 0);
+}
+
+/** Counts and logs that RELAY was to enter PHASE, which its own does not
+    allow. */
+static void
+phase_error (gt_relay_t *relay, relay_phase_t phase)
+{
+  relay->relays->counts.phase_errors++;
+  EL_LOG (EL_LOG_ERROR, "phase_error", EL_FS ("request", relay->id),
+          EL_FC ("from", phase_names[relay->phase]),
+          EL_FC ("to", phase_names[phase]),
+          EL_FN ("exchange", relay->exchange != NULL),
+          EL_FN ("query", relay->query != NULL),
+          EL_FN ("attempts", relay->attempts.sent));
+}
+
+/** Enters PHASE. What the former phase waited for must have happened or been
+    cancelled, but for a wait, which ends here. A place in the queue is kept
+    while it is decided whether the request goes on waiting. */
+void
+relay_enter (gt_relay_t *relay, relay_phase_t phase)
+{
+  if (relay->phase == RELAY_WAITING)
+    {
+      net_clock_cancel (relay->relays->options.clock, &relay->retry_timer);
+      relay_limit_stop_waiting (relay);
+    }
+  if (phase != RELAY_DECIDING && phase != RELAY_WAITING)
+    ld_queue_remove (&relay->entry);
+  if (!(phase_follows[relay->phase] & PHASE (phase)) || relay->exchange
+      || relay->query)
+    phase_error (relay, phase);
+  relay->phase = phase;
+}
+
+/** Whether an attempt of RELAY may begin; it does not wait any longer then. */
+int
+relay_begin_attempt (gt_relay_t *relay)
+{
+  if (relay->phase == RELAY_WAITING)
+    relay_enter (relay, RELAY_DECIDING);
+  if (relay->phase == RELAY_DECIDING)
+    return 1;
+  phase_error (relay, RELAY_DECIDING);
+  return 0;
+}
+
 /** Ends the processing of a request: the response is complete, or the caller
     disconnected. */
 void
 relay_finish (gt_relay_t *relay)
 {
-  if (relay->ended)
+  if (relay->phase == RELAY_ENDED)
     return;
-  relay->ended = 1;
   net_clock_cancel (relay->relays->options.clock, &relay->deadline_timer);
-  ld_queue_remove (&relay->entry);
   relay_cancel_attempt (relay);
+  relay_enter (relay, RELAY_ENDED);
 }
 
 static void
@@ -59,7 +166,7 @@
 {
   gt_relay_t *relay = arg;
 
-  if (!relay->ended)
+  if (relay->phase != RELAY_ENDED)
     {
       relay->relays->counts.disconnected++;
       relay_log (relay, "caller_gone", 0, "connection closed");
@@ -78,7 +185,7 @@
       = (gt_relay_t *)((char *)generator - offsetof (gt_relay_t, generator));
 
   (void)req;
-  if (relay->ended)
+  if (relay->phase == RELAY_ENDED)
     return;
   relay->relays->counts.disconnected++;
   relay_log (relay, "caller_gone", 0, "answer not taken");
@@ -298,6 +405,7 @@
   gt_relays_t *relays = relay->relays;
   el_str_t service;
 
+  relay_enter (relay, RELAY_DECIDING);
   if (!relay_admit (relay))
     return;
   service = rt_rule_pick_service (relay->rule, el_random (&relays->random));
@@ -333,7 +441,6 @@
   gt_relay_t *relay = arg;
 
   (void)now;
-  relay->awaits_config = 0;
   relay->relays->counts.no_config++;
   relay_forward_mark_unserved (relay);
   relay_respond_error (relay, 503, "no configuration", NO_CONFIG_RETRY_AFTER);
@@ -343,7 +450,6 @@
 static void
 relay_wait_config (gt_relay_t *relay)
 {
-  relay->awaits_config = 1;
   relay->deadline_timer.cb = config_wait_expired;
   relay->deadline_timer.arg = relay;
   net_clock_set (relay->relays->options.clock, &relay->deadline_timer,
@@ -361,9 +467,8 @@
   if (!relays_ready (relays))
     return;
   DL_FOREACH_SAFE (relays->running, relay, next)
-  if (relay->awaits_config && !relay->ended)
+  if (relay->phase == RELAY_HELD)
     {
-      relay->awaits_config = 0;
       net_clock_cancel (relays->options.clock, &relay->deadline_timer);
       relay_start (relay);
     }
@@ -381,6 +486,7 @@
   DL_APPEND (relays->running, relay);
   relay->relays = relays;
   relay->req = req;
+  relay->phase = RELAY_HELD;
   relay->generator.stop = relay_generator_stop;
   relay->received = net_clock_now (relays->options.clock);
   net_req_watch (req, relay_caller_disconnected, relay);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -55,14 +55,23 @@
   relay->exchange = NULL;
 }
 
-/** Cancels the current attempt, on this host and at the endpoint. */
-void
-relay_cancel_attempt (gt_relay_t *relay)
+/* Ends what the request waits for: an attempt, a check or the next attempt. */
+static void
+attempt_stop (gt_relay_t *relay)
 {
   relay_watch_stop (relay);
   attempt_cancel_exchange (relay);
-  net_clock_cancel (relay->relays->options.clock, &relay->retry_timer);
-  relay_limit_stop_waiting (relay);
+  if (relay->phase == RELAY_WAITING || relay->phase == RELAY_SENT
+      || relay->phase == RELAY_SETTLING)
+    relay_enter (relay, RELAY_DECIDING);
+}
+
+/** Cancels the current attempt, on this host and at the endpoint, or the wait
+    for the next one. */
+void
+relay_cancel_attempt (gt_relay_t *relay)
+{
+  attempt_stop (relay);
   attempt_release (relay);
 }
 
@@ -137,7 +146,7 @@
   gt_relays_t *relays = relay->relays;
   el_time_t now;
 
-  if (relay->ended)
+  if (relay->phase != RELAY_SENT)
     return;
   if (!relay->writing)
     {
@@ -362,6 +371,7 @@
 
   relay->exchange = NULL;
   relay_watch_stop (relay);
+  relay_enter (relay, RELAY_DECIDING);
   if (result->net == NET_WITHHELD)
     attempt_not_sent (relay);
   else if (result->by_close && relay->stream)
@@ -408,6 +418,7 @@
 void
 relay_schedule_attempt (gt_relay_t *relay, el_time_t wait)
 {
+  relay_enter (relay, RELAY_WAITING);
   relay->retry_timer.cb = retry_due;
   relay->retry_timer.arg = relay;
   net_clock_set (relay->relays->options.clock, &relay->retry_timer, wait);
@@ -486,8 +497,7 @@
       = { .verdict = EL_MAY_HAVE_RUN, .begun = relay->response_started };
   const net_result_t result = { .net = NET_CONNECTION_LOST };
 
-  relay_watch_stop (relay);
-  attempt_cancel_exchange (relay);
+  attempt_stop (relay);
   if (relay->target)
     rt_tried_add (&relay->tried, relay->target);
   relay_attempt_ended (relay, &attempt, &result);
@@ -550,6 +560,8 @@
 static void
 attempt_send (gt_relay_t *relay, el_time_t now)
 {
+  relay_wait_over (relay, now);
+  relay_enter (relay, RELAY_SENT);
   relay->refused = 0;
   relay->wrong_id = 0;
   relay->stream = 0;
@@ -592,6 +604,8 @@
 {
   el_time_t now = net_clock_now (relay->relays->options.clock);
 
+  if (!relay_begin_attempt (relay))
+    return;
   if (relay_blame_get_status (relay).state == RT_BLAME_BLOCKED)
     {
       if (relay->attempts.may_run || relay->response_started)
@@ -602,7 +616,6 @@
     }
   if (relay_suspect_must_wait (relay, now))
     return;
-  relay_limit_stop_waiting (relay);
   switch (relay_pick_target (relay, now))
     {
     case RELAY_PICK_OK:
--- a/gate/relay_check.c
+++ b/gate/relay_check.c
@@ -78,7 +78,7 @@
   gt_relay_t *next;
 
   DL_FOREACH_SAFE (relays->running, relay, next)
-  if (!relay->ended && relay->exchange && rt_chain_has (&relay->chain, engine))
+  if (relay->phase == RELAY_SENT && rt_chain_has (&relay->chain, engine))
     each (relay, engine);
 }
 
--- a/gate/relay_close.c
+++ b/gate/relay_close.c
@@ -44,6 +44,7 @@
 
   (void)hints;
   relay->query = NULL;
+  relay_enter (relay, RELAY_DECIDING);
   if (result != GT_CHECK_OK)
     close_is_break (relay, "engine does not respond");
   else if (load && load->born && born && load->born != born)
@@ -64,8 +65,11 @@
   else if (relay->events.part.len)
     close_is_break (relay, "inside an event");
   else if (relay->chain.n && o->dialect->check)
-    relay->query
-        = o->dialect->check (o->client, relay->target, close_checked, relay);
+    {
+      relay_enter (relay, RELAY_SETTLING);
+      relay->query
+          = o->dialect->check (o->client, relay->target, close_checked, relay);
+    }
   else
     close_is_end (relay);
 }
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -285,6 +285,7 @@
   rt_attempt_t attempt;
 
   relay->exchange = NULL;
+  relay_enter (relay, RELAY_DECIDING);
   forward_classify (relay, result, &attempt);
   if (forward_is_unserved (result, &attempt))
     relay->helper->unusable_until = now + HELPER_UNUSABLE;
--- a/gate/relay_limit.c
+++ b/gate/relay_limit.c
@@ -305,17 +305,13 @@
   relay->token_until = 0;
 }
 
-/** Ends RELAY's wait for a token, if it waits for one. */
+/** RELAY no longer waits for a token, if it has waited for one. */
 void
 relay_limit_stop_waiting (gt_relay_t *relay)
 {
-  rt_target_t *target = relay->limit_target;
-
-  if (!target)
-    return;
+  if (relay->limit_target)
+    rt_target_unref (relay->limit_target);
   relay->limit_target = NULL;
-  net_clock_cancel (relay->relays->options.clock, &relay->retry_timer);
-  rt_target_unref (target);
 }
 
 /* Whether requests for SERVICE may be sent to TARGET, but for its limit. */
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -95,7 +95,7 @@
   gt_relay_t *next;
 
   DL_FOREACH_SAFE (relays->running, relay, next)
-  if (!relay->ended && relay->exchange && relay->target
+  if (relay->phase == RELAY_SENT && relay->target
       && el_str_eq (relay->target->attrs.service, el_str (service->name)))
     {
       if (!net_exchange_is_sent (relay->exchange))
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -84,7 +84,7 @@
       net_req_abort (relay->req);
       state = H2O_SEND_STATE_ERROR;
     }
-  else if (relay->end_pending)
+  else if (relay->phase == RELAY_ENDING)
     state = H2O_SEND_STATE_FINAL;
   else if (relay->out.len == 0)
     return;
@@ -124,7 +124,7 @@
 {
   relay_log (relay, "answered", relay->req->res.status, "stream ended");
   relay->relays->counts.forwarded++;
-  relay->end_pending = 1;
+  relay_enter (relay, RELAY_ENDING);
   response_flush (relay);
 }
 
@@ -147,6 +147,8 @@
       relay->relays->counts.aborted++;
     }
   relay_cancel_attempt (relay);
+  if (relay->phase < RELAY_ENDING)
+    relay_enter (relay, RELAY_ENDING);
   relay->abort_pending = 1;
   response_flush (relay);
 }
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -232,7 +232,8 @@
 
   DL_FOREACH_SAFE (relays->running, relay, next)
   {
-    if (relay->ended || !relay->service || !may_crash (relay, block))
+    if (relay->phase >= RELAY_ENDING || !relay->service
+        || !may_crash (relay, block))
       continue;
     traits = relay_traits (relay);
     if (!rt_block_has (block, &traits))
--- a/gate/relay_wait.c
+++ b/gate/relay_wait.c
@@ -34,6 +34,16 @@
   relay_attempt (relay);
 }
 
+/* RELAY makes another attempt after WAIT, at any endpoint. */
+static void
+wait_for (gt_relay_t *relay, el_time_t wait)
+{
+  relay_enter (relay, RELAY_WAITING);
+  relay->retry_timer.cb = wait_expired;
+  relay->retry_timer.arg = relay;
+  net_clock_set (relay->relays->options.clock, &relay->retry_timer, wait);
+}
+
 /** Schedules another attempt, with a longer delay each time. Returns 0 if
     RELAY is not a stream in progress that may be resumed. */
 int
@@ -54,9 +64,7 @@
     }
   if (RETRY_DELAY_MIN << relay->endpoint_waits < RETRY_DELAY_MAX)
     wait = RETRY_DELAY_MIN << relay->endpoint_waits++;
-  relay->retry_timer.cb = wait_expired;
-  relay->retry_timer.arg = relay;
-  net_clock_set (relays->options.clock, &relay->retry_timer, wait);
+  wait_for (relay, wait);
   return 1;
 }
 
@@ -259,14 +267,18 @@
   relay->entry.refused |= relay->attempts.sent > 0;
   ld_queue_add (service->queue, now, &relay->entry);
   relays->counts.queued++;
-  relay->retry_timer.cb = wait_expired;
-  relay->retry_timer.arg = relay;
-  net_clock_set (relays->options.clock, &relay->retry_timer,
-                 relay->entry.until > now ? relay->entry.until - now : 0);
   if (ld_queue_length (service->queue) == 1)
     wait_schedule (service, WAKE_INTERVAL);
 }
 
+/* RELAY keeps its place among the requests that wait, until its time is
+   over. */
+static void
+wait_in_queue (gt_relay_t *relay, el_time_t now)
+{
+  wait_for (relay, relay->entry.until > now ? relay->entry.until - now : 0);
+}
+
 /* Refuses RELAY, for which a chain may be picked, but not acquired. */
 static relay_pick_t
 wait_turn_away (gt_relay_t *relay, const char *reason)
@@ -305,10 +317,21 @@
     default:
       if (!relay->entry.queue)
         wait_begin (relay, now);
+      wait_in_queue (relay, now);
       return RELAY_PICK_WAIT;
     }
 }
 
+/** Whether the retry budget pays for the next attempt of RELAY, if it has to.
+    If not, RELAY has been refused. */
+relay_pick_t
+relay_wait_charge (gt_relay_t *relay)
+{
+  if (relay->retry_unpaid && !relay_retry_left (relay))
+    return wait_turn_away (relay, "not run, retry budget exhausted");
+  return RELAY_PICK_OK;
+}
+
 /** Decides whether RELAY, for which a chain is picked, may be sent now; if
     not, it waits or has been refused. */
 relay_pick_t
@@ -320,8 +343,6 @@
   if (!wait_applies (relay))
     return RELAY_PICK_OK;
   entry_fill (relay);
-  if (relay->retry_unpaid && !relay_retry_left (relay))
-    return wait_turn_away (relay, "not run, retry budget exhausted");
   room.refused = chain_refused (relay, now)
                  || (relay->entry.queue && estimate_is_wrong (relay, now));
   return wait_decide (relay, now, &room);
@@ -341,26 +362,40 @@
   entry_fill (relay);
   if (relay->entry.begun || (!charged && !relay_retry_left (relay)))
     return 0;
-  relay->retry_unpaid = !charged;
-  if (!relay->entry.queue || now >= relay->entry.until)
+  relay->retry_unpaid |= !charged;
+  if (relay->entry.queue && now < relay->entry.until)
+    wait_in_queue (relay, now);
+  else
     wait_decide (relay, now, &none);
   return 1;
 }
 
-/** RELAY is about to be sent. */
+/** RELAY is about to be sent, by whatever way: its wait is over, and the retry
+    budget pays if it has to. */
+void
+relay_wait_over (gt_relay_t *relay, el_time_t now)
+{
+  if (relay->retry_unpaid)
+    relay_retry_take (relay);
+  relay->retry_unpaid = 0;
+  if (!relay->entry.queue)
+    return;
+  el_hist_add (&relay->relays->counts.wait, now - relay->entry.since);
+  EL_LOG (EL_LOG_INFO, "wait_ended", EL_FS ("request", relay->id),
+          EL_FN ("rank", relay->entry.rank),
+          EL_FC ("reason", "another host serves it"),
+          EL_FN ("waited_us", now - relay->entry.since),
+          EL_FN ("sent", relay->attempts.sent));
+}
+
+/** RELAY is about to be sent to the engines of its chain. */
 void
 relay_wait_started (gt_relay_t *relay, el_time_t now)
 {
   if (!wait_applies (relay))
     return;
   if (relay->entry.queue)
-    {
-      net_clock_cancel (relay->relays->options.clock, &relay->retry_timer);
-      el_hist_add (&relay->relays->counts.wait, now - relay->entry.since);
-    }
-  if (relay->retry_unpaid)
-    relay_retry_take (relay);
-  relay->retry_unpaid = 0;
+    el_hist_add (&relay->relays->counts.wait, now - relay->entry.since);
   ld_queue_started (relay_wait_queue (relay), now, &relay->entry,
                     relay->offered);
   relay->started_at = now;
--- a/tests/t_check.c
+++ b/tests/t_check.c
@@ -312,6 +312,7 @@
   gt_relay_t relay = { .relays = &relays,
                        .service = &service,
                        .id = EL_STR ("r"),
+                       .phase = RELAY_SENT,
                        .exchange = (net_exchange_t *)&exchange };
   check_engine_t replica = { .requests = 0 };
 
