A connection carries an id once; a response with another id closes it

Some got 503 although their request ran.

Cause: a refused request went out again, under the same id, on the connection that had carried it before, so that the copy of the refusal had the right id. The host took it for the answer to the second send, which the engine ran, and sent a third one.

The log could not tell whether it was the same connection: attempt_failed has conn and carried now.

Change, in the HTTP client and so for all its users: a connection remembers the ids that it has carried (256, then it is closed), and a request takes one that has not carried its own. A response with another id, or with one to a request that has none (reports, orders), ends the exchange as crossed and closes the connection, which went back to the pool before, out of step. It works because an id then names one send on a connection, and any response that is not that send's is told apart by it.

--- a/gate/engine.c
+++ b/gate/engine.c
@@ -51,6 +51,7 @@
   [NET_TIMEOUT] = RT_FAIL_TIMEOUT,
   [NET_TOO_BIG] = RT_FAIL_BROKEN,
   [NET_WITHHELD] = RT_FAIL_BUSY,
+  [NET_CROSSED] = RT_FAIL_BROKEN,
 };
 
 rt_failure_t
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -168,7 +168,6 @@
   rt_target_t *limit_target; /* waits for a token of its limit; NULL: not */
   el_time_t token_until;     /* expiry of the token that was taken; 0: none */
   int refused;      /* the response proves that the request was not executed */
-  int wrong_id;     /* the response carries another request's id */
   rt_hints_t hints; /* backoff and leaving notice in the response */
   int stream;       /* the response is forwarded event by event */
   int writing;      /* an event of this attempt has arrived */
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -180,11 +180,8 @@
   relay->head_at = net_clock_now (relay->relays->options.clock);
   relay->refused = net_result_header (head, names->not_executed).len
                    || head->status == 421;
-  relay->wrong_id
-      = !el_str_eq (net_result_header (head, names->id), relay->id);
   relay->stream = relay->rule->kind == RT_STREAM && !relay->refused
-                  && !relay->wrong_id && head->status >= 200
-                  && head->status < 300
+                  && head->status >= 200 && head->status < 300
                   && net_result_header (head, names->seal).len;
   /* What the head asks for applies before the body arrives. */
   relay_backoff_read_head (relay, head);
@@ -234,14 +231,10 @@
                              .begun = relay->response_started,
                              .unseen = result->net == NET_CONNECT_FAILED
                                        || result->net == NET_CONNECT_REFUSED };
+  relay->relays->counts.wrong_id += result->net == NET_CROSSED;
   if (result->net != NET_OK)
     return;
   attempt->verdict = EL_MAY_HAVE_RUN;
-  if (relay->wrong_id)
-    {
-      relay->relays->counts.wrong_id++;
-      return;
-    }
   if (relay->refused)
     {
       attempt->verdict = EL_NOT_RUN;
@@ -526,6 +519,9 @@
           .method = net_req_method (req),
           .path = { req->path.base, req->path.len },
           .body = net_req_body (req),
+          .id_header = o->dialect->names.id,
+          .id = relay->id,
+          .id_required = 1,
           /* If this host is cut off, nothing is sent on a new one. */
           .new_connection = relay->attempts.may_run > 0,
           .max_idle = relay->rule->kind == RT_UNSAFE ? UNSAFE_IDLE_MAX : 0,
@@ -563,7 +559,6 @@
   relay_wait_over (relay, now);
   relay_enter (relay, RELAY_SENT);
   relay->refused = 0;
-  relay->wrong_id = 0;
   relay->stream = 0;
   relay->writing = 0;
   relay->sent = now;
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -380,6 +380,8 @@
                          .method = net_req_method (req),
                          .path = { req->path.base, req->path.len },
                          .body = net_req_body (req),
+                         .id_header = names->id,
+                         .id = relay->id,
                          .headers = list,
                          .head = forward_head,
                          .body_part = relay_attempt_body,
--- a/gate/relay_limit.c
+++ b/gate/relay_limit.c
@@ -132,8 +132,7 @@
   rt_target_t *target = relay->target;
 
   if (!target->limit.named || relay->hints.limited != RT_LIMIT_NONE
-      || relay->refused || relay->wrong_id
-      || relay->sent <= target->limit.heard_at)
+      || relay->refused || relay->sent <= target->limit.heard_at)
     return;
   rt_target_ref (target);
   limit_lifted (relays, target, now, relay->id);
--- a/gate/relay_log.c
+++ b/gate/relay_log.c
@@ -19,7 +19,8 @@
         [NET_CONNECTION_LOST] = "broken",
         [NET_TIMEOUT] = "timeout",
         [NET_TOO_BIG] = "too big",
-        [NET_WITHHELD] = "kept back" };
+        [NET_WITHHELD] = "kept back",
+        [NET_CROSSED] = "crossed" };
 
 /** Logs the end of a request. */
 void
@@ -90,7 +91,7 @@
           EL_FC ("net", outcome_names[result->net]),
           EL_FN ("status", result->status),
           EL_FC ("verdict", el_verdict_name (attempt->verdict)),
-          EL_FN ("crossed", relay->wrong_id),
+          EL_FN ("conn", result->conn), EL_FN ("carried", result->carried),
           EL_FN ("attempt", relay->attempts.sent),
           EL_FN ("sent_us", now - relay->sent),
           EL_FN ("ran_us", relay->head_at ? now - relay->head_at : 0),
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -61,6 +61,7 @@
   net_clock_cancel (ex->client->clock, &ex->timer);
   DL_DELETE (ex->client->open, ex);
   net_exchange_clear_headers (ex);
+  el_str_free (&ex->id);
   el_buf_free (&ex->request);
   el_buf_free (&ex->name);
   el_buf_free (&ex->value);
@@ -74,6 +75,8 @@
 {
   net_result_t result = { .net = net,
                           .status = ex->status,
+                          .conn = ex->conn_number,
+                          .carried = ex->carried,
                           .by_close = ex->by_close,
                           .headers = ex->headers,
                           .nheaders = ex->nheaders,
@@ -151,16 +154,19 @@
   return pool;
 }
 
-/* Take the most recently used idle connection, unless it was idle too long for
-   this request. */
+/* Take the most recently used idle connection that has not carried the
+   request's id, unless it was idle too long for this request. */
 static net_conn_t *
 pool_take (net_pool_t *pool, const net_request_t *request, el_time_t now)
 {
   net_conn_t *conn = pool->idle;
 
-  if (!conn || request->new_connection)
+  if (request->new_connection)
     return NULL;
-  if (request->max_idle && now - conn->idle_since > request->max_idle)
+  while (conn && net_conn_has_carried (conn, request->id))
+    conn = conn->next;
+  if (!conn
+      || (request->max_idle && now - conn->idle_since > request->max_idle))
     return NULL;
   DL_DELETE (pool->idle, conn);
   conn->pooled = 0;
@@ -209,6 +215,9 @@
   ex->arg = request->arg;
   ex->max_response
       = request->max_response ? request->max_response : RESPONSE_MAX_DEFAULT;
+  ex->id_header = request->id_header;
+  ex->id = el_str_dup (request->id);
+  ex->id_required = request->id_required;
   ex->is_head = el_str_eq (request->method, EL_STR ("HEAD"));
   request_write (&ex->request, request);
   ex->timer.arg = ex;
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -23,6 +23,10 @@
 #define IDLE_MAX (20 * EL_SEC)
 /* A connection is closed this long before the endpoint would close it. */
 #define IDLE_MARGIN (400 * EL_MSEC)
+/* Ids that a connection remembers. It carries no more requests than that. */
+#define IDS_MAX 256
+/* Memory for ids is allocated in steps of so many. */
+#define IDS_STEP 16
 
 typedef struct conn_write
 {
@@ -50,7 +54,10 @@
 static void
 conn_closed (uv_handle_t *handle)
 {
-  free (handle->data);
+  net_conn_t *conn = handle->data;
+
+  free (conn->ids);
+  free (conn);
 }
 
 /** Close a connection and detach it from its pool and its exchange. */
@@ -109,6 +116,29 @@
   uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written);
 }
 
+/** Whether a request with ID was sent on CONN; never for an empty id. */
+int
+net_conn_has_carried (const net_conn_t *conn, el_str_t id)
+{
+  uint64_t hash = el_str_hash (id);
+  size_t i;
+
+  for (i = 0; id.len && i < conn->nids; i++)
+    if (conn->ids[i] == hash)
+      return 1;
+  return 0;
+}
+
+static void
+conn_remember (net_conn_t *conn, el_str_t id)
+{
+  if (!id.len)
+    return;
+  if (conn->nids % IDS_STEP == 0)
+    conn->ids = el_grow (conn->ids, conn->nids + IDS_STEP, sizeof *conn->ids);
+  conn->ids[conn->nids++] = el_str_hash (id);
+}
+
 /* Reading. */
 
 static int
@@ -187,6 +217,18 @@
   return IDLE_DEFAULT;
 }
 
+/* Whether the response HEAD belongs to another request. */
+static int
+head_is_crossed (const net_exchange_t *ex, const net_result_t *head)
+{
+  el_str_t id;
+
+  if (!ex->id_header)
+    return 0;
+  id = net_result_header (head, ex->id_header);
+  return id.len ? !el_str_eq (id, ex->id) : ex->id_required && ex->id.len;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -201,6 +243,12 @@
   result = (net_result_t){ .status = ex->status,
                            .headers = ex->headers,
                            .nheaders = ex->nheaders };
+  if (head_is_crossed (ex, &result))
+    {
+      conn->client->counts.crossed++;
+      net_exchange_fail (ex, NET_CROSSED);
+      return -1;
+    }
   conn->keep = keep_alive_parse (net_result_header (&result, "keep-alive"));
   ex->head_received = 1;
   if (ex->head)
@@ -246,6 +294,11 @@
 static void
 conn_make_idle (net_conn_t *conn)
 {
+  if (conn->nids >= IDS_MAX)
+    {
+      conn->client->counts.retired++;
+      conn->keep = 0;
+    }
   if (conn->keep == 0)
     {
       net_conn_close (conn);
@@ -364,6 +417,9 @@
 {
   conn->exchange = ex;
   ex->conn = conn;
+  ex->conn_number = conn->number;
+  ex->carried = conn->sent++;
+  conn_remember (conn, ex->id);
   http_parser_init (&conn->parser, HTTP_RESPONSE);
   conn->parser.data = conn;
   conn_write (conn, ex);
@@ -419,7 +475,7 @@
   conn->pool = pool;
   conn->exchange = ex;
   ex->conn = conn;
-  client->counts.opened++;
+  conn->number = ++client->counts.opened;
   uv_tcp_init (client->clock->loop, &conn->tcp);
   conn->tcp.data = conn;
   conn->connect.data = conn;
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -42,7 +42,11 @@
   http_parser parser;
   el_timer_t idle; /**< idle timeout; while connecting, connect timeout */
   el_time_t idle_since;
-  el_time_t keep;   /**< idle time that the endpoint allows */
+  el_time_t keep; /**< idle time that the endpoint allows */
+  uint64_t number;
+  uint64_t sent; /**< requests sent on it */
+  uint64_t *ids; /**< hashes of their ids */
+  size_t nids;
   unsigned writing; /**< number of pending writes */
   int pooled;       /**< in the pool's list of idle connections */
   int closing;
@@ -70,6 +74,11 @@
   void (*on_cancel) (void *arg);
   void *arg;
   size_t max_response;
+  const char *id_header;
+  el_str_t id; /**< owned */
+  int id_required;
+  uint64_t conn_number;
+  uint64_t carried; /**< requests that the connection carried before */
   int is_head;
   int sent;
   int head_received; /**< the response's header was passed on */
@@ -97,5 +106,6 @@
 void net_conn_open (net_pool_t *pool, net_exchange_t *ex);
 void net_conn_begin (net_conn_t *conn, net_exchange_t *ex);
 void net_conn_close (net_conn_t *conn);
+int net_conn_has_carried (const net_conn_t *conn, el_str_t id);
 
 #endif
--- a/net/net.h
+++ b/net/net.h
@@ -86,7 +86,9 @@
                           but there is no complete response */
   NET_TIMEOUT,         /**< timed out: as NET_CONNECTION_LOST */
   NET_WITHHELD,        /**< withheld by the caller: nothing was sent */
-  NET_TOO_BIG          /**< the response's body exceeds max_response */
+  NET_TOO_BIG,         /**< the response's body exceeds max_response */
+  NET_CROSSED          /**< a response with another id: as
+                          NET_CONNECTION_LOST */
 } net_outcome_t;
 
 typedef struct net_header
@@ -101,8 +103,10 @@
   net_outcome_t net;    /**< outcome on the network, apart from the status */
   el_verdict_t verdict; /**< for this exchange only */
   int status;
-  int by_close; /**< the response has neither a length nor chunks: a clean
-                   close of the connection ended it */
+  int by_close;     /**< the response has neither a length nor chunks: a clean
+                       close of the connection ended it */
+  uint64_t conn;    /**< number of the connection; 0: there was none */
+  uint64_t carried; /**< requests that it carried before */
   const net_header_t *headers;
   size_t nheaders;
   el_str_t body;
@@ -121,10 +125,17 @@
   const net_header_t *headers;
   size_t nheaders;
   el_str_t body;
-  int new_connection;  /**< use a new connection, do not reuse one */
-  el_time_t max_idle;  /**< longest idle time of a reused connection; 0 is
-                          any */
-  el_time_t timeout;   /**< in microseconds; 0 is none */
+  const char *id_header; /**< header of a response that names its request, in
+                            lower case; NULL: not looked at */
+  el_str_t id;           /**< the id it has to name. A request is sent only on
+                            a connection that has not carried its id: a surplus
+                            response to the former one could not be told from
+                            this one's. Empty: a response must name none */
+  int id_required;       /**< a response without an id is another's */
+  int new_connection;    /**< use a new connection, do not reuse one */
+  el_time_t max_idle;    /**< longest idle time of a reused connection; 0 is
+                            any */
+  el_time_t timeout;     /**< in microseconds; 0 is none */
   size_t max_response; /**< maximum size of the response's body in bytes; 0 is
                           the client's default */
   int (*allow) (void *arg); /**< called before sending on a new connection; 0
@@ -144,6 +155,9 @@
 {
   uint64_t requests;
   uint64_t opened;  /**< connections opened */
+  uint64_t retired; /**< connections closed after as many requests as they
+                       remember */
+  uint64_t crossed; /**< responses with another id */
   uint64_t surplus; /**< connections closed because of bytes that belong to no
                        request */
 } net_client_counts_t;
--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -105,13 +105,6 @@
   ck_assert_ptr_nonnull (rnet.relays->rules);
 }
 
-/** Ends what runs on the loop; memory is left to the end of the process. */
-void
-relay_net_teardown (void)
-{
-  relay_net_run_once ();
-}
-
 /** Lists PEER as an endpoint; an engine of the layers up to END, unless that
     is 0. */
 rt_target_t *
@@ -388,6 +381,7 @@
 
   call->exchange = NULL;
   call->net = result->net;
+  call->conn = result->conn;
   call->by_close = result->by_close;
   call->status = result->status;
   call->sealed = net_result_header (result, "x-elmarch-response-seal").len > 0;
@@ -423,6 +417,28 @@
   call->exchange = net_client_send (rnet.callers, &request);
 }
 
+/** Sends a request with ID to ADDRESS by CLIENT. */
+void
+call_send_to (net_call_t *call, net_client_t *client, const char *address,
+              const char *id)
+{
+  const net_header_t header = { EL_STR ("x-elmarch-request-id"), el_str (id) };
+  const net_request_t request = { .address = el_str (address),
+                                  .method = EL_STR ("GET"),
+                                  .path = EL_STR ("/x"),
+                                  .headers = &header,
+                                  .nheaders = 1,
+                                  .id_header = "x-elmarch-request-id",
+                                  .id = el_str (id),
+                                  .id_required = 1,
+                                  .timeout = CALL_TIMEOUT,
+                                  .done = call_done,
+                                  .arg = call };
+
+  memset (call, 0, sizeof *call);
+  call->exchange = net_client_send (client, &request);
+}
+
 /** The caller disconnects. */
 void
 call_leave (net_call_t *call)
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -22,10 +22,11 @@
   uv_tcp_t tcp;
   peer_t *peer;
   el_buf_t in;
-  char id[PEER_ID_MAX]; /* of the request */
-  el_str_t head;        /* of the request; valid in the peer's serve */
-  el_timer_t timer;     /* for the peer's use */
-  unsigned step;        /* the same */
+  char id[PEER_ID_MAX];      /* of the request */
+  el_str_t head;             /* of the request; valid in the peer's serve */
+  el_timer_t timer;          /* for the peer's use */
+  unsigned step;             /* the same */
+  char surplus[PEER_ID_MAX]; /* the same */
   int closing;
   struct peer_conn *prev;
   struct peer_conn *next;
@@ -49,6 +50,7 @@
   char id[PEER_ID_MAX];
   net_exchange_t *exchange; /* NULL once it has ended */
   net_outcome_t net;
+  uint64_t conn;
   int status;
   int by_close;
   int sealed;
@@ -69,7 +71,6 @@
 extern relay_net_t rnet;
 
 void relay_net_setup (const gt_relay_options_t *options, const char *rules);
-void relay_net_teardown (void);
 rt_target_t *relay_net_add (const peer_t *peer, const char *id,
                             const char *service, unsigned end);
 void relay_net_run (el_time_t span);
@@ -89,6 +90,8 @@
 
 void call_send (net_call_t *call, const char *id, const char *method,
                 const char *path);
+void call_send_to (net_call_t *call, net_client_t *client, const char *address,
+                   const char *id);
 void call_leave (net_call_t *call);
 void call_wait (net_call_t *call);
 void call_free (net_call_t *call);
--- a/tests/t_phase.c
+++ b/tests/t_phase.c
@@ -98,7 +98,7 @@
   TCase *tcase = tcase_create ("phase");
 
   tcase_set_timeout (tcase, 60);
-  tcase_add_checked_fixture (tcase, phase_setup, relay_net_teardown);
+  tcase_add_checked_fixture (tcase, phase_setup, NULL);
   ADD_LOOP (tcase, test_waiting_request_is_sent_over_one_host, 2);
   suite_add_tcase (suite, tcase);
   return suite;
