A stream in chunks that lacks its end is not whole

Callers saw: a stream that its endpoint broke off with a close of the connection, in chunks and behind a whole event, was ended as complete if the engine still responded.

Cause: the HTTP client marks a response as ended by its connection (by_close) before it asks the parser whether that may be, and left the mark on an exchange that failed for it. relay_close_settle then took it for a stream without a length. Evidence: the log of such a request has "answered ... stream ended events=1" and no attempt_failed, the endpoint sent one of six events and no last chunk.

Change: only a complete response is by_close. A truncated one is a lost connection, which is resumed, or broken off as such.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -77,7 +77,7 @@
                           .status = ex->status,
                           .conn = ex->conn_number,
                           .carried = ex->carried,
-                          .by_close = ex->by_close,
+                          .by_close = net == NET_OK && ex->by_close,
                           .headers = ex->headers,
                           .nheaders = ex->nheaders,
                           .body = el_buf_str (&ex->body) };
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -176,6 +176,39 @@
 }
 END_TEST
 
+static void
+cut_stream (void *arg, el_time_t now)
+{
+  (void)now;
+  peer_end (arg);
+}
+
+static void
+serve_cut_stream (peer_conn_t *conn)
+{
+  peer_stream_head (conn);
+  peer_event (conn, 1);
+  peer_after (conn, 20 * EL_MSEC, cut_stream);
+}
+
+/* A stream in chunks that ends without the last one, between two events, while
+   its engine responds: it is broken off. Guards against streams that end early
+   and look complete. */
+START_TEST (test_chunked_stream_without_its_end_is_not_whole)
+{
+  peer_t engine = { .serve = serve_cut_stream };
+  net_call_t call;
+
+  peer_open (&engine);
+  relay_net_add (&engine, "e", "llm", 8);
+  call_send (&call, "r1", "POST", "/high/x");
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 200);
+  ck_assert_int_eq (call.net, NET_CONNECTION_LOST);
+  call_free (&call);
+}
+END_TEST
+
 Suite *
 answer_suite (void)
 {
@@ -188,6 +221,7 @@
   ADD (tcase, test_client_sends_an_id_once_on_a_connection);
   ADD (tcase, test_client_connection_forgets_no_id);
   ADD (tcase, test_client_closes_a_crossed_connection);
+  ADD (tcase, test_chunked_stream_without_its_end_is_not_whole);
   suite_add_tcase (suite, tcase);
   return suite;
 }
