Requests of callers that reset their connection are freed

Callers saw nothing of it; operators would have: a request whose caller reset its connection stayed with its connection and descriptor until the process ended, and a host that stops waited for it.

Cause: after a read error libuv refuses to begin a write, and h2o, which does not look at what uv_write returns, waits for its end.

Change: net_req_watch ends the writes of a request whose connection was reset until the request is freed. It works because nothing can be sent there any more, and the end of a write is what h2o closes the connection on.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -6,6 +6,7 @@
  * The HTTP server: one h2o context on the caller's loop, for HTTP/1.1 and
  * HTTP/2.
  */
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 
@@ -15,6 +16,9 @@
 #define IDLE_TIMEOUT_DEFAULT_MS 10000
 #define HTTP2_VERSION 0x200
 #define HTTP2_IDLE_MS 60000
+/* Interval at which writes on a connection that the caller has reset are
+   ended. */
+#define DROP_INTERVAL_MS 20
 
 struct net_server
 {
@@ -31,6 +35,7 @@
 typedef struct server_watch
 {
   h2o_socket_t *sock;
+  uv_timer_t *drop; /* set once the caller has reset its connection */
   net_req_watch_cb on_gone;
   void *arg;
 } server_watch_t;
@@ -231,11 +236,46 @@
 {
   server_watch_t *watch = arg;
 
+  if (watch->drop)
+    uv_close ((uv_handle_t *)watch->drop, (uv_close_cb)free);
   if (watch->sock)
     watch->sock->on_close.data = NULL;
   watch->on_gone (watch->arg, 1);
 }
 
+/* Ends a write on a connection that the caller has reset: libuv refuses to
+   begin it, and h2o waits for its end all the same. */
+static void
+watch_drop_write (uv_timer_t *timer)
+{
+  h2o_socket_t *sock = ((server_watch_t *)timer->data)->sock;
+  h2o_socket_cb written = sock->_cb.write;
+
+  sock->_cb.write = NULL;
+  if (written)
+    written (sock, h2o_socket_error_io);
+}
+
+static int
+connection_is_reset (h2o_socket_t *sock)
+{
+  struct sockaddr_storage peer;
+  socklen_t len = sizeof peer;
+
+  return getpeername (h2o_socket_get_fd (sock), (struct sockaddr *)&peer, &len)
+             < 0
+         && errno == ENOTCONN;
+}
+
+static void
+watch_drop (server_watch_t *watch, uv_loop_t *loop)
+{
+  watch->drop = el_alloc (sizeof *watch->drop);
+  uv_timer_init (loop, watch->drop);
+  watch->drop->data = watch;
+  uv_timer_start (watch->drop, watch_drop_write, 0, DROP_INTERVAL_MS);
+}
+
 static void
 watch_read (h2o_socket_t *sock, const char *err)
 {
@@ -244,8 +284,11 @@
   if (!err)
     return;
   h2o_socket_read_stop (sock);
-  if (watch)
-    watch->on_gone (watch->arg, 0);
+  if (!watch)
+    return;
+  if (!watch->drop && connection_is_reset (sock))
+    watch_drop (watch, h2o_socket_get_loop (sock));
+  watch->on_gone (watch->arg, 0);
 }
 
 /** Call ON_GONE when the caller disconnects before the response to REQ is sent
@@ -257,7 +300,7 @@
   server_watch_t *watch
       = h2o_mem_alloc_shared (&req->pool, sizeof *watch, watch_dispose);
 
-  *watch = (server_watch_t){ NULL, on_gone, arg };
+  *watch = (server_watch_t){ .on_gone = on_gone, .arg = arg };
   req_copy_strings (req);
   if (req->version >= HTTP2_VERSION)
     return;
--- a/tests/t_phase.c
+++ b/tests/t_phase.c
@@ -9,6 +9,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "relay_net.h"
 #include "test.h"
@@ -91,6 +93,58 @@
 }
 END_TEST
 
+static void
+serve_events (void *arg, el_time_t now)
+{
+  peer_conn_t *conn = arg;
+
+  (void)now;
+  peer_event (conn, ++conn->step);
+  peer_after (conn, EL_MSEC, serve_events);
+}
+
+static void
+serve_endless_stream (peer_conn_t *conn)
+{
+  peer_stream_head (conn);
+  serve_events (conn, 0);
+}
+
+static void
+serve_nothing (peer_conn_t *conn)
+{
+  (void)conn;
+}
+
+/* A caller resets its connection before or while it gets a response: nothing
+   of the request is left. Guards against hosts that run out of descriptors and
+   wait for such requests when they stop. */
+START_TEST (test_request_of_a_reset_connection_is_freed)
+{
+  static const char request[]
+      = "POST /high/x HTTP/1.1\r\nhost: rel.example\r\n"
+        "x-elmarch-request-id: r1\r\ncontent-length: 0\r\n\r\n";
+  const struct linger reset = { 1, 0 };
+  peer_t engine = { .serve = _i ? serve_endless_stream : serve_nothing };
+  struct sockaddr_in to;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  peer_open (&engine);
+  relay_net_add (&engine, "e", "llm", 8);
+  uv_ip4_addr ("127.0.0.1", (int)net_server_port (rnet.relays->server), &to);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  ck_assert_int_eq (write (fd, request, sizeof request - 1),
+                    sizeof request - 1);
+  while (engine.requests == 0 || (_i && rnet.relays->counts.events < 20))
+    relay_net_run_once ();
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+  relay_net_run (300 * EL_MSEC);
+  ck_assert_uint_eq (rnet.relays->counts.disconnected, 1);
+  ck_assert_uint_eq (gt_relays_running (rnet.relays), 0);
+}
+END_TEST
+
 Suite *
 phase_suite (void)
 {
@@ -100,6 +154,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, phase_setup, NULL);
   ADD_LOOP (tcase, test_waiting_request_is_sent_over_one_host, 2);
+  ADD_LOOP (tcase, test_request_of_a_reset_connection_is_freed, 2);
   suite_add_tcase (suite, tcase);
   return suite;
 }
