--- a/tests/seeds.c
+++ b/tests/seeds.c
@@ -34,6 +34,13 @@
   return text ? strtoull (text, NULL, 10) : def;
 }
 
+/** Start the pseudo-random numbers of SEED. */
+void
+seeds_seed (uint64_t seed)
+{
+  random_state = seed * 0x9e3779b97f4a7c15ULL;
+}
+
 /** Run PLAY with each seed, or only with the one in ELMARCH_SEED. */
 void
 seeds_run (void (*play) (uint64_t seed))
@@ -44,7 +51,7 @@
 
   for (seed = one ? one : 1; seed <= (one ? one : n); seed++)
     {
-      random_state = seed * 0x9e3779b97f4a7c15ULL;
+      seeds_seed (seed);
       play (seed);
     }
 }
--- a/tests/seeds.h
+++ b/tests/seeds.h
@@ -10,6 +10,7 @@
 
 #include "base.h"
 
+void seeds_seed (uint64_t seed);
 unsigned seeds_random (unsigned n);
 uint64_t seeds_env (const char *name, uint64_t def);
 void seeds_run (void (*play) (uint64_t seed));
