An answer that is too long to be kept fails; it lost its end

Cause: relay_attempt_body dropped what exceeded 4 MiB, and nothing told the end of the attempt of it. Evidence: the new test got 4,194,304 bytes.

Change: who takes the parts of a body tells the client whether it can; if not, the exchange ends as too big, which may have run, and closes its connection. A safe request goes to another endpoint; the others get 502.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -234,7 +234,7 @@
 void relay_cancel_attempt (gt_relay_t *relay);
 void relay_abandon_attempt (gt_relay_t *relay);
 void relay_attempt_unsent (gt_relay_t *relay);
-void relay_attempt_body (void *arg, el_str_t bytes);
+int relay_attempt_body (void *arg, el_str_t bytes);
 void relay_attempt_ended (gt_relay_t *relay, const rt_attempt_t *attempt,
                           const net_result_t *result);
 void relay_attempt_settled (gt_relay_t *relay, const net_result_t *result);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -26,7 +26,7 @@
 /* A plain request without a response for this long may hang on a connection
    that gets no packets. */
 #define RESPONSE_OVERDUE (200 * EL_MSEC)
-/* Longest buffered response; streams are not buffered. */
+/* Longest response that is buffered, as all but streams are. */
 #define BUFFERED_BODY_MAX ((size_t)4 << 20)
 
 /* Releases the target and chain, or the other host, of the current attempt. */
@@ -191,17 +191,24 @@
     relay_respond_head (relay, head);
 }
 
-/** Forwards complete events of a stream; buffers other responses. */
-void
+/** Forwards complete events of a stream; buffers other responses. Returns 0 if
+    the response is too long for that. */
+int
 relay_attempt_body (void *arg, el_str_t bytes)
 {
   gt_relay_t *relay = arg;
 
   if (relay->stream)
-    relay_events_add (&relay->events, bytes, attempt_event, relay);
-  else if (!relay->response_started
-           && relay->out.len + bytes.len <= BUFFERED_BODY_MAX)
-    el_buf_add (&relay->out, bytes);
+    {
+      relay_events_add (&relay->events, bytes, attempt_event, relay);
+      return 1;
+    }
+  if (relay->response_started)
+    return 1;
+  if (relay->out.len + bytes.len > BUFFERED_BODY_MAX)
+    return 0;
+  el_buf_add (&relay->out, bytes);
+  return 1;
 }
 
 /** Returns the engine that a refusal names, or the attempt's target. */
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -264,18 +264,17 @@
   net_conn_t *conn = parser->data;
   net_exchange_t *ex = conn->exchange;
 
+  int taken = ex->body_part || ex->body.len + len <= ex->max_response;
+
   if (ex->body_part)
-    {
-      ex->body_part (ex->arg, (el_str_t){ at, len });
-      return conn->exchange == ex ? 0 : -1;
-    }
-  if (ex->body.len + len > ex->max_response)
-    {
-      net_exchange_fail (ex, NET_TOO_BIG);
-      return -1;
-    }
-  el_buf_add (&ex->body, (el_str_t){ at, len });
-  return 0;
+    taken = ex->body_part (ex->arg, (el_str_t){ at, len });
+  else if (taken)
+    el_buf_add (&ex->body, (el_str_t){ at, len });
+  if (conn->exchange != ex)
+    return -1;
+  if (!taken)
+    net_exchange_fail (ex, NET_TOO_BIG);
+  return taken ? 0 : -1;
 }
 
 static int
--- a/net/net.h
+++ b/net/net.h
@@ -86,7 +86,8 @@
                           but there is no complete response */
   NET_TIMEOUT,         /**< timed out: as NET_CONNECTION_LOST */
   NET_WITHHELD,        /**< withheld by the caller: nothing was sent */
-  NET_TOO_BIG,         /**< the response's body exceeds max_response */
+  NET_TOO_BIG,         /**< the response's body is too long: as
+                          NET_CONNECTION_LOST */
   NET_CROSSED          /**< a response with another id: as
                           NET_CONNECTION_LOST */
 } net_outcome_t;
@@ -114,7 +115,9 @@
 
 typedef void (*net_result_cb) (void *arg, const net_result_t *result);
 typedef void (*net_head_cb) (void *arg, const net_result_t *head);
-typedef void (*net_body_part_cb) (void *arg, el_str_t bytes);
+/** Takes a part of the body. Returns 0 if it can't take it: the exchange ends
+    with NET_TOO_BIG. */
+typedef int (*net_body_part_cb) (void *arg, el_str_t bytes);
 
 typedef struct net_request
 {
