A caller that does not read its stream is cut off at a mebibyte

Seen by the test of the answers without end, turned round: an engine whose stream has no end, and a caller that reads nothing. All events were kept, 16 MiB within 0.7 s, up to the deadline; and at the deadline nothing was closed, as the end of a broken-off response waits for what was sent before it.

Change: what waits for the caller to read is at most 1 MiB; then, and at the deadline of a response that has begun, the connection is shut down at once (relay_respond_cut).

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -567,6 +567,7 @@
 void relay_respond_event (gt_relay_t *relay, el_str_t event);
 void relay_respond_end (gt_relay_t *relay);
 void relay_respond_abort (gt_relay_t *relay, const char *reason);
+void relay_respond_cut (gt_relay_t *relay, const char *reason);
 
 /* relay.c */
 relay_service_t *relay_service (gt_relays_t *relays, el_str_t name);
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -200,7 +200,7 @@
   (void)now;
   relay->relays->counts.timeouts++;
   if (relay->response_started)
-    relay_respond_abort (relay, "time limit");
+    relay_respond_cut (relay, "time limit");
   else
     relay_respond_error (relay, 504, "time limit", 0);
 }
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -11,6 +11,9 @@
 #include "libgate.h"
 #include "librelay.h"
 
+/* Bytes of a stream that wait for its caller to read, at most. */
+#define UNREAD_MAX ((size_t)1 << 20)
+
 static void response_proceed (h2o_generator_t *generator, h2o_req_t *req);
 
 /** Responds with an error of this host. RETRY_AFTER tells the caller when to
@@ -115,7 +118,10 @@
 relay_respond_event (gt_relay_t *relay, el_str_t event)
 {
   el_buf_add (&relay->out, event);
-  response_flush (relay);
+  if (relay->out.len > UNREAD_MAX)
+    relay_respond_cut (relay, "caller does not read");
+  else
+    response_flush (relay);
 }
 
 /** Ends the response after its last event. */
@@ -152,3 +158,13 @@
   relay->abort_pending = 1;
   response_flush (relay);
 }
+
+/** As relay_respond_abort, but does not wait for the caller to read what was
+    sent before. */
+void
+relay_respond_cut (gt_relay_t *relay, const char *reason)
+{
+  relay_respond_abort (relay, reason);
+  if (relay->phase == RELAY_ENDING)
+    net_req_abort (relay->req);
+}
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -8,6 +8,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "relay_net.h"
 #include "test.h"
@@ -346,6 +348,41 @@
 }
 END_TEST
 
+static void
+serve_endless_events (peer_conn_t *conn)
+{
+  peer_stream_head (conn);
+  peer_flood (conn, "9\r\ndata: a\n\n\r\n");
+}
+
+/* A caller reads nothing of a stream that has no end: it is cut off. */
+START_TEST (test_caller_that_does_not_read_is_cut_off)
+{
+  static const char request[]
+      = "POST /high/x HTTP/1.1\r\nhost: rel.example\r\n"
+        "x-elmarch-request-id: r1\r\ncontent-length: 0\r\n\r\n";
+  peer_t engine = { .serve = serve_endless_events };
+  el_time_t begun = net_clock_now (&rnet.clock);
+  size_t before = relay_net_heap ();
+  struct sockaddr_in to;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  peer_open (&engine);
+  relay_net_add (&engine, "e", "llm", 8);
+  uv_ip4_addr ("127.0.0.1", (int)net_server_port (rnet.relays->server), &to);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  ck_assert_int_eq (write (fd, request, sizeof request - 1),
+                    sizeof request - 1);
+  while (!engine.sent || gt_relays_running (rnet.relays))
+    {
+      relay_net_run_once ();
+      ck_assert_uint_le (relay_net_heap (), before + FLOOD_HEAP);
+      ck_assert (net_clock_now (&rnet.clock) < begun + 2 * FLOOD_TIME);
+    }
+  close (fd);
+}
+END_TEST
+
 Suite *
 answer_suite (void)
 {
@@ -360,6 +397,7 @@
   ADD (tcase, test_client_closes_a_crossed_connection);
   ADD (tcase, test_chunked_stream_without_its_end_is_not_whole);
   ADD_LOOP (tcase, test_long_answer_is_whole_or_fails, 2);
+  ADD (tcase, test_caller_that_does_not_read_is_cut_off);
   ADD_LOOP (tcase, test_answer_without_end_is_bounded,
             sizeof flood_cases / sizeof *flood_cases);
   suite_add_tcase (suite, tcase);
