A block breaks a response off that has begun; it refused it

Cause: relay_suspect_cancel took a request without an exchange for one that has not run. While a stream that ended with its connection waits for the check of its engine, there is none, and the attempt is not counted yet.

Change: relay_may_have_run is asked wherever a request may be refused or failed: by its phase (sent, settling), by what its caller has received and by the attempts here and at the host that sent it. A request that was forwarded and may have run elsewhere gets 502 of a block, 503 before.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -241,6 +241,7 @@
 void relay_attempt_settled (gt_relay_t *relay, const net_result_t *result);
 void relay_fail (gt_relay_t *relay, const char *reason);
 void relay_refuse (gt_relay_t *relay, const char *reason);
+int relay_may_have_run (const gt_relay_t *relay);
 int relay_may_resume (gt_relay_t *relay);
 int relay_may_repeat (gt_relay_t *relay);
 rt_target_t *relay_fault_target (gt_relay_t *relay,
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -581,17 +581,27 @@
   relay_attempt (relay);
 }
 
+/** Whether the request may have run, or its caller has received a part of the
+    response. It can't be refused then. */
+int
+relay_may_have_run (const gt_relay_t *relay)
+{
+  return relay->phase == RELAY_SENT || relay->phase == RELAY_SETTLING
+         || relay->response_started || relay->attempts.may_run
+         || relay->attempts.before;
+}
+
 /** Ends the request: cancels its attempt and responds with an error or aborts
     the response. */
 void
 relay_abort (gt_relay_t *relay, const char *reason)
 {
-  int sent = relay->exchange != NULL;
+  int may_have_run = relay_may_have_run (relay);
 
   relay_cancel_attempt (relay);
   if (relay->response_started)
     relay_respond_abort (relay, reason);
-  else if (relay->attempts.may_run || sent)
+  else if (may_have_run)
     relay_fail (relay, reason);
   else
     relay_refuse (relay, reason);
@@ -608,7 +618,7 @@
     return;
   if (relay_blame_get_status (relay).state == RT_BLAME_BLOCKED)
     {
-      if (relay->attempts.may_run || relay->response_started)
+      if (relay_may_have_run (relay))
         relay_abort (relay, "ends endpoints");
       else
         relay_suspect_refuse (relay);
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -238,7 +238,7 @@
     traits = relay_traits (relay);
     if (!rt_block_has (block, &traits))
       continue;
-    if (relay->exchange || relay->attempts.may_run || relay->attempts.before)
+    if (relay_may_have_run (relay))
       relay_abort (relay, "ends endpoints");
     else
       relay_suspect_refuse (relay);
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -247,6 +247,57 @@
 }
 END_TEST
 
+/* Sends an event of a stream that has neither a length nor chunks. */
+static void
+event_without_length (peer_conn_t *conn, unsigned id)
+{
+  peer_printf (conn, "id: %u\ndata: t%u\n\n", id, id);
+}
+
+static void
+end_without_length (void *arg, el_time_t now)
+{
+  (void)now;
+  event_without_length (arg, 6);
+  peer_end (arg);
+}
+
+static void
+serve_stream_without_length (peer_conn_t *conn)
+{
+  peer_printf (conn,
+               "HTTP/1.1 200 OK\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-response-seal: s\r\n\r\n",
+               conn->id);
+  event_without_length (conn, 1);
+  peer_after (conn, 20 * EL_MSEC, end_without_length);
+}
+
+/* A request is blocked while it is checked whether its stream, of which the
+   caller has received a part, is whole: the stream is broken off. Guards
+   against a 503 on a response that has begun. */
+START_TEST (test_block_does_not_refuse_a_begun_response)
+{
+  peer_t engine = { .serve = serve_stream_without_length };
+  rt_block_t block = { .kind = RT_CAUSE_REQUEST, .n = 1 };
+  net_call_t call;
+
+  peer_open (&engine);
+  relay_net_add (&engine, "e", "llm", 8);
+  call_send (&call, "r1", "POST", "/high/x");
+  while (!rnet.relays->running
+         || rnet.relays->running->phase != RELAY_SETTLING)
+    relay_net_run_once ();
+  block.id = block.causes[0] = relay_digest (rnet.relays->running);
+  relay_suspect_cancel (rnet.relays, &block);
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 200);
+  ck_assert_int_eq (call.net, NET_CONNECTION_LOST);
+  ck_assert_uint_eq (rnet.relays->counts.refused_blocked, 0);
+  call_free (&call);
+}
+END_TEST
+
 /* Bytes without end, until this host closes. */
 
 #define ANSWER_HEAD                                                           \
@@ -397,6 +448,7 @@
   ADD (tcase, test_client_closes_a_crossed_connection);
   ADD (tcase, test_chunked_stream_without_its_end_is_not_whole);
   ADD_LOOP (tcase, test_long_answer_is_whole_or_fails, 2);
+  ADD (tcase, test_block_does_not_refuse_a_begun_response);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
   ADD_LOOP (tcase, test_answer_without_end_is_bounded,
             sizeof flood_cases / sizeof *flood_cases);
