--- a/tests/t_phase.c
+++ b/tests/t_phase.c
@@ -621,7 +621,6 @@
   course_run_for (300 * EL_MSEC, 0);
   for (i = 0; i < course.ncalls; i++)
     course_judge (&course.calls[i]);
-  raise (SIGTRAP);
   ck_assert_msg (gt_relays_running (rnet.relays) == 0, "%.*s in phase %d",
                  (int)rnet.relays->running->id.len,
                  rnet.relays->running->id.ptr,
