An answer that ends with its connection is whole if its endpoint is there

Cause: only the end of a stream was checked; a plain answer without a length was taken for whole when its connection closed in order, as that of a killed process does. A reset taken for a close is ruled out: the client looks for that.

Change: relay_close_settle settles whatever ended with its connection. Otherwise the answer counts as lost: another worker, or 502.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -120,7 +120,7 @@
   RELAY_SENT, /* the response to an attempt: exchange; watch_timer and query
                  act on that attempt */
   RELAY_SETTLING, /* a check which tells whether the response is complete:
-                     query */
+                     watch_timer, then query */
   RELAY_ENDING,   /* the caller, to take the end of the response */
   RELAY_ENDED,    /* nothing; the response is complete, or the caller
                      disconnected */
@@ -167,6 +167,9 @@
   unsigned endpoint_waits;   /* waits for an endpoint, since the last event */
   rt_target_t *limit_target; /* waits for a token of its limit; NULL: not */
   el_time_t token_until;     /* expiry of the token that was taken; 0: none */
+  net_result_t kept;         /* response whose endpoint is checked; owned */
+  el_time_t close_at;        /* when its connection ended */
+  el_time_t connect_at;      /* when the connection of the check was begun */
   int refused;      /* the response proves that the request was not executed */
   rt_hints_t hints; /* backoff and leaving notice in the response */
   int stream;       /* the response is forwarded event by event */
@@ -248,7 +251,7 @@
                                  const net_result_t *result);
 
 /* relay_close.c */
-void relay_close_settle (gt_relay_t *relay);
+void relay_close_settle (gt_relay_t *relay, const net_result_t *response);
 
 /* relay_reach.c */
 void relay_reach_open (gt_relays_t *relays);
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -71,20 +71,19 @@
   const unsigned waiting = PHASE (RELAY_WAITING);
   const phase_part_t exchange = { sent, sent };
   const phase_part_t place = { sent | settling, sent | settling };
-  const phase_part_t query = { sent | settling, settling };
+  const phase_part_t check = { sent | settling, settling };
   const phase_part_t timer = { waiting, waiting };
   const phase_part_t queued = { waiting, 0 };
-  const phase_part_t watched = { sent, 0 };
 
   return relay->phase != RELAY_DECIDING
          && part_holds (relay, exchange, relay->exchange != NULL)
          && part_holds (relay, place, relay->target || relay->helper)
          && !(relay->target && relay->helper)
-         && part_holds (relay, query, relay->query != NULL)
+         && part_holds (relay, check,
+                        relay->query || relay->watch_timer.heap_index)
          && part_holds (relay, timer, relay->retry_timer.heap_index != 0)
          && part_holds (relay, queued, relay->entry.queue != NULL)
-         && part_holds (relay, queued, relay->limit_target != NULL)
-         && part_holds (relay, watched, relay->watch_timer.heap_index != 0);
+         && part_holds (relay, queued, relay->limit_target != NULL);
 }
 
 /** Counts and logs that RELAY was to enter PHASE, which its own does not
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -33,6 +33,7 @@
 static void
 attempt_release (gt_relay_t *relay)
 {
+  net_result_free (&relay->kept);
   relay_forward_release (relay);
   relay_wait_released (relay);
   rt_chain_release (&relay->chain);
@@ -371,8 +372,8 @@
   relay_enter (relay, RELAY_DECIDING);
   if (result->net == NET_WITHHELD)
     attempt_not_sent (relay);
-  else if (result->by_close && relay->stream)
-    relay_close_settle (relay);
+  else if (result->by_close)
+    relay_close_settle (relay, result);
   else
     relay_attempt_settled (relay, result);
 }
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -279,3 +279,34 @@
       return result->headers[i].value;
   return (el_str_t){ NULL, 0 };
 }
+
+/** Copy a result without its body, so that it outlives the callback. */
+void
+net_result_copy (const net_result_t *result, net_result_t *out)
+{
+  net_header_t *headers = el_alloc (result->nheaders * sizeof *headers);
+  size_t i;
+
+  *out = *result;
+  out->body = (el_str_t){ NULL, 0 };
+  out->headers = headers;
+  for (i = 0; i < result->nheaders; i++)
+    headers[i] = (net_header_t){ el_str_dup (result->headers[i].name),
+                                 el_str_dup (result->headers[i].value) };
+}
+
+/** Free a copy. */
+void
+net_result_free (net_result_t *result)
+{
+  net_header_t *headers = (net_header_t *)(uintptr_t)result->headers;
+  size_t i;
+
+  for (i = 0; i < result->nheaders; i++)
+    {
+      el_str_free (&headers[i].name);
+      el_str_free (&headers[i].value);
+    }
+  free (headers);
+  *result = (net_result_t){ 0 };
+}
--- a/net/net.h
+++ b/net/net.h
@@ -173,5 +173,7 @@
 int net_exchange_is_sent (const net_exchange_t *exchange);
 int net_header_is (const net_header_t *header, el_str_t name);
 el_str_t net_result_header (const net_result_t *result, const char *name);
+void net_result_copy (const net_result_t *result, net_result_t *out);
+void net_result_free (net_result_t *result);
 
 #endif
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -298,6 +298,93 @@
 }
 END_TEST
 
+static void
+crash (void *arg, el_time_t now)
+{
+  (void)now;
+  peer_close (((peer_conn_t *)arg)->peer);
+}
+
+static void
+end_connection (void *arg, el_time_t now)
+{
+  (void)now;
+  peer_end (arg);
+}
+
+/* An answer that ends with its connection, the first time because the worker
+   crashes. */
+static void
+serve_without_length (peer_conn_t *conn)
+{
+  const int *crashes = conn->peer->arg;
+
+  peer_printf (conn,
+               "HTTP/1.1 200 OK\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-response-seal: s\r\n\r\nfirst half",
+               conn->id);
+  if (!*crashes)
+    peer_printf (conn, " and the rest");
+  peer_after (conn, 20 * EL_MSEC, *crashes ? crash : end_connection);
+}
+
+/* A plain answer without a length ends with its connection: it is whole if its
+   worker still takes connections. Otherwise a request that may be repeated
+   goes to another worker, and another one fails. Guards against half an answer
+   that looks whole after a crash. */
+START_TEST (test_answer_cut_by_a_crash_is_not_whole)
+{
+  static const char *const paths[] = { "/pay/x", "/look/x", "/pay/x" };
+  static const int statuses[] = { 502, 200, 200 };
+  int crashes = _i < 2;
+  int sound = 0;
+  peer_t worker = { .serve = serve_without_length, .arg = &crashes };
+  peer_t other = { .serve = serve_without_length, .arg = &sound };
+  net_call_t call;
+
+  peer_open (&worker);
+  relay_net_add (&worker, "w", "app", 0);
+  call_send (&call, "r1", "POST", paths[_i]);
+  while (!worker.requests)
+    relay_net_run_once ();
+  peer_open (&other);
+  relay_net_add (&other, "x", "app", 0);
+  call_wait (&call);
+  ck_assert_int_eq (call.status, statuses[_i]);
+  if (call.status == 200)
+    ck_assert (el_str_eq (el_buf_str (&call.body),
+                          EL_STR ("first half and the rest")));
+  ck_assert_uint_eq (gt_relays_running (rnet.relays), 0);
+  call_free (&call);
+}
+END_TEST
+
+/* The caller leaves, or the time is over, while it is checked whether an
+   answer is whole. */
+START_TEST (test_check_of_an_answer_can_be_given_up)
+{
+  int crashes = 0;
+  peer_t worker = { .serve = serve_without_length, .arg = &crashes };
+  net_call_t call;
+
+  peer_open (&worker);
+  relay_net_add (&worker, "w", "app", 0);
+  call_send (&call, "r1", "POST", "/pay/x");
+  while (!rnet.relays->running
+         || rnet.relays->running->phase != RELAY_SETTLING)
+    relay_net_run_once ();
+  if (_i)
+    relay_abort (rnet.relays->running, "test");
+  else
+    call_leave (&call);
+  relay_net_run (100 * EL_MSEC);
+  ck_assert_int_eq (call.status, _i ? 502 : 0);
+  ck_assert_uint_eq (gt_relays_running (rnet.relays), 0);
+  ck_assert_uint_eq (rnet.relays->counts.phase_errors, 0);
+  call_free (&call);
+}
+END_TEST
+
 /* Bytes without end, until this host closes. */
 
 #define ANSWER_HEAD                                                           \
@@ -449,6 +536,8 @@
   ADD (tcase, test_chunked_stream_without_its_end_is_not_whole);
   ADD_LOOP (tcase, test_long_answer_is_whole_or_fails, 2);
   ADD (tcase, test_block_does_not_refuse_a_begun_response);
+  ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
+  ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
   ADD_LOOP (tcase, test_answer_without_end_is_bounded,
             sizeof flood_cases / sizeof *flood_cases);
