relay/: what ends a request lies with the responses, sizes with the headers

Pure moves: relay_refuse, relay_fail, relay_may_have_run and relay_abort go from gate/relay_attempt.c to gate/relay_response.c, relay_estimate_tokens from gate/relay.c to gate/relay_head.c; the retry-after that both refusals use is named once.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -228,13 +228,13 @@
   el_buf_t chain;
 } relay_head_t;
 
+void relay_estimate_tokens (gt_relay_t *relay);
 void relay_head_build (gt_relay_t *relay, el_time_t now, relay_head_t *head);
 void relay_head_free (relay_head_t *head);
 
 /* relay_attempt.c */
 void relay_attempt (gt_relay_t *relay);
 void relay_schedule_attempt (gt_relay_t *relay, el_time_t wait);
-void relay_abort (gt_relay_t *relay, const char *reason);
 void relay_cancel_attempt (gt_relay_t *relay);
 void relay_abandon_attempt (gt_relay_t *relay);
 void relay_attempt_unsent (gt_relay_t *relay);
@@ -242,9 +242,6 @@
 void relay_attempt_ended (gt_relay_t *relay, const rt_attempt_t *attempt,
                           const net_result_t *result);
 void relay_attempt_settled (gt_relay_t *relay, const net_result_t *result);
-void relay_fail (gt_relay_t *relay, const char *reason);
-void relay_refuse (gt_relay_t *relay, const char *reason);
-int relay_may_have_run (const gt_relay_t *relay);
 int relay_may_resume (gt_relay_t *relay);
 int relay_may_repeat (gt_relay_t *relay);
 rt_target_t *relay_fault_target (gt_relay_t *relay,
@@ -564,6 +561,15 @@
                        const net_result_t *result, rt_next_t next);
 
 /* relay_response.c */
+
+/* Retry-after of a refused request: a busy or missing endpoint may be
+   available soon. Half of it is random, to spread callers. */
+#define RELAY_REFUSED_RETRY_AFTER (100 * EL_MSEC)
+
+void relay_refuse (gt_relay_t *relay, const char *reason);
+void relay_fail (gt_relay_t *relay, const char *reason);
+int relay_may_have_run (const gt_relay_t *relay);
+void relay_abort (gt_relay_t *relay, const char *reason);
 void relay_respond_error (gt_relay_t *relay, int status, const char *reason,
                           el_time_t retry_after);
 void relay_respond_whole (gt_relay_t *relay, const net_result_t *result);
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -326,30 +326,6 @@
                  relay->deadline > now ? relay->deadline - now : 0);
 }
 
-/* Estimates a stream's tokens: the prompt, and the caller's estimate of the
-   response or half of the response limit. */
-static void
-relay_estimate_tokens (gt_relay_t *relay)
-{
-  const gt_relay_headers_t *names = &relay->relays->options.dialect->names;
-  el_str_t rest = net_req_header (relay->req, names->tokens);
-  uint64_t prompt = 0;
-  uint64_t response = 0;
-  uint64_t expected_tokens;
-
-  relay->prompt = relay->service->model.typical_tokens;
-  relay->tokens = relay->prompt;
-  if (!el_str_to_u64 (el_str_cut (&rest, ','), &prompt))
-    return;
-  if (el_str_to_u64 (net_req_header (relay->req, names->expected_tokens),
-                     &expected_tokens))
-    response = expected_tokens;
-  else if (el_str_to_u64 (rest, &response))
-    response /= 2;
-  relay->prompt = (double)prompt;
-  relay->tokens = (double)(prompt + response);
-}
-
 /** Returns the state of the service NAME, created on first use. */
 relay_service_t *
 relay_service (gt_relays_t *relays, el_str_t name)
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -11,12 +11,6 @@
 /* Unsafe requests reuse no connection that was idle longer: the endpoint may
    be about to close it. */
 #define UNSAFE_IDLE_MAX (2 * EL_SEC)
-/* Retry-after of a refused request: a busy or missing endpoint may be
-   available soon. Half of it is random, to spread callers. */
-#define REFUSED_RETRY_AFTER (100 * EL_MSEC)
-/* If all endpoints are in backoff, a quarter of the remaining time is added to
-   retry-after at random, to spread callers. */
-#define BACKOFF_SPREAD_DIVISOR 4
 /* Retry delay after a lost connection: it takes 2 ms until a crashed engine
    has refused a new connection, or a live one has responded. */
 #define CONNECTION_LOST_RETRY_DELAY (5 * EL_MSEC)
@@ -76,44 +70,6 @@
   attempt_release (relay);
 }
 
-/** Responds that the request was not executed, with a retry-after that is not
-    before the end of the endpoints' backoff or of their lack of tokens or
-    room. */
-void
-relay_refuse (gt_relay_t *relay, const char *reason)
-{
-  gt_relays_t *relays = relay->relays;
-  el_time_t now = net_clock_now (relays->options.clock);
-  el_time_t left = relay_backoff_left (relay, now);
-  el_time_t limited = left ? 0 : relay_limit_left (relay, now);
-  el_time_t wait = left ? left : REFUSED_RETRY_AFTER / 2;
-  el_time_t spread
-      = left ? left / BACKOFF_SPREAD_DIVISOR : REFUSED_RETRY_AFTER / 2;
-
-  relays->counts.refused++;
-  relays->counts.refused_backoff += left > 0;
-  relays->counts.refused_limit += limited > 0;
-  if (left)
-    reason = "all endpoints rest";
-  if (limited)
-    {
-      reason = "all endpoints are at their limits";
-      wait = relay_limit_reserve (relay, now, limited);
-    }
-  if (!left && !limited && relay_wait_return_after (relay, now, &wait))
-    spread = 0;
-  relay_respond_error (relay, 503, reason,
-                       wait + el_random (&relays->random) % (spread + 1));
-}
-
-/** Responds that the request may have been executed. */
-void
-relay_fail (gt_relay_t *relay, const char *reason)
-{
-  relay->relays->counts.failed++;
-  relay_respond_error (relay, 502, reason, 0);
-}
-
 /* Records the time from arrival to the first event, or between events. */
 static void
 record_event_time (gt_relay_t *relay, el_time_t now)
@@ -582,32 +538,6 @@
   relay_attempt (relay);
 }
 
-/** Whether the request may have run, or its caller has received a part of the
-    response. It can't be refused then. */
-int
-relay_may_have_run (const gt_relay_t *relay)
-{
-  return relay->phase == RELAY_SENT || relay->phase == RELAY_SETTLING
-         || relay->response_started || relay->attempts.may_run
-         || relay->attempts.before;
-}
-
-/** Ends the request: cancels its attempt and responds with an error or aborts
-    the response. */
-void
-relay_abort (gt_relay_t *relay, const char *reason)
-{
-  int may_have_run = relay_may_have_run (relay);
-
-  relay_cancel_attempt (relay);
-  if (relay->response_started)
-    relay_respond_abort (relay, reason);
-  else if (may_have_run)
-    relay_fail (relay, reason);
-  else
-    relay_refuse (relay, reason);
-}
-
 /** Starts an attempt at the best target available now, if there is one.
     Otherwise waits, or ends the request. */
 void
@@ -638,7 +568,7 @@
     case RELAY_PICK_UNREACHED:
       if (relay->response_started || relay->attempts.may_run)
         break;
-      relay_forward_refuse (relay, REFUSED_RETRY_AFTER);
+      relay_forward_refuse (relay, RELAY_REFUSED_RETRY_AFTER);
       return;
     case RELAY_PICK_NONE:
       break;
@@ -652,7 +582,7 @@
     relay_fail (relay, "may have run, no endpoint left");
   else if (relay->forwarded
            && relay_service (relay->relays, relay->service->name)->lost)
-    relay_forward_refuse (relay, REFUSED_RETRY_AFTER);
+    relay_forward_refuse (relay, RELAY_REFUSED_RETRY_AFTER);
   else
     relay_refuse (relay, "no endpoint");
 }
--- a/gate/relay_head.c
+++ b/gate/relay_head.c
@@ -3,7 +3,8 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * Request headers of an attempt: the caller's, and those that this host sets.
+ * Headers of requests: what the caller's say of a stream's size, and those of
+ * an attempt, which are the caller's and those that this host sets.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -73,6 +74,30 @@
              : dialect->priorities[GT_PRIORITY_NEW];
 }
 
+/** Estimates a stream's tokens: the prompt, and the caller's estimate of the
+    response or half of the response limit. */
+void
+relay_estimate_tokens (gt_relay_t *relay)
+{
+  const gt_relay_headers_t *names = &relay->relays->options.dialect->names;
+  el_str_t rest = net_req_header (relay->req, names->tokens);
+  uint64_t prompt = 0;
+  uint64_t response = 0;
+  uint64_t expected_tokens;
+
+  relay->prompt = relay->service->model.typical_tokens;
+  relay->tokens = relay->prompt;
+  if (!el_str_to_u64 (el_str_cut (&rest, ','), &prompt))
+    return;
+  if (el_str_to_u64 (net_req_header (relay->req, names->expected_tokens),
+                     &expected_tokens))
+    response = expected_tokens;
+  else if (el_str_to_u64 (rest, &response))
+    response /= 2;
+  relay->prompt = (double)prompt;
+  relay->tokens = (double)(prompt + response);
+}
+
 /** Builds the headers of an attempt at the current target. They point into the
     request, the target and HEAD itself. */
 void
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -14,6 +14,10 @@
 /* Bytes of a stream that wait for its caller to read, at most. */
 #define UNREAD_MAX ((size_t)1 << 20)
 
+/* If all endpoints are in backoff, a quarter of the remaining time is added to
+   retry-after at random, to spread callers. */
+#define BACKOFF_SPREAD_DIVISOR 4
+
 static void response_proceed (h2o_generator_t *generator, h2o_req_t *req);
 
 /** Responds with an error of this host. RETRY_AFTER tells the caller when to
@@ -35,6 +39,44 @@
   net_req_reply (relay->req, status, EL_STR ("text/plain"), el_str (reason));
 }
 
+/** Responds that the request was not executed, with a retry-after that is not
+    before the end of the endpoints' backoff or of their lack of tokens or
+    room. */
+void
+relay_refuse (gt_relay_t *relay, const char *reason)
+{
+  gt_relays_t *relays = relay->relays;
+  el_time_t now = net_clock_now (relays->options.clock);
+  el_time_t left = relay_backoff_left (relay, now);
+  el_time_t limited = left ? 0 : relay_limit_left (relay, now);
+  el_time_t wait = left ? left : RELAY_REFUSED_RETRY_AFTER / 2;
+  el_time_t spread
+      = left ? left / BACKOFF_SPREAD_DIVISOR : RELAY_REFUSED_RETRY_AFTER / 2;
+
+  relays->counts.refused++;
+  relays->counts.refused_backoff += left > 0;
+  relays->counts.refused_limit += limited > 0;
+  if (left)
+    reason = "all endpoints rest";
+  if (limited)
+    {
+      reason = "all endpoints are at their limits";
+      wait = relay_limit_reserve (relay, now, limited);
+    }
+  if (!left && !limited && relay_wait_return_after (relay, now, &wait))
+    spread = 0;
+  relay_respond_error (relay, 503, reason,
+                       wait + el_random (&relays->random) % (spread + 1));
+}
+
+/** Responds that the request may have been executed. */
+void
+relay_fail (gt_relay_t *relay, const char *reason)
+{
+  relay->relays->counts.failed++;
+  relay_respond_error (relay, 502, reason, 0);
+}
+
 static void
 response_head (gt_relay_t *relay, const net_result_t *result)
 {
@@ -168,3 +210,29 @@
   if (relay->phase == RELAY_ENDING)
     net_req_abort (relay->req);
 }
+
+/** Whether the request may have run, or its caller has received a part of the
+    response. It can't be refused then. */
+int
+relay_may_have_run (const gt_relay_t *relay)
+{
+  return relay->phase == RELAY_SENT || relay->phase == RELAY_SETTLING
+         || relay->response_started || relay->attempts.may_run
+         || relay->attempts.before;
+}
+
+/** Ends the request: cancels its attempt and responds with an error or aborts
+    the response. */
+void
+relay_abort (gt_relay_t *relay, const char *reason)
+{
+  int may_have_run = relay_may_have_run (relay);
+
+  relay_cancel_attempt (relay);
+  if (relay->response_started)
+    relay_respond_abort (relay, reason);
+  else if (may_have_run)
+    relay_fail (relay, reason);
+  else
+    relay_refuse (relay, reason);
+}
