--- a/tests/t_connect.c
+++ b/tests/t_connect.c
@@ -450,6 +450,7 @@
     uv_run (&loop, UV_RUN_NOWAIT);
   ck_assert_uint_eq (endpoints[0].requests, 0);
   ck_assert_uint_eq (endpoints[0].target->limit.borrower.tokens, 1);
+  ck_assert_uint_eq (relays->counts.phase_errors, 0);
 }
 END_TEST
 
