--- a/soak/check.c
+++ b/soak/check.c
@@ -518,6 +518,29 @@
     fclose (file);
 }
 
+/* Check that no host was to act on a request that waits for something else. */
+static void
+phases_check (const sk_cluster_t *cluster)
+{
+  char path[300];
+  char *line = NULL;
+  size_t size = 0;
+  size_t host;
+  FILE *file;
+
+  for (host = 0; host < SK_HOSTS; host++)
+    {
+      snprintf (path, sizeof path, "%s/h%zu.log", cluster->dir, host);
+      file = fopen (path, "r");
+      while (file && getline (&line, &size, file) > 0)
+        if (strstr (line, " event=phase_error "))
+          sk_violation ("phase", "-", "host %zu: %s", host, line);
+      if (file)
+        fclose (file);
+    }
+  free (line);
+}
+
 /** Check all invariants. Returns the number of violations. */
 size_t
 sk_check_invariants (const sk_cluster_t *cluster,
@@ -542,6 +565,7 @@
   notices_check (cluster, requests, faults, nfaults, traffic_start);
   sk_limits_check (cluster, requests, faults, nfaults, traffic_start);
   sk_crashes_check (cluster, requests, faults, nfaults, traffic_start);
+  phases_check (cluster);
   free (records.list);
   outcomes_print (requests);
   printf ("ran=%u ", HASH_COUNT (by_id));
