A response that is cut off is not touched after its end

relay_respond_cut looked at the request's phase after relay_respond_abort. For a caller of HTTP/1.0, whose body has no chunks, the end of a response has no bytes, and h2o may free the request at once. What it needs to know, whether something sent before is unread, is asked before now.

Two comments are put more plainly.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -108,9 +108,8 @@
 typedef void (*relay_event_cb) (void *arg, el_str_t event, int has_id,
                                 uint64_t id);
 
-/* What a request waits for. Only that may act on it next: a request in one of
-   the phases between has no timer, queue entry, exchange or query of
-   another. */
+/* What a request waits for. Nothing else acts on it: whatever another phase
+   waits for has happened or was cancelled. */
 typedef enum relay_phase
 {
   RELAY_HELD,     /* until the host is ready to serve: deadline_timer */
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -86,8 +86,8 @@
          && part_holds (relay, queued, relay->limit_target != NULL);
 }
 
-/** Counts and logs that RELAY was to enter PHASE, which its own does not
-    allow. */
+/* Counts and logs that RELAY was to enter PHASE, which its own does not
+   allow. */
 static void
 phase_error (gt_relay_t *relay, relay_phase_t phase)
 {
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -206,8 +206,10 @@
 void
 relay_respond_cut (gt_relay_t *relay, const char *reason)
 {
+  int unread = relay->sending;
+
   relay_respond_abort (relay, reason);
-  if (relay->phase == RELAY_ENDING)
+  if (unread)
     net_req_abort (relay->req);
 }
 
