Tests: only a process that a test has stopped is continued at its end

Cause: proc_end sent SIGCONT to every process. The host of these tests has its SIGTERM long before and stands in the sanitizer's leak check. Evidence, from one that hung: the host is in exit, __lsan::DoLeakCheck, StopTheWorld, sched_yield; its tracer in ThreadSuspender::SuspendThread, waitpid; no signal is pending. The SIGCONT has undone the stop that the tracer waits for.

Change: proc_signal remembers whether the test has stopped a process, and proc_end continues only such a one. No check, limit or leak check changes.

--- a/tests/cluster.c
+++ b/tests/cluster.c
@@ -58,6 +58,7 @@
   char path[256];
 
   snprintf (path, sizeof path, "%s/%s", bin ? bin : BIN_DIR_DEFAULT, args[0]);
+  proc->stopped = 0;
   ck_assert_int_eq (posix_spawn (&proc->pid, path, NULL, NULL,
                                  (char *const *)(uintptr_t)args, environ),
                     0);
@@ -281,11 +282,10 @@
 }
 
 /** Sends a signal to a process and waits until it has exited. Returns its exit
-    status, or minus the signal that killed it. A stopped process is continued
-    before the signal is sent: the leak check at process exit stops the process
-    to inspect it, and a SIGCONT that arrived then would undo that stop and
-    hang the check. With 12 busy loops on 8 cores this occurred in 5 of 40 runs
-    of a test. */
+    status, or minus the signal that killed it. Only a process that the test
+    has stopped is continued: the leak check at process exit stops the process
+    to inspect it, and a SIGCONT that arrives then undoes that stop and hangs
+    the check. */
 int
 proc_end (proc_t *proc, int signal)
 {
@@ -293,7 +293,8 @@
 
   if (!proc->pid)
     return 0;
-  kill (proc->pid, SIGCONT);
+  if (proc->stopped)
+    proc_signal (proc, SIGCONT);
   kill (proc->pid, signal);
   waitpid (proc->pid, &status, 0);
   proc->pid = 0;
@@ -319,9 +320,11 @@
 }
 
 void
-proc_signal (const proc_t *proc, int signal)
+proc_signal (proc_t *proc, int signal)
 {
   ck_assert_int_eq (kill (proc->pid, signal), 0);
+  if (signal == SIGSTOP || signal == SIGCONT)
+    proc->stopped = signal == SIGSTOP;
 }
 
 /** Ends all processes. Hosts drain, and must exit with status 0, that is
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -39,6 +39,7 @@
 {
   pid_t pid; /* 0 until it is started and after it is reaped */
   char address[32];
+  int stopped; /* by proc_signal, with SIGSTOP */
 } proc_t;
 
 typedef struct cluster
@@ -100,7 +101,7 @@
 int proc_end (proc_t *proc, int signal);
 void proc_kill (const proc_t *proc);
 void proc_kill_wait (const proc_t *proc);
-void proc_signal (const proc_t *proc, int signal);
+void proc_signal (proc_t *proc, int signal);
 
 void http_request (const char *method, const char *address, const char *path,
                    const char *body, const char *const *headers,
--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -505,6 +505,26 @@
   call->exchange = net_client_send (client, &request);
 }
 
+/** Sends a request on a connection that the test handles itself, and returns
+    its descriptor. */
+int
+call_open (const char *id, const char *path)
+{
+  struct sockaddr_in to;
+  char request[256];
+  int len = snprintf (request, sizeof request,
+                      "POST %s HTTP/1.1\r\nhost: rel.example\r\n"
+                      "x-elmarch-request-id: %s\r\n"
+                      "content-length: 0\r\n\r\n",
+                      path, id);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  uv_ip4_addr ("127.0.0.1", (int)net_server_port (rnet.relays->server), &to);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  ck_assert_int_eq (write (fd, request, (size_t)len), len);
+  return fd;
+}
+
 /** The caller disconnects. */
 void
 call_leave (net_call_t *call)
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -96,6 +96,7 @@
                 const char *path);
 void call_send_to (net_call_t *call, net_client_t *client, const char *address,
                    const char *id);
+int call_open (const char *id, const char *path);
 void call_leave (net_call_t *call);
 void call_wait (net_call_t *call);
 void call_free (net_call_t *call);
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -496,21 +496,14 @@
 /* A caller reads nothing of a stream that has no end: it is cut off. */
 START_TEST (test_caller_that_does_not_read_is_cut_off)
 {
-  static const char request[]
-      = "POST /high/x HTTP/1.1\r\nhost: rel.example\r\n"
-        "x-elmarch-request-id: r1\r\ncontent-length: 0\r\n\r\n";
   peer_t engine = { .serve = serve_endless_events };
   el_time_t begun = net_clock_now (&rnet.clock);
   size_t before = relay_net_heap ();
-  struct sockaddr_in to;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd;
 
   peer_open (&engine);
   relay_net_add (&engine, "e", "llm", 8);
-  uv_ip4_addr ("127.0.0.1", (int)net_server_port (rnet.relays->server), &to);
-  ck_assert_int_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
-  ck_assert_int_eq (write (fd, request, sizeof request - 1),
-                    sizeof request - 1);
+  fd = call_open ("r1", "/high/x");
   while (!engine.sent || gt_relays_running (rnet.relays))
     {
       relay_net_run_once ();
--- a/tests/t_phase.c
+++ b/tests/t_phase.c
@@ -124,20 +124,13 @@
    wait for such requests when they stop. */
 START_TEST (test_request_of_a_reset_connection_is_freed)
 {
-  static const char request[]
-      = "POST /high/x HTTP/1.1\r\nhost: rel.example\r\n"
-        "x-elmarch-request-id: r1\r\ncontent-length: 0\r\n\r\n";
   const struct linger reset = { 1, 0 };
   peer_t engine = { .serve = _i ? serve_endless_stream : serve_nothing };
-  struct sockaddr_in to;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd;
 
   peer_open (&engine);
   relay_net_add (&engine, "e", "llm", 8);
-  uv_ip4_addr ("127.0.0.1", (int)net_server_port (rnet.relays->server), &to);
-  ck_assert_int_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
-  ck_assert_int_eq (write (fd, request, sizeof request - 1),
-                    sizeof request - 1);
+  fd = call_open ("r1", "/high/x");
   while (engine.requests == 0 || (_i && rnet.relays->counts.events < 20))
     relay_net_run_once ();
   setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
