--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -556,6 +556,7 @@
 void relay_log (gt_relay_t *relay, const char *event, int status,
                 const char *reason);
 void relay_log_sent (const gt_relay_t *relay, el_time_t now);
+void relay_log_given_up (gt_relay_t *relay);
 void relay_log_failed (gt_relay_t *relay, const rt_attempt_t *attempt,
                        const net_result_t *result, rt_next_t next);
 
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -451,6 +451,7 @@
       = { .verdict = EL_MAY_HAVE_RUN, .begun = relay->response_started };
   const net_result_t result = { .net = NET_CONNECTION_LOST };
 
+  relay_log_given_up (relay);
   attempt_stop (relay);
   if (relay->target)
     rt_tried_add (&relay->tried, relay->target);
