--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -9,6 +9,7 @@
 #define ELMARCH_LIBRELAY_H
 
 #include "gate_relay.h"
+#include "relay_events.h"
 #include "trial.h"
 
 /* Buffer size for a decimal uint64_t and its NUL byte. */
@@ -99,15 +100,6 @@
   el_time_t peer_rules_deadline;
 };
 
-/* Splits an event stream into complete events; buffers a partial one. */
-typedef struct relay_events
-{
-  el_buf_t part;
-} relay_events_t;
-
-typedef void (*relay_event_cb) (void *arg, el_str_t event, int has_id,
-                                uint64_t id);
-
 /* What a request waits for. Nothing else acts on it: whatever another phase
    waits for has happened or was cancelled. */
 typedef enum relay_phase
@@ -210,11 +202,6 @@
   gt_relay_t *next;
 };
 
-/* relay_events.c */
-int relay_events_add (relay_events_t *events, el_str_t bytes,
-                      relay_event_cb each, void *arg);
-void relay_events_reset (relay_events_t *events);
-
 /* relay_head.c */
 
 /* Request headers of one attempt; owns the generated values. */
--- a/gate/relay_events.c
+++ b/gate/relay_events.c
@@ -5,7 +5,7 @@
 /** @file
  * Splits event streams into complete events and reads their ids.
  */
-#include "librelay.h"
+#include "relay_events.h"
 
 /* Size in bytes of the longest partial event that is kept. */
 #define EVENT_SIZE_MAX ((size_t)1 << 20)
