--- a/standin/member.c
+++ b/standin/member.c
@@ -14,7 +14,9 @@
  * POST /rest makes the member ask hosts to back off, or announce that it is
  * leaving, POST /limit makes it name a rate limit, POST /unframed makes it end
  * its streams by closing their connections. POST /places {"streams": N} makes
- * it refuse streams beyond N at a time. GET /runs returns counters,
+ * it refuse streams beyond N at a time, {"full": true} all new ones. POST
+ * /first {"ms": N} delays the head and first event of new streams. GET /runs
+ * returns counters,
  * GET /seen the headers of the last request. With --record the member appends
  * a line to a file before it runs a request, so that the runs can be checked
  * after the process has exited: "MICROSECONDS ID MEMBER CUSTOMER CHAIN
@@ -81,8 +83,11 @@
   int linger;             /* abort streams before exiting */
   int unframed;           /* streams have neither a length nor chunks */
   int unresponsive;
-  uint64_t places;  /* streams at a time; 0: not limited */
-  uint64_t refused; /* streams beyond that */
+  uint64_t places;      /* streams at a time; 0: not limited */
+  int full;             /* refuse all new streams */
+  el_time_t first_wait; /* from the start of a stream to its first event */
+  uint64_t refused;     /* streams refused for lack of room */
+  uint64_t whole;       /* streams sent to their last event */
   sn_backoff_t *backoff;
   sn_limit_t *limit;
 } member_t;
@@ -346,7 +351,10 @@
   vec = h2o_iovec_init (stream->text, strlen (stream->text));
   stream->send_pending = 1;
   if (last)
-    net_clock_cancel (&process->clock, &stream->event_timer);
+    {
+      net_clock_cancel (&process->clock, &stream->event_timer);
+      stream->member->whole++;
+    }
   h2o_send (stream->req, &vec, 1,
             last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
@@ -402,6 +410,9 @@
   h2o_start_response (req, &stream->generator);
   if (member_schedule_crash (member, req))
     h2o_send (req, NULL, 0, H2O_SEND_STATE_IN_PROGRESS); /* only headers */
+  else if (member->first_wait)
+    net_clock_set (&member->process->clock, &stream->event_timer,
+                   member->first_wait);
   else
     stream_send_event (stream, 0);
 }
@@ -534,19 +545,38 @@
 
   member->places
       = (uint64_t)json_integer_value (json_object_get (json, "streams"));
+  member->full = json_is_true (json_object_get (json, "full"));
   json_decref (json);
   net_req_reply (req, 204, EL_STR (""), EL_STR (""));
 }
 
-static int
-places_taken (const member_t *member)
+static void
+serve_first (member_t *member, h2o_req_t *req)
+{
+  json_t *json = sn_parse_body (req);
+
+  member->first_wait
+      = (el_time_t)json_integer_value (json_object_get (json, "ms")) * EL_MSEC;
+  json_decref (json);
+  net_req_reply (req, 204, EL_STR (""), EL_STR (""));
+}
+
+static uint64_t
+streams_open (const member_t *member)
 {
   const member_stream_t *stream;
   uint64_t n = 0;
 
   for (stream = member->streams; stream; stream = stream->next)
     n++;
-  return member->places && n >= member->places;
+  return n;
+}
+
+static int
+places_taken (const member_t *member)
+{
+  return member->full
+         || (member->places && streams_open (member) >= member->places);
 }
 
 /* Refuses a stream for lack of room. */
@@ -594,12 +624,15 @@
 static void
 serve_runs (member_t *member, h2o_req_t *req)
 {
-  sn_reply_json (
-      req, 200,
-      json_pack ("{s:I,s:I,s:I,s:s,s:I,s:I}", "runs", (json_int_t)member->runs,
-                 "refused", (json_int_t)member->refused, "gone",
-                 (json_int_t)member->disconnected, "id", member->id, "first",
-                 (json_int_t)member->first, "end", (json_int_t)member->end));
+  sn_reply_json (req, 200,
+                 json_pack ("{s:I,s:I,s:I,s:I,s:I,s:s,s:I,s:I}", "runs",
+                            (json_int_t)member->runs, "refused",
+                            (json_int_t)member->refused, "gone",
+                            (json_int_t)member->disconnected, "open",
+                            (json_int_t)streams_open (member), "whole",
+                            (json_int_t)member->whole, "id", member->id,
+                            "first", (json_int_t)member->first, "end",
+                            (json_int_t)member->end));
 }
 
 static void
@@ -720,6 +753,7 @@
   { EL_STR ("/linger"), serve_linger },
   { EL_STR ("/unframed"), serve_unframed },
   { EL_STR ("/places"), serve_places },
+  { EL_STR ("/first"), serve_first },
   { EL_STR ("/rest"), serve_backoff },
   { EL_STR ("/rests"), serve_backoff_stats },
   { EL_STR ("/limit"), serve_limit },
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -156,6 +156,210 @@
 }
 END_TEST
 
+/* Engines are silent for this many polls, about a second. */
+#define SILENT_STEPS 200
+
+/* The host may retry RATIO times for each request, and a little less. */
+static void
+limit_retries (const char *ratio)
+{
+  site.host_flags[0] = "--repeat-ratio";
+  site.host_flags[1] = ratio;
+  site.host_flags[2] = "--repeat-slack";
+  site.host_flags[3] = "0";
+}
+
+static void
+member_tell (const proc_t *member, const char *path, const char *json)
+{
+  reply_t reply;
+
+  http_request ("POST", member->address, path, json, NULL, &reply);
+  ck_assert_int_eq (reply.status, 204);
+  reply_free (&reply);
+}
+
+/* The other engine with the first layers. */
+static size_t
+other_first_engine (size_t engine)
+{
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (i != engine && member_value (&site.engines[i], "first") == 0)
+      return i;
+  ck_abort_msg ("no other engine holds the first layers");
+  return 0;
+}
+
+static void
+poll_sleep_steps (int steps)
+{
+  while (steps--)
+    poll_sleep ();
+}
+
+static void
+engines_signal (int signal)
+{
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    proc_signal (&site.engines[i], signal);
+}
+
+static int64_t
+engines_total (const char *name)
+{
+  int64_t total = 0;
+  size_t i;
+
+  for (i = 0; i < SITE_ENGINES; i++)
+    if (site.engines[i].pid)
+      total += member_value (&site.engines[i], name);
+  return total;
+}
+
+/* Waits until the engines together run WANT streams. */
+static void
+engines_wait_open (int64_t want)
+{
+  int step;
+
+  for (step = 0; step < WAIT_STEPS_MAX; step++)
+    {
+      if (engines_total ("open") == want)
+        return;
+      poll_sleep ();
+    }
+  ck_abort_msg ("the engines do not run %d streams", (int)want);
+}
+
+/* No engine runs a stream on; together they sent WANT to the last event. */
+static void
+assert_whole_streams (int64_t want)
+{
+  engines_wait_open (0);
+  ck_assert_int_eq (engines_total ("whole"), want);
+}
+
+/* The stream's engine is silent for a second and then goes on, and the other
+   engine refuses. The retry budget allows one retry. The stream has its first
+   events already, or none yet. */
+START_TEST (test_stream_stays_with_silent_engine_when_other_refuses)
+{
+  caller_t caller;
+  size_t first;
+  size_t i;
+
+  site.step_us = "20000";
+  limit_retries ("2");
+  site_start (1);
+  for (i = 0; i < SITE_ENGINES && _i == 1; i++)
+    member_tell (&site.engines[i], "/first", "{\"ms\":500}");
+  stream_start (&caller, 0, "s1");
+  if (_i == 0)
+    caller_wait_body (&caller, 60);
+  else
+    engines_wait_open (1);
+  first = running_engine ();
+  member_tell (&site.engines[other_first_engine (first)], "/places",
+               "{\"full\":true}");
+  proc_signal (&site.engines[first], SIGSTOP);
+  poll_sleep_steps (SILENT_STEPS);
+  proc_signal (&site.engines[first], SIGCONT);
+  caller_join (&caller);
+  assert_stream_complete (&caller.reply);
+  reply_free (&caller.reply);
+  assert_whole_streams (1);
+}
+END_TEST
+
+/* All engines are silent for a second, and then refuse new streams. The retry
+   budget allows two retries. */
+START_TEST (test_streams_stay_when_all_engines_are_silent)
+{
+  static const char *const ids[] = { "s0", "s1", "s2", "s3" };
+  caller_t callers[4];
+  size_t i;
+
+  site.step_us = "20000";
+  limit_retries ("0.7");
+  site_start (1);
+  for (i = 0; i < 4; i++)
+    stream_start (&callers[i], 0, ids[i]);
+  for (i = 0; i < 4; i++)
+    caller_wait_body (&callers[i], 60);
+  for (i = 0; i < SITE_ENGINES; i++)
+    member_tell (&site.engines[i], "/places", "{\"full\":true}");
+  engines_signal (SIGSTOP);
+  poll_sleep_steps (SILENT_STEPS);
+  engines_signal (SIGCONT);
+  for (i = 0; i < 4; i++)
+    caller_join (&callers[i]);
+  for (i = 0; i < 4; i++)
+    {
+      assert_stream_complete (&callers[i].reply);
+      reply_free (&callers[i].reply);
+    }
+  assert_whole_streams (4);
+}
+END_TEST
+
+/* The stream's engine is silent for a second and then goes on. The other
+   engine is killed meanwhile, before its first event. */
+START_TEST (test_stream_stays_with_silent_engine_when_other_ends)
+{
+  caller_t caller;
+  size_t first;
+  size_t other;
+
+  site.step_us = "20000";
+  limit_retries ("2");
+  site_start (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  first = running_engine ();
+  other = other_first_engine (first);
+  member_tell (&site.engines[other], "/first", "{\"ms\":10000}");
+  proc_signal (&site.engines[first], SIGSTOP);
+  poll_sleep_steps (SILENT_STEPS / 2);
+  proc_end (&site.engines[other], SIGKILL);
+  poll_sleep_steps (SILENT_STEPS / 2);
+  proc_signal (&site.engines[first], SIGCONT);
+  caller_join (&caller);
+  assert_stream_complete (&caller.reply);
+  reply_free (&caller.reply);
+  assert_whole_streams (1);
+}
+END_TEST
+
+/* The stream's engine goes on after a second of silence, while the other
+   engine runs the stream as well, or before that sends its first event: the
+   stream comes from one of them, and the other one drops it. */
+START_TEST (test_stream_is_dropped_by_engine_that_goes_on_late)
+{
+  caller_t caller;
+  size_t first;
+
+  site.step_us = "50000";
+  site_start (1);
+  stream_start (&caller, 0, "s1");
+  caller_wait_body (&caller, 60);
+  first = running_engine ();
+  if (_i == 1)
+    member_tell (&site.engines[other_first_engine (first)], "/first",
+                 "{\"ms\":1500}");
+  proc_signal (&site.engines[first], SIGSTOP);
+  poll_sleep_steps (SILENT_STEPS);
+  proc_signal (&site.engines[first], SIGCONT);
+  caller_join (&caller);
+  assert_stream_complete (&caller.reply);
+  reply_free (&caller.reply);
+  assert_whole_streams (1);
+}
+END_TEST
+
 /* Both engines with the first layers crash during a stream, and other engines
    get these layers a moment later: the stream resumes there. A host whose
    other engines had no capacity aborted such streams 8 ms after the crash
@@ -626,6 +830,10 @@
   ADD (tcase, test_relay_forwards_stream);
   ADD_LOOP (tcase, test_stream_resumes_after_loss_of_first_engine, 2);
   ADD (tcase, test_stream_waits_when_attempts_are_used_up);
+  ADD_LOOP (tcase, test_stream_stays_with_silent_engine_when_other_refuses, 2);
+  ADD (tcase, test_streams_stay_when_all_engines_are_silent);
+  ADD (tcase, test_stream_stays_with_silent_engine_when_other_ends);
+  ADD_LOOP (tcase, test_stream_is_dropped_by_engine_that_goes_on_late, 2);
   ADD (tcase, test_stream_waits_for_engine_to_resume_on);
   ADD (tcase, test_stream_waits_when_no_host_reaches_an_engine);
   ADD (tcase, test_stream_is_rerouted_around_lost_engine);
