An attempt without a sign of life stays open until another one delivers

Callers saw (LOST): streams broken off in the middle, or 502 before their first event, while their engine was only silent for a second.

Cause: the relay ended a live attempt on silence alone and counted on the next one. If that was refused or ended too, and the retry budget or the rule's attempts were used up, nothing was left of the request.

Change: silence starts another attempt and cancels none. The former attempt stays open as a standby (gate/relay_standby.c); whichever delivers the first event, or the head of the response, continues it, and the other one is cancelled. If the later attempt is refused, fails, finds no endpoint or no budget, the former one is the current one again. This replaces relay_abandon_attempt on all its ways: silent engines, hosts on the way that are no longer live, endpoints of a service that this host no longer reaches. The retry budget pays when the later attempt is sent, not when it is thought of; a stream whose standby has ended meanwhile waits for the budget.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -112,6 +112,9 @@
   uint64_t resumed;     /**< streams resumed on another chain */
   uint64_t rerouted;    /**< streams moved to another chain without a retry */
   uint64_t not_retried; /**< stalled streams that may not be retried */
+  uint64_t standby_begun;   /**< attempts that stayed open beside a later one
+                             */
+  uint64_t standby_resumed; /**< of these, resumed in its place */
   uint64_t waits;  /**< streams that waited for an endpoint to resume on */
   uint64_t queued; /**< times that a request began to wait in order of rank
                     */
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -55,12 +55,18 @@
 typedef struct relay_way
 {
   void (*send) (gt_relay_t *relay, el_time_t now);
+  void (*watch) (gt_relay_t *relay); /* for signs of life, once more */
+  net_head_cb head;
   void (*event) (gt_relay_t *relay, el_time_t now);
+  net_result_cb done;
 } relay_way_t;
 
 extern const relay_way_t relay_way_direct;
 extern const relay_way_t relay_way_over_host;
 
+/* A former attempt that stays open (relay_standby.c). */
+typedef struct relay_standby relay_standby_t;
+
 /* The search for endpoints that this host does not reach. */
 typedef struct relay_reach
 {
@@ -165,9 +171,10 @@
   rt_hints_t hints; /* backoff and leaving notice in the response */
   int stream;       /* the response is forwarded event by event */
   int writing;      /* an event of this attempt has arrived */
-  size_t unused;    /* bytes of the response's body that are not used */
-  double prompt;    /* prompt length in tokens */
-  double tokens;    /* estimated tokens of prompt and response */
+  relay_standby_t *standby; /* former attempt; NULL: none */
+  size_t unused; /* bytes of the response's body that are not used */
+  double prompt; /* prompt length in tokens */
+  double tokens; /* estimated tokens of prompt and response */
 
   /* Waiting in order of rank. */
   ld_entry_t entry;
@@ -222,7 +229,11 @@
 void relay_attempt (gt_relay_t *relay);
 void relay_schedule_attempt (gt_relay_t *relay, el_time_t wait);
 void relay_cancel_attempt (gt_relay_t *relay);
-void relay_abandon_attempt (gt_relay_t *relay);
+void relay_attempt_release (gt_relay_t *relay);
+int relay_attempt_is_refused (const gt_relay_t *relay,
+                              const net_result_t *head);
+void relay_attempt_record (gt_relay_t *relay, const net_result_t *result);
+void relay_retry (gt_relay_t *relay, int connection_lost);
 void relay_attempt_unsent (gt_relay_t *relay);
 int relay_attempt_body (void *arg, el_str_t bytes);
 void relay_attempt_ended (gt_relay_t *relay, const rt_attempt_t *attempt,
@@ -233,6 +244,11 @@
 rt_target_t *relay_fault_target (gt_relay_t *relay,
                                  const net_result_t *result);
 
+/* relay_standby.c */
+int relay_standby_begin (gt_relay_t *relay);
+int relay_standby_resume (gt_relay_t *relay, const char *reason);
+void relay_standby_cancel (gt_relay_t *relay, const char *reason);
+
 /* relay_close.c */
 void relay_close_settle (gt_relay_t *relay, const net_result_t *response);
 
@@ -307,6 +323,7 @@
 void relay_watch_start (gt_relay_t *relay);
 void relay_watch_event (gt_relay_t *relay, el_time_t gap);
 void relay_watch_stop (gt_relay_t *relay);
+void relay_watch_again (gt_relay_t *relay);
 void relay_watch_engine_silent (gt_relay_t *relay, rt_target_t *engine);
 void relay_watch_engine_restarted (gt_relay_t *relay, rt_target_t *engine);
 void relay_watch_engine_slow (gt_relay_t *relay, rt_target_t *engine);
@@ -543,7 +560,6 @@
 void relay_log (gt_relay_t *relay, const char *event, int status,
                 const char *reason);
 void relay_log_sent (const gt_relay_t *relay, el_time_t now);
-void relay_log_given_up (gt_relay_t *relay);
 void relay_log_failed (gt_relay_t *relay, const rt_attempt_t *attempt,
                        const net_result_t *result, rt_next_t next);
 
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -74,6 +74,7 @@
   const phase_part_t check = { sent | settling, settling };
   const phase_part_t timer = { waiting, waiting };
   const phase_part_t queued = { waiting, 0 };
+  const phase_part_t standby = { sent | waiting, 0 };
 
   return relay->phase != RELAY_DECIDING
          && part_holds (relay, exchange, relay->exchange != NULL)
@@ -82,6 +83,7 @@
          && part_holds (relay, check,
                         relay->query || relay->watch_timer.heap_index)
          && part_holds (relay, timer, relay->retry_timer.heap_index != 0)
+         && part_holds (relay, standby, relay->standby != NULL)
          && part_holds (relay, queued, relay->entry.queue != NULL)
          && part_holds (relay, queued, relay->limit_target != NULL);
 }
@@ -113,6 +115,8 @@
     }
   if (phase != RELAY_DECIDING && phase != RELAY_WAITING)
     ld_queue_remove (&relay->entry);
+  if (phase == RELAY_ENDING || phase == RELAY_ENDED)
+    relay_standby_cancel (relay, "response ends");
   if (!(phase_follows[relay->phase] & PHASE (phase)) || relay->exchange
       || relay->query)
     phase_error (relay, phase);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -61,6 +61,14 @@
     relay_enter (relay, RELAY_DECIDING);
 }
 
+/** Cancels the current attempt, on this host and at the endpoint. */
+void
+relay_attempt_release (gt_relay_t *relay)
+{
+  attempt_cancel_exchange (relay);
+  attempt_release (relay);
+}
+
 /** Cancels the current attempt, on this host and at the endpoint, or the wait
     for the next one. */
 void
@@ -108,6 +116,7 @@
   if (!relay->writing)
     {
       relay->writing = 1;
+      relay_standby_cancel (relay, "a later one continues");
       relay_wait_served (relay);
       relay_blame_began (relay);
     }
@@ -128,6 +137,17 @@
   relay_respond_event (relay, event);
 }
 
+/** Whether HEAD is that of a response which proves that the request was not
+    executed. */
+int
+relay_attempt_is_refused (const gt_relay_t *relay, const net_result_t *head)
+{
+  const gt_relay_headers_t *names = &relay->relays->options.dialect->names;
+
+  return head->status == 421
+         || net_result_header (head, names->not_executed).len;
+}
+
 static void
 attempt_head (void *arg, const net_result_t *head)
 {
@@ -135,8 +155,7 @@
   const gt_relay_headers_t *names = &relay->relays->options.dialect->names;
 
   relay->head_at = net_clock_now (relay->relays->options.clock);
-  relay->refused = net_result_header (head, names->not_executed).len
-                   || head->status == 421;
+  relay->refused = relay_attempt_is_refused (relay, head);
   relay->stream = relay->rule->kind == RT_STREAM && !relay->refused
                   && head->status >= 200 && head->status < 300
                   && net_result_header (head, names->seal).len;
@@ -145,7 +164,11 @@
   if (!relay->refused)
     relay_backoff_answered (relay);
   if (relay->stream && !relay->response_started)
-    relay_respond_head (relay, head);
+    {
+      /* Head and first events are of the same run. */
+      relay_standby_cancel (relay, "a later one responds");
+      relay_respond_head (relay, head);
+    }
 }
 
 /** Forwards complete events of a stream; buffers other responses. Returns 0 if
@@ -295,6 +318,28 @@
     relay_reach_check_overdue (relay->relays, relay->target);
 }
 
+/* Records what the end of an attempt shows about its endpoint. */
+static void
+attempt_record (gt_relay_t *relay, const net_result_t *result,
+                const rt_attempt_t *attempt)
+{
+  if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
+    relay_limit_not_sent (relay);
+  attempt_record_reach (relay, result);
+  attempt_record_blame (relay, result, attempt);
+  attempt_record_health (relay, result, attempt);
+}
+
+/** Records what the end of an attempt shows that is not to be settled. */
+void
+relay_attempt_record (gt_relay_t *relay, const net_result_t *result)
+{
+  rt_attempt_t attempt;
+
+  attempt_classify (relay, result, &attempt);
+  attempt_record (relay, result, &attempt);
+}
+
 /** Handles the end of an attempt that was sent to an endpoint. */
 void
 relay_attempt_settled (gt_relay_t *relay, const net_result_t *result)
@@ -302,11 +347,7 @@
   rt_attempt_t attempt;
 
   attempt_classify (relay, result, &attempt);
-  if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
-    relay_limit_not_sent (relay);
-  attempt_record_reach (relay, result);
-  attempt_record_blame (relay, result, &attempt);
-  attempt_record_health (relay, result, &attempt);
+  attempt_record (relay, result, &attempt);
   if (relay->response_started && !relay->stream)
     attempt.answered = 0; /* an error response can't follow a stream's head */
   if (relay->response_started && attempt.answered)
@@ -378,10 +419,10 @@
   net_clock_set (relay->relays->options.clock, &relay->retry_timer, wait);
 }
 
-/* Retries. After a lost connection, waits until it is known whether the
-   endpoint crashed and the request is to blame. */
-static void
-attempt_retry (gt_relay_t *relay, int connection_lost)
+/** Retries. After a lost connection, waits until it is known whether the
+    endpoint crashed and the request is to blame. */
+void
+relay_retry (gt_relay_t *relay, int connection_lost)
 {
   gt_relay_counts_t *counts = &relay->relays->counts;
 
@@ -401,7 +442,7 @@
 {
   rt_next_t next = attempt_next (relay, attempt);
 
-  if (next == RT_NEXT_PASS)
+  if (next == RT_NEXT_PASS && !(attempt->failed && relay->standby))
     {
       attempt_forward (relay, result);
       return;
@@ -412,7 +453,9 @@
     el_buf_reset (&relay->out);
   relay_events_reset (&relay->events);
   if (next == RT_NEXT_RETRY)
-    attempt_retry (relay, result->net == NET_CONNECTION_LOST);
+    relay_retry (relay, result->net == NET_CONNECTION_LOST);
+  else if (relay_standby_resume (relay, "the later one failed"))
+    return;
   else if (relay->response_started)
     relay_respond_abort (relay, "no endpoint goes on with it");
   else if (next == RT_NEXT_FAIL)
@@ -442,22 +485,6 @@
   return relay->rule->resumable && relay_may_repeat (relay);
 }
 
-/** Cancels the current attempt, counts it as possibly executed, and
-    retries. */
-void
-relay_abandon_attempt (gt_relay_t *relay)
-{
-  const rt_attempt_t attempt
-      = { .verdict = EL_MAY_HAVE_RUN, .begun = relay->response_started };
-  const net_result_t result = { .net = NET_CONNECTION_LOST };
-
-  relay_log_given_up (relay);
-  attempt_stop (relay);
-  if (relay->target)
-    rt_tried_add (&relay->tried, relay->target);
-  relay_attempt_ended (relay, &attempt, &result);
-}
-
 /* The answer to a plain request is overdue. */
 static void
 direct_overdue (void *arg, el_time_t now)
@@ -512,8 +539,11 @@
   net_clock_set (o->clock, &relay->watch_timer, RESPONSE_OVERDUE);
 }
 
-const relay_way_t relay_way_direct
-    = { .send = direct_send, .event = direct_event };
+const relay_way_t relay_way_direct = { .send = direct_send,
+                                       .watch = relay_watch_again,
+                                       .head = attempt_head,
+                                       .event = direct_event,
+                                       .done = attempt_done };
 
 static void
 attempt_send (gt_relay_t *relay, el_time_t now)
@@ -574,7 +604,8 @@
     case RELAY_PICK_NONE:
       break;
     }
-  if (relay_wait_endpoint (relay) || relay_limit_wait (relay, now)
+  if (relay_standby_resume (relay, "no other endpoint")
+      || relay_wait_endpoint (relay) || relay_limit_wait (relay, now)
       || relay_wait_refused (relay, now, 1))
     return;
   if (relay->response_started)
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -194,7 +194,6 @@
 
   if (!relay->helper)
     return;
-  net_clock_cancel (relays->options.clock, &relay->watch_timer);
   relay->helper->running--;
   relay->helper = NULL;
   helpers_prune (relays, net_clock_now (relays->options.clock));
@@ -211,7 +210,10 @@
                   && head->status < 300
                   && net_result_header (head, names->seal).len;
   if (relay->stream && !relay->response_started)
-    relay_respond_head (relay, head);
+    {
+      relay_standby_cancel (relay, "a later one responds");
+      relay_respond_head (relay, head);
+    }
 }
 
 /* Determines what a helper's response says about the request. A response with
@@ -285,6 +287,7 @@
   rt_attempt_t attempt;
 
   relay->exchange = NULL;
+  relay_watch_stop (relay);
   relay_enter (relay, RELAY_DECIDING);
   forward_classify (relay, result, &attempt);
   if (forward_is_unserved (result, &attempt))
@@ -302,6 +305,8 @@
                         attempt.verdict == EL_NOT_RUN ? RT_NEXT_REFUSE
                                                       : RT_NEXT_FAIL);
       relay_forward_release (relay);
+      if (relay_standby_resume (relay, "the later one failed"))
+        return;
       if (attempt.verdict == EL_NOT_RUN && !relay->attempts.may_run)
         forward_refuse (relay, result);
       else
@@ -326,8 +331,17 @@
       return;
     }
   relay->helper->unusable_until = now + HELPER_UNUSABLE;
-  if (relay_may_repeat (relay))
-    relay_abandon_attempt (relay);
+  if (!relay_may_repeat (relay) || !relay_standby_begin (relay))
+    net_clock_set (o->clock, &relay->watch_timer, HELPER_CHECK_INTERVAL);
+}
+
+static void
+forward_watch (gt_relay_t *relay)
+{
+  relay->watch_timer.cb = forward_check_helper;
+  relay->watch_timer.arg = relay;
+  net_clock_set (relay->relays->options.clock, &relay->watch_timer,
+                 HELPER_CHECK_INTERVAL);
 }
 
 static void
@@ -412,9 +426,7 @@
                  relay_service (relay->relays, relay->service->name)->lost));
   relay->exchange = net_client_send (o->client, &send);
   free (list);
-  relay->watch_timer.cb = forward_check_helper;
-  relay->watch_timer.arg = relay;
-  net_clock_set (o->clock, &relay->watch_timer, HELPER_CHECK_INTERVAL);
+  forward_watch (relay);
 }
 
 /* The helper watches the endpoints. */
@@ -425,5 +437,8 @@
   (void)now;
 }
 
-const relay_way_t relay_way_over_host
-    = { .send = forward_send, .event = forward_event };
+const relay_way_t relay_way_over_host = { .send = forward_send,
+                                          .watch = forward_watch,
+                                          .head = forward_head,
+                                          .event = forward_event,
+                                          .done = forward_done };
--- a/gate/relay_log.c
+++ b/gate/relay_log.c
@@ -71,23 +71,6 @@
       EL_FN ("known_age_us", now - relay->relays->rules_as_of));
 }
 
-/** Logs that this host gives up an attempt whose connection is open, for want
-    of a sign of life. */
-void
-relay_log_given_up (gt_relay_t *relay)
-{
-  el_time_t now = net_clock_now (relay->relays->options.clock);
-
-  EL_LOG (EL_LOG_INFO, "attempt_given_up", EL_FS ("request", relay->id),
-          EL_FS ("endpoint",
-                 relay->target ? relay->target->attrs.id : el_str ("-")),
-          EL_FS ("via", relay->helper ? relay->helper->address : el_str ("-")),
-          EL_FN ("sent_us", now - relay->sent),
-          EL_FN ("events", relay->nevents),
-          EL_FN ("still_us", now - relay->last_progress),
-          EL_FN ("budget_left", relay_retry_left (relay)));
-}
-
 /** Logs an attempt whose response is not forwarded; NEXT is what follows. */
 void
 relay_log_failed (gt_relay_t *relay, const rt_attempt_t *attempt,
--- a/gate/relay_pick.c
+++ b/gate/relay_pick.c
@@ -84,8 +84,9 @@
   relay_pick_t pick;
   rt_target_t *target;
 
-  if (relay_wait_charge (relay) != RELAY_PICK_OK)
-    return RELAY_PICK_TURNED_AWAY;
+  pick = relay_wait_charge (relay);
+  if (pick != RELAY_PICK_OK)
+    return pick;
   rt_fleet_set_hosts (o->fleet, o->hall_hosts (o->arg), o->hosts (o->arg));
   do
     {
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -101,7 +101,7 @@
       if (!net_exchange_is_sent (relay->exchange))
         relay_attempt_unsent (relay);
       else if (!relay->head_at && relay_may_repeat (relay))
-        relay_abandon_attempt (relay);
+        relay_standby_begin (relay);
     }
 }
 
--- a/gate/relay_suspect.c
+++ b/gate/relay_suspect.c
@@ -127,7 +127,8 @@
     {
       relays->counts.refused_trial++;
       relay->turn_waits = 0;
-      if (!wait_refuse (relay, RT_TRIAL_INTERVAL))
+      if (!wait_refuse (relay, RT_TRIAL_INTERVAL)
+          && !relay_standby_resume (relay, "the later one waits"))
         relay_abort (relay, "waits for its turn");
       return 1;
     }
@@ -178,7 +179,7 @@
     return 1;
   if (relay->turn_waits++ < TURN_WAITS_MAX)
     relay_schedule_attempt (relay, TURN_RETRY_INTERVAL);
-  else
+  else if (!relay_standby_resume (relay, "the later one waits"))
     relay_abort (relay, "waits for its turn");
   return 1;
 }
--- a/gate/relay_wait.c
+++ b/gate/relay_wait.c
@@ -323,13 +323,22 @@
 }
 
 /** Whether the retry budget pays for the next attempt of RELAY, if it has to.
-    If not, RELAY has been refused. */
+    If not, its former attempt continues, it waits for the budget if it is a
+    stream in progress, or it has ended. */
 relay_pick_t
 relay_wait_charge (gt_relay_t *relay)
 {
-  if (relay->retry_unpaid && !relay_retry_left (relay))
-    return wait_turn_away (relay, "not run, retry budget exhausted");
-  return RELAY_PICK_OK;
+  if (!relay->retry_unpaid || relay_retry_left (relay))
+    return RELAY_PICK_OK;
+  if (relay_standby_resume (relay, "retry budget exhausted")
+      || relay_wait_endpoint (relay))
+    return RELAY_PICK_WAIT;
+  if (relay_may_have_run (relay))
+    {
+      relay_abort (relay, "retry budget exhausted");
+      return RELAY_PICK_TURNED_AWAY;
+    }
+  return wait_turn_away (relay, "not run, retry budget exhausted");
 }
 
 /** Decides whether RELAY, for which a chain is picked, may be sent now; if
--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -120,6 +120,18 @@
   net_clock_set (relay->relays->options.clock, &relay->watch_timer, wait);
 }
 
+/** Watches an attempt that is the current one again. */
+void
+relay_watch_again (gt_relay_t *relay)
+{
+  if (!relay->chain.n)
+    return;
+  relay->watch_timer.cb = watch_tick;
+  relay->watch_timer.arg = relay;
+  watch_reset (relay);
+  watch_schedule (relay, NO_RETRY_INTERVAL);
+}
+
 /* Tells the first engine to continue the stream on the new chain. */
 static void
 watch_reroute (gt_relay_t *relay)
@@ -131,9 +143,9 @@
       o->client, relay->id, &relay->reroute_chain, watch_reroute_done, relay);
 }
 
-/* Resumes the stream on another chain, for the reason WHY. A stream that may
-   not be retried stays where it is: its engine may recover, and a stall alone
-   is no reason to end a response that the caller waits for. */
+/* Resumes the stream on another chain, for the reason WHY, if that is
+   possible before its engine recovers. A stall alone is no reason to end a
+   response that the caller waits for. */
 static void
 watch_restart_stream (gt_relay_t *relay, const char *why)
 {
@@ -142,11 +154,8 @@
   EL_LOG (EL_LOG_INFO, may_resume ? "stream_begun_anew" : "stream_waits",
           EL_FS ("request", relay->id), EL_FN ("avoided", relay->avoid.n),
           EL_FN ("events", relay->nevents), EL_FC ("reason", why));
-  if (may_resume)
-    {
-      relay_abandon_attempt (relay);
-      return;
-    }
+  if (may_resume && relay_standby_begin (relay))
+    return;
   relay->relays->counts.not_retried++;
   watch_reset (relay);
   watch_schedule (relay, NO_RETRY_INTERVAL);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -253,6 +253,16 @@
   exchange_free (ex);
 }
 
+/** Replace the callbacks of an exchange that has not ended. */
+void
+net_exchange_set_callbacks (net_exchange_t *ex, net_head_cb head,
+                            net_body_part_cb body_part, net_result_cb done)
+{
+  ex->head = head;
+  ex->body_part = body_part;
+  ex->done = done;
+}
+
 /** Return whether any byte of the request may have left this host. */
 int
 net_exchange_is_sent (const net_exchange_t *ex)
