Tests: what callers see of a stream that two engines run

A stream whose engine falls silent is sent to another engine; the first one may speak again before the other has sent an event. The tests say what the caller receives then, for every order of events, halves of events, refusals, crashes, and for a caller that leaves or a time limit that ends both.

Peers of the relay's tests can be silent: their reports get no answer.

--- a/Makefile
+++ b/Makefile
@@ -114,7 +114,7 @@
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
        tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_parts.c tests/t_load.c tests/t_admit.c tests/t_told.c tests/t_net.c tests/t_store.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
-       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/part_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_runs.c tests/t_forward.c tests/t_phase.c tests/t_answer.c tests/relay_net.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
+       tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/part_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_runs.c tests/t_forward.c tests/t_phase.c tests/t_answer.c tests/t_standby.c tests/relay_net.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -310,10 +310,13 @@
     return 0;
   conn->head = head;
   if (el_str_starts_with (head, EL_STR ("GET /elmarch/report")))
-    peer_printf (conn,
-                 "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
-                 "keep-alive: timeout=9\r\n\r\n" REPORT,
-                 sizeof REPORT - 1);
+    {
+      if (!conn->peer->silent)
+        peer_printf (conn,
+                     "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
+                     "keep-alive: timeout=9\r\n\r\n" REPORT,
+                     sizeof REPORT - 1);
+    }
   else
     {
       snprintf (conn->id, sizeof conn->id, "%.*s", (int)id.len,
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -39,6 +39,7 @@
   char address[32];
   void (*serve) (peer_conn_t *conn);
   void *arg;
+  int silent; /* reports get no answer */
   unsigned connections;
   unsigned requests; /* reports not counted */
   size_t sent;       /* bytes written by peer_flood */
--- a/tests/test.h
+++ b/tests/test.h
@@ -40,6 +40,7 @@
 Suite *forward_suite (void);
 Suite *phase_suite (void);
 Suite *answer_suite (void);
+Suite *standby_suite (void);
 Suite *epoch_suite (void);
 Suite *load_suite (void);
 Suite *admit_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -48,6 +48,7 @@
   srunner_add_suite (runner, forward_suite ());
   srunner_add_suite (runner, phase_suite ());
   srunner_add_suite (runner, answer_suite ());
+  srunner_add_suite (runner, standby_suite ());
   srunner_add_suite (runner, limit_suite ());
   srunner_add_suite (runner, connect_suite ());
   srunner_add_suite (runner, starts_suite ());
