Known red: a stream that its first engine cuts for another one looks complete

A stream passes several engines. If one behind the first dies or falls silent, the first one waits, then closes the stream. Where the response has neither a length nor chunks, that is a clean close, and relay_close_settle asks only the first engine whether it is there: it is, and the caller gets a complete end behind the last event so far.

An engine of the relay's tests may hold layers from any one.

--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -110,11 +110,11 @@
   ck_assert_ptr_nonnull (rnet.relays->rules);
 }
 
-/** Lists PEER as an endpoint; an engine of the layers up to END, unless that
+/** Lists PEER as an endpoint; an engine of the layers FROM to END, unless END
     is 0. */
 rt_target_t *
-relay_net_add (const peer_t *peer, const char *id, const char *service,
-               unsigned end)
+relay_net_add_part (const peer_t *peer, const char *id, const char *service,
+                    unsigned from, unsigned end)
 {
   const rt_attrs_t attrs = { .id = el_str (id),
                              .born = 1,
@@ -123,11 +123,20 @@
                              .hall = EL_STR ("h"),
                              .card = el_str (end ? "card" : ""),
                              .slots = 64,
+                             .first = from,
                              .end = end };
 
   return rt_fleet_update (rnet.relays->options.fleet, &attrs);
 }
 
+/** The same; an engine of the layers up to END. */
+rt_target_t *
+relay_net_add (const peer_t *peer, const char *id, const char *service,
+               unsigned end)
+{
+  return relay_net_add_part (peer, id, service, 0, end);
+}
+
 /** Runs the loop once, without waiting for events. */
 void
 relay_net_run_once (void)
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -74,6 +74,9 @@
 extern relay_net_t rnet;
 
 void relay_net_setup (const gt_relay_options_t *options, const char *rules);
+rt_target_t *relay_net_add_part (const peer_t *peer, const char *id,
+                                 const char *service, unsigned from,
+                                 unsigned end);
 rt_target_t *relay_net_add (const peer_t *peer, const char *id,
                             const char *service, unsigned end);
 void relay_net_run (el_time_t span);
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -298,6 +298,65 @@
 }
 END_TEST
 
+static void
+serve_without_length_until_end (peer_conn_t *conn)
+{
+  peer_printf (conn,
+               "HTTP/1.1 200 OK\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-response-seal: s\r\n\r\n",
+               conn->id);
+  event_without_length (conn, 1);
+  event_without_length (conn, 2);
+}
+
+static void
+serve_rest (peer_conn_t *conn)
+{
+  peer_stream_head (conn);
+  peer_event (conn, 3);
+  peer_stream_end (conn);
+}
+
+/* An engine ends a stream without a length, as another engine of its chain
+   does not respond or has crashed: it is broken off, or goes on elsewhere if
+   it may. Guards against streams that end early and look complete. */
+START_TEST (test_stream_cut_for_an_engine_behind_the_first_is_not_whole)
+{
+  int may_resume = _i & 1;
+  int crashes = _i & 2;
+  peer_t first = { .serve = serve_without_length_until_end };
+  peer_t behind = { .serve = peer_refuse };
+  peer_t other = { .serve = serve_rest };
+  net_call_t call;
+
+  peer_open (&first);
+  peer_open (&behind);
+  peer_open (&other);
+  relay_net_add_part (&first, "a", "llm", 0, 4);
+  relay_net_add_part (&behind, "b", "llm", 4, 8);
+  call_send (&call, "r1", "POST", may_resume ? "/low/x" : "/high/x");
+  while (rnet.relays->counts.events < 2)
+    relay_net_run_once ();
+  relay_net_add (&other, "c", "llm", 8);
+  if (crashes)
+    peer_close (&behind);
+  else
+    behind.silent = 1;
+  relay_net_run (20 * EL_MSEC);
+  while (first.conns)
+    peer_end (first.conns);
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 200);
+  ck_assert_int_eq (call.net, may_resume ? NET_OK : NET_CONNECTION_LOST);
+  if (may_resume)
+    ck_assert_msg (el_str_eq (el_buf_str (&call.body),
+                              EL_STR ("id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
+                                      "id: 3\ndata: t3\n\n")),
+                   "%.*s", (int)call.body.len, call.body.ptr);
+  call_free (&call);
+}
+END_TEST
+
 static void
 crash (void *arg, el_time_t now)
 {
@@ -529,6 +588,8 @@
   ADD (tcase, test_chunked_stream_without_its_end_is_not_whole);
   ADD_LOOP (tcase, test_long_answer_is_whole_or_fails, 2);
   ADD (tcase, test_block_does_not_refuse_a_begun_response);
+  ADD_LOOP (tcase, test_stream_cut_for_an_engine_behind_the_first_is_not_whole,
+            4);
   ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
