--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -5,6 +5,7 @@
 /** @file
  * Tests of which response is taken for a request's, and for whole.
  */
+#define _GNU_SOURCE
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -357,6 +358,65 @@
 }
 END_TEST
 
+/* Ways in which a chunked stream is cut off. */
+static const char *const cuts[]
+    = { "", "d\r\nid: 2\ndata: t\r\n", "10\r\nid: 2", "0", "0\r\n", "x\r\n" };
+
+static void
+serve_cut_or_rest (peer_conn_t *conn)
+{
+  const char *cut = conn->peer->arg;
+
+  peer_stream_head (conn);
+  if (memmem (conn->head.ptr, conn->head.len, "\r\nlast-event-id: 1\r\n", 20))
+    {
+      peer_event (conn, 2);
+      peer_stream_end (conn);
+      return;
+    }
+  peer_event (conn, 1);
+  peer_write (conn, cut, strlen (cut));
+  peer_after (conn, 20 * EL_MSEC, cut_stream);
+}
+
+/* Another host that serves a stream is lost in the middle of it: the stream
+   goes on over a third one if it may, and is broken off otherwise. Guards
+   against streams that end early and look complete. */
+START_TEST (test_stream_cut_at_another_host_is_not_whole)
+{
+  int may_resume = _i & 1;
+  void *cut = (void *)(uintptr_t)cuts[_i / 2];
+  peer_t engine = { .serve = peer_refuse };
+  peer_t helpers[] = { { .serve = serve_cut_or_rest, .arg = cut },
+                       { .serve = serve_cut_or_rest, .arg = cut } };
+  rt_target_t *target;
+  net_call_t call;
+  size_t i;
+
+  peer_open (&engine);
+  target = relay_net_add (&engine, "e", "llm", 8);
+  for (i = 0; i < 2; i++)
+    {
+      peer_open (&helpers[i]);
+      rnet.helpers[rnet.nhelpers++] = &helpers[i];
+    }
+  peer_close (&engine);
+  relay_reach_failed (rnet.relays, target);
+  call_send (&call, "r1", "POST", may_resume ? "/low/x" : "/high/x");
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 200);
+  ck_assert_int_eq (call.net, may_resume ? NET_OK : NET_CONNECTION_LOST);
+  if (may_resume)
+    ck_assert_msg (
+        el_str_eq (el_buf_str (&call.body), EL_STR ("id: 1\ndata: t1\n\n"
+                                                    "id: 2\ndata: t2\n\n")),
+        "%.*s", (int)call.body.len, call.body.ptr);
+  ck_assert_uint_eq (helpers[0].requests + helpers[1].requests,
+                     may_resume ? 2 : 1);
+  call_free (&call);
+}
+END_TEST
+
 static void
 crash (void *arg, el_time_t now)
 {
@@ -590,6 +650,8 @@
   ADD (tcase, test_block_does_not_refuse_a_begun_response);
   ADD_LOOP (tcase, test_stream_cut_for_an_engine_behind_the_first_is_not_whole,
             4);
+  ADD_LOOP (tcase, test_stream_cut_at_another_host_is_not_whole,
+            2 * sizeof cuts / sizeof *cuts);
   ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
