--- a/tests/t_phase.c
+++ b/tests/t_phase.c
@@ -96,6 +96,62 @@
 }
 END_TEST
 
+#define HALVES 10
+#define HALF_INTERVAL (8 * EL_MSEC)
+
+/* Sends a stream in halves of events. */
+static void
+serve_half (void *arg, el_time_t now)
+{
+  peer_conn_t *conn = arg;
+  unsigned id = conn->step / 2 + 1;
+  char half[32];
+
+  (void)now;
+  snprintf (half, sizeof half, conn->step++ % 2 ? "ta: t%u\n\n" : "id: %u\nda",
+            id);
+  peer_printf (conn, "%zx\r\n%s\r\n", strlen (half), half);
+  if (conn->step == HALVES)
+    peer_stream_end (conn);
+  else
+    peer_after (conn, HALF_INTERVAL, serve_half);
+}
+
+static void
+serve_halves (peer_conn_t *conn)
+{
+  peer_stream_head (conn);
+  serve_half (conn, 0);
+}
+
+/* The same with a stream that the other host sends in halves of events. Guards
+   against events of two runs that are joined. */
+START_TEST (test_waiting_stream_is_not_joined_from_two_runs)
+{
+  peer_t engine = { .serve = peer_refuse };
+  peer_t helper = { .serve = serve_halves };
+  rt_target_t *target;
+  net_call_t call;
+
+  peer_open (&engine);
+  peer_open (&helper);
+  target = relay_net_add (&engine, "e", "llm", 8);
+  call_send (&call, "r1", "POST", _i ? "/low/x" : "/high/x");
+  while (!rnet.relays->counts.queued)
+    relay_net_run_once ();
+  rnet.helpers[rnet.nhelpers++] = &helper;
+  peer_close (&engine);
+  relay_reach_failed (rnet.relays, target);
+  call_wait (&call);
+  ck_assert_msg (el_str_eq (el_buf_str (&call.body),
+                            EL_STR ("id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
+                                    "id: 3\ndata: t3\n\nid: 4\ndata: t4\n\n"
+                                    "id: 5\ndata: t5\n\n")),
+                 "%.*s", (int)call.body.len, call.body.ptr);
+  call_free (&call);
+}
+END_TEST
+
 static void
 serve_events (void *arg, el_time_t now)
 {
@@ -641,6 +697,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, phase_setup, NULL);
   ADD_LOOP (tcase, test_waiting_request_is_sent_over_one_host, 2);
+  ADD_LOOP (tcase, test_waiting_stream_is_not_joined_from_two_runs, 2);
   ADD_LOOP (tcase, test_request_of_a_reset_connection_is_freed, 2);
   suite_add_tcase (suite, tcase);
   tcase_set_timeout (courses, 60);
