Tests: a stream that its caller resumes keeps its position

The next attempt of a stream carries the caller's Last-Event-Id as long as no event has come, then that of the last event, and one such header.

--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -468,33 +468,42 @@
   el_buf_add (&call->body, result->body);
 }
 
-/** Sends a request to the relay. */
+/** Sends a request with HEADERS to the relay. */
 void
-call_send (net_call_t *call, const char *id, const char *method,
-           const char *path)
+call_send_headers (net_call_t *call, const char *method, const char *path,
+                   const net_header_t *headers, size_t nheaders)
 {
-  const net_header_t headers[]
-      = { { EL_STR ("x-elmarch-request-id"), el_str (id) },
-          { EL_STR ("x-elmarch-token-count"), EL_STR ("10,10") } };
   char address[32];
   net_request_t request = { .host = EL_STR ("rel.example"),
                             .method = el_str (method),
                             .path = el_str (path),
                             .headers = headers,
-                            .nheaders = 2,
+                            .nheaders = nheaders,
                             .timeout = CALL_TIMEOUT,
                             .max_response = (size_t)64 << 20,
                             .done = call_done,
                             .arg = call };
 
   memset (call, 0, sizeof *call);
-  snprintf (call->id, sizeof call->id, "%s", id);
   snprintf (address, sizeof address, "127.0.0.1:%u",
             net_server_port (rnet.relays->server));
   request.address = el_str (address);
   call->exchange = net_client_send (rnet.callers, &request);
 }
 
+/** Sends a request to the relay. */
+void
+call_send (net_call_t *call, const char *id, const char *method,
+           const char *path)
+{
+  const net_header_t headers[]
+      = { { EL_STR ("x-elmarch-request-id"), el_str (id) },
+          { EL_STR ("x-elmarch-token-count"), EL_STR ("10,10") } };
+
+  call_send_headers (call, method, path, headers, 2);
+  snprintf (call->id, sizeof call->id, "%s", id);
+}
+
 /** Sends a request with ID to ADDRESS by CLIENT. */
 void
 call_send_to (net_call_t *call, net_client_t *client, const char *address,
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -96,6 +96,8 @@
 void peer_event (peer_conn_t *conn, unsigned id);
 void peer_stream_end (peer_conn_t *conn);
 
+void call_send_headers (net_call_t *call, const char *method, const char *path,
+                        const net_header_t *headers, size_t nheaders);
 void call_send (net_call_t *call, const char *id, const char *method,
                 const char *path);
 void call_send_to (net_call_t *call, net_client_t *client, const char *address,
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -417,6 +417,85 @@
 }
 END_TEST
 
+#define CALLERS_POSITION 12
+
+/* Serves events behind the position that the request names; the first attempt
+   is cut off before or after its first one. */
+static void
+serve_from_position (peer_conn_t *conn)
+{
+  static const char name[] = "\r\nlast-event-id: ";
+  unsigned *attempts = conn->peer->arg;
+  int cut_after_event = attempts[1] != 0;
+  const char *at
+      = memmem (conn->head.ptr, conn->head.len, name, sizeof name - 1);
+  unsigned position;
+
+  ck_assert_ptr_nonnull (at);
+  at += sizeof name - 1;
+  position = (unsigned)strtoul (at, NULL, 10);
+  ck_assert_ptr_null (memmem (at,
+                              conn->head.len - (size_t)(at - conn->head.ptr),
+                              name, sizeof name - 1));
+  peer_stream_head (conn);
+  if (attempts[0]++ == 0)
+    {
+      if (cut_after_event)
+        peer_event (conn, position + 1);
+      peer_after (conn, 20 * EL_MSEC, cut_stream);
+      return;
+    }
+  while (position < CALLERS_POSITION + 2)
+    peer_event (conn, ++position);
+  peer_stream_end (conn);
+}
+
+/* A caller resumes a stream, and the attempt is cut off before or after its
+   first event, at an engine or at another host: the next one begins where the
+   caller is. Guards against events that come twice or are missing. */
+START_TEST (test_stream_that_a_caller_resumes_keeps_its_position)
+{
+  const net_header_t headers[]
+      = { { EL_STR ("x-elmarch-request-id"), EL_STR ("r1") },
+          { EL_STR ("x-elmarch-token-count"), EL_STR ("10,10") },
+          { EL_STR ("Last-Event-ID"), EL_STR ("12") } };
+  unsigned attempts[2] = { 0, _i & 1 };
+  int over_host = _i & 2;
+  peer_t gone = { .serve = peer_refuse };
+  peer_t peers[] = { { .serve = serve_from_position, .arg = attempts },
+                     { .serve = serve_from_position, .arg = attempts } };
+  rt_target_t *target;
+  net_call_t call;
+  size_t i;
+
+  peer_open (&gone);
+  for (i = 0; i < 2; i++)
+    {
+      peer_open (&peers[i]);
+      if (over_host)
+        rnet.helpers[rnet.nhelpers++] = &peers[i];
+      else
+        relay_net_add (&peers[i], i ? "b" : "a", "llm", 8);
+    }
+  if (over_host)
+    {
+      target = relay_net_add (&gone, "e", "llm", 8);
+      peer_close (&gone);
+      relay_reach_failed (rnet.relays, target);
+    }
+  call_send_headers (&call, "POST", "/low/x", headers, 3);
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 200);
+  ck_assert_int_eq (call.net, NET_OK);
+  ck_assert_msg (
+      el_str_eq (el_buf_str (&call.body), EL_STR ("id: 13\ndata: t13\n\n"
+                                                  "id: 14\ndata: t14\n\n")),
+      "%.*s", (int)call.body.len, call.body.ptr);
+  ck_assert_uint_eq (attempts[0], 2);
+  call_free (&call);
+}
+END_TEST
+
 static void
 crash (void *arg, el_time_t now)
 {
@@ -652,6 +731,7 @@
             4);
   ADD_LOOP (tcase, test_stream_cut_at_another_host_is_not_whole,
             2 * sizeof cuts / sizeof *cuts);
+  ADD_LOOP (tcase, test_stream_that_a_caller_resumes_keeps_its_position, 4);
   ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
