Known red: a stream whose last event has no id is resumed

The next attempt names the id of the last event that had one, or none, so the other engine sends again what the caller has. Engines are bound to send rising ids; the host does not check that before it resumes, though it can.

--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -496,6 +496,44 @@
 }
 END_TEST
 
+/* Sends an event with an id unless the test's argument is 0, then one without
+   an id, and is cut off. */
+static void
+serve_event_without_id (peer_conn_t *conn)
+{
+  const int *has_id = conn->peer->arg;
+
+  peer_stream_head (conn);
+  if (*has_id)
+    peer_event (conn, 1);
+  peer_printf (conn, "a\r\ndata: t2\n\n\r\n");
+  peer_after (conn, 20 * EL_MSEC, cut_stream);
+}
+
+/* The last event that the caller has received bears no id: the stream has no
+   position at which another engine could go on, and is broken off. Guards
+   against events that come twice. */
+START_TEST (test_stream_without_a_position_is_not_resumed)
+{
+  peer_t engine = { .serve = serve_event_without_id, .arg = &_i };
+  peer_t other = { .serve = serve_event_without_id, .arg = &_i };
+  net_call_t call;
+
+  peer_open (&engine);
+  peer_open (&other);
+  relay_net_add (&engine, "e", "llm", 8);
+  call_send (&call, "r1", "POST", "/low/x");
+  while (!engine.requests)
+    relay_net_run_once ();
+  relay_net_add (&other, "f", "llm", 8);
+  call_wait (&call);
+  ck_assert_int_eq (call.status, 200);
+  ck_assert_int_eq (call.net, NET_CONNECTION_LOST);
+  ck_assert_uint_eq (other.requests, 0);
+  call_free (&call);
+}
+END_TEST
+
 static void
 crash (void *arg, el_time_t now)
 {
@@ -732,6 +770,7 @@
   ADD_LOOP (tcase, test_stream_cut_at_another_host_is_not_whole,
             2 * sizeof cuts / sizeof *cuts);
   ADD_LOOP (tcase, test_stream_that_a_caller_resumes_keeps_its_position, 4);
+  ADD_LOOP (tcase, test_stream_without_a_position_is_not_resumed, 2);
   ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
