A stream whose last event has no id is not resumed

Callers could see an event twice (ORDER): an attempt that follows names the id of the last event that had one, or none, so that the next engine repeats what the caller has received since. Cause: whether a stream may be resumed was decided by its rule alone. Now a stream has a position only if its last event has an id; without one no attempt follows, and the response is broken off.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -191,6 +191,8 @@
   relay_events_t events;
   uint64_t last_event_id; /* id of the last event forwarded */
   int has_id;
+  int no_position; /* the last event forwarded had no id: nothing can continue
+                      behind it */
   el_time_t last_event;
   uint64_t nevents;
   el_time_t first_event; /* from arrival to the first event */
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -129,6 +129,7 @@
   relay->endpoint_waits = 0;
   relay->helpers = 0;
   relays->counts.events++;
+  relay->no_position = !has_id;
   if (has_id)
     {
       relay->last_event_id = id;
@@ -383,8 +384,8 @@
   el_time_t now = net_clock_now (relay->relays->options.clock);
   el_time_t left = relay->deadline > now ? relay->deadline - now : 0;
   rt_attempts_t before = relay->attempts;
-  rt_next_t next
-      = rt_attempts_next (&relay->attempts, relay->rule, attempt, 1, left);
+  rt_next_t next = rt_attempts_next (&relay->attempts, relay->rule, attempt,
+                                     !relay->no_position, left);
 
   if (next != RT_NEXT_RETRY || attempt->unseen || relay_retry_take (relay))
     return next;
@@ -473,6 +474,7 @@
   const rt_attempts_t *attempts = &relay->attempts;
 
   return (relay->rule->kind == RT_SAFE || relay->rule->resumable)
+         && !relay->no_position
          && attempts->before + attempts->may_run + 1 < relay->rule->attempts
          && relay_retry_left (relay);
 }
