The end of a stream without a length is checked at all engines of its chain

Callers could see a stream end as complete before its last event (ORDER): if an engine behind the first one dies or does not respond, the first one waits for it and then closes the stream in order. The relay asked only the first one whether it was there, which it was.

Change: relay_close_settle asks the engines of the chain one after the other; one that has had an event of another stream since the end counts as there. An engine may be back by then, so that a stream which stood still for a second before its end was cut, whoever responds. The engine that is gone is avoided by the next attempt and its run recorded.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -166,6 +166,7 @@
   el_time_t token_until;     /* expiry of the token that was taken; 0: none */
   net_result_t kept;         /* response whose endpoint is checked; owned */
   el_time_t close_at;        /* when its connection ended */
+  size_t close_part;         /* of the chain, whose engine is checked */
   el_time_t connect_at;      /* when the connection of the check was begun */
   int refused;      /* the response proves that the request was not executed */
   rt_hints_t hints; /* backoff and leaving notice in the response */
--- a/gate/relay_close.c
+++ b/gate/relay_close.c
@@ -5,9 +5,10 @@
 /** @file
  * Responses that end with their connection, as they have neither a length nor
  * chunks. A crash of the endpoint closes the connection, too. Such a response
- * is complete only if its endpoint is still there: an engine has to respond, a
- * plain endpoint to take a connection. A stream must have had events and end
- * behind one, besides.
+ * is complete only if its endpoint is still there: a plain endpoint has to
+ * take a connection, and all engines of a chain to respond, as the first one
+ * ends a stream in the same way if another is gone. A stream must have had
+ * events and end right behind one, besides.
  */
 #include "librelay.h"
 
@@ -15,6 +16,9 @@
    its connections in any order, and the one on which it listens may be the
    last. */
 #define CRASH_SETTLED (10 * EL_MSEC)
+/* A stream that ends this long after its last event was cut: engines wait for
+   others that do not respond, which may be back by then. */
+#define STANDSTILL_MIN (1000 * EL_MSEC)
 
 /* Takes the response that was kept while its endpoint was checked. */
 static net_result_t
@@ -51,22 +55,68 @@
   net_result_free (&response);
 }
 
+static rt_target_t *
+close_engine (const gt_relay_t *relay)
+{
+  return relay->chain.part[relay->close_part].target;
+}
+
+/* An engine of the chain is gone. */
+static void
+close_engine_gone (gt_relay_t *relay, const char *evidence)
+{
+  rt_target_t *engine = close_engine (relay);
+
+  relay_enter (relay, RELAY_DECIDING);
+  if (engine != relay->target)
+    {
+      rt_tried_add (&relay->tried, engine);
+      relay_runs_interrupted (relay, engine);
+      relay_check (relay->relays, engine);
+    }
+  close_is_break (relay, evidence);
+}
+
+static void close_check_engine (gt_relay_t *relay);
+
 static void
 close_checked (void *arg, gt_check_result_t result, const rt_load_t *load,
                const rt_hints_t *hints)
 {
   gt_relay_t *relay = arg;
-  uint64_t born = relay->target->attrs.born;
+  uint64_t born = close_engine (relay)->attrs.born;
 
   (void)hints;
   relay->query = NULL;
-  relay_enter (relay, RELAY_DECIDING);
   if (result != GT_CHECK_OK)
-    close_is_break (relay, "engine does not respond");
+    close_engine_gone (relay, "engine does not respond");
   else if (load && load->born && born && load->born != born)
-    close_is_break (relay, "engine has restarted");
+    close_engine_gone (relay, "engine has restarted");
   else
-    close_is_end (relay);
+    {
+      relay->close_part++;
+      close_check_engine (relay);
+    }
+}
+
+/* Checks the next engine of the chain. Those behind the first that have had an
+   event of another stream meanwhile are there. */
+static void
+close_check_engine (gt_relay_t *relay)
+{
+  const gt_relay_options_t *o = &relay->relays->options;
+
+  while (relay->close_part > 0 && relay->close_part < relay->chain.n
+         && close_engine (relay)->last_event_at > relay->close_at)
+    relay->close_part++;
+  if (relay->close_part < relay->chain.n)
+    {
+      relay->query = o->dialect->check (o->client, close_engine (relay),
+                                        close_checked, relay);
+      return;
+    }
+  relay_enter (relay, RELAY_DECIDING);
+  close_is_end (relay);
 }
 
 /* The connection suffices, and stays open for the next request. */
@@ -120,8 +170,8 @@
   relay_enter (relay, RELAY_SETTLING);
   if (relay->chain.n && o->dialect->check)
     {
-      relay->query
-          = o->dialect->check (o->client, relay->target, close_checked, relay);
+      relay->close_part = 0;
+      close_check_engine (relay);
       return;
     }
   relay->watch_timer.cb = close_connect;
@@ -139,6 +189,9 @@
     close_is_break (relay, "no event");
   else if (relay->stream && relay->events.part.len)
     close_is_break (relay, "inside an event");
+  else if (relay->stream && relay->chain.n
+           && relay->close_at >= relay->last_progress + STANDSTILL_MIN)
+    close_is_break (relay, "stood still before its end");
   else if (relay->refused)
     close_is_end (relay);
   else
