A stream in progress waits for the retry budget instead of being broken off

Callers saw (LOST, in the record as budget_left=0 and next=fail): a stream whose attempt failed was broken off if this host's part of the retry budget was spent at that moment, though budget comes back with each request. Cause: the budget was asked once, when the attempt ended, and a spent budget was taken for the end of the request.

Change: the next attempt of a stream that could be resumed is paid for when it is sent; until then the stream waits as for an endpoint, to its deadline or until its caller leaves. Other requests fail or are refused as before.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -309,7 +309,7 @@
 relay_pick_t relay_pick_target (gt_relay_t *relay, el_time_t now);
 
 /* relay_wait.c */
-int relay_wait_endpoint (gt_relay_t *relay);
+int relay_wait_endpoint (gt_relay_t *relay, const char *reason);
 ld_queue_t *relay_wait_queue (gt_relay_t *relay);
 relay_pick_t relay_wait_admit (gt_relay_t *relay, el_time_t now);
 int relay_wait_refused (gt_relay_t *relay, el_time_t now, int charged);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -376,6 +376,14 @@
     relay_attempt_settled (relay, result);
 }
 
+/* Whether the next attempt of RELAY waits for the budget: it is a stream in
+   progress that could be resumed. */
+static int
+may_wait_for_budget (const gt_relay_t *relay)
+{
+  return relay->response_started && relay->rule->resumable;
+}
+
 /* Decides what follows an attempt. A retry is charged to the budget, unless no
    endpoint has seen the attempt. */
 static rt_next_t
@@ -389,6 +397,11 @@
 
   if (next != RT_NEXT_RETRY || attempt->unseen || relay_retry_take (relay))
     return next;
+  if (may_wait_for_budget (relay))
+    {
+      relay->retry_unpaid = 1;
+      return RT_NEXT_RETRY;
+    }
   relay->attempts = before;
   return rt_attempts_next (&relay->attempts, relay->rule, attempt, 0, left);
 }
@@ -431,7 +444,8 @@
   counts->resumed += relay->response_started != 0;
   if (connection_lost)
     relay_schedule_attempt (relay, CONNECTION_LOST_RETRY_DELAY);
-  else if (!relay->endpoint_waits || !relay_wait_endpoint (relay))
+  else if (!relay->endpoint_waits
+           || !relay_wait_endpoint (relay, "no endpoint to go on at"))
     relay_attempt (relay);
 }
 
@@ -607,8 +621,8 @@
       break;
     }
   if (relay_standby_resume (relay, "no other endpoint")
-      || relay_wait_endpoint (relay) || relay_limit_wait (relay, now)
-      || relay_wait_refused (relay, now, 1))
+      || relay_wait_endpoint (relay, "no endpoint to go on at")
+      || relay_limit_wait (relay, now) || relay_wait_refused (relay, now, 1))
     return;
   if (relay->response_started)
     relay_respond_abort (relay, "no endpoint to go on at");
--- a/gate/relay_wait.c
+++ b/gate/relay_wait.c
@@ -44,10 +44,11 @@
   net_clock_set (relay->relays->options.clock, &relay->retry_timer, wait);
 }
 
-/** Schedules another attempt, with a longer delay each time. Returns 0 if
-    RELAY is not a stream in progress that may be resumed. */
+/** Schedules another attempt, with a longer delay each time; REASON is why it
+    can't be made now. Returns 0 if RELAY is not a stream in progress that may
+    be resumed. */
 int
-relay_wait_endpoint (gt_relay_t *relay)
+relay_wait_endpoint (gt_relay_t *relay, const char *reason)
 {
   gt_relays_t *relays = relay->relays;
   el_time_t wait = RETRY_DELAY_MAX;
@@ -59,8 +60,7 @@
       relays->counts.waits++;
       EL_LOG (EL_LOG_INFO, "stream_waits", EL_FS ("request", relay->id),
               EL_FN ("events", relay->nevents),
-              EL_FN ("sent", relay->attempts.sent),
-              EL_FC ("reason", "no endpoint to go on at"));
+              EL_FN ("sent", relay->attempts.sent), EL_FC ("reason", reason));
     }
   if (RETRY_DELAY_MIN << relay->endpoint_waits < RETRY_DELAY_MAX)
     wait = RETRY_DELAY_MIN << relay->endpoint_waits++;
@@ -331,7 +331,7 @@
   if (!relay->retry_unpaid || relay_retry_left (relay))
     return RELAY_PICK_OK;
   if (relay_standby_resume (relay, "retry budget exhausted")
-      || relay_wait_endpoint (relay))
+      || relay_wait_endpoint (relay, "retry budget exhausted"))
     return RELAY_PICK_WAIT;
   if (relay_may_have_run (relay))
     {
--- a/tests/t_standby.c
+++ b/tests/t_standby.c
@@ -31,6 +31,8 @@
 
 /* Retries per request with which a request is retried once. */
 #define ONE_RETRY 2
+/* The same, with which two requests allow one retry. */
+#define HALF_A_RETRY 0.6
 /* Events of a stream, and those before its engine falls silent. */
 #define EVENTS 5
 #define EVENTS_BEFORE 2
@@ -55,13 +57,19 @@
   return NULL;
 }
 
+static void
+send_bytes (peer_conn_t *conn, const char *bytes)
+{
+  peer_printf (conn, "%zx\r\n%s\r\n", strlen (bytes), bytes);
+}
+
 static void
 speak_bytes (const peer_t *peer, const char *bytes)
 {
   peer_conn_t *conn = stream_conn (peer);
 
   if (conn)
-    peer_printf (conn, "%zx\r\n%s\r\n", strlen (bytes), bytes);
+    send_bytes (conn, bytes);
 }
 
 /* Sends the events FROM to TO of PEER's run, and the end after the last one.
@@ -317,6 +325,50 @@
 }
 END_TEST
 
+static void
+budget_setup (void)
+{
+  const gt_relay_options_t options = { .retry_ratio = HALF_A_RETRY };
+
+  relay_net_setup (&options, rules_text);
+}
+
+static void
+serve_rest (peer_conn_t *conn)
+{
+  peer_stream_head (conn);
+  send_bytes (conn, "id: 3\ndata: b3\n\nid: 4\ndata: b4\n\n"
+                    "id: 5\ndata: b5\n\n");
+  peer_stream_end (conn);
+}
+
+/* The engine crashes, and the retry budget is spent: the stream
+   waits, and goes on when another request has added to the budget. Guards
+   against streams that are broken off for want of budget. */
+START_TEST (test_stream_waits_for_the_retry_budget)
+{
+  net_call_t other;
+
+  first.serve = serve_first;
+  second.serve = serve_rest;
+  peer_open (&first);
+  peer_open (&second);
+  relay_net_add (&first, "a", "llm", 8);
+  call_send (&call, "r1", "POST", "/low/x");
+  while (rnet.relays->counts.events < EVENTS_BEFORE)
+    relay_net_run_once ();
+  relay_net_add (&second, "b", "llm", 8);
+  peer_close (&first);
+  relay_net_run (4 * HANDLED);
+  ck_assert_ptr_nonnull (call.exchange);
+  call_send (&other, "r2", "POST", "/low/x");
+  relay_net_run (HANDLED);
+  call_leave (&other);
+  call_free (&other);
+  assert_stream (EVENTS_BEFORE);
+}
+END_TEST
+
 Suite *
 standby_suite (void)
 {
@@ -338,5 +390,10 @@
   tcase_add_checked_fixture (tcase, one_retry_setup, NULL);
   ADD_LOOP (tcase, test_failed_resume_does_not_end_the_stream, 2);
   suite_add_tcase (suite, tcase);
+  tcase = tcase_create ("budget");
+  tcase_set_timeout (tcase, 30);
+  tcase_add_checked_fixture (tcase, budget_setup, NULL);
+  ADD (tcase, test_stream_waits_for_the_retry_budget);
+  suite_add_tcase (suite, tcase);
   return suite;
 }
