--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -262,6 +262,7 @@
 void relay_reach_failed (gt_relays_t *relays, rt_target_t *target);
 void relay_reach_check_overdue (gt_relays_t *relays, rt_target_t *target);
 void relay_reach_check_lost (gt_relays_t *relays, rt_target_t *target);
+void relay_reach_attempt_ended (gt_relay_t *relay, const net_result_t *result);
 void relay_reach_prove (gt_relays_t *relays, rt_target_t *target);
 int relay_reach_is_cut_off (gt_relays_t *relays, el_str_t service);
 void relay_reach_retract_refusals (gt_relays_t *relays,
@@ -345,6 +346,8 @@
 void relay_blame_schedule_update (gt_relays_t *relays);
 void relay_blame_began (gt_relay_t *relay);
 void relay_blame_completed (gt_relay_t *relay);
+void relay_blame_attempt_ended (gt_relay_t *relay, const net_result_t *result,
+                                const rt_attempt_t *attempt);
 rt_blame_status_t relay_blame_get_status (gt_relay_t *relay);
 rt_blame_t *relay_blame_table (const gt_relays_t *relays);
 
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -14,9 +14,6 @@
 /* Retry delay after a lost connection: it takes 2 ms until a crashed engine
    has refused a new connection, or a live one has responded. */
 #define CONNECTION_LOST_RETRY_DELAY (5 * EL_MSEC)
-/* A lost connection triggers a health check unless one was sent this
-   recently. */
-#define CHECK_INTERVAL_MIN (10 * EL_MSEC)
 /* A plain request without a response for this long may hang on a connection
    that gets no packets. */
 #define RESPONSE_OVERDUE (200 * EL_MSEC)
@@ -259,30 +256,6 @@
   rt_tried_add (&relay->tried, fault);
 }
 
-/* Updates the endpoint's liveness and, if the connection was lost, records the
-   request as a possible cause of a crash. */
-static void
-attempt_record_blame (gt_relay_t *relay, const net_result_t *result,
-                      const rt_attempt_t *attempt)
-{
-  gt_relays_t *relays = relay->relays;
-
-  if (result->net == NET_CONNECT_REFUSED)
-    relay_runs_connect_refused (relays, relay->target);
-  if (attempt->answered)
-    relay_cancelled_seen_alive (relays, relay->target, relay->sent);
-  /* A crash may have closed the connection in the middle of a plain answer. */
-  if (attempt->answered && (relay->stream || !result->by_close))
-    relay_blame_completed (relay);
-  if (result->net != NET_CONNECTION_LOST || attempt->verdict == EL_NOT_RUN)
-    return;
-  relay_runs_interrupted (relay, relay->target);
-  if (relay->chain.n)
-    relay_check_unless_recent (relays, relay->target,
-                               net_clock_now (relays->options.clock)
-                                   - CHECK_INTERVAL_MIN);
-}
-
 /* The request was withheld before any byte was sent: another target is picked,
    and nothing is charged to the retry budget. */
 static void
@@ -308,17 +281,6 @@
          && relay_limit_still_permits (relay, now);
 }
 
-static void
-attempt_record_reach (gt_relay_t *relay, const net_result_t *result)
-{
-  if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
-    relay_reach_failed (relay->relays, relay->target);
-  else if (result->net == NET_CONNECTION_LOST)
-    relay_reach_check_lost (relay->relays, relay->target);
-  else if (result->net == NET_TIMEOUT)
-    relay_reach_check_overdue (relay->relays, relay->target);
-}
-
 /* Records what the end of an attempt shows about its endpoint. */
 static void
 attempt_record (gt_relay_t *relay, const net_result_t *result,
@@ -326,8 +288,8 @@
 {
   if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
     relay_limit_not_sent (relay);
-  attempt_record_reach (relay, result);
-  attempt_record_blame (relay, result, attempt);
+  relay_reach_attempt_ended (relay, result);
+  relay_blame_attempt_ended (relay, result, attempt);
   attempt_record_health (relay, result, attempt);
 }
 
--- a/gate/relay_blame.c
+++ b/gate/relay_blame.c
@@ -198,3 +198,27 @@
   relays->blame = blame;
   relay_runs_open (relays);
 }
+
+/** Updates the endpoint's liveness after an attempt and, if the connection was
+    lost, records the request as a possible cause of a crash. */
+void
+relay_blame_attempt_ended (gt_relay_t *relay, const net_result_t *result,
+                           const rt_attempt_t *attempt)
+{
+  gt_relays_t *relays = relay->relays;
+
+  if (result->net == NET_CONNECT_REFUSED)
+    relay_runs_connect_refused (relays, relay->target);
+  if (attempt->answered)
+    relay_cancelled_seen_alive (relays, relay->target, relay->sent);
+  /* A crash may have closed the connection in the middle of a plain answer. */
+  if (attempt->answered && (relay->stream || !result->by_close))
+    relay_blame_completed (relay);
+  if (result->net != NET_CONNECTION_LOST || attempt->verdict == EL_NOT_RUN)
+    return;
+  relay_runs_interrupted (relay, relay->target);
+  if (relay->chain.n)
+    relay_check_unless_recent (relays, relay->target,
+                               net_clock_now (relays->options.clock)
+                                   - CHECK_INTERVAL_MIN);
+}
--- a/gate/relay_reach.c
+++ b/gate/relay_reach.c
@@ -470,3 +470,16 @@
       || service->sample.begun < net_clock_now (relays->options.clock))
     reach_sample (relays, service);
 }
+
+/** Records what the end of an attempt shows of the connection to its
+    endpoint. */
+void
+relay_reach_attempt_ended (gt_relay_t *relay, const net_result_t *result)
+{
+  if (result->net == NET_CONNECT_FAILED || result->net == NET_CONNECT_REFUSED)
+    relay_reach_failed (relay->relays, relay->target);
+  else if (result->net == NET_CONNECTION_LOST)
+    relay_reach_check_lost (relay->relays, relay->target);
+  else if (result->net == NET_TIMEOUT)
+    relay_reach_check_overdue (relay->relays, relay->target);
+}
