Tests: duplicates of a call at paused workers

Workers that are paused hold a call without an answer and without a lost connection. No test sent duplicates in that time, over several hosts.

--- a/tests/t_at_most_once.c
+++ b/tests/t_at_most_once.c
@@ -67,6 +67,40 @@
 }
 END_TEST
 
+/* Polls that take a good second. */
+#define PAUSE_STEPS 220
+
+/* The workers are paused for a second while a call and its duplicates wait for
+   them: all get the response of the one run. */
+START_TEST (test_duplicates_at_paused_workers_run_once)
+{
+  char session[640];
+  const char *headers[] = { session, "x-elmarch-sequence: 1", NULL };
+  caller_t callers[6];
+  size_t i;
+
+  cluster_start (&fixture, 3);
+  session_open (&fixture.hosts[0], session, sizeof session);
+  for (i = 0; i < 2; i++)
+    proc_signal (&fixture.workers[i], SIGSTOP);
+  for (i = 0; i < 6; i++)
+    caller_start (&callers[i], fixture.hosts[i % 3].address, PAY_PATH,
+                  "{\"id\":\"t1\"}", headers, 0);
+  for (i = 0; i < PAUSE_STEPS; i++)
+    poll_sleep ();
+  for (i = 0; i < 2; i++)
+    proc_signal (&fixture.workers[i], SIGCONT);
+  for (i = 0; i < 6; i++)
+    {
+      caller_join (&callers[i]);
+      assert_verdict (&callers[i].reply, 200, "ran");
+      ck_assert_ptr_nonnull (strstr (callers[i].reply.body.ptr, "\"run\":1"));
+      reply_free (&callers[i].reply);
+    }
+  ck_assert_int_eq (payment_runs_total ("t1"), 1);
+}
+END_TEST
+
 /* The session's home restarts, or stays down, after the call ran: a duplicate
    at any host is answered with "may have run", and does not run. */
 START_TEST (test_duplicate_after_loss_of_home_never_runs)
@@ -329,6 +363,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, cluster_setup, cluster_teardown);
   ADD (tcase, test_duplicates_run_once);
+  ADD (tcase, test_duplicates_at_paused_workers_run_once);
   ADD_LOOP (tcase, test_duplicate_after_loss_of_home_never_runs, 2);
   ADD (tcase, test_duplicate_while_home_is_stopped_never_runs_elsewhere);
   ADD_LOOP (tcase, test_worker_fault_runs_at_most_once,
