Tests: requests that may run once at paused processes

Plain requests and streams that may not be resumed are sent before and while all endpoints, or all hosts that serve for a host which is cut off, are paused for a second. Engines and workers of the site record their runs, so that they can be counted by the request's id.

It fails if a stream that may not be resumed is taken off its silent engine.

--- a/tests/site.c
+++ b/tests/site.c
@@ -68,6 +68,8 @@
                          site.step_us,
                          "--layers-most",
                          site.max_layers ? site.max_layers : "4096",
+                         "--record",
+                         site.runs_file,
                          site.keep_ids ? "--same-id" : NULL,
                          NULL };
 
@@ -486,6 +488,34 @@
   proc_end (&site.store, SIGKILL);
   if (site.record_file[0])
     unlink (site.record_file);
+  if (site.runs_file[0])
+    unlink (site.runs_file);
+}
+
+/** Makes the engines and workers that are started from now on record their
+    runs. */
+void
+site_record_runs (void)
+{
+  snprintf (site.runs_file, sizeof site.runs_file, "/tmp/elmarch-runs-%d",
+            (int)getpid ());
+  unlink (site.runs_file);
+}
+
+/** How often the request ID ran. */
+unsigned
+site_runs (const char *id)
+{
+  FILE *file = fopen (site.runs_file, "r");
+  char line[512];
+  char ran[96];
+  unsigned runs = 0;
+
+  ck_assert_ptr_nonnull (file);
+  while (fgets (line, sizeof line, file))
+    runs += sscanf (line, "%*u %95s", ran) == 1 && strcmp (ran, id) == 0;
+  fclose (file);
+  return runs;
 }
 
 /* Headers of a request through a host: its id, and the number of the host,
--- a/tests/site.h
+++ b/tests/site.h
@@ -33,6 +33,7 @@
   int no_workers;         /* only engines are started */
   int keep_ids;         /* engines and workers keep their ids over a restart */
   char record_file[64]; /* file of the store; empty: not persistent */
+  char runs_file[64];   /* of engines and workers; empty: not recorded */
   char engine_ids[SITE_ENGINES][96];
   char worker_ids[SITE_WORKERS][96];
   const char *halls[SITE_HOSTS]; /* of the hosts; NULL: that of the
@@ -63,6 +64,8 @@
 void site_wait_metric (const char *name, uint64_t value);
 void site_wait_metric_except (size_t except, const char *name, uint64_t value);
 void site_store_mute (int on);
+void site_record_runs (void);
+unsigned site_runs (const char *id);
 void site_cut_enable (void);
 void site_cut_environment (size_t host, int on);
 void site_cut_remove (size_t host);
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -387,6 +387,91 @@
 }
 END_TEST
 
+/* A route of streams that may run once. */
+static const char once_rule[]
+    = ",{\"Name\":\"once\",\"Host\":\"rel.example\",\"PathPrefix\":\"/once/"
+      "\",\"RouteType\":\"streaming\",\"TimeoutMs\":9000,\"MaxAttempts\":2,"
+      "\"Service\":\"llm\",\"Priority\":0}";
+
+/* Which processes are paused, and whether requests go over other hosts. */
+static const struct
+{
+  int cut;
+  int endpoints;
+  int helpers;
+} pauses[] = { { 0, 1, 0 }, { 1, 1, 0 }, { 1, 0, 1 } };
+
+static void
+pause_signal (int pause, int signal)
+{
+  size_t i;
+
+  for (i = 0; pauses[pause].endpoints && i < SITE_WORKERS; i++)
+    proc_signal (&site.workers[i], signal);
+  for (i = 0; pauses[pause].endpoints && i < SITE_ENGINES; i++)
+    proc_signal (&site.engines[i], signal);
+  for (i = 1; pauses[pause].helpers && i < SITE_HOSTS; i++)
+    proc_signal (&site.hosts[i], signal);
+}
+
+/* Starts a request of each kind that may run once at host 0. */
+static void
+once_start (caller_t callers[2], char ids[2][32], int round)
+{
+  snprintf (ids[0], sizeof ids[0], "once-pay-%d", round);
+  snprintf (ids[1], sizeof ids[1], "once-stream-%d", round);
+  request_start (&callers[0], 0, "/pay/x", ids[0]);
+  request_start (&callers[1], 0, "/once/x", ids[1]);
+}
+
+/* Endpoints, or the hosts that serve for another one, are paused for a second:
+   requests that may run once, sent before and meanwhile, wait for them and
+   run once. */
+START_TEST (test_request_at_a_paused_process_runs_once)
+{
+  caller_t callers[ROUNDS][2];
+  char ids[ROUNDS][2][32];
+  int step;
+  int i;
+  int k;
+
+  site.step_us = "10000";
+  site.more_rules = once_rule;
+  site_record_runs ();
+  site_cut_enable ();
+  site_start (SITE_HOSTS);
+  for (i = 0; i < SITE_WORKERS; i++)
+    set_fault (&site.workers[i], "{\"fault\":\"slow\",\"delay_ms\":300}");
+  if (pauses[_i].cut)
+    {
+      site_cut (0, 'r');
+      wait_cut_off (0);
+    }
+  for (i = 0; i < ROUNDS / 2; i++)
+    once_start (callers[i], ids[i], i);
+  for (step = 0; step < SECOND_STEPS / 8; step++)
+    poll_sleep ();
+  pause_signal (_i, SIGSTOP);
+  for (; i < ROUNDS; i++)
+    once_start (callers[i], ids[i], i);
+  for (step = 0; step < FREEZE_STEPS; step++)
+    poll_sleep ();
+  pause_signal (_i, SIGCONT);
+  for (i = 0; i < ROUNDS; i++)
+    for (k = 0; k < 2; k++)
+      {
+        caller_join (&callers[i][k]);
+        ck_assert_msg (callers[i][k].reply.status == 200
+                           && site_runs (ids[i][k]) == 1,
+                       "%s: status %ld, ran %u times", ids[i][k],
+                       callers[i][k].reply.status, site_runs (ids[i][k]));
+        if (k)
+          assert_stream_complete (&callers[i][k].reply);
+        reply_free (&callers[i][k].reply);
+      }
+}
+END_TEST
+
 START_TEST (test_host_serves_by_itself_after_a_cut)
 {
   uint64_t forwarded;
@@ -604,6 +689,8 @@
   ADD_LOOP (tcase, test_stream_goes_on_over_another_host, CUTS);
   ADD_LOOP (tcase, test_cut_off_hosts_serve_as_often_as_others, 2 * CUTS);
   ADD_LOOP (tcase, test_host_that_serves_for_another_is_killed, 2);
+  ADD_LOOP (tcase, test_request_at_a_paused_process_runs_once,
+            (int)(sizeof pauses / sizeof *pauses));
   ADD_LOOP (tcase, test_host_serves_by_itself_after_a_cut, CUTS);
   ADD (tcase, test_requests_are_not_forwarded_when_all_endpoints_are_gone);
   ADD (tcase, test_endpoints_that_replace_lost_ones_are_used_at_once);
