Known red: a worker's failure without a seal over another host

A host that is cut off sends a request over another host. The worker runs it and answers 404 without a seal; the other host passes that on. forward_classify takes any 4xx without a seal for the other host's own refusal, and as such as a proof that the request was not run. It is sent over a third host and runs again; then the caller gets 503.

The stand-in gets the fault "unsealed" for it.

--- a/standin/main.c
+++ b/standin/main.c
@@ -25,6 +25,7 @@
   [SN_DIE_AFTER] = "die-after", [SN_LOSE] = "lose",
   [SN_HANG] = "hang",           [SN_CROSS] = "cross",
   [SN_DOWN] = "down",           [SN_SLOW] = "slow",
+  [SN_UNSEALED] = "unsealed",
 };
 
 #define FIELD(field) offsetof (sn_settings_t, field)
--- a/standin/member.c
+++ b/standin/member.c
@@ -682,6 +682,11 @@
       reply_with_id (req, 500, "x-elmarch-response-seal", RESPONSE_SEAL, "");
       return;
     }
+  if (fault == SN_UNSEALED)
+    {
+      reply_with_id (req, 404, NULL, NULL, "");
+      return;
+    }
   if (fault == SN_LOSE)
     {
       net_req_abort (req);
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -29,6 +29,7 @@
               a member runs it and answers 500, the platform drops the
               connection */
   SN_SLOW, /**< answer after delay_ms */
+  SN_UNSEALED, /**< a member runs the call and answers 404 without a seal */
   SN_FAULT_COUNT
 } sn_fault_t;
 
--- a/tests/t_partition.c
+++ b/tests/t_partition.c
@@ -218,6 +218,27 @@
 }
 END_TEST
 
+/* A worker runs a request that may run once and answers 404 without a seal: a
+   host that sent it over another one does not send it over a third. */
+START_TEST (test_unsealed_failure_over_another_host_runs_once)
+{
+  reply_t reply;
+  size_t i;
+
+  site_record_runs ();
+  site_cut_enable ();
+  site_start (SITE_HOSTS);
+  site_cut (0, 'r');
+  wait_cut_off (0);
+  for (i = 0; i < SITE_WORKERS; i++)
+    set_fault (&site.workers[i], "{\"fault\":\"unsealed\"}");
+  send_request (0, "POST", "/pay/x", "unsealed", &reply);
+  ck_assert_msg (site_runs ("unsealed") == 1, "status %ld, ran %u times",
+                 reply.status, site_runs ("unsealed"));
+  reply_free (&reply);
+}
+END_TEST
+
 /* Nobody reaches an endpoint: refused at once as not run, and no host forwards
    what another one forwarded. */
 START_TEST (test_requests_are_refused_at_once_when_all_hosts_are_cut_off)
@@ -683,6 +704,7 @@
   ADD_LOOP (tcase, test_host_cut_off_from_endpoints_serves_first_attempts,
             CUTS);
   ADD (tcase, test_request_over_another_host_runs_once);
+  ADD (tcase, test_unsealed_failure_over_another_host_runs_once);
   ADD (tcase, test_requests_are_refused_at_once_when_all_hosts_are_cut_off);
   ADD (tcase, test_revoked_key_is_refused_over_another_host);
   ADD (tcase, test_caller_disconnect_over_another_host_cancels_work);
