A failure of an endpoint over another host is no refusal of that host

Callers could see a request run twice (TWICE), or 503 after a run (REFUSED): a host that is cut off sends a request over another one; the worker runs it and answers 404 without a seal; that is passed on, taken for the other host's own refusal, and the request goes over a third host.

Cause: a response without a seal and with 4xx or 503 counted as not run, as hosts refuse so. An endpoint may answer the same. Now a host says on its own refusal of a forwarded request that it was not run ("elmarch-not-run"), and nothing else proves it. A host of an earlier version does not say so: what it refuses counts as possibly run while versions are mixed.

It is not known whether the users' workers answer without a seal.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -292,6 +292,7 @@
 int relay_forward_pick (gt_relay_t *relay);
 void relay_forward_release (gt_relay_t *relay);
 void relay_forward_mark_unserved (gt_relay_t *relay);
+void relay_forward_mark_refused (gt_relay_t *relay);
 void relay_forward_refuse (gt_relay_t *relay, el_time_t retry_after);
 
 /* relay_pick.c */
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -21,6 +21,9 @@
 #define FORWARDED_HEADER "elmarch-forwarded"
 /* On a helper's refusal: it can't serve callers now, but another host may. */
 #define UNSERVED_HEADER "elmarch-unserved"
+/* On a helper's own refusal: the request was not run. An endpoint's answer may
+   have the same status. */
+#define NOT_RUN_HEADER "elmarch-not-run"
 /* Headers of a forwarded request beside the caller's. */
 #define OWN_HEADERS_MAX 4
 /* Helpers that a request is forwarded to. */
@@ -158,6 +161,15 @@
     net_req_add_header (relay->req, EL_STR (UNSERVED_HEADER), EL_STR ("1"));
 }
 
+/** Tells the host that forwarded the request that this one refuses it, not an
+    endpoint. */
+void
+relay_forward_mark_refused (gt_relay_t *relay)
+{
+  if (relay->forwarded)
+    net_req_add_header (relay->req, EL_STR (NOT_RUN_HEADER), EL_STR ("1"));
+}
+
 /** Refuses a request, as this host does not reach the endpoints. */
 void
 relay_forward_refuse (gt_relay_t *relay, el_time_t retry_after)
@@ -217,8 +229,8 @@
 }
 
 /* Determines what a helper's response says about the request. A response with
-   a seal is an endpoint's. The helper has refused the request, or its rules
-   differ from those of this host, or the request may have run. */
+   a seal is an endpoint's. One without may be, unless the helper says that it
+   has refused the request itself. */
 static void
 forward_classify (gt_relay_t *relay, const net_result_t *result,
                   rt_attempt_t *attempt)
@@ -238,8 +250,7 @@
       attempt->verdict = EL_RAN;
       attempt->answered = 1;
     }
-  else if ((result->status >= 400 && result->status < 500)
-           || result->status == 503)
+  else if (net_result_header (result, NOT_RUN_HEADER).len)
     {
       attempt->verdict = EL_NOT_RUN;
       attempt->unseen = 1;
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -30,6 +30,8 @@
 
   relay_log (relay, "answered", status, reason);
   relay_finish (relay);
+  if (status < 500 || status == 503)
+    relay_forward_mark_refused (relay);
   if (retry_after)
     {
       snprintf (text, sizeof text, "%.3f",
--- a/tests/t_forward.c
+++ b/tests/t_forward.c
@@ -37,7 +37,9 @@
   HOST_UNSERVED, /* it can't serve callers now */
   HOST_BUSY,
   HOST_UNKNOWN_RULE,
-  HOST_MAY_HAVE_RUN
+  HOST_MAY_HAVE_RUN,
+  HOST_PASSES_404, /* of an endpoint, without a seal */
+  HOST_PASSES_503  /* the same */
 } host_mode_t;
 
 typedef struct other_host
@@ -56,6 +58,7 @@
   int done;
   int status;
   int unserved;
+  int not_run;
   double retry_after;
 } response_t;
 
@@ -77,11 +80,11 @@
 static void
 host_handle (void *arg, h2o_req_t *req)
 {
-  static const int statuses[] = { [HOST_SERVES] = 200,
-                                  [HOST_UNSERVED] = 503,
-                                  [HOST_BUSY] = 503,
-                                  [HOST_UNKNOWN_RULE] = 404,
-                                  [HOST_MAY_HAVE_RUN] = 502 };
+  static const int statuses[]
+      = { [HOST_SERVES] = 200,       [HOST_UNSERVED] = 503,
+          [HOST_BUSY] = 503,         [HOST_UNKNOWN_RULE] = 404,
+          [HOST_MAY_HAVE_RUN] = 502, [HOST_PASSES_404] = 404,
+          [HOST_PASSES_503] = 503 };
   other_host_t *host = arg;
 
   host->requests++;
@@ -92,6 +95,9 @@
                  &host->time_left);
   if (host->mode == HOST_SERVES)
     net_req_add_header (req, EL_STR ("x-elmarch-response-seal"), EL_STR ("s"));
+  if (host->mode == HOST_UNSERVED || host->mode == HOST_BUSY
+      || host->mode == HOST_UNKNOWN_RULE)
+    net_req_add_header (req, EL_STR ("elmarch-not-run"), EL_STR ("1"));
   if (host->mode == HOST_UNSERVED)
     net_req_add_header (req, EL_STR ("elmarch-unserved"), EL_STR ("1"));
   if (host->mode == HOST_BUSY)
@@ -209,6 +215,7 @@
   response->done = 1;
   response->status = result->status;
   response->unserved = net_result_header (result, "elmarch-unserved").len > 0;
+  response->not_run = net_result_header (result, "elmarch-not-run").len > 0;
   if (after.len)
     response->retry_after = strtod (after.ptr, NULL);
 }
@@ -297,7 +304,10 @@
 
 START_TEST (test_forward_does_not_repeat_what_may_have_run)
 {
-  forward_start (3, HOST_MAY_HAVE_RUN);
+  static const host_mode_t modes[]
+      = { HOST_MAY_HAVE_RUN, HOST_PASSES_404, HOST_PASSES_503 };
+
+  forward_start (3, modes[_i]);
   ck_assert_int_eq (send_to_relay ("POST", "/pay/x", NULL).status, 502);
   ck_assert_uint_eq (requests_total (), 1);
 }
@@ -323,6 +333,7 @@
   response = send_to_relay ("GET", "/look/x", "0");
   ck_assert_int_eq (response.status, 503);
   ck_assert_int_eq (response.unserved, 1);
+  ck_assert_int_eq (response.not_run, 1);
   ck_assert_uint_eq (requests_total (), 0);
   ck_assert_uint_eq (relays->counts.for_host, 1);
 }
@@ -337,7 +348,7 @@
   ADD (tcase, test_forward_asks_three_hosts_at_most);
   ADD (tcase, test_forward_goes_on_to_a_host_that_serves);
   ADD (tcase, test_forward_passes_a_refusal_on);
-  ADD (tcase, test_forward_does_not_repeat_what_may_have_run);
+  ADD_LOOP (tcase, test_forward_does_not_repeat_what_may_have_run, 3);
   ADD (tcase, test_forward_hands_on_key_time_and_attempts);
   ADD (tcase, test_forward_is_one_hop);
   suite_add_tcase (suite, tcase);
--- a/tests/t_phase.c
+++ b/tests/t_phase.c
@@ -392,6 +392,7 @@
 course_help (peer_conn_t *conn)
 {
   static const char refusal[] = "HTTP/1.1 503 Busy\r\n%scontent-length: 0\r\n"
+                                "elmarch-not-run: 1\r\n"
                                 "retry-after: 0.1\r\n\r\n";
 
   switch (seeds_random (6))
