--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -52,22 +52,27 @@
 
   (void)arg;
   for (i = 0; i < rnet.nhelpers; i++)
-    {
-      const gt_entry_host_t host
-          = { .address = el_str (rnet.helpers[i]->address),
-              .hall = EL_STR ("h"),
-              .capacity = 1 };
+    if (!rnet.helpers[i]->lost)
+      {
+        const gt_entry_host_t host
+            = { .address = el_str (rnet.helpers[i]->address),
+                .hall = EL_STR ("h"),
+                .capacity = 1 };
 
-      visit (visit_arg, &host);
-    }
+        visit (visit_arg, &host);
+      }
 }
 
 static int
 helper_is_live (void *arg, el_str_t address)
 {
+  size_t i;
+
   (void)arg;
-  (void)address;
-  return 1;
+  for (i = 0; i < rnet.nhelpers; i++)
+    if (el_str_eq (el_str (rnet.helpers[i]->address), address))
+      return !rnet.helpers[i]->lost;
+  return 0;
 }
 
 /** Starts a relay under RULES. OPTIONS: what differs from the defaults; may be
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -40,6 +40,7 @@
   void (*serve) (peer_conn_t *conn);
   void *arg;
   int silent; /* reports get no answer */
+  int lost;   /* as a host: not live */
   unsigned connections;
   unsigned requests; /* reports not counted */
   size_t sent;       /* bytes written by peer_flood */
