Tests: ends of a request that has a standby

- half_answer_is_not_joined_with_another_run: the caller gets "compcomplete" (relay->out is not reset when the standby resumes).
- answer_that_is_checked_is_kept_when_the_former_run_ends: "completecomplete", or a connection that is closed (a standby that ends in RELAY_SETTLING frees relay->kept, and the answer has status 0).
- host_that_is_lost_before_the_connection_is_left: SEGV in relay_limit_not_sent, as an attempt over a host has no target.
- cut_of_the_silent_engine_does_not_end_the_stream: a stream that the silent engine cuts by closing cancels the attempt that would complete it.
- backoff_of_an_engine_that_was_silent_applies: hints in the head of a refused standby are not read.
- run_over_a_host_counts_when_the_former_run_goes_on: 3 runs of 2 allowed.
- stream_leaves_a_silent_engine_that_is_gone: nothing moves a resumed stream off an engine that is no longer listed.

--- a/tests/t_standby.c
+++ b/tests/t_standby.c
@@ -10,6 +10,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "relay_net.h"
 #include "test.h"
@@ -22,8 +24,15 @@
       "{\"Name\":\"brief\",\"Host\":\"rel.example\",\"PathPrefix\":\"/brief/"
       "\","
       "\"RouteType\":\"streaming\",\"TimeoutMs\":900,\"MaxAttempts\":2,"
-      "\"Service\":\"llm\",\"Priority\":2,\"Resumable\":true}],"
-      "\"Services\":[{\"Name\":\"llm\",\"Engine\":{"
+      "\"Service\":\"llm\",\"Priority\":2,\"Resumable\":true},"
+      "{\"Name\":\"seek\",\"Host\":\"rel.example\",\"PathPrefix\":\"/seek/"
+      "\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":2000,\"MaxAttempts\":3,"
+      "\"Service\":\"app\"},"
+      "{\"Name\":\"look\",\"Host\":\"rel.example\",\"PathPrefix\":\"/look/\","
+      "\"RouteType\":\"safe\",\"TimeoutMs\":2000,\"MaxAttempts\":2,"
+      "\"Service\":\"app\"}],"
+      "\"Services\":[{\"Name\":\"app\"},{\"Name\":\"llm\",\"Engine\":{"
       "\"layers\":8,\"layer_mb\":1000,\"step_ms\":1,\"KvTokenBytes\":8000,"
       "\"usual\":{\"prompt\":10,\"answer\":10},"
       "\"kinds\":[{\"Name\":\"card\",\"mb\":9000,\"pace\":1}]}}],"
@@ -43,6 +52,7 @@
 
 static peer_t first;
 static peer_t second;
+static peer_t third;
 static net_call_t call;
 
 /* Returns the connection on which PEER serves the stream, or NULL. */
@@ -118,7 +128,8 @@
 {
   el_time_t begun = net_clock_now (&rnet.clock);
 
-  first.serve = serve_first;
+  if (!first.serve)
+    first.serve = serve_first;
   second.serve = serve;
   peer_open (&first);
   peer_open (&second);
@@ -333,6 +344,271 @@
   relay_net_setup (&options, rules_text);
 }
 
+/* A stream without a length or chunks, which its connection ends. */
+static void
+serve_first_to_close (peer_conn_t *conn)
+{
+  peer_printf (conn,
+               "HTTP/1.1 200 OK\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-response-seal: s\r\n"
+               "content-type: text/event-stream\r\n\r\n"
+               "id: 1\ndata: a1\n\nid: 2\ndata: a2\n\n",
+               conn->id);
+}
+
+/* The first engine, whose stream has no length, closes its connection without
+   having spoken again: the second one completes the stream. Guards against
+   attempts that are cancelled for the end of one that is not whole. */
+START_TEST (test_cut_of_the_silent_engine_does_not_end_the_stream)
+{
+  first.serve = serve_first_to_close;
+  standby_start (NULL);
+  peer_end (stream_conn (&first));
+  relay_net_run (4 * HANDLED);
+  ck_assert_ptr_nonnull (call.exchange);
+  speak (&second, EVENTS_BEFORE + 1, EVENTS);
+  assert_stream (EVENTS_BEFORE);
+  ck_assert_uint_eq (second.requests, 1);
+}
+END_TEST
+
+static void
+refuse_with_backoff (peer_conn_t *conn)
+{
+  peer_printf (conn,
+               "HTTP/1.1 503 Busy\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-not-executed: 1\r\nretry-after: 5\r\n"
+               "content-length: 0\r\n\r\n",
+               conn->id);
+}
+
+static void
+serve_nothing (peer_conn_t *conn)
+{
+  (void)conn;
+}
+
+/* An engine that was silent refuses the request and asks for a backoff while
+   another one has the request: the backoff applies. Guards against requests to
+   engines that have asked for rest. */
+START_TEST (test_backoff_of_an_engine_that_was_silent_applies)
+{
+  rt_target_t *target;
+
+  first.serve = serve_nothing;
+  second.serve = serve_second;
+  peer_open (&first);
+  peer_open (&second);
+  target = relay_net_add (&first, "a", "llm", 8);
+  call_send (&call, "r1", "POST", "/low/x");
+  while (!first.requests)
+    relay_net_run_once ();
+  first.silent = 1;
+  second.serve = serve_nothing;
+  relay_net_add (&second, "b", "llm", 8);
+  while (!second.requests)
+    relay_net_run_once ();
+  refuse_with_backoff (stream_conn (&first));
+  relay_net_run (HANDLED);
+  ck_assert_uint_gt (
+      rt_avail_backoff_left (&target->avail, net_clock_now (&rnet.clock)), 0);
+  peer_stream_head (stream_conn (&second));
+  speak (&second, 1, EVENTS);
+  assert_stream (0);
+}
+END_TEST
+
+/* The engine is silent, another one fails, and the silent one is no longer
+   listed: the stream goes on elsewhere. Guards against streams that wait at an
+   engine that is gone until their time is over. */
+START_TEST (test_stream_leaves_a_silent_engine_that_is_gone)
+{
+  el_time_t begun;
+  rt_target_t *target;
+
+  standby_start_at ("/low/x", NULL, peer_refuse);
+  relay_net_run (4 * HANDLED);
+  ck_assert_ptr_nonnull (call.exchange);
+  target = rt_target_ref (
+      rt_fleet_find (rnet.relays->options.fleet, EL_STR ("a")));
+  rt_fleet_remove (rnet.relays->options.fleet, target->attrs.id);
+  gt_relays_engine_gone (rnet.relays, target);
+  rt_target_unref (target);
+  third.serve = serve_second;
+  peer_open (&third);
+  relay_net_add (&third, "c", "llm", 8);
+  begun = net_clock_now (&rnet.clock);
+  while (!third.requests)
+    {
+      relay_net_run_once ();
+      ck_assert_msg (net_clock_now (&rnet.clock) < begun + 3 * EL_SEC,
+                     "still at the engine that is gone");
+    }
+  call_leave (&call);
+  relay_net_run (HANDLED);
+  ck_assert_uint_eq (gt_relays_running (rnet.relays), 0);
+  call_free (&call);
+}
+END_TEST
+
+/* Plain requests. */
+
+static void
+write_plain (peer_conn_t *conn, const char *length, const char *body)
+{
+  peer_printf (conn,
+               "HTTP/1.1 200 OK\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-response-seal: s\r\n%s\r\n%s",
+               conn->id, length, body);
+}
+
+static void
+serve_plain_half (peer_conn_t *conn)
+{
+  write_plain (conn, "content-length: 8\r\n", "comp");
+}
+
+/* The endpoint A has a request and does not answer; this host is then cut off
+   from it, and the helper B, which SERVEs, has the request. */
+static void
+plain_standby_start (void (*serve) (peer_conn_t *conn))
+{
+  el_time_t begun = net_clock_now (&rnet.clock);
+  rt_target_t *target;
+
+  first.serve = serve_nothing;
+  second.serve = serve;
+  peer_open (&first);
+  peer_open (&second);
+  target = relay_net_add (&first, "a", "app", 0);
+  call_send (&call, "r1", "POST", "/look/x");
+  while (!first.requests)
+    relay_net_run_once ();
+  rnet.helpers[rnet.nhelpers++] = &second;
+  relay_reach_failed (rnet.relays, target);
+  while (!second.requests)
+    {
+      relay_net_run_once ();
+      ck_assert (net_clock_now (&rnet.clock) < begun + WAIT_MAX);
+    }
+}
+
+static void
+assert_plain (int status, const char *body)
+{
+  el_time_t until = net_clock_now (&rnet.clock) + WAIT_MAX;
+
+  while (call.exchange && net_clock_now (&rnet.clock) < until)
+    relay_net_run_once ();
+  ck_assert_int_eq (call.net, NET_OK);
+  ck_assert_msg (
+      call.status == status
+          && (!body || el_str_eq (el_buf_str (&call.body), el_str (body))),
+      "%d %.*s", call.status, (int)call.body.len, call.body.ptr);
+  relay_net_run (HANDLED);
+  ck_assert_uint_eq (gt_relays_running (rnet.relays), 0);
+  ck_assert_uint_eq (rnet.relays->counts.phase_errors, 0);
+  call_free (&call);
+}
+
+/* The other host has sent half an answer when the endpoint answers after all.
+   Guards against answers that are joined from two runs. */
+START_TEST (test_half_answer_is_not_joined_with_another_run)
+{
+  plain_standby_start (serve_plain_half);
+  relay_net_run (HANDLED);
+  write_plain (stream_conn (&first), "content-length: 8\r\n", "complete");
+  relay_net_run (HANDLED);
+  if (stream_conn (&second))
+    peer_printf (stream_conn (&second), "lete");
+  assert_plain (200, "complete");
+}
+END_TEST
+
+static void
+serve_plain_to_close (peer_conn_t *conn)
+{
+  write_plain (conn, "", "complete");
+  peer_end (conn);
+}
+
+/* A second endpoint has answered, and is checked as its connection has ended
+   the answer, when the first one fails (or answers, too). Guards against
+   answers without a status. */
+START_TEST (test_answer_that_is_checked_is_kept_when_the_former_run_ends)
+{
+  rt_target_t *target;
+  gt_relay_t *relay;
+
+  first.serve = serve_nothing;
+  second.serve = serve_plain_to_close;
+  peer_open (&first);
+  peer_open (&second);
+  target = relay_net_add (&first, "a", "app", 0);
+  call_send (&call, "r1", "POST", "/look/x");
+  while (!first.requests)
+    relay_net_run_once ();
+  relay_reach_failed (rnet.relays, target);
+  ck_assert_ptr_nonnull (rnet.relays->running->standby);
+  target = relay_net_add (&second, "b", "app", 0);
+  while (rnet.relays->counts.cut_off)
+    {
+      usleep (10);
+      uv_update_time (&rnet.loop);
+      relay_reach_connected (rnet.relays, target, net_clock_now (&rnet.clock));
+    }
+  relay = rnet.relays->running;
+  while (relay->phase != RELAY_SETTLING)
+    relay_net_run_once ();
+  if (_i && stream_conn (&first))
+    write_plain (stream_conn (&first), "content-length: 8\r\n", "complete");
+  else if (stream_conn (&first))
+    peer_end (stream_conn (&first));
+  assert_plain (200, "complete");
+}
+END_TEST
+
+static void
+fail_over_host (peer_conn_t *conn)
+{
+  peer_printf (conn,
+               "HTTP/1.1 502 Bad\r\nx-elmarch-request-id: %s\r\n"
+               "content-length: 0\r\n\r\n",
+               conn->id);
+}
+
+/* The other host answers that the request may have run; then the endpoint that
+   was silent fails, too: both runs count. Guards against more attempts than
+   the rule allows. */
+START_TEST (test_run_over_a_host_counts_when_the_former_run_goes_on)
+{
+  plain_standby_start (fail_over_host);
+  relay_net_run (HANDLED);
+  ck_assert_ptr_nonnull (call.exchange);
+  peer_end (stream_conn (&first));
+  assert_plain (502, NULL);
+  ck_assert_uint_eq (first.requests + second.requests, 2);
+}
+END_TEST
+
+static void
+borrow (void *arg, const pr_loan_request_t *request, pr_loan_cb done,
+        void *done_arg)
+{
+  const co_loan_t loan = { .tokens = request->wanted };
+
+  (void)arg;
+  done (done_arg, &loan);
+}
+
+static void
+borrow_setup (void)
+{
+  const gt_relay_options_t options = { .borrow = borrow };
+
+  relay_net_setup (&options, rules_text);
+}
+
 static void
 serve_rest (peer_conn_t *conn)
 {
@@ -369,6 +645,56 @@
 }
 END_TEST
 
+/* Opens a port that takes no connection. Returns its descriptor. */
+static int
+port_open_full (peer_t *peer)
+{
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof addr;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int i;
+
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&addr, len), 0);
+  ck_assert_int_eq (listen (fd, 0), 0);
+  getsockname (fd, (struct sockaddr *)&addr, &len);
+  for (i = 0; i < 4; i++)
+    connect (socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0),
+             (struct sockaddr *)&addr, len);
+  snprintf (peer->address, sizeof peer->address, "127.0.0.1:%u",
+            ntohs (addr.sin_port));
+  return fd;
+}
+
+/* A request that has taken a token of its endpoint's limit goes over another
+   host, which is no longer live before the connection is made. Guards against
+   hosts that crash. */
+START_TEST (test_host_that_is_lost_before_the_connection_is_left)
+{
+  rt_target_t *target;
+  int fd;
+
+  first.serve = serve_nothing;
+  peer_open (&first);
+  target = relay_net_add (&first, "a", "app", 0);
+  relay_limit_named (rnet.relays, target, 100, EL_STR ("test"));
+  call_send (&call, "r1", "POST", "/seek/x");
+  while (!first.requests)
+    relay_net_run_once ();
+  fd = port_open_full (&second);
+  rnet.helpers[rnet.nhelpers++] = &second;
+  relay_reach_failed (rnet.relays, target);
+  while (!rnet.relays->counts.over_host)
+    relay_net_run_once ();
+  second.lost = 1;
+  relay_net_run (12 * HANDLED);
+  ck_assert_ptr_nonnull (call.exchange);
+  write_plain (stream_conn (&first), "content-length: 8\r\n", "complete");
+  assert_plain (200, "complete");
+  close (fd);
+}
+END_TEST
+
 Suite *
 standby_suite (void)
 {
@@ -384,11 +710,23 @@
   ADD_LOOP (tcase, test_crash_of_the_silent_engine_does_not_end_the_stream, 2);
   ADD_LOOP (tcase, test_stream_that_two_engines_break_off_is_not_whole, 2);
   ADD_LOOP (tcase, test_end_of_a_request_ends_the_runs_at_both_engines, 2);
+  ADD (tcase, test_cut_of_the_silent_engine_does_not_end_the_stream);
+  ADD (tcase, test_backoff_of_an_engine_that_was_silent_applies);
+  ADD (tcase, test_half_answer_is_not_joined_with_another_run);
+  ADD_LOOP (tcase,
+            test_answer_that_is_checked_is_kept_when_the_former_run_ends, 2);
+  ADD (tcase, test_run_over_a_host_counts_when_the_former_run_goes_on);
+  suite_add_tcase (suite, tcase);
+  tcase = tcase_create ("tokens");
+  tcase_set_timeout (tcase, 30);
+  tcase_add_checked_fixture (tcase, borrow_setup, NULL);
+  ADD (tcase, test_host_that_is_lost_before_the_connection_is_left);
   suite_add_tcase (suite, tcase);
   tcase = tcase_create ("one retry");
   tcase_set_timeout (tcase, 30);
   tcase_add_checked_fixture (tcase, one_retry_setup, NULL);
   ADD_LOOP (tcase, test_failed_resume_does_not_end_the_stream, 2);
+  ADD (tcase, test_stream_leaves_a_silent_engine_that_is_gone);
   suite_add_tcase (suite, tcase);
   tcase = tcase_create ("budget");
   tcase_set_timeout (tcase, 30);
