Tests: drawn courses with silent endpoints and lost hosts

Endpoints fall silent for up to 0.4 s, one or all at once, and speak again where they stopped; other hosts are not live for a time; this host is cut off from all endpoints of a service and reaches them again. Plain answers come in two halves, some end with their connection. A request that may be repeated has three attempts, and no request runs more often than its rule allows.

--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -251,6 +251,7 @@
 int relay_standby_begin (gt_relay_t *relay);
 int relay_standby_resume (gt_relay_t *relay, const char *reason);
 void relay_standby_cancel (gt_relay_t *relay, const char *reason);
+const relay_helper_t *relay_standby_helper (const gt_relay_t *relay);
 
 /* relay_close.c */
 void relay_close_settle (gt_relay_t *relay, const net_result_t *response);
--- a/gate/relay_standby.c
+++ b/gate/relay_standby.c
@@ -162,6 +162,13 @@
   return 1;
 }
 
+/** Returns the host that serves the standby; NULL if there is none. */
+const relay_helper_t *
+relay_standby_helper (const gt_relay_t *relay)
+{
+  return relay->standby ? relay->standby->helper : NULL;
+}
+
 static void
 standby_head (void *arg, const net_result_t *head)
 {
--- a/tests/t_phase.c
+++ b/tests/t_phase.c
@@ -24,13 +24,13 @@
       "\"RouteType\":\"streaming\",\"TimeoutMs\":900,\"MaxAttempts\":2,"
       "\"Service\":\"llm\",\"Priority\":0},"
       "{\"Name\":\"low\",\"Host\":\"rel.example\",\"PathPrefix\":\"/low/\","
-      "\"RouteType\":\"streaming\",\"TimeoutMs\":900,\"MaxAttempts\":2,"
+      "\"RouteType\":\"streaming\",\"TimeoutMs\":900,\"MaxAttempts\":3,"
       "\"Service\":\"llm\",\"Priority\":2,\"Resumable\":true},"
       "{\"Name\":\"pay\",\"Host\":\"rel.example\",\"PathPrefix\":\"/pay/\","
       "\"RouteType\":\"unsafe\",\"TimeoutMs\":900,\"MaxAttempts\":2,"
       "\"Service\":\"app\"},"
       "{\"Name\":\"look\",\"Host\":\"rel.example\",\"PathPrefix\":\"/look/\","
-      "\"RouteType\":\"safe\",\"TimeoutMs\":900,\"MaxAttempts\":2,"
+      "\"RouteType\":\"safe\",\"TimeoutMs\":900,\"MaxAttempts\":3,"
       "\"Service\":\"app\"}],"
       "\"Services\":[{\"Name\":\"app\"},{\"Name\":\"llm\",\"Engine\":{"
       "\"layers\":8,\"layer_mb\":1000,\"step_ms\":1,\"KvTokenBytes\":8000,"
@@ -210,6 +210,9 @@
 #define COURSE_PEERS_MAX 32
 #define COURSE_STEP (3 * EL_MSEC)
 #define COURSE_END (1500 * EL_MSEC)
+/* Longer than it takes until a stream leaves an engine. */
+#define COURSE_SILENCE_MAX 400
+#define COURSE_ATTEMPTS 3
 
 typedef struct course_call
 {
@@ -226,8 +229,10 @@
   size_t ncalls;
   peer_t peers[COURSE_PEERS_MAX];
   rt_target_t *targets[COURSE_PEERS_MAX]; /* of peers that are endpoints */
+  el_time_t silent_until[COURSE_PEERS_MAX];
   size_t npeers;
   peer_t helpers[COURSE_HELPERS];
+  el_time_t lost_until[COURSE_HELPERS];
   pr_loan_cb loan_done;
   void *loan_arg;
 } course;
@@ -251,6 +256,14 @@
         ACT_REFUSE, ACT_REFUSE, ACT_REFUSE, ACT_REFUSE_TWICE, ACT_REFUSE_TWICE,
         ACT_BREAK,  ACT_CLOSE,  ACT_HANG,   ACT_CROSSED,      ACT_GARBAGE };
 
+/* How a plain answer ends. */
+enum
+{
+  PLAIN_ENDS,
+  PLAIN_ENDS_BY_CLOSE,
+  PLAIN_BREAKS
+};
+
 static course_call_t *
 course_find (const char *id)
 {
@@ -272,19 +285,58 @@
   return at ? (unsigned)strtoul (at + 17, NULL, 10) : 0;
 }
 
+/* Whether CONN's peer does nothing now; CB is called again then. */
+static int
+course_is_paused (peer_conn_t *conn, el_timer_cb cb)
+{
+  if (!conn->peer->silent && !conn->peer->lost)
+    return 0;
+  peer_after (conn, COURSE_STEP, cb);
+  return 1;
+}
+
+static void
+course_end (void *arg, el_time_t now)
+{
+  (void)now;
+  if (!course_is_paused (arg, course_end))
+    peer_end (arg);
+}
+
+static void
+course_plain_rest (void *arg, el_time_t now)
+{
+  peer_conn_t *conn = arg;
+
+  (void)now;
+  if (course_is_paused (conn, course_plain_rest))
+    return;
+  if (conn->step == PLAIN_BREAKS)
+    {
+      peer_end (conn);
+      return;
+    }
+  peer_printf (conn, "lete");
+  if (conn->step == PLAIN_ENDS_BY_CLOSE)
+    peer_after (conn, COURSE_STEP, course_end);
+}
+
+/* A plain answer in two halves. */
 static void
 course_plain (void *arg, el_time_t now)
 {
   peer_conn_t *conn = arg;
-  int breaks = conn->step;
 
   (void)now;
+  if (course_is_paused (conn, course_plain))
+    return;
   peer_printf (conn,
                "HTTP/1.1 200 OK\r\nx-elmarch-request-id: %s\r\n"
-               "x-elmarch-response-seal: s\r\ncontent-length: 8\r\n\r\n%s",
-               conn->id, breaks ? "half" : "complete");
-  if (breaks)
-    peer_end (conn);
+               "x-elmarch-response-seal: s\r\n%s\r\ncomp",
+               conn->id,
+               conn->step == PLAIN_ENDS_BY_CLOSE ? ""
+                                                 : "content-length: 8\r\n");
+  peer_after (conn, seeds_random (80) * EL_MSEC, course_plain_rest);
 }
 
 static void
@@ -293,6 +345,8 @@
   peer_conn_t *conn = arg;
 
   (void)now;
+  if (course_is_paused (conn, course_event))
+    return;
   if (conn->step == COURSE_EVENTS)
     {
       peer_stream_end (conn);
@@ -302,17 +356,12 @@
   peer_after (conn, seeds_random (20) * EL_MSEC, course_event);
 }
 
-static void
-course_break (void *arg, el_time_t now)
-{
-  (void)now;
-  peer_end (arg);
-}
-
 static void
 course_stream (void *arg, el_time_t now)
 {
   (void)now;
+  if (course_is_paused (arg, course_stream))
+    return;
   peer_stream_head (arg);
   course_event (arg, now);
 }
@@ -325,7 +374,9 @@
   course_find (conn->id)->runs++;
   if (!path_is_stream (course_find (conn->id)->path))
     {
-      conn->step = act == ACT_BREAK;
+      conn->step = act == ACT_BREAK        ? PLAIN_BREAKS
+                   : seeds_random (4) == 0 ? PLAIN_ENDS_BY_CLOSE
+                                           : PLAIN_ENDS;
       peer_after (conn, wait, course_plain);
       return;
     }
@@ -334,7 +385,7 @@
     {
       peer_stream_head (conn);
       peer_event (conn, conn->step + 1);
-      peer_after (conn, seeds_random (20) * EL_MSEC, course_break);
+      peer_after (conn, seeds_random (20) * EL_MSEC, course_end);
     }
   else
     peer_after (conn, wait, course_stream);
@@ -456,7 +507,8 @@
 course_send (void)
 {
   static const char *const paths[]
-      = { "/high/x", "/high/x", "/low/x", "/low/x", "/pay/x", "/look/x" };
+      = { "/high/x", "/high/x", "/low/x",  "/low/x",
+          "/low/x",  "/pay/x",  "/look/x", "/look/x" };
   course_call_t *call = &course.calls[course.ncalls];
   char id[16];
 
@@ -511,6 +563,62 @@
   relay_suspect_cancel (rnet.relays, &block);
 }
 
+/* An endpoint falls silent, or a helper is not live, for a time. */
+static void
+course_silence (size_t i)
+{
+  el_time_t until = net_clock_now (&rnet.clock)
+                    + seeds_random (COURSE_SILENCE_MAX) * EL_MSEC;
+
+  switch (seeds_random (4))
+    {
+    case 0:
+      course.lost_until[seeds_random (COURSE_HELPERS)] = until;
+      break;
+    case 1: /* all at once */
+      for (i = 0; i < course.npeers; i++)
+        course.silent_until[i] = until;
+      break;
+    default:
+      course.silent_until[i] = until;
+    }
+}
+
+/* This host reaches no endpoint of a drawn one's service, or all of them
+   again. */
+static void
+course_cut (const rt_target_t *like)
+{
+  int cut = seeds_random (2) != 0;
+  rt_target_t *target;
+  size_t i;
+
+  for (i = 0; i < course.npeers; i++)
+    {
+      target = course.targets[i];
+      if (target->avail.gone
+          || !el_str_eq (target->attrs.service, like->attrs.service))
+        continue;
+      if (cut)
+        relay_reach_failed (rnet.relays, target);
+      else
+        relay_reach_connected (rnet.relays, target,
+                               net_clock_now (&rnet.clock));
+    }
+}
+
+static void
+course_pause (void)
+{
+  el_time_t now = net_clock_now (&rnet.clock);
+  size_t i;
+
+  for (i = 0; i < course.npeers; i++)
+    course.peers[i].silent = now < course.silent_until[i];
+  for (i = 0; i < COURSE_HELPERS; i++)
+    course.helpers[i].lost = now < course.lost_until[i];
+}
+
 static void
 course_step (void)
 {
@@ -522,7 +630,7 @@
   rt_target_t *target = course.targets[i];
   gt_relays_t *relays = rnet.relays;
 
-  switch (seeds_random (12))
+  switch (seeds_random (14))
     {
     case 0:
     case 1:
@@ -555,9 +663,17 @@
       if (seeds_random (4) == 0)
         course_replace (i);
       break;
-    default:
+    case 11:
       if (seeds_random (8) == 0)
         course_block ();
+      break;
+    case 12:
+      if (seeds_random (2))
+        course_silence (i);
+      break;
+    default:
+      if (seeds_random (2))
+        course_cut (target);
     }
 }
 
@@ -575,6 +691,7 @@
     ck_assert_msg (relay_phase_holds (relay), "%.*s in phase %d",
                    (int)relay->id.len, relay->id.ptr, (int)relay->phase);
     over_hosts += relay->helper != NULL;
+    over_hosts += relay_standby_helper (relay) != NULL;
   }
   for (helper = rnet.relays->helpers; helper; helper = helper->hh.next)
     helped += helper->running;
@@ -600,6 +717,7 @@
   while (net_clock_now (&rnet.clock) < until
          && !(until_over && course_is_over ()))
     {
+      course_pause ();
       relay_net_run_once ();
       course_check ();
     }
@@ -635,6 +753,8 @@
   if (!idempotent)
     ck_assert_msg (call->runs <= 1, "%s %s ran %u times", call->call.id,
                    call->path, call->runs);
+  ck_assert_msg (call->runs <= COURSE_ATTEMPTS, "%s %s ran %u times",
+                 call->call.id, call->path, call->runs);
   if (call->left)
     return;
   ck_assert_msg (!call->call.exchange, "%s has no answer", call->call.id);
