Tests: an error that a silent engine has begun

The rest of an error response cancels the attempt that would complete the stream: nothing tells a standby that the head it has sent was that of an error.

--- a/tests/t_standby.c
+++ b/tests/t_standby.c
@@ -373,19 +373,54 @@
 END_TEST
 
 static void
-refuse_with_backoff (peer_conn_t *conn)
+serve_nothing (peer_conn_t *conn)
+{
+  (void)conn;
+}
+
+static void
+serve_error_head (peer_conn_t *conn)
 {
   peer_printf (conn,
-               "HTTP/1.1 503 Busy\r\nx-elmarch-request-id: %s\r\n"
-               "x-elmarch-not-executed: 1\r\nretry-after: 5\r\n"
-               "content-length: 0\r\n\r\n",
+               "HTTP/1.1 500 Error\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-response-seal: s\r\ncontent-length: 5\r\n\r\n",
                conn->id);
 }
 
+/* The first engine begins an error response and falls silent; the rest of it
+   comes while another engine has the request, which completes the stream.
+   Guards against attempts that are cancelled for an error. */
+START_TEST (test_error_of_the_silent_engine_does_not_end_the_stream)
+{
+  first.serve = serve_error_head;
+  peer_open (&first);
+  peer_open (&second);
+  relay_net_add (&first, "a", "llm", 8);
+  call_send (&call, "r1", "POST", "/low/x");
+  while (!first.requests)
+    relay_net_run_once ();
+  first.silent = 1;
+  second.serve = serve_nothing;
+  relay_net_add (&second, "b", "llm", 8);
+  while (!second.requests)
+    relay_net_run_once ();
+  peer_printf (stream_conn (&first), "error");
+  relay_net_run (HANDLED);
+  ck_assert_ptr_nonnull (stream_conn (&second));
+  peer_stream_head (stream_conn (&second));
+  speak (&second, 1, EVENTS);
+  assert_stream (0);
+}
+END_TEST
+
 static void
-serve_nothing (peer_conn_t *conn)
+refuse_with_backoff (peer_conn_t *conn)
 {
-  (void)conn;
+  peer_printf (conn,
+               "HTTP/1.1 503 Busy\r\nx-elmarch-request-id: %s\r\n"
+               "x-elmarch-not-executed: 1\r\nretry-after: 5\r\n"
+               "content-length: 0\r\n\r\n",
+               conn->id);
 }
 
 /* An engine that was silent refuses the request and asks for a backoff while
@@ -711,6 +746,7 @@
   ADD_LOOP (tcase, test_stream_that_two_engines_break_off_is_not_whole, 2);
   ADD_LOOP (tcase, test_end_of_a_request_ends_the_runs_at_both_engines, 2);
   ADD (tcase, test_cut_of_the_silent_engine_does_not_end_the_stream);
+  ADD (tcase, test_error_of_the_silent_engine_does_not_end_the_stream);
   ADD (tcase, test_backoff_of_an_engine_that_was_silent_applies);
   ADD (tcase, test_half_answer_is_not_joined_with_another_run);
   ADD_LOOP (tcase,
