Tests: a whole stream of an engine that falls silent

A stream without a length has ended, and its engine does not answer the check within 300 ms: the response is broken off ("engine does not respond", next=fail) if its rule allows no resumption.

--- a/tests/t_standby.c
+++ b/tests/t_standby.c
@@ -25,6 +25,9 @@
       "\","
       "\"RouteType\":\"streaming\",\"TimeoutMs\":900,\"MaxAttempts\":2,"
       "\"Service\":\"llm\",\"Priority\":2,\"Resumable\":true},"
+      "{\"Name\":\"once\",\"Host\":\"rel.example\",\"PathPrefix\":\"/once/\","
+      "\"RouteType\":\"streaming\",\"TimeoutMs\":3000,\"MaxAttempts\":2,"
+      "\"Service\":\"llm\",\"Priority\":2},"
       "{\"Name\":\"seek\",\"Host\":\"rel.example\",\"PathPrefix\":\"/seek/"
       "\","
       "\"RouteType\":\"safe\",\"TimeoutMs\":2000,\"MaxAttempts\":3,"
@@ -473,6 +476,10 @@
   peer_open (&third);
   relay_net_add (&third, "c", "llm", 8);
   begun = net_clock_now (&rnet.clock);
+  rt_shared_budget_add_request (
+      &relay_service (rnet.relays, EL_STR ("llm"))->retry_budget, begun);
+  rt_shared_budget_add_request (
+      &relay_service (rnet.relays, EL_STR ("llm"))->retry_budget, begun);
   while (!third.requests)
     {
       relay_net_run_once ();
@@ -486,6 +493,33 @@
 }
 END_TEST
 
+static void
+serve_whole_to_close (peer_conn_t *conn)
+{
+  serve_first_to_close (conn);
+  peer_printf (conn, "id: 3\ndata: a3\n\nid: 4\ndata: a4\n\n"
+                     "id: 5\ndata: a5\n\n");
+  first.silent = 1;
+  peer_end (conn);
+}
+
+/* An engine has sent a whole stream, and closed its connection, when it falls
+   silent for longer than a check waits. Guards against streams that are broken
+   off for an engine that is only silent. */
+START_TEST (test_whole_stream_of_a_silent_engine_is_not_broken_off)
+{
+  first.serve = serve_whole_to_close;
+  peer_open (&first);
+  relay_net_add (&first, "a", "llm", 8);
+  call_send (&call, "r1", "POST", "/once/x");
+  while (rnet.relays->counts.events < EVENTS)
+    relay_net_run_once ();
+  relay_net_run (12 * HANDLED);
+  first.silent = 0;
+  assert_stream (EVENTS);
+}
+END_TEST
+
 /* Plain requests. */
 
 static void
@@ -748,6 +782,7 @@
   ADD (tcase, test_cut_of_the_silent_engine_does_not_end_the_stream);
   ADD (tcase, test_error_of_the_silent_engine_does_not_end_the_stream);
   ADD (tcase, test_backoff_of_an_engine_that_was_silent_applies);
+  ADD (tcase, test_whole_stream_of_a_silent_engine_is_not_broken_off);
   ADD (tcase, test_half_answer_is_not_joined_with_another_run);
   ADD_LOOP (tcase,
             test_answer_that_is_checked_is_kept_when_the_former_run_ends, 2);
