A request over another host is withdrawn without an endpoint

What hosts saw: SEGV in relay_limit_not_sent. An attempt over another host that is not live before the connection is made is given up as unsent since standbys exist; it has no target whose token is given back. Test: test_host_that_is_lost_before_the_connection_is_left, SEGV before.

--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -542,7 +542,8 @@
 void
 relay_attempt_unsent (gt_relay_t *relay)
 {
-  relay_limit_not_sent (relay);
+  if (relay->target)
+    relay_limit_not_sent (relay);
   relay_cancel_attempt (relay);
   relay_attempt (relay);
 }
