A standby's answer is not joined with the later attempt's

What callers saw: "compcomplete", sealed, status 200. What the later attempt had sent of a plain answer stayed in the output buffer when the standby resumed.

--- a/gate/relay_standby.c
+++ b/gate/relay_standby.c
@@ -148,6 +148,8 @@
     }
   relay_cancel_attempt (relay);
   relay_events_reset (&relay->events);
+  if (!relay->response_started)
+    el_buf_reset (&relay->out);
   relay->retry_unpaid = 0;
   relay_enter (relay, RELAY_SENT);
   standby_swap (relay);
