An answer that is checked belongs to its attempt

What callers saw: an answer with status 0. A standby that ended while the later attempt's answer was checked freed that answer, as kept was not among the parts of an attempt; and an attempt in RELAY_SETTLING was not counted as run when the standby resumed.

--- a/gate/relay.c
+++ b/gate/relay.c
@@ -74,7 +74,7 @@
   const phase_part_t check = { sent | settling, settling };
   const phase_part_t timer = { waiting, waiting };
   const phase_part_t queued = { waiting, 0 };
-  const phase_part_t standby = { sent | waiting, 0 };
+  const phase_part_t standby = { sent | settling | waiting, 0 };
 
   return relay->phase != RELAY_DECIDING
          && part_holds (relay, exchange, relay->exchange != NULL)
--- a/gate/relay_standby.c
+++ b/gate/relay_standby.c
@@ -25,6 +25,7 @@
   el_time_t head_at;
   el_time_t started_at;
   el_time_t last_progress;
+  net_result_t kept;
   rt_hints_t hints;
   int refused;
   int ignored; /* the response does not continue the caller's */
@@ -46,6 +47,7 @@
                                     .head_at = relay->head_at,
                                     .started_at = relay->started_at,
                                     .last_progress = relay->last_progress,
+                                    .kept = relay->kept,
                                     .hints = relay->hints,
                                     .refused = relay->refused,
                                     .stream = relay->stream,
@@ -68,6 +70,7 @@
   relay->head_at = attempt->head_at;
   relay->started_at = attempt->started_at;
   relay->last_progress = attempt->last_progress;
+  relay->kept = attempt->kept;
   relay->hints = attempt->hints;
   relay->refused = attempt->refused;
   relay->stream = attempt->stream;
@@ -140,7 +143,8 @@
     return 0;
   standby_log (relay, "standby_resumed", reason);
   relay->relays->counts.standby_resumed++;
-  if (relay->exchange && net_exchange_is_sent (relay->exchange)
+  if ((relay->phase == RELAY_SETTLING
+       || (relay->exchange && net_exchange_is_sent (relay->exchange)))
       && !relay->refused)
     {
       relay->attempts.sent++;
