A connection that ends does not make its standby current

What callers saw: streams broken off. The silent engine's stream has no length; when its connection ended, the later attempt was cancelled for it, and the check then found that the stream was cut. The later attempt goes on instead. Limit: a whole stream whose end comes that late depends on the later attempt. Test: test_cut_of_the_silent_engine_does_not_end_the_stream failed before.

--- a/gate/relay_standby.c
+++ b/gate/relay_standby.c
@@ -221,10 +221,17 @@
 standby_done (void *arg, const net_result_t *result)
 {
   gt_relay_t *relay = arg;
+  net_result_t end = *result;
 
-  if (result->net != NET_OK || relay->standby->ignored)
+  if (end.net == NET_OK && end.by_close && !relay->standby->ignored)
     {
-      standby_failed (relay, result);
+      /* The end of a connection may be a cut: the later attempt tells. */
+      end.net = NET_CONNECTION_LOST;
+      end.verdict = EL_MAY_HAVE_RUN;
+    }
+  if (end.net != NET_OK || relay->standby->ignored)
+    {
+      standby_failed (relay, &end);
       return;
     }
   relay_standby_resume (relay, "response ended");
