A standby whose head was that of an error stays one

The rest of the error response made it the current attempt and cancelled the later one. Test: test_error_of_the_silent_engine_does_not_end_the_stream failed before.

--- a/gate/relay_standby.c
+++ b/gate/relay_standby.c
@@ -255,6 +255,10 @@
   const rt_attempt_t attempt
       = { .verdict = EL_MAY_HAVE_RUN, .begun = relay->response_started };
   const rt_attempts_t before = relay->attempts;
+  /* The head was that of a refusal or an error. */
+  int ignored = relay->refused
+                || (relay->rule->kind == RT_STREAM && relay->head_at
+                    && !relay->stream);
   el_time_t now = net_clock_now (relay->relays->options.clock);
 
   if (!net_exchange_is_sent (relay->exchange))
@@ -281,6 +285,7 @@
                               standby_done);
   relay->standby = el_alloc (sizeof *relay->standby);
   standby_swap (relay);
+  relay->standby->ignored = ignored;
   standby_log (relay, "standby_begun", "silent");
   relay->relays->counts.standby_begun++;
   relay_enter (relay, RELAY_DECIDING);
