Hints in a standby's refusal apply

retry-after, server-limit and server-leaving of an engine that refuses a request after it was silent were not read. Test: test_backoff_of_an_engine_that_was_silent_applies failed before.

--- a/gate/relay_standby.c
+++ b/gate/relay_standby.c
@@ -175,6 +175,20 @@
   return relay->standby ? relay->standby->helper : NULL;
 }
 
+/* Applies what an endpoint asks for in a response that is not used. */
+static void
+standby_read_hints (gt_relay_t *relay, const net_result_t *head)
+{
+  const gt_relay_dialect_t *dialect = relay->relays->options.dialect;
+  relay_standby_t *standby = relay->standby;
+
+  if (!standby->target)
+    return;
+  dialect->read_hints (head, &standby->hints);
+  gt_relays_apply_hints (relay->relays, standby->target, &standby->hints,
+                         relay->id);
+}
+
 static void
 standby_head (void *arg, const net_result_t *head)
 {
@@ -184,7 +198,10 @@
   relay->standby->ignored
       = relay->standby->refused || head->status < 200 || head->status >= 300;
   if (relay->standby->ignored)
-    return;
+    {
+      standby_read_hints (relay, head);
+      return;
+    }
   relay_standby_resume (relay, "response");
   relay->way->head (relay, head);
 }
