A run over another host counts when the standby resumes

The other host answered that the request may have run; the standby resumed, broke, and a third run of two began. Test: test_run_over_a_host_counts_when_the_former_run_goes_on failed before (3 runs).

--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -316,6 +316,8 @@
                         attempt.verdict == EL_NOT_RUN ? RT_NEXT_REFUSE
                                                       : RT_NEXT_FAIL);
       relay_forward_release (relay);
+      relay->attempts.sent++;
+      relay->attempts.may_run += attempt.verdict != EL_NOT_RUN;
       if (relay_standby_resume (relay, "the later one failed"))
         return;
       if (attempt.verdict == EL_NOT_RUN && !relay->attempts.may_run)
