A stalled stream leaves an engine that is no longer listed

Health checks of such an engine have ended, so that a stream that resumed there waited until its deadline. Test: test_stream_leaves_a_silent_engine_that_is_gone failed before.

--- a/gate/relay_watch.c
+++ b/gate/relay_watch.c
@@ -377,6 +377,19 @@
   watch_schedule (relay, WATCH_INTERVAL << doublings);
 }
 
+/* Returns an engine of the chain that is no longer listed, and which no check
+   will find silent; NULL if there is none. */
+static rt_target_t *
+watch_engine_gone (const gt_relay_t *relay)
+{
+  size_t i;
+
+  for (i = 0; i < relay->chain.n; i++)
+    if (relay->chain.part[i].target->avail.gone)
+      return relay->chain.part[i].target;
+  return NULL;
+}
+
 /* Checks whether the stream is stalled. */
 static void
 watch_tick (void *arg, el_time_t now)
@@ -385,6 +398,7 @@
   const gt_relay_options_t *o = &relay->relays->options;
   el_time_t limit = stall_timeout (relay);
   el_time_t stalled_for = now - relay->last_progress;
+  rt_target_t *gone = watch_engine_gone (relay);
 
   if (stalled_for < limit)
     {
@@ -397,6 +411,11 @@
       watch_schedule (relay, TIMER_DELAY_MAX);
       return;
     }
+  if (gone)
+    {
+      watch_leave_engine (relay, gone);
+      return;
+    }
   if (relay->query || relay->stall_checks++ >= STALL_CHECKS_MAX)
     return;
   if (relay->stall_checks % QUERY_PERIOD == QUERY_PHASE)
