A silent engine is no reason to break a whole stream off

What callers saw: a stream that had all its events was broken off, as its engine did not answer the check of its end within 300 ms. Unless the stream can be resumed, the check is repeated until the engine responds, refuses connections, has restarted, or is no longer listed. Test: test_whole_stream_of_a_silent_engine_is_not_broken_off failed before.

--- a/gate/relay_close.c
+++ b/gate/relay_close.c
@@ -19,6 +19,8 @@
 /* A stream that ends this long after its last event was cut: engines wait for
    others that do not respond, which may be back by then. */
 #define STANDSTILL_MIN (1000 * EL_MSEC)
+/* Interval between checks of an engine that does not respond. */
+#define SILENT_RECHECK (100 * EL_MSEC)
 
 /* Takes the response that was kept while its endpoint was checked. */
 static net_result_t
@@ -79,6 +81,22 @@
 
 static void close_check_engine (gt_relay_t *relay);
 
+static void
+close_check_due (void *arg, el_time_t now)
+{
+  (void)now;
+  close_check_engine (arg);
+}
+
+/* A silent engine may be there. Unless the stream can be resumed, it is
+   checked until it responds, refuses connections or is no longer listed. */
+static int
+close_must_wait (gt_relay_t *relay, gt_check_result_t result)
+{
+  return result == GT_CHECK_NONE && !close_engine (relay)->avail.gone
+         && !relay_may_resume (relay);
+}
+
 static void
 close_checked (void *arg, gt_check_result_t result, const rt_load_t *load,
                const rt_hints_t *hints)
@@ -88,7 +106,14 @@
 
   (void)hints;
   relay->query = NULL;
-  if (result != GT_CHECK_OK)
+  if (close_must_wait (relay, result))
+    {
+      relay->watch_timer.cb = close_check_due;
+      relay->watch_timer.arg = relay;
+      net_clock_set (relay->relays->options.clock, &relay->watch_timer,
+                     SILENT_RECHECK);
+    }
+  else if (result != GT_CHECK_OK)
     close_engine_gone (relay, "engine does not respond");
   else if (load && load->born && born && load->born != born)
     close_engine_gone (relay, "engine has restarted");
