Tests: crowds of clients outside the limits, known red

What callers saw: clients that stay outside the limits end a host: it runs out of memory, or of descriptors, and ordinary callers lose it.

Each starts a store, endpoints and hosts on loopback, sets the host's memory (64 MB) and descriptors (256) in its environment, which the host does not read yet, and plays a small crowd: bodies over the limit, announced or just sent; requests sent ahead, answers unread; bodies of legal size, whole, in pieces, in chunks, stopping short; heads without end; connections that rest; HTTP/2; records at the door of the hosts; a host on the way. Checked is that the host lives, its peak memory and its descriptors, an ordinary request beside the crowd and one afterwards. Crowds and bounds are fixed here.

--- a/Makefile
+++ b/Makefile
@@ -118,7 +118,7 @@
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lm
 
-PROC = tests/proc_main.c tests/known_red.c tests/t_stream.c tests/t_at_most_once.c tests/t_stop.c tests/t_agreement.c tests/t_site.c tests/t_crash.c tests/t_restart.c tests/t_backoff.c tests/t_rate_limit.c tests/t_hard_load.c tests/t_restore.c tests/t_partition.c tests/site.c tests/site_cut.c \
+PROC = tests/proc_main.c tests/known_red.c tests/t_stream.c tests/t_at_most_once.c tests/t_stop.c tests/t_agreement.c tests/t_site.c tests/t_crash.c tests/t_restart.c tests/t_backoff.c tests/t_rate_limit.c tests/t_hard_load.c tests/t_crowd.c tests/crowd.c tests/t_restore.c tests/t_partition.c tests/site.c tests/site_cut.c \
        tests/cluster.c tests/asserts.c standin/reference.c
 $(BIN)/proc: $(PROC:%.c=$(B)/%.o) $(LIBA)
 	$(LINK) -lcheck -lsubunit -lrt -lcurl -lm
--- a/standin/member.c
+++ b/standin/member.c
@@ -654,6 +654,24 @@
     member->disconnected++;
 }
 
+/* ?bytes=N makes the answer N bytes long. Returns 0 without it. */
+static int
+plain_answer_long (h2o_req_t *req)
+{
+  el_buf_t body = { NULL, 0, 0 };
+  el_str_t text = { NULL, 0 };
+  uint64_t bytes;
+
+  if (!net_req_query (req, EL_STR ("bytes"), &text)
+      || !el_str_to_u64 (text, &bytes))
+    return 0;
+  while (body.len < bytes)
+    el_buf_add (&body, EL_STR ("0123456789abcdef"));
+  reply_with_id (req, 200, "x-elmarch-response-seal", RESPONSE_SEAL, body.ptr);
+  el_buf_free (&body);
+  return 1;
+}
+
 static void
 plain_answer (h2o_req_t *req, json_t *answer)
 {
@@ -702,6 +720,8 @@
       net_req_reply (req, 200, EL_STR (""), EL_STR ("another's"));
       return;
     }
+  if (plain_answer_long (req))
+    return;
   net_req_watch (req, plain_disconnected, member);
   if (fault == SN_SLOW)
     sn_backoff_unanswered (member->backoff, req);
--- a/tests/proc_main.c
+++ b/tests/proc_main.c
@@ -24,6 +24,7 @@
   srunner_add_suite (runner, backoff_suite ());
   srunner_add_suite (runner, rate_limit_suite ());
   srunner_add_suite (runner, hard_load_suite ());
+  srunner_add_suite (runner, crowd_suite ());
   srunner_add_suite (runner, restore_suite ());
   srunner_add_suite (runner, partition_suite ());
   srunner_run_all (runner, CK_ENV);
--- a/tests/site.c
+++ b/tests/site.c
@@ -300,13 +300,16 @@
         "\"layers\":8,\"layer_mb\":1000,\"step_ms\":1,\"KvTokenBytes\":8000,"
         "\"usual\":{\"prompt\":10,\"answer\":10},"
         "\"kinds\":[{\"Name\":\"half\",\"mb\":4500,\"pace\":1}]}}],"
-        "\"Limits\":{\"MaxBodyBytes\":65536,\"IdleTimeoutMs\":15000},"
+        "\"Limits\":{%s},"
         "\"Tenants\":[{\"Name\":\"parking\",\"ApiKeys\":%s}]}";
   char body[4096];
   reply_t reply;
 
   snprintf (body, sizeof body, form, version,
-            site.more_rules ? site.more_rules : "", keys);
+            site.more_rules ? site.more_rules : "",
+            site.limits ? site.limits
+                        : "\"MaxBodyBytes\":65536,\"IdleTimeoutMs\":15000",
+            keys);
   http_request ("PUT", site.store.address, "/test/op/config", body, NULL,
                 &reply);
   ck_assert_int_eq (reply.status, 200);
--- a/tests/site.h
+++ b/tests/site.h
@@ -41,6 +41,8 @@
   const char *more_rules;    /* of the configuration, each after a comma; NULL:
                                 none */
   const char *host_flags[4]; /* more flags for the hosts */
+  const char *limits;        /* of the configuration; NULL: those of most
+                                tests */
   int cuttable;              /* hosts can be cut off from the endpoints */
 } site_t;
 
--- a/tests/test.h
+++ b/tests/test.h
@@ -46,6 +46,7 @@
 Suite *admit_suite (void);
 Suite *told_suite (void);
 Suite *hard_load_suite (void);
+Suite *crowd_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
 Suite *random_suite (void);
