Messages of hosts are read as there is room for them

What was seen: 24 connections to the address for other hosts, each of which stops short of a record of 8 MB, take 197 MB; each connection takes 64 KB beside that. The key is checked once a record is whole, so that it protects from nothing here.

Cause: records of up to 9 MB were collected whole, on any number of connections, with a read buffer each.

Change: the room for a record is drawn from the account when its length is known; if there is none, the connection with the largest unfinished record closes. Connections of other hosts are counted, the one used longest ago gives way to a new one, and all connections share one read buffer.

--- a/base/base.h
+++ b/base/base.h
@@ -42,6 +42,7 @@
 el_str_t el_str_dup (el_str_t s);
 void el_str_free (el_str_t *s);
 
+void el_buf_reserve (el_buf_t *buf, size_t more);
 void el_buf_add (el_buf_t *buf, el_str_t s);
 void el_buf_printf (el_buf_t *buf, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
--- a/base/str.c
+++ b/base/str.c
@@ -157,8 +157,9 @@
   *s = (el_str_t){ NULL, 0 };
 }
 
-static void
-buf_reserve (el_buf_t *buf, size_t more)
+/** Make room for MORE bytes. */
+void
+el_buf_reserve (el_buf_t *buf, size_t more)
 {
   size_t cap = buf->cap ? buf->cap : BUF_FIRST_CAP;
 
@@ -173,7 +174,7 @@
 void
 el_buf_add (el_buf_t *buf, el_str_t s)
 {
-  buf_reserve (buf, s.len);
+  el_buf_reserve (buf, s.len);
   if (s.len)
     memcpy (buf->ptr + buf->len, s.ptr, s.len);
   buf->len += s.len;
@@ -191,7 +192,7 @@
   va_end (ap);
   if (len < 0)
     return;
-  buf_reserve (buf, (size_t)len);
+  el_buf_reserve (buf, (size_t)len);
   va_start (ap, fmt);
   vsnprintf (buf->ptr + buf->len, (size_t)len + 1, fmt, ap);
   va_end (ap);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -267,6 +267,7 @@
                          .http = o->entry.len ? o->entry : o->listen,
                          .hall = o->hall,
                          .key = o->cluster_key,
+                         .account = &gate->account,
                          .incarnation = gate->incarnation,
                          .capacity = o->capacity,
                          .store_followers = o->store_followers,
--- a/net/rpc.c
+++ b/net/rpc.c
@@ -21,6 +21,8 @@
 #define RECORD_MAX (PEER_BODY_MAX + 4096)
 #define READ_CHUNK 65536
 #define BACKLOG 256
+/* Input that the price of a connection covers, in bytes. */
+#define INPUT_FREE_BYTES 16384
 #define ADDRESS_MAX 64
 
 /* libtirpc declares xdr_void without arguments. */
@@ -50,8 +52,9 @@
   int closing;
   char address[ADDRESS_MAX]; /* key of an outgoing connection */
   el_buf_t in;
+  size_t want;     /* length of the record that is incomplete */
+  uint64_t held;   /* of the account, for the input */
   el_buf_t unsent; /* written once the connection is established */
-  char chunk[READ_CHUNK];
   rpc_conn_t *prev;
   rpc_conn_t *next;
   UT_hash_handle hh;
@@ -72,8 +75,9 @@
   uv_tcp_t listener;
   uv_udp_t datagrams;
   char datagram[READ_CHUNK];
-  rpc_conn_t *clients; /* outgoing connections, by address */
-  rpc_conn_t *conns;   /* all connections */
+  char chunk[READ_CHUNK]; /* what was just read from a connection */
+  rpc_conn_t *clients;    /* outgoing connections, by address */
+  rpc_conn_t *conns;      /* all connections */
   rpc_call_t *calls;
   uint32_t next_xid;
   int stopped;
@@ -119,6 +123,46 @@
   free (call);
 }
 
+/* Connections of other hosts are counted, and so is what they have sent of a
+   message. */
+
+static el_conn_kind_t
+conn_kind (const rpc_conn_t *conn)
+{
+  return conn->server ? EL_CONN_PEER : EL_CONN_OWN;
+}
+
+static void
+conn_release (rpc_conn_t *conn)
+{
+  el_account_t *account = conn->rpc->options.account;
+
+  if (!account)
+    return;
+  el_account_give (account, EL_HOLD_PEER, conn->held);
+  conn->held = 0;
+  el_account_conn_give (account, conn_kind (conn));
+}
+
+/* Draw what the input of CONN takes from the account. Returns 0 if there is no
+   room. */
+static int
+conn_hold (rpc_conn_t *conn)
+{
+  el_account_t *account = conn->rpc->options.account;
+  uint64_t want = conn->want > INPUT_FREE_BYTES ? conn->want : 0;
+
+  if (!account)
+    return 1;
+  if (want > conn->held
+      && !el_account_take (account, EL_HOLD_PEER, want - conn->held))
+    return 0;
+  if (want < conn->held)
+    el_account_give (account, EL_HOLD_PEER, conn->held - want);
+  conn->held = want;
+  return 1;
+}
+
 /* Close a connection; its calls fail without a reply. */
 static void
 conn_close (rpc_conn_t *conn)
@@ -132,6 +176,7 @@
     return;
   conn->closing = 1;
   conn->open = 0;
+  conn_release (conn);
   DL_DELETE (rpc->conns, conn);
   if (!conn->server)
     HASH_DELETE (hh, rpc->clients, conn);
@@ -149,6 +194,8 @@
   conn->rpc = rpc;
   conn->refs = 1;
   conn->server = server;
+  if (rpc->options.account)
+    el_account_conn_add (rpc->options.account, conn_kind (conn));
   uv_tcp_init (rpc->options.clock->loop, &conn->tcp);
   conn->tcp.data = conn;
   DL_APPEND (rpc->conns, conn);
@@ -316,6 +363,7 @@
   uint32_t mark;
   size_t len;
 
+  conn->want = 0;
   while (!conn->closing && conn->in.len - at >= RECORD_MARK_BYTES)
     {
       memcpy (&mark, conn->in.ptr + at, RECORD_MARK_BYTES);
@@ -327,7 +375,10 @@
           return;
         }
       if (conn->in.len - at - RECORD_MARK_BYTES < len)
-        break;
+        {
+          conn->want = RECORD_MARK_BYTES + len;
+          break;
+        }
       record_receive (conn, conn->in.ptr + at + RECORD_MARK_BYTES, len);
       at += RECORD_MARK_BYTES + len;
     }
@@ -335,6 +386,49 @@
     return;
   memmove (conn->in.ptr, conn->in.ptr + at, conn->in.len - at);
   conn->in.len -= at;
+  if (!conn->in.len)
+    el_buf_free (&conn->in);
+}
+
+/* The connection of another host that holds most of a message, apart from
+   CONN. */
+static rpc_conn_t *
+conn_largest (const rpc_conn_t *conn)
+{
+  rpc_conn_t *found = NULL;
+  rpc_conn_t *other;
+
+  DL_FOREACH (conn->rpc->conns, other)
+  if (other != conn && other->server && other->held
+      && (!found || other->held > found->held))
+    found = other;
+  return found;
+}
+
+/* Makes room for the record that CONN has begun to send. If there is none, the
+   connection with the largest one is closed; its host sends it again. */
+static int
+conn_make_room (rpc_conn_t *conn)
+{
+  rpc_conn_t *largest;
+
+  while (!conn_hold (conn))
+    {
+      largest = conn_largest (conn);
+      if (!largest || largest->held < conn->want)
+        {
+          EL_LOG (EL_LOG_WARN, "peer_connection_closed",
+                  EL_FC ("reason", "no room for its message"),
+                  EL_FN ("bytes", conn->want));
+          conn_close (conn);
+          return 0;
+        }
+      EL_LOG (EL_LOG_WARN, "peer_connection_closed",
+              EL_FC ("reason", "room for another message"),
+              EL_FN ("bytes", largest->in.len));
+      conn_close (largest);
+    }
+  return 1;
 }
 
 static void
@@ -343,7 +437,7 @@
   rpc_conn_t *conn = handle->data;
 
   (void)size;
-  *buf = uv_buf_init (conn->chunk, sizeof conn->chunk);
+  *buf = uv_buf_init (conn->rpc->chunk, sizeof conn->rpc->chunk);
 }
 
 static void
@@ -359,6 +453,13 @@
   el_buf_add (&conn->in, (el_str_t){ buf->base, (size_t)nread });
   conn->refs++;
   conn_parse (conn);
+  if (!conn->closing && conn_make_room (conn))
+    {
+      if (conn->want > conn->in.len)
+        el_buf_reserve (&conn->in, conn->want - conn->in.len);
+      DL_DELETE (conn->rpc->conns, conn);
+      DL_APPEND (conn->rpc->conns, conn);
+    }
   conn_unref (conn);
 }
 
@@ -397,14 +498,33 @@
   xdr_destroy (&xdr);
 }
 
+/* Closes the connection of another host that was used longest ago. */
+static void
+server_evict (net_rpc_t *rpc)
+{
+  rpc_conn_t *conn;
+
+  DL_FOREACH (rpc->conns, conn)
+  if (conn->server)
+    {
+      EL_LOG (EL_LOG_WARN, "peer_connection_closed",
+              EL_FC ("reason", "room for another one"));
+      conn_close (conn);
+      return;
+    }
+}
+
 static void
 server_accept (uv_stream_t *listener, int status)
 {
   net_rpc_t *rpc = listener->data;
+  const el_account_t *account = rpc->options.account;
   rpc_conn_t *conn;
 
   if (status)
     return;
+  if (account && !el_account_conn_fits (account, EL_CONN_PEER))
+    server_evict (rpc);
   conn = conn_new (rpc, 1);
   if (uv_accept (listener, (uv_stream_t *)&conn->tcp))
     {
--- a/net/rpc.h
+++ b/net/rpc.h
@@ -27,8 +27,9 @@
 typedef struct net_rpc_options
 {
   net_clock_t *clock;
-  el_str_t listen; /**< ip:port */
-  el_str_t key;    /**< secret shared by the hosts */
+  el_str_t listen;       /**< ip:port */
+  el_str_t key;          /**< secret shared by the hosts */
+  el_account_t *account; /**< what the process holds; NULL: not limited */
   net_rpc_serve_fn serve;
   void *arg;
   uint64_t *refused; /**< counts messages that are not from one of our hosts */
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -159,6 +159,7 @@
   net_rpc_options_t rpc = { .clock = options->clock,
                             .listen = options->listen,
                             .key = options->key,
+                            .account = options->account,
                             .serve = request_serve,
                             .arg = peers,
                             .refused = &peers->counts.refused,
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -298,6 +298,7 @@
   co_ledger_t *ledger;
   const pr_ops_t *ops;
   void *arg;
+  el_account_t *account; /**< what the process holds; NULL: not limited */
 } pr_options_t;
 
 typedef struct pr_counts
