Idle connections to endpoints give way when descriptors run short

What was seen: six callers that send requests with one and the same id ahead made a host open 4,438 descriptors of the 256 that it was given: ordinary callers and its own connections then find none.

Cause: a connection never carries an id twice, so that each such request opens a new one, and the former ones rest in the pool for as long as the endpoint allows; nothing bounds their number.

Change: the connections that a host opens are counted in its account, and the one that is idle for longest is closed once seven eighths of the descriptors are taken. A send takes its request's bytes over, so that a body that is not taken at once is not copied again.

--- a/gate/account.c
+++ b/gate/account.c
@@ -73,6 +73,9 @@
       EL_COUNTER, &counts->refused_room },
     { "elmarch_bodies_waited_total", "bodies that waited for room", EL_COUNTER,
       &counts->waited },
+    { "elmarch_idle_evicted_total",
+      "idle connections of this host closed to make room", EL_COUNTER,
+      &net_client_counts (gate->client)->evicted },
   };
   size_t i;
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -250,6 +250,7 @@
   gate->config = co_config_new (&config);
   gate->sync = pr_config_new (gate->config);
   gate->client = net_client_new (&gate->clock);
+  net_client_set_account (gate->client, &gate->account);
   gate->clock.next = clock_next;
   gate->clock.fire = clock_fire;
   gate->clock.arg = gate;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -30,6 +30,13 @@
   return client;
 }
 
+/** Have the client draw on ACCOUNT. */
+void
+net_client_set_account (net_client_t *client, el_account_t *account)
+{
+  client->account = account;
+}
+
 /** Return the client's counters. */
 const net_client_counts_t *
 net_client_counts (const net_client_t *client)
@@ -168,8 +175,7 @@
   if (!conn
       || (request->max_idle && now - conn->idle_since > request->max_idle))
     return NULL;
-  DL_DELETE (pool->idle, conn);
-  conn->pooled = 0;
+  net_conn_take_idle (conn);
   net_clock_cancel (conn->client->clock, &conn->idle);
   return conn;
 }
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -62,6 +62,15 @@
   free (conn);
 }
 
+/** Take a connection out of its pool. */
+void
+net_conn_take_idle (net_conn_t *conn)
+{
+  DL_DELETE (conn->pool->idle, conn);
+  DL_DELETE2 (conn->client->idle, conn, idle_prev, idle_next);
+  conn->pooled = 0;
+}
+
 /** Close a connection and detach it from its pool and its exchange. */
 void
 net_conn_close (net_conn_t *conn)
@@ -70,7 +79,9 @@
     return;
   conn->closing = 1;
   if (conn->pooled)
-    DL_DELETE (conn->pool->idle, conn);
+    net_conn_take_idle (conn);
+  if (conn->client->account)
+    el_account_conn_give (conn->client->account, EL_CONN_OWN);
   net_clock_cancel (conn->client->clock, &conn->idle);
   conn->exchange = NULL;
   uv_close ((uv_handle_t *)&conn->tcp, conn_closed);
@@ -98,6 +109,7 @@
     net_exchange_fail (conn->exchange, NET_CONNECTION_LOST);
 }
 
+/* An exchange is sent once, so that the write takes its bytes over. */
 static void
 conn_write (net_conn_t *conn, net_exchange_t *ex)
 {
@@ -108,12 +120,19 @@
   ex->sent = 1;
   n = uv_try_write ((uv_stream_t *)&conn->tcp, &buf, 1);
   if (n == (int)ex->request.len)
-    return;
+    {
+      el_buf_free (&ex->request);
+      return;
+    }
   write = el_alloc (sizeof *write);
   write->conn = conn;
-  el_buf_add (&write->bytes,
-              el_str_after (el_buf_str (&ex->request), n > 0 ? (size_t)n : 0));
-  buf = uv_buf_init (write->bytes.ptr, (unsigned)write->bytes.len);
+  write->bytes = ex->request;
+  ex->request = (el_buf_t){ NULL, 0, 0 };
+  if (n > 0)
+    {
+      buf.base += n;
+      buf.len -= (size_t)n;
+    }
   conn->writing++;
   uv_write (&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, conn_written);
 }
@@ -310,6 +329,7 @@
   conn->idle.cb = conn_idle_timeout;
   conn->pooled = 1;
   DL_PREPEND (conn->pool->idle, conn);
+  DL_APPEND2 (conn->client->idle, conn, idle_prev, idle_next);
   net_clock_set (conn->client->clock, &conn->idle, conn->keep);
 }
 
@@ -383,7 +403,9 @@
       return;
     }
   if (n > 0)
-    conn_parse (conn, buf->base, (size_t)n);
+    {
+      conn_parse (conn, buf->base, (size_t)n);
+    }
   else if (n == UV_EOF && conn->exchange->head_received
            && conn_closed_cleanly (conn))
     {
@@ -465,6 +487,21 @@
     net_conn_begin (conn, conn->exchange);
 }
 
+/* Idle connections give way to others before the process has no descriptors
+   left. */
+static void
+client_make_room (net_client_t *client)
+{
+  const el_account_t *account = client->account;
+
+  while (client->idle
+         && account->conns >= account->conns_max - account->conns_max / 8)
+    {
+      client->counts.evicted++;
+      net_conn_close (client->idle);
+    }
+}
+
 /** Open a connection for an exchange, which is sent once it is established. */
 void
 net_conn_open (net_pool_t *pool, net_exchange_t *ex)
@@ -478,6 +515,11 @@
   conn->exchange = ex;
   ex->conn = conn;
   conn->number = ++client->counts.opened;
+  if (client->account)
+    {
+      client_make_room (client);
+      el_account_conn_add (client->account, EL_CONN_OWN);
+    }
   uv_tcp_init (client->clock->loop, &conn->tcp);
   conn->tcp.data = conn;
   conn->connect.data = conn;
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -152,6 +152,8 @@
   int closing;
   net_conn_t *prev;
   net_conn_t *next;
+  net_conn_t *idle_prev; /**< among those of all pools */
+  net_conn_t *idle_next;
 };
 
 struct net_client
@@ -159,6 +161,8 @@
   net_clock_t *clock;
   net_pool_t *pools;
   net_exchange_t *open; /**< exchanges that have not ended */
+  el_account_t *account;
+  net_conn_t *idle; /**< idle connections, the one idle for longest first */
   net_client_counts_t counts;
   char read[NET_READ_BYTES];
 };
@@ -207,6 +211,7 @@
 void net_conn_open (net_pool_t *pool, net_exchange_t *ex);
 void net_conn_begin (net_conn_t *conn, net_exchange_t *ex);
 void net_conn_close (net_conn_t *conn);
+void net_conn_take_idle (net_conn_t *conn);
 int net_conn_has_carried (const net_conn_t *conn, el_str_t id);
 
 #endif
--- a/net/net.h
+++ b/net/net.h
@@ -200,9 +200,11 @@
   uint64_t crossed; /**< responses with another id */
   uint64_t surplus; /**< connections closed because of bytes that belong to no
                        request */
+  uint64_t evicted; /**< idle connections closed to make room for others */
 } net_client_counts_t;
 
 net_client_t *net_client_new (net_clock_t *clock);
+void net_client_set_account (net_client_t *client, el_account_t *account);
 net_exchange_t *net_client_send (net_client_t *client,
                                  const net_request_t *request);
 const net_client_counts_t *net_client_counts (const net_client_t *client);
