Answers are read as there is room for them

What was seen: 48 callers ask for answers of 4 MB and read nothing: the host takes 382 MB. Each answer was collected up to 4 MiB, kept, and copied once more for its caller, as often as callers asked.

Cause: nothing adds up what answers take. An unread one stays for as long as its caller stays connected.

Change: what an answer takes is drawn from the account when its length is known, or as it arrives; without room the endpoint's connection is not read until there is some, so that the endpoint waits and the deadline still ends the request. The collected answer is freed once it is with the library. Events of streams that their callers do not read are drawn as well, and while the process has no room a stream is broken off at 64 KB of them in place of a mebibyte.

--- a/gate/account.c
+++ b/gate/account.c
@@ -76,6 +76,9 @@
     { "elmarch_idle_evicted_total",
       "idle connections of this host closed to make room", EL_COUNTER,
       &net_client_counts (gate->client)->evicted },
+    { "elmarch_responses_waited_total",
+      "responses of endpoints that waited for room", EL_COUNTER,
+      &net_client_counts (gate->client)->waited },
   };
   size_t i;
 
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -14,6 +14,8 @@
 
 /* Buffer size for a decimal uint64_t and its NUL byte. */
 #define RELAY_NUMBER_MAX 24
+/** Longest response that is buffered, as all but streams are. */
+#define RELAY_RESPONSE_MAX ((size_t)4 << 20)
 
 /* Per-service state of this host. */
 typedef struct relay_service
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -17,8 +17,6 @@
 /* A plain request without a response for this long may hang on a connection
    that gets no packets. */
 #define RESPONSE_OVERDUE (200 * EL_MSEC)
-/* Longest response that is buffered, as all but streams are. */
-#define BUFFERED_BODY_MAX ((size_t)4 << 20)
 
 /* Releases the target and chain, or the other host, of the current attempt. */
 static void
@@ -179,8 +177,8 @@
   if (relay->stream)
     return relay_events_add (&relay->events, bytes, attempt_event, relay);
   if (relay->response_started)
-    return (relay->unused += bytes.len) <= BUFFERED_BODY_MAX;
-  if (relay->out.len + bytes.len > BUFFERED_BODY_MAX)
+    return (relay->unused += bytes.len) <= RELAY_RESPONSE_MAX;
+  if (relay->out.len + bytes.len > RELAY_RESPONSE_MAX)
     return 0;
   el_buf_add (&relay->out, bytes);
   return 1;
@@ -495,6 +493,8 @@
           .allow = attempt_permitted,
           .head = attempt_head,
           .body_part = relay_attempt_body,
+          .keeps_body = relay->rule->kind != RT_STREAM,
+          .max_response = RELAY_RESPONSE_MAX,
           .done = attempt_done,
           .arg = relay };
 
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -412,6 +412,8 @@
                          .headers = list,
                          .head = forward_head,
                          .body_part = relay_attempt_body,
+                         .keeps_body = relay->rule->kind != RT_STREAM,
+                         .max_response = RELAY_RESPONSE_MAX,
                          .done = forward_done,
                          .arg = relay };
 
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -13,6 +13,10 @@
 
 /* Bytes of a stream that wait for its caller to read, at most. */
 #define UNREAD_MAX ((size_t)1 << 20)
+/* The same while the process has no room, and bytes that are not drawn from
+   its account. */
+#define UNREAD_MIN ((size_t)65536)
+#define UNREAD_FREE ((size_t)16384)
 
 /* If all endpoints are in backoff, a quarter of the remaining time is added to
    retry-after at random, to spread callers. */
@@ -96,13 +100,21 @@
 void
 relay_respond_whole (gt_relay_t *relay, const net_result_t *result)
 {
+  el_buf_t buffered;
+
   relay_log (relay, "answered", result->status, "passed");
   relay->relays->counts.forwarded++;
   el_hist_add (&relay->relays->counts.answer,
                net_clock_now (relay->relays->options.clock) - relay->received);
   response_head (relay, result);
   relay_finish (relay);
+  if (result->body.len > UNREAD_FREE)
+    net_req_hold_answer (relay->req, result->body.len);
+  /* The body is copied; RELAY may be freed while it is sent. */
+  buffered = relay->out;
+  relay->out = (el_buf_t){ NULL, 0, 0 };
   h2o_send_inline (relay->req, result->body.ptr, result->body.len);
+  el_buf_free (&buffered);
 }
 
 /** Starts the response of a stream with the head of the endpoint's
@@ -116,6 +128,15 @@
   h2o_start_response (relay->req, &relay->generator);
 }
 
+/* States what the caller has not read yet. */
+static void
+response_hold (gt_relay_t *relay)
+{
+  size_t unread = relay->out.len + (relay->sending ? relay->in_flight.len : 0);
+
+  net_req_hold_answer (relay->req, unread > UNREAD_FREE ? unread : 0);
+}
+
 static void
 response_flush (gt_relay_t *relay)
 {
@@ -154,6 +175,7 @@
 
   (void)req;
   relay->sending = 0;
+  response_hold (relay);
   response_flush (relay);
 }
 
@@ -162,7 +184,9 @@
 relay_respond_event (gt_relay_t *relay, el_str_t event)
 {
   el_buf_add (&relay->out, event);
-  if (relay->out.len > UNREAD_MAX)
+  response_hold (relay);
+  if (relay->out.len > UNREAD_MAX
+      || (relay->out.len > UNREAD_MIN && !net_req_has_room (relay->req)))
     relay_respond_cut (relay, "caller does not read");
   else
     response_flush (relay);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -19,6 +19,75 @@
 /* A timer that fires later than this was delayed because the process was
    stalled. */
 #define TIMER_SLACK (5 * EL_MSEC)
+/* A body up to this length is not drawn from the account. */
+#define FREE_BODY_BYTES 4096
+/* Steps in which a body without a length is drawn. */
+#define HOLD_STEP ((uint64_t)65536)
+/* Interval at which it is looked whether there is room. */
+#define ROOM_POLL_INTERVAL (20 * EL_MSEC)
+
+/* Bodies. */
+
+/** Draw what a body of LENGTH bytes takes from the account. Returns 0 if there
+    is no room. */
+int
+net_exchange_hold (net_exchange_t *ex, uint64_t length)
+{
+  el_account_t *account = ex->client->account;
+  uint64_t step = length - ex->held;
+
+  if (!account || length <= FREE_BODY_BYTES || length <= ex->held)
+    return 1;
+  if (step < HOLD_STEP)
+    step = HOLD_STEP;
+  if (!el_account_take (account, EL_HOLD_ANSWER, step))
+    return 0;
+  ex->held += step;
+  return 1;
+}
+
+static void
+exchange_release (net_exchange_t *ex)
+{
+  if (ex->held)
+    el_account_give (ex->client->account, EL_HOLD_ANSWER, ex->held);
+  ex->held = 0;
+  ex->client->waiting -= (size_t)ex->waiting;
+  ex->waiting = 0;
+}
+
+/* Goes on to read the bodies for which there is room. */
+static void
+client_room (void *arg, el_time_t now)
+{
+  net_client_t *client = arg;
+  net_exchange_t *ex;
+
+  (void)now;
+  DL_FOREACH (client->open, ex)
+  if (ex->waiting && net_exchange_hold (ex, ex->part))
+    {
+      ex->waiting = 0;
+      client->waiting--;
+      net_conn_resume (ex->conn);
+    }
+  if (client->waiting)
+    net_clock_set (client->clock, &client->room, ROOM_POLL_INTERVAL);
+}
+
+/** Read no more of the response until there is room for its body. */
+void
+net_exchange_wait (net_exchange_t *ex)
+{
+  net_client_t *client = ex->client;
+
+  if (ex->waiting)
+    return;
+  ex->waiting = 1;
+  client->counts.waited++;
+  if (!client->waiting++)
+    net_clock_set (client->clock, &client->room, ROOM_POLL_INTERVAL);
+}
 
 /** Create a client; it lives as long as the process. */
 net_client_t *
@@ -27,6 +96,8 @@
   net_client_t *client = el_alloc (sizeof *client);
 
   client->clock = clock;
+  client->room.cb = client_room;
+  client->room.arg = client;
   return client;
 }
 
@@ -67,6 +138,7 @@
 {
   net_clock_cancel (ex->client->clock, &ex->timer);
   DL_DELETE (ex->client->open, ex);
+  exchange_release (ex);
   net_exchange_clear_headers (ex);
   el_str_free (&ex->id);
   el_buf_free (&ex->request);
@@ -221,6 +293,7 @@
   ex->arg = request->arg;
   ex->max_response
       = request->max_response ? request->max_response : RESPONSE_MAX_DEFAULT;
+  ex->keeps_body = request->keeps_body || !request->body_part;
   ex->id_header = request->id_header;
   ex->id = el_str_dup (request->id);
   ex->id_required = request->id_required;
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -23,6 +23,9 @@
 #define IDLE_MAX (20 * EL_SEC)
 /* A connection is closed this long before the endpoint would close it. */
 #define IDLE_MARGIN (400 * EL_MSEC)
+/* Reads are as long as this if the account is nearly exhausted. */
+#define READ_BYTES_MIN 4096
+#define READ_ROOM_MIN ((uint64_t)1 << 20)
 /* Interim (1xx) responses before the final one, at most. */
 #define INTERIM_MAX 8
 /* Ids that a connection remembers. It carries no more requests than that. */
@@ -250,6 +253,19 @@
   return id.len ? !el_str_eq (id, ex->id) : ex->id_required && ex->id.len;
 }
 
+/* A body whose length is known is drawn from the account at once, so that it
+   does not stop midway. */
+static void
+exchange_announce (net_exchange_t *ex, const http_parser *parser)
+{
+  ex->announced
+      = !(parser->flags & F_CHUNKED) && parser->content_length != ULLONG_MAX;
+  if (!ex->keeps_body || !ex->announced || ex->is_head)
+    return;
+  ex->part = parser->content_length < ex->max_response ? parser->content_length
+                                                       : ex->max_response;
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -272,6 +288,7 @@
     }
   conn->keep = keep_alive_parse (net_result_header (&result, "keep-alive"));
   ex->head_received = 1;
+  exchange_announce (ex, parser);
   if (ex->head)
     ex->head (ex->arg, &result);
   if (conn->exchange != ex)
@@ -287,6 +304,8 @@
 
   int taken = ex->body_part || ex->body.len + len <= ex->max_response;
 
+  if (ex->keeps_body && !ex->announced)
+    ex->part += len;
   if (ex->body_part)
     taken = ex->body_part (ex->arg, (el_str_t){ at, len });
   else if (taken)
@@ -383,9 +402,24 @@
 on_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
   net_conn_t *conn = handle->data;
+  const el_account_t *account = conn->client->account;
+  int nearly_full
+      = account && el_account_room (account, EL_HOLD_ANSWER) < READ_ROOM_MIN;
 
   (void)suggested;
-  *buf = uv_buf_init (conn->client->read, NET_READ_BYTES);
+  *buf = uv_buf_init (conn->client->read,
+                      nearly_full ? READ_BYTES_MIN : NET_READ_BYTES);
+}
+
+/* Reads no further if there is no room for the body of CONN's exchange. */
+static void
+conn_check_room (net_conn_t *conn)
+{
+  if (conn->closing || !conn->exchange || conn->exchange->waiting
+      || net_exchange_hold (conn->exchange, conn->exchange->part))
+    return;
+  net_exchange_wait (conn->exchange);
+  uv_read_stop ((uv_stream_t *)&conn->tcp);
 }
 
 static void
@@ -405,6 +439,7 @@
   if (n > 0)
     {
       conn_parse (conn, buf->base, (size_t)n);
+      conn_check_room (conn);
     }
   else if (n == UV_EOF && conn->exchange->head_received
            && conn_closed_cleanly (conn))
@@ -420,6 +455,13 @@
     net_exchange_fail (conn->exchange, NET_CONNECTION_LOST);
 }
 
+/** Go on to read. */
+void
+net_conn_resume (net_conn_t *conn)
+{
+  uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
 /* Connecting. */
 
 /* The caller withheld the request; the connection can be reused. */
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -163,6 +163,8 @@
   net_exchange_t *open; /**< exchanges that have not ended */
   el_account_t *account;
   net_conn_t *idle; /**< idle connections, the one idle for longest first */
+  el_timer_t room;  /**< looks whether there is room for what waits */
+  size_t waiting;   /**< exchanges that wait for room */
   net_client_counts_t counts;
   char read[NET_READ_BYTES];
 };
@@ -198,6 +200,11 @@
   el_buf_t name;
   el_buf_t value;
   el_buf_t body;
+  int keeps_body;
+  int announced; /**< the body's length is known */
+  int waiting;   /**< not read until there is room for its body */
+  uint64_t part; /**< bytes of the body that arrived */
+  uint64_t held; /**< bytes drawn from the account */
   el_timer_t timer;
   net_exchange_t *prev;
   net_exchange_t *next;
@@ -212,6 +219,9 @@
 void net_conn_begin (net_conn_t *conn, net_exchange_t *ex);
 void net_conn_close (net_conn_t *conn);
 void net_conn_take_idle (net_conn_t *conn);
+void net_conn_resume (net_conn_t *conn);
+int net_exchange_hold (net_exchange_t *ex, uint64_t length);
+void net_exchange_wait (net_exchange_t *ex);
 int net_conn_has_carried (const net_conn_t *conn, el_str_t id);
 
 #endif
--- a/net/net.h
+++ b/net/net.h
@@ -178,6 +178,8 @@
   el_time_t timeout;     /**< in microseconds; 0 is none */
   size_t max_response; /**< maximum size of the response's body in bytes; 0 is
                           the client's default */
+  int keeps_body; /**< body_part keeps the body until it is whole: it is read
+                       as there is room for it */
   int (*allow) (void *arg); /**< called before sending on a new connection; 0
                                withholds the request; may be NULL */
   net_head_cb head;         /**< called with status and headers; may be NULL */
@@ -200,6 +202,7 @@
   uint64_t crossed; /**< responses with another id */
   uint64_t surplus; /**< connections closed because of bytes that belong to no
                        request */
+  uint64_t waited;  /**< responses whose reading waited for room */
   uint64_t evicted; /**< idle connections closed to make room for others */
 } net_client_counts_t;
 
