Calls that outlast their callers stay in the account

The body of an answer to such a call was collected without regard to the account.

Change: a request in flight draws its body or prompt until it ends; the answers of services are read as there is room.

--- a/gate/inflight.c
+++ b/gate/inflight.c
@@ -106,6 +106,7 @@
   size_t i;
 
   HASH_DEL (inflight->gate->inflight, inflight);
+  el_account_give (&inflight->gate->account, EL_HOLD_LONG, inflight->held);
   if (inflight->exchange)
     net_client_cancel (inflight->exchange);
   for (i = 0; i < inflight->nheaders; i++)
@@ -148,6 +149,9 @@
   inflight->started = net_clock_now (&gate->clock);
   if (request->type == RT_CALL)
     inflight_copy_call (inflight, request);
+  /* It may outlast its caller's connection. */
+  inflight->held = request->body.len + request->prompt.len;
+  el_account_add (&gate->account, EL_HOLD_LONG, inflight->held);
   HASH_ADD (hh, gate->inflight, id, sizeof inflight->id, inflight);
   answer->stream = inflight->id;
   event.stream = inflight->id;
@@ -262,6 +266,7 @@
                          .nheaders = inflight->nheaders,
                          .body = inflight->body,
                          .new_connection = !inflight->repeatable,
+                         .keeps_body = 1,
                          .allow = may_send,
                          .done = call_done,
                          .arg = inflight };
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -135,6 +135,7 @@
   net_header_t *headers;
   size_t nheaders;
   el_str_t body;
+  uint64_t held; /* of the account: its body or prompt */
   el_time_t started;
   UT_hash_handle hh;
 };
