--- a/elmarchd/main.c
+++ b/elmarchd/main.c
@@ -22,6 +22,8 @@
    thousandths. */
 #define CAPACITY_SCALE 1000
 
+/* Stored answers take at most this part of the memory. */
+#define ANSWERS_SHARE 8
 /* Descriptors if neither a setting nor the system limits them. */
 #define DESCRIPTORS_MAX ((uint64_t)1 << 20)
 /* Blocks of at least this size return to the system once they are freed. */
@@ -159,9 +161,9 @@
     "maximum number of queued requests" },
   { "max-body", EL_SETTING_U64, AT (max_body), "1048576", 1024, 8388608, 0,
     "BYTES", "maximum size of a request body" },
-  { "memory-mb", EL_SETTING_U64, AT (memory_mb), "0", 0, 1048576, 0, "MB",
+  { "memory-mb", EL_SETTING_U64, AT (memory_mb), "256", 0, 1048576, 0, "MB",
     "memory of the process, of which limits on what callers make it hold are "
-    "derived; 0: that of the machine" },
+    "derived, at most that of the machine; 0: that of the machine" },
   { "descriptors", EL_SETTING_U64, AT (descriptors), "0", 0, 1048576, 0, "N",
     "files and connections that the process may have open, of which limits on "
     "connections are derived; 0: its resource limit" },
@@ -235,8 +237,19 @@
   uint64_t machine
       = (uint64_t)sysconf (_SC_PHYS_PAGES) * (uint64_t)sysconf (_SC_PAGESIZE);
 
-  return set->memory_mb ? set->memory_mb << 20
-                        : resource_limit (RLIMIT_AS, machine);
+  machine = resource_limit (RLIMIT_AS, machine);
+  return set->memory_mb && set->memory_mb << 20 < machine
+             ? set->memory_mb << 20
+             : machine;
+}
+
+/* The memory for stored answers, which is not drawn from the account. */
+static uint64_t
+answers_size (const daemon_settings_t *set)
+{
+  uint64_t max = memory_size (set) / ANSWERS_SHARE;
+
+  return set->max_answers_mb << 20 < max ? set->max_answers_mb << 20 : max;
 }
 
 static uint64_t
@@ -343,7 +356,7 @@
     .descriptors = descriptors_max (set),
     .max_sessions = set->max_sessions,
     .max_entries = set->max_entries,
-    .max_answers = set->max_answers_mb << 20,
+    .max_answers = answers_size (set),
     .deadline = set->deadline_ms * EL_MSEC,
     .call_limit = set->call_limit_ms * EL_MSEC,
     .session_idle = set->session_idle_s * EL_SEC,
