Connections of callers have small buffers in the system

Cause: the system's buffers of a connection grow to several megabytes, which count as memory of the machine; and after a long body a connection is read as far as they reach, so that later requests are held beside it.

The tests' crowds are written once; the crowds are the same.

--- a/net/http_server.c
+++ b/net/http_server.c
@@ -13,6 +13,9 @@
 #include "libnet.h"
 
 #define BACKLOG 1024
+/* The system's buffers of a connection, in bytes. What has arrived there, or
+   is not sent yet, takes memory of the machine. */
+#define SOCKET_BUFFER_BYTES 131072
 #define IDLE_TIMEOUT_DEFAULT_MS 10000
 /* Longest head if no limit is set, in bytes. */
 #define HEAD_MAX_DEFAULT 65536
@@ -170,6 +173,18 @@
   server->accept.hosts = server->config.hosts;
 }
 
+/* Connections inherit these. A system without them is no reason not to
+   listen. */
+static void
+listener_set_buffers (uv_tcp_t *listener)
+{
+  int receive = SOCKET_BUFFER_BYTES;
+  int send = SOCKET_BUFFER_BYTES;
+
+  uv_recv_buffer_size ((uv_handle_t *)listener, &receive);
+  uv_send_buffer_size ((uv_handle_t *)listener, &send);
+}
+
 /** Start listening. Returns NULL, with the reason in ERR, when the address is
     not available. */
 net_server_t *
@@ -197,6 +212,8 @@
   uv_tcp_init (options->loop, &server->listener);
   server->listener.data = server;
   rc = uv_tcp_bind (&server->listener, (struct sockaddr *)&addr, 0);
+  if (rc == 0 && options->account)
+    listener_set_buffers (&server->listener);
   if (rc == 0)
     rc = uv_listen ((uv_stream_t *)&server->listener, BACKLOG,
                     server_on_connection);
--- a/route/relay.h
+++ b/route/relay.h
@@ -132,7 +132,7 @@
   uint64_t max_head; /**< bytes of a request's head; 0: not set */
   uint64_t max_body; /**< bytes of a request's body; 0: not set */
   uint64_t head_ms;  /**< time that a head may take; 0: not set */
-  uint64_t idle_ms; /**< idle timeout of callers' connections */
+  uint64_t idle_ms;  /**< idle timeout of callers' connections */
   rt_rule_t *rules_by_prefix;
   rt_service_t *services_by_name;
   rt_key_t *keys_by_text;
--- a/tests/t_crowd.c
+++ b/tests/t_crowd.c
@@ -269,6 +269,23 @@
 
 /* Bodies of the largest legal size: whole; piece by piece; in chunks; all but
    the last byte, with a length or in chunks. */
+
+static void
+options_set_body (crowd_options_t *options, char *head, size_t size)
+{
+  options->head = head_with_length (head, size, BODY_MAX_BYTES);
+  options->unit = unit_set ("", 4096, "");
+  options->repeat = BODY_MAX_BYTES;
+}
+
+static void
+options_set_chunks (crowd_options_t *options)
+{
+  options->head = EL_STR (PAY "transfer-encoding: chunked\r\n\r\n");
+  options->unit = unit_set ("1000\r\n", 4096, "\r\n");
+  options->repeat = BODY_MAX_BYTES / 4096 * options->unit.len;
+}
+
 START_TEST (test_crowd_sends_whole_bodies)
 {
   crowd_options_t options;
@@ -277,9 +294,7 @@
   site_start_unplaced (1);
   options = crowd_options ();
   options.reads = 1;
-  options.head = head_with_length (head, sizeof head, BODY_MAX_BYTES);
-  options.unit = unit_set ("", 4096, "");
-  options.repeat = BODY_MAX_BYTES;
+  options_set_body (&options, head, sizeof head);
   crowd_run (&options);
 }
 END_TEST
@@ -293,9 +308,7 @@
   options = crowd_options ();
   options.reads = 1;
   options.in_pieces = 1;
-  options.head = head_with_length (head, sizeof head, BODY_MAX_BYTES);
-  options.unit = unit_set ("", 4096, "");
-  options.repeat = BODY_MAX_BYTES;
+  options_set_body (&options, head, sizeof head);
   crowd_run (&options);
 }
 END_TEST
@@ -307,9 +320,7 @@
   site_start_unplaced (1);
   options = crowd_options ();
   options.reads = 1;
-  options.head = EL_STR (PAY "transfer-encoding: chunked\r\n\r\n");
-  options.unit = unit_set ("1000\r\n", 4096, "\r\n");
-  options.repeat = BODY_MAX_BYTES / 4096 * options.unit.len;
+  options_set_chunks (&options);
   options.tail = EL_STR ("0\r\n\r\n");
   crowd_run (&options);
 }
@@ -322,9 +333,8 @@
 
   site_start_unplaced (1);
   options = crowd_options ();
-  options.head = head_with_length (head, sizeof head, BODY_MAX_BYTES);
-  options.unit = unit_set ("", 4096, "");
-  options.repeat = BODY_MAX_BYTES - 1;
+  options_set_body (&options, head, sizeof head);
+  options.repeat--;
   crowd_run (&options);
 }
 END_TEST
@@ -335,9 +345,7 @@
 
   site_start_unplaced (1);
   options = crowd_options ();
-  options.head = EL_STR (PAY "transfer-encoding: chunked\r\n\r\n");
-  options.unit = unit_set ("1000\r\n", 4096, "\r\n");
-  options.repeat = BODY_MAX_BYTES / 4096 * options.unit.len;
+  options_set_chunks (&options);
   crowd_run (&options);
 }
 END_TEST
@@ -476,9 +484,7 @@
     assert_ordinary_request ("before");
   options = crowd_options ();
   options.reads = 1;
-  options.head = head_with_length (head, sizeof head, BODY_MAX_BYTES);
-  options.unit = unit_set ("", 4096, "");
-  options.repeat = BODY_MAX_BYTES;
+  options_set_body (&options, head, sizeof head);
   crowd_run (&options);
   peak = proc_peak_kb (&site.hosts[1]);
   ck_assert_msg (peak <= MEMORY_MB * 1024, "host on the way: %zu kB", peak);
@@ -523,9 +529,7 @@
   options.in_pieces = _i == 1;
   if (_i == 2)
     {
-      options.head = EL_STR (PAY "transfer-encoding: chunked\r\n\r\n");
-      options.unit = unit_set ("1000\r\n", 4096, "\r\n");
-      options.repeat = BODY_MAX_BYTES / 4096 * options.unit.len;
+      options_set_chunks (&options);
       options.tail = EL_STR ("0\r\n\r\n");
     }
   else if (_i == 3)
@@ -536,11 +540,7 @@
       options.tail = EL_STR ("\r\n");
     }
   else
-    {
-      options.head = head_with_length (head, sizeof head, BODY_MAX_BYTES);
-      options.unit = unit_set ("", 4096, "");
-      options.repeat = BODY_MAX_BYTES;
-    }
+    options_set_body (&options, head, sizeof head);
   crowd_play (&crowd, &options);
   ck_assert_int_eq (crowd_status (&crowd, 0), 200);
   crowd_check_end (&crowd);
