A short request is charged for all of its connection's input

Cause: a connection that has sent a long body keeps its input's room as long as something is left in it; a short request that follows drew nothing for it. Found by reading.

Change: while a request is processed, its connection draws what its input takes.

--- a/net/http_caller.c
+++ b/net/http_caller.c
@@ -58,17 +58,15 @@
   return 1;
 }
 
-/* Sets what a long body takes, which may be more than was announced: requests
-   that follow are in the same input. */
+/* Sets what CALLER holds of a kind, whether or not there is room. */
 static void
-caller_set_long (net_caller_t *caller, uint64_t bytes)
+caller_set (net_caller_t *caller, el_hold_t kind, uint64_t bytes)
 {
-  uint64_t *held = &caller->held[EL_HOLD_LONG];
+  uint64_t *held = &caller->held[kind];
 
-  if (net_caller_hold (caller, EL_HOLD_LONG, bytes))
+  if (net_caller_hold (caller, kind, bytes))
     return;
-  el_account_add (caller->server->options.account, EL_HOLD_LONG,
-                  bytes - *held);
+  el_account_add (caller->server->options.account, kind, bytes - *held);
   *held = bytes;
 }
 
@@ -141,6 +139,21 @@
   return req->conn->callbacks->get_socket (req->conn)->on_close.data;
 }
 
+/* What the input takes while a request is processed. It may hold more than the
+   request: what was sent ahead, or room from an earlier, longer one. */
+static void
+caller_hold_input (net_caller_t *caller, size_t body)
+{
+  const h2o_buffer_t *input = caller->sock->input;
+
+  if (caller->held[EL_HOLD_LONG])
+    caller_set (caller, EL_HOLD_LONG,
+                input->size + body * (NET_BODY_COPIES - 1));
+  else if (input->capacity > NET_COPIED_BODY_MAX
+           && input->capacity > caller->held[EL_HOLD_SHORT])
+    caller_set (caller, EL_HOLD_SHORT, input->capacity);
+}
+
 /** The library has read a request. */
 void
 net_caller_begin (net_caller_t *caller, h2o_req_t *req)
@@ -148,9 +161,7 @@
   caller->requests++;
   if (caller->phase == NET_HTTP2)
     return;
-  if (caller->held[EL_HOLD_LONG])
-    caller_set_long (caller, caller->sock->input->size
-                                 + req->entity.len * (NET_BODY_COPIES - 1));
+  caller_hold_input (caller, req->entity.len);
   caller->head_len = 0;
   net_caller_enter (caller, NET_SERVING);
 }
