--- a/net/http_intake.c
+++ b/net/http_intake.c
@@ -222,18 +222,23 @@
   return intake_admit (caller, head.chunked ? SHORT_BODY_MAX : head.body);
 }
 
+/* Notes that CALLER has sent SIZE bytes of what it sends. */
+static void
+caller_progress (net_caller_t *caller, size_t size)
+{
+  caller->since_ms = net_server_now (caller->server);
+  if (size >= caller->mark && size - caller->mark < NET_RATE_BYTES)
+    return;
+  caller->mark_ms = caller->since_ms;
+  caller->mark = size;
+}
+
 static int
 intake_body (net_caller_t *caller)
 {
   size_t size = caller->sock->input->size;
-  uint64_t now = net_server_now (caller->server);
 
-  caller->since_ms = now;
-  if (size < caller->mark || size - caller->mark >= NET_RATE_BYTES)
-    {
-      caller->mark_ms = now;
-      caller->mark = size;
-    }
+  caller_progress (caller, size);
   /* A body in chunks counts as short until it is not. */
   return size <= caller->head_len + SHORT_BODY_MAX
          || caller->body_len > SHORT_BODY_MAX
@@ -259,8 +264,7 @@
 static void
 http2_hold (net_caller_t *caller)
 {
-  caller->since_ms = net_server_now (caller->server);
-  caller->mark_ms = caller->since_ms;
+  caller_progress (caller, caller->http2_sent);
   if (caller->http2_sent <= HTTP2_SENT_MAX
       && net_caller_hold (caller, EL_HOLD_LONG,
                           HTTP2_CONN_BYTES + caller->http2_sent * HTTP2_COPIES
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -63,14 +63,14 @@
   h2o_socket_t *sock; /**< NULL once it is closed */
   h2o_socket_cb read; /**< the library's, called by caller_read */
   net_phase_t phase;
-  uint64_t since_ms;   /**< when it entered its phase or last made progress */
-  uint64_t began_ms;   /**< when the first byte of its request arrived */
-  uint64_t mark_ms;    /**< when the rate of its body was last looked at */
-  size_t mark;         /**< bytes that it had sent then */
-  size_t seen;         /**< bytes of input, or unsent, at the last look */
-  size_t head_len;     /**< of the request that is read; 0: not known */
-  size_t body_len;     /**< announced, or the longest that is allowed */
-  uint64_t http2_sent; /**< bytes, without the bodies of requests that ended */
+  uint64_t since_ms; /**< when it entered its phase or last made progress */
+  uint64_t began_ms; /**< when the first byte of its request arrived */
+  uint64_t mark_ms;  /**< when the rate of its body was last looked at */
+  size_t mark;       /**< bytes that it had sent then */
+  size_t seen;       /**< bytes of input, or unsent, at the last look */
+  size_t head_len;   /**< of the request that is read; 0: not known */
+  size_t body_len;   /**< announced, or the longest that is allowed */
+  size_t http2_sent; /**< bytes, without the bodies of requests that ended */
   uint64_t held[EL_HOLD_KINDS];
   unsigned requests; /**< number being served */
   int blind;         /**< is not read while its request is processed */
