Other hosts may have a quarter of a host's connections

An eighth is 487 on hosts of 4,100 descriptors, fewer than the hosts of the fleet, of which any may ask this one. Operators, who are few, have a sixteenth. Found by reading; test_crowd_rests and test_crowd_keeps_all_connections_busy pass as before.

--- a/base/account.c
+++ b/base/account.c
@@ -18,6 +18,7 @@
 #define CONN_BYTES 16384
 /* Shares of the memory, and of the descriptors, are in eighths. */
 #define SHARES 8
+#define CONN_SHARES 16
 /* Descriptors that are no connections: logs, the event loop's, the library's
    files. */
 #define FILES_MAX 200
@@ -33,11 +34,11 @@
   [EL_HOLD_PEER] = 5,
 };
 
-/* Eighths of the connections that a kind may take; those that the process
+/* Sixteenths of the connections that a kind may take; those that the process
    opens itself are only counted, and get what is left. */
 static const unsigned conn_shares[EL_CONN_KINDS] = {
-  [EL_CONN_CALLER] = 4, [EL_CONN_OPERATOR] = 1, [EL_CONN_CONTROL] = 1,
-  [EL_CONN_PEER] = 1,   [EL_CONN_OWN] = SHARES,
+  [EL_CONN_CALLER] = 8, [EL_CONN_OPERATOR] = 1,      [EL_CONN_CONTROL] = 2,
+  [EL_CONN_PEER] = 4,   [EL_CONN_OWN] = CONN_SHARES,
 };
 
 /** Sizes an account for a process with MEMORY bytes and DESCRIPTORS file
@@ -54,7 +55,7 @@
   for (i = 0; i < EL_HOLD_KINDS; i++)
     account->hold_max[i] = account->bytes_max / SHARES * hold_shares[i];
   for (i = 0; i < EL_CONN_KINDS; i++)
-    account->conn_max[i] = account->conns_max * conn_shares[i] / SHARES;
+    account->conn_max[i] = account->conns_max * conn_shares[i] / CONN_SHARES;
   if (account->conn_max[EL_CONN_CALLER] > by_memory)
     account->conn_max[EL_CONN_CALLER] = by_memory;
 }
