Callers do not hold up hosts and operators

Cause: messages of hosts over 16 KB were refused once callers held five eighths of the account, and readiness checks, metrics and operators once it was full.

Change: messages of hosts have a half of the account for themselves; the limit on requests that draw nothing holds for callers only.

--- a/base/account.c
+++ b/base/account.c
@@ -26,12 +26,13 @@
 
 /* What is cheap to serve may still be taken when what is dear may not: a kind
    is taken while all kinds together stay below so many eighths. The last
-   eighth is for requests that draw nothing. */
+   eighth is for requests that draw nothing. Messages of hosts are bounded by
+   themselves, so that callers do not hold them up. */
 static const unsigned hold_shares[EL_HOLD_KINDS] = {
   [EL_HOLD_SHORT] = 6,
   [EL_HOLD_LONG] = 5,
   [EL_HOLD_ANSWER] = 7,
-  [EL_HOLD_PEER] = 5,
+  [EL_HOLD_PEER] = 4,
 };
 
 /* Sixteenths of the connections that a kind may take; those that the process
@@ -64,9 +65,9 @@
 uint64_t
 el_account_room (const el_account_t *account, el_hold_t kind)
 {
-  return account->hold_max[kind] > account->bytes
-             ? account->hold_max[kind] - account->bytes
-             : 0;
+  uint64_t used = kind == EL_HOLD_PEER ? account->held[kind] : account->bytes;
+
+  return account->hold_max[kind] > used ? account->hold_max[kind] - used : 0;
 }
 
 /** Whether a request that draws nothing may be taken in. */
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -105,7 +105,8 @@
       net_req_reply (req, 413, EL_STR ("text/plain"),
                      EL_STR ("body too long"));
     }
-  else if (!net_server_has_room (server))
+  else if (server->options.kind == EL_CONN_CALLER
+           && !net_server_has_room (server))
     {
       server->counts->refused_room++;
       net_refuse_log (server, guard->caller, "request_refused", 503,
