A slow reader of a response is not taken for one that does not read

Cause: that a response is read was seen by the library's queue alone, which does not change while a slow caller takes what the system's buffer has; and connections with HTTP/2 were not looked at.

Change: what the caller's system has not acknowledged counts as well, so that each segment it takes is progress; HTTP/2 connections are looked at like others. Found by reading; the crowds that do not read pass as before.

--- a/net/http_caller.c
+++ b/net/http_caller.c
@@ -38,6 +38,7 @@
   DL_APPEND (server->callers[phase], caller);
   caller->phase = phase;
   caller->since_ms = net_server_now (server);
+  caller->taken_ms = caller->since_ms;
   if (limit)
     net_caller_wake (server, limit);
 }
@@ -96,7 +97,7 @@
   if (!*held)
     {
       server->nunread++;
-      caller->since_ms = net_server_now (server);
+      caller->taken_ms = net_server_now (server);
       net_caller_wake (server, NET_UNREAD_POLL_MS);
     }
   else if (!bytes)
--- a/net/http_intake.c
+++ b/net/http_intake.c
@@ -153,7 +153,6 @@
   net_caller_enter (caller, NET_BODY);
   caller->mark_ms = caller->since_ms;
   caller->mark = sock->input->size;
-  caller->seen = sock->input->size;
 }
 
 /** Take room for the long body of CALLER. Returns 0 if there is none. */
--- a/net/http_room.c
+++ b/net/http_room.c
@@ -6,6 +6,8 @@
  * Making room for others: requests that arrive too slowly, connections whose
  * callers do not read, and those that rest give way.
  */
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "libnet.h"
@@ -61,46 +63,83 @@
   return caller != NULL;
 }
 
-/** Close the connection of a caller that does not read its response. */
-void
-net_close_unread (net_caller_t *caller, uint64_t now_ms)
+/* Bytes of responses that the caller's system has not acknowledged, if any
+   wait to be sent. */
+static size_t
+caller_unsent (const net_caller_t *caller)
+{
+  size_t unsent
+      = uv_stream_get_write_queue_size ((const uv_stream_t *)&caller->tcp);
+  int on_the_way = 0;
+
+  if (unsent
+      && ioctl (h2o_socket_get_fd (caller->sock), SIOCOUTQ, &on_the_way) == 0)
+    unsent += (size_t)on_the_way;
+  return unsent;
+}
+
+/* Whether nothing of a response was taken for LIMIT_MS. */
+static int
+caller_is_stalled (net_caller_t *caller, uint64_t limit_ms, uint64_t now_ms)
+{
+  size_t unsent = caller_unsent (caller);
+
+  if (unsent && unsent == caller->unsent)
+    return now_ms - caller->taken_ms >= limit_ms;
+  caller->unsent = unsent;
+  caller->taken_ms = now_ms;
+  return 0;
+}
+
+/* Of FOUND and the callers in PHASE that do not read, the one that has read
+   nothing for longest. */
+static net_caller_t *
+stalled_of (net_server_t *server, net_phase_t phase, net_caller_t *found,
+            uint64_t limit_ms)
+{
+  uint64_t now_ms = net_server_now (server);
+  net_caller_t *caller;
+
+  DL_FOREACH (server->callers[phase], caller)
+  if (caller_is_stalled (caller, limit_ms, now_ms)
+      && (!found || caller->taken_ms < found->taken_ms))
+    found = caller;
+  return found;
+}
+
+static void
+close_unread (net_caller_t *caller)
 {
   caller->server->counts->unread++;
   net_refuse_log (caller->server, caller, "connection_closed", 0,
                   "response is not read");
-  caller->since_ms = now_ms;
+  caller->taken_ms = net_server_now (caller->server);
   shutdown (h2o_socket_get_fd (caller->sock), SHUT_RDWR);
 }
 
-/** Whether nothing of a response was taken for LIMIT_MS. */
-int
-net_caller_is_stalled (net_caller_t *caller, uint64_t limit_ms,
-                       uint64_t now_ms)
+/* Closes the connection of the caller that has read nothing for longest. */
+static int
+reclaim_unread (net_server_t *server)
 {
-  size_t queued = uv_stream_get_write_queue_size ((uv_stream_t *)&caller->tcp);
+  net_caller_t *caller = stalled_of (server, NET_SERVING, NULL, CONN_STALL_MS);
 
-  if (queued && queued == caller->seen)
-    return now_ms - caller->since_ms >= limit_ms;
-  caller->seen = queued;
-  caller->since_ms = now_ms;
-  return 0;
+  caller = stalled_of (server, NET_HTTP2, caller, CONN_STALL_MS);
+  if (caller)
+    close_unread (caller);
+  return caller != NULL;
 }
 
-/* Closes the connection that has been stalled for longest. */
-static int
-reclaim_unread (net_server_t *server)
+/** Close the connections in PHASE whose callers have read nothing of their
+    responses for LIMIT_MS. */
+void
+net_close_unread (net_server_t *server, net_phase_t phase, uint64_t limit_ms)
 {
   uint64_t now_ms = net_server_now (server);
-  net_caller_t *found = NULL;
   net_caller_t *caller;
 
-  DL_FOREACH (server->callers[NET_SERVING], caller)
-  if (net_caller_is_stalled (caller, CONN_STALL_MS, now_ms)
-      && (!found || caller->since_ms < found->since_ms))
-    found = caller;
-  if (found)
-    net_close_unread (found, now_ms);
-  return found != NULL;
+  DL_FOREACH (server->callers[phase], caller)
+  if (caller_is_stalled (caller, limit_ms, now_ms))
+    close_unread (caller);
 }
 
 /** Close the connection that can best be missed. Returns 0 if each one is in
@@ -112,9 +151,13 @@
 
   if (net_refuse_close_oldest (server))
     return 1;
+  if (!caller && net_reclaim_body (server))
+    {
+      net_refuse_close_oldest (server);
+      return 1;
+    }
   if (!caller)
-    return (net_reclaim_body (server) && net_refuse_close_oldest (server))
-           || reclaim_unread (server);
+    return reclaim_unread (server);
   server->counts->evicted++;
   net_refuse_log (server, caller, "connection_closed", 0,
                   "room for another one");
--- a/net/http_sweep.c
+++ b/net/http_sweep.c
@@ -90,15 +90,13 @@
 
 /* Closes the connections whose callers do not read their responses. */
 static void
-sweep_unread (net_server_t *server, uint64_t now_ms)
+sweep_unread (net_server_t *server)
 {
   uint64_t limit
       = room_is_short (server) ? NET_RATE_MS : server->limits.idle_ms;
-  net_caller_t *caller;
 
-  DL_FOREACH (server->callers[NET_SERVING], caller)
-  if (net_caller_is_stalled (caller, limit, now_ms))
-    net_close_unread (caller, now_ms);
+  net_close_unread (server, NET_SERVING, limit);
+  net_close_unread (server, NET_HTTP2, limit);
 }
 
 /** How soon responses that are not read are looked for again. */
@@ -186,8 +184,8 @@
   sweep_waiting (server, now_ms);
   if (server->callers[NET_WAITING])
     least_of (&wait, NET_WAIT_POLL_MS);
-  sweep_unread (server, now_ms);
-  if (server->callers[NET_SERVING])
+  sweep_unread (server);
+  if (server->callers[NET_SERVING] || server->nunread)
     least_of (&wait, net_unread_interval (server));
   if (server->nblind)
     sweep_blind (server);
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -64,10 +64,11 @@
   h2o_socket_cb read; /**< the library's, called by caller_read */
   net_phase_t phase;
   uint64_t since_ms; /**< when it entered its phase or last made progress */
+  uint64_t taken_ms; /**< when some of its responses was last taken */
   uint64_t began_ms; /**< when the first byte of its request arrived */
   uint64_t mark_ms;  /**< when the rate of its body was last looked at */
   size_t mark;       /**< bytes that it had sent then */
-  size_t seen;       /**< bytes of input, or unsent, at the last look */
+  size_t unsent;     /**< bytes of responses at the last look */
   size_t head_len;   /**< of the request that is read; 0: not known */
   size_t body_len;   /**< announced, or the longest that is allowed */
   size_t http2_sent; /**< bytes, without the bodies of requests that ended */
@@ -135,9 +136,8 @@
 int net_reclaim_conn (net_server_t *server);
 int net_reclaim_body (net_server_t *server);
 void net_refuse_slow (net_caller_t *caller, const char *reason);
-int net_caller_is_stalled (net_caller_t *caller, uint64_t limit_ms,
-                           uint64_t now_ms);
-void net_close_unread (net_caller_t *caller, uint64_t now_ms);
+void net_close_unread (net_server_t *server, net_phase_t phase,
+                       uint64_t limit_ms);
 
 /* http_sweep.c */
 void net_sweep_open (net_server_t *server);
