Thresholds of the account have names

Constants for when room and connections count as short; the account's accessors lie beside what operators see of it.

--- a/gate/account.c
+++ b/gate/account.c
@@ -20,6 +20,20 @@
   [EL_CONN_OWN] = "own",
 };
 
+/** The account of what the process holds for others. */
+el_account_t *
+gt_gate_account (gt_gate_t *gate)
+{
+  return &gate->account;
+}
+
+/** The counters of the process's servers. */
+net_server_counts_t *
+gt_gate_server_counts (gt_gate_t *gate)
+{
+  return &gate->server_counts;
+}
+
 /** Registers the metrics of the account and of the servers. */
 void
 gt_account_metrics (gt_gate_t *gate)
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -428,20 +428,6 @@
   return &gate->clock;
 }
 
-/** The account of what the process holds for others. */
-el_account_t *
-gt_gate_account (gt_gate_t *gate)
-{
-  return &gate->account;
-}
-
-/** The counters of the process's servers. */
-net_server_counts_t *
-gt_gate_server_counts (gt_gate_t *gate)
-{
-  return &gate->server_counts;
-}
-
 net_client_t *
 gt_gate_client (gt_gate_t *gate)
 {
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -26,6 +26,9 @@
 /* Reads are as long as this if the account is nearly exhausted. */
 #define READ_BYTES_MIN 4096
 #define READ_ROOM_MIN ((uint64_t)1 << 20)
+/* Idle connections close while less than this part of the process's
+   connections is free. */
+#define FREE_CONNS_PART 8
 /* Interim (1xx) responses before the final one, at most. */
 #define INTERIM_MAX 8
 /* Ids that a connection remembers. It carries no more requests than that. */
@@ -537,7 +540,8 @@
   const el_account_t *account = client->account;
 
   while (client->idle
-         && account->conns >= account->conns_max - account->conns_max / 8)
+         && account->conns
+                >= account->conns_max - account->conns_max / FREE_CONNS_PART)
     {
       client->counts.evicted++;
       net_conn_close (client->idle);
--- a/net/http_sweep.c
+++ b/net/http_sweep.c
@@ -16,6 +16,10 @@
 #define WAIT_MAX_MS 1000
 /* Connections that are not read, checked at a time for a disconnect. */
 #define BLIND_POLLS 64
+/* Room or connections are short while less than these parts of them are
+   free. */
+#define FREE_ROOM_PART 8
+#define FREE_CONNS_PART 4
 /* Longest rest of a connection with HTTP/2. */
 #define HTTP2_REST_MS 60000
 
@@ -74,7 +78,7 @@
   return server->callers[NET_WAITING]
          || (account
              && el_account_room (account, EL_HOLD_ANSWER)
-                    < account->bytes_max / 8);
+                    < account->bytes_max / FREE_ROOM_PART);
 }
 
 static int
@@ -84,8 +88,11 @@
   el_conn_kind_t kind = server->options.kind;
 
   return account
-         && (account->conn[kind] >= account->conn_max[kind] / 4 * 3
-             || account->conns >= account->conns_max / 4 * 3);
+         && (account->conn[kind]
+                 >= account->conn_max[kind]
+                        - account->conn_max[kind] / FREE_CONNS_PART
+             || account->conns >= account->conns_max
+                                      - account->conns_max / FREE_CONNS_PART);
 }
 
 /* Closes the connections whose callers do not read their responses. */
