--- a/tests/t_intake.c
+++ b/tests/t_intake.c
@@ -290,8 +290,8 @@
   client_send_body (0, BODY_BYTES - 1);
   client_send_body (1, 10);
   client_connect (2);
-  client_send (
-      2, "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody", 55);
+  client_send_text (
+      2, "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody");
   client_expect (2, "length 4");
   client_connect (3);
   client_send_text (3,
