Tests: the account's tests have the time that the server's have

Nothing of what they check is about time. Suspected, not shown: the sanitizers' leak check at each exit, starved.

--- a/tests/t_intake.c
+++ b/tests/t_intake.c
@@ -375,6 +375,7 @@
   ADD (account, test_account_keeps_room_for_what_is_cheap);
   ADD (account, test_account_shares_connections);
   ADD_LOOP (account, test_account_any_course_adds_up, 10);
+  tcase_set_timeout (account, 60);
   suite_add_tcase (suite, account);
   tcase_add_checked_fixture (server, intake_setup, NULL);
   tcase_set_timeout (server, 60);
