--- a/review/rig-2/cut_answer.c
+++ b/review/rig-2/cut_answer.c
@@ -8,7 +8,8 @@
  * goes on.
  *
  * Usage: cut_answer RECORD. With TROUBLE=0 no worker is killed, and no host
- * stands still.
+ * stands still. With ALONE=1 no host stands still, and the worker is started
+ * again at once.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -86,6 +87,11 @@
 
   if (!rg_receive (fd, &message))
     return;
+  if (rg_health_serve (fd, &message, self->id))
+    {
+      rg_message_free (&message);
+      return;
+    }
   rg_header (&message, "x-elmarch-request-id", request, sizeof request);
   if (rg_header (&message, "x-elmarch-expect-instance", expected,
                  sizeof expected)
@@ -241,7 +247,7 @@
 
 /* Returns whether the client took a part of an answer for the whole. */
 static int
-round_run (unsigned number, int trouble)
+round_run (unsigned number, int trouble, int alone)
 {
   answer_t answer = { .host = number % HOSTS };
   char key[RG_ID_MAX + 16];
@@ -257,14 +263,20 @@
     rg_unusable ("%s did not run", answer.id);
   if (trouble)
     {
-      rg_record ("stands still %s", hosts[answer.host].name);
-      kill (host, SIGSTOP);
+      if (!alone)
+        {
+          rg_record ("stands still %s", hosts[answer.host].name);
+          kill (host, SIGSTOP);
+        }
       worker_kill ();
-      rg_sleep (DOWN_MS);
+      rg_sleep (alone ? 0 : DOWN_MS);
       worker_boot ();
       rg_sleep (STILL_MS);
-      kill (host, SIGCONT);
-      rg_record ("goes on %s", hosts[answer.host].name);
+      if (!alone)
+        {
+          kill (host, SIGCONT);
+          rg_record ("goes on %s", hosts[answer.host].name);
+        }
     }
   pthread_join (client, NULL);
   if (trouble)
@@ -307,6 +319,7 @@
 {
   const char *value = getenv ("TROUBLE");
   int trouble = !value || strcmp (value, "0") != 0;
+  int alone = getenv ("ALONE") != NULL;
   unsigned broken = 0;
   unsigned i;
 
@@ -315,7 +328,7 @@
   rg_begin (argv[1]);
   site_start ();
   for (i = 0; i < ROUNDS; i++)
-    broken += (unsigned)round_run (i, trouble);
+    broken += (unsigned)round_run (i, trouble, alone);
   rg_hosts_end ();
   kill (worker.pid, SIGKILL);
   waitpid (worker.pid, NULL, 0);
--- a/review/rig-2/cut_stream.c
+++ b/review/rig-2/cut_stream.c
@@ -181,7 +181,9 @@
     {
       while (engine == &engines[1] && silent_at ())
         rg_sleep (10);
-      if (strncmp (message.head, "GET /elmarch/report", 19) == 0)
+      if (rg_health_serve (fd, &message, engine->id))
+        ok = 1;
+      else if (strncmp (message.head, "GET /elmarch/report", 19) == 0)
         ok = report_send (fd, engine);
       else if (engine == &engines[0]
                && strncmp (message.head, "POST /chat/", 11) == 0)
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -93,6 +93,7 @@
   void *arg;
 } rg_worker_t;
 
+int rg_health_serve (int fd, const rg_message_t *message, const char *id);
 void rg_worker_start (rg_worker_t *worker);
 
 /* Hosts, run with the command of the deploy file. */
--- a/review/rig-2/worker.c
+++ b/review/rig-2/worker.c
@@ -13,6 +13,24 @@
 
 #define WORK_MS 5
 
+/** Answer MESSAGE if it is a health check of the worker ID. Returns 0 if it is
+    another request. */
+int
+rg_health_serve (int fd, const rg_message_t *message, const char *id)
+{
+  char text[256];
+  int len;
+
+  if (strncmp (message->head, "GET /health ", 12) != 0)
+    return 0;
+  len = snprintf (text, sizeof text,
+                  "HTTP/1.1 200 OK\r\nX-Elmarch-Instance-Id: %s\r\n"
+                  "Content-Length: 0\r\n\r\n",
+                  id);
+  rg_send (fd, text, (size_t)len);
+  return 1;
+}
+
 static int
 misdirected_send (int fd, const rg_worker_t *worker, const char *request)
 {
@@ -55,6 +73,11 @@
 
   while (ok && rg_receive (fd, &message))
     {
+      if (rg_health_serve (fd, &message, worker->id))
+        {
+          rg_message_free (&message);
+          continue;
+        }
       rg_header (&message, "x-elmarch-request-id", request, sizeof request);
       ok = rg_header (&message, "x-elmarch-expect-instance", expected,
                       sizeof expected)
