--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
        gate/relay_events.c gate/relay_blame.c gate/relay_runs.c gate/relay_cancelled.c gate/relay_testimony.c gate/relay_traits.c gate/relay_trial.c gate/relay_close.c gate/relay_standby.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_limit.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_reach.c gate/relay_survey.c gate/relay_forward.c gate/relay_poll.c \
        gate/relay_metrics.c \
        gate/planner.c
-STORE = store/st_store.c store/st_keys.c store/st_follow.c store/st_follow_host.c store/st_duty.c store/st_put.c
+STORE = store/st_store.c store/st_keys.c store/st_mirror.c store/st_follow.c store/st_follow_host.c store/st_duty.c store/st_put.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_parts.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
@@ -112,7 +112,7 @@
 	$(LINK) -lcurl
 
 UNIT = tests/unit_main.c tests/known_red.c tests/t_base.c tests/t_coord.c tests/t_route.c \
-       tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_parts.c tests/t_load.c tests/t_admit.c tests/t_told.c tests/t_net.c tests/t_intake.c tests/t_store.c tests/t_epoch.c tests/script.c \
+       tests/t_replay.c tests/t_relay.c tests/t_retry.c tests/t_blame.c tests/t_parts.c tests/t_load.c tests/t_admit.c tests/t_told.c tests/t_net.c tests/t_intake.c tests/t_store.c tests/t_mirror.c tests/t_epoch.c tests/script.c \
        tests/t_random.c tests/t_check.c tests/t_fuzz_http.c tests/seeds.c \
        tests/t_members.c tests/mbr_net.c tests/t_feed.c tests/feed_net.c tests/blame_sim.c tests/part_sim.c tests/t_rumor.c tests/rumor_net.c tests/t_starts.c tests/t_avail.c tests/t_reach.c tests/t_runs.c tests/t_forward.c tests/t_phase.c tests/t_answer.c tests/t_standby.c tests/relay_net.c tests/t_limit.c tests/limit_sim.c tests/t_connect.c tests/t_clock.c tests/suspend.c
 $(BIN)/unit: $(UNIT:%.c=$(B)/%.o) $(LIBA)
--- a/peer/peer.h
+++ b/peer/peer.h
@@ -82,8 +82,18 @@
                                 the first page, or the known epoch */
   int read;                  /**< read all keys */
   el_str_t cursor;           /**< last key of the previous page */
+  uint64_t sequence; /**< changes: of the last one that the same host sent in
+                        this list; 0: none */
 } pr_store_query_t;
 
+/** Revisions between which keys may have been created and removed without the
+    sender knowing them; none if FROM is not below TO. */
+typedef struct pr_store_gap
+{
+  uint64_t from;
+  uint64_t to;
+} pr_store_gap_t;
+
 typedef enum pr_update_state
 {
   PR_UPDATE_NONE,    /**< nothing to offer yet */
@@ -99,8 +109,14 @@
   pr_store_item_t *items;
   size_t n;
   int more;               /**< there are further changes or pages */
-  pr_store_position_t at; /**< changes: the list includes all up to it; pages:
-                             the keys are at least as new as it */
+  pr_store_position_t at; /**< changes: with its last piece the list includes
+                             all up to it; pages: the keys are at least as new
+                             as it */
+  uint64_t sequence;      /**< of the last change in this piece of the list;
+                             counted by the sender */
+  pr_store_gap_t gap;
+  uint64_t newest_page; /**< revision of the newest page that the sender read:
+                           keys removed before it may be unknown to it */
   el_time_t as_of; /**< when the sender's data were complete, by this host's
                       clock; 0: never */
 } pr_store_update_t;
--- a/peer/peer.x
+++ b/peer/peer.x
@@ -205,7 +205,8 @@
    microseconds since the time as of which the requester's data is complete.
    STAND_IN: the other host is to ask the store in the requester's place.
    REPORTS_AFTER: REPORTS_AT of the last reply of this host, 0 if the last
-   reply came from another one. */
+   reply came from another one. SEQUENCE: as in the last piece of the list of
+   changes that the other host sends, 0 for the first one. */
 struct peer_news_args {
   unsigned hyper epoch;
   unsigned hyper after;
@@ -213,6 +214,7 @@
   bool read;
   bool stand_in;
   unsigned hyper reports_after;
+  unsigned hyper sequence;
   opaque cursor<PEER_NAME_MAX>;
 };
 
@@ -237,13 +239,20 @@
 /* KNOWN_AFTER: microseconds from the arrival of the request to the time as of
    which the reply is complete; negative when that time is earlier. REPORTS_AT:
    the sender's clock; the reply has the reports of engines that changed since
-   REPORTS_AFTER of the request. */
+   REPORTS_AFTER of the request. SEQUENCE: of the last change in this piece, as
+   counted by the sender. GAP_FROM, GAP_TO: keys that were created and removed
+   between these revisions may be unknown to the sender; NEWEST_PAGE: and so
+   may keys that were removed before this one. */
 struct peer_news_res {
   int state; /* a pr_update_state_t */
   bool more;
   bool known; /* KNOWN_AFTER is valid */
   unsigned hyper epoch;
   unsigned hyper revision;
+  unsigned hyper sequence;
+  unsigned hyper gap_from;
+  unsigned hyper gap_to;
+  unsigned hyper newest_page;
   hyper known_after;
   unsigned hyper reports_at;
   peer_item items<PEER_CHANGES_MAX>;
--- a/peer/peer_news.c
+++ b/peer/peer_news.c
@@ -148,6 +148,10 @@
   res.more = update->more;
   res.epoch = update->at.epoch;
   res.revision = update->at.revision;
+  res.sequence = update->sequence;
+  res.gap_from = update->gap.from;
+  res.gap_to = update->gap.to;
+  res.newest_page = update->newest_page;
   res.known = update->as_of != 0;
   res.known_after = (int64_t)update->as_of - (int64_t)pending->received_at;
   items_encode (update, &res);
@@ -217,6 +221,7 @@
     .after = { args.epoch, args.after },
     .read = args.read,
     .cursor = el_str_dup (PEER_BYTES_GET (args.cursor, cursor)),
+    .sequence = args.sequence,
   };
   pending->reports_after = args.reports_after;
   pending->received_at = net_clock_now (peers->options.clock);
@@ -288,6 +293,9 @@
       = { .state = (pr_update_state_t)res->state,
           .more = res->more,
           .at = { res->epoch, res->revision },
+          .sequence = res->sequence,
+          .gap = { res->gap_from, res->gap_to },
+          .newest_page = res->newest_page,
           .as_of = res->known
                        ? (el_time_t)((int64_t)request->sent + res->known_after)
                        : 0 };
@@ -375,7 +383,8 @@
           .known_ago
           = now - peers->options.ops->store_known_until (peers->options.arg),
           .read = query->read,
-          .stand_in = stand_in };
+          .stand_in = stand_in,
+          .sequence = query->sequence };
   el_buf_t body = { NULL, 0, 0 };
   peer_update_request_t *request = el_alloc (sizeof *request);
 
--- a/peer/peer_proto.h
+++ b/peer/peer_proto.h
@@ -326,6 +326,7 @@
 	bool_t read;
 	bool_t stand_in;
 	u_quad_t reports_after;
+	u_quad_t sequence;
 	struct {
 		u_int cursor_len;
 		char *cursor_val;
@@ -367,6 +368,10 @@
 	bool_t known;
 	u_quad_t epoch;
 	u_quad_t revision;
+	u_quad_t sequence;
+	u_quad_t gap_from;
+	u_quad_t gap_to;
+	u_quad_t newest_page;
 	quad_t known_after;
 	u_quad_t reports_at;
 	struct {
--- a/peer/peer_xdr.c
+++ b/peer/peer_xdr.c
@@ -457,6 +457,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->reports_after))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->cursor.cursor_val, (u_int *) &objp->cursor.cursor_len, PEER_NAME_MAX))
 		 return FALSE;
 	return TRUE;
@@ -578,6 +580,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_to))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->newest_page))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->known_after))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->reports_at))
@@ -608,6 +618,14 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_from))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->gap_to))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->newest_page))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->known_after))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->reports_at))
@@ -631,6 +649,14 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gap_from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gap_to))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->newest_page))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->known_after))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->reports_at))
--- a/store/st_follow.c
+++ b/store/st_follow.c
@@ -44,19 +44,18 @@
 follow_changes_finish (st_follow_t *follow, const char *from,
                        pr_store_position_t before, int whole)
 {
-  st_keys_counts_t counts = st_keys_counts_take (follow->keys);
-  int notable = whole || counts.older
-                || pr_store_position_cmp (follow->at, before) < 0;
+  st_keys_counts_t counts = st_keys_counts_take (follow->mirror.keys);
+  int notable = whole || counts.older;
 
   EL_LOG (notable ? EL_LOG_INFO : EL_LOG_DEBUG, "store_told",
           EL_FC ("by", from), EL_FN ("whole", whole),
-          EL_FN ("epoch", follow->at.epoch),
-          EL_FN ("revision", follow->at.revision),
+          EL_FN ("epoch", follow->mirror.at.epoch),
+          EL_FN ("revision", follow->mirror.at.revision),
           EL_FN ("epoch_before", before.epoch),
           EL_FN ("revision_before", before.revision),
           EL_FN ("taken", counts.taken), EL_FN ("older", counts.older),
           EL_FN ("held", counts.held));
-  if (counts.held)
+  if (counts.held || (whole && st_keys_has_held (follow->mirror.keys)))
     net_clock_set (follow->options.store->clock, &follow->held_timer,
                    HELD_DELAY);
 }
@@ -69,8 +68,8 @@
   st_follow_t *follow = arg;
 
   (void)now;
-  st_keys_release_held (follow->keys);
-  follow_changes_finish (follow, "settled", follow->at, 0);
+  st_keys_release_held (follow->mirror.keys);
+  follow_changes_finish (follow, "settled", follow->mirror.at, 0);
 }
 
 static void
@@ -113,8 +112,8 @@
   if (follow->failures == 1)
     EL_LOG (EL_LOG_WARN, "store_lost", EL_FS ("prefix", o->prefix),
             EL_FC ("call", what), EL_FN ("status", result->status),
-            EL_FN ("epoch", follow->at.epoch),
-            EL_FN ("revision", follow->at.revision));
+            EL_FN ("epoch", follow->mirror.at.epoch),
+            EL_FN ("revision", follow->mirror.at.revision));
   feed_store_done (follow, 0);
   if (o->progress)
     o->progress (o->arg);
@@ -128,8 +127,8 @@
     EL_LOG (EL_LOG_INFO, "store_back",
             EL_FS ("prefix", follow->options.prefix),
             EL_FN ("failures", follow->failures),
-            EL_FN ("epoch", follow->at.epoch),
-            EL_FN ("revision", follow->at.revision));
+            EL_FN ("epoch", follow->mirror.at.epoch),
+            EL_FN ("revision", follow->mirror.at.revision));
   follow->failures = 0;
   follow->stood_in = 0;
   follow->answered_at = follow->call_at;
@@ -141,9 +140,8 @@
 void
 follow_reread (st_follow_t *follow, st_store_read_cause_t read_cause)
 {
-  follow->reading = 1;
   follow->read_cause = read_cause;
-  el_buf_reset (&follow->page_cursor);
+  st_mirror_reread (&follow->mirror);
 }
 
 /** Returns whether AT is in a previous epoch: neither changes after it nor
@@ -164,44 +162,45 @@
   follow->options.known (follow->options.arg, as_of);
 }
 
-/** Applies the next page of the full read; the last one ends it. */
+/** Finishes a page of a full read, which RESULT is of; the last one ends it.
+    BEFORE is the position before it. */
 void
-follow_page_apply (st_follow_t *follow, const follow_page_t *page)
+follow_page_done (st_follow_t *follow, const char *from,
+                  pr_store_position_t before, st_mirror_result_t result)
 {
-  pr_store_position_t before = follow->at;
-  size_t i;
-
-  if (follow->page_cursor.len == 0)
-    {
-      follow->read_position = page->at;
-      follow->read_as_of = page->as_of;
-      st_keys_begin_snapshot (follow->keys);
-    }
-  for (i = 0; i < page->n; i++)
-    st_keys_apply (follow->keys, follow->read_position.epoch, &page->items[i]);
-  el_buf_reset (&follow->page_cursor);
-  if (page->more && page->n)
-    {
-      el_buf_add (&follow->page_cursor, page->items[page->n - 1].key);
-      if (follow->options.progress)
-        follow->options.progress (follow->options.arg);
-      return;
-    }
+  if (result == ST_MIRROR_PIECE && follow->options.progress)
+    follow->options.progress (follow->options.arg);
+  if (result != ST_MIRROR_WHOLE)
+    return;
   follow->options.store->counts.reads[follow->read_cause]++;
-  follow->complete = 1;
-  follow->reading = 0;
-  st_keys_end_snapshot (follow->keys, follow->read_position);
-  follow->at = follow->read_position;
-  follow_changes_finish (follow, page->from, before, 1);
-  follow_set_synced (follow, follow->read_as_of);
+  follow_changes_finish (follow, from, before, 1);
+  follow_set_synced (follow, follow->mirror.read_as_of);
 }
 
-/** Returns whether the pages read so far are of a previous epoch. */
-int
-follow_read_stale (const st_follow_t *follow)
+/* Applies a page that the store answered with. A page that neither continues
+   the read nor was overtaken by another host's shows that the store is behind
+   the first page. */
+static void
+store_page_apply (st_follow_t *follow, const st_store_list_t *list)
 {
-  return follow->page_cursor.len
-         && follow_stale (follow, follow->read_position);
+  el_str_t cursor = el_buf_str (&follow->call_cursor);
+  const st_keys_page_t page
+      = { .read = follow->call_read,
+          .after = cursor,
+          .items = list->items,
+          .n = list->n,
+          .more = list->more,
+          .at = { follow->options.store->epoch, list->revision },
+          .as_of = follow->call_at };
+  pr_store_position_t before = follow->mirror.at;
+  int awaited = follow->call_read == follow->mirror.read
+                && el_str_eq (cursor, el_buf_str (&follow->mirror.cursor));
+  st_mirror_result_t result = st_mirror_apply_page (&follow->mirror, &page);
+
+  if (result == ST_MIRROR_IGNORED && awaited)
+    follow_reread (follow, follow->read_cause);
+  else
+    follow_page_done (follow, "store", before, result);
 }
 
 static void
@@ -214,28 +213,20 @@
   follow->call = NULL;
   net_clock_cancel (store->clock, &follow->overdue_timer);
   if (result->net != NET_OK
-      || store->dialect->read_list (result, &list) != ST_OK)
+      || store->dialect->read_list (result, &list) != ST_OK
+      || (list.more && !list.n))
     {
+      st_store_list_free (&list);
       follow_failed (follow, "range", result);
       return;
     }
   follow_recovered (follow);
-  if (follow_read_stale (follow))
+  if (st_mirror_read_is_stale (&follow->mirror, store->epoch))
     follow_reread (follow, ST_READ_EPOCH);
-  else if (el_str_eq (el_buf_str (&follow->page_cursor),
-                      el_buf_str (&follow->call_cursor)))
-    {
-      follow_page_t page = { .from = "store",
-                             .items = list.items,
-                             .n = list.n,
-                             .more = list.more,
-                             .at = { store->epoch, list.revision },
-                             .as_of = follow->call_at };
-
-      follow_page_apply (follow, &page);
-    }
+  else
+    store_page_apply (follow, &list);
   st_store_list_free (&list);
-  if (!follow->reading && follow->options.feed)
+  if (!follow->mirror.reading && follow->options.feed)
     follow->store_at = follow_now (follow) + AFTER_READ_DELAY;
   follow_run (follow, 0);
 }
@@ -247,8 +238,8 @@
 {
   EL_LOG (EL_LOG_INFO, "store_history_lost",
           EL_FS ("prefix", follow->options.prefix),
-          EL_FN ("epoch", follow->at.epoch),
-          EL_FN ("revision", follow->at.revision));
+          EL_FN ("epoch", follow->mirror.at.epoch),
+          EL_FN ("revision", follow->mirror.at.revision));
   if (follow->call_fallback)
     feed_store_done (follow, 0);
   else
@@ -261,7 +252,7 @@
 static int
 watch_usable (st_follow_t *follow, st_store_state_t state)
 {
-  if (follow_stale (follow, follow->at))
+  if (follow_stale (follow, follow->mirror.at))
     {
       follow_reread (follow, ST_READ_EPOCH);
       return 0;
@@ -275,13 +266,12 @@
 static void
 changes_apply (st_follow_t *follow, const st_store_list_t *list)
 {
-  pr_store_position_t before = follow->at;
-  size_t i;
+  pr_store_position_t before = follow->mirror.at;
 
-  for (i = 0; i < list->n; i++)
-    st_keys_apply (follow->keys, follow->at.epoch, &list->items[i]);
-  if (list->revision > follow->at.revision)
-    follow->at.revision = list->revision;
+  if (st_mirror_apply_watch (&follow->mirror, follow->call_after, list->items,
+                             list->n, list->revision)
+      == ST_MIRROR_IGNORED)
+    return;
   follow_changes_finish (follow, "store", before, 0);
   follow_set_synced (follow, follow->call_at);
 }
@@ -353,7 +343,9 @@
                                                 + CALL_TIMEOUT;
   uint64_t wait = recovering ? RECOVERY_WAIT_MS : o->wait_ms;
 
-  o->store->dialect->watch (&path, o->prefix, follow->at.revision, wait);
+  follow->call_after = follow->mirror.at;
+  o->store->dialect->watch (&path, o->prefix, follow->mirror.at.revision,
+                            wait);
   call_send (follow, &path, wait, recovering, watch_done);
   el_buf_free (&path);
 }
@@ -364,8 +356,9 @@
 {
   st_follow_options_t *o = &follow->options;
   el_buf_t path = { NULL, 0, 0 };
-  el_str_t cursor = el_buf_str (&follow->page_cursor);
+  el_str_t cursor = el_buf_str (&follow->mirror.cursor);
 
+  follow->call_read = follow->mirror.read;
   el_buf_reset (&follow->call_cursor);
   el_buf_add (&follow->call_cursor, cursor);
   o->store->dialect->range (&path, o->prefix, cursor);
@@ -396,7 +389,7 @@
   now = follow_now (follow);
   if (o->feed)
     co_feed_plan (o->feed, now, &plan);
-  if (!follow->reading && follow_stale (follow, follow->at))
+  if (!follow->mirror.reading && follow_stale (follow, follow->mirror.at))
     follow_reread (follow, ST_READ_EPOCH);
   if (retry_after && follow->store_at < now + retry_after)
     follow->store_at = now + retry_after;
@@ -412,7 +405,7 @@
   if (ask_store && now >= follow->store_at)
     {
       follow->call_fallback = plan.fallback;
-      if (follow->reading)
+      if (follow->mirror.reading)
         follow_read (follow);
       else
         follow_watch (follow);
@@ -448,7 +441,7 @@
       = { .item = options->item, .arg = options->arg };
 
   follow->options = *options;
-  follow->keys = st_keys_new (&keys);
+  st_mirror_init (&follow->mirror, &keys);
   follow->held_timer.cb = follow_release_held;
   follow->held_timer.arg = follow;
   follow->listener.epoch = follow_epoch_changed;
@@ -458,7 +451,6 @@
   follow->timer.arg = follow;
   follow->overdue_timer.cb = call_overdue;
   follow->overdue_timer.arg = follow;
-  follow->reading = 1;
   follow_run (follow, 0);
   return follow;
 }
@@ -477,7 +469,7 @@
 pr_store_position_t
 st_follow_position (const st_follow_t *follow)
 {
-  return follow->at;
+  return follow->mirror.at;
 }
 
 /** Records that the store has begun EPOCH, as reported by another host. */
@@ -504,9 +496,7 @@
   net_clock_cancel (follow->options.store->clock, &follow->overdue_timer);
   if (follow->call)
     net_client_cancel (follow->call);
-  st_keys_free (follow->keys);
-  el_buf_free (&follow->page_cursor);
+  st_mirror_free (&follow->mirror);
   el_buf_free (&follow->call_cursor);
-  el_buf_free (&follow->host_cursor);
   free (follow);
 }
--- a/store/st_follow_host.c
+++ b/store/st_follow_host.c
@@ -19,30 +19,24 @@
 static co_feed_answer_t
 host_page_apply (st_follow_t *follow, const pr_store_update_t *update)
 {
-  follow_page_t page = { .from = "host",
-                         .items = update->items,
-                         .n = update->n,
-                         .more = update->more,
-                         .at = update->at,
-                         .as_of = update->as_of };
+  uint64_t epoch = follow->options.store->epoch;
+  pr_store_position_t before = follow->mirror.at;
+  st_mirror_result_t result;
 
-  if (!follow->reading || follow_stale (follow, update->at))
+  if (!follow->mirror.reading || follow_stale (follow, update->at))
     return CO_FEED_STALE;
-  if (follow_read_stale (follow))
+  if (st_mirror_read_is_stale (&follow->mirror, epoch))
     {
       follow_reread (follow, ST_READ_EPOCH);
       return CO_FEED_CURRENT;
     }
-  /* A host that has seen less than the sender of the first page may lack
-     changes that this host will not ask for again. */
-  if (follow->page_cursor.len
-      && pr_store_position_cmp (update->at, follow->read_position) < 0)
-    return CO_FEED_STALE;
-  if (!el_str_eq (el_buf_str (&follow->page_cursor),
-                  el_buf_str (&follow->host_cursor)))
+  if (follow->mirror.asked_read != follow->mirror.read
+      || !el_str_eq (el_buf_str (&follow->mirror.asked_cursor),
+                     el_buf_str (&follow->mirror.cursor)))
     return CO_FEED_CURRENT;
-  follow_page_apply (follow, &page);
-  return CO_FEED_CURRENT;
+  result = st_mirror_take_page (&follow->mirror, epoch, update);
+  follow_page_done (follow, "host", before, result);
+  return result == ST_MIRROR_IGNORED ? CO_FEED_STALE : CO_FEED_CURRENT;
 }
 
 /* Returns whether the data of another host are new enough: in general, not
@@ -58,21 +52,17 @@
 static co_feed_answer_t
 host_changes_apply (st_follow_t *follow, const pr_store_update_t *update)
 {
-  pr_store_position_t before = follow->at;
+  pr_store_position_t before = follow->mirror.at;
   int current = update_current (follow, update);
-  size_t i;
+  st_mirror_result_t result = st_mirror_take_changes (
+      &follow->mirror, follow->options.store->epoch, update);
 
-  if (follow->reading || follow_stale (follow, update->at)
-      || update->at.epoch != follow->at.epoch)
+  if (result == ST_MIRROR_IGNORED)
     return CO_FEED_STALE;
-  for (i = 0; i < update->n; i++)
-    st_keys_apply (follow->keys, update->at.epoch, &update->items[i]);
-  if (pr_store_position_cmp (update->at, follow->at) > 0)
-    follow->at = update->at;
   follow_changes_finish (follow, "host", before, 0);
   if (!current)
     return CO_FEED_STALE;
-  if (!update->more)
+  if (result == ST_MIRROR_WHOLE)
     follow_set_synced (follow, update->as_of);
   return CO_FEED_CURRENT;
 }
@@ -90,8 +80,8 @@
 {
   if (follow_stale (follow, update->at))
     return CO_FEED_STALE;
-  if (!follow->reading)
-    follow_reread (follow, follow_stale (follow, follow->at)
+  if (!follow->mirror.reading)
+    follow_reread (follow, follow_stale (follow, follow->mirror.at)
                                ? ST_READ_EPOCH
                                : ST_READ_HISTORY);
   return CO_FEED_CURRENT;
@@ -135,21 +125,15 @@
 follow_ask_host (st_follow_t *follow, const co_feed_plan_t *plan)
 {
   st_follow_options_t *o = &follow->options;
-  pr_store_query_t query = { .after = follow->at,
-                             .read = follow->reading,
-                             .cursor = el_buf_str (&follow->page_cursor) };
+  pr_store_query_t query;
 
-  if (follow->reading)
-    query.after = follow->page_cursor.len
-                      ? follow->read_position
-                      : (pr_store_position_t){ o->store->epoch, 0 };
-  el_buf_reset (&follow->host_cursor);
-  el_buf_add (&follow->host_cursor, query.cursor);
+  st_mirror_ask (&follow->mirror, o->store->epoch, &plan->host->incarnation,
+                 &query);
   if (plan->stand_in
       && !co_incarnation_eq (&follow->host, &plan->host->incarnation))
     EL_LOG (EL_LOG_INFO, "store_stand_in", EL_FS ("peer", plan->host->peer),
-            EL_FN ("epoch", follow->at.epoch),
-            EL_FN ("revision", follow->at.revision),
+            EL_FN ("epoch", follow->mirror.at.epoch),
+            EL_FN ("revision", follow->mirror.at.revision),
             EL_FN ("known_age_us", follow_now (follow) - follow->synced_at));
   follow->host = plan->host->incarnation;
   follow->host_stand_in = plan->stand_in;
@@ -157,50 +141,21 @@
   o->ask_host (o->arg, plan->host, &query, plan->stand_in, host_done, follow);
 }
 
-/* Fills OUT with the next page of a host that reads all keys. While this host
-   reads them itself, it passes on those that it has. */
-static void
-update_page (st_follow_t *follow, const pr_store_query_t *query,
-             pr_store_update_t *out)
-{
-  int partial = follow->reading
-                && (!follow->complete || follow_stale (follow, follow->at));
-  el_str_t last = { NULL, 0 };
-
-  if (partial)
-    {
-      last = el_buf_str (&follow->page_cursor);
-      out->at = follow->read_position;
-      out->as_of = follow->read_as_of;
-      if (last.len == 0 || follow_read_stale (follow))
-        return;
-    }
-  if (query->after.epoch > out->at.epoch
-      || (query->cursor.len
-          && pr_store_position_cmp (out->at, query->after) < 0))
-    return;
-  st_keys_page (follow->keys, query->cursor, last, UPDATE_BYTES_MAX, out);
-  out->more = out->more || partial;
-  if (!partial || out->n)
-    out->state = PR_UPDATE_PAGE;
-}
-
 /** Writes to OUT what another host asks for, in pieces of limited size. The
     items belong to the follower; the caller frees the list. */
 void
 st_follow_update (st_follow_t *follow, const pr_store_query_t *query,
                   pr_store_update_t *out)
 {
-  *out = (pr_store_update_t){ .at = follow->at, .as_of = follow->synced_at };
-  if (query->read)
-    {
-      update_page (follow, query, out);
-      return;
-    }
-  if (!follow->complete || query->after.epoch > follow->at.epoch)
-    return;
-  out->state = st_keys_changes_since (follow->keys, query->after,
-                                      UPDATE_BYTES_MAX, out)
-                   ? PR_UPDATE_CHANGES
-                   : PR_UPDATE_READ_ALL;
+  *out = (pr_store_update_t){ .as_of = follow->synced_at };
+  st_mirror_give (&follow->mirror, follow->options.store->epoch, query,
+                  UPDATE_BYTES_MAX, out);
+  if (out->n)
+    EL_LOG (EL_LOG_DEBUG, "store_given", EL_FN ("read", query->read),
+            EL_FN ("after", query->after.revision),
+            EL_FN ("sequence", query->sequence),
+            EL_FN ("revision", out->at.revision), EL_FN ("keys", out->n),
+            EL_FN ("more", out->more),
+            EL_FN ("known_revision", follow->mirror.at.revision),
+            EL_FN ("reading", follow->mirror.reading));
 }
--- a/store/st_keys.c
+++ b/store/st_keys.c
@@ -3,14 +3,20 @@
  * SPDX-License-Identifier: ISC
  */
 /** @file
- * A mirror of the keys of a store. It decides which of two changes of a key is
- * newer, which keys a full snapshot shows to be removed, and which changes
- * another host still needs. No function here does I/O.
+ * The keys of a store, with the position of the last known change of each. It
+ * decides which of two changes of a key is newer, which keys a full read shows
+ * to be removed, and which changes another host still needs. No function here
+ * does I/O.
  *
- * The difference between the mirror and a further snapshot of the same epoch
- * is known exactly, so other hosts can get changes across it. Removed keys are
- * kept for this; when there are too many, the oldest are dropped, and a host
- * that lacks one of their removals has to read all keys.
+ * Removed keys are kept, so that other hosts can get the changes since their
+ * position, also across a further read in the same epoch. Not all removals are
+ * known: when there are too many, the oldest are dropped; and a read does not
+ * show keys that were created and removed since the position before it (the
+ * gap). A host whose position is before the dropped ones or inside the gap has
+ * to read all keys.
+ *
+ * Keys may be newer than the position up to which all changes are known, as
+ * the pages of a read are not one snapshot.
  *
  * A store restored from an older copy lacks what was written since that copy,
  * and has again what was removed since, until the writers have written their
@@ -24,7 +30,7 @@
 #include "libstore.h"
 #include "map.h"
 
-/* Removed keys that are kept; half of them are dropped when there are more. */
+/* Default limit of the removed keys that are kept. */
 #define GONE_MAX 8192
 /* Size of a key and its fields in a message, beside the texts. */
 #define ITEM_OVERHEAD 24
@@ -39,7 +45,10 @@
   int known; /* it has been passed to the callback */
   int gone;
   int held;          /* its state has not been passed to the callback yet */
-  uint64_t snapshot; /* number of the last snapshot that contained it */
+  int gone_early;    /* it may have been removed after AT */
+  uint64_t sequence; /* number of the last change taken, in this mirror */
+  uint64_t snapshot; /* number of the last read that contained it */
+  uint64_t list;     /* number of the last list that contained it */
   UT_hash_handle hh;
 } keys_entry_t;
 
@@ -47,11 +56,20 @@
 {
   st_keys_options_t options;
   keys_entry_t *keys;
-  uint64_t snapshot;               /* number of the last or current snapshot */
-  int in_snapshot;                 /* a snapshot is being read */
-  pr_store_position_t snapshot_at; /* the last complete snapshot's position */
-  pr_store_position_t complete_since; /* all removals after it are known */
+  uint64_t sequence;                  /* of the last change taken */
+  uint64_t snapshot;                  /* number of the last or current read */
+  uint64_t list;                      /* number of the last or current list */
+  int in_snapshot;                    /* all keys are being read */
+  pr_store_position_t newest;         /* of the changes taken */
+  pr_store_position_t complete_since; /* all removals after it are known, but
+                                         for those in the gap */
+  pr_store_gap_t gap;                 /* in the epoch of complete_since */
+  pr_store_position_t newest_page;    /* keys removed before it may be unknown,
+                                         even if they existed at the position of
+                                         the mirror */
+  pr_store_position_t page_before;    /* newest_page before the current read */
   size_t ngone;
+  size_t nheld;
   int unsorted; /* the table is not in the order of the keys' names */
   st_keys_counts_t counts;
 };
@@ -63,6 +81,8 @@
   st_keys_t *keys = el_alloc (sizeof *keys);
 
   keys->options = *options;
+  if (!keys->options.gone_max)
+    keys->options.gone_max = GONE_MAX;
   return keys;
 }
 
@@ -122,11 +142,30 @@
   key->gone = gone;
 }
 
+static void
+key_set_held (st_keys_t *keys, keys_entry_t *key, int held)
+{
+  keys->nheld += (size_t)held - (size_t)key->held;
+  key->held = held;
+}
+
+/* Sets the position of the last change of KEY. */
+static void
+key_set_at (st_keys_t *keys, keys_entry_t *key, pr_store_position_t at)
+{
+  key->at = at;
+  key->gone_early = 0;
+  key->sequence = ++keys->sequence;
+  if (pr_store_position_cmp (at, keys->newest) > 0)
+    keys->newest = at;
+}
+
 static void
 key_free (st_keys_t *keys, keys_entry_t *key)
 {
   HASH_DEL (keys->keys, key);
   keys->ngone -= (size_t)key->gone;
+  keys->nheld -= (size_t)key->held;
   el_str_free (&key->value);
   free (key->name);
   free (key);
@@ -171,7 +210,7 @@
 
   keys->counts.taken++;
   key->known = 1;
-  key->held = 0;
+  key_set_held (keys, key, 0);
   key_set_gone (keys, key, item->gone != 0);
   if (keys->options.item (keys->options.arg, item) || first)
     {
@@ -188,7 +227,7 @@
 key_hold (st_keys_t *keys, keys_entry_t *key, const pr_store_item_t *item)
 {
   keys->counts.held += !key->held;
-  key->held = 1;
+  key_set_held (keys, key, 1);
   key_set_gone (keys, key, item->gone != 0);
   if (item->gone)
     return;
@@ -203,8 +242,7 @@
                                 *(const pr_store_position_t *)b);
 }
 
-/* Drops the older half of the removed keys if there are more than
-   GONE_MAX. */
+/* Drops the older half of the removed keys if there are too many. */
 static void
 keys_drop_gone (st_keys_t *keys)
 {
@@ -214,7 +252,7 @@
   keys_entry_t *next;
   size_t n = 0;
 
-  if (keys->ngone <= GONE_MAX)
+  if (keys->ngone <= keys->options.gone_max)
     return;
   list = el_alloc (keys->ngone * sizeof *list);
   for (key = keys->keys; key; key = key->hh.next)
@@ -230,10 +268,8 @@
     keys->complete_since = limit;
 }
 
-/** Applies ITEM, a change made in EPOCH. If a key has its known state in a new
-    epoch as well, only its position changes. */
-void
-st_keys_apply (st_keys_t *keys, uint64_t epoch, const pr_store_item_t *item)
+static keys_entry_t *
+item_apply (st_keys_t *keys, uint64_t epoch, const pr_store_item_t *item)
 {
   keys_entry_t *key = key_get (keys, item->key);
   pr_store_position_t at = { epoch, item->revision };
@@ -242,69 +278,197 @@
   int other_epoch = epoch != key->at.epoch;
   int reappeared = key->known && (key->gone || key->held) && !item->gone;
 
-  key->snapshot = keys->snapshot;
   if (key->known && (order < 0 || (order == 0 && same)))
     {
       keys->counts.older += order < 0;
-      return;
+      return key;
     }
-  key->at = at;
+  key_set_at (keys, key, at);
   if (keys->in_snapshot && other_epoch && reappeared)
     key_hold (keys, key, item);
-  else if (!(same && other_epoch))
+  else if (!(same && other_epoch) || key->held)
     key_apply (keys, key, item);
+  return key;
+}
+
+/** Applies ITEM, a change made in EPOCH. If a key has its known state in a new
+    epoch as well, only its position changes. */
+void
+st_keys_apply (st_keys_t *keys, uint64_t epoch, const pr_store_item_t *item)
+{
+  item_apply (keys, epoch, item);
   keys_drop_gone (keys);
 }
 
-/** Begins a snapshot: all keys will be passed to st_keys_apply. */
+/** Begins a read: st_keys_apply_page will be passed all keys. */
 void
 st_keys_begin_snapshot (st_keys_t *keys)
 {
   keys->snapshot++;
   keys->in_snapshot = 1;
+  keys->page_before = keys->newest_page;
 }
 
-/* Handles a key that the snapshot at AT lacks. */
 static void
-key_missing (st_keys_t *keys, keys_entry_t *key, pr_store_position_t at)
+key_remove (st_keys_t *keys, keys_entry_t *key, pr_store_position_t at)
 {
-  pr_store_item_t item
+  const pr_store_item_t item
       = { .key = key_name (key), .revision = at.revision, .gone = 1 };
-  int same_epoch = keys->snapshot_at.epoch == at.epoch;
 
-  if (key->gone)
+  key_set_at (keys, key, at);
+  key_apply (keys, key, &item);
+}
+
+/* Handles a key that PAGE, whose keys it lies between, lacks. */
+static void
+key_missing (st_keys_t *keys, keys_entry_t *key, const st_keys_page_t *page)
+{
+  const pr_store_item_t item
+      = { .key = key_name (key), .revision = page->at.revision, .gone = 1 };
+
+  if (key->at.epoch < page->at.epoch)
     {
-      if (!same_epoch && !key->held)
+      if (!key->gone)
+        key_hold (keys, key, &item);
+      else if (!key->held)
         key_free (keys, key);
     }
-  else if (key->at.epoch < at.epoch)
-    key_hold (keys, key, &item);
-  else
+  else if (page->lags && pr_store_position_cmp (key->at, page->at) > 0)
+    return;
+  else if (!key->gone || key->gone_early)
     {
-      if (pr_store_position_cmp (at, key->at) > 0)
-        key->at = at;
-      key_apply (keys, key, &item);
+      pr_store_position_t at
+          = pr_store_position_cmp (key->at, page->at) > 0 ? key->at : page->at;
+
+      if (key->gone)
+        key_set_at (keys, key, at);
+      else
+        key_remove (keys, key, at);
+      key->gone_early = page->lags;
     }
 }
 
-/** Ends a snapshot that contains all changes up to AT. Keys that were not in
-    it are removed; in the first snapshot of an epoch their removal is held
-    back. */
+static void
+newest_page_set (st_keys_t *keys, pr_store_position_t at)
+{
+  if (pr_store_position_cmp (at, keys->newest_page) > 0)
+    keys->newest_page = at;
+}
+
+/** Applies PAGE, which lacks keys that have been removed. In the first read of
+    an epoch their removal is held back. */
 void
-st_keys_end_snapshot (st_keys_t *keys, pr_store_position_t at)
+st_keys_apply_page (st_keys_t *keys, const st_keys_page_t *page)
 {
+  el_str_t last = { NULL, 0 };
   keys_entry_t *key;
   keys_entry_t *next;
-  int first
-      = keys->snapshot_at.epoch != at.epoch || keys->snapshot_at.revision == 0;
+  size_t i;
 
-  keys->in_snapshot = 0;
+  newest_page_set (keys, page->at);
+  newest_page_set (keys,
+                   (pr_store_position_t){ page->at.epoch, page->newest_page });
+  for (i = 0; i < page->n; i++)
+    item_apply (keys, page->at.epoch, &page->items[i])->snapshot
+        = keys->snapshot;
+  if (page->more)
+    last = page->items[page->n - 1].key;
   HASH_ITER (hh, keys->keys, key, next)
-  if (key->snapshot != keys->snapshot)
-    key_missing (keys, key, at);
-  keys->snapshot_at = at;
-  if (first)
-    keys->complete_since = at;
+  if (key->snapshot != keys->snapshot
+      && name_cmp (key_name (key), page->after) > 0
+      && (!last.len || name_cmp (key_name (key), last) <= 0))
+    key_missing (keys, key, page);
+  keys_drop_gone (keys);
+}
+
+/* Adds a gap to the known one. If they do not overlap, removals are known
+   after the former gap only. */
+static void
+gap_add (st_keys_t *keys, pr_store_gap_t gap)
+{
+  if (gap.from >= gap.to || gap.to <= keys->complete_since.revision)
+    return;
+  if (gap.from < keys->gap.to && gap.to > keys->gap.from)
+    {
+      gap.from = gap.from < keys->gap.from ? gap.from : keys->gap.from;
+      gap.to = gap.to > keys->gap.to ? gap.to : keys->gap.to;
+    }
+  else if (keys->gap.to > keys->complete_since.revision)
+    keys->complete_since.revision = keys->gap.to;
+  keys->gap = gap;
+}
+
+/** Ends a read of which the first page had the position AT. All changes up to
+    BEFORE were known before it; if the keys that existed then were known too,
+    the changes since are known but for the gap. */
+void
+st_keys_end_snapshot (st_keys_t *keys, pr_store_position_t before,
+                      pr_store_position_t at)
+{
+  keys->in_snapshot = 0;
+  if (before.epoch == at.epoch && before.revision
+      && pr_store_position_cmp (before, keys->page_before) >= 0)
+    {
+      gap_add (keys, (pr_store_gap_t){ before.revision, at.revision });
+      return;
+    }
+  keys->complete_since = at;
+  keys->gap = (pr_store_gap_t){ 0, 0 };
+}
+
+/** Begins a list of changes from another host. */
+void
+st_keys_begin_list (st_keys_t *keys)
+{
+  keys->list++;
+}
+
+/** Applies a piece of a list of changes from another host, but for those up to
+    the position KNOWN. */
+void
+st_keys_apply_list (st_keys_t *keys, pr_store_position_t known,
+                    const pr_store_update_t *update)
+{
+  size_t i;
+
+  newest_page_set (
+      keys, (pr_store_position_t){ update->at.epoch, update->newest_page });
+  for (i = 0; i < update->n; i++)
+    {
+      keys_entry_t *key;
+
+      if (update->items[i].revision <= known.revision)
+        continue;
+      key = item_apply (keys, update->at.epoch, &update->items[i]);
+      if (key->at.revision == update->items[i].revision)
+        key->list = keys->list;
+    }
+  keys_drop_gone (keys);
+}
+
+/** Ends the list of which UPDATE is the last piece. All changes up to BEFORE
+    were known. A key that was changed between the two positions, and whose
+    change the list lacks, has been removed: its sender never had it. */
+void
+st_keys_end_list (st_keys_t *keys, pr_store_position_t before,
+                  const pr_store_update_t *update)
+{
+  keys_entry_t *key;
+
+  if (pr_store_position_cmp (update->at, before) <= 0)
+    return;
+  if (update->gap.to > before.revision)
+    gap_add (keys, update->gap);
+  if (pr_store_position_cmp (keys->newest, before) <= 0)
+    return;
+  for (key = keys->keys; key; key = key->hh.next)
+    if (!key->gone && key->list != keys->list
+        && pr_store_position_cmp (key->at, before) > 0
+        && pr_store_position_cmp (key->at, update->at) <= 0)
+      {
+        key_remove (keys, key, update->at);
+        key->gone_early = 1;
+      }
   keys_drop_gone (keys);
 }
 
@@ -317,7 +481,7 @@
 
   HASH_ITER (hh, keys->keys, key, next)
   {
-    pr_store_item_t item = key_item (key);
+    const pr_store_item_t item = key_item (key);
 
     if (!key->held)
       continue;
@@ -335,62 +499,64 @@
 }
 
 static int
-item_cmp_revision (const void *a, const void *b)
+key_cmp_sequence (const void *a, const void *b)
 {
-  uint64_t x = ((const pr_store_item_t *)a)->revision;
-  uint64_t y = ((const pr_store_item_t *)b)->revision;
+  const keys_entry_t *x = *(const keys_entry_t *const *)a;
+  const keys_entry_t *y = *(const keys_entry_t *const *)b;
 
-  return (x > y) - (x < y);
+  return (x->sequence > y->sequence) - (x->sequence < y->sequence);
 }
 
-/* Shortens a list of changes to about MAX_BYTES, the oldest ones first. All
-   changes of one revision stay together, as the list includes all changes up
-   to its position. */
-static void
-changes_limit (pr_store_update_t *out, size_t max_bytes)
+/* Returns whether all removals after AFTER are known. */
+static int
+removals_known (const st_keys_t *keys, pr_store_position_t after)
 {
-  size_t bytes = 0;
-  size_t i;
-
-  for (i = 0; i < out->n; i++)
-    bytes += item_size (&out->items[i]);
-  if (bytes <= max_bytes)
-    return;
-  qsort (out->items, out->n, sizeof *out->items, item_cmp_revision);
-  bytes = 0;
-  for (i = 0; i < out->n; i++)
-    {
-      bytes += item_size (&out->items[i]);
-      if (bytes > max_bytes && i
-          && out->items[i].revision > out->items[i - 1].revision)
-        break;
-    }
-  if (i == out->n)
-    return;
-  out->n = i;
-  out->more = 1;
-  out->at.revision = out->items[i - 1].revision;
+  return after.epoch == keys->complete_since.epoch
+         && after.revision >= keys->complete_since.revision
+         && (after.revision <= keys->gap.from
+             || after.revision >= keys->gap.to);
 }
 
-/** Appends to OUT, whose position is set, the changes after a position, at
-    most about MAX_BYTES of them. Returns 0 if not every removal since then is
-    known. The strings belong to KEYS; the caller frees the list. */
+/** Appends to OUT, whose position is set, the next piece of the changes that
+    QUERY asks for, in the order in which they became known here, at most about
+    MAX_BYTES of them; OUT->more says whether there are further ones. Returns 0
+    if not every removal is known. The strings belong to KEYS; the caller frees
+    the list. */
 int
-st_keys_changes_since (const st_keys_t *keys, pr_store_position_t after,
+st_keys_changes_since (const st_keys_t *keys, const pr_store_query_t *query,
                        size_t max_bytes, pr_store_update_t *out)
 {
+  const keys_entry_t **list;
   const keys_entry_t *key;
+  size_t bytes = 0;
+  size_t n = 0;
+  size_t i;
 
-  if (pr_store_position_cmp (after, keys->complete_since) < 0
-      || after.epoch != keys->complete_since.epoch)
+  if (!removals_known (keys, query->after))
     return 0;
-  if (pr_store_position_cmp (after, out->at) >= 0)
+  out->gap = keys->gap;
+  out->sequence = query->sequence;
+  if (pr_store_position_cmp (query->after, out->at) >= 0)
     return 1;
-  out->items = el_alloc ((HASH_COUNT (keys->keys) + 1) * sizeof *out->items);
+  list = el_alloc ((HASH_COUNT (keys->keys) + 1) * sizeof *list);
   for (key = keys->keys; key; key = key->hh.next)
-    if (pr_store_position_cmp (key->at, after) > 0)
-      out->items[out->n++] = key_item (key);
-  changes_limit (out, max_bytes);
+    if (pr_store_position_cmp (key->at, query->after) > 0
+        && key->sequence > query->sequence)
+      list[n++] = key;
+  qsort (list, n, sizeof *list, key_cmp_sequence);
+  out->items = el_alloc ((n + 1) * sizeof *out->items);
+  for (i = 0; i < n; i++)
+    {
+      pr_store_item_t item = key_item (list[i]);
+
+      bytes += item_size (&item);
+      out->more = bytes > max_bytes && i;
+      if (out->more)
+        break;
+      out->items[out->n++] = item;
+      out->sequence = list[i]->sequence;
+    }
+  free (list);
   return 1;
 }
 
@@ -447,6 +613,20 @@
     }
 }
 
+/** Returns the revision in EPOCH before which removed keys may be unknown. */
+uint64_t
+st_keys_newest_page (const st_keys_t *keys, uint64_t epoch)
+{
+  return keys->newest_page.epoch == epoch ? keys->newest_page.revision : 0;
+}
+
+/** Returns whether changes are held back. */
+int
+st_keys_has_held (const st_keys_t *keys)
+{
+  return keys->nheld != 0;
+}
+
 /** Returns the counts since the last call and resets them. */
 st_keys_counts_t
 st_keys_counts_take (st_keys_t *keys)
--- a/tests/t_epoch.c
+++ b/tests/t_epoch.c
@@ -65,6 +65,30 @@
   st_keys_apply (keys, epoch, &item);
 }
 
+/* Applies ITEMS as the only page of a read at AT, before which all changes up
+   to BEFORE were known. */
+static void
+read_page (st_keys_t *keys, pr_store_position_t before, pr_store_position_t at,
+           const pr_store_item_t *items, size_t n)
+{
+  const st_keys_page_t page = { .items = items, .n = n, .at = at };
+
+  st_keys_begin_snapshot (keys);
+  st_keys_apply_page (keys, &page);
+  st_keys_end_snapshot (keys, before, at);
+}
+
+static int
+changes_since (const st_keys_t *keys, uint64_t epoch, uint64_t revision,
+               pr_store_update_t *out)
+{
+  const pr_store_query_t query = { .after = { epoch, revision } };
+
+  return st_keys_changes_since (keys, &query, SIZE_MAX, out);
+}
+
+static const pr_store_position_t unread = { 0, 0 };
+
 /* Guards against a change that is dropped because its revision is not above
    the one that the key had in a former epoch. */
 START_TEST (test_keys_newer_epoch_wins_at_any_revision)
@@ -99,29 +123,24 @@
    the former epoch receives all keys. */
 START_TEST (test_keys_new_epoch_passes_on_differences)
 {
-  const pr_store_item_t other
-      = { .key = EL_STR ("o"), .value = EL_STR ("x"), .revision = 3 };
+  static const pr_store_item_t items[]
+      = { { .key = EL_STR ("o"), .value = EL_STR ("x"), .revision = 3 },
+          { .key = EL_STR ("k"), .value = EL_STR ("b"), .revision = 4 } };
   record_t record = { .refuse = 0 };
   st_keys_t *keys = open_keys (&record);
   pr_store_update_t update = { 0 };
   pr_store_update_t page = { 0 };
 
   put_key (keys, 1, 5, "a");
-  st_keys_apply (keys, 1, &other);
-  st_keys_begin_snapshot (keys);
-  st_keys_apply (keys, 2, &other);
-  put_key (keys, 2, 4, "b");
-  st_keys_end_snapshot (keys, (pr_store_position_t){ 2, 4 });
+  st_keys_apply (keys, 1, &items[0]);
+  read_page (keys, (pr_store_position_t){ 1, 5 },
+             (pr_store_position_t){ 2, 4 }, items, 2);
   check_record (&record, "+k=a +o=x +k=b ");
-  ck_assert_int_eq (st_keys_changes_since (keys, (pr_store_position_t){ 1, 9 },
-                                           SIZE_MAX, &update),
-                    0);
+  ck_assert_int_eq (changes_since (keys, 1, 9, &update), 0);
   st_keys_page (keys, NO_KEY, NO_KEY, SIZE_MAX, &page);
   ck_assert_uint_eq (page.n, 2);
   free (page.items);
-  ck_assert_int_eq (st_keys_changes_since (keys, (pr_store_position_t){ 2, 4 },
-                                           SIZE_MAX, &update),
-                    1);
+  ck_assert_int_eq (changes_since (keys, 2, 4, &update), 1);
   ck_assert_uint_eq (update.n, 0);
   free (update.items);
   st_keys_free (keys);
@@ -163,9 +182,8 @@
   put_key (keys, 1, 5, "a");
   st_keys_apply (keys, 1, &gone[0]);
   st_keys_apply (keys, 1, &gone[1]);
-  st_keys_begin_snapshot (keys);
-  st_keys_apply (keys, 2, &gone[0]);
-  st_keys_end_snapshot (keys, (pr_store_position_t){ 2, 4 });
+  read_page (keys, (pr_store_position_t){ 1, 6 },
+             (pr_store_position_t){ 2, 4 }, gone, 1);
   check_record (&record, "+k=a +g=1 -g= ");
   if (changed)
     put_key (keys, 2, 5, "a");
@@ -177,28 +195,31 @@
 }
 END_TEST
 
-/* Applies a snapshot of the keys "k000" to "k(N-1)", without those whose
-   number DROPPED divides. */
+#define READ_KEYS_MAX 1000
+
+/* Reads the keys "k000" to "k(N-1)", without those whose number DROPPED
+   divides, all changes up to BEFORE being known. */
 static void
-read_keys (st_keys_t *keys, uint64_t revision, size_t n, size_t dropped)
+read_keys (st_keys_t *keys, uint64_t before, uint64_t revision, size_t n,
+           size_t dropped)
 {
-  char name[32];
+  static char names[READ_KEYS_MAX][32];
+  static pr_store_item_t items[READ_KEYS_MAX];
+  size_t nitems = 0;
   size_t i;
 
-  st_keys_begin_snapshot (keys);
+  ck_assert_uint_le (n, READ_KEYS_MAX);
   for (i = 0; i < n; i++)
     {
-      const pr_store_item_t item
-          = { .key = el_str (name), .value = EL_STR ("x"), .revision = 1 };
-      pr_store_item_t copy = item;
-
       if (dropped && i % dropped == 0)
         continue;
-      snprintf (name, sizeof name, "k%03zu", i);
-      copy.key = el_str (name);
-      st_keys_apply (keys, 1, &copy);
+      snprintf (names[i], sizeof names[i], "k%03zu", i);
+      items[nitems++] = (pr_store_item_t){ .key = el_str (names[i]),
+                                           .value = EL_STR ("x"),
+                                           .revision = 1 };
     }
-  st_keys_end_snapshot (keys, (pr_store_position_t){ 1, revision });
+  read_page (keys, before ? (pr_store_position_t){ 1, before } : unread,
+             (pr_store_position_t){ 1, revision }, items, nitems);
 }
 
 /* Guards against a second read of all keys after which other hosts get all of
@@ -216,40 +237,34 @@
       pr_store_update_t update = { .at = { 1, 50 } };
       size_t i;
 
-      read_keys (keys, 10, sizes[k], 0);
-      read_keys (keys, 50, sizes[k], sizes[k] / 3);
-      ck_assert_int_eq (st_keys_changes_since (keys,
-                                               (pr_store_position_t){ 1, 10 },
-                                               SIZE_MAX, &update),
-                        1);
+      read_keys (keys, 0, 10, sizes[k], 0);
+      read_keys (keys, 10, 50, sizes[k], sizes[k] / 3);
+      ck_assert_int_eq (changes_since (keys, 1, 10, &update), 1);
       ck_assert_uint_eq (update.n, 3);
       for (i = 0; i < update.n; i++)
         ck_assert_int_eq (update.items[i].gone, 1);
       free (update.items);
-      ck_assert_int_eq (st_keys_changes_since (keys,
-                                               (pr_store_position_t){ 1, 9 },
-                                               SIZE_MAX, &update),
-                        0);
+      ck_assert_int_eq (changes_since (keys, 1, 9, &update), 0);
       st_keys_free (keys);
       el_buf_free (&record.text);
     }
 }
 END_TEST
 
-/* Pages hold all keys once, in order, each within the limit; so do lists of
-   changes, whose position is that of the last change in them. */
+/* Pages hold all keys once, in order, each within the limit; so do the pieces
+   of a list of changes, all of the same position. */
 START_TEST (test_keys_pieces_are_complete_and_bounded)
 {
   record_t record = { .refuse = 0 };
   st_keys_t *keys = open_keys (&record);
   pr_store_update_t piece = { .more = 1 };
-  pr_store_position_t at = { 1, 0 };
+  pr_store_query_t query = { .after = { 1, 1 } };
   el_buf_t cursor = { NULL, 0, 0 };
   size_t n = 0;
   size_t i;
   char name[32];
 
-  read_keys (keys, 1, 500, 7);
+  read_keys (keys, 0, 1, 500, 7);
   for (i = 500; i-- > 0;)
     {
       pr_store_item_t item = { .value = EL_STR ("y"), .revision = 2 + i / 2 };
@@ -273,18 +288,21 @@
       free (piece.items);
     }
   ck_assert_uint_eq (n, 500);
-  at.revision = 1;
-  for (n = 0, piece.more = 1; piece.more; n += piece.n)
+  for (n = 0, piece.more = 1; piece.more; query.sequence = piece.sequence)
     {
       piece = (pr_store_update_t){ .at = { 1, 251 } };
-      ck_assert_int_eq (st_keys_changes_since (keys, at, 1000, &piece), 1);
+      ck_assert_int_eq (st_keys_changes_since (keys, &query, 1000, &piece), 1);
       ck_assert_uint_le (piece.n, 1000 / 25);
-      ck_assert_uint_gt (piece.at.revision, at.revision);
-      at = piece.at;
+      ck_assert_uint_gt (piece.sequence, query.sequence);
+      for (i = 0; i < piece.n; i++, n++)
+        {
+          snprintf (name, sizeof name, "k%03zu", 499 - n);
+          ck_assert (el_str_eq (piece.items[i].key, el_str (name)));
+        }
+      ck_assert_uint_eq (piece.at.revision, 251);
       free (piece.items);
     }
   ck_assert_uint_eq (n, 500);
-  ck_assert_uint_eq (at.revision, 251);
   st_keys_free (keys);
   el_buf_free (&cursor);
   el_buf_free (&record.text);
@@ -301,7 +319,7 @@
   char name[32];
   uint64_t i;
 
-  read_keys (keys, 1, 1, 0);
+  read_keys (keys, 0, 1, 1, 0);
   for (i = 0; i < 20000; i++)
     {
       pr_store_item_t item = { .revision = 2 + i, .gone = 1 };
@@ -310,13 +328,8 @@
       item.key = el_str (name);
       st_keys_apply (keys, 1, &item);
     }
-  ck_assert_int_eq (st_keys_changes_since (keys, (pr_store_position_t){ 1, 1 },
-                                           SIZE_MAX, &update),
-                    0);
-  ck_assert_int_eq (st_keys_changes_since (keys,
-                                           (pr_store_position_t){ 1, 19000 },
-                                           SIZE_MAX, &update),
-                    1);
+  ck_assert_int_eq (changes_since (keys, 1, 1, &update), 0);
+  ck_assert_int_eq (changes_since (keys, 1, 19000, &update), 1);
   ck_assert_uint_eq (update.n, 1001);
   free (update.items);
   st_keys_free (keys);
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -387,6 +387,158 @@
 }
 END_TEST
 
+/* A hall whose first host reads the store; this one is with it in the same
+   process and gets its answers from it directly. */
+typedef struct pair
+{
+  hall_t hall; /* first, as the callbacks cast the pair to a hall_t */
+  st_follow_t *reader;
+  int pages; /* that the reader has read, but for last ones */
+  int stands_still;
+  el_timer_t timer;       /* of its answer */
+  pr_store_query_t query; /* that waits while this host stands still */
+  pr_store_update_cb done;
+  void *done_arg;
+} pair_t;
+
+static void
+pair_answer (void *arg, el_time_t now)
+{
+  pair_t *pair = arg;
+  pr_store_update_t update;
+
+  (void)now;
+  st_follow_update (pair->reader, &pair->query, &update);
+  pair->done (pair->done_arg, &update);
+  free (update.items);
+}
+
+static void
+answer_from_reader (void *arg, const co_member_t *host,
+                    const pr_store_query_t *query, int stand_in,
+                    pr_store_update_cb done, void *done_arg)
+{
+  pair_t *pair = arg;
+
+  (void)host;
+  (void)stand_in;
+  pair->query = *query;
+  pair->done = done;
+  pair->done_arg = done_arg;
+  if (!pair->stands_still)
+    net_clock_set (&test_clock, &pair->timer, EL_MSEC);
+}
+
+static int
+ignore_item (void *arg, const pr_store_item_t *item)
+{
+  (void)arg;
+  (void)item;
+  return 1;
+}
+
+static void
+ignore_known (void *arg, el_time_t as_of)
+{
+  (void)arg;
+  (void)as_of;
+}
+
+static void
+count_page (void *arg)
+{
+  pair_t *pair = arg;
+
+  pair->pages++;
+}
+
+#define BIG_VALUE (96 * 1024)
+
+/* The first page of a further read: one key that is newer than the reader's
+   position, and one that exceeds the size of a list. */
+static char *
+big_page (void)
+{
+  static char text[BIG_VALUE + 512];
+  size_t len = (size_t)snprintf (
+      text, sizeof text,
+      HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
+                 "\"Revision\":4},{\"Key\":\"p/b\",\"Value\":\"\","
+                 "\"Revision\":6},{\"Key\":\"p/c\",\"Value\":\"");
+
+  memset (text + len, 'A', BIG_VALUE);
+  strcpy (text + len + BIG_VALUE, "\",\"Revision\":7}],\"more\":true,"
+                                  "\"at\":7}");
+  return text;
+}
+
+/* Guards against a change that another host never gets: the reader is at a
+   later page of a further read, whose earlier pages have keys that are newer
+   than its position, and gives changes in pieces meanwhile. */
+START_TEST (test_follow_list_during_read_skips_no_change)
+{
+  static answer_t answers[]
+      = { { HTTP_OK () "{\"Items\":[{\"Key\":\"p/z\",\"Value\":\"\","
+                       "\"Revision\":3}],\"more\":false,\"at\":3}",
+            CLOSE },
+          { HTTP_OK () "{\"events\":[{\"Key\":\"p/a\",\"Value\":\"\","
+                       "\"Revision\":4}],\"at\":4}",
+            CLOSE },
+          { "HTTP/1.1 410 Gone\r\nconnection: close\r\n\r\n", CLOSE },
+          { NULL, CLOSE },
+          { HTTP_OK () "{\"Items\":[{\"Key\":\"p/z\",\"Value\":\"MQ==\","
+                       "\"Revision\":5}],\"more\":false,\"at\":8}",
+            CLOSE },
+          { HTTP_OK () "{\"events\":[],\"at\":8}", CLOSE } };
+  pair_t pair = { .timer = { .cb = pair_answer, .arg = &pair } };
+  st_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  const st_follow_options_t reader = { .store = &store,
+                                       .prefix = EL_STR ("p/"),
+                                       .wait_ms = 100,
+                                       .item = ignore_item,
+                                       .progress = count_page,
+                                       .known = ignore_known,
+                                       .arg = &pair };
+  st_follow_options_t other = { .store = &store,
+                                .prefix = EL_STR ("p/"),
+                                .wait_ms = 100,
+                                .item = record_item,
+                                .update_max_age = EL_TIME_NEVER / 4,
+                                .ask_host = answer_from_reader,
+                                .known = record_known,
+                                .arg = &pair };
+  st_follow_t *follow;
+
+  answers[3].bytes = big_page ();
+  script_start (answers, sizeof answers / sizeof *answers);
+  store.address = el_str (script.address);
+  hall_open (&pair.hall);
+  hall_grow (&pair.hall, 60);
+  other.feed = pair.hall.feed;
+  pair.reader = st_follow_new (&reader);
+  while (st_follow_position (pair.reader).revision < 3)
+    uv_run (&loop, UV_RUN_ONCE);
+  pair.stands_still = 1;
+  follow = st_follow_new (&other);
+  pair_answer (&pair, 0);
+  ck_assert_uint_eq (st_follow_position (follow).revision, 3);
+  pair.done = NULL;
+  while (!pair.pages || !pair.done)
+    uv_run (&loop, UV_RUN_ONCE);
+  pair.stands_still = 0;
+  pair_answer (&pair, 0);
+  while (st_follow_position (follow).revision < 8)
+    uv_run (&loop, UV_RUN_ONCE);
+  st_follow_free (follow);
+  st_follow_free (pair.reader);
+  ck_assert_ptr_nonnull (strstr (pair.hall.record.text.ptr + 1, "+p/z "));
+  el_buf_free (&pair.hall.record.text);
+  hall_close (&pair.hall);
+}
+END_TEST
+
 static int
 read_vacant (void *arg)
 {
@@ -534,6 +686,7 @@
   ADD (tcase, test_follow_rarely_asks_unavailable_store);
   ADD (tcase, test_follow_lost_history_is_read_by_few);
   ADD (tcase, test_follow_read_goes_on_with_another_host);
+  ADD (tcase, test_follow_list_during_read_skips_no_change);
   ADD (tcase, test_store_retry_after_stops_all_calls);
   ADD (tcase, test_duty_is_requested_only_when_vacant);
   ADD (tcase, test_duty_left_vacant_is_taken_by_the_next);
--- a/tests/test.h
+++ b/tests/test.h
@@ -50,6 +50,7 @@
 Suite *intake_suite (void);
 Suite *net_suite (void);
 Suite *store_suite (void);
+Suite *mirror_suite (void);
 Suite *random_suite (void);
 Suite *check_suite (void);
 Suite *fuzz_http_suite (void);
--- a/tests/unit_main.c
+++ b/tests/unit_main.c
@@ -58,6 +58,7 @@
   srunner_add_suite (runner, net_suite ());
   srunner_add_suite (runner, intake_suite ());
   srunner_add_suite (runner, store_suite ());
+  srunner_add_suite (runner, mirror_suite ());
   srunner_add_suite (runner, epoch_suite ());
   srunner_add_suite (runner, random_suite ());
   srunner_add_suite (runner, check_suite ());
