A part of the configuration does not pass for all of it

A host that asks another one for the product's configuration got at most 65,536 changes, without order, and the revision of all of them: what was cut was never asked for again, and after a complete reply it was removed.

--- a/peer/libpeer.h
+++ b/peer/libpeer.h
@@ -89,6 +89,9 @@
 
 /* peer_fetch.c */
 void peer_fetch (pr_peers_t *peers, const co_member_t *from);
+void peer_fetch_fill (const pr_config_t *config, uint64_t after,
+                      peer_fetch_res *res);
+void peer_fetch_free (peer_fetch_res *res);
 void peer_serve_fetch (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body);
 
 /* peer_forward.c */
--- a/peer/peer_fetch.c
+++ b/peer/peer_fetch.c
@@ -19,6 +19,7 @@
 {
   peer_change *list;
   size_t len;
+  int cut; /* there are more than a reply may have */
 } fetch_list_t;
 
 static void
@@ -30,7 +31,8 @@
   el_str_t spec = { NULL, 0 };
   peer_change *change;
 
-  if (changes->len == PEER_CHANGES_MAX)
+  changes->cut = changes->len == PEER_CHANGES_MAX;
+  if (changes->cut)
     return;
   changes->list
       = el_grow (changes->list, changes->len + 1, sizeof *changes->list);
@@ -43,34 +45,57 @@
   PEER_BYTES_SET (change->spec, spec, spec);
 }
 
+/** Fills RES with the changes after AFTER, or with the complete configuration.
+    It states no revision if it cannot have all changes up to it; free it with
+    peer_fetch_free. */
+void
+peer_fetch_fill (const pr_config_t *config, uint64_t after,
+                 peer_fetch_res *res)
+{
+  fetch_list_t changes = { NULL, 0, 0 };
+
+  *res = (peer_fetch_res){ 0 };
+  if (!config->ready)
+    return;
+  res->whole = after < config->complete_since;
+  res->revision = co_config_revision (config->config);
+  co_config_visit_since (config->config, res->whole ? 0 : after, change_add,
+                         &changes);
+  res->changes.changes_val = changes.list;
+  res->changes.changes_len = (u_int)changes.len;
+  res->ready = !changes.cut;
+  if (!changes.cut)
+    return;
+  EL_LOG (EL_LOG_ERROR, "config_too_large", EL_FN ("after", after),
+          EL_FN ("changes", changes.len));
+  peer_fetch_free (res);
+}
+
+/** Frees what peer_fetch_fill allocated. */
+void
+peer_fetch_free (peer_fetch_res *res)
+{
+  u_int i;
+
+  for (i = 0; i < res->changes.changes_len; i++)
+    free (res->changes.changes_val[i].spec.spec_val);
+  free (res->changes.changes_val);
+  *res = (peer_fetch_res){ 0 };
+}
+
 /** Reply with the configuration changes that the other host has not seen. */
 void
 peer_serve_fetch (pr_peers_t *peers, net_rpc_req_t *req, el_str_t body)
 {
-  const pr_config_t *config = peers->options.config;
-  fetch_list_t changes = { NULL, 0 };
   el_buf_t out = { NULL, 0, 0 };
   peer_fetch_args args = { 0 };
-  peer_fetch_res res;
-  size_t i;
+  peer_fetch_res res = { 0 };
 
-  memset (&res, 0, sizeof res);
-  if (peer_xdr_decode ((xdrproc_t)xdr_peer_fetch_args, body, &args)
-      && config->ready)
-    {
-      res.ready = 1;
-      res.whole = args.after < config->complete_since;
-      res.revision = co_config_revision (config->config);
-      co_config_visit_since (config->config, res.whole ? 0 : args.after,
-                             change_add, &changes);
-    }
-  res.changes.changes_val = changes.list;
-  res.changes.changes_len = (u_int)changes.len;
+  if (peer_xdr_decode ((xdrproc_t)xdr_peer_fetch_args, body, &args))
+    peer_fetch_fill (peers->options.config, args.after, &res);
   peer_xdr_encode ((xdrproc_t)xdr_peer_fetch_res, &res, &out);
   net_rpc_reply (req, el_buf_str (&out));
-  for (i = 0; i < changes.len; i++)
-    free (changes.list[i].spec.spec_val);
-  free (changes.list);
+  peer_fetch_free (&res);
   el_buf_free (&out);
 }
 
--- a/tests/t_coord.c
+++ b/tests/t_coord.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "libpeer.h"
 #include "test.h"
 
 #define CLUSTER_KEY EL_STR ("a-key-of-the-hosts")
@@ -409,6 +410,41 @@
 }
 END_TEST
 
+/* Guards against a configuration of which a part is taken for all of it: a
+   reply that cannot have all changes up to a revision states none, as the
+   other host would never ask for the rest, or remove it. */
+START_TEST (test_config_reply_states_only_what_it_has)
+{
+  static const uint64_t after[] = { 0, 1 };
+  co_config_options_t options = { .changed = count_config_change };
+  pr_config_t *config = pr_config_new (co_config_new (&options));
+  pr_config_update_t *update = pr_config_update_begin (config);
+  json_t *spec = json_loads (CUSTOMER_JSON_A, 0, NULL);
+  peer_fetch_res res;
+  char name[16];
+  unsigned i;
+
+  for (i = 0; i <= PEER_CHANGES_MAX; i++)
+    {
+      snprintf (name, sizeof name, "c%u", i);
+      pr_config_update_apply (update, CO_CUSTOMER, el_str (name), 2 + i, spec);
+      if (i + 1 < PEER_CHANGES_MAX)
+        continue;
+      pr_config_update_finish (update, 2 + i, 0);
+      peer_fetch_fill (config, after[_i], &res);
+      ck_assert_int_eq (res.ready, i + 1 == PEER_CHANGES_MAX);
+      ck_assert_uint_eq (res.changes.changes_len,
+                         res.ready ? PEER_CHANGES_MAX : 0);
+      peer_fetch_free (&res);
+      update = pr_config_update_begin (config);
+    }
+  pr_config_update_free (update);
+  json_decref (spec);
+  co_config_free (config->config);
+  free (config);
+}
+END_TEST
+
 Suite *
 coord_suite (void)
 {
@@ -427,6 +463,7 @@
   ADD_LOOP (tcase, test_ledger_any_order_runs_at_most_once, 50);
   ADD (tcase, test_config_never_reverts);
   ADD (tcase, test_config_own_change_does_not_skip_others);
+  ADD_LOOP (tcase, test_config_reply_states_only_what_it_has, 2);
   ADD_LOOP (tcase, test_schema_error_names_the_field,
             sizeof invalid_resources / sizeof *invalid_resources);
   suite_add_tcase (suite, tcase);
