Answers without end to many requests do not fill a host

What callers saw on another system (LOST): a worker sent bytes without end and the machine that had called it ran out of memory, and other clients' requests ended with it.

Cause: each answer was bounded, and plain bodies were drawn from the process's account, but not the body of a failure on a stream's route (4 MB), part of an event (1 MB) and answers to checks, reports and orders (16 MB): a worker's 192 requests at once could take more than a host has.

--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -165,6 +165,8 @@
       relay_standby_cancel (relay, "a later one responds");
       relay_respond_head (relay, head);
     }
+  else if (!relay->stream)
+    net_exchange_keep_body (relay->exchange);
 }
 
 /** Forwards complete events of a stream; buffers other responses. Returns 0 if
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -226,6 +226,8 @@
       relay_standby_cancel (relay, "a later one responds");
       relay_respond_head (relay, head);
     }
+  else if (!relay->stream)
+    net_exchange_keep_body (relay->exchange);
 }
 
 /* Determines what a helper's response says about the request. A response with
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -342,6 +342,14 @@
   ex->done = done;
 }
 
+/** Have the body of an exchange, whose head is being handled, kept until it is
+    whole, as keeps_body of the request does. */
+void
+net_exchange_keep_body (net_exchange_t *ex)
+{
+  ex->keeps_body = 1;
+}
+
 /** Return whether any byte of the request may have left this host. */
 int
 net_exchange_is_sent (const net_exchange_t *ex)
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -31,6 +31,10 @@
 #define FREE_CONNS_PART 8
 /* Interim (1xx) responses before the final one, at most. */
 #define INTERIM_MAX 8
+/* Size in bytes of the headers of a response, trailers included, at most. */
+#define HEADERS_MAX ((size_t)32 << 10)
+/* What a header takes beside its text. */
+#define HEADER_OVERHEAD (sizeof (net_header_t) + 32)
 /* Ids that a connection remembers. It carries no more requests than that. */
 #define IDS_MAX 256
 /* Memory for ids is allocated in steps of so many. */
@@ -176,6 +180,7 @@
   if (!conn->exchange)
     return -1;
   net_exchange_clear_headers (conn->exchange);
+  conn->exchange->headers_size = 0;
   conn->exchange->in_value = 0;
   el_buf_reset (&conn->exchange->name);
   el_buf_reset (&conn->exchange->value);
@@ -198,12 +203,22 @@
   ex->in_value = 0;
 }
 
+/* Counts LEN further bytes of headers. Returns 0 if they are too many. */
+static int
+headers_add (net_exchange_t *ex, size_t len)
+{
+  ex->headers_size += len;
+  return ex->headers_size <= HEADERS_MAX;
+}
+
 static int
 on_header_field (http_parser *parser, const char *at, size_t len)
 {
   net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
 
   header_finish (ex);
+  if (!headers_add (ex, len + (ex->name.len ? 0 : HEADER_OVERHEAD)))
+    return -1;
   el_buf_add (&ex->name, (el_str_t){ at, len });
   return 0;
 }
@@ -213,6 +228,8 @@
 {
   net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
 
+  if (!headers_add (ex, len))
+    return -1;
   ex->in_value = 1;
   el_buf_add (&ex->value, (el_str_t){ at, len });
   return 0;
@@ -291,11 +308,11 @@
     }
   conn->keep = keep_alive_parse (net_result_header (&result, "keep-alive"));
   ex->head_received = 1;
-  exchange_announce (ex, parser);
   if (ex->head)
     ex->head (ex->arg, &result);
   if (conn->exchange != ex)
     return -1;
+  exchange_announce (ex, parser);
   return ex->is_head ? 1 : 0;
 }
 
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -237,10 +237,11 @@
   el_buf_t value;
   el_buf_t body;
   int keeps_body;
-  int announced; /**< the body's length is known */
-  int waiting;   /**< not read until there is room for its body */
-  uint64_t part; /**< bytes of the body that arrived */
-  uint64_t held; /**< bytes drawn from the account */
+  size_t headers_size; /**< in bytes, with what each header takes */
+  int announced;       /**< the body's length is known */
+  int waiting;         /**< not read until there is room for its body */
+  uint64_t part;       /**< bytes of the body that arrived */
+  uint64_t held;       /**< bytes drawn from the account */
   el_timer_t timer;
   net_exchange_t *prev;
   net_exchange_t *next;
--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -325,7 +325,12 @@
   conn->head = head;
   if (el_str_starts_with (head, EL_STR ("GET /elmarch/report")))
     {
-      if (!conn->peer->silent)
+      if (conn->peer->report_flood)
+        {
+          peer_printf (conn, "HTTP/1.1 200 OK\r\n\r\n");
+          peer_flood (conn, conn->peer->report_flood);
+        }
+      else if (!conn->peer->silent)
         peer_printf (conn,
                      "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
                      "keep-alive: timeout=9\r\n\r\n" REPORT,
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -39,8 +39,10 @@
   char address[32];
   void (*serve) (peer_conn_t *conn);
   void *arg;
-  int silent; /* reports get no answer */
-  int lost;   /* as a host: not live */
+  const char
+      *report_flood; /* answers reports without end; NULL: it does not */
+  int silent;        /* reports get no answer */
+  int lost;          /* as a host: not live */
   unsigned connections;
   unsigned requests; /* reports not counted */
   size_t sent;       /* bytes written by peer_flood */
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "platform.h"
 #include "relay_net.h"
 #include "test.h"
 
@@ -652,6 +653,8 @@
   { "/pay/x", ANSWER_HEAD CHUNKED, "4\r\nbody\r\n", 502 },
   { "/pay/x", ANSWER_HEAD CHUNKED "4;", "extension ", 502 },
   { "/pay/x", ANSWER_HEAD CHUNKED "0\r\n", "name: value\r\n", 502 },
+  { "/pay/x", ANSWER_HEAD CHUNKED, "000", 502 },
+  { "/pay/x", "HTTP/1.1 200 OK\r\n", "a:\r\n", 502 },
   { "/pay/x", ANSWER_HEAD "content-length: 4\r\n\r\nbody", "surplus ", 200 },
   { "/high/x", "", "no answer ", 502 },
   { "/high/x", ANSWER_HEAD "\r\n", "no event ", 0 },
@@ -722,6 +725,89 @@
 }
 END_TEST
 
+/* Answers without end that are not drawn from the account as plain bodies
+   are. */
+static const flood_case_t many_floods[] = {
+  { "/high/x", "HTTP/1.1 500 Failed\r\nx-elmarch-request-id: r1\r\n\r\n",
+    "body ", 0 },
+  { "/high/x", ANSWER_HEAD CHUNKED, "4\r\nbody\r\n", 0 },
+  { "/high/x", "HTTP/1.1 200 OK\r\n", "a:\r\n", 0 },
+  { "/high/x", ANSWER_HEAD CHUNKED "0\r\n", "a:\r\n", 0 },
+  { "/pay/x", ANSWER_HEAD "\r\n", "body ", 0 },
+};
+
+#define MANY_CALLS 64
+#define MANY_ACCOUNT ((size_t)16 << 20)
+/* Buffers grow by doubling. */
+#define MANY_BUFFERED (2 * MANY_ACCOUNT)
+/* What one request may take beside what is drawn from the account. */
+#define MANY_EACH ((size_t)256 << 10)
+
+/* Guards against a host whose memory one worker fills by answers without end
+   to many requests at once. */
+START_TEST (test_many_answers_without_end_are_bounded)
+{
+  const flood_case_t *flood = &many_floods[_i];
+  peer_t peer = { .serve = serve_flood, .arg = (void *)(uintptr_t)flood };
+  int is_stream = strcmp (flood->path, "/high/x") == 0;
+  net_call_t calls[MANY_CALLS];
+  el_account_t account;
+  size_t before;
+  size_t i;
+
+  el_account_init (&account, 16 * MANY_ACCOUNT, 1000);
+  account.hold_max[EL_HOLD_ANSWER] = MANY_ACCOUNT;
+  net_client_set_account (rnet.relays->options.client, &account);
+  peer_open (&peer);
+  relay_net_add (&peer, "w", is_stream ? "llm" : "app", is_stream ? 8 : 0);
+  before = relay_net_heap ();
+  for (i = 0; i < MANY_CALLS; i++)
+    call_send (&calls[i], "r1", "POST", flood->path);
+  for (i = 0; i < MANY_CALLS; i++)
+    while (calls[i].exchange)
+      {
+        relay_net_run_once ();
+        ck_assert_uint_le (relay_net_heap (),
+                           before + MANY_BUFFERED + MANY_CALLS * MANY_EACH);
+      }
+  for (i = 0; i < MANY_CALLS; i++)
+    call_free (&calls[i]);
+  ck_assert_uint_eq (account.held[EL_HOLD_ANSWER], 0);
+  net_client_set_account (rnet.relays->options.client, NULL);
+}
+END_TEST
+
+static void
+flood_checked (void *arg, gt_check_result_t result, const rt_load_t *load,
+               const rt_hints_t *hints)
+{
+  (void)hints;
+  ck_assert_int_eq (result, GT_CHECK_NONE);
+  ck_assert_ptr_null (load);
+  *(int *)arg = 1;
+}
+
+/* Guards against checks and reports that fill the memory of a host. */
+START_TEST (test_check_without_end_is_bounded)
+{
+  peer_t peer = { .report_flood = "{\"QueueDepth\":1,\"Models\":[ " };
+  int checked = 0;
+  size_t before;
+  rt_target_t *target;
+
+  peer_open (&peer);
+  target = relay_net_add (&peer, "w", "llm", 8);
+  before = relay_net_heap ();
+  pf_relay.check (rnet.relays->options.client, target, flood_checked,
+                  &checked);
+  while (!checked)
+    {
+      relay_net_run_once ();
+      ck_assert_uint_le (relay_net_heap (), before + ((size_t)2 << 20));
+    }
+}
+END_TEST
+
 static void
 serve_endless_events (peer_conn_t *conn)
 {
@@ -773,6 +859,9 @@
   ADD_LOOP (tcase, test_stream_without_a_position_is_not_resumed, 2);
   ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
+  ADD_LOOP (tcase, test_many_answers_without_end_are_bounded,
+            sizeof many_floods / sizeof *many_floods);
+  ADD (tcase, test_check_without_end_is_bounded);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
   ADD_LOOP (tcase, test_answer_without_end_is_bounded,
             sizeof flood_cases / sizeof *flood_cases);
