A head that no answer can have ends the exchange

Cause: the client took each status below 200 for an interim answer and passed each one above 599 on. At 000 a caller waited until its time limit, at 600 and 999 it got the status, plain and over another host; and the body of an interim answer was put before that of the answer after it.

Change: net/http_conn.c, by which each answer of a worker comes, ends the exchange at such a head, as at bytes that are no answer: a safe request goes to another worker, an unsafe one gets 502. 204 and 304 have no body.

test_answer_with_an_unknown_status_fails_at_once: ten heads on six ways.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -273,6 +273,12 @@
   return id.len ? !el_str_eq (id, ex->id) : ex->id_required && ex->id.len;
 }
 
+static int
+head_has_no_body (const net_exchange_t *ex)
+{
+  return ex->is_head || ex->status == 204 || ex->status == 304;
+}
+
 /* A body whose length is known is drawn from the account at once, so that it
    does not stop midway. */
 static void
@@ -280,12 +286,26 @@
 {
   ex->announced
       = !(parser->flags & F_CHUNKED) && parser->content_length != ULLONG_MAX;
-  if (!ex->keeps_body || !ex->announced || ex->is_head)
+  if (!ex->keeps_body || !ex->announced || head_has_no_body (ex))
     return;
   ex->part = parser->content_length < ex->max_response ? parser->content_length
                                                        : ex->max_response;
 }
 
+/* Whether the head can be that of a response: its status is one of HTTP's, no
+   other protocol was asked for, and an interim response has no body. */
+static int
+head_is_valid (const http_parser *parser)
+{
+  if (parser->status_code < 100 || parser->status_code >= 600
+      || parser->status_code == 101)
+    return 0;
+  return parser->status_code >= 200
+         || (!(parser->flags & F_CHUNKED)
+             && (parser->content_length == 0
+                 || parser->content_length == ULLONG_MAX));
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -295,6 +315,11 @@
 
   header_finish (ex);
   ex->status = (int)parser->status_code;
+  if (!head_is_valid (parser))
+    {
+      conn->client->counts.invalid++;
+      return -1;
+    }
   if (ex->status < 200)
     return 0;
   result = (net_result_t){ .status = ex->status,
@@ -313,7 +338,7 @@
   if (conn->exchange != ex)
     return -1;
   exchange_announce (ex, parser);
-  return ex->is_head ? 1 : 0;
+  return head_has_no_body (ex);
 }
 
 static int
--- a/net/net.h
+++ b/net/net.h
@@ -200,6 +200,7 @@
   uint64_t retired; /**< connections closed after as many requests as they
                        remember */
   uint64_t crossed; /**< responses with another id */
+  uint64_t invalid; /**< heads that no response can have */
   uint64_t surplus; /**< connections closed because of bytes that belong to no
                        request */
   uint64_t waited;  /**< responses whose reading waited for room */
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -622,6 +622,86 @@
 }
 END_TEST
 
+/* Heads that no answer can have. The worker says no more and keeps the
+   connection. */
+
+#define BODY_OF_4                                                             \
+  "\r\nx-elmarch-request-id: r1\r\nx-elmarch-response-seal: s\r\n"            \
+  "content-length: 4\r\n\r\nbody"
+
+static const char *const invalid_heads[]
+    = { "HTTP/1.1 000 " BODY_OF_4,
+        "HTTP/1.1 000 \r\n\r\n",
+        "HTTP/1.1 007 Low" BODY_OF_4,
+        "HTTP/1.1 99 Short" BODY_OF_4,
+        "HTTP/1.1 101 Switching Protocols" BODY_OF_4,
+        "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\n"
+        "upgrade: other\r\n\r\n",
+        "HTTP/1.1 600 High" BODY_OF_4,
+        "HTTP/1.1 999 Highest" BODY_OF_4,
+        "HTTP/1.1 1000 Long" BODY_OF_4,
+        "HTTP/1.1 100 Continue" BODY_OF_4 "HTTP/1.1 200 OK" BODY_OF_4 };
+
+#define INVALID_HEADS (sizeof invalid_heads / sizeof *invalid_heads)
+/* An answer that is none has to be known by then, and not by the time limit.
+ */
+#define INVALID_TIME EL_SEC
+
+static void
+serve_invalid_head (peer_conn_t *conn)
+{
+  const char *head = conn->peer->arg;
+
+  peer_write (conn, head, strlen (head));
+}
+
+/* Ways on which an answer comes. */
+static const struct
+{
+  const char *path;
+  int over_host;
+} invalid_ways[] = { { "/pay/x", 0 }, { "/look/x", 0 }, { "/high/x", 0 },
+                     { "/low/x", 0 }, { "/high/x", 1 }, { "/pay/x", 1 } };
+
+#define INVALID_WAYS (sizeof invalid_ways / sizeof *invalid_ways)
+
+/* Guards against an answer whose status HTTP does not know (000) and that
+   reaches the caller, or for which it waits until its time limit. */
+START_TEST (test_answer_with_an_unknown_status_fails_at_once)
+{
+  void *head = (void *)(uintptr_t)invalid_heads[(size_t)_i / INVALID_WAYS];
+  const char *path = invalid_ways[(size_t)_i % INVALID_WAYS].path;
+  int over_host = invalid_ways[(size_t)_i % INVALID_WAYS].over_host;
+  int is_stream
+      = strcmp (path, "/pay/x") != 0 && strcmp (path, "/look/x") != 0;
+  el_time_t begun = net_clock_now (&rnet.clock);
+  peer_t worker = { .serve = serve_invalid_head, .arg = head };
+  peer_t helper = { .serve = serve_invalid_head, .arg = head };
+  rt_target_t *target;
+  net_call_t call;
+
+  peer_open (&worker);
+  target = relay_net_add (&worker, "w", is_stream ? "llm" : "app",
+                          is_stream ? 8 : 0);
+  if (over_host)
+    {
+      peer_open (&helper);
+      rnet.helpers[rnet.nhelpers++] = &helper;
+      peer_close (&worker);
+      relay_reach_failed (rnet.relays, target);
+    }
+  call_send (&call, "r1", "POST", path);
+  call_wait (&call);
+  ck_assert_msg (call.status == 502, "%d, net %d", call.status, call.net);
+  ck_assert (!call.sealed);
+  ck_assert (net_clock_now (&rnet.clock) < begun + INVALID_TIME);
+  ck_assert_uint_ge (over_host ? helper.requests : worker.requests, 1);
+  if (strcmp (path, "/pay/x") == 0)
+    ck_assert_uint_eq (over_host ? helper.requests : worker.requests, 1);
+  call_free (&call);
+}
+END_TEST
+
 /* Bytes without end, until this host closes. */
 
 #define ANSWER_HEAD                                                           \
@@ -655,6 +735,7 @@
   { "/pay/x", ANSWER_HEAD CHUNKED "0\r\n", "name: value\r\n", 502 },
   { "/pay/x", ANSWER_HEAD CHUNKED, "000", 502 },
   { "/pay/x", "HTTP/1.1 200 OK\r\n", "a:\r\n", 502 },
+  { "/pay/x", "HTTP/1.1 000 \r\n\r\n", "body ", 502 },
   { "/pay/x", ANSWER_HEAD "content-length: 4\r\n\r\nbody", "surplus ", 200 },
   { "/high/x", "", "no answer ", 502 },
   { "/high/x", ANSWER_HEAD "\r\n", "no event ", 0 },
@@ -859,6 +940,8 @@
   ADD_LOOP (tcase, test_stream_without_a_position_is_not_resumed, 2);
   ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
+  ADD_LOOP (tcase, test_answer_with_an_unknown_status_fails_at_once,
+            INVALID_HEADS * INVALID_WAYS);
   ADD_LOOP (tcase, test_many_answers_without_end_are_bounded,
             sizeof many_floods / sizeof *many_floods);
   ADD (tcase, test_check_without_end_is_bounded);
