Requests that outlast a stop get a response

What callers saw on another system (LOST): at the end of the grace of a planned stop requests were cut with no answer, among them such that may not be repeated.

Change: 0.3 s before the end requests that have not run are refused and the others get 502 or are broken off; the product's own are ended with their verdict.

--- a/elmarchd/frontend.c
+++ b/elmarchd/frontend.c
@@ -31,6 +31,9 @@
    start or are replaced. */
 #define STORE_BATCH_DELAY (300 * EL_MSEC)
 #define STOP_CHECK_INTERVAL (50 * EL_MSEC)
+/* Requests that outlast a stop are responded to this long before its end, or
+   in the last half of a shorter one. */
+#define STOP_RESPOND_TIME (300 * EL_MSEC)
 /* The lease is taken to expire this much earlier, as clocks run at different
    speeds. */
 #define LEASE_MARGIN (300 * EL_MSEC)
@@ -504,14 +507,33 @@
   return frontend;
 }
 
+/* Returns after which part of a stop requests are responded to, running or
+   not. */
+static el_time_t
+stop_respond_after (const frontend_t *frontend)
+{
+  el_time_t most = frontend->options.stop_max;
+
+  return most - (most / 2 < STOP_RESPOND_TIME ? most / 2 : STOP_RESPOND_TIME);
+}
+
 static void
 stop_check (void *arg, el_time_t now)
 {
   frontend_t *frontend = arg;
   el_time_t elapsed = now - frontend->stop_started_at;
 
-  if (elapsed >= frontend->options.stop_min)
+  if (elapsed >= frontend->options.stop_min
+      || elapsed >= stop_respond_after (frontend))
     gt_relays_stop (frontend->relays);
+  if (elapsed >= stop_respond_after (frontend)
+      && gt_relays_running (frontend->relays) && !frontend->stop_responded)
+    {
+      frontend->stop_responded = 1;
+      EL_LOG (EL_LOG_WARN, "relays_end",
+              EL_FN ("running", gt_relays_running (frontend->relays)));
+      gt_relays_end (frontend->relays);
+    }
   if (elapsed < frontend->options.stop_max
       && (elapsed < frontend->options.stop_min
           || gt_relays_running (frontend->relays)))
@@ -527,7 +549,8 @@
 
 /** Stop serving relayed requests. The host is removed from look-ups and
     reports not ready at once; it still serves new requests for at least
-    stop_min. DONE is called when no request is running, or after stop_max.
+    stop_min. DONE is called when no request is running, or after stop_max;
+    those that would outlast it are responded to before.
  */
 void
 frontend_stop (frontend_t *frontend, gt_drained_cb done, void *arg)
--- a/elmarchd/libfrontend.h
+++ b/elmarchd/libfrontend.h
@@ -52,6 +52,7 @@
   el_time_t started_at;
   int peers_synced; /* rumors were fetched, or there is no other host */
   int stopping;
+  int stop_responded; /* no request is to outlast the stop */
   el_time_t stop_started_at;
   el_timer_t stop_timer;
   gt_drained_cb stop_done;
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -348,13 +348,38 @@
   gate_shutdown (arg);
 }
 
+/* Ends the requests that outlast the drain, so that their callers get a
+   response. */
+static void
+drain_end_requests (gt_gate_t *gate)
+{
+  gt_inflight_t *inflight;
+  gt_inflight_t *next;
+
+  EL_LOG (EL_LOG_WARN, "drain_over",
+          EL_FN ("running", HASH_COUNT (gate->inflight)));
+  HASH_ITER (hh, gate->inflight, inflight, next)
+  {
+    rt_event_t event = { .kind = RT_EV_CANCEL, .stream = inflight->id };
+
+    gt_router_event (gate, &event);
+  }
+}
+
 static void
 drain_poll (void *arg, el_time_t now)
 {
   gt_gate_t *gate = arg;
   int idle = HASH_COUNT (gate->inflight) == 0 && gate->open_responses == 0;
 
-  if (now >= gate->drain_deadline)
+  if (now >= gate->drain_deadline && HASH_COUNT (gate->inflight)
+      && !gate->drain_over)
+    {
+      gate->drain_over = 1;
+      drain_end_requests (gate);
+      net_clock_set (&gate->clock, &gate->expire, DRAIN_POLL_INTERVAL);
+    }
+  else if (now >= gate->drain_deadline)
     gate_shutdown (gate);
   else if (!idle || gate->handing_over)
     net_clock_set (&gate->clock, &gate->expire, DRAIN_POLL_INTERVAL);
--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -287,6 +287,7 @@
 int gt_relays_refusal_counts (gt_relays_t *relays, const rt_target_t *target);
 int gt_relays_rules_outdated (const gt_relays_t *relays);
 void gt_relays_drain_connections (gt_relays_t *relays);
+void gt_relays_end (gt_relays_t *relays);
 void gt_relays_stop (gt_relays_t *relays);
 size_t gt_relays_running (const gt_relays_t *relays);
 void gt_relays_metrics (gt_relays_t *relays, el_metrics_t *metrics);
--- a/gate/libgate.h
+++ b/gate/libgate.h
@@ -192,6 +192,7 @@
   int trace_partial; /* the last write ended within a line */
   int handing_over;  /* sessions are being handed to the successor */
   el_time_t drain_deadline;
+  int drain_over; /* requests that outlast the drain were ended */
   gt_drained_cb drained;
   void *drained_arg;
 };
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -453,6 +453,15 @@
     }
 }
 
+/* Responds that this host is stopping; the request has not run. */
+static void
+relay_refuse_stopping (gt_relay_t *relay)
+{
+  relay->relays->counts.refused++;
+  relay_forward_mark_unserved (relay);
+  relay_respond_error (relay, 503, "stopping", STOPPING_RETRY_AFTER);
+}
+
 static void
 relay_handle (void *arg, h2o_req_t *req)
 {
@@ -474,9 +483,7 @@
   relays->counts.for_host += relay->forwarded != 0;
   if (relays->stopping)
     {
-      relays->counts.refused++;
-      relay_forward_mark_unserved (relay);
-      relay_respond_error (relay, 503, "stopping", STOPPING_RETRY_AFTER);
+      relay_refuse_stopping (relay);
       return;
     }
   if (relays_ready (relays))
@@ -582,6 +589,23 @@
   net_server_stop (relays->server);
 }
 
+/** Responds to all requests in progress, as the process ends soon: those that
+    have not run are refused first, so that none is sent to an endpoint in the
+    room of another one; the others fail or are broken off. */
+void
+gt_relays_end (gt_relays_t *relays)
+{
+  gt_relay_t *relay;
+  gt_relay_t *next;
+
+  DL_FOREACH_SAFE (relays->running, relay, next)
+  if (relay->phase < RELAY_ENDING && !relay_may_have_run (relay))
+    relay_refuse_stopping (relay);
+  DL_FOREACH_SAFE (relays->running, relay, next)
+  if (relay->phase < RELAY_ENDING)
+    relay_abort (relay, "stopping");
+}
+
 /** Returns the number of requests whose response is not yet completely
     sent. */
 size_t
--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -817,6 +817,35 @@
 }
 END_TEST
 
+#define STOP_MOST_MS "1500"
+
+/* Guards against requests that are cut without an answer at the end of a
+   stop. */
+START_TEST (test_relay_that_outlasts_a_stop_is_responded_to)
+{
+  caller_t callers[2];
+  size_t i;
+
+  site.host_flags[0] = "--stop-least-ms";
+  site.host_flags[1] = "600";
+  site.host_flags[2] = "--stop-most-ms";
+  site.host_flags[3] = STOP_MOST_MS;
+  site_start (1);
+  workers_set_fault ("{\"fault\":\"slow\",\"delay_ms\":4000}");
+  proc_signal (&site.hosts[0], SIGTERM);
+  for (i = 0; i < 2; i++)
+    request_start (&callers[i], 0, "/pay/x", i ? "r1" : "r0");
+  for (i = 0; i < 2; i++)
+    {
+      caller_join (&callers[i]);
+      ck_assert_int_eq (callers[i].reply.status, 502);
+      ck_assert_ptr_nonnull (strstr (callers[i].reply.body.ptr, "stopping"));
+      reply_free (&callers[i].reply);
+    }
+  ck_assert_int_eq (proc_end (&site.hosts[0], SIGTERM), 0);
+}
+END_TEST
+
 Suite *
 site_suite (void)
 {
@@ -852,6 +881,7 @@
   ADD (tcase, test_planner_failover);
   ADD (tcase, test_stopping_planner_releases_its_role);
   ADD (tcase, test_relay_graceful_stop_aborts_nothing);
+  ADD (tcase, test_relay_that_outlasts_a_stop_is_responded_to);
   suite_add_tcase (suite, tcase);
   return suite;
 }
--- a/tests/t_stop.c
+++ b/tests/t_stop.c
@@ -66,6 +66,29 @@
 }
 END_TEST
 
+/* Guards against a call that is cut without an answer at the end of a drain:
+   its caller learns that it may have run. */
+START_TEST (test_call_that_outlasts_a_drain_is_responded_to)
+{
+  caller_t caller;
+  size_t i;
+
+  setenv ("ELMARCHD_DRAIN_LIMIT_S", "1", 1);
+  cluster_start (&fixture, 1);
+  unsetenv ("ELMARCHD_DRAIN_LIMIT_S");
+  for (i = 0; i < 2; i++)
+    set_fault (&fixture.workers[i], "{\"fault\":\"slow\",\"delay_ms\":4000}");
+  caller_start (&caller, fixture.hosts[0].address, PAY_PATH, "{\"id\":\"t1\"}",
+                NULL, 0);
+  metric_wait_min (&fixture.hosts[0], "elmarch_calls_total", 1);
+  proc_signal (&fixture.hosts[0], SIGTERM);
+  caller_join (&caller);
+  assert_verdict (&caller.reply, 503, "may-have-run");
+  reply_free (&caller.reply);
+  ck_assert_int_eq (proc_end (&fixture.hosts[0], SIGTERM), 0);
+}
+END_TEST
+
 /* A graceful stop hands sessions and ledger over to a successor: duplicates of
    calls that ran get the same response, and new calls run there, through any
    host.
@@ -256,6 +279,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, cluster_setup, cluster_teardown);
   ADD (tcase, test_graceful_stop_aborts_nothing);
+  ADD (tcase, test_call_that_outlasts_a_drain_is_responded_to);
   ADD (tcase, test_graceful_stop_hands_sessions_over);
   ADD (tcase, test_graceful_stop_with_running_call_runs_it_once);
   ADD_LOOP (tcase, test_handover_with_unknown_outcome_runs_nothing_twice, 2);
