An odd entry of another writer hides none after it

What callers saw on another system (LOST): machines that read one odd entry among the workers' ended again and again, or stopped following the list.

--- a/tests/t_site.c
+++ b/tests/t_site.c
@@ -817,6 +817,62 @@
 }
 END_TEST
 
+#define NESTED_DEEP 20000
+
+static void
+odd_entry_put (const char *name, const char *value)
+{
+  char path[64];
+  reply_t reply;
+
+  snprintf (path, sizeof path, "/test/servers/%s", name);
+  http_request ("PUT", site.store.address, path, value, NULL, &reply);
+  ck_assert_int_eq (reply.status, 200);
+  reply_free (&reply);
+}
+
+/* Guards against hosts that end, or read no further, at odd entries of another
+   program: one that runs, and one that starts among them, read what follows.
+ */
+START_TEST (test_hosts_read_what_follows_odd_entries)
+{
+  static const char *const odd[] = {
+    "{\"Service\":\"app\",\"Address\":\"127.0.0.1:99999\",\"Zone\":\"h\","
+    "\"State\":\"ready\",\"Slots\":4,\"SeqNo\":0}",
+    "{\"Service\":\"app\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"h\","
+    "\"State\":\"ready\",\"Slots\":99999999999999999999,\"SeqNo\":0}",
+    "{\"Service\":\"app\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"h\","
+    "\"State\":\"ready\",\"Slots\":9223372036854775807,\"SeqNo\":1e999}",
+    "",
+    "\"",
+    "[[]]"
+  };
+  static char nested[NESTED_DEEP + 1];
+  char name[8];
+  reply_t reply;
+  size_t i;
+
+  memset (nested, '[', NESTED_DEEP);
+  site_start (2);
+  for (i = 0; i < sizeof odd / sizeof *odd; i++)
+    {
+      snprintf (name, sizeof name, "%c%zu", i % 2 ? 'a' : 'z', i);
+      odd_entry_put (name, odd[i]);
+    }
+  odd_entry_put ("b", nested);
+  ck_assert_int_eq (proc_end (&site.hosts[0], SIGTERM), 0);
+  site_host_start (0);
+  site_workers_replace ();
+  for (i = 0; i < 2; i++)
+    {
+      send_request (i, "POST", "/pay/x", i ? "r1" : "r0", &reply);
+      ck_assert_int_eq (reply.status, 200);
+      reply_free (&reply);
+      ck_assert_int_eq (proc_end (&site.hosts[i], SIGTERM), 0);
+    }
+}
+END_TEST
+
 #define STOP_MOST_MS "1500"
 
 /* Guards against requests that are cut without an answer at the end of a
@@ -881,6 +937,7 @@
   ADD (tcase, test_planner_failover);
   ADD (tcase, test_stopping_planner_releases_its_role);
   ADD (tcase, test_relay_graceful_stop_aborts_nothing);
+  ADD (tcase, test_hosts_read_what_follows_odd_entries);
   ADD (tcase, test_relay_that_outlasts_a_stop_is_responded_to);
   suite_add_tcase (suite, tcase);
   return suite;
--- a/tests/t_starts.c
+++ b/tests/t_starts.c
@@ -83,6 +83,11 @@
     { "Address", NULL },
     { "Address", "\"x\"" },
     { "Address", "[]" },
+    { "Address", "\"10.0.0.1:99999\"" },
+    { "Address", "\"10.0.0.1:0\"" },
+    { "Address", "\"10.0.0.1:-1\"" },
+    { "Address", "\"10.0.0.1:99999999999999999999\"" },
+    { "Address", "\"10.0.0.1:80\\r\\nx: y\"" },
     { "Zone", NULL },
     { "Zone", "{}" },
     { "State", NULL },
@@ -92,6 +97,8 @@
     { "Slots", "\"6\"" },
     { "Slots", "-6" },
     { "Slots", "0" },
+    { "Slots", "9223372036854775807" },
+    { "Slots", "1e300" },
     { "SeqNo", "-1" },
     { "SeqNo", "\"3\"" },
     { "born", "1.5" },
@@ -130,6 +137,40 @@
 }
 END_TEST
 
+#define NESTED_DEEP 100000
+
+/* Guards against a process that ends at an entry of another program: nested
+   too deeply to be read, or under an id that would break a head. */
+START_TEST (test_odd_entry_is_rejected)
+{
+  static const el_str_t keys[]
+      = { EL_STR ("servers/"), EL_STR ("servers/a\r\nx: y"),
+          EL_STR ("servers/a b"), EL_STR ("servers/a\0b"),
+          EL_STR ("servers/\xff") };
+  static const char *const opening[] = { "[", "{\"a\":" };
+  el_buf_t text = { NULL, 0, 0 };
+  rt_attrs_t attrs;
+  json_t *entry_json;
+  el_err_t err;
+  size_t i;
+
+  for (i = 0; i < sizeof keys / sizeof *keys; i++)
+    {
+      ck_assert_int_eq (pf_attrs_read (keys[i], el_str (entry_text), &attrs,
+                                       &entry_json, &err),
+                        0);
+      json_decref (entry_json);
+    }
+  for (i = 0; i < NESTED_DEEP; i++)
+    el_buf_add (&text, el_str (opening[_i]));
+  ck_assert_int_eq (
+      pf_attrs_read (ENTRY_KEY, el_buf_str (&text), &attrs, &entry_json, &err),
+      0);
+  json_decref (entry_json);
+  el_buf_free (&text);
+}
+END_TEST
+
 /* Adds entries with fields replaced or dropped, or with corrupted bytes, to a
    fleet, then picks a chain and plans the placement of layers: entries that
    are accepted are complete, and the valid engine is unaffected. */
@@ -249,6 +290,7 @@
 
   tcase_set_timeout (tcase, (double)seeds_env ("ELMARCH_SEEDS_S", 60));
   ADD (tcase, test_invalid_entry_is_rejected);
+  ADD_LOOP (tcase, test_odd_entry_is_rejected, 2);
   ADD (tcase, test_invalid_entries_do_not_affect_valid_ones);
   ADD (tcase, test_restarted_endpoint_is_new_target);
   suite_add_tcase (suite, tcase);
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -122,6 +122,43 @@
 }
 END_TEST
 
+/* Guards against a list that can't be read for one odd item: the keys after it
+   are read, by a read and by a watch. */
+START_TEST (test_follow_reads_what_follows_an_odd_item)
+{
+  record_t record = { .wanted = 2 };
+  st_store_t store = {
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+  st_follow_options_t options = { .store = &store,
+                                  .prefix = EL_STR ("p/"),
+                                  .wait_ms = 100,
+                                  .item = record_item,
+                                  .known = record_known,
+                                  .arg = &record };
+  st_follow_t *follow;
+
+  SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/\\u0000\",\"Value\":\"\","
+                       "\"Revision\":1},{\"Key\":7,\"Revision\":2},"
+                       "{\"Key\":\"p/a\",\"Value\":\"\",\"Revision\":3}],"
+                       "\"more\":false,\"at\":3}",
+            CLOSE },
+          { HTTP_OK () "{\"events\":[{\"Key\":\"p/\\u0000\",\"Value\":\"!\","
+                       "\"Revision\":4},[],{\"Key\":\"p/b\",\"Value\":\"\","
+                       "\"Revision\":5}],\"at\":5}",
+            CLOSE });
+  store.address = el_str (script.address);
+  follow = st_follow_new (&options);
+  while (record.wanted)
+    uv_run (&loop, UV_RUN_ONCE);
+  ck_assert_uint_eq (st_follow_position (follow).revision, 5);
+  st_follow_free (follow);
+  ck_assert_ptr_nonnull (strstr (record.text.ptr, "+p/a "));
+  ck_assert_ptr_nonnull (strstr (record.text.ptr, "+p/b "));
+  el_buf_free (&record.text);
+}
+END_TEST
+
 /* A hall of which this host is not the first, and the answers of the first
    one. */
 typedef struct hall
@@ -682,6 +719,7 @@
   tcase_add_checked_fixture (tcase, loop_setup, NULL);
   ADD (tcase, test_follow_reports_key_deleted_in_lost_history);
   ADD (tcase, test_follow_reads_pages_and_ignores_older_events);
+  ADD (tcase, test_follow_reads_what_follows_an_odd_item);
   ADD (tcase, test_follow_asks_store_when_peer_update_is_stale);
   ADD (tcase, test_follow_rarely_asks_unavailable_store);
   ADD (tcase, test_follow_lost_history_is_read_by_few);
