A response that ends while this host stands still is not whole

Cause: the end of a response without a length was judged by when it was processed. After a standstill the worker may be back under a new start, and the last events and the end seem to come together.

Change: the clock notes standstills of the process; a response that ends with its connection right after one counts as cut: repeated or resumed where that may be, 502 or broken off elsewhere.

--- a/gate/relay_close.c
+++ b/gate/relay_close.c
@@ -8,7 +8,8 @@
  * is complete only if its endpoint is still there: a plain endpoint has to
  * take a connection, and all engines of a chain to respond, as the first one
  * ends a stream in the same way if another is gone. A stream must have had
- * events and end right behind one, besides.
+ * events and end right behind one, besides. What is there after a standstill
+ * of this host does not show what was there when the response ended.
  */
 #include "librelay.h"
 
@@ -19,6 +20,10 @@
 /* A stream that ends this long after its last event was cut: engines wait for
    others that do not respond, which may be back by then. */
 #define STANDSTILL_MIN (1000 * EL_MSEC)
+/* A plain endpoint may have ended and be back after a standstill of this host
+   that was as long; its response is settled at once after that. */
+#define RESTART_MIN (200 * EL_MSEC)
+#define RESTART_SETTLED (200 * EL_MSEC)
 /* Interval between checks of an engine that does not respond. */
 #define SILENT_RECHECK (100 * EL_MSEC)
 
@@ -204,6 +209,19 @@
   net_clock_set (o->clock, &relay->watch_timer, CRASH_SETTLED);
 }
 
+/* Whether this host stood still, so that it can't be told from the times at
+   which it read the end of the response, and what came before, whether the
+   endpoint was there then. */
+static int
+close_is_uncertain (const gt_relay_t *relay)
+{
+  net_clock_t *clock = relay->relays->options.clock;
+
+  if (relay->stream && relay->chain.n)
+    return net_clock_has_stalled (clock, STANDSTILL_MIN, STANDSTILL_MIN);
+  return net_clock_has_stalled (clock, RESTART_MIN, RESTART_SETTLED);
+}
+
 /** Handles that a clean close of the connection ended RESPONSE. */
 void
 relay_close_settle (gt_relay_t *relay, const net_result_t *response)
@@ -219,6 +237,8 @@
     close_is_break (relay, "stood still before its end");
   else if (relay->refused)
     close_is_end (relay);
+  else if (close_is_uncertain (relay))
+    close_is_break (relay, "this host stood still");
   else
     close_check (relay);
 }
--- a/net/clock.c
+++ b/net/clock.c
@@ -28,6 +28,31 @@
    is. A longer wait is reduced to this, so that after a suspension a timer
    fires at most this late. */
 #define DRIVER_MAX_MS 1000
+/* A driver that fires this late shows that the process stood still. */
+#define STALL_MIN (50 * EL_MSEC)
+
+/* Notes a standstill of the process if the driver is late. */
+static void
+clock_check_stall (net_clock_t *clock, el_time_t now)
+{
+  if (!clock->expected || now < clock->expected + STALL_MIN)
+    return;
+  clock->stalled_from = clock->expected;
+  clock->stalled_to = now;
+}
+
+/** Returns whether the process stood still for LEAST or longer, until less
+    than WITHIN ago: what is read meanwhile may have come at any time of
+    that. */
+int
+net_clock_has_stalled (net_clock_t *clock, el_time_t least, el_time_t within)
+{
+  el_time_t now = net_clock_now (clock);
+
+  clock_check_stall (clock, now);
+  return clock->stalled_to && now < clock->stalled_to + within
+         && clock->stalled_to - clock->stalled_from >= least;
+}
 
 static void
 clock_fire (uv_timer_t *driver)
@@ -35,6 +60,7 @@
   net_clock_t *clock = driver->data;
   el_time_t now = net_clock_now (clock);
 
+  clock_check_stall (clock, now);
   el_timers_run (&clock->timers, now);
   if (clock->fire)
     clock->fire (clock->arg, now);
@@ -77,11 +103,14 @@
   if (due == EL_TIME_NEVER)
     {
       uv_timer_stop (&clock->driver);
+      clock->expected = 0;
       return;
     }
   wait = due <= now ? 0 : (due - now + USEC_PER_MSEC - 1) / USEC_PER_MSEC;
   if (wait > DRIVER_MAX_MS)
     wait = DRIVER_MAX_MS;
+  clock_check_stall (clock, now);
+  clock->expected = now + wait * EL_MSEC;
   uv_timer_start (&clock->driver, clock_fire, wait, 0);
 }
 
--- a/net/net.h
+++ b/net/net.h
@@ -25,11 +25,16 @@
       NULL. */
   void (*fire) (void *arg, el_time_t now);
   void *arg;
+  el_time_t expected;     /**< when the driver is to fire; 0: not */
+  el_time_t stalled_from; /**< the process stood still from then */
+  el_time_t stalled_to;   /**< until then */
 } net_clock_t;
 
 void net_clock_init (net_clock_t *clock, uv_loop_t *loop);
 el_time_t net_clock_now (const net_clock_t *clock);
 void net_clock_arm (net_clock_t *clock);
+int net_clock_has_stalled (net_clock_t *clock, el_time_t least,
+                           el_time_t within);
 void net_clock_set (net_clock_t *clock, el_timer_t *timer, el_time_t wait);
 void net_clock_cancel (net_clock_t *clock, el_timer_t *timer);
 
