--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -236,41 +236,58 @@
   return 1;
 }
 
+#define PAGE_KEYS 50
+
 /* Memory of the known keys of a store, and the time to read all of them again,
-   unchanged, in a new epoch. */
+   page by page and unchanged, in a new epoch. */
 static void
 bench_keys (unsigned n)
 {
+  static char names[PAGE_KEYS][32];
   const st_keys_options_t options = { .item = ignore_item };
-  st_keys_t *keys = st_keys_new (&options);
+  st_mirror_t mirror;
   char value[300];
-  char name[32];
-  pr_store_item_t item = { .value = { value, sizeof value } };
+  pr_store_item_t items[PAGE_KEYS];
+  char last[32] = "";
   size_t heap = bench_heap ();
   size_t bytes = 0;
   uint64_t began = 0;
   uint64_t epoch;
   unsigned i;
+  unsigned k;
 
   memset (value, 'v', sizeof value);
+  st_mirror_init (&mirror, &options);
   for (epoch = 1; epoch <= 2; epoch++)
     {
       began = bench_ns ();
-      st_keys_begin_snapshot (keys);
-      for (i = 0; i < n; i++)
+      last[0] = '\0';
+      for (i = 0; i < n; i += PAGE_KEYS)
         {
-          snprintf (name, sizeof name, "servers/i-%010u", i);
-          item.key = el_str (name);
-          item.revision = i + 1;
-          st_keys_apply (keys, epoch, &item);
+          const st_keys_page_t page = { .read = mirror.read,
+                                        .after = el_str (last),
+                                        .items = items,
+                                        .n = PAGE_KEYS,
+                                        .more = i + PAGE_KEYS < n,
+                                        .at = { epoch, n } };
+
+          for (k = 0; k < PAGE_KEYS; k++)
+            {
+              snprintf (names[k], sizeof names[k], "servers/i-%010u", i + k);
+              items[k] = (pr_store_item_t){ .key = el_str (names[k]),
+                                            .value = { value, sizeof value },
+                                            .revision = i + k + 1 };
+            }
+          st_mirror_apply_page (&mirror, &page);
+          snprintf (last, sizeof last, "%s", names[PAGE_KEYS - 1]);
         }
-      st_keys_end_snapshot (keys, (pr_store_position_t){ epoch, n });
       if (epoch == 1)
         bytes = bench_heap () - heap;
+      st_mirror_reread (&mirror);
     }
   printf ("bench=keys keys=%u bytes_per_key=%zu anew_us=%.0f\n", n, bytes / n,
           (double)(bench_ns () - began) / 1e3);
-  st_keys_free (keys);
+  st_mirror_free (&mirror);
 }
 
 static void
