--- a/store/st_keys.c
+++ b/store/st_keys.c
@@ -46,9 +46,9 @@
   int gone;
   int held;          /* its state has not been passed to the callback yet */
   int gone_early;    /* it may have been removed after AT */
-  uint64_t sequence; /* number of the last change taken, in this mirror */
+  uint64_t sequence; /* when its last change was taken; see st_keys */
   uint64_t snapshot; /* number of the last read that contained it */
-  uint64_t list;     /* number of the last list that contained it */
+  uint64_t list;     /* number of the last list that contained its state */
   UT_hash_handle hh;
 } keys_entry_t;
 
@@ -56,7 +56,7 @@
 {
   st_keys_options_t options;
   keys_entry_t *keys;
-  uint64_t sequence;                  /* of the last change taken */
+  uint64_t sequence;                  /* number of changes taken */
   uint64_t snapshot;                  /* number of the last or current read */
   uint64_t list;                      /* number of the last or current list */
   int in_snapshot;                    /* all keys are being read */
@@ -74,7 +74,7 @@
   st_keys_counts_t counts;
 };
 
-/** Creates an empty mirror. */
+/** Creates an empty set of keys. */
 st_keys_t *
 st_keys_new (const st_keys_options_t *options)
 {
@@ -171,7 +171,7 @@
   free (key);
 }
 
-/** Frees the mirror and all its keys. */
+/** Frees the set and all its keys. */
 void
 st_keys_free (st_keys_t *keys)
 {
--- a/store/st_mirror.c
+++ b/store/st_mirror.c
@@ -241,9 +241,8 @@
 }
 
 /** Writes to OUT what another host asks for, at most about MAX_BYTES of it;
-    EPOCH is the latest known one. OUT->as_of is set to that of the whole
-    mirror before. The items belong to the mirror; the caller frees the list.
- */
+    EPOCH is the latest known one. OUT->as_of has to be that of the whole
+    mirror. The items belong to the mirror; the caller frees the list. */
 void
 st_mirror_give (const st_mirror_t *mirror, uint64_t epoch,
                 const pr_store_query_t *query, size_t max_bytes,
