--- a/peer/peer_fetch.c
+++ b/peer/peer_fetch.c
@@ -13,13 +13,16 @@
 #include "libpeer.h"
 
 #define FETCH_TIMEOUT (5 * EL_SEC)
+/* Changes for which a reply has memory at first. */
+#define CHANGES_FIRST 64
 
 /* Changes collected for a reply. */
 typedef struct fetch_list
 {
   peer_change *list;
   size_t len;
-  int cut; /* there are more than a reply may have */
+  size_t size; /* allocated */
+  int cut;     /* there are more than a reply may have */
 } fetch_list_t;
 
 static void
@@ -34,8 +37,12 @@
   changes->cut = changes->len == PEER_CHANGES_MAX;
   if (changes->cut)
     return;
-  changes->list
-      = el_grow (changes->list, changes->len + 1, sizeof *changes->list);
+  if (changes->len == changes->size)
+    {
+      changes->size = changes->size ? 2 * changes->size : CHANGES_FIRST;
+      changes->list
+          = el_grow (changes->list, changes->size, sizeof *changes->list);
+    }
   change = &changes->list[changes->len++];
   if (res)
     spec = el_str (json_dumps (res->json, JSON_COMPACT));
@@ -52,7 +59,7 @@
 peer_fetch_fill (const pr_config_t *config, uint64_t after,
                  peer_fetch_res *res)
 {
-  fetch_list_t changes = { NULL, 0, 0 };
+  fetch_list_t changes = { NULL, 0, 0, 0 };
 
   *res = (peer_fetch_res){ 0 };
   if (!config->ready)
