--- a/Makefile
+++ b/Makefile
@@ -24,11 +24,11 @@
         route/rules.c route/fleet.c route/fleet_kind.c route/fleet_pick.c route/chain.c route/chain_reduce.c route/chain_use.c route/estimate.c \
         route/layout.c route/attempts.c route/digest.c route/order_failures.c route/blame.c route/blame_status.c route/blame_rule.c route/blame_class.c route/blame_proven.c route/blame_clear.c route/trial.c
 
-NET = net/clock.c net/http_server.c net/http_caller.c net/http_intake.c net/http_room.c net/http_refuse.c net/http_sweep.c net/http_client.c net/http_conn.c net/rpc.c net/rpc_wire.c
+NET = net/clock.c net/http_server.c net/http_caller.c net/http_intake.c net/http_room.c net/http_refuse.c net/http_sweep.c net/http_client.c net/http_conn.c net/http_head.c net/rpc.c net/rpc_wire.c
 PEER = peer/peer.c peer/peer_entry.c peer/peer_gossip.c peer/peer_members.c peer/peer_config.c \
        peer/peer_fetch.c peer/peer_news.c peer/peer_rumor.c peer/peer_loan.c peer/peer_reach.c peer/peer_load.c peer/peer_forward.c \
        peer/peer_handover.c peer/peer_xdr.c
-GATE = gate/gate.c gate/account.c gate/answer.c \
+GATE = gate/gate.c gate/drain.c gate/account.c gate/answer.c \
        gate/caller.c gate/deferred.c gate/inflight.c gate/engine.c gate/api.c \
        gate/api_chat.c gate/api_call.c gate/api_session.c gate/api_admin.c \
        gate/platform.c gate/kv_http.c gate/session_peer.c \
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -582,6 +582,7 @@
 void relay_refuse (gt_relay_t *relay, const char *reason);
 void relay_fail (gt_relay_t *relay, const char *reason);
 int relay_may_have_run (const gt_relay_t *relay);
+void relay_refuse_stopping (gt_relay_t *relay);
 void relay_abort (gt_relay_t *relay, const char *reason);
 void relay_respond_error (gt_relay_t *relay, int status, const char *reason,
                           el_time_t retry_after);
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -18,9 +18,6 @@
    no longer than this, and at most a third of their deadline. */
 #define CONFIG_WAIT_MAX (1000 * EL_MSEC)
 #define CONFIG_WAIT_DIVISOR 3
-/* Retry-after of a host that is stopping; short, since other hosts serve the
-   retry. */
-#define STOPPING_RETRY_AFTER (20 * EL_MSEC)
 /* Timeout of a request if neither the caller nor the rule sets one. */
 #define DEFAULT_TIMEOUT (60 * EL_SEC)
 
@@ -453,15 +450,6 @@
     }
 }
 
-/* Responds that this host is stopping; the request has not run. */
-static void
-relay_refuse_stopping (gt_relay_t *relay)
-{
-  relay->relays->counts.refused++;
-  relay_forward_mark_unserved (relay);
-  relay_respond_error (relay, 503, "stopping", STOPPING_RETRY_AFTER);
-}
-
 static void
 relay_handle (void *arg, h2o_req_t *req)
 {
@@ -589,23 +577,6 @@
   net_server_stop (relays->server);
 }
 
-/** Responds to all requests in progress, as the process ends soon: those that
-    have not run are refused first, so that none is sent to an endpoint in the
-    room of another one; the others fail or are broken off. */
-void
-gt_relays_end (gt_relays_t *relays)
-{
-  gt_relay_t *relay;
-  gt_relay_t *next;
-
-  DL_FOREACH_SAFE (relays->running, relay, next)
-  if (relay->phase < RELAY_ENDING && !relay_may_have_run (relay))
-    relay_refuse_stopping (relay);
-  DL_FOREACH_SAFE (relays->running, relay, next)
-  if (relay->phase < RELAY_ENDING)
-    relay_abort (relay, "stopping");
-}
-
 /** Returns the number of requests whose response is not yet completely
     sent. */
 size_t
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -186,18 +186,6 @@
   return 1;
 }
 
-/** Returns the engine that a refusal names, or the attempt's target. */
-rt_target_t *
-relay_fault_target (gt_relay_t *relay, const net_result_t *result)
-{
-  const gt_relay_headers_t *names = &relay->relays->options.dialect->names;
-  el_str_t address = net_result_header (result, names->at_fault);
-  rt_target_t *named
-      = address.len ? rt_chain_engine_at (&relay->chain, address) : NULL;
-
-  return named ? named : relay->target;
-}
-
 /* Determines whether the request was executed, and whether the response
    answers it. */
 static void
--- a/gate/relay_backoff.c
+++ b/gate/relay_backoff.c
@@ -146,6 +146,18 @@
     backoff_start (relays, target, hints->backoff, by);
 }
 
+/** Returns the engine that a refusal names, or the attempt's target. */
+rt_target_t *
+relay_fault_target (gt_relay_t *relay, const net_result_t *result)
+{
+  const gt_relay_headers_t *names = &relay->relays->options.dialect->names;
+  el_str_t address = net_result_header (result, names->at_fault);
+  rt_target_t *named
+      = address.len ? rt_chain_engine_at (&relay->chain, address) : NULL;
+
+  return named ? named : relay->target;
+}
+
 /** Applies the hints in the head of RELAY's response. A refusal may name an
     engine further down the chain without telling whether the backoff is for
     that engine or for the target: it is applied to both. */
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -22,6 +22,10 @@
    retry-after at random, to spread callers. */
 #define BACKOFF_SPREAD_DIVISOR 4
 
+/* Retry-after of a host that is stopping; short, since other hosts serve the
+   retry. */
+#define STOPPING_RETRY_AFTER (20 * EL_MSEC)
+
 static void response_proceed (h2o_generator_t *generator, h2o_req_t *req);
 
 /** Responds with an error of this host. RETRY_AFTER tells the caller when to
@@ -264,3 +268,29 @@
   else
     relay_refuse (relay, reason);
 }
+
+/** Responds that this host is stopping; the request has not run. */
+void
+relay_refuse_stopping (gt_relay_t *relay)
+{
+  relay->relays->counts.refused++;
+  relay_forward_mark_unserved (relay);
+  relay_respond_error (relay, 503, "stopping", STOPPING_RETRY_AFTER);
+}
+
+/** Responds to all requests in progress, as the process ends soon: those that
+    have not run are refused first, so that none is sent to an endpoint in the
+    room of another one; the others fail or are broken off. */
+void
+gt_relays_end (gt_relays_t *relays)
+{
+  gt_relay_t *relay;
+  gt_relay_t *next;
+
+  DL_FOREACH_SAFE (relays->running, relay, next)
+  if (relay->phase < RELAY_ENDING && !relay_may_have_run (relay))
+    relay_refuse_stopping (relay);
+  DL_FOREACH_SAFE (relays->running, relay, next)
+  if (relay->phase < RELAY_ENDING)
+    relay_abort (relay, "stopping");
+}
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -17,12 +17,6 @@
 #define CONNECT_TIMEOUT (1 * EL_SEC)
 /* TCP_USER_TIMEOUT: how long the peer may leave sent data unacknowledged. */
 #define USER_TIMEOUT_MS 2000
-/* Idle time when the endpoint does not specify a whole number of seconds: it
-   may close the connection at any moment. */
-#define IDLE_DEFAULT (500 * EL_MSEC)
-#define IDLE_MAX (20 * EL_SEC)
-/* A connection is closed this long before the endpoint would close it. */
-#define IDLE_MARGIN (400 * EL_MSEC)
 /* Reads are as long as this if the account is nearly exhausted. */
 #define READ_BYTES_MIN 4096
 #define READ_ROOM_MIN ((uint64_t)1 << 20)
@@ -31,10 +25,6 @@
 #define FREE_CONNS_PART 8
 /* Interim (1xx) responses before the final one, at most. */
 #define INTERIM_MAX 8
-/* Size in bytes of the headers of a response, trailers included, at most. */
-#define HEADERS_MAX ((size_t)32 << 10)
-/* What a header takes beside its text. */
-#define HEADER_OVERHEAD (sizeof (net_header_t) + 32)
 /* Ids that a connection remembers. It carries no more requests than that. */
 #define IDS_MAX 256
 /* Memory for ids is allocated in steps of so many. */
@@ -47,18 +37,14 @@
   el_buf_t bytes;
 } conn_write_t;
 
-static int on_message_begin (http_parser *parser);
-static int on_header_field (http_parser *parser, const char *at, size_t len);
-static int on_header_value (http_parser *parser, const char *at, size_t len);
-static int on_headers_complete (http_parser *parser);
 static int on_body (http_parser *parser, const char *at, size_t len);
 static int on_message_complete (http_parser *parser);
 
 static const http_parser_settings parser_settings = {
-  .on_message_begin = on_message_begin,
-  .on_header_field = on_header_field,
-  .on_header_value = on_header_value,
-  .on_headers_complete = on_headers_complete,
+  .on_message_begin = net_head_begin,
+  .on_header_field = net_head_field,
+  .on_header_value = net_head_value,
+  .on_headers_complete = net_head_complete,
   .on_body = on_body,
   .on_message_complete = on_message_complete,
 };
@@ -172,175 +158,6 @@
 
 /* Reading. */
 
-static int
-on_message_begin (http_parser *parser)
-{
-  net_conn_t *conn = parser->data;
-
-  if (!conn->exchange)
-    return -1;
-  net_exchange_clear_headers (conn->exchange);
-  conn->exchange->headers_size = 0;
-  conn->exchange->in_value = 0;
-  el_buf_reset (&conn->exchange->name);
-  el_buf_reset (&conn->exchange->value);
-  return 0;
-}
-
-static void
-header_finish (net_exchange_t *ex)
-{
-  net_header_t *header;
-
-  if (!ex->in_value)
-    return;
-  ex->headers = el_grow (ex->headers, ex->nheaders + 1, sizeof *ex->headers);
-  header = &ex->headers[ex->nheaders++];
-  header->name = el_str_dup (el_buf_str (&ex->name));
-  header->value = el_str_dup (el_buf_str (&ex->value));
-  el_buf_reset (&ex->name);
-  el_buf_reset (&ex->value);
-  ex->in_value = 0;
-}
-
-/* Counts LEN further bytes of headers. Returns 0 if they are too many. */
-static int
-headers_add (net_exchange_t *ex, size_t len)
-{
-  ex->headers_size += len;
-  return ex->headers_size <= HEADERS_MAX;
-}
-
-static int
-on_header_field (http_parser *parser, const char *at, size_t len)
-{
-  net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
-
-  header_finish (ex);
-  if (!headers_add (ex, len + (ex->name.len ? 0 : HEADER_OVERHEAD)))
-    return -1;
-  el_buf_add (&ex->name, (el_str_t){ at, len });
-  return 0;
-}
-
-static int
-on_header_value (http_parser *parser, const char *at, size_t len)
-{
-  net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
-
-  if (!headers_add (ex, len))
-    return -1;
-  ex->in_value = 1;
-  el_buf_add (&ex->value, (el_str_t){ at, len });
-  return 0;
-}
-
-/* Parse a Keep-Alive header. Returns for how long to keep an idle connection:
-   the endpoint's "timeout=SECONDS" less the margin. */
-static el_time_t
-keep_alive_parse (el_str_t value)
-{
-  el_str_t part;
-  uint64_t seconds;
-  el_time_t keep;
-
-  while (value.len)
-    {
-      part = el_str_cut (&value, ',');
-      while (part.len && *part.ptr == ' ')
-        part = el_str_after (part, 1);
-      if (!el_str_starts_with (part, EL_STR ("timeout=")))
-        continue;
-      if (!el_str_to_u64 (el_str_after (part, 8), &seconds))
-        break;
-      keep = seconds * EL_SEC;
-      if (keep > IDLE_MAX)
-        keep = IDLE_MAX;
-      return keep > IDLE_MARGIN ? keep - IDLE_MARGIN : 0;
-    }
-  return IDLE_DEFAULT;
-}
-
-/* Whether the response HEAD belongs to another request. */
-static int
-head_is_crossed (const net_exchange_t *ex, const net_result_t *head)
-{
-  el_str_t id;
-
-  if (!ex->id_header)
-    return 0;
-  id = net_result_header (head, ex->id_header);
-  return id.len ? !el_str_eq (id, ex->id) : ex->id_required && ex->id.len;
-}
-
-static int
-head_has_no_body (const net_exchange_t *ex)
-{
-  return ex->is_head || ex->status == 204 || ex->status == 304;
-}
-
-/* A body whose length is known is drawn from the account at once, so that it
-   does not stop midway. */
-static void
-exchange_announce (net_exchange_t *ex, const http_parser *parser)
-{
-  ex->announced
-      = !(parser->flags & F_CHUNKED) && parser->content_length != ULLONG_MAX;
-  if (!ex->keeps_body || !ex->announced || head_has_no_body (ex))
-    return;
-  ex->part = parser->content_length < ex->max_response ? parser->content_length
-                                                       : ex->max_response;
-}
-
-/* Whether the head can be that of a response: its status is one of HTTP's, no
-   other protocol was asked for, and an interim response has no body. */
-static int
-head_is_valid (const http_parser *parser)
-{
-  if (parser->status_code < 100 || parser->status_code >= 600
-      || parser->status_code == 101)
-    return 0;
-  return parser->status_code >= 200
-         || (!(parser->flags & F_CHUNKED)
-             && (parser->content_length == 0
-                 || parser->content_length == ULLONG_MAX));
-}
-
-static int
-on_headers_complete (http_parser *parser)
-{
-  net_conn_t *conn = parser->data;
-  net_exchange_t *ex = conn->exchange;
-  net_result_t result;
-
-  header_finish (ex);
-  ex->status = (int)parser->status_code;
-  if (!head_is_valid (parser))
-    {
-      conn->client->counts.invalid++;
-      return -1;
-    }
-  if (ex->status < 200)
-    return 0;
-  result = (net_result_t){ .status = ex->status,
-                           .headers = ex->headers,
-                           .nheaders = ex->nheaders };
-  if (head_is_crossed (ex, &result))
-    {
-      conn->client->counts.crossed++;
-      net_exchange_fail (ex, NET_CROSSED);
-      return -1;
-    }
-  conn->keep = keep_alive_parse (net_result_header (&result, "keep-alive"));
-  ex->head_received = 1;
-  if (ex->head)
-    ex->head (ex->arg, &result);
-  if (conn->exchange != ex)
-    return -1;
-  exchange_announce (ex, parser);
-  return head_has_no_body (ex);
-}
-
 static int
 on_body (http_parser *parser, const char *at, size_t len)
 {
@@ -517,7 +334,7 @@
 
   ex->conn = NULL;
   conn->exchange = NULL;
-  conn->keep = IDLE_DEFAULT;
+  conn->keep = NET_IDLE_DEFAULT;
   conn_make_idle (conn);
   net_exchange_end (ex, NET_WITHHELD);
 }
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -205,6 +205,10 @@
   char read[NET_READ_BYTES];
 };
 
+/* Idle time when the endpoint does not specify a whole number of seconds: it
+   may close the connection at any moment. */
+#define NET_IDLE_DEFAULT (500 * EL_MSEC)
+
 struct net_exchange
 {
   net_client_t *client;
@@ -261,4 +265,10 @@
 void net_exchange_wait (net_exchange_t *ex);
 int net_conn_has_carried (const net_conn_t *conn, el_str_t id);
 
+/* The head of a response, as http_parser finds it: http_head.c. */
+int net_head_begin (http_parser *parser);
+int net_head_field (http_parser *parser, const char *at, size_t len);
+int net_head_value (http_parser *parser, const char *at, size_t len);
+int net_head_complete (http_parser *parser);
+
 #endif
