Heads and parts of events are drawn from the account

Change: both are drawn from the process's account as bodies are, with what headers take in memory; the constants are gone, and the bounds of before (1 MB, and 80 KB of text by the parser) hold again.

--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -177,7 +177,14 @@
   gt_relay_t *relay = arg;
 
   if (relay->stream)
-    return relay_events_add (&relay->events, bytes, attempt_event, relay);
+    {
+      int taken
+          = relay_events_add (&relay->events, bytes, attempt_event, relay);
+
+      if (relay->exchange)
+        net_exchange_set_kept (relay->exchange, relay->events.part.len);
+      return taken;
+    }
   if (relay->response_started)
     return (relay->unused += bytes.len) <= RELAY_RESPONSE_MAX;
   if (relay->out.len + bytes.len > RELAY_RESPONSE_MAX)
--- a/gate/relay_events.c
+++ b/gate/relay_events.c
@@ -8,7 +8,7 @@
 #include "relay_events.h"
 
 /* Size in bytes of the longest partial event that is kept. */
-#define EVENT_SIZE_MAX ((size_t)64 << 10)
+#define EVENT_SIZE_MAX ((size_t)1 << 20)
 
 /* Reads the number in the event's "id" line. Returns 0 if there is none. */
 static int
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -19,21 +19,22 @@
 /* A timer that fires later than this was delayed because the process was
    stalled. */
 #define TIMER_SLACK (5 * EL_MSEC)
-/* A body up to this length is not drawn from the account. */
+/* A response up to this length is not drawn from the account. */
 #define FREE_BODY_BYTES 4096
-/* Steps in which a body without a length is drawn. */
+/* Steps in which a response of unknown length is drawn. */
 #define HOLD_STEP ((uint64_t)65536)
 /* Interval at which it is looked whether there is room. */
 #define ROOM_POLL_INTERVAL (20 * EL_MSEC)
 
 /* Bodies. */
 
-/** Draw what a body of LENGTH bytes takes from the account. Returns 0 if there
-    is no room. */
+/** Draw what the headers and the kept part of the body take from the account.
+    Returns 0 if there is no room. */
 int
-net_exchange_hold (net_exchange_t *ex, uint64_t length)
+net_exchange_hold (net_exchange_t *ex)
 {
   el_account_t *account = ex->client->account;
+  uint64_t length = ex->headers_size + ex->part;
   uint64_t step = length - ex->held;
 
   if (!account || length <= FREE_BODY_BYTES || length <= ex->held)
@@ -65,7 +66,7 @@
 
   (void)now;
   DL_FOREACH (client->open, ex)
-  if (ex->waiting && net_exchange_hold (ex, ex->part))
+  if (ex->waiting && net_exchange_hold (ex))
     {
       ex->waiting = 0;
       client->waiting--;
@@ -350,6 +351,13 @@
   ex->keeps_body = 1;
 }
 
+/** State that the receiver of the body's parts keeps LENGTH bytes of them. */
+void
+net_exchange_set_kept (net_exchange_t *ex, uint64_t length)
+{
+  ex->part = length;
+}
+
 /** Return whether any byte of the request may have left this host. */
 int
 net_exchange_is_sent (const net_exchange_t *ex)
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -273,12 +273,12 @@
                       nearly_full ? READ_BYTES_MIN : NET_READ_BYTES);
 }
 
-/* Reads no further if there is no room for the body of CONN's exchange. */
+/* Reads no further if there is no room for the response of CONN's exchange. */
 static void
 conn_check_room (net_conn_t *conn)
 {
   if (conn->closing || !conn->exchange || conn->exchange->waiting
-      || net_exchange_hold (conn->exchange, conn->exchange->part))
+      || net_exchange_hold (conn->exchange))
     return;
   net_exchange_wait (conn->exchange);
   uv_read_stop ((uv_stream_t *)&conn->tcp);
--- a/net/http_head.c
+++ b/net/http_head.c
@@ -9,10 +9,8 @@
  */
 #include "libnet.h"
 
-/* Size in bytes of the headers of a response, trailers included, at most. */
-#define HEADERS_MAX ((size_t)32 << 10)
-/* What a header takes beside its text. */
-#define HEADER_OVERHEAD (sizeof (net_header_t) + 32)
+/* What a header takes beside its text: an entry and two allocated blocks. */
+#define HEADER_OVERHEAD (sizeof (net_header_t) + 2 * 32)
 #define IDLE_MAX (20 * EL_SEC)
 /* A connection is closed this long before the endpoint would close it. */
 #define IDLE_MARGIN (400 * EL_MSEC)
@@ -49,14 +47,6 @@
   ex->in_value = 0;
 }
 
-/* Counts LEN further bytes of headers. Returns 0 if they are too many. */
-static int
-headers_add (net_exchange_t *ex, size_t len)
-{
-  ex->headers_size += len;
-  return ex->headers_size <= HEADERS_MAX;
-}
-
 /** Adds a part of a header's name. */
 int
 net_head_field (http_parser *parser, const char *at, size_t len)
@@ -64,8 +54,7 @@
   net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
 
   header_finish (ex);
-  if (!headers_add (ex, len + (ex->name.len ? 0 : HEADER_OVERHEAD)))
-    return -1;
+  ex->headers_size += len + (ex->name.len ? 0 : HEADER_OVERHEAD);
   el_buf_add (&ex->name, (el_str_t){ at, len });
   return 0;
 }
@@ -76,8 +65,7 @@
 {
   net_exchange_t *ex = ((net_conn_t *)parser->data)->exchange;
 
-  if (!headers_add (ex, len))
-    return -1;
+  ex->headers_size += len;
   ex->in_value = 1;
   el_buf_add (&ex->value, (el_str_t){ at, len });
   return 0;
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -243,8 +243,8 @@
   int keeps_body;
   size_t headers_size; /**< in bytes, with what each header takes */
   int announced;       /**< the body's length is known */
-  int waiting;         /**< not read until there is room for its body */
-  uint64_t part;       /**< bytes of the body that arrived */
+  int waiting;         /**< not read until there is room for it */
+  uint64_t part;       /**< bytes of the body that are kept */
   uint64_t held;       /**< bytes drawn from the account */
   el_timer_t timer;
   net_exchange_t *prev;
@@ -261,7 +261,7 @@
 void net_conn_close (net_conn_t *conn);
 void net_conn_take_idle (net_conn_t *conn);
 void net_conn_resume (net_conn_t *conn);
-int net_exchange_hold (net_exchange_t *ex, uint64_t length);
+int net_exchange_hold (net_exchange_t *ex);
 void net_exchange_wait (net_exchange_t *ex);
 int net_conn_has_carried (const net_conn_t *conn, el_str_t id);
 
--- a/net/net.h
+++ b/net/net.h
@@ -219,6 +219,7 @@
 const net_client_counts_t *net_client_counts (const net_client_t *client);
 void net_client_cancel (net_exchange_t *exchange);
 void net_exchange_keep_body (net_exchange_t *exchange);
+void net_exchange_set_kept (net_exchange_t *exchange, uint64_t length);
 void net_exchange_set_callbacks (net_exchange_t *exchange, net_head_cb head,
                                  net_body_part_cb body_part,
                                  net_result_cb done);
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -845,6 +845,66 @@
 }
 END_TEST
 
+#define MANY_CALLS 64
+#define MANY_ACCOUNT ((size_t)16 << 20)
+/* Buffers grow by doubling. */
+#define MANY_BUFFERED (2 * MANY_ACCOUNT)
+/* What one request may take beside what is drawn from the account. */
+#define MANY_EACH ((size_t)256 << 10)
+
+/* Answers that are long in one part, but end. */
+static const struct
+{
+  const char *path;
+  const char *start;
+  size_t long_part; /* bytes, at the end of START */
+  const char *end;
+} long_parts[] = {
+  { "/high/x",
+    ANSWER_HEAD "content-type: text/event-stream\r\n" CHUNKED
+                "80000\r\ndata: ",
+    0x80000 - 8, "\n\n\r\n0\r\n\r\n" },
+  { "/pay/x", ANSWER_HEAD "content-length: 4\r\na: ", 60000, "\r\n\r\nbody" },
+};
+
+static void
+serve_long_part (peer_conn_t *conn)
+{
+  size_t i = *(const size_t *)conn->peer->arg;
+  char *part = malloc (long_parts[i].long_part);
+
+  memset (part, 'x', long_parts[i].long_part);
+  peer_write (conn, long_parts[i].start, strlen (long_parts[i].start));
+  peer_write (conn, part, long_parts[i].long_part);
+  peer_write (conn, long_parts[i].end, strlen (long_parts[i].end));
+  free (part);
+}
+
+/* Guards against bounds on what answers without end take that break off long
+   ones: an event of 512 KB and a header of 60 KB are passed on. */
+START_TEST (test_answer_with_a_long_part_is_whole)
+{
+  size_t which = (size_t)_i;
+  peer_t peer = { .serve = serve_long_part, .arg = &which };
+  int is_stream = which == 0;
+  el_account_t account;
+  net_call_t call;
+
+  el_account_init (&account, 16 * MANY_ACCOUNT, 1000);
+  net_client_set_account (rnet.relays->options.client, &account);
+  peer_open (&peer);
+  relay_net_add (&peer, "w", is_stream ? "llm" : "app", is_stream ? 8 : 0);
+  call_send (&call, "r1", "POST", long_parts[which].path);
+  call_wait (&call);
+  ck_assert_int_eq (call.net, NET_OK);
+  ck_assert_int_eq (call.status, 200);
+  ck_assert_uint_eq (call.body.len, is_stream ? 0x80000 : 4);
+  call_free (&call);
+  ck_assert_uint_eq (account.held[EL_HOLD_ANSWER], 0);
+  net_client_set_account (rnet.relays->options.client, NULL);
+}
+END_TEST
+
 /* Answers without end that are not drawn from the account as plain bodies
    are. */
 static const flood_case_t many_floods[] = {
@@ -856,13 +916,6 @@
   { "/pay/x", ANSWER_HEAD "\r\n", "body ", 0 },
 };
 
-#define MANY_CALLS 64
-#define MANY_ACCOUNT ((size_t)16 << 20)
-/* Buffers grow by doubling. */
-#define MANY_BUFFERED (2 * MANY_ACCOUNT)
-/* What one request may take beside what is drawn from the account. */
-#define MANY_EACH ((size_t)256 << 10)
-
 /* Guards against a host whose memory one worker fills by answers without end
    to many requests at once. */
 START_TEST (test_many_answers_without_end_are_bounded)
@@ -907,6 +960,52 @@
   *(int *)arg = 1;
 }
 
+#define SHORT_HEADERS 19000
+
+/* A head of many short headers that does not end; the worker sends no more. */
+static void
+serve_unfinished_head (peer_conn_t *conn)
+{
+  el_buf_t head = { NULL, 0, 0 };
+  size_t i;
+
+  el_buf_printf (&head, "HTTP/1.1 200 OK\r\n");
+  for (i = 0; i < SHORT_HEADERS; i++)
+    el_buf_add (&head, EL_STR ("a:\r\n"));
+  peer_write (conn, head.ptr, head.len);
+  el_buf_free (&head);
+}
+
+/* Guards against heads that are kept beside the account: what they take in
+   memory is many times their length. */
+START_TEST (test_many_unfinished_heads_are_bounded)
+{
+  peer_t peer = { .serve = serve_unfinished_head };
+  net_call_t calls[MANY_CALLS];
+  el_account_t account;
+  size_t before;
+  size_t i;
+
+  el_account_init (&account, 16 * MANY_ACCOUNT, 1000);
+  account.hold_max[EL_HOLD_ANSWER] = MANY_ACCOUNT;
+  net_client_set_account (rnet.relays->options.client, &account);
+  peer_open (&peer);
+  relay_net_add (&peer, "w", "app", 0);
+  before = relay_net_heap ();
+  for (i = 0; i < MANY_CALLS; i++)
+    call_send (&calls[i], "r1", "POST", "/pay/x");
+  relay_net_run (500 * EL_MSEC);
+  ck_assert_uint_eq (peer.requests, MANY_CALLS);
+  ck_assert_uint_le (relay_net_heap (),
+                     before + MANY_BUFFERED + MANY_CALLS * MANY_EACH);
+  for (i = 0; i < MANY_CALLS; i++)
+    call_leave (&calls[i]);
+  relay_net_run (100 * EL_MSEC);
+  ck_assert_uint_eq (account.held[EL_HOLD_ANSWER], 0);
+  net_client_set_account (rnet.relays->options.client, NULL);
+}
+END_TEST
+
 /* Guards against checks and reports that fill the memory of a host. */
 START_TEST (test_check_without_end_is_bounded)
 {
@@ -923,7 +1022,7 @@
   while (!checked)
     {
       relay_net_run_once ();
-      ck_assert_uint_le (relay_net_heap (), before + ((size_t)2 << 20));
+      ck_assert_uint_le (relay_net_heap (), before + ((size_t)1 << 20));
     }
 }
 END_TEST
@@ -982,8 +1081,10 @@
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD_LOOP (tcase, test_answer_with_an_unknown_status_fails_at_once,
             INVALID_HEADS * INVALID_WAYS);
+  ADD_LOOP (tcase, test_answer_with_a_long_part_is_whole, 2);
   ADD_LOOP (tcase, test_many_answers_without_end_are_bounded,
             sizeof many_floods / sizeof *many_floods);
+  ADD (tcase, test_many_unfinished_heads_are_bounded);
   ADD (tcase, test_check_without_end_is_bounded);
   ADD (tcase, test_caller_that_does_not_read_is_cut_off);
   ADD_LOOP (tcase, test_answer_without_end_is_bounded,
