Answers of another HTTP and beyond their limit are refused and logged

Cause: the first line of an answer was read for its status alone, so that HTTP/0.9, 2.0 and 9.9 passed as 1.1; heads that no answer can have, and answers beyond their limit, were counted nowhere and named in no log line.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -175,7 +175,13 @@
   if (conn->exchange != ex)
     return -1;
   if (!taken)
-    net_exchange_fail (ex, NET_TOO_BIG);
+    {
+      conn->client->counts.too_long++;
+      EL_LOG (EL_LOG_WARN, "answer_too_long",
+              EL_FC ("address", conn->pool->address),
+              EL_FN ("max", ex->max_response));
+      net_exchange_fail (ex, NET_TOO_BIG);
+    }
   return taken ? 0 : -1;
 }
 
--- a/net/http_head.c
+++ b/net/http_head.c
@@ -128,13 +128,14 @@
                                                        : ex->max_response;
 }
 
-/* Whether the head can be that of a response: its status is one of HTTP's, no
-   other protocol was asked for, and an interim response has no body. */
+/* Whether the head can be that of a response: it is of this version of HTTP
+   and its status one of HTTP's, no other protocol was asked for, and an
+   interim response has no body. */
 static int
 head_is_valid (const http_parser *parser)
 {
-  if (parser->status_code < 100 || parser->status_code >= 600
-      || parser->status_code == 101)
+  if (parser->http_major != 1 || parser->status_code < 100
+      || parser->status_code >= 600 || parser->status_code == 101)
     return 0;
   return parser->status_code >= 200
          || (!(parser->flags & F_CHUNKED)
@@ -156,6 +157,10 @@
   if (!head_is_valid (parser))
     {
       conn->client->counts.invalid++;
+      EL_LOG (EL_LOG_WARN, "answer_invalid",
+              EL_FC ("address", conn->pool->address),
+              EL_FN ("status", ex->status),
+              EL_FN ("http", parser->http_major));
       return -1;
     }
   if (ex->status < 200)
--- a/net/net.h
+++ b/net/net.h
@@ -201,15 +201,16 @@
 typedef struct net_client_counts
 {
   uint64_t requests;
-  uint64_t opened;  /**< connections opened */
-  uint64_t retired; /**< connections closed after as many requests as they
-                       remember */
-  uint64_t crossed; /**< responses with another id */
-  uint64_t invalid; /**< heads that no response can have */
-  uint64_t surplus; /**< connections closed because of bytes that belong to no
-                       request */
-  uint64_t waited;  /**< responses whose reading waited for room */
-  uint64_t evicted; /**< idle connections closed to make room for others */
+  uint64_t opened;   /**< connections opened */
+  uint64_t retired;  /**< connections closed after as many requests as they
+                        remember */
+  uint64_t crossed;  /**< responses with another id */
+  uint64_t invalid;  /**< heads that no response can have */
+  uint64_t too_long; /**< responses longer than their limit */
+  uint64_t surplus;  /**< connections closed because of bytes that belong to no
+                        request */
+  uint64_t waited;   /**< responses whose reading waited for room */
+  uint64_t evicted;  /**< idle connections closed to make room for others */
 } net_client_counts_t;
 
 net_client_t *net_client_new (net_clock_t *clock);
--- a/tests/relay_net.c
+++ b/tests/relay_net.c
@@ -331,10 +331,16 @@
           peer_flood (conn, conn->peer->report_flood);
         }
       else if (!conn->peer->silent)
-        peer_printf (conn,
-                     "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
-                     "keep-alive: timeout=9\r\n\r\n" REPORT,
-                     sizeof REPORT - 1);
+        {
+          const char *report
+              = conn->peer->report ? conn->peer->report : REPORT;
+
+          peer_printf (conn,
+                       "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
+                       "keep-alive: timeout=9\r\n\r\n",
+                       strlen (report));
+          peer_write (conn, report, strlen (report));
+        }
     }
   else
     {
--- a/tests/relay_net.h
+++ b/tests/relay_net.h
@@ -39,10 +39,12 @@
   char address[32];
   void (*serve) (peer_conn_t *conn);
   void *arg;
-  const char
-      *report_flood; /* answers reports without end; NULL: it does not */
-  int silent;        /* reports get no answer */
-  int lost;          /* as a host: not live */
+  /* Body of answers to reports; NULL: the usual one. */
+  const char *report;
+  /* Answers reports without end; NULL: it does not. */
+  const char *report_flood;
+  int silent; /* reports get no answer */
+  int lost;   /* as a host: not live */
   unsigned connections;
   unsigned requests; /* reports not counted */
   size_t sent;       /* bytes written by peer_flood */
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -679,6 +679,11 @@
         "HTTP/1.1 600 High" BODY_OF_4,
         "HTTP/1.1 999 Highest" BODY_OF_4,
         "HTTP/1.1 1000 Long" BODY_OF_4,
+        "HTTP/0.9 200 OK" BODY_OF_4,
+        "HTTP/2.0 200 OK" BODY_OF_4,
+        "HTTP/9.9 200 OK" BODY_OF_4,
+        "HTTP/1.1 -200 OK" BODY_OF_4,
+        "ICY 200 OK" BODY_OF_4,
         "HTTP/1.1 100 Continue" BODY_OF_4 "HTTP/1.1 200 OK" BODY_OF_4 };
 
 #define INVALID_HEADS (sizeof invalid_heads / sizeof *invalid_heads)
@@ -741,6 +746,46 @@
 }
 END_TEST
 
+/* The first answer of each connection is a valid one. */
+static void
+serve_invalid_head_later (peer_conn_t *conn)
+{
+  if (conn->step++)
+    serve_invalid_head (conn);
+  else
+    peer_printf (conn,
+                 "HTTP/1.1 200 OK\r\nx-elmarch-request-id: %s\r\n"
+                 "x-elmarch-response-seal: s\r\nkeep-alive: timeout=9\r\n"
+                 "content-length: 2\r\n\r\nok",
+                 conn->id);
+}
+
+/* The same on a connection that is kept. */
+START_TEST (test_unknown_status_on_a_kept_connection_is_no_answer)
+{
+  peer_t worker = { .serve = serve_invalid_head_later,
+                    .arg = (void *)(uintptr_t)invalid_heads[_i] };
+  net_client_t *used = rnet.relays->options.client;
+  el_time_t begun = net_clock_now (&rnet.clock);
+  net_call_t call;
+  unsigned i;
+
+  peer_open (&worker);
+  relay_net_add (&worker, "w", "app", 0);
+  for (i = 0; i < 2; i++)
+    {
+      call_send (&call, i ? "r1" : "r0", "GET", "/look/x");
+      call_wait (&call);
+      ck_assert_int_eq (call.status, i ? 502 : 200);
+      ck_assert_int_eq (call.sealed, i == 0);
+      call_free (&call);
+    }
+  ck_assert_uint_ge (worker.requests, 2);
+  ck_assert_uint_le (net_client_counts (used)->opened, 2);
+  ck_assert (net_clock_now (&rnet.clock) < begun + INVALID_TIME);
+}
+END_TEST
+
 /* Bytes without end, until this host closes. */
 
 #define ANSWER_HEAD                                                           \
@@ -766,6 +811,8 @@
   { "/pay/x", "", "\r\n", 502 },
   { "/pay/x", "HTTP/1.1 200 ", "reason ", 502 },
   { "/pay/x", "HTTP/1.1 200 OK\r\na: ", "value ", 502 },
+  { "/pay/x", "HTTP/1.1 200 OK\r\n", "name", 502 },
+  { "/pay/x", "HTTP/1.1 103 Early Hints\r\n", "a: b\r\n", 502 },
   { "/pay/x", "HTTP/1.1 200 OK\r\n", "name: value\r\n", 502 },
   { "/pay/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 502 },
   { "/pay/x", ANSWER_HEAD "\r\n", "body ", 502 },
@@ -1027,6 +1074,57 @@
 }
 END_TEST
 
+/* Of the reports on the users' pages: the most streams at an engine, twice. */
+#define STALLED_STREAMS (2 * 192)
+#define REPORT_MAX ((size_t)256 << 10)
+
+static void
+report_checked (void *arg, gt_check_result_t result, const rt_load_t *load,
+                const rt_hints_t *hints)
+{
+  (void)hints;
+  *(int *)arg = result == GT_CHECK_OK && load ? 1 : -1;
+}
+
+/* A report with STALLED streams, filled up to LENGTH bytes if that is more. */
+static el_buf_t
+long_report (size_t stalled, size_t length)
+{
+  el_buf_t text = { NULL, 0, 0 };
+  size_t i;
+
+  el_buf_printf (&text, "{\"pace\":1,\"stalled\":[");
+  for (i = 0; i < stalled; i++)
+    el_buf_printf (&text, "%s{\"Id\":\"%064zu\",\"Address\":\"%s\"}",
+                   i ? "," : "", i, "255.255.255.255:65535");
+  el_buf_printf (&text, "]");
+  while (text.len + 1 < length)
+    el_buf_add (&text, EL_STR (" "));
+  el_buf_printf (&text, "}");
+  return text;
+}
+
+/* A report with twice the streams that an engine of the users runs is read, as
+   is one of just the limit; one that is longer is not, and counted. */
+START_TEST (test_report_up_to_its_limit_is_read)
+{
+  static const size_t lengths[] = { 0, REPORT_MAX, REPORT_MAX + 1 };
+  el_buf_t text = long_report (STALLED_STREAMS, lengths[_i]);
+  peer_t peer = { .report = text.ptr };
+  net_client_t *used = rnet.relays->options.client;
+  int checked = 0;
+
+  peer_open (&peer);
+  pf_relay.check (used, relay_net_add (&peer, "w", "llm", 8), report_checked,
+                  &checked);
+  while (!checked)
+    relay_net_run_once ();
+  ck_assert_int_eq (checked, _i == 2 ? -1 : 1);
+  ck_assert_uint_eq (net_client_counts (used)->too_long, _i == 2);
+  el_buf_free (&text);
+}
+END_TEST
+
 static void
 serve_endless_events (peer_conn_t *conn)
 {
@@ -1081,6 +1179,9 @@
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD_LOOP (tcase, test_answer_with_an_unknown_status_fails_at_once,
             INVALID_HEADS * INVALID_WAYS);
+  ADD_LOOP (tcase, test_unknown_status_on_a_kept_connection_is_no_answer,
+            INVALID_HEADS);
+  ADD_LOOP (tcase, test_report_up_to_its_limit_is_read, 3);
   ADD_LOOP (tcase, test_answer_with_a_long_part_is_whole, 2);
   ADD_LOOP (tcase, test_many_answers_without_end_are_bounded,
             sizeof many_floods / sizeof *many_floods);
--- a/tests/t_starts.c
+++ b/tests/t_starts.c
@@ -97,6 +97,7 @@
     { "Slots", "\"6\"" },
     { "Slots", "-6" },
     { "Slots", "0" },
+    { "Slots", "65537" },
     { "Slots", "9223372036854775807" },
     { "Slots", "1e300" },
     { "SeqNo", "-1" },
@@ -125,6 +126,10 @@
       json_decref (entry_json);
       free (text);
     }
+  text = entry_with_field ("Slots", "65536"); /* the most */
+  ck_assert_int_eq (read_entry (text, &attrs, &entry_json), 1);
+  json_decref (entry_json);
+  free (text);
   text = entry_with_field ("layers", "null"); /* the engine holds no layers */
   ck_assert_int_eq (read_entry (text, &attrs, &entry_json), 1);
   ck_assert_uint_eq (attrs.end, 0);
