--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
        gate/relay_events.c gate/relay_blame.c gate/relay_runs.c gate/relay_cancelled.c gate/relay_testimony.c gate/relay_traits.c gate/relay_trial.c gate/relay_close.c gate/relay_standby.c gate/relay_block.c gate/relay_suspect.c gate/relay_fact.c gate/relay_rumor.c gate/relay_backoff.c gate/relay_limit.c gate/relay_epoch.c gate/relay_log.c gate/relay_wait.c gate/relay_watch.c gate/relay_check.c gate/relay_reach.c gate/relay_survey.c gate/relay_forward.c gate/relay_poll.c \
        gate/relay_metrics.c \
        gate/planner.c
-STORE = store/st_store.c store/st_keys.c store/st_mirror.c store/st_follow.c store/st_follow_host.c store/st_duty.c store/st_put.c
+STORE = store/st_store.c store/st_keys.c store/st_keys_give.c store/st_mirror.c store/st_follow.c store/st_follow_host.c store/st_duty.c store/st_put.c
 PLATFORM = platform/pf_store.c platform/pf_rules.c platform/pf_endpoints.c \
            platform/pf_engine.c platform/pf_entry.c platform/pf_hints.c platform/pf_parts.c platform/pf_blocked.c platform/pf_json.c
 STANDIN = standin/main.c standin/platform.c standin/engine.c standin/service.c \
--- a/gate/relay_close.c
+++ b/gate/relay_close.c
@@ -8,8 +8,8 @@
  * is complete only if its endpoint is still there: a plain endpoint has to
  * take a connection, and all engines of a chain to respond, as the first one
  * ends a stream in the same way if another is gone. A stream must have had
- * events and end right behind one, besides. What is there after a standstill
- * of this host does not show what was there when the response ended.
+ * events and end right behind one, besides. What is there after a stall of
+ * this process does not show what was there when the response ended.
  */
 #include "librelay.h"
 
@@ -20,8 +20,8 @@
 /* A stream that ends this long after its last event was cut: engines wait for
    others that do not respond, which may be back by then. */
 #define STANDSTILL_MIN (1000 * EL_MSEC)
-/* A plain endpoint may have ended and be back after a standstill of this host
-   that was as long; its response is settled at once after that. */
+/* During a stall of this process that is as long, a plain endpoint may have
+   ended and be back. A response that ended then is settled soon after it. */
 #define RESTART_MIN (200 * EL_MSEC)
 #define RESTART_SETTLED (200 * EL_MSEC)
 /* Interval between checks of an engine that does not respond. */
@@ -209,9 +209,8 @@
   net_clock_set (o->clock, &relay->watch_timer, CRASH_SETTLED);
 }
 
-/* Whether this host stood still, so that it can't be told from the times at
-   which it read the end of the response, and what came before, whether the
-   endpoint was there then. */
+/* Whether the response may have ended during a stall of this process, so that
+   the times at which it was read tell nothing of the endpoint. */
 static int
 close_is_uncertain (const gt_relay_t *relay)
 {
@@ -238,7 +237,7 @@
   else if (relay->refused)
     close_is_end (relay);
   else if (close_is_uncertain (relay))
-    close_is_break (relay, "this host stood still");
+    close_is_break (relay, "this host stalled");
   else
     close_check (relay);
 }
--- a/net/clock.c
+++ b/net/clock.c
@@ -28,10 +28,10 @@
    is. A longer wait is reduced to this, so that after a suspension a timer
    fires at most this late. */
 #define DRIVER_MAX_MS 1000
-/* A driver that fires this late shows that the process stood still. */
+/* A driver that fires this late shows that the process stalled. */
 #define STALL_MIN (50 * EL_MSEC)
 
-/* Notes a standstill of the process if the driver is late. */
+/* Notes a stall of the process if the driver is late. */
 static void
 clock_check_stall (net_clock_t *clock, el_time_t now)
 {
@@ -41,9 +41,8 @@
   clock->stalled_to = now;
 }
 
-/** Returns whether the process stood still for LEAST or longer, until less
-    than WITHIN ago: what is read meanwhile may have come at any time of
-    that. */
+/** Returns whether the process stalled for LEAST or longer, until less than
+    WITHIN ago: what is read then may have come at any time of the stall. */
 int
 net_clock_has_stalled (net_clock_t *clock, el_time_t least, el_time_t within)
 {
--- a/net/net.h
+++ b/net/net.h
@@ -26,8 +26,8 @@
   void (*fire) (void *arg, el_time_t now);
   void *arg;
   el_time_t expected;     /**< when the driver is to fire; 0: not */
-  el_time_t stalled_from; /**< the process stood still from then */
-  el_time_t stalled_to;   /**< until then */
+  el_time_t stalled_from; /**< start of the last stall of the process */
+  el_time_t stalled_to;   /**< its end; 0: there was none */
 } net_clock_t;
 
 void net_clock_init (net_clock_t *clock, uv_loop_t *loop);
--- a/store/libstore.h
+++ b/store/libstore.h
@@ -10,6 +10,7 @@
 #ifndef ELMARCH_LIBSTORE_H
 #define ELMARCH_LIBSTORE_H
 
+#include "map.h"
 #include "store.h"
 
 typedef struct st_keys st_keys_t;
@@ -31,6 +32,46 @@
       held; /**< changes of a new epoch that wait for st_keys_release_held */
 } st_keys_counts_t;
 
+/* A key, its state and the position of its last change. */
+typedef struct keys_entry
+{
+  char *name;
+  size_t len;
+  pr_store_position_t at;
+  el_str_t value;
+  int known; /* it has been passed to the callback */
+  int gone;
+  uint64_t held;     /* number of the read since which its state has not been
+                        passed to the callback; 0: it has */
+  int gone_early;    /* it may have been removed after AT */
+  uint64_t sequence; /* when its last change was taken; see st_keys */
+  uint64_t read;     /* number of the last read that contained it */
+  uint64_t list;     /* number of the last list that contained its state */
+  UT_hash_handle hh;
+} keys_entry_t;
+
+struct st_keys
+{
+  st_keys_options_t options;
+  keys_entry_t *keys;
+  uint64_t sequence;                  /* number of changes taken */
+  uint64_t read;                      /* number of the last or current read */
+  uint64_t list;                      /* number of the last or current list */
+  int in_read;                        /* all keys are being read */
+  pr_store_position_t newest;         /* of the changes taken */
+  pr_store_position_t complete_since; /* all removals after it are known, but
+                                         for those in the gap */
+  pr_store_gap_t gap;                 /* in the epoch of complete_since */
+  pr_store_position_t newest_page;    /* keys removed before it may be unknown,
+                                         even if they existed at the position of
+                                         the mirror */
+  pr_store_position_t page_before;    /* newest_page before the current read */
+  size_t ngone;
+  size_t nheld;
+  int unsorted; /* the table is not in the order of the keys' names */
+  st_keys_counts_t counts;
+};
+
 /** A page of a read of all keys, from the store or from another host: the keys
     after AFTER in the order of their names. */
 typedef struct st_keys_page
@@ -52,10 +93,10 @@
 void st_keys_free (st_keys_t *keys);
 void st_keys_apply (st_keys_t *keys, uint64_t epoch,
                     const pr_store_item_t *item);
-void st_keys_begin_snapshot (st_keys_t *keys);
+void st_keys_begin_read (st_keys_t *keys);
 void st_keys_apply_page (st_keys_t *keys, const st_keys_page_t *page);
-void st_keys_end_snapshot (st_keys_t *keys, pr_store_position_t before,
-                           pr_store_position_t at);
+void st_keys_end_read (st_keys_t *keys, pr_store_position_t before,
+                       pr_store_position_t at);
 void st_keys_begin_list (st_keys_t *keys);
 void st_keys_apply_list (st_keys_t *keys, pr_store_position_t known,
                          const pr_store_update_t *update);
@@ -71,6 +112,15 @@
                    size_t max_bytes, pr_store_update_t *out);
 st_keys_counts_t st_keys_counts_take (st_keys_t *keys);
 
+/* Shared by st_keys.c, which changes the keys, and st_keys_give.c, which gives
+   them to other hosts. */
+
+int keys_name_cmp (el_str_t a, el_str_t b);
+int keys_entry_cmp (const keys_entry_t *a, const keys_entry_t *b);
+el_str_t keys_entry_name (const keys_entry_t *key);
+pr_store_item_t keys_entry_item (const keys_entry_t *key);
+keys_entry_t *keys_find (const st_keys_t *keys, el_str_t name);
+
 /* The mirror: the keys and the position up to which all changes are known. */
 
 typedef struct st_mirror
--- a/store/st_keys.c
+++ b/store/st_keys.c
@@ -20,9 +20,9 @@
  *
  * A store restored from an older copy lacks what was written since that copy,
  * and has again what was removed since, until the writers have written their
- * changes again. Differences of both kinds in the first snapshot of an epoch
+ * changes again. Differences of both kinds in the first read of an epoch
  * are therefore held back until st_keys_release_held; a change reported after
- * the snapshot takes effect at once.
+ * the read takes effect at once.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -32,47 +32,6 @@
 
 /* Default limit of the removed keys that are kept. */
 #define GONE_MAX 8192
-/* Size of a key and its fields in a message, beside the texts. */
-#define ITEM_OVERHEAD 24
-
-/* A key, its state and the position of its last change. */
-typedef struct keys_entry
-{
-  char *name;
-  size_t len;
-  pr_store_position_t at;
-  el_str_t value;
-  int known; /* it has been passed to the callback */
-  int gone;
-  int held;          /* its state has not been passed to the callback yet */
-  int gone_early;    /* it may have been removed after AT */
-  uint64_t sequence; /* when its last change was taken; see st_keys */
-  uint64_t snapshot; /* number of the last read that contained it */
-  uint64_t list;     /* number of the last list that contained its state */
-  UT_hash_handle hh;
-} keys_entry_t;
-
-struct st_keys
-{
-  st_keys_options_t options;
-  keys_entry_t *keys;
-  uint64_t sequence;                  /* number of changes taken */
-  uint64_t snapshot;                  /* number of the last or current read */
-  uint64_t list;                      /* number of the last or current list */
-  int in_snapshot;                    /* all keys are being read */
-  pr_store_position_t newest;         /* of the changes taken */
-  pr_store_position_t complete_since; /* all removals after it are known, but
-                                         for those in the gap */
-  pr_store_gap_t gap;                 /* in the epoch of complete_since */
-  pr_store_position_t newest_page;    /* keys removed before it may be unknown,
-                                         even if they existed at the position of
-                                         the mirror */
-  pr_store_position_t page_before;    /* newest_page before the current read */
-  size_t ngone;
-  size_t nheld;
-  int unsorted; /* the table is not in the order of the keys' names */
-  st_keys_counts_t counts;
-};
 
 /** Creates an empty set of keys. */
 st_keys_t *
@@ -86,8 +45,9 @@
   return keys;
 }
 
-static int
-name_cmp (el_str_t a, el_str_t b)
+/** Compares names of keys in their order. */
+int
+keys_name_cmp (el_str_t a, el_str_t b)
 {
   size_t len = a.len < b.len ? a.len : b.len;
   int order = len ? memcmp (a.ptr, b.ptr, len) : 0;
@@ -95,20 +55,23 @@
   return order ? order : (a.len > b.len) - (a.len < b.len);
 }
 
-static el_str_t
-key_name (const keys_entry_t *key)
+/** Returns the name of a key. */
+el_str_t
+keys_entry_name (const keys_entry_t *key)
 {
   return (el_str_t){ key->name, key->len };
 }
 
-static int
-key_cmp (const keys_entry_t *a, const keys_entry_t *b)
+/** Compares keys by their names. */
+int
+keys_entry_cmp (const keys_entry_t *a, const keys_entry_t *b)
 {
-  return name_cmp (key_name (a), key_name (b));
+  return keys_name_cmp (keys_entry_name (a), keys_entry_name (b));
 }
 
-static keys_entry_t *
-key_find (const st_keys_t *keys, el_str_t name)
+/** Finds a key; NULL if it is not known. */
+keys_entry_t *
+keys_find (const st_keys_t *keys, el_str_t name)
 {
   keys_entry_t *key;
 
@@ -119,7 +82,7 @@
 static keys_entry_t *
 key_get (st_keys_t *keys, el_str_t name)
 {
-  keys_entry_t *key = key_find (keys, name);
+  keys_entry_t *key = keys_find (keys, name);
   const keys_entry_t *last;
 
   if (key)
@@ -130,7 +93,7 @@
   key = el_alloc (sizeof *key);
   key->name = (char *)(uintptr_t)el_str_dup (name).ptr;
   key->len = name.len;
-  keys->unsorted = keys->unsorted || (last && key_cmp (last, key) > 0);
+  keys->unsorted = keys->unsorted || (last && keys_entry_cmp (last, key) > 0);
   HASH_ADD_KEYPTR (hh, keys->keys, key->name, (unsigned)name.len, key);
   return key;
 }
@@ -143,9 +106,9 @@
 }
 
 static void
-key_set_held (st_keys_t *keys, keys_entry_t *key, int held)
+key_set_held (st_keys_t *keys, keys_entry_t *key, uint64_t held)
 {
-  keys->nheld += (size_t)held - (size_t)key->held;
+  keys->nheld += (size_t)(held != 0) - (size_t)(key->held != 0);
   key->held = held;
 }
 
@@ -165,7 +128,7 @@
 {
   HASH_DEL (keys->keys, key);
   keys->ngone -= (size_t)key->gone;
-  keys->nheld -= (size_t)key->held;
+  keys->nheld -= (size_t)(key->held != 0);
   el_str_free (&key->value);
   free (key->name);
   free (key);
@@ -182,10 +145,11 @@
   free (keys);
 }
 
-static pr_store_item_t
-key_item (const keys_entry_t *key)
+/** Returns a key as it is passed on; the strings belong to it. */
+pr_store_item_t
+keys_entry_item (const keys_entry_t *key)
 {
-  return (pr_store_item_t){ .key = key_name (key),
+  return (pr_store_item_t){ .key = keys_entry_name (key),
                             .value = key->value,
                             .revision = key->at.revision,
                             .gone = key->gone };
@@ -227,7 +191,7 @@
 key_hold (st_keys_t *keys, keys_entry_t *key, const pr_store_item_t *item)
 {
   keys->counts.held += !key->held;
-  key_set_held (keys, key, 1);
+  key_set_held (keys, key, keys->read);
   key_set_gone (keys, key, item->gone != 0);
   if (item->gone)
     return;
@@ -284,7 +248,7 @@
       return key;
     }
   key_set_at (keys, key, at);
-  if (keys->in_snapshot && other_epoch && reappeared)
+  if (keys->in_read && other_epoch && reappeared)
     key_hold (keys, key, item);
   else if (!(same && other_epoch) || key->held)
     key_apply (keys, key, item);
@@ -302,10 +266,10 @@
 
 /** Begins a read: st_keys_apply_page will be passed all keys. */
 void
-st_keys_begin_snapshot (st_keys_t *keys)
+st_keys_begin_read (st_keys_t *keys)
 {
-  keys->snapshot++;
-  keys->in_snapshot = 1;
+  keys->read++;
+  keys->in_read = 1;
   keys->page_before = keys->newest_page;
 }
 
@@ -313,7 +277,7 @@
 key_remove (st_keys_t *keys, keys_entry_t *key, pr_store_position_t at)
 {
   const pr_store_item_t item
-      = { .key = key_name (key), .revision = at.revision, .gone = 1 };
+      = { .key = keys_entry_name (key), .revision = at.revision, .gone = 1 };
 
   key_set_at (keys, key, at);
   key_apply (keys, key, &item);
@@ -323,8 +287,9 @@
 static void
 key_missing (st_keys_t *keys, keys_entry_t *key, const st_keys_page_t *page)
 {
-  const pr_store_item_t item
-      = { .key = key_name (key), .revision = page->at.revision, .gone = 1 };
+  const pr_store_item_t item = { .key = keys_entry_name (key),
+                                 .revision = page->at.revision,
+                                 .gone = 1 };
 
   if (key->at.epoch < page->at.epoch)
     {
@@ -369,14 +334,13 @@
   newest_page_set (keys,
                    (pr_store_position_t){ page->at.epoch, page->newest_page });
   for (i = 0; i < page->n; i++)
-    item_apply (keys, page->at.epoch, &page->items[i])->snapshot
-        = keys->snapshot;
+    item_apply (keys, page->at.epoch, &page->items[i])->read = keys->read;
   if (page->more)
     last = page->items[page->n - 1].key;
   HASH_ITER (hh, keys->keys, key, next)
-  if (key->snapshot != keys->snapshot
-      && name_cmp (key_name (key), page->after) > 0
-      && (!last.len || name_cmp (key_name (key), last) <= 0))
+  if (key->read != keys->read
+      && keys_name_cmp (keys_entry_name (key), page->after) > 0
+      && (!last.len || keys_name_cmp (keys_entry_name (key), last) <= 0))
     key_missing (keys, key, page);
   keys_drop_gone (keys);
 }
@@ -402,10 +366,10 @@
     BEFORE were known before it; if the keys that existed then were known too,
     the changes since are known but for the gap. */
 void
-st_keys_end_snapshot (st_keys_t *keys, pr_store_position_t before,
-                      pr_store_position_t at)
+st_keys_end_read (st_keys_t *keys, pr_store_position_t before,
+                  pr_store_position_t at)
 {
-  keys->in_snapshot = 0;
+  keys->in_read = 0;
   if (before.epoch == at.epoch && before.revision
       && pr_store_position_cmp (before, keys->page_before) >= 0)
     {
@@ -472,7 +436,8 @@
   keys_drop_gone (keys);
 }
 
-/** Passes to the callback what was held back and has not changed since. */
+/** Passes to the callback what was held back and has not changed since, but
+   for what a read that has not ended holds back. */
 void
 st_keys_release_held (st_keys_t *keys)
 {
@@ -481,7 +446,7 @@
 
   HASH_ITER (hh, keys->keys, key, next)
   {
-    const pr_store_item_t item = key_item (key);
+    const pr_store_item_t item = keys_entry_item (key);
 
     if (!key->held)
       continue;
@@ -491,128 +456,6 @@
   }
 }
 
-/* Size of ITEM in a message. */
-static size_t
-item_size (const pr_store_item_t *item)
-{
-  return item->key.len + item->value.len + ITEM_OVERHEAD;
-}
-
-static int
-key_cmp_sequence (const void *a, const void *b)
-{
-  const keys_entry_t *x = *(const keys_entry_t *const *)a;
-  const keys_entry_t *y = *(const keys_entry_t *const *)b;
-
-  return (x->sequence > y->sequence) - (x->sequence < y->sequence);
-}
-
-/* Returns whether all removals after AFTER are known. */
-static int
-removals_known (const st_keys_t *keys, pr_store_position_t after)
-{
-  return after.epoch == keys->complete_since.epoch
-         && after.revision >= keys->complete_since.revision
-         && (after.revision <= keys->gap.from
-             || after.revision >= keys->gap.to);
-}
-
-/** Appends to OUT, whose position is set, the next piece of the changes that
-    QUERY asks for, in the order in which they became known here, at most about
-    MAX_BYTES of them; OUT->more says whether there are further ones. Returns 0
-    if not every removal is known. The strings belong to KEYS; the caller frees
-    the list. */
-int
-st_keys_changes_since (const st_keys_t *keys, const pr_store_query_t *query,
-                       size_t max_bytes, pr_store_update_t *out)
-{
-  const keys_entry_t **list;
-  const keys_entry_t *key;
-  size_t bytes = 0;
-  size_t n = 0;
-  size_t i;
-
-  if (!removals_known (keys, query->after))
-    return 0;
-  out->gap = keys->gap;
-  out->sequence = query->sequence;
-  if (pr_store_position_cmp (query->after, out->at) >= 0)
-    return 1;
-  list = el_alloc ((HASH_COUNT (keys->keys) + 1) * sizeof *list);
-  for (key = keys->keys; key; key = key->hh.next)
-    if (pr_store_position_cmp (key->at, query->after) > 0
-        && key->sequence > query->sequence)
-      list[n++] = key;
-  qsort (list, n, sizeof *list, key_cmp_sequence);
-  out->items = el_alloc ((n + 1) * sizeof *out->items);
-  for (i = 0; i < n; i++)
-    {
-      pr_store_item_t item = key_item (list[i]);
-
-      bytes += item_size (&item);
-      out->more = bytes > max_bytes && i;
-      if (out->more)
-        break;
-      out->items[out->n++] = item;
-      out->sequence = list[i]->sequence;
-    }
-  free (list);
-  return 1;
-}
-
-/* The first key in the order of names after AFTER. */
-static const keys_entry_t *
-key_after (st_keys_t *keys, el_str_t after)
-{
-  const keys_entry_t *key;
-
-  if (keys->unsorted)
-    HASH_SORT (keys->keys, key_cmp);
-  keys->unsorted = 0;
-  key = after.len ? key_find (keys, after) : NULL;
-  if (key)
-    return key->hh.next;
-  for (key = keys->keys; key && name_cmp (key_name (key), after) <= 0;
-       key = key->hh.next)
-    ;
-  return key;
-}
-
-/** Appends to OUT the keys that exist after the key AFTER in the order of
-    their names, up to the key LAST if that is not empty, and at most about
-    MAX_BYTES of them; OUT->more says whether there are further ones up to
-    LAST. The strings belong to KEYS; the caller frees the list. */
-void
-st_keys_page (st_keys_t *keys, el_str_t after, el_str_t last, size_t max_bytes,
-              pr_store_update_t *out)
-{
-  const keys_entry_t *key;
-  size_t size = 0;
-  size_t bytes = 0;
-
-  for (key = key_after (keys, after); key; key = key->hh.next)
-    {
-      pr_store_item_t item = key_item (key);
-
-      if (last.len && name_cmp (item.key, last) > 0)
-        break;
-      if (item.gone)
-        continue;
-      bytes += item_size (&item);
-      if (bytes > max_bytes && out->n)
-        {
-          out->more = 1;
-          break;
-        }
-      if (out->n == size)
-        {
-          size = size ? 2 * size : 64;
-          out->items = el_grow (out->items, size, sizeof *out->items);
-        }
-      out->items[out->n++] = item;
-    }
-}
-
 /** Returns the revision in EPOCH before which removed keys may be unknown. */
 uint64_t
 st_keys_newest_page (const st_keys_t *keys, uint64_t epoch)
--- a/store/st_mirror.c
+++ b/store/st_mirror.c
@@ -84,7 +84,7 @@
     mirror->complete = 0;
   mirror->read_at = page->at;
   mirror->read_as_of = page->as_of;
-  st_keys_begin_snapshot (mirror->keys);
+  st_keys_begin_read (mirror->keys);
 }
 
 static void
@@ -93,8 +93,8 @@
   static const pr_store_position_t none = { 0, 0 };
   int further = complete_in (mirror, mirror->read_at.epoch);
 
-  st_keys_end_snapshot (mirror->keys, further ? mirror->at : none,
-                        mirror->read_at);
+  st_keys_end_read (mirror->keys, further ? mirror->at : none,
+                    mirror->read_at);
   if (!further || pr_store_position_cmp (mirror->read_at, mirror->at) > 0)
     mirror->at = mirror->read_at;
   mirror->complete = 1;
--- a/tests/t_answer.c
+++ b/tests/t_answer.c
@@ -596,12 +596,12 @@
 }
 END_TEST
 
-#define STANDSTILL_US 2400000
+#define STALL_US 2400000
 
 /* The response of a request ends with its connection; what it has so far and
-   its end are read in one go, as this host stands still meanwhile. */
+   its end are read in one go, as the process stalls meanwhile. */
 static void
-serve_end_during_standstill (peer_conn_t *conn)
+serve_end_during_stall (peer_conn_t *conn)
 {
   const char *body = conn->peer->arg;
 
@@ -610,19 +610,18 @@
                "x-elmarch-response-seal: s\r\n\r\n%s",
                conn->id, body);
   peer_end (conn);
-  usleep (STANDSTILL_US);
+  usleep (STALL_US);
 }
 
 /* Guards against a part of a response that looks whole: its endpoint was gone
-   while this host stood still, and is back. A stream is broken off, and a
-   plain request may have run. */
-START_TEST (test_answer_that_ends_in_a_standstill_is_not_whole)
+   while the process stalled, and is back. A stream is broken off, and a plain
+   request may have run. */
+START_TEST (test_answer_that_ends_in_a_stall_is_not_whole)
 {
   static char event[] = "id: 1\ndata: a\n\n";
   static char part[] = "part";
   int is_stream = _i == 1;
-  peer_t peer
-      = { .serve = serve_end_during_standstill, .arg = _i ? event : part };
+  peer_t peer = { .serve = serve_end_during_stall, .arg = _i ? event : part };
   net_call_t call;
 
   peer_open (&peer);
@@ -1175,7 +1174,7 @@
   ADD_LOOP (tcase, test_stream_that_a_caller_resumes_keeps_its_position, 4);
   ADD_LOOP (tcase, test_stream_without_a_position_is_not_resumed, 2);
   ADD_LOOP (tcase, test_answer_cut_by_a_crash_is_not_whole, 3);
-  ADD_LOOP (tcase, test_answer_that_ends_in_a_standstill_is_not_whole, 2);
+  ADD_LOOP (tcase, test_answer_that_ends_in_a_stall_is_not_whole, 2);
   ADD_LOOP (tcase, test_check_of_an_answer_can_be_given_up, 2);
   ADD_LOOP (tcase, test_answer_with_an_unknown_status_fails_at_once,
             INVALID_HEADS * INVALID_WAYS);
--- a/tests/t_epoch.c
+++ b/tests/t_epoch.c
@@ -73,9 +73,9 @@
 {
   const st_keys_page_t page = { .items = items, .n = n, .at = at };
 
-  st_keys_begin_snapshot (keys);
+  st_keys_begin_read (keys);
   st_keys_apply_page (keys, &page);
-  st_keys_end_snapshot (keys, before, at);
+  st_keys_end_read (keys, before, at);
 }
 
 static int
--- a/tests/t_mirror.c
+++ b/tests/t_mirror.c
@@ -582,9 +582,9 @@
 static void
 read_page (st_keys_t *keys, uint64_t before, const st_keys_page_t *page)
 {
-  st_keys_begin_snapshot (keys);
+  st_keys_begin_read (keys);
   st_keys_apply_page (keys, page);
-  st_keys_end_snapshot (keys, (pr_store_position_t){ 1, before }, page->at);
+  st_keys_end_read (keys, (pr_store_position_t){ 1, before }, page->at);
 }
 
 /* Guards against a removal that is not passed on: the page of another host
--- a/tests/t_store.c
+++ b/tests/t_store.c
@@ -43,6 +43,26 @@
     record->wanted = 0;
 }
 
+/* The store that the script plays. */
+static st_store_t
+script_store (void)
+{
+  return (st_store_t){
+    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
+  };
+}
+
+static st_follow_options_t
+record_options (st_store_t *store, void *record)
+{
+  return (st_follow_options_t){ .store = store,
+                                .prefix = EL_STR ("p/"),
+                                .wait_ms = 100,
+                                .item = record_item,
+                                .known = record_known,
+                                .arg = record };
+}
+
 #define HTTP_OK() "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"
 
 /* A key that a watch showed, and that was deleted in a part of the history
@@ -51,15 +71,8 @@
 START_TEST (test_follow_reports_key_deleted_in_lost_history)
 {
   record_t record = { .wanted = 3 };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  st_follow_options_t options = { .store = &store,
-                                  .prefix = EL_STR ("p/"),
-                                  .wait_ms = 100,
-                                  .item = record_item,
-                                  .known = record_known,
-                                  .arg = &record };
+  st_store_t store = script_store ();
+  st_follow_options_t options = record_options (&store, &record);
   st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
@@ -89,15 +102,8 @@
 START_TEST (test_follow_reads_pages_and_ignores_older_events)
 {
   record_t record = { .wanted = 2 };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  st_follow_options_t options = { .store = &store,
-                                  .prefix = EL_STR ("p/"),
-                                  .wait_ms = 100,
-                                  .item = record_item,
-                                  .known = record_known,
-                                  .arg = &record };
+  st_store_t store = script_store ();
+  st_follow_options_t options = record_options (&store, &record);
   st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/a\",\"Value\":\"\","
@@ -127,15 +133,8 @@
 START_TEST (test_follow_reads_what_follows_an_odd_item)
 {
   record_t record = { .wanted = 2 };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  st_follow_options_t options = { .store = &store,
-                                  .prefix = EL_STR ("p/"),
-                                  .wait_ms = 100,
-                                  .item = record_item,
-                                  .known = record_known,
-                                  .arg = &record };
+  st_store_t store = script_store ();
+  st_follow_options_t options = record_options (&store, &record);
   st_follow_t *follow;
 
   SCRIPT ({ HTTP_OK () "{\"Items\":[{\"Key\":\"p/\\u0000\",\"Value\":\"\","
@@ -395,19 +394,12 @@
 START_TEST (test_follow_read_goes_on_with_another_host)
 {
   hall_t hall = { .record = { .wanted = 1 } };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  st_follow_options_t options = { .store = &store,
-                                  .prefix = EL_STR ("p/"),
-                                  .wait_ms = 100,
-                                  .item = record_item,
-                                  .update_max_age = 1500 * EL_MSEC,
-                                  .ask_host = answer_read,
-                                  .known = record_known,
-                                  .arg = &hall };
+  st_store_t store = script_store ();
+  st_follow_options_t options = record_options (&store, &hall);
   st_follow_t *follow;
 
+  options.update_max_age = 1500 * EL_MSEC;
+  options.ask_host = answer_read;
   store.address = EL_STR ("127.0.0.1:1");
   hall_open (&hall);
   hall_grow (&hall, 60);
@@ -430,7 +422,6 @@
 {
   hall_t hall; /* first, as the callbacks cast the pair to a hall_t */
   st_follow_t *reader;
-  int pages; /* that the reader has read, but for last ones */
   int stands_still;
   el_timer_t timer;       /* of its answer */
   pr_store_query_t query; /* that waits while this host stands still */
@@ -466,27 +457,19 @@
     net_clock_set (&test_clock, &pair->timer, EL_MSEC);
 }
 
-static int
-ignore_item (void *arg, const pr_store_item_t *item)
+/* The host that reads the store. */
+typedef struct reader
 {
-  (void)arg;
-  (void)item;
-  return 1;
-}
-
-static void
-ignore_known (void *arg, el_time_t as_of)
-{
-  (void)arg;
-  (void)as_of;
-}
+  record_t record; /* first, as the callbacks cast the reader to a record_t */
+  int pages;       /* read, but for last ones */
+} reader_t;
 
 static void
 count_page (void *arg)
 {
-  pair_t *pair = arg;
+  reader_t *reader = arg;
 
-  pair->pages++;
+  reader->pages++;
 }
 
 #define BIG_VALUE (96 * 1024)
@@ -528,26 +511,15 @@
             CLOSE },
           { HTTP_OK () "{\"events\":[],\"at\":8}", CLOSE } };
   pair_t pair = { .timer = { .cb = pair_answer, .arg = &pair } };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  const st_follow_options_t reader = { .store = &store,
-                                       .prefix = EL_STR ("p/"),
-                                       .wait_ms = 100,
-                                       .item = ignore_item,
-                                       .progress = count_page,
-                                       .known = ignore_known,
-                                       .arg = &pair };
-  st_follow_options_t other = { .store = &store,
-                                .prefix = EL_STR ("p/"),
-                                .wait_ms = 100,
-                                .item = record_item,
-                                .update_max_age = EL_TIME_NEVER / 4,
-                                .ask_host = answer_from_reader,
-                                .known = record_known,
-                                .arg = &pair };
+  st_store_t store = script_store ();
+  reader_t seen = { .pages = 0 };
+  st_follow_options_t reader = record_options (&store, &seen);
+  st_follow_options_t other = record_options (&store, &pair);
   st_follow_t *follow;
 
+  reader.progress = count_page;
+  other.update_max_age = EL_TIME_NEVER / 4;
+  other.ask_host = answer_from_reader;
   answers[3].bytes = big_page ();
   script_start (answers, sizeof answers / sizeof *answers);
   store.address = el_str (script.address);
@@ -562,7 +534,7 @@
   pair_answer (&pair, 0);
   ck_assert_uint_eq (st_follow_position (follow).revision, 3);
   pair.done = NULL;
-  while (!pair.pages || !pair.done)
+  while (!seen.pages || !pair.done)
     uv_run (&loop, UV_RUN_ONCE);
   pair.stands_still = 0;
   pair_answer (&pair, 0);
@@ -572,6 +544,7 @@
   st_follow_free (pair.reader);
   ck_assert_ptr_nonnull (strstr (pair.hall.record.text.ptr + 1, "+p/z "));
   el_buf_free (&pair.hall.record.text);
+  el_buf_free (&seen.record.text);
   hall_close (&pair.hall);
 }
 END_TEST
@@ -589,15 +562,8 @@
 {
   static int vacant = 1;
   record_t record = { .wanted = 0 };
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
-  const st_follow_options_t follow_options = { .store = &store,
-                                               .prefix = EL_STR ("p/"),
-                                               .wait_ms = 100,
-                                               .item = record_item,
-                                               .known = record_known,
-                                               .arg = &record };
+  st_store_t store = script_store ();
+  const st_follow_options_t follow_options = record_options (&store, &record);
   const st_duty_options_t duty_options = { .store = &store,
                                            .key = EL_STR ("duty"),
                                            .holder = EL_STR ("a"),
@@ -634,9 +600,7 @@
 START_TEST (test_duty_is_requested_only_when_vacant)
 {
   int vacant = 0;
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
+  st_store_t store = script_store ();
   st_duty_options_t options = { .store = &store,
                                 .key = EL_STR ("duty"),
                                 .holder = EL_STR ("a"),
@@ -678,9 +642,7 @@
 START_TEST (test_duty_left_vacant_is_taken_by_the_next)
 {
   int vacant = 1;
-  st_store_t store = {
-    .clock = &test_clock, .client = client, .dialect = &pf_store, .random = 1
-  };
+  st_store_t store = script_store ();
   st_duty_options_t options = { .store = &store,
                                 .key = EL_STR ("duty"),
                                 .holder = EL_STR ("a"),
