Changes held back by a read wait for its end

Cause: differences of a new epoch are held back for 2.5 s after its read. If a further epoch begins meanwhile, the timer of the first one released what the second read had found so far: a key that the restored store lacks was removed at once.

--- a/store/st_keys.c
+++ b/store/st_keys.c
@@ -448,7 +448,7 @@
   {
     const pr_store_item_t item = keys_entry_item (key);
 
-    if (!key->held)
+    if (!key->held || (keys->in_read && key->held == keys->read))
       continue;
     key_apply (keys, key, &item);
     if (item.gone)
--- a/tests/t_epoch.c
+++ b/tests/t_epoch.c
@@ -195,6 +195,29 @@
 }
 END_TEST
 
+/* Guards against a removal that takes effect as a further epoch begins: what
+   its read holds back is not released by the timer of the read before it. */
+START_TEST (test_keys_held_by_a_read_wait_for_its_end)
+{
+  const st_keys_page_t page = { .more = 0, .at = { 3, 4 } };
+  record_t record = { .refuse = 0 };
+  st_keys_t *keys = open_keys (&record);
+
+  put_key (keys, 1, 5, "a");
+  st_keys_begin_read (keys);
+  st_keys_apply_page (keys, &page);
+  st_keys_release_held (keys);
+  check_record (&record, "+k=a ");
+  st_keys_end_read (keys, unread, page.at);
+  ck_assert (st_keys_has_held (keys));
+  st_keys_release_held (keys);
+  check_record (&record, "+k=a -k=a ");
+  ck_assert (!st_keys_has_held (keys));
+  st_keys_free (keys);
+  el_buf_free (&record.text);
+}
+END_TEST
+
 #define READ_KEYS_MAX 1000
 
 /* Reads the keys "k000" to "k(N-1)", without those whose number DROPPED
@@ -612,6 +635,7 @@
   ADD (tcase, test_keys_second_read_yields_differences);
   ADD (tcase, test_keys_pieces_are_complete_and_bounded);
   ADD (tcase, test_keys_removed_are_bounded);
+  ADD (tcase, test_keys_held_by_a_read_wait_for_its_end);
   ADD_LOOP (tcase, test_keys_missing_or_restored_are_held_until_release, 2);
   ADD (tcase, test_follow_watch_across_epochs_is_discarded);
   ADD (tcase, test_follow_new_epoch_between_pages_restarts_read);
