At the end of a drain no waiting request is sent in the room of another one

Cause: the requests that outlast a drain were cancelled in the order of their start. The one that ran made room, the next one was sent to its endpoint, and was cancelled then: a call that had only waited got "may have run".

Change: those that wait are ended first.

--- a/gate/drain.c
+++ b/gate/drain.c
@@ -32,24 +32,35 @@
   drain_finish (arg);
 }
 
-/* Ends the requests that outlast the drain, so that their callers get a
-   response. */
+/* Ends the requests that have been sent to an endpoint, or those that have
+   not. */
 static void
-drain_end_requests (gt_gate_t *gate)
+drain_end (gt_gate_t *gate, int sent)
 {
   gt_inflight_t *inflight;
   gt_inflight_t *next;
 
-  EL_LOG (EL_LOG_WARN, "drain_over",
-          EL_FN ("running", HASH_COUNT (gate->inflight)));
   HASH_ITER (hh, gate->inflight, inflight, next)
   {
     rt_event_t event = { .kind = RT_EV_CANCEL, .stream = inflight->id };
 
-    gt_router_event (gate, &event);
+    if ((inflight->exchange != NULL) == sent)
+      gt_router_event (gate, &event);
   }
 }
 
+/* Ends the requests that outlast the drain, so that their callers get a
+   response; those that wait go first, so that none is sent in the room of
+   another one. */
+static void
+drain_end_requests (gt_gate_t *gate)
+{
+  EL_LOG (EL_LOG_WARN, "drain_over",
+          EL_FN ("running", HASH_COUNT (gate->inflight)));
+  drain_end (gate, 0);
+  drain_end (gate, 1);
+}
+
 static void
 drain_poll (void *arg, el_time_t now)
 {
--- a/tests/t_stop.c
+++ b/tests/t_stop.c
@@ -66,25 +66,35 @@
 }
 END_TEST
 
-/* Guards against a call that is cut without an answer at the end of a drain:
-   its caller learns that it may have run. */
+/* Guards against calls that are cut without an answer at the end of a drain:
+   one learns that it may have run; another one, that waited for the first, has
+   not, and is not sent in its room. */
 START_TEST (test_call_that_outlasts_a_drain_is_responded_to)
 {
-  caller_t caller;
+  caller_t callers[2];
   size_t i;
 
   setenv ("ELMARCHD_DRAIN_LIMIT_S", "1", 1);
+  setenv ("ELMARCHD_MAX_ACTIVE", "1", 1);
   cluster_start (&fixture, 1);
   unsetenv ("ELMARCHD_DRAIN_LIMIT_S");
+  unsetenv ("ELMARCHD_MAX_ACTIVE");
   for (i = 0; i < 2; i++)
     set_fault (&fixture.workers[i], "{\"fault\":\"slow\",\"delay_ms\":4000}");
-  caller_start (&caller, fixture.hosts[0].address, PAY_PATH, "{\"id\":\"t1\"}",
-                NULL, 0);
+  caller_start (&callers[0], fixture.hosts[0].address, PAY_PATH,
+                "{\"id\":\"t1\"}", NULL, 0);
   metric_wait_min (&fixture.hosts[0], "elmarch_calls_total", 1);
+  caller_start (&callers[1], fixture.hosts[0].address, PAY_PATH,
+                "{\"id\":\"t2\"}", NULL, 0);
+  metric_wait_min (&fixture.hosts[0], "elmarch_queued", 1);
   proc_signal (&fixture.hosts[0], SIGTERM);
-  caller_join (&caller);
-  assert_verdict (&caller.reply, 503, "may-have-run");
-  reply_free (&caller.reply);
+  for (i = 0; i < 2; i++)
+    {
+      caller_join (&callers[i]);
+      assert_verdict (&callers[i].reply, 503, i ? "not-run" : "may-have-run");
+      reply_free (&callers[i].reply);
+    }
+  ck_assert_int_eq (payment_runs_total ("t2"), 0);
   ck_assert_int_eq (proc_end (&fixture.hosts[0], SIGTERM), 0);
 }
 END_TEST
