--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -587,6 +587,7 @@
 void relay_respond_error (gt_relay_t *relay, int status, const char *reason,
                           el_time_t retry_after);
 void relay_respond_whole (gt_relay_t *relay, const net_result_t *result);
+void relay_respond_begin (gt_relay_t *relay, const net_result_t *head);
 void relay_respond_head (gt_relay_t *relay, const net_result_t *head);
 void relay_respond_event (gt_relay_t *relay, el_str_t event);
 void relay_respond_end (gt_relay_t *relay);
--- a/gate/relay_attempt.c
+++ b/gate/relay_attempt.c
@@ -159,14 +159,7 @@
   relay_backoff_read_head (relay, head);
   if (!relay->refused)
     relay_backoff_answered (relay);
-  if (relay->stream && !relay->response_started)
-    {
-      /* Head and first events are of the same run. */
-      relay_standby_cancel (relay, "a later one responds");
-      relay_respond_head (relay, head);
-    }
-  else if (!relay->stream)
-    net_exchange_keep_body (relay->exchange);
+  relay_respond_begin (relay, head);
 }
 
 /** Forwards complete events of a stream; buffers other responses. Returns 0 if
--- a/gate/relay_forward.c
+++ b/gate/relay_forward.c
@@ -221,13 +221,7 @@
   relay->stream = relay->rule->kind == RT_STREAM && head->status >= 200
                   && head->status < 300
                   && net_result_header (head, names->seal).len;
-  if (relay->stream && !relay->response_started)
-    {
-      relay_standby_cancel (relay, "a later one responds");
-      relay_respond_head (relay, head);
-    }
-  else if (!relay->stream)
-    net_exchange_keep_body (relay->exchange);
+  relay_respond_begin (relay, head);
 }
 
 /* Determines what a helper's response says about the request. A response with
--- a/gate/relay_response.c
+++ b/gate/relay_response.c
@@ -132,6 +132,22 @@
   h2o_start_response (relay->req, &relay->generator);
 }
 
+/** Handles the head of an attempt's response: a stream begins, unless an
+    earlier attempt has begun it; another response is kept until it is
+    whole. */
+void
+relay_respond_begin (gt_relay_t *relay, const net_result_t *head)
+{
+  if (!relay->stream)
+    net_exchange_keep_body (relay->exchange);
+  else if (!relay->response_started)
+    {
+      /* Head and first events are of the same run. */
+      relay_standby_cancel (relay, "a later one responds");
+      relay_respond_head (relay, head);
+    }
+}
+
 /* States what the caller has not read yet. */
 static void
 response_hold (gt_relay_t *relay)
