The array of an answer's headers doubles

Cause: header_finish enlarged the array by one entry a header; with the sanitizers each step copies the whole array, so that a head of 16,000 short headers, which the parser's 80 KB allow, copies gigabytes.

Change: the array doubles; what an unused entry takes is drawn from the account.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -132,6 +132,7 @@
   free (ex->headers);
   ex->headers = NULL;
   ex->nheaders = 0;
+  ex->cap_headers = 0;
 }
 
 static void
--- a/net/http_head.c
+++ b/net/http_head.c
@@ -9,8 +9,10 @@
  */
 #include "libnet.h"
 
-/* What a header takes beside its text: an entry and two allocated blocks. */
-#define HEADER_OVERHEAD (sizeof (net_header_t) + 2 * 32)
+/* What a header takes beside its text: an entry, one that the array may hold
+   unused, and two allocated blocks. */
+#define HEADER_OVERHEAD (2 * sizeof (net_header_t) + 2 * 32)
+#define HEADERS_FIRST_CAP 16
 #define IDLE_MAX (20 * EL_SEC)
 /* A connection is closed this long before the endpoint would close it. */
 #define IDLE_MARGIN (400 * EL_MSEC)
@@ -38,7 +40,13 @@
 
   if (!ex->in_value)
     return;
-  ex->headers = el_grow (ex->headers, ex->nheaders + 1, sizeof *ex->headers);
+  if (ex->nheaders == ex->cap_headers)
+    {
+      ex->cap_headers
+          = ex->cap_headers ? 2 * ex->cap_headers : HEADERS_FIRST_CAP;
+      ex->headers
+          = el_grow (ex->headers, ex->cap_headers, sizeof *ex->headers);
+    }
   header = &ex->headers[ex->nheaders++];
   header->name = el_str_dup (el_buf_str (&ex->name));
   header->value = el_str_dup (el_buf_str (&ex->value));
--- a/net/libnet.h
+++ b/net/libnet.h
@@ -236,6 +236,7 @@
   el_buf_t request;
   net_header_t *headers;
   size_t nheaders;
+  size_t cap_headers;
   int in_value; /**< the last header part was a value */
   el_buf_t name;
   el_buf_t value;
