--- a/gate/relay_runs.c
+++ b/gate/relay_runs.c
@@ -436,29 +436,43 @@
   pending_confirm (relays, target, "connections refused");
 }
 
-/** TARGET refuses connections of this host, but another one reached it after
-    it was asked at ASKED_AT: the runs that lost their connection before did
-   not end in a crash. */
-void
-relay_runs_refusal_refuted (gt_relays_t *relays, const rt_target_t *target,
-                            el_time_t asked_at)
+/* TARGET was alive at SINCE: the runs that lost their connection before did
+   not end in a crash. Later it may be the next instance at the same address.
+   Returns the number of such runs. */
+static size_t
+runs_seen_alive (gt_relays_t *relays, const rt_target_t *target,
+                 el_time_t since)
 {
   relay_runs_t *runs = relays->runs;
   el_time_t now = net_clock_now (relays->options.clock);
   relay_run_t *run;
   relay_run_t *next;
+  size_t n = 0;
 
-  relay_cancelled_seen_alive (relays, target, asked_at);
+  relay_cancelled_seen_alive (relays, target, since);
   DL_FOREACH_SAFE (runs->pending, run, next)
-  if (run->target == target)
+  if (run->target == target && !run->cancelled && run->report.at <= since
+      && now < run->report.at + RELAY_ALIVE_WINDOW)
     {
-      refusal_clear (runs, run);
-      if (run->cancelled || run->report.at > asked_at
-          || now >= run->report.at + RELAY_ALIVE_WINDOW)
-        continue;
-      relays->counts.refusals_refuted++;
       relay_pending_free (runs, run);
+      n++;
     }
+  return n;
+}
+
+/** TARGET refuses connections of this host, but another one reached it after
+    it was asked at ASKED_AT. */
+void
+relay_runs_refusal_refuted (gt_relays_t *relays, const rt_target_t *target,
+                            el_time_t asked_at)
+{
+  relay_run_t *run;
+
+  relays->counts.refusals_refuted
+      += runs_seen_alive (relays, target, asked_at);
+  DL_FOREACH (relays->runs->pending, run)
+  if (run->target == target)
+    refusal_clear (relays->runs, run);
 }
 
 /** Handles a connection refused by TARGET: it has crashed, unless this host is
@@ -511,22 +525,12 @@
     }
 }
 
-/** Handles TARGET's answer to a health check sent at SENT_AT: the runs that
-    lost their connection before did not end in a crash. */
+/** Handles TARGET's answer to a health check sent at SENT_AT. */
 void
 relay_runs_check_answered (gt_relays_t *relays, const rt_target_t *target,
                            el_time_t sent_at)
 {
-  relay_runs_t *runs = relays->runs;
-  el_time_t now = net_clock_now (relays->options.clock);
-  relay_run_t *run;
-  relay_run_t *next;
-
-  relay_cancelled_seen_alive (relays, target, sent_at);
-  DL_FOREACH_SAFE (runs->pending, run, next)
-  if (run->target == target && !run->cancelled && run->report.at <= sent_at
-      && now < run->report.at + RELAY_ALIVE_WINDOW)
-    relay_pending_free (runs, run);
+  runs_seen_alive (relays, target, sent_at);
 }
 
 /** Handles that TARGET is no longer listed, or listed as another instance: it
