The question to other hosts about refused connections is taken back

Cause: read in the code, not shown by a test: hosts that are asked note the loss, and ask others in turn for a report of their own. Sites of nine hosts, the test and the suites do not show it.

--- a/gate/gate_relay.h
+++ b/gate/gate_relay.h
@@ -132,10 +132,6 @@
                         endpoint of the service was reached */
   uint64_t doubts_confirmed; /**< of these, the endpoint had crashed */
   uint64_t doubts_cleared;   /**< of these, it had not */
-  uint64_t witness_calls; /**< times that other hosts were asked whether they
-                             reach an endpoint that refuses connections */
-  uint64_t refusals_refuted; /**< runs there that count for nothing, as another
-                                host reached it */
   uint64_t testimonies;      /**< rumors that a part of prompts ran well */
   uint64_t blocks_refuted;   /**< blocks of parts that ran well here */
   uint64_t runs_forgotten;   /**< runs dropped undecided, as there were too
--- a/gate/librelay.h
+++ b/gate/librelay.h
@@ -289,9 +289,6 @@
 int relay_survey_is_host (const relay_service_t *service);
 int relay_survey_is_endpoints (const relay_service_t *service);
 
-/* relay_witness.c */
-void relay_witness_ask (gt_relays_t *relays, rt_target_t *target);
-
 /* relay_forward.c */
 int relay_forward_read (gt_relay_t *relay);
 int relay_forward_is_own_header (el_str_t name);
@@ -416,10 +413,6 @@
 void relay_runs_alive (gt_relays_t *relays, const rt_instance_t *instance,
                        el_time_t asked_at);
 void relay_runs_connect_refused (gt_relays_t *relays, rt_target_t *target);
-void relay_runs_crashed (gt_relays_t *relays, const rt_target_t *target);
-void relay_runs_refusal_refuted (gt_relays_t *relays,
-                                 const rt_target_t *target,
-                                 el_time_t asked_at);
 void relay_runs_check_answered (gt_relays_t *relays, const rt_target_t *target,
                                 el_time_t sent_at);
 void relay_runs_connected (gt_relays_t *relays, const rt_target_t *target,
--- a/gate/relay_runs.c
+++ b/gate/relay_runs.c
@@ -10,9 +10,8 @@
  *
  * - It answers a health check sent after the loss: it is alive; decided
  *   immediately.
- * - It refuses connections, and another endpoint has accepted one since: it
- *   crashed, or the path to it is cut; other hosts are asked, and one that
- *   reaches it shows that it is alive (relay_witness.c).
+ * - It refuses connections, and another endpoint has responded since: it
+ *   crashed, with this host as the only witness; decided immediately.
  * - It refuses connections, and no other endpoint has responded: undecided, as
  *   this host may be cut off from the network. A request that crashes all
  *   endpoints of a service looks the same from here, so that the run is kept
@@ -331,14 +330,6 @@
   relay_pending_expire (relays, report.at);
 }
 
-/* No longer takes the refused connections of RUN's endpoint for a sign. */
-static void
-refusal_clear (relay_runs_t *runs, relay_run_t *run)
-{
-  runs->npending_refused -= run->refused_at != 0;
-  run->refused_at = 0;
-}
-
 /** This host reaches no endpoint of SERVICE: it is cut off, or all of them
     have crashed. Refused connections no longer prove that an endpoint
     crashed. */
@@ -351,7 +342,8 @@
   DL_FOREACH (runs->pending, run)
   if (!run->doubtful && el_str_eq (run->target->attrs.service, service))
     {
-      refusal_clear (runs, run);
+      runs->npending_refused -= run->refused_at != 0;
+      run->refused_at = 0;
       if (run->cancelled)
         continue;
       run->doubtful = 1;
@@ -428,63 +420,15 @@
     }
 }
 
-/** TARGET refuses connections, and no other host reaches it: it has
-    crashed. */
-void
-relay_runs_crashed (gt_relays_t *relays, const rt_target_t *target)
-{
-  pending_confirm (relays, target, "connections refused");
-}
-
-/* TARGET was alive at SINCE: the runs that lost their connection before did
-   not end in a crash. Later it may be the next instance at the same address.
-   Returns the number of such runs. */
-static size_t
-runs_seen_alive (gt_relays_t *relays, const rt_target_t *target,
-                 el_time_t since)
-{
-  relay_runs_t *runs = relays->runs;
-  el_time_t now = net_clock_now (relays->options.clock);
-  relay_run_t *run;
-  relay_run_t *next;
-  size_t n = 0;
-
-  relay_cancelled_seen_alive (relays, target, since);
-  DL_FOREACH_SAFE (runs->pending, run, next)
-  if (run->target == target && !run->cancelled && run->report.at <= since
-      && now < run->report.at + RELAY_ALIVE_WINDOW)
-    {
-      relay_pending_free (runs, run);
-      n++;
-    }
-  return n;
-}
-
-/** TARGET refuses connections of this host, but another one reached it after
-    it was asked at ASKED_AT. */
-void
-relay_runs_refusal_refuted (gt_relays_t *relays, const rt_target_t *target,
-                            el_time_t asked_at)
-{
-  relay_run_t *run;
-
-  relays->counts.refusals_refuted
-      += runs_seen_alive (relays, target, asked_at);
-  DL_FOREACH (relays->runs->pending, run)
-  if (run->target == target)
-    refusal_clear (relays->runs, run);
-}
-
 /** Handles a connection refused by TARGET: it has crashed, unless this host is
-    cut off. Connects to other endpoints of its service, and what other hosts
-    reach, decide that. */
+    cut off. Connects to other endpoints of its service decide that. */
 void
 relay_runs_connect_refused (gt_relays_t *relays, rt_target_t *target)
 {
   relay_runs_t *runs = relays->runs;
   relay_run_t *run;
 
-  if (rt_target_is_leaving (target) || target->witnessing
+  if (rt_target_is_leaving (target)
       || relay_reach_is_cut_off (relays, target->attrs.service))
     return;
   pending_add_check (relays, target);
@@ -499,14 +443,14 @@
 }
 
 /** Handles that a connection to TARGET, requested at BEGUN, is open. It shows
-    that this host is not cut off from TARGET's service: other hosts are asked
-    about its other endpoints, if they refused connections before and runs were
-    interrupted there. An answer on an older connection would not show that. */
+    that this host is not cut off from TARGET's service: the other endpoints of
+    the service that refused connections before have crashed. An answer on an
+    older connection would not show that. */
 void
 relay_runs_connected (gt_relays_t *relays, const rt_target_t *target,
                       el_time_t begun)
 {
-  relay_run_t *run;
+  const relay_run_t *run;
   rt_target_t *other;
 
   relay_cancelled_seen_alive (relays, target, begun);
@@ -519,18 +463,27 @@
       if (!run)
         return;
       other = rt_target_ref (run->target);
-      refusal_clear (relays->runs, run);
-      relay_witness_ask (relays, other);
+      pending_confirm (relays, other, "connections refused");
       rt_target_unref (other);
     }
 }
 
-/** Handles TARGET's answer to a health check sent at SENT_AT. */
+/** Handles TARGET's answer to a health check sent at SENT_AT: the runs that
+    lost their connection before did not end in a crash. */
 void
 relay_runs_check_answered (gt_relays_t *relays, const rt_target_t *target,
                            el_time_t sent_at)
 {
-  runs_seen_alive (relays, target, sent_at);
+  relay_runs_t *runs = relays->runs;
+  el_time_t now = net_clock_now (relays->options.clock);
+  relay_run_t *run;
+  relay_run_t *next;
+
+  relay_cancelled_seen_alive (relays, target, sent_at);
+  DL_FOREACH_SAFE (runs->pending, run, next)
+  if (run->target == target && !run->cancelled && run->report.at <= sent_at
+      && now < run->report.at + RELAY_ALIVE_WINDOW)
+    relay_pending_free (runs, run);
 }
 
 /** Handles that TARGET is no longer listed, or listed as another instance: it
--- a/gate/relay_survey.c
+++ b/gate/relay_survey.c
@@ -156,14 +156,14 @@
   free (answer);
 }
 
-/** Finds out for another host which endpoints this host reaches: those that
-   are named and, unless the name of the service is empty, a few others of it.
-   It does not answer if it knows none of them. */
+/** Finds out for another host which endpoints this host reaches. It does not
+    answer if it knows no endpoint of the service. */
 void
 gt_relays_answer_reach (gt_relays_t *relays, const pr_reach_query_t *query,
                         pr_reach_cb done, void *arg)
 {
   const rt_fleet_t *fleet = relays->options.fleet;
+  relay_service_t *service = relay_service (relays, query->service);
   rt_target_t *targets[PR_REACH_MAX + RELAY_REACH_SAMPLE];
   size_t index[PR_REACH_MAX + RELAY_REACH_SAMPLE];
   survey_answer_t *answer;
@@ -179,10 +179,7 @@
       index[n] = i;
       targets[n++] = target;
     }
-  i = n;
-  if (query->service.len)
-    i += relay_reach_choose (relays, relay_service (relays, query->service), 1,
-                             targets + n);
+  i = n + relay_reach_choose (relays, service, 1, targets + n);
   for (; n < i; n++)
     index[n] = PR_REACH_MAX;
   if (!n)
--- a/route/relay.h
+++ b/route/relay.h
@@ -222,10 +222,6 @@
   int reported_silent;  /**< another host got no answer to a health check; this
                            host has not checked it */
   int probing;          /**< a connect that shows its reach is outstanding */
-  el_time_t alive_at;   /**< when another host told that it reaches it, though
-                           this one is refused; 0: never */
-  int witnessing;       /**< other hosts are being asked whether they reach it
-                         */
   el_time_t probed_at;  /**< when the last such connect began; 0: never */
   double mean_ms;       /**< moving average of its response time */
   UT_hash_handle hh;
